--- /dev/null
+++ b/cmd/basilrudder/main.go
@@ -0,0 +1,4 @@
+// Command basilrudder is not wired yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/basilrudderd/main.go
@@ -0,0 +1,4 @@
+// Command basilrudderd is not wired yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,364 @@
+// Package catalog holds the configuration in force as one immutable value. A
+// Catalog is compiled from a checked inventory, published through an atomic
+// pointer and never changed afterwards, so that readers on the path of a
+// request take no lock.
+package catalog
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"basilrudder/internal/schema/inventory"
+)
+
+// Class is a request class with its targets.
+type Class struct {
+	// Name is unique.
+	Name string
+	// Hash identifies the class in peer messages.
+	Hash uint32
+	// Tier is the service tier without a subscription; 0 is the highest.
+	Tier int
+	// Kind says whether a model or a plain service serves the class.
+	Kind inventory.ClassKind
+	// Target is the model or the service that serves the class.
+	Target string
+	// Deadline is the time from arrival to the end of the answer; 0 for none.
+	Deadline time.Duration
+	// FirstToken is the time from arrival to the first token; 0 for none.
+	FirstToken time.Duration
+	// TokenGap is the time between tokens for 95 in 100; 0 for none.
+	TokenGap time.Duration
+	// MaxQueue is the longest wait in a queue when no deadline applies.
+	MaxQueue time.Duration
+	// Idempotent says whether a request may run more than once.
+	Idempotent bool
+	// MaxOutputTokens bounds an answer.
+	MaxOutputTokens int
+
+	subscriptionTiers map[string]int
+}
+
+// TierFor returns the tier of a request of the class by the customer.
+func (c *Class) TierFor(customer *Customer) int {
+	if tier, ok := c.subscriptionTiers[customer.Subscription]; ok {
+		return tier
+	}
+	return c.Tier
+}
+
+// Customer is somebody whose callers are served.
+type Customer struct {
+	// Name is unique.
+	Name string
+	// Hash identifies the customer in peer messages.
+	Hash uint32
+	// Weight is the share against other customers of the same tier.
+	Weight float64
+	// Subscription selects tier overrides of classes.
+	Subscription string
+	// RequestsPerSecond limits requests over the fleet; 0 for no limit.
+	RequestsPerSecond float64
+	// TokensPerSecond limits generated tokens over the fleet; 0 for no limit.
+	TokensPerSecond float64
+	// Burst is the time of a rate that may be used at once.
+	Burst time.Duration
+
+	classes map[string]bool
+}
+
+// MayUse reports whether the customer may send requests of the class.
+func (c *Customer) MayUse(class *Class) bool {
+	return len(c.classes) == 0 || c.classes[class.Name]
+}
+
+// Engine is one place where requests run.
+type Engine struct {
+	// ID is server/engine.
+	ID string
+	// Server the engine belongs to.
+	Server *Server
+	// Spec is the published entry.
+	Spec inventory.Engine
+	// Serves holds the models or services it runs.
+	Serves []string
+}
+
+// Server is one upstream server.
+type Server struct {
+	// Spec is the published entry.
+	Spec inventory.Server
+	// Group that schedules the server.
+	Group *Group
+	// Engines of the server.
+	Engines []*Engine
+}
+
+// Group is a set of servers with one scheduling queue and one owner among the
+// instances. All its servers stand in one data centre and serve the same things.
+type Group struct {
+	// Name is unique and stable while the set of servers is.
+	Name string
+	// DataCentre the servers stand in.
+	DataCentre string
+	// Servers of the group, by name.
+	Servers []*Server
+	// Serves holds the models or services of the group, sorted.
+	Serves []string
+}
+
+// Catalog is one revision of the configuration, compiled.
+type Catalog struct {
+	// Revision of the manifest; it only grows.
+	Revision uint64
+	// Inventory is the merged published content.
+	Inventory *inventory.Inventory
+	// Rules are the deployment's rules.
+	Rules inventory.Rules
+	// Classes by name.
+	Classes map[string]*Class
+	// ClassByHash finds the class of a peer message.
+	ClassByHash map[uint32]*Class
+	// Customers by name.
+	Customers map[string]*Customer
+	// CustomerByHash finds the customer of a peer message.
+	CustomerByHash map[uint32]*Customer
+	// Servers by name.
+	Servers map[string]*Server
+	// Groups by name.
+	Groups map[string]*Group
+	// GroupList holds the groups sorted by name.
+	GroupList []*Group
+	// GroupsFor lists the groups that serve a model or a service, by name.
+	GroupsFor map[string][]*Group
+	// Engines by id.
+	Engines map[string]*Engine
+	// DataCentres by name.
+	DataCentres map[string]inventory.DataCentre
+	// Tiers sorted, highest first.
+	Tiers []inventory.Tier
+
+	byCredential map[[sha256.Size]byte]*Customer
+}
+
+// Hash32 returns the hash by which peer messages name classes and customers.
+func Hash32(name string) uint32 {
+	return uint32(xxhash.Sum64String(name))
+}
+
+// Authenticate finds the customer of a bearer credential, or nil. Only the
+// digest is compared, so that the time taken tells nothing of the credential.
+func (c *Catalog) Authenticate(credential string) *Customer {
+	return c.byCredential[sha256.Sum256([]byte(credential))]
+}
+
+// OneWay returns the one-way latency between two data centres.
+func (c *Catalog) OneWay(from, to string) time.Duration {
+	if from == to {
+		return 0
+	}
+	a, b := c.DataCentres[from], c.DataCentres[to]
+	ms := max(a.RegionOneWayMS, b.RegionOneWayMS)
+	if a.Region == b.Region {
+		ms = max(a.OneWayMS, b.OneWayMS)
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// Compile builds a Catalog from a checked inventory.
+func Compile(revision uint64, inv *inventory.Inventory) *Catalog {
+	c := &Catalog{
+		Revision:       revision,
+		Inventory:      inv,
+		Classes:        make(map[string]*Class, len(inv.Classes)),
+		ClassByHash:    make(map[uint32]*Class, len(inv.Classes)),
+		Customers:      make(map[string]*Customer, len(inv.Customers)),
+		CustomerByHash: make(map[uint32]*Customer, len(inv.Customers)),
+		Servers:        make(map[string]*Server, len(inv.Servers)),
+		Groups:         make(map[string]*Group),
+		GroupsFor:      make(map[string][]*Group),
+		Engines:        make(map[string]*Engine),
+		DataCentres:    make(map[string]inventory.DataCentre, len(inv.DataCentres)),
+		byCredential:   make(map[[sha256.Size]byte]*Customer, len(inv.Customers)),
+	}
+	if inv.Rules != nil {
+		c.Rules = *inv.Rules
+	}
+	for _, dc := range inv.DataCentres {
+		c.DataCentres[dc.Name] = dc
+	}
+	c.Tiers = append(c.Tiers, inv.Tiers...)
+	sort.Slice(c.Tiers, func(i, j int) bool { return c.Tiers[i].Tier < c.Tiers[j].Tier })
+	c.compileClasses()
+	c.compileCustomers()
+	c.compileServers()
+	return c
+}
+
+func (c *Catalog) compileClasses() {
+	for _, in := range c.Inventory.Classes {
+		class := newClass(in)
+		c.Classes[class.Name] = class
+		c.ClassByHash[class.Hash] = class
+	}
+}
+
+func newClass(in inventory.Class) *Class {
+	class := &Class{
+		Name:              in.Name,
+		Hash:              Hash32(in.Name),
+		Tier:              in.Tier,
+		Kind:              in.Kind,
+		Target:            in.Model,
+		Deadline:          milliseconds(in.DeadlineMS),
+		FirstToken:        milliseconds(in.FirstTokenMS),
+		TokenGap:          milliseconds(in.TokenGapMS),
+		MaxQueue:          milliseconds(in.MaxQueueMS),
+		Idempotent:        in.Idempotent,
+		MaxOutputTokens:   in.MaxOutputTokens,
+		subscriptionTiers: make(map[string]int, len(in.SubscriptionTiers)),
+	}
+	if in.Kind == inventory.ClassKindService {
+		class.Target = in.Service
+	}
+	for _, st := range in.SubscriptionTiers {
+		class.subscriptionTiers[st.Subscription] = st.Tier
+	}
+	return class
+}
+
+func (c *Catalog) compileCustomers() {
+	for _, in := range c.Inventory.Customers {
+		customer := newCustomer(in)
+		c.Customers[customer.Name] = customer
+		c.CustomerByHash[customer.Hash] = customer
+		for _, digest := range in.CredentialSHA256 {
+			var key [sha256.Size]byte
+			if _, err := hex.Decode(key[:], []byte(digest)); err == nil {
+				c.byCredential[key] = customer
+			}
+		}
+	}
+}
+
+func newCustomer(in inventory.Customer) *Customer {
+	customer := &Customer{
+		Name:              in.Name,
+		Hash:              Hash32(in.Name),
+		Weight:            in.Weight,
+		Subscription:      in.Subscription,
+		RequestsPerSecond: in.RequestsPerS,
+		TokensPerSecond:   in.TokensPerS,
+		Burst:             time.Duration(in.BurstS * float64(time.Second)),
+	}
+	if len(in.Classes) > 0 {
+		customer.classes = make(map[string]bool, len(in.Classes))
+		for _, name := range in.Classes {
+			customer.classes[name] = true
+		}
+	}
+	return customer
+}
+
+func (c *Catalog) compileServers() {
+	pools := make(map[string][]*Server)
+	for _, in := range c.Inventory.Servers {
+		server := newServer(in)
+		c.Servers[in.Name] = server
+		for _, engine := range server.Engines {
+			c.Engines[engine.ID] = engine
+		}
+		pool := in.DataCentre + "/" + strings.Join(served(server), "+")
+		pools[pool] = append(pools[pool], server)
+	}
+	for pool, servers := range pools {
+		c.compileGroups(pool, servers)
+	}
+	sort.Slice(c.GroupList, func(i, j int) bool { return c.GroupList[i].Name < c.GroupList[j].Name })
+	for _, group := range c.GroupList {
+		for _, target := range group.Serves {
+			c.GroupsFor[target] = append(c.GroupsFor[target], group)
+		}
+	}
+}
+
+func newServer(in inventory.Server) *Server {
+	server := &Server{Spec: in}
+	for _, spec := range in.Engines {
+		engine := &Engine{
+			ID:     in.Name + "/" + spec.Name,
+			Server: server,
+			Spec:   spec,
+			Serves: spec.Models,
+		}
+		if in.Kind == inventory.ServerKindApplication {
+			engine.Serves = spec.Services
+		}
+		server.Engines = append(server.Engines, engine)
+	}
+	return server
+}
+
+// served returns what the engines of a server serve together, sorted.
+func served(server *Server) []string {
+	set := make(map[string]bool)
+	for _, engine := range server.Engines {
+		for _, target := range engine.Serves {
+			set[target] = true
+		}
+	}
+	out := make([]string, 0, len(set))
+	for target := range set {
+		out = append(out, target)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// compileGroups splits the servers of a pool evenly into groups. A change of
+// the pool may move servers between groups; the new owner learns of the
+// requests that still run there when their holders renew them.
+func (c *Catalog) compileGroups(pool string, servers []*Server) {
+	perGroup := max(c.Rules.ServersPerGroup, 1)
+	count := (len(servers) + perGroup - 1) / perGroup
+	sort.Slice(servers, func(i, j int) bool { return servers[i].Spec.Name < servers[j].Spec.Name })
+	for i, server := range servers {
+		name := groupName(pool, i%count)
+		group := c.Groups[name]
+		if group == nil {
+			group = &Group{Name: name, DataCentre: server.Spec.DataCentre, Serves: served(server)}
+			c.Groups[name] = group
+			c.GroupList = append(c.GroupList, group)
+		}
+		group.Servers = append(group.Servers, server)
+		server.Group = group
+	}
+}
+
+// groupName keeps names short, since peer messages carry them.
+func groupName(pool string, index int) string {
+	const letters = "0123456789abcdefghijklmnopqrstuvwxyz"
+	h := Hash32(pool)
+	out := make([]byte, 0, 8)
+	for range 5 {
+		out = append(out, letters[h%uint32(len(letters))])
+		h /= uint32(len(letters))
+	}
+	out = append(out, '.')
+	for {
+		out = append(out, letters[index%len(letters)])
+		index /= len(letters)
+		if index == 0 {
+			return string(out)
+		}
+	}
+}
+
+func milliseconds(ms int) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
