Request ids bound to one process incarnation

Cause: at most once needs a place where a repeated request is refused, and there is no shared record. Change: ids name the incarnation that alone may start them and expire by its monotonic clock; a bounded table remembers them until then. Conclusion: the node can claim an id before it admits a request.

--- /dev/null
+++ b/internal/reqid/reqid_test.go
@@ -0,0 +1,84 @@
+package reqid
+
+import (
+	"testing"
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+func seconds(n int) monotime.Instant {
+	return monotime.Instant(time.Duration(n) * time.Second)
+}
+
+func mustID(t *testing.T, inc Incarnation, issued time.Time, lifetime time.Duration, nonce string) ID {
+	t.Helper()
+	prefix, ok := inc.Prefix(issued, lifetime)
+	if !ok {
+		t.Fatalf("no prefix for %v", inc)
+	}
+	id, err := Parse(prefix + nonce)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return id
+}
+
+// A caller that got no answer sends the same id again, while the table still
+// remembers it and after it has been forgotten. Neither may start a second run:
+// the first is seen, the second has expired by the clock that did the forgetting.
+func TestClaimNeverStartsAnIDTwice(t *testing.T) {
+	started := time.UnixMilli(1_700_000_000_000)
+	inc := NewIncarnation("entry-1", started, 7)
+	id := mustID(t, inc, started.Add(10*time.Second), 30*time.Second, "a")
+	table := NewTable(8, 30*time.Second)
+
+	steps := []struct {
+		at   int
+		want Claim
+	}{{10, ClaimNew}, {11, ClaimSeen}, {39, ClaimSeen}, {40, ClaimExpired}, {4000, ClaimExpired}}
+	for _, step := range steps {
+		if got := table.Claim(seconds(step.at), "acme", id); got != step.want {
+			t.Errorf("claim at %d s = %v, want %v", step.at, got, step.want)
+		}
+	}
+	if got := table.Len(); got != 0 {
+		t.Errorf("%d ids remembered after expiry", got)
+	}
+}
+
+func TestClaimIsBoundedAndPerCustomer(t *testing.T) {
+	started := time.UnixMilli(1_700_000_000_000)
+	inc := NewIncarnation("entry-1", started, 7)
+	table := NewTable(2, 30*time.Second)
+	id := mustID(t, inc, started, 30*time.Second, "a")
+	if got := table.Claim(seconds(1), "acme", id); got != ClaimNew {
+		t.Fatalf("first claim = %v", got)
+	}
+	if got := table.Claim(seconds(1), "other", id); got != ClaimNew {
+		t.Errorf("another customer's claim = %v", got)
+	}
+	full := mustID(t, inc, started, 30*time.Second, "b")
+	if got := table.Claim(seconds(1), "acme", full); got != ClaimFull {
+		t.Errorf("claim of a full table = %v", got)
+	}
+	far := mustID(t, inc, started, time.Hour, "c")
+	if got := table.Claim(seconds(1), "acme", far); got != ClaimTooFar {
+		t.Errorf("claim an hour ahead = %v", got)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("entry-1~lq2z.3~1e~abc")
+	f.Add("~~~")
+	f.Fuzz(func(t *testing.T, text string) {
+		id, err := Parse(text)
+		if err != nil {
+			return
+		}
+		again, err := Parse(id.Text)
+		if err != nil || again != id {
+			t.Errorf("%q parsed to %+v, then %+v, %v", text, id, again, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/reqid/table.go
@@ -0,0 +1,120 @@
+package reqid
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"basilrudder/internal/monotime"
+)
+
+// Claim is the answer of a Table to an id.
+type Claim uint8
+
+const (
+	// ClaimNew means the id was not seen before and is now taken.
+	ClaimNew Claim = iota
+	// ClaimSeen means the id was taken before; it must not be started again.
+	ClaimSeen
+	// ClaimExpired means that the table may have forgotten the id.
+	ClaimExpired
+	// ClaimTooFar means that the expiry lies further ahead than is ever issued.
+	ClaimTooFar
+	// ClaimFull means that the table can remember no further id.
+	ClaimFull
+)
+
+type key uint64
+
+type expiring struct {
+	key key
+	at  time.Duration
+}
+
+// Table remembers every id that this incarnation has taken, until it expires.
+// Expiry is judged by the process's monotonic clock, so the table is bounded
+// by rate times lifetime. It is not safe for concurrent use.
+type Table struct {
+	capacity int
+	lifetime time.Duration
+	seen     map[key]struct{}
+	byExpiry expiryHeap
+}
+
+// NewTable returns a table of at most capacity ids that accepts expiries up to
+// lifetime ahead.
+func NewTable(capacity int, lifetime time.Duration) *Table {
+	return &Table{
+		capacity: capacity,
+		lifetime: lifetime,
+		seen:     make(map[key]struct{}),
+	}
+}
+
+// SetLifetime changes how far ahead an expiry may lie.
+func (t *Table) SetLifetime(lifetime time.Duration) {
+	t.lifetime = max(t.lifetime, lifetime)
+}
+
+// Len returns the number of ids remembered.
+func (t *Table) Len() int {
+	return len(t.seen)
+}
+
+// Claim takes the id for the customer. The customer is part of the key, so that
+// nobody can spend another customer's ids.
+//
+// A hash collision would refuse a request that never ran; at a million ids the
+// chance is below one in ten million, and it errs on the side of not running.
+func (t *Table) Claim(now monotime.Instant, customer string, id ID) Claim {
+	uptime := Uptime(now)
+	t.expire(uptime)
+	if id.Expiry <= uptime {
+		return ClaimExpired
+	}
+	if id.Expiry > uptime+t.lifetime+clockSlack {
+		return ClaimTooFar
+	}
+	k := keyOf(customer, id.Text)
+	if _, ok := t.seen[k]; ok {
+		return ClaimSeen
+	}
+	if len(t.seen) >= t.capacity {
+		return ClaimFull
+	}
+	t.seen[k] = struct{}{}
+	heap.Push(&t.byExpiry, expiring{key: k, at: id.Expiry})
+	return ClaimNew
+}
+
+func keyOf(customer, id string) key {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(customer)
+	_, _ = d.WriteString(separator)
+	_, _ = d.WriteString(id)
+	return key(d.Sum64())
+}
+
+func (t *Table) expire(uptime time.Duration) {
+	for len(t.byExpiry) > 0 && t.byExpiry[0].at <= uptime {
+		oldest := heap.Pop(&t.byExpiry).(expiring)
+		delete(t.seen, oldest.key)
+	}
+}
+
+// expiryHeap implements heap.Interface, earliest expiry first.
+type expiryHeap []expiring
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *expiryHeap) Push(x any)        { *h = append(*h, x.(expiring)) }
+
+func (h *expiryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
