--- a/internal/reqid/table.go
+++ b/internal/reqid/table.go
@@ -62,12 +62,12 @@
 	return len(t.seen)
 }
 
-// Claim takes the id for the customer. The customer is part of the key, so that
-// nobody can spend another customer's ids.
+// Claim takes the id. It does not depend on the customer: engines know a run by
+// its id alone, so two customers must not run the same one.
 //
 // A hash collision would refuse a request that never ran; at a million ids the
 // chance is below one in ten million, and it errs on the side of not running.
-func (t *Table) Claim(now monotime.Instant, customer string, id ID) Claim {
+func (t *Table) Claim(now monotime.Instant, id ID) Claim {
 	uptime := Uptime(now)
 	t.expire(uptime)
 	if id.Expiry <= uptime {
@@ -76,7 +76,7 @@
 	if id.Expiry > uptime+t.lifetime+clockSlack {
 		return ClaimTooFar
 	}
-	k := keyOf(customer, id.Text)
+	k := keyOf(id.Text)
 	if _, ok := t.seen[k]; ok {
 		return ClaimSeen
 	}
@@ -88,13 +88,14 @@
 	return ClaimNew
 }
 
-func keyOf(customer, id string) key {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(customer)
-	_, _ = d.WriteString(separator)
-	_, _ = d.WriteString(id)
-	return key(d.Sum64())
+// Forget gives an id back whose request surely did not run, so that the caller
+// may send it again.
+func (t *Table) Forget(id string) {
+	delete(t.seen, keyOf(id))
+}
+
+func keyOf(id string) key {
+	return key(xxhash.Sum64String(id))
 }
 
 func (t *Table) expire(uptime time.Duration) {
--- a/internal/schema/inventory/inventory.gen.go
+++ b/internal/schema/inventory/inventory.gen.go
@@ -183,7 +183,7 @@
 	DirectoryTTLS int `json:"directory_ttl_s,omitempty,omitzero"`
 
 	// Time a granted slot stays held without a sign of life of its holder, in
-	// milliseconds.
+	// milliseconds; holders renew it three times in that time.
 	GrantLeaseMS int `json:"grant_lease_ms,omitempty,omitzero"`
 
 	// Hedged attempts allowed per request served, as a share; 0 for none.
