Decode settings and published values against their schemas

Cause: settings and inventory are TOML, their rules stand in JSON Schemas; an operator has to see every fault of a file at once. Change: schema.Decode fills defaults (array items and references too), validates, and names file, key with the item's name, value and expectation; secrets (writeOnly in the schema) never show. inventory.Parse and LoadDir merge files and check names, references, hashes and credentials over files. The optional tables of the settings have the default {}, so their generated fields are values now, not pointers. To weigh by the owner of catalog.Hash32: at 27,000 names two collide in 32 bits with probability 0.08, and the check then refuses the inventory.

--- /dev/null
+++ b/internal/inventory/inventory.go
@@ -0,0 +1,161 @@
+// Package inventory reads published values: it checks each file against the
+// schema, merges them and checks what they say of each other. An inventory is
+// accepted whole or not at all.
+package inventory
+
+import (
+	"crypto/sha256"
+	"os"
+	"path/filepath"
+	"sort"
+
+	"basilrudder/internal/schema/inventory"
+	"basilrudder/schema"
+)
+
+const (
+	schemaRef      = "inventory.json"
+	rulesSchemaRef = "inventory.json#/$defs/Rules"
+	fileSuffix     = ".toml"
+	// wholeInventory stands in for a file name where a problem belongs to none.
+	wholeInventory = "inventory"
+)
+
+// Problem is one fault of an inventory.
+type Problem = schema.Problem
+
+// Problems is every fault of an inventory; it is an error when not empty.
+type Problems = schema.Problems
+
+// File is one published value.
+type File struct {
+	// Name is the key of the value or the name of the file.
+	Name string
+	// Data is the TOML text.
+	Data []byte
+}
+
+// Parse checks and merges files. It returns the inventory, or every problem
+// found and no inventory.
+func Parse(files []File) (*inventory.Inventory, Problems) {
+	return new(Parser).Parse(files)
+}
+
+// LoadDir parses every TOML file of a directory in the order of their names.
+func LoadDir(dir string) (*inventory.Inventory, Problems) {
+	files, problems := readDir(dir)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return Parse(files)
+}
+
+func readDir(dir string) ([]File, Problems) {
+	names, err := filepath.Glob(filepath.Join(dir, "*"+fileSuffix))
+	if err != nil || len(names) == 0 {
+		return nil, Problems{{File: dir, Expected: "a directory with files ending in " + fileSuffix}}
+	}
+	sort.Strings(names)
+	files := make([]File, 0, len(names))
+	var problems Problems
+	for _, name := range names {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			problems = append(problems, Problem{File: filepath.Base(name), Expected: "a readable file: " + err.Error()})
+			continue
+		}
+		files = append(files, File{Name: filepath.Base(name), Data: data})
+	}
+	return files, problems
+}
+
+// Parser parses revision after revision and keeps the files of the last one in
+// decoded form: a change of one value among many costs the reading of that one.
+// It is not safe for concurrent use.
+type Parser struct {
+	cache map[cacheKey]*decoded
+}
+
+type cacheKey struct {
+	name   string
+	digest [sha256.Size]byte
+}
+
+// decoded is one file after the check against the schema; never changed later.
+type decoded struct {
+	file     string
+	content  *inventory.Inventory
+	problems Problems
+}
+
+// Parse is like the function Parse.
+func (p *Parser) Parse(files []File) (*inventory.Inventory, Problems) {
+	parts := p.decodeAll(files)
+	var problems Problems
+	for _, part := range parts {
+		problems = append(problems, part.problems...)
+	}
+	// Checks between files would report what a file that failed does not say.
+	if len(problems) > 0 {
+		problems.Sort()
+		return nil, problems
+	}
+	merged, problems := merge(parts)
+	problems = append(problems, check(parts, merged)...)
+	if len(problems) > 0 {
+		problems.Sort()
+		return nil, problems
+	}
+	return merged, nil
+}
+
+func (p *Parser) decodeAll(files []File) []*decoded {
+	kept := make(map[cacheKey]*decoded, len(files))
+	parts := make([]*decoded, 0, len(files))
+	for _, file := range files {
+		key := cacheKey{name: file.Name, digest: sha256.Sum256(file.Data)}
+		part := p.cache[key]
+		if part == nil {
+			part = decode(file)
+		}
+		kept[key] = part
+		parts = append(parts, part)
+	}
+	p.cache = kept
+	return parts
+}
+
+func decode(file File) *decoded {
+	part := &decoded{file: file.Name, content: &inventory.Inventory{}}
+	part.problems = schema.Decode(schemaRef, file.Name, file.Data, part.content)
+	return part
+}
+
+// merge joins files in their order; rules may stand in one of them only.
+func merge(parts []*decoded) (*inventory.Inventory, Problems) {
+	out := &inventory.Inventory{}
+	var problems Problems
+	for _, part := range parts {
+		in := part.content
+		out.DataCentres = append(out.DataCentres, in.DataCentres...)
+		out.Models = append(out.Models, in.Models...)
+		out.Servers = append(out.Servers, in.Servers...)
+		out.Classes = append(out.Classes, in.Classes...)
+		out.Customers = append(out.Customers, in.Customers...)
+		out.Tiers = append(out.Tiers, in.Tiers...)
+		out.PeerKeys = append(out.PeerKeys, in.PeerKeys...)
+		if in.Rules == nil {
+			continue
+		}
+		if out.Rules != nil {
+			problems = append(problems, Problem{File: part.file, Key: "rules", Expected: "rules in one file only"})
+			continue
+		}
+		out.Rules = in.Rules
+	}
+	if out.Rules == nil {
+		out.Rules = &inventory.Rules{}
+		problems = append(problems, schema.Decode(rulesSchemaRef, wholeInventory, nil, out.Rules)...)
+	}
+	return out, problems
+}
--- a/internal/schema/settings/settings.gen.go
+++ b/internal/schema/settings/settings.gen.go
@@ -96,22 +96,22 @@
 // Settings of one daemon.
 type Settings struct {
 	// Advertise gives addresses others use, where they differ from those bound.
-	Advertise *AdvertiseSettings `json:"advertise,omitempty,omitzero"`
+	Advertise AdvertiseSettings `json:"advertise,omitempty,omitzero"`
 
 	// Instance identifies the daemon.
 	Instance InstanceSettings `json:"instance"`
 
 	// Limits bounds what one daemon holds.
-	Limits *LimitSettings `json:"limits,omitempty,omitzero"`
+	Limits LimitSettings `json:"limits,omitempty,omitzero"`
 
 	// Listen gives the addresses the daemon binds.
 	Listen ListenSettings `json:"listen"`
 
 	// Log configures the log.
-	Log *LogSettings `json:"log,omitempty,omitzero"`
+	Log LogSettings `json:"log,omitempty,omitzero"`
 
 	// Peers configures links between instances.
-	Peers *PeerSettings `json:"peers,omitempty,omitzero"`
+	Peers PeerSettings `json:"peers,omitempty,omitzero"`
 
 	// Platform is the configuration service.
 	Platform PlatformSettings `json:"platform"`
