--- a/internal/inventory/unique.go
+++ b/internal/inventory/unique.go
@@ -14,13 +14,12 @@
 type uniqueness struct {
 	c     *checker
 	first map[string]site
-	what  string
 	// secret hides the value in messages.
 	secret bool
 }
 
-func (c *checker) unique(what string, size int) *uniqueness {
-	return &uniqueness{c: c, first: make(map[string]site, size), what: what}
+func (c *checker) unique(size int) *uniqueness {
+	return &uniqueness{c: c, first: make(map[string]site, size)}
 }
 
 func (u *uniqueness) add(at site, value string) {
@@ -33,18 +32,18 @@
 	if u.secret {
 		shown = "(hidden)"
 	}
-	u.c.add(at, shown, "a "+u.what+" that no other entry has; "+first.file+" has it at "+first.key)
+	u.c.add(at, shown, "a value that no other entry has; "+first.file+" has it at "+first.key)
 }
 
 func (c *checker) checkUnique(parts []*decoded) {
 	merged := c.merged
-	dataCentres := c.unique("name", len(merged.DataCentres))
-	models := c.unique("name", len(merged.Models))
-	tierNumbers := c.unique("number", len(merged.Tiers))
-	tierNames := c.unique("name", len(merged.Tiers))
-	keys := c.unique("id", len(merged.PeerKeys))
-	servers := c.unique("name", len(merged.Servers))
-	addresses := c.unique("address", len(merged.Servers))
+	dataCentres := c.unique(len(merged.DataCentres))
+	models := c.unique(len(merged.Models))
+	tierNumbers := c.unique(len(merged.Tiers))
+	tierNames := c.unique(len(merged.Tiers))
+	keys := c.unique(len(merged.PeerKeys))
+	servers := c.unique(len(merged.Servers))
+	addresses := c.unique(len(merged.Servers))
 	for _, part := range parts {
 		in := part.content
 		for i, dc := range in.DataCentres {
@@ -74,14 +73,14 @@
 }
 
 func (c *checker) checkEngineNames(at site, server inventory.Server) {
-	names := c.unique("name", len(server.Engines))
+	names := c.unique(len(server.Engines))
 	for i, engine := range server.Engines {
 		names.add(at.item("engines", i, engine.Name).sub("name"), engine.Name)
 	}
 }
 
 func (c *checker) checkUniqueClasses(parts []*decoded) {
-	names := c.unique("name", len(c.merged.Classes))
+	names := c.unique(len(c.merged.Classes))
 	hashes := c.hashes(len(c.merged.Classes))
 	for _, part := range parts {
 		for i, class := range part.content.Classes {
@@ -93,9 +92,9 @@
 }
 
 func (c *checker) checkUniqueCustomers(parts []*decoded) {
-	names := c.unique("name", len(c.merged.Customers))
+	names := c.unique(len(c.merged.Customers))
 	hashes := c.hashes(len(c.merged.Customers))
-	credentials := c.unique("credential", len(c.merged.Customers))
+	credentials := c.unique(len(c.merged.Customers))
 	credentials.secret = true
 	for _, part := range parts {
 		for i, customer := range part.content.Customers {
