--- /dev/null
+++ b/internal/sched/affinity.go
@@ -0,0 +1,146 @@
+package sched
+
+import (
+	"strconv"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/engineapi"
+)
+
+// prefixTable remembers which engines ran a prefix last. It is what the group
+// itself knows; cache events of the engines only correct it, since they come
+// late and with gaps. The table has a fixed size; a newer prefix displaces an
+// older one that falls on the same place.
+type prefixTable struct {
+	places []prefixPlace
+}
+
+// prefixPlace holds a prefix and up to two engines that ran it.
+type prefixPlace struct {
+	prefix  uint64
+	engines [2]prefixRun
+}
+
+type prefixRun struct {
+	engine *engine
+	// stored is the engine's count of prefixes when it ran this one.
+	stored uint32
+	at     monotime.Instant
+}
+
+const (
+	// prefixPlaces bounds the table: 2^13 places of 64 bytes are 512 KB.
+	prefixPlaces = 1 << 13
+	// defaultCacheRoom is how many prefixes an engine is believed to hold until
+	// an eviction tells more.
+	defaultCacheRoom = 64
+	minCacheRoom     = 4
+	// prefixSaves is the part of the prefill that a cached prefix saves.
+	prefixSaves = 0.8
+)
+
+func (t *prefixTable) place(prefix uint64) *prefixPlace {
+	const mix = 0x9e3779b97f4a7c15
+	return &t.places[(prefix*mix)>>51]
+}
+
+// holds reports whether the engine is believed to hold the prefix.
+func (t *prefixTable) holds(prefix uint64, e *engine) bool {
+	if prefix == 0 {
+		return false
+	}
+	p := t.place(prefix)
+	if p.prefix != prefix {
+		return false
+	}
+	for i := range p.engines {
+		run := &p.engines[i]
+		if run.engine == e {
+			return e.stored-run.stored <= e.cacheRoom
+		}
+	}
+	return false
+}
+
+// ran notes that the engine gets a request with the prefix.
+func (t *prefixTable) ran(now monotime.Instant, prefix uint64, e *engine) {
+	if prefix == 0 {
+		return
+	}
+	p := t.place(prefix)
+	if p.prefix != prefix {
+		*p = prefixPlace{prefix: prefix}
+	}
+	run := &p.engines[0]
+	if run.engine != e {
+		p.engines[1] = *run
+		e.stored++
+	}
+	*run = prefixRun{engine: e, stored: e.stored, at: now}
+}
+
+// lost notes that the engine evicted the prefix.
+func (t *prefixTable) lost(prefix uint64, e *engine) {
+	p := t.place(prefix)
+	if p.prefix != prefix {
+		return
+	}
+	for i := range p.engines {
+		if p.engines[i].engine == e {
+			p.engines[i] = prefixRun{}
+		}
+	}
+}
+
+// cacheEventDelay is the age up to which the group's own knowledge of a run
+// outweighs an eviction event, which may be older than the run.
+const cacheEventDelay = 2_000_000_000
+
+// CacheEvents corrects what the group believes of an engine's prefix cache.
+// Events may come late and with gaps: an eviction drops a belief only when the
+// engine has not run the prefix since.
+func (g *Group) CacheEvents(now monotime.Instant, engineID string, events engineapi.CacheEvents) {
+	e := g.byID[engineID]
+	if e == nil {
+		return
+	}
+	for _, event := range events.Events {
+		prefix, err := strconv.ParseUint(event.Prefix, 16, 64)
+		if err != nil || prefix == 0 {
+			continue
+		}
+		if event.Stored {
+			g.noteStored(now, prefix, e)
+			continue
+		}
+		g.noteEvicted(now, prefix, e)
+	}
+	e.cacheNext = events.Next
+}
+
+func (g *Group) noteStored(now monotime.Instant, prefix uint64, e *engine) {
+	p := g.prefixes.place(prefix)
+	if p.prefix != 0 && p.prefix != prefix {
+		return
+	}
+	if p.engines[0].engine == nil || p.engines[1].engine == nil && p.engines[0].engine != e {
+		g.prefixes.ran(now, prefix, e)
+	}
+}
+
+func (g *Group) noteEvicted(now monotime.Instant, prefix uint64, e *engine) {
+	p := g.prefixes.place(prefix)
+	if p.prefix != prefix {
+		return
+	}
+	for i := range p.engines {
+		run := &p.engines[i]
+		if run.engine != e || now.Sub(run.at) < cacheEventDelay {
+			continue
+		}
+		// The prefix was evicted after this many others came: the room.
+		held := max(minCacheRoom, e.stored-run.stored)
+		e.cacheRoom = min(e.cacheRoom, max(held, e.cacheRoom*3/4))
+		g.prefixes.lost(prefix, e)
+	}
+}
--- /dev/null
+++ b/internal/sched/choose.go
@@ -0,0 +1,137 @@
+package sched
+
+import (
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+// choose returns the engine for a request, or nil when none may take it. It
+// looks at each engine of the lane once: a group has at most a few hundred, and
+// their number does not grow with the fleet.
+func (g *Group) choose(e *entry, now monotime.Instant) (best *engine, hit bool) {
+	switch g.policy.Choice {
+	case ChooseRotate:
+		return g.rotate(e), false
+	case ChooseReported:
+		return g.leastReported(e), false
+	default:
+		return g.fastest(e, now)
+	}
+}
+
+// fastest takes the least predicted time to the first token, by what the group
+// itself knows: prompts under way, the engine's measured pace, and the prefill
+// that a cached prefix saves. A prefix thus attracts a request only while the
+// queue it causes costs less than the prefill it saves.
+func (g *Group) fastest(e *entry, now monotime.Instant) (best *engine, hit bool) {
+	l := e.lane
+	n := len(l.engines)
+	leastCost := 0.0
+	l.rotation++
+	for i := range n {
+		at := i + l.rotation%n
+		if at >= n {
+			at -= n
+		}
+		candidate := l.engines[at]
+		if candidate.free <= 0 || candidate.serves&e.target == 0 {
+			continue
+		}
+		cached := g.policy.Affinity && g.prefixes.holds(e.demand.Prefix, candidate)
+		cost := g.startCost(e, candidate, cached, now)
+		if candidate.spec.ID == e.demand.Avoid {
+			cost += avoidCost
+		}
+		if best == nil || cost < leastCost {
+			best, hit, leastCost = candidate, cached, cost
+		}
+	}
+	return best, hit
+}
+
+const (
+	// avoidCost keeps a retry away from the engine that failed it while any
+	// other engine has room, in seconds.
+	avoidCost = 60
+	// probeCost keeps requests of higher tiers from being the probe.
+	probeCost = 30
+	// crowding weighs the slots in use: a fuller engine decodes more slowly.
+	crowding = 4
+)
+
+// startCost is the predicted time to the first token in seconds, with a part
+// for the slower decoding of a fuller engine.
+func (g *Group) startCost(e *entry, candidate *engine, cached bool, now monotime.Instant) float64 {
+	tokens := float64(e.demand.PromptTokens)
+	if cached {
+		tokens *= 1 - prefixSaves
+	}
+	cost := candidate.prefillSeconds(tokens)
+	if wait := candidate.prefillUntil.Sub(now); wait > 0 {
+		cost += wait.Seconds()
+	}
+	used := float64(candidate.inflight) / float64(candidate.spec.Spec.Slots)
+	gap := candidate.gapSeconds()
+	if !g.policy.Stragglers {
+		gap = candidate.stepSeconds()
+	}
+	cost += gap * (1 + crowding*used)
+	if candidate.health.probing() && e.tier == 0 {
+		cost += probeCost
+	}
+	return cost
+}
+
+func (g *Group) rotate(waiting *entry) *engine {
+	l := waiting.lane
+	for range l.engines {
+		l.rotation++
+		if e := l.engines[l.rotation%len(l.engines)]; e.takesWork() && e.serves&waiting.target != 0 {
+			return e
+		}
+	}
+	return nil
+}
+
+func (g *Group) leastReported(waiting *entry) *engine {
+	l := waiting.lane
+	var best *engine
+	l.rotation++
+	for i := range l.engines {
+		e := l.engines[(i+l.rotation)%len(l.engines)]
+		if !e.takesWork() || e.serves&waiting.target == 0 {
+			continue
+		}
+		if best == nil || e.reported < best.reported {
+			best = e
+		}
+	}
+	return best
+}
+
+// place notes that a request starts at an engine.
+func (g *Group) place(e *entry, on *engine, hit bool, now monotime.Instant) {
+	tokens := float64(e.demand.PromptTokens)
+	if hit {
+		tokens *= 1 - prefixSaves
+	}
+	prefill := seconds(on.prefillSeconds(tokens))
+	on.prefillUntil = max(on.prefillUntil, now).Add(prefill)
+	e.expected = on.prefillUntil.Sub(now) + seconds(on.gapSeconds())
+	e.engine = on
+	e.prefixHit = hit
+	e.probe = on.health.probing()
+	on.inflight++
+	g.refreshEngine(on, now)
+	g.prefixes.ran(now, e.demand.Prefix, on)
+	if gap := e.demand.Class.TokenGap; gap > 0 {
+		e.lane.noteGapTarget(gap)
+	}
+}
+
+func (l *lane) noteGapTarget(gap time.Duration) {
+	if l.gapTarget == 0 || gap < l.gapTarget {
+		l.gapTarget = gap
+	}
+}
--- /dev/null
+++ b/internal/sched/group.go
@@ -0,0 +1,349 @@
+package sched
+
+import (
+	"math"
+	"time"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/engineapi"
+)
+
+// Group is the queue and the slots of the servers of one catalog.Group.
+type Group struct {
+	name   string
+	cat    *catalog.Catalog
+	policy Policy
+	// share is the part of each engine's slots that this owner may use.
+	share float64
+	lease time.Duration
+
+	engines  []*engine
+	byID     map[string]*engine
+	lanes    map[string]*lane
+	laneList []*lane
+	// floors and reserves by tier, from the rules.
+	floors   [maxTiers]float64
+	reserves [maxTiers]float64
+
+	entries map[Ticket]*entry
+	classes map[uint32]*classStats
+	waiting int
+	held    heldList
+	seq     uint64
+
+	prefixes prefixTable
+	upkeepAt monotime.Instant
+	paces    []float64
+
+	unusedEntries  *entry
+	unusedAccounts *account
+	unusedShares   []*share
+
+	counters Counters
+}
+
+// New returns the scheduler of a group. The seed spreads the first choices of
+// equal engines, so that groups do not all start at the same one.
+func New(now monotime.Instant, group *catalog.Group, cat *catalog.Catalog, policy Policy, seed uint64) *Group {
+	g := &Group{
+		name:     group.Name,
+		policy:   policy,
+		share:    1,
+		byID:     make(map[string]*engine),
+		lanes:    make(map[string]*lane),
+		entries:  make(map[Ticket]*entry),
+		classes:  make(map[uint32]*classStats),
+		prefixes: prefixTable{places: make([]prefixPlace, prefixPlaces)},
+	}
+	g.Reconfigure(now, cat, nil)
+	for _, l := range g.laneList {
+		l.rotation = int(seed % uint64(max(1, len(l.engines))))
+	}
+	return g
+}
+
+// Submit queues a request and appends the decisions that follow. A ticket that
+// already holds a slot gets the same decision again, so that a grant whose
+// message was lost can be asked for once more; one that waits stays as it is.
+func (g *Group) Submit(now monotime.Instant, d Demand, out []Decision) []Decision {
+	if known := g.entries[d.Ticket]; known != nil {
+		return g.repeat(known, out)
+	}
+	g.counters.Submitted++
+	target := d.Target
+	if target == "" {
+		target = d.Class.Target
+	}
+	l := g.lanes[target]
+	if l == nil || l.usable&l.setOf(target) == 0 {
+		return append(out, g.refusal(&d, refuseNoServer, 0))
+	}
+	e := g.newEntry()
+	e.target = l.setOf(target)
+	g.fill(e, d, l, now)
+	if e.latestStart < now {
+		out = append(out, g.refusal(&d, refuseTooLate, g.backlog(l, e.tier, now)))
+		g.recycle(e)
+		return out
+	}
+	l.tiers[e.tier].arriving.add(now, e.work)
+	g.entries[d.Ticket] = e
+	if g.goesFirst(e) {
+		if decision, ok := g.start(e, whyIdle, now); ok {
+			return append(out, decision)
+		}
+	}
+	return g.admit(e, now, out)
+}
+
+func (g *Group) repeat(e *entry, out []Decision) []Decision {
+	if e.state != entryHeld {
+		return out
+	}
+	return append(out, g.grant(e, whyRepeated))
+}
+
+func (g *Group) fill(e *entry, d Demand, l *lane, now monotime.Instant) {
+	stats := g.statsOf(d.Class)
+	e.demand = d
+	e.lane = l
+	e.at = now
+	g.seq++
+	e.seq = g.seq
+	e.tier = g.tierOf(d.Tier)
+	e.work = g.expectedHold(l, stats)
+	e.latestStart = g.latestStart(&d, l, stats, now)
+}
+
+func (g *Group) tierOf(tier int) int {
+	if !g.policy.Tiers {
+		return 0
+	}
+	return min(max(tier, 0), maxTiers-1)
+}
+
+// goesFirst reports whether nobody waits before the entry and a slot that its
+// tier may take is free.
+func (g *Group) goesFirst(e *entry) bool {
+	l := e.lane
+	return l.waiting == 0 && g.mayTake(l, e.tier) && l.reach()&e.target != 0
+}
+
+// mayTake reports whether a request of the tier may take a free slot: those
+// kept for higher tiers must stay free.
+func (g *Group) mayTake(l *lane, tier int) bool {
+	if l.free <= 0 {
+		return false
+	}
+	if !g.policy.Headroom {
+		return true
+	}
+	return float64(l.free) > g.reserves[tier]*float64(l.limit)
+}
+
+// start gives the entry a slot. It returns false when no engine has room.
+func (g *Group) start(e *entry, why string, now monotime.Instant) (Decision, bool) {
+	on, hit := g.choose(e, now)
+	if on == nil {
+		return Decision{}, false
+	}
+	stats := g.statsOf(e.demand.Class)
+	q := &e.lane.tiers[e.tier]
+	var acct *account
+	if e.state == entryWaiting {
+		acct = e.share.account
+		ln := e.share.line
+		ln.servedAt = now
+		ln.credit = max(0, ln.credit-e.work)
+		q.clock = max(q.clock, acct.counter)
+		g.dequeue(e)
+	} else {
+		acct = g.accountFor(q, e.demand.Customer)
+		ln := g.lineOf(e, now)
+		ln.servedAt = now
+		q.clock = max(q.clock, acct.counter)
+	}
+	g.hold(e, acct, now)
+	e.charged = e.expectedCost(stats)
+	g.charge(acct, e.charged)
+	g.place(e, on, hit, now)
+	g.counters.Granted++
+	return g.grant(e, why), true
+}
+
+func (g *Group) grant(e *entry, why string) Decision {
+	if g.policy.Queue && e.probe {
+		why = whyProbe
+	}
+	if !g.policy.Queue {
+		why = whyBaseline
+	}
+	priority := 0
+	if g.policy.Tiers {
+		priority = e.tier
+	}
+	return Decision{
+		Ticket:    e.demand.Ticket,
+		Granted:   true,
+		Engine:    e.engine.spec,
+		Priority:  priority,
+		PrefixHit: e.prefixHit,
+		Lease:     g.lease,
+		Backlog:   g.backlog(e.lane, e.tier, e.grantedAt),
+		Why:       why,
+	}
+}
+
+// Tick refuses what waited too long, frees expired leases, looks at the health
+// of the engines and hands out free slots.
+func (g *Group) Tick(now monotime.Instant, out []Decision) []Decision {
+	g.expireLeases(now)
+	if now.Sub(g.upkeepAt) >= upkeepEvery || g.upkeepAt == 0 {
+		g.upkeep(now)
+	}
+	return g.dispatch(now, out)
+}
+
+// dispatch refuses what can no longer be on time, then hands out free slots.
+func (g *Group) dispatch(now monotime.Instant, out []Decision) []Decision {
+	if g.waiting == 0 {
+		return out
+	}
+	out = g.expireWaiting(now, out)
+	for g.waiting > 0 {
+		e, why := g.next(now)
+		if e == nil {
+			break
+		}
+		decision, ok := g.start(e, why, now)
+		if !ok {
+			break
+		}
+		out = append(out, decision)
+	}
+	return out
+}
+
+// next returns the waiting entry that gets the next free slot.
+func (g *Group) next(now monotime.Instant) (*entry, string) {
+	for _, l := range g.laneList {
+		if l.waiting == 0 || l.free <= 0 {
+			continue
+		}
+		if e := g.owedFloor(l, now); e != nil {
+			return e, whyFloor
+		}
+		if e := g.firstOf(l); e != nil {
+			return e, whyTurn
+		}
+	}
+	return nil, ""
+}
+
+// firstOf returns the entry of the highest waiting tier whose turn it is. A
+// lower tier is looked at only when no engine with a free slot serves what the
+// higher one waits for.
+func (g *Group) firstOf(l *lane) *entry {
+	reach := l.reach()
+	for t := range l.tiers {
+		if l.tiers[t].waiting == 0 {
+			continue
+		}
+		if !g.mayTake(l, t) {
+			return nil
+		}
+		if e := g.turn(l, t, reach); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+// turn returns the entry of a tier whose turn it is: the customer who used the
+// least, and among that customer's the most urgent.
+func (g *Group) turn(l *lane, tier int, reach targetSet) *entry {
+	var best *entry
+	leastUse := 0.0
+	for _, ln := range l.lines {
+		if ln.tier != tier || ln.waiting == 0 || ln.target&reach == 0 {
+			continue
+		}
+		use := ln.shares.min().key
+		e := ln.first()
+		if best == nil || use < leastUse || use == leastUse && g.before(e, best) {
+			best, leastUse = e, use
+		}
+	}
+	return best
+}
+
+func (g *Group) before(a, b *entry) bool {
+	ka, kb := g.orderKey(a), g.orderKey(b)
+	if ka != kb {
+		return ka < kb
+	}
+	return a.seq < b.seq
+}
+
+func (ln *line) first() *entry {
+	return ln.shares.min().value.entries.min().value
+}
+
+// NextTick returns when Tick should be called next, if at all.
+func (g *Group) NextTick(now monotime.Instant) (monotime.Instant, bool) {
+	next := monotime.Instant(math.MaxInt64)
+	if g.waiting > 0 || g.held.count > 0 {
+		next = g.upkeepAt.Add(upkeepEvery)
+	}
+	if g.waiting > 0 {
+		next = min(next, g.firstExpiry())
+	}
+	if next == math.MaxInt64 {
+		return 0, false
+	}
+	return max(next, now), true
+}
+
+func (g *Group) firstExpiry() monotime.Instant {
+	first := monotime.Instant(math.MaxInt64)
+	for _, l := range g.laneList {
+		if l.waiting == 0 {
+			continue
+		}
+		for t := range l.tiers {
+			if q := &l.tiers[t]; q.waiting > 0 {
+				first = min(first, q.expiry.min().value.latestStart+1)
+			}
+		}
+	}
+	return first
+}
+
+// SetShare tells which part of the fleet is reachable: live of total instances.
+// In a partition each part uses its share of servers that both parts reach.
+func (g *Group) SetShare(live, total int) {
+	if live <= 0 || total <= 0 {
+		return
+	}
+	g.share = min(1, float64(live)/float64(total))
+	for _, e := range g.engines {
+		g.refreshEngine(e, g.upkeepAt)
+	}
+}
+
+// LoadReport notes what an engine reported of itself. The reading is old; only
+// the baseline that chooses by reported load uses it, and an engine that
+// answers after its ejection is probed at once.
+func (g *Group) LoadReport(now monotime.Instant, engineID string, report engineapi.LoadReport) {
+	e := g.byID[engineID]
+	if e == nil {
+		return
+	}
+	taken := now.Add(-time.Duration(report.AgeMS * float64(time.Millisecond)))
+	if taken < e.reportedAt {
+		return
+	}
+	e.reported = report.Running + report.Waiting
+	e.reportedAt = taken
+}
--- /dev/null
+++ b/internal/sched/health.go
@@ -0,0 +1,133 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+// health decides how much work an engine gets after failures. A failed attempt
+// halves the trust; a second one in a row ejects the engine for a time that
+// doubles. After that time one request probes it, and each success doubles the
+// slots it may hold. Without the ramp, an engine that answers again would get a
+// full load of requests at once and fail them all if it is still ill.
+type health struct {
+	// failures in a row.
+	failures int
+	// ejections in a row, without full recovery between them.
+	ejections int
+	// until is the end of the current ejection.
+	until monotime.Instant
+	// ramp bounds the slots held while trust comes back; 0 for no bound.
+	ramp int
+}
+
+const (
+	failuresToEject = 2
+	firstEjection   = 500 * time.Millisecond
+	longestEjection = 15 * time.Second
+	// refusedPause is how long an engine that refused a request rests.
+	refusedPause = 50 * time.Millisecond
+	// rampDone is the bound on slots at which an engine is trusted again.
+	rampDone = 256
+)
+
+func (h *health) limit(now monotime.Instant) int {
+	if now < h.until {
+		return 0
+	}
+	if h.ramp > 0 {
+		return h.ramp
+	}
+	return unlimitedSlots
+}
+
+func (h *health) failed(now monotime.Instant) {
+	h.failures++
+	h.ramp = 1
+	if h.failures < failuresToEject {
+		return
+	}
+	if now < h.until {
+		return
+	}
+	away := min(firstEjection<<min(h.ejections, 10), longestEjection)
+	h.ejections++
+	h.until = now.Add(away)
+}
+
+func (h *health) refused(now monotime.Instant) {
+	h.until = max(h.until, now.Add(refusedPause))
+}
+
+func (h *health) succeeded() {
+	h.failures = 0
+	if h.ramp == 0 {
+		return
+	}
+	h.ramp *= 2
+	if h.ramp >= rampDone {
+		h.ramp = 0
+		h.ejections = 0
+	}
+}
+
+// probing reports whether the next request is a probe.
+func (h *health) probing() bool {
+	return h.failures > 0
+}
+
+// upkeep compares engines with their peers and lets limits follow.
+func (g *Group) upkeep(now monotime.Instant) {
+	g.upkeepAt = now
+	for _, l := range g.laneList {
+		g.compareEngines(l, now)
+		for t := range l.tiers {
+			g.forgetIdle(&l.tiers[t])
+		}
+	}
+	for _, e := range g.engines {
+		g.refreshEngine(e, now)
+	}
+}
+
+// compareEngines finds stragglers: engines slower than the median of their
+// peers. The comparison is relative, since all engines slow down together
+// when they are full, and that is no reason to send any of them less.
+func (g *Group) compareEngines(l *lane, now monotime.Instant) {
+	paces := g.paces[:0]
+	gaps := 0.0
+	count := 0
+	for _, e := range l.engines {
+		if !e.takesWork() {
+			continue
+		}
+		gaps += e.gapSeconds()
+		count++
+		if e.pace.count > 0 {
+			paces = append(paces, e.pace.mean)
+		}
+	}
+	g.paces = paces
+	if count > 0 {
+		l.gapMean = gaps / float64(count)
+	}
+	if len(paces) < 2 {
+		return
+	}
+	slices.Sort(paces)
+	median := paces[(len(paces)-1)/2]
+	for _, e := range l.engines {
+		e.fade(now, median)
+		e.slow = max(1, e.pace.or(median)/median)
+	}
+}
+
+// fade lets a pace that was measured long ago return to that of the peers.
+func (e *engine) fade(now monotime.Instant, median float64) {
+	if e.pace.count == 0 || now.Sub(e.paceAt) < paceMemory {
+		return
+	}
+	e.pace.mean += paceFade * (median - e.pace.mean)
+}
--- /dev/null
+++ b/internal/sched/predict.go
@@ -0,0 +1,217 @@
+package sched
+
+import (
+	"math"
+	"time"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/inventory"
+)
+
+// ewma is an exponentially weighted mean.
+type ewma struct {
+	mean  float64
+	count int
+}
+
+// add counts a sample; the first ones weigh as in a plain mean.
+func (m *ewma) add(sample, weight float64) {
+	m.count++
+	m.mean += max(weight, 1/float64(m.count)) * (sample - m.mean)
+}
+
+// or returns the mean, or a default before the first sample.
+func (m *ewma) or(value float64) float64 {
+	if m.count == 0 {
+		return value
+	}
+	return m.mean
+}
+
+// rate measures an amount per second over about its window.
+type rate struct {
+	value float64
+	at    monotime.Instant
+}
+
+const rateWindow = 5 * time.Second
+
+func (r *rate) add(now monotime.Instant, amount float64) {
+	r.value = r.get(now) + amount/rateWindow.Seconds()
+	r.at = now
+}
+
+func (r *rate) get(now monotime.Instant) float64 {
+	age := now.Sub(r.at).Seconds()
+	return r.value * math.Exp(-age/rateWindow.Seconds())
+}
+
+const (
+	histogramBuckets = 96
+	// histogramGrowth is the ratio of neighbouring bucket bounds.
+	histogramGrowth = 1.12
+	// histogramMemory is the weight at which old samples are halved.
+	histogramMemory = 512
+	// priorWeight is the weight of the guess before samples exist.
+	priorWeight = 2
+	// refreshEvery is how many samples pass between two looks at quantiles.
+	refreshEvery = 8
+)
+
+var logGrowth = math.Log(histogramGrowth)
+
+// histogram counts samples in geometric buckets and forgets old ones.
+type histogram struct {
+	counts [histogramBuckets]float64
+	total  float64
+}
+
+func (h *histogram) add(value, weight float64) {
+	i := 0
+	if value > 1 {
+		i = min(int(math.Log(value)/logGrowth)+1, histogramBuckets-1)
+	}
+	h.counts[i] += weight
+	h.total += weight
+	if h.total < histogramMemory {
+		return
+	}
+	for j := range h.counts {
+		h.counts[j] /= 2
+	}
+	h.total /= 2
+}
+
+// quantile returns an upper estimate of the q-quantile.
+func (h *histogram) quantile(q float64) float64 {
+	left := q * h.total
+	for i, c := range h.counts {
+		left -= c
+		if left <= 0 {
+			return math.Pow(histogramGrowth, float64(i))
+		}
+	}
+	return math.Pow(histogramGrowth, histogramBuckets-1)
+}
+
+// classStats is what the group measured of a class.
+type classStats struct {
+	service bool
+	// output counts tokens of an answer; for a service, milliseconds.
+	output  histogram
+	samples int
+	// admit is the quantile that admission plans with, median the middle, in
+	// tokens or milliseconds.
+	admit  float64
+	median float64
+	// hold is the slot time in seconds.
+	hold ewma
+}
+
+const (
+	// priorOutputShare of a class's bound is guessed before samples exist.
+	priorOutputShare = 0.25
+	// priorServiceMS is guessed for a service before samples exist.
+	priorServiceMS = 20
+	holdWeight     = 0.05
+)
+
+func (g *Group) statsOf(class *catalog.Class) *classStats {
+	if s := g.classes[class.Hash]; s != nil {
+		return s
+	}
+	s := &classStats{service: class.Kind == inventory.ClassKindService}
+	prior := priorOutputShare * float64(max(class.MaxOutputTokens, 1))
+	if s.service {
+		prior = priorServiceMS
+	}
+	s.output.add(prior, priorWeight)
+	g.refreshQuantiles(s)
+	g.classes[class.Hash] = s
+	return s
+}
+
+func (g *Group) refreshQuantiles(s *classStats) {
+	s.median = s.output.quantile(0.5)
+	s.admit = s.median
+	if q := g.policy.AdmitQuantile; q > 0 {
+		s.admit = s.output.quantile(q)
+	}
+}
+
+// learnClass counts a finished request.
+func (g *Group) learnClass(s *classStats, tokens int, held time.Duration) {
+	s.hold.add(held.Seconds(), holdWeight)
+	value := float64(tokens)
+	if s.service {
+		value = held.Seconds() * 1000
+	}
+	s.output.add(value, 1)
+	s.samples++
+	if s.samples <= refreshEvery || s.samples%refreshEvery == 0 {
+		g.refreshQuantiles(s)
+	}
+}
+
+// expectedHold is the slot time of a request of the class, in seconds.
+func (g *Group) expectedHold(l *lane, s *classStats) float64 {
+	if s.hold.count > 0 {
+		return s.hold.mean
+	}
+	if s.service {
+		return s.median / 1000
+	}
+	return s.median * l.gap()
+}
+
+// gap is the mean time between tokens over the lane's engines, in seconds.
+func (l *lane) gap() float64 {
+	if l.gapMean <= 0 {
+		return defaultGapSeconds
+	}
+	return l.gapMean
+}
+
+const defaultGapSeconds = 0.007
+
+// latestStart is the last instant at which a request may start and still be
+// on time, by what its class was measured to need.
+func (g *Group) latestStart(d *Demand, l *lane, s *classStats, now monotime.Instant) monotime.Instant {
+	bound := d.Class.MaxQueue
+	if bound <= 0 {
+		bound = defaultMaxQueue
+	}
+	latest := now.Add(bound)
+	first, rest := g.expectedTimes(d, l, s)
+	if d.FirstTokenBy > 0 {
+		latest = min(latest, d.FirstTokenBy.Add(-first))
+	}
+	if d.EndBy > 0 {
+		latest = min(latest, d.EndBy.Add(-first-rest))
+	}
+	return latest
+}
+
+// expectedTimes are the time to the first token without queueing and the time
+// from there to the end.
+func (g *Group) expectedTimes(d *Demand, l *lane, s *classStats) (first, rest time.Duration) {
+	if s.service {
+		return 0, seconds(s.admit / 1000)
+	}
+	gap := l.gap()
+	return seconds(float64(d.PromptTokens)/l.prefillRate() + gap), seconds(s.admit * gap)
+}
+
+func (l *lane) prefillRate() float64 {
+	if len(l.engines) == 0 || l.engines[0].spec.Spec.PrefillTokensPerS <= 0 {
+		return defaultPrefillRate
+	}
+	return float64(l.engines[0].spec.Spec.PrefillTokensPerS)
+}
+
+const defaultPrefillRate = 20000
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/internal/sched/reconfigure.go
@@ -0,0 +1,113 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/monotime"
+)
+
+// Reconfigure takes over a new revision. Withdrawn and removed servers get no
+// new work from here on; what runs on them goes on. Requests that no server
+// takes any more are refused at once.
+func (g *Group) Reconfigure(now monotime.Instant, cat *catalog.Catalog, out []Decision) []Decision {
+	g.cat = cat
+	g.lease = time.Duration(cat.Rules.GrantLeaseMS) * time.Millisecond
+	if g.lease <= 0 {
+		g.lease = defaultLease
+	}
+	g.readTiers(cat)
+	g.readEngines(cat.Groups[g.name])
+	g.readLanes(now)
+	g.renameWaiting(cat)
+	out = g.refuseUnserved(now, out)
+	return g.Tick(now, out)
+}
+
+func (g *Group) readTiers(cat *catalog.Catalog) {
+	g.floors = [maxTiers]float64{}
+	headroom := [maxTiers]float64{}
+	for _, tier := range cat.Tiers {
+		if tier.Tier < 0 || tier.Tier >= maxTiers {
+			continue
+		}
+		g.floors[tier.Tier] = tier.FloorShare
+		headroom[tier.Tier] = tier.HeadroomShare
+	}
+	kept := 0.0
+	for t := range headroom {
+		g.reserves[t] = kept
+		kept = min(kept+headroom[t], maxReserve)
+	}
+}
+
+// maxReserve leaves the lowest tier a part of an idle group.
+const maxReserve = 0.95
+
+func (g *Group) readEngines(group *catalog.Group) {
+	for _, e := range g.engines {
+		e.removed = true
+	}
+	if group != nil {
+		for _, server := range group.Servers {
+			for _, spec := range server.Engines {
+				g.readEngine(spec)
+			}
+		}
+	}
+	g.engines = slices.DeleteFunc(g.engines, func(e *engine) bool {
+		gone := e.removed && e.inflight == 0
+		if gone {
+			delete(g.byID, e.spec.ID)
+		}
+		return gone
+	})
+}
+
+func (g *Group) readEngine(spec *catalog.Engine) {
+	e := g.byID[spec.ID]
+	if e == nil {
+		e = &engine{slow: 1, learned: float64(spec.Spec.Slots), cacheRoom: defaultCacheRoom}
+		g.byID[spec.ID] = e
+		g.engines = append(g.engines, e)
+	}
+	if e.spec != nil && e.spec.Spec.Slots != spec.Spec.Slots {
+		e.learned = float64(spec.Spec.Slots)
+	}
+	e.spec = spec
+	e.removed = false
+}
+
+// renameWaiting lets queued requests point at the new revision's classes and
+// customers; those that it no longer has keep the old ones until they end.
+func (g *Group) renameWaiting(cat *catalog.Catalog) {
+	for _, e := range g.entries {
+		if e.demand.Class != nil {
+			if class := cat.Classes[e.demand.Class.Name]; class != nil {
+				e.demand.Class = class
+			}
+		}
+		if e.demand.Customer != nil {
+			if customer := cat.Customers[e.demand.Customer.Name]; customer != nil {
+				e.demand.Customer = customer
+			}
+		}
+	}
+}
+
+func (g *Group) refuseUnserved(now monotime.Instant, out []Decision) []Decision {
+	var lost []*entry
+	for _, e := range g.entries {
+		if e.state == entryWaiting && e.lane.usable&e.target == 0 {
+			lost = append(lost, e)
+		}
+	}
+	sortBySeq(lost)
+	for _, e := range lost {
+		out = append(out, g.refusal(&e.demand, refuseNoServer, 0))
+		g.dequeue(e)
+		g.recycle(e)
+	}
+	return out
+}
