membership: core over a sparse graph of links

Cause: every instance needs to know who is in the fleet without a mesh of heartbeats or a store. Change: neighbours on three hashed rings, heartbeats on these links only, suspicion with refutation by epoch, pushed news, tables compared by bucket digests; Ping and Pong carry a table digest, MemberSync compares tables, state g is a member that left and said so.

--- /dev/null
+++ b/internal/membership/core.go
@@ -0,0 +1,398 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/platformapi"
+	"basilrudder/internal/schema/wire"
+)
+
+// Core is the membership of one instance. It is not safe for concurrent use;
+// the Views it returns are.
+type Core struct {
+	self     Member
+	rings    [Rings]uint64
+	seeds    []string
+	rng      *rand.Rand
+	revision uint64
+
+	entries    []*entry // by ID, without self
+	candidates []*candidate
+	contacts   map[string]*contact
+	neighbours []string // sorted
+
+	listVersion int
+	listed      bool
+
+	lastTick  monotime.Instant
+	lastHeard monotime.Instant
+	bumped    monotime.Instant
+	probe     Target
+	probeEnd  monotime.Instant
+	nextProbe monotime.Instant
+
+	seq         int
+	confirmSeq  int
+	confirmed   bool
+	graphDirty  bool
+	viewDirty   bool
+	view        *View
+	viewVersion uint64
+	stats       Stats
+}
+
+// New returns the core of the member self. Seeds are peer addresses to start
+// from while neither the platform nor a peer has named anybody.
+func New(self Member, seeds []string, seed uint64) *Core {
+	c := &Core{
+		self:       self,
+		rings:      ringHashes(self.ID),
+		seeds:      slices.Clone(seeds),
+		rng:        rand.New(rand.NewPCG(seed, hash64(self.ID))),
+		contacts:   make(map[string]*contact),
+		viewDirty:  true,
+		confirmSeq: 1,
+	}
+	c.self.State = Alive
+	return c
+}
+
+// SetRevision sets the configuration revision that heartbeats carry.
+func (c *Core) SetRevision(revision uint64) {
+	c.revision = revision
+}
+
+// Stats returns the counters.
+func (c *Core) Stats() Stats {
+	return c.stats
+}
+
+// LastHeard returns when any peer was heard last, zero for never.
+func (c *Core) LastHeard() monotime.Instant {
+	return c.lastHeard
+}
+
+// Neighbours returns the members that this one keeps heartbeats with, sorted.
+func (c *Core) Neighbours() []string {
+	c.refreshGraph()
+	return slices.Clone(c.neighbours)
+}
+
+// Wanted returns the peers that links should be kept to: the neighbours, a
+// peer that is being probed, and the seeds while nobody is linked.
+func (c *Core) Wanted() []Target {
+	c.refreshGraph()
+	out := make([]Target, 0, len(c.neighbours)+1)
+	for _, id := range c.neighbours {
+		if address := c.address(id); address != "" {
+			out = append(out, Target{ID: id, Address: address})
+		}
+	}
+	if c.probe.Address != "" {
+		out = append(out, c.probe)
+	}
+	if !c.linked() {
+		for _, address := range c.seeds {
+			out = append(out, Target{Address: address})
+		}
+	}
+	return out
+}
+
+func (c *Core) linked() bool {
+	for _, ct := range c.contacts {
+		if ct.up {
+			return true
+		}
+	}
+	return false
+}
+
+// Tick does what is due. The shell calls it each TickInterval; a gap of
+// PauseLimit or more counts as a pause of the process.
+func (c *Core) Tick(now monotime.Instant, eff Effects) {
+	if gap := now.Sub(c.lastTick); c.lastTick != 0 && gap >= PauseLimit {
+		c.OnPaused(now, gap, eff)
+	}
+	c.lastTick = now
+	c.refreshContacts(now)
+	c.expire(now)
+	c.detect(now, eff)
+	c.heartbeat(now, eff)
+	c.chooseProbe(now)
+}
+
+// OnLinkUp tells that a link to a peer is open.
+func (c *Core) OnLinkUp(now monotime.Instant, id string, eff Effects) {
+	ct := c.contact(id)
+	ct.up = true
+	ct.mismatch = 0
+	c.heardFrom(now, ct)
+	if c.probe.ID == id {
+		c.probe = Target{}
+	}
+	c.sendSync(now, id, ct, eff)
+	if !c.confirmed {
+		c.ping(now, id, ct, eff)
+	}
+}
+
+// OnLinkDown tells that no link to a peer is open any more.
+func (c *Core) OnLinkDown(now monotime.Instant, id string) {
+	ct := c.contacts[id]
+	if ct == nil {
+		return
+	}
+	ct.up = false
+	ct.down = now
+	if !ct.neighbour {
+		delete(c.contacts, id)
+	}
+}
+
+// OnPaused tells that the process did not run for gap. What it knew may be
+// wrong, and what lies in its sockets was sent before it woke: it trusts its
+// view again only once a peer has answered a ping sent after waking, having
+// compared tables first. Silence during the pause was its own, so it restarts
+// the clocks by which it judges others.
+func (c *Core) OnPaused(now monotime.Instant, gap time.Duration, eff Effects) {
+	c.stats.Pauses++
+	c.lastTick = now
+	c.setConfirmed(false)
+	c.confirmSeq = c.seq + 1
+	for _, e := range c.entries {
+		if e.State == Suspect {
+			e.since = now
+		}
+	}
+	c.bumpSelf(now)
+	for _, id := range c.contactIDs() {
+		ct := c.contacts[id]
+		ct.wanted, ct.heard, ct.down = now, now, 0
+		if ct.up {
+			c.sendSync(now, id, ct, eff)
+			c.ping(now, id, ct, eff)
+		}
+	}
+	c.pushSelf(eff)
+}
+
+// Leave announces that this member takes no new work.
+func (c *Core) Leave(now monotime.Instant, eff Effects) {
+	c.announce(now, Leaving, eff)
+}
+
+// Goodbye announces that the process ends now.
+func (c *Core) Goodbye(now monotime.Instant, eff Effects) {
+	c.announce(now, Gone, eff)
+}
+
+func (c *Core) announce(now monotime.Instant, state State, eff Effects) {
+	if c.self.State >= state {
+		return
+	}
+	c.self.State = state
+	c.bumpSelf(now)
+	c.pushSelf(eff)
+}
+
+func (c *Core) bumpSelf(now monotime.Instant) {
+	c.self.Epoch++
+	c.bumped = now
+	c.viewDirty = true
+}
+
+func (c *Core) setConfirmed(confirmed bool) {
+	if c.confirmed != confirmed {
+		c.confirmed = confirmed
+		c.viewDirty = true
+	}
+}
+
+// View returns what is believed now.
+func (c *Core) View() *View {
+	if !c.viewDirty {
+		return c.view
+	}
+	c.viewDirty = false
+	c.viewVersion++
+	v := &View{Version: c.viewVersion, Self: c.self, Confirmed: c.confirmed}
+	selfPlaced := false
+	for _, e := range c.entries {
+		if !selfPlaced && e.ID > c.self.ID {
+			v.place(c.self, c.self.State == Leaving)
+			selfPlaced = true
+		}
+		if e.State.present() {
+			v.place(e.Member, e.left || e.listedLeaving)
+		} else if e.counted() {
+			v.Known++
+		}
+	}
+	if !selfPlaced {
+		v.place(c.self, c.self.State == Leaving)
+	}
+	v.Known += len(v.Live) + c.unseen()
+	c.view = v
+	return v
+}
+
+func (v *View) place(m Member, leaving bool) {
+	switch {
+	case m.State == Gone:
+	case leaving:
+		m.State = Leaving
+		v.Leaving = append(v.Leaving, m)
+	default:
+		v.Live = append(v.Live, m)
+	}
+}
+
+// counted reports whether a dead member may run beyond a partition.
+func (e *entry) counted() bool {
+	return e.State == Dead && !e.left && !e.unlisted
+}
+
+// unseen counts listed live instances that no peer has told of.
+func (c *Core) unseen() int {
+	n := 0
+	for _, cand := range c.candidates {
+		if cand.live {
+			n++
+		}
+	}
+	return n
+}
+
+// find returns the row of a member, or nil.
+func (c *Core) find(id string) *entry {
+	i, found := c.search(id)
+	if !found {
+		return nil
+	}
+	return c.entries[i]
+}
+
+func (c *Core) search(id string) (int, bool) {
+	return slices.BinarySearchFunc(c.entries, id, func(e *entry, id string) int {
+		return strings.Compare(e.ID, id)
+	})
+}
+
+func (c *Core) address(id string) string {
+	if e := c.find(id); e != nil {
+		return e.PeerAddress
+	}
+	for _, cand := range c.candidates {
+		if cand.id == id {
+			return cand.address
+		}
+	}
+	return ""
+}
+
+// OnInstanceList takes the platform's list. It names whom to look for and who
+// is still meant to run. It never decides that a member lives or died: it lags.
+func (c *Core) OnInstanceList(now monotime.Instant, list platformapi.InstanceList) {
+	if c.listed && list.Version < c.listVersion {
+		return
+	}
+	c.listVersion = list.Version
+	c.listed = true
+	c.candidates = c.mergeCandidates(list.Instances)
+	// An empty list is a fault of the platform and no reason to forget anybody.
+	if len(list.Instances) > 0 {
+		c.markListed(now, list.Instances)
+	}
+	if len(c.candidates) == 0 && c.alone() {
+		c.setConfirmed(true)
+	}
+	c.graphDirty = true
+	c.viewDirty = true
+}
+
+// alone reports that no other member is known.
+func (c *Core) alone() bool {
+	return !slices.ContainsFunc(c.entries, func(e *entry) bool { return e.State != Gone && !e.unlisted })
+}
+
+func (c *Core) mergeCandidates(instances []platformapi.Instance) []*candidate {
+	old := make(map[string]*candidate, len(c.candidates))
+	for _, cand := range c.candidates {
+		old[cand.id] = cand
+	}
+	out := make([]*candidate, 0, len(instances))
+	for _, in := range instances {
+		if in.ID == c.self.ID || c.find(in.ID) != nil || len(out) >= MaxMembers {
+			continue
+		}
+		cand := &candidate{id: in.ID, address: in.PeerAddress, rings: ringHashes(in.ID)}
+		if prev := old[in.ID]; prev != nil {
+			cand.retry, cand.backoff = prev.retry, prev.backoff
+		}
+		cand.live = in.State == platformapi.InstanceStateLive
+		out = append(out, cand)
+	}
+	slices.SortFunc(out, func(a, b *candidate) int { return strings.Compare(a.id, b.id) })
+	return out
+}
+
+func (c *Core) markListed(now monotime.Instant, instances []platformapi.Instance) {
+	states := make(map[string]platformapi.InstanceState, len(instances))
+	for _, in := range instances {
+		states[in.ID] = in.State
+	}
+	for _, e := range c.entries {
+		state, found := states[e.ID]
+		switch {
+		case !found:
+			e.unlisted = e.unlisted || !e.State.present() && now.Sub(e.since) >= forgetUnlisted
+		case state == platformapi.InstanceStateLive:
+			e.listedLive, e.listedLeaving, e.unlisted = true, false, false
+		default:
+			// Only a change seen during this incarnation counts: an entry
+			// that was leaving all along may speak of the process before it.
+			e.listedLeaving = e.listedLive
+		}
+	}
+}
+
+// removeCandidate drops a listed instance that peers have told of.
+func (c *Core) removeCandidate(id string) {
+	c.candidates = slices.DeleteFunc(c.candidates, func(cand *candidate) bool { return cand.id == id })
+}
+
+func toWire(m Member) wire.MemberUpdate {
+	u := wire.MemberUpdate{
+		ID:          m.ID,
+		Incarnation: m.Incarnation,
+		State:       string(stateCodes[m.State]),
+		Epoch:       int(m.Epoch),
+	}
+	if m.State.present() && m.State != Suspect {
+		u.DataCentre = m.DataCentre
+		u.CallerAddress = m.CallerAddress
+		u.PeerAddress = m.PeerAddress
+	}
+	return u
+}
+
+func fromWire(u wire.MemberUpdate) (Member, bool) {
+	state := slices.Index(stateCodes[:], wire.MemberState(u.State))
+	if state < 0 || u.ID == "" || u.Epoch < 0 {
+		return Member{}, false
+	}
+	return Member{
+		ID:            u.ID,
+		Incarnation:   u.Incarnation,
+		DataCentre:    u.DataCentre,
+		CallerAddress: u.CallerAddress,
+		PeerAddress:   u.PeerAddress,
+		State:         State(state),
+		Epoch:         uint64(u.Epoch),
+	}, true
+}
--- /dev/null
+++ b/internal/membership/detect.go
@@ -0,0 +1,198 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/wire"
+)
+
+// OnPing answers a heartbeat.
+func (c *Core) OnPing(now monotime.Instant, from string, ping *wire.Ping, eff Effects) {
+	c.heard(now, from)
+	e := c.find(from)
+	if e != nil && !e.State.present() {
+		c.sendUpdates(from, []wire.MemberUpdate{toWire(e.Member)}, eff)
+	}
+	eff.SendPeer(from, &wire.Envelope{Pong: &wire.Pong{
+		Seq:      ping.Seq,
+		Revision: int(c.revision),
+		Leaving:  c.self.State == Leaving,
+		Digest:   c.digest(),
+	}})
+}
+
+// OnPong takes the answer to a heartbeat.
+func (c *Core) OnPong(now monotime.Instant, from string, pong *wire.Pong, eff Effects) {
+	c.heard(now, from)
+	if pong.Seq >= c.confirmSeq && pong.Seq <= c.seq {
+		c.setConfirmed(true)
+	}
+	ct := c.contacts[from]
+	if ct == nil || pong.Digest == 0 || pong.Digest == c.digest() {
+		if ct != nil {
+			ct.mismatch = 0
+		}
+		return
+	}
+	// One difference may be news under way; a lasting one is lost news.
+	ct.mismatch++
+	if ct.mismatch >= mismatchesForSync && now.Sub(ct.synced) >= syncBackoff {
+		c.sendSync(now, from, ct, eff)
+	}
+}
+
+// contact returns the record of a peer, made when needed.
+func (c *Core) contact(id string) *contact {
+	ct := c.contacts[id]
+	if ct == nil {
+		ct = &contact{}
+		c.contacts[id] = ct
+	}
+	return ct
+}
+
+func (c *Core) contactIDs() []string {
+	ids := make([]string, 0, len(c.contacts))
+	for id := range c.contacts {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (c *Core) heard(now monotime.Instant, from string) {
+	if ct := c.contacts[from]; ct != nil {
+		c.heardFrom(now, ct)
+	}
+}
+
+func (c *Core) heardFrom(now monotime.Instant, ct *contact) {
+	ct.heard = now
+	ct.lost = false
+	c.lastHeard = now
+	if ct.raised != 0 && now.Sub(ct.raised) >= raiseForget {
+		ct.raised, ct.backoff = 0, 0
+	}
+}
+
+// detect raises a suspicion of each neighbour that has been out of contact for
+// too long.
+func (c *Core) detect(now monotime.Instant, eff Effects) {
+	for _, id := range slices.Clone(c.neighbours) {
+		ct := c.contacts[id]
+		if now.Before(ct.contactLimit()) {
+			continue
+		}
+		e := c.find(id)
+		if e == nil {
+			c.postpone(now, id)
+			continue
+		}
+		if (e.State == Alive || e.State == Leaving) && c.mayRaise(now, ct) {
+			c.raise(now, e, ct, eff)
+		}
+	}
+}
+
+// contactLimit returns when a neighbour that stays as it is becomes suspect.
+func (ct *contact) contactLimit() monotime.Instant {
+	if ct.up {
+		return ct.heard.Add(SilenceLimit)
+	}
+	if ct.down > ct.wanted {
+		return ct.down.Add(LostLinkGrace)
+	}
+	return ct.wanted.Add(DialLimit)
+}
+
+// mayRaise limits how often one member suspects another that refutes each
+// time. With a path that is cut or flaps between just these two, the fleet
+// would otherwise pass a suspicion and a refutation on every few seconds. The
+// other neighbours still notice a real death, so a pause here hides none;
+// with no other member there is nobody else to notice, and no limit.
+func (c *Core) mayRaise(now monotime.Instant, ct *contact) bool {
+	if ct.raised == 0 || len(c.neighbours) < 2 {
+		return !ct.lost || now.Sub(ct.raised) >= raiseBackoff
+	}
+	return now.Sub(ct.raised) >= ct.backoff
+}
+
+func (c *Core) raise(now monotime.Instant, e *entry, ct *contact, eff Effects) {
+	c.stats.Suspected++
+	ct.lost = true
+	ct.raised = now
+	ct.backoff = backedOff(ct.backoff, raiseBackoff, raiseBackoffMax)
+	m := e.Member
+	m.State = Suspect
+	c.set(now, e, m)
+	c.push([]wire.MemberUpdate{toWire(m)}, "", eff)
+}
+
+// postpone leaves a listed instance that does not answer out of the graph for
+// a while: it may not have started yet, or the list may be old.
+func (c *Core) postpone(now monotime.Instant, id string) {
+	for _, cand := range c.candidates {
+		if cand.id == id {
+			cand.backoff = backedOff(cand.backoff, candidateRetry, raiseBackoffMax)
+			cand.retry = now.Add(cand.backoff)
+			c.graphDirty = true
+		}
+	}
+}
+
+// heartbeat sends the pings that are due. The member with the lower ID pings;
+// the other one does so only when it hears nothing.
+func (c *Core) heartbeat(now monotime.Instant, eff Effects) {
+	for _, id := range c.neighbours {
+		ct := c.contacts[id]
+		if !ct.up || now.Sub(ct.pinged) < PingInterval {
+			continue
+		}
+		quiet := now.Sub(ct.heard) >= PingInterval+PingInterval/2
+		if c.self.ID < id || quiet || !c.confirmed {
+			c.ping(now, id, ct, eff)
+		}
+	}
+}
+
+func (c *Core) ping(now monotime.Instant, id string, ct *contact, eff Effects) {
+	c.seq++
+	ct.pinged = now
+	eff.SendPeer(id, &wire.Envelope{Ping: &wire.Ping{
+		Seq:      c.seq,
+		Revision: int(c.revision),
+		Leaving:  c.self.State == Leaving,
+		Digest:   c.digest(),
+	}})
+}
+
+// chooseProbe picks now and then one member that is out of reach but may run,
+// so that parts of the fleet that were cut off from each other meet again.
+func (c *Core) chooseProbe(now monotime.Instant) {
+	if c.probe.Address != "" && now >= c.probeEnd {
+		c.probe = Target{}
+	}
+	if now.Before(c.nextProbe) {
+		return
+	}
+	jitter := 0.75 + c.rng.Float64()/2
+	c.nextProbe = now.Add(time.Duration(float64(ProbeInterval) * jitter))
+	var options []Target
+	for _, e := range c.entries {
+		if e.counted() && e.PeerAddress != "" {
+			options = append(options, Target{ID: e.ID, Address: e.PeerAddress})
+		}
+	}
+	for _, cand := range c.candidates {
+		if now.Before(cand.retry) {
+			options = append(options, Target{ID: cand.id, Address: cand.address})
+		}
+	}
+	if len(options) == 0 {
+		return
+	}
+	c.probe = options[c.rng.IntN(len(options))]
+	c.probeEnd = now.Add(probeLimit)
+}
--- /dev/null
+++ b/internal/membership/network_test.go
@@ -0,0 +1,334 @@
+package membership
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/platformapi"
+	"basilrudder/internal/schema/wire"
+)
+
+const (
+	testDelay     = 2 * time.Millisecond
+	testSilence   = 3500 * time.Millisecond // what the link layer tolerates
+	frameOverhead = 4
+)
+
+type linkKey struct{ a, b string }
+
+func keyOf(a, b string) linkKey { return linkKey{min(a, b), max(a, b)} }
+
+type link struct {
+	upA, upB       bool
+	heardA, heardB monotime.Instant
+}
+
+type process struct {
+	core    *Core
+	paused  bool
+	dead    bool
+	inbox   []func()
+	bytes   int
+	frames  int
+	restart int
+}
+
+type event struct {
+	at  monotime.Instant
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// network runs cores in virtual time. Links open when one side wants them,
+// and close when no side does or when they are silent; a killed process
+// closes its links at once, a lost host or a cut path does not.
+type network struct {
+	t      testing.TB
+	now    monotime.Instant
+	queue  events
+	seq    int
+	ids    []string
+	procs  map[string]*process
+	links  map[linkKey]*link
+	cut    func(from, to string) bool
+	listed []string
+}
+
+func newNetwork(t testing.TB, n int) *network {
+	w := &network{
+		t: t, now: monotime.Instant(time.Second),
+		procs: make(map[string]*process), links: make(map[linkKey]*link),
+		cut: func(string, string) bool { return false },
+	}
+	for i := range n {
+		w.listed = append(w.listed, fmt.Sprintf("dc%d-%03d", i%3+1, i))
+	}
+	for _, id := range w.listed {
+		w.start(id)
+	}
+	return w
+}
+
+func (w *network) at(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now.Add(d), w.seq, run})
+}
+
+func (w *network) start(id string) *process {
+	restart := 0
+	if old := w.procs[id]; old != nil {
+		restart = old.restart + 1
+	} else {
+		w.ids = append(w.ids, id)
+		slices.Sort(w.ids)
+	}
+	self := Member{
+		ID: id, Incarnation: fmt.Sprintf("%04x", hash64(id)%65536+uint64(restart)), DataCentre: id[:3],
+		CallerAddress: "10.1.100.100:8080", PeerAddress: id, Epoch: 1_764_000_000,
+	}
+	p := &process{core: New(self, nil, 7), restart: restart}
+	w.procs[id] = p
+	p.core.OnInstanceList(w.now, w.list(1, w.listed))
+	w.tick(id, p, time.Duration(hash64(id)%uint64(TickInterval)))
+	return p
+}
+
+func (w *network) list(version int, ids []string) platformapi.InstanceList {
+	out := platformapi.InstanceList{Version: version}
+	for _, id := range ids {
+		out.Instances = append(out.Instances, platformapi.Instance{ID: id, PeerAddress: id, State: platformapi.InstanceStateLive})
+	}
+	return out
+}
+
+func (w *network) tick(id string, p *process, d time.Duration) {
+	w.at(d, func() {
+		if p.dead || w.procs[id] != p {
+			return
+		}
+		if !p.paused {
+			p.core.Tick(w.now, &sender{w, id})
+			w.connect(id, p)
+		}
+		w.tick(id, p, TickInterval)
+	})
+}
+
+type sender struct {
+	w  *network
+	id string
+}
+
+func (s *sender) SendPeer(to string, env *wire.Envelope) { s.w.send(s.id, to, env) }
+
+func (w *network) send(from, to string, env *wire.Envelope) {
+	l := w.links[keyOf(from, to)]
+	if l == nil {
+		return
+	}
+	data, err := cbor.Marshal(env)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.procs[from].bytes += len(data) + frameOverhead
+	w.procs[from].frames++
+	if w.cut(from, to) {
+		return
+	}
+	p := w.procs[to]
+	w.at(testDelay, func() {
+		if w.links[keyOf(from, to)] == l {
+			w.deliver(to, p, func() { w.receive(from, to, l, env) })
+		}
+	})
+}
+
+// deliver runs f now, or when a paused process resumes: until then it lies in
+// the socket.
+func (w *network) deliver(id string, p *process, f func()) {
+	switch {
+	case p.dead || w.procs[id] != p:
+	case p.paused:
+		p.inbox = append(p.inbox, f)
+	default:
+		f()
+	}
+}
+
+func (w *network) receive(from, to string, l *link, env *wire.Envelope) {
+	if to < from {
+		l.heardA = w.now
+	} else {
+		l.heardB = w.now
+	}
+	c, eff := w.procs[to].core, &sender{w, to}
+	if env.Members != nil {
+		c.OnMembers(w.now, from, env.Members, eff)
+	}
+	if env.MemberSync != nil {
+		c.OnSync(w.now, from, env.MemberSync, eff)
+	}
+	if env.Ping != nil {
+		c.OnPing(w.now, from, env.Ping, eff)
+	}
+	if env.Pong != nil {
+		c.OnPong(w.now, from, env.Pong, eff)
+	}
+}
+
+// connect does the work of the link layer for one process after its tick.
+func (w *network) connect(id string, p *process) {
+	wanted := map[string]bool{}
+	for _, target := range p.core.Wanted() {
+		wanted[target.ID] = true
+		w.dial(id, target.ID)
+	}
+	for _, other := range w.ids {
+		l := w.links[keyOf(id, other)]
+		if l == nil {
+			continue
+		}
+		heard := l.heardB
+		if id < other {
+			heard = l.heardA
+		}
+		unwanted := !wanted[other] && !slices.ContainsFunc(w.procs[other].core.Wanted(), func(t Target) bool { return t.ID == id })
+		if !unwanted && !w.cut(other, id) && !w.procs[other].paused && !w.procs[other].dead {
+			continue // the link layer's own sign of life
+		}
+		if unwanted || w.now.Sub(heard) >= testSilence {
+			w.closeLink(id, other)
+		}
+	}
+}
+
+func (w *network) dial(from, to string) {
+	other := w.procs[to]
+	if other == nil || other.dead || other.paused || w.cut(from, to) || w.cut(to, from) || w.links[keyOf(from, to)] != nil {
+		return
+	}
+	w.links[keyOf(from, to)] = &link{heardA: w.now, heardB: w.now}
+	p := w.procs[from]
+	w.at(testDelay, func() {
+		w.deliver(from, p, func() { p.core.OnLinkUp(w.now, to, &sender{w, from}) })
+		w.deliver(to, other, func() { other.core.OnLinkUp(w.now, from, &sender{w, to}) })
+	})
+}
+
+func (w *network) closeLink(a, b string) {
+	delete(w.links, keyOf(a, b))
+	for _, ends := range [][2]string{{a, b}, {b, a}} {
+		p := w.procs[ends[0]]
+		w.deliver(ends[0], p, func() { p.core.OnLinkDown(w.now, ends[1]) })
+	}
+}
+
+func (w *network) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+// until runs in steps until the condition holds and returns the time taken.
+func (w *network) until(limit time.Duration, what string, holds func() bool) time.Duration {
+	w.t.Helper()
+	begin := w.now
+	for !holds() {
+		if w.now.Sub(begin) >= limit {
+			w.t.Fatalf("%s: not within %v", what, limit)
+		}
+		w.run(50 * time.Millisecond)
+	}
+	return w.now.Sub(begin)
+}
+
+// kill ends a process; its host closes the links.
+func (w *network) kill(id string) {
+	w.lose(id)
+	for _, other := range w.ids {
+		if w.links[keyOf(id, other)] != nil {
+			w.closeLink(id, other)
+		}
+	}
+}
+
+// lose ends a process together with its host: nothing closes the links.
+func (w *network) lose(id string) { w.procs[id].dead = true }
+
+func (w *network) resume(id string) {
+	p := w.procs[id]
+	p.paused = false
+	inbox := p.inbox
+	p.inbox = nil
+	for _, f := range inbox {
+		f()
+	}
+}
+
+func (w *network) view(id string) *View { return w.procs[id].core.View() }
+
+// running lists the processes that run, in order.
+func (w *network) running() []string {
+	var out []string
+	for _, id := range w.ids {
+		if p := w.procs[id]; !p.dead && !p.paused {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// sees reports whether the observers hold exactly the ids for live and alive.
+func (w *network) sees(observers, ids []string) bool {
+	for _, o := range observers {
+		live := w.view(o).Live
+		if len(live) != len(ids) {
+			return false
+		}
+		for i, m := range live {
+			if m.ID != ids[i] || m.State != Alive || m.Incarnation != w.procs[m.ID].core.self.Incarnation {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (w *network) settle() time.Duration {
+	w.t.Helper()
+	return w.until(30*time.Second, "every process sees every process", func() bool {
+		return w.sees(w.running(), w.running())
+	})
+}
+
+func (w *network) traffic() (bytes, frames int) {
+	for _, p := range w.procs {
+		bytes += p.bytes
+		frames += p.frames
+	}
+	return bytes, frames
+}
--- /dev/null
+++ b/internal/membership/news.go
@@ -0,0 +1,281 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/wire"
+)
+
+// OnMembers takes news from a peer and passes on what was new, once.
+func (c *Core) OnMembers(now monotime.Instant, from string, updates []wire.MemberUpdate, eff Effects) {
+	c.heard(now, from)
+	var fresh, back []wire.MemberUpdate
+	refute := false
+	for _, u := range updates {
+		m, ok := fromWire(u)
+		if !ok {
+			continue
+		}
+		if m.ID == c.self.ID {
+			refute = c.onSelfNews(now, m) || refute
+			continue
+		}
+		if e := c.merge(now, m); e != nil {
+			c.stats.Accepted++
+			fresh = append(fresh, toWire(e.Member))
+			continue
+		}
+		c.stats.Repeated++
+		if e := c.find(m.ID); m.ID == from && e != nil && e.State != m.State {
+			// The subject itself tells something old, for instance that it
+			// lives although it is held for dead: it must learn what it has
+			// to refute.
+			back = append(back, toWire(e.Member))
+		}
+	}
+	c.push(fresh, from, eff)
+	c.sendUpdates(from, back, eff)
+	if refute {
+		c.pushSelf(eff)
+	}
+}
+
+// onSelfNews judges news of this member's own ID and reports whether its
+// answer must be pushed.
+func (c *Core) onSelfNews(now monotime.Instant, m Member) bool {
+	same := m.Incarnation == c.self.Incarnation
+	if m.Epoch < c.self.Epoch || c.self.State == Gone {
+		return false
+	}
+	if same && m.Epoch == c.self.Epoch && m.State.rank() == 0 {
+		return false
+	}
+	if !same && m.State.present() {
+		c.stats.Conflicts++
+		// Two running processes with one ID would outbid each other at the
+		// speed of the network; a slow pace keeps the fleet usable until
+		// the operators end one of them.
+		if c.bumped != 0 && now.Sub(c.bumped) < conflictBackoff {
+			return false
+		}
+	}
+	c.stats.Refuted++
+	c.self.Epoch = m.Epoch
+	c.bumpSelf(now)
+	return true
+}
+
+// newer reports whether news m outranks what entry e holds.
+func newer(m Member, e *entry) bool {
+	if m.Epoch != e.Epoch {
+		return m.Epoch > e.Epoch
+	}
+	if m.Incarnation != e.Incarnation {
+		return m.Incarnation > e.Incarnation
+	}
+	return m.State.rank() > e.State.rank()
+}
+
+// merge takes one piece of news of another member and returns its row when
+// the table changed.
+func (c *Core) merge(now monotime.Instant, m Member) *entry {
+	e := c.find(m.ID)
+	if e == nil {
+		return c.insert(now, m)
+	}
+	if !newer(m, e) {
+		return nil
+	}
+	if m.State == Dead && e.State.present() {
+		// Another part of the fleet may hold a member for dead that this
+		// part works with. It gets the time to refute here too, so that a
+		// healing partition does not empty the views of both parts.
+		m.State = Suspect
+		if e.State == Suspect && e.Epoch == m.Epoch && e.Incarnation == m.Incarnation {
+			return nil
+		}
+	}
+	if m.PeerAddress == "" {
+		m.DataCentre, m.CallerAddress, m.PeerAddress = e.DataCentre, e.CallerAddress, e.PeerAddress
+	}
+	if m.Incarnation != e.Incarnation {
+		e.left, e.listedLive, e.listedLeaving = false, false, false
+	}
+	c.set(now, e, m)
+	return e
+}
+
+// insert adds a row for a member that was not known.
+func (c *Core) insert(now monotime.Instant, m Member) *entry {
+	if m.State == Suspect || m.State.present() && m.PeerAddress == "" {
+		return nil
+	}
+	if len(c.entries) >= MaxMembers && !c.evict() {
+		c.stats.Overflows++
+		return nil
+	}
+	e := &entry{rings: ringHashes(m.ID)}
+	i, _ := c.search(m.ID)
+	c.entries = slices.Insert(c.entries, i, e)
+	c.removeCandidate(m.ID)
+	c.set(now, e, m)
+	return e
+}
+
+// evict removes the oldest tombstone and reports whether there was one.
+func (c *Core) evict() bool {
+	oldest := -1
+	for i, e := range c.entries {
+		if e.State.present() {
+			continue
+		}
+		if oldest < 0 || e.since.Before(c.entries[oldest].since) {
+			oldest = i
+		}
+	}
+	if oldest < 0 {
+		return false
+	}
+	c.entries = slices.Delete(c.entries, oldest, oldest+1)
+	return true
+}
+
+// set changes a row.
+func (c *Core) set(now monotime.Instant, e *entry, m Member) {
+	if m.State.present() != e.State.present() || e.ID == "" || e.PeerAddress != m.PeerAddress {
+		c.graphDirty = true
+	}
+	if m.State == Alive {
+		e.left = false
+	}
+	e.Member = m
+	e.left = e.left || m.State == Leaving || m.State == Gone
+	e.since = now
+	e.digest = digestOf(m)
+	c.viewDirty = true
+}
+
+// push sends news to the linked neighbours, except to the one it came from.
+func (c *Core) push(updates []wire.MemberUpdate, from string, eff Effects) {
+	if len(updates) == 0 {
+		return
+	}
+	c.refreshGraph()
+	for _, id := range c.neighbours {
+		if ct := c.contacts[id]; id != from && ct != nil && ct.up {
+			c.sendUpdates(id, updates, eff)
+		}
+	}
+}
+
+func (c *Core) pushSelf(eff Effects) {
+	c.push([]wire.MemberUpdate{toWire(c.self)}, "", eff)
+}
+
+func (c *Core) sendUpdates(to string, updates []wire.MemberUpdate, eff Effects) {
+	for part := range slices.Chunk(updates, maxUpdatesPerFrame) {
+		eff.SendPeer(to, &wire.Envelope{Members: part})
+	}
+}
+
+// sendSync tells a peer of this member and compares tables with it.
+func (c *Core) sendSync(now monotime.Instant, to string, ct *contact, eff Effects) {
+	c.stats.Syncs++
+	ct.synced = now
+	ct.mismatch = 0
+	eff.SendPeer(to, &wire.Envelope{
+		Members:    []wire.MemberUpdate{toWire(c.self)},
+		MemberSync: &wire.MemberSync{Buckets: c.buckets()},
+	})
+}
+
+// OnSync answers a comparison of tables with the rows of each bucket that
+// differs. The asker then answers the answer, so that both sides learn.
+func (c *Core) OnSync(now monotime.Instant, from string, sync *wire.MemberSync, eff Effects) {
+	c.heard(now, from)
+	if len(sync.Buckets) != SyncBuckets {
+		return
+	}
+	mine := c.buckets()
+	var updates []wire.MemberUpdate
+	for _, e := range c.entries {
+		b := bucketOf(e.ID)
+		if mine[b] != sync.Buckets[b] && e.ID != from {
+			updates = append(updates, toWire(e.Member))
+		}
+	}
+	if mine[bucketOf(c.self.ID)] != sync.Buckets[bucketOf(c.self.ID)] {
+		updates = append(updates, toWire(c.self))
+	}
+	c.sendUpdates(from, updates, eff)
+	if !sync.Reply {
+		eff.SendPeer(from, &wire.Envelope{MemberSync: &wire.MemberSync{Buckets: mine, Reply: true}})
+	}
+}
+
+// buckets returns the digests of the table. Tombstones are left out: members
+// forget them at different times. Dead against alive still differs.
+func (c *Core) buckets() []int {
+	out := make([]int, SyncBuckets)
+	for _, e := range c.entries {
+		if e.State.present() {
+			out[bucketOf(e.ID)] ^= int(e.digest)
+		}
+	}
+	out[bucketOf(c.self.ID)] ^= int(digestOf(c.self))
+	return out
+}
+
+// digest returns one number for the whole table, never zero.
+func (c *Core) digest() int {
+	sum := 0
+	for i, b := range c.buckets() {
+		sum = (sum*31 + b + i) & 0xffffffff
+	}
+	return max(sum, 1)
+}
+
+func digestOf(m Member) uint32 {
+	var b strings.Builder
+	b.WriteString(m.ID)
+	b.WriteByte(0)
+	b.WriteString(m.Incarnation)
+	b.WriteByte(byte(m.State))
+	for shift := 0; shift < 64; shift += 8 {
+		b.WriteByte(byte(m.Epoch >> shift))
+	}
+	return uint32(hash64(b.String()))
+}
+
+func bucketOf(id string) int {
+	return int(hash64(id) % SyncBuckets)
+}
+
+// expire ends suspicions that were not refuted and forgets old tombstones.
+func (c *Core) expire(now monotime.Instant) {
+	for _, e := range c.entries {
+		if e.State == Suspect && now.Sub(e.since) >= SuspicionLimit {
+			m := e.Member
+			m.State = Dead
+			if e.left {
+				m.State = Gone
+			}
+			c.set(now, e, m)
+			c.stats.Died++
+		}
+	}
+	before := len(c.entries)
+	c.entries = slices.DeleteFunc(c.entries, func(e *entry) bool {
+		return !e.State.present() && now.Sub(e.since) >= tombstoneTTL
+	})
+	if len(c.entries) != before {
+		c.viewDirty = true
+	}
+}
+
+func backedOff(d time.Duration, first, limit time.Duration) time.Duration {
+	return min(max(first, 2*d), limit)
+}
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -112,6 +112,9 @@
 	// Membership news.
 	Members []MemberUpdate `json:"m,omitempty,omitzero"`
 
+	// MemberSync corresponds to the JSON schema field "ms".
+	MemberSync *MemberSync `json:"ms,omitempty,omitzero"`
+
 	// Pong corresponds to the JSON schema field "o".
 	Pong *Pong `json:"o,omitempty,omitzero"`
 
@@ -192,9 +195,19 @@
 
 const MemberStateA MemberState = "a"
 const MemberStateD MemberState = "d"
+const MemberStateG MemberState = "g"
 const MemberStateL MemberState = "l"
 const MemberStateS MemberState = "s"
 
+// MemberSync compares membership tables by the digests of their buckets.
+type MemberSync struct {
+	// Digest of each bucket.
+	Buckets []int `json:"b"`
+
+	// Whether this answers another sync.
+	Reply bool `json:"r,omitempty,omitzero"`
+}
+
 // MemberUpdate is news of one member.
 type MemberUpdate struct {
 	// Address for callers.
@@ -215,7 +228,7 @@
 	// Address for peers.
 	PeerAddress string `json:"p,omitempty,omitzero"`
 
-	// a alive, s suspect, d dead, l leaving.
+	// a alive, s suspect, d dead, l leaving, g gone after leaving.
 	State string `json:"s"`
 }
 
@@ -262,6 +275,9 @@
 
 	// Number.
 	Seq int `json:"s"`
+
+	// Digest of the sender's membership table; 0 for unknown.
+	Digest int `json:"v,omitempty,omitzero"`
 }
 
 // Pong answers a ping.
@@ -274,6 +290,9 @@
 
 	// Number of the ping.
 	Seq int `json:"s"`
+
+	// Digest of the sender's membership table; 0 for unknown.
+	Digest int `json:"v,omitempty,omitzero"`
 }
 
 // Progress renews the slots of a group and charges tokens.
