Answers as logs, kept by customer and request id

Cause: an answer must outlive its caller's connection, be followed by several readers and be found again by the same customer only, in bounded memory.

--- /dev/null
+++ b/internal/answers/store_test.go
@@ -0,0 +1,150 @@
+package answers
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/verdict"
+)
+
+const second = monotime.Instant(time.Second)
+
+func finishOne(t *testing.T, s *Store, now monotime.Instant, key Key, expires monotime.Instant) *Log {
+	t.Helper()
+	log, created, err := s.Begin(now, key, Begin{Expires: expires})
+	if err != nil || !created {
+		t.Fatalf("Begin(%v): created %v, error %v", key, created, err)
+	}
+	_ = log.Append(token(0, "stop"))
+	log.Close(nil)
+	if !s.Finish(now, key) {
+		t.Fatalf("Finish(%v) refused", key)
+	}
+	return log
+}
+
+// Two retries of one request arrive at the same instant on two connections.
+// Only one may start the work, or a letter is written twice; both must follow
+// the same answer.
+func TestBeginCreatesOnce(t *testing.T) {
+	s := NewStore(StoreConfig{Keep: time.Minute, KeptBytes: 1 << 20})
+	const callers = 32
+	var mu sync.Mutex
+	creators := 0
+	logs := make(map[*Log]bool)
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			log, created, _ := s.Begin(0, Key{Customer: "a", ID: "1"}, Begin{Expires: 100 * second})
+			mu.Lock()
+			defer mu.Unlock()
+			logs[log] = true
+			if created {
+				creators++
+			}
+		})
+	}
+	wg.Wait()
+	if creators != 1 || len(logs) != 1 {
+		t.Errorf("%d creators and %d logs, want one each", creators, len(logs))
+	}
+}
+
+func TestOnlyTheSameCustomerFinds(t *testing.T) {
+	s := NewStore(StoreConfig{Keep: time.Minute, KeptBytes: 1 << 20})
+	finishOne(t, s, 0, Key{Customer: "a", ID: "1"}, 100*second)
+	if _, ok := s.Find(Key{Customer: "b", ID: "1"}); ok {
+		t.Error("another customer found the answer")
+	}
+	if _, ok := s.Find(Key{Customer: "a", ID: "1"}); !ok {
+		t.Error("the customer did not find its answer")
+	}
+}
+
+// A caller reuses an id for another request. Given the stored answer it would
+// hold the answer to a question it did not ask, so it is refused.
+func TestAnotherRequestUnderTheSameIDIsRefused(t *testing.T) {
+	s := NewStore(StoreConfig{Keep: time.Minute, KeptBytes: 1 << 20})
+	key := Key{Customer: "a", ID: "1"}
+	_, _, _ = s.Begin(0, key, Begin{Fingerprint: 1, Expires: 100 * second})
+	_, _, err := s.Begin(0, key, Begin{Fingerprint: 2, Expires: 100 * second})
+	if err == nil || err.Verdict != verdict.MayHaveRun {
+		t.Errorf("got %v", err)
+	}
+}
+
+// A flood of finished answers must not push out one still being written: its
+// caller would lose the answer. The oldest finished ones go first.
+func TestBoundDropsOldestFinishedOnly(t *testing.T) {
+	one := eventOverhead + len("0") + len("stop")
+	s := NewStore(StoreConfig{Keep: time.Hour, KeptBytes: 3 * one})
+	running := Key{Customer: "a", ID: "running"}
+	runningLog, _, _ := s.Begin(0, running, Begin{Expires: 9999 * second})
+	for i := range 10 {
+		finishOne(t, s, monotime.Instant(i), Key{Customer: "a", ID: fmt.Sprint(i)}, 9999*second)
+		if got := s.Stats().KeptBytes; got > 3*one {
+			t.Fatalf("kept %d bytes, bound %d", got, 3*one)
+		}
+	}
+	if log, ok := s.Find(running); !ok || log != runningLog {
+		t.Error("the answer in progress was dropped")
+	}
+	for i := range 10 {
+		log, _ := s.Find(Key{Customer: "a", ID: fmt.Sprint(i)})
+		state, _ := log.Status()
+		if wantKept := i >= 7; (state == Finished) != wantKept {
+			t.Errorf("answer %d is %v, kept wanted %v", i, state, wantKept)
+		}
+	}
+}
+
+// A retry arrives after the answer was dropped but before its id expired. It
+// must not start the work again: it finds that the request ran.
+func TestDroppedAnswerIsNotRunAgain(t *testing.T) {
+	s := NewStore(StoreConfig{Keep: 10 * time.Second, KeptBytes: 1 << 20})
+	key := Key{Customer: "a", ID: "1"}
+	finishOne(t, s, 0, key, 60*second)
+	s.Expire(10 * second)
+	log, created, err := s.Begin(20*second, key, Begin{Expires: 60 * second})
+	if created || err != nil {
+		t.Fatalf("created %v, error %v", created, err)
+	}
+	if _, end := log.Status(); end == nil || end.Verdict != verdict.Ran {
+		t.Errorf("the dropped answer says %v", end)
+	}
+	s.Expire(60 * second)
+	if _, ok := s.Find(key); ok {
+		t.Error("the id outlived its expiry")
+	}
+	if got := s.Stats(); got != (Stats{}) {
+		t.Errorf("the store still holds %+v", got)
+	}
+}
+
+func TestFinishNeedsAClosedAnswer(t *testing.T) {
+	s := NewStore(StoreConfig{Keep: time.Second, KeptBytes: 0})
+	key := Key{Customer: "a", ID: "1"}
+	log, _, _ := s.Begin(0, key, Begin{Expires: second})
+	if s.Finish(0, key) {
+		t.Error("an answer in progress was finished")
+	}
+	s.Expire(1000 * second)
+	if found, ok := s.Find(key); !ok || found != log {
+		t.Error("an answer in progress expired")
+	}
+}
+
+func TestEntriesAreBounded(t *testing.T) {
+	s := NewStore(StoreConfig{Keep: time.Second, KeptBytes: 1 << 20, MaxEntries: 1})
+	finishOne(t, s, 0, Key{Customer: "a", ID: "1"}, 100*second)
+	_, _, err := s.Begin(0, Key{Customer: "a", ID: "2"}, Begin{Expires: 100 * second})
+	if err == nil || err.Verdict != verdict.NotRun {
+		t.Errorf("past the bound: %v", err)
+	}
+	if _, _, err := s.Begin(100*second, Key{Customer: "a", ID: "2"}, Begin{Expires: 200 * second}); err != nil {
+		t.Errorf("after expiry: %v", err)
+	}
+}
