--- /dev/null
+++ b/internal/accounting/metrics.go
@@ -0,0 +1,161 @@
+package accounting
+
+import (
+	"expvar"
+	"sync"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"basilrudder/internal/schema/accounting"
+)
+
+// Range and precision of the histograms, in microseconds.
+const (
+	minMicros     = 1
+	maxMicros     = 3600 * 1000 * 1000
+	digits        = 2
+	microsPerMS   = 1000
+	millisPerUnit = 1.0 / microsPerMS
+)
+
+// unlabelled stands in the counters for an absent class or reason.
+const unlabelled = "none"
+
+// metrics counts records by class and by reason. Customers are not labels: there
+// may be tens of thousands, and the report has them.
+type metrics struct {
+	vars        *expvar.Map
+	started     *expvar.Map
+	ended       *expvar.Map
+	inFlight    *expvar.Map
+	onTime      *expvar.Map
+	delivered   *expvar.Map
+	reasons     *expvar.Map
+	verdicts    *expvar.Map
+	tokens      *expvar.Map
+	wasted      *expvar.Map
+	lost        *expvar.Int
+	writeErrors *expvar.Int
+	firstToken  *histograms
+	total       *histograms
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		vars:        new(expvar.Map).Init(),
+		lost:        new(expvar.Int),
+		writeErrors: new(expvar.Int),
+		firstToken:  newHistograms(),
+		total:       newHistograms(),
+	}
+	m.started = m.byLabel("started_by_class")
+	m.ended = m.byLabel("ended_by_class")
+	m.inFlight = m.byLabel("in_flight_by_class")
+	m.onTime = m.byLabel("on_time_by_class")
+	m.delivered = m.byLabel("delivered_by_class")
+	m.reasons = m.byLabel("ended_by_reason")
+	m.verdicts = m.byLabel("ended_by_verdict")
+	m.tokens = m.byLabel("tokens_by_class")
+	m.wasted = m.byLabel("wasted_tokens_by_class")
+	m.vars.Set("lost_lines", m.lost)
+	m.vars.Set("write_errors", m.writeErrors)
+	m.vars.Set("first_token_ms_by_class", expvar.Func(m.firstToken.export))
+	m.vars.Set("total_ms_by_class", expvar.Func(m.total.export))
+	return m
+}
+
+func (m *metrics) byLabel(name string) *expvar.Map {
+	counters := new(expvar.Map).Init()
+	m.vars.Set(name, counters)
+	return counters
+}
+
+func (m *metrics) observe(r *accounting.Record) {
+	class := label(r.Class)
+	switch r.Kind {
+	case accounting.RecordKindStart:
+		m.started.Add(class, 1)
+		m.inFlight.Add(class, 1)
+	case accounting.RecordKindEnd:
+		m.observeEnd(class, r)
+	}
+}
+
+func (m *metrics) observeEnd(class string, r *accounting.Record) {
+	m.inFlight.Add(class, -1)
+	m.ended.Add(class, 1)
+	m.reasons.Add(label(r.Reason), 1)
+	m.verdicts.Add(label(r.Verdict), 1)
+	m.tokens.Add(class, int64(r.Tokens))
+	m.wasted.Add(class, int64(r.WastedTokens))
+	if r.Delivered {
+		m.delivered.Add(class, 1)
+		m.total.record(class, r.TotalMS)
+	}
+	if r.OnTime {
+		m.onTime.Add(class, 1)
+	}
+	if r.FirstTokenMS > 0 {
+		m.firstToken.record(class, r.FirstTokenMS)
+	}
+}
+
+func label(s string) string {
+	if s == "" {
+		return unlabelled
+	}
+	return s
+}
+
+// histograms holds one histogram for each class.
+type histograms struct {
+	mu      sync.Mutex
+	byClass map[string]*hdrhistogram.Histogram
+}
+
+// Quantiles summarises a histogram, in milliseconds.
+type Quantiles struct {
+	// Count of values.
+	Count int64 `json:"count"`
+	// P50 is the median.
+	P50 float64 `json:"p50"`
+	// P95 is the 95th percentile.
+	P95 float64 `json:"p95"`
+	// P99 is the 99th percentile.
+	P99 float64 `json:"p99"`
+	// Max is the largest value.
+	Max float64 `json:"max"`
+}
+
+func newHistograms() *histograms {
+	return &histograms{byClass: make(map[string]*hdrhistogram.Histogram)}
+}
+
+func (h *histograms) record(class string, ms float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	histogram := h.byClass[class]
+	if histogram == nil {
+		histogram = hdrhistogram.New(minMicros, maxMicros, digits)
+		h.byClass[class] = histogram
+	}
+	micros := min(max(int64(ms*microsPerMS), minMicros), maxMicros)
+	// The value is in range, so recording cannot fail.
+	_ = histogram.RecordValue(micros)
+}
+
+func (h *histograms) export() any {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[string]Quantiles, len(h.byClass))
+	for class, histogram := range h.byClass {
+		out[class] = Quantiles{
+			Count: histogram.TotalCount(),
+			P50:   float64(histogram.ValueAtQuantile(50)) * millisPerUnit,
+			P95:   float64(histogram.ValueAtQuantile(95)) * millisPerUnit,
+			P99:   float64(histogram.ValueAtQuantile(99)) * millisPerUnit,
+			Max:   float64(histogram.Max()) * millisPerUnit,
+		}
+	}
+	return out
+}
