Node: the lifecycle of a request and the owned groups, without I/O

Cause: the daemon and a replay must run the same decisions, and the races of dispatch against refusal, cancel, deadline and pause need one place. Change: node follows each request from admission to its end under one lock, asks group owners for slots, owns groups itself, retries within a budget, resumes at the same engine, and holds dispatch back after a pause until the configuration is confirmed. A holder tells a new owner which engine its slots use.

--- /dev/null
+++ b/internal/node/pause.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+// gate holds dispatch back after a pause of the process until a peer or the
+// platform has confirmed the configuration.
+//
+// A process that was stopped wakes up believing what it knew before: it would
+// send work to a server withdrawn meanwhile, since a grant that lay in its
+// queue looks valid. The gap in its own calls shows the pause. It is looked for
+// on each path that dispatches, not in Tick alone: the goroutine that carries
+// the old grant may run before the one that ticks. A pause between this check
+// and the write to the socket is not caught here; the engines that check
+// fencing numbers refuse that work by its revision.
+type gate struct {
+	closed bool
+	since  monotime.Instant
+	pauses int
+	// isolated is set when no confirmation came in time.
+	isolated bool
+}
+
+// noticePause closes the gate when the process has not run for a while.
+func (n *Node) noticePause(now monotime.Instant) {
+	if n.lastTick == 0 || now.Sub(n.lastTick) < pauseGap {
+		return
+	}
+	n.gate.closed = true
+	n.gate.since = now
+	n.gate.isolated = false
+	n.gate.pauses++
+	n.lastTick = now
+}
+
+// Paused reports whether dispatch waits for a confirmation, and since when.
+func (n *Node) Paused() (monotime.Instant, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.gate.since, n.gate.closed
+}
+
+// Confirm tells that a peer or the platform confirmed at the given instant that
+// the configuration in force is the newest it knows.
+func (n *Node) Confirm(now, confirmed monotime.Instant) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.gate.closed && !confirmed.Before(n.gate.since) {
+		n.gate.closed = false
+		n.dispatchHeld(now)
+	}
+}
+
+// openGate opens the gate when nobody could confirm: an instance that reaches
+// neither a peer nor the platform goes on with what it knows rather than
+// refuse everybody, for as long as the rules say.
+func (n *Node) openGate(now monotime.Instant) {
+	if !n.gate.closed || now.Sub(n.gate.since) < confirmWait {
+		return
+	}
+	n.gate.closed = false
+	n.gate.isolated = true
+	n.dispatchHeld(now)
+}
+
+func (n *Node) dispatchHeld(now monotime.Instant) {
+	var held []*request
+	for r := n.order.head; r != nil; r = r.next {
+		if r.held != nil && r.state == stateWaiting {
+			held = append(held, r)
+		}
+	}
+	for _, r := range held {
+		grant := *r.held
+		r.held = nil
+		n.dispatchOrRenew(now, r, grant.LeaseMS, func() { n.dispatch(now, r, grant) })
+	}
+}
+
+// dispatchOrRenew drops a grant whose lease ran out while it was held: the owner
+// has given the slot to somebody else.
+func (n *Node) dispatchOrRenew(now monotime.Instant, r *request, leaseMS int, dispatch func()) {
+	if now.Sub(n.gate.since) > time.Duration(leaseMS)*time.Millisecond {
+		n.withdraw(now, r)
+		n.acquire(now, r)
+		return
+	}
+	dispatch()
+}
--- /dev/null
+++ b/internal/node/progress.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"basilrudder/internal/monotime"
+)
+
+const (
+	gapUnit       = 100 * time.Microsecond
+	longestGap    = time.Minute
+	gapDigits     = 1
+	gapPercentile = 95
+)
+
+// Progress is what an attempt has relayed so far. The relaying goroutine alone
+// calls Token; the counters may be read at any time, without a lock.
+type Progress struct {
+	tokens atomic.Int64
+	first  atomic.Int64
+	last   atomic.Int64
+	gaps   *hdrhistogram.Histogram
+}
+
+// NewProgress returns an empty Progress.
+func NewProgress() *Progress {
+	return &Progress{gaps: hdrhistogram.New(1, int64(longestGap/gapUnit), gapDigits)}
+}
+
+// Token counts one token relayed at now.
+func (p *Progress) Token(now monotime.Instant) {
+	last := monotime.Instant(p.last.Swap(int64(now)))
+	if p.tokens.Add(1) == 1 {
+		p.first.Store(int64(now))
+		return
+	}
+	gap := min(now.Sub(last), longestGap)
+	_ = p.gaps.RecordValue(int64(gap / gapUnit))
+}
+
+// Tokens returns the number of tokens relayed.
+func (p *Progress) Tokens() int {
+	return int(p.tokens.Load())
+}
+
+// First returns when the first token was relayed; 0 for not yet.
+func (p *Progress) First() monotime.Instant {
+	return monotime.Instant(p.first.Load())
+}
+
+// MeanGap returns the mean time between tokens; 0 below two tokens.
+func (p *Progress) MeanGap() time.Duration {
+	n := p.tokens.Load()
+	if n < 2 {
+		return 0
+	}
+	return time.Duration((p.last.Load() - p.first.Load()) / (n - 1))
+}
+
+// GapP95 returns the 95th percentile of the time between tokens. It must not be
+// called while the attempt runs.
+func (p *Progress) GapP95() time.Duration {
+	return time.Duration(p.gaps.ValueAtQuantile(gapPercentile)) * gapUnit
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/sched"
+)
+
+// Status is what a node believes.
+type Status struct {
+	// Revision of the configuration in force.
+	Revision uint64 `json:"revision"`
+	// Requests held, and those of them that wait for a slot.
+	Requests int `json:"requests"`
+	Waiting  int `json:"waiting"`
+	// IDs remembered.
+	IDs int `json:"ids"`
+	// Draining says that new requests are refused.
+	Draining bool `json:"draining"`
+	// Pauses of the process that were noticed.
+	Pauses int `json:"pauses"`
+	// Isolated says that after the last pause nobody confirmed the configuration.
+	Isolated bool `json:"isolated"`
+	// Counts since the start.
+	Counts Counts `json:"counts"`
+	// Owned groups.
+	Owned []OwnedStatus `json:"owned"`
+}
+
+// OwnedStatus is one owned group.
+type OwnedStatus struct {
+	// Group name.
+	Group string `json:"group"`
+	// IdleS is the time since the group was last used, in seconds.
+	IdleS float64 `json:"idle_s"`
+	// Stats of the scheduler.
+	Stats sched.Stats `json:"stats"`
+}
+
+// Status returns what the node believes.
+func (n *Node) Status(now monotime.Instant) Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := Status{
+		Requests: len(n.requests),
+		IDs:      n.ids.Len(),
+		Draining: n.draining,
+		Pauses:   n.gate.pauses,
+		Isolated: n.gate.isolated,
+		Counts:   n.counts,
+	}
+	if cat := n.catalog.Load(); cat != nil {
+		s.Revision = cat.Revision
+	}
+	for r := n.order.head; r != nil; r = r.next {
+		if r.state == stateWaiting {
+			s.Waiting++
+		}
+	}
+	for _, name := range n.ownedNames() {
+		g := n.owned[name]
+		s.Owned = append(s.Owned, OwnedStatus{
+			Group: name,
+			IdleS: float64(now.Sub(g.used)) / float64(time.Second),
+			Stats: g.sched.Stats(),
+		})
+	}
+	return s
+}
--- a/internal/sched/stats.go
+++ b/internal/sched/stats.go
@@ -89,3 +89,8 @@
 	}
 	return g.backlog(l, g.tierOf(tier), now)
 }
+
+// Idle reports whether nothing waits and no slot is held.
+func (g *Group) Idle() bool {
+	return g.waiting == 0 && g.held.count == 0
+}
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -306,11 +306,23 @@
 
 // ProgressItem renews one slot.
 type ProgressItem struct {
+	// Hash of the class name, told to a new owner only.
+	Class int `json:"c,omitempty,omitzero"`
+
+	// Engine as server/engine, told to a new owner only.
+	Engine string `json:"e,omitempty,omitzero"`
+
 	// Tokens since the last progress.
 	Tokens int `json:"k,omitempty,omitzero"`
 
 	// Number of the request.
 	Seq int `json:"q"`
+
+	// Tier, told to a new owner only.
+	Tier int `json:"t,omitempty,omitzero"`
+
+	// Hash of the customer name, told to a new owner only.
+	Customer int `json:"u,omitempty,omitzero"`
 }
 
 // Refuse turns an acquire down; nothing ran.
