HTTP interface for callers

Cause: callers expect the shape of chat completions, and must always learn whether a refused or cut request may have run. Change: callers.Server on fasthttp: chat completions whole and streamed, plain services, directory, request state, fetch and resume, typed refusals, relay to the instance an id is bound to. Home returns reason unbound_key for an id that no instance minted; callers lets it pass for idempotent classes. Refusals given before the home of an id was asked say may_have_run; those without an id say not_run. The body sent upstream gains model, prefix (hex) and max_tokens where the caller left them out.

--- a/internal/answers/log.go
+++ b/internal/answers/log.go
@@ -86,10 +86,23 @@
 	bytes   int
 	closed  bool
 	err     *verdict.Error
+	about   About
+	readers int
 	waiters []chan struct{}
 	idle    []chan struct{}
 }
 
+// About describes an answer, so that a caller who fetches it again sees it as
+// the first one did.
+type About struct {
+	// Model that answers; empty for a plain service.
+	Model string
+	// Created is the wall-clock time of the request in seconds since 1970.
+	Created int64
+	// PromptTokens of the request.
+	PromptTokens int
+}
+
 // NewLog returns an empty answer that holds at most maxBytes; 0 for no bound.
 func NewLog(maxBytes int) *Log {
 	return &Log{maxBytes: maxBytes}
@@ -200,6 +213,44 @@
 	}
 }
 
+// Describe stores what the answer is about. Only the first call counts.
+func (l *Log) Describe(about About) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.about == (About{}) {
+		l.about = about
+	}
+}
+
+// About returns what Describe stored.
+func (l *Log) About() About {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.about
+}
+
+// Attach counts a caller's connection that follows the answer.
+func (l *Log) Attach() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readers++
+}
+
+// Detach ends what Attach began, and returns the number of connections left.
+func (l *Log) Detach() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readers--
+	return l.readers
+}
+
+// Readers returns the number of connections that follow the answer.
+func (l *Log) Readers() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.readers
+}
+
 // Len returns the number of tokens; it is the offset to resume from.
 func (l *Log) Len() int {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/callers/answer.go
@@ -0,0 +1,92 @@
+package callers
+
+import (
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"basilrudder/internal/answers"
+	"basilrudder/internal/verdict"
+)
+
+// answerStream waits for the first token and then streams from the offset. A
+// failure before the first token is an ordinary refusal.
+func (s *Server) answerStream(ctx *fasthttp.RequestCtx, f *follower, offset int) {
+	body := &sseBody{
+		follower: f,
+		encoder:  newChunkEncoder(f.id, f.log.About()),
+		offset:   offset,
+	}
+	body.events, body.done, body.err = f.log.Next(f.ctx, offset)
+	if body.err != nil && len(body.events) == 0 {
+		s.answerError(ctx, f, body.done, body.err)
+		return
+	}
+	body.offset += len(body.events)
+	setHeaders(ctx, f.id, verdict.Ran)
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
+	ctx.SetBodyStream(body, -1)
+}
+
+// answerWhole waits for the end of the answer and writes all of it.
+func (s *Server) answerWhole(ctx *fasthttp.RequestCtx, f *follower) {
+	if err := f.log.Wait(f.ctx); err != nil {
+		state, _ := f.log.Status()
+		s.answerError(ctx, f, state == answers.Failed, err)
+		return
+	}
+	f.unwatch()
+	setHeaders(ctx, f.id, verdict.Ran)
+	if service := f.log.Service(); service != nil {
+		writeService(ctx, service)
+	} else {
+		events, _, _ := f.log.Next(f.ctx, 0)
+		ctx.SetContentType("application/json")
+		ctx.SetBody(appendCompletion(nil, f.id, f.log.About(), events))
+	}
+	f.deliver()
+}
+
+// answerError refuses, unless it is the caller that is gone. A refusal that
+// reaches its caller is the whole answer.
+func (s *Server) answerError(ctx *fasthttp.RequestCtx, f *follower, done bool, err *verdict.Error) {
+	f.unwatch()
+	s.refuse(ctx, f.id, err)
+	if done {
+		f.deliver()
+		return
+	}
+	f.detach()
+	ctx.SetConnectionClose()
+}
+
+// hopByHop names the fields that belong to one connection, and those this
+// system sets itself.
+var hopByHop = map[string]bool{
+	"connection":          true,
+	"keep-alive":          true,
+	"proxy-authenticate":  true,
+	"proxy-authorization": true,
+	"proxy-connection":    true,
+	"te":                  true,
+	"trailer":             true,
+	"transfer-encoding":   true,
+	"upgrade":             true,
+	"content-length":      true,
+	"date":                true,
+	"server":              true,
+	"x-request-id":        true,
+	"x-verdict":           true,
+	"x-should-retry":      true,
+}
+
+func writeService(ctx *fasthttp.RequestCtx, service *answers.ServiceAnswer) {
+	ctx.SetStatusCode(service.Status)
+	for _, h := range service.Headers {
+		if !hopByHop[strings.ToLower(h.Name)] {
+			ctx.Response.Header.Add(h.Name, h.Value)
+		}
+	}
+	ctx.SetBody(service.Body)
+}
--- /dev/null
+++ b/internal/callers/chatbody.go
@@ -0,0 +1,144 @@
+package callers
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/verdict"
+)
+
+const (
+	// bytesPerToken estimates prompt tokens from the size of the messages.
+	bytesPerToken = 4
+	// maxPromptTokens bounds what a caller may state.
+	maxPromptTokens = 1 << 24
+	// prefixBase is the base in which a prefix key is written.
+	prefixBase = 16
+)
+
+// chatBody is what the router reads of a chat completion request. The rest goes
+// to the engine as it is.
+type chatBody struct {
+	Model               string            `json:"model"`
+	Messages            []json.RawMessage `json:"messages"`
+	Stream              bool              `json:"stream"`
+	MaxTokens           *int              `json:"max_tokens"`
+	MaxCompletionTokens *int              `json:"max_completion_tokens"`
+	PromptTokens        *int              `json:"prompt_tokens"`
+	Prefix              string            `json:"prefix"`
+}
+
+// chatRequest is a parsed body.
+type chatRequest struct {
+	body         []byte // to send upstream, a copy
+	stream       bool
+	promptTokens int
+	maxTokens    int
+	prefix       uint64
+}
+
+// parseChat checks the body of a chat completion request of the class.
+func parseChat(raw []byte, class *catalog.Class) (chatRequest, *verdict.Error) {
+	var body chatBody
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return chatRequest{}, badBody("the body is not a chat completion request: " + err.Error())
+	}
+	if len(body.Messages) == 0 {
+		return chatRequest{}, badBody("messages must hold at least one message")
+	}
+	if body.Model != "" && body.Model != class.Target {
+		return chatRequest{}, badBody(fmt.Sprintf("model is %q, but the class %q is served by %q",
+			body.Model, class.Name, class.Target))
+	}
+	request := chatRequest{stream: body.Stream, prefix: prefixKey(&body)}
+	var err *verdict.Error
+	if request.promptTokens, err = promptTokens(&body); err != nil {
+		return chatRequest{}, err
+	}
+	if request.maxTokens, err = maxTokens(&body, class); err != nil {
+		return chatRequest{}, err
+	}
+	request.body = completeBody(raw, &body, &request, class)
+	return request, nil
+}
+
+func badBody(message string) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, message)
+}
+
+func promptTokens(body *chatBody) (int, *verdict.Error) {
+	if stated := body.PromptTokens; stated != nil {
+		if *stated < 0 || *stated > maxPromptTokens {
+			return 0, badBody("prompt_tokens is out of range")
+		}
+		return *stated, nil
+	}
+	size := 0
+	for _, message := range body.Messages {
+		size += len(message)
+	}
+	return size / bytesPerToken, nil
+}
+
+// maxTokens returns the bound of the answer. A request for more than the class
+// allows is refused, since a shorter answer would look like a whole one.
+func maxTokens(body *chatBody, class *catalog.Class) (int, *verdict.Error) {
+	asked := body.MaxCompletionTokens
+	if asked == nil {
+		asked = body.MaxTokens
+	}
+	if asked == nil {
+		return class.MaxOutputTokens, nil
+	}
+	if *asked < 1 {
+		return 0, badBody("max_tokens must be at least 1")
+	}
+	if class.MaxOutputTokens > 0 && *asked > class.MaxOutputTokens {
+		return 0, badBody(fmt.Sprintf("max_tokens is %d, but the class %q allows %d",
+			*asked, class.Name, class.MaxOutputTokens))
+	}
+	return *asked, nil
+}
+
+// prefixKey identifies the leading part of the prompt: the key that the caller
+// states, else the first message, which holds the instructions that many
+// requests share. Engines name the same key in their cache events.
+func prefixKey(body *chatBody) uint64 {
+	if body.Prefix == "" {
+		return xxhash.Sum64(body.Messages[0])
+	}
+	if key, err := strconv.ParseUint(body.Prefix, prefixBase, 64); err == nil {
+		return key
+	}
+	return xxhash.Sum64String(body.Prefix)
+}
+
+// completeBody copies the body and puts in front what the caller left out and
+// the engine needs. The object is known to have members, since messages is one.
+func completeBody(raw []byte, body *chatBody, request *chatRequest, class *catalog.Class) []byte {
+	const roomForMembers = 96
+	open := bytes.IndexByte(raw, '{') + 1
+	out := make([]byte, 0, len(raw)+len(class.Target)+roomForMembers)
+	out = append(out, raw[:open]...)
+	if body.Model == "" {
+		out = append(out, `"model":`...)
+		out = appendJSONString(out, class.Target)
+		out = append(out, ',')
+	}
+	if body.Prefix == "" {
+		out = append(out, `"prefix":"`...)
+		out = strconv.AppendUint(out, request.prefix, prefixBase)
+		out = append(out, `",`...)
+	}
+	if body.MaxTokens == nil && request.maxTokens > 0 {
+		out = append(out, `"max_tokens":`...)
+		out = strconv.AppendInt(out, int64(request.maxTokens), 10)
+		out = append(out, ',')
+	}
+	return append(out, raw[open:]...)
+}
--- /dev/null
+++ b/internal/callers/handler.go
@@ -0,0 +1,244 @@
+package callers
+
+import (
+	"bytes"
+	"encoding/json"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/schema/inventory"
+	"basilrudder/internal/verdict"
+)
+
+// Paths of the interface.
+const (
+	pathChat      = "/v1/chat/completions"
+	pathDirectory = "/v1/directory"
+	pathRequests  = "/v1/requests/"
+	pathServices  = "/v1/services/"
+	suffixAnswer  = "/answer"
+)
+
+// maxIDLength bounds a request id, in bytes.
+const maxIDLength = 200
+
+// connectionRetry is when a caller refused for its connection should come back.
+const connectionRetry = time.Second
+
+// call is what is known of a request before it is submitted.
+type call struct {
+	customer *catalog.Customer
+	class    *catalog.Class
+	id       string
+	// home is the address of another instance that the id is bound to.
+	home string
+	// unbound is set for an id that no instance minted.
+	unbound bool
+}
+
+// handle routes a request. A panic is answered, since it would otherwise end
+// the process and every other request with it.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.cfg.Log.Error("panic in a caller's request", zap.Any("cause", cause), zap.ByteString("stack", debug.Stack()))
+			s.refuse(ctx, "", verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "internal error"))
+			ctx.SetConnectionClose()
+		}
+	}()
+	if c, ok := ctx.Conn().(*conn); ok && c.overLimit {
+		s.refuseConnection(ctx)
+		return
+	}
+	s.route(ctx)
+}
+
+func (s *Server) route(ctx *fasthttp.RequestCtx) {
+	path := ctx.Request.URI().PathOriginal()
+	switch {
+	case string(path) == pathChat:
+		s.allow(ctx, fasthttp.MethodPost, s.chat)
+	case string(path) == pathDirectory:
+		s.allow(ctx, fasthttp.MethodGet, s.directory)
+	case bytes.HasPrefix(path, []byte(pathServices)):
+		s.service(ctx)
+	case bytes.HasPrefix(path, []byte(pathRequests)):
+		s.allow(ctx, fasthttp.MethodGet, s.request)
+	default:
+		s.refuse(ctx, "", verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "no such path"))
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Server) allow(ctx *fasthttp.RequestCtx, method string, handler func(*fasthttp.RequestCtx)) {
+	if string(ctx.Method()) == method {
+		handler(ctx)
+		return
+	}
+	s.refuse(ctx, "", verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "this path takes "+method))
+	ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
+	ctx.Response.Header.Set(fasthttp.HeaderAllow, method)
+}
+
+func (s *Server) refuseConnection(ctx *fasthttp.RequestCtx) {
+	s.counts.connectionsRefused.Add(1)
+	id := string(ctx.Request.Header.Peek(HeaderRequestID))
+	err := verdict.New(s.unknowing(nil, id), verdict.ReasonOverloaded, "too many connections to this instance")
+	s.refuse(ctx, id, err.After(connectionRetry))
+	ctx.SetConnectionClose()
+}
+
+func (s *Server) directory(ctx *fasthttp.RequestCtx) {
+	customer := s.authenticate(ctx)
+	if customer == nil {
+		s.refuse(ctx, "", unauthorized(verdict.NotRun))
+		return
+	}
+	directory := s.backend.Directory(customer)
+	body, err := json.Marshal(directory)
+	if err != nil {
+		s.refuse(ctx, "", verdict.Wrap(verdict.NotRun, verdict.ReasonInternal, err))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "private, max-age="+strconv.Itoa(directory.TTLS))
+	ctx.SetBody(body)
+}
+
+func unauthorized(v verdict.Verdict) *verdict.Error {
+	return verdict.New(v, verdict.ReasonUnauthorized, "the Authorization header holds no accepted bearer credential")
+}
+
+// authenticate finds the customer of the bearer credential, or nil.
+func (s *Server) authenticate(ctx *fasthttp.RequestCtx) *catalog.Customer {
+	const scheme = "Bearer "
+	header := ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)
+	if len(header) <= len(scheme) || !bytes.EqualFold(header[:len(scheme)], []byte(scheme)) {
+		return nil
+	}
+	return s.backend.Catalog().Authenticate(string(header[len(scheme):]))
+}
+
+// admit checks the header of a request that is to run: credential, id, class.
+func (s *Server) admit(ctx *fasthttp.RequestCtx, kind inventory.ClassKind) (call, *verdict.Error) {
+	var c call
+	if repeated := repeatedHeader(ctx); repeated != "" {
+		return c, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the header "+repeated+" is given twice")
+	}
+	c.id = string(ctx.Request.Header.Peek(HeaderRequestID))
+	if !validID(c.id) {
+		c.id = ""
+		return c, verdict.New(verdict.NotRun, verdict.ReasonBadRequest,
+			HeaderRequestID+" may hold at most 200 letters, digits and . _ : -")
+	}
+	c.customer = s.authenticate(ctx)
+	if c.customer == nil {
+		return c, unauthorized(s.unknowing(nil, c.id))
+	}
+	if err := s.classify(ctx, &c, kind); err != nil {
+		err.Verdict = s.unknowing(c.customer, c.id)
+		return c, err
+	}
+	return c, s.locate(ctx, &c)
+}
+
+// repeatedHeader returns the name of a header field that must be single and is
+// not: two parties might each believe another one of its values.
+func repeatedHeader(ctx *fasthttp.RequestCtx) string {
+	for _, name := range []string{fasthttp.HeaderAuthorization, HeaderRequestID, HeaderClass} {
+		if len(ctx.Request.Header.PeekAll(name)) > 1 {
+			return name
+		}
+	}
+	return ""
+}
+
+func validID(id string) bool {
+	if len(id) > maxIDLength {
+		return false
+	}
+	for i := range len(id) {
+		b := id[i]
+		letter := 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z'
+		digit := '0' <= b && b <= '9'
+		if !letter && !digit && b != '.' && b != '_' && b != ':' && b != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Server) classify(ctx *fasthttp.RequestCtx, c *call, kind inventory.ClassKind) *verdict.Error {
+	name := string(ctx.Request.Header.Peek(HeaderClass))
+	if name == "" {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the header "+HeaderClass+" is missing")
+	}
+	c.class = s.backend.Catalog().Classes[name]
+	if c.class == nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonUnknownClass, "no request class "+strconv.Quote(name))
+	}
+	if !c.customer.MayUse(c.class) {
+		return verdict.New(verdict.NotRun, verdict.ReasonForbidden, "this customer may not use the class "+strconv.Quote(name))
+	}
+	if c.class.Kind != kind {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the class "+strconv.Quote(name)+" is not served on this path")
+	}
+	return nil
+}
+
+// locate finds the instance that the id is bound to.
+func (s *Server) locate(ctx *fasthttp.RequestCtx, c *call) *verdict.Error {
+	if c.id == "" {
+		return nil
+	}
+	address, local, err := s.backend.Home(c.id)
+	switch {
+	case err != nil && err.Reason == verdict.ReasonUnboundKey:
+		c.unbound = true
+		return unboundKey(c.class)
+	case err != nil:
+		return err
+	case local:
+		return nil
+	case len(ctx.Request.Header.Peek(HeaderRelayed)) > 0:
+		return relayLoop()
+	default:
+		c.home = address
+		return nil
+	}
+}
+
+// unboundKey refuses a request that may run once only under an id that any
+// instance might run: after a partition or a crash, no instance could tell
+// whether another one ran it.
+func unboundKey(class *catalog.Class) *verdict.Error {
+	if class == nil || class.Idempotent {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.ReasonUnboundKey,
+		"this class is not idempotent and the id is not bound to an instance: "+
+			"leave out "+HeaderRequestID+", or make it of an id_prefix from "+pathDirectory+" and a nonce of your own")
+}
+
+// unknowing is the verdict of a refusal given before the instance that an id is
+// bound to was asked. An earlier attempt under the id may have run there.
+func (s *Server) unknowing(customer *catalog.Customer, id string) verdict.Verdict {
+	if id == "" {
+		return verdict.NotRun
+	}
+	_, local, err := s.backend.Home(id)
+	if err != nil && err.Reason == verdict.ReasonUnboundKey {
+		return verdict.NotRun
+	}
+	if err == nil && local && customer != nil {
+		if _, found := s.backend.Find(customer.Name, id); !found {
+			return verdict.NotRun
+		}
+	}
+	return verdict.MayHaveRun
+}
--- /dev/null
+++ b/internal/callers/refuse.go
@@ -0,0 +1,147 @@
+package callers
+
+import (
+	"encoding/json"
+	"math"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"basilrudder/internal/schema/callerapi"
+	"basilrudder/internal/verdict"
+)
+
+// refusalType marks refusals of this system among other errors.
+const refusalType = "basilrudder_refusal"
+
+// statusCallerGone is the status, seen in accounting only, of a request whose
+// caller closed the connection.
+const statusCallerGone = 499
+
+// Status returns the HTTP status that tells callers of err.
+func Status(err *verdict.Error) int {
+	if status, ok := statusByReason[err.Reason]; ok {
+		return status
+	}
+	return fasthttp.StatusInternalServerError
+}
+
+// statusByReason avoids 409 and 429 where a client library would retry by
+// itself and a retry cannot help.
+var statusByReason = map[verdict.Reason]int{
+	verdict.ReasonBadRequest:      fasthttp.StatusBadRequest,
+	verdict.ReasonTooLarge:        fasthttp.StatusRequestEntityTooLarge,
+	verdict.ReasonUnauthorized:    fasthttp.StatusUnauthorized,
+	verdict.ReasonForbidden:       fasthttp.StatusForbidden,
+	verdict.ReasonUnknownClass:    fasthttp.StatusBadRequest,
+	verdict.ReasonUnknownRequest:  fasthttp.StatusNotFound,
+	verdict.ReasonUnboundKey:      fasthttp.StatusUnprocessableEntity,
+	verdict.ReasonIDExpired:       fasthttp.StatusGone,
+	verdict.ReasonHomeGone:        fasthttp.StatusGone,
+	verdict.ReasonHomeUnreachable: fasthttp.StatusServiceUnavailable,
+	verdict.ReasonRateLimited:     fasthttp.StatusTooManyRequests,
+	verdict.ReasonOverloaded:      fasthttp.StatusServiceUnavailable,
+	verdict.ReasonDeadline:        fasthttp.StatusGatewayTimeout,
+	verdict.ReasonNoServer:        fasthttp.StatusServiceUnavailable,
+	verdict.ReasonNotReady:        fasthttp.StatusServiceUnavailable,
+	verdict.ReasonIsolated:        fasthttp.StatusServiceUnavailable,
+	verdict.ReasonPaused:          fasthttp.StatusServiceUnavailable,
+	verdict.ReasonDraining:        fasthttp.StatusServiceUnavailable,
+	verdict.ReasonRetryBudget:     fasthttp.StatusServiceUnavailable,
+	verdict.ReasonConnect:         fasthttp.StatusBadGateway,
+	verdict.ReasonUpstreamRefused: fasthttp.StatusServiceUnavailable,
+	verdict.ReasonUpstreamLost:    fasthttp.StatusBadGateway,
+	verdict.ReasonUpstreamSilent:  fasthttp.StatusGatewayTimeout,
+	verdict.ReasonUpstreamError:   fasthttp.StatusBadGateway,
+	verdict.ReasonCallerGone:      statusCallerGone,
+	verdict.ReasonInternal:        fasthttp.StatusInternalServerError,
+}
+
+// refuse answers with a typed refusal.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, id string, err *verdict.Error) {
+	s.counts.refusals.Add(string(err.Reason), 1)
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(Status(err))
+	ctx.SetContentType("application/json")
+	setHeaders(ctx, id, err.Verdict)
+	if err.RetryAfter > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterSeconds(err.RetryAfter))
+	}
+	if err.Verdict != verdict.NotRun {
+		ctx.Response.Header.Set(HeaderShouldRetry, "false")
+	}
+	ctx.SetBody(refusalJSON(id, err))
+}
+
+func setHeaders(ctx *fasthttp.RequestCtx, id string, v verdict.Verdict) {
+	if id != "" {
+		ctx.Response.Header.Set(HeaderRequestID, id)
+	}
+	ctx.Response.Header.Set(HeaderVerdict, v.String())
+}
+
+// refusalJSON returns the body of a refusal.
+func refusalJSON(id string, err *verdict.Error) []byte {
+	body, marshalErr := json.Marshal(callerapi.Refusal{Error: callerapi.RefusalError{
+		Type:         refusalType,
+		Verdict:      callerapi.Verdict(err.Verdict.String()),
+		Reason:       string(err.Reason),
+		Message:      err.Message,
+		RequestID:    id,
+		RetryAfterMS: int(math.Ceil(float64(err.RetryAfter) / float64(time.Millisecond))),
+	}})
+	if marshalErr != nil {
+		// Strings and numbers always marshal.
+		panic(marshalErr)
+	}
+	return body
+}
+
+// retryAfterSeconds rounds up, so that nobody comes back too early.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+// refuseUnread answers a request that could not be read. A request too large to
+// read was too large at every earlier attempt as well, so it never ran.
+func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, cause error) {
+	s.refuse(ctx, "", unreadError(cause))
+	ctx.SetConnectionClose()
+	if status := unreadStatus(cause); status != 0 {
+		ctx.SetStatusCode(status)
+	}
+}
+
+func unreadError(cause error) *verdict.Error {
+	var smallBuffer *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(cause, fasthttp.ErrBodyTooLarge):
+		return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "the request body is larger than this instance accepts")
+	case errors.As(cause, &smallBuffer):
+		return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "the request header is larger than this instance accepts")
+	case isTimeout(cause):
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the request was not sent in time")
+	default:
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the request is not valid HTTP")
+	}
+}
+
+func unreadStatus(cause error) int {
+	var smallBuffer *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(cause, &smallBuffer):
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
+	case isTimeout(cause):
+		return fasthttp.StatusRequestTimeout
+	default:
+		return 0
+	}
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
