Account a request when its answer was delivered

Cause: an answer that is ready and reaches nobody is waste, and a refusal before admission left no accounting line, so the report could not say who was turned away. Change: the end line waits for delivery or for the end of keeping; refusals at admission get a start and an end line; line numbers count over the process.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -13,5 +13,5 @@
 func (n *Node) Drained() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.draining && len(n.requests) == 0
+	return n.draining && len(n.requests) == 0 && len(n.undelivered) == 0
 }
--- a/internal/node/grant.go
+++ b/internal/node/grant.go
@@ -120,10 +120,10 @@
 
 // CallerGone tells that the caller of a request has vanished. Idempotent work
 // is cancelled; other work goes on, and its answer is kept for the caller.
-func (n *Node) CallerGone(now monotime.Instant, seq uint64) {
+func (n *Node) CallerGone(now monotime.Instant, id string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	r := n.requests[seq]
+	r := n.byID[id]
 	if r == nil || r.gone {
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,15 +88,20 @@
 	ids      *reqid.Table
 	nextSeq  uint64
 	requests map[uint64]*request
+	byID     map[string]*request
 	order    requestList
-	owned    map[string]*ownedGroup
-	down     map[string]monotime.Instant
-	budget   retryBudget
-	gate     gate
-	draining bool
-	lastTick monotime.Instant
-	renewed  monotime.Instant
-	counts   Counts
+	// undelivered and ended hold requests whose answer waits for its caller.
+	undelivered map[string]*request
+	ended       requestList
+	recordSeq   int
+	owned       map[string]*ownedGroup
+	down        map[string]monotime.Instant
+	budget      retryBudget
+	gate        gate
+	draining    bool
+	lastTick    monotime.Instant
+	renewed     monotime.Instant
+	counts      Counts
 
 	pending   []pendingDecision
 	answering bool
@@ -110,16 +115,18 @@
 	}
 	rng := rand.New(rand.NewPCG(cfg.Seed, 1))
 	n := &Node{
-		cfg:      cfg,
-		eff:      eff,
-		rng:      rng,
-		picker:   route.NewPicker(),
-		ids:      reqid.NewTable(cfg.Capacity*idsPerRequest, IDLifetime),
-		nextSeq:  uint64(rng.Uint32() >> 1),
-		requests: make(map[uint64]*request),
-		owned:    make(map[string]*ownedGroup),
-		down:     make(map[string]monotime.Instant),
-		budget:   retryBudget{tokens: retryBurst},
+		cfg:         cfg,
+		eff:         eff,
+		rng:         rng,
+		picker:      route.NewPicker(),
+		ids:         reqid.NewTable(cfg.Capacity*idsPerRequest, IDLifetime),
+		nextSeq:     uint64(rng.Uint32() >> 1),
+		requests:    make(map[uint64]*request),
+		byID:        make(map[string]*request),
+		undelivered: make(map[string]*request),
+		owned:       make(map[string]*ownedGroup),
+		down:        make(map[string]monotime.Instant),
+		budget:      retryBudget{tokens: retryBurst},
 	}
 	return n
 }
@@ -193,6 +200,7 @@
 	n.expireDown(now)
 	n.tickOwned(now)
 	n.expireRequests(now)
+	n.settleOld(now)
 	n.renewLeases(now)
 }
 
--- a/internal/node/record.go
+++ b/internal/node/record.go
@@ -8,24 +8,68 @@
 	"basilrudder/internal/verdict"
 )
 
-// finish ends a request: the caller gets the rest and the end is recorded.
+// finish ends the work on a request and hands the rest to its caller.
 func (n *Node) finish(now monotime.Instant, r *request, err *verdict.Error) {
 	delete(n.requests, r.seq)
+	delete(n.byID, r.ID)
 	n.order.remove(r)
+	r.err = err
+	r.ended = now
 	if err != nil && err.Verdict == verdict.NotRun {
 		n.ids.Forget(r.ID)
+		n.recordEnd(now, r)
+	} else {
+		n.undelivered[r.ID] = r
+		n.ended.push(r)
 	}
-	n.recordEnd(now, r, err)
 	n.eff.Finish(r.ID, err)
 }
 
+// Delivered tells that the end of an answer was written to its caller. Only now
+// is the request accounted: an answer that is ready and reaches nobody is waste.
+func (n *Node) Delivered(now monotime.Instant, id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r := n.undelivered[id]; r != nil {
+		r.delivered = r.err == nil
+		n.settle(now, r)
+	}
+}
+
+// settle accounts a request that ended.
+func (n *Node) settle(now monotime.Instant, r *request) {
+	delete(n.undelivered, r.ID)
+	n.ended.remove(r)
+	n.recordEnd(now, r)
+}
+
+// settleOld accounts requests whose answer is no longer kept for their callers.
+func (n *Node) settleOld(now monotime.Instant) {
+	cat := n.catalog.Load()
+	if cat == nil {
+		return
+	}
+	keep := time.Duration(cat.Rules.AnswerKeepS) * time.Second
+	for n.ended.head != nil && now.Sub(n.ended.head.ended) > keep {
+		n.settle(now, n.ended.head)
+	}
+}
+
+// recordRefused accounts a request that was refused before it was admitted.
+func (n *Node) recordRefused(now monotime.Instant, in Request, err *verdict.Error) {
+	n.counts.Refused++
+	r := &request{Request: in, tier: in.Class.TierFor(in.Customer), arrived: now, err: err}
+	n.recordStart(now, r)
+	n.recordEnd(now, r)
+}
+
 func (n *Node) recordOf(r *request, kind accounting.RecordKind) accounting.Record {
 	rec := accounting.Record{
 		Kind:         kind,
 		Instance:     n.cfg.Self.Instance,
 		Incarnation:  n.cfg.Self.Token,
 		Request:      r.ID,
-		Seq:          r.recordSeq,
+		Seq:          n.recordSeq,
 		Customer:     r.Customer.Name,
 		Class:        r.Class.Name,
 		Tier:         r.tier,
@@ -43,7 +87,7 @@
 	if r.group != nil {
 		rec.Group = r.group.Name
 	}
-	r.recordSeq++
+	n.recordSeq++
 	return rec
 }
 
@@ -82,7 +126,8 @@
 	markEvery = 30 * time.Second
 )
 
-func (n *Node) recordEnd(now monotime.Instant, r *request, err *verdict.Error) {
+func (n *Node) recordEnd(now monotime.Instant, r *request) {
+	err := r.err
 	rec := n.recordOf(r, accounting.RecordKindEnd)
 	rec.TotalMS = millis(now.Sub(r.arrived))
 	rec.QueueMS = millis(r.queued)
@@ -101,11 +146,11 @@
 		n.counts.failed(err)
 	} else {
 		rec.Verdict = verdict.TextRan
-		rec.Delivered = !r.gone
-		rec.OnTime = onTime(now, r)
+		rec.Delivered = r.delivered
+		rec.OnTime = r.delivered && onTime(now, r)
 		n.counts.served(rec.OnTime)
 	}
-	if r.gone {
+	if r.progress != nil && !r.delivered {
 		rec.WastedTokens = r.tokens()
 	}
 	n.eff.Record(rec)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -91,7 +91,9 @@
 	queued    time.Duration
 	wasted    int
 	gone      bool
-	recordSeq int
+	delivered bool
+	err       *verdict.Error
+	ended     monotime.Instant
 	marked    monotime.Instant
 	prev      *request
 	next      *request
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -26,11 +26,11 @@
 	n.noticePause(now)
 	cat := n.catalog.Load()
 	if err := n.admissible(cat); err != nil {
-		n.counts.Refused++
+		n.recordRefused(now, in, err)
 		return 0, err
 	}
 	if err := n.claim(now, in); err != nil {
-		n.counts.Refused++
+		n.recordRefused(now, in, err)
 		return 0, err
 	}
 	r := n.add(now, cat, in)
@@ -100,6 +100,7 @@
 		r.endBy = now.Add(in.Class.Deadline)
 	}
 	n.requests[r.seq] = r
+	n.byID[r.ID] = r
 	n.order.push(r)
 	n.budget.served()
 	n.counts.Admitted++
--- a/internal/schema/accounting/accounting.gen.go
+++ b/internal/schema/accounting/accounting.gen.go
@@ -73,7 +73,8 @@
 	// Configuration revision in force.
 	Revision int `json:"revision,omitempty,omitzero"`
 
-	// Number of the line within the request.
+	// Number of the line within the process; of two ends of one request the later one
+	// counts.
 	Seq int `json:"seq"`
 
 	// Server of the attempt.
