peer: authenticated links between instances

Cause: membership, configuration and scheduling need links that prove a key, notice silence and never block a request. Change: Links over fasthttp and WebSocket with CBOR: HMAC both ways over both hellos, key rotation, version range, sign of life each second both ways, silent links replaced, bounded queue with 1 ms coalescing, links on demand, one link of two opened at once, counters of bytes by kind.

--- /dev/null
+++ b/internal/peer/config.go
@@ -0,0 +1,99 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"basilrudder/internal/schema/wire"
+)
+
+const seedPrefix = "@"
+
+// Timing holds the times and bounds of links. Zero values take the defaults.
+type Timing struct {
+	// SignOfLife is the longest time a side sends nothing. Default 1 s.
+	SignOfLife time.Duration
+	// Silence is how long a link may be silent. Default 3.5 s.
+	Silence time.Duration
+	// Handshake bounds dialing and the handshake. Default 2 s.
+	Handshake time.Duration
+	// Coalesce is how long an envelope waits for others. Default 1 ms.
+	Coalesce time.Duration
+	// Idle closes a link that was opened on demand. Default 60 s.
+	Idle time.Duration
+	// BackoffMin and BackoffMax bound the wait before dialing again. Defaults
+	// 100 ms and 5 s.
+	BackoffMin, BackoffMax time.Duration
+	// QueueBytes bounds what waits on one link, roughly. Default 4 MiB.
+	QueueBytes int
+}
+
+func (t Timing) withDefaults() Timing {
+	t.SignOfLife = orDefault(t.SignOfLife, time.Second)
+	t.Silence = orDefault(t.Silence, 3500*time.Millisecond)
+	t.Handshake = orDefault(t.Handshake, 2*time.Second)
+	t.Coalesce = orDefault(t.Coalesce, time.Millisecond)
+	t.Idle = orDefault(t.Idle, time.Minute)
+	t.BackoffMin = orDefault(t.BackoffMin, 100*time.Millisecond)
+	t.BackoffMax = orDefault(t.BackoffMax, 5*time.Second)
+	t.QueueBytes = orDefault(t.QueueBytes, 4<<20)
+	return t
+}
+
+func orDefault[T comparable](value, standard T) T {
+	var zero T
+	if value == zero {
+		return standard
+	}
+	return value
+}
+
+// Handler receives what happens on links. Calls of one link come one at a time
+// and in order: LinkUp, then envelopes, then LinkDown.
+type Handler interface {
+	// Envelope takes a received envelope.
+	Envelope(from string, env *wire.Envelope)
+	// LinkUp tells of an open link.
+	LinkUp(peer Identity)
+	// LinkDown tells that a link ended, or that one could not be opened on
+	// demand. Envelopes that Send took may be lost.
+	LinkDown(id string, err error)
+}
+
+// Target is a peer to keep a link to.
+type Target struct {
+	// ID of the instance; empty when only the address is known.
+	ID string
+	// Address is host and port.
+	Address string
+}
+
+func (t Target) key() string {
+	if t.ID == "" {
+		return seedPrefix + t.Address
+	}
+	return t.ID
+}
+
+// Config of Links.
+type Config struct {
+	// Self is told to peers.
+	Self Identity
+	// Keys accepted; the first one signs. There must be one.
+	Keys []Key
+	// Listener accepts links.
+	Listener net.Listener
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Resolve finds the address of a peer for a link on demand.
+	Resolve func(id string) (address string, ok bool)
+	// Handler receives events.
+	Handler Handler
+	// Timing, zero for defaults.
+	Timing Timing
+	// Log, nil for none.
+	Log *zap.Logger
+}
--- /dev/null
+++ b/internal/peer/counters.go
@@ -0,0 +1,122 @@
+package peer
+
+import (
+	"encoding/json"
+	"sync/atomic"
+
+	"basilrudder/internal/schema/wire"
+)
+
+// Counters counts what passes over the links. It is an expvar.Var.
+type Counters struct {
+	in, out   [kindCount]atomic.Uint64
+	framesIn  atomic.Uint64
+	framesOut atomic.Uint64
+	dials     atomic.Uint64
+	failures  atomic.Uint64
+	refused   atomic.Uint64
+	silent    atomic.Uint64
+	overfull  atomic.Uint64
+	invalid   atomic.Uint64
+	replaced  atomic.Uint64
+	open      atomic.Int64
+}
+
+// Snapshot is the value of the counters at one time.
+type Snapshot struct {
+	// Links open now.
+	Links int64 `json:"links"`
+	// BytesIn and BytesOut by kind of message.
+	BytesIn  map[string]uint64 `json:"bytes_in"`
+	BytesOut map[string]uint64 `json:"bytes_out"`
+	// FramesIn and FramesOut count WebSocket frames, sign-of-life pings too.
+	FramesIn  uint64 `json:"frames_in"`
+	FramesOut uint64 `json:"frames_out"`
+	// Dials and DialFailures count attempts to open a link.
+	Dials        uint64 `json:"dials"`
+	DialFailures uint64 `json:"dial_failures"`
+	// HandshakesRefused counts peers that could not prove the key.
+	HandshakesRefused uint64 `json:"handshakes_refused"`
+	// ClosedSilent, ClosedOverfull, ClosedInvalid and Replaced count links by
+	// the reason they were closed for.
+	ClosedSilent   uint64 `json:"closed_silent"`
+	ClosedOverfull uint64 `json:"closed_overfull"`
+	ClosedInvalid  uint64 `json:"closed_invalid"`
+	Replaced       uint64 `json:"replaced"`
+}
+
+// Snapshot returns the value now.
+func (c *Counters) Snapshot() Snapshot {
+	return Snapshot{
+		Links:             c.open.Load(),
+		BytesIn:           byKind(&c.in),
+		BytesOut:          byKind(&c.out),
+		FramesIn:          c.framesIn.Load(),
+		FramesOut:         c.framesOut.Load(),
+		Dials:             c.dials.Load(),
+		DialFailures:      c.failures.Load(),
+		HandshakesRefused: c.refused.Load(),
+		ClosedSilent:      c.silent.Load(),
+		ClosedOverfull:    c.overfull.Load(),
+		ClosedInvalid:     c.invalid.Load(),
+		Replaced:          c.replaced.Load(),
+	}
+}
+
+// String returns the snapshot as JSON, as expvar.Var wants.
+func (c *Counters) String() string {
+	data, err := json.Marshal(c.Snapshot())
+	if err != nil {
+		return "{}"
+	}
+	return string(data)
+}
+
+func byKind(counts *[kindCount]atomic.Uint64) map[string]uint64 {
+	out := make(map[string]uint64, kindCount)
+	for kind := range kindCount {
+		if n := counts[kind].Load(); n > 0 {
+			out[kind.String()] = n
+		}
+	}
+	return out
+}
+
+// Overhead of a WebSocket frame in bytes.
+const (
+	shortHeader  = 2
+	mediumHeader = 4
+	longHeader   = 10
+	maskBytes    = 4
+)
+
+func framing(payload int, masked bool) int {
+	n := longHeader
+	switch {
+	case payload < 126:
+		n = shortHeader
+	case payload < 1<<16:
+		n = mediumHeader
+	}
+	if masked {
+		n += maskBytes
+	}
+	return n
+}
+
+// count adds one frame to the counters of one direction. A frame of several
+// kinds is encoded again part by part, since its bytes cannot be told apart.
+func count(counts *[kindCount]atomic.Uint64, env *wire.Envelope, payload int, masked bool) {
+	counts[KindFraming].Add(uint64(framing(payload, masked)))
+	split := parts(env)
+	if len(split) == 1 {
+		counts[split[0].kind].Add(uint64(payload))
+		return
+	}
+	for _, p := range split {
+		if data, err := Encode(&p.env); err == nil {
+			// The one-byte map header belongs to the frame.
+			counts[p.kind].Add(uint64(len(data) - 1))
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/dial.go
@@ -0,0 +1,172 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/fasthttp/websocket"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/wire"
+)
+
+// dial is the attempt, or the wait for the next one, to open a link.
+type dial struct {
+	target  Target
+	running bool
+	next    monotime.Instant
+	backoff time.Duration
+	pending []*wire.Envelope // of Send, until the link opens
+	cost    int
+}
+
+// manage opens the links that are wanted or waited for, and closes idle ones.
+func (s *Links) manage(ctx context.Context) error {
+	ticker := time.NewTicker(manageInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.kick:
+		case <-ticker.C:
+		}
+		now := monotime.Now()
+		s.startDials(ctx, now)
+		s.closeIdle(now)
+	}
+}
+
+func (s *Links) startDials(ctx context.Context, now monotime.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, target := range s.wanted {
+		d := s.dials[key]
+		if d == nil {
+			d = &dial{}
+			s.dials[key] = d
+		}
+		d.target = target
+	}
+	for key, d := range s.dials {
+		_, wanted := s.wanted[key]
+		switch {
+		case d.running:
+		case s.links[key] != nil:
+			delete(s.dials, key)
+		case now < d.next:
+		case !wanted && len(d.pending) == 0:
+			delete(s.dials, key)
+		default:
+			d.running = true
+			target := d.target
+			s.tasks.Go(func() error {
+				s.dialOnce(ctx, d, target)
+				return nil
+			})
+		}
+	}
+}
+
+// sendOnDemand queues an envelope for a peer without a link. It runs with mu
+// held.
+func (s *Links) sendOnDemand(to string, env *wire.Envelope) bool {
+	d := s.dials[to]
+	if d == nil {
+		address, ok := s.cfg.Resolve(to)
+		if !ok || s.stopped || to == s.cfg.Self.ID {
+			return false
+		}
+		d = &dial{target: Target{ID: to, Address: address}}
+		s.dials[to] = d
+	}
+	add := cost(env)
+	// While a failed peer is in its backoff there is no use in queueing: the
+	// sender is better off to hear at once that nothing was sent.
+	if d.backoff > 0 && !d.running || d.cost+add > s.cfg.Timing.QueueBytes {
+		return false
+	}
+	d.pending = append(d.pending, env)
+	d.cost += add
+	return true
+}
+
+// takePending hands the envelopes that waited for a link over to it. It runs
+// with mu held.
+func (s *Links) takePending(id string) []*wire.Envelope {
+	d := s.dials[id]
+	if d == nil {
+		return nil
+	}
+	queue := d.pending
+	d.pending, d.cost, d.backoff, d.next = nil, 0, 0, 0
+	return queue
+}
+
+// dialOnce opens one connection and serves it until it ends.
+func (s *Links) dialOnce(ctx context.Context, d *dial, target Target) {
+	s.counters.dials.Add(1)
+	begin := monotime.Now()
+	conn, err := s.connect(ctx, target.Address)
+	if err == nil {
+		err = s.run(conn, true, target.ID)
+	}
+	if err != nil {
+		s.counters.failures.Add(1)
+	}
+	s.dialEnded(target.key(), d, begin, err)
+}
+
+func (s *Links) dialEnded(key string, d *dial, begin monotime.Instant, err error) {
+	s.events.Lock()
+	defer s.events.Unlock()
+	s.mu.Lock()
+	now := monotime.Now()
+	d.running = false
+	lasted := now.Sub(begin) >= s.cfg.Timing.Silence
+	// A link that ends soon after it opened is no better than a failed dial.
+	if err == nil && lasted {
+		d.backoff = 0
+	} else {
+		d.backoff = min(max(s.cfg.Timing.BackoffMin, 2*d.backoff), s.cfg.Timing.BackoffMax)
+	}
+	d.next = now.Add(jittered(max(d.backoff, s.cfg.Timing.BackoffMin)))
+	lost := err != nil && len(d.pending) > 0 && s.links[key] == nil
+	if err != nil {
+		d.pending, d.cost = nil, 0
+	}
+	s.mu.Unlock()
+	if lost {
+		s.cfg.Handler.LinkDown(key, err)
+	}
+}
+
+func (s *Links) connect(ctx context.Context, address string) (*websocket.Conn, error) {
+	dialer := websocket.Dialer{
+		HandshakeTimeout: s.cfg.Timing.Handshake,
+		NetDialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return s.cfg.Dial(ctx, address)
+		},
+	}
+	conn, response, err := dialer.DialContext(ctx, "ws://"+address+Path, nil)
+	if response != nil {
+		response.Body.Close()
+	}
+	return conn, err
+}
+
+// closeIdle closes links that this side opened on demand and no one used.
+func (s *Links) closeIdle(now monotime.Instant) {
+	s.mu.Lock()
+	var idle []*link
+	for id, l := range s.links {
+		if _, wanted := s.wanted[id]; !wanted && l.dialer && l.idleFor(now) >= s.cfg.Timing.Idle {
+			idle = append(idle, l)
+		}
+	}
+	s.mu.Unlock()
+	for _, l := range idle {
+		l.close(errIdle)
+	}
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,205 @@
+package peer
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/schema/wire"
+)
+
+// Bounds of one frame.
+const (
+	// MaxFrame is the largest frame in bytes.
+	MaxFrame = 2 << 20
+	// maxHelloFrame is the largest frame before the other side is known.
+	maxHelloFrame = 4 << 10
+
+	maxElements = 1 << 14
+	maxNesting  = 8
+	// itemCost stands for the encoded size of a small message in the bound of
+	// the queue.
+	itemCost = 64
+	// mergeBytes is the size above which no more messages join a frame.
+	mergeBytes = 64 << 10
+)
+
+// Kind names a part of an envelope in the counters.
+type Kind uint8
+
+// Kinds.
+const (
+	KindHello Kind = iota
+	KindPing
+	KindPong
+	KindMembers
+	KindMemberSync
+	KindConfigOffer
+	KindConfigWant
+	KindConfigPart
+	KindAcquire
+	KindWithdraw
+	KindGrant
+	KindRefuse
+	KindRelease
+	KindProgress
+	KindPermitAsk
+	KindPermitGive
+	// KindFraming is the overhead of WebSocket, its pings included.
+	KindFraming
+	kindCount
+)
+
+var kindNames = [kindCount]string{
+	"hello", "ping", "pong", "members", "member_sync", "config_offer",
+	"config_want", "config_part", "acquire", "withdraw", "grant", "refuse",
+	"release", "progress", "permit_ask", "permit_give", "framing",
+}
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	return kindNames[k]
+}
+
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// Decode reads the envelope of one frame. Unknown parts are ignored, so that
+// a newer release can add some.
+func Decode(data []byte) (*wire.Envelope, error) {
+	env := new(wire.Envelope)
+	if err := decoding.Unmarshal(data, env); err != nil {
+		return nil, errors.Wrap(err, "decode envelope")
+	}
+	return env, nil
+}
+
+// Encode writes the envelope of one frame.
+func Encode(env *wire.Envelope) ([]byte, error) {
+	data, err := cbor.Marshal(env)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode envelope")
+	}
+	return data, nil
+}
+
+// part is one part of an envelope by itself.
+type part struct {
+	kind Kind
+	env  wire.Envelope
+}
+
+// parts splits an envelope by kind.
+func parts(env *wire.Envelope) []part {
+	out := make([]part, 0, 2)
+	add := func(present bool, kind Kind, one wire.Envelope) {
+		if present {
+			out = append(out, part{kind, one})
+		}
+	}
+	add(env.Hello != nil, KindHello, wire.Envelope{Hello: env.Hello})
+	add(env.Ping != nil, KindPing, wire.Envelope{Ping: env.Ping})
+	add(env.Pong != nil, KindPong, wire.Envelope{Pong: env.Pong})
+	add(len(env.Members) > 0, KindMembers, wire.Envelope{Members: env.Members})
+	add(env.MemberSync != nil, KindMemberSync, wire.Envelope{MemberSync: env.MemberSync})
+	add(env.ConfigOffer != nil, KindConfigOffer, wire.Envelope{ConfigOffer: env.ConfigOffer})
+	add(env.ConfigWant != nil, KindConfigWant, wire.Envelope{ConfigWant: env.ConfigWant})
+	add(env.ConfigPart != nil, KindConfigPart, wire.Envelope{ConfigPart: env.ConfigPart})
+	add(len(env.Acquires) > 0, KindAcquire, wire.Envelope{Acquires: env.Acquires})
+	add(len(env.Withdraws) > 0, KindWithdraw, wire.Envelope{Withdraws: env.Withdraws})
+	add(len(env.Grants) > 0, KindGrant, wire.Envelope{Grants: env.Grants})
+	add(len(env.Refuses) > 0, KindRefuse, wire.Envelope{Refuses: env.Refuses})
+	add(len(env.Releases) > 0, KindRelease, wire.Envelope{Releases: env.Releases})
+	add(len(env.Progress) > 0, KindProgress, wire.Envelope{Progress: env.Progress})
+	add(len(env.PermitAsks) > 0, KindPermitAsk, wire.Envelope{PermitAsks: env.PermitAsks})
+	add(len(env.PermitGives) > 0, KindPermitGive, wire.Envelope{PermitGives: env.PermitGives})
+	return out
+}
+
+// cost estimates the size of an envelope without encoding it.
+func cost(env *wire.Envelope) int {
+	items := 1 + len(env.Members) + len(env.Acquires) + len(env.Withdraws) +
+		len(env.Grants) + len(env.Refuses) + len(env.Releases) +
+		len(env.PermitAsks) + len(env.PermitGives)
+	for _, p := range env.Progress {
+		items += 1 + len(p.Items)
+	}
+	bytes := items * itemCost
+	if env.ConfigPart != nil {
+		bytes += len(env.ConfigPart.Data)
+	}
+	return bytes
+}
+
+// joinable reports whether src may join dst: of each part that is no list a
+// frame holds one.
+func joinable(dst, src *wire.Envelope) bool {
+	return !(dst.Hello != nil && src.Hello != nil ||
+		dst.Ping != nil && src.Ping != nil ||
+		dst.Pong != nil && src.Pong != nil ||
+		dst.MemberSync != nil && src.MemberSync != nil ||
+		dst.ConfigOffer != nil && src.ConfigOffer != nil ||
+		dst.ConfigWant != nil && src.ConfigWant != nil ||
+		dst.ConfigPart != nil && src.ConfigPart != nil)
+}
+
+// join adds the parts of src to dst. The lists of src stay as they are.
+func join(dst, src *wire.Envelope) {
+	dst.Hello = either(dst.Hello, src.Hello)
+	dst.Ping = either(dst.Ping, src.Ping)
+	dst.Pong = either(dst.Pong, src.Pong)
+	dst.MemberSync = either(dst.MemberSync, src.MemberSync)
+	dst.ConfigOffer = either(dst.ConfigOffer, src.ConfigOffer)
+	dst.ConfigWant = either(dst.ConfigWant, src.ConfigWant)
+	dst.ConfigPart = either(dst.ConfigPart, src.ConfigPart)
+	dst.Members = append(dst.Members, src.Members...)
+	dst.Acquires = append(dst.Acquires, src.Acquires...)
+	dst.Withdraws = append(dst.Withdraws, src.Withdraws...)
+	dst.Grants = append(dst.Grants, src.Grants...)
+	dst.Refuses = append(dst.Refuses, src.Refuses...)
+	dst.Releases = append(dst.Releases, src.Releases...)
+	dst.Progress = append(dst.Progress, src.Progress...)
+	dst.PermitAsks = append(dst.PermitAsks, src.PermitAsks...)
+	dst.PermitGives = append(dst.PermitGives, src.PermitGives...)
+}
+
+func either[T any](a, b *T) *T {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// coalesce joins queued envelopes into as few frames as it may. Neighbouring
+// envelopes join only, so that a later message never overtakes an earlier one
+// by more than the order of the parts within a frame.
+func coalesce(queue []*wire.Envelope) []*wire.Envelope {
+	if len(queue) < 2 {
+		return queue
+	}
+	var out []*wire.Envelope
+	size := 0
+	for _, env := range queue {
+		add := cost(env)
+		if len(out) > 0 && size+add <= mergeBytes && joinable(out[len(out)-1], env) {
+			join(out[len(out)-1], env)
+			size += add
+			continue
+		}
+		fresh := new(wire.Envelope)
+		join(fresh, env)
+		out = append(out, fresh)
+		size = add
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,267 @@
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/wire"
+)
+
+// link is one authenticated connection to a peer.
+type link struct {
+	conn   *websocket.Conn
+	set    *Links
+	peer   Identity
+	keyID  string
+	dialer bool // this side opened it
+	opened monotime.Instant
+
+	mu       sync.Mutex
+	queue    []*wire.Envelope
+	queued   int // cost of queue
+	lastUsed monotime.Instant
+	closing  bool
+	reason   error
+
+	kick     chan struct{}
+	done     chan struct{} // closed when the link is to end
+	finished chan struct{} // closed when it has ended
+}
+
+// Reasons to close a link.
+var (
+	errSilent   = errors.New("peer was silent")
+	errOverfull = errors.New("outbound queue is full")
+	errReplaced = errors.New("replaced by another link")
+	errIdle     = errors.New("idle")
+	errKey      = errors.New("key is not accepted any more")
+	errStopped  = errors.New("stopped")
+)
+
+// enqueue adds an envelope without waiting. An over-full queue means that the
+// peer reads more slowly than is sent; the link is closed, so that both sides
+// know that messages were lost, where dropping some would leave them to guess.
+func (l *link) enqueue(env *wire.Envelope) bool {
+	add := cost(env)
+	l.mu.Lock()
+	if l.closing {
+		l.mu.Unlock()
+		return false
+	}
+	if l.queued+add > l.set.cfg.Timing.QueueBytes {
+		l.mu.Unlock()
+		l.set.counters.overfull.Add(1)
+		l.close(errOverfull)
+		return false
+	}
+	l.queue = append(l.queue, env)
+	l.queued += add
+	l.lastUsed = monotime.Now()
+	l.mu.Unlock()
+	l.wake()
+	return true
+}
+
+// preload puts envelopes that waited for the link into its queue.
+func (l *link) preload(envs []*wire.Envelope) {
+	for _, env := range envs {
+		l.queue = append(l.queue, env)
+		l.queued += cost(env)
+	}
+	if len(envs) > 0 {
+		l.wake()
+	}
+}
+
+func (l *link) wake() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) take() []*wire.Envelope {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	queue := l.queue
+	l.queue = nil
+	l.queued = 0
+	return queue
+}
+
+// close ends the link; the first reason counts.
+func (l *link) close(reason error) {
+	l.mu.Lock()
+	first := !l.closing
+	if first {
+		l.closing = true
+		l.reason = reason
+	}
+	l.mu.Unlock()
+	if first {
+		close(l.done)
+		l.conn.NetConn().Close()
+	}
+}
+
+func (l *link) idleFor(now monotime.Instant) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.lastUsed)
+}
+
+// write sends what is queued, coalesced over a short delay, and a sign of life
+// when there was nothing to send.
+func (l *link) write() {
+	timing := l.set.cfg.Timing
+	life := time.NewTicker(timing.SignOfLife)
+	defer life.Stop()
+	quiet := true
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-l.kick:
+			if !l.pause(timing.Coalesce) {
+				return
+			}
+			quiet = false
+			if err := l.flush(); err != nil {
+				l.close(err)
+				return
+			}
+		case <-life.C:
+			if quiet {
+				if err := l.signOfLife(); err != nil {
+					l.close(err)
+					return
+				}
+			}
+			quiet = true
+		}
+	}
+}
+
+func (l *link) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-l.done:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (l *link) flush() error {
+	for _, env := range coalesce(l.take()) {
+		data, err := Encode(env)
+		if err != nil {
+			return err
+		}
+		// A peer that is stopped or cut off does not read; the deadline ends
+		// the wait that TCP would draw out for minutes.
+		l.conn.SetWriteDeadline(time.Now().Add(l.set.cfg.Timing.Silence))
+		if err := l.conn.WriteMessage(websocket.BinaryMessage, data); err != nil {
+			return errors.Wrap(err, "write")
+		}
+		l.set.counters.framesOut.Add(1)
+		count(&l.set.counters.out, env, len(data), l.dialer)
+	}
+	return nil
+}
+
+func (l *link) signOfLife() error {
+	deadline := time.Now().Add(l.set.cfg.Timing.Silence)
+	if err := l.conn.WriteControl(websocket.PingMessage, nil, deadline); err != nil {
+		return errors.Wrap(err, "write sign of life")
+	}
+	l.set.counters.framesOut.Add(1)
+	l.set.counters.out[KindFraming].Add(uint64(framing(0, l.dialer)))
+	return nil
+}
+
+// read hands envelopes to the handler until the link ends. Each side sends
+// something at least every SignOfLife, so a link from which nothing came for
+// Silence has lost one direction or the whole path, although TCP still calls
+// it open.
+func (l *link) read() error {
+	silence := l.set.cfg.Timing.Silence
+	l.conn.SetReadLimit(MaxFrame)
+	l.conn.SetPingHandler(func(string) error {
+		l.set.counters.framesIn.Add(1)
+		l.set.counters.in[KindFraming].Add(uint64(framing(0, !l.dialer)))
+		return l.conn.SetReadDeadline(time.Now().Add(silence))
+	})
+	for {
+		l.conn.SetReadDeadline(time.Now().Add(silence))
+		_, data, err := l.conn.ReadMessage()
+		if err != nil {
+			return err
+		}
+		env, err := Decode(data)
+		if err != nil {
+			l.set.counters.invalid.Add(1)
+			return err
+		}
+		l.set.counters.framesIn.Add(1)
+		count(&l.set.counters.in, env, len(data), !l.dialer)
+		l.mu.Lock()
+		l.lastUsed = monotime.Now()
+		l.mu.Unlock()
+		l.set.cfg.Handler.Envelope(l.peer.ID, env)
+	}
+}
+
+// serve runs the link until it ends and returns why.
+func (l *link) serve() error {
+	var writer sync.WaitGroup
+	writer.Go(l.write)
+	err := l.read()
+	if isTimeout(err) {
+		l.set.counters.silent.Add(1)
+		err = errSilent
+	}
+	l.close(err)
+	// The WebSocket library takes its write buffer back when the connection's
+	// handler returns, so the writer must have ended by then.
+	writer.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reason
+}
+
+// rawFrames carries the handshake.
+type rawFrames struct {
+	conn     *websocket.Conn
+	counters *Counters
+	dialer   bool
+}
+
+func (r rawFrames) writeEnvelope(env *wire.Envelope) error {
+	data, err := Encode(env)
+	if err != nil {
+		return err
+	}
+	r.counters.framesOut.Add(1)
+	count(&r.counters.out, env, len(data), r.dialer)
+	return r.conn.WriteMessage(websocket.BinaryMessage, data)
+}
+
+func (r rawFrames) readEnvelope() (*wire.Envelope, error) {
+	_, data, err := r.conn.ReadMessage()
+	if err != nil {
+		return nil, err
+	}
+	env, err := Decode(data)
+	if err != nil {
+		return nil, err
+	}
+	r.counters.framesIn.Add(1)
+	count(&r.counters.in, env, len(data), !r.dialer)
+	return env, nil
+}
--- /dev/null
+++ b/internal/peer/links.go
@@ -0,0 +1,238 @@
+// Package peer keeps the links between instances: WebSocket connections with
+// CBOR envelopes. Links are authenticated both ways, carry a sign of life both
+// ways, and are replaced when they fall silent. Sending never blocks.
+//
+// A frame may hold several parts. A receiver handles them in this order, which
+// keeps cause before effect when envelopes were coalesced: Members, MemberSync,
+// Ping, Pong, ConfigOffer, ConfigWant, ConfigPart, Acquires, Withdraws, Grants,
+// Refuses, Progress, Releases, PermitAsks, PermitGives.
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/wire"
+)
+
+// Path of the links on the peers' listener.
+const Path = "/v1/peer"
+
+const (
+	handshakesAtOnce = 1024
+	headerBytes      = 4 << 10
+	manageInterval   = 50 * time.Millisecond
+)
+
+// Links is the set of links of one instance.
+type Links struct {
+	cfg      Config
+	counters Counters
+	tasks    errgroup.Group
+	served   sync.WaitGroup
+	kick     chan struct{}
+
+	// events serialises the opening and closing of links with the handler's
+	// calls for them; it is taken before mu.
+	events sync.Mutex
+
+	mu      sync.Mutex
+	keys    []Key
+	links   map[string]*link
+	dials   map[string]*dial
+	wanted  map[string]Target
+	stopped bool
+}
+
+// New returns Links that do nothing until Run.
+func New(cfg Config) (*Links, error) {
+	if len(cfg.Keys) == 0 {
+		return nil, errors.New("peer links need a key")
+	}
+	cfg.Timing = cfg.Timing.withDefaults()
+	if cfg.Dial == nil {
+		cfg.Dial = dialTCP
+	}
+	if cfg.Resolve == nil {
+		cfg.Resolve = func(string) (string, bool) { return "", false }
+	}
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	return &Links{
+		cfg:    cfg,
+		kick:   make(chan struct{}, 1),
+		keys:   slices.Clone(cfg.Keys),
+		links:  make(map[string]*link),
+		dials:  make(map[string]*dial),
+		wanted: make(map[string]Target),
+	}, nil
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, "tcp", address)
+}
+
+// Counters returns the counters for expvar.
+func (s *Links) Counters() *Counters {
+	return &s.counters
+}
+
+// Run accepts and opens links until the context ends, then closes all of them.
+func (s *Links) Run(ctx context.Context) error {
+	server := &fasthttp.Server{
+		Handler:                      s.accept,
+		Concurrency:                  handshakesAtOnce,
+		ReadTimeout:                  s.cfg.Timing.Handshake,
+		WriteTimeout:                 s.cfg.Timing.Handshake,
+		IdleTimeout:                  s.cfg.Timing.Handshake,
+		ReadBufferSize:               headerBytes,
+		MaxRequestBodySize:           1,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		CloseOnShutdown:              true,
+		Logger:                       zap.NewStdLog(s.cfg.Log),
+	}
+	group, running := errgroup.WithContext(ctx)
+	group.Go(func() error { return server.Serve(s.cfg.Listener) })
+	group.Go(func() error { return s.manage(running) })
+	group.Go(func() error {
+		<-running.Done()
+		s.stop()
+		return server.Shutdown()
+	})
+	err := group.Wait()
+	s.served.Wait()
+	s.tasks.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (s *Links) stop() {
+	s.mu.Lock()
+	s.stopped = true
+	open := make([]*link, 0, len(s.links))
+	for _, l := range s.links {
+		open = append(open, l)
+	}
+	s.mu.Unlock()
+	for _, l := range open {
+		l.close(errStopped)
+	}
+}
+
+// SetWanted replaces the set of peers to keep links to.
+func (s *Links) SetWanted(targets []Target) {
+	wanted := make(map[string]Target, len(targets))
+	for _, t := range targets {
+		wanted[t.key()] = t
+	}
+	s.mu.Lock()
+	s.wanted = wanted
+	s.mu.Unlock()
+	s.wake()
+}
+
+// SetKeys replaces the accepted keys; the first one signs. Links whose peer
+// signed with a key that is gone are closed and opened anew.
+func (s *Links) SetKeys(keys []Key) {
+	if len(keys) == 0 {
+		return
+	}
+	s.mu.Lock()
+	s.keys = slices.Clone(keys)
+	var stale []*link
+	for _, l := range s.links {
+		if !slices.ContainsFunc(keys, func(k Key) bool { return k.ID == l.keyID }) {
+			stale = append(stale, l)
+		}
+	}
+	s.mu.Unlock()
+	for _, l := range stale {
+		l.close(errKey)
+	}
+}
+
+// Send queues an envelope for a peer and reports whether it was taken. It
+// opens a link when there is none and Resolve knows the address. It does not
+// block and may be called from the handler. The envelope must not be changed
+// afterwards.
+func (s *Links) Send(to string, env *wire.Envelope) bool {
+	s.mu.Lock()
+	l := s.links[to]
+	if l == nil {
+		taken := s.sendOnDemand(to, env)
+		s.mu.Unlock()
+		if taken {
+			s.wake()
+		}
+		return taken
+	}
+	s.mu.Unlock()
+	return l.enqueue(env)
+}
+
+// Linked reports whether a link to the peer is open.
+func (s *Links) Linked(id string) bool {
+	return s.link(id) != nil
+}
+
+func (s *Links) link(id string) *link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.links[id]
+}
+
+// Peer describes one open link.
+type Peer struct {
+	Identity
+	// Age of the link.
+	Age time.Duration
+	// Wanted says whether this side keeps the link open.
+	Wanted bool
+}
+
+// Peers lists the open links by id.
+func (s *Links) Peers() []Peer {
+	now := monotime.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Peer, 0, len(s.links))
+	for id, l := range s.links {
+		_, wanted := s.wanted[id]
+		out = append(out, Peer{Identity: l.peer, Age: now.Sub(l.opened), Wanted: wanted})
+	}
+	slices.SortFunc(out, func(a, b Peer) int {
+		return strings.Compare(a.ID, b.ID)
+	})
+	return out
+}
+
+func (s *Links) wake() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func jittered(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
--- /dev/null
+++ b/internal/peer/links_test.go
@@ -0,0 +1,322 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"basilrudder/internal/schema/wire"
+)
+
+var testTiming = Timing{
+	SignOfLife: 20 * time.Millisecond,
+	Silence:    150 * time.Millisecond,
+	Handshake:  time.Second,
+	BackoffMin: 5 * time.Millisecond,
+	BackoffMax: 20 * time.Millisecond,
+}
+
+type received struct {
+	from string
+	env  *wire.Envelope
+}
+
+type recorder struct {
+	envelopes chan received
+	up        chan Identity
+	down      chan error
+}
+
+func (r *recorder) Envelope(from string, env *wire.Envelope) { r.envelopes <- received{from, env} }
+func (r *recorder) LinkUp(peer Identity)                     { r.up <- peer }
+func (r *recorder) LinkDown(_ string, err error)             { r.down <- err }
+
+// mutable is a connection that can go silent: what is written vanishes, what
+// arrives is swallowed, and neither end is told.
+type mutable struct {
+	net.Conn
+	mute *atomic.Bool
+}
+
+func (m mutable) Write(p []byte) (int, error) {
+	if m.mute.Load() {
+		return len(p), nil
+	}
+	return m.Conn.Write(p)
+}
+
+func (m mutable) Read(p []byte) (int, error) {
+	for {
+		n, err := m.Conn.Read(p)
+		if err != nil || !m.mute.Load() {
+			return n, err
+		}
+	}
+}
+
+type instance struct {
+	*Links
+	*recorder
+	address string
+	mute    atomic.Pointer[atomic.Bool] // of the last connection dialed
+}
+
+func start(t *testing.T, id string, change func(*Config)) *instance {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := &instance{
+		recorder: &recorder{make(chan received, 4096), make(chan Identity, 4096), make(chan error, 4096)},
+		address:  listener.Addr().String(),
+	}
+	cfg := Config{
+		Self:     Identity{ID: id, Incarnation: "1", DataCentre: "dc1", PeerAddress: in.address},
+		Keys:     []Key{{"k1", "a secret of the fleet"}},
+		Listener: listener,
+		Handler:  in.recorder,
+		Timing:   testTiming,
+	}
+	cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dialTCP(ctx, address)
+		in.mute.Store(new(atomic.Bool))
+		return mutable{conn, in.mute.Load()}, err
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	if in.Links, err = New(cfg); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- in.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Errorf("Run: %v", err)
+		}
+	})
+	return in
+}
+
+func next[T any](t *testing.T, what string, ch <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(20 * time.Second):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.After(20 * time.Second)
+	for poll := time.Tick(time.Millisecond); !holds(); {
+		select {
+		case <-poll:
+		case <-deadline:
+			t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+func ping(seq int) *wire.Envelope { return &wire.Envelope{Ping: &wire.Ping{Seq: seq}} }
+
+// deliver sends until the envelope arrives; an envelope may be lost with a
+// link that is being replaced.
+func deliver(t *testing.T, from, to *instance, id string, seq int) {
+	t.Helper()
+	deadline := time.After(20 * time.Second)
+	for {
+		from.Send(id, ping(seq))
+		select {
+		case got := <-to.envelopes:
+			if got.env.Ping != nil && got.env.Ping.Seq == seq {
+				return
+			}
+		case <-time.After(20 * time.Millisecond):
+		case <-deadline:
+			t.Fatalf("envelope %d never arrived", seq)
+		}
+	}
+}
+
+func TestLinkCarriesBothWays(t *testing.T) {
+	a, b := start(t, "a", nil), start(t, "b", nil)
+	a.SetWanted([]Target{{ID: "b", Address: b.address}})
+	if got := next(t, "link at a", a.up); got.ID != "b" || got.PeerAddress != b.address {
+		t.Errorf("a is linked to %+v", got)
+	}
+	next(t, "link at b", b.up)
+	a.Send("b", ping(1))
+	b.Send("a", &wire.Envelope{Grants: []wire.Grant{{Seq: 7, Group: "g", Server: "s", Engine: "e", LeaseMS: 1}}})
+	if got := next(t, "ping", b.envelopes); got.from != "a" || got.env.Ping.Seq != 1 {
+		t.Errorf("b got %+v", got)
+	}
+	if got := next(t, "grant", a.envelopes); got.env.Grants[0].Seq != 7 {
+		t.Errorf("a got %+v", got)
+	}
+	snap := a.Counters().Snapshot()
+	if snap.BytesOut["ping"] == 0 || snap.BytesIn["grant"] == 0 || snap.BytesOut["hello"] == 0 {
+		t.Errorf("counters: %+v", snap)
+	}
+}
+
+func TestWrongKeyIsRefused(t *testing.T) {
+	// A process that does not hold the key connects, in either direction. It
+	// is refused before anything it says reaches the handler.
+	b := start(t, "b", nil)
+	a := start(t, "a", func(cfg *Config) { cfg.Keys = []Key{{"k1", "another secret entirely"}} })
+	a.SetWanted([]Target{{ID: "b", Address: b.address}})
+	b.SetWanted([]Target{{ID: "a", Address: a.address}})
+	eventually(t, "refusals at both", func() bool {
+		return min(a.Counters().Snapshot().HandshakesRefused, b.Counters().Snapshot().HandshakesRefused) >= 3
+	})
+	if len(a.up)+len(b.up) != 0 {
+		t.Error("a link opened without the key")
+	}
+}
+
+func TestKeyRotation(t *testing.T) {
+	// Operators add a key, make it the first, and remove the old one, while
+	// instances take each step at different times. Links hold throughout, and
+	// those that the old key opened are opened anew when it is removed.
+	k1, k2 := Key{"k1", "a secret of the fleet"}, Key{"k2", "its successor"}
+	a, b := start(t, "a", nil), start(t, "b", nil)
+	a.SetWanted([]Target{{ID: "b", Address: b.address}})
+	next(t, "link", a.up)
+	a.SetKeys([]Key{k1, k2})
+	b.SetKeys([]Key{k1, k2})
+	a.SetKeys([]Key{k2, k1})
+	deliver(t, a, b, "b", 1)
+	if len(a.down) != 0 {
+		t.Error("the link ended while its key was still accepted")
+	}
+	b.SetKeys([]Key{k2, k1})
+	a.SetKeys([]Key{k2})
+	next(t, "end of the link opened with the old key", a.down)
+	next(t, "new link", a.up)
+	b.SetKeys([]Key{k2})
+	deliver(t, a, b, "b", 2)
+}
+
+func TestSilentLinkIsReplaced(t *testing.T) {
+	// Something between two instances forgets their connection: what either
+	// writes vanishes and neither gets an error, while a new connection works.
+	// Both sides miss the sign of life, and a new link takes over.
+	a, b := start(t, "a", nil), start(t, "b", nil)
+	a.SetWanted([]Target{{ID: "b", Address: b.address}})
+	next(t, "link at a", a.up)
+	next(t, "link at b", b.up)
+	a.mute.Load().Store(true)
+	next(t, "end at a", a.down)
+	next(t, "end at b", b.down)
+	next(t, "new link at a", a.up)
+	next(t, "new link at b", b.up)
+	deliver(t, a, b, "b", 1)
+	deliver(t, b, a, "a", 2)
+}
+
+func TestSimultaneousLinks(t *testing.T) {
+	// Both instances dial each other at the same time. Each sees two links and
+	// both keep the same one; otherwise each would close the one that the
+	// other kept, for ever.
+	a, b := start(t, "a", nil), start(t, "b", nil)
+	a.SetWanted([]Target{{ID: "b", Address: b.address}})
+	b.SetWanted([]Target{{ID: "a", Address: a.address}})
+	deliver(t, a, b, "b", 1)
+	deliver(t, b, a, "a", 2)
+	eventually(t, "the same link at both", func() bool {
+		ours, theirs := a.Links.link("b"), b.Links.link("a")
+		return ours != nil && theirs != nil && ours.dialer != theirs.dialer
+	})
+}
+
+func TestSlowPeerLosesItsLink(t *testing.T) {
+	// A peer stops reading, as a stopped process does. The sender's queue
+	// fills up, Send says no without waiting, and the link is closed so that
+	// both sides know that messages were lost.
+	block := make(chan struct{})
+	b := start(t, "b", func(cfg *Config) { cfg.Handler = blocking{cfg.Handler, block} })
+	a := start(t, "a", func(cfg *Config) { cfg.Timing.QueueBytes = 1 << 20 })
+	a.SetWanted([]Target{{ID: "b", Address: b.address}})
+	next(t, "link", a.up)
+	data := string(make([]byte, 64<<10))
+	for i := 0; a.Send("b", &wire.Envelope{ConfigPart: &wire.ConfigPart{Revision: i, Data: data}}); i++ {
+	}
+	if err := next(t, "end of the link", a.down); !errors.Is(err, errOverfull) {
+		t.Errorf("link ended with %v", err)
+	}
+	close(block)
+}
+
+type blocking struct {
+	Handler
+	block chan struct{}
+}
+
+func (b blocking) Envelope(string, *wire.Envelope) { <-b.block }
+
+func TestLinkOnDemand(t *testing.T) {
+	// An envelope for a peer that is no neighbour opens a link, and the link
+	// is closed when it was not used for a while.
+	b := start(t, "b", nil)
+	a := start(t, "a", func(cfg *Config) {
+		cfg.Timing.Idle = 200 * time.Millisecond
+		cfg.Resolve = func(id string) (string, bool) { return b.address, id == "b" }
+	})
+	if !a.Send("b", ping(1)) {
+		t.Fatal("not taken")
+	}
+	if got := next(t, "ping", b.envelopes); got.env.Ping.Seq != 1 {
+		t.Errorf("b got %+v", got.env)
+	}
+	if err := next(t, "end of the idle link", a.down); !errors.Is(err, errIdle) {
+		t.Errorf("link ended with %v", err)
+	}
+	if a.Send("nobody", ping(2)) {
+		t.Error("took an envelope for a peer without address")
+	}
+}
+
+func TestUnreachablePeerOnDemand(t *testing.T) {
+	// Nothing listens at the address. The sender hears that its envelope was
+	// lost, and while the peer is backed off that nothing is taken for it.
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	a := start(t, "a", func(cfg *Config) {
+		cfg.Timing.BackoffMin, cfg.Timing.BackoffMax = time.Hour, time.Hour
+		cfg.Resolve = func(string) (string, bool) { return closed.Addr().String(), true }
+	})
+	a.Send("b", ping(1))
+	next(t, "loss", a.down)
+	if a.Send("b", ping(2)) {
+		t.Error("took an envelope during the backoff")
+	}
+}
+
+func TestRestartedPeerReplacesItsLink(t *testing.T) {
+	// A process restarts under its id while the old connection still looks
+	// open. The link of the new incarnation takes over at once, and nothing of
+	// the old one comes after it.
+	b := start(t, "b", nil)
+	for i := 1; i <= 3; i++ {
+		old := start(t, "a", func(cfg *Config) { cfg.Self.Incarnation = fmt.Sprint(i) })
+		old.SetWanted([]Target{{ID: "b", Address: b.address}})
+		for got := next(t, "link at b", b.up); got.Incarnation != fmt.Sprint(i); {
+			got = next(t, "link at b", b.up)
+		}
+		old.SetWanted(nil)
+	}
+}
