wire: questions and answers in ConfigOffer, bytes in ConfigPart

Cause: an offer that lay in a socket buffer while the process slept must not confirm a revision, so offers answer numbered questions; and a piece of a file may end inside a character, which a CBOR text string does not allow. Change: ConfigOffer gets q, a, p and u; ConfigPart.Data is []byte.

--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -43,17 +43,31 @@
 
 // ConfigOffer tells of a revision.
 type ConfigOffer struct {
+	// Number of the question this offer answers; 0 for none.
+	Answers int `json:"a,omitempty,omitzero"`
+
 	// Hash of the manifest.
 	ManifestSHA256 string `json:"h,omitempty,omitzero"`
 
+	// Milliseconds since the platform confirmed the revision, to the sender's
+	// knowledge, plus 1; 0 for unknown.
+	PlatformAgeMS int `json:"p,omitempty,omitzero"`
+
+	// Number of a question: the receiver answers with its own offer; 0 for none.
+	Question int `json:"q,omitempty,omitzero"`
+
 	// Revision.
 	Revision int `json:"r"`
+
+	// Whether the sender itself still waits for a confirmation after a pause.
+	Unconfirmed bool `json:"u,omitempty,omitzero"`
 }
 
 // ConfigPart is a manifest or a piece of a chunk.
 type ConfigPart struct {
-	// Bytes of the piece (text).
-	Data string `json:"b,omitempty,omitzero"`
+	// Bytes of the piece; a CBOR byte string, because a piece may end inside a
+	// character.
+	Data []byte `json:"b"`
 
 	// Hash of the chunk; empty for the manifest.
 	SHA256 string `json:"h,omitempty,omitzero"`
