Search random schedules for contradictions; three faults found and mended

Cause: a seeded search over pauses, crashes, wrong views, lost messages and failing engines compared every run with every verdict and found: (1) walking a list of waiting requests while a withdrawal freed a slot started one of them, and the walk then asked for it again: a request that ran was told not run, and a request that is not idempotent could have run twice; (2) after a resumption the verdict of a caller that left was taken from the last attempt alone; (3) a grant that lay in a queue through a pause was used although its lease may have ended. Ruled out: the owner's scheduler and the id table; the search's own pauses lost events at first, which was mended in the test. Change: states are looked at again before each step of a walk; verdicts carry over all attempts; grants that arrive while the gate is closed go back.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -51,7 +51,7 @@
 	switch {
 	case err.Reason == verdict.ReasonCallerGone || r.gone && r.Class.Idempotent:
 		n.endAttempt(now, r, sched.Cancelled)
-		n.finish(now, r, err)
+		n.finish(now, r, n.finalError(r, err))
 	case err.Verdict != verdict.NotRun && n.canResume(r, err):
 		n.scheduleResume(now, r)
 	case n.canRetry(now, r, err):
@@ -106,8 +106,7 @@
 // which tokens were relayed may not: another run would give another text.
 func (n *Node) canRetry(now monotime.Instant, r *request, err *verdict.Error) bool {
 	safe := r.worst == verdict.NotRun || r.Class.Idempotent
-	late := r.giveUpAt() != 0 && !now.Before(r.giveUpAt())
-	if !safe || late || r.gone || r.tokens() > 0 || err.Reason == verdict.ReasonUpstreamError {
+	if !safe || r.late(now) || r.gone || r.tokens() > 0 || err.Reason == verdict.ReasonUpstreamError {
 		return false
 	}
 	return n.budget.take()
--- a/internal/node/expire.go
+++ b/internal/node/expire.go
@@ -16,32 +16,16 @@
 // expireRequests refuses waiting requests whose deadline has passed, asks again
 // where an owner fell silent, and starts resumptions that are due.
 func (n *Node) expireRequests(now monotime.Instant) {
-	var due []*request
 	for r := n.order.head; r != nil; r = r.next {
-		if n.isDue(now, r) {
-			due = append(due, r)
-		}
-	}
-	for _, r := range due {
-		if r.state == stateResuming {
+		if r.state == stateResuming && !now.Before(r.resumeAt) {
 			n.resume(now, r)
-			continue
 		}
+	}
+	isLate := func(r *request) bool { return r.late(now) }
+	n.eachWaiting(isLate, func(r *request) {
 		n.withdraw(now, r)
 		n.refuse(now, r, deadlineError())
-	}
-}
-
-func (n *Node) isDue(now monotime.Instant, r *request) bool {
-	switch r.state {
-	case stateResuming:
-		return !now.Before(r.resumeAt)
-	case stateWaiting:
-		by := r.giveUpAt()
-		return by != 0 && !now.Before(by)
-	default:
-		return false
-	}
+	})
 }
 
 // renewLeases tells owners which slots are still in use, and the tokens since.
--- a/internal/node/grant.go
+++ b/internal/node/grant.go
@@ -31,7 +31,8 @@
 	}
 	n.picker.Observe(g.Group, milliseconds(g.BacklogMS), now)
 	if n.gate.closed {
-		r.held = &g
+		r.held = true
+		n.release(now, from, g.Group, r.seq, sched.Result{Outcome: sched.Unused})
 		return
 	}
 	n.dispatch(now, r, g)
@@ -42,7 +43,7 @@
 // or a withdrawal of the server while this process did not run.
 func (n *Node) dispatch(now monotime.Instant, r *request, g wire.Grant) {
 	engine := n.usable(g)
-	late := r.giveUpAt() != 0 && !now.Before(r.giveUpAt())
+	late := r.late(now)
 	if engine == nil || late {
 		n.release(now, r.owner, g.Group, r.seq, sched.Result{Outcome: sched.Unused})
 	}
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -1,10 +1,6 @@
 package node
 
-import (
-	"time"
-
-	"basilrudder/internal/monotime"
-)
+import "basilrudder/internal/monotime"
 
 // gate holds dispatch back after a pause of the process until a peer or the
 // platform has confirmed the configuration.
@@ -50,7 +46,7 @@
 	defer n.mu.Unlock()
 	if n.gate.closed && !confirmed.Before(n.gate.since) {
 		n.gate.closed = false
-		n.dispatchHeld(now)
+		n.askAgain(now)
 	}
 }
 
@@ -63,30 +59,13 @@
 	}
 	n.gate.closed = false
 	n.gate.isolated = true
-	n.dispatchHeld(now)
+	n.askAgain(now)
 }
 
-func (n *Node) dispatchHeld(now monotime.Instant) {
-	var held []*request
-	for r := n.order.head; r != nil; r = r.next {
-		if r.held != nil && r.state == stateWaiting {
-			held = append(held, r)
-		}
-	}
-	for _, r := range held {
-		grant := *r.held
-		r.held = nil
-		n.dispatchOrRenew(now, r, grant.LeaseMS, func() { n.dispatch(now, r, grant) })
-	}
-}
-
-// dispatchOrRenew drops a grant whose lease ran out while it was held: the owner
-// has given the slot to somebody else.
-func (n *Node) dispatchOrRenew(now monotime.Instant, r *request, leaseMS int, dispatch func()) {
-	if now.Sub(n.gate.since) > time.Duration(leaseMS)*time.Millisecond {
-		n.withdraw(now, r)
-		n.acquire(now, r)
-		return
-	}
-	dispatch()
+// askAgain asks for the slots that were granted while the gate was closed. The
+// grants themselves were given back: one that lay in a queue through the pause
+// may be older than its lease, and the slot somebody else's by now.
+func (n *Node) askAgain(now monotime.Instant) {
+	isHeld := func(r *request) bool { return r.held }
+	n.eachWaiting(isHeld, func(r *request) { n.acquire(now, r) })
 }
--- a/internal/node/record.go
+++ b/internal/node/record.go
@@ -13,6 +13,7 @@
 	delete(n.requests, r.seq)
 	delete(n.byID, r.ID)
 	n.order.remove(r)
+	r.state = stateEnded
 	r.err = err
 	r.ended = now
 	if err != nil && err.Verdict == verdict.NotRun {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -5,7 +5,6 @@
 
 	"basilrudder/internal/catalog"
 	"basilrudder/internal/monotime"
-	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/verdict"
 )
 
@@ -57,6 +56,8 @@
 	stateRunning
 	// stateResuming: the connection was lost and the resumption waits its backoff.
 	stateResuming
+	// stateEnded: Finish was called.
+	stateEnded
 )
 
 // request is the state of one request. It moves between states only under the
@@ -76,7 +77,7 @@
 	askedAt monotime.Instant
 	skip    []string
 	avoid   string
-	held    *wire.Grant
+	held    bool
 
 	attempt  int
 	engine   *catalog.Engine
@@ -111,6 +112,12 @@
 	}
 }
 
+// late reports whether the request can no longer be answered usefully.
+func (r *request) late(now monotime.Instant) bool {
+	by := r.giveUpAt()
+	return by != 0 && !now.Before(by)
+}
+
 // tokens is the number of tokens relayed to the caller.
 func (r *request) tokens() int {
 	if r.progress == nil {
--- /dev/null
+++ b/internal/node/search_test.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+var (
+	searchSeeds   = flag.Int("search.seeds", 12, "seeds of the schedule search")
+	searchActions = flag.Int("search.actions", 400, "actions of each schedule")
+)
+
+// What the caller sees: each request gets one answer, and "not run" is true.
+// Processes pause and wake with old grants in their queues, crash and return as
+// new incarnations, believe wrong things of each other, lose messages, and lose
+// connections to engines before and after the engine started; servers are
+// withdrawn meanwhile. The world compares every run with every verdict.
+func TestNoScheduleContradictsAVerdict(t *testing.T) {
+	steps := 0
+	requests := 0
+	for seed := range *searchSeeds {
+		w := newWorld(t, uint64(seed))
+		w.faults = true
+		for range *searchActions {
+			w.randomAction()
+			w.run(w.between(time.Millisecond, 60*time.Millisecond))
+		}
+		w.faults = false
+		clear(w.cut)
+		w.views()
+		w.run(15 * time.Second)
+		if left := w.unanswered(); len(left) > 0 {
+			t.Errorf("seed %d: no answer for %v", seed, left)
+		}
+		w.report()
+		steps += w.steps
+		requests += len(w.calls)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	t.Logf("%d steps, %d requests, no contradiction", steps, requests)
+	if steps < 10_000 {
+		t.Errorf("the search took %d steps, want at least 10000", steps)
+	}
+}
+
+func (w *world) randomAction() {
+	p := w.procs[w.rng.IntN(len(w.procs))]
+	switch w.rng.IntN(20) {
+	case 0:
+		p.pause(w.between(100*time.Millisecond, 5*time.Second))
+	case 1:
+		w.crash(p)
+	case 2:
+		w.views()
+	case 3:
+		w.cutLink(p)
+	case 4:
+		w.publishWithdrawal()
+	case 5, 6:
+		w.callerLeaves()
+	default:
+		classes := [...]string{"once", "often", "service"}
+		w.send(p, classes[w.rng.IntN(len(classes))])
+	}
+}
+
+func (w *world) crash(p *proc) {
+	for _, c := range w.calls {
+		if c.at == p && len(c.verdicts) == 0 {
+			c.orphaned = true
+		}
+	}
+	p.dead = true
+	p.asleep = 0
+	w.after(w.between(time.Millisecond, 2*time.Second), func() {
+		if p.dead {
+			p.boot()
+			w.views()
+		}
+	})
+}
+
+func (w *world) cutLink(p *proc) {
+	q := w.procs[w.rng.IntN(len(w.procs))]
+	key := [2]string{p.name, q.name}
+	w.cut[key] = true
+	w.after(w.between(0, 3*time.Second), func() { delete(w.cut, key) })
+	p.deliver(p.self, func() { p.node.LinkDown(p.clock(), q.name) })
+}
+
+// publishWithdrawal takes a server out of service, or the first back in. Each
+// process that runs learns of it within the time that configuration takes.
+func (w *world) publishWithdrawal() {
+	name := [...]string{"s0", "s1"}[w.rng.IntN(2)]
+	if _, ok := w.withdrawn[name]; ok {
+		delete(w.withdrawn, name)
+	} else {
+		w.withdrawn[name] = w.now
+	}
+	w.revision++
+	for _, p := range w.procs {
+		self := p.self
+		w.after(w.between(0, publishDelay), func() {
+			p.deliver(self, func() { p.node.SetCatalog(p.clock(), w.catalog()) })
+		})
+	}
+}
+
+func (w *world) callerLeaves() {
+	var pick *call
+	latest := monotime.Instant(0)
+	for _, c := range w.calls {
+		if len(c.verdicts) == 0 && c.at.started >= latest && (pick == nil || c.id > pick.id) {
+			pick = c
+		}
+	}
+	if pick == nil {
+		return
+	}
+	p := pick.at
+	p.deliver(p.self, func() { p.node.CallerGone(p.clock(), pick.id) })
+}
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -111,7 +111,7 @@
 func (n *Node) acquire(now monotime.Instant, r *request) {
 	cat := n.catalog.Load()
 	r.state = stateWaiting
-	r.held = nil
+	r.held = false
 	r.askedAt = now
 	r.group = n.picker.Pick(now, cat, n.askFor(r), n.rng)
 	if r.group == nil {
@@ -169,15 +169,27 @@
 
 // reroute asks again for the waiting requests that match.
 func (n *Node) reroute(now monotime.Instant, match func(*request) bool) {
-	var again []*request
+	n.eachWaiting(match, func(r *request) {
+		n.withdraw(now, r)
+		n.acquire(now, r)
+	})
+}
+
+// eachWaiting calls do for the waiting requests that match. It looks at the
+// state again before each call: taking one request back can free a slot of a
+// group owned here, which starts another of the list at that moment. Asking
+// for that one again would let it run twice and be told "not run".
+func (n *Node) eachWaiting(match func(*request) bool, do func(*request)) {
+	var list []*request
 	for r := n.order.head; r != nil; r = r.next {
 		if r.state == stateWaiting && match(r) {
-			again = append(again, r)
+			list = append(list, r)
 		}
 	}
-	for _, r := range again {
-		n.withdraw(now, r)
-		n.acquire(now, r)
+	for _, r := range list {
+		if r.state == stateWaiting && match(r) {
+			do(r)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/node/world_test.go
@@ -0,0 +1,418 @@
+package node
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/membership"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/reqid"
+	"basilrudder/internal/sched"
+	"basilrudder/internal/schema/accounting"
+	"basilrudder/internal/schema/inventory"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/verdict"
+)
+
+// world is a few nodes, a network and engines in virtual time. It judges from
+// the outside: it records every run that an engine started and every verdict
+// that a caller got, and compares the two.
+type world struct {
+	t     *testing.T
+	rng   *rand.Rand
+	now   monotime.Instant
+	steps int
+	queue eventHeap
+	order int
+
+	procs    []*proc
+	revision uint64
+	// withdrawn holds when each server's withdrawal was published.
+	withdrawn map[string]monotime.Instant
+	runs      map[string][]string
+	calls     map[string]*call
+	cut       map[[2]string]bool
+	faults    bool
+	bad       []string
+}
+
+// proc is one process with its pauses.
+type proc struct {
+	w       *world
+	name    string
+	started monotime.Instant
+	node    *Node
+	self    reqid.Incarnation
+	dead    bool
+	asleep  monotime.Instant
+	missed  []func()
+}
+
+// call is what a caller sent and what it was told.
+type call struct {
+	id       string
+	class    *catalog.Class
+	at       *proc
+	verdicts []verdict.Verdict
+	whole    bool
+	orphaned bool
+}
+
+type event struct {
+	at    monotime.Instant
+	order int
+	do    func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+const (
+	worldServers = 4
+	worldNodes   = 3
+	publishDelay = 800 * time.Millisecond
+	withdrawWait = 3 * time.Second
+)
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{
+		t:         t,
+		rng:       rand.New(rand.NewPCG(seed, 99)),
+		now:       monotime.Instant(time.Second),
+		withdrawn: make(map[string]monotime.Instant),
+		runs:      make(map[string][]string),
+		calls:     make(map[string]*call),
+		cut:       make(map[[2]string]bool),
+	}
+	for i := range worldNodes {
+		p := &proc{w: w, name: fmt.Sprintf("n%d", i)}
+		w.procs = append(w.procs, p)
+		p.boot()
+	}
+	w.views()
+	return w
+}
+
+func (w *world) catalog() *catalog.Catalog {
+	inv := &inventory.Inventory{
+		DataCentres: []inventory.DataCentre{{Name: "a", Region: "r"}},
+		Classes: []inventory.Class{
+			{Name: "once", Kind: inventory.ClassKindModel, Model: "m", DeadlineMS: 4000, MaxQueueMS: 4000},
+			{Name: "often", Kind: inventory.ClassKindModel, Model: "m", DeadlineMS: 4000, MaxQueueMS: 4000, Idempotent: true, Tier: 1},
+			{Name: "service", Kind: inventory.ClassKindService, Service: "s", DeadlineMS: 4000, MaxQueueMS: 4000},
+		},
+		Customers: []inventory.Customer{{Name: "c", Weight: 1}},
+		Tiers:     []inventory.Tier{{Tier: 0, Name: "high"}, {Tier: 1, Name: "low"}},
+		Rules:     &inventory.Rules{ServersPerGroup: 1, RetryBudget: 0.5, GrantLeaseMS: 3000, AnswerKeepS: 1, DirectoryTTLS: 30},
+	}
+	for i := range worldServers {
+		server := inventory.Server{Name: fmt.Sprintf("s%d", i), DataCentre: "a", Kind: inventory.ServerKindModel,
+			Engines: []inventory.Engine{{Name: "e", Models: []string{"m"}, Slots: 2, StepMS: 7, PrefillTokensPerS: 20000}}}
+		if i == worldServers-1 {
+			server.Kind = inventory.ServerKindApplication
+			server.Engines[0].Models = nil
+			server.Engines[0].Services = []string{"s"}
+		}
+		_, server.Withdrawn = w.withdrawn[server.Name]
+		inv.Servers = append(inv.Servers, server)
+	}
+	return catalog.Compile(w.revision+1, inv)
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.queue, event{at: w.now.Add(d), order: w.order, do: do})
+}
+
+// run carries out events until the time has passed.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		next := heap.Pop(&w.queue).(event)
+		w.now = next.at
+		w.steps++
+		next.do()
+	}
+	w.now = end
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.bad = append(w.bad, fmt.Sprintf("at %v: ", time.Duration(w.now))+fmt.Sprintf(format, args...))
+}
+
+func (w *world) chance(percent int) bool {
+	return w.faults && w.rng.IntN(100) < percent
+}
+
+func (w *world) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(w.rng.Int64N(int64(most-least)))
+}
+
+// boot starts a new incarnation, which knows nothing of the one before.
+func (p *proc) boot() {
+	w := p.w
+	p.dead = false
+	p.asleep = 0
+	p.missed = nil
+	p.started = w.now
+	p.self = reqid.NewIncarnation(p.name, time.UnixMilli(int64(w.now)/int64(time.Millisecond)), w.rng.Uint32())
+	p.node = New(Config{Self: p.self, DataCentre: "a", Policy: sched.Default(), Seed: w.rng.Uint64()}, &effects{p: p, self: p.self})
+	p.node.SetCatalog(p.clock(), w.catalog())
+	p.tick(p.self)
+}
+
+// clock is the process's monotonic clock.
+func (p *proc) clock() monotime.Instant {
+	return p.w.now - p.started + 1
+}
+
+// deliver runs do on the process: at once, when it wakes, or never.
+func (p *proc) deliver(self reqid.Incarnation, do func()) {
+	if p.dead || p.self != self {
+		return
+	}
+	if p.w.now < p.asleep {
+		p.missed = append(p.missed, do)
+		return
+	}
+	do()
+}
+
+func (p *proc) tick(self reqid.Incarnation) {
+	if p.dead || p.self != self {
+		return
+	}
+	if p.w.now >= p.asleep {
+		p.node.Tick(p.clock())
+	}
+	p.w.after(TickInterval, func() { p.tick(self) })
+}
+
+// pause stops the process. What arrives meanwhile is handled first when it
+// wakes, before its own tick: the order in which a stale grant does most harm.
+func (p *proc) pause(d time.Duration) {
+	if p.dead {
+		return
+	}
+	p.asleep = p.w.now.Add(d)
+	self := p.self
+	p.w.after(d, func() {
+		if p.self != self {
+			return
+		}
+		missed := p.missed
+		p.missed = nil
+		for _, do := range missed {
+			p.deliver(self, do)
+		}
+		p.confirm(self)
+	})
+}
+
+// confirm is a peer or the platform telling the newest revision, in answer to
+// a question asked now.
+func (p *proc) confirm(self reqid.Incarnation) {
+	asked := p.clock()
+	p.w.after(150*time.Millisecond, func() {
+		p.deliver(self, func() {
+			p.node.SetCatalog(p.clock(), p.w.catalog())
+			p.node.Confirm(p.clock(), asked)
+		})
+	})
+}
+
+// views gives every process a view; with faults, views are partly wrong.
+func (w *world) views() {
+	for _, p := range w.procs {
+		view := &membership.View{Known: len(w.procs)}
+		for _, q := range w.procs {
+			if q != p && (q.dead || w.chance(20)) {
+				continue
+			}
+			view.Live = append(view.Live, membership.Member{ID: q.name, Incarnation: q.self.Token, DataCentre: "a"})
+		}
+		p.deliver(p.self, func() { p.node.SetView(p.clock(), view) })
+	}
+}
+
+// effects is what a process does to the world.
+type effects struct {
+	p    *proc
+	self reqid.Incarnation
+}
+
+func (e *effects) Send(to string, env *wire.Envelope) {
+	w := e.p.w
+	from := e.p.name
+	if w.cut[[2]string{from, to}] || w.chance(3) {
+		return
+	}
+	w.after(w.between(time.Millisecond, 20*time.Millisecond), func() {
+		for _, q := range w.procs {
+			if q.name == to {
+				q.deliver(q.self, func() { q.receive(from, env) })
+			}
+		}
+	})
+}
+
+func (p *proc) receive(from string, env *wire.Envelope) {
+	now := p.clock()
+	for _, m := range env.Acquires {
+		p.node.OnAcquire(now, from, m)
+	}
+	for _, m := range env.Withdraws {
+		p.node.OnWithdraw(now, from, m)
+	}
+	for _, m := range env.Grants {
+		p.node.OnGrant(now, from, m)
+	}
+	for _, m := range env.Refuses {
+		p.node.OnRefuse(now, from, m)
+	}
+	for _, m := range env.Progress {
+		p.node.OnProgress(now, from, m)
+	}
+	for _, m := range env.Releases {
+		p.node.OnRelease(now, from, m)
+	}
+}
+
+func (e *effects) Start(a Attempt) {
+	w, p, self := e.p.w, e.p, e.self
+	server := a.Engine.Server.Spec.Name
+	if at, ok := w.withdrawn[server]; ok && w.now.Sub(at) > withdrawWait && !a.Resume {
+		w.fail("%s started %s on %s, withdrawn %v before", p.name, a.RequestID, server, w.now.Sub(at))
+	}
+	end := func(d time.Duration, err *verdict.Error) {
+		w.after(d, func() {
+			p.deliver(self, func() { p.node.AttemptEnded(p.clock(), a.Seq, a.Number, err) })
+		})
+	}
+	soon := w.between(time.Millisecond, 300*time.Millisecond)
+	switch {
+	case w.chance(10):
+		end(soon, verdict.New(verdict.NotRun, verdict.ReasonConnect, "connection refused"))
+		return
+	case w.chance(10):
+		end(soon, verdict.New(verdict.NotRun, verdict.ReasonUpstreamRefused, "full"))
+		return
+	}
+	if !a.Resume {
+		w.runs[a.RequestID] = append(w.runs[a.RequestID], a.ID)
+	}
+	switch {
+	case w.chance(10):
+		end(soon, verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "connection reset"))
+	case w.chance(10):
+		a.Progress.Token(p.clock())
+		end(soon, verdict.New(verdict.Ran, verdict.ReasonUpstreamLost, "cut off"))
+	default:
+		a.Progress.Token(p.clock())
+		end(soon, nil)
+	}
+}
+
+func (e *effects) CancelAttempt(id string) {
+	w, p, self := e.p.w, e.p, e.self
+	w.after(time.Millisecond, func() {
+		p.deliver(self, func() {
+			r := p.node.byID[id]
+			if r != nil && r.state == stateRunning {
+				p.node.AttemptEnded(p.clock(), r.seq, r.attempt,
+					verdict.New(verdict.MayHaveRun, verdict.ReasonCallerGone, "cancelled"))
+			}
+		})
+	})
+}
+
+func (e *effects) Finish(id string, err *verdict.Error) {
+	c := e.p.w.calls[id]
+	v := verdict.Ran
+	if err != nil {
+		v = err.Verdict
+	}
+	c.verdicts = append(c.verdicts, v)
+	c.whole = err == nil
+	p, self := e.p, e.self
+	p.w.after(time.Millisecond, func() {
+		p.deliver(self, func() { p.node.Delivered(p.clock(), id) })
+	})
+}
+
+func (e *effects) Record(accounting.Record) {}
+
+// send makes a caller send a request to a process.
+func (w *world) send(p *proc, class string) *call {
+	if p.dead {
+		return nil
+	}
+	prefix, _ := p.self.Prefix(time.UnixMilli(int64(w.now)/int64(time.Millisecond)), IDLifetime)
+	c := &call{id: fmt.Sprintf("%sx%d", prefix, len(w.calls)), at: p}
+	w.calls[c.id] = c
+	p.deliver(p.self, func() { w.submit(p, c, class) })
+	return c
+}
+
+func (w *world) submit(p *proc, c *call, class string) {
+	cat := p.node.Catalog()
+	c.class = cat.Classes[class]
+	_, err := p.node.Submit(p.clock(), Request{ID: c.id, Customer: cat.Customers["c"], Class: c.class, PromptTokens: 100})
+	if err != nil {
+		c.verdicts = append(c.verdicts, err.Verdict)
+	}
+}
+
+// check compares what engines ran with what callers were told.
+func (w *world) check() {
+	for id, c := range w.calls {
+		runs := w.runs[id]
+		if c.class != nil && !c.class.Idempotent && len(runs) > 1 {
+			w.fail("%s is not idempotent and ran %d times: %v", id, len(runs), runs)
+		}
+		if len(c.verdicts) > 1 {
+			w.fail("%s was answered %d times", id, len(c.verdicts))
+		}
+		for _, v := range c.verdicts {
+			if v == verdict.NotRun && len(runs) > 0 {
+				w.fail("%s was told not run, but ran as %v", id, runs)
+			}
+		}
+	}
+}
+
+// unanswered lists requests whose process lives and that got no answer.
+func (w *world) unanswered() []string {
+	var out []string
+	for id, c := range w.calls {
+		if len(c.verdicts) == 0 && !c.orphaned && !c.at.dead && strings.Contains(id, c.at.self.Token) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (w *world) report() {
+	w.t.Helper()
+	w.check()
+	for _, problem := range w.bad {
+		w.t.Error(problem)
+	}
+}
