confsync: revisions that never go back, learnt from few readers

Cause: the platform's reads are few and its answers may be old or missing for long; every instance must still get each change within seconds and never return to an older one. Change: two readers per data centre by rendezvous hashing hold a waiting watch; others fetch from neighbours by pieces of 32 KiB, only values whose hash they do not hold, resumable by offset; a revision is installed whole or refused for good; a revision counts as confirmed only by the answer to a question asked since the last pause; extra readers where neighbours are quiet; backoff with jitter.

--- /dev/null
+++ b/internal/confsync/confsync.go
@@ -0,0 +1,300 @@
+// Package confsync decides which revision of the configuration is in force at
+// one instance and how it learns of a newer one. A few readers in each data
+// centre hold a waiting watch at the platform; everybody else learns from its
+// neighbours. The highest revision wins, whoever tells of it; a revision takes
+// effect whole or not at all, and none ever gives way to a lower one.
+//
+// The package is pure: it takes the instant as an argument, does its I/O
+// through Effects and starts no goroutine.
+package confsync
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"basilrudder/internal/inventory"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/wire"
+)
+
+// Call is the number of one call to the platform. Answers carry it back, so
+// that one which comes after its call was given up is told from a fresh one.
+type Call uint64
+
+// Effects is what the core does to the world. Calls to the platform are
+// answered through the On methods of Core, later and never from within.
+type Effects interface {
+	// SendPeer sends to an instance; a message may be lost.
+	SendPeer(to string, envelope *wire.Envelope)
+	// Watch waits up to wait for a revision or an instance list newer than
+	// given; OnWatch answers.
+	Watch(call Call, revision uint64, instances int, wait time.Duration)
+	// FetchManifest reads the manifest; OnManifest answers.
+	FetchManifest(call Call)
+	// FetchChunk reads one value; OnChunk answers.
+	FetchChunk(call Call, key string)
+	// FetchInstances reads the instance list; OnInstances answers.
+	FetchInstances(call Call)
+	// Install checks a revision and puts it in force. An error refuses it as a
+	// whole, for good.
+	Install(revision uint64, files []inventory.File) error
+	// Report tells operators.
+	Report(Event)
+}
+
+// Member is an instance that is believed to live.
+type Member struct {
+	// ID of the instance.
+	ID string
+	// DataCentre it stands in.
+	DataCentre string
+}
+
+// NeverConfirmed is the age of a revision that nobody has confirmed since the
+// process started or woke.
+const NeverConfirmed = time.Duration(math.MaxInt64)
+
+// Config of a Core. Zero durations and numbers take the defaults.
+type Config struct {
+	// Self is the id of the instance.
+	Self string
+	// DataCentre the instance stands in.
+	DataCentre string
+	// ReadersPerDC is how many instances of a data centre watch the platform.
+	ReadersPerDC int
+	// Seed of the jitter.
+	Seed uint64
+	// AskEvery is how often each neighbour is asked for its revision.
+	AskEvery time.Duration
+	// WatchWait is how long a watch waits at the platform.
+	WatchWait time.Duration
+	// CallTimeout is how long a read of the platform may take; a watch may take
+	// that much longer than its wait.
+	CallTimeout time.Duration
+	// PartTimeout is how long a neighbour may take to send the next piece.
+	PartTimeout time.Duration
+	// QuietAfter is the silence of all neighbours that turns a learner into an
+	// extra reader.
+	QuietAfter time.Duration
+	// UnrootedAfter is the age of the platform's last word, to anybody's
+	// knowledge, that turns a learner into an extra reader.
+	UnrootedAfter time.Duration
+	// PauseAfter is the time between two ticks that counts as a pause.
+	PauseAfter time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultReadersPerDC  = 2
+	DefaultAskEvery      = 2 * time.Second
+	DefaultWatchWait     = 10 * time.Second
+	DefaultCallTimeout   = 3 * time.Second
+	DefaultPartTimeout   = time.Second
+	DefaultQuietAfter    = 6 * time.Second
+	DefaultUnrootedAfter = 45 * time.Second
+	DefaultPauseAfter    = 2 * time.Second
+)
+
+// Limits of what is accepted and remembered.
+const (
+	// PieceBytes is the size of a piece between instances.
+	PieceBytes = 32 << 10
+	// MaxValueBytes is the size of a value at the platform.
+	MaxValueBytes = 1 << 20
+	// MaxRevisionBytes is the size of all values of a revision.
+	MaxRevisionBytes = 32 << 20
+	// MaxChunks is the number of values of a revision.
+	MaxChunks = 4096
+
+	piecesPerWant  = 4
+	fetchesAtOnce  = 4
+	maxRefused     = 64
+	backoffMin     = 250 * time.Millisecond
+	backoffMax     = 15 * time.Second
+	extraBackoff   = 60 * time.Second
+	extraFailures  = 4
+	coldGrace      = 500 * time.Millisecond
+	wakeAskEvery   = 500 * time.Millisecond
+	wakeAloneAfter = 2 * time.Second
+)
+
+func (cfg Config) withDefaults() Config {
+	setDuration(&cfg.AskEvery, DefaultAskEvery)
+	setDuration(&cfg.WatchWait, DefaultWatchWait)
+	setDuration(&cfg.CallTimeout, DefaultCallTimeout)
+	setDuration(&cfg.PartTimeout, DefaultPartTimeout)
+	setDuration(&cfg.QuietAfter, DefaultQuietAfter)
+	setDuration(&cfg.UnrootedAfter, DefaultUnrootedAfter)
+	setDuration(&cfg.PauseAfter, DefaultPauseAfter)
+	if cfg.ReadersPerDC == 0 {
+		cfg.ReadersPerDC = DefaultReadersPerDC
+	}
+	return cfg
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// Stats counts what the core did. Bytes are those of pieces and values.
+type Stats struct {
+	Installed, Refused, Conflicts, Corrupted  uint64
+	StaleAnswers, PlatformErrors              uint64
+	Watches, Reads                            uint64
+	Offers, Answers, Wants, PartsSent         uint64
+	BytesFromPeers, BytesToPeers, BytesOfRead uint64
+}
+
+// Core is the state of one instance. It is not safe for concurrent use.
+type Core struct {
+	cfg Config
+	rng *rand.Rand
+
+	startedAt monotime.Instant
+	lastTick  monotime.Instant
+
+	live       []Member
+	neighbours []string
+	reader     bool
+	extra      bool
+
+	current    revision
+	refused    []revisionID
+	candidates map[revisionID]*candidate
+	fetch      *fetch
+	conflicts  map[conflictKey]bool
+	// spare holds values of a fetch that failed, by hash.
+	spare map[string][]byte
+	// share places the instance among those that act for one cause.
+	share float64
+
+	platform platformState
+	gossip   gossipState
+
+	confirmedAt monotime.Instant
+	confirmed   bool
+	wokeAt      monotime.Instant
+	woken       bool
+	rootedAt    monotime.Instant
+	rooted      bool
+
+	stats Stats
+}
+
+// New returns a core without a configuration.
+func New(now monotime.Instant, cfg Config) *Core {
+	cfg = cfg.withDefaults()
+	c := &Core{
+		cfg:        cfg,
+		rng:        rand.New(rand.NewPCG(cfg.Seed, xxhash.Sum64String(cfg.Self))),
+		startedAt:  now,
+		lastTick:   now,
+		candidates: make(map[revisionID]*candidate),
+		conflicts:  make(map[conflictKey]bool),
+		spare:      make(map[string][]byte),
+	}
+	c.share = c.rng.Float64()
+	c.platform = newPlatformState(now)
+	c.gossip = newGossipState(now.Add(c.jitter(cfg.AskEvery)))
+	c.elect()
+	return c
+}
+
+// jitter returns a random share of d.
+func (c *Core) jitter(d time.Duration) time.Duration {
+	return time.Duration(c.rng.Int64N(int64(d) + 1))
+}
+
+// Revision returns the revision in force; 0 for none.
+func (c *Core) Revision() uint64 {
+	return c.current.id.number
+}
+
+// Confirmed returns the revision in force and the time since a neighbour or
+// the platform was asked and knew of nothing newer. The age is NeverConfirmed
+// from the start, and from a pause, until the first such answer.
+func (c *Core) Confirmed(now monotime.Instant) (uint64, time.Duration) {
+	if !c.confirmed {
+		return c.Revision(), NeverConfirmed
+	}
+	return c.Revision(), now.Sub(c.confirmedAt)
+}
+
+// PlatformAge returns the time since the platform confirmed the revision to
+// this instance or to one it heard of; NeverConfirmed for unknown.
+func (c *Core) PlatformAge(now monotime.Instant) time.Duration {
+	if !c.rooted {
+		return NeverConfirmed
+	}
+	return now.Sub(c.rootedAt)
+}
+
+// Reader reports whether the instance watches the platform now.
+func (c *Core) Reader() bool {
+	return c.reader || c.extra
+}
+
+// Stats returns the counters.
+func (c *Core) Stats() Stats {
+	return c.stats
+}
+
+// confirm takes note of an answer to a question asked at the instant.
+func (c *Core) confirm(asked monotime.Instant) {
+	if c.current.id.number == 0 {
+		return
+	}
+	if !c.confirmed || c.confirmedAt.Before(asked) {
+		c.confirmedAt = asked
+	}
+	c.confirmed = true
+	c.woken = false
+}
+
+func (c *Core) root(at monotime.Instant) {
+	if !c.rooted || c.rootedAt.Before(at) {
+		c.rootedAt = at
+	}
+	c.rooted = true
+}
+
+// Tick drives timeouts; call it several times a second.
+func (c *Core) Tick(now monotime.Instant, eff Effects) {
+	if gap := now.Sub(c.lastTick); gap > c.cfg.PauseAfter {
+		c.OnPaused(now, gap, eff)
+	}
+	c.lastTick = now
+	c.expireCalls(now, eff)
+	c.expireParts(now)
+	c.choosePlatformRole(now)
+	c.askIfDue(now, eff)
+	c.advance(now, eff)
+}
+
+// advance does what the state now allows; every event ends with it.
+func (c *Core) advance(now monotime.Instant, eff Effects) {
+	c.watchIfDue(now, eff)
+	c.driveFetch(now, eff)
+}
+
+// OnPaused tells that the process did not run for gap. What it knew may be
+// long out of date: messages in its buffers were sent before or during the
+// pause, and nothing in them proves that they are new. So every open question
+// and call is forgotten, and only the answer to one asked from now on confirms
+// the revision.
+func (c *Core) OnPaused(now monotime.Instant, _ time.Duration, eff Effects) {
+	c.lastTick = now
+	c.confirmed = false
+	c.woken = true
+	c.wokeAt = now
+	c.platform.forget(now)
+	c.gossip.forget(now)
+	c.fetch.restart(now)
+	c.announce(now, eff)
+	c.advance(now, eff)
+}
--- /dev/null
+++ b/internal/confsync/network_test.go
@@ -0,0 +1,345 @@
+package confsync
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/inventory"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/platformapi"
+	"basilrudder/internal/schema/wire"
+)
+
+const (
+	tickEvery     = 100 * time.Millisecond
+	peerDelay     = time.Millisecond
+	platformDelay = 3 * time.Millisecond
+)
+
+// network is a small fleet of cores with one platform in virtual time.
+type network struct {
+	t        testing.TB
+	now      monotime.Instant
+	seq      int
+	events   eventQueue
+	nodes    map[string]*node
+	ids      []string
+	platform fakePlatform
+	// cut reports whether two instances cannot reach each other.
+	cut func(a, b string) bool
+	// alter may change a piece on its way.
+	alter func(from, to string, part *wire.ConfigPart)
+	// bytes sent between instances, as CBOR.
+	bytes int
+}
+
+type event struct {
+	at  monotime.Instant
+	seq int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// node is one instance; it is the Effects of its core.
+type node struct {
+	net        *network
+	id         string
+	dc         string
+	core       *Core
+	neighbours []string
+	offline    bool // cannot reach the platform
+	paused     bool
+	gone       bool
+	queue      []func()
+	installed  []uint64
+	events     []Event
+	check      func(revision uint64) error
+	reachedAt  map[uint64]monotime.Instant
+}
+
+func newNetwork(t testing.TB) *network {
+	net := &network{t: t, now: 1, nodes: make(map[string]*node), cut: func(a, b string) bool { return false }}
+	net.platform = fakePlatform{net: net, values: make(map[string][]byte)}
+	return net
+}
+
+// ring joins n instances over dcs data centres, each with its next and its
+// third next, which is a 4-regular graph; degree 6 adds the seventh next.
+func (net *network) ring(n, dcs, degree int) {
+	for i := range n {
+		net.ids = append(net.ids, fmt.Sprintf("i%03d", i))
+	}
+	steps := []int{1, 3, 7}[:degree/2]
+	for i, id := range net.ids {
+		set := make(map[string]bool)
+		for _, step := range steps {
+			set[net.ids[(i+step)%n]] = true
+			set[net.ids[(i+n-step%n)%n]] = true
+		}
+		delete(set, id)
+		net.start(id, fmt.Sprintf("dc-%d", i%dcs), slices.Sorted(maps.Keys(set)))
+	}
+}
+
+func (net *network) start(id, dc string, neighbours []string) *node {
+	n := &node{net: net, id: id, dc: dc, neighbours: neighbours, reachedAt: make(map[uint64]monotime.Instant)}
+	n.check = func(uint64) error { return nil }
+	n.core = New(net.now, Config{Self: id, DataCentre: dc, Seed: 7})
+	net.nodes[id] = n
+	offset := time.Duration(len(net.nodes)%10) * tickEvery / 10
+	net.after(offset, n.tick)
+	return n
+}
+
+func (n *node) tick() {
+	if n.gone {
+		return
+	}
+	n.net.after(tickEvery, n.tick)
+	if !n.paused {
+		n.core.Tick(n.net.now, n)
+	}
+}
+
+func (net *network) after(d time.Duration, run func()) {
+	net.seq++
+	heap.Push(&net.events, event{at: net.now.Add(d), seq: net.seq, run: run})
+}
+
+func (net *network) run(d time.Duration) {
+	end := net.now.Add(d)
+	for len(net.events) > 0 && net.events[0].at <= end {
+		next := heap.Pop(&net.events).(event)
+		net.now = next.at
+		next.run()
+	}
+	net.now = end
+}
+
+// link tells every instance who lives and whom it reaches.
+func (net *network) link() {
+	var live []Member
+	for _, id := range net.ids {
+		if n := net.nodes[id]; !n.gone {
+			live = append(live, Member{ID: id, DataCentre: n.dc})
+		}
+	}
+	for _, id := range net.ids {
+		n := net.nodes[id]
+		var up []string
+		for _, other := range n.neighbours {
+			if !net.nodes[other].gone && !net.cut(id, other) {
+				up = append(up, other)
+			}
+		}
+		visible := slices.DeleteFunc(slices.Clone(live), func(m Member) bool { return net.cut(id, m.ID) })
+		n.deliver(func() { n.core.Members(net.now, visible, up, n) })
+	}
+}
+
+// deliver runs an event, or keeps it in the buffer of a paused process.
+func (n *node) deliver(run func()) {
+	switch {
+	case n.gone:
+	case n.paused:
+		n.queue = append(n.queue, run)
+	default:
+		run()
+	}
+}
+
+func (n *node) pause() { n.paused = true }
+
+// wake lets the process run again: its timer fires first, then it reads what
+// lay in its buffers.
+func (n *node) wake() {
+	n.paused = false
+	queue := n.queue
+	n.queue = nil
+	n.core.Tick(n.net.now, n)
+	for _, run := range queue {
+		run()
+	}
+}
+
+func (n *node) SendPeer(to string, envelope *wire.Envelope) {
+	net := n.net
+	raw, err := cbor.Marshal(envelope)
+	if err != nil {
+		net.t.Fatal(err)
+	}
+	net.bytes += len(raw)
+	net.after(peerDelay, func() {
+		target := net.nodes[to]
+		if net.cut(n.id, to) || target == nil {
+			return
+		}
+		target.deliver(func() { target.receive(n.id, raw) })
+	})
+}
+
+func (n *node) receive(from string, raw []byte) {
+	var envelope wire.Envelope
+	if err := cbor.Unmarshal(raw, &envelope); err != nil {
+		n.net.t.Fatal(err)
+	}
+	now := n.net.now
+	switch {
+	case envelope.ConfigOffer != nil:
+		n.core.OnOffer(now, from, *envelope.ConfigOffer, n)
+	case envelope.ConfigWant != nil:
+		n.core.OnWant(now, from, *envelope.ConfigWant, n)
+	case envelope.ConfigPart != nil:
+		if n.net.alter != nil {
+			n.net.alter(from, n.id, envelope.ConfigPart)
+		}
+		n.core.OnPart(now, from, *envelope.ConfigPart, n)
+	}
+}
+
+func (n *node) Watch(number Call, revision uint64, instances int, wait time.Duration) {
+	n.net.platform.watch(n, revision, wait, func(answer *platformapi.WatchAnswer, err error) {
+		n.core.OnWatch(n.net.now, number, answer, err, n)
+	})
+}
+
+func (n *node) FetchManifest(number Call) {
+	n.net.platform.read(n, "manifest", func(data []byte, err error) { n.core.OnManifest(n.net.now, number, data, err, n) })
+}
+
+func (n *node) FetchChunk(number Call, key string) {
+	n.net.platform.read(n, key, func(data []byte, err error) { n.core.OnChunk(n.net.now, number, data, err, n) })
+}
+
+func (n *node) FetchInstances(Call) {}
+
+func (n *node) Install(revision uint64, files []inventory.File) error {
+	if err := n.check(revision); err != nil {
+		return err
+	}
+	if len(n.installed) > 0 && revision <= n.installed[len(n.installed)-1] {
+		n.net.t.Errorf("%s went from revision %d to %d", n.id, n.installed[len(n.installed)-1], revision)
+	}
+	n.installed = append(n.installed, revision)
+	n.reachedAt[revision] = n.net.now
+	return nil
+}
+
+func (n *node) Report(e Event) { n.events = append(n.events, e) }
+
+func (n *node) reported(kind EventKind) int {
+	count := 0
+	for _, e := range n.events {
+		if e.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+// fakePlatform serves values and watches.
+type fakePlatform struct {
+	net      *network
+	revision int
+	values   map[string][]byte
+	down     bool
+	// stale, when set, is the revision it answers with whatever it holds.
+	stale   int
+	waiting []func()
+	calls   int
+}
+
+var errDown = errors.New("platform is down")
+
+// publish puts values under their keys and a manifest of them all in place.
+func (p *fakePlatform) publish(revision int, values map[string]string) {
+	manifest := platformapi.Manifest{Revision: revision}
+	for _, key := range slices.Sorted(maps.Keys(values)) {
+		data := []byte(values[key])
+		p.values[key] = data
+		manifest.Chunks = append(manifest.Chunks, platformapi.Chunk{Key: key, SHA256: hashOf(data), Bytes: len(data)})
+	}
+	raw, err := json.Marshal(manifest)
+	if err != nil {
+		p.net.t.Fatal(err)
+	}
+	p.values["manifest"] = raw
+	p.revision = revision
+	waiting := p.waiting
+	p.waiting = nil
+	for _, answer := range waiting {
+		answer()
+	}
+}
+
+func (p *fakePlatform) told() int {
+	if p.stale != 0 {
+		return p.stale
+	}
+	return p.revision
+}
+
+func (p *fakePlatform) watch(n *node, revision uint64, wait time.Duration, done func(*platformapi.WatchAnswer, error)) {
+	p.calls++
+	answered := false
+	reply := func(answer *platformapi.WatchAnswer, err error) {
+		if !answered {
+			answered = true
+			p.net.after(platformDelay, func() { n.deliver(func() { done(answer, err) }) })
+		}
+	}
+	news := func() {
+		if p.down || n.offline {
+			reply(nil, errDown)
+		} else if uint64(p.told()) > revision {
+			reply(&platformapi.WatchAnswer{Revision: p.told()}, nil)
+		}
+	}
+	p.net.after(platformDelay, news)
+	p.waiting = append(p.waiting, news)
+	p.net.after(platformDelay+wait, func() { reply(nil, nil) })
+}
+
+func (p *fakePlatform) read(n *node, key string, done func([]byte, error)) {
+	p.calls++
+	p.net.after(2*platformDelay, func() {
+		data, ok := p.values[key]
+		if p.down || n.offline || !ok {
+			n.deliver(func() { done(nil, errDown) })
+			return
+		}
+		n.deliver(func() { done(data, nil) })
+	})
+}
+
+// wantRevision fails for every live instance that is not at the revision.
+func (net *network) wantRevision(revision uint64) {
+	net.t.Helper()
+	for _, id := range net.ids {
+		if n := net.nodes[id]; !n.gone && n.core.Revision() != revision {
+			net.t.Errorf("%s is at revision %d, want %d", id, n.core.Revision(), revision)
+		}
+	}
+}
--- /dev/null
+++ b/internal/confsync/platform.go
@@ -0,0 +1,338 @@
+package confsync
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/platformapi"
+)
+
+type callKind uint8
+
+const (
+	callWatch callKind = iota
+	callManifest
+	callInstances
+	callChunk
+)
+
+// call is one open call to the platform.
+type call struct {
+	kind     callKind
+	at       monotime.Instant
+	deadline monotime.Instant
+	// floor is the revision the watch is to exceed.
+	floor uint64
+	// told is the revision of the watch answer that a manifest read follows.
+	told uint64
+}
+
+// platformState is what is open between this instance and the platform.
+type platformState struct {
+	last      Call
+	pending   map[Call]call
+	watchAt   monotime.Instant
+	failures  int
+	refused   uint64
+	instances int
+	stale     uint64
+}
+
+var errTimeout = errors.New("no answer in time")
+
+func newPlatformState(now monotime.Instant) platformState {
+	return platformState{pending: make(map[Call]call), watchAt: now}
+}
+
+func (p *platformState) forget(now monotime.Instant) {
+	clear(p.pending)
+	p.failures = 0
+	p.watchAt = now
+}
+
+// dropWatch ends a watch whose floor is a revision that could not be had.
+func (p *platformState) dropWatch() {
+	for number, made := range p.pending {
+		if made.kind == callWatch {
+			delete(p.pending, number)
+		}
+	}
+}
+
+func (p *platformState) open(made call) Call {
+	p.last++
+	p.pending[p.last] = made
+	return p.last
+}
+
+// take ends a call; false when it was given up before.
+func (p *platformState) take(number Call, kind callKind) (call, bool) {
+	made, ok := p.pending[number]
+	if !ok || made.kind != kind {
+		return call{}, false
+	}
+	delete(p.pending, number)
+	return made, true
+}
+
+// busy reports whether the platform is being read for anything but values; the
+// next watch would only return the same news.
+func (p *platformState) busy() bool {
+	for _, made := range p.pending {
+		if made.kind != callChunk {
+			return true
+		}
+	}
+	return false
+}
+
+// stagger returns this instance's share of d, so that instances which become
+// extra readers for one cause do not all do so at once.
+func (c *Core) stagger(d time.Duration) time.Duration {
+	return time.Duration(c.share * float64(d))
+}
+
+// known is the highest revision that was put in force or refused.
+func (c *Core) known() uint64 {
+	return max(c.current.id.number, c.platform.refused)
+}
+
+func (c *Core) watchFloor() uint64 {
+	floor := c.known()
+	for id, cand := range c.candidates {
+		if cand.platformAt != 0 {
+			floor = max(floor, id.number)
+		}
+	}
+	return floor
+}
+
+func (c *Core) watchIfDue(now monotime.Instant, eff Effects) {
+	p := &c.platform
+	if !c.Reader() || now.Before(p.watchAt) || p.busy() {
+		return
+	}
+	c.stats.Watches++
+	if c.woken {
+		// Ask for whatever there is, without waiting: dispatch waits for it.
+		made := call{kind: callWatch, at: now, deadline: now.Add(c.cfg.CallTimeout)}
+		eff.Watch(p.open(made), 0, 0, 0)
+		return
+	}
+	deadline := now.Add(c.cfg.WatchWait + c.cfg.CallTimeout)
+	made := call{kind: callWatch, at: now, deadline: deadline, floor: c.watchFloor()}
+	eff.Watch(p.open(made), made.floor, p.instances, c.cfg.WatchWait)
+}
+
+// expireCalls gives up calls that went silent, as a connection may for good.
+func (c *Core) expireCalls(now monotime.Instant, eff Effects) {
+	late := false
+	for number, made := range c.platform.pending {
+		if now.Before(made.deadline) {
+			continue
+		}
+		delete(c.platform.pending, number)
+		c.failChunk(number)
+		late = true
+	}
+	if late {
+		c.platformFailed(now, errTimeout, eff)
+	}
+}
+
+func (c *Core) platformFailed(now monotime.Instant, err error, eff Effects) {
+	c.stats.PlatformErrors++
+	c.delayWatch(now)
+	eff.Report(Event{Kind: EventPlatform, Err: err})
+}
+
+func (c *Core) delayWatch(now monotime.Instant) {
+	limit := backoffMax
+	c.platform.failures++
+	if !c.reader {
+		// All learners of the fleet may be extra readers for one cause.
+		limit = extraBackoff
+		c.platform.failures = max(c.platform.failures, extraFailures)
+	}
+	c.platform.watchAt = now.Add(c.backoff(c.platform.failures, limit))
+}
+
+// OnWatch takes the end of a watch; a nil answer without an error says that
+// nothing was newer.
+func (c *Core) OnWatch(now monotime.Instant, number Call, answer *platformapi.WatchAnswer, err error, eff Effects) {
+	made, ok := c.platform.take(number, callWatch)
+	if !ok {
+		return
+	}
+	switch {
+	case err != nil:
+		c.platformFailed(now, err, eff)
+	case answer == nil:
+		c.onNothingNewer(now, made)
+	default:
+		c.onNews(now, made, answer, eff)
+	}
+	c.advance(now, eff)
+}
+
+func (c *Core) onNothingNewer(now monotime.Instant, made call) {
+	if made.floor <= c.known() && made.floor > 0 {
+		c.confirm(made.at)
+		c.root(made.at)
+	}
+	if now.Sub(made.at) < c.cfg.WatchWait/2 {
+		// A platform that does not wait would be asked at once again.
+		c.delayWatch(now)
+		return
+	}
+	c.platform.failures = 0
+	c.platform.watchAt = now
+}
+
+func (c *Core) onNews(now monotime.Instant, made call, answer *platformapi.WatchAnswer, eff Effects) {
+	p := &c.platform
+	useful := false
+	if answer.InstancesVersion > p.instances {
+		useful = true
+		eff.FetchInstances(p.open(call{kind: callInstances, at: now, deadline: now.Add(c.cfg.CallTimeout)}))
+		c.stats.Reads++
+	}
+	revision := uint64(max(answer.Revision, 0))
+	switch {
+	case revision > c.watchFloor():
+		useful = true
+		c.stats.Reads++
+		eff.FetchManifest(p.open(call{kind: callManifest, at: made.at, deadline: now.Add(c.cfg.CallTimeout), told: revision}))
+	case revision > c.known():
+		// On its way already; until it is here nothing is confirmed.
+	case revision == c.known():
+		useful = useful || c.woken
+		c.confirm(made.at)
+		c.root(made.at)
+	default:
+		c.staleAnswer(revision, eff)
+	}
+	if !useful {
+		// A platform that answers at once without news would be asked at once
+		// again, without end.
+		c.delayWatch(now)
+		return
+	}
+	p.watchAt = now
+}
+
+// staleAnswer leaves what is in force alone: a lower revision is an old answer,
+// never a withdrawal.
+func (c *Core) staleAnswer(revision uint64, eff Effects) {
+	c.stats.StaleAnswers++
+	if c.platform.stale == revision {
+		return
+	}
+	c.platform.stale = revision
+	eff.Report(Event{Kind: EventStale, Revision: revision})
+}
+
+// OnManifest takes the manifest that the platform publishes now.
+func (c *Core) OnManifest(now monotime.Instant, number Call, data []byte, err error, eff Effects) {
+	made, ok := c.platform.take(number, callManifest)
+	if !ok {
+		return
+	}
+	c.stats.BytesOfRead += uint64(len(data))
+	if err == nil && len(data) > MaxValueBytes {
+		err = errors.Errorf("manifest of %d bytes", len(data))
+	}
+	if err != nil {
+		c.platformFailed(now, err, eff)
+	} else {
+		c.useRead(now, made, data, eff)
+	}
+	c.advance(now, eff)
+}
+
+func (c *Core) useRead(now monotime.Instant, made call, data []byte, eff Effects) {
+	manifest, err := parseManifest(data)
+	if manifest == nil || manifest.Revision < 1 {
+		c.platformFailed(now, err, eff)
+		return
+	}
+	id := revisionID{number: uint64(manifest.Revision), hash: hashOf(data)}
+	if id.number < made.told {
+		// Watch and values may come from replicas of different age.
+		c.delayWatch(now)
+	}
+	switch {
+	case c.isRefused(id):
+		c.platform.refused = max(c.platform.refused, id.number)
+		c.confirm(made.at)
+	case id.number < c.current.id.number:
+		c.staleAnswer(id.number, eff)
+	case id.number == c.current.id.number:
+		if id.hash != c.current.id.hash {
+			c.conflict(id, platformSource, eff)
+		}
+	default:
+		cand := c.candidate(now, id)
+		cand.platformAt = made.at
+		cand.raw = data
+		cand.retryAt = now
+		delete(cand.failed, platformSource)
+		if err != nil {
+			c.refuse(id, err, eff)
+		}
+	}
+}
+
+// OnInstances tells that the shell read the instance list of that version.
+func (c *Core) OnInstances(now monotime.Instant, number Call, version int, err error, eff Effects) {
+	if _, ok := c.platform.take(number, callInstances); !ok {
+		return
+	}
+	if err != nil {
+		c.platformFailed(now, err, eff)
+	} else {
+		c.platform.instances = max(c.platform.instances, version)
+	}
+	c.advance(now, eff)
+}
+
+// OnChunk takes one value.
+func (c *Core) OnChunk(now monotime.Instant, number Call, data []byte, err error, eff Effects) {
+	if _, ok := c.platform.take(number, callChunk); !ok {
+		return
+	}
+	c.stats.BytesOfRead += uint64(len(data))
+	if err != nil {
+		c.failChunk(number)
+		c.platformFailed(now, err, eff)
+	} else if it := c.chunkOf(number); it != nil {
+		it.data = data
+		c.finish(it, eff)
+		if !it.done {
+			// The value was replaced or is not there yet; the platform's
+			// manifest has to be read again, but not at once.
+			c.delayWatch(now)
+		}
+	}
+	c.advance(now, eff)
+}
+
+func (c *Core) chunkOf(number Call) *item {
+	if c.fetch == nil {
+		return nil
+	}
+	for _, it := range c.fetch.items {
+		if it.active && it.source == platformSource && it.call == number {
+			return it
+		}
+	}
+	return nil
+}
+
+func (c *Core) failChunk(number Call) {
+	if it := c.chunkOf(number); it != nil {
+		c.fetch.failSource(platformSource)
+	}
+}
--- /dev/null
+++ b/internal/confsync/revision.go
@@ -0,0 +1,129 @@
+package confsync
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/inventory"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/platformapi"
+)
+
+// revisionID is a revision with the hash of its manifest, in lower-case hex.
+type revisionID struct {
+	number uint64
+	hash   string
+}
+
+// revision is one that is in force, with what neighbours may ask for.
+type revision struct {
+	id       revisionID
+	manifest []byte
+	chunks   map[string][]byte
+}
+
+const hashLength = 2 * sha256.Size
+
+func hashOf(data []byte) string {
+	digest := sha256.Sum256(data)
+	return hex.EncodeToString(digest[:])
+}
+
+func validHash(hash string) bool {
+	return len(hash) == hashLength && strings.Trim(hash, "0123456789abcdef") == ""
+}
+
+// parseManifest reads and checks a manifest, which comes from outside. With an
+// error it still returns one that could be read, for its revision.
+func parseManifest(data []byte) (*platformapi.Manifest, error) {
+	manifest := &platformapi.Manifest{}
+	if err := json.Unmarshal(data, manifest); err != nil {
+		return nil, errors.Wrap(err, "manifest")
+	}
+	return manifest, checkManifest(manifest)
+}
+
+func checkManifest(manifest *platformapi.Manifest) error {
+	if manifest.Revision < 1 {
+		return errors.Errorf("manifest: revision %d", manifest.Revision)
+	}
+	if len(manifest.Chunks) == 0 || len(manifest.Chunks) > MaxChunks {
+		return errors.Errorf("manifest: %d values", len(manifest.Chunks))
+	}
+	total := 0
+	keys := make(map[string]bool, len(manifest.Chunks))
+	for _, chunk := range manifest.Chunks {
+		if !validHash(chunk.SHA256) || chunk.Bytes < 0 || chunk.Bytes > MaxValueBytes {
+			return errors.Errorf("manifest: value %q has a bad hash or size", chunk.Key)
+		}
+		if chunk.Key == "" || keys[chunk.Key] {
+			return errors.Errorf("manifest: value %q is empty or twice there", chunk.Key)
+		}
+		keys[chunk.Key] = true
+		total += chunk.Bytes
+	}
+	if total > MaxRevisionBytes {
+		return errors.Errorf("manifest: %d bytes in all", total)
+	}
+	return nil
+}
+
+// install puts a complete revision in force or refuses it.
+func (c *Core) install(now monotime.Instant, f *fetch, eff Effects) {
+	files := make([]inventory.File, 0, len(f.manifest.Chunks))
+	chunks := make(map[string][]byte, len(f.manifest.Chunks))
+	for _, chunk := range f.manifest.Chunks {
+		data := f.held[chunk.SHA256]
+		chunks[chunk.SHA256] = data
+		files = append(files, inventory.File{Name: chunk.Key, Data: data})
+	}
+	id := f.candidate.id
+	if err := eff.Install(id.number, files); err != nil {
+		c.refuse(id, err, eff)
+		return
+	}
+	c.current = revision{id: id, manifest: f.raw, chunks: chunks}
+	c.fetch = nil
+	clear(c.spare)
+	c.stats.Installed++
+	clear(c.conflicts)
+	c.dropOldCandidates()
+	eff.Report(Event{Kind: EventInstalled, Revision: id.number, Hash: id.hash})
+	if f.candidate.platformAt != 0 {
+		c.confirm(f.candidate.platformAt)
+		c.root(f.candidate.platformAt)
+	}
+	c.platform.failures = 0
+	c.announce(now, eff)
+}
+
+// refuse remembers a revision that failed its checks, so that it is neither
+// fetched nor checked again; the revision in force stays.
+func (c *Core) refuse(id revisionID, err error, eff Effects) {
+	candidate := c.candidates[id]
+	if candidate != nil && candidate.platformAt != 0 {
+		c.platform.refused = max(c.platform.refused, id.number)
+	}
+	delete(c.candidates, id)
+	if c.fetch != nil && c.fetch.candidate.id == id {
+		c.fetch = nil
+	}
+	if c.isRefused(id) {
+		return
+	}
+	c.refused = append(c.refused, id)
+	if len(c.refused) > maxRefused {
+		c.refused = c.refused[1:]
+	}
+	c.stats.Refused++
+	eff.Report(Event{Kind: EventRefused, Revision: id.number, Hash: id.hash, Err: err})
+}
+
+func (c *Core) isRefused(id revisionID) bool {
+	return slices.Contains(c.refused, id)
+}
