--- a/internal/callers/chat_test.go
+++ b/internal/callers/chat_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"basilrudder/internal/answers"
 	"basilrudder/internal/schema/engineapi"
 	"basilrudder/internal/verdict"
@@ -224,7 +226,10 @@
 	if body.Model != "m1" || body.MaxTokens != 100 || len(body.Messages) != 1 || body.Prefix == "" {
 		t.Errorf("%+v", body)
 	}
-	if request.MaxTokens != 100 || request.PromptTokens == 0 || request.Prefix == 0 || request.Arrived == 0 {
+	if request.Prefix != xxhash.Sum64String(body.Prefix) {
+		t.Errorf("prefix %x does not match the one sent to the engine", request.Prefix)
+	}
+	if request.MaxTokens != 100 || request.PromptTokens == 0 || request.Arrived == 0 {
 		t.Errorf("%+v", request)
 	}
 }
@@ -235,7 +240,7 @@
 	body := `{"prompt_tokens":1234,"prefix":"ff","max_tokens":7,"messages":[{}]}`
 	readAll(t, send(t, "POST", address, pathChat, body, HeaderClass, "letter"))
 	request := backend.requests()[0]
-	if request.PromptTokens != 1234 || request.Prefix != 0xff || request.MaxTokens != 7 {
+	if request.PromptTokens != 1234 || request.Prefix != xxhash.Sum64String("ff") || request.MaxTokens != 7 {
 		t.Errorf("%+v", request)
 	}
 }
--- a/internal/callers/chatbody.go
+++ b/internal/callers/chatbody.go
@@ -17,7 +17,7 @@
 	bytesPerToken = 4
 	// maxPromptTokens bounds what a caller may state.
 	maxPromptTokens = 1 << 24
-	// prefixBase is the base in which a prefix key is written.
+	// prefixBase is the base in which a prefix made here is written.
 	prefixBase = 16
 )
 
@@ -55,7 +55,9 @@
 		return chatRequest{}, badBody(fmt.Sprintf("model is %q, but the class %q is served by %q",
 			body.Model, class.Name, class.Target))
 	}
-	request := chatRequest{stream: body.Stream, prefix: prefixKey(&body)}
+	prefix := cachePrefix(&body)
+	// Engines name the key of a prefix in their cache events by the same hash.
+	request := chatRequest{stream: body.Stream, prefix: xxhash.Sum64String(prefix)}
 	var err *verdict.Error
 	if request.promptTokens, err = promptTokens(&body); err != nil {
 		return chatRequest{}, err
@@ -63,7 +65,7 @@
 	if request.maxTokens, err = maxTokens(&body, class); err != nil {
 		return chatRequest{}, err
 	}
-	request.body = completeBody(raw, &body, &request, class)
+	request.body = completeBody(raw, &body, prefix, request.maxTokens, class)
 	return request, nil
 }
 
@@ -105,40 +107,37 @@
 	return *asked, nil
 }
 
-// prefixKey identifies the leading part of the prompt: the key that the caller
-// states, else the first message, which holds the instructions that many
-// requests share. Engines name the same key in their cache events.
-func prefixKey(body *chatBody) uint64 {
-	if body.Prefix == "" {
-		return xxhash.Sum64(body.Messages[0])
-	}
-	if key, err := strconv.ParseUint(body.Prefix, prefixBase, 64); err == nil {
-		return key
-	}
-	return xxhash.Sum64String(body.Prefix)
+// cachePrefix names the leading part of the prompt: as the caller does, else by
+// a hash of the first message, which holds the instructions that many requests
+// share.
+func cachePrefix(body *chatBody) string {
+	if body.Prefix != "" {
+		return body.Prefix
+	}
+	return strconv.FormatUint(xxhash.Sum64(body.Messages[0]), prefixBase)
 }
 
-// completeBody copies the body and puts in front what the caller left out and
-// the engine needs. The object is known to have members, since messages is one.
-func completeBody(raw []byte, body *chatBody, request *chatRequest, class *catalog.Class) []byte {
+// completeBody copies the body and adds what the caller left out and the engine
+// needs. The members go last, since readers of JSON take the last of two equal
+// names and a caller may have sent an empty one. The object is known to have
+// members, since messages is one.
+func completeBody(raw []byte, body *chatBody, prefix string, maxTokens int, class *catalog.Class) []byte {
 	const roomForMembers = 96
-	open := bytes.IndexByte(raw, '{') + 1
+	end := bytes.LastIndexByte(raw, '}')
 	out := make([]byte, 0, len(raw)+len(class.Target)+roomForMembers)
-	out = append(out, raw[:open]...)
+	out = append(out, raw[:end]...)
 	if body.Model == "" {
-		out = append(out, `"model":`...)
+		out = append(out, `,"model":`...)
 		out = appendJSONString(out, class.Target)
-		out = append(out, ',')
 	}
 	if body.Prefix == "" {
-		out = append(out, `"prefix":"`...)
-		out = strconv.AppendUint(out, request.prefix, prefixBase)
-		out = append(out, `",`...)
+		out = append(out, `,"prefix":"`...)
+		out = append(out, prefix...)
+		out = append(out, '"')
 	}
-	if body.MaxTokens == nil && request.maxTokens > 0 {
-		out = append(out, `"max_tokens":`...)
-		out = strconv.AppendInt(out, int64(request.maxTokens), 10)
-		out = append(out, ',')
+	if body.MaxTokens == nil && maxTokens > 0 {
+		out = append(out, `,"max_tokens":`...)
+		out = strconv.AppendInt(out, int64(maxTokens), 10)
 	}
-	return append(out, raw[open:]...)
+	return append(out, '}')
 }
--- a/internal/callers/fake_test.go
+++ b/internal/callers/fake_test.go
@@ -62,6 +62,7 @@
 	mu        sync.Mutex
 	minted    int
 	submitted []*Request
+	arrived   chan string
 	gone      chan string
 	delivered chan string
 }
@@ -71,8 +72,9 @@
 		catalog:   testCatalog(),
 		store:     answers.NewStore(answers.StoreConfig{Keep: 1 << 40, KeptBytes: 1 << 30}),
 		serve:     serve,
-		gone:      make(chan string, 100),
-		delivered: make(chan string, 100),
+		arrived:   make(chan string, 1000),
+		gone:      make(chan string, 1000),
+		delivered: make(chan string, 1000),
 	}
 }
 
@@ -95,6 +97,7 @@
 	if created {
 		go b.serve(request, log)
 	}
+	b.arrived <- id
 	return log, id, err
 }
 
--- /dev/null
+++ b/internal/callers/relay_test.go
@@ -0,0 +1,142 @@
+package callers
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"basilrudder/internal/answers"
+	"basilrudder/internal/schema/engineapi"
+	"basilrudder/internal/verdict"
+)
+
+// relayTo makes a backend whose ids with the local prefix live at address.
+func relayTo(address string) *fakeBackend {
+	backend := newFakeBackend(func(*Request, *answers.Log) { panic("ran at the wrong instance") })
+	backend.home = func(string) (string, bool, *verdict.Error) { return address, false, nil }
+	return backend
+}
+
+// A caller sends a request bound to one instance to another one, which must
+// pass it on and stream the answer back instead of starting it itself.
+func TestRequestIsRelayedToItsHome(t *testing.T) {
+	home := newFakeBackend(serveTokens("a", "b"))
+	address := startServer(t, Config{}, relayTo(startServer(t, Config{}, home)))
+	response := send(t, "POST", address, pathChat, chatBodyStream, HeaderClass, "letter", HeaderRequestID, "local-1")
+	events, err := readEvents(response.Body)
+	if err != nil || len(events) != 3 || events[2].data != "[DONE]" {
+		t.Errorf("%+v, %v", events, err)
+	}
+	if response.Header.Get(HeaderRequestID) != "local-1" || response.Header.Get(HeaderVerdict) != verdict.TextRan {
+		t.Errorf("%v", response.Header)
+	}
+	whole := send(t, "GET", address, "/v1/requests/local-1/answer", "")
+	if text := readAll(t, whole); !strings.Contains(text, `"content":"ab"`) {
+		t.Error(text)
+	}
+	other := send(t, "GET", address, "/v1/requests/local-1/answer", "", "Authorization", "Bearer "+otherCredential)
+	wantRefusal(t, other, http.StatusNotFound, verdict.MayHaveRun, verdict.ReasonUnknownRequest)
+}
+
+func TestServiceCallIsRelayedAsItIs(t *testing.T) {
+	home := newFakeBackend(func(request *Request, log *answers.Log) {
+		_ = log.SetService(answers.ServiceAnswer{Status: 201, Body: []byte(request.Service.Path + string(request.Body))})
+		log.Close(nil)
+	})
+	address := startServer(t, Config{}, relayTo(startServer(t, Config{}, home)))
+	response := send(t, "POST", address, "/v1/services/registry/a%2F../b?q=1", "body",
+		HeaderClass, "lookup", HeaderRequestID, "local-1")
+	if text := readAll(t, response); response.StatusCode != 201 || text != "/a%2F../b?q=1body" {
+		t.Errorf("%d %q", response.StatusCode, text)
+	}
+}
+
+// Two instances each hold the other for the home of an id. The second one ends
+// the loop. It does not say "not run", since the id may have run elsewhere.
+func TestRelayLoopEnds(t *testing.T) {
+	var second *fakeBackend
+	firstBackend := relayTo("")
+	first := startServer(t, Config{}, firstBackend)
+	second = relayTo(first)
+	address := startServer(t, Config{}, second)
+	firstBackend.home = func(string) (string, bool, *verdict.Error) { return address, false, nil }
+	response := send(t, "POST", address, pathChat, chatBodyWhole, HeaderClass, "letter", HeaderRequestID, "local-1")
+	wantRefusal(t, response, http.StatusServiceUnavailable, verdict.MayHaveRun, verdict.ReasonHomeUnreachable)
+}
+
+// The home of the id cannot be reached. Only it knows whether the id ran, so
+// the verdict is "may have run" although this attempt started nothing.
+func TestUnreachableHome(t *testing.T) {
+	address := startServer(t, Config{}, relayTo("127.0.0.1:1"))
+	response := send(t, "POST", address, pathChat, chatBodyWhole, HeaderClass, "letter", HeaderRequestID, "local-1")
+	refusal := wantRefusal(t, response, http.StatusServiceUnavailable, verdict.MayHaveRun, verdict.ReasonHomeUnreachable)
+	if refusal.RetryAfterMS == 0 {
+		t.Error("no time to come back")
+	}
+}
+
+func TestHomeGone(t *testing.T) {
+	backend := relayTo("")
+	backend.home = func(string) (string, bool, *verdict.Error) {
+		return "", false, verdict.New(verdict.MayHaveRun, verdict.ReasonHomeGone, "gone")
+	}
+	address := startServer(t, Config{}, backend)
+	response := send(t, "GET", address, "/v1/requests/local-1", "")
+	wantRefusal(t, response, http.StatusGone, verdict.MayHaveRun, verdict.ReasonHomeGone)
+}
+
+// The home dies silently while the relayed request waits: its host is gone and
+// no packet says so. The fleet notices, and the caller is told instead of
+// waiting until TCP gives up.
+func TestHomeThatDiesWhileARequestWaits(t *testing.T) {
+	waiting := make(chan struct{})
+	home := newFakeBackend(func(*Request, *answers.Log) { close(waiting) })
+	homeAddress := startServer(t, Config{}, home)
+	backend := relayTo("")
+	var dead atomic.Bool
+	backend.home = func(string) (string, bool, *verdict.Error) {
+		if dead.Load() {
+			return "", false, verdict.New(verdict.MayHaveRun, verdict.ReasonHomeGone, "gone")
+		}
+		return homeAddress, false, nil
+	}
+	address := startServer(t, Config{HomeCheck: time.Millisecond}, backend)
+	go func() {
+		<-waiting
+		dead.Store(true)
+	}()
+	response := send(t, "POST", address, pathChat, chatBodyWhole, HeaderClass, "letter", HeaderRequestID, "local-1")
+	wantRefusal(t, response, http.StatusGone, verdict.MayHaveRun, verdict.ReasonHomeGone)
+}
+
+// The caller of a relayed request leaves. The home must learn it, since it holds
+// the work.
+func TestCallerGoneReachesTheHome(t *testing.T) {
+	home := newFakeBackend(func(_ *Request, log *answers.Log) {
+		_ = log.Append(engineapi.TokenEvent{Offset: 0, Text: "a"})
+	})
+	address := startServer(t, Config{}, relayTo(startServer(t, Config{}, home)))
+	response := send(t, "POST", address, pathChat, chatBodyStream, HeaderClass, "letter", HeaderRequestID, "local-1")
+	if _, err := response.Body.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	<-home.gone
+}
+
+// The home fails in the middle of a relayed stream. The caller sees the cut as
+// it would at the home.
+func TestCutIsRelayed(t *testing.T) {
+	home := newFakeBackend(func(_ *Request, log *answers.Log) {
+		_ = log.Append(engineapi.TokenEvent{Offset: 0, Text: "a"})
+		log.Close(verdict.New(verdict.Ran, verdict.ReasonUpstreamLost, "engine lost"))
+	})
+	address := startServer(t, Config{}, relayTo(startServer(t, Config{}, home)))
+	response := send(t, "POST", address, pathChat, chatBodyStream, HeaderClass, "letter", HeaderRequestID, "local-1")
+	events, err := readEvents(response.Body)
+	if err == nil || len(events) != 2 || events[1].name != "error" {
+		t.Errorf("%+v, %v", events, err)
+	}
+}
