--- /dev/null
+++ b/internal/trace/generate.go
@@ -0,0 +1,220 @@
+package trace
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/schema/inventory"
+	"basilrudder/internal/schema/trace"
+)
+
+const (
+	// burstEvery is the time from one burst to the next, burstFor its length.
+	burstEvery = 45 * time.Second
+	burstFor   = 15 * time.Second
+	// waveFor is the time in which a wave's requests of a burst come.
+	waveFor = 5 * time.Second
+	// batchSlowdown is the part of a step that each further request of a batch
+	// adds, by which capacity is estimated.
+	batchSlowdown = 0.01
+	// cachedPrompt is the part of a prompt that a warm prefix cache saves.
+	cachedPrompt = 0.5
+	// maxGenerated bounds the requests of one line.
+	maxGenerated = 2_000_000
+)
+
+// Generate makes the requests that a line asks for. The same line and inventory
+// give the same requests.
+func Generate(line *trace.Line, cat *catalog.Catalog) ([]Request, error) {
+	m, ok := mixes[line.Generate]
+	if !ok {
+		return nil, errors.Errorf("unknown mix %q", line.Generate)
+	}
+	g := &generator{
+		line:  line,
+		cat:   cat,
+		rng:   rand.New(rand.NewPCG(uint64(line.Seed), 0x62617369)),
+		start: milliseconds(line.AtMS),
+		end:   milliseconds(line.AtMS + line.ForMS),
+	}
+	scaled := line.Load*float64(engineCount(cat)) - g.fixedWork(m)
+	for i := range m.streams {
+		if err := g.stream(&m.streams[i], scaled); err != nil {
+			return nil, err
+		}
+	}
+	slices.SortStableFunc(g.out, func(a, b Request) int { return int(a.At - b.At) })
+	return g.out, nil
+}
+
+type generator struct {
+	line       *trace.Line
+	cat        *catalog.Catalog
+	rng        *rand.Rand
+	start, end time.Duration
+	out        []Request
+}
+
+// fixedWork is the engine work of the streams with a fixed rate, in engines.
+func (g *generator) fixedWork(m mix) float64 {
+	sum := 0.0
+	for i := range m.streams {
+		s := &m.streams[i]
+		if class := g.cat.Classes[s.class]; class != nil && class.Kind == inventory.ClassKindModel {
+			sum += s.perSecond * g.workOf(s)
+		}
+	}
+	return sum
+}
+
+// workOf is the mean work of a request in seconds of one engine.
+func (g *generator) workOf(s *stream) float64 {
+	engine := modelEngine(g.cat)
+	if engine == nil {
+		return 1
+	}
+	slots := float64(engine.Slots)
+	step := engine.StepMS / 1000 * (1 + batchSlowdown*(slots-1))
+	mean := s.output * math.Exp(s.spread*s.spread/2)
+	prompt := s.prompt * (1 - cachedPrompt) / float64(engine.PrefillTokensPerS)
+	return prompt + mean*step/slots
+}
+
+// modelEngine returns the first model engine, which stands for all.
+func modelEngine(cat *catalog.Catalog) *inventory.Engine {
+	for _, group := range cat.GroupList {
+		for _, server := range group.Servers {
+			if server.Spec.Kind == inventory.ServerKindModel {
+				return &server.Engines[0].Spec
+			}
+		}
+	}
+	return nil
+}
+
+func engineCount(cat *catalog.Catalog) int {
+	n := 0
+	for _, server := range cat.Servers {
+		if server.Spec.Kind == inventory.ServerKindModel {
+			n += len(server.Engines)
+		}
+	}
+	return n
+}
+
+func (g *generator) stream(s *stream, scaled float64) error {
+	if g.cat.Classes[s.class] == nil {
+		return errors.Errorf("the inventory has no class %q", s.class)
+	}
+	for _, c := range s.customers {
+		if g.cat.Customers[c.name] == nil {
+			return errors.Errorf("the inventory has no customer %q", c.name)
+		}
+	}
+	perSecond := s.perSecond
+	if s.share > 0 {
+		perSecond = max(0, scaled*s.share) / g.workOf(s)
+	}
+	if perSecond <= 0 {
+		return nil
+	}
+	return g.arrivals(s, perSecond)
+}
+
+// arrivals draws a Poisson process whose rate follows the bursts, by thinning.
+func (g *generator) arrivals(s *stream, perSecond float64) error {
+	peak := perSecond * g.peak(s)
+	for at := g.start; ; {
+		at += time.Duration(g.rng.ExpFloat64() / peak * float64(time.Second))
+		if at >= g.end {
+			return nil
+		}
+		if g.rng.Float64()*peak >= perSecond*g.level(s, at-g.start) {
+			continue
+		}
+		if len(g.out) >= maxGenerated {
+			return errors.New("the line asks for too many requests")
+		}
+		g.out = append(g.out, g.request(s, at))
+	}
+}
+
+func (g *generator) bursts(s *stream) bool {
+	return s.burst && g.line.Burst > 1
+}
+
+// peak is the greatest level.
+func (g *generator) peak(s *stream) float64 {
+	if !g.bursts(s) {
+		return 1
+	}
+	if s.wave {
+		return g.line.Burst * float64(burstFor) / float64(waveFor)
+	}
+	return g.line.Burst
+}
+
+// level is the rate against its mean at a time since the start. Between bursts
+// it is as low as the mean asks for.
+func (g *generator) level(s *stream, since time.Duration) float64 {
+	if !g.bursts(s) {
+		return 1
+	}
+	length := burstFor
+	if s.wave {
+		length = waveFor
+	}
+	peak := g.peak(s)
+	part := float64(length) / float64(burstEvery)
+	if since%burstEvery >= burstEvery-burstFor && since%burstEvery < burstEvery-burstFor+length {
+		return peak
+	}
+	return max(0, (1-peak*part)/(1-part))
+}
+
+func (g *generator) request(s *stream, at time.Duration) Request {
+	customer := g.customer(s)
+	r := Request{
+		At:           at.Truncate(time.Microsecond),
+		Customer:     customer,
+		Class:        s.class,
+		PromptTokens: int(s.prompt * (0.5 + g.rng.Float64())),
+		OutputTokens: g.output(s),
+	}
+	if s.prefixes > 0 {
+		r.Prefix = prefixHash(fmt.Sprintf("%s/%s/%d", s.class, customer, g.popular(s.prefixes)))
+	}
+	return r
+}
+
+func (g *generator) customer(s *stream) string {
+	left := 0.0
+	for _, c := range s.customers {
+		left += c.share
+	}
+	left *= g.rng.Float64()
+	for _, c := range s.customers {
+		left -= c.share
+		if left < 0 {
+			return c.name
+		}
+	}
+	return s.customers[0].name
+}
+
+// popular draws one of n, the first ones more often.
+func (g *generator) popular(n int) int {
+	u := g.rng.Float64()
+	return int(float64(n) * u * u)
+}
+
+func (g *generator) output(s *stream) int {
+	value := s.output * math.Exp(s.spread*g.rng.NormFloat64())
+	return min(max(int(value), 1), s.limit)
+}
--- /dev/null
+++ b/internal/trace/mix.go
@@ -0,0 +1,90 @@
+package trace
+
+// mix is the traffic of a deployment. Some streams keep their rate whatever the
+// load is; the others share what is left of it.
+type mix struct {
+	streams []stream
+}
+
+// stream is the traffic of one class.
+type stream struct {
+	class string
+	// customers and their shares of the stream.
+	customers []customerShare
+	// perSecond is a fixed rate; 0 for a stream that scales with the load.
+	perSecond float64
+	// share of the engine work that the scaling streams have together.
+	share float64
+	// burst says that the stream follows the bursts of the line; wave that all
+	// its requests of a burst come within its first seconds.
+	burst bool
+	wave  bool
+	// prompt is the mean of the prompt tokens.
+	prompt float64
+	// prefixes is the number of distinct prompt prefixes per customer.
+	prefixes int
+	// output is the median of the answer's tokens (a service's milliseconds) and
+	// spread the sigma of its logarithm; limit bounds it.
+	output, spread float64
+	limit          int
+}
+
+type customerShare struct {
+	name  string
+	share float64
+}
+
+// mixes of the two deployments.
+var mixes = map[string]mix{
+	"chikushi": {streams: chikushiStreams()},
+	"kivu":     {streams: kivuStreams()},
+}
+
+// chikushiStreams: counters that look up while a family waits, notaries who
+// draft letters of unknown length, three large customers among ten.
+func chikushiStreams() []stream {
+	counters := []customerShare{{"bureau-counters", 1}}
+	notaries := []customerShare{
+		{"fukuoka-notaries", 0.32}, {"kitakyushu-notaries", 0.28}, {"kurume-notaries", 0.08},
+		{"omuta-notaries", 0.08}, {"itoshima-translators", 0.05}, {"iizuka-translators", 0.05},
+		{"tagawa-translators", 0.05}, {"yukuhashi-translators", 0.05}, {"nogata-translators", 0.04},
+	}
+	translators := []customerShare{
+		{"itoshima-translators", 0.5}, {"iizuka-translators", 0.2}, {"tagawa-translators", 0.1},
+		{"yukuhashi-translators", 0.1}, {"nogata-translators", 0.1},
+	}
+	reading := append([]customerShare{{"bureau-counters", 0.5}}, notaries[0], notaries[1])
+	return []stream{
+		{class: "clerk-lookup", customers: counters, perSecond: 18, burst: true, prompt: 250, prefixes: 12, output: 30, spread: 0.4, limit: 128},
+		{class: "account-status", customers: counters, perSecond: 25, burst: true, output: 15, spread: 0.4, limit: 500},
+		{class: "seal-registry", customers: counters, perSecond: 6, burst: true, output: 40, spread: 0.4, limit: 1000},
+		{class: "certificate-reading", customers: reading, share: 0.25, burst: true, prompt: 2500, prefixes: 30, output: 200, spread: 0.5, limit: 1024},
+		{class: "seal-note", customers: notaries, share: 0.1, burst: true, prompt: 800, prefixes: 4, output: 180, spread: 0.6, limit: 1024},
+		{class: "drafting", customers: notaries, share: 0.45, burst: true, prompt: 1200, prefixes: 6, output: 450, spread: 0.9, limit: 4096},
+		{class: "translation-check", customers: translators, share: 0.12, prompt: 1500, prefixes: 10, output: 300, spread: 0.7, limit: 2048},
+		{class: "archive-reading", customers: counters, share: 0.08, prompt: 3000, prefixes: 100, output: 250, spread: 0.5, limit: 1024},
+	}
+}
+
+// kivuStreams: when the sky lights up every subscriber asks at once.
+func kivuStreams() []stream {
+	paying := []customerShare{
+		{"volcanoes-lodges", 0.36}, {"kivu-shore-lodges", 0.34}, {"nyungwe-lodges", 0.2},
+		{"musanze-guides", 0.05}, {"karongi-guides", 0.05},
+	}
+	schools := []customerShare{
+		{"huye-observatory", 0.4}, {"nyanza-observatory", 0.3}, {"gicumbi-observatory", 0.3},
+	}
+	free := []customerShare{{"rubavu-guides", 0.6}, {"rusizi-guides", 0.4}}
+	all := append(append(append([]customerShare{}, paying...), schools...), free...)
+	return []stream{
+		{class: "alert", customers: paying, perSecond: 45, burst: true, wave: true, prompt: 200, prefixes: 2, output: 60, spread: 0.3, limit: 200},
+		{class: "delivery-receipt", customers: paying, perSecond: 40, burst: true, output: 20, spread: 0.3, limit: 500},
+		{class: "subscriber-lookup", customers: all, perSecond: 20, burst: true, output: 10, spread: 0.3, limit: 500},
+		{class: "alert", customers: schools, share: 0.15, burst: true, wave: true, prompt: 200, prefixes: 2, output: 60, spread: 0.3, limit: 200},
+		{class: "alert", customers: free, share: 0.35, burst: true, wave: true, prompt: 200, prefixes: 2, output: 60, spread: 0.3, limit: 200},
+		{class: "sighting-summary", customers: all, share: 0.25, burst: true, prompt: 600, prefixes: 5, output: 220, spread: 0.5, limit: 600},
+		{class: "digest", customers: all, share: 0.15, prompt: 900, prefixes: 5, output: 500, spread: 0.6, limit: 2048},
+		{class: "archive", customers: all, share: 0.1, prompt: 1500, prefixes: 50, output: 400, spread: 0.6, limit: 2048},
+	}
+}
