Instance: membership, configuration and node together, and its failure tests

Cause: the promises under pauses, partitions, a stale platform and the loss of an owner concern all three at once; one place must join them without I/O. Change: package instance, package vtime (the event loop of tests and replay), eight failure tests of small fleets in virtual time. The guess is now 32 tokens until something was measured.

--- /dev/null
+++ b/internal/instance/fleet_test.go
@@ -0,0 +1,388 @@
+package instance
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/confsync"
+	"basilrudder/internal/membership"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/node"
+	"basilrudder/internal/reqid"
+	"basilrudder/internal/sched"
+	"basilrudder/internal/schema/accounting"
+	"basilrudder/internal/schema/platformapi"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/verdict"
+	"basilrudder/internal/vtime"
+)
+
+const (
+	hop       = 2 * time.Millisecond
+	answerIn  = 200 * time.Millisecond
+	peerPort  = "127.0.0.1:1"
+	noticed   = 3 * time.Second
+	platformT = 5 * time.Millisecond
+)
+
+var errUnreachable = errors.New("unreachable")
+
+// fleet is a few instances, the platform, and engines, in virtual time. It is
+// the network: it carries envelopes, and drops what crosses a cut.
+type fleet struct {
+	vtime.Loop
+	t        *testing.T
+	procs    []*process
+	starts   int
+	revision uint64
+	// served is the revision that the platform tells; a stale one tells an older.
+	served map[uint64][]byte
+	chunks map[string][]byte
+	tells  uint64
+	down   bool
+	// cut tells whether two places cannot reach each other; "" is the platform.
+	cut func(a, b string) bool
+	// runs counts starts at engines by request id.
+	runs map[string]int
+	// startedAt tells when a server last got new work.
+	startedAt map[string]monotime.Instant
+	answers   map[string]*verdict.Error
+	ended     map[string]bool
+	upstream  func(a node.Attempt) *verdict.Error
+}
+
+type process struct {
+	f      *fleet
+	id     string
+	dc     string
+	inst   *Instance
+	self   reqid.Incarnation
+	began  monotime.Instant
+	links  map[string]bool
+	wanted []membership.Target
+	dead   bool
+	asleep monotime.Instant
+	missed []func()
+	inform uint64
+}
+
+func newFleet(t *testing.T, count int) *fleet {
+	f := &fleet{
+		t:         t,
+		served:    make(map[uint64][]byte),
+		chunks:    make(map[string][]byte),
+		cut:       func(string, string) bool { return false },
+		runs:      make(map[string]int),
+		startedAt: make(map[string]monotime.Instant),
+		answers:   make(map[string]*verdict.Error),
+		ended:     make(map[string]bool),
+		upstream:  func(node.Attempt) *verdict.Error { return nil },
+	}
+	f.Run(time.Second)
+	f.publish("")
+	for i := range count {
+		p := &process{f: f, id: fmt.Sprintf("i%d", i), dc: fmt.Sprintf("dc%d", i%2)}
+		f.procs = append(f.procs, p)
+	}
+	for _, p := range f.procs {
+		p.boot()
+	}
+	return f
+}
+
+// publish puts a revision out in which the named server is withdrawn.
+func (f *fleet) publish(withdrawn string) {
+	f.revision++
+	text := `
+[[data_centres]]
+name = "dc0"
+region = "r"
+[[data_centres]]
+name = "dc1"
+region = "r"
+[[models]]
+name = "m"
+[[tiers]]
+tier = 0
+name = "all"
+[[classes]]
+name = "once"
+tier = 0
+kind = "model"
+model = "m"
+deadline_ms = 8000
+[[customers]]
+name = "c"
+credential_sha256 = ["` + hex.EncodeToString(make([]byte, sha256.Size)) + `"]
+[rules]
+servers_per_group = 2
+`
+	for i := range 4 {
+		name := fmt.Sprintf("s%d", i)
+		text += fmt.Sprintf("[[servers]]\nname = %q\ndata_centre = \"dc%d\"\naddress = \"127.0.0.1:%d\"\nkind = \"model\"\nwithdrawn = %v\n"+
+			"[[servers.engines]]\nname = \"e\"\nmodels = [\"m\"]\nslots = 8\n", name, i%2, 9000+i, name == withdrawn)
+	}
+	sum := sha256.Sum256([]byte(text))
+	key := fmt.Sprintf("inventory-%d.toml", f.revision)
+	f.chunks[key] = []byte(text)
+	manifest, _ := json.Marshal(platformapi.Manifest{Revision: int(f.revision), Chunks: []platformapi.Chunk{
+		{Key: key, SHA256: hex.EncodeToString(sum[:]), Bytes: len(text)}}})
+	f.served[f.revision] = manifest
+	f.tells = f.revision
+}
+
+func (f *fleet) list() *platformapi.InstanceList {
+	list := &platformapi.InstanceList{Version: f.starts}
+	for _, p := range f.procs {
+		if !p.dead {
+			list.Instances = append(list.Instances, platformapi.Instance{ID: p.id, DataCentre: p.dc,
+				CallerAddress: peerPort, PeerAddress: peerPort, State: platformapi.InstanceStateLive})
+		}
+	}
+	return list
+}
+
+func (p *process) boot() {
+	p.f.starts++
+	p.dead, p.missed, p.asleep = false, nil, 0
+	p.began = p.f.Now()
+	p.links = make(map[string]bool)
+	p.self = reqid.NewIncarnation(p.id, time.UnixMilli(int64(p.f.Now()/1e6)), uint32(p.f.starts))
+	p.inst = New(p.clock(), Config{
+		Node: node.Config{Self: p.self, DataCentre: p.dc, Policy: sched.Default(), Seed: uint64(p.f.starts)},
+		Self: membership.Member{ID: p.id, Incarnation: p.self.Token, DataCentre: p.dc,
+			CallerAddress: peerPort, PeerAddress: peerPort, Epoch: uint64(p.f.Now() / 1e9)},
+	}, &fleetEffects{p})
+	p.tick(p.self)
+}
+
+func (p *process) clock() monotime.Instant { return p.f.Now() - p.began + 1 }
+
+func (p *process) deliver(self reqid.Incarnation, do func()) {
+	switch {
+	case p.dead || p.self != self:
+	case p.f.Now() < p.asleep:
+		p.missed = append(p.missed, do)
+	default:
+		do()
+	}
+}
+
+func (p *process) tick(self reqid.Incarnation) {
+	if p.dead || p.self != self {
+		return
+	}
+	if p.f.Now() >= p.asleep {
+		p.inst.Tick(p.clock())
+		p.tendLinks()
+	}
+	p.f.After(TickInterval, func() { p.tick(self) })
+}
+
+func (p *process) pause(d time.Duration) {
+	p.asleep = p.f.Now().Add(d)
+	self := p.self
+	p.f.After(d, func() {
+		missed := p.missed
+		p.missed = nil
+		for _, do := range missed {
+			p.deliver(self, do)
+		}
+	})
+}
+
+func (p *process) kill() {
+	p.dead = true
+	for _, q := range p.f.procs {
+		if q.links[p.id] {
+			q.unlink(p.id)
+		}
+	}
+}
+
+func (p *process) unlink(id string) {
+	delete(p.links, id)
+	p.deliver(p.self, func() { p.inst.OnLinkDown(p.clock(), id) })
+}
+
+// tendLinks opens wanted links that can be opened and drops those that are cut.
+func (p *process) tendLinks() {
+	for _, id := range p.linked() {
+		if p.f.cut(p.id, id) {
+			p.unlink(id)
+		}
+	}
+	for _, target := range p.wanted {
+		p.open(target.ID)
+	}
+}
+
+func (p *process) linked() []string {
+	var out []string
+	for id := range p.links {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (p *process) open(id string) bool {
+	q := p.f.proc(id)
+	if q == nil || q == p || q.dead || p.f.cut(p.id, id) || p.f.Now() < q.asleep {
+		return p.links[id]
+	}
+	if !p.links[id] {
+		p.links[id], q.links[p.id] = true, true
+		p.f.After(hop, func() { p.deliver(p.self, func() { p.inst.OnLinkUp(p.clock(), id) }) })
+		p.f.After(hop, func() { q.deliver(q.self, func() { q.inst.OnLinkUp(q.clock(), p.id) }) })
+	}
+	return true
+}
+
+func (f *fleet) proc(id string) *process {
+	for _, p := range f.procs {
+		if p.id == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// send makes a caller send a request to a process and returns its id.
+func (f *fleet) send(p *process) string {
+	prefix, _ := p.self.Prefix(time.UnixMilli(int64(f.Now()/1e6)), node.IDLifetime)
+	f.starts++
+	id := fmt.Sprintf("%sr%d", prefix, f.starts)
+	p.deliver(p.self, func() { f.answerOf(id, p.submit(id)) })
+	return id
+}
+
+func (p *process) submit(id string) *verdict.Error {
+	cat := p.inst.Node().Catalog()
+	if cat == nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonNotReady, "no configuration")
+	}
+	_, err := p.inst.Node().Submit(p.clock(), node.Request{
+		ID: id, Customer: cat.Customers["c"], Class: cat.Classes["once"], PromptTokens: 10})
+	return err
+}
+
+func (f *fleet) answerOf(id string, err *verdict.Error) {
+	if err != nil {
+		f.ended[id] = true
+		f.answers[id] = err
+	}
+}
+
+// fleetEffects is what a process does to the fleet.
+type fleetEffects struct{ p *process }
+
+func (e *fleetEffects) Send(to string, env *wire.Envelope) {
+	p := e.p
+	q := p.f.proc(to)
+	if !p.open(to) {
+		p.f.After(hop, func() { p.unlink(to) })
+		return
+	}
+	self := q.self
+	p.f.After(hop, func() {
+		if !p.f.cut(p.id, to) {
+			q.deliver(self, func() { q.inst.OnEnvelope(q.clock(), p.id, env) })
+		}
+	})
+}
+
+func (e *fleetEffects) Start(a node.Attempt) {
+	f, p, self := e.p.f, e.p, e.p.self
+	if !a.Resume {
+		f.runs[a.RequestID]++
+		f.startedAt[a.Engine.Server.Spec.Name] = f.Now()
+	}
+	err := f.upstream(a)
+	f.After(answerIn, func() {
+		p.deliver(self, func() {
+			a.Progress.Token(p.clock())
+			p.inst.Node().AttemptEnded(p.clock(), a.Seq, a.Number, err)
+		})
+	})
+}
+
+func (e *fleetEffects) CancelAttempt(string) {}
+
+func (e *fleetEffects) Finish(id string, err *verdict.Error) {
+	f, p, self := e.p.f, e.p, e.p.self
+	f.ended[id] = true
+	f.answers[id] = err
+	f.After(hop, func() {
+		p.deliver(self, func() { p.inst.Node().Delivered(p.clock(), id) })
+	})
+}
+
+func (e *fleetEffects) Record(accounting.Record)       {}
+func (e *fleetEffects) Report(event confsync.Event) {
+	if event.Err != nil {
+		e.p.f.t.Logf("%s: %+v", e.p.id, event)
+	}
+}
+func (e *fleetEffects) Want(t []membership.Target)     { e.p.wanted = t }
+func (e *fleetEffects) Installed(cat *catalog.Catalog) { e.p.inform = cat.Revision }
+
+// ask carries a call to the platform.
+func (e *fleetEffects) ask(wait time.Duration, answer func(now monotime.Instant, err error)) {
+	p, self := e.p, e.p.self
+	p.f.After(wait+platformT, func() {
+		var err error
+		if p.f.down || p.f.cut(p.id, "") {
+			err = errUnreachable
+		}
+		p.deliver(self, func() { answer(p.clock(), err) })
+	})
+}
+
+func (e *fleetEffects) Watch(call confsync.Call, revision uint64, instances int, wait time.Duration) {
+	f := e.p.f
+	news := f.tells > revision || f.starts > instances
+	deadline := f.Now().Add(wait)
+	self := e.p.self
+	var poll func()
+	poll = func() {
+		if e.p.dead || e.p.self != self {
+			return
+		}
+		news = f.tells > revision || f.starts > instances
+		if news || f.Now() >= deadline || f.down || f.cut(e.p.id, "") {
+			e.ask(0, func(now monotime.Instant, err error) {
+				answer := &platformapi.WatchAnswer{Revision: int(f.tells), InstancesVersion: f.starts}
+				if !news {
+					answer = nil
+				}
+				e.p.inst.OnWatch(now, call, answer, err)
+			})
+			return
+		}
+		f.After(50*time.Millisecond, poll)
+	}
+	poll()
+}
+
+func (e *fleetEffects) FetchManifest(call confsync.Call) {
+	data := e.p.f.served[e.p.f.tells]
+	e.ask(0, func(now monotime.Instant, err error) { e.p.inst.OnManifest(now, call, data, err) })
+}
+
+func (e *fleetEffects) FetchChunk(call confsync.Call, key string) {
+	e.ask(0, func(now monotime.Instant, err error) { e.p.inst.OnChunk(now, call, e.p.f.chunks[key], err) })
+}
+
+func (e *fleetEffects) FetchInstances(call confsync.Call) {
+	list := e.p.f.list()
+	e.ask(0, func(now monotime.Instant, err error) { e.p.inst.OnInstances(now, call, list, err) })
+}
--- /dev/null
+++ b/internal/instance/instance_test.go
@@ -0,0 +1,217 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"basilrudder/internal/node"
+	"basilrudder/internal/verdict"
+)
+
+// settle gives a new fleet time to find itself.
+const settle = 10 * time.Second
+
+func (f *fleet) wantRevision(p *process, want uint64) {
+	f.t.Helper()
+	if p.inform != want {
+		f.t.Errorf("%s has revision %d in force, want %d", p.id, p.inform, want)
+	}
+}
+
+func (f *fleet) wantAnswers(ids []string) {
+	f.t.Helper()
+	for _, id := range ids {
+		if !f.ended[id] || f.answers[id] != nil {
+			f.t.Errorf("%s: ended %v, error %v", id, f.ended[id], f.answers[id])
+		}
+		if f.runs[id] != 1 {
+			f.t.Errorf("%s ran %d times", id, f.runs[id])
+		}
+	}
+}
+
+func TestFleetServesAndTakesChangesWithinThreeSeconds(t *testing.T) {
+	f := newFleet(t, 6)
+	f.Run(settle)
+	var ids []string
+	for _, p := range f.procs {
+		ids = append(ids, f.send(p))
+	}
+	f.Run(time.Second)
+	f.wantAnswers(ids)
+	f.publish("s0")
+	f.Run(noticed)
+	for _, p := range f.procs {
+		f.wantRevision(p, 2)
+	}
+}
+
+// What the caller sees: its request is served by a server in service. The
+// instance sleeps while a server is withdrawn, and wakes cut off from the
+// platform with its peers still there. It must ask them before it dispatches:
+// the old configuration in its memory still names the server.
+func TestPausedInstanceWakesInAPartition(t *testing.T) {
+	f := newFleet(t, 4)
+	f.Run(settle)
+	p := f.procs[0]
+	p.pause(6 * time.Second)
+	f.Run(time.Second)
+	f.publish("s0")
+	f.cut = func(a, b string) bool { return a == p.id && b == "" }
+	published := f.Now()
+	f.Run(5*time.Second - time.Millisecond)
+	var ids []string
+	for range 20 {
+		ids = append(ids, f.send(p))
+	}
+	f.Run(5 * time.Second)
+	f.wantRevision(p, 2)
+	f.wantAnswers(ids)
+	if late := f.startedAt["s0"]; late > published.Add(noticed) {
+		t.Errorf("the withdrawn server got work %v after it was withdrawn", late.Sub(published))
+	}
+}
+
+// What operators see: nothing goes back. The platform serves an old revision
+// while all instances but one are replaced. The new processes hear the old
+// revision from the platform and the newer one from the instance that stayed.
+func TestStalePlatformAndReplacementOfAllButOne(t *testing.T) {
+	f := newFleet(t, 4)
+	f.Run(settle)
+	f.publish("s0")
+	f.Run(noticed)
+	f.tells = 1
+	for _, p := range f.procs[1:] {
+		p.kill()
+		f.Run(500 * time.Millisecond)
+		p.boot()
+		f.Run(5 * time.Second)
+	}
+	f.Run(settle)
+	for _, p := range f.procs {
+		f.wantRevision(p, 2)
+	}
+	var ids []string
+	for _, p := range f.procs {
+		ids = append(ids, f.send(p))
+	}
+	f.Run(2 * time.Second)
+	f.wantAnswers(ids)
+}
+
+// What the caller sees: its request is answered although the instance that was
+// scheduling it died. In a burst every instance waits for slots of every owner;
+// one owner is killed; the others ask the next owner as soon as the link breaks.
+func TestOwnerDiesInABurst(t *testing.T) {
+	f := newFleet(t, 6)
+	f.Run(settle)
+	victim := f.procs[0]
+	var ids []string
+	for round := range 10 {
+		for _, p := range f.procs[1:] {
+			ids = append(ids, f.send(p))
+		}
+		if round == 5 {
+			victim.kill()
+		}
+		f.Run(20 * time.Millisecond)
+	}
+	f.Run(6 * time.Second)
+	f.wantAnswers(ids)
+}
+
+// What the caller sees: "may have run", never a second run. Its instance dies
+// while the answer is on its way, and it sends the same id to another instance,
+// and to the new process of the first one. Neither is the process that the id
+// names, so neither may start it.
+func TestRetryElsewhereAfterACrashDoesNotRunTwice(t *testing.T) {
+	f := newFleet(t, 4)
+	f.Run(settle)
+	p := f.procs[0]
+	id := f.send(p)
+	f.Run(50 * time.Millisecond)
+	p.kill()
+	f.Run(200 * time.Millisecond)
+	p.boot()
+	f.Run(settle)
+	for _, other := range f.procs {
+		err := other.submit(id)
+		if err == nil || err.Verdict != verdict.MayHaveRun {
+			t.Errorf("%s answered the retry with %v", other.id, err)
+		}
+	}
+	f.Run(time.Second)
+	if f.runs[id] != 1 {
+		t.Errorf("the request ran %d times", f.runs[id])
+	}
+}
+
+// What the caller sees: the whole answer, during a shutdown. The engine's
+// connection goes silent while the instance drains; the node resumes the same
+// run at the same engine, and the drain waits for it.
+func TestSilentEngineConnectionDuringDrain(t *testing.T) {
+	f := newFleet(t, 4)
+	f.Run(settle)
+	p := f.procs[0]
+	f.upstream = func(a node.Attempt) *verdict.Error {
+		if a.Resume {
+			return nil
+		}
+		return verdict.New(verdict.Ran, verdict.ReasonUpstreamSilent, "no byte for the gap timeout")
+	}
+	id := f.send(p)
+	f.Run(20 * time.Millisecond)
+	p.inst.Leave(p.clock())
+	p.inst.Node().Drain(p.clock())
+	f.Run(100 * time.Millisecond)
+	if p.inst.Node().Drained() {
+		t.Error("drained with a request in flight")
+	}
+	f.Run(2 * time.Second)
+	f.wantAnswers([]string{id})
+	if !p.inst.Node().Drained() {
+		t.Error("not drained after its last request")
+	}
+}
+
+// What the caller sees: service goes on. Two data centres lose each other and
+// one of them the platform too, for a minute; each part schedules the servers
+// itself. Afterwards both have the revision that was published meanwhile.
+func TestPartitionServesOnBothSides(t *testing.T) {
+	f := newFleet(t, 6)
+	f.Run(settle)
+	side := func(id string) bool { p := f.proc(id); return p != nil && p.dc == "dc1" }
+	f.cut = func(a, b string) bool { return side(a) != side(b) }
+	f.Run(time.Minute)
+	f.publish("s3")
+	var ids []string
+	for range 5 {
+		for _, p := range f.procs {
+			ids = append(ids, f.send(p))
+		}
+		f.Run(100 * time.Millisecond)
+	}
+	f.Run(3 * time.Second)
+	f.wantAnswers(ids)
+	f.cut = func(string, string) bool { return false }
+	f.Run(20 * time.Second)
+	for _, p := range f.procs {
+		f.wantRevision(p, 2)
+	}
+}
+
+// What the caller sees: nothing. The platform is down for ten minutes, and all
+// instances but one are replaced one by one meanwhile; each new process learns
+// the configuration from its peers alone.
+func TestPlatformDownWhileInstancesAreReplaced(t *testing.T) {
+	f := newFleet(t, 4)
+	f.Run(settle)
+	f.down = true
+	f.Run(10 * time.Minute)
+	var ids []string
+	for _, p := range f.procs {
+		ids = append(ids, f.send(p))
+	}
+	f.Run(2 * time.Second)
+	f.wantAnswers(ids)
+}
--- /dev/null
+++ b/internal/node/envelope.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/wire"
+)
+
+// OnEnvelope takes the parts of a peer's message that concern slots. Acquires
+// come before withdrawals and progress before releases, so that parts that were
+// sent in that order and joined into one message keep it.
+func (n *Node) OnEnvelope(now monotime.Instant, from string, env *wire.Envelope) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.noticePause(now)
+	for _, m := range env.Acquires {
+		n.submitOwned(now, from, m)
+	}
+	for _, m := range env.Withdraws {
+		n.withdrawOwned(now, from, m)
+	}
+	for _, m := range env.Grants {
+		n.onGrant(now, from, m)
+	}
+	for _, m := range env.Refuses {
+		n.onRefuse(now, from, m)
+	}
+	for _, m := range env.Progress {
+		n.progressOwned(now, from, m)
+	}
+	for _, m := range env.Releases {
+		n.releaseOwned(now, from, m)
+	}
+}
--- a/internal/node/grant.go
+++ b/internal/node/grant.go
@@ -15,14 +15,7 @@
 // delay the refusal.
 const maxGroups = 2
 
-// OnGrant takes a slot that the owner from granted.
-func (n *Node) OnGrant(now monotime.Instant, from string, g wire.Grant) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.noticePause(now)
-	n.onGrant(now, from, g)
-}
-
+// onGrant takes a slot that the owner from granted.
 func (n *Node) onGrant(now monotime.Instant, from string, g wire.Grant) {
 	r := n.requests[uint64(g.Seq)]
 	if r == nil || r.state != stateWaiting || r.owner != from || r.group.Name != g.Group {
@@ -83,13 +76,7 @@
 	n.eff.Start(n.attemptOf(r))
 }
 
-// OnRefuse takes the refusal of a slot.
-func (n *Node) OnRefuse(now monotime.Instant, from string, f wire.Refuse) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.onRefuse(now, from, f)
-}
-
+// onRefuse takes the refusal of a slot.
 func (n *Node) onRefuse(now monotime.Instant, from string, f wire.Refuse) {
 	r := n.requests[uint64(f.Seq)]
 	if r == nil || r.state != stateWaiting || r.owner != from || r.group.Name != f.Group {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -29,34 +29,6 @@
 	decision sched.Decision
 }
 
-// OnAcquire takes a peer's request for a slot.
-func (n *Node) OnAcquire(now monotime.Instant, from string, msg wire.Acquire) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.submitOwned(now, from, msg)
-}
-
-// OnWithdraw takes an acquire of a peer back.
-func (n *Node) OnWithdraw(now monotime.Instant, from string, msg wire.Withdraw) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.withdrawOwned(now, from, msg)
-}
-
-// OnProgress renews the slots that a peer holds.
-func (n *Node) OnProgress(now monotime.Instant, from string, msg wire.Progress) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.progressOwned(now, from, msg)
-}
-
-// OnRelease takes a slot back from a peer.
-func (n *Node) OnRelease(now monotime.Instant, from string, msg wire.Release) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.releaseOwned(now, from, msg)
-}
-
 // ownedFor returns the scheduler of a group, created on first use. Whoever asks
 // believes that this instance owns the group; serving two believers of different
 // owners costs quality, refusing one of them would cost an answer.
--- a/internal/node/search_test.go
+++ b/internal/node/search_test.go
@@ -26,17 +26,17 @@
 		w.faults = true
 		for range *searchActions {
 			w.randomAction()
-			w.run(w.between(time.Millisecond, 60*time.Millisecond))
+			w.Run(w.between(time.Millisecond, 60*time.Millisecond))
 		}
 		w.faults = false
 		clear(w.cut)
 		w.views()
-		w.run(15 * time.Second)
+		w.Run(15 * time.Second)
 		if left := w.unanswered(); len(left) > 0 {
 			t.Errorf("seed %d: no answer for %v", seed, left)
 		}
 		w.report()
-		steps += w.steps
+		steps += w.Events()
 		requests += len(w.calls)
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
@@ -77,7 +77,7 @@
 	}
 	p.dead = true
 	p.asleep = 0
-	w.after(w.between(time.Millisecond, 2*time.Second), func() {
+	w.After(w.between(time.Millisecond, 2*time.Second), func() {
 		if p.dead {
 			p.boot()
 			w.views()
@@ -89,7 +89,7 @@
 	q := w.procs[w.rng.IntN(len(w.procs))]
 	key := [2]string{p.name, q.name}
 	w.cut[key] = true
-	w.after(w.between(0, 3*time.Second), func() { delete(w.cut, key) })
+	w.After(w.between(0, 3*time.Second), func() { delete(w.cut, key) })
 	p.deliver(p.self, func() { p.node.LinkDown(p.clock(), q.name) })
 }
 
@@ -100,12 +100,12 @@
 	if _, ok := w.withdrawn[name]; ok {
 		delete(w.withdrawn, name)
 	} else {
-		w.withdrawn[name] = w.now
+		w.withdrawn[name] = w.Now()
 	}
 	w.revision++
 	for _, p := range w.procs {
 		self := p.self
-		w.after(w.between(0, publishDelay), func() {
+		w.After(w.between(0, publishDelay), func() {
 			p.deliver(self, func() { p.node.SetCatalog(p.clock(), w.catalog()) })
 		})
 	}
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -17,18 +16,16 @@
 	"basilrudder/internal/schema/inventory"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/verdict"
+	"basilrudder/internal/vtime"
 )
 
 // world is a few nodes, a network and engines in virtual time. It judges from
 // the outside: it records every run that an engine started and every verdict
 // that a caller got, and compares the two.
 type world struct {
-	t     *testing.T
-	rng   *rand.Rand
-	now   monotime.Instant
-	steps int
-	queue eventHeap
-	order int
+	t   *testing.T
+	rng *rand.Rand
+	vtime.Loop
 
 	procs    []*proc
 	revision uint64
@@ -63,27 +60,6 @@
 	orphaned bool
 }
 
-type event struct {
-	at    monotime.Instant
-	order int
-	do    func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 const (
 	worldServers = 4
 	worldNodes   = 3
@@ -95,12 +71,12 @@
 	w := &world{
 		t:         t,
 		rng:       rand.New(rand.NewPCG(seed, 99)),
-		now:       monotime.Instant(time.Second),
 		withdrawn: make(map[string]monotime.Instant),
 		runs:      make(map[string][]string),
 		calls:     make(map[string]*call),
 		cut:       make(map[[2]string]bool),
 	}
+	w.Run(time.Second)
 	for i := range worldNodes {
 		p := &proc{w: w, name: fmt.Sprintf("n%d", i)}
 		w.procs = append(w.procs, p)
@@ -136,25 +112,8 @@
 	return catalog.Compile(w.revision+1, inv)
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.order++
-	heap.Push(&w.queue, event{at: w.now.Add(d), order: w.order, do: do})
-}
-
-// run carries out events until the time has passed.
-func (w *world) run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.queue) > 0 && w.queue[0].at <= end {
-		next := heap.Pop(&w.queue).(event)
-		w.now = next.at
-		w.steps++
-		next.do()
-	}
-	w.now = end
-}
-
 func (w *world) fail(format string, args ...any) {
-	w.bad = append(w.bad, fmt.Sprintf("at %v: ", time.Duration(w.now))+fmt.Sprintf(format, args...))
+	w.bad = append(w.bad, fmt.Sprintf("at %v: ", time.Duration(w.Now()))+fmt.Sprintf(format, args...))
 }
 
 func (w *world) chance(percent int) bool {
@@ -171,8 +130,8 @@
 	p.dead = false
 	p.asleep = 0
 	p.missed = nil
-	p.started = w.now
-	p.self = reqid.NewIncarnation(p.name, time.UnixMilli(int64(w.now)/int64(time.Millisecond)), w.rng.Uint32())
+	p.started = w.Now()
+	p.self = reqid.NewIncarnation(p.name, time.UnixMilli(int64(w.Now())/int64(time.Millisecond)), w.rng.Uint32())
 	p.node = New(Config{Self: p.self, DataCentre: "a", Policy: sched.Default(), Seed: w.rng.Uint64()}, &effects{p: p, self: p.self})
 	p.node.SetCatalog(p.clock(), w.catalog())
 	p.tick(p.self)
@@ -180,7 +139,7 @@
 
 // clock is the process's monotonic clock.
 func (p *proc) clock() monotime.Instant {
-	return p.w.now - p.started + 1
+	return p.w.Now() - p.started + 1
 }
 
 // deliver runs do on the process: at once, when it wakes, or never.
@@ -188,7 +147,7 @@
 	if p.dead || p.self != self {
 		return
 	}
-	if p.w.now < p.asleep {
+	if p.w.Now() < p.asleep {
 		p.missed = append(p.missed, do)
 		return
 	}
@@ -199,10 +158,10 @@
 	if p.dead || p.self != self {
 		return
 	}
-	if p.w.now >= p.asleep {
+	if p.w.Now() >= p.asleep {
 		p.node.Tick(p.clock())
 	}
-	p.w.after(TickInterval, func() { p.tick(self) })
+	p.w.After(TickInterval, func() { p.tick(self) })
 }
 
 // pause stops the process. What arrives meanwhile is handled first when it
@@ -211,9 +170,9 @@
 	if p.dead {
 		return
 	}
-	p.asleep = p.w.now.Add(d)
+	p.asleep = p.w.Now().Add(d)
 	self := p.self
-	p.w.after(d, func() {
+	p.w.After(d, func() {
 		if p.self != self {
 			return
 		}
@@ -230,7 +189,7 @@
 // a question asked now.
 func (p *proc) confirm(self reqid.Incarnation) {
 	asked := p.clock()
-	p.w.after(150*time.Millisecond, func() {
+	p.w.After(150*time.Millisecond, func() {
 		p.deliver(self, func() {
 			p.node.SetCatalog(p.clock(), p.w.catalog())
 			p.node.Confirm(p.clock(), asked)
@@ -264,45 +223,23 @@
 	if w.cut[[2]string{from, to}] || w.chance(3) {
 		return
 	}
-	w.after(w.between(time.Millisecond, 20*time.Millisecond), func() {
+	w.After(w.between(time.Millisecond, 20*time.Millisecond), func() {
 		for _, q := range w.procs {
 			if q.name == to {
-				q.deliver(q.self, func() { q.receive(from, env) })
+				q.deliver(q.self, func() { q.node.OnEnvelope(q.clock(), from, env) })
 			}
 		}
 	})
 }
 
-func (p *proc) receive(from string, env *wire.Envelope) {
-	now := p.clock()
-	for _, m := range env.Acquires {
-		p.node.OnAcquire(now, from, m)
-	}
-	for _, m := range env.Withdraws {
-		p.node.OnWithdraw(now, from, m)
-	}
-	for _, m := range env.Grants {
-		p.node.OnGrant(now, from, m)
-	}
-	for _, m := range env.Refuses {
-		p.node.OnRefuse(now, from, m)
-	}
-	for _, m := range env.Progress {
-		p.node.OnProgress(now, from, m)
-	}
-	for _, m := range env.Releases {
-		p.node.OnRelease(now, from, m)
-	}
-}
-
 func (e *effects) Start(a Attempt) {
 	w, p, self := e.p.w, e.p, e.self
 	server := a.Engine.Server.Spec.Name
-	if at, ok := w.withdrawn[server]; ok && w.now.Sub(at) > withdrawWait && !a.Resume {
-		w.fail("%s started %s on %s, withdrawn %v before", p.name, a.RequestID, server, w.now.Sub(at))
+	if at, ok := w.withdrawn[server]; ok && w.Now().Sub(at) > withdrawWait && !a.Resume {
+		w.fail("%s started %s on %s, withdrawn %v before", p.name, a.RequestID, server, w.Now().Sub(at))
 	}
 	end := func(d time.Duration, err *verdict.Error) {
-		w.after(d, func() {
+		w.After(d, func() {
 			p.deliver(self, func() { p.node.AttemptEnded(p.clock(), a.Seq, a.Number, err) })
 		})
 	}
@@ -332,7 +269,7 @@
 
 func (e *effects) CancelAttempt(id string) {
 	w, p, self := e.p.w, e.p, e.self
-	w.after(time.Millisecond, func() {
+	w.After(time.Millisecond, func() {
 		p.deliver(self, func() {
 			r := p.node.byID[id]
 			if r != nil && r.state == stateRunning {
@@ -352,7 +289,7 @@
 	c.verdicts = append(c.verdicts, v)
 	c.whole = err == nil
 	p, self := e.p, e.self
-	p.w.after(time.Millisecond, func() {
+	p.w.After(time.Millisecond, func() {
 		p.deliver(self, func() { p.node.Delivered(p.clock(), id) })
 	})
 }
@@ -364,7 +301,7 @@
 	if p.dead {
 		return nil
 	}
-	prefix, _ := p.self.Prefix(time.UnixMilli(int64(w.now)/int64(time.Millisecond)), IDLifetime)
+	prefix, _ := p.self.Prefix(time.UnixMilli(int64(w.Now())/int64(time.Millisecond)), IDLifetime)
 	c := &call{id: fmt.Sprintf("%sx%d", prefix, len(w.calls)), at: p}
 	w.calls[c.id] = c
 	p.deliver(p.self, func() { w.submit(p, c, class) })
--- a/internal/sched/predict.go
+++ b/internal/sched/predict.go
@@ -110,8 +110,11 @@
 }
 
 const (
-	// priorOutputShare of a class's bound is guessed before samples exist.
-	priorOutputShare = 0.25
+	// priorOutputTokens is guessed before samples exist. It is low on purpose: a
+	// new owner of a group has no samples, and a refusal must rest on what was
+	// measured; a guess of a quarter of the class's bound refused requests after
+	// a change of owner that would have been served in time.
+	priorOutputTokens = 32
 	// priorServiceMS is guessed for a service before samples exist.
 	priorServiceMS = 20
 	holdWeight     = 0.05
@@ -122,7 +125,7 @@
 		return s
 	}
 	s := &classStats{service: class.Kind == inventory.ClassKindService}
-	prior := priorOutputShare * float64(max(class.MaxOutputTokens, 1))
+	prior := float64(min(priorOutputTokens, max(class.MaxOutputTokens, 1)))
 	if s.service {
 		prior = priorServiceMS
 	}
