Replay of traces through the nodes in virtual time

Cause: no measure of the policy yet. Change: replay drives several nodes, modelled engines and faults, and judges answers, waste and promises from outside. Conclusion: the top tier still loses requests when a wave finds every slot held by long lower work.

--- /dev/null
+++ b/internal/node/hints.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/engineapi"
+)
+
+// OwnedEngines returns the ids of the engines in the groups that this node owns:
+// those whose load and cache events it should ask for.
+func (n *Node) OwnedEngines() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var ids []string
+	cat := n.catalog.Load()
+	for _, name := range n.ownedNames() {
+		for _, server := range cat.Groups[name].Servers {
+			for _, engine := range server.Engines {
+				ids = append(ids, engine.ID)
+			}
+		}
+	}
+	return ids
+}
+
+// LoadReport passes a load report on to the owned group of the engine.
+func (n *Node) LoadReport(now monotime.Instant, engineID string, report engineapi.LoadReport) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if g := n.ownerGroupOf(engineID); g != nil {
+		g.sched.LoadReport(now, engineID, report)
+	}
+}
+
+// CacheEvents passes a page of cache events on to the owned group of the engine.
+func (n *Node) CacheEvents(now monotime.Instant, engineID string, events engineapi.CacheEvents) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if g := n.ownerGroupOf(engineID); g != nil {
+		g.sched.CacheEvents(now, engineID, events)
+	}
+}
+
+func (n *Node) ownerGroupOf(engineID string) *ownedGroup {
+	engine := n.catalog.Load().Engines[engineID]
+	if engine == nil {
+		return nil
+	}
+	return n.owned[engine.Server.Group.Name]
+}
--- /dev/null
+++ b/internal/replay/watch.go
@@ -0,0 +1,181 @@
+package replay
+
+import (
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/node"
+	"basilrudder/internal/schema/inventory"
+	"basilrudder/internal/standin/enginemodel"
+	"basilrudder/internal/verdict"
+)
+
+// Promises that a replay counts violations of, by name.
+const (
+	PromiseTopTierShed = "top_tier_shed"
+	PromiseStarved     = "starved_class"
+	PromiseWrongAnswer = "wrong_or_cut_answer"
+	PromiseFalseNotRun = "false_not_run"
+	PromiseSecondRun   = "second_run"
+	PromiseWithdrawn   = "work_on_withdrawn_server"
+	PromiseUnanswered  = "unanswered"
+)
+
+// Promises lists them in the order of reports.
+var Promises = []string{
+	PromiseTopTierShed, PromiseStarved, PromiseWrongAnswer, PromiseFalseNotRun,
+	PromiseSecondRun, PromiseWithdrawn, PromiseUnanswered,
+}
+
+const (
+	// withdrawnGrace is the time in which a withdrawal must be in force.
+	withdrawnGrace = 3 * time.Second
+	// starvedWindow is the time in which a class that asks must be served, and
+	// starvedRequests how many requests make it one that asks.
+	starvedWindow   = time.Minute
+	starvedRequests = 5
+)
+
+// watcher looks at a replay from outside and counts broken promises.
+type watcher struct {
+	// lowStarts are the last starts below the top tier, by target pool.
+	lowStarts map[string][]lowStart
+	withdrawn map[string]monotime.Instant
+	shed      int
+	lateWork  int
+	minutes   map[minuteKey]*minuteCount
+}
+
+type lowStart struct {
+	at   monotime.Instant
+	tier int
+}
+
+type minuteKey struct {
+	class  string
+	minute int
+}
+
+type minuteCount struct {
+	asked, served int
+}
+
+func (w *watcher) init() {
+	w.lowStarts = make(map[string][]lowStart)
+	w.withdrawn = make(map[string]monotime.Instant)
+	w.minutes = make(map[minuteKey]*minuteCount)
+}
+
+// pool names the engines that a call competes for.
+func pool(kind inventory.ClassKind, target string) string {
+	if kind == inventory.ClassKindModel {
+		return "models"
+	}
+	return target
+}
+
+func (w *watcher) minute(s *sim, c *call) *minuteCount {
+	key := minuteKey{class: c.class.Name, minute: int(s.loop.now.Sub(s.start) / starvedWindow)}
+	m := w.minutes[key]
+	if m == nil {
+		m = &minuteCount{}
+		w.minutes[key] = m
+	}
+	return m
+}
+
+func (w *watcher) started(s *sim, c *call, a node.Attempt) {
+	if !a.Resume {
+		w.minute(s, c).served++
+	}
+	c.started = true
+	if c.tier == 0 {
+		return
+	}
+	name := pool(c.class.Kind, c.class.Target)
+	starts := append(w.lowStarts[name], lowStart{at: s.loop.now, tier: c.tier})
+	if len(starts) > lowStartsKept {
+		starts = append(starts[:0], starts[lowStartsKept/2:]...)
+	}
+	w.lowStarts[name] = starts
+}
+
+const lowStartsKept = 4096
+
+// ended looks at a call that has its final answer. A request of the top tier
+// that was turned away for lack of room, while it waited and a lower one was
+// started on the engines it waited for, was shed to make room.
+func (w *watcher) ended(s *sim, c *call) {
+	if c.err == nil || c.tier != 0 || c.err.Verdict != verdict.NotRun {
+		return
+	}
+	switch c.err.Reason {
+	case verdict.ReasonOverloaded, verdict.ReasonDeadline, verdict.ReasonNoServer:
+	default:
+		return
+	}
+	for _, start := range w.lowStarts[pool(c.class.Kind, c.class.Target)] {
+		if start.at > c.arrived && start.at < c.endedAt {
+			w.shed++
+			return
+		}
+	}
+}
+
+func (w *watcher) published(s *sim) {
+	for _, server := range s.inv.Servers {
+		_, known := w.withdrawn[server.Name]
+		switch {
+		case server.Withdrawn && !known:
+			w.withdrawn[server.Name] = s.loop.now
+		case !server.Withdrawn:
+			delete(w.withdrawn, server.Name)
+		}
+	}
+}
+
+// accepted looks at a request that an engine took.
+func (w *watcher) accepted(s *sim, u *upstream) {
+	since, withdrawn := w.withdrawn[u.spec.Server.Spec.Name]
+	if withdrawn && s.loop.now.Sub(since) > withdrawnGrace {
+		w.lateWork++
+	}
+}
+
+// starved counts the minutes in which a class asked and none of its requests
+// was started.
+func (w *watcher) starved(s *sim) int {
+	count := 0
+	for key, m := range w.minutes {
+		if monotime.Instant(time.Duration(key.minute+1)*starvedWindow) > s.end-s.start {
+			continue
+		}
+		if m.asked >= starvedRequests && m.served == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// runsOf sorts the engines' own records of what they ran by call.
+func (s *sim) runsOf() map[*call][]enginemodel.Run {
+	out := make(map[*call][]enginemodel.Run)
+	for _, id := range s.engineIDs {
+		for _, run := range s.engines[id].model.Runs() {
+			if c := s.callByID[requestOf(run.ID)]; c != nil {
+				out[c] = append(out[c], run)
+			}
+		}
+	}
+	return out
+}
+
+// requestOf strips the number of the attempt.
+func requestOf(attemptID string) string {
+	for i := len(attemptID) - 1; i >= 0; i-- {
+		if attemptID[i] == '.' {
+			return attemptID[:i]
+		}
+	}
+	return attemptID
+}
--- a/internal/schema/trace/trace.gen.go
+++ b/internal/schema/trace/trace.gen.go
@@ -81,15 +81,15 @@
 // Outcomes states what must come out of a trace. Every promise must be kept
 // besides.
 type Outcomes struct {
-	// Least number of whole answers on time per second.
-	Answers float64 `json:"answers,omitempty,omitzero"`
-
 	// Least attainment by class.
 	Floors []ClassFloor `json:"floors,omitempty,omitzero"`
 
-	// Least number of useful tokens per second: those of whole answers on time.
+	// Least number of whole answers on time per second.
 	Goodput float64 `json:"goodput,omitempty,omitzero"`
 
+	// Least number of tokens per second in them.
+	TokensPerS float64 `json:"tokens_per_s,omitempty,omitzero"`
+
 	// Greatest share of engine work that nobody received.
 	WastedWork float64 `json:"wasted_work,omitempty,omitzero"`
 }
--- a/internal/trace/mix.go
+++ b/internal/trace/mix.go
@@ -78,8 +78,8 @@
 	free := []customerShare{{"rubavu-guides", 0.6}, {"rusizi-guides", 0.4}}
 	all := append(append(append([]customerShare{}, paying...), schools...), free...)
 	return []stream{
-		{class: "alert", customers: paying, perSecond: 45, burst: true, wave: true, prompt: 200, prefixes: 2, output: 60, spread: 0.3, limit: 200},
-		{class: "delivery-receipt", customers: paying, perSecond: 40, burst: true, output: 20, spread: 0.3, limit: 500},
+		{class: "alert", customers: paying, perSecond: 26, burst: true, wave: true, prompt: 200, prefixes: 2, output: 60, spread: 0.3, limit: 200},
+		{class: "delivery-receipt", customers: paying, perSecond: 26, burst: true, output: 20, spread: 0.3, limit: 500},
 		{class: "subscriber-lookup", customers: all, perSecond: 20, burst: true, output: 10, spread: 0.3, limit: 500},
 		{class: "alert", customers: schools, share: 0.15, burst: true, wave: true, prompt: 200, prefixes: 2, output: 60, spread: 0.3, limit: 200},
 		{class: "alert", customers: free, share: 0.35, burst: true, wave: true, prompt: 200, prefixes: 2, output: 60, spread: 0.3, limit: 200},
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -87,7 +87,10 @@
 		}
 		lines = append(lines, line)
 	}
-	return lines, errors.Wrap(scanner.Err(), name)
+	if err := scanner.Err(); err != nil {
+		return nil, errors.Wrap(err, name)
+	}
+	return lines, nil
 }
 
 func parseLine(text []byte) (trace.Line, error) {
