Replay passes whole envelopes to nodes

Cause: the node's entry points for single messages were replaced by one for an envelope. Change: replay uses it.

--- a/internal/replay/instance.go
+++ b/internal/replay/instance.go
@@ -165,7 +165,7 @@
 	}
 	from := p.inst.name
 	delay := p.sim.cat.OneWay(p.inst.dataCentre, other.inst.dataCentre) + handling
-	other.deliver(delay, func(now monotime.Instant) { other.receive(now, from, env) })
+	other.deliver(delay, func(now monotime.Instant) { other.node.OnEnvelope(now, from, env) })
 }
 
 func (s *sim) processOf(name string) *process {
@@ -177,27 +177,6 @@
 	return nil
 }
 
-func (p *process) receive(now monotime.Instant, from string, env *wire.Envelope) {
-	for _, m := range env.Acquires {
-		p.node.OnAcquire(now, from, m)
-	}
-	for _, m := range env.Grants {
-		p.node.OnGrant(now, from, m)
-	}
-	for _, m := range env.Refuses {
-		p.node.OnRefuse(now, from, m)
-	}
-	for _, m := range env.Withdraws {
-		p.node.OnWithdraw(now, from, m)
-	}
-	for _, m := range env.Progress {
-		p.node.OnProgress(now, from, m)
-	}
-	for _, m := range env.Releases {
-		p.node.OnRelease(now, from, m)
-	}
-}
-
 // Start implements node.Effects.
 func (p *process) Start(a node.Attempt) {
 	up := p.sim.engines[a.Engine.ID]
