membership: failure tests and traffic measured

Cause: the thin version was untested beyond start and crash. Change: a network of cores in virtual time; tests for crash, lost host, pause with partition, asymmetric and flapping paths, lost data centre, regions apart, lying instance lists, replacement of all but one, lost frames, two processes with one id, full table. Found and fixed: a restarted process whose epoch is lower than its predecessor's was never told of it; a member that the platform moves to leaving was missed when it had been listed before peers told of it; a pause was noticed only at the next tick.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -38,6 +38,7 @@
 	seq         int
 	confirmSeq  int
 	confirmed   bool
+	sums        []int // digests of the buckets, nil when out of date
 	graphDirty  bool
 	viewDirty   bool
 	view        *View
@@ -115,9 +116,7 @@
 // Tick does what is due. The shell calls it each TickInterval; a gap of
 // PauseLimit or more counts as a pause of the process.
 func (c *Core) Tick(now monotime.Instant, eff Effects) {
-	if gap := now.Sub(c.lastTick); c.lastTick != 0 && gap >= PauseLimit {
-		c.OnPaused(now, gap, eff)
-	}
+	c.noticePause(now, eff)
 	c.lastTick = now
 	c.refreshContacts(now)
 	c.expire(now)
@@ -126,8 +125,17 @@
 	c.chooseProbe(now)
 }
 
+// noticePause makes every event look at the gap since the last tick: a process
+// that wakes may read old messages from its sockets before its timers fire.
+func (c *Core) noticePause(now monotime.Instant, eff Effects) {
+	if gap := now.Sub(c.lastTick); c.lastTick != 0 && gap >= PauseLimit {
+		c.OnPaused(now, gap, eff)
+	}
+}
+
 // OnLinkUp tells that a link to a peer is open.
 func (c *Core) OnLinkUp(now monotime.Instant, id string, eff Effects) {
+	c.noticePause(now, eff)
 	ct := c.contact(id)
 	ct.up = true
 	ct.mismatch = 0
@@ -202,6 +210,7 @@
 
 func (c *Core) bumpSelf(now monotime.Instant) {
 	c.self.Epoch++
+	c.sums = nil
 	c.bumped = now
 	c.viewDirty = true
 }
@@ -261,7 +270,7 @@
 func (c *Core) unseen() int {
 	n := 0
 	for _, cand := range c.candidates {
-		if cand.live {
+		if cand.listing == listedAsLive {
 			n++
 		}
 	}
@@ -330,11 +339,10 @@
 		if in.ID == c.self.ID || c.find(in.ID) != nil || len(out) >= MaxMembers {
 			continue
 		}
-		cand := &candidate{id: in.ID, address: in.PeerAddress, rings: ringHashes(in.ID)}
+		cand := &candidate{id: in.ID, address: in.PeerAddress, rings: ringHashes(in.ID), listing: listingOf(in)}
 		if prev := old[in.ID]; prev != nil {
 			cand.retry, cand.backoff = prev.retry, prev.backoff
 		}
-		cand.live = in.State == platformapi.InstanceStateLive
 		out = append(out, cand)
 	}
 	slices.SortFunc(out, func(a, b *candidate) int { return strings.Compare(a.id, b.id) })
@@ -342,28 +350,42 @@
 }
 
 func (c *Core) markListed(now monotime.Instant, instances []platformapi.Instance) {
-	states := make(map[string]platformapi.InstanceState, len(instances))
+	listings := make(map[string]listing, len(instances))
 	for _, in := range instances {
-		states[in.ID] = in.State
+		listings[in.ID] = listingOf(in)
 	}
 	for _, e := range c.entries {
-		state, found := states[e.ID]
-		switch {
-		case !found:
+		e.listing = listings[e.ID]
+		switch e.listing {
+		case notListed:
 			e.unlisted = e.unlisted || !e.State.present() && now.Sub(e.since) >= forgetUnlisted
-		case state == platformapi.InstanceStateLive:
+		case listedAsLive:
 			e.listedLive, e.listedLeaving, e.unlisted = true, false, false
-		default:
-			// Only a change seen during this incarnation counts: an entry
-			// that was leaving all along may speak of the process before it.
+		case listedAsLeaving:
+			// Only a change seen during this incarnation counts: an ID that
+			// was listed as leaving all along may speak of the process before.
 			e.listedLeaving = e.listedLive
 		}
 	}
 }
 
-// removeCandidate drops a listed instance that peers have told of.
-func (c *Core) removeCandidate(id string) {
-	c.candidates = slices.DeleteFunc(c.candidates, func(cand *candidate) bool { return cand.id == id })
+func listingOf(in platformapi.Instance) listing {
+	if in.State == platformapi.InstanceStateLive {
+		return listedAsLive
+	}
+	return listedAsLeaving
+}
+
+// takeCandidate removes a listed instance that peers have told of and returns
+// how it was listed.
+func (c *Core) takeCandidate(id string) listing {
+	i := slices.IndexFunc(c.candidates, func(cand *candidate) bool { return cand.id == id })
+	if i < 0 {
+		return notListed
+	}
+	listing := c.candidates[i].listing
+	c.candidates = slices.Delete(c.candidates, i, i+1)
+	return listing
 }
 
 func toWire(m Member) wire.MemberUpdate {
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -10,6 +10,7 @@
 
 // OnPing answers a heartbeat.
 func (c *Core) OnPing(now monotime.Instant, from string, ping *wire.Ping, eff Effects) {
+	c.noticePause(now, eff)
 	c.heard(now, from)
 	e := c.find(from)
 	if e != nil && !e.State.present() {
@@ -25,6 +26,7 @@
 
 // OnPong takes the answer to a heartbeat.
 func (c *Core) OnPong(now monotime.Instant, from string, pong *wire.Pong, eff Effects) {
+	c.noticePause(now, eff)
 	c.heard(now, from)
 	if pong.Seq >= c.confirmSeq && pong.Seq <= c.seq {
 		c.setConfirmed(true)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -1,40 +1,376 @@
 package membership
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
-)
 
-func without(ids []string, id string) []string {
-	return slices.DeleteFunc(slices.Clone(ids), func(x string) bool { return x == id })
-}
+	"basilrudder/internal/schema/platformapi"
+	"basilrudder/internal/schema/wire"
+)
 
 func TestEveryoneStartsAtOnce(t *testing.T) {
 	// All instances are replaced at the same moment and nobody knows anything
 	// but the platform's list. Each dials its ring neighbours and passes on
 	// what it learns, so that all see all without a full mesh of links.
-	w := newNetwork(t, 64)
-	took := w.settle()
-	t.Logf("64 members saw each other after %v", took)
-	for _, id := range w.ids {
-		if !w.view(id).Confirmed {
-			t.Errorf("%s is not confirmed", id)
+	for _, n := range []int{8, 64, 360} {
+		w := newNetwork(t, n)
+		took := w.settle()
+		t.Logf("%d members saw each other after %v", n, took)
+		w.run(time.Second)
+		for _, id := range w.ids {
+			if !w.view(id).Confirmed {
+				t.Errorf("%s is not confirmed", id)
+			}
+			if got := len(w.procs[id].core.Neighbours()); got > 2*Rings {
+				t.Errorf("%s has %d neighbours", id, got)
+			}
 		}
 	}
 }
 
+func TestEveryoneRestartsAtOnce(t *testing.T) {
+	// A settled fleet is killed and started again under the same ids, with
+	// clocks that make the new epochs smaller than the old ones for a third.
+	// Nobody remembers the old processes, so the new ones are all there is.
+	w := newNetwork(t, 48)
+	w.settle()
+	for _, id := range w.ids {
+		w.kill(id)
+	}
+	for i, id := range w.ids {
+		w.startWith(id, 1, 1_764_000_000+uint64(i%3)-1)
+	}
+	t.Logf("48 restarted members saw each other after %v", w.settle())
+}
+
 func TestCrashIsNoticed(t *testing.T) {
 	// A process is killed. Its host closes its links, the neighbours cannot
 	// replace them and suspect it, nobody refutes, and everyone drops it.
+	for _, n := range []int{8, 64, 360} {
+		w := newNetwork(t, n)
+		w.settle()
+		w.run(5 * time.Second)
+		w.kill("dc1-000")
+		took := w.settle()
+		t.Logf("%d members dropped a killed process after %v", n, took)
+		if took > LostLinkGrace+SuspicionLimit+time.Second {
+			t.Errorf("took %v", took)
+		}
+		if got := w.view("dc2-001").Known; got != n {
+			t.Errorf("Known = %d, want %d: the list still names the dead one", got, n)
+		}
+	}
+}
+
+func TestLostHostIsNoticed(t *testing.T) {
+	// A host loses power. Nothing closes its links; they fall silent.
+	w := newNetwork(t, 64)
+	w.settle()
+	w.run(5 * time.Second)
+	w.lose("dc1-000")
+	took := w.settle()
+	t.Logf("64 members dropped a silent process after %v", took)
+	if took > SilenceLimit+SuspicionLimit+2*time.Second {
+		t.Errorf("took %v", took)
+	}
+}
+
+func TestRestartedProcessReplacesItself(t *testing.T) {
+	// A process crashes and is started again at once under its id, on a host
+	// whose clock is behind. Peers hold news of the old process with a higher
+	// epoch; the new one hears of it, outbids it and is the one that counts.
 	w := newNetwork(t, 16)
 	w.settle()
 	w.kill("dc1-000")
-	took := w.until(5*time.Second, "the death is known", func() bool {
-		return w.sees(w.running(), w.running())
+	w.startWith("dc1-000", 1, 5)
+	t.Logf("the new process was known everywhere after %v", w.settle())
+	w.always(10*time.Second, "the new process stays", func() bool { return w.sees(w.ids, w.ids) })
+}
+
+func TestLeavingIsAnnounced(t *testing.T) {
+	// A process gets SIGTERM. It must drop out of what takes new work at once,
+	// stay reachable while it finishes, and not be waited for afterwards.
+	w := newNetwork(t, 64)
+	w.settle()
+	leaver := "dc3-020"
+	others := without(w.ids, leaver)
+	w.procs[leaver].core.Leave(w.now, &sender{w, leaver})
+	took := w.until(time.Second, "everyone knows", func() bool { return w.sees(others, others) })
+	t.Logf("a leaving member took no more work after %v", took)
+	w.always(30*time.Second, "it stays reachable", func() bool {
+		m, found := w.view("dc1-000").Find(leaver)
+		return found && m.State == Leaving
+	})
+	w.procs[leaver].core.Goodbye(w.now, &sender{w, leaver})
+	w.run(10 * time.Millisecond)
+	w.kill(leaver)
+	w.until(time.Second, "everyone drops it", func() bool {
+		_, found := w.view("dc1-000").Find(leaver)
+		return !found
+	})
+	if got := w.view("dc1-000").Known; got != 63 {
+		t.Errorf("Known = %d, want 63", got)
+	}
+	if n := w.suspicions(); n != 0 {
+		t.Errorf("%d suspicions for an announced end", n)
+	}
+}
+
+func TestCrashWhileLeaving(t *testing.T) {
+	// A leaving process is killed before it could say goodbye. It has left all
+	// the same: nobody counts it as running beyond a partition.
+	w := newNetwork(t, 8)
+	w.settle()
+	w.procs["dc1-000"].core.Leave(w.now, &sender{w, "dc1-000"})
+	w.run(time.Second)
+	w.kill("dc1-000")
+	w.run(10 * time.Second)
+	if v := w.view("dc2-001"); v.Known != 7 || len(v.Leaving) != 0 {
+		t.Errorf("Known = %d, leaving %v", v.Known, v.Leaving)
+	}
+}
+
+func TestPauseAndPartition(t *testing.T) {
+	// A process is stopped for a minute. Meanwhile the others drop it and a
+	// part of the fleet is cut off. When it wakes its sockets are full of old
+	// answers, which must not confirm its view; only a peer that answers a new
+	// ping does. It then refutes its death.
+	w := newNetwork(t, 16)
+	w.settle()
+	w.run(5 * time.Second)
+	sleeper := "dc1-000"
+	w.procs[sleeper].paused = true
+	w.run(10 * time.Second)
+	if !w.sees(w.running(), w.running()) {
+		t.Fatal("the paused process was not dropped")
+	}
+	far := func(id string) bool { return id >= "dc3" }
+	w.cut = func(a, b string) bool { return far(a) != far(b) }
+	w.run(50 * time.Second)
+	near := slices.DeleteFunc(slices.Clone(w.ids), far)
+
+	w.resume(sleeper)
+	if w.view(sleeper).Confirmed {
+		t.Error("old answers in the socket confirmed the view")
+	}
+	w.until(3*time.Second, "a peer confirms the view", func() bool { return w.view(sleeper).Confirmed })
+	t.Logf("the woken process: %d of %d live", len(w.view(sleeper).Live), w.view(sleeper).Known)
+	w.until(15*time.Second, "its part is whole again", func() bool { return w.sees(near, near) })
+	if got := w.view(sleeper).Known; got != 16 {
+		t.Errorf("Known = %d, want 16", got)
+	}
+	w.cut = func(string, string) bool { return false }
+	t.Logf("both parts were one after %v", w.settle())
+}
+
+func TestAsymmetricCut(t *testing.T) {
+	// What one member sends reaches another, but nothing comes back. Their
+	// link falls silent and one suspects the other; the rest of the fleet
+	// reaches both, so both refute and stay. The suspicions must get rare.
+	w := newNetwork(t, 16)
+	w.settle()
+	a := "dc1-000"
+	b := w.procs[a].core.Neighbours()[0]
+	w.cut = func(from, to string) bool { return from == b && to == a }
+	w.always(5*time.Minute, "both stay", func() bool {
+		_, seesB := w.view(a).Find(b)
+		_, seesA := w.view(b).Find(a)
+		return seesA && seesB && len(w.view("dc3-002").Live) == 16
 	})
-	t.Logf("a killed process was dropped everywhere after %v", took)
-	if got := w.view("dc2-001").Known; got != 16 {
-		t.Errorf("Known = %d, want 16: the list still names the dead one", got)
+	t.Logf("%d suspicions in 5 minutes", w.suspicions())
+	if n := w.suspicions(); n > 24 {
+		t.Errorf("%d suspicions", n)
+	}
+}
+
+func TestFlappingPath(t *testing.T) {
+	// The path between two members fails for 5 s out of every 10. Each time a
+	// link is lost and a suspicion may be raised; nobody may be dropped and
+	// the suspicions must get rare.
+	w := newNetwork(t, 16)
+	w.settle()
+	a := "dc1-000"
+	b := w.procs[a].core.Neighbours()[0]
+	w.cut = func(from, to string) bool {
+		return keyOf(from, to) == keyOf(a, b) && w.now/1e9%10 < 5
+	}
+	w.always(5*time.Minute, "both stay", func() bool { return len(w.view("dc3-002").Live) == 16 })
+	t.Logf("%d suspicions in 5 minutes", w.suspicions())
+	if n := w.suspicions(); n > 24 {
+		t.Errorf("%d suspicions", n)
+	}
+}
+
+func TestDataCentreLost(t *testing.T) {
+	// A third of the fleet vanishes without a word. The rest must agree on who
+	// is left, stay connected, and still count the lost ones.
+	w := newNetwork(t, 60)
+	w.settle()
+	w.run(5 * time.Second)
+	for _, id := range w.ids {
+		if id < "dc2" {
+			w.lose(id)
+		}
+	}
+	took := w.settle()
+	t.Logf("40 of 60 members agreed after %v", took)
+	if got := w.view("dc2-001").Known; got != 60 {
+		t.Errorf("Known = %d, want 60", got)
+	}
+}
+
+func TestRegionsApartAndBack(t *testing.T) {
+	// Two regions lose each other for an hour. Each part must work with its
+	// own members and know of the others; when the path is back nobody may
+	// fall out of anybody's own part on the way to one fleet.
+	w := newNetwork(t, 24)
+	w.settle()
+	w.run(5 * time.Second)
+	far := func(id string) bool { return id >= "dc3" }
+	near := slices.DeleteFunc(slices.Clone(w.ids), far)
+	other := without(w.ids, near...)
+	w.cut = func(a, b string) bool { return far(a) != far(b) }
+	took := w.until(30*time.Second, "each part agrees", func() bool {
+		return w.sees(near, near) && w.sees(other, other)
+	})
+	t.Logf("each part agreed after %v", took)
+	w.run(time.Hour)
+	for _, id := range w.ids {
+		if got := w.view(id).Known; got != 24 {
+			t.Fatalf("%s: Known = %d, want 24", id, got)
+		}
+	}
+	w.cut = func(string, string) bool { return false }
+	took = w.until(30*time.Second, "one fleet", func() bool {
+		if !contains(w.view(near[0]), near) || !contains(w.view(other[0]), other) {
+			t.Fatal("a part lost its own members")
+		}
+		return w.sees(w.ids, w.ids)
+	})
+	t.Logf("one fleet again %v after the path was back", took)
+}
+
+func contains(v *View, ids []string) bool {
+	for _, id := range ids {
+		if _, found := v.Find(id); !found {
+			return false
+		}
+	}
+	return true
+}
+
+func without(ids []string, drop ...string) []string {
+	return slices.DeleteFunc(slices.Clone(ids), func(x string) bool { return slices.Contains(drop, x) })
+}
+
+func TestInstanceListLies(t *testing.T) {
+	// The platform's list is empty, names only strangers, calls everybody
+	// leaving, or goes back to an old version. Peers know better: nobody may
+	// fall out. Strangers count as instances that may run elsewhere.
+	w := newNetwork(t, 8)
+	w.settle()
+	strangers := []string{"old-1", "old-2"}
+	leaving := w.list(4, w.ids)
+	for i := range leaving.Instances {
+		leaving.Instances[i].State = platformapi.InstanceStateLeaving
+	}
+	lists := []platformapi.InstanceList{{Version: 2}, w.list(3, strangers), w.list(1, nil)}
+	for _, list := range lists {
+		for _, id := range w.ids {
+			w.procs[id].core.OnInstanceList(w.now, list)
+		}
+		w.always(30*time.Second, "all stay", func() bool { return w.sees(w.ids, w.ids) })
+	}
+	if got := w.view("dc1-000").Known; got != 10 {
+		t.Errorf("Known = %d, want 8 and 2 strangers", got)
+	}
+	w.procs["dc1-000"].core.OnInstanceList(w.now, leaving)
+	if v := w.view("dc1-000"); len(v.Live) != 1 || len(v.Leaving) != 7 {
+		t.Errorf("%d live, %d leaving: members that were listed live and now leave must leave", len(v.Live), len(v.Leaving))
+	}
+}
+
+func TestStaleListAndReplacementOfAllButOne(t *testing.T) {
+	// Every instance but one is replaced by others with new ids while the
+	// platform shows the old list to everybody. The newcomers find the fleet
+	// through the one that stayed; those that left are not counted.
+	w := newNetwork(t, 8)
+	w.settle()
+	stayed := w.ids[7]
+	for i, id := range slices.Clone(w.ids[:7]) {
+		w.start(fmt.Sprintf("dc1-9%02d", i))
+		w.run(2 * time.Second)
+		w.procs[id].core.Leave(w.now, &sender{w, id})
+		w.run(2 * time.Second)
+		w.procs[id].core.Goodbye(w.now, &sender{w, id})
+		w.run(10 * time.Millisecond)
+		w.kill(id)
+	}
+	w.settle()
+	if v := w.view(stayed); len(v.Live) != 8 || v.Known != 8 {
+		t.Errorf("%d live, %d known, want 8 and 8", len(v.Live), v.Known)
+	}
+}
+
+func TestLostNewsHeals(t *testing.T) {
+	// One frame in five is lost while members crash and come back. Pushed news
+	// goes missing here and there; comparing tables must find what differs.
+	w := newNetwork(t, 32)
+	w.settle()
+	n := 0
+	w.drop = func() bool { n++; return hash64(fmt.Sprint(n))%5 == 0 }
+	for i := range 8 {
+		id := w.ids[i*3]
+		w.kill(id)
+		w.run(3 * time.Second)
+		w.start(id)
+		w.run(3 * time.Second)
+	}
+	w.kill(w.ids[1])
+	w.run(LostLinkGrace + SuspicionLimit/2)
+	w.start(w.ids[1])
+	w.run(100 * time.Millisecond)
+	w.drop = func() bool { return false }
+	t.Logf("tables agreed %v after the last loss", w.settle())
+}
+
+func TestTwoProcessesWithOneID(t *testing.T) {
+	// Operators start two processes with the same id. Both claim it and outbid
+	// each other. The claims must not come faster than one in some seconds.
+	core := New(Member{ID: "a", Incarnation: "1", PeerAddress: "a", Epoch: 10}, nil, 1)
+	now := newNetwork(t, 0).now
+	for range 100 {
+		claim := wire.MemberUpdate{ID: "a", Incarnation: "2", State: "a", Epoch: int(core.View().Self.Epoch) + 1, PeerAddress: "b"}
+		core.OnMembers(now, "b", []wire.MemberUpdate{claim}, discard{})
+		now = now.Add(100 * time.Millisecond)
+	}
+	if s := core.Stats(); s.Refuted > 3 || s.Conflicts != 100 {
+		t.Errorf("%d refutations, %d conflicts in 10 s", s.Refuted, s.Conflicts)
+	}
+}
+
+type discard struct{}
+
+func (discard) SendPeer(string, *wire.Envelope) {}
+
+func TestTableIsBounded(t *testing.T) {
+	// A faulty peer tells of endless members. The table stays bounded, dead
+	// rows make room first, and the rest of the news is dropped and counted.
+	core := New(Member{ID: "self", PeerAddress: "self"}, nil, 1)
+	now := newNetwork(t, 0).now
+	for i := range MaxMembers + 100 {
+		u := wire.MemberUpdate{ID: fmt.Sprint(i), Incarnation: "1", State: "a", PeerAddress: "x"}
+		if i < 50 {
+			u.State = "d"
+		}
+		core.OnMembers(now, "b", []wire.MemberUpdate{u}, discard{})
+	}
+	if got := len(core.View().Live); got != MaxMembers+1 {
+		t.Errorf("%d live, want %d and self", got, MaxMembers)
+	}
+	if got := core.Stats().Overflows; got != 50 {
+		t.Errorf("%d overflows, want 50", got)
 	}
 }
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -25,7 +25,6 @@
 func keyOf(a, b string) linkKey { return linkKey{min(a, b), max(a, b)} }
 
 type link struct {
-	upA, upB       bool
 	heardA, heardB monotime.Instant
 }
 
@@ -71,6 +70,7 @@
 	procs  map[string]*process
 	links  map[linkKey]*link
 	cut    func(from, to string) bool
+	drop   func() bool // loses single frames
 	listed []string
 }
 
@@ -78,7 +78,8 @@
 	w := &network{
 		t: t, now: monotime.Instant(time.Second),
 		procs: make(map[string]*process), links: make(map[linkKey]*link),
-		cut: func(string, string) bool { return false },
+		cut:  func(string, string) bool { return false },
+		drop: func() bool { return false },
 	}
 	for i := range n {
 		w.listed = append(w.listed, fmt.Sprintf("dc%d-%03d", i%3+1, i))
@@ -102,9 +103,13 @@
 		w.ids = append(w.ids, id)
 		slices.Sort(w.ids)
 	}
+	return w.startWith(id, restart, 1_764_000_000+uint64(restart))
+}
+
+func (w *network) startWith(id string, restart int, epoch uint64) *process {
 	self := Member{
 		ID: id, Incarnation: fmt.Sprintf("%04x", hash64(id)%65536+uint64(restart)), DataCentre: id[:3],
-		CallerAddress: "10.1.100.100:8080", PeerAddress: id, Epoch: 1_764_000_000,
+		CallerAddress: "10.1.100.100:8080", PeerAddress: id, Epoch: epoch,
 	}
 	p := &process{core: New(self, nil, 7), restart: restart}
 	w.procs[id] = p
@@ -152,7 +157,7 @@
 	}
 	w.procs[from].bytes += len(data) + frameOverhead
 	w.procs[from].frames++
-	if w.cut(from, to) {
+	if w.cut(from, to) || w.drop() {
 		return
 	}
 	p := w.procs[to]
@@ -266,6 +271,16 @@
 	return w.now.Sub(begin)
 }
 
+// always fails when the condition does not hold at some time within d.
+func (w *network) always(d time.Duration, what string, holds func() bool) {
+	w.t.Helper()
+	for end := w.now.Add(d); w.now < end; w.run(50 * time.Millisecond) {
+		if !holds() {
+			w.t.Fatalf("did not always hold: %s", what)
+		}
+	}
+}
+
 // kill ends a process; its host closes the links.
 func (w *network) kill(id string) {
 	w.lose(id)
@@ -289,6 +304,14 @@
 	}
 }
 
+// suspicions counts the suspicions that members raised themselves.
+func (w *network) suspicions() (n uint64) {
+	for _, p := range w.procs {
+		n += p.core.Stats().Suspected
+	}
+	return n
+}
+
 func (w *network) view(id string) *View { return w.procs[id].core.View() }
 
 // running lists the processes that run, in order.
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -11,6 +11,7 @@
 
 // OnMembers takes news from a peer and passes on what was new, once.
 func (c *Core) OnMembers(now monotime.Instant, from string, updates []wire.MemberUpdate, eff Effects) {
+	c.noticePause(now, eff)
 	c.heard(now, from)
 	var fresh, back []wire.MemberUpdate
 	refute := false
@@ -29,7 +30,7 @@
 			continue
 		}
 		c.stats.Repeated++
-		if e := c.find(m.ID); m.ID == from && e != nil && e.State != m.State {
+		if e := c.find(m.ID); m.ID == from && e != nil && differs(e.Member, m) {
 			// The subject itself tells something old, for instance that it
 			// lives although it is held for dead: it must learn what it has
 			// to refute.
@@ -43,6 +44,11 @@
 	}
 }
 
+// differs reports whether two members stand for different news.
+func differs(a, b Member) bool {
+	return a.State != b.State || a.Epoch != b.Epoch || a.Incarnation != b.Incarnation
+}
+
 // onSelfNews judges news of this member's own ID and reports whether its
 // answer must be pushed.
 func (c *Core) onSelfNews(now monotime.Instant, m Member) bool {
@@ -102,7 +108,7 @@
 		m.DataCentre, m.CallerAddress, m.PeerAddress = e.DataCentre, e.CallerAddress, e.PeerAddress
 	}
 	if m.Incarnation != e.Incarnation {
-		e.left, e.listedLive, e.listedLeaving = false, false, false
+		e.left, e.listedLive, e.listedLeaving = false, e.listing == listedAsLive, false
 	}
 	c.set(now, e, m)
 	return e
@@ -117,10 +123,10 @@
 		c.stats.Overflows++
 		return nil
 	}
-	e := &entry{rings: ringHashes(m.ID)}
+	e := &entry{rings: ringHashes(m.ID), bucket: bucketOf(m.ID), listing: c.takeCandidate(m.ID)}
+	e.listedLive = e.listing == listedAsLive
 	i, _ := c.search(m.ID)
 	c.entries = slices.Insert(c.entries, i, e)
-	c.removeCandidate(m.ID)
 	c.set(now, e, m)
 	return e
 }
@@ -155,6 +161,7 @@
 	e.left = e.left || m.State == Leaving || m.State == Gone
 	e.since = now
 	e.digest = digestOf(m)
+	c.sums = nil
 	c.viewDirty = true
 }
 
@@ -195,6 +202,7 @@
 // OnSync answers a comparison of tables with the rows of each bucket that
 // differs. The asker then answers the answer, so that both sides learn.
 func (c *Core) OnSync(now monotime.Instant, from string, sync *wire.MemberSync, eff Effects) {
+	c.noticePause(now, eff)
 	c.heard(now, from)
 	if len(sync.Buckets) != SyncBuckets {
 		return
@@ -202,8 +210,7 @@
 	mine := c.buckets()
 	var updates []wire.MemberUpdate
 	for _, e := range c.entries {
-		b := bucketOf(e.ID)
-		if mine[b] != sync.Buckets[b] && e.ID != from {
+		if mine[e.bucket] != sync.Buckets[e.bucket] && e.ID != from {
 			updates = append(updates, toWire(e.Member))
 		}
 	}
@@ -216,17 +223,21 @@
 	}
 }
 
-// buckets returns the digests of the table. Tombstones are left out: members
-// forget them at different times. Dead against alive still differs.
+// buckets returns the digests of the table, not to be changed. Tombstones are
+// left out: members forget them at different times. Dead against alive still
+// differs.
 func (c *Core) buckets() []int {
-	out := make([]int, SyncBuckets)
+	if c.sums != nil {
+		return c.sums
+	}
+	c.sums = make([]int, SyncBuckets)
 	for _, e := range c.entries {
 		if e.State.present() {
-			out[bucketOf(e.ID)] ^= int(e.digest)
+			c.sums[e.bucket] ^= int(e.digest)
 		}
 	}
-	out[bucketOf(c.self.ID)] ^= int(digestOf(c.self))
-	return out
+	c.sums[bucketOf(c.self.ID)] ^= int(digestOf(c.self))
+	return c.sums
 }
 
 // digest returns one number for the whole table, never zero.
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -203,11 +203,14 @@
 type entry struct {
 	Member
 	rings  [Rings]uint64
+	bucket int
 	digest uint32
 	since  monotime.Instant
 	// left is sticky for an incarnation: a leaving member that falls silent
 	// has left, and is not waited for on the far side of a partition.
 	left bool
+	// listing is what the platform's last list says of the ID.
+	listing listing
 	// listedLive and listedLeaving say what the platform listed while this
 	// incarnation was known.
 	listedLive, listedLeaving bool
@@ -215,6 +218,15 @@
 	unlisted bool
 }
 
+// listing is the platform's word on an ID.
+type listing uint8
+
+const (
+	notListed listing = iota
+	listedAsLive
+	listedAsLeaving
+)
+
 // contact is the direct experience with one peer.
 type contact struct {
 	up        bool
@@ -236,7 +248,7 @@
 	id      string
 	address string
 	rings   [Rings]uint64
-	live    bool
+	listing listing
 	retry   monotime.Instant
 	backoff time.Duration
 }
