Reports from accounting lines: each request once

Cause: instances keep nothing, and lines come repeated, late, out of order and cut off. Change: report.Read collects lines by instance, incarnation and request; nothing depends on their order and a repeated line finds its effect there. A request without an end line is unknown. Cut lines are searched for the request they were about and for a whole line behind them.

--- a/internal/accounting/metrics.go
+++ b/internal/accounting/metrics.go
@@ -4,20 +4,10 @@
 	"expvar"
 	"sync"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
+	"basilrudder/internal/quantile"
 	"basilrudder/internal/schema/accounting"
 )
 
-// Range and precision of the histograms, in microseconds.
-const (
-	minMicros     = 1
-	maxMicros     = 3600 * 1000 * 1000
-	digits        = 2
-	microsPerMS   = 1000
-	millisPerUnit = 1.0 / microsPerMS
-)
-
 // unlabelled stands in the counters for an absent class or reason.
 const unlabelled = "none"
 
@@ -110,25 +100,11 @@
 // histograms holds one histogram for each class.
 type histograms struct {
 	mu      sync.Mutex
-	byClass map[string]*hdrhistogram.Histogram
-}
-
-// Quantiles summarises a histogram, in milliseconds.
-type Quantiles struct {
-	// Count of values.
-	Count int64 `json:"count"`
-	// P50 is the median.
-	P50 float64 `json:"p50"`
-	// P95 is the 95th percentile.
-	P95 float64 `json:"p95"`
-	// P99 is the 99th percentile.
-	P99 float64 `json:"p99"`
-	// Max is the largest value.
-	Max float64 `json:"max"`
+	byClass map[string]*quantile.Histogram
 }
 
 func newHistograms() *histograms {
-	return &histograms{byClass: make(map[string]*hdrhistogram.Histogram)}
+	return &histograms{byClass: make(map[string]*quantile.Histogram)}
 }
 
 func (h *histograms) record(class string, ms float64) {
@@ -136,26 +112,18 @@
 	defer h.mu.Unlock()
 	histogram := h.byClass[class]
 	if histogram == nil {
-		histogram = hdrhistogram.New(minMicros, maxMicros, digits)
+		histogram = new(quantile.Histogram)
 		h.byClass[class] = histogram
 	}
-	micros := min(max(int64(ms*microsPerMS), minMicros), maxMicros)
-	// The value is in range, so recording cannot fail.
-	_ = histogram.RecordValue(micros)
+	histogram.Record(ms)
 }
 
 func (h *histograms) export() any {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := make(map[string]Quantiles, len(h.byClass))
+	out := make(map[string]quantile.Summary, len(h.byClass))
 	for class, histogram := range h.byClass {
-		out[class] = Quantiles{
-			Count: histogram.TotalCount(),
-			P50:   float64(histogram.ValueAtQuantile(50)) * millisPerUnit,
-			P95:   float64(histogram.ValueAtQuantile(95)) * millisPerUnit,
-			P99:   float64(histogram.ValueAtQuantile(99)) * millisPerUnit,
-			Max:   float64(histogram.Max()) * millisPerUnit,
-		}
+		out[class] = histogram.Summary()
 	}
 	return out
 }
--- a/internal/accounting/writer_test.go
+++ b/internal/accounting/writer_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"basilrudder/internal/quantile"
 	"basilrudder/internal/schema/accounting"
 )
 
@@ -137,12 +138,12 @@
 		t.Fatal(err)
 	}
 	var got struct {
-		InFlight  map[string]int       `json:"in_flight_by_class"`
-		Reasons   map[string]int       `json:"ended_by_reason"`
-		Tokens    map[string]int       `json:"tokens_by_class"`
-		Wasted    map[string]int       `json:"wasted_tokens_by_class"`
-		Delivered map[string]int       `json:"delivered_by_class"`
-		Total     map[string]Quantiles `json:"total_ms_by_class"`
+		InFlight  map[string]int              `json:"in_flight_by_class"`
+		Reasons   map[string]int              `json:"ended_by_reason"`
+		Tokens    map[string]int              `json:"tokens_by_class"`
+		Wasted    map[string]int              `json:"wasted_tokens_by_class"`
+		Delivered map[string]int              `json:"delivered_by_class"`
+		Total     map[string]quantile.Summary `json:"total_ms_by_class"`
 	}
 	if err := json.Unmarshal([]byte(w.Vars().String()), &got); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/report/read.go
@@ -0,0 +1,229 @@
+// Package report reads accounting lines and tells who got what, who was turned
+// away and why. It takes lines in any order, any number of times, and cut off
+// anywhere: each request counts exactly once, and one whose end is missing
+// counts as unknown, never as served.
+package report
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/schema/accounting"
+)
+
+const (
+	// maxLine bounds a line, in bytes. Accounting lines are far shorter.
+	maxLine = 1 << 20
+	// maxObjects bounds the objects looked for in a damaged line.
+	maxObjects = 8
+	// objectStart begins an object of accounting; within strings it is escaped.
+	objectStart = `{"`
+	// stdinName is the file name that stands for standard input.
+	stdinName = "-"
+)
+
+// Messages of the lines that are read; lines with others are not for reports.
+const (
+	messageAccounting = "accounting"
+	messageLost       = "accounting_lost"
+)
+
+// Lines counts the lines that were read.
+type Lines struct {
+	// Accounting lines that are whole.
+	Accounting int `json:"accounting"`
+	// Damaged lines: cut off, or not valid.
+	Damaged int `json:"damaged"`
+	// Other lines of the log.
+	Other int `json:"other"`
+	// Lost lines (marks and decisions) of which instances told.
+	Lost int `json:"lost"`
+}
+
+// sink takes what is found in the lines.
+type sink interface {
+	// record takes a whole record.
+	record(r *accounting.Record)
+	// remnant takes what is left of a damaged one: a sign that the request was.
+	remnant(r *accounting.Record)
+}
+
+// readFiles reads all lines of the files; "-" is standard input.
+func readFiles(files []string, to sink) (Lines, error) {
+	var lines Lines
+	for _, name := range files {
+		if err := readFile(name, &lines, to); err != nil {
+			return lines, err
+		}
+	}
+	return lines, nil
+}
+
+func readFile(name string, lines *Lines, to sink) error {
+	if name == stdinName {
+		return readLines(os.Stdin, lines, to)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	return errors.Wrap(readLines(file, lines, to), name)
+}
+
+func readLines(in io.Reader, lines *Lines, to sink) error {
+	reader := bufio.NewReaderSize(in, maxLine)
+	for {
+		line, err := reader.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			lines.Damaged++
+			err = skipLine(reader)
+			line = nil
+		}
+		if len(line) > 0 {
+			readLine(line, lines, to)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func skipLine(reader *bufio.Reader) error {
+	for {
+		_, err := reader.ReadSlice('\n')
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
+
+// line is any line of the log.
+type line struct {
+	accounting.Record
+	Lines int `json:"lines"`
+}
+
+// readLine reads one line. What collects the output may have put a prefix
+// before the JSON.
+func readLine(text []byte, lines *Lines, to sink) {
+	text = bytes.TrimSpace(text)
+	start := bytes.IndexByte(text, '{')
+	if start < 0 {
+		if len(text) > 0 {
+			lines.Other++
+		}
+		return
+	}
+	readObjects(text[start:], lines, to)
+}
+
+// readObjects reads the object that a line holds. Where a process died within a
+// line, the next one may have gone on behind it, so the search goes on at the
+// next object; accounting records hold no objects themselves.
+func readObjects(text []byte, lines *Lines, to sink) {
+	for range maxObjects {
+		var l line
+		if err := json.Unmarshal(text, &l); err == nil {
+			readWhole(&l, lines, to)
+			return
+		}
+		next := bytes.Index(text[1:], []byte(objectStart))
+		if next < 0 {
+			break
+		}
+		readDamaged(text[:1+next], lines, to)
+		text = text[1+next:]
+	}
+	readDamaged(text, lines, to)
+}
+
+func readWhole(l *line, lines *Lines, to sink) {
+	switch {
+	case l.Msg == messageLost:
+		lines.Lost += max(l.Lines, 0)
+	case l.Msg != messageAccounting:
+		lines.Other++
+	case !valid(&l.Record):
+		lines.Damaged++
+	default:
+		lines.Accounting++
+		to.record(&l.Record)
+	}
+}
+
+func valid(r *accounting.Record) bool {
+	switch r.Kind {
+	case accounting.RecordKindStart, accounting.RecordKindMark, accounting.RecordKindEnd, accounting.RecordKindDecision:
+	default:
+		return false
+	}
+	counts := r.Seq >= 0 && r.Tokens >= 0 && r.WastedTokens >= 0 && r.PromptTokens >= 0
+	durations := r.QueueMS >= 0 && r.FirstTokenMS >= 0 && r.TotalMS >= 0 && r.Ts >= 0
+	return r.Request != "" && counts && durations
+}
+
+// readDamaged looks for what is left of a cut line. When a process dies with the
+// only line of a request half written, the request must still be counted.
+func readDamaged(text []byte, lines *Lines, to sink) {
+	lines.Damaged++
+	var r accounting.Record
+	r.Msg, _ = salvage(text, &r)
+	if r.Msg == messageAccounting && r.Request != "" && r.Kind != accounting.RecordKindDecision {
+		to.remnant(&r)
+	}
+}
+
+// salvage takes the whole strings at the beginning of a cut JSON object. A
+// number may have lost digits, so numbers are left out.
+func salvage(text []byte, r *accounting.Record) (msg string, err error) {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	if _, err := decoder.Token(); err != nil {
+		return "", err
+	}
+	for decoder.More() {
+		key, err := decoder.Token()
+		if err != nil {
+			return msg, err
+		}
+		value, err := decoder.Token()
+		if err != nil {
+			return msg, err
+		}
+		name, _ := key.(string)
+		text, isString := value.(string)
+		if !isString {
+			continue
+		}
+		if name == "msg" {
+			msg = text
+		}
+		setSalvaged(r, name, text)
+	}
+	return msg, nil
+}
+
+func setSalvaged(r *accounting.Record, name, value string) {
+	switch name {
+	case "kind":
+		r.Kind = accounting.RecordKind(value)
+	case "instance":
+		r.Instance = value
+	case "incarnation":
+		r.Incarnation = value
+	case "request":
+		r.Request = value
+	case "customer":
+		r.Customer = value
+	case "class":
+		r.Class = value
+	}
+}
