Client for model engines and application servers, and an engine to test against

Cause: the verdict on a failed request depends on whether a byte of it may have left, which fasthttp's client does not tell; it also re-sends on its own. Change: internal/upstream writes fasthttp requests over its own pooled connections and counts the bytes that each took. NotRun only when none was taken or the upstream says X-Not-Started; X-Started or a token means Ran. Streams are read through fasthttp's incremental body reader, with a deadline on the gap between events; Resume goes on from an offset over a new connection; control calls are repeated once, generate and service calls never. A pooled connection is asked before use whether the other end closed it. internal/standin/engine serves enginemodel engines over HTTP, with faults; internal/standin/faultnet cuts, silences and refuses connections; internal/enginehttp holds the names of headers and paths. The engine model learns orders, fencing and a weight store (Holding, WeightStore). Additions to the protocol: GET /v1/orders tells what an engine holds; a stream without tokens carries comments as signs of life.

--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,297 @@
+package engine
+
+import (
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/engineapi"
+	"basilrudder/internal/standin/enginemodel"
+)
+
+// FinishStop is the finish reason of a whole answer.
+const FinishStop = "stop"
+
+// Engine is one engine of a Server.
+type Engine struct {
+	name string
+	// servesAny says that no model was configured.
+	servesAny bool
+	wake      chan struct{}
+
+	mu      sync.Mutex
+	changed *sync.Cond // on mu, after every change of a run
+	model   *enginemodel.Engine
+	holding *enginemodel.Holding
+	streams map[string]*stream
+}
+
+// stream is one connection to a run.
+type stream struct {
+	id     string
+	conn   net.Conn
+	wake   chan struct{}
+	gone   chan struct{}       // closed when the engine has dropped the stream
+	tokens []enginemodel.Token // under Engine.mu
+	silent bool                // under Engine.mu
+}
+
+func newEngine(cfg EngineConfig, server Config, seed uint64) *Engine {
+	e := &Engine{
+		name:      cfg.Model.Name,
+		servesAny: len(cfg.Models) == 0,
+		wake:      make(chan struct{}, 1),
+		model:     enginemodel.New(cfg.Model, seed),
+		holding:   enginemodel.NewHolding(server.ChecksFencing, server.Store, cfg.Models, cfg.Role),
+		streams:   make(map[string]*stream),
+	}
+	e.changed = sync.NewCond(&e.mu)
+	return e
+}
+
+// drive advances the model in real time until stop is closed.
+func (e *Engine) drive(stop <-chan struct{}) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		timer.Reset(e.advance())
+		select {
+		case <-timer.C:
+		case <-e.wake:
+		case <-stop:
+			return
+		}
+	}
+}
+
+// idleWait is how long an idle engine sleeps unless it is woken.
+const idleWait = time.Hour
+
+// advance hands out tokens and returns the time to the next ones.
+func (e *Engine) advance() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	defer e.changed.Broadcast()
+	now := monotime.Now()
+	for _, token := range e.model.Advance(now) {
+		if s := e.streams[token.ID]; s != nil {
+			s.tokens = append(s.tokens, token)
+			notify(s.wake)
+		}
+	}
+	next, ok := e.model.NextEvent(now)
+	if !ok {
+		return idleWait
+	}
+	return max(next.Sub(now), 0)
+}
+
+func notify(wake chan struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) submit(job enginemodel.Job, model string, conn net.Conn) (*stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := monotime.Now()
+	if !e.servesAny && !e.holding.Holds(now, model) {
+		return nil, enginemodel.Refusing
+	}
+	if err := e.model.Submit(now, job); err != nil {
+		return nil, err
+	}
+	return e.open(job.ID, conn, nil), nil
+}
+
+func (e *Engine) attach(id string, offset int, conn net.Conn) (*stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	tokens, err := e.model.Attach(monotime.Now(), id, offset, nil)
+	if err != nil {
+		return nil, err
+	}
+	return e.open(id, conn, tokens), nil
+}
+
+// open makes a connection the one that gets the tokens, in place of an older
+// one.
+func (e *Engine) open(id string, conn net.Conn, tokens []enginemodel.Token) *stream {
+	if old := e.streams[id]; old != nil {
+		e.drop(old)
+	}
+	s := &stream{
+		id:     id,
+		conn:   conn,
+		wake:   make(chan struct{}, 1),
+		gone:   make(chan struct{}),
+		tokens: tokens,
+	}
+	if len(tokens) > 0 {
+		notify(s.wake)
+	}
+	e.streams[id] = s
+	notify(e.wake)
+	return s
+}
+
+// drop ends a stream. Its connection goes first, so that its answer does not
+// look whole.
+func (e *Engine) drop(s *stream) {
+	_ = s.conn.Close()
+	close(s.gone)
+	delete(e.streams, s.id)
+}
+
+// take moves the tokens of a stream into buf; a silenced one has none.
+func (e *Engine) take(s *stream, buf []enginemodel.Token) []enginemodel.Token {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	buf = buf[:0]
+	if !s.silent {
+		buf = append(buf, s.tokens...)
+	}
+	s.tokens = s.tokens[:0]
+	return buf
+}
+
+func (e *Engine) isSilent(s *stream) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.silent
+}
+
+// closed forgets a stream whose connection ended.
+func (e *Engine) closed(s *stream, whole bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.streams[s.id] != s {
+		return
+	}
+	delete(e.streams, s.id)
+	if !whole {
+		e.model.Detach(monotime.Now(), s.id)
+	}
+}
+
+// Runs returns a record of every request that the engine accepted.
+func (e *Engine) Runs() []enginemodel.Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.model.Runs())
+}
+
+// WaitForRun returns the first run that satisfies the condition, once there is
+// one.
+func (e *Engine) WaitForRun(want func(enginemodel.Run) bool) enginemodel.Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for {
+		runs := e.model.Runs()
+		if at := slices.IndexFunc(runs, want); at >= 0 {
+			return runs[at]
+		}
+		e.changed.Wait()
+	}
+}
+
+// Counts returns the true state of the engine.
+func (e *Engine) Counts() enginemodel.Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model.Counts()
+}
+
+// Holds returns what the engine holds.
+func (e *Engine) Holds() engineapi.OrderAnswer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.holding.Report(monotime.Now())
+}
+
+// Crash loses every run, every model and every connection of the engine. It
+// refuses requests until Restart.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	defer e.changed.Broadcast()
+	e.model.Crash(monotime.Now())
+	e.holding.Restart()
+	for _, s := range e.streams {
+		e.drop(s)
+	}
+}
+
+// Restart brings a crashed engine back, without models and request ids.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.Restart()
+}
+
+// SetSlowdown makes the engine a straggler; 1 makes it normal again.
+func (e *Engine) SetSlowdown(factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.SetSlowdown(factor)
+}
+
+// SetRefusing makes the engine refuse new requests, or take them again.
+func (e *Engine) SetRefusing(refusing bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.SetRefusing(refusing)
+}
+
+// SetStalled stops the engine in the middle of a step, or lets it go on.
+func (e *Engine) SetStalled(stalled bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.SetStalled(monotime.Now(), stalled)
+	notify(e.wake)
+}
+
+// SilenceStream makes the connection of one request carry nothing more. The
+// run goes on and can be resumed over a new connection.
+func (e *Engine) SilenceStream(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.SilenceOne(monotime.Now(), id)
+	if s := e.streams[id]; s != nil {
+		s.silent = true
+	}
+}
+
+// SilenceStreams does what SilenceStream does to every open connection.
+func (e *Engine) SilenceStreams() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.Silence(monotime.Now())
+	for _, s := range e.streams {
+		s.silent = true
+	}
+}
+
+// TokenText returns the text of a token of the answer to a request, so that a
+// receiver can tell whether it got its own answer, whole and in order.
+func TokenText(requestID string, offset int) string {
+	return string(appendText(nil, textTag(requestID), offset))
+}
+
+func textTag(requestID string) string {
+	return strconv.FormatUint(xxhash.Sum64String(requestID)&0xffff, 16)
+}
+
+func appendText(buf []byte, tag string, offset int) []byte {
+	buf = append(buf, tag...)
+	buf = append(buf, '.')
+	buf = strconv.AppendInt(buf, int64(offset), 10)
+	return append(buf, ' ')
+}
--- /dev/null
+++ b/internal/standin/enginemodel/holding.go
@@ -0,0 +1,175 @@
+package enginemodel
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/engineapi"
+)
+
+// WeightStore models a store from which engines load models: it serves a few
+// loads at once and the others wait. It is safe for concurrent use.
+type WeightStore struct {
+	mu       sync.Mutex
+	loadTime time.Duration
+	lanes    []monotime.Instant // when each becomes free
+	pending  []monotime.Instant // ends of the loads under way
+	peak     int
+	loads    int
+}
+
+// NewWeightStore returns a store that serves atOnce loads of loadTime each.
+func NewWeightStore(atOnce int, loadTime time.Duration) *WeightStore {
+	return &WeightStore{loadTime: loadTime, lanes: make([]monotime.Instant, max(atOnce, 1))}
+}
+
+// Begin starts a load and returns when it ends.
+func (s *WeightStore) Begin(now monotime.Instant) monotime.Instant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lane := 0
+	for i, free := range s.lanes {
+		if free < s.lanes[lane] {
+			lane = i
+		}
+	}
+	end := max(now, s.lanes[lane]).Add(s.loadTime)
+	s.lanes[lane] = end
+	s.pending = slices.DeleteFunc(s.pending, func(at monotime.Instant) bool { return at <= now })
+	s.pending = append(s.pending, end)
+	s.peak = max(s.peak, len(s.pending))
+	s.loads++
+	return end
+}
+
+// Peak returns the most loads that were under way at once.
+func (s *WeightStore) Peak() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peak
+}
+
+// Loads returns the number of loads started.
+func (s *WeightStore) Loads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads
+}
+
+// Holding models which models and which role an engine holds, and how it takes
+// orders.
+type Holding struct {
+	checksFencing bool
+	store         *WeightStore
+	fence         int
+	models        []string
+	wanted        []string
+	loading       []load
+	role          string
+}
+
+type load struct {
+	model string
+	ends  monotime.Instant
+}
+
+// NewHolding returns an engine's holding at its start. A nil store loads at
+// once.
+func NewHolding(checksFencing bool, store *WeightStore, models []string, role string) *Holding {
+	return &Holding{
+		checksFencing: checksFencing,
+		store:         store,
+		models:        slices.Clone(models),
+		wanted:        slices.Clone(models),
+		role:          role,
+	}
+}
+
+// Order takes an order or, on an engine that checks fencing, refuses an old
+// one.
+func (h *Holding) Order(now monotime.Instant, order engineapi.Order) engineapi.OrderAnswer {
+	h.settle(now)
+	if h.checksFencing {
+		if order.Fence < h.fence {
+			return h.report(false)
+		}
+		h.fence = order.Fence
+	}
+	h.role = order.Role
+	h.wanted = slices.Clone(order.Models)
+	h.loading = slices.DeleteFunc(h.loading, func(l load) bool { return !slices.Contains(h.wanted, l.model) })
+	for _, model := range h.wanted {
+		if !slices.Contains(h.models, model) && !h.isLoading(model) {
+			h.loading = append(h.loading, load{model: model, ends: h.loadEnd(now)})
+		}
+	}
+	h.settle(now)
+	return h.report(true)
+}
+
+func (h *Holding) loadEnd(now monotime.Instant) monotime.Instant {
+	if h.store == nil {
+		return now
+	}
+	return h.store.Begin(now)
+}
+
+func (h *Holding) isLoading(model string) bool {
+	return slices.ContainsFunc(h.loading, func(l load) bool { return l.model == model })
+}
+
+// settle ends loads. What is no longer wanted goes once nothing loads, so that
+// the old version serves until the new one can.
+func (h *Holding) settle(now monotime.Instant) {
+	h.loading = slices.DeleteFunc(h.loading, func(l load) bool {
+		done := l.ends <= now
+		if done {
+			h.models = append(h.models, l.model)
+		}
+		return done
+	})
+	if len(h.loading) == 0 {
+		h.models = slices.DeleteFunc(h.models, func(m string) bool { return !slices.Contains(h.wanted, m) })
+	}
+}
+
+// Report returns what the engine holds.
+func (h *Holding) Report(now monotime.Instant) engineapi.OrderAnswer {
+	h.settle(now)
+	return h.report(true)
+}
+
+func (h *Holding) report(accepted bool) engineapi.OrderAnswer {
+	answer := engineapi.OrderAnswer{
+		Accepted: accepted,
+		Fence:    h.fence,
+		Models:   append([]string{}, h.models...),
+		Role:     h.role,
+	}
+	for _, l := range h.loading {
+		answer.Loading = append(answer.Loading, l.model)
+	}
+	slices.Sort(answer.Models)
+	slices.Sort(answer.Loading)
+	return answer
+}
+
+// Holds reports whether a model, with or without its version, can be served.
+func (h *Holding) Holds(now monotime.Instant, model string) bool {
+	h.settle(now)
+	return slices.ContainsFunc(h.models, func(held string) bool {
+		name, _, _ := strings.Cut(held, "@")
+		return held == model || name == model
+	})
+}
+
+// Restart is the loss of everything that was loaded, and of the fencing number.
+func (h *Holding) Restart() {
+	h.fence = 0
+	h.models = nil
+	h.wanted = nil
+	h.loading = nil
+}
--- /dev/null
+++ b/internal/upstream/bench_test.go
@@ -0,0 +1,175 @@
+package upstream_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"testing"
+
+	"basilrudder/internal/schema/engineapi"
+	"basilrudder/internal/standin/engine"
+	"basilrudder/internal/standin/enginemodel"
+	"basilrudder/internal/upstream"
+)
+
+// quickEngine takes almost no time for a token, so that the client's own cost
+// shows.
+func quickEngine() engine.Config {
+	return engine.Config{
+		Engines: []engine.EngineConfig{{Model: enginemodel.Config{
+			Name:              "e0",
+			StepMS:            0.0001,
+			PrefillTokensPerS: 1 << 40,
+			KeepEnded:         1,
+		}}},
+		Heartbeat: -1,
+	}
+}
+
+type discardSink struct{}
+
+func (discardSink) Token(engineapi.TokenEvent) error { return nil }
+
+// rawConn speaks to an upstream with as little work as can be.
+type rawConn struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func dialRaw(b *testing.B, address string) *rawConn {
+	b.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = conn.Close() })
+	return &rawConn{conn: conn, reader: bufio.NewReaderSize(conn, 64<<10)}
+}
+
+func (c *rawConn) generate(b *testing.B, id string, tokens int) {
+	body := string(generate(id, tokens).Body)
+	request := "POST /v1/generate HTTP/1.1\r\nHost: x\r\nX-Engine: e0\r\nX-Request-Id: " + id +
+		"\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	if _, err := io.WriteString(c.conn, request); err != nil {
+		b.Fatal(err)
+	}
+	end := []byte("0\r\n")
+	for {
+		line, err := c.reader.ReadSlice('\n')
+		if err != nil {
+			b.Fatal(err)
+		}
+		if bytes.Equal(line, end) {
+			_, _ = c.reader.ReadSlice('\n')
+			return
+		}
+	}
+}
+
+// BenchmarkGenerate is one whole request of one token: through the client, and
+// read raw from the same stand-in.
+func BenchmarkGenerate(b *testing.B) {
+	_, target := startEngine(b, quickEngine())
+	b.Run("client", func(b *testing.B) {
+		client := upstream.New(upstream.Config{})
+		b.ReportAllocs()
+		for i := range b.N {
+			if err := client.Generate(background, target, generate(fmt.Sprint("c", b.N, ".", i), 1), discardSink{}); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("raw", func(b *testing.B) {
+		raw := dialRaw(b, target.Address)
+		b.ReportAllocs()
+		for i := range b.N {
+			raw.generate(b, fmt.Sprint("r", b.N, ".", i), 1)
+		}
+	})
+}
+
+// BenchmarkStream is one token of a long stream over loopback: through the
+// client, and read raw from the same stand-in.
+func BenchmarkStream(b *testing.B) {
+	_, target := startEngine(b, quickEngine())
+	b.Run("client", func(b *testing.B) {
+		client := upstream.New(upstream.Config{})
+		b.ReportAllocs()
+		if err := client.Generate(background, target, generate(fmt.Sprint("c", b.N), b.N), discardSink{}); err != nil {
+			b.Fatal(err)
+		}
+	})
+	b.Run("raw", func(b *testing.B) {
+		raw := dialRaw(b, target.Address)
+		b.ReportAllocs()
+		raw.generate(b, fmt.Sprint("r", b.N), b.N)
+	})
+}
+
+// BenchmarkLoneToken is one token that arrives alone, as from an engine whose
+// step is longer than the reading: one write and one read of the socket each.
+func BenchmarkLoneToken(b *testing.B) {
+	b.Run("client", func(b *testing.B) {
+		ask, target := lonely(b)
+		sink := &pacedSink{ask: ask, left: b.N}
+		b.ReportAllocs()
+		ask <- struct{}{}
+		err := upstream.New(upstream.Config{}).Generate(background, target, generate("a", 1), sink)
+		if sink.left > 0 {
+			b.Fatal(err)
+		}
+	})
+	b.Run("raw", func(b *testing.B) {
+		ask, target := lonely(b)
+		raw := dialRaw(b, target.Address)
+		_, _ = io.WriteString(raw.conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+		b.ReportAllocs()
+		for range b.N {
+			ask <- struct{}{}
+			for line := []byte{}; !bytes.HasPrefix(line, []byte("data:")); {
+				var err error
+				if line, err = raw.reader.ReadSlice('\n'); err != nil {
+					b.Fatal(err)
+				}
+			}
+		}
+	})
+}
+
+// lonely starts an upstream that sends one token each time it is asked.
+func lonely(b *testing.B) (chan<- struct{}, upstream.Target) {
+	b.Helper()
+	ask := make(chan struct{}, 1)
+	b.Cleanup(func() { close(ask) })
+	_, target := scripted(b, func(conn net.Conn, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Started: true\r\nTransfer-Encoding: chunked\r\n\r\n")
+		i := 0
+		for range ask {
+			event := fmt.Sprintf("id: %d\ndata: {\"offset\":%d,\"text\":\"%s\"}\n\n", i, i, engine.TokenText("a", i))
+			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return false
+			}
+			i++
+		}
+		return false
+	})
+	return ask, target
+}
+
+// pacedSink asks for the next token when it has got one.
+type pacedSink struct {
+	ask  chan<- struct{}
+	left int
+}
+
+func (s *pacedSink) Token(engineapi.TokenEvent) error {
+	s.left--
+	if s.left == 0 {
+		return io.EOF
+	}
+	s.ask <- struct{}{}
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/generate_test.go
@@ -0,0 +1,337 @@
+package upstream_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/standin/engine"
+	"basilrudder/internal/standin/enginemodel"
+	"basilrudder/internal/upstream"
+	"basilrudder/internal/verdict"
+)
+
+func TestGenerateRelaysTheWholeAnswerOnce(t *testing.T) {
+	server, target := startEngine(t, fastEngine())
+	client := upstream.New(shortConfig())
+	for _, id := range []string{"a", "b", "c"} {
+		sink := newCollector()
+		if err := client.Generate(background, target, generate(id, 30), sink); err != nil {
+			t.Fatal(err)
+		}
+		sink.wantWhole(t, id, 30)
+	}
+	if runs := len(server.Engine("e0").Runs()); runs != 3 {
+		t.Errorf("%d runs, want 3", runs)
+	}
+	if conns := server.Accepted(); conns != 1 {
+		t.Errorf("%d connections, want one used three times", conns)
+	}
+}
+
+// Nothing listens at the address. No connection was made, so no byte of the
+// request can have left and the caller may be told that it did not run.
+func TestConnectRefusedIsNotRun(t *testing.T) {
+	ln := listen(t)
+	_ = ln.Close()
+	target := upstream.Target{Address: ln.Addr().String(), Server: "s0", Engine: "e0"}
+	err := upstream.New(shortConfig()).Generate(background, target, generate("a", 3), newCollector())
+	wantVerdict(t, err, verdict.NotRun, verdict.ReasonConnect)
+}
+
+// failingConn fails the write of a request after some bytes.
+type failingConn struct {
+	net.Conn
+	takes int
+}
+
+func (c *failingConn) Write(p []byte) (int, error) {
+	n := min(len(p), c.takes)
+	if n > 0 {
+		_, _ = c.Conn.Write(p[:n])
+	}
+	_ = c.Conn.Close()
+	return n, &net.OpError{Op: "write", Net: "tcp", Err: errors.New("connection reset by peer")}
+}
+
+// The connection fails while the request is written. If it took no byte, the
+// upstream can't have seen the request; if it took even one, the rest may have
+// been taken by the time of the error, so the honest answer is "may have run".
+func TestWriteFailureDependsOnBytesTaken(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		takes int
+		want  verdict.Verdict
+	}{
+		{"none", 0, verdict.NotRun},
+		{"one", 1, verdict.MayHaveRun},
+		{"most", 100, verdict.MayHaveRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cfg := shortConfig()
+			cfg.Dial = func(context.Context, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go func() { _, _ = far.Read(make([]byte, 1000)) }()
+				return &failingConn{Conn: near, takes: c.takes}, nil
+			}
+			err := upstream.New(cfg).Generate(background, upstream.Target{Server: "s0", Address: "a"}, generate("a", 3), newCollector())
+			wantVerdict(t, err, c.want, verdict.ReasonUpstreamLost)
+		})
+	}
+}
+
+// The server takes the request and its process dies before it answers. The
+// engine may have started, so "may have run"; and the request is not sent
+// again, neither on a new connection nor on one that was used before.
+func TestLostAfterWriteMayHaveRunAndIsNotSentAgain(t *testing.T) {
+	whole := stream("data: {\"offset\":0,\"text\":\"x\",\"finish\":\"stop\"}\n\n")
+	server, target := scripted(t, func(conn net.Conn, request int) bool {
+		return request == 1 && reply(whole)(conn, request)
+	})
+	client := upstream.New(shortConfig())
+	if err := client.Generate(background, target, generate("a", 1), newCollector()); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"on a used connection", "on a new connection"} {
+		err := client.Generate(background, target, generate(id, 1), newCollector())
+		wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonUpstreamLost)
+	}
+	if sent := server.requests.Load(); sent != 3 {
+		t.Errorf("%d requests arrived, want 3", sent)
+	}
+}
+
+// The server restarts between two requests and so has closed the connection
+// that the pool holds. The second request must not be lost to it: the pool
+// notices the closed connection and a new one is opened.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	server, target := startEngine(t, fastEngine())
+	client := upstream.New(shortConfig())
+	for _, id := range []string{"a", "b"} {
+		sink := newCollector()
+		if err := client.Generate(background, target, generate(id, 3), sink); err != nil {
+			t.Fatal(err)
+		}
+		sink.wantWhole(t, id, 3)
+		server.Cut()
+	}
+}
+
+// The connection is reset after some tokens. The run goes on at the engine;
+// resuming from the number of tokens received gives exactly the rest, and the
+// engine ran the request once.
+func TestResumeAfterLossGivesTheExactRest(t *testing.T) {
+	server, target := startEngine(t, fastEngine())
+	client := upstream.New(shortConfig())
+	sink := newCollector()
+	go func() {
+		for offset := range sink.seen {
+			if offset == 5 {
+				server.Cut()
+				return
+			}
+		}
+	}()
+	err := client.Generate(background, target, generate("a", 200), sink)
+	wantVerdict(t, err, verdict.Ran, verdict.ReasonUpstreamLost)
+	if err := client.Resume(background, target, "a", len(sink.events), sink); err != nil {
+		t.Fatal(err)
+	}
+	sink.wantWhole(t, "a", 200)
+	if runs := server.Engine("e0").Runs(); len(runs) != 1 || runs[0].End != enginemodel.Completed {
+		t.Errorf("runs: %+v", runs)
+	}
+}
+
+// The stream goes silent: the engine goes on, TCP reports nothing, no more
+// bytes come. The gap between tokens exceeds the limit, the client gives up
+// the connection and the rest comes over a new one.
+func TestSilentStreamIsNoticedAndResumed(t *testing.T) {
+	server, target := startEngine(t, fastEngine())
+	client := upstream.New(shortConfig())
+	sink := newCollector()
+	go func() {
+		for offset := range sink.seen {
+			if offset == 5 {
+				server.Silence()
+				return
+			}
+		}
+	}()
+	err := client.Generate(background, target, generate("a", 200), sink)
+	wantVerdict(t, err, verdict.Ran, verdict.ReasonUpstreamSilent)
+	if err := client.Resume(background, target, "a", len(sink.events), sink); err != nil {
+		t.Fatal(err)
+	}
+	sink.wantWhole(t, "a", 200)
+}
+
+// A connection of the pool went silent while unused. The request is written
+// to it and nothing comes back: it may have run. The other unused connections
+// to the address are given up as well, so the next request gets through.
+func TestSilentIdleConnectionsAreGivenUp(t *testing.T) {
+	server, target := startEngine(t, fastEngine())
+	client := upstream.New(shortConfig())
+	done := make(chan *verdict.Error)
+	for _, id := range []string{"a", "b"} {
+		go func() { done <- client.Generate(background, target, generate(id, 20), newCollector()) }()
+	}
+	for range 2 {
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	server.Silence()
+	err := client.Generate(background, target, generate("c", 3), newCollector())
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonUpstreamSilent)
+	if err := client.Generate(background, target, generate("d", 3), newCollector()); err != nil {
+		t.Errorf("the next request: %v", err)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer string
+		want   verdict.Verdict
+		reason verdict.Reason
+	}{
+		{"429 not started", "429 Too Many Requests\r\nX-Not-Started: true\r\nRetry-After: 7", verdict.NotRun, verdict.ReasonUpstreamRefused},
+		{"503 not started", "503 Service Unavailable\r\nX-Not-Started: true\r\nRetry-After: 7", verdict.NotRun, verdict.ReasonUpstreamRefused},
+		{"503 alone", "503 Service Unavailable\r\nRetry-After: 7", verdict.MayHaveRun, verdict.ReasonUpstreamError},
+		{"502 alone", "502 Bad Gateway\r\nRetry-After: 7", verdict.MayHaveRun, verdict.ReasonUpstreamError},
+		{"409 alone", "409 Conflict\r\nRetry-After: 7", verdict.Ran, verdict.ReasonUpstreamError},
+		{"both flags", "503 Service Unavailable\r\nX-Not-Started: true\r\nX-Started: true\r\nRetry-After: 7", verdict.Ran, verdict.ReasonUpstreamError},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, target := scripted(t, reply("HTTP/1.1 "+c.answer+"\r\nContent-Length: 2\r\n\r\nno"))
+			err := upstream.New(shortConfig()).Generate(background, target, generate("a", 3), newCollector())
+			wantVerdict(t, err, c.want, c.reason)
+			if err.RetryAfter != 7*time.Second {
+				t.Errorf("retry after %v, want 7s", err.RetryAfter)
+			}
+		})
+	}
+}
+
+func TestEngineRefusalIsNoRun(t *testing.T) {
+	server, target := startEngine(t, fastEngine())
+	server.Engine("e0").SetRefusing(true)
+	err := upstream.New(shortConfig()).Generate(background, target, generate("a", 3), newCollector())
+	wantVerdict(t, err, verdict.NotRun, verdict.ReasonUpstreamRefused)
+	if runs := len(server.Engine("e0").Runs()); runs != 0 {
+		t.Errorf("%d runs, want none", runs)
+	}
+}
+
+// The same request id arrives again, from an instance that did not know
+// better. The engine knows the id and refuses; the verdict is "ran", since it
+// did, and there is still one run.
+func TestDuplicateIDRan(t *testing.T) {
+	server, target := startEngine(t, fastEngine())
+	client := upstream.New(shortConfig())
+	if err := client.Generate(background, target, generate("a", 3), newCollector()); err != nil {
+		t.Fatal(err)
+	}
+	err := client.Generate(background, target, generate("a", 3), newCollector())
+	wantVerdict(t, err, verdict.Ran, verdict.ReasonUpstreamError)
+	if runs := len(server.Engine("e0").Runs()); runs != 1 {
+		t.Errorf("%d runs, want 1", runs)
+	}
+}
+
+// The engine crashed and restarted, so it does not know the request any more.
+// Resume must not say "not run": the request ran before the crash.
+func TestResumeOfAnUnknownRequestMayHaveRun(t *testing.T) {
+	_, target := startEngine(t, fastEngine())
+	err := upstream.New(shortConfig()).Resume(background, target, "a", 4, newCollector())
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonUnknownRequest)
+}
+
+func TestResumeThatCannotConnectMayHaveRun(t *testing.T) {
+	ln := listen(t)
+	_ = ln.Close()
+	target := upstream.Target{Address: ln.Addr().String(), Server: "s0", Engine: "e0"}
+	err := upstream.New(shortConfig()).Resume(background, target, "a", 4, newCollector())
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonConnect)
+}
+
+// The caller goes away in the middle of an answer. The context ends, the
+// connection is closed at once though a read waits on it, and the engine,
+// which notices the closed connection, gives the run up after its linger time.
+func TestContextEndClosesTheConnection(t *testing.T) {
+	cfg := fastEngine()
+	cfg.Engines[0].Model.Linger = 20 * time.Millisecond
+	server, target := startEngine(t, cfg)
+	ctx, cancel := context.WithCancel(background)
+	sink := newCollector()
+	go func() {
+		<-sink.seen
+		cancel()
+	}()
+	err := upstream.New(shortConfig()).Generate(ctx, target, generate("a", 1_000_000), sink)
+	wantVerdict(t, err, verdict.Ran, verdict.ReasonCallerGone)
+	server.Engine("e0").WaitForRun(func(r enginemodel.Run) bool { return r.End == enginemodel.Abandoned })
+}
+
+func TestContextThatHasEndedIsNotRun(t *testing.T) {
+	server, target := startEngine(t, fastEngine())
+	ctx, cancel := context.WithCancel(background)
+	cancel()
+	err := upstream.New(shortConfig()).Generate(ctx, target, generate("a", 3), newCollector())
+	wantVerdict(t, err, verdict.NotRun, verdict.ReasonCallerGone)
+	if runs := len(server.Engine("e0").Runs()); runs != 0 {
+		t.Errorf("%d runs, want none", runs)
+	}
+}
+
+func TestCancelEndsTheRun(t *testing.T) {
+	server, target := startEngine(t, fastEngine())
+	client := upstream.New(shortConfig())
+	sink := newCollector()
+	done := make(chan *verdict.Error)
+	go func() { done <- client.Generate(background, target, generate("a", 1_000_000), sink) }()
+	<-sink.seen
+	if err := client.Cancel(background, target, "a"); err != nil {
+		t.Fatal(err)
+	}
+	wantVerdict(t, <-done, verdict.Ran, verdict.ReasonUpstreamLost)
+	server.Engine("e0").WaitForRun(func(r enginemodel.Run) bool { return r.End == enginemodel.Cancelled })
+	if err := client.Cancel(background, target, "unknown"); err != nil {
+		t.Errorf("cancel of an unknown request: %v", err)
+	}
+}
+
+func TestSinkErrorEndsTheStream(t *testing.T) {
+	_, target := startEngine(t, fastEngine())
+	sink := newCollector()
+	sink.stop = errors.New("no more")
+	err := upstream.New(shortConfig()).Generate(background, target, generate("a", 50), sink)
+	wantVerdict(t, err, verdict.Ran, verdict.ReasonCallerGone)
+	if !errors.Is(err, sink.stop) || len(sink.events) != 1 {
+		t.Errorf("error %v after %d tokens", err, len(sink.events))
+	}
+}
+
+// The engine process crashes in the middle of an answer and all its
+// connections are reset. The caller is told "ran"; the restarted engine does
+// not know the request.
+func TestCrashInTheMiddle(t *testing.T) {
+	server, target := startEngine(t, fastEngine())
+	client := upstream.New(shortConfig())
+	sink := newCollector()
+	done := make(chan *verdict.Error)
+	go func() { done <- client.Generate(background, target, generate("a", 1_000_000), sink) }()
+	<-sink.seen
+	server.Crash()
+	wantVerdict(t, <-done, verdict.Ran, verdict.ReasonUpstreamLost)
+	server.Restart()
+	err := client.Resume(background, target, "a", len(sink.events), sink)
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonUnknownRequest)
+	if text := engine.TokenText("a", 0); sink.events[0].Text != text {
+		t.Errorf("first token %q, want %q", sink.events[0].Text, text)
+	}
+}
--- /dev/null
+++ b/internal/upstream/sse.go
@@ -0,0 +1,111 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/schema/engineapi"
+)
+
+// eventLimit bounds a line of an event stream, and the data of one event, in
+// bytes.
+const eventLimit = 64 << 10
+
+// eventReader reads the token events of a text/event-stream body.
+type eventReader struct {
+	lines *bufio.Reader
+	// data of the event that is being read.
+	data []byte
+	// payload feeds the decoder with the data of one event at a time, so that
+	// one decoder and its buffers serve the whole stream.
+	payload bytes.Reader
+	decoder *json.Decoder
+	// fed counts the bytes that the decoder should have consumed.
+	fed int64
+}
+
+func newEventReader() *eventReader {
+	r := &eventReader{lines: bufio.NewReaderSize(nil, eventLimit)}
+	r.decoder = json.NewDecoder(&r.payload)
+	return r
+}
+
+func (r *eventReader) reset(body io.Reader) {
+	r.lines.Reset(body)
+	r.data = r.data[:0]
+}
+
+var (
+	fieldData     = []byte("data")
+	errNotOneJSON = errors.New("event data is not one JSON object")
+)
+
+// next reads up to the end of the next event or comment. A comment is a sign
+// of life without an event; then ok is false.
+func (r *eventReader) next(event *engineapi.TokenEvent) (ok bool, err error) {
+	for {
+		line, err := r.line()
+		if err != nil {
+			return false, err
+		}
+		if len(line) == 0 {
+			if len(r.data) > 0 {
+				return true, r.decode(event)
+			}
+			continue
+		}
+		if line[0] == ':' {
+			return false, nil
+		}
+		if err := r.field(line); err != nil {
+			return false, err
+		}
+	}
+}
+
+func (r *eventReader) line() ([]byte, error) {
+	line, err := r.lines.ReadSlice('\n')
+	if err != nil {
+		return nil, err
+	}
+	line = line[:len(line)-1]
+	return bytes.TrimSuffix(line, []byte{'\r'}), nil
+}
+
+func (r *eventReader) field(line []byte) error {
+	name, value, _ := bytes.Cut(line, []byte{':'})
+	if !bytes.Equal(name, fieldData) {
+		return nil
+	}
+	value = bytes.TrimPrefix(value, []byte{' '})
+	if len(r.data)+len(value) > eventLimit {
+		return bufio.ErrBufferFull
+	}
+	r.data = append(r.data, value...)
+	return nil
+}
+
+// decode accepts exactly one object. Anything after it would stay in the
+// decoder and be taken for the next event.
+func (r *eventReader) decode(event *engineapi.TokenEvent) error {
+	data := bytes.TrimSpace(r.data)
+	r.data = r.data[:0]
+	if len(data) == 0 || data[0] != '{' {
+		return errNotOneJSON
+	}
+	*event = engineapi.TokenEvent{}
+	r.payload.Reset(data)
+	r.fed += int64(len(data))
+	err := r.decoder.Decode(event)
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return errNotOneJSON
+	}
+	if err == nil && r.decoder.InputOffset() != r.fed {
+		return errNotOneJSON
+	}
+	return err
+}
--- /dev/null
+++ b/internal/upstream/stream.go
@@ -0,0 +1,144 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/url"
+	"strconv"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"basilrudder/internal/enginehttp"
+	"basilrudder/internal/schema/engineapi"
+	"basilrudder/internal/verdict"
+)
+
+// Generate is a request to a model engine.
+type Generate struct {
+	// RequestID is unique; the engine refuses one that it knows.
+	RequestID string
+	// Priority in the engine; 0 is the highest.
+	Priority int
+	// Body is the JSON of the request.
+	Body []byte
+}
+
+// Sink takes the tokens of an answer in order, each once. An error ends the
+// stream; it means that the receiver wants no more.
+type Sink interface {
+	Token(engineapi.TokenEvent) error
+}
+
+var eventReaders = sync.Pool{New: func() any { return newEventReader() }}
+
+// Generate sends the request and passes each token to the sink. It returns nil
+// once the sink has got the last token. It never sends a request twice.
+func (c *Client) Generate(ctx context.Context, target Target, g Generate, sink Sink) *verdict.Error {
+	req := newRequest(target, fasthttp.MethodPost, enginehttp.PathGenerate)
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetContentType(enginehttp.TypeJSON)
+	req.Header.Set(enginehttp.HeaderEngine, target.Engine)
+	req.Header.Set(enginehttp.HeaderRequestID, g.RequestID)
+	req.Header.Set(enginehttp.HeaderPriority, strconv.Itoa(g.Priority))
+	req.SetBodyRaw(g.Body)
+	x, err := c.open(ctx, target, false)
+	if err != nil {
+		return err
+	}
+	return x.stream(req, 0, sink)
+}
+
+// Resume continues the answer of a request that was sent to the target before,
+// from the token at offset on. It always opens a new connection, since the
+// reason to resume is that an old one failed. Its errors never say "not run":
+// they speak of the request, not of the attempt to resume.
+func (c *Client) Resume(ctx context.Context, target Target, requestID string, offset int, sink Sink) *verdict.Error {
+	path := enginehttp.PathStreams + url.PathEscape(requestID) +
+		"?" + enginehttp.QueryOffset + "=" + strconv.Itoa(offset)
+	req := newRequest(target, fasthttp.MethodGet, path)
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.Set(enginehttp.HeaderEngine, target.Engine)
+	x, err := c.open(ctx, target, true)
+	if err == nil {
+		x.resuming = true
+		err = x.stream(req, offset, sink)
+	}
+	if err != nil {
+		err.Verdict = verdict.Worse(err.Verdict, verdict.MayHaveRun)
+	}
+	return err
+}
+
+// stream sends the request and relays the events of the answer.
+func (x *exchange) stream(req *fasthttp.Request, offset int, sink Sink) *verdict.Error {
+	if err := x.send(req, x.client.cfg.FirstByteTimeout); err != nil {
+		return err
+	}
+	if x.resp.StatusCode() != fasthttp.StatusOK {
+		return x.refused()
+	}
+	x.conn.setGap(x.client.cfg.FirstTokenTimeout)
+	x.resp.StreamBody = true
+	if err := x.resp.ReadBody(x.conn.reader, 0); err != nil {
+		return x.failed(err, "read answer")
+	}
+	events := eventReaders.Get().(*eventReader)
+	events.reset(x.resp.BodyStream())
+	if err := x.relay(events, offset, sink); err != nil {
+		// The reader is not used again: its decoder keeps the error.
+		return err
+	}
+	x.endStream(events)
+	return nil
+}
+
+// errOffset means that the engine left out a token.
+var errOffset = errors.New("token out of order")
+
+// relay passes events to the sink until the last one.
+func (x *exchange) relay(events *eventReader, offset int, sink Sink) *verdict.Error {
+	var event engineapi.TokenEvent
+	for {
+		ok, err := events.next(&event)
+		if err != nil {
+			return x.failed(err, "read token")
+		}
+		x.conn.setGap(x.client.cfg.TokenGapTimeout)
+		if !ok {
+			continue
+		}
+		x.started = true
+		if event.Offset > offset {
+			return x.failed(errors.Wrapf(errOffset, "got %d, want %d", event.Offset, offset), "read token")
+		}
+		// A resumed stream may begin before the offset asked for; the sink
+		// must not see a token twice.
+		if event.Offset < offset {
+			continue
+		}
+		if err := sink.Token(event); err != nil {
+			x.abort()
+			return verdict.Wrap(verdict.Ran, verdict.ReasonCallerGone, err)
+		}
+		if event.Finish != "" {
+			return nil
+		}
+		offset++
+	}
+}
+
+// endStream reads the end of the body, so that the connection can be used
+// again. The answer is complete whatever happens here.
+func (x *exchange) endStream(events *eventReader) {
+	x.conn.setGap(endTimeout)
+	if _, err := events.lines.Discard(1); !errors.Is(err, io.EOF) {
+		x.abort()
+		return
+	}
+	events.reset(nil)
+	eventReaders.Put(events)
+	_ = x.resp.CloseBodyStream()
+	x.finish()
+}
