--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -52,6 +52,9 @@
 // reaches its caller is the whole answer.
 func (s *Server) answerError(ctx *fasthttp.RequestCtx, f *follower, done bool, err *verdict.Error) {
 	f.unwatch()
+	if !done && !f.callerGone() {
+		err = stopping()
+	}
 	s.refuse(ctx, f.id, err)
 	if done {
 		f.deliver()
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -172,6 +172,7 @@
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.refuseUnread,
+		HeaderReceived:               s.limitBody,
 		Name:                         "basilrudder",
 		Concurrency:                  s.cfg.Connections + refusedConnections,
 		ReadBufferSize:               s.cfg.HeaderBytes,
--- a/internal/callers/conn_test.go
+++ b/internal/callers/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -232,3 +233,22 @@
 		t.Errorf("%v, %v", response, err)
 	}
 }
+
+// The shutdown's time is over while an answer still streams. The caller gets the
+// verdict and sees that the answer was cut.
+func TestForcedShutdownTellsTheCaller(t *testing.T) {
+	backend := newFakeBackend(func(_ *Request, log *answers.Log) {
+		_ = log.Append(engineapi.TokenEvent{Offset: 0, Text: "a"})
+	})
+	server := NewServer(Config{}, backend)
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	go func() { _ = server.Serve(ln) }()
+	response := send(t, "POST", ln.Addr().String(), pathChat, chatBodyStream, HeaderClass, "letter")
+	over, cancel := context.WithCancel(t.Context())
+	cancel()
+	_ = server.Shutdown(over)
+	events, err := readEvents(response.Body)
+	if err == nil || len(events) != 2 || !strings.Contains(events[1].data, string(verdict.ReasonDraining)) {
+		t.Errorf("%+v, %v", events, err)
+	}
+}
--- a/internal/callers/handler.go
+++ b/internal/callers/handler.go
@@ -27,6 +27,9 @@
 // maxIDLength bounds a request id, in bytes.
 const maxIDLength = 200
 
+// strangerBodyBytes bounds the body of a request without an accepted credential.
+const strangerBodyBytes = 1 << 10
+
 // connectionRetry is when a caller refused for its connection should come back.
 const connectionRetry = time.Second
 
@@ -94,7 +97,7 @@
 }
 
 func (s *Server) directory(ctx *fasthttp.RequestCtx) {
-	customer := s.authenticate(ctx)
+	customer := s.authenticate(&ctx.Request.Header)
 	if customer == nil {
 		s.refuse(ctx, "", unauthorized(verdict.NotRun))
 		return
@@ -115,13 +118,22 @@
 }
 
 // authenticate finds the customer of the bearer credential, or nil.
-func (s *Server) authenticate(ctx *fasthttp.RequestCtx) *catalog.Customer {
+func (s *Server) authenticate(header *fasthttp.RequestHeader) *catalog.Customer {
 	const scheme = "Bearer "
-	header := ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)
-	if len(header) <= len(scheme) || !bytes.EqualFold(header[:len(scheme)], []byte(scheme)) {
+	value := header.Peek(fasthttp.HeaderAuthorization)
+	if len(value) <= len(scheme) || !bytes.EqualFold(value[:len(scheme)], []byte(scheme)) {
 		return nil
 	}
-	return s.backend.Catalog().Authenticate(string(header[len(scheme):]))
+	return s.backend.Catalog().Authenticate(string(value[len(scheme):]))
+}
+
+// limitBody bounds the body before it is read. Without it, anybody could have
+// the instance hold a whole body on each of its connections.
+func (s *Server) limitBody(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if s.authenticate(header) == nil {
+		return fasthttp.RequestConfig{MaxRequestBodySize: min(strangerBodyBytes, s.cfg.BodyBytes)}
+	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: s.cfg.BodyBytes}
 }
 
 // admit checks the header of a request that is to run: credential, id, class.
@@ -136,7 +148,7 @@
 		return c, verdict.New(verdict.NotRun, verdict.ReasonBadRequest,
 			HeaderRequestID+" may hold at most 200 letters, digits and . _ : -")
 	}
-	c.customer = s.authenticate(ctx)
+	c.customer = s.authenticate(&ctx.Request.Header)
 	if c.customer == nil {
 		return c, unauthorized(s.unknowing(nil, c.id))
 	}
--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -108,8 +108,13 @@
 // refuseUnread answers a request that could not be read. A request too large to
 // read was too large at every earlier attempt as well, so it never ran.
 func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, cause error) {
-	s.refuse(ctx, "", unreadError(cause))
 	ctx.SetConnectionClose()
+	if errors.Is(cause, fasthttp.ErrBodyTooLarge) && s.authenticate(&ctx.Request.Header) == nil {
+		id := string(ctx.Request.Header.Peek(HeaderRequestID))
+		s.refuse(ctx, "", unauthorized(s.unknowing(nil, id)))
+		return
+	}
+	s.refuse(ctx, "", unreadError(cause))
 	if status := unreadStatus(cause); status != 0 {
 		ctx.SetStatusCode(status)
 	}
--- a/internal/callers/requests.go
+++ b/internal/callers/requests.go
@@ -25,7 +25,7 @@
 		s.refuse(ctx, "", verdict.New(verdict.MayHaveRun, verdict.ReasonBadRequest, "the path holds no request id"))
 		return
 	}
-	customer := s.authenticate(ctx)
+	customer := s.authenticate(&ctx.Request.Header)
 	if customer == nil {
 		s.refuse(ctx, id, unauthorized(verdict.MayHaveRun))
 		return
--- a/internal/callers/stream.go
+++ b/internal/callers/stream.go
@@ -47,6 +47,16 @@
 	return f
 }
 
+// callerGone reports whether the caller closed or lost the connection.
+func (f *follower) callerGone() bool {
+	return errors.Is(context.Cause(f.ctx), errCallerGone)
+}
+
+// stopping is the error of an answer that outlasts the instance's shutdown.
+func stopping() *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonDraining, "the instance stops before the answer has ended")
+}
+
 // unwatch ends the background read; nothing may be read or answered before.
 func (f *follower) unwatch() {
 	if f.conn != nil {
@@ -142,7 +152,7 @@
 		b.events, b.done, b.err = b.follower.log.Next(b.follower.ctx, b.offset)
 		b.offset += len(b.events)
 		if b.err != nil && !b.done {
-			b.ended = true // the caller is gone
+			b.interrupt()
 			return
 		}
 	}
@@ -155,6 +165,17 @@
 	}
 }
 
+// interrupt ends a stream whose answer goes on. A caller that is gone gets
+// nothing more; to one that is there, the instance says that it stops.
+func (b *sseBody) interrupt() {
+	if b.follower.callerGone() {
+		b.ended = true
+		return
+	}
+	b.err = stopping()
+	b.finish()
+}
+
 // finish appends the last event: [DONE] for a whole answer, else the refusal.
 func (b *sseBody) finish() {
 	b.ended = true
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,137 @@
+// Package cli holds the commands of basilrudder that read accounting lines.
+package cli
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/report"
+)
+
+// Exit codes of the commands.
+const (
+	// ExitOK means that the command did what was asked.
+	ExitOK = 0
+	// ExitMissed means that a stated outcome was missed.
+	ExitMissed = 1
+	// ExitBadInput means that arguments or files could not be used.
+	ExitBadInput = 2
+)
+
+// ErrMissed means that a stated outcome was missed.
+var ErrMissed = errors.New("outcome missed")
+
+// ExitCode returns the exit code for the result of a command.
+func ExitCode(err error) int {
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, ErrMissed):
+		return ExitMissed
+	default:
+		return ExitBadInput
+	}
+}
+
+// Streams are the outputs of a command; kong binds them to Run.
+type Streams struct {
+	// Out takes what was asked for.
+	Out io.Writer
+	// Err takes messages.
+	Err io.Writer
+}
+
+// ReportCmd tells attainment, goodput, waste and burn.
+type ReportCmd struct {
+	Files []string `arg:"" name:"file" help:"Files of accounting lines, in any order; - for standard input."`
+	JSON  bool     `name:"json" help:"Write JSON instead of a table."`
+	HTML  string   `name:"html" type:"path" placeholder:"FILE" help:"Also write a page with plots that needs no other file."`
+	Goal  float64  `name:"goal" default:"0.99" help:"Share of requests that should meet their target (the rule attainment_goal)."`
+	Now   float64  `name:"now" placeholder:"SECONDS" help:"End of the burn windows in seconds since 1970; the last line's time by default."`
+	Check bool     `name:"check" help:"Exit with 1 when a class misses the goal."`
+}
+
+// Run writes the report.
+func (c *ReportCmd) Run(streams *Streams) error {
+	if c.Goal <= 0 || c.Goal >= 1 {
+		return errors.Errorf("--goal is %v, expected a share between 0 and 1", c.Goal)
+	}
+	r, err := report.Read(c.Files, report.Options{Goal: c.Goal, Now: c.Now})
+	if err != nil {
+		return errors.Wrap(err, "read accounting lines")
+	}
+	if err := c.write(r, streams.Out); err != nil {
+		return errors.Wrap(err, "write the report")
+	}
+	if c.Check {
+		return checkGoal(r)
+	}
+	return nil
+}
+
+func (c *ReportCmd) write(r *report.Report, out io.Writer) error {
+	if c.HTML != "" {
+		if err := writePage(r, c.HTML); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return writeJSON(out, r)
+	}
+	return r.WriteTable(out)
+}
+
+func writePage(r *report.Report, name string) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	if err := r.WriteHTML(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
+
+func writeJSON(out io.Writer, value any) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// checkGoal fails when a class misses the goal, or when there is no request to
+// judge by.
+func checkGoal(r *report.Report) error {
+	if r.Total.Requests == 0 {
+		return errors.Wrap(ErrMissed, "there are no requests")
+	}
+	for _, class := range r.Classes {
+		if class.Attainment < r.Goal {
+			return errors.Wrapf(ErrMissed, "class %s: attainment %.4f is below the goal %.4f",
+				class.Name, class.Attainment, r.Goal)
+		}
+	}
+	return nil
+}
+
+// ExplainCmd tells the story of one request.
+type ExplainCmd struct {
+	ID    string   `arg:"" help:"Request id."`
+	Files []string `arg:"" name:"file" help:"Files of accounting lines of all instances; - for standard input."`
+	JSON  bool     `name:"json" help:"Write JSON."`
+}
+
+// Run writes the story.
+func (c *ExplainCmd) Run(streams *Streams) error {
+	story, err := report.Explain(c.ID, c.Files)
+	if err != nil {
+		return errors.Wrap(err, "explain")
+	}
+	if c.JSON {
+		return writeJSON(streams.Out, story)
+	}
+	return story.WriteText(streams.Out)
+}
--- a/internal/report/read.go
+++ b/internal/report/read.go
@@ -73,7 +73,10 @@
 		return err
 	}
 	defer func() { _ = file.Close() }()
-	return errors.Wrap(readLines(file, lines, to), name)
+	if err := readLines(file, lines, to); err != nil {
+		return errors.Wrap(err, name)
+	}
+	return nil
 }
 
 func readLines(in io.Reader, lines *Lines, to sink) error {
