The whole path runs: daemon, stand-ins, try, check, status

Cause: the parts existed and nothing joined them. Change: package daemon wires an instance to listeners, links, upstreams and the platform; stand-ins of the platform and of application servers; package trial runs a deployment in one process; basilrudder try, check, status; refusals before submission are accounted, as the report has to tell who was turned away; request ids use a colon, which callers may send in headers.

--- a/cmd/basilrudder/main.go
+++ b/cmd/basilrudder/main.go
@@ -1,4 +1,34 @@
-// Command basilrudder is not wired yet.
+// Command basilrudder is for operators: it checks inventories, reads reports
+// and runs trials.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"basilrudder/internal/cli"
+)
+
+type commands struct {
+	Check   cli.CheckCmd   `cmd:"" help:"Check an inventory directory."`
+	Status  cli.StatusCmd  `cmd:"" help:"Show what an instance believes."`
+	Report  cli.ReportCmd  `cmd:"" help:"Report from accounting lines."`
+	Explain cli.ExplainCmd `cmd:"" help:"Tell the story of one request."`
+	Try     cli.TryCmd     `cmd:"" help:"Run a fleet and stand-ins in one process and report."`
+}
+
+func main() {
+	var c commands
+	ctx := kong.Parse(&c,
+		kong.Name("basilrudder"),
+		kong.Description("Operate and try a fleet of basilrudderd."),
+		kong.UsageOnError(),
+		kong.Bind(&cli.Streams{Out: os.Stdout, Err: os.Stderr}),
+	)
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "basilrudder:", err)
+		os.Exit(cli.ExitCode(err))
+	}
+}
--- a/cmd/basilrudderd/main.go
+++ b/cmd/basilrudderd/main.go
@@ -1,4 +1,89 @@
-// Command basilrudderd is not wired yet.
+// Command basilrudderd is one instance of the router.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"basilrudder/internal/accounting"
+	"basilrudder/internal/daemon"
+	"basilrudder/internal/schema/settings"
+	checked "basilrudder/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitBadInput = 2
+)
+
+type options struct {
+	Settings string `arg:"" help:"Settings file (TOML)." type:"path"`
+	LogLevel string `help:"Overrides log.level." enum:",debug,info,warn,error" default:"" env:"BASILRUDDER_LOG_LEVEL"`
+	Check    bool   `help:"Check the settings and exit."`
+}
+
+func main() {
+	var opts options
+	kong.Parse(&opts, kong.Name("basilrudderd"), kong.Description("One instance of the router."))
+	s, problems := checked.Load(opts.Settings, os.Getenv)
+	if len(problems) > 0 {
+		fmt.Fprintln(os.Stderr, problems.Error())
+		os.Exit(exitBadInput)
+	}
+	if opts.LogLevel != "" {
+		s.Log.Level = settings.Level(opts.LogLevel)
+	}
+	if opts.Check {
+		return
+	}
+	if err := run(s); err != nil {
+		fmt.Fprintln(os.Stderr, "basilrudderd:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+// run serves until the first SIGTERM or SIGINT and its drain; the second one
+// ends the process at once.
+func run(s *settings.Settings) error {
+	log, err := newLog(string(s.Log.Level))
+	if err != nil {
+		return err
+	}
+	listeners, err := daemon.Listen(s)
+	if err != nil {
+		return err
+	}
+	records := accounting.NewWriter(os.Stdout, time.Now)
+	d, err := daemon.New(daemon.Config{Settings: s, Listeners: listeners, Records: records, Log: log})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	err = d.Run(ctx)
+	if closeErr := records.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// newLog writes to standard error; standard output carries accounting alone.
+func newLog(level string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(parsed)
+	cfg.Sampling = nil
+	return cfg.Build()
+}
--- a/internal/callers/bench_test.go
+++ b/internal/callers/bench_test.go
@@ -31,6 +31,8 @@
 
 func (b *benchBackend) Delivered(*catalog.Customer, string) {}
 
+func (b *benchBackend) Refused(*catalog.Customer, *catalog.Class, string, *verdict.Error) {}
+
 func benchServer(b *testing.B, serve func(*answers.Log)) net.Conn {
 	backend := &benchBackend{fakeBackend: newFakeBackend(nil), serve: serve}
 	address := startServer(b, Config{}, backend)
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -79,6 +79,9 @@
 	// Delivered tells that the end of an answer, whole or refused, was written to
 	// a caller's connection. It may be called more than once for an id.
 	Delivered(customer *catalog.Customer, id string)
+	// Refused tells of a request that was refused before Submit and surely did
+	// not run; class is nil when it is not known.
+	Refused(customer *catalog.Customer, class *catalog.Class, id string, err *verdict.Error)
 	// Find returns the answer under an id of this instance.
 	Find(customer, id string) (*answers.Log, bool)
 	// Home tells which instance an id is bound to. The error has the reason
--- a/internal/callers/chat.go
+++ b/internal/callers/chat.go
@@ -14,7 +14,7 @@
 	arrived := s.cfg.Now()
 	c, err := s.admit(ctx, inventory.ClassKindModel)
 	if err != nil {
-		s.refuse(ctx, c.id, err)
+		s.refuseCall(ctx, &c, err)
 		return
 	}
 	if c.home != "" {
@@ -24,7 +24,7 @@
 	parsed, err := parseChat(ctx.PostBody(), c.class)
 	if err != nil {
 		err.Verdict = s.unknowing(c.customer, c.id)
-		s.refuse(ctx, c.id, err)
+		s.refuseCall(ctx, &c, err)
 		return
 	}
 	f, err := s.submit(ctx, &Request{
@@ -52,7 +52,7 @@
 	arrived := s.cfg.Now()
 	c, err := s.admit(ctx, inventory.ClassKindService)
 	if err != nil {
-		s.refuse(ctx, c.id, err)
+		s.refuseCall(ctx, &c, err)
 		return
 	}
 	if c.home != "" {
@@ -62,7 +62,7 @@
 	request, err := serviceRequest(ctx, c.class.Target)
 	if err != nil {
 		err.Verdict = s.unknowing(c.customer, c.id)
-		s.refuse(ctx, c.id, err)
+		s.refuseCall(ctx, &c, err)
 		return
 	}
 	body := append([]byte(nil), ctx.PostBody()...)
--- a/internal/callers/fake_test.go
+++ b/internal/callers/fake_test.go
@@ -103,6 +103,8 @@
 
 func (b *fakeBackend) CallerGone(_ *catalog.Customer, id string) { b.gone <- id }
 
+func (b *fakeBackend) Refused(*catalog.Customer, *catalog.Class, string, *verdict.Error) {}
+
 func (b *fakeBackend) Delivered(_ *catalog.Customer, id string) { b.delivered <- id }
 
 func (b *fakeBackend) Find(customer, id string) (*answers.Log, bool) {
--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -76,6 +76,15 @@
 	ctx.SetBody(refusalJSON(id, err))
 }
 
+// refuseCall refuses a request of a customer that is known, and has it accounted:
+// the report tells who was turned away.
+func (s *Server) refuseCall(ctx *fasthttp.RequestCtx, c *call, err *verdict.Error) {
+	if c.customer != nil && err.Verdict == verdict.NotRun {
+		s.backend.Refused(c.customer, c.class, c.id, err)
+	}
+	s.refuse(ctx, c.id, err)
+}
+
 func setHeaders(ctx *fasthttp.RequestCtx, id string, v verdict.Verdict) {
 	if id != "" {
 		ctx.Response.Header.Set(HeaderRequestID, id)
--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+	"go.uber.org/zap"
+
+	"basilrudder/internal/monotime"
+)
+
+const (
+	adminTimeout = 5 * time.Second
+	pathVars     = "/debug/vars"
+	pathStatus   = "/v1/status"
+)
+
+// serveAdmin serves metrics and what the instance believes.
+func (d *Daemon) serveAdmin(ctx context.Context) error {
+	server := &fasthttp.Server{
+		Handler:      d.admin,
+		Name:         "basilrudder",
+		ReadTimeout:  adminTimeout,
+		WriteTimeout: adminTimeout,
+		Logger:       zap.NewStdLog(d.cfg.Log),
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Shutdown() })
+	defer stop()
+	return server.Serve(d.cfg.Listeners.Admin)
+}
+
+func (d *Daemon) admin(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case pathVars:
+		expvarhandler.ExpvarHandler(ctx)
+	case pathStatus:
+		d.serveStatus(ctx)
+	default:
+		ctx.Error("not found", fasthttp.StatusNotFound)
+	}
+}
+
+func (d *Daemon) serveStatus(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("application/json")
+	if err := json.NewEncoder(ctx).Encode(d.Status(monotime.Now())); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+	}
+}
--- /dev/null
+++ b/internal/daemon/backend.go
@@ -0,0 +1,165 @@
+package daemon
+
+import (
+	"context"
+	"encoding/base32"
+	"encoding/binary"
+	"math/rand/v2"
+	"time"
+
+	"basilrudder/internal/answers"
+	"basilrudder/internal/callers"
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/membership"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/node"
+	"basilrudder/internal/reqid"
+	"basilrudder/internal/schema/callerapi"
+	"basilrudder/internal/verdict"
+)
+
+// backend serves the caller interface from the node.
+type backend struct {
+	self  reqid.Incarnation
+	node  *node.Node
+	work  *dispatcher
+	store *answers.Store
+}
+
+// Catalog implements callers.Backend.
+func (b *backend) Catalog() *catalog.Catalog {
+	return b.node.Catalog()
+}
+
+// Submit implements callers.Backend.
+func (b *backend) Submit(_ context.Context, in *callers.Request) (*answers.Log, string, *verdict.Error) {
+	now := monotime.Now()
+	id, err := b.idOf(in)
+	if err != nil {
+		return nil, "", err
+	}
+	key := answers.Key{Customer: in.Customer.Name, ID: id.Text}
+	begin := answers.Begin{
+		Fingerprint: in.Fingerprint,
+		Expires:     monotime.Instant(id.Expiry),
+	}
+	log, created, err := b.store.Begin(now, key, begin)
+	if err != nil || !created {
+		return log, id.Text, err
+	}
+	if err := b.admit(now, in, key, log); err != nil {
+		log.Close(err)
+		b.store.Abandon(key)
+		return nil, id.Text, err
+	}
+	return log, id.Text, nil
+}
+
+// admit hands the request to the node. The node may start it before Submit
+// returns, so what the dispatcher needs is put down first.
+func (b *backend) admit(now monotime.Instant, in *callers.Request, key answers.Key, log *answers.Log) *verdict.Error {
+	h := &held{request: in, log: log, key: key}
+	if !b.work.hold(h) {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonUnknownRequest, "the request id is in use")
+	}
+	_, err := b.node.Submit(now, node.Request{
+		ID:           key.ID,
+		Customer:     in.Customer,
+		Class:        in.Class,
+		PromptTokens: in.PromptTokens,
+		Prefix:       in.Prefix,
+	})
+	if err != nil {
+		b.work.drop(key.ID)
+		return err
+	}
+	return nil
+}
+
+// idOf returns the id under which the request runs. An id of the caller's own,
+// which the caller interface lets through for idempotent classes only, is
+// replaced: nothing depends on it.
+func (b *backend) idOf(in *callers.Request) (reqid.ID, *verdict.Error) {
+	if id, err := reqid.Parse(in.ID); err == nil {
+		return id, nil
+	}
+	id, err := reqid.Parse(b.mint())
+	if err != nil {
+		return reqid.ID{}, verdict.Wrap(verdict.NotRun, verdict.ReasonInternal, err)
+	}
+	return id, nil
+}
+
+// mint returns a new id bound to this process.
+func (b *backend) mint() string {
+	prefix, _ := b.self.Prefix(time.Now(), node.IDLifetime)
+	return prefix + newNonce()
+}
+
+var nonceEncoding = base32.HexEncoding.WithPadding(base32.NoPadding)
+
+// newNonce returns a random nonce. It need not be a secret: an answer is given
+// to its customer's credential only.
+func newNonce() string {
+	var raw [10]byte
+	binary.LittleEndian.PutUint64(raw[:], rand.Uint64())
+	binary.LittleEndian.PutUint16(raw[8:], uint16(rand.Uint32()))
+	return nonceEncoding.EncodeToString(raw[:])
+}
+
+// CallerGone implements callers.Backend.
+func (b *backend) CallerGone(customer *catalog.Customer, id string) {
+	if _, ok := b.Find(customer.Name, id); ok {
+		b.node.CallerGone(monotime.Now(), id)
+	}
+}
+
+// Delivered implements callers.Backend.
+func (b *backend) Delivered(customer *catalog.Customer, id string) {
+	if _, ok := b.Find(customer.Name, id); ok {
+		b.node.Delivered(monotime.Now(), id)
+	}
+}
+
+// Refused implements callers.Backend.
+func (b *backend) Refused(customer *catalog.Customer, class *catalog.Class, id string, err *verdict.Error) {
+	if id == "" {
+		id = b.mint()
+	}
+	b.node.RecordRefused(monotime.Now(), node.Request{ID: id, Customer: customer, Class: class}, err)
+}
+
+// Find implements callers.Backend.
+func (b *backend) Find(customer, id string) (*answers.Log, bool) {
+	return b.store.Find(answers.Key{Customer: customer, ID: id})
+}
+
+// Home implements callers.Backend.
+func (b *backend) Home(id string) (address string, local bool, err *verdict.Error) {
+	parsed, parseErr := reqid.Parse(id)
+	if parseErr != nil {
+		return "", false, verdict.Wrap(verdict.NotRun, verdict.ReasonUnboundKey, parseErr)
+	}
+	if parsed.Incarnation == b.self {
+		return "", true, nil
+	}
+	member, ok := b.member(parsed.Instance)
+	if !ok || member.Incarnation != parsed.Token {
+		return "", false, verdict.New(verdict.MayHaveRun, verdict.ReasonHomeGone,
+			"the process that the request id is bound to is gone")
+	}
+	return member.CallerAddress, false, nil
+}
+
+func (b *backend) member(id string) (membership.Member, bool) {
+	view := b.node.View()
+	if view == nil {
+		return membership.Member{}, false
+	}
+	return view.Find(id)
+}
+
+// Directory implements callers.Backend.
+func (b *backend) Directory(customer *catalog.Customer) callerapi.Directory {
+	return answerDirectory(b.node.Catalog(), b.node.View(), customer)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,309 @@
+// Package daemon wires an instance to its I/O: listeners for callers, peers and
+// operators, links to peers, clients of upstreams and of the platform.
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"basilrudder/internal/accounting"
+	"basilrudder/internal/answers"
+	"basilrudder/internal/callers"
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/confsync"
+	"basilrudder/internal/instance"
+	"basilrudder/internal/membership"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/node"
+	"basilrudder/internal/peer"
+	"basilrudder/internal/platform"
+	"basilrudder/internal/reqid"
+	"basilrudder/internal/sched"
+	"basilrudder/internal/schema/settings"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/upstream"
+)
+
+const (
+	// cancelTimeout bounds telling an engine to stop.
+	cancelTimeout = 2 * time.Second
+	// defaultKeyID and defaultKey sign links until the configuration names keys.
+	// The key is published, so it keeps out mistakes and no attacker.
+	defaultKeyID = "bootstrap"
+	defaultKey   = "basilrudder-bootstrap-key"
+)
+
+// Listeners are the open sockets of a daemon.
+type Listeners struct {
+	// Callers, Peers and Admin accept connections of each kind.
+	Callers, Peers, Admin net.Listener
+}
+
+// Listen opens the sockets that the settings name.
+func Listen(s *settings.Settings) (Listeners, error) {
+	var out Listeners
+	var err error
+	for _, entry := range []struct {
+		address string
+		into    *net.Listener
+	}{{s.Listen.Callers, &out.Callers}, {s.Listen.Peers, &out.Peers}, {s.Listen.Admin, &out.Admin}} {
+		if *entry.into, err = net.Listen("tcp", entry.address); err != nil {
+			out.Close()
+			return Listeners{}, errors.Wrap(err, "listen")
+		}
+	}
+	return out, nil
+}
+
+// Close closes the sockets.
+func (l Listeners) Close() {
+	for _, listener := range []net.Listener{l.Callers, l.Peers, l.Admin} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// Config configures a Daemon.
+type Config struct {
+	// Settings that were checked.
+	Settings *settings.Settings
+	// Listeners are open.
+	Listeners Listeners
+	// Records takes the accounting lines.
+	Records *accounting.Writer
+	// Log takes everything else.
+	Log *zap.Logger
+}
+
+// Daemon is one running instance.
+type Daemon struct {
+	*dispatcher
+	cfg      Config
+	ctx      context.Context
+	instance *instance.Instance
+	links    *peer.Links
+	platform *platform.Client
+	callers  *callers.Server
+	store    *answers.Store
+	self     reqid.Incarnation
+	tasks    sync.WaitGroup
+}
+
+// New returns a daemon that does nothing until Run.
+func New(cfg Config) (*Daemon, error) {
+	s := cfg.Settings
+	seed := rand.Uint64()
+	d := &Daemon{
+		cfg:      cfg,
+		self:     reqid.NewIncarnation(s.Instance.ID, time.Now(), rand.Uint32()),
+		platform: platform.New(platform.Config{Address: s.Platform.Address, Timeout: time.Duration(s.Platform.TimeoutMS) * time.Millisecond}),
+		store:    answers.NewStore(storeConfig(s, nil)),
+	}
+	d.dispatcher = &dispatcher{
+		clients: upstream.New(upstream.Config{}),
+		store:   d.store,
+		records: cfg.Records,
+		send:    d.send,
+		held:    make(map[string]*held),
+	}
+	d.instance = instance.New(monotime.Now(), d.instanceConfig(seed), d)
+	d.node = d.instance.Node()
+	var err error
+	if d.links, err = peer.New(d.peerConfig()); err != nil {
+		return nil, err
+	}
+	d.callers = callers.NewServer(d.callerConfig(), &backend{self: d.self, node: d.node, work: d.dispatcher, store: d.store})
+	return d, nil
+}
+
+func (d *Daemon) instanceConfig(seed uint64) instance.Config {
+	s := d.cfg.Settings
+	return instance.Config{
+		Node: node.Config{
+			Self:       d.self,
+			DataCentre: s.Instance.DataCentre,
+			Capacity:   s.Limits.Requests,
+			Policy:     sched.Default(),
+			Seed:       seed,
+		},
+		Self: membership.Member{
+			ID:            d.self.Instance,
+			Incarnation:   d.self.Token,
+			DataCentre:    s.Instance.DataCentre,
+			CallerAddress: orElse(s.Advertise.Callers, d.cfg.Listeners.Callers.Addr().String()),
+			PeerAddress:   orElse(s.Advertise.Peers, d.cfg.Listeners.Peers.Addr().String()),
+			Epoch:         uint64(time.Now().Unix()),
+		},
+		Seeds: s.Peers.Seeds,
+	}
+}
+
+func orElse(value, otherwise string) string {
+	if value == "" {
+		return otherwise
+	}
+	return value
+}
+
+func (d *Daemon) callerConfig() callers.Config {
+	limits := d.cfg.Settings.Limits
+	return callers.Config{
+		HeaderBytes: limits.HeaderBytes,
+		BodyBytes:   limits.BodyBytes,
+		Connections: limits.Connections,
+		ReadTimeout: time.Duration(limits.ReadTimeoutMS) * time.Millisecond,
+		WriteStall:  time.Duration(limits.WriteStallMS) * time.Millisecond,
+		Log:         d.cfg.Log,
+	}
+}
+
+func (d *Daemon) peerConfig() peer.Config {
+	self := d.instanceConfig(0).Self
+	return peer.Config{
+		Self: peer.Identity{
+			ID:            self.ID,
+			Incarnation:   self.Incarnation,
+			DataCentre:    self.DataCentre,
+			CallerAddress: self.CallerAddress,
+			PeerAddress:   self.PeerAddress,
+		},
+		Keys:     d.keys(nil),
+		Listener: d.cfg.Listeners.Peers,
+		Resolve:  d.resolve,
+		Handler:  d,
+		Log:      d.cfg.Log,
+	}
+}
+
+// keys returns the published keys and the one from the settings, which stays
+// valid so that a new process can reach its peers before it has a configuration.
+func (d *Daemon) keys(cat *catalog.Catalog) []peer.Key {
+	var keys []peer.Key
+	if cat != nil {
+		for _, key := range cat.Inventory.PeerKeys {
+			keys = append(keys, peer.Key{ID: key.ID, Secret: key.Secret})
+		}
+	}
+	s := d.cfg.Settings.Peers
+	if s.Key != "" {
+		return append(keys, peer.Key{ID: orElse(s.KeyID, defaultKeyID), Secret: s.Key})
+	}
+	return append(keys, peer.Key{ID: defaultKeyID, Secret: defaultKey})
+}
+
+func (d *Daemon) resolve(id string) (string, bool) {
+	view := d.node.View()
+	if view == nil {
+		return "", false
+	}
+	member, ok := view.Find(id)
+	return member.PeerAddress, ok
+}
+
+func (d *Daemon) send(to string, env *wire.Envelope) {
+	if !d.links.Send(to, env) {
+		d.later(func() { d.instance.OnLinkDown(monotime.Now(), to) })
+	}
+}
+
+// later runs do outside the locks that the caller holds.
+func (d *Daemon) later(do func()) {
+	d.tasks.Go(do)
+}
+
+// Run serves until ctx ends and the drain is over.
+func (d *Daemon) Run(ctx context.Context) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	d.ctx = running
+	d.dispatcher.ctx = running
+	group, groupCtx := errgroup.WithContext(running)
+	group.Go(func() error { return d.links.Run(groupCtx) })
+	group.Go(func() error { return d.callers.Serve(d.cfg.Listeners.Callers) })
+	group.Go(func() error { return d.serveAdmin(groupCtx) })
+	group.Go(func() error { return d.tick(groupCtx) })
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			return d.drain(running)
+		case <-groupCtx.Done():
+			return nil
+		}
+	})
+	err := group.Wait()
+	d.tasks.Wait()
+	return err
+}
+
+func (d *Daemon) tick(ctx context.Context) error {
+	ticker := time.NewTicker(instance.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.instance.Tick(monotime.Now())
+			d.store.Expire(monotime.Now())
+		}
+	}
+}
+
+// Envelope implements peer.Handler.
+func (d *Daemon) Envelope(from string, env *wire.Envelope) {
+	d.instance.OnEnvelope(monotime.Now(), from, env)
+}
+
+// LinkUp implements peer.Handler.
+func (d *Daemon) LinkUp(id peer.Identity) {
+	d.instance.OnLinkUp(monotime.Now(), id.ID)
+}
+
+// LinkDown implements peer.Handler.
+func (d *Daemon) LinkDown(id string, err error) {
+	d.cfg.Log.Debug("link down", zap.String("peer", id), zap.Error(err))
+	d.instance.OnLinkDown(monotime.Now(), id)
+}
+
+// Want implements instance.Effects.
+func (d *Daemon) Want(targets []membership.Target) {
+	out := make([]peer.Target, 0, len(targets))
+	for _, t := range targets {
+		out = append(out, peer.Target{ID: t.ID, Address: t.Address})
+	}
+	d.links.SetWanted(out)
+}
+
+// Installed implements instance.Effects.
+func (d *Daemon) Installed(cat *catalog.Catalog) {
+	d.cfg.Log.Info("configuration in force", zap.Uint64("revision", cat.Revision),
+		zap.Int("servers", len(cat.Servers)), zap.Int("customers", len(cat.Customers)))
+	d.store.Configure(monotime.Now(), storeConfig(d.cfg.Settings, cat))
+	d.later(func() { d.links.SetKeys(d.keys(cat)) })
+}
+
+// Report implements instance.Effects.
+func (d *Daemon) Report(event confsync.Event) {
+	d.cfg.Log.Info("configuration event", zap.Any("event", event))
+}
+
+func storeConfig(s *settings.Settings, cat *catalog.Catalog) answers.StoreConfig {
+	const defaultKeep = time.Minute
+	cfg := answers.StoreConfig{
+		Keep:      defaultKeep,
+		KeptBytes: s.Limits.KeptAnswerBytes,
+	}
+	if cat != nil {
+		cfg.Keep = time.Duration(cat.Rules.AnswerKeepS) * time.Second
+	}
+	return cfg
+}
--- /dev/null
+++ b/internal/daemon/dispatcher.go
@@ -0,0 +1,190 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+
+	"basilrudder/internal/accounting"
+	"basilrudder/internal/answers"
+	"basilrudder/internal/callers"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/node"
+	record "basilrudder/internal/schema/accounting"
+	"basilrudder/internal/schema/engineapi"
+	"basilrudder/internal/schema/inventory"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/upstream"
+	"basilrudder/internal/verdict"
+)
+
+// held is a request of this instance with what a node does not need to know.
+type held struct {
+	request *callers.Request
+	log     *answers.Log
+	key     answers.Key
+
+	// cancel stops the running attempt; nil before the first.
+	cancel context.CancelCauseFunc
+}
+
+// dispatcher carries out what the node decides: it runs attempts at upstreams
+// and relays their tokens into the answers' logs.
+type dispatcher struct {
+	ctx     context.Context
+	node    *node.Node
+	clients *upstream.Client
+	store   *answers.Store
+	records *accounting.Writer
+	send    func(to string, env *wire.Envelope)
+
+	mu    sync.Mutex
+	held  map[string]*held
+	group sync.WaitGroup
+}
+
+// hold puts a request down before the node may start it, and reports whether its
+// id was free.
+func (d *dispatcher) hold(h *held) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.held[h.key.ID] != nil {
+		return false
+	}
+	d.held[h.key.ID] = h
+	return true
+}
+
+func (d *dispatcher) drop(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.held, id)
+}
+
+// Send implements node.Effects.
+func (d *dispatcher) Send(to string, env *wire.Envelope) {
+	d.send(to, env)
+}
+
+// Record implements node.Effects.
+func (d *dispatcher) Record(rec record.Record) {
+	d.records.Write(rec)
+}
+
+// Start implements node.Effects.
+func (d *dispatcher) Start(attempt node.Attempt) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := d.held[attempt.RequestID]
+	if h == nil {
+		return
+	}
+	ctx, cancel := context.WithCancelCause(d.ctx)
+	h.cancel = cancel
+	d.group.Go(func() {
+		defer cancel(nil)
+		err := d.run(ctx, attempt, h)
+		d.node.AttemptEnded(monotime.Now(), attempt.Seq, attempt.Number, err)
+	})
+}
+
+// errCancelled is the cause of a cancelled attempt.
+var errCancelled = verdict.New(verdict.MayHaveRun, verdict.ReasonCallerGone, "cancelled because the caller left")
+
+// CancelAttempt implements node.Effects.
+func (d *dispatcher) CancelAttempt(requestID string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if h := d.held[requestID]; h != nil && h.cancel != nil {
+		h.cancel(errCancelled)
+	}
+}
+
+// Finish implements node.Effects.
+func (d *dispatcher) Finish(requestID string, err *verdict.Error) {
+	d.mu.Lock()
+	h := d.held[requestID]
+	delete(d.held, requestID)
+	d.mu.Unlock()
+	if h == nil {
+		return
+	}
+	h.log.Close(err)
+	if err != nil && err.Verdict == verdict.NotRun {
+		d.store.Abandon(h.key)
+		return
+	}
+	d.store.Finish(monotime.Now(), h.key)
+}
+
+// run makes one attempt and returns how it ended.
+func (d *dispatcher) run(ctx context.Context, attempt node.Attempt, h *held) *verdict.Error {
+	target := upstream.Target{
+		Address: attempt.Engine.Server.Spec.Address,
+		Server:  attempt.Engine.Server.Spec.Name,
+		Engine:  attempt.Engine.Spec.Name,
+	}
+	if attempt.Engine.Server.Spec.Kind == inventory.ServerKindApplication {
+		return d.callService(ctx, target, attempt, h)
+	}
+	sink := &relay{log: h.log, progress: attempt.Progress}
+	var err *verdict.Error
+	if attempt.Resume {
+		err = d.clients.Resume(ctx, target, attempt.ID, attempt.Offset, sink)
+	} else {
+		call := upstream.Generate{RequestID: attempt.ID, Priority: attempt.Priority, Body: h.request.Body}
+		err = d.clients.Generate(ctx, target, call, sink)
+	}
+	if ctx.Err() != nil {
+		d.cancelAtEngine(target, attempt.ID)
+	}
+	return err
+}
+
+// cancelAtEngine tells the engine to stop: closing the connection alone leaves
+// it generating for the time in which a resumption may come.
+func (d *dispatcher) cancelAtEngine(target upstream.Target, id string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), cancelTimeout)
+	defer cancel()
+	_ = d.clients.Cancel(ctx, target, id)
+}
+
+func (d *dispatcher) callService(ctx context.Context, target upstream.Target, attempt node.Attempt, h *held) *verdict.Error {
+	service := h.request.Service
+	answer, err := d.clients.CallService(ctx, target, upstream.ServiceCall{
+		RequestID:   attempt.ID,
+		Method:      service.Method,
+		Path:        service.Path,
+		ContentType: service.ContentType,
+		Body:        h.request.Body,
+	})
+	if err != nil {
+		return err
+	}
+	attempt.Progress.Token(monotime.Now())
+	out := answers.ServiceAnswer{Status: answer.Status, Body: answer.Body}
+	for _, header := range answer.Headers {
+		out.Headers = append(out.Headers, answers.Header{Name: header.Name, Value: header.Value})
+	}
+	if setErr := h.log.SetService(out); setErr != nil {
+		return verdict.Wrap(verdict.Ran, verdict.ReasonTooLarge, setErr)
+	}
+	return nil
+}
+
+// relay copies tokens from an upstream into an answer.
+type relay struct {
+	log      *answers.Log
+	progress *node.Progress
+}
+
+// Token implements upstream.Sink.
+func (r *relay) Token(event engineapi.TokenEvent) error {
+	if event.Offset < r.log.Len() {
+		return nil
+	}
+	if err := r.log.Append(event); err != nil {
+		return err
+	}
+	r.progress.Token(monotime.Now())
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"time"
+
+	"basilrudder/internal/confsync"
+	"basilrudder/internal/membership"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/node"
+	"basilrudder/internal/peer"
+)
+
+// Status is what an instance believes and how old each belief is.
+type Status struct {
+	// Instance and Incarnation name the process.
+	Instance    string `json:"instance"`
+	Incarnation string `json:"incarnation"`
+	// DataCentre the instance stands in.
+	DataCentre string `json:"data_centre"`
+	// UptimeS is the age of the process in seconds.
+	UptimeS float64 `json:"uptime_s"`
+	// Node is what it believes of its requests and groups.
+	Node node.Status `json:"node"`
+	// Config is what it believes of the configuration.
+	Config ConfigStatus `json:"config"`
+	// Members it believes to live.
+	Members MemberStatus `json:"members"`
+	// Links that are open.
+	Links []peer.Peer `json:"links"`
+}
+
+// ConfigStatus is the belief about the configuration.
+type ConfigStatus struct {
+	// Revision in force.
+	Revision uint64 `json:"revision"`
+	// ConfirmedAgeS is the age of the last confirmation in seconds; -1 for never.
+	ConfirmedAgeS float64 `json:"confirmed_age_s"`
+	// PlatformAgeS is the age of the platform's last word in seconds; -1 for never.
+	PlatformAgeS float64 `json:"platform_age_s"`
+	// Reader says whether the instance watches the platform.
+	Reader bool `json:"reader"`
+	// Stats counts events.
+	Stats confsync.Stats `json:"stats"`
+}
+
+// MemberStatus is the belief about the fleet.
+type MemberStatus struct {
+	// Version grows with each change.
+	Version uint64 `json:"version"`
+	// Known counts members that live here or elsewhere.
+	Known int `json:"known"`
+	// Confirmed says whether a peer has answered since the start or a pause.
+	Confirmed bool `json:"confirmed"`
+	// Live and Leaving name members.
+	Live    []membership.Member `json:"live"`
+	Leaving []membership.Member `json:"leaving"`
+	// Stats counts events.
+	Stats membership.Stats `json:"stats"`
+}
+
+// Status returns what the instance believes.
+func (d *Daemon) Status(now monotime.Instant) Status {
+	belief := d.instance.Belief(now)
+	return Status{
+		Instance:    d.self.Instance,
+		Incarnation: d.self.Token,
+		DataCentre:  d.cfg.Settings.Instance.DataCentre,
+		UptimeS:     time.Duration(now).Seconds(),
+		Node:        d.node.Status(now),
+		Config: ConfigStatus{
+			Revision:      d.node.Status(now).Revision,
+			ConfirmedAgeS: ageSeconds(belief.ConfirmedAge),
+			PlatformAgeS:  ageSeconds(belief.PlatformAge),
+			Reader:        belief.Reader,
+			Stats:         belief.Conf,
+		},
+		Members: MemberStatus{
+			Version:   belief.View.Version,
+			Known:     belief.View.Known,
+			Confirmed: belief.View.Confirmed,
+			Live:      belief.View.Live,
+			Leaving:   belief.View.Leaving,
+			Stats:     belief.Members,
+		},
+		Links: d.links.Peers(),
+	}
+}
+
+func ageSeconds(age time.Duration) float64 {
+	if age == confsync.NeverConfirmed {
+		return -1
+	}
+	return age.Seconds()
+}
+
+// StatusNow returns what the instance believes at this moment.
+func (d *Daemon) StatusNow() Status {
+	return d.Status(monotime.Now())
+}
--- a/internal/instance/fleet_test.go
+++ b/internal/instance/fleet_test.go
@@ -326,7 +326,7 @@
 	})
 }
 
-func (e *fleetEffects) Record(accounting.Record)       {}
+func (e *fleetEffects) Record(accounting.Record) {}
 func (e *fleetEffects) Report(event confsync.Event) {
 	if event.Err != nil {
 		e.p.f.t.Logf("%s: %+v", e.p.id, event)
--- a/internal/node/record.go
+++ b/internal/node/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"basilrudder/internal/catalog"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/schema/accounting"
 	"basilrudder/internal/verdict"
@@ -56,10 +57,23 @@
 	}
 }
 
+// RecordRefused accounts a request that was refused before Submit. Its class may
+// be nil when the caller named none that exists.
+func (n *Node) RecordRefused(now monotime.Instant, in Request, err *verdict.Error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.recordRefused(now, in, err)
+}
+
 // recordRefused accounts a request that was refused before it was admitted.
 func (n *Node) recordRefused(now monotime.Instant, in Request, err *verdict.Error) {
 	n.counts.Refused++
-	r := &request{Request: in, tier: in.Class.TierFor(in.Customer), arrived: now, err: err}
+	r := &request{Request: in, arrived: now, err: err}
+	if in.Class == nil {
+		r.Class = &catalog.Class{}
+	} else {
+		r.tier = in.Class.TierFor(in.Customer)
+	}
 	n.recordStart(now, r)
 	n.recordEnd(now, r)
 }
--- a/internal/reqid/reqid.go
+++ b/internal/reqid/reqid.go
@@ -5,7 +5,7 @@
 // request may have run. A key that any instance may run would need a shared
 // record to be safe, and there is none.
 //
-// Form: instance~incarnation~expiry~nonce. The directory hands out the part up
+// Form: instance:incarnation:expiry:nonce. The directory hands out the part up
 // to the nonce; the caller appends a nonce of its own for each request, so that
 // it knows the id before it sends anything.
 package reqid
@@ -21,7 +21,7 @@
 )
 
 const (
-	separator   = "~"
+	separator   = ":"
 	base        = 36
 	partCount   = 4
 	maxNonceLen = 64
@@ -32,7 +32,7 @@
 )
 
 // ErrMalformed is returned for text that is not a request id.
-var ErrMalformed = errors.New("request id is not of the form instance~incarnation~expiry~nonce")
+var ErrMalformed = errors.New("request id is not of the form instance:incarnation:expiry:nonce")
 
 // Incarnation names one process of one instance.
 type Incarnation struct {
--- a/internal/reqid/reqid_test.go
+++ b/internal/reqid/reqid_test.go
@@ -74,8 +74,8 @@
 }
 
 func FuzzParse(f *testing.F) {
-	f.Add("entry-1~lq2z.3~1e~abc")
-	f.Add("~~~")
+	f.Add("entry-1:lq2z.3:1e:abc")
+	f.Add(":::")
 	f.Fuzz(func(t *testing.T, text string) {
 		id, err := Parse(text)
 		if err != nil {
--- a/internal/sched/fixture_test.go
+++ b/internal/sched/fixture_test.go
@@ -104,28 +104,6 @@
 	f.release(seq, Result{Tokens: tokens, FirstToken: 10 * time.Millisecond, Gap: 10 * time.Millisecond})
 }
 
-// advance lets time pass in steps of the group's own ticks.
-func (f *fixture) advance(d time.Duration) {
-	end := f.now.Add(d)
-	for {
-		next, ok := f.g.NextTick(f.now)
-		if !ok || next > end {
-			break
-		}
-		f.now = max(next, f.now+1)
-		f.take(f.g.Tick(f.now, nil))
-	}
-	f.now = end
-	f.take(f.g.Tick(f.now, nil))
-}
-
-// renew keeps the leases of held requests while time passes.
-func (f *fixture) renew(seqs ...uint64) {
-	for _, seq := range seqs {
-		f.take(f.g.Progress(f.now, Ticket{"h", seq}, 1, nil))
-	}
-}
-
 // train lets the group measure classes with short answers.
 func (f *fixture) train(tier int, hold time.Duration, tokens int) {
 	for range 40 {
--- /dev/null
+++ b/internal/trial/values.go
@@ -0,0 +1,68 @@
+package trial
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"basilrudder/internal/schema/inventory"
+	"basilrudder/internal/standin/platform"
+)
+
+const customersPerValue = 2000
+
+// Values turns an inventory into published values: customers in several, so
+// that none exceeds what the platform holds, and one for the rest.
+func Values(inv *inventory.Inventory) ([]platform.Value, error) {
+	rest := *inv
+	rest.Customers = nil
+	var out []platform.Value
+	for i := 0; i < len(inv.Customers); i += customersPerValue {
+		part := &inventory.Inventory{Customers: inv.Customers[i:min(i+customersPerValue, len(inv.Customers))]}
+		value, err := encode(fmt.Sprintf("customers-%03d.toml", i/customersPerValue), part)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, value)
+	}
+	value, err := encode("inventory.toml", &rest)
+	if err != nil {
+		return nil, err
+	}
+	return append(out, value), nil
+}
+
+// encode goes through JSON, whose tags name the keys.
+func encode(key string, inv *inventory.Inventory) (platform.Value, error) {
+	data, err := json.Marshal(inv)
+	if err != nil {
+		return platform.Value{}, err
+	}
+	var doc map[string]any
+	if err := json.Unmarshal(data, &doc); err != nil {
+		return platform.Value{}, err
+	}
+	text, err := toml.Marshal(whole(doc))
+	return platform.Value{Key: key, Data: text}, err
+}
+
+// whole turns the floats that JSON makes of integers back, for TOML tells the
+// two apart.
+func whole(value any) any {
+	switch v := value.(type) {
+	case map[string]any:
+		for key, item := range v {
+			v[key] = whole(item)
+		}
+	case []any:
+		for i, item := range v {
+			v[i] = whole(item)
+		}
+	case float64:
+		if v == float64(int64(v)) {
+			return int64(v)
+		}
+	}
+	return value
+}
