inventory: places of entries are built for problems only; benchmarks by value size

Cause: the checks over 27,000 customers built a key string for each of them. Change: places are functions; hashes are compared as numbers; benchmarks vary the size of a value, and the spread is measured with the time of a check and with two regions.

--- a/internal/confsync/bench_test.go
+++ b/internal/confsync/bench_test.go
@@ -8,46 +8,65 @@
 	"basilrudder/internal/monotime"
 )
 
+// fleetShape is what the spread of a change depends on.
+type fleetShape struct {
+	instances   int
+	regionDelay time.Duration
+	installTime time.Duration
+}
+
 // BenchmarkPropagation measures in virtual time how long a change of one value
-// of 64 KiB takes to reach every instance of a 6-regular graph with 1 ms one
-// way, and what it costs. The metrics do not depend on the machine.
+// of 64 KiB takes to be in force at every instance of a 6-regular graph over 7
+// data centres, and what it costs. The metrics do not depend on the machine.
 func BenchmarkPropagation(b *testing.B) {
-	for _, size := range []int{8, 24, 48, 96, 180, 360} {
-		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			var last time.Duration
-			var bytes, calls, quiet int
+	const check, far = 100 * time.Millisecond, 20 * time.Millisecond
+	shapes := []fleetShape{{8, 0, 0}, {24, 0, 0}, {48, 0, 0}, {96, 0, 0}, {180, 0, 0}, {360, 0, 0}, {360, 0, check}, {360, far, check}}
+	for _, shape := range shapes {
+		name := fmt.Sprintf("%d/region=%v/check=%v", shape.instances, shape.regionDelay, shape.installTime)
+		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
-				net := newNetwork(b)
-				net.ring(size, 7, 6)
-				content := map[string]string{"a": pad("one", 64<<10), "b": pad("rest", 512<<10)}
-				net.platform.publish(5, content)
-				net.link()
-				net.run(20 * time.Second)
-				net.wantRevision(5)
-				quiet = net.bytes
-				net.run(20 * time.Second)
-				quiet = net.bytes - quiet
-				before, callsBefore := net.bytes, net.platform.calls
-				published := net.now
-				content["a"] = pad("two", 64<<10)
-				net.platform.publish(6, content)
-				net.run(time.Second)
-				net.wantRevision(6)
-				last = 0
-				for _, n := range net.nodes {
-					last = max(last, n.reachedAt[6].Sub(published))
-				}
-				bytes, calls = net.bytes-before, net.platform.calls-callsBefore
+				shape.measure(b)
 			}
-			b.ReportMetric(float64(last)/float64(time.Millisecond), "ms-to-all")
-			b.ReportMetric(float64(bytes)/float64(size), "bytes/instance/change")
-			b.ReportMetric(float64(quiet)/float64(size)/20, "idle-bytes/instance/s")
-			b.ReportMetric(float64(calls), "platform-calls/change")
-			b.ReportMetric(0, "ns/op")
 		})
 	}
 }
 
+func (s fleetShape) measure(b *testing.B) {
+	net := newNetwork(b)
+	net.installTime = s.installTime
+	net.delay = func(x, y *node) time.Duration {
+		if (x.dc < "dc-4") != (y.dc < "dc-4") {
+			return peerDelay + s.regionDelay
+		}
+		return peerDelay
+	}
+	net.ring(s.instances, 7, 6)
+	content := map[string]string{"a": pad("one", 64<<10), "b": pad("rest", 512<<10)}
+	net.platform.publish(5, content)
+	net.link()
+	net.run(20 * time.Second)
+	net.wantRevision(5)
+	idle := net.bytes
+	net.run(20 * time.Second)
+	idle = net.bytes - idle
+	before, callsBefore := net.bytes, net.platform.calls
+	published := net.now
+	content["a"] = pad("two", 64<<10)
+	net.platform.publish(6, content)
+	net.run(3 * time.Second)
+	net.wantRevision(6)
+	last := time.Duration(0)
+	for _, n := range net.nodes {
+		last = max(last, n.reachedAt[6].Sub(published))
+	}
+	count := float64(s.instances)
+	b.ReportMetric(float64(last)/float64(time.Millisecond), "ms-to-all")
+	b.ReportMetric(float64(net.bytes-before)/count, "bytes/instance/change")
+	b.ReportMetric(float64(idle)/count/20, "idle-bytes/instance/s")
+	b.ReportMetric(float64(net.platform.calls-callsBefore), "platform-calls/change")
+	b.ReportMetric(0, "ns/op")
+}
+
 func pad(text string, size int) string {
 	return fmt.Sprintf("%-*s", size, text)
 }
--- a/internal/confsync/network_test.go
+++ b/internal/confsync/network_test.go
@@ -37,6 +37,10 @@
 	cut func(a, b string) bool
 	// alter may change a piece on its way.
 	alter func(from, to string, part *wire.ConfigPart)
+	// delay is the one-way latency between two instances.
+	delay func(a, b *node) time.Duration
+	// installTime is how long the check of a revision keeps a process busy.
+	installTime time.Duration
 	// bytes sent between instances, as CBOR.
 	bytes int
 }
@@ -77,10 +81,12 @@
 	events     []Event
 	check      func(revision uint64) error
 	reachedAt  map[uint64]monotime.Instant
+	busyUntil  monotime.Instant
 }
 
 func newNetwork(t testing.TB) *network {
 	net := &network{t: t, now: 1, nodes: make(map[string]*node), cut: func(a, b string) bool { return false }}
+	net.delay = func(a, b *node) time.Duration { return peerDelay }
 	net.platform = fakePlatform{net: net, values: make(map[string][]byte)}
 	return net
 }
@@ -191,9 +197,11 @@
 		net.t.Fatal(err)
 	}
 	net.bytes += len(raw)
-	net.after(peerDelay, func() {
+	target := net.nodes[to]
+	busy := max(n.busyUntil.Sub(net.now), 0)
+	net.after(busy+net.delay(n, target), func() {
 		target := net.nodes[to]
-		if net.cut(n.id, to) || target == nil {
+		if net.cut(n.id, to) {
 			return
 		}
 		target.deliver(func() { target.receive(n.id, raw) })
@@ -243,7 +251,8 @@
 		n.net.t.Errorf("%s went from revision %d to %d", n.id, n.installed[len(n.installed)-1], revision)
 	}
 	n.installed = append(n.installed, revision)
-	n.reachedAt[revision] = n.net.now
+	n.busyUntil = n.net.now.Add(n.net.installTime)
+	n.reachedAt[revision] = n.busyUntil
 	return nil
 }
 
--- a/internal/inventory/bench_test.go
+++ b/internal/inventory/bench_test.go
@@ -5,12 +5,16 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"runtime"
 	"testing"
+
+	"basilrudder/internal/catalog"
 )
 
 const (
 	benchCustomers      = 27000
-	customersPerValue   = 4500
+	largeValue          = 4500 // customers in a value of 750 KB
+	smallValue          = 375  // customers in a value of 64 KB
 	benchServers        = 600
 	benchEnginesEach    = 4
 	benchClasses        = 12
@@ -18,7 +22,7 @@
 )
 
 // fleetFiles builds an inventory of the size the project aims at.
-func fleetFiles() []File {
+func fleetFiles(customersPerValue int) []File {
 	var files []File
 	var head bytes.Buffer
 	for i := range 7 {
@@ -58,7 +62,7 @@
 }
 
 func BenchmarkParseWhole(b *testing.B) {
-	files := fleetFiles()
+	files := fleetFiles(smallValue)
 	b.ReportAllocs()
 	for b.Loop() {
 		if _, problems := Parse(files); len(problems) > 0 {
@@ -67,18 +71,46 @@
 	}
 }
 
-// BenchmarkParseOneChanged is a change of one customer's rate among 27,000.
+// BenchmarkParseOneChanged is a change of the rates in one value among many.
 func BenchmarkParseOneChanged(b *testing.B) {
-	files := fleetFiles()
-	parser := new(Parser)
-	parser.Parse(files)
-	b.ReportAllocs()
-	rate := 10
+	for _, each := range []int{smallValue, largeValue} {
+		files := fleetFiles(each)
+		last := len(files) - 1
+		b.Run(fmt.Sprintf("value=%dB", len(files[last].Data)), func(b *testing.B) {
+			parser := new(Parser)
+			before := liveBytes()
+			inv, _ := parser.Parse(files)
+			b.ReportAllocs()
+			rate := 10
+			for b.Loop() {
+				rate++
+				files[last] = customersFile(benchCustomers-each, benchCustomers, rate)
+				var problems Problems
+				if inv, problems = parser.Parse(files); len(problems) > 0 {
+					b.Fatal(problems)
+				}
+			}
+			b.ReportMetric(float64(liveBytes()-before)/1e6, "live-MB")
+			runtime.KeepAlive(parser)
+			runtime.KeepAlive(inv)
+		})
+	}
+}
+
+func liveBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkCompile builds the catalog of the same inventory.
+func BenchmarkCompile(b *testing.B) {
+	inv, problems := Parse(fleetFiles(smallValue))
+	if len(problems) > 0 {
+		b.Fatal(problems)
+	}
 	for b.Loop() {
-		rate++
-		files[len(files)-1] = customersFile(benchCustomers-customersPerValue, benchCustomers, rate)
-		if _, problems := parser.Parse(files); len(problems) > 0 {
-			b.Fatal(problems)
-		}
+		catalog.Compile(1, inv)
 	}
 }
--- a/internal/inventory/check.go
+++ b/internal/inventory/check.go
@@ -5,8 +5,8 @@
 	"sort"
 	"strconv"
 
-	"basilrudder/internal/catalog"
 	"basilrudder/internal/schema/inventory"
+	"basilrudder/schema"
 )
 
 // checker finds what files say of each other that cannot be true together.
@@ -107,7 +107,7 @@
 	}
 	for _, list := range lists {
 		if list.count == 0 {
-			c.add(site{file: wholeInventory, key: list.key}, "(missing)", "at least one entry in some file")
+			c.add(site{file: wholeInventory, key: list.key}, schema.MissingValue, "at least one entry in some file")
 		}
 	}
 }
@@ -151,7 +151,7 @@
 
 func (c *checker) checkLists(at site, kind, wantKey string, want []string, otherKey string, other []string) {
 	if len(want) == 0 {
-		c.add(at.sub(wantKey), "(missing)", "at least one entry, because the server's kind is "+kind)
+		c.add(at.sub(wantKey), schema.MissingValue, "at least one entry, because the server's kind is "+kind)
 	}
 	if len(other) > 0 {
 		c.add(at.sub(otherKey), quote(other[0]), "no entry, because the server's kind is "+kind)
@@ -225,8 +225,3 @@
 		}
 	}
 }
-
-// hashName is the hash that stands for a name between instances.
-func hashName(name string) string {
-	return strconv.FormatUint(uint64(catalog.Hash32(name)), 16)
-}
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -1,6 +1,7 @@
 package inventory
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -217,7 +218,7 @@
 	t.Helper()
 	seen := make(map[uint32]string)
 	for i := range 1 << 20 {
-		name := "n" + strings.Repeat("x", i%7) + hashName(string(rune('a'+i%26))) + hashName(string([]byte{byte(i), byte(i >> 8), byte(i >> 16)}))
+		name := fmt.Sprintf("customer-%d", i)
 		hash := catalog.Hash32(name)
 		if other, ok := seen[hash]; ok && other != name {
 			return other, name
--- a/internal/inventory/unique.go
+++ b/internal/inventory/unique.go
@@ -5,24 +5,27 @@
 	"strconv"
 	"strings"
 
+	"basilrudder/internal/catalog"
 	"basilrudder/internal/schema/inventory"
+	"basilrudder/schema"
 )
 
 const maxListed = 12
 
 // uniqueness finds values that occur twice and where the first one stands.
 type uniqueness struct {
-	c     *checker
-	first map[string]site
+	c *checker
+	// first tells where a value stands; a site is only built for a problem.
+	first map[string]func() site
 	// secret hides the value in messages.
 	secret bool
 }
 
 func (c *checker) unique(size int) *uniqueness {
-	return &uniqueness{c: c, first: make(map[string]site, size)}
+	return &uniqueness{c: c, first: make(map[string]func() site, size)}
 }
 
-func (u *uniqueness) add(at site, value string) {
+func (u *uniqueness) add(value string, at func() site) {
 	first, taken := u.first[value]
 	if !taken {
 		u.first[value] = at
@@ -30,52 +33,64 @@
 	}
 	shown := quote(value)
 	if u.secret {
-		shown = "(hidden)"
+		shown = schema.HiddenValue
 	}
-	u.c.add(at, shown, "a value that no other entry has; "+first.file+" has it at "+first.key)
+	there := first()
+	u.c.add(at(), shown, "a value that no other entry has; "+there.file+" has it at "+there.key)
 }
 
 func (c *checker) checkUnique(parts []*decoded) {
-	merged := c.merged
-	dataCentres := c.unique(len(merged.DataCentres))
-	models := c.unique(len(merged.Models))
-	tierNumbers := c.unique(len(merged.Tiers))
-	tierNames := c.unique(len(merged.Tiers))
-	keys := c.unique(len(merged.PeerKeys))
-	servers := c.unique(len(merged.Servers))
-	addresses := c.unique(len(merged.Servers))
+	c.checkUniqueNames(parts)
+	c.checkUniqueServers(parts)
+	c.checkUniqueClasses(parts)
+	c.checkUniqueCustomers(parts)
+}
+
+func (c *checker) checkUniqueNames(parts []*decoded) {
+	dataCentres := c.unique(len(c.merged.DataCentres))
+	models := c.unique(len(c.merged.Models))
+	tierNumbers := c.unique(len(c.merged.Tiers))
+	tierNames := c.unique(len(c.merged.Tiers))
+	keys := c.unique(len(c.merged.PeerKeys))
 	for _, part := range parts {
-		in := part.content
-		for i, dc := range in.DataCentres {
-			dataCentres.add(top(part.file, "data_centres", i, dc.Name).sub("name"), dc.Name)
+		for i, dc := range part.content.DataCentres {
+			dataCentres.add(dc.Name, part.place("data_centres", i, dc.Name, "name"))
 		}
-		for i, model := range in.Models {
-			models.add(top(part.file, "models", i, model.Name).sub("name"), model.Name)
+		for i, model := range part.content.Models {
+			models.add(model.Name, part.place("models", i, model.Name, "name"))
 		}
-		for i, tier := range in.Tiers {
-			at := top(part.file, "tiers", i, tier.Name)
-			tierNumbers.add(at.sub("tier"), strconv.Itoa(tier.Tier))
-			tierNames.add(at.sub("name"), tier.Name)
+		for i, tier := range part.content.Tiers {
+			tierNumbers.add(strconv.Itoa(tier.Tier), part.place("tiers", i, tier.Name, "tier"))
+			tierNames.add(tier.Name, part.place("tiers", i, tier.Name, "name"))
 		}
-		for i, key := range in.PeerKeys {
-			keys.add(top(part.file, "peer_keys", i, key.ID).sub("id"), key.ID)
+		for i, key := range part.content.PeerKeys {
+			keys.add(key.ID, part.place("peer_keys", i, key.ID, "id"))
 		}
-		for i, server := range in.Servers {
-			at := top(part.file, "servers", i, server.Name)
-			servers.add(at.sub("name"), server.Name)
+	}
+}
+
+// place returns a function that tells where a key of an item stands.
+func (d *decoded) place(list string, index int, name, key string) func() site {
+	return func() site { return top(d.file, list, index, name).sub(key) }
+}
+
+func (c *checker) checkUniqueServers(parts []*decoded) {
+	names := c.unique(len(c.merged.Servers))
+	addresses := c.unique(len(c.merged.Servers))
+	for _, part := range parts {
+		for i, server := range part.content.Servers {
+			names.add(server.Name, part.place("servers", i, server.Name, "name"))
 			// One server entered twice would be given twice its slots.
-			addresses.add(at.sub("address"), server.Address)
-			c.checkEngineNames(at, server)
+			addresses.add(server.Address, part.place("servers", i, server.Name, "address"))
+			c.checkEngineNames(top(part.file, "servers", i, server.Name), server)
 		}
 	}
-	c.checkUniqueClasses(parts)
-	c.checkUniqueCustomers(parts)
 }
 
 func (c *checker) checkEngineNames(at site, server inventory.Server) {
 	names := c.unique(len(server.Engines))
 	for i, engine := range server.Engines {
-		names.add(at.item("engines", i, engine.Name).sub("name"), engine.Name)
+		names.add(engine.Name, func() site { return at.item("engines", i, engine.Name).sub("name") })
 	}
 }
 
@@ -84,9 +99,9 @@
 	hashes := c.hashes(len(c.merged.Classes))
 	for _, part := range parts {
 		for i, class := range part.content.Classes {
-			at := top(part.file, "classes", i, class.Name).sub("name")
-			names.add(at, class.Name)
-			hashes.add(at, class.Name)
+			at := part.place("classes", i, class.Name, "name")
+			names.add(class.Name, at)
+			hashes.add(class.Name, at)
 		}
 	}
 }
@@ -98,11 +113,13 @@
 	credentials.secret = true
 	for _, part := range parts {
 		for i, customer := range part.content.Customers {
-			at := top(part.file, "customers", i, customer.Name)
-			names.add(at.sub("name"), customer.Name)
-			hashes.add(at.sub("name"), customer.Name)
+			at := part.place("customers", i, customer.Name, "name")
+			names.add(customer.Name, at)
+			hashes.add(customer.Name, at)
 			for j, digest := range customer.CredentialSHA256 {
-				credentials.add(at.at("credential_sha256", j), digest)
+				credentials.add(digest, func() site {
+					return top(part.file, "customers", i, customer.Name).at("credential_sha256", j)
+				})
 			}
 		}
 	}
@@ -112,22 +129,22 @@
 // the hash alone, so that one customer would be charged for another.
 type hashes struct {
 	c     *checker
-	names map[string]string
+	names map[uint32]string
 }
 
 func (c *checker) hashes(size int) *hashes {
-	return &hashes{c: c, names: make(map[string]string, size)}
+	return &hashes{c: c, names: make(map[uint32]string, size)}
 }
 
-func (h *hashes) add(at site, name string) {
-	hash := hashName(name)
+func (h *hashes) add(name string, at func() site) {
+	hash := catalog.Hash32(name)
 	other, taken := h.names[hash]
 	if !taken {
 		h.names[hash] = name
 		return
 	}
 	if other != name {
-		h.c.add(at, quote(name), "a name whose 32-bit hash differs from that of "+quote(other)+"; choose another name")
+		h.c.add(at(), quote(name), "a name whose 32-bit hash differs from that of "+quote(other)+"; choose another name")
 	}
 }
 
