--- a/schema/decode_test.go
+++ b/schema/decode_test.go
@@ -1,10 +1,14 @@
 package schema
 
 import (
+	"os"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/santhosh-tekuri/jsonschema/v6"
 
 	"basilrudder/internal/schema/inventory"
 )
@@ -114,3 +118,42 @@
 		})
 	}
 }
+
+func TestTheOperatorsPageNamesEveryKeyAndDefault(t *testing.T) {
+	page, err := os.ReadFile("../docs/INVENTORY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sections := map[string]*jsonschema.Schema{}
+	for _, name := range []string{"DataCentre", "Model", "Server", "Engine", "Class", "SubscriptionTier", "Customer", "Tier", "Rules", "PeerKey"} {
+		sections["### "+name+"\n"] = lookup(inventoryRef + "#/$defs/" + name)
+	}
+	for name, table := range lookup("settings.json").Properties {
+		sections["### `["+name+"]`\n"] = table
+	}
+	for heading, table := range sections {
+		_, section, found := strings.Cut(string(page), heading)
+		section, _, _ = strings.Cut(section, "\n#")
+		if !found {
+			t.Errorf("no section %q", heading)
+		}
+		for name, prop := range table.Properties {
+			row := regexp.MustCompile("(?m)^\\| `" + name + "` \\| [^|]+ \\| ([^|]+) \\| [^|]+ \\|$").FindStringSubmatch(section)
+			if want := pageDefault(table, name, prop); row == nil || row[1] != want {
+				t.Errorf("%q: key %s has row %q, want default %s", heading, name, row, want)
+			}
+		}
+	}
+}
+
+// pageDefault is how the page shows the default of a property.
+func pageDefault(table *jsonschema.Schema, name string, prop *jsonschema.Schema) string {
+	if slices.Contains(table.Required, name) {
+		return "required"
+	}
+	value, ok := defaultOf(prop)
+	if !ok || value == "" {
+		return "none"
+	}
+	return "`" + render(value) + "`"
+}
