Answers: a reader that waits for the end sleeps through the tokens

Cause: a caller that wants the whole answer was woken for each token. Change: waiters name the offset they wait for.

--- a/internal/answers/log.go
+++ b/internal/answers/log.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -88,10 +90,16 @@
 	err     *verdict.Error
 	about   About
 	readers int
-	waiters []chan struct{}
+	waiters []waiter
 	idle    []chan struct{}
 }
 
+// waiter is a reader that waits for the event at an offset, or for the end.
+type waiter struct {
+	offset int
+	wake   chan struct{}
+}
+
 // About describes an answer, so that a caller who fetches it again sees it as
 // the first one did.
 type About struct {
@@ -183,7 +191,7 @@
 			l.mu.Unlock()
 			return nil, false, callerGone(ctx)
 		}
-		wait := l.register()
+		wait := l.register(offset)
 		l.mu.Unlock()
 		select {
 		case <-wait:
@@ -201,16 +209,11 @@
 	return events, l.closed, l.err
 }
 
-// Wait returns when the answer has ended, or with caller_gone when ctx ends.
+// Wait returns when the answer has ended, or with caller_gone when ctx ends. It
+// is not woken for each token.
 func (l *Log) Wait(ctx context.Context) *verdict.Error {
-	offset := 0
-	for {
-		events, done, err := l.Next(ctx, offset)
-		if done || err != nil {
-			return err
-		}
-		offset += len(events)
-	}
+	_, _, err := l.Next(ctx, math.MaxInt)
+	return err
 }
 
 // Describe stores what the answer is about. Only the first call counts.
@@ -303,32 +306,32 @@
 
 // register adds a waiter. Its channel is taken from the ones earlier waits
 // left, so that following an answer does not allocate for each token.
-func (l *Log) register() chan struct{} {
-	var wait chan struct{}
+func (l *Log) register(offset int) chan struct{} {
+	var wake chan struct{}
 	if n := len(l.idle); n > 0 {
-		wait = l.idle[n-1]
+		wake = l.idle[n-1]
 		l.idle = l.idle[:n-1]
 	} else {
-		wait = make(chan struct{}, 1)
+		wake = make(chan struct{}, 1)
 	}
-	l.waiters = append(l.waiters, wait)
-	return wait
+	l.waiters = append(l.waiters, waiter{offset: offset, wake: wake})
+	return wake
 }
 
-func (l *Log) unregister(wait chan struct{}) {
-	for i, w := range l.waiters {
-		if w == wait {
-			l.waiters = append(l.waiters[:i], l.waiters[i+1:]...)
-			return
-		}
-	}
+func (l *Log) unregister(wake chan struct{}) {
+	l.waiters = slices.DeleteFunc(l.waiters, func(w waiter) bool { return w.wake == wake })
 }
 
+// wake wakes the waiters whose wait is over. Each is sent one signal, for which
+// its channel has room.
 func (l *Log) wake() {
-	for _, w := range l.waiters {
-		w <- struct{}{}
-	}
-	l.waiters = l.waiters[:0]
+	l.waiters = slices.DeleteFunc(l.waiters, func(w waiter) bool {
+		if !l.ready(w.offset) {
+			return false
+		}
+		w.wake <- struct{}{}
+		return true
+	})
 }
 
 // callerGone is the error of a reader that stopped waiting; the answer goes on.
--- a/internal/answers/log_test.go
+++ b/internal/answers/log_test.go
@@ -121,6 +121,24 @@
 	})
 }
 
+func TestWaitSleepsUntilTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := NewLog(0)
+		ended := make(chan *verdict.Error, 1)
+		go func() { ended <- log.Wait(t.Context()) }()
+		synctest.Wait()
+		_ = log.Append(token(0, "stop"))
+		synctest.Wait()
+		if len(ended) > 0 || len(log.waiters) != 1 {
+			t.Error("a token woke a reader that waits for the end")
+		}
+		log.Close(nil)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // A caller leaves while it waits. Its reader must return although no token
 // comes, and the answer must go on for the readers that stay.
 func TestNextReturnsWhenItsReaderLeaves(t *testing.T) {
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -292,3 +292,13 @@
 		}
 	})
 }
+
+// BenchmarkRead reads the lines of one request: start, decision, mark and end.
+func BenchmarkRead(b *testing.B) {
+	text := strings.Join(scenario(b, rand.New(rand.NewPCG(9, 10)), 1000), "\n")
+	b.SetBytes(int64(len(text)))
+	b.ReportAllocs()
+	for b.Loop() {
+		parse(b, text)
+	}
+}
