Reports of many requests in less memory

Cause: a report kept every end line and the texts of each request. Change: requests are found by 128 bits of hash and keep what reports need of the end line; repeated names are held once. Lines with counts or times that no instance writes are damaged, since they would overflow the totals.

--- a/internal/report/read.go
+++ b/internal/report/read.go
@@ -18,11 +18,13 @@
 
 const (
 	// maxLine bounds a line, in bytes. Accounting lines are far shorter.
-	maxLine = 1 << 20
+	maxLine = 256 << 10
 	// maxObjects bounds the objects looked for in a damaged line.
 	maxObjects = 8
 	// objectStart begins an object of accounting; within strings it is escaped.
 	objectStart = `{"`
+	// maxTime is after any time a line may have, in seconds since 1970.
+	maxTime = 1e11
 	// stdinName is the file name that stands for standard input.
 	stdinName = "-"
 )
@@ -169,9 +171,16 @@
 	default:
 		return false
 	}
-	counts := r.Seq >= 0 && r.Tokens >= 0 && r.WastedTokens >= 0 && r.PromptTokens >= 0
-	durations := r.QueueMS >= 0 && r.FirstTokenMS >= 0 && r.TotalMS >= 0 && r.Ts >= 0
-	return r.Request != "" && counts && durations
+	counts := counted(r.Seq) && counted(r.Tokens) && counted(r.WastedTokens) && counted(r.PromptTokens)
+	durations := r.QueueMS >= 0 && r.FirstTokenMS >= 0 && r.TotalMS >= 0
+	return r.Request != "" && counts && durations && r.Ts >= 0 && r.Ts < maxTime
+}
+
+// counted reports whether n can be a count of one request. Larger ones, which no
+// instance writes, would make the totals overflow.
+func counted(n int) bool {
+	const maxCount = 1 << 40
+	return 0 <= n && n <= maxCount
 }
 
 // readDamaged looks for what is left of a cut line. When a process dies with the
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -143,7 +143,6 @@
 	if options.Now == 0 {
 		options.Now = rs.last
 	}
-	all := rs.sorted()
 	b := builder{
 		report:    &Report{From: rs.first, To: rs.last, Goal: options.Goal, Lines: lines},
 		classes:   make(map[string]*classBuilder),
@@ -152,10 +151,13 @@
 		refusals:  make(map[Refusal]int),
 		burn:      newBurnCounter(options),
 	}
-	for _, r := range all {
+	timeline := newTimeline(rs.first, rs.last)
+	// All that is counted are sums, so the order of requests does not show.
+	rs.each(func(r *request) {
 		b.add(r, options)
-	}
-	b.report.Series = series(all, rs.first, rs.last)
+		timeline.add(r)
+	})
+	b.report.Series = timeline.series()
 	b.finish(options)
 	return b.report
 }
@@ -207,10 +209,10 @@
 	if r.outcome() != Served {
 		return
 	}
-	c.duration.Record(r.end.TotalMS)
-	c.queue.Record(r.end.QueueMS)
-	if r.end.FirstTokenMS > 0 {
-		c.firstToken.Record(r.end.FirstTokenMS)
+	c.duration.Record(float64(r.end.totalMS))
+	c.queue.Record(float64(r.end.queueMS))
+	if r.end.firstToken > 0 {
+		c.firstToken.Record(float64(r.end.firstToken))
 	}
 }
 
@@ -219,15 +221,15 @@
 	switch r.outcome() {
 	case Served:
 		t.Served++
-		t.Tokens += r.end.Tokens
-		t.WastedTokens += r.end.WastedTokens
+		t.Tokens += r.end.tokens
+		t.WastedTokens += r.end.wasted
 	case Refused:
 		t.Refused++
-		t.WastedTokens += r.end.WastedTokens
+		t.WastedTokens += r.end.wasted
 	case Failed:
 		t.Failed++
 		// Nobody received the answer, also not what was relayed of it.
-		t.WastedTokens += max(r.end.WastedTokens, r.end.Tokens)
+		t.WastedTokens += max(r.end.wasted, r.end.tokens)
 	default:
 		t.Unknown++
 		t.UnknownTokens += r.marked
@@ -237,7 +239,7 @@
 	}
 	if r.onTime() {
 		t.OnTime++
-		t.GoodTokens += r.end.Tokens
+		t.GoodTokens += r.end.tokens
 	}
 }
 
@@ -259,8 +261,8 @@
 func refusalOf(r *request) Refusal {
 	out := Refusal{Customer: r.customer, Class: r.class, Reason: reasonUnknown, Verdict: verdictUnknown}
 	if r.end != nil {
-		out.Reason = r.end.Reason
-		out.Verdict = r.end.Verdict
+		out.Reason = r.end.reason
+		out.Verdict = r.end.verdict
 	}
 	return out
 }
--- a/internal/report/requests.go
+++ b/internal/report/requests.go
@@ -1,20 +1,29 @@
 package report
 
 import (
-	"sort"
+	"github.com/cespare/xxhash/v2"
 
 	"basilrudder/internal/schema/accounting"
 	"basilrudder/internal/verdict"
 )
 
-// key names a request. Instance and incarnation are part of it, since a caller's
-// own id may name one execution at each of two instances.
+// key names a request: a hash of its id, and one of the instance and incarnation
+// that held it. A caller's own id may name one execution at each of two
+// instances. A month holds many millions of requests, and hashes take a small
+// part of the memory of the texts; two keys of 128 bits do not meet by chance.
 type key struct {
-	instance, incarnation, request string
+	request, holder uint64
 }
 
 func keyOf(r *accounting.Record) key {
-	return key{instance: r.Instance, incarnation: r.Incarnation, request: r.Request}
+	holder := xxhash.New()
+	// A digest never fails to write.
+	_, _ = holder.WriteString(r.Instance)
+	_, _ = holder.Write([]byte{0})
+	_, _ = holder.WriteString(r.Incarnation)
+	_, _ = holder.Write([]byte{0})
+	_, _ = holder.WriteString(r.Request)
+	return key{request: xxhash.Sum64String(r.Request), holder: holder.Sum64()}
 }
 
 // Outcome tells what became of a request. Each request has exactly one.
@@ -38,21 +47,57 @@
 	customer, class string
 	seen            float64 // wall-clock time of the latest start or mark line
 	marked          int     // highest number of tokens in a mark
-	end             *accounting.Record
+	end             *ending // nil while no end line is known
+}
+
+// ending is what reports need of an end line.
+type ending struct {
+	seq                          int
+	ts                           float64
+	verdict, reason              string
+	delivered, onTime            bool
+	tokens, wasted               int
+	totalMS, queueMS, firstToken float32
 }
 
 // requests collects lines by request.
 type requests struct {
 	byKey map[key]*request
-	// decided holds requests of which another instance, the owner of a group,
-	// decided something. They count only when nothing else tells of them.
-	decided map[string]*accounting.Record
+	// known holds the ids in byKey.
+	known map[uint64]struct{}
+	// decided holds requests of which only decisions tell so far. They count when
+	// it stays so: an owner of a group decides on requests of other instances.
+	decided map[uint64]decided
+	names   names
 	first   float64
 	last    float64
 }
 
+// decided is the first decision on a request.
+type decided struct {
+	key             key
+	customer, class string
+	ts              float64
+}
+
 func newRequests() *requests {
-	return &requests{byKey: make(map[key]*request), decided: make(map[string]*accounting.Record)}
+	return &requests{
+		byKey:   make(map[key]*request),
+		known:   make(map[uint64]struct{}),
+		decided: make(map[uint64]decided),
+		names:   make(names),
+	}
+}
+
+// names holds one copy of each repeated text.
+type names map[string]string
+
+func (n names) intern(s string) string {
+	if known, ok := n[s]; ok {
+		return known
+	}
+	n[s] = s
+	return s
 }
 
 func (rs *requests) get(r *accounting.Record) *request {
@@ -61,9 +106,11 @@
 	if found == nil {
 		found = &request{}
 		rs.byKey[k] = found
+		rs.known[k.request] = struct{}{}
+		delete(rs.decided, k.request)
 	}
-	found.customer = max(found.customer, r.Customer)
-	found.class = max(found.class, r.Class)
+	found.customer = max(found.customer, rs.names.intern(r.Customer))
+	found.class = max(found.class, rs.names.intern(r.Class))
 	return found
 }
 
@@ -78,14 +125,9 @@
 	}
 	switch r.Kind {
 	case accounting.RecordKindDecision:
-		if known := rs.decided[r.Request]; known == nil || precedes(r, known) {
-			rs.decided[r.Request] = r
-		}
+		rs.decide(r)
 	case accounting.RecordKindEnd:
-		found := rs.get(r)
-		if found.end == nil || precedes(found.end, r) {
-			found.end = r
-		}
+		rs.get(r).finish(rs.newEnding(r))
 	default:
 		found := rs.get(r)
 		found.seen = max(found.seen, r.Ts)
@@ -98,58 +140,83 @@
 	rs.get(r)
 }
 
-// precedes orders lines of one request: by number, and two different lines with
-// one number by what they say, so that the choice does not depend on order.
-func precedes(a, b *accounting.Record) bool {
+func (rs *requests) decide(r *accounting.Record) {
+	k := keyOf(r)
+	if _, known := rs.known[k.request]; known {
+		return
+	}
+	d := decided{key: k, customer: rs.names.intern(r.Customer), class: rs.names.intern(r.Class), ts: r.Ts}
+	if earlier, ok := rs.decided[k.request]; !ok || d.precedes(earlier) {
+		rs.decided[k.request] = d
+	}
+}
+
+func (d decided) precedes(other decided) bool {
 	switch {
-	case a.Seq != b.Seq:
-		return a.Seq < b.Seq
-	case a.Ts != b.Ts:
-		return a.Ts < b.Ts
-	case a.Verdict != b.Verdict:
-		return a.Verdict < b.Verdict
+	case d.ts != other.ts:
+		return d.ts < other.ts
+	case d.key.holder != other.key.holder:
+		return d.key.holder < other.key.holder
+	case d.customer != other.customer:
+		return d.customer < other.customer
 	default:
-		return a.Tokens < b.Tokens
+		return d.class < other.class
 	}
 }
 
-// sorted returns every request once, in a fixed order.
-func (rs *requests) sorted() []*request {
-	rs.adoptDecided()
-	keys := make([]key, 0, len(rs.byKey))
-	for k := range rs.byKey {
-		keys = append(keys, k)
+func (rs *requests) newEnding(r *accounting.Record) *ending {
+	return &ending{
+		seq:        r.Seq,
+		ts:         r.Ts,
+		verdict:    rs.names.intern(r.Verdict),
+		reason:     rs.names.intern(r.Reason),
+		delivered:  r.Delivered,
+		onTime:     r.OnTime,
+		tokens:     r.Tokens,
+		wasted:     r.WastedTokens,
+		totalMS:    float32(r.TotalMS),
+		queueMS:    float32(r.QueueMS),
+		firstToken: float32(r.FirstTokenMS),
 	}
-	sort.Slice(keys, func(i, j int) bool { return keys[i].less(keys[j]) })
-	out := make([]*request, 0, len(keys))
-	for _, k := range keys {
-		out = append(out, rs.byKey[k])
+}
+
+// finish keeps the last of several end lines.
+func (r *request) finish(end *ending) {
+	if r.end == nil || r.end.precedes(end) {
+		r.end = end
 	}
-	return out
 }
 
-func (k key) less(other key) bool {
+// precedes orders end lines by number, and two different ones with the same
+// number by what they say, so that the choice does not depend on their order.
+func (e *ending) precedes(other *ending) bool {
 	switch {
-	case k.request != other.request:
-		return k.request < other.request
-	case k.instance != other.instance:
-		return k.instance < other.instance
+	case e.seq != other.seq:
+		return e.seq < other.seq
+	case e.ts != other.ts:
+		return e.ts < other.ts
+	case e.verdict != other.verdict:
+		return e.verdict < other.verdict
+	case e.delivered != other.delivered:
+		return other.delivered
+	case e.onTime != other.onTime:
+		return other.onTime
+	case e.tokens != other.tokens:
+		return e.tokens < other.tokens
 	default:
-		return k.incarnation < other.incarnation
+		return e.wasted < other.wasted
 	}
 }
 
-// adoptDecided adds requests that only decisions tell of: the start line was
-// cut off with the process, and yet the request was there.
-func (rs *requests) adoptDecided() {
-	known := make(map[string]bool, len(rs.byKey))
-	for k := range rs.byKey {
-		known[k.request] = true
+// each calls f with every request once, in no order. Those that only decisions
+// tell of count too: the start line was cut off with the process, and yet the
+// request was there.
+func (rs *requests) each(f func(*request)) {
+	for _, r := range rs.byKey {
+		f(r)
 	}
-	for id, r := range rs.decided {
-		if !known[id] {
-			rs.get(r).seen = r.Ts
-		}
+	for _, d := range rs.decided {
+		f(&request{customer: d.customer, class: d.class, seen: d.ts})
 	}
 }
 
@@ -157,9 +224,9 @@
 	switch {
 	case r.end == nil:
 		return Unknown
-	case r.end.Verdict == verdict.TextNotRun:
+	case r.end.verdict == verdict.TextNotRun:
 		return Refused
-	case r.end.Verdict == verdict.TextRan && r.end.Delivered:
+	case r.end.verdict == verdict.TextRan && r.end.delivered:
 		return Served
 	default:
 		return Failed
@@ -168,13 +235,13 @@
 
 // onTime reports whether the request was served within its class's targets.
 func (r *request) onTime() bool {
-	return r.outcome() == Served && r.end.OnTime
+	return r.outcome() == Served && r.end.onTime
 }
 
 // at is the wall-clock time at which the request counts, in seconds.
 func (r *request) at() float64 {
 	if r.end != nil {
-		return r.end.Ts
+		return r.end.ts
 	}
 	return r.seen
 }
@@ -182,7 +249,7 @@
 // ownFault reports whether the request was refused for what its caller sent or
 // for the customer's own limit. Such a request says nothing of the service.
 func (r *request) ownFault() bool {
-	return r.outcome() == Refused && ownFaultReasons[verdict.Reason(r.end.Reason)]
+	return r.outcome() == Refused && ownFaultReasons[verdict.Reason(r.end.reason)]
 }
 
 var ownFaultReasons = map[verdict.Reason]bool{
--- a/internal/report/series.go
+++ b/internal/report/series.go
@@ -23,31 +23,43 @@
 	Totals
 }
 
-func series(all []*request, from, to float64) []Bucket {
-	if to <= from {
-		return nil
+// timeline collects the totals over time.
+type timeline struct {
+	from, width float64
+	totals      []Totals
+	classes     []map[string]*Totals
+}
+
+// newTimeline returns a timeline without buckets when no time passes.
+func newTimeline(from, to float64) *timeline {
+	t := &timeline{from: from, width: (to - from) / seriesLength}
+	if t.width > 0 {
+		t.totals = make([]Totals, seriesLength)
+		t.classes = make([]map[string]*Totals, seriesLength)
 	}
-	width := (to - from) / seriesLength
-	totals := make([]Totals, seriesLength)
-	classes := make([]map[string]*Totals, seriesLength)
-	for _, r := range all {
-		if r.at() == 0 {
-			continue // only a cut line tells of it, and not when
-		}
-		i := min(max(int((r.at()-from)/width), 0), seriesLength-1)
-		totals[i].add(r)
-		if classes[i] == nil {
-			classes[i] = make(map[string]*Totals)
-		}
-		totalsIn(classes[i], r.class).add(r)
+	return t
+}
+
+func (t *timeline) add(r *request) {
+	if len(t.totals) == 0 || r.at() == 0 {
+		return // where only a cut line tells of the request, its time is unknown
+	}
+	i := min(max(int((r.at()-t.from)/t.width), 0), seriesLength-1)
+	t.totals[i].add(r)
+	if t.classes[i] == nil {
+		t.classes[i] = make(map[string]*Totals)
 	}
-	out := make([]Bucket, seriesLength)
+	totalsIn(t.classes[i], r.class).add(r)
+}
+
+func (t *timeline) series() []Bucket {
+	out := make([]Bucket, len(t.totals))
 	for i := range out {
-		out[i] = Bucket{Start: from + float64(i)*width, Seconds: width, Total: totals[i]}
-		out[i].Total.rates(width)
-		for _, name := range sortedKeys(classes[i], func(a, b string) bool { return a < b }) {
-			classes[i][name].rates(width)
-			out[i].Classes = append(out[i].Classes, BucketClass{Name: name, Totals: *classes[i][name]})
+		out[i] = Bucket{Start: t.from + float64(i)*t.width, Seconds: t.width, Total: t.totals[i]}
+		out[i].Total.rates(t.width)
+		for _, name := range sortedKeys(t.classes[i], func(a, b string) bool { return a < b }) {
+			t.classes[i][name].rates(t.width)
+			out[i].Classes = append(out[i].Classes, BucketClass{Name: name, Totals: *t.classes[i][name]})
 		}
 	}
 	return out
