Stand-ins for application servers and the platform

Cause: tests, the try command and the process-driving tools need an application server and a platform to run against. Change: internal/standin/appserver answers after a fixed time and records each call; internal/standin/platform serves values with a manifest, watches and a lagging instance list, counts calls, and can be down, hang, be stale or fall back to an older revision. The HTTP server with faults that the three stand-ins share is faultnet.Server. Conclusion: one API for faults: Cut, Silence, SetRefusing, Crash, Restart.

--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -157,7 +157,7 @@
 			}
 		case <-st.gone:
 			return
-		case <-s.stop:
+		case <-s.Stopped():
 			return
 		}
 	}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -4,12 +4,9 @@
 package engine
 
 import (
-	"net"
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"basilrudder/internal/standin/enginemodel"
 	"basilrudder/internal/standin/faultnet"
 )
@@ -17,9 +14,6 @@
 // DefaultHeartbeat is how often a stream without tokens carries a comment.
 const DefaultHeartbeat = 250 * time.Millisecond
 
-// bodyLimit bounds a request body in bytes.
-const bodyLimit = 16 << 20
-
 // Config of a server.
 type Config struct {
 	// Engines of the server.
@@ -46,22 +40,12 @@
 	Role string
 }
 
-// quiet drops what fasthttp logs: connections that tests break.
-type quiet struct{}
-
-func (quiet) Printf(string, ...any) {}
-
 // Server is one server with its engines.
 type Server struct {
+	*faultnet.Server
 	cfg     Config
 	engines map[string]*Engine
-	http    *fasthttp.Server
-	stop    chan struct{}
 	drivers sync.WaitGroup
-
-	mu        sync.Mutex
-	listeners []*faultnet.Listener
-	closed    bool
 }
 
 // New returns a server whose engines run.
@@ -72,50 +56,19 @@
 	s := &Server{
 		cfg:     cfg,
 		engines: make(map[string]*Engine, len(cfg.Engines)),
-		stop:    make(chan struct{}),
 	}
+	s.Server = faultnet.NewServer(s.handle)
 	for i, engineConfig := range cfg.Engines {
 		e := newEngine(engineConfig, cfg, cfg.Seed+uint64(i))
 		s.engines[e.name] = e
-		s.drivers.Go(func() { e.drive(s.stop) })
-	}
-	s.http = &fasthttp.Server{
-		Handler:               s.handle,
-		MaxRequestBodySize:    bodyLimit,
-		NoDefaultServerHeader: true,
-		Logger:                quiet{},
-		CloseOnShutdown:       true,
+		s.drivers.Go(func() { e.drive(s.Stopped()) })
 	}
 	return s
 }
 
-// Serve answers requests until Close or until the listener fails.
-func (s *Server) Serve(ln net.Listener) error {
-	wrapped := faultnet.Wrap(ln)
-	s.mu.Lock()
-	s.listeners = append(s.listeners, wrapped)
-	closed := s.closed
-	s.mu.Unlock()
-	if closed {
-		return ln.Close()
-	}
-	return s.http.Serve(wrapped)
-}
-
-// Close ends the server and its connections.
+// Close ends the server, its engines and its connections.
 func (s *Server) Close() {
-	s.mu.Lock()
-	if s.closed {
-		s.mu.Unlock()
-		return
-	}
-	s.closed = true
-	s.mu.Unlock()
-	close(s.stop)
-	s.each(func(ln *faultnet.Listener) {
-		_ = ln.Close()
-		ln.Cut()
-	})
+	s.Server.Close()
 	s.drivers.Wait()
 }
 
@@ -141,34 +94,3 @@
 	}
 	s.SetRefusing(false)
 }
-
-// SetRefusing resets new connections, or accepts them again.
-func (s *Server) SetRefusing(refusing bool) {
-	s.each(func(ln *faultnet.Listener) { ln.SetRefusing(refusing) })
-}
-
-// Silence makes the open connections carry nothing more; new ones work.
-func (s *Server) Silence() {
-	s.each((*faultnet.Listener).Silence)
-}
-
-// Cut resets the open connections.
-func (s *Server) Cut() {
-	s.each((*faultnet.Listener).Cut)
-}
-
-// Accepted returns how many connections were accepted.
-func (s *Server) Accepted() int {
-	total := 0
-	s.each(func(ln *faultnet.Listener) { total += ln.Accepted() })
-	return total
-}
-
-func (s *Server) each(do func(*faultnet.Listener)) {
-	s.mu.Lock()
-	listeners := append([]*faultnet.Listener(nil), s.listeners...)
-	s.mu.Unlock()
-	for _, ln := range listeners {
-		do(ln)
-	}
-}
--- /dev/null
+++ b/internal/standin/platform/handler.go
@@ -0,0 +1,124 @@
+package platform
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"basilrudder/internal/schema/platformapi"
+)
+
+// Paths. The path of a value is pathValues followed by its key.
+const (
+	pathValues    = "/v1/values/"
+	pathWatch     = "/v1/watch"
+	pathInstances = "/v1/instances"
+)
+
+// maxWatch bounds how long a watch waits.
+const maxWatch = time.Minute
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	served, ok := s.count(path)
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	switch {
+	case strings.HasPrefix(path, pathValues):
+		value, found := served.values[strings.TrimPrefix(path, pathValues)]
+		if !found {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		ctx.SetContentType("application/octet-stream")
+		ctx.SetBody(value)
+	case path == pathInstances:
+		answer(ctx, served.instances)
+	case path == pathWatch:
+		s.watch(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// count counts a call and returns what to serve. It waits while the service
+// hangs, and returns false when it is down or stops.
+func (s *Server) count(path string) (*snapshot, bool) {
+	s.mu.Lock()
+	switch {
+	case strings.HasPrefix(path, pathValues):
+		s.calls.Values++
+	case path == pathInstances:
+		s.calls.Instances++
+	case path == pathWatch:
+		s.calls.Watches++
+	}
+	s.mu.Unlock()
+	for {
+		served, mode, changed := s.state()
+		if mode != Hanging {
+			return served, mode != Down
+		}
+		select {
+		case <-changed:
+		case <-s.Stopped():
+			return nil, false
+		}
+	}
+}
+
+func (s *Server) state() (*snapshot, Mode, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.served, s.mode, s.changed
+}
+
+// watch answers once something is newer than what the caller knows.
+func (s *Server) watch(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	revision := args.GetUintOrZero("revision")
+	instances := args.GetUintOrZero("instances")
+	wait := min(time.Duration(args.GetUintOrZero("timeout_ms"))*time.Millisecond, maxWatch)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		served, mode, changed := s.state()
+		if mode == Down {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
+		}
+		if mode != Hanging && (served.revision > revision || served.instances.Version > instances) {
+			answer(ctx, platformapi.WatchAnswer{
+				Revision:         served.revision,
+				InstancesVersion: served.instances.Version,
+			})
+			return
+		}
+		timeout := timer.C
+		if mode == Hanging {
+			timeout = nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			ctx.SetStatusCode(fasthttp.StatusNoContent)
+			return
+		case <-s.Stopped():
+			return
+		}
+	}
+}
+
+func answer(ctx *fasthttp.RequestCtx, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
