--- /dev/null
+++ b/internal/orders/bench_test.go
@@ -0,0 +1,26 @@
+package orders
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+// BenchmarkTick is one tick of an instance whose engines hold what they
+// should.
+func BenchmarkTick(b *testing.B) {
+	for _, engines := range []int{7, 2400} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			w := newWorld(true, engines, engines)
+			r := newInstance(w, revision(1, engines, "m@1"), NewIssuer(engines, lease))
+			w.run(time.Minute, r)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				r.Tick(monotime.Instant(0), nil)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/orders/world_test.go
@@ -0,0 +1,109 @@
+package orders
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/inventory"
+	"basilrudder/internal/standin/enginemodel"
+)
+
+const (
+	tick     = 100 * time.Millisecond
+	loadTime = 10 * time.Second
+	lease    = 15 * time.Second
+)
+
+// world is a fleet of engines, the store they load from, and instances that
+// look after them, in virtual time.
+type world struct {
+	now         monotime.Instant
+	store       *enginemodel.WeightStore
+	engines     map[string]*enginemodel.Holding
+	unreachable map[string]bool
+	orders      map[string]int // by engine
+}
+
+func newWorld(checks bool, servers int, atOnce int) *world {
+	w := &world{
+		store:       enginemodel.NewWeightStore(atOnce, loadTime),
+		engines:     make(map[string]*enginemodel.Holding),
+		unreachable: make(map[string]bool),
+		orders:      make(map[string]int),
+	}
+	for i := range servers {
+		w.engines[engineID(i)] = enginemodel.NewHolding(checks, w.store, nil, "mixed")
+	}
+	return w
+}
+
+func engineID(i int) string {
+	return fmt.Sprintf("s%02d/e0", i)
+}
+
+// revision compiles a catalog in which every engine should hold the model.
+func revision(number uint64, servers int, model string) *catalog.Catalog {
+	inv := &inventory.Inventory{}
+	for i := range servers {
+		inv.Servers = append(inv.Servers, inventory.Server{
+			Name:       fmt.Sprintf("s%02d", i),
+			DataCentre: "dc1",
+			Kind:       inventory.ServerKindModel,
+			Engines:    []inventory.Engine{{Name: "e0", Models: []string{model}, Slots: 1}},
+		})
+	}
+	return catalog.Compile(number, inv)
+}
+
+func all(*catalog.Engine) bool { return true }
+
+// run lets the instances act for a while.
+func (w *world) run(d time.Duration, instances ...*Reconciler) {
+	end := w.now.Add(d)
+	for ; w.now < end; w.now = w.now.Add(tick) {
+		for _, r := range instances {
+			w.step(r)
+		}
+	}
+}
+
+func (w *world) step(r *Reconciler) {
+	for _, action := range r.Tick(w.now, nil) {
+		w.do(r, action)
+	}
+}
+
+// do carries an action out and hands the result to the instance.
+func (w *world) do(r *Reconciler, action Action) {
+	id := action.Engine.ID
+	if w.unreachable[id] {
+		r.OnFailure(w.now, id)
+		return
+	}
+	if action.Kind == Observe {
+		r.OnReport(w.now, id, w.engines[id].Report(w.now))
+		return
+	}
+	w.orders[id]++
+	r.OnReport(w.now, id, w.engines[id].Order(w.now, action.Order))
+}
+
+func (w *world) wantHolds(t *testing.T, model string) {
+	t.Helper()
+	for id, engine := range w.engines {
+		if report := engine.Report(w.now); !slices.Equal(report.Models, []string{model}) {
+			t.Errorf("%s holds %v, want %s", id, report.Models, model)
+		}
+	}
+}
+
+// newInstance returns an instance that owns every engine.
+func newInstance(w *world, cat *catalog.Catalog, permit Permit) *Reconciler {
+	r := New(Config{}, permit)
+	r.Reconfigure(w.now, cat, all)
+	return r
+}
--- a/internal/upstream/bench_test.go
+++ b/internal/upstream/bench_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"testing"
 
 	"basilrudder/internal/schema/engineapi"
@@ -173,3 +175,40 @@
 	s.ask <- struct{}{}
 	return nil
 }
+
+// BenchmarkHolds is one question to an engine what it holds, with the bytes
+// that it costs in both directions.
+func BenchmarkHolds(b *testing.B) {
+	cfg := quickEngine()
+	cfg.Engines[0].Models = []string{"drafting@2026-11"}
+	_, target := startEngine(b, cfg)
+	var bytes atomic.Int64
+	client := upstream.New(upstream.Config{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		return &countingConn{Conn: conn, bytes: &bytes}, err
+	}})
+	b.ReportAllocs()
+	for range b.N {
+		if _, err := client.Holds(background, target); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
--- a/internal/upstream/generate_test.go
+++ b/internal/upstream/generate_test.go
@@ -335,3 +335,29 @@
 		t.Errorf("first token %q, want %q", sink.events[0].Text, text)
 	}
 }
+
+// The engine resumes earlier than asked, as one that keeps whole blocks may.
+// The receiver has those tokens already and must not get them again.
+func TestResumedStreamMayBeginEarlier(t *testing.T) {
+	_, target := scripted(t, reply(stream("data: {\"offset\":1,\"text\":\"b\"}\n\ndata: {\"offset\":2,\"text\":\"c\"}\n\n"+
+		"data: {\"offset\":3,\"text\":\"d\",\"finish\":\"stop\"}\n\n")))
+	sink := newCollector()
+	if err := upstream.New(shortConfig()).Resume(background, target, "a", 2, sink); err != nil {
+		t.Fatal(err)
+	}
+	if len(sink.events) != 2 || sink.events[0].Offset != 2 {
+		t.Errorf("tokens: %+v", sink.events)
+	}
+}
+
+// A token is missing in the middle. The answer would not be whole, so the
+// stream fails instead of going on.
+func TestMissingTokenFailsTheStream(t *testing.T) {
+	_, target := scripted(t, reply(stream("data: {\"offset\":0,\"text\":\"a\"}\n\ndata: {\"offset\":2,\"text\":\"c\",\"finish\":\"stop\"}\n\n")))
+	sink := newCollector()
+	err := upstream.New(shortConfig()).Generate(background, target, generate("a", 3), sink)
+	wantVerdict(t, err, verdict.Ran, verdict.ReasonUpstreamError)
+	if len(sink.events) != 1 {
+		t.Errorf("tokens: %+v", sink.events)
+	}
+}
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,80 @@
+package upstream
+
+import (
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func pipeConn(t *testing.T, address string) *conn {
+	t.Helper()
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	return newConn(near, address)
+}
+
+// A connection was last read with a deadline that has passed while it was
+// unused. Checking the socket must not fail for that reason, or no connection
+// would be used twice after a pause longer than a timeout.
+func TestPassedDeadlineDoesNotSpoilAnIdleConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	raw, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	cn := newConn(raw, "a")
+	if err := cn.setDeadline(time.Now().Add(-time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	p := newPool(1, time.Hour)
+	p.put(cn)
+	if got := p.take("a"); got != cn {
+		t.Error("the connection was given up")
+	}
+}
+
+func TestPoolForgetsOldConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(2, time.Minute)
+		p.put(pipeConn(t, "a"))
+		time.Sleep(time.Minute)
+		if p.take("a") != nil {
+			t.Error("a connection beyond the idle timeout was used")
+		}
+	})
+}
+
+func TestPoolKeepsTheLatestConnections(t *testing.T) {
+	p := newPool(2, time.Hour)
+	first, second, third := pipeConn(t, "a"), pipeConn(t, "a"), pipeConn(t, "a")
+	for _, cn := range []*conn{first, second, third} {
+		p.put(cn)
+	}
+	if p.take("a") != third || p.take("a") != second || p.take("a") != nil {
+		t.Error("want the latest two, the latest first")
+	}
+	if _, err := first.Write([]byte{0}); err == nil {
+		t.Error("the oldest connection is still open")
+	}
+	if p.take("b") != nil {
+		t.Error("a connection of another address")
+	}
+}
+
+func TestPoolClosesAConnectionWithUnreadBytes(t *testing.T) {
+	cn := newConn(&bytesConn{}, "a")
+	cn.Conn.(*bytesConn).answer.Reset([]byte("unasked"))
+	if _, err := cn.reader.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	p := newPool(2, time.Hour)
+	p.put(cn)
+	if p.take("a") != nil {
+		t.Error("unread bytes would be taken for the next answer")
+	}
+}
