--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -1,274 +1,216 @@
-// Package platform is a stand-in for the configuration service and the instance
-// list: values under a manifest, a waiting watch, a list that lags, counted
-// calls, and modes in which the service is down or stale.
+// Package platform is an HTTP stand-in for the configuration service and the
+// instance list. It can be read and watched, counts every call, lags, and can
+// be down, hang or serve an old revision.
 package platform
 
 import (
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"net"
-	"strings"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/valyala/fasthttp"
 
 	"basilrudder/internal/schema/platformapi"
+	"basilrudder/internal/standin/faultnet"
 )
 
-// MaxValueBytes is the largest value that the service holds.
-const MaxValueBytes = 1 << 20
+// MaxValue is the size limit of a value in bytes.
+const MaxValue = 1 << 20
 
+// ManifestKey is the key of the manifest.
+const ManifestKey = "manifest"
+
+// Mode is how the service behaves.
+type Mode uint8
+
+// Modes.
 const (
-	manifestKey    = "manifest"
-	pathValues     = "/v1/values/"
-	pathWatch      = "/v1/watch"
-	pathInstances  = "/v1/instances"
-	longestWatchMS = 60_000
+	// Up serves the latest revision.
+	Up Mode = iota
+	// Down answers 503 to every call.
+	Down
+	// Hanging answers no call.
+	Hanging
+	// Stale serves what was the latest when the mode was set.
+	Stale
 )
 
-// ErrTooLarge is returned for a value above MaxValueBytes.
-var ErrTooLarge = errors.New("value is larger than the service holds")
+// Config of a platform.
+type Config struct {
+	// InstanceLag is how late the instance list shows a change.
+	InstanceLag time.Duration
+}
 
-// Value is one published value.
-type Value struct {
-	// Key of the value.
-	Key string
-	// Data of the value.
+// File is a value to publish.
+type File struct {
+	Key  string
 	Data []byte
 }
 
-// Calls counts calls by kind.
+// Calls counts the calls since the start, a waiting watch as one.
 type Calls struct {
-	// Watches, Values and Lists count calls of each path; Refused those made
-	// while the service was down.
-	Watches, Values, Lists, Refused atomic.Uint64
+	Values, Watches, Instances int
 }
 
-// Platform is the stand-in. It is safe for concurrent use.
-type Platform struct {
-	http  *fasthttp.Server
-	stop  chan struct{}
-	calls Calls
-
-	mu        sync.Mutex
-	revision  int
-	versions  []published
-	list      platformapi.InstanceList
-	listLag   time.Duration
-	down      bool
-	staleAt   int
-	changed   chan struct{}
-	closeOnce sync.Once
+// Total is the sum of all calls.
+func (c Calls) Total() int {
+	return c.Values + c.Watches + c.Instances
 }
 
-type published struct {
-	manifest []byte
-	values   map[string][]byte
-}
-
-// New returns a service without values.
-func New() *Platform {
-	p := &Platform{
-		stop:     make(chan struct{}),
-		versions: []published{{}},
-		changed:  make(chan struct{}),
+// snapshot is what the service holds at one time; it is never changed.
+type snapshot struct {
+	revision  int
+	values    map[string][]byte
+	instances platformapi.InstanceList
+}
+
+// Server is one platform.
+type Server struct {
+	*faultnet.Server
+	cfg Config
+
+	mu      sync.Mutex
+	mode    Mode
+	latest  *snapshot
+	served  *snapshot
+	history map[int]*snapshot // published revisions
+	changed chan struct{}     // closed at the next change
+	calls   Calls
+	timers  []*time.Timer
+}
+
+// New returns a platform without values and instances.
+func New(cfg Config) *Server {
+	empty := &snapshot{instances: platformapi.InstanceList{Instances: []platformapi.Instance{}}}
+	s := &Server{
+		cfg:     cfg,
+		latest:  empty,
+		served:  empty,
+		history: map[int]*snapshot{0: empty},
+		changed: make(chan struct{}),
 	}
-	p.http = &fasthttp.Server{Handler: p.handle, NoDefaultServerHeader: true, CloseOnShutdown: true}
-	return p
-}
-
-// Serve answers until Close.
-func (p *Platform) Serve(ln net.Listener) error {
-	return p.http.Serve(ln)
+	s.Server = faultnet.NewServer(s.handle)
+	return s
 }
 
 // Close ends the service.
-func (p *Platform) Close() {
-	p.closeOnce.Do(func() {
-		close(p.stop)
-		_ = p.http.Shutdown()
-	})
-}
-
-// Calls returns the counters.
-func (p *Platform) Calls() *Calls {
-	return &p.calls
-}
-
-// Publish makes the values one new revision and returns its number.
-func (p *Platform) Publish(values []Value) (int, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	next := published{values: make(map[string][]byte, len(values))}
-	manifest := platformapi.Manifest{Revision: p.revision + 1}
-	for _, v := range values {
-		if len(v.Data) > MaxValueBytes {
-			return 0, errors.Wrap(ErrTooLarge, v.Key)
+func (s *Server) Close() {
+	s.mu.Lock()
+	for _, timer := range s.timers {
+		timer.Stop()
+	}
+	s.mu.Unlock()
+	s.Server.Close()
+}
+
+// Publish makes the files the new revision, as a whole, and returns it.
+func (s *Server) Publish(files []File) (revision int, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := *s.latest
+	next.revision++
+	next.values = make(map[string][]byte, len(files)+1)
+	manifest := platformapi.Manifest{Revision: next.revision}
+	for _, file := range files {
+		if err := check(file); err != nil {
+			return 0, err
 		}
-		sum := sha256.Sum256(v.Data)
-		next.values[v.Key] = v.Data
+		digest := sha256.Sum256(file.Data)
 		manifest.Chunks = append(manifest.Chunks, platformapi.Chunk{
-			Key: v.Key, SHA256: hex.EncodeToString(sum[:]), Bytes: len(v.Data),
+			Key:    file.Key,
+			SHA256: hex.EncodeToString(digest[:]),
+			Bytes:  len(file.Data),
 		})
+		next.values[file.Key] = slices.Clone(file.Data)
 	}
 	data, err := json.Marshal(manifest)
 	if err != nil {
 		return 0, err
 	}
-	next.manifest = data
-	p.versions = append(p.versions, next)
-	p.revision++
-	p.wake()
-	return p.revision, nil
+	next.values[ManifestKey] = data
+	s.history[next.revision] = &next
+	s.set(&next)
+	return next.revision, nil
 }
 
-// SetInstances replaces the instance list; readers see it after the lag.
-func (p *Platform) SetInstances(instances []platformapi.Instance) {
-	p.mu.Lock()
-	lag := p.listLag
-	p.mu.Unlock()
-	apply := func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.list = platformapi.InstanceList{Version: p.list.Version + 1, Instances: instances}
-		p.wake()
+func check(file File) error {
+	if file.Key == "" || file.Key == ManifestKey {
+		return errors.Errorf("key %q can't be used", file.Key)
 	}
-	if lag == 0 {
-		apply()
-		return
+	if len(file.Data) > MaxValue {
+		return errors.Errorf("value %s has %d bytes, more than %d", file.Key, len(file.Data), MaxValue)
 	}
-	time.AfterFunc(lag, apply)
-}
-
-// SetListLag sets how late the instance list is.
-func (p *Platform) SetListLag(lag time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.listLag = lag
-}
-
-// SetDown makes the service refuse every call, or serve again.
-func (p *Platform) SetDown(down bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.down = down
-	p.wake()
-}
-
-// SetStale makes the service tell an old revision; 0 for the newest.
-func (p *Platform) SetStale(revision int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.staleAt = revision
-}
-
-func (p *Platform) wake() {
-	close(p.changed)
-	p.changed = make(chan struct{})
-}
-
-// told returns the revision that the service tells.
-func (p *Platform) told() int {
-	if p.staleAt > 0 {
-		return min(p.staleAt, p.revision)
+	return nil
+}
+
+// SetInstances changes the instance list, which shows it after the lag.
+func (s *Server) SetInstances(instances []platformapi.Instance) {
+	instances = append([]platformapi.Instance{}, instances...)
+	show := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		next := *s.latest
+		next.instances = platformapi.InstanceList{
+			Version:   next.instances.Version + 1,
+			Instances: instances,
+		}
+		s.set(&next)
 	}
-	return p.revision
-}
-
-func (p *Platform) handle(ctx *fasthttp.RequestCtx) {
-	path := string(ctx.Path())
-	p.count(path)
-	if p.isDown() {
-		p.calls.Refused.Add(1)
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	if s.cfg.InstanceLag == 0 {
+		show()
 		return
 	}
-	switch {
-	case path == pathWatch:
-		p.watch(ctx)
-	case path == pathInstances:
-		p.mu.Lock()
-		list := p.list
-		p.mu.Unlock()
-		writeJSON(ctx, list)
-	case strings.HasPrefix(path, pathValues):
-		p.value(ctx, strings.TrimPrefix(path, pathValues))
-	default:
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-	}
-}
-
-func (p *Platform) count(path string) {
-	switch {
-	case path == pathWatch:
-		p.calls.Watches.Add(1)
-	case path == pathInstances:
-		p.calls.Lists.Add(1)
-	default:
-		p.calls.Values.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timers = append(s.timers, time.AfterFunc(s.cfg.InstanceLag, show))
+}
+
+// SetMode changes how the service behaves.
+func (s *Server) SetMode(mode Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = mode
+	s.set(s.latest)
+}
+
+// Rewind makes the service stale and serve an older revision, as a replica
+// that fell back would.
+func (s *Server) Rewind(revision int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.history[revision]
+	if !ok {
+		return errors.Errorf("revision %d was not published", revision)
 	}
+	s.mode = Stale
+	s.served = old
+	s.set(s.latest)
+	return nil
 }
 
-func (p *Platform) isDown() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.down
-}
-
-func (p *Platform) value(ctx *fasthttp.RequestCtx, key string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	version := p.versions[p.told()]
-	data := version.manifest
-	if key != manifestKey {
-		data = version.values[key]
-	}
-	if data == nil {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
+// set takes a new snapshot and wakes the watches. The caller holds mu.
+func (s *Server) set(next *snapshot) {
+	s.latest = next
+	if s.mode != Stale {
+		s.served = next
 	}
-	ctx.SetBody(data)
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
-func (p *Platform) watch(ctx *fasthttp.RequestCtx) {
-	args := ctx.QueryArgs()
-	revision := args.GetUintOrZero("revision")
-	instances := args.GetUintOrZero("instances")
-	wait := min(args.GetUintOrZero("timeout_ms"), longestWatchMS)
-	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
-	defer timeout.Stop()
-	for {
-		p.mu.Lock()
-		answer := platformapi.WatchAnswer{Revision: p.told(), InstancesVersion: p.list.Version}
-		changed, down := p.changed, p.down
-		p.mu.Unlock()
-		if down {
-			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-			return
-		}
-		if answer.Revision > revision || answer.InstancesVersion > instances {
-			writeJSON(ctx, answer)
-			return
-		}
-		select {
-		case <-changed:
-		case <-timeout.C:
-			ctx.SetStatusCode(fasthttp.StatusNoContent)
-			return
-		case <-p.stop:
-			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-			return
-		}
-	}
+// Calls returns the counted calls.
+func (s *Server) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
 }
 
-func writeJSON(ctx *fasthttp.RequestCtx, value any) {
-	ctx.SetContentType("application/json")
-	if err := json.NewEncoder(ctx).Encode(value); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-	}
+// Revision returns the latest published revision.
+func (s *Server) Revision() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latest.revision
 }
--- a/internal/trial/fleet.go
+++ b/internal/trial/fleet.go
@@ -46,7 +46,7 @@
 // Fleet is a running deployment.
 type Fleet struct {
 	// Platform is the stand-in for the configuration service.
-	Platform *platform.Platform
+	Platform *platform.Server
 	// Engines and Apps are the stand-ins by server name.
 	Engines map[string]*engine.Server
 	Apps    map[string]*appserver.Server
@@ -79,7 +79,7 @@
 		cfg.Log = zap.NewNop()
 	}
 	f := &Fleet{
-		Platform: platform.New(),
+		Platform: platform.New(platform.Config{}),
 		Engines:  make(map[string]*engine.Server),
 		Apps:     make(map[string]*appserver.Server),
 		cfg:      cfg,
@@ -134,7 +134,7 @@
 	}
 	spec.Address = ln.Addr().String()
 	if spec.Kind == inventory.ServerKindApplication {
-		app := appserver.New(appserver.Config{Name: spec.Name, Slots: spec.Engines[0].Slots, ServiceTime: serviceTime})
+		app := appserver.New(appserver.Config{Workers: spec.Engines[0].Slots, ServiceTime: serviceTime})
 		f.Apps[spec.Name] = app
 		f.group.Go(func() error { return app.Serve(ln) })
 		return nil
--- a/internal/trial/values.go
+++ b/internal/trial/values.go
@@ -14,10 +14,10 @@
 
 // Values turns an inventory into published values: customers in several, so
 // that none exceeds what the platform holds, and one for the rest.
-func Values(inv *inventory.Inventory) ([]platform.Value, error) {
+func Values(inv *inventory.Inventory) ([]platform.File, error) {
 	rest := *inv
 	rest.Customers = nil
-	var out []platform.Value
+	var out []platform.File
 	for i := 0; i < len(inv.Customers); i += customersPerValue {
 		part := &inventory.Inventory{Customers: inv.Customers[i:min(i+customersPerValue, len(inv.Customers))]}
 		value, err := encode(fmt.Sprintf("customers-%03d.toml", i/customersPerValue), part)
@@ -34,17 +34,17 @@
 }
 
 // encode goes through JSON, whose tags name the keys.
-func encode(key string, inv *inventory.Inventory) (platform.Value, error) {
+func encode(key string, inv *inventory.Inventory) (platform.File, error) {
 	data, err := json.Marshal(inv)
 	if err != nil {
-		return platform.Value{}, err
+		return platform.File{}, err
 	}
 	var doc map[string]any
 	if err := json.Unmarshal(data, &doc); err != nil {
-		return platform.Value{}, err
+		return platform.File{}, err
 	}
 	text, err := toml.Marshal(whole(doc))
-	return platform.Value{Key: key, Data: text}, err
+	return platform.File{Key: key, Data: text}, err
 }
 
 // whole turns the floats that JSON makes of integers back, for TOML tells the
