--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -57,7 +57,7 @@
 	// Name is unique.
 	Name string
 	// Hash identifies the customer in peer messages.
-	Hash uint32
+	Hash uint64
 	// Weight is the share against other customers of the same tier.
 	Weight float64
 	// Subscription selects tier overrides of classes.
@@ -127,7 +127,7 @@
 	// Customers by name.
 	Customers map[string]*Customer
 	// CustomerByHash finds the customer of a peer message.
-	CustomerByHash map[uint32]*Customer
+	CustomerByHash map[uint64]*Customer
 	// Servers by name.
 	Servers map[string]*Server
 	// Groups by name.
@@ -146,11 +146,18 @@
 	byCredential map[[sha256.Size]byte]*Customer
 }
 
-// Hash32 returns the hash by which peer messages name classes and customers.
-func Hash32(name string) uint32 {
+// ClassHash returns the hash by which peer messages name a class.
+func ClassHash(name string) uint32 {
 	return uint32(xxhash.Sum64String(name))
 }
 
+// CustomerHash returns the hash by which peer messages name a customer. It has
+// 63 bits: among 27,000 names two share one of 32 bits with a chance of 1 in 12,
+// and then the whole inventory would be refused.
+func CustomerHash(name string) uint64 {
+	return xxhash.Sum64String(name) >> 1
+}
+
 // Authenticate finds the customer of a bearer credential, or nil. Only the
 // digest is compared, so that the time taken tells nothing of the credential.
 func (c *Catalog) Authenticate(credential string) *Customer {
@@ -178,7 +185,7 @@
 		Classes:        make(map[string]*Class, len(inv.Classes)),
 		ClassByHash:    make(map[uint32]*Class, len(inv.Classes)),
 		Customers:      make(map[string]*Customer, len(inv.Customers)),
-		CustomerByHash: make(map[uint32]*Customer, len(inv.Customers)),
+		CustomerByHash: make(map[uint64]*Customer, len(inv.Customers)),
 		Servers:        make(map[string]*Server, len(inv.Servers)),
 		Groups:         make(map[string]*Group),
 		GroupsFor:      make(map[string][]*Group),
@@ -211,7 +218,7 @@
 func newClass(in inventory.Class) *Class {
 	class := &Class{
 		Name:              in.Name,
-		Hash:              Hash32(in.Name),
+		Hash:              ClassHash(in.Name),
 		Tier:              in.Tier,
 		Kind:              in.Kind,
 		Target:            in.Model,
@@ -249,7 +256,7 @@
 func newCustomer(in inventory.Customer) *Customer {
 	customer := &Customer{
 		Name:              in.Name,
-		Hash:              Hash32(in.Name),
+		Hash:              CustomerHash(in.Name),
 		Weight:            in.Weight,
 		Subscription:      in.Subscription,
 		RequestsPerSecond: in.RequestsPerS,
@@ -343,7 +350,7 @@
 // groupName keeps names short, since peer messages carry them.
 func groupName(pool string, index int) string {
 	const letters = "0123456789abcdefghijklmnopqrstuvwxyz"
-	h := Hash32(pool)
+	h := ClassHash(pool)
 	out := make([]byte, 0, 8)
 	for range 5 {
 		out = append(out, letters[h%uint32(len(letters))])
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -60,6 +60,7 @@
 	node *node.Node
 
 	mu      sync.Mutex
+	parser  inventory.Parser
 	members *membership.Core
 	conf    *confsync.Core
 	version uint64
@@ -265,12 +266,13 @@
 // confEffects gives the configuration its way out.
 type confEffects struct {
 	Effects
-	node *node.Node
-	now  monotime.Instant
+	node   *node.Node
+	parser *inventory.Parser
+	now    monotime.Instant
 }
 
 func (i *Instance) confEffects(now monotime.Instant) confEffects {
-	return confEffects{Effects: i.eff, node: i.node, now: now}
+	return confEffects{Effects: i.eff, node: i.node, parser: &i.parser, now: now}
 }
 
 // SendPeer implements confsync.Effects.
@@ -279,9 +281,9 @@
 }
 
 // Install implements confsync.Effects. The inventory is checked whole before
-// anything of it takes effect.
+// anything of it takes effect. Values that did not change are not read again.
 func (e confEffects) Install(revision uint64, files []inventory.File) error {
-	inv, problems := inventory.Parse(files)
+	inv, problems := e.parser.Parse(files)
 	if len(problems) > 0 {
 		return problems
 	}
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -198,28 +198,31 @@
 }
 
 func TestNamesWithOneHashAreRefused(t *testing.T) {
-	// Messages between instances name a customer by 32 bits of hash. With two
-	// customers of one hash the requests of one would be queued and charged as
-	// the other's, which no later check could tell.
+	// Messages between instances name a class by 32 bits of hash. With two classes
+	// of one hash the requests of one would be queued by the other's targets,
+	// which no later check could tell.
 	first, second := collidingNames(t)
 	_, problems := Parse(append(sound[:2:2], File{Name: "c.toml", Data: []byte(
-		"[[customers]]\nname = \"" + first + "\"\ncredential_sha256 = [\"" + digestB + "\"]\n" +
-			"[[customers]]\nname = \"" + second + "\"\ncredential_sha256 = [\"" + strings.Repeat("c", 64) + "\"]")}))
+		classText(first) + classText(second))}))
 	want := Problems{{
-		File: "c.toml", Key: "customers[1:" + second + "].name", Value: `"` + second + `"`,
-		Expected: `a name whose 32-bit hash differs from that of "` + first + `"; choose another name`,
+		File: "c.toml", Key: "classes[1:" + second + "].name", Value: `"` + second + `"`,
+		Expected: `a name whose hash differs from that of "` + first + `"; choose another name`,
 	}}
 	if diff := cmp.Diff(want, problems); diff != "" {
 		t.Error(diff)
 	}
 }
 
+func classText(name string) string {
+	return "[[classes]]\nname = \"" + name + "\"\ntier = 0\nkind = \"model\"\nmodel = \"m1\"\n"
+}
+
 func collidingNames(t *testing.T) (first, second string) {
 	t.Helper()
 	seen := make(map[uint32]string)
 	for i := range 1 << 20 {
-		name := fmt.Sprintf("customer-%d", i)
-		hash := catalog.Hash32(name)
+		name := fmt.Sprintf("class-%d", i)
+		hash := catalog.ClassHash(name)
 		if other, ok := seen[hash]; ok && other != name {
 			return other, name
 		}
--- a/internal/inventory/unique.go
+++ b/internal/inventory/unique.go
@@ -96,7 +96,7 @@
 
 func (c *checker) checkUniqueClasses(parts []*decoded) {
 	names := c.unique(len(c.merged.Classes))
-	hashes := c.hashes(len(c.merged.Classes))
+	hashes := c.hashes(len(c.merged.Classes), classHash)
 	for _, part := range parts {
 		for i, class := range part.content.Classes {
 			at := part.place("classes", i, class.Name, "name")
@@ -108,7 +108,7 @@
 
 func (c *checker) checkUniqueCustomers(parts []*decoded) {
 	names := c.unique(len(c.merged.Customers))
-	hashes := c.hashes(len(c.merged.Customers))
+	hashes := c.hashes(len(c.merged.Customers), catalog.CustomerHash)
 	credentials := c.unique(len(c.merged.Customers))
 	credentials.secret = true
 	for _, part := range parts {
@@ -129,22 +129,27 @@
 // the hash alone, so that one customer would be charged for another.
 type hashes struct {
 	c     *checker
-	names map[uint32]string
+	of    func(name string) uint64
+	names map[uint64]string
 }
 
-func (c *checker) hashes(size int) *hashes {
-	return &hashes{c: c, names: make(map[uint32]string, size)}
+func (c *checker) hashes(size int, of func(name string) uint64) *hashes {
+	return &hashes{c: c, of: of, names: make(map[uint64]string, size)}
+}
+
+func classHash(name string) uint64 {
+	return uint64(catalog.ClassHash(name))
 }
 
 func (h *hashes) add(name string, at func() site) {
-	hash := catalog.Hash32(name)
+	hash := h.of(name)
 	other, taken := h.names[hash]
 	if !taken {
 		h.names[hash] = name
 		return
 	}
 	if other != name {
-		h.c.add(at(), quote(name), "a name whose 32-bit hash differs from that of "+quote(other)+"; choose another name")
+		h.c.add(at(), quote(name), "a name whose hash differs from that of "+quote(other)+"; choose another name")
 	}
 }
 
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -74,7 +74,7 @@
 		return sched.Demand{}, false
 	}
 	class := cat.ClassByHash[uint32(msg.Class)]
-	customer := cat.CustomerByHash[uint32(msg.Customer)]
+	customer := cat.CustomerByHash[uint64(msg.Customer)]
 	if class == nil || customer == nil {
 		return sched.Demand{}, false
 	}
@@ -129,7 +129,7 @@
 	g.sched.Adopt(now, ticket(from, item.Seq), sched.Held{
 		Engine:   item.Engine,
 		Class:    cat.ClassByHash[uint32(item.Class)],
-		Customer: cat.CustomerByHash[uint32(item.Customer)],
+		Customer: cat.CustomerByHash[uint64(item.Customer)],
 		Tier:     item.Tier,
 	})
 }
--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -10,7 +10,7 @@
 // back after a pause starts at the clock of the tier and has neither saved up a
 // burst nor kept an old debt from times when nobody waited.
 type account struct {
-	key     uint32
+	key     uint64
 	weight  float64
 	counter float64
 	waiting int
@@ -44,7 +44,7 @@
 		a.key = key
 		a.counter = q.clock
 		if q.accounts == nil {
-			q.accounts = make(map[uint32]*account)
+			q.accounts = make(map[uint64]*account)
 		}
 		q.accounts[key] = a
 	}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -87,7 +87,7 @@
 	expiry   heap[*entry]
 	sizes    heap[*account]
 	idle     heap[*account]
-	accounts map[uint32]*account
+	accounts map[uint64]*account
 	// clock is the virtual time of the tier: the counter at the last grant.
 	clock float64
 	// arriving is the slot time that arrives, in slots.
