Search repeats ids; each safeguard of the node is shown to be needed

Cause: breaking 16 safeguards one at a time left five unnoticed: the check of a grant's owner, asking again when a link breaks, telling a new owner of held slots, ignoring a former attempt's end, revisions that only grow; and a test of a platform that is down replaced no instance. Change: the search sends ids again at the same and at other processes, and counts a resumption at an application server as a second run; direct tests for the rest; the platform test replaces all instances but one, which need seeds.

--- a/internal/instance/fleet_test.go
+++ b/internal/instance/fleet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,11 +27,12 @@
 )
 
 const (
-	hop       = 2 * time.Millisecond
-	answerIn  = 200 * time.Millisecond
-	peerPort  = "127.0.0.1:1"
-	noticed   = 3 * time.Second
-	platformT = 5 * time.Millisecond
+	hop        = 2 * time.Millisecond
+	answerIn   = 200 * time.Millisecond
+	peerPort   = "127.0.0.1:1"
+	addressEnd = ".peer:1"
+	noticed    = 3 * time.Second
+	platformT  = 5 * time.Millisecond
 )
 
 var errUnreachable = errors.New("unreachable")
@@ -144,7 +146,7 @@
 	for _, p := range f.procs {
 		if !p.dead {
 			list.Instances = append(list.Instances, platformapi.Instance{ID: p.id, DataCentre: p.dc,
-				CallerAddress: peerPort, PeerAddress: peerPort, State: platformapi.InstanceStateLive})
+				CallerAddress: peerPort, PeerAddress: p.id + addressEnd, State: platformapi.InstanceStateLive})
 		}
 	}
 	return list
@@ -159,7 +161,8 @@
 	p.inst = New(p.clock(), Config{
 		Node: node.Config{Self: p.self, DataCentre: p.dc, Policy: sched.Default(), Seed: uint64(p.f.starts)},
 		Self: membership.Member{ID: p.id, Incarnation: p.self.Token, DataCentre: p.dc,
-			CallerAddress: peerPort, PeerAddress: peerPort, Epoch: uint64(p.f.Now() / 1e9)},
+			CallerAddress: peerPort, PeerAddress: p.id + addressEnd, Epoch: uint64(p.f.Now() / 1e9)},
+		Seeds: []string{"i0" + addressEnd, "i1" + addressEnd},
 	}, &fleetEffects{p})
 	p.tick(p.self)
 }
@@ -221,7 +224,7 @@
 		}
 	}
 	for _, target := range p.wanted {
-		p.open(target.ID)
+		p.open(strings.TrimSuffix(target.Address, addressEnd))
 	}
 }
 
@@ -236,7 +239,7 @@
 
 func (p *process) open(id string) bool {
 	q := p.f.proc(id)
-	if q == nil || q == p || q.dead || p.f.cut(p.id, id) || p.f.Now() < q.asleep {
+	if q == nil || q == p || q.dead || q.inst == nil || p.f.cut(p.id, id) || p.f.Now() < q.asleep {
 		return p.links[id]
 	}
 	if !p.links[id] {
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -116,7 +116,7 @@
 		}
 		f.Run(20 * time.Millisecond)
 	}
-	f.Run(6 * time.Second)
+	f.Run(500 * time.Millisecond)
 	f.wantAnswers(ids)
 }
 
@@ -200,14 +200,20 @@
 	}
 }
 
-// What the caller sees: nothing. The platform is down for ten minutes, and all
-// instances but one are replaced one by one meanwhile; each new process learns
-// the configuration from its peers alone.
+// What the caller sees: nothing. The platform is down, and all instances but one
+// are replaced one by one meanwhile; each new process finds a peer through its
+// seeds and learns the configuration and the fleet from its peers alone.
 func TestPlatformDownWhileInstancesAreReplaced(t *testing.T) {
 	f := newFleet(t, 4)
 	f.Run(settle)
 	f.down = true
-	f.Run(10 * time.Minute)
+	f.Run(5 * time.Minute)
+	for _, p := range f.procs[1:] {
+		p.kill()
+		f.Run(time.Second)
+		p.boot()
+		f.Run(time.Minute)
+	}
 	var ids []string
 	for _, p := range f.procs {
 		ids = append(ids, f.send(p))
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"basilrudder/internal/membership"
+	"basilrudder/internal/sched"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/verdict"
+)
+
+// started waits until a request runs.
+func (w *world) started(p *proc, c *call) *request {
+	w.t.Helper()
+	for range 100 {
+		if r := p.node.byID[c.id]; r != nil && r.state == stateRunning {
+			return r
+		}
+		w.Run(time.Millisecond)
+	}
+	w.t.Fatalf("%s does not run", c.id)
+	return nil
+}
+
+// quietWorld is a world without faults in which requests go to the first process.
+func quietWorld(t *testing.T) (*world, *proc) {
+	w := newWorld(t, 1)
+	return w, w.procs[0]
+}
+
+func TestAnOlderCatalogNeverReplacesANewer(t *testing.T) {
+	w, p := quietWorld(t)
+	old := w.catalog()
+	w.revision = 5
+	p.node.SetCatalog(p.clock(), w.catalog())
+	p.node.SetCatalog(p.clock(), old)
+	if got := p.node.Catalog().Revision; got != 6 {
+		t.Errorf("revision %d in force, want 6", got)
+	}
+}
+
+// What the caller sees: one answer. An attempt that was given up reports its end
+// while the next one runs; the report must not end the request.
+func TestTheEndOfAFormerAttemptIsIgnored(t *testing.T) {
+	w, p := quietWorld(t)
+	c := w.send(p, "often")
+	r := w.started(p, c)
+	r.attempt = 2
+	p.node.AttemptEnded(p.clock(), r.seq, 1, verdict.New(verdict.Ran, verdict.ReasonUpstreamError, "late"))
+	if r.state != stateRunning || len(c.verdicts) > 0 {
+		t.Errorf("state %d, verdicts %v after the end of a former attempt", r.state, c.verdicts)
+	}
+}
+
+// What the caller sees: nothing. A group changes its owner while slots are in
+// use; the holder tells the new owner at once which engines they use. Without
+// that the new owner would fill engines that are already full.
+func TestANewOwnerLearnsWhichSlotsAreHeld(t *testing.T) {
+	w, p := quietWorld(t)
+	c := w.send(p, "often")
+	r := w.started(p, c)
+	old, next := r.owner, w.procs[0]
+	for _, q := range w.procs {
+		if q.name != old {
+			next = q
+		}
+	}
+	view := &membership.View{Known: 1, Live: []membership.Member{{ID: next.name, Incarnation: next.self.Token, DataCentre: "a"}}}
+	for _, q := range w.procs {
+		q.node.SetView(q.clock(), view)
+	}
+	w.Run(25 * time.Millisecond)
+	g := next.node.owned[r.group.Name]
+	if g == nil || g.sched.Stats().Adopted != 1 || g.sched.Stats().Held != 1 {
+		t.Errorf("the new owner %s knows %+v of the slot", next.name, g)
+	}
+}
+
+// What the caller sees: nothing. A grant of an owner that was replaced arrives
+// after the request was asked for elsewhere. It goes back, so that the slot is
+// not held until its lease ends.
+func TestAGrantOfAFormerOwnerGoesBack(t *testing.T) {
+	w, p := quietWorld(t)
+	c := w.send(p, "often")
+	r := p.node.byID[c.id]
+	if r == nil {
+		t.Fatal("no request")
+	}
+	r.state = stateWaiting
+	r.owner = w.procs[1].name
+	former := w.procs[2]
+	sent := &spy{effects: p.node.eff.(*effects)}
+	p.node.eff = sent
+	p.node.OnEnvelope(p.clock(), former.name, &wire.Envelope{Grants: []wire.Grant{{
+		Seq: int(r.seq), Group: r.group.Name, Server: "s0", Engine: "e"}}})
+	if r.state != stateWaiting {
+		t.Error("the grant of a former owner was used")
+	}
+	if len(sent.releases) != 1 || sent.releases[0].Outcome != int(sched.Unused) {
+		t.Errorf("releases %+v, want one that gives the slot back", sent.releases)
+	}
+}
+
+// What the caller sees: its request runs at another server. The owner has not
+// heard yet that the server was withdrawn, the holder has; the holder does not
+// use the grant and asks again.
+func TestAGrantOfAWithdrawnServerIsNotUsed(t *testing.T) {
+	w, p := quietWorld(t)
+	c := w.send(p, "often")
+	r := p.node.byID[c.id]
+	w.withdrawn["s0"] = w.Now()
+	w.revision++
+	p.node.SetCatalog(p.clock(), w.catalog())
+	r.owner, r.group = w.procs[1].name, p.node.Catalog().Servers["s0"].Group
+	p.node.OnEnvelope(p.clock(), r.owner, &wire.Envelope{Grants: []wire.Grant{{
+		Seq: int(r.seq), Group: r.group.Name, Server: "s0", Engine: "e"}}})
+	if r.state != stateWaiting {
+		t.Errorf("started at %v", r.engine.ID)
+	}
+	w.Run(time.Second)
+	if len(c.verdicts) != 1 || !c.whole {
+		t.Errorf("verdicts %v, whole %v", c.verdicts, c.whole)
+	}
+}
+
+// spy keeps the releases that a node sends.
+type spy struct {
+	*effects
+	releases []wire.Release
+}
+
+func (s *spy) Send(to string, env *wire.Envelope) {
+	s.releases = append(s.releases, env.Releases...)
+	s.effects.Send(to, env)
+}
--- a/internal/node/search_test.go
+++ b/internal/node/search_test.go
@@ -63,6 +63,8 @@
 		w.publishWithdrawal()
 	case 5, 6:
 		w.callerLeaves()
+	case 7, 8, 9:
+		w.sendAgain(p)
 	default:
 		classes := [...]string{"once", "often", "service"}
 		w.send(p, classes[w.rng.IntN(len(classes))])
@@ -71,7 +73,7 @@
 
 func (w *world) crash(p *proc) {
 	for _, c := range w.calls {
-		if c.at == p && len(c.verdicts) == 0 {
+		if c.at == p && len(c.verdicts) < c.submits {
 			c.orphaned = true
 		}
 	}
@@ -111,6 +113,20 @@
 	}
 }
 
+// sendAgain repeats an id at the same or another process, as a caller does that
+// saw no answer or a failure. An answer that is still to come is not repeated
+// at the same process: the store of answers gives it the first one's.
+func (w *world) sendAgain(p *proc) {
+	if len(w.sent) == 0 || p.dead {
+		return
+	}
+	c := w.sent[w.rng.IntN(len(w.sent))]
+	if c.class == nil || c.at == p && len(c.verdicts) < c.submits {
+		return
+	}
+	p.deliver(p.self, func() { w.submit(p, c, c.class.Name) })
+}
+
 func (w *world) callerLeaves() {
 	var pick *call
 	latest := monotime.Instant(0)
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -33,6 +33,7 @@
 	withdrawn map[string]monotime.Instant
 	runs      map[string][]string
 	calls     map[string]*call
+	sent      []*call
 	cut       map[[2]string]bool
 	faults    bool
 	bad       []string
@@ -55,6 +56,7 @@
 	id       string
 	class    *catalog.Class
 	at       *proc
+	submits  int
 	verdicts []verdict.Verdict
 	whole    bool
 	orphaned bool
@@ -252,7 +254,7 @@
 		end(soon, verdict.New(verdict.NotRun, verdict.ReasonUpstreamRefused, "full"))
 		return
 	}
-	if !a.Resume {
+	if !a.Resume || a.Engine.Server.Spec.Kind == inventory.ServerKindApplication {
 		w.runs[a.RequestID] = append(w.runs[a.RequestID], a.ID)
 	}
 	switch {
@@ -286,7 +288,7 @@
 	if err != nil {
 		v = err.Verdict
 	}
-	c.verdicts = append(c.verdicts, v)
+	e.p.w.told(c, v)
 	c.whole = err == nil
 	p, self := e.p, e.self
 	p.w.After(time.Millisecond, func() {
@@ -304,16 +306,27 @@
 	prefix, _ := p.self.Prefix(time.UnixMilli(int64(w.Now())/int64(time.Millisecond)), IDLifetime)
 	c := &call{id: fmt.Sprintf("%sx%d", prefix, len(w.calls)), at: p}
 	w.calls[c.id] = c
+	w.sent = append(w.sent, c)
 	p.deliver(p.self, func() { w.submit(p, c, class) })
 	return c
 }
 
 func (w *world) submit(p *proc, c *call, class string) {
+	c.submits++
 	cat := p.node.Catalog()
 	c.class = cat.Classes[class]
 	_, err := p.node.Submit(p.clock(), Request{ID: c.id, Customer: cat.Customers["c"], Class: c.class, PromptTokens: 100})
 	if err != nil {
-		c.verdicts = append(c.verdicts, err.Verdict)
+		w.told(c, err.Verdict)
+	}
+}
+
+// told takes a verdict down. "Not run" must be true when it is said; a caller
+// that then sends the same id again may have it run.
+func (w *world) told(c *call, v verdict.Verdict) {
+	c.verdicts = append(c.verdicts, v)
+	if v == verdict.NotRun && len(w.runs[c.id]) > 0 {
+		w.fail("%s was told not run, but ran as %v", c.id, w.runs[c.id])
 	}
 }
 
@@ -324,11 +337,11 @@
 		if c.class != nil && !c.class.Idempotent && len(runs) > 1 {
 			w.fail("%s is not idempotent and ran %d times: %v", id, len(runs), runs)
 		}
-		if len(c.verdicts) > 1 {
-			w.fail("%s was answered %d times", id, len(c.verdicts))
+		if len(c.verdicts) > c.submits {
+			w.fail("%s was sent %d times and answered %d times", id, c.submits, len(c.verdicts))
 		}
 		for _, v := range c.verdicts {
-			if v == verdict.NotRun && len(runs) > 0 {
+			if v == verdict.NotRun && len(runs) > 0 && c.submits == 1 {
 				w.fail("%s was told not run, but ran as %v", id, runs)
 			}
 		}
@@ -339,7 +352,7 @@
 func (w *world) unanswered() []string {
 	var out []string
 	for id, c := range w.calls {
-		if len(c.verdicts) == 0 && !c.orphaned && !c.at.dead && strings.Contains(id, c.at.self.Token) {
+		if len(c.verdicts) < c.submits && !c.orphaned && !c.at.dead && strings.Contains(id, c.at.self.Token) {
 			out = append(out, id)
 		}
 	}
