Every way into a node notices a pause

Only some ways in looked for the pause. Change: one function takes the lock and notices the pause on every way in.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -34,9 +34,8 @@
 
 // AttemptEnded tells how an attempt ended; err is nil for a whole answer.
 func (n *Node) AttemptEnded(now monotime.Instant, seq uint64, number int, err *verdict.Error) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
-	n.noticePause(now)
 	r := n.requests[seq]
 	if r == nil || r.state != stateRunning || r.attempt != number {
 		return
--- a/internal/node/envelope.go
+++ b/internal/node/envelope.go
@@ -9,9 +9,8 @@
 // come before withdrawals and progress before releases, so that parts that were
 // sent in that order and joined into one message keep it.
 func (n *Node) OnEnvelope(now monotime.Instant, from string, env *wire.Envelope) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
-	n.noticePause(now)
 	for _, m := range env.Acquires {
 		n.submitOwned(now, from, m)
 	}
--- a/internal/node/grant.go
+++ b/internal/node/grant.go
@@ -109,7 +109,7 @@
 // CallerGone tells that the caller of a request has vanished. Idempotent work
 // is cancelled; other work goes on, and its answer is kept for the caller.
 func (n *Node) CallerGone(now monotime.Instant, id string) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	r := n.byID[id]
 	if r == nil || r.gone {
--- a/internal/node/hints.go
+++ b/internal/node/hints.go
@@ -24,7 +24,7 @@
 
 // LoadReport passes a load report on to the owned group of the engine.
 func (n *Node) LoadReport(now monotime.Instant, engineID string, report engineapi.LoadReport) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	if g := n.ownerGroupOf(engineID); g != nil {
 		g.sched.LoadReport(now, engineID, report)
@@ -33,7 +33,7 @@
 
 // CacheEvents passes a page of cache events on to the owned group of the engine.
 func (n *Node) CacheEvents(now monotime.Instant, engineID string, events engineapi.CacheEvents) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	if g := n.ownerGroupOf(engineID); g != nil {
 		g.sched.CacheEvents(now, engineID, events)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,7 +148,7 @@
 
 // SetCatalog puts a configuration in force.
 func (n *Node) SetCatalog(now monotime.Instant, cat *catalog.Catalog) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	if old := n.catalog.Load(); old != nil && old.Revision >= cat.Revision {
 		return
@@ -163,7 +163,7 @@
 
 // SetView replaces the membership known.
 func (n *Node) SetView(now monotime.Instant, view *membership.View) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	old := n.view.Swap(view)
 	n.members = routeMembers(view)
@@ -177,7 +177,7 @@
 // that wait at that owner are asked for elsewhere at once: a crash of the owner
 // in a burst must not cost them a membership timeout.
 func (n *Node) LinkDown(now monotime.Instant, id string) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	n.down[id] = now.Add(unreachableFor)
 	n.reroute(now, func(r *request) bool { return r.owner == id })
@@ -192,9 +192,8 @@
 
 // Tick does what is due; call it every TickInterval.
 func (n *Node) Tick(now monotime.Instant) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
-	n.noticePause(now)
 	n.lastTick = now
 	n.openGate(now)
 	n.expireDown(now)
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -8,8 +8,9 @@
 // A process that was stopped wakes up believing what it knew before: it would
 // send work to a server withdrawn meanwhile, since a grant that lay in its
 // queue looks valid. The gap in its own calls shows the pause. It is looked for
-// on each path that dispatches, not in Tick alone: the goroutine that carries
-// the old grant may run before the one that ticks. A pause between this check
+// on every way in, not in Tick alone: whatever goroutine runs first after the
+// pause may free a slot and thereby start a request, even one that brings a
+// configuration or a view. A pause between this check
 // and the write to the socket is not caught here; the engines that check
 // fencing numbers refuse that work by its revision.
 type gate struct {
@@ -20,6 +21,12 @@
 	isolated bool
 }
 
+// enter takes the lock for a call that may dispatch.
+func (n *Node) enter(now monotime.Instant) {
+	n.mu.Lock()
+	n.noticePause(now)
+}
+
 // noticePause closes the gate when the process has not run for a while.
 func (n *Node) noticePause(now monotime.Instant) {
 	if n.lastTick == 0 || now.Sub(n.lastTick) < pauseGap {
@@ -42,7 +49,7 @@
 // Confirm tells that a peer or the platform confirmed at the given instant that
 // the configuration in force is the newest it knows.
 func (n *Node) Confirm(now, confirmed monotime.Instant) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	if n.gate.closed && !confirmed.Before(n.gate.since) {
 		n.gate.closed = false
--- a/internal/node/record.go
+++ b/internal/node/record.go
@@ -30,7 +30,7 @@
 // Delivered tells that the end of an answer was written to its caller. Only now
 // is the request accounted: an answer that is ready and reaches nobody is waste.
 func (n *Node) Delivered(now monotime.Instant, id string) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	if r := n.undelivered[id]; r != nil {
 		r.delivered = r.err == nil
@@ -60,7 +60,7 @@
 // RecordRefused accounts a request that was refused before Submit. Its class may
 // be nil when the caller named none that exists.
 func (n *Node) RecordRefused(now monotime.Instant, in Request, err *verdict.Error) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	n.recordRefused(now, in, err)
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -40,7 +40,7 @@
 
 // Status returns what the node believes.
 func (n *Node) Status(now monotime.Instant) Status {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	s := Status{
 		Requests: len(n.requests),
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -21,9 +21,8 @@
 // Submit admits a request and returns its number at this node. A refusal is
 // always NotRun, except for an id that was taken before or has expired.
 func (n *Node) Submit(now monotime.Instant, in Request) (uint64, *verdict.Error) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
-	n.noticePause(now)
 	cat := n.catalog.Load()
 	if err := n.admissible(cat); err != nil {
 		n.recordRefused(now, in, err)
