Headroom by what can be free in time, urgent requests first, stragglers avoided

Cause: a wave of top-tier requests met a group full of long lower work: slots kept empty were too few, and those kept for long would be wasted on short work. Small customers of a tier were refused while others had time to spare. Lookups were placed on a straggler because it was free. Change: headroom counts slots held, free, or expected free within the tier's waiting time; a request about to be late goes first in its tier and customers are compared in steps of 1000 tokens; an engine that would miss a request's target is left to lower tiers; a refused request asks up to three groups; an unmeasured class is not refused by a guessed length.

--- a/internal/node/grant.go
+++ b/internal/node/grant.go
@@ -13,7 +13,7 @@
 // maxGroups bounds how many groups one request asks after a refusal. A second
 // one pays when the backlogs this node knew were out of date; more would only
 // delay the refusal.
-const maxGroups = 2
+const maxGroups = 3
 
 // onGrant takes a slot that the owner from granted.
 func (n *Node) onGrant(now monotime.Instant, from string, g wire.Grant) {
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -56,16 +56,24 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.run(ctx); err != nil {
+		return nil, err
+	}
+	return s.result(), nil
+}
+
+// run plays the trace until every call has its final answer.
+func (s *sim) run(ctx context.Context) error {
 	s.scheduleTrace()
 	for count := 0; s.open > 0 || s.loop.now < s.end; count++ {
 		if count%checkContextEvery == 0 && ctx.Err() != nil {
-			return nil, ctx.Err()
+			return ctx.Err()
 		}
 		if s.loop.now > s.end.Add(s.cfg.Grace) || !s.loop.step() {
 			break
 		}
 	}
-	return s.result(), nil
+	return nil
 }
 
 // sim is the state of a replay.
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -43,6 +43,9 @@
 		if candidate.spec.ID == e.demand.Avoid {
 			cost += avoidCost
 		}
+		if g.policy.Stragglers && candidate.slow >= slowFrom && g.tooSlow(e, candidate, now) {
+			cost += slowCost
+		}
 		if best == nil || cost < leastCost {
 			best, hit, leastCost = candidate, cached, cost
 		}
@@ -54,12 +57,47 @@
 	// avoidCost keeps a retry away from the engine that failed it while any
 	// other engine has room, in seconds.
 	avoidCost = 60
+	// slowCost keeps a request away from a straggler that would make it late.
+	slowCost = 20
 	// probeCost keeps requests of higher tiers from being the probe.
 	probeCost = 30
 	// crowding weighs the slots in use: a fuller engine decodes more slowly.
 	crowding = 4
 )
 
+// suits reports whether the request should start at the engine rather than wait
+// for another one: a straggler may be free because it is slow. A request that
+// cannot wait takes what there is.
+func (g *Group) suits(e *entry, on *engine, now monotime.Instant) bool {
+	if !g.policy.Stragglers || on.slow < slowFrom {
+		return true
+	}
+	if e.latestStart.Sub(now) < leastPatience {
+		return true
+	}
+	return !g.tooSlow(e, on, now)
+}
+
+// leastPatience is the time to spare below which a request takes any engine.
+const leastPatience = 100 * time.Millisecond
+
+// tooSlow reports whether the engine is expected to miss a target of the class.
+func (g *Group) tooSlow(e *entry, on *engine, now monotime.Instant) bool {
+	class := e.demand.Class
+	gap := on.gapSeconds()
+	if class.TokenGap > 0 && gap > class.TokenGap.Seconds() {
+		return true
+	}
+	if e.demand.EndBy == 0 {
+		return false
+	}
+	stats := g.statsOf(class)
+	if stats.service {
+		return now.Add(seconds(stats.median/1000*on.slow)) > e.demand.EndBy
+	}
+	return now.Add(seconds(stats.median*gap)) > e.demand.EndBy
+}
+
 // startCost is the predicted time to the first token in seconds, with a part
 // for the slower decoding of a fuller engine.
 func (g *Group) startCost(e *entry, candidate *engine, cached bool, now monotime.Instant) float64 {
--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"math"
+
 	"basilrudder/internal/catalog"
 )
 
@@ -85,7 +87,7 @@
 		q.sizes.remove(a.sizePos)
 		a.work = 0
 	default:
-		q.sizes.update(a.sizePos, -float64(a.waiting))
+		q.sizes.update(a.sizePos, -float64(a.waiting), uint64(a.key))
 	}
 	if q.waiting == 0 {
 		q.weights = 0
@@ -117,8 +119,26 @@
 func (g *Group) charge(a *account, cost float64) {
 	a.counter += cost / a.weight
 	for _, s := range a.shares {
-		s.line.shares.update(s.pos, a.counter)
+		g.reorder(s)
+	}
+}
+
+// reorder puts a share where its account's counter and its most urgent request
+// belong. Counters are compared in steps: customers who used about as much are
+// served by deadline, so that a small difference makes nobody late while others
+// have time to spare.
+func (g *Group) reorder(s *share) {
+	s.line.shares.update(s.pos, g.step(s.account), uint64(s.entries.min().value.latestStart))
+}
+
+func (g *Group) step(a *account) float64 {
+	if !g.policy.Fairness {
+		return 0
+	}
+	if g.policy.FairnessStep <= 0 {
+		return a.counter
 	}
+	return math.Floor(a.counter / g.policy.FairnessStep)
 }
 
 func (g *Group) shareFor(a *account, ln *line) *share {
@@ -131,11 +151,7 @@
 	s.account = a
 	s.line = ln
 	a.shares = append(a.shares, s)
-	key := a.counter
-	if !g.policy.Fairness {
-		key = 0
-	}
-	ln.shares.push(key, uint64(a.key), s)
+	ln.shares.push(g.step(a), 0, s)
 	return s
 }
 
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -22,9 +22,9 @@
 	byID     map[string]*engine
 	lanes    map[string]*lane
 	laneList []*lane
-	// floors and reserves by tier, from the rules.
+	// floors and headroom by tier, from the rules.
 	floors   [maxTiers]float64
-	reserves [maxTiers]float64
+	headroom [maxTiers]float64
 
 	entries map[Ticket]*entry
 	classes map[uint32]*classStats
@@ -82,17 +82,9 @@
 	e := g.newEntry()
 	e.target = l.setOf(target)
 	g.fill(e, d, l, now)
-	if e.latestStart < now {
-		out = append(out, g.refusal(&d, refuseTooLate, g.backlog(l, e.tier, now)))
-		g.recycle(e)
-		return out
-	}
-	l.tiers[e.tier].arriving.add(now, e.work)
 	g.entries[d.Ticket] = e
-	if g.goesFirst(e) {
-		if decision, ok := g.start(e, whyIdle, now); ok {
-			return append(out, decision)
-		}
+	if on, hit := g.atOnce(e, now); on != nil {
+		return append(out, g.start(e, on, hit, whyIdle, now))
 	}
 	return g.admit(e, now, out)
 }
@@ -114,6 +106,8 @@
 	e.tier = g.tierOf(d.Tier)
 	e.work = g.expectedHold(l, stats)
 	e.latestStart = g.latestStart(&d, l, stats, now)
+	l.tiers[e.tier].arriving.add(now, e.work)
+	g.noteBudget(e, now)
 }
 
 func (g *Group) tierOf(tier int) int {
@@ -123,53 +117,40 @@
 	return min(max(tier, 0), maxTiers-1)
 }
 
-// goesFirst reports whether nobody waits before the entry and a slot that its
-// tier may take is free.
-func (g *Group) goesFirst(e *entry) bool {
+// atOnce returns the engine for a request that need not wait: nobody waits
+// before it and a slot that its tier may take is free. Then it starts even where
+// the prediction says that it will be late: nothing is lost by trying, and a
+// class whose prediction is too high would never be measured again otherwise.
+func (g *Group) atOnce(e *entry, now monotime.Instant) (on *engine, hit bool) {
 	l := e.lane
-	return l.waiting == 0 && g.mayTake(l, e.tier) && l.reach()&e.target != 0
-}
-
-// mayTake reports whether a request of the tier may take a free slot: those
-// kept for higher tiers must stay free.
-func (g *Group) mayTake(l *lane, tier int) bool {
-	if l.free <= 0 {
-		return false
+	if l.waiting > 0 || !g.mayTake(l, e.tier, e.work) {
+		return nil, false
 	}
-	if !g.policy.Headroom {
-		return true
+	on, hit = g.choose(e, now)
+	if on != nil && !g.suits(e, on, now) {
+		return nil, false
 	}
-	return float64(l.free) > g.reserves[tier]*float64(l.limit)
+	return on, hit
 }
 
-// start gives the entry a slot. It returns false when no engine has room.
-func (g *Group) start(e *entry, why string, now monotime.Instant) (Decision, bool) {
-	on, hit := g.choose(e, now)
-	if on == nil {
-		return Decision{}, false
-	}
+// start gives the entry a slot at an engine.
+func (g *Group) start(e *entry, on *engine, hit bool, why string, now monotime.Instant) Decision {
 	stats := g.statsOf(e.demand.Class)
 	q := &e.lane.tiers[e.tier]
-	var acct *account
+	ln := g.lineOf(e, now)
+	ln.servedAt = now
+	ln.credit = max(0, ln.credit-e.work)
+	acct := g.accountFor(q, e.demand.Customer)
+	q.clock = max(q.clock, acct.counter)
 	if e.state == entryWaiting {
-		acct = e.share.account
-		ln := e.share.line
-		ln.servedAt = now
-		ln.credit = max(0, ln.credit-e.work)
-		q.clock = max(q.clock, acct.counter)
 		g.dequeue(e)
-	} else {
-		acct = g.accountFor(q, e.demand.Customer)
-		ln := g.lineOf(e, now)
-		ln.servedAt = now
-		q.clock = max(q.clock, acct.counter)
 	}
 	g.hold(e, acct, now)
 	e.charged = e.expectedCost(stats)
 	g.charge(acct, e.charged)
 	g.place(e, on, hit, now)
 	g.counters.Granted++
-	return g.grant(e, why), true
+	return g.grant(e, why)
 }
 
 func (g *Group) grant(e *entry, why string) Decision {
@@ -211,58 +192,62 @@
 		return out
 	}
 	out = g.expireWaiting(now, out)
-	for g.waiting > 0 {
-		e, why := g.next(now)
-		if e == nil {
-			break
-		}
-		decision, ok := g.start(e, why, now)
-		if !ok {
-			break
-		}
-		out = append(out, decision)
+	for _, l := range g.laneList {
+		out = g.dispatchLane(l, now, out)
 	}
 	return out
 }
 
-// next returns the waiting entry that gets the next free slot.
-func (g *Group) next(now monotime.Instant) (*entry, string) {
-	for _, l := range g.laneList {
-		if l.waiting == 0 || l.free <= 0 {
-			continue
+func (g *Group) dispatchLane(l *lane, now monotime.Instant, out []Decision) []Decision {
+	for l.waiting > 0 && l.free > 0 {
+		e, why := g.owedFloor(l, now), whyFloor
+		var on *engine
+		var hit bool
+		if e != nil {
+			on, hit = g.choose(e, now)
 		}
-		if e := g.owedFloor(l, now); e != nil {
-			return e, whyFloor
+		if on == nil {
+			e, on, hit = g.next(l, now)
+			why = whyTurn
 		}
-		if e := g.firstOf(l); e != nil {
-			return e, whyTurn
+		if on == nil {
+			return out
 		}
+		out = append(out, g.start(e, on, hit, why, now))
 	}
-	return nil, ""
+	return out
 }
 
-// firstOf returns the entry of the highest waiting tier whose turn it is. A
-// lower tier is looked at only when no engine with a free slot serves what the
-// higher one waits for.
-func (g *Group) firstOf(l *lane) *entry {
+// next returns the waiting entry that gets the next free slot, and where. That
+// is the highest waiting tier's turn, unless no engine with a free slot suits
+// it; a lower tier may then use what the higher one is better off without.
+func (g *Group) next(l *lane, now monotime.Instant) (e *entry, on *engine, hit bool) {
 	reach := l.reach()
 	for t := range l.tiers {
 		if l.tiers[t].waiting == 0 {
 			continue
 		}
-		if !g.mayTake(l, t) {
-			return nil
+		e = g.turn(l, t, reach, now)
+		if e == nil {
+			continue
 		}
-		if e := g.turn(l, t, reach); e != nil {
-			return e
+		if !g.mayTake(l, t, e.work) {
+			return nil, nil, false
+		}
+		on, hit = g.choose(e, now)
+		if on != nil && g.suits(e, on, now) {
+			return e, on, hit
 		}
 	}
-	return nil
+	return nil, nil, false
 }
 
 // turn returns the entry of a tier whose turn it is: the customer who used the
 // least, and among that customer's the most urgent.
-func (g *Group) turn(l *lane, tier int, reach targetSet) *entry {
+func (g *Group) turn(l *lane, tier int, reach targetSet, now monotime.Instant) *entry {
+	if e := l.tiers[tier].expiry.min().value; e.target&reach != 0 && e.latestStart.Sub(now) < g.policy.Urgent {
+		return e
+	}
 	var best *entry
 	leastUse := 0.0
 	for _, ln := range l.lines {
--- /dev/null
+++ b/internal/sched/headroom.go
@@ -0,0 +1,106 @@
+package sched
+
+import (
+	"math"
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+// Headroom guarantees a tier its share of the slots within the time that its
+// requests can wait: slots that it holds, that are free, or that lower work is
+// expected to free soon enough. Nothing is preempted, so a burst of the tier
+// must not meet a group full of long lower work. Short lower work frees its
+// slots by itself and is hardly held back; slots kept empty for it would be
+// wasted.
+
+// spareBudget is the part of a tier's waiting time in which slots must come free.
+const spareBudget = 0.7
+
+// heldWork is what holds slots in one tier of a lane.
+type heldWork struct {
+	count int
+	// perSecond sums the expected ends per second.
+	perSecond float64
+	// budget is the time that requests of the tier can wait, in seconds.
+	budget ewma
+}
+
+const budgetWeight = 0.05
+
+func (w *heldWork) add(hold float64) {
+	w.count++
+	w.perSecond += 1 / max(hold, shortestHold)
+}
+
+func (w *heldWork) remove(hold float64) {
+	w.count--
+	w.perSecond = max(0, w.perSecond-1/max(hold, shortestHold))
+	if w.count == 0 {
+		w.perSecond = 0
+	}
+}
+
+// shortestHold bounds the expected ends per second of one request.
+const shortestHold = 0.001
+
+// within is the number of slots expected to come free in a time in seconds.
+func (w *heldWork) within(budget float64) float64 {
+	if w.count == 0 {
+		return 0
+	}
+	n := float64(w.count)
+	return n * (1 - math.Exp(-budget*w.perSecond/n))
+}
+
+func (w *heldWork) noteBudget(d time.Duration) {
+	w.budget.add(max(d.Seconds(), 0), budgetWeight)
+}
+
+// mayTake reports whether a request of the tier that is expected to hold its
+// slot for so many seconds may take a free one.
+func (g *Group) mayTake(l *lane, tier int, hold float64) bool {
+	if l.free <= 0 {
+		return false
+	}
+	if !g.policy.Headroom {
+		return true
+	}
+	held := 0
+	for t := range tier {
+		held += l.tiers[t].held.count
+		if g.headroom[t] > 0 && !g.keepsRoom(l, t, held, hold) {
+			return false
+		}
+	}
+	return true
+}
+
+// keepsRoom reports whether the tier still has its share within its budget when
+// one more slot goes to lower work; held counts the slots of it and above.
+func (g *Group) keepsRoom(l *lane, tier, held int, hold float64) bool {
+	need := g.headroom[tier] * float64(l.limit)
+	room := float64(held + l.free - 1)
+	if room >= need {
+		return true
+	}
+	budget := spareBudget * l.tiers[tier].held.budget.or(0)
+	room += 1 - math.Exp(-budget/max(hold, shortestHold))
+	for t := tier + 1; t < maxTiers && room < need; t++ {
+		room += l.tiers[t].held.within(budget)
+	}
+	return room >= need
+}
+
+// noteHeld counts a slot in the books of its tier.
+func (g *Group) noteHeld(e *entry) {
+	e.lane.tiers[e.tier].held.add(e.work)
+}
+
+func (g *Group) noteFreed(e *entry) {
+	e.lane.tiers[e.tier].held.remove(e.work)
+}
+
+func (g *Group) noteBudget(e *entry, now monotime.Instant) {
+	e.lane.tiers[e.tier].held.noteBudget(e.latestStart.Sub(now))
+}
--- a/internal/sched/heap.go
+++ b/internal/sched/heap.go
@@ -40,8 +40,9 @@
 	h.settle(i)
 }
 
-func (h *heap[T]) update(i int, key float64) {
+func (h *heap[T]) update(i int, key float64, tie uint64) {
 	h.items[i].key = key
+	h.items[i].tie = tie
 	h.settle(i)
 }
 
--- a/internal/sched/lease.go
+++ b/internal/sched/lease.go
@@ -53,6 +53,7 @@
 	g.unpark(&e.lane.tiers[e.tier], acct)
 	acct.held++
 	g.held.append(e)
+	g.noteHeld(e)
 }
 
 // Progress renews a slot and charges the tokens generated since the last call.
@@ -141,13 +142,23 @@
 		e.account = g.accountFor(&e.lane.tiers[e.tier], held.Customer)
 		e.account.held++
 	}
+	e.work = g.adoptedHold(e)
 	g.entries[t] = e
 	g.held.append(e)
+	g.noteHeld(e)
 	on.inflight++
 	g.refreshEngine(on, now)
 	g.counters.Adopted++
 }
 
+// adoptedHold is the expected slot time of an adopted slot, in seconds.
+func (g *Group) adoptedHold(e *entry) float64 {
+	if e.demand.Class == nil {
+		return e.lane.hold.or(1)
+	}
+	return g.expectedHold(e.lane, g.statsOf(e.demand.Class))
+}
+
 // emptiest returns the engine with most free slots: a guess at where a slot of
 // unknown place runs that never counts it twice at a full engine.
 func (g *Group) emptiest() *engine {
@@ -214,6 +225,7 @@
 // letGo frees the slot of an entry and settles what it was charged.
 func (g *Group) letGo(e *entry, now monotime.Instant) {
 	g.held.remove(e)
+	g.noteFreed(e)
 	e.engine.inflight--
 	g.refreshEngine(e.engine, now)
 	if a := e.account; a != nil {
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -31,6 +31,11 @@
 	Tiers bool
 	// Fairness orders customers of a tier by what they used.
 	Fairness bool
+	// FairnessStep is the difference in use, in tokens over weight, from which a
+	// customer yields to others; below it deadlines decide.
+	FairnessStep float64
+	// Urgent is the time to spare below which a request goes first in its tier.
+	Urgent time.Duration
 	// EarlyRefusal refuses a request whose predicted wait is too long.
 	EarlyRefusal bool
 	// Floor gives waiting lower tiers their floor share.
@@ -65,6 +70,8 @@
 	defaultMaxWaiting    = 8192
 	defaultAdmitQuantile = 0.5
 	defaultMargin        = 0.1
+	defaultFairnessStep  = 1000
+	defaultUrgent        = 200 * time.Millisecond
 )
 
 // Default returns the product's policy.
@@ -75,6 +82,8 @@
 		Queue:         true,
 		Tiers:         true,
 		Fairness:      true,
+		FairnessStep:  defaultFairnessStep,
+		Urgent:        defaultUrgent,
 		EarlyRefusal:  true,
 		Floor:         true,
 		Headroom:      true,
--- a/internal/sched/predict.go
+++ b/internal/sched/predict.go
@@ -203,9 +203,17 @@
 		return 0, seconds(s.admit / 1000)
 	}
 	gap := l.gap()
-	return seconds(float64(d.PromptTokens)/l.prefillRate() + gap), seconds(s.admit * gap)
+	first = seconds(float64(d.PromptTokens)/l.prefillRate() + gap)
+	if s.samples < leastSamples {
+		return first, 0
+	}
+	return first, seconds(s.admit * gap)
 }
 
+// leastSamples is how many answers are measured before their length decides
+// about a refusal: a wrong first guess must not shut a class out.
+const leastSamples = 8
+
 func (l *lane) prefillRate() float64 {
 	if len(l.engines) == 0 || l.engines[0].spec.Spec.PrefillTokensPerS <= 0 {
 		return defaultPrefillRate
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -92,6 +92,7 @@
 	clock float64
 	// arriving is the slot time that arrives, in slots.
 	arriving rate
+	held     heldWork
 }
 
 // targetSet is a set of targets of a lane, by their places in lane.targets.
@@ -181,6 +182,9 @@
 	e.share = s
 	e.state = entryWaiting
 	s.entries.push(g.orderKey(e), e.seq, e)
+	if e.sharePos == 0 {
+		g.reorder(s)
+	}
 	q.expiry.push(float64(e.latestStart), e.seq, e)
 	ln.waiting++
 	q.waiting++
@@ -203,6 +207,7 @@
 func (g *Group) dequeue(e *entry) {
 	q := &e.lane.tiers[e.tier]
 	s := e.share
+	first := e.sharePos == 0
 	s.entries.remove(e.sharePos)
 	q.expiry.remove(e.expiryPos)
 	s.line.waiting--
@@ -218,6 +223,8 @@
 	if s.entries.len() == 0 {
 		s.line.shares.remove(s.pos)
 		g.dropShare(s)
+	} else if first {
+		g.reorder(s)
 	}
 	e.share = nil
 }
--- a/internal/sched/reconfigure.go
+++ b/internal/sched/reconfigure.go
@@ -27,24 +27,16 @@
 
 func (g *Group) readTiers(cat *catalog.Catalog) {
 	g.floors = [maxTiers]float64{}
-	headroom := [maxTiers]float64{}
+	g.headroom = [maxTiers]float64{}
 	for _, tier := range cat.Tiers {
 		if tier.Tier < 0 || tier.Tier >= maxTiers {
 			continue
 		}
 		g.floors[tier.Tier] = tier.FloorShare
-		headroom[tier.Tier] = tier.HeadroomShare
-	}
-	kept := 0.0
-	for t := range headroom {
-		g.reserves[t] = kept
-		kept = min(kept+headroom[t], maxReserve)
+		g.headroom[tier.Tier] = tier.HeadroomShare
 	}
 }
 
-// maxReserve leaves the lowest tier a part of an idle group.
-const maxReserve = 0.95
-
 func (g *Group) readEngines(group *catalog.Group) {
 	for _, e := range g.engines {
 		e.removed = true
--- a/internal/sched/refuse.go
+++ b/internal/sched/refuse.go
@@ -53,6 +53,11 @@
 
 // admit queues a request, or refuses it at once when it cannot be on time.
 func (g *Group) admit(e *entry, now monotime.Instant, out []Decision) []Decision {
+	if e.latestStart < now {
+		out = append(out, g.refusal(&e.demand, refuseTooLate, g.backlog(e.lane, e.tier, now)))
+		g.recycle(e)
+		return out
+	}
 	g.refreshCredit(g.lineOf(e, now), e.lane, now)
 	if g.policy.EarlyRefusal {
 		wait := g.expectedWait(e, now)
--- a/internal/schema/inventory/inventory.gen.go
+++ b/internal/schema/inventory/inventory.gen.go
@@ -247,7 +247,8 @@
 	// Least share of a group's slots that the tier gets while it waits.
 	FloorShare float64 `json:"floor_share,omitempty,omitzero"`
 
-	// Share of a group's slots kept free for this tier and higher ones.
+	// Share of a group's slots that this tier and higher ones can have within the
+	// time their requests can wait: held by them, free, or soon freed by lower work.
 	HeadroomShare float64 `json:"headroom_share,omitempty,omitzero"`
 
 	// Name in reports.
