An owner that leaves an acquire unanswered is passed over

Cause: a paused or cut-off owner accepts acquires and says nothing; the heartbeat tells after 3 s, while a paying alert can wait 1.5 s. Ruled out: engines (free slots were there), admission (no refusal was sent). Change: an owner answers each acquire at once, with Queued when it waits; one silent for 250 ms is passed over, its waiting requests are asked for elsewhere and the new owner is told what runs.

--- a/internal/node/envelope.go
+++ b/internal/node/envelope.go
@@ -12,6 +12,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.noticePause(now)
+	n.heard(now, from, env)
 	for _, m := range env.Acquires {
 		n.submitOwned(now, from, m)
 	}
@@ -24,6 +25,9 @@
 	for _, m := range env.Refuses {
 		n.onRefuse(now, from, m)
 	}
+	for _, m := range env.Queued {
+		n.picker.Observe(m.Group, milliseconds(m.BacklogMS), now)
+	}
 	for _, m := range env.Progress {
 		n.progressOwned(now, from, m)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,7 @@
 	recordSeq   int
 	owned       map[string]*ownedGroup
 	down        map[string]monotime.Instant
+	owners      map[string]*ownerTalk
 	budget      retryBudget
 	gate        gate
 	draining    bool
@@ -126,6 +127,7 @@
 		undelivered: make(map[string]*request),
 		owned:       make(map[string]*ownedGroup),
 		down:        make(map[string]monotime.Instant),
+		owners:      make(map[string]*ownerTalk),
 		budget:      retryBudget{tokens: retryBurst},
 	}
 	return n
@@ -179,8 +181,7 @@
 func (n *Node) LinkDown(now monotime.Instant, id string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.down[id] = now.Add(unreachableFor)
-	n.reroute(now, func(r *request) bool { return r.owner == id })
+	n.ownerLost(now, id)
 }
 
 // LinkUp tells that the link to an instance works.
@@ -199,6 +200,7 @@
 	n.openGate(now)
 	n.expireDown(now)
 	n.tickOwned(now)
+	n.checkOwners(now)
 	n.expireRequests(now)
 	n.settleOld(now)
 	n.renewLeases(now)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -64,6 +64,7 @@
 		return
 	}
 	n.answerAll(now, g, g.sched.Submit(now, demand, nil))
+	n.tellQueued(now, from, g, demand)
 }
 
 // demandOf resolves what the message names by hash. A sender with another
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -29,6 +29,7 @@
 	n.gate.since = now
 	n.gate.isolated = false
 	n.gate.pauses++
+	clear(n.owners)
 	n.lastTick = now
 }
 
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -140,7 +140,7 @@
 		n.submitOwned(now, n.self(), msg)
 		return
 	}
-	n.eff.Send(r.owner, &wire.Envelope{Acquires: []wire.Acquire{msg}})
+	n.sendAcquire(now, r.owner, msg)
 }
 
 func (n *Node) acquireMessage(now monotime.Instant, r *request) wire.Acquire {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -40,6 +40,7 @@
 	KindWithdraw
 	KindGrant
 	KindRefuse
+	KindQueued
 	KindRelease
 	KindProgress
 	KindPermitAsk
@@ -51,7 +52,7 @@
 
 var kindNames = [kindCount]string{
 	"hello", "ping", "pong", "members", "member_sync", "config_offer",
-	"config_want", "config_part", "acquire", "withdraw", "grant", "refuse",
+	"config_want", "config_part", "acquire", "withdraw", "grant", "refuse", "queued",
 	"release", "progress", "permit_ask", "permit_give", "framing",
 }
 
@@ -119,6 +120,7 @@
 	add(len(env.Withdraws) > 0, KindWithdraw, wire.Envelope{Withdraws: env.Withdraws})
 	add(len(env.Grants) > 0, KindGrant, wire.Envelope{Grants: env.Grants})
 	add(len(env.Refuses) > 0, KindRefuse, wire.Envelope{Refuses: env.Refuses})
+	add(len(env.Queued) > 0, KindQueued, wire.Envelope{Queued: env.Queued})
 	add(len(env.Releases) > 0, KindRelease, wire.Envelope{Releases: env.Releases})
 	add(len(env.Progress) > 0, KindProgress, wire.Envelope{Progress: env.Progress})
 	add(len(env.PermitAsks) > 0, KindPermitAsk, wire.Envelope{PermitAsks: env.PermitAsks})
@@ -129,7 +131,7 @@
 // cost estimates the size of an envelope without encoding it.
 func cost(env *wire.Envelope) int {
 	items := 1 + len(env.Members) + len(env.Acquires) + len(env.Withdraws) +
-		len(env.Grants) + len(env.Refuses) + len(env.Releases) +
+		len(env.Grants) + len(env.Refuses) + len(env.Queued) + len(env.Releases) +
 		len(env.PermitAsks) + len(env.PermitGives)
 	for _, p := range env.Progress {
 		items += 1 + len(p.Items)
@@ -167,6 +169,7 @@
 	dst.Withdraws = append(dst.Withdraws, src.Withdraws...)
 	dst.Grants = append(dst.Grants, src.Grants...)
 	dst.Refuses = append(dst.Refuses, src.Refuses...)
+	dst.Queued = append(dst.Queued, src.Queued...)
 	dst.Releases = append(dst.Releases, src.Releases...)
 	dst.Progress = append(dst.Progress, src.Progress...)
 	dst.PermitAsks = append(dst.PermitAsks, src.PermitAsks...)
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -89,6 +89,12 @@
 	return g.admit(e, now, out)
 }
 
+// Waits reports whether the request of the ticket waits for a slot.
+func (g *Group) Waits(t Ticket) bool {
+	e := g.entries[t]
+	return e != nil && e.state == entryWaiting
+}
+
 func (g *Group) repeat(e *entry, out []Decision) []Decision {
 	if e.state != entryHeld {
 		return out
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -135,6 +135,9 @@
 	// Ping corresponds to the JSON schema field "p".
 	Ping *Ping `json:"p,omitempty,omitzero"`
 
+	// Acquires that wait.
+	Queued []Queued `json:"q,omitempty,omitzero"`
+
 	// Slots given back.
 	Releases []Release `json:"r,omitempty,omitzero"`
 
@@ -339,6 +342,16 @@
 	Customer int `json:"u,omitempty,omitzero"`
 }
 
+// Queued tells that an acquire arrived and waits, so that a silent owner is
+// noticed.
+type Queued struct {
+	// Group name.
+	Group string `json:"g"`
+
+	// Wait expected in the group now, in milliseconds.
+	BacklogMS int `json:"w,omitempty,omitzero"`
+}
+
 // Refuse turns an acquire down; nothing ran.
 type Refuse struct {
 	// When to come back, in milliseconds.
