--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -57,7 +57,7 @@
 	// paceMemory is the age at which a measured pace starts to fade, so that an
 	// engine that got no work is tried again.
 	paceMemory = 5 * time.Second
-	paceFade   = 0.02
+	paceFade   = 0.05
 )
 
 // takesWork reports whether the configuration lets the engine take new work.
--- a/internal/sched/fixture_test.go
+++ b/internal/sched/fixture_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
 	"basilrudder/internal/catalog"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/engineapi"
 	"basilrudder/internal/schema/inventory"
 )
 
@@ -121,3 +123,25 @@
 	}
 	return d
 }
+
+func evicted(prefix uint64) engineapi.CacheEvents {
+	return engineapi.CacheEvents{
+		Next:   1,
+		Events: []engineapi.CacheEvent{{Prefix: strconv.FormatUint(prefix, 16)}},
+	}
+}
+
+// advance lets time pass by the group's own ticks.
+func (f *fixture) advance(d time.Duration) {
+	end := f.now.Add(d)
+	for {
+		next, ok := f.g.NextTick(f.now)
+		if !ok || next > end {
+			break
+		}
+		f.now = max(next, f.now+1)
+		f.take(f.g.Tick(f.now, nil))
+	}
+	f.now = end
+	f.take(f.g.Tick(f.now, nil))
+}
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -119,15 +119,19 @@
 	slices.Sort(paces)
 	median := paces[(len(paces)-1)/2]
 	for _, e := range l.engines {
-		e.fade(now, median)
+		e.fade(now, median, l.gapMean)
 		e.slow = max(1, e.pace.or(median)/median)
 	}
 }
 
-// fade lets a pace that was measured long ago return to that of the peers.
-func (e *engine) fade(now monotime.Instant, median float64) {
+// fade lets what was measured long ago return to what the peers show, so that an
+// engine which got no work for being slow is tried again.
+func (e *engine) fade(now monotime.Instant, median, gapMean float64) {
 	if e.pace.count == 0 || now.Sub(e.paceAt) < paceMemory {
 		return
 	}
 	e.pace.mean += paceFade * (median - e.pace.mean)
+	if e.gap.count > 0 {
+		e.gap.mean += paceFade * (gapMean - e.gap.mean)
+	}
 }
