--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -166,11 +166,11 @@
 		// A peer that is stopped or cut off does not read; the deadline ends
 		// the wait that TCP would draw out for minutes.
 		l.conn.SetWriteDeadline(time.Now().Add(l.set.cfg.Timing.Silence))
+		l.set.counters.framesOut.Add(1)
+		count(&l.set.counters.out, env, len(data), l.dialer)
 		if err := l.conn.WriteMessage(websocket.BinaryMessage, data); err != nil {
 			return errors.Wrap(err, "write")
 		}
-		l.set.counters.framesOut.Add(1)
-		count(&l.set.counters.out, env, len(data), l.dialer)
 	}
 	return nil
 }
