limits: customers' rates over the fleet by leased permits

Cause: a customer's request and token rates must hold over all instances and nothing may write shared state. PermitAsk carries returns and the overdraft of tokens.

--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -254,8 +254,14 @@
 	// Requests wanted.
 	Requests int `json:"n,omitempty,omitzero"`
 
-	// Tokens used since the last ask.
-	Used int `json:"s,omitempty,omitzero"`
+	// Requests given before and not used.
+	ReturnedRequests int `json:"r,omitempty,omitzero"`
+
+	// Tokens used beyond the permits held since the last ask.
+	Overdraft int `json:"s,omitempty,omitzero"`
+
+	// Tokens given before and not used.
+	ReturnedTokens int `json:"t,omitempty,omitzero"`
 
 	// Hash of the customer name.
 	Customer int `json:"u"`
