Metrics of every instance at /debug/vars

Each daemon publishes what it measures under its instance id in one map of the process, since expvar panics when a name is published twice and a trial runs several daemons. An id that is taken over by a new process keeps the newer one. Calls to upstreams are counted by kind with their bytes, so that control traffic (load, cache events, orders) can be told from requests.

--- a/internal/answers/store.go
+++ b/internal/answers/store.go
@@ -65,13 +65,13 @@
 // Stats counts what a Store holds.
 type Stats struct {
 	// InProgress answers.
-	InProgress int
+	InProgress int `json:"in_progress"`
 	// Kept finished answers.
-	Kept int
+	Kept int `json:"kept"`
 	// KeptBytes is the memory of the kept answers.
-	KeptBytes int
+	KeptBytes int `json:"kept_bytes"`
 	// Remembered ids whose answer was dropped.
-	Remembered int
+	Remembered int `json:"remembered"`
 }
 
 // NewStore returns an empty Store.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -225,6 +225,7 @@
 	defer stop()
 	d.ctx = running
 	d.dispatcher.ctx = running
+	defer d.publish()()
 	group, groupCtx := errgroup.WithContext(running)
 	group.Go(func() error { return d.links.Run(groupCtx) })
 	group.Go(func() error { return d.callers.Serve(d.cfg.Listeners.Callers) })
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -45,47 +45,73 @@
 
 // MemberStatus is the belief about the fleet.
 type MemberStatus struct {
+	MemberCounts
+	// Live and Leaving name members.
+	Live    []membership.Member `json:"live"`
+	Leaving []membership.Member `json:"leaving"`
+}
+
+// MemberCounts is the belief about the fleet without its names, which a fleet
+// of hundreds would make too long for a metric.
+type MemberCounts struct {
 	// Version grows with each change.
 	Version uint64 `json:"version"`
 	// Known counts members that live here or elsewhere.
 	Known int `json:"known"`
+	// LiveCount and LeavingCount count members.
+	LiveCount    int `json:"live_count"`
+	LeavingCount int `json:"leaving_count"`
 	// Confirmed says whether a peer has answered since the start or a pause.
 	Confirmed bool `json:"confirmed"`
-	// Live and Leaving name members.
-	Live    []membership.Member `json:"live"`
-	Leaving []membership.Member `json:"leaving"`
 	// Stats counts events.
 	Stats membership.Stats `json:"stats"`
 }
 
 // Status returns what the instance believes.
 func (d *Daemon) Status(now monotime.Instant) Status {
-	belief := d.instance.Belief(now)
+	view := d.instance.Belief(now).View
 	return Status{
 		Instance:    d.self.Instance,
 		Incarnation: d.self.Token,
 		DataCentre:  d.cfg.Settings.Instance.DataCentre,
 		UptimeS:     time.Duration(now).Seconds(),
 		Node:        d.node.Status(now),
-		Config: ConfigStatus{
-			Revision:      d.node.Status(now).Revision,
-			ConfirmedAgeS: ageSeconds(belief.ConfirmedAge),
-			PlatformAgeS:  ageSeconds(belief.PlatformAge),
-			Reader:        belief.Reader,
-			Stats:         belief.Conf,
-		},
+		Config:      d.configStatus(now),
 		Members: MemberStatus{
-			Version:   belief.View.Version,
-			Known:     belief.View.Known,
-			Confirmed: belief.View.Confirmed,
-			Live:      belief.View.Live,
-			Leaving:   belief.View.Leaving,
-			Stats:     belief.Members,
+			MemberCounts: d.memberCounts(now),
+			Live:         view.Live,
+			Leaving:      view.Leaving,
 		},
 		Links: d.links.Peers(),
 	}
 }
 
+func (d *Daemon) configStatus(now monotime.Instant) ConfigStatus {
+	belief := d.instance.Belief(now)
+	status := ConfigStatus{
+		ConfirmedAgeS: ageSeconds(belief.ConfirmedAge),
+		PlatformAgeS:  ageSeconds(belief.PlatformAge),
+		Reader:        belief.Reader,
+		Stats:         belief.Conf,
+	}
+	if cat := d.node.Catalog(); cat != nil {
+		status.Revision = cat.Revision
+	}
+	return status
+}
+
+func (d *Daemon) memberCounts(now monotime.Instant) MemberCounts {
+	belief := d.instance.Belief(now)
+	return MemberCounts{
+		Version:      belief.View.Version,
+		Known:        belief.View.Known,
+		LiveCount:    len(belief.View.Live),
+		LeavingCount: len(belief.View.Leaving),
+		Confirmed:    belief.View.Confirmed,
+		Stats:        belief.Members,
+	}
+}
+
 func ageSeconds(age time.Duration) float64 {
 	if age == confsync.NeverConfirmed {
 		return -1
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -14,6 +14,8 @@
 	// Requests held, and those of them that wait for a slot.
 	Requests int `json:"requests"`
 	Waiting  int `json:"waiting"`
+	// Undelivered answers wait for their callers.
+	Undelivered int `json:"undelivered"`
 	// IDs remembered.
 	IDs int `json:"ids"`
 	// Draining says that new requests are refused.
@@ -43,12 +45,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := Status{
-		Requests: len(n.requests),
-		IDs:      n.ids.Len(),
-		Draining: n.draining,
-		Pauses:   n.gate.pauses,
-		Isolated: n.gate.isolated,
-		Counts:   n.counts,
+		Requests:    len(n.requests),
+		Undelivered: len(n.undelivered),
+		IDs:         n.ids.Len(),
+		Draining:    n.draining,
+		Pauses:      n.gate.pauses,
+		Isolated:    n.gate.isolated,
+		Counts:      n.counts,
 	}
 	if cat := n.catalog.Load(); cat != nil {
 		s.Revision = cat.Revision
--- a/internal/trial/fleet.go
+++ b/internal/trial/fleet.go
@@ -65,6 +65,8 @@
 	ID string
 	// Callers is its address for callers.
 	Callers string
+	// Admin is its address for operators.
+	Admin string
 	// Daemon that runs.
 	Daemon *daemon.Daemon
 
@@ -183,6 +185,7 @@
 	m := &Member{
 		ID:      id,
 		Callers: listeners.Callers.Addr().String(),
+		Admin:   listeners.Admin.Addr().String(),
 		Daemon:  d,
 		stop:    stop,
 		done:    make(chan struct{}),
--- a/internal/upstream/calls.go
+++ b/internal/upstream/calls.go
@@ -18,14 +18,14 @@
 // counts as ended.
 func (c *Client) Cancel(ctx context.Context, target Target, requestID string) *verdict.Error {
 	path := enginehttp.PathStreams + url.PathEscape(requestID)
-	_, err := c.call(ctx, target, fasthttp.MethodDelete, path, nil, nil)
+	_, err := c.call(ctx, target, request{KindCancel, fasthttp.MethodDelete, path, nil}, nil)
 	return err
 }
 
 // Load reads an engine's load report, which lags.
 func (c *Client) Load(ctx context.Context, target Target) (engineapi.LoadReport, *verdict.Error) {
 	var report engineapi.LoadReport
-	_, err := c.call(ctx, target, fasthttp.MethodGet, enginehttp.PathLoad, nil, &report)
+	_, err := c.call(ctx, target, request{KindLoad, fasthttp.MethodGet, enginehttp.PathLoad, nil}, &report)
 	return report, err
 }
 
@@ -34,7 +34,7 @@
 func (c *Client) CacheEvents(ctx context.Context, target Target, after int) (engineapi.CacheEvents, *verdict.Error) {
 	var events engineapi.CacheEvents
 	path := enginehttp.PathCacheEvents + "?" + enginehttp.QueryAfter + "=" + strconv.Itoa(after)
-	_, err := c.call(ctx, target, fasthttp.MethodGet, path, nil, &events)
+	_, err := c.call(ctx, target, request{KindCacheEvents, fasthttp.MethodGet, path, nil}, &events)
 	return events, err
 }
 
@@ -46,37 +46,45 @@
 	if err != nil {
 		return answer, verdict.Wrap(verdict.NotRun, verdict.ReasonInternal, err)
 	}
-	_, failure := c.call(ctx, target, fasthttp.MethodPost, enginehttp.PathOrders, body, &answer)
+	_, failure := c.call(ctx, target, request{KindOrder, fasthttp.MethodPost, enginehttp.PathOrders, body}, &answer)
 	return answer, failure
 }
 
 // Holds reads what an engine holds, without an order.
 func (c *Client) Holds(ctx context.Context, target Target) (engineapi.OrderAnswer, *verdict.Error) {
 	var answer engineapi.OrderAnswer
-	_, err := c.call(ctx, target, fasthttp.MethodGet, enginehttp.PathOrders, nil, &answer)
+	_, err := c.call(ctx, target, request{KindHolds, fasthttp.MethodGet, enginehttp.PathOrders, nil}, &answer)
 	return answer, err
 }
 
+// request is a control call to make.
+type request struct {
+	kind   Kind
+	method string
+	path   string
+	body   []byte
+}
+
 // call makes a control call, whose repetition is harmless: orders and cancels
 // are idempotent. So one that fails on a connection used before, without a
 // byte of an answer, is made once more on a new connection.
-func (c *Client) call(ctx context.Context, target Target, method, path string, body []byte, into any) (int, *verdict.Error) {
-	status, retry, err := c.callOnce(ctx, target, method, path, body, into, false)
+func (c *Client) call(ctx context.Context, target Target, r request, into any) (int, *verdict.Error) {
+	status, retry, err := c.callOnce(ctx, target, r, into, false)
 	if retry && ctx.Err() == nil {
-		status, _, err = c.callOnce(ctx, target, method, path, body, into, true)
+		status, _, err = c.callOnce(ctx, target, r, into, true)
 	}
 	return status, err
 }
 
-func (c *Client) callOnce(ctx context.Context, target Target, method, path string, body []byte, into any, fresh bool) (status int, retry bool, failure *verdict.Error) {
-	req := newRequest(target, method, path)
+func (c *Client) callOnce(ctx context.Context, target Target, r request, into any, fresh bool) (status int, retry bool, failure *verdict.Error) {
+	req := newRequest(target, r.method, r.path)
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.Set(enginehttp.HeaderEngine, target.Engine)
-	if body != nil {
+	if r.body != nil {
 		req.Header.SetContentType(enginehttp.TypeJSON)
-		req.SetBodyRaw(body)
+		req.SetBodyRaw(r.body)
 	}
-	x, failure := c.open(ctx, target, fresh)
+	x, failure := c.open(ctx, target, r.kind, fresh)
 	if failure != nil {
 		return 0, false, failure
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -106,8 +106,9 @@
 
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
-	cfg  Config
-	pool pool
+	cfg      Config
+	pool     pool
+	counters Counters
 }
 
 // New returns a Client.
@@ -116,6 +117,11 @@
 	return &Client{cfg: cfg, pool: newPool(cfg.IdlePerAddress, cfg.IdleTimeout)}
 }
 
+// Counters returns the counts of the calls, to be published by expvar.
+func (c *Client) Counters() *Counters {
+	return &c.counters
+}
+
 // CloseIdle closes the unused connections.
 func (c *Client) CloseIdle() {
 	c.pool.closeAll()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -19,6 +19,7 @@
 	client *Client
 	ctx    context.Context
 	target Target
+	counts *callCounters
 	conn   *conn
 	resp   *fasthttp.Response
 	// started says that the upstream is known to have started the request.
@@ -30,14 +31,16 @@
 }
 
 // open connects to the target. fresh asks for a new connection.
-func (c *Client) open(ctx context.Context, target Target, fresh bool) (*exchange, *verdict.Error) {
-	x := &exchange{client: c, ctx: ctx, target: target}
+func (c *Client) open(ctx context.Context, target Target, kind Kind, fresh bool) (*exchange, *verdict.Error) {
+	x := &exchange{client: c, ctx: ctx, target: target, counts: &c.counters.kinds[kind]}
+	x.counts.calls.Add(1)
 	if !fresh {
 		x.conn = c.pool.take(target.Address)
 	}
 	if x.conn == nil {
 		cn, err := c.dial(ctx, target.Address)
 		if err != nil {
+			x.counts.errors.Add(1)
 			return nil, connectError(ctx, target, err)
 		}
 		x.conn = cn
@@ -102,6 +105,7 @@
 // finish gives the connection back when the whole answer was read.
 func (x *exchange) finish() {
 	cn := x.conn
+	x.counts.ended(cn)
 	reusable := !x.resp.ConnectionClose()
 	fasthttp.ReleaseResponse(x.resp)
 	if !x.unwatch() || !reusable {
@@ -115,6 +119,7 @@
 func (x *exchange) abort() {
 	x.unwatch()
 	_ = x.conn.Close()
+	x.counts.ended(x.conn)
 	// The response is left to the collector: its body stream may still refer to
 	// the reader of the connection.
 }
@@ -134,6 +139,7 @@
 
 // failed ends the exchange after an error of the connection.
 func (x *exchange) failed(err error, doing string) *verdict.Error {
+	x.counts.errors.Add(1)
 	reason := x.reason(err)
 	if reason == verdict.ReasonUpstreamSilent {
 		x.client.pool.drop(x.target.Address)
@@ -168,6 +174,7 @@
 
 // refused turns an answer without success into an error and ends the exchange.
 func (x *exchange) refused() *verdict.Error {
+	x.counts.errors.Add(1)
 	known, reason := x.classify()
 	after := retryAfter(x.resp)
 	message := x.target.Server + " answered " + strconv.Itoa(x.resp.StatusCode())
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -49,7 +49,7 @@
 		req.Header.SetContentType(call.ContentType)
 	}
 	req.SetBodyRaw(call.Body)
-	x, err := c.open(ctx, target, false)
+	x, err := c.open(ctx, target, KindService, false)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -43,7 +43,7 @@
 	req.Header.Set(enginehttp.HeaderRequestID, g.RequestID)
 	req.Header.Set(enginehttp.HeaderPriority, strconv.Itoa(g.Priority))
 	req.SetBodyRaw(g.Body)
-	x, err := c.open(ctx, target, false)
+	x, err := c.open(ctx, target, KindGenerate, false)
 	if err != nil {
 		return err
 	}
@@ -60,7 +60,7 @@
 	req := newRequest(target, fasthttp.MethodGet, path)
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.Set(enginehttp.HeaderEngine, target.Engine)
-	x, err := c.open(ctx, target, true)
+	x, err := c.open(ctx, target, KindResume, true)
 	if err == nil {
 		x.resuming = true
 		err = x.stream(req, offset, sink)
