The owner of a group asks its engines for load reports and cache events

Nobody asked, so what engines tell of evictions never reached the scheduler. internal/hints decides when: each engine every 5 s for its load and every 2 s for cache events, jittered, at most 8 questions of a kind at once, more seldom after failures; the daemon makes the calls with 1 s each. Application servers are not asked, since they do not speak the engine interface.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -93,6 +93,7 @@
 	platform *platform.Client
 	callers  *callers.Server
 	store    *answers.Store
+	poll     *poller
 	self     reqid.Incarnation
 	tasks    sync.WaitGroup
 }
@@ -116,6 +117,7 @@
 	}
 	d.instance = instance.New(monotime.Now(), d.instanceConfig(seed), d)
 	d.node = d.instance.Node()
+	d.poll = newPoller(d.node, d.clients, &d.tasks, seed)
 	var err error
 	if d.links, err = peer.New(d.peerConfig()); err != nil {
 		return nil, err
@@ -253,8 +255,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			d.instance.Tick(monotime.Now())
-			d.store.Expire(monotime.Now())
+			now := monotime.Now()
+			d.instance.Tick(now)
+			d.store.Expire(now)
+			d.poll.tick(ctx, now)
 		}
 	}
 }
--- a/internal/daemon/dispatcher.go
+++ b/internal/daemon/dispatcher.go
@@ -118,11 +118,7 @@
 
 // run makes one attempt and returns how it ended.
 func (d *dispatcher) run(ctx context.Context, attempt node.Attempt, h *held) *verdict.Error {
-	target := upstream.Target{
-		Address: attempt.Engine.Server.Spec.Address,
-		Server:  attempt.Engine.Server.Spec.Name,
-		Engine:  attempt.Engine.Spec.Name,
-	}
+	target := targetOf(attempt.Engine)
 	if attempt.Engine.Server.Spec.Kind == inventory.ServerKindApplication {
 		return d.callService(ctx, target, attempt, h)
 	}
--- /dev/null
+++ b/internal/hints/hints_test.go
@@ -0,0 +1,90 @@
+package hints
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+const tick = 50 * time.Millisecond
+
+func engineIDs(count int) []string {
+	var ids []string
+	for i := range count {
+		ids = append(ids, fmt.Sprintf("s/e%02d", i))
+	}
+	return ids
+}
+
+func TestEachEngineIsAskedOncePerInterval(t *testing.T) {
+	s := NewSchedule(LoadEvery, 1)
+	ids := engineIDs(20)
+	asked := make(map[string]int)
+	most := 0
+	for now := monotime.Instant(0); now < monotime.Instant(10*time.Minute); now = now.Add(tick) {
+		due := s.Due(now, ids, len(ids), nil)
+		most = max(most, len(due))
+		for _, id := range due {
+			asked[id]++
+			s.Done(now, id, true)
+		}
+	}
+	for _, id := range ids {
+		if asked[id] < 110 || asked[id] > 130 {
+			t.Errorf("%s was asked %d times in 120 intervals", id, asked[id])
+		}
+	}
+	if most > 5 {
+		t.Errorf("%d engines were asked in one tick", most)
+	}
+}
+
+// What operators see: calls to the other servers go on. The servers behind one
+// switch fall silent, so each question to them hangs until its timeout; they
+// must not take all the connections, nor be asked as often as the others.
+func TestSilentEnginesAreAskedSeldomAndFewAtOnce(t *testing.T) {
+	s := NewSchedule(CacheEvery, 1)
+	ids := engineIDs(30)
+	const atOnce, timeout = 4, time.Second
+	hanging := make(map[string]monotime.Instant)
+	asked, most := 0, 0
+	for now := monotime.Instant(0); now < monotime.Instant(10*time.Minute); now = now.Add(tick) {
+		for _, id := range ids {
+			if since, ok := hanging[id]; ok && now.Sub(since) >= timeout {
+				delete(hanging, id)
+				s.Done(now, id, false)
+			}
+		}
+		for _, id := range s.Due(now, ids, atOnce, nil) {
+			hanging[id] = now
+			asked++
+		}
+		most = max(most, len(hanging))
+	}
+	if most > atOnce {
+		t.Errorf("%d calls at once, want at most %d", most, atOnce)
+	}
+	if perEngine := asked / len(ids); perEngine > 20 {
+		t.Errorf("a silent engine was asked %d times in ten minutes", perEngine)
+	}
+}
+
+func TestEnginesOfOthersAreForgotten(t *testing.T) {
+	s := NewSchedule(time.Second, 1)
+	ids := engineIDs(3)
+	asked := s.Due(0, ids, 10, nil)
+	late := monotime.Instant(time.Minute)
+	asked = append(asked, s.Due(late, ids, 10, nil)...)
+	if len(asked) != 3 {
+		t.Fatalf("asked %v", asked)
+	}
+	if due := s.Due(late, ids[:1], 10, nil); len(due) != 0 {
+		t.Errorf("asked again: %v", due)
+	}
+	s.Done(late, ids[2], true)
+	if len(s.engines) != 1 {
+		t.Errorf("%d engines are remembered, want 1", len(s.engines))
+	}
+}
--- a/internal/node/hints.go
+++ b/internal/node/hints.go
@@ -3,10 +3,11 @@
 import (
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/schema/engineapi"
+	"basilrudder/internal/schema/inventory"
 )
 
-// OwnedEngines returns the ids of the engines in the groups that this node owns:
-// those whose load and cache events it should ask for.
+// OwnedEngines returns the ids of the model engines in the groups that this node
+// owns: those whose load and cache events it should ask for.
 func (n *Node) OwnedEngines() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -14,6 +15,9 @@
 	cat := n.catalog.Load()
 	for _, name := range n.ownedNames() {
 		for _, server := range cat.Groups[name].Servers {
+			if server.Spec.Kind != inventory.ServerKindModel {
+				continue
+			}
 			for _, engine := range server.Engines {
 				ids = append(ids, engine.ID)
 			}
--- a/internal/trial/fleet.go
+++ b/internal/trial/fleet.go
@@ -29,6 +29,7 @@
 	loopback    = "127.0.0.1:0"
 	serviceTime = 10 * time.Millisecond
 	readyPoll   = 20 * time.Millisecond
+	idPrefix    = "entry-"
 )
 
 // Config of a Fleet.
@@ -37,6 +38,9 @@
 	Inventory *inventory.Inventory
 	// Instances is the number of daemons.
 	Instances int
+	// IDPrefix starts their ids; empty for the default. Fleets that run at once
+	// in one process need different ones, since metrics are published by id.
+	IDPrefix string
 	// Records takes the accounting lines of all daemons.
 	Records io.Writer
 	// Log of the daemons; nil for none.
@@ -80,6 +84,9 @@
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
+	if cfg.IDPrefix == "" {
+		cfg.IDPrefix = idPrefix
+	}
 	f := &Fleet{
 		Platform: platform.New(platform.Config{}),
 		Engines:  make(map[string]*engine.Server),
@@ -111,7 +118,7 @@
 	}
 	for i := range f.cfg.Instances {
 		dc := f.cfg.Inventory.DataCentres[i%len(f.cfg.Inventory.DataCentres)].Name
-		if _, err := f.AddMember(fmt.Sprintf("entry-%d", i+1), dc); err != nil {
+		if _, err := f.AddMember(fmt.Sprint(f.cfg.IDPrefix, i+1), dc); err != nil {
 			return err
 		}
 	}
--- a/internal/trial/metrics_test.go
+++ b/internal/trial/metrics_test.go
@@ -20,8 +20,10 @@
 			Links int `json:"links"`
 		} `json:"links"`
 		Upstream map[string]struct {
-			Calls   int `json:"calls"`
-			BytesIn int `json:"bytes_in"`
+			Calls    int `json:"calls"`
+			Errors   int `json:"errors"`
+			BytesIn  int `json:"bytes_in"`
+			BytesOut int `json:"bytes_out"`
 		} `json:"upstream"`
 		Node struct {
 			Revision int `json:"revision"`
@@ -66,3 +68,26 @@
 		t.Errorf("after one request: %+v", first)
 	}
 }
+
+// The owner of a group, and nobody else, asks its engines for hints. What it
+// costs is counted.
+func TestOwnersAskTheirEnginesForHints(t *testing.T) {
+	w := newWorld(t, 2)
+	w.stream(w.member(0), classDraft, "", 3).rest().wantWhole(w)
+	w.service(w.member(0), classLookup, "").wantWhole(w)
+	asked := func() (owners int) {
+		v := w.vars(w.member(0))
+		for _, m := range w.fleet.Members {
+			load, cache := v.Instances[m.ID].Upstream["load"], v.Instances[m.ID].Upstream["cache_events"]
+			if load.Calls > 0 && load.BytesIn > 0 && cache.Calls > 0 && cache.BytesIn > 0 {
+				owners++
+				t.Logf("load %+v, cache events %+v", load, cache)
+			}
+		}
+		return owners
+	}
+	w.until("an owner asks", func() bool { return asked() > 0 })
+	if owners := asked(); owners != 1 {
+		t.Errorf("%d instances ask, want the owner of the only group of model servers", owners)
+	}
+}
--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -140,6 +141,9 @@
 	return r.buf.String()
 }
 
+// worlds numbers the fleets of the tests.
+var worlds atomic.Int64
+
 // newWorld starts a fleet. At the end of the test it compares what the callers
 // were told with what the stand-ins ran.
 func newWorld(t *testing.T, instances int) *world {
@@ -162,7 +166,12 @@
 	t.Cleanup(cancel)
 	w := &world{t: t, ctx: ctx, inv: inv, records: &records{}}
 	var err error
-	w.fleet, err = Start(ctx, Config{Inventory: inv, Instances: instances, Records: w.records})
+	w.fleet, err = Start(ctx, Config{
+		Inventory: inv,
+		Instances: instances,
+		IDPrefix:  fmt.Sprintf("w%d-", worlds.Add(1)),
+		Records:   w.records,
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
