Permits for loads from the weight store over the fleet

The reconciler of each instance asked a Permit of its own, so that the limit held per instance. Now one member issues (rendezvous over the live members); the others send all they hold and want in one message, LoadAsk, and get LoadGive. A lost message changes nothing but time. PermitAsk was not reused: it names a customer by hash, and a load belongs to an engine whose owner may change.

A new issuer gives nothing for one lease (9 s): by then the permits of the old one are renewed here or lapsed.

--- /dev/null
+++ b/internal/orders/loads_test.go
@@ -0,0 +1,140 @@
+package orders
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/wire"
+)
+
+// member is one instance with its share of the engines.
+type member struct {
+	id    string
+	rec   *Reconciler
+	loads *Loads
+}
+
+// loadFleet is a few instances before one weight store, in virtual time. Each
+// message between them is lost with the probability loss.
+type loadFleet struct {
+	*world
+	cat     *catalog.Catalog
+	members []*member
+	loss    float64
+	rng     *rand.Rand
+	sent    int
+}
+
+func newLoadFleet(instances, engines, limit int) *loadFleet {
+	f := &loadFleet{
+		world: newWorld(true, engines, engines),
+		cat:   revision(1, engines, "m@1"),
+		rng:   rand.New(rand.NewPCG(1, 1)),
+	}
+	for i := range instances {
+		loads := NewLoads(fmt.Sprintf("i%d", i), DefaultLease)
+		f.members = append(f.members, &member{id: loads.self, loads: loads, rec: New(Config{}, loads)})
+	}
+	f.agree(limit)
+	return f
+}
+
+// agree makes the first member the issuer and shares the engines out.
+func (f *loadFleet) agree(limit int) {
+	for i, m := range f.members {
+		m.loads.SetIssuer(f.now, f.members[0].id, limit, len(f.members), len(f.members))
+		owned := make(map[string]bool)
+		for e := i; e < len(f.engines); e += len(f.members) {
+			owned[engineID(e)] = true
+		}
+		m.rec.Reconfigure(f.now, f.cat, func(e *catalog.Engine) bool { return owned[e.ID] })
+	}
+}
+
+func (f *loadFleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now < end; f.now = f.now.Add(tick) {
+		for _, m := range f.members {
+			f.step(m.rec)
+			if issuer, ask := m.loads.Tick(f.now); ask != nil {
+				f.deliver(m, issuer, ask)
+			}
+		}
+	}
+}
+
+func (f *loadFleet) deliver(from *member, issuer string, ask *wire.LoadAsk) {
+	f.sent++
+	for _, m := range f.members {
+		if m.id != issuer || f.rng.Float64() < f.loss {
+			continue
+		}
+		if give := m.loads.OnAsk(f.now, from.id, ask); give != nil && f.rng.Float64() >= f.loss {
+			f.sent++
+			from.loads.OnGive(f.now, m.id, give)
+		}
+	}
+}
+
+func TestFleetLoadsWithinTheStoresLimit(t *testing.T) {
+	for _, loss := range []float64{0, 0.3} {
+		f := newLoadFleet(5, 20, 2)
+		f.loss = loss
+		f.run(10*loadTime + 2*time.Minute)
+		f.wantHolds(t, "m@1")
+		if peak, loads := f.store.Peak(), f.store.Loads(); peak > 2 || loads != 20 {
+			t.Errorf("loss %v: %d loads, %d at once, want 20 and at most 2", loss, loads, peak)
+		}
+		t.Logf("loss %v: %d messages", loss, f.sent)
+		before := f.sent
+		f.run(time.Hour)
+		if f.sent != before {
+			t.Errorf("%d messages while nothing loads", f.sent-before)
+		}
+	}
+}
+
+// What operators see: a rollout goes on within the store's limit. The issuer
+// dies with permits given out, while its own engine loads. The next issuer has
+// an empty book: were it to give permits at once, the loads under way would
+// come on top.
+func TestIssuerDiesDuringARollout(t *testing.T) {
+	f := newLoadFleet(5, 20, 2)
+	f.run(DefaultLease + loadTime/2)
+	if f.store.Loads() == 0 {
+		t.Fatal("nothing loads yet")
+	}
+	f.members = f.members[1:]
+	f.agree(2)
+	f.run(10*loadTime + 2*time.Minute)
+	f.wantHolds(t, "m@1")
+	if peak, loads := f.store.Peak(), f.store.Loads(); peak > 2 || loads != 20 {
+		t.Errorf("%d loads, %d at once, want 20 and at most 2", loads, peak)
+	}
+}
+
+// An instance waits for a permit that the issuer gives in answer to an old
+// question. It was asked before a pause, so the lease is over at the issuer and
+// the place may be somebody else's.
+func TestAnswerToAnOldQuestionGivesNothing(t *testing.T) {
+	l := NewLoads("a", DefaultLease)
+	l.SetIssuer(0, "b", 1, 2, 2)
+	l.Ask(0, "e")
+	issuer, ask := l.Tick(monotime.Instant(askGap))
+	if issuer != "b" || ask == nil || len(ask.Wants) != 1 {
+		t.Fatalf("asked %s for %+v", issuer, ask)
+	}
+	give := &wire.LoadGive{Seq: ask.Seq, Engines: []string{"e"}, LeaseMS: int(DefaultLease / time.Millisecond)}
+	late := monotime.Instant(askGap).Add(DefaultLease)
+	l.OnGive(late, "b", give)
+	if l.Ask(late, "e") {
+		t.Error("a permit whose lease is over was taken")
+	}
+	l.OnGive(monotime.Instant(2*askGap), "b", give)
+	if !l.Ask(monotime.Instant(2*askGap), "e") {
+		t.Error("a permit in its lease was not taken")
+	}
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -44,6 +44,8 @@
 	KindProgress
 	KindPermitAsk
 	KindPermitGive
+	KindLoadAsk
+	KindLoadGive
 	// KindFraming is the overhead of WebSocket, its pings included.
 	KindFraming
 	kindCount
@@ -52,7 +54,8 @@
 var kindNames = [kindCount]string{
 	"hello", "ping", "pong", "members", "member_sync", "config_offer",
 	"config_want", "config_part", "acquire", "withdraw", "grant", "refuse",
-	"release", "progress", "permit_ask", "permit_give", "framing",
+	"release", "progress", "permit_ask", "permit_give", "load_ask", "load_give",
+	"framing",
 }
 
 // String returns the name of the kind.
@@ -123,6 +126,8 @@
 	add(len(env.Progress) > 0, KindProgress, wire.Envelope{Progress: env.Progress})
 	add(len(env.PermitAsks) > 0, KindPermitAsk, wire.Envelope{PermitAsks: env.PermitAsks})
 	add(len(env.PermitGives) > 0, KindPermitGive, wire.Envelope{PermitGives: env.PermitGives})
+	add(env.LoadAsk != nil, KindLoadAsk, wire.Envelope{LoadAsk: env.LoadAsk})
+	add(env.LoadGive != nil, KindLoadGive, wire.Envelope{LoadGive: env.LoadGive})
 	return out
 }
 
@@ -138,6 +143,12 @@
 	if env.ConfigPart != nil {
 		bytes += len(env.ConfigPart.Data)
 	}
+	if env.LoadAsk != nil {
+		bytes += itemCost * (len(env.LoadAsk.Holds) + len(env.LoadAsk.Wants))
+	}
+	if env.LoadGive != nil {
+		bytes += itemCost * len(env.LoadGive.Engines)
+	}
 	return bytes
 }
 
@@ -150,7 +161,9 @@
 		dst.MemberSync != nil && src.MemberSync != nil ||
 		dst.ConfigOffer != nil && src.ConfigOffer != nil ||
 		dst.ConfigWant != nil && src.ConfigWant != nil ||
-		dst.ConfigPart != nil && src.ConfigPart != nil)
+		dst.ConfigPart != nil && src.ConfigPart != nil ||
+		dst.LoadAsk != nil && src.LoadAsk != nil ||
+		dst.LoadGive != nil && src.LoadGive != nil)
 }
 
 // join adds the parts of src to dst. The lists of src stay as they are.
@@ -162,6 +175,8 @@
 	dst.ConfigOffer = either(dst.ConfigOffer, src.ConfigOffer)
 	dst.ConfigWant = either(dst.ConfigWant, src.ConfigWant)
 	dst.ConfigPart = either(dst.ConfigPart, src.ConfigPart)
+	dst.LoadAsk = either(dst.LoadAsk, src.LoadAsk)
+	dst.LoadGive = either(dst.LoadGive, src.LoadGive)
 	dst.Members = append(dst.Members, src.Members...)
 	dst.Acquires = append(dst.Acquires, src.Acquires...)
 	dst.Withdraws = append(dst.Withdraws, src.Withdraws...)
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -5,7 +5,7 @@
 // A frame may hold several parts. A receiver handles them in this order, which
 // keeps cause before effect when envelopes were coalesced: Members, MemberSync,
 // Ping, Pong, ConfigOffer, ConfigWant, ConfigPart, Acquires, Withdraws, Grants,
-// Refuses, Progress, Releases, PermitAsks, PermitGives.
+// Refuses, Progress, Releases, PermitAsks, PermitGives, LoadAsk, LoadGive.
 package peer
 
 import (
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -123,6 +123,12 @@
 	// Permits given.
 	PermitGives []PermitGive `json:"kg,omitempty,omitzero"`
 
+	// LoadAsk corresponds to the JSON schema field "la".
+	LoadAsk *LoadAsk `json:"la,omitempty,omitzero"`
+
+	// LoadGive corresponds to the JSON schema field "lg".
+	LoadGive *LoadGive `json:"lg,omitempty,omitzero"`
+
 	// Membership news.
 	Members []MemberUpdate `json:"m,omitempty,omitzero"`
 
@@ -205,6 +211,30 @@
 	Nonce string `json:"x,omitempty,omitzero"`
 }
 
+// LoadAsk tells the issuer of load permits all that the sender holds and wants.
+type LoadAsk struct {
+	// Engines that load, or may.
+	Holds []string `json:"h,omitempty,omitzero"`
+
+	// Number of the message.
+	Seq int `json:"n"`
+
+	// Engines that want to load.
+	Wants []string `json:"w,omitempty,omitzero"`
+}
+
+// LoadGive answers a LoadAsk.
+type LoadGive struct {
+	// Engines that may load.
+	Engines []string `json:"e,omitempty,omitzero"`
+
+	// Lease in milliseconds, from the sending of the LoadAsk on.
+	LeaseMS int `json:"l"`
+
+	// Number of the message it answers.
+	Seq int `json:"n"`
+}
+
 type MemberState string
 
 const MemberStateA MemberState = "a"
