--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -45,6 +45,8 @@
 	KindProgress
 	KindPermitAsk
 	KindPermitGive
+	KindLoadAsk
+	KindLoadGive
 	// KindFraming is the overhead of WebSocket, its pings included.
 	KindFraming
 	kindCount
@@ -53,7 +55,8 @@
 var kindNames = [kindCount]string{
 	"hello", "ping", "pong", "members", "member_sync", "config_offer",
 	"config_want", "config_part", "acquire", "withdraw", "grant", "refuse", "queued",
-	"release", "progress", "permit_ask", "permit_give", "framing",
+	"release", "progress", "permit_ask", "permit_give", "load_ask", "load_give",
+	"framing",
 }
 
 // String returns the name of the kind.
@@ -125,6 +128,8 @@
 	add(len(env.Progress) > 0, KindProgress, wire.Envelope{Progress: env.Progress})
 	add(len(env.PermitAsks) > 0, KindPermitAsk, wire.Envelope{PermitAsks: env.PermitAsks})
 	add(len(env.PermitGives) > 0, KindPermitGive, wire.Envelope{PermitGives: env.PermitGives})
+	add(env.LoadAsk != nil, KindLoadAsk, wire.Envelope{LoadAsk: env.LoadAsk})
+	add(env.LoadGive != nil, KindLoadGive, wire.Envelope{LoadGive: env.LoadGive})
 	return out
 }
 
@@ -140,6 +145,12 @@
 	if env.ConfigPart != nil {
 		bytes += len(env.ConfigPart.Data)
 	}
+	if env.LoadAsk != nil {
+		bytes += itemCost * (len(env.LoadAsk.Holds) + len(env.LoadAsk.Wants))
+	}
+	if env.LoadGive != nil {
+		bytes += itemCost * len(env.LoadGive.Engines)
+	}
 	return bytes
 }
 
@@ -152,7 +163,9 @@
 		dst.MemberSync != nil && src.MemberSync != nil ||
 		dst.ConfigOffer != nil && src.ConfigOffer != nil ||
 		dst.ConfigWant != nil && src.ConfigWant != nil ||
-		dst.ConfigPart != nil && src.ConfigPart != nil)
+		dst.ConfigPart != nil && src.ConfigPart != nil ||
+		dst.LoadAsk != nil && src.LoadAsk != nil ||
+		dst.LoadGive != nil && src.LoadGive != nil)
 }
 
 // join adds the parts of src to dst. The lists of src stay as they are.
@@ -164,6 +177,8 @@
 	dst.ConfigOffer = either(dst.ConfigOffer, src.ConfigOffer)
 	dst.ConfigWant = either(dst.ConfigWant, src.ConfigWant)
 	dst.ConfigPart = either(dst.ConfigPart, src.ConfigPart)
+	dst.LoadAsk = either(dst.LoadAsk, src.LoadAsk)
+	dst.LoadGive = either(dst.LoadGive, src.LoadGive)
 	dst.Members = append(dst.Members, src.Members...)
 	dst.Acquires = append(dst.Acquires, src.Acquires...)
 	dst.Withdraws = append(dst.Withdraws, src.Withdraws...)
