--- a/cmd/basilrudder/main.go
+++ b/cmd/basilrudder/main.go
@@ -17,6 +17,8 @@
 	Report  cli.ReportCmd  `cmd:"" help:"Report from accounting lines."`
 	Explain cli.ExplainCmd `cmd:"" help:"Tell the story of one request."`
 	Try     cli.TryCmd     `cmd:"" help:"Run a fleet and stand-ins in one process and report."`
+	Replay  cli.ReplayCmd  `cmd:"" help:"Replay a trace on a deployment in virtual time."`
+	Ladder  cli.LadderCmd  `cmd:"" help:"Replay a mix at rising loads under every policy."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/cli/ladder.go
@@ -0,0 +1,159 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"text/tabwriter"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/inventory"
+	"basilrudder/internal/replay"
+	"basilrudder/internal/report"
+	"basilrudder/internal/sched"
+	schema "basilrudder/internal/schema/inventory"
+	schematrace "basilrudder/internal/schema/trace"
+	"basilrudder/internal/trace"
+)
+
+// ladderLoads are the loads of the ladder against the engines' capacity.
+var ladderLoads = []float64{0.5, 0.8, 1, 1.2, 1.5, 2, 3}
+
+// LadderCmd replays one mix at rising loads under every policy.
+type LadderCmd struct {
+	Deployment string  `required:"" type:"path" placeholder:"DIR" help:"Inventory to run."`
+	Mix        string  `required:"" enum:"chikushi,kivu" help:"Mix of requests: chikushi or kivu."`
+	Seconds    float64 `default:"120" help:"Length of each replay in virtual seconds."`
+	Burst      float64 `default:"1" help:"Load in a burst against the mean."`
+	Seed       uint64  `default:"1" help:"Seed of every random choice."`
+	JSON       bool    `name:"json" help:"Write JSON instead of a table."`
+	SVG        string  `name:"svg" type:"path" placeholder:"FILE" help:"Also write a plot."`
+}
+
+// Rung is one replay of the ladder.
+type Rung struct {
+	// Policy that decided.
+	Policy string `json:"policy"`
+	// Load against the engines' capacity.
+	Load float64 `json:"load"`
+	// TopTier is the attainment of tier 0.
+	TopTier float64 `json:"top_tier"`
+	// Worst is the least attainment of a class, and WorstClass its name.
+	Worst      float64 `json:"worst"`
+	WorstClass string  `json:"worst_class"`
+	// Goodput is answers on time per second, TokensPerS the tokens in them.
+	Goodput    float64 `json:"goodput"`
+	TokensPerS float64 `json:"tokens_per_s"`
+	// WastedWork and LateWork are shares of the engines' work.
+	WastedWork float64 `json:"wasted_work"`
+	LateWork   float64 `json:"late_work"`
+	// Violations of promises.
+	Violations int `json:"violations"`
+}
+
+// Run replays the ladder and prints it.
+func (c *LadderCmd) Run(streams *Streams) error {
+	inv, problems := inventory.LoadDir(c.Deployment)
+	if len(problems) > 0 {
+		return problems
+	}
+	rungs, err := c.climb(inv)
+	if err != nil {
+		return err
+	}
+	if c.SVG != "" {
+		if err := c.plot(rungs); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return writeJSON(streams.Out, rungs)
+	}
+	return printLadder(streams.Out, rungs)
+}
+
+// climb runs the replays side by side; each is deterministic by itself.
+func (c *LadderCmd) climb(inv *schema.Inventory) ([]Rung, error) {
+	names := sched.Policies()
+	rungs := make([]Rung, len(ladderLoads)*len(names))
+	var group errgroup.Group
+	group.SetLimit(max(runtime.GOMAXPROCS(0)/2, 1))
+	for i, load := range ladderLoads {
+		for j, policy := range names {
+			group.Go(func() error {
+				rung, err := c.rung(inv, load, policy)
+				rungs[j*len(ladderLoads)+i] = rung
+				return err
+			})
+		}
+	}
+	return rungs, group.Wait()
+}
+
+func (c *LadderCmd) rung(inv *schema.Inventory, load float64, policy sched.Policy) (Rung, error) {
+	line, err := json.Marshal(schematrace.Line{
+		Generate: c.Mix, Seed: int(c.Seed), ForMS: c.Seconds * 1000, Load: load, Burst: c.Burst,
+	})
+	if err != nil {
+		return Rung{}, err
+	}
+	tr, err := trace.Read("ladder", bytes.NewReader(line), catalog.Compile(1, inv))
+	if err != nil {
+		return Rung{}, err
+	}
+	result, err := replay.Run(context.Background(), replay.Config{Inventory: inv, Trace: tr, Policy: policy, Seed: c.Seed})
+	if err != nil {
+		return Rung{}, errors.Wrapf(err, "load %v, policy %s", load, policy.Name)
+	}
+	return rungOf(load, result), nil
+}
+
+func rungOf(load float64, r *replay.Result) Rung {
+	out := Rung{
+		Policy: r.Policy, Load: load, Worst: 1, Goodput: r.Goodput, TokensPerS: r.TokensPerS,
+		WastedWork: r.WastedWork, LateWork: r.LateWork,
+	}
+	if top := r.Tiers[0]; top != nil {
+		out.TopTier = top.Attainment
+	}
+	for _, name := range sortedKeys(r.Classes) {
+		if a := r.Classes[name].Attainment; a <= out.Worst {
+			out.Worst, out.WorstClass = a, name
+		}
+	}
+	for _, count := range r.Violations {
+		out.Violations += count
+	}
+	return out
+}
+
+func printLadder(out io.Writer, rungs []Rung) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(w, "policy\tload\ttop tier\tgoodput/s\ttokens/s\twaste\tlate work\tworst class\t\tviolations\t\n")
+	for _, r := range rungs {
+		fmt.Fprintf(w, "%s\t%.1f\t%.2f%%\t%.2f\t%.0f\t%.2f%%\t%.2f%%\t%s\t%.2f%%\t%d\t\n",
+			r.Policy, r.Load, 100*r.TopTier, r.Goodput, r.TokensPerS, 100*r.WastedWork, 100*r.LateWork,
+			r.WorstClass, 100*r.Worst, r.Violations)
+	}
+	return w.Flush()
+}
+
+func (c *LadderCmd) plot(rungs []Rung) error {
+	var lines []report.Line
+	for _, r := range rungs {
+		lines = append(lines, report.Line{Series: r.Policy, X: r.Load, Y: r.Goodput})
+	}
+	svg, err := report.PlotLines("Goodput by load", "load against capacity", "answers on time per second", lines)
+	if err != nil {
+		return err
+	}
+	const readable = 0o644
+	return os.WriteFile(c.SVG, svg, readable)
+}
