The owner of a group sends its engines their orders

internal/orders decided and nobody made its calls. The daemon now does, for the groups that fall to the instance by the membership, with or without traffic: at most 8 calls at once, 2 s each.

Nothing is ordered while the configuration is unconfirmed after a pause, also when dispatch goes on after 2 s of that, nor once the last confirmation is older than 2 min. The node's mark for isolated now ends with a confirmation; it stayed until the next pause.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -58,6 +58,8 @@
 		s.Node.Counts.Served, s.Node.Counts.OnTime, s.Node.Counts.Retried)
 	row("ended otherwise", "%d refused at once, %d not run, %d may have run, %d ran",
 		s.Node.Counts.Refused, s.Node.Counts.NotRun, s.Node.Counts.MayHaveRun, s.Node.Counts.RanFailed)
+	row("orders to engines", "%d sent, %d refused, %d corrected, %d waiting to load, behind %v",
+		s.Orders.Sent, s.Orders.Refused, s.Orders.Corrected, s.Orders.Waiting, s.Orders.Behind)
 	row("pauses", "%d, isolated %v", s.Node.Pauses, s.Node.Isolated)
 	for _, g := range s.Node.Owned {
 		row("owns "+g.Group, "%d waiting, %d slots held, used %.1f s ago", g.Stats.Waiting, g.Stats.Held, g.IdleS)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -94,6 +94,7 @@
 	callers  *callers.Server
 	store    *answers.Store
 	poll     *poller
+	orders   *orderer
 	self     reqid.Incarnation
 	tasks    sync.WaitGroup
 }
@@ -118,6 +119,8 @@
 	d.instance = instance.New(monotime.Now(), d.instanceConfig(seed), d)
 	d.node = d.instance.Node()
 	d.poll = newPoller(d.node, d.clients, &d.tasks, seed)
+	d.orders = newOrderer(d.self.Instance, d.node, d.clients, &d.tasks, cfg.Log)
+	d.orders.send = d.send
 	var err error
 	if d.links, err = peer.New(d.peerConfig()); err != nil {
 		return nil, err
@@ -259,13 +262,16 @@
 			d.instance.Tick(now)
 			d.store.Expire(now)
 			d.poll.tick(ctx, now)
+			d.orders.tick(ctx, now)
 		}
 	}
 }
 
 // Envelope implements peer.Handler.
 func (d *Daemon) Envelope(from string, env *wire.Envelope) {
-	d.instance.OnEnvelope(monotime.Now(), from, env)
+	now := monotime.Now()
+	d.instance.OnEnvelope(now, from, env)
+	d.orders.onEnvelope(now, from, env)
 }
 
 // LinkUp implements peer.Handler.
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -29,6 +29,7 @@
 	vars.Set("node", expvar.Func(func() any { return d.node.Status(monotime.Now()) }))
 	vars.Set("config", expvar.Func(func() any { return d.configStatus(monotime.Now()) }))
 	vars.Set("members", expvar.Func(func() any { return d.memberCounts(monotime.Now()) }))
+	vars.Set("orders", expvar.Func(func() any { return d.orders.status(monotime.Now()) }))
 	return vars
 }
 
--- /dev/null
+++ b/internal/daemon/orders.go
@@ -0,0 +1,186 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/node"
+	"basilrudder/internal/orders"
+	"basilrudder/internal/schema/engineapi"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/upstream"
+	"basilrudder/internal/verdict"
+)
+
+const (
+	// orderCallsAtOnce bounds the calls of the reconciler at a time.
+	orderCallsAtOnce = 8
+	// orderCallTimeout bounds one of them, below the reconciler's own patience.
+	orderCallTimeout = 2 * time.Second
+	// findPeers is how long an instance that has met no peer yet orders nothing.
+	// It would otherwise take itself for the owner of every engine at its start.
+	findPeers = 10 * time.Second
+)
+
+// weightStore is the name whose owner issues the permits for loads.
+var weightStore = &catalog.Group{Name: "weight-store"}
+
+// orderer keeps the engines of the groups that this instance owns at what the
+// configuration wants them to hold. Unlike the scheduling of a group, which
+// begins with the first request, orders are due for groups without traffic too.
+type orderer struct {
+	node    *node.Node
+	clients *upstream.Client
+	tasks   *sync.WaitGroup
+	send    func(to string, env *wire.Envelope)
+	log     *zap.Logger
+	slots   chan struct{}
+
+	mu       sync.Mutex
+	started  monotime.Instant // the first tick
+	rec      *orders.Reconciler
+	loads    *orders.Loads
+	revision uint64
+	version  uint64
+	behind   bool
+}
+
+func newOrderer(self string, n *node.Node, clients *upstream.Client, tasks *sync.WaitGroup, log *zap.Logger) *orderer {
+	loads := orders.NewLoads(self, orders.DefaultLease)
+	return &orderer{
+		node:    n,
+		clients: clients,
+		tasks:   tasks,
+		log:     log,
+		slots:   make(chan struct{}, orderCallsAtOnce),
+		rec:     orders.New(orders.Config{}, loads),
+		loads:   loads,
+	}
+}
+
+// tick makes the calls that are due. While the configuration is not confirmed
+// nothing is ordered, and what engines reported before is forgotten.
+func (o *orderer) tick(ctx context.Context, now monotime.Instant) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.started == 0 {
+		o.started = now
+	}
+	if !o.node.MayOrder(now) || !o.metPeers(now) {
+		o.rec.OnPaused(now)
+		return
+	}
+	o.update(now)
+	for _, action := range o.rec.Tick(now, nil) {
+		o.tasks.Go(func() { o.run(ctx, action) })
+	}
+	if issuer, ask := o.loads.Tick(now); ask != nil {
+		o.send(issuer, &wire.Envelope{LoadAsk: ask})
+	}
+}
+
+func (o *orderer) metPeers(now monotime.Instant) bool {
+	view := o.node.View()
+	return view != nil && (view.Confirmed || now.Sub(o.started) > findPeers)
+}
+
+// update takes a new configuration or a new membership.
+func (o *orderer) update(now monotime.Instant) {
+	cat, view := o.node.Catalog(), o.node.View()
+	if cat == nil || view == nil || cat.Revision == o.revision && view.Version == o.version {
+		return
+	}
+	o.revision, o.version = cat.Revision, view.Version
+	self := o.node.Self()
+	owns := make(map[*catalog.Group]bool, len(cat.GroupList))
+	for _, group := range cat.GroupList {
+		owns[group] = o.node.Owner(group) == self
+	}
+	live, total := node.ShareOf(view)
+	o.loads.SetIssuer(now, o.node.Owner(weightStore), cat.Rules.WeightLoadsAtOnce, live, total)
+	o.rec.Reconfigure(now, cat, func(e *catalog.Engine) bool { return owns[e.Server.Group] })
+}
+
+// run makes one call. A pause of the process between the decision and this
+// point would make an order stale, so that the question is asked again here.
+func (o *orderer) run(ctx context.Context, action orders.Action) {
+	o.slots <- struct{}{}
+	defer func() { <-o.slots }()
+	ctx, cancel := context.WithTimeout(ctx, orderCallTimeout)
+	defer cancel()
+	report, err := o.call(ctx, action)
+	now := monotime.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil {
+		o.rec.OnFailure(now, action.Engine.ID)
+		return
+	}
+	o.rec.OnReport(now, action.Engine.ID, report)
+	o.noticeBehind()
+}
+
+// errStale ends an order that was overtaken.
+var errStale = verdict.New(verdict.NotRun, verdict.ReasonPaused, "the order was overtaken by a pause or a newer revision")
+
+func (o *orderer) call(ctx context.Context, action orders.Action) (engineapi.OrderAnswer, *verdict.Error) {
+	target := targetOf(action.Engine)
+	if action.Kind == orders.Observe {
+		return o.clients.Holds(ctx, target)
+	}
+	cat := o.node.Catalog()
+	if !o.node.MayOrder(monotime.Now()) || cat.Revision != uint64(action.Order.Fence) {
+		return engineapi.OrderAnswer{}, errStale
+	}
+	o.log.Info("order to engine", zap.String("engine", action.Engine.ID),
+		zap.Int("fence", action.Order.Fence), zap.Strings("models", action.Order.Models))
+	return o.clients.Order(ctx, target, action.Order)
+}
+
+// noticeBehind tells operators once that engines know a newer revision: no
+// orders go out until this instance has it too.
+func (o *orderer) noticeBehind() {
+	behind := o.rec.Behind()
+	if behind && !o.behind {
+		o.log.Warn("engines have seen a newer revision; no orders are sent", zap.Uint64("revision", o.revision))
+	}
+	o.behind = behind
+}
+
+// onEnvelope takes the parts of a peer's message that concern loads.
+func (o *orderer) onEnvelope(now monotime.Instant, from string, env *wire.Envelope) {
+	if env.LoadAsk == nil && env.LoadGive == nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if env.LoadGive != nil {
+		o.loads.OnGive(now, from, env.LoadGive)
+	}
+	if env.LoadAsk == nil {
+		return
+	}
+	if give := o.loads.OnAsk(now, from, env.LoadAsk); give != nil {
+		o.send(from, &wire.Envelope{LoadGive: give})
+	}
+}
+
+// OrderStatus is the belief about orders to engines.
+type OrderStatus struct {
+	orders.Stats
+	// Behind says that engines have seen a newer revision than this instance.
+	Behind bool `json:"behind"`
+	// Loads from the weight store.
+	Loads orders.LoadStats `json:"loads"`
+}
+
+func (o *orderer) status(now monotime.Instant) OrderStatus {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return OrderStatus{Stats: o.rec.Stats(), Behind: o.rec.Behind(), Loads: o.loads.Stats(now)}
+}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -25,6 +25,8 @@
 	Config ConfigStatus `json:"config"`
 	// Members it believes to live.
 	Members MemberStatus `json:"members"`
+	// Orders to engines.
+	Orders OrderStatus `json:"orders"`
 	// Links that are open.
 	Links []peer.Peer `json:"links"`
 }
@@ -82,7 +84,8 @@
 			Live:         view.Live,
 			Leaving:      view.Leaving,
 		},
-		Links: d.links.Peers(),
+		Orders: d.orders.status(now),
+		Links:  d.links.Peers(),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,6 +141,11 @@
 	return n.view.Load()
 }
 
+// Self returns the instance id.
+func (n *Node) Self() string {
+	return n.self()
+}
+
 // self is the instance id.
 func (n *Node) self() string {
 	return n.cfg.Self.Instance
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -7,6 +7,7 @@
 	"basilrudder/internal/catalog"
 	"basilrudder/internal/membership"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/route"
 	"basilrudder/internal/sched"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/verdict"
@@ -48,11 +49,19 @@
 	}
 	n.owned[name] = g
 	if view := n.view.Load(); view != nil {
-		g.sched.SetShare(shareOf(view))
+		g.sched.SetShare(ShareOf(view))
 	}
 	return g
 }
 
+// Owner returns the instance that owns the group among all live members,
+// whether or not this one has a link to it; "" while no member is known.
+func (n *Node) Owner(group *catalog.Group) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return route.Owner(group, n.members)
+}
+
 func (n *Node) submitOwned(now monotime.Instant, from string, msg wire.Acquire) {
 	demand, ok := n.demandOf(now, from, msg)
 	g := n.ownedFor(now, msg.Group)
@@ -269,13 +278,13 @@
 
 func (n *Node) updateShares(view *membership.View) {
 	for _, g := range n.owned {
-		g.sched.SetShare(shareOf(view))
+		g.sched.SetShare(ShareOf(view))
 	}
 }
 
-// shareOf returns how many of the known instances this part of the fleet sees.
+// ShareOf returns how many of the known instances this part of the fleet sees.
 // In a partition each part uses about that share of a server both reach.
-func shareOf(view *membership.View) (live, total int) {
+func ShareOf(view *membership.View) (live, total int) {
 	live = len(view.Live) + len(view.Leaving)
 	return live, max(view.Known, live)
 }
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -1,6 +1,10 @@
 package node
 
-import "basilrudder/internal/monotime"
+import (
+	"time"
+
+	"basilrudder/internal/monotime"
+)
 
 // gate holds dispatch back after a pause of the process until a peer or the
 // platform has confirmed the configuration.
@@ -16,8 +20,10 @@
 	closed bool
 	since  monotime.Instant
 	pauses int
-	// isolated is set when no confirmation came in time.
+	// isolated is set when no confirmation came in time, until one comes.
 	isolated bool
+	// confirmed is the instant of the last confirmation.
+	confirmed monotime.Instant
 }
 
 // noticePause closes the gate when the process has not run for a while.
@@ -44,12 +50,35 @@
 func (n *Node) Confirm(now, confirmed monotime.Instant) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.gate.closed && !confirmed.Before(n.gate.since) {
+	n.gate.confirmed = max(n.gate.confirmed, confirmed)
+	if confirmed.Before(n.gate.since) {
+		return
+	}
+	n.gate.isolated = false
+	if n.gate.closed {
 		n.gate.closed = false
 		n.askAgain(now)
 	}
 }
 
+// orderAge is the age of the last confirmation up to which orders may be sent.
+// It is above the longest wait of a watch, so that one instance alone with the
+// platform sends them.
+const orderAge = 2 * time.Minute
+
+// MayOrder reports whether the configuration is known well enough to send
+// orders to engines by it. Requests are dispatched with less: a stale order
+// makes an engine drop the right model for everybody, while a stale dispatch
+// costs one request. So an instance that nobody confirms sends none, neither
+// after a pause nor cut off for long.
+func (n *Node) MayOrder(now monotime.Instant) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.noticePause(now)
+	unknown := n.gate.confirmed == 0 || now.Sub(n.gate.confirmed) > orderAge
+	return !n.gate.closed && !n.gate.isolated && !unknown
+}
+
 // openGate opens the gate when nobody could confirm: an instance that reaches
 // neither a peer nor the platform goes on with what it knows rather than
 // refuse everybody, for as long as the rules say.
--- a/internal/orders/reconciler.go
+++ b/internal/orders/reconciler.go
@@ -61,13 +61,13 @@
 // Stats counts what happened since the start.
 type Stats struct {
 	// Sent orders.
-	Sent int
+	Sent int `json:"sent"`
 	// Refused orders, by engines that had seen a higher fencing number.
-	Refused int
+	Refused int `json:"refused"`
 	// Corrected engines that had held what was wanted and then did not.
-	Corrected int
+	Corrected int `json:"corrected"`
 	// Waiting engines that may not load yet.
-	Waiting int
+	Waiting int `json:"waiting"`
 }
 
 // Reconciler holds the engines that one instance looks after.
