--- a/internal/node/envelope.go
+++ b/internal/node/envelope.go
@@ -9,9 +9,9 @@
 // come before withdrawals and progress before releases, so that parts that were
 // sent in that order and joined into one message keep it.
 func (n *Node) OnEnvelope(now monotime.Instant, from string, env *wire.Envelope) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
-	n.noticePause(now)
+	n.heard(now, from, env)
 	for _, m := range env.Acquires {
 		n.submitOwned(now, from, m)
 	}
@@ -24,6 +24,9 @@
 	for _, m := range env.Refuses {
 		n.onRefuse(now, from, m)
 	}
+	for _, m := range env.Queued {
+		n.picker.Observe(m.Group, milliseconds(m.BacklogMS), now)
+	}
 	for _, m := range env.Progress {
 		n.progressOwned(now, from, m)
 	}
--- a/internal/node/grant.go
+++ b/internal/node/grant.go
@@ -13,7 +13,7 @@
 // maxGroups bounds how many groups one request asks after a refusal. A second
 // one pays when the backlogs this node knew were out of date; more would only
 // delay the refusal.
-const maxGroups = 2
+const maxGroups = 3
 
 // onGrant takes a slot that the owner from granted.
 func (n *Node) onGrant(now monotime.Instant, from string, g wire.Grant) {
@@ -109,7 +109,7 @@
 // CallerGone tells that the caller of a request has vanished. Idempotent work
 // is cancelled; other work goes on, and its answer is kept for the caller.
 func (n *Node) CallerGone(now monotime.Instant, id string) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	r := n.byID[id]
 	if r == nil || r.gone {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basilrudder/internal/membership"
+	"basilrudder/internal/monotime"
 	"basilrudder/internal/sched"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/verdict"
@@ -124,6 +125,29 @@
 	}
 }
 
+// What the caller sees: no work goes to a server withdrawn while the process
+// slept. Whatever runs first after a pause can free a slot and start a request,
+// so each way in must notice the pause; at first a new view and a new
+// configuration did not.
+func TestEveryWayInNoticesAPause(t *testing.T) {
+	ways := map[string]func(p *proc, now monotime.Instant){
+		"tick":     func(p *proc, now monotime.Instant) { p.node.Tick(now) },
+		"view":     func(p *proc, now monotime.Instant) { p.node.SetView(now, p.node.View()) },
+		"catalog":  func(p *proc, now monotime.Instant) { p.node.SetCatalog(now, p.w.catalog()) },
+		"envelope": func(p *proc, now monotime.Instant) { p.node.OnEnvelope(now, "n1", &wire.Envelope{}) },
+		"link":     func(p *proc, now monotime.Instant) { p.node.LinkDown(now, "n1") },
+		"caller":   func(p *proc, now monotime.Instant) { p.node.CallerGone(now, "x") },
+		"attempt":  func(p *proc, now monotime.Instant) { p.node.AttemptEnded(now, 1, 1, nil) },
+	}
+	for name, enter := range ways {
+		_, p := quietWorld(t)
+		enter(p, p.clock().Add(4*time.Second))
+		if _, paused := p.node.Paused(); !paused {
+			t.Errorf("%s does not notice a pause", name)
+		}
+	}
+}
+
 // spy keeps the releases that a node sends.
 type spy struct {
 	*effects
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -141,6 +141,9 @@
 	// Ping corresponds to the JSON schema field "p".
 	Ping *Ping `json:"p,omitempty,omitzero"`
 
+	// Acquires that wait.
+	Queued []Queued `json:"q,omitempty,omitzero"`
+
 	// Slots given back.
 	Releases []Release `json:"r,omitempty,omitzero"`
 
@@ -284,8 +287,14 @@
 	// Requests wanted.
 	Requests int `json:"n,omitempty,omitzero"`
 
-	// Tokens used since the last ask.
-	Used int `json:"s,omitempty,omitzero"`
+	// Requests given before and not used.
+	ReturnedRequests int `json:"r,omitempty,omitzero"`
+
+	// Tokens used beyond the permits held since the last ask.
+	Overdraft int `json:"s,omitempty,omitzero"`
+
+	// Tokens given before and not used.
+	ReturnedTokens int `json:"t,omitempty,omitzero"`
 
 	// Hash of the customer name.
 	Customer int `json:"u"`
@@ -369,6 +378,16 @@
 	Customer int `json:"u,omitempty,omitzero"`
 }
 
+// Queued tells that an acquire arrived and waits, so that a silent owner is
+// noticed.
+type Queued struct {
+	// Group name.
+	Group string `json:"g"`
+
+	// Wait expected in the group now, in milliseconds.
+	BacklogMS int `json:"w,omitempty,omitzero"`
+}
+
 // Refuse turns an acquire down; nothing ran.
 type Refuse struct {
 	// When to come back, in milliseconds.
