Size of the messages that each request costs between instances

Cause: the page on who decides for a server counts bytes, and nothing showed them. Change: a test encodes each message with usual values and holds it to a bound.

--- /dev/null
+++ b/internal/peer/size_test.go
@@ -0,0 +1,72 @@
+package peer
+
+import (
+	"testing"
+
+	"basilrudder/internal/schema/wire"
+)
+
+// Values of usual length, so that the encoding is neither flattered nor padded.
+const (
+	sampleSeq      = 1_500_000_000
+	sampleGroup    = "zqwn9.0"
+	sampleEngine   = "engine"
+	sampleServer   = "drafting-11"
+	sampleClass    = 0xfedcba98
+	sampleCustomer = 0x7123456789abcdef
+	samplePrefix   = 0x7edcba9876543210
+	sampleTokens   = 55
+)
+
+func sampleItems(n int, adopted bool) []wire.ProgressItem {
+	var out []wire.ProgressItem
+	for i := range n {
+		item := wire.ProgressItem{Seq: sampleSeq + i, Tokens: sampleTokens}
+		if adopted {
+			item.Engine = sampleServer + "/" + sampleEngine
+			item.Class, item.Customer, item.Tier = sampleClass, sampleCustomer, 3
+		}
+		out = append(out, item)
+	}
+	return out
+}
+
+func progressOf(n int, adopted bool) *wire.Envelope {
+	return &wire.Envelope{Progress: []wire.Progress{{Group: sampleGroup, Items: sampleItems(n, adopted)}}}
+}
+
+// A daemon may spend 6 KB a second on control. Every request costs its owner and
+// its holder these messages, so their size decides how many requests that
+// carries; docs/design/who-decides.md adds them up.
+func TestMessagesOfARequestAreSmall(t *testing.T) {
+	for _, m := range []struct {
+		name  string
+		bound int
+		env   *wire.Envelope
+	}{
+		{"acquire", 88, &wire.Envelope{Acquires: []wire.Acquire{{
+			Seq: sampleSeq, Group: sampleGroup, Class: sampleClass, Customer: sampleCustomer, Tier: 3,
+			PromptTokens: 1200, Prefix: samplePrefix, BudgetMS: 5000, EndBudgetMS: 120_000}}}},
+		{"grant", 72, &wire.Envelope{Grants: []wire.Grant{{
+			Seq: sampleSeq, Group: sampleGroup, Server: sampleServer, Engine: sampleEngine,
+			Priority: 3, LeaseMS: 6000, BacklogMS: 120, PrefixHit: true}}}},
+		{"refuse", 56, &wire.Envelope{Refuses: []wire.Refuse{{
+			Seq: sampleSeq, Group: sampleGroup, Reason: "overloaded", RetryAfterMS: 1200, BacklogMS: 1200}}}},
+		{"withdraw", 32, &wire.Envelope{Withdraws: []wire.Withdraw{{Seq: sampleSeq, Group: sampleGroup}}}},
+		{"release", 48, &wire.Envelope{Releases: []wire.Release{{
+			Seq: sampleSeq, Group: sampleGroup, Tokens: sampleTokens, FirstTokenMS: 340, GapUS: 7300}}}},
+		{"renewal of 1", 40, progressOf(1, false)},
+		{"renewal of 10", 160, progressOf(10, false)},
+		{"adoption of 10", 600, progressOf(10, true)},
+	} {
+		data, err := Encode(m.env)
+		if err != nil {
+			t.Fatal(err)
+		}
+		size := len(data) + framing(len(data), true)
+		t.Logf("%-14s %4d bytes, with the header of its frame %4d", m.name, len(data), size)
+		if size > m.bound {
+			t.Errorf("%s takes %d bytes, more than %d", m.name, size, m.bound)
+		}
+	}
+}
