--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,7 +50,8 @@
 	end := time.Now().Add(l.For)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		customer := l.Inventory.Customers[rng.IntN(len(l.Inventory.Customers))]
-		class := l.Inventory.Classes[rng.IntN(len(l.Inventory.Classes))]
+		classes := l.classesOf(customer)
+		class := classes[rng.IntN(len(classes))]
 		address := f.Members[rng.IntN(len(f.Members))].Callers
 		tokens := 1 + rng.IntN(l.MaxTokens)
 		group.Go(func() error { return l.call(ctx, tally, address, customer, class, tokens) })
@@ -59,6 +61,21 @@
 	return tally, group.Wait()
 }
 
+// classesOf returns the classes that a customer may use; of the others it would
+// learn nothing but that they are forbidden.
+func (l Load) classesOf(customer inventory.Customer) []inventory.Class {
+	if len(customer.Classes) == 0 {
+		return l.Inventory.Classes
+	}
+	var out []inventory.Class
+	for _, class := range l.Inventory.Classes {
+		if slices.Contains(customer.Classes, class.Name) {
+			out = append(out, class)
+		}
+	}
+	return out
+}
+
 func (l Load) call(ctx context.Context, t *Tally, address string, customer inventory.Customer, class inventory.Class, tokens int) error {
 	url := "http://" + address + "/v1/chat/completions"
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"trial"}]}`, class.Model, tokens)
