Daemon: a refused configuration is logged as an error, with its cause

Cause: every event of the configuration was logged at level info, so that a refused revision could be filtered out, and the cause of a failed platform read was written as {}. Change: refused, conflict and corrupted are errors, stale and platform warnings; kind, revision, hash, sender and the text of the cause are fields of their own.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
 
 	"basilrudder/internal/accounting"
@@ -291,9 +292,24 @@
 	d.later(func() { d.links.SetKeys(d.keys(cat)) })
 }
 
-// Report implements instance.Effects.
+// Report implements instance.Effects. All but an installed revision wants
+// somebody's eyes; one that was refused or that exists twice stays out of force
+// until somebody publishes again.
 func (d *Daemon) Report(event confsync.Event) {
-	d.cfg.Log.Info("configuration event", zap.Any("event", event))
+	level := zapcore.WarnLevel
+	switch event.Kind {
+	case confsync.EventInstalled:
+		level = zapcore.InfoLevel
+	case confsync.EventRefused, confsync.EventConflict, confsync.EventCorrupted:
+		level = zapcore.ErrorLevel
+	}
+	fields := []zap.Field{zap.String("kind", string(event.Kind)), zap.Uint64("revision", event.Revision),
+		zap.String("hash", event.Hash), zap.String("from", event.From)}
+	if event.Err != nil {
+		// The text alone: an error's fields in JSON lose what it wraps.
+		fields = append(fields, zap.String("error", event.Err.Error()))
+	}
+	d.cfg.Log.Log(level, "configuration event", fields...)
 }
 
 func storeConfig(s *settings.Settings, cat *catalog.Catalog) answers.StoreConfig {
