basilrudderd: no stack traces in the log of errors

Cause: a refused configuration was logged with the program's own stack behind the fault that the operator has to mend. Change: stack traces only where a panic logs its own.

--- a/cmd/basilrudderd/main.go
+++ b/cmd/basilrudderd/main.go
@@ -85,5 +85,6 @@
 	cfg := zap.NewProductionConfig()
 	cfg.Level = zap.NewAtomicLevelAt(parsed)
 	cfg.Sampling = nil
+	cfg.DisableStacktrace = true
 	return cfg.Build()
 }
