--- a/internal/node/hints.go
+++ b/internal/node/hints.go
@@ -3,10 +3,11 @@
 import (
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/schema/engineapi"
+	"basilrudder/internal/schema/inventory"
 )
 
-// OwnedEngines returns the ids of the engines in the groups that this node owns:
-// those whose load and cache events it should ask for.
+// OwnedEngines returns the ids of the model engines in the groups that this node
+// owns: those whose load and cache events it should ask for.
 func (n *Node) OwnedEngines() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -14,6 +15,9 @@
 	cat := n.catalog.Load()
 	for _, name := range n.ownedNames() {
 		for _, server := range cat.Groups[name].Servers {
+			if server.Spec.Kind != inventory.ServerKindModel {
+				continue
+			}
 			for _, engine := range server.Engines {
 				ids = append(ids, engine.ID)
 			}
@@ -24,7 +28,7 @@
 
 // LoadReport passes a load report on to the owned group of the engine.
 func (n *Node) LoadReport(now monotime.Instant, engineID string, report engineapi.LoadReport) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	if g := n.ownerGroupOf(engineID); g != nil {
 		g.sched.LoadReport(now, engineID, report)
@@ -33,7 +37,7 @@
 
 // CacheEvents passes a page of cache events on to the owned group of the engine.
 func (n *Node) CacheEvents(now monotime.Instant, engineID string, events engineapi.CacheEvents) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	if g := n.ownerGroupOf(engineID); g != nil {
 		g.sched.CacheEvents(now, engineID, events)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,7 @@
 	recordSeq   int
 	owned       map[string]*ownedGroup
 	down        map[string]monotime.Instant
+	owners      map[string]*ownerTalk
 	budget      retryBudget
 	gate        gate
 	draining    bool
@@ -126,6 +127,7 @@
 		undelivered: make(map[string]*request),
 		owned:       make(map[string]*ownedGroup),
 		down:        make(map[string]monotime.Instant),
+		owners:      make(map[string]*ownerTalk),
 		budget:      retryBudget{tokens: retryBurst},
 	}
 	return n
@@ -148,7 +150,7 @@
 
 // SetCatalog puts a configuration in force.
 func (n *Node) SetCatalog(now monotime.Instant, cat *catalog.Catalog) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	if old := n.catalog.Load(); old != nil && old.Revision >= cat.Revision {
 		return
@@ -163,7 +165,7 @@
 
 // SetView replaces the membership known.
 func (n *Node) SetView(now monotime.Instant, view *membership.View) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	old := n.view.Swap(view)
 	n.members = routeMembers(view)
@@ -177,10 +179,9 @@
 // that wait at that owner are asked for elsewhere at once: a crash of the owner
 // in a burst must not cost them a membership timeout.
 func (n *Node) LinkDown(now monotime.Instant, id string) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
-	n.down[id] = now.Add(unreachableFor)
-	n.reroute(now, func(r *request) bool { return r.owner == id })
+	n.ownerLost(now, id)
 }
 
 // LinkUp tells that the link to an instance works.
@@ -192,13 +193,13 @@
 
 // Tick does what is due; call it every TickInterval.
 func (n *Node) Tick(now monotime.Instant) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
-	n.noticePause(now)
 	n.lastTick = now
 	n.openGate(now)
 	n.expireDown(now)
 	n.tickOwned(now)
+	n.checkOwners(now)
 	n.expireRequests(now)
 	n.settleOld(now)
 	n.renewLeases(now)
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -21,9 +21,8 @@
 // Submit admits a request and returns its number at this node. A refusal is
 // always NotRun, except for an id that was taken before or has expired.
 func (n *Node) Submit(now monotime.Instant, in Request) (uint64, *verdict.Error) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
-	n.noticePause(now)
 	cat := n.catalog.Load()
 	if err := n.admissible(cat); err != nil {
 		n.recordRefused(now, in, err)
@@ -140,7 +139,7 @@
 		n.submitOwned(now, n.self(), msg)
 		return
 	}
-	n.eff.Send(r.owner, &wire.Envelope{Acquires: []wire.Acquire{msg}})
+	n.sendAcquire(now, r.owner, msg)
 }
 
 func (n *Node) acquireMessage(now monotime.Instant, r *request) wire.Acquire {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -40,10 +40,13 @@
 	KindWithdraw
 	KindGrant
 	KindRefuse
+	KindQueued
 	KindRelease
 	KindProgress
 	KindPermitAsk
 	KindPermitGive
+	KindLoadAsk
+	KindLoadGive
 	// KindFraming is the overhead of WebSocket, its pings included.
 	KindFraming
 	kindCount
@@ -51,8 +54,9 @@
 
 var kindNames = [kindCount]string{
 	"hello", "ping", "pong", "members", "member_sync", "config_offer",
-	"config_want", "config_part", "acquire", "withdraw", "grant", "refuse",
-	"release", "progress", "permit_ask", "permit_give", "framing",
+	"config_want", "config_part", "acquire", "withdraw", "grant", "refuse", "queued",
+	"release", "progress", "permit_ask", "permit_give", "load_ask", "load_give",
+	"framing",
 }
 
 // String returns the name of the kind.
@@ -119,17 +123,20 @@
 	add(len(env.Withdraws) > 0, KindWithdraw, wire.Envelope{Withdraws: env.Withdraws})
 	add(len(env.Grants) > 0, KindGrant, wire.Envelope{Grants: env.Grants})
 	add(len(env.Refuses) > 0, KindRefuse, wire.Envelope{Refuses: env.Refuses})
+	add(len(env.Queued) > 0, KindQueued, wire.Envelope{Queued: env.Queued})
 	add(len(env.Releases) > 0, KindRelease, wire.Envelope{Releases: env.Releases})
 	add(len(env.Progress) > 0, KindProgress, wire.Envelope{Progress: env.Progress})
 	add(len(env.PermitAsks) > 0, KindPermitAsk, wire.Envelope{PermitAsks: env.PermitAsks})
 	add(len(env.PermitGives) > 0, KindPermitGive, wire.Envelope{PermitGives: env.PermitGives})
+	add(env.LoadAsk != nil, KindLoadAsk, wire.Envelope{LoadAsk: env.LoadAsk})
+	add(env.LoadGive != nil, KindLoadGive, wire.Envelope{LoadGive: env.LoadGive})
 	return out
 }
 
 // cost estimates the size of an envelope without encoding it.
 func cost(env *wire.Envelope) int {
 	items := 1 + len(env.Members) + len(env.Acquires) + len(env.Withdraws) +
-		len(env.Grants) + len(env.Refuses) + len(env.Releases) +
+		len(env.Grants) + len(env.Refuses) + len(env.Queued) + len(env.Releases) +
 		len(env.PermitAsks) + len(env.PermitGives)
 	for _, p := range env.Progress {
 		items += 1 + len(p.Items)
@@ -138,6 +145,12 @@
 	if env.ConfigPart != nil {
 		bytes += len(env.ConfigPart.Data)
 	}
+	if env.LoadAsk != nil {
+		bytes += itemCost * (len(env.LoadAsk.Holds) + len(env.LoadAsk.Wants))
+	}
+	if env.LoadGive != nil {
+		bytes += itemCost * len(env.LoadGive.Engines)
+	}
 	return bytes
 }
 
@@ -150,7 +163,9 @@
 		dst.MemberSync != nil && src.MemberSync != nil ||
 		dst.ConfigOffer != nil && src.ConfigOffer != nil ||
 		dst.ConfigWant != nil && src.ConfigWant != nil ||
-		dst.ConfigPart != nil && src.ConfigPart != nil)
+		dst.ConfigPart != nil && src.ConfigPart != nil ||
+		dst.LoadAsk != nil && src.LoadAsk != nil ||
+		dst.LoadGive != nil && src.LoadGive != nil)
 }
 
 // join adds the parts of src to dst. The lists of src stay as they are.
@@ -162,11 +177,14 @@
 	dst.ConfigOffer = either(dst.ConfigOffer, src.ConfigOffer)
 	dst.ConfigWant = either(dst.ConfigWant, src.ConfigWant)
 	dst.ConfigPart = either(dst.ConfigPart, src.ConfigPart)
+	dst.LoadAsk = either(dst.LoadAsk, src.LoadAsk)
+	dst.LoadGive = either(dst.LoadGive, src.LoadGive)
 	dst.Members = append(dst.Members, src.Members...)
 	dst.Acquires = append(dst.Acquires, src.Acquires...)
 	dst.Withdraws = append(dst.Withdraws, src.Withdraws...)
 	dst.Grants = append(dst.Grants, src.Grants...)
 	dst.Refuses = append(dst.Refuses, src.Refuses...)
+	dst.Queued = append(dst.Queued, src.Queued...)
 	dst.Releases = append(dst.Releases, src.Releases...)
 	dst.Progress = append(dst.Progress, src.Progress...)
 	dst.PermitAsks = append(dst.PermitAsks, src.PermitAsks...)
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -123,6 +123,12 @@
 	// Permits given.
 	PermitGives []PermitGive `json:"kg,omitempty,omitzero"`
 
+	// LoadAsk corresponds to the JSON schema field "la".
+	LoadAsk *LoadAsk `json:"la,omitempty,omitzero"`
+
+	// LoadGive corresponds to the JSON schema field "lg".
+	LoadGive *LoadGive `json:"lg,omitempty,omitzero"`
+
 	// Membership news.
 	Members []MemberUpdate `json:"m,omitempty,omitzero"`
 
@@ -135,6 +141,9 @@
 	// Ping corresponds to the JSON schema field "p".
 	Ping *Ping `json:"p,omitempty,omitzero"`
 
+	// Acquires that wait.
+	Queued []Queued `json:"q,omitempty,omitzero"`
+
 	// Slots given back.
 	Releases []Release `json:"r,omitempty,omitzero"`
 
@@ -205,6 +214,30 @@
 	Nonce string `json:"x,omitempty,omitzero"`
 }
 
+// LoadAsk tells the issuer of load permits all that the sender holds and wants.
+type LoadAsk struct {
+	// Engines that load, or may.
+	Holds []string `json:"h,omitempty,omitzero"`
+
+	// Number of the message.
+	Seq int `json:"n"`
+
+	// Engines that want to load.
+	Wants []string `json:"w,omitempty,omitzero"`
+}
+
+// LoadGive answers a LoadAsk.
+type LoadGive struct {
+	// Engines that may load.
+	Engines []string `json:"e,omitempty,omitzero"`
+
+	// Lease in milliseconds, from the sending of the LoadAsk on.
+	LeaseMS int `json:"l"`
+
+	// Number of the message it answers.
+	Seq int `json:"n"`
+}
+
 type MemberState string
 
 const MemberStateA MemberState = "a"
@@ -254,8 +287,14 @@
 	// Requests wanted.
 	Requests int `json:"n,omitempty,omitzero"`
 
-	// Tokens used since the last ask.
-	Used int `json:"s,omitempty,omitzero"`
+	// Requests given before and not used.
+	ReturnedRequests int `json:"r,omitempty,omitzero"`
+
+	// Tokens used beyond the permits held since the last ask.
+	Overdraft int `json:"s,omitempty,omitzero"`
+
+	// Tokens given before and not used.
+	ReturnedTokens int `json:"t,omitempty,omitzero"`
 
 	// Hash of the customer name.
 	Customer int `json:"u"`
@@ -339,6 +378,16 @@
 	Customer int `json:"u,omitempty,omitzero"`
 }
 
+// Queued tells that an acquire arrived and waits, so that a silent owner is
+// noticed.
+type Queued struct {
+	// Group name.
+	Group string `json:"g"`
+
+	// Wait expected in the group now, in milliseconds.
+	BacklogMS int `json:"w,omitempty,omitzero"`
+}
+
 // Refuse turns an acquire down; nothing ran.
 type Refuse struct {
 	// When to come back, in milliseconds.
