Message sizes: the answer that a request waits, and permits

Cause: two kinds of messages were new since the sizes were counted. Change: the test encodes them as well.

--- a/internal/peer/size_test.go
+++ b/internal/peer/size_test.go
@@ -52,6 +52,9 @@
 			Priority: 3, LeaseMS: 6000, BacklogMS: 120, PrefixHit: true}}}},
 		{"refuse", 56, &wire.Envelope{Refuses: []wire.Refuse{{
 			Seq: sampleSeq, Group: sampleGroup, Reason: "overloaded", RetryAfterMS: 1200, BacklogMS: 1200}}}},
+		{"queued", 40, &wire.Envelope{Queued: []wire.Queued{{Group: sampleGroup, BacklogMS: 1200}}}},
+		{"permit ask", 40, &wire.Envelope{PermitAsks: []wire.PermitAsk{{Customer: sampleCustomer, Requests: 12, Tokens: 3000, Overdraft: 200}}}},
+		{"permit give", 40, &wire.Envelope{PermitGives: []wire.PermitGive{{Customer: sampleCustomer, Requests: 12, Tokens: 3000, LeaseMS: 3000}}}},
 		{"withdraw", 32, &wire.Envelope{Withdraws: []wire.Withdraw{{Seq: sampleSeq, Group: sampleGroup}}}},
 		{"release", 48, &wire.Envelope{Releases: []wire.Release{{
 			Seq: sampleSeq, Group: sampleGroup, Tokens: sampleTokens, FirstTokenMS: 340, GapUS: 7300}}}},
