Callers: an instance without a configuration refuses instead of crashing

Cause: the credential is looked up when the header of a request arrives, before the handler that survives a panic. A process that had started and found no configuration yet (the platform serves a revision that fails its checks, and no peer holds an older one) died of a nil catalog at the first caller. Change: without a configuration there is no customer; every path answers 503 not_ready with a time to come back, not_run unless the request carries a bound id. Figures: one request killed the daemon before; the new test panics without the change and passes with it.

--- a/internal/callers/chat_test.go
+++ b/internal/callers/chat_test.go
@@ -210,6 +210,32 @@
 	}
 }
 
+// What the caller sees: a refusal that says when to come back. A process has
+// started and found neither the platform nor a peer, so it knows no customer. A
+// caller that kept its address asks it, and the process must survive that.
+func TestWithoutAConfigurationCallersAreRefused(t *testing.T) {
+	backend := newFakeBackend(nil)
+	backend.catalog = nil
+	address := startServer(t, Config{}, backend)
+	for _, tt := range []struct {
+		name, method, path, body, id string
+		verdict                      verdict.Verdict
+	}{
+		{"directory", "GET", "/v1/directory", "", "", verdict.NotRun},
+		{"chat", "POST", pathChat, chatBodyWhole, "", verdict.NotRun},
+		{"large chat", "POST", pathChat, strings.Repeat("x", 2*strangerBodyBytes), "", verdict.NotRun},
+		{"chat with an id", "POST", pathChat, chatBodyWhole, "local-7", verdict.MayHaveRun},
+		{"answer", "GET", "/v1/requests/local-7/answer", "", "local-7", verdict.MayHaveRun},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			response := send(t, tt.method, address, tt.path, tt.body, HeaderClass, "draft", HeaderRequestID, tt.id)
+			if refusal := wantRefusal(t, response, http.StatusServiceUnavailable, tt.verdict, verdict.ReasonNotReady); refusal.RetryAfterMS == 0 {
+				t.Error("no time to come back")
+			}
+		})
+	}
+}
+
 func TestBodyIsCompletedForTheEngine(t *testing.T) {
 	backend := newFakeBackend(serveTokens("x"))
 	address := startServer(t, Config{}, backend)
--- a/internal/callers/handler.go
+++ b/internal/callers/handler.go
@@ -33,6 +33,9 @@
 // connectionRetry is when a caller refused for its connection should come back.
 const connectionRetry = time.Second
 
+// notReadyRetry is when to come back to an instance without a configuration.
+const notReadyRetry = time.Second
+
 // call is what is known of a request before it is submitted.
 type call struct {
 	customer *catalog.Customer
@@ -58,9 +61,22 @@
 		s.refuseConnection(ctx)
 		return
 	}
+	if s.backend.Catalog() == nil {
+		s.refuseNotReady(ctx)
+		return
+	}
 	s.route(ctx)
 }
 
+// refuseNotReady answers for an instance that has no configuration yet: a new
+// process whose platform is down, and whose peers are out of reach, can't tell
+// who calls. Callers have its address, for the directory names it by then.
+func (s *Server) refuseNotReady(ctx *fasthttp.RequestCtx) {
+	id := string(ctx.Request.Header.Peek(HeaderRequestID))
+	err := verdict.New(s.unknowing(nil, id), verdict.ReasonNotReady, "this instance has no configuration yet")
+	s.refuse(ctx, "", err.After(notReadyRetry))
+}
+
 func (s *Server) route(ctx *fasthttp.RequestCtx) {
 	path := ctx.Request.URI().PathOriginal()
 	switch {
@@ -117,14 +133,21 @@
 	return verdict.New(v, verdict.ReasonUnauthorized, "the Authorization header holds no accepted bearer credential")
 }
 
-// authenticate finds the customer of the bearer credential, or nil.
+// authenticate finds the customer of the bearer credential, or nil. Without a
+// configuration there is none: it is asked for each header that arrives, before
+// anything else looks at the request and outside the handler that survives a
+// panic.
 func (s *Server) authenticate(header *fasthttp.RequestHeader) *catalog.Customer {
 	const scheme = "Bearer "
 	value := header.Peek(fasthttp.HeaderAuthorization)
 	if len(value) <= len(scheme) || !bytes.EqualFold(value[:len(scheme)], []byte(scheme)) {
 		return nil
 	}
-	return s.backend.Catalog().Authenticate(string(value[len(scheme):]))
+	cat := s.backend.Catalog()
+	if cat == nil {
+		return nil
+	}
+	return cat.Authenticate(string(value[len(scheme):]))
 }
 
 // limitBody bounds the body before it is read. Without it, anybody could have
--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -118,6 +118,10 @@
 // read was too large at every earlier attempt as well, so it never ran.
 func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, cause error) {
 	ctx.SetConnectionClose()
+	if s.backend.Catalog() == nil {
+		s.refuseNotReady(ctx)
+		return
+	}
 	if errors.Is(cause, fasthttp.ErrBodyTooLarge) && s.authenticate(&ctx.Request.Header) == nil {
 		id := string(ctx.Request.Header.Peek(HeaderRequestID))
 		s.refuse(ctx, "", unauthorized(s.unknowing(nil, id)))
