directory: answers by weighted rendezvous, near instances first

Cause: the daemon's stopgap ignored data centres, load and suspicion. An instance weighs itself by its own occupancy. Conclusion: a departure moves only what it served.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -14,16 +14,16 @@
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/node"
 	"basilrudder/internal/reqid"
-	"basilrudder/internal/schema/callerapi"
 	"basilrudder/internal/verdict"
 )
 
 // backend serves the caller interface from the node.
 type backend struct {
-	self  reqid.Incarnation
-	node  *node.Node
-	work  *dispatcher
-	store *answers.Store
+	self       reqid.Incarnation
+	dataCentre string
+	node       *node.Node
+	work       *dispatcher
+	store      *answers.Store
 }
 
 // Catalog implements callers.Backend.
@@ -158,8 +158,3 @@
 	}
 	return view.Find(id)
 }
-
-// Directory implements callers.Backend.
-func (b *backend) Directory(customer *catalog.Customer) callerapi.Directory {
-	return answerDirectory(b.node.Catalog(), b.node.View(), customer)
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -120,7 +120,9 @@
 	if d.links, err = peer.New(d.peerConfig()); err != nil {
 		return nil, err
 	}
-	d.callers = callers.NewServer(d.callerConfig(), &backend{self: d.self, node: d.node, work: d.dispatcher, store: d.store})
+	d.callers = callers.NewServer(d.callerConfig(), &backend{
+		self: d.self, dataCentre: s.Instance.DataCentre, node: d.node, work: d.dispatcher, store: d.store,
+	})
 	return d, nil
 }
 
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -1,47 +1,53 @@
 package daemon
 
 import (
-	"slices"
+	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"basilrudder/internal/catalog"
+	"basilrudder/internal/directory"
 	"basilrudder/internal/membership"
 	"basilrudder/internal/node"
 	"basilrudder/internal/reqid"
 	"basilrudder/internal/schema/callerapi"
 )
 
-// answerDirectory names the instances that a customer should use, by
-// rendezvous hashing, with a prefix for request ids bound to each.
-func answerDirectory(cat *catalog.Catalog, view *membership.View, customer *catalog.Customer) callerapi.Directory {
-	ttl := time.Duration(cat.Rules.DirectoryTTLS) * time.Second
-	out := callerapi.Directory{TTLS: cat.Rules.DirectoryTTLS, Revision: int(cat.Revision)}
+const (
+	// loadSteps coarsens this instance's load, so that answers stay the same
+	// while it varies a little.
+	loadSteps = 4
+	// fullLoad is the load of an instance that holds all the requests it may.
+	fullLoad = 4
+)
+
+// Directory implements callers.Backend. An instance knows its own load only;
+// since callers mostly ask one of the instances they use, that is the load that
+// matters: one that is full sends its own callers elsewhere.
+func (b *backend) Directory(customer *catalog.Customer) callerapi.Directory {
+	cat, view := b.node.Catalog(), b.node.View()
 	if view == nil {
-		return out
+		return callerapi.Directory{Revision: int(cat.Revision), TTLS: 1}
 	}
-	live := slices.Clone(view.Live)
-	slices.SortFunc(live, func(a, b membership.Member) int {
-		x, y := weight(customer, a), weight(customer, b)
-		switch {
-		case x > y:
-			return -1
-		case x < y:
+	own := 1 + (fullLoad-1)*math.Floor(b.node.Occupancy()*loadSteps)/loadSteps
+	return directory.Answer(directory.Query{
+		Catalog:    cat,
+		View:       view,
+		Customer:   customer,
+		DataCentre: b.dataCentre,
+		Load: func(id string) float64 {
+			if id == b.self.Instance {
+				return own
+			}
 			return 1
-		}
-		return 0
+		},
+		Prefix: idPrefix,
 	})
-	for _, m := range live[:min(len(live), cat.Rules.DirectorySize)] {
-		self := reqid.Incarnation{Instance: m.ID, Token: m.Incarnation}
-		prefix, _ := self.Prefix(time.Now(), ttl+node.IDLifetime)
-		out.Instances = append(out.Instances, callerapi.DirectoryInstance{
-			ID: m.ID, Address: m.CallerAddress, DataCentre: m.DataCentre, IDPrefix: prefix,
-		})
-	}
-	return out
 }
 
-func weight(customer *catalog.Customer, m membership.Member) uint64 {
-	return xxhash.Sum64String(customer.Name + "\x00" + m.ID)
+// idPrefix binds request ids to a member for as long as the answer lives and
+// the request may be repeated after.
+func idPrefix(m membership.Member, ttl time.Duration) string {
+	bound := reqid.Incarnation{Instance: m.ID, Token: m.Incarnation}
+	prefix, _ := bound.Prefix(time.Now(), ttl+node.IDLifetime)
+	return prefix
 }
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,178 @@
+package directory
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/membership"
+	"basilrudder/internal/schema/inventory"
+)
+
+func testQuery(members, dataCentres int) Query {
+	inv := &inventory.Inventory{Rules: &inventory.Rules{DirectorySize: 3, DirectoryTTLS: 30}}
+	for i := range dataCentres {
+		inv.DataCentres = append(inv.DataCentres, inventory.DataCentre{
+			Name: fmt.Sprintf("dc%d", i), Region: fmt.Sprintf("r%d", i%2), OneWayMS: 1, RegionOneWayMS: 30,
+		})
+	}
+	view := &membership.View{Confirmed: true}
+	for i := range members {
+		view.Live = append(view.Live, membership.Member{
+			ID: fmt.Sprintf("i%03d", i), CallerAddress: fmt.Sprintf("10.0.0.%d:80", i), DataCentre: fmt.Sprintf("dc%d", i%dataCentres),
+		})
+	}
+	return Query{Catalog: catalog.Compile(7, inv), View: view, DataCentre: "dc0"}
+}
+
+func (q Query) of(customer int) Query {
+	q.Customer = &catalog.Customer{Name: fmt.Sprintf("customer-%d", customer)}
+	return q
+}
+
+func (q Query) ids() []string {
+	var out []string
+	for _, in := range Answer(q).Instances {
+		out = append(out, in.ID)
+	}
+	return out
+}
+
+func TestNearInstancesFirstAndOneElsewhere(t *testing.T) {
+	for customer := range 100 {
+		got := Answer(testQuery(21, 7).of(customer)).Instances
+		if len(got) != 3 || got[0].DataCentre != "dc0" || got[1].DataCentre != "dc0" {
+			t.Fatalf("customer %d: %+v", customer, got)
+		}
+		if dc := got[2].DataCentre; dc == "dc0" || dc == "dc1" || dc == "dc3" || dc == "dc5" {
+			t.Fatalf("customer %d: third is in %s, not in another data centre of the region", customer, dc)
+		}
+	}
+}
+
+func TestLeavingInstanceDropsOutAtOnce(t *testing.T) {
+	// An instance gets SIGTERM and says that it leaves. The next answer to any
+	// caller must not name it, and answers that did not name it must not change.
+	q := testQuery(21, 3)
+	after := q
+	leaver := q.View.Live[6]
+	after.View = &membership.View{Confirmed: true, Leaving: []membership.Member{leaver}}
+	after.View.Live = append(append(after.View.Live, q.View.Live[:6]...), q.View.Live[7:]...)
+	for customer := range 500 {
+		before, now := q.of(customer).ids(), after.of(customer).ids()
+		named := false
+		for _, id := range before {
+			named = named || id == leaver.ID
+		}
+		if !named && fmt.Sprint(before) != fmt.Sprint(now) {
+			t.Errorf("customer %d: %v became %v", customer, before, now)
+		}
+		for _, id := range now {
+			if id == leaver.ID {
+				t.Errorf("customer %d is sent to a leaving instance", customer)
+			}
+		}
+	}
+}
+
+func TestLastResorts(t *testing.T) {
+	// Few instances are left: one under suspicion is better than none, and so
+	// is a leaving one. An unconfirmed view gives a short-lived answer.
+	q := testQuery(2, 1).of(1)
+	q.View.Live[0].State = membership.Suspect
+	if got := q.ids(); len(got) != 2 || got[1] != "i000" {
+		t.Errorf("got %v, want the suspect last", got)
+	}
+	q.View = &membership.View{Leaving: q.View.Live[1:]}
+	got := Answer(q)
+	if len(got.Instances) != 1 || got.TTLS != int(unconfirmedTTL/time.Second) {
+		t.Errorf("got %+v", got)
+	}
+	q.View = &membership.View{}
+	if got := Answer(q); len(got.Instances) != 0 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestLoadedInstanceGetsFewer(t *testing.T) {
+	// An instance is twice as loaded as the others. It must lose about half of
+	// its customers, and nobody who did not use it may be moved.
+	q := testQuery(20, 1)
+	loaded := q
+	loaded.Load = func(id string) float64 {
+		if id == "i007" {
+			return 2
+		}
+		return 1
+	}
+	before, after := 0, 0
+	for customer := range 20000 {
+		old, now := q.of(customer).ids()[0], loaded.of(customer).ids()[0]
+		if old == "i007" {
+			before++
+		}
+		if now == "i007" {
+			after++
+		}
+		if old != "i007" && old != now {
+			t.Fatalf("customer %d moved from %s to %s", customer, old, now)
+		}
+	}
+	t.Logf("first choice of %d customers, of %d when loaded", before, after)
+	if share := float64(after) / float64(before); share < 0.4 || share > 0.6 {
+		t.Errorf("kept %.2f of its customers", share)
+	}
+}
+
+func without(ids, drop []string) []string {
+	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return slices.Contains(drop, id) })
+}
+
+func TestSpread(t *testing.T) {
+	const leaver = "i000"
+	const sample = 10
+	for _, size := range []struct{ instances, dataCentres, customers int }{{8, 3, 10}, {8, 3, 1000}, {360, 7, 27000}} {
+		q := testQuery(size.instances, size.dataCentres)
+		fewer := q
+		fewer.View = &membership.View{Confirmed: true, Live: q.View.Live[1:]}
+		named := map[string]int{}
+		moved, total := 0, 0
+		for customer := range size.customers {
+			// Customers ask in the data centre that they are near to.
+			dc := fmt.Sprintf("dc%d", customer%size.dataCentres)
+			q.DataCentre, fewer.DataCentre = dc, dc
+			before := q.of(customer).ids()
+			total += len(before)
+			for _, id := range before {
+				named[id]++
+			}
+			// Only the names of the instance that left may move.
+			if slices.Contains(before, leaver) {
+				after := fewer.of(customer).ids()
+				moved += len(without(before, after))
+			} else if customer%sample == 0 {
+				moved += len(without(before, fewer.of(customer).ids()))
+			}
+		}
+		most := 0
+		for _, n := range named {
+			most = max(most, n)
+		}
+		mean := float64(total) / float64(size.instances)
+		t.Logf("%d customers on %d instances in %d data centres: mean %.1f customers an instance, max/mean %.2f; one instance gone moves %.2f%% of the names (its share is %.2f%%)",
+			size.customers, size.instances, size.dataCentres, mean, float64(most)/mean,
+			100*float64(moved)/float64(total), 100*float64(named[leaver])/float64(total))
+		if moved != named[leaver] {
+			t.Errorf("%d names moved, %d named the instance that left", moved, named[leaver])
+		}
+	}
+}
+
+func BenchmarkAnswer(b *testing.B) {
+	q := testQuery(360, 7).of(1)
+	for b.Loop() {
+		Answer(q)
+	}
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -38,6 +38,13 @@
 	Stats sched.Stats `json:"stats"`
 }
 
+// Occupancy returns the share of the requests held to those that may be held.
+func (n *Node) Occupancy() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return float64(len(n.requests)) / float64(n.cfg.Capacity)
+}
+
 // Status returns what the node believes.
 func (n *Node) Status(now monotime.Instant) Status {
 	n.enter(now)
