peer: a test that every part of an envelope travels

Cause: a part that is added to the schema and forgotten where envelopes are joined arrives alone and vanishes when it is queued together with another. Change: a test walks the parts of the type.

--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"reflect"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -32,6 +33,35 @@
 	}
 }
 
+func TestEveryPartOfAnEnvelopeTravels(t *testing.T) {
+	// A part was added to the envelope and not to the functions that join and
+	// count envelopes. It arrived when it was sent alone and vanished without
+	// an error when another message happened to be queued with it.
+	typ := reflect.TypeFor[wire.Envelope]()
+	if typ.NumField() != int(KindFraming) {
+		t.Errorf("an envelope has %d parts, there are %d kinds", typ.NumField(), KindFraming)
+	}
+	for i := range typ.NumField() {
+		env := new(wire.Envelope)
+		field := reflect.ValueOf(env).Elem().Field(i)
+		if field.Kind() == reflect.Slice {
+			field.Set(reflect.MakeSlice(field.Type(), 1, 1))
+		} else {
+			field.Set(reflect.New(field.Type().Elem()))
+		}
+		joined := coalesce([]*wire.Envelope{new(wire.Envelope), env})
+		if len(joined) != 1 || !reflect.DeepEqual(joined[0], env) {
+			t.Errorf("%s does not survive joining", typ.Field(i).Name)
+		}
+		if len(parts(env)) != 1 {
+			t.Errorf("%s is not counted", typ.Field(i).Name)
+		}
+		if field.Kind() == reflect.Pointer && len(coalesce([]*wire.Envelope{env, env})) != 2 {
+			t.Errorf("of two %s in one frame one would be lost", typ.Field(i).Name)
+		}
+	}
+}
+
 func TestSignaturesHaveOneUse(t *testing.T) {
 	// Somebody without the key sends an acceptor's signature back to it, or
 	// one from an earlier handshake. Both must fail.
