node: customers' limits are held by permits

Cause: the rates of the inventory were read and not enforced. The customer's home follows the membership only. Status counts what is held. The random search has a limited customer.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -121,6 +121,7 @@
 
 // endAttempt gives the slot of the attempt back.
 func (n *Node) endAttempt(now monotime.Instant, r *request, outcome sched.Outcome) {
+	n.chargeLimit(now, r)
 	tokens := r.tokens()
 	result := sched.Result{
 		Outcome: outcome,
--- a/internal/node/envelope.go
+++ b/internal/node/envelope.go
@@ -33,4 +33,10 @@
 	for _, m := range env.Releases {
 		n.releaseOwned(now, from, m)
 	}
+	for _, m := range env.PermitAsks {
+		n.onPermitAsk(now, from, m)
+	}
+	if len(env.PermitGives) > 0 {
+		n.onPermitGives(now, from, env.PermitGives)
+	}
 }
--- a/internal/node/grant.go
+++ b/internal/node/grant.go
@@ -70,6 +70,7 @@
 	r.started = now
 	r.progress = NewProgress()
 	r.charged = 0
+	r.limited = 0
 	n.picker.Ran(now, r.Prefix, r.group)
 	r.queued += now.Sub(r.askedAt)
 	n.recordDecision(now, r, "started", "slot granted by "+r.owner, now.Sub(r.askedAt))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,6 +99,7 @@
 	owners      map[string]*ownerTalk
 	budget      retryBudget
 	gate        gate
+	permits     permits
 	draining    bool
 	lastTick    monotime.Instant
 	renewed     monotime.Instant
@@ -129,6 +130,7 @@
 		down:        make(map[string]monotime.Instant),
 		owners:      make(map[string]*ownerTalk),
 		budget:      retryBudget{tokens: retryBurst},
+		permits:     newPermits(),
 	}
 	return n
 }
@@ -171,6 +173,7 @@
 	n.members = routeMembers(view)
 	n.dropGoneHolders(now, old, view)
 	n.updateShares(view)
+	n.setPermitMembers(now, view)
 	n.reroute(now, n.misowned)
 	n.renewMoved(now)
 }
@@ -200,6 +203,7 @@
 	n.expireDown(now)
 	n.tickOwned(now)
 	n.checkOwners(now)
+	n.tickPermits(now)
 	n.expireRequests(now)
 	n.settleOld(now)
 	n.renewLeases(now)
--- /dev/null
+++ b/internal/node/permits_test.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"basilrudder/internal/limits"
+	"basilrudder/internal/verdict"
+)
+
+// burstOf sends requests of the limited customer to all live processes, thrice
+// its rate, and returns those calls.
+func (w *world) burstOf(d time.Duration) []*call {
+	var calls []*call
+	for end := w.Now().Add(d); w.Now() < end; {
+		for _, p := range w.procs {
+			if c := w.sendAs(p, "limited", "often"); c != nil {
+				calls = append(calls, c)
+			}
+		}
+		w.Run(time.Second * time.Duration(len(w.procs)) / (3 * limitedRate))
+	}
+	w.Run(5 * time.Second)
+	return calls
+}
+
+// limitedOut counts the calls that were refused by the limit.
+func (w *world) limitedOut(calls []*call) (refused, admitted int) {
+	for _, c := range calls {
+		if c.err != nil && c.err.Reason == verdict.ReasonRateLimited {
+			refused++
+			if c.err.Verdict != verdict.NotRun || c.err.RetryAfter <= 0 {
+				w.fail("%s: refused with %v, retry after %v", c.id, c.err.Verdict, c.err.RetryAfter)
+			}
+		} else {
+			admitted++
+		}
+	}
+	return refused, admitted
+}
+
+// What the caller sees: above its customer's rate it is told "not run" and when
+// to come back, at whichever instance it asks. Three instances get thrice the
+// rate together; they hold permits of one home and admit the rate once, not
+// once each.
+func TestRateHoldsOverAllNodes(t *testing.T) {
+	w := newWorld(t, 1)
+	calls := w.burstOf(20 * time.Second)
+	refused, admitted := w.limitedOut(calls)
+	t.Logf("%d admitted, %d refused in 20 s at %d a second", admitted, refused, limitedRate)
+	if bound := limitedRate*(20+int(limits.Lease/time.Second)) + limitedRate; admitted > bound || admitted < limitedRate*18 {
+		t.Errorf("%d admitted, want %d to %d", admitted, limitedRate*18, bound)
+	}
+	if left := w.unanswered(); len(left) > 0 {
+		t.Errorf("no answer for %v", left)
+	}
+	w.report()
+}
+
+// What the caller sees: nothing but a short delay. The member that keeps its
+// customer's limit is killed. Those that ask it get no answer; after a moment
+// each goes on with its own share instead of refusing everybody.
+func TestLostHomeOfALimitRefusesNobodyForLong(t *testing.T) {
+	w := newWorld(t, 1)
+	w.burstOf(time.Second)
+	home := w.procs[0].node.homeOf(w.procs[0].node.Catalog().Customers["limited"])
+	for _, p := range w.procs {
+		if p.name == home {
+			p.dead = true
+		}
+	}
+	calls := w.burstOf(10 * time.Second)
+	refused, admitted := w.limitedOut(calls)
+	t.Logf("%d admitted, %d refused in 10 s without a home", admitted, refused)
+	// Two of three instances admit a third of the rate each.
+	if share := limitedRate * 10 * 2 / 3; admitted < share*8/10 || admitted > limitedRate*12 {
+		t.Errorf("%d admitted, want about %d", admitted, share)
+	}
+	if left := w.unanswered(); len(left) > 0 {
+		t.Errorf("no answer for %v", left)
+	}
+	w.report()
+}
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -78,6 +78,8 @@
 	skip    []string
 	avoid   string
 	held    bool
+	// unpermitted requests wait for the customer's limit, not for a slot.
+	unpermitted bool
 
 	attempt  int
 	engine   *catalog.Engine
@@ -87,6 +89,7 @@
 	resumeAt monotime.Instant
 	progress *Progress
 	charged  int
+	limited  int // tokens charged to the customer's limit
 
 	worst     verdict.Verdict
 	queued    time.Duration
--- a/internal/node/search_test.go
+++ b/internal/node/search_test.go
@@ -67,7 +67,8 @@
 		w.sendAgain(p)
 	default:
 		classes := [...]string{"once", "often", "service"}
-		w.send(p, classes[w.rng.IntN(len(classes))])
+		customers := [...]string{"c", "c", "limited"}
+		w.sendAs(p, customers[w.rng.IntN(len(customers))], classes[w.rng.IntN(len(classes))])
 	}
 }
 
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -26,10 +26,22 @@
 	Isolated bool `json:"isolated"`
 	// Counts since the start.
 	Counts Counts `json:"counts"`
+	// Limits counts customers whose limits this node spends from and keeps.
+	Limits LimitStatus `json:"limits"`
 	// Owned groups.
 	Owned []OwnedStatus `json:"owned"`
 }
 
+// LimitStatus is what a node holds of customers' limits.
+type LimitStatus struct {
+	// Held counts customers of which it spends permits.
+	Held int `json:"held"`
+	// Home counts customers whose permits it issues.
+	Home int `json:"home"`
+	// Waiting counts requests that wait for a permit.
+	Waiting int `json:"waiting"`
+}
+
 // OwnedStatus is one owned group.
 type OwnedStatus struct {
 	// Group name.
@@ -59,6 +71,11 @@
 		Pauses:      n.gate.pauses,
 		Isolated:    n.gate.isolated,
 		Counts:      n.counts,
+		Limits: LimitStatus{
+			Held:    n.permits.local.Len(),
+			Home:    n.permits.home.Len(),
+			Waiting: len(n.permits.waiting),
+		},
 	}
 	if cat := n.catalog.Load(); cat != nil {
 		s.Revision = cat.Revision
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basilrudder/internal/catalog"
+	"basilrudder/internal/limits"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/reqid"
 	"basilrudder/internal/route"
@@ -32,8 +33,18 @@
 		n.recordRefused(now, in, err)
 		return 0, err
 	}
+	permitted, err := n.permit(now, in.Customer)
+	if err != nil {
+		n.ids.Forget(in.ID)
+		n.recordRefused(now, in, err)
+		return 0, err
+	}
 	r := n.add(now, cat, in)
 	n.recordStart(now, r)
+	if permitted == limits.Waiting {
+		n.hold(r)
+		return r.seq, nil
+	}
 	n.acquire(now, r)
 	return r.seq, nil
 }
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -58,6 +58,8 @@
 	at       *proc
 	submits  int
 	verdicts []verdict.Verdict
+	err      *verdict.Error // with the last verdict, nil for a whole answer
+	customer string
 	whole    bool
 	orphaned bool
 }
@@ -67,6 +69,7 @@
 	worldNodes   = 3
 	publishDelay = 800 * time.Millisecond
 	withdrawWait = 3 * time.Second
+	limitedRate  = 10 // requests a second of the limited customer
 )
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -96,7 +99,7 @@
 			{Name: "often", Kind: inventory.ClassKindModel, Model: "m", DeadlineMS: 4000, MaxQueueMS: 4000, Idempotent: true, Tier: 1},
 			{Name: "service", Kind: inventory.ClassKindService, Service: "s", DeadlineMS: 4000, MaxQueueMS: 4000},
 		},
-		Customers: []inventory.Customer{{Name: "c", Weight: 1}},
+		Customers: []inventory.Customer{{Name: "c", Weight: 1}, {Name: "limited", Weight: 1, RequestsPerS: limitedRate, BurstS: 1}},
 		Tiers:     []inventory.Tier{{Tier: 0, Name: "high"}, {Tier: 1, Name: "low"}},
 		Rules:     &inventory.Rules{ServersPerGroup: 1, RetryBudget: 0.5, GrantLeaseMS: 3000, AnswerKeepS: 1, DirectoryTTLS: 30},
 	}
@@ -289,6 +292,7 @@
 		v = err.Verdict
 	}
 	e.p.w.told(c, v)
+	c.err = err
 	c.whole = err == nil
 	p, self := e.p, e.self
 	p.w.After(time.Millisecond, func() {
@@ -300,11 +304,15 @@
 
 // send makes a caller send a request to a process.
 func (w *world) send(p *proc, class string) *call {
+	return w.sendAs(p, "c", class)
+}
+
+func (w *world) sendAs(p *proc, customer, class string) *call {
 	if p.dead {
 		return nil
 	}
 	prefix, _ := p.self.Prefix(time.UnixMilli(int64(w.Now())/int64(time.Millisecond)), IDLifetime)
-	c := &call{id: fmt.Sprintf("%sx%d", prefix, len(w.calls)), at: p}
+	c := &call{id: fmt.Sprintf("%sx%d", prefix, len(w.calls)), at: p, customer: customer}
 	w.calls[c.id] = c
 	w.sent = append(w.sent, c)
 	p.deliver(p.self, func() { w.submit(p, c, class) })
@@ -315,8 +323,9 @@
 	c.submits++
 	cat := p.node.Catalog()
 	c.class = cat.Classes[class]
-	_, err := p.node.Submit(p.clock(), Request{ID: c.id, Customer: cat.Customers["c"], Class: c.class, PromptTokens: 100})
+	_, err := p.node.Submit(p.clock(), Request{ID: c.id, Customer: cat.Customers[c.customer], Class: c.class, PromptTokens: 100})
 	if err != nil {
+		c.err = err
 		w.told(c, err.Verdict)
 	}
 }
--- a/internal/route/owner.go
+++ b/internal/route/owner.go
@@ -48,10 +48,28 @@
 	return id < bestID
 }
 
+// Home returns the id of the member that keeps the limits of a customer, named
+// by its hash, or "" when there is none.
+func Home(customer uint64, members []Member) string {
+	var best string
+	var bestScore uint64
+	for _, m := range members {
+		score := mix(customer, xxhash.Sum64String(m.ID))
+		if best == "" || score > bestScore || score == bestScore && m.ID < best {
+			best, bestScore = m.ID, score
+		}
+	}
+	return best
+}
+
 // weigh hashes a pair. The two hashes are mixed, since hashing the joined
 // strings would need a buffer for each pair.
 func weigh(group, member string) uint64 {
-	x := xxhash.Sum64String(group) ^ xxhash.Sum64String(member)*0x9e3779b97f4a7c15
+	return mix(xxhash.Sum64String(group), xxhash.Sum64String(member))
+}
+
+func mix(a, b uint64) uint64 {
+	x := a ^ b*0x9e3779b97f4a7c15
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
