--- a/internal/trial/values.go
+++ b/internal/trial/values.go
@@ -20,21 +20,22 @@
 	var out []platform.File
 	for i := 0; i < len(inv.Customers); i += customersPerValue {
 		part := &inventory.Inventory{Customers: inv.Customers[i:min(i+customersPerValue, len(inv.Customers))]}
-		value, err := encode(fmt.Sprintf("customers-%03d.toml", i/customersPerValue), part)
+		value, err := Value(fmt.Sprintf("customers-%03d.toml", i/customersPerValue), part)
 		if err != nil {
 			return nil, err
 		}
 		out = append(out, value)
 	}
-	value, err := encode("inventory.toml", &rest)
+	value, err := Value("inventory.toml", &rest)
 	if err != nil {
 		return nil, err
 	}
 	return append(out, value), nil
 }
 
-// encode goes through JSON, whose tags name the keys.
-func encode(key string, inv *inventory.Inventory) (platform.File, error) {
+// Value turns part of an inventory into one published value. It goes through
+// JSON, whose tags name the keys.
+func Value(key string, inv *inventory.Inventory) (platform.File, error) {
 	data, err := json.Marshal(inv)
 	if err != nil {
 		return platform.File{}, err
