--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -158,7 +158,7 @@
 
 // setPermitMembers follows the membership.
 func (n *Node) setPermitMembers(now monotime.Instant, view *membership.View) {
-	live, known := shareOf(view)
+	live, known := ShareOf(view)
 	n.permits.local.SetKnown(known)
 	n.permits.home.SetMembers(now, live, known, func(customer uint64) bool {
 		return route.Home(customer, n.members) == n.self()
