Withdrawn engines refuse work themselves; an instance cut off stops in time

Cause: an instance that is cut off cannot know that a server was withdrawn, and a pause between the last check and the write to the socket cannot be noticed; the refusal has to sit where the old operation arrives. And isolated_serve_s was read by nothing. Change: owners order the engines of a withdrawn server the role withdrawn, in which an engine refuses new work before it starts; an instance whose configuration nobody confirmed for isolated_serve_s refuses new requests as not run; hedge_budget is gone, since nothing hedges. Application servers take no orders; for them the window of an instance that is cut off stays.

--- a/internal/enginehttp/enginehttp.go
+++ b/internal/enginehttp/enginehttp.go
@@ -38,6 +38,10 @@
 	QueryAfter = "after"
 )
 
+// RoleWithdrawn is the role, besides those of the inventory, of an engine that
+// finishes what it runs and refuses new work before it starts.
+const RoleWithdrawn = "withdrawn"
+
 // TypeEventStream is the content type of an answer.
 const TypeEventStream = "text/event-stream"
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -64,8 +64,10 @@
 	members *membership.Core
 	conf    *confsync.Core
 	version uint64
-	synced  bool
-	paused  bool
+	// lastConfirmed outlasts pauses, in which the core forgets its confirmation.
+	lastConfirmed monotime.Instant
+	synced        bool
+	paused        bool
 }
 
 // New returns an instance that knows nothing yet.
@@ -115,9 +117,25 @@
 	i.members.SetRevision(i.conf.Revision())
 	i.passView(now)
 	i.eff.Want(i.members.Wanted())
-	if _, age := i.conf.Confirmed(now); age != confsync.NeverConfirmed {
+	_, age := i.conf.Confirmed(now)
+	if age != confsync.NeverConfirmed {
 		i.node.Confirm(now, now.Add(-age))
+		i.lastConfirmed = now.Add(-age)
+	}
+	i.node.SetCutOff(i.cutOff(now))
+}
+
+// cutOff reports whether the instance has been without a confirmation for longer
+// than the rules allow. A fleet of one has nobody to be cut off from: for it the
+// platform's silence alone says nothing.
+func (i *Instance) cutOff(now monotime.Instant) bool {
+	cat := i.node.Catalog()
+	view := i.node.View()
+	if cat == nil || view == nil || view.Known <= 1 {
+		return false
 	}
+	limit := time.Duration(cat.Rules.IsolatedServeS) * time.Second
+	return now.Sub(i.lastConfirmed) > limit
 }
 
 func (i *Instance) passView(now monotime.Instant) {
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -200,6 +200,31 @@
 	}
 }
 
+// What the caller sees: a refusal that sends it elsewhere. An instance loses
+// every peer and the platform; it goes on with what it knows for as long as the
+// rules say, then takes no new request, and takes them again once it is heard.
+func TestAnInstanceCutOffStopsAfterItsTime(t *testing.T) {
+	f := newFleet(t, 4)
+	f.Run(settle)
+	p := f.procs[0]
+	f.cut = func(a, b string) bool { return a == p.id || b == p.id }
+	f.Run(4 * time.Minute)
+	during := f.send(p)
+	f.Run(time.Second)
+	f.wantAnswers([]string{during})
+	f.Run(2 * time.Minute)
+	after := f.send(p)
+	f.Run(time.Second)
+	if err := f.answers[after]; err == nil || err.Reason != verdict.ReasonIsolated || err.Verdict != verdict.NotRun {
+		t.Errorf("after six minutes alone: %v", err)
+	}
+	f.cut = func(string, string) bool { return false }
+	f.Run(time.Minute)
+	again := f.send(p)
+	f.Run(time.Second)
+	f.wantAnswers([]string{again})
+}
+
 // What the caller sees: nothing. The platform is down, and all instances but one
 // are replaced one by one meanwhile; each new process finds a peer through its
 // seeds and learns the configuration and the fleet from its peers alone.
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -176,7 +176,7 @@
 		{"peer key twice", "[[peer_keys]]\nid = \"k\"\nsecret = \"0123456789abcdef\"\n[[peer_keys]]\nid = \"k\"\nsecret = \"fedcba9876543210\"",
 			`c.toml: peer_keys[1:k].id: "k": expected a value that no other entry has; c.toml has it at peer_keys[0:k].id`},
 		{"unknown key", "[rules]\nservers_per_grp = 3",
-			`c.toml: rules.servers_per_grp: 3: expected one of the keys answer_keep_s, attainment_goal, directory_size, directory_ttl_s, grant_lease_ms, hedge_budget, isolated_serve_s, retry_budget, servers_per_group, weight_loads_at_once`},
+			`c.toml: rules.servers_per_grp: 3: expected one of the keys answer_keep_s, attainment_goal, directory_size, directory_ttl_s, grant_lease_ms, isolated_serve_s, retry_budget, servers_per_group, weight_loads_at_once`},
 		{"syntax", "[rules]\nanswer_keep_s 3",
 			`c.toml: line 2, column 15: expected valid TOML: toml: expected '=' after key`},
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,6 +101,7 @@
 	gate        gate
 	permits     permits
 	draining    bool
+	cutOff      bool
 	lastTick    monotime.Instant
 	renewed     monotime.Instant
 	counts      Counts
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -14,9 +14,9 @@
 // queue looks valid. The gap in its own calls shows the pause. It is looked for
 // on every way in, not in Tick alone: whatever goroutine runs first after the
 // pause may free a slot and thereby start a request, even one that brings a
-// configuration or a view. A pause between this check
-// and the write to the socket is not caught here; the engines that check
-// fencing numbers refuse that work by its revision.
+// configuration or a view. A pause between this check and the write to the socket
+// is not caught here, and neither is work of an instance that is cut off: the
+// engines of a withdrawn server are ordered to refuse it before it starts.
 type gate struct {
 	closed bool
 	since  monotime.Instant
@@ -87,6 +87,15 @@
 	return !n.gate.closed && !n.gate.isolated && !unknown
 }
 
+// SetCutOff tells whether nobody has confirmed the configuration for longer than
+// the rules let the instance go on. It then takes no new request: what it knows
+// of servers and limits is too old to act on, and callers have other instances.
+func (n *Node) SetCutOff(cutOff bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cutOff = cutOff
+}
+
 // openGate opens the gate when nobody could confirm: an instance that reaches
 // neither a peer nor the platform goes on with what it knows rather than
 // refuse everybody, for as long as the rules say.
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -16,6 +16,7 @@
 const (
 	retryWhenDraining = time.Second
 	retryWhenNotReady = time.Second
+	retryWhenIsolated = time.Second
 	retryWhenFull     = time.Second
 )
 
@@ -58,6 +59,9 @@
 	case n.draining:
 		return verdict.New(verdict.NotRun, verdict.ReasonDraining,
 			"this instance is leaving; ask the directory for another").After(retryWhenDraining)
+	case n.cutOff:
+		return verdict.New(verdict.NotRun, verdict.ReasonIsolated,
+			"this instance has reached no other for too long; ask another").After(retryWhenIsolated)
 	case len(n.requests) >= n.cfg.Capacity:
 		return verdict.New(verdict.NotRun, verdict.ReasonOverloaded,
 			"this instance holds as many requests as it may").After(retryWhenFull)
--- a/internal/orders/wanted.go
+++ b/internal/orders/wanted.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"basilrudder/internal/catalog"
+	"basilrudder/internal/enginehttp"
 	"basilrudder/internal/schema/engineapi"
 	"basilrudder/internal/schema/inventory"
 )
@@ -19,18 +20,24 @@
 	role   string
 }
 
-// wantedOf returns what the engine should hold, or false for an engine that
-// gets no orders: a worker pool of an application server, or an engine of a
-// server that is being withdrawn.
+// wantedOf returns what the engine should hold, or false for the worker pool of
+// an application server, which gets no orders.
+//
+// The engines of a withdrawn server are told so: an instance that slept or was
+// cut off does not know of the withdrawal, and its work must be refused where it
+// arrives. They keep their models, which costs nothing and lets them come back.
 func wantedOf(cat *catalog.Catalog, engine *catalog.Engine) (wanted, bool) {
 	server := engine.Server.Spec
-	if server.Kind != inventory.ServerKindModel || server.Withdrawn {
+	if server.Kind != inventory.ServerKindModel {
 		return wanted{}, false
 	}
 	w := wanted{models: []string{}, role: string(engine.Spec.Role)}
 	if w.role == "" {
 		w.role = string(inventory.RoleMixed)
 	}
+	if server.Withdrawn {
+		w.role = enginehttp.RoleWithdrawn
+	}
 	for _, name := range engine.Spec.Models {
 		w.models = append(w.models, withVersion(cat, name))
 	}
--- a/internal/schema/engineapi/engineapi.gen.go
+++ b/internal/schema/engineapi/engineapi.gen.go
@@ -73,7 +73,8 @@
 	// Models with versions, as name@version.
 	Models []string `json:"models"`
 
-	// Role.
+	// Role: mixed, prefill, decode, or withdrawn for an engine that takes no new
+	// work.
 	Role string `json:"role,omitempty,omitzero"`
 }
 
--- a/internal/schema/inventory/inventory.gen.go
+++ b/internal/schema/inventory/inventory.gen.go
@@ -186,11 +186,8 @@
 	// milliseconds; holders renew it three times in that time.
 	GrantLeaseMS int `json:"grant_lease_ms,omitempty,omitzero"`
 
-	// Hedged attempts allowed per request served, as a share; 0 for none.
-	HedgeBudget float64 `json:"hedge_budget,omitempty,omitzero"`
-
-	// Time an instance that reaches neither a peer nor the platform goes on serving,
-	// in seconds.
+	// Time an instance whose configuration nobody confirms, neither a peer nor the
+	// platform, goes on taking requests, in seconds.
 	IsolatedServeS int `json:"isolated_serve_s,omitempty,omitzero"`
 
 	// Retries allowed per request served, as a share.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -102,7 +102,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := monotime.Now()
-	if !e.servesAny && !e.holding.Holds(now, model) {
+	if e.holding.Withdrawn() || !e.servesAny && !e.holding.Holds(now, model) {
 		return nil, enginemodel.Refusing
 	}
 	if err := e.model.Submit(now, job); err != nil {
--- a/internal/standin/enginemodel/holding.go
+++ b/internal/standin/enginemodel/holding.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"basilrudder/internal/enginehttp"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/schema/engineapi"
 )
@@ -166,6 +167,11 @@
 	})
 }
 
+// Withdrawn reports whether new work is refused.
+func (h *Holding) Withdrawn() bool {
+	return h.role == enginehttp.RoleWithdrawn
+}
+
 // Restart is the loss of everything that was loaded, and of the fencing number.
 func (h *Holding) Restart() {
 	h.fence = 0
