--- a/cmd/basilrudderd/main.go
+++ b/cmd/basilrudderd/main.go
@@ -51,8 +51,7 @@
 	}
 }
 
-// run serves until the first SIGTERM or SIGINT and its drain; the second one
-// ends the process at once.
+// run serves until the first SIGTERM or SIGINT and its drain.
 func run(s *settings.Settings) error {
 	log, err := newLog(string(s.Log.Level))
 	if err != nil {
@@ -67,8 +66,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	context.AfterFunc(ctx, stop)
+	ctx, drain := context.WithCancel(context.Background())
+	defer drain()
+	go followSignals(drain, d.Abort)
 	err = d.Run(ctx)
 	if closeErr := records.Close(); err == nil {
 		err = closeErr
@@ -76,6 +76,19 @@
 	return err
 }
 
+// followSignals drains at the first SIGTERM or SIGINT and ends at once at the
+// second, still writing the accounting lines of what has ended. The third one
+// kills, should even that hang.
+func followSignals(drain, abort func()) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	drain()
+	<-signals
+	signal.Stop(signals)
+	abort()
+}
+
 // newLog writes to standard error; standard output carries accounting alone.
 func newLog(level string) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -195,13 +195,23 @@
 }
 
 // Shutdown stops accepting, lets requests in flight finish until ctx ends, and
-// closes idle connections.
+// closes idle connections. What is in flight then is refused as "may have run",
+// and an error is returned.
 func (s *Server) Shutdown(ctx context.Context) error {
 	err := s.http.ShutdownWithContext(ctx)
 	s.cancel()
+	if err == nil {
+		return nil
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWords)
+	defer cancel()
+	_ = s.http.ShutdownWithContext(last)
 	return err
 }
 
+// lastWords is the time to tell callers that their requests are cut off.
+const lastWords = 500 * time.Millisecond
+
 // Vars returns the counters and gauges, to be published by expvar.
 func (s *Server) Vars() *expvar.Map {
 	return s.counts.vars
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,8 +86,10 @@
 // Daemon is one running instance.
 type Daemon struct {
 	*dispatcher
-	cfg      Config
+	cfg Config
+	// ctx lasts from New to the end of Run.
 	ctx      context.Context
+	abort    context.CancelFunc
 	instance *instance.Instance
 	links    *peer.Links
 	platform *platform.Client
@@ -109,7 +111,9 @@
 		platform: platform.New(platform.Config{Address: s.Platform.Address, Timeout: time.Duration(s.Platform.TimeoutMS) * time.Millisecond}),
 		store:    answers.NewStore(storeConfig(s, nil)),
 	}
+	d.ctx, d.abort = context.WithCancel(context.Background())
 	d.dispatcher = &dispatcher{
+		ctx:     d.ctx,
 		clients: upstream.New(upstream.Config{}),
 		store:   d.store,
 		records: cfg.Records,
@@ -224,29 +228,27 @@
 	d.tasks.Go(do)
 }
 
-// Run serves until ctx ends and the drain is over.
+// Run serves until ctx ends and the drain is over, or until Abort. Requests that
+// were cut off make it return ErrCutOff.
 func (d *Daemon) Run(ctx context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	d.ctx = running
-	d.dispatcher.ctx = running
 	defer d.publish()()
-	group, groupCtx := errgroup.WithContext(running)
-	group.Go(func() error { return d.links.Run(groupCtx) })
+	group, running := errgroup.WithContext(d.ctx)
+	group.Go(func() error { return d.links.Run(running) })
 	group.Go(func() error { return d.callers.Serve(d.cfg.Listeners.Callers) })
-	group.Go(func() error { return d.serveAdmin(groupCtx) })
-	group.Go(func() error { return d.tick(groupCtx) })
+	group.Go(func() error { return d.serveAdmin(running) })
+	group.Go(func() error { return d.tick(running) })
 	group.Go(func() error {
-		defer stop()
+		defer d.abort()
 		select {
 		case <-ctx.Done():
-			return d.drain(running)
-		case <-groupCtx.Done():
-			return nil
+			d.drain(running)
+		case <-running.Done():
 		}
+		return d.end()
 	})
 	err := group.Wait()
 	d.tasks.Wait()
+	d.attempts.Wait()
 	return err
 }
 
--- a/internal/daemon/dispatcher.go
+++ b/internal/daemon/dispatcher.go
@@ -37,9 +37,9 @@
 	records *accounting.Writer
 	send    func(to string, env *wire.Envelope)
 
-	mu    sync.Mutex
-	held  map[string]*held
-	group sync.WaitGroup
+	mu       sync.Mutex
+	held     map[string]*held
+	attempts sync.WaitGroup
 }
 
 // hold puts a request down before the node may start it, and reports whether its
@@ -80,7 +80,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(d.ctx)
 	h.cancel = cancel
-	d.group.Go(func() {
+	d.attempts.Go(func() {
 		defer cancel(nil)
 		err := d.run(ctx, attempt, h)
 		d.node.AttemptEnded(monotime.Now(), attempt.Seq, attempt.Number, err)
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"basilrudder/internal/monotime"
@@ -15,12 +16,15 @@
 	goodbyeWait = 100 * time.Millisecond
 )
 
-// drain ends the daemon without cutting off a request in flight. First the
-// instance announces that it leaves, so that directory answers no longer name
-// it, and goes on serving until the last answer that named it has expired. Then
-// it refuses new requests and waits for those it holds, however long they take,
-// unless the settings bound the drain.
-func (d *Daemon) drain(ctx context.Context) error {
+// ErrCutOff says that the daemon ended with requests in flight.
+var ErrCutOff = errors.New("requests in flight were cut off")
+
+// drain goes on until no request is in flight. First the instance announces that
+// it leaves, so that directory answers no longer name it, and goes on serving
+// until the last answer that named it has expired. Then it refuses new requests
+// and waits for those it holds, however long they take, unless the settings
+// bound the drain. docs/design/drain.md tells why.
+func (d *Daemon) drain(ctx context.Context) {
 	if limit := d.cfg.Settings.Limits.DrainS; limit > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(limit)*time.Second)
@@ -33,10 +37,32 @@
 	for !d.node.Drained() && ctx.Err() == nil {
 		sleep(ctx, drainPoll)
 	}
-	d.cfg.Log.Info("drained", zap.Bool("whole", d.node.Drained()))
 	d.instance.Goodbye(monotime.Now())
 	sleep(ctx, goodbyeWait)
-	return d.callers.Shutdown(ctx)
+	// Requests that this instance passes on to others are in flight here too.
+	_ = d.callers.Shutdown(ctx)
+}
+
+// end closes what is still open. After a drain that is nothing; else callers
+// are told that their requests may have run.
+func (d *Daemon) end() error {
+	d.node.Drain(monotime.Now())
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	open := d.callers.Shutdown(ended) != nil
+	d.cfg.Listeners.Close()
+	left := d.node.Status(monotime.Now()).Requests
+	d.cfg.Log.Info("ended", zap.Int("cut_off", left), zap.Bool("connections_open", open))
+	if left > 0 {
+		return errors.Wrapf(ErrCutOff, "%d", left)
+	}
+	return nil
+}
+
+// Abort ends Run at once, without a drain or in the middle of one. Callers of
+// requests in flight are told that they may have run.
+func (d *Daemon) Abort() {
+	d.abort()
 }
 
 func (d *Daemon) directoryTTL() time.Duration {
--- a/internal/trial/caller_test.go
+++ b/internal/trial/caller_test.go
@@ -44,12 +44,9 @@
 	if err := json.Unmarshal(body, &directory); err != nil {
 		w.t.Fatal(err)
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.nonces++
 	for _, instance := range directory.Instances {
 		if instance.ID == m.ID {
-			return fmt.Sprintf("%sn%d", instance.IDPrefix, w.nonces)
+			return fmt.Sprintf("%sn%d", instance.IDPrefix, w.calls.nonce())
 		}
 	}
 	w.t.Fatalf("the directory of %s does not name it", m.ID)
@@ -111,9 +108,7 @@
 func (w *world) open(m *Member, method, path, class, id, body string) *caller {
 	ctx, cancel := context.WithCancel(w.ctx)
 	c := &caller{w: w, cancel: cancel, r: &result{id: id, class: class}}
-	w.mu.Lock()
-	w.results = append(w.results, c.r)
-	w.mu.Unlock()
+	w.calls.add(c.r)
 	resp, err := w.request(ctx, m, method, path, class, id, body)
 	if err != nil {
 		cancel()
--- a/internal/trial/fleet.go
+++ b/internal/trial/fleet.go
@@ -254,6 +254,13 @@
 	f.list()
 }
 
+// Kill ends a daemon at once. The platform goes on listing it, as it does a
+// process that crashed.
+func (f *Fleet) Kill(m *Member) {
+	m.Daemon.Abort()
+	<-m.done
+}
+
 // WaitReady waits until every daemon has the newest configuration and sees all
 // the others.
 func (f *Fleet) WaitReady(ctx context.Context) error {
@@ -284,6 +291,18 @@
 	for _, m := range f.Members {
 		m.stop()
 	}
+	f.end()
+}
+
+// Abort ends the daemons at once, and the stand-ins.
+func (f *Fleet) Abort() {
+	for _, m := range f.Members {
+		m.Daemon.Abort()
+	}
+	f.end()
+}
+
+func (f *Fleet) end() {
 	for _, m := range f.Members {
 		<-m.done
 	}
--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -117,12 +117,37 @@
 	fleet   *Fleet
 	inv     *spec.Inventory
 	records *records
+	calls   *calls
+}
 
+// calls is what all callers saw.
+type calls struct {
 	mu      sync.Mutex
 	nonces  int
 	results []*result
 }
 
+func (c *calls) add(r *result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, r)
+}
+
+func (c *calls) nonce() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nonces++
+	return c.nonces
+}
+
+// sub returns the same world for callers that can be made to leave.
+func (w *world) sub() (*world, context.CancelFunc) {
+	own := *w
+	ctx, cancel := context.WithCancel(w.ctx)
+	own.ctx = ctx
+	return &own, cancel
+}
+
 // records is what the daemons wrote to standard output.
 type records struct {
 	mu  sync.Mutex
@@ -164,7 +189,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	t.Cleanup(cancel)
-	w := &world{t: t, ctx: ctx, inv: inv, records: &records{}}
+	w := &world{t: t, ctx: ctx, inv: inv, records: &records{}, calls: &calls{}}
 	var err error
 	w.fleet, err = Start(ctx, Config{
 		Inventory: inv,
@@ -176,7 +201,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		w.fleet.Close()
+		w.fleet.Abort()
 		w.compare()
 	})
 	return w
@@ -222,8 +247,8 @@
 	return out
 }
 
-// calls returns how often the application server started a request.
-func (w *world) calls(requestID string) int {
+// filed returns how often the application server started a request.
+func (w *world) filed(requestID string) int {
 	n := 0
 	for _, app := range w.fleet.Apps {
 		for _, run := range app.Runs() {
@@ -260,9 +285,9 @@
 // compare fails the test for each caller that was told something else than what
 // happened.
 func (w *world) compare() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, r := range w.results {
+	w.calls.mu.Lock()
+	defer w.calls.mu.Unlock()
+	for _, r := range w.calls.results {
 		if problem := w.contradiction(r); problem != "" {
 			w.t.Errorf("%s %s: %s (%+v)", r.class, r.id, problem, r)
 		}
@@ -274,7 +299,7 @@
 		return ""
 	}
 	runs := w.runs(r.id)
-	count := len(runs) + w.calls(r.id)
+	count := len(runs) + w.filed(r.id)
 	switch {
 	case r.verdict == "not_run" && count > 0:
 		return "the caller was told that it did not run"
