Cancelled work is accounted at once

Cause: a request whose caller left was kept as undelivered for answer_keep_s, like an answer that may still be fetched, though nothing is there to fetch. Its end was accounted only then, a crash in between made it unknown, and a drain waited for it. Ruled out: the cancel itself; the engine's record showed it within milliseconds.

--- a/internal/node/record.go
+++ b/internal/node/record.go
@@ -19,6 +19,8 @@
 	r.ended = now
 	if err != nil && err.Verdict == verdict.NotRun {
 		n.ids.Forget(r.ID)
+	}
+	if nothingToDeliver(err) {
 		n.recordEnd(now, r)
 	} else {
 		n.undelivered[r.ID] = r
@@ -27,6 +29,13 @@
 	n.eff.Finish(r.ID, err)
 }
 
+// nothingToDeliver reports whether no caller will come for the answer. Work that
+// was cancelled because its caller left has none; were it kept like an answer, a
+// drain would wait for it and a crash meanwhile would leave it unaccounted.
+func nothingToDeliver(err *verdict.Error) bool {
+	return err != nil && (err.Verdict == verdict.NotRun || err.Reason == verdict.ReasonCallerGone)
+}
+
 // Delivered tells that the end of an answer was written to its caller. Only now
 // is the request accounted: an answer that is ready and reaches nobody is waste.
 func (n *Node) Delivered(now monotime.Instant, id string) {
--- a/internal/trial/leaving_test.go
+++ b/internal/trial/leaving_test.go
@@ -49,6 +49,9 @@
 	if end := w.endOf(c.r.id); end.WastedTokens < 5 || end.Delivered || end.Reason != "caller_gone" {
 		t.Errorf("accounted as %+v", end)
 	}
+	if kept := w.member(0).Daemon.StatusNow().Node.Undelivered; kept != 0 {
+		t.Errorf("%d answers are kept for callers that will not come", kept)
+	}
 }
 
 // What the caller of a letter sees when it comes back: the whole letter, once.
