--- a/tools/fleet/fleet.go
+++ b/tools/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -278,3 +279,27 @@
 		_ = os.RemoveAll(f.dir)
 	}
 }
+
+// describe tells what each daemon believes of the others, for an error.
+func (f *fleet) describe() string {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	var out strings.Builder
+	for _, m := range f.members() {
+		status, err := f.status(ctx, m)
+		if err != nil {
+			fmt.Fprintf(&out, "%s: %v; log %.600q\n", m.id, err, m.proc().log.complaints())
+			continue
+		}
+		fmt.Fprintf(&out, "%s %s: revision %d, known %d, live", m.id, status.Incarnation, status.Config.Revision, status.Members.Known)
+		for _, live := range status.Members.Live {
+			fmt.Fprintf(&out, " %s/%s/%d/%s", live.ID, live.Incarnation, live.Epoch, live.State)
+		}
+		fmt.Fprintf(&out, "; links")
+		for _, link := range status.Links {
+			fmt.Fprintf(&out, " %s", link.ID)
+		}
+		fmt.Fprintln(&out)
+	}
+	return out.String()
+}
--- a/tools/fleet/matrix.go
+++ b/tools/fleet/matrix.go
@@ -9,7 +9,3 @@
 type fitCmd struct{}
 
 func (c *fitCmd) Run(ctx context.Context) error { return nil }
-
-type faultsCmd struct{}
-
-func (c *faultsCmd) Run(ctx context.Context) error { return nil }
