--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
 
 	"basilrudder/internal/accounting"
@@ -93,6 +94,8 @@
 	platform *platform.Client
 	callers  *callers.Server
 	store    *answers.Store
+	poll     *poller
+	orders   *orderer
 	self     reqid.Incarnation
 	tasks    sync.WaitGroup
 }
@@ -116,11 +119,16 @@
 	}
 	d.instance = instance.New(monotime.Now(), d.instanceConfig(seed), d)
 	d.node = d.instance.Node()
+	d.poll = newPoller(d.node, d.clients, &d.tasks, seed)
+	d.orders = newOrderer(d.self.Instance, d.node, d.clients, &d.tasks, cfg.Log)
+	d.orders.send = d.send
 	var err error
 	if d.links, err = peer.New(d.peerConfig()); err != nil {
 		return nil, err
 	}
-	d.callers = callers.NewServer(d.callerConfig(), &backend{self: d.self, node: d.node, work: d.dispatcher, store: d.store})
+	d.callers = callers.NewServer(d.callerConfig(), &backend{
+		self: d.self, dataCentre: s.Instance.DataCentre, node: d.node, work: d.dispatcher, store: d.store,
+	})
 	return d, nil
 }
 
@@ -225,6 +233,7 @@
 	defer stop()
 	d.ctx = running
 	d.dispatcher.ctx = running
+	defer d.publish()()
 	group, groupCtx := errgroup.WithContext(running)
 	group.Go(func() error { return d.links.Run(groupCtx) })
 	group.Go(func() error { return d.callers.Serve(d.cfg.Listeners.Callers) })
@@ -252,15 +261,20 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			d.instance.Tick(monotime.Now())
-			d.store.Expire(monotime.Now())
+			now := monotime.Now()
+			d.instance.Tick(now)
+			d.store.Expire(now)
+			d.poll.tick(ctx, now)
+			d.orders.tick(ctx, now)
 		}
 	}
 }
 
 // Envelope implements peer.Handler.
 func (d *Daemon) Envelope(from string, env *wire.Envelope) {
-	d.instance.OnEnvelope(monotime.Now(), from, env)
+	now := monotime.Now()
+	d.instance.OnEnvelope(now, from, env)
+	d.orders.onEnvelope(now, from, env)
 }
 
 // LinkUp implements peer.Handler.
@@ -291,9 +305,24 @@
 	d.later(func() { d.links.SetKeys(d.keys(cat)) })
 }
 
-// Report implements instance.Effects.
+// Report implements instance.Effects. All but an installed revision wants
+// somebody's eyes; one that was refused or that exists twice stays out of force
+// until somebody publishes again.
 func (d *Daemon) Report(event confsync.Event) {
-	d.cfg.Log.Info("configuration event", zap.Any("event", event))
+	level := zapcore.WarnLevel
+	switch event.Kind {
+	case confsync.EventInstalled:
+		level = zapcore.InfoLevel
+	case confsync.EventRefused, confsync.EventConflict, confsync.EventCorrupted:
+		level = zapcore.ErrorLevel
+	}
+	fields := []zap.Field{zap.String("kind", string(event.Kind)), zap.Uint64("revision", event.Revision),
+		zap.String("hash", event.Hash), zap.String("from", event.From)}
+	if event.Err != nil {
+		// The text alone: an error's fields in JSON lose what it wraps.
+		fields = append(fields, zap.String("error", event.Err.Error()))
+	}
+	d.cfg.Log.Log(level, "configuration event", fields...)
 }
 
 func storeConfig(s *settings.Settings, cat *catalog.Catalog) answers.StoreConfig {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -7,6 +7,7 @@
 	"basilrudder/internal/catalog"
 	"basilrudder/internal/membership"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/route"
 	"basilrudder/internal/sched"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/verdict"
@@ -48,11 +49,19 @@
 	}
 	n.owned[name] = g
 	if view := n.view.Load(); view != nil {
-		g.sched.SetShare(shareOf(view))
+		g.sched.SetShare(ShareOf(view))
 	}
 	return g
 }
 
+// Owner returns the instance that owns the group among all live members,
+// whether or not this one has a link to it; "" while no member is known.
+func (n *Node) Owner(group *catalog.Group) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return route.Owner(group, n.members)
+}
+
 func (n *Node) submitOwned(now monotime.Instant, from string, msg wire.Acquire) {
 	demand, ok := n.demandOf(now, from, msg)
 	g := n.ownedFor(now, msg.Group)
@@ -64,6 +73,7 @@
 		return
 	}
 	n.answerAll(now, g, g.sched.Submit(now, demand, nil))
+	n.tellQueued(now, from, g, demand)
 }
 
 // demandOf resolves what the message names by hash. A sender with another
@@ -74,7 +84,7 @@
 		return sched.Demand{}, false
 	}
 	class := cat.ClassByHash[uint32(msg.Class)]
-	customer := cat.CustomerByHash[uint32(msg.Customer)]
+	customer := cat.CustomerByHash[uint64(msg.Customer)]
 	if class == nil || customer == nil {
 		return sched.Demand{}, false
 	}
@@ -129,7 +139,7 @@
 	g.sched.Adopt(now, ticket(from, item.Seq), sched.Held{
 		Engine:   item.Engine,
 		Class:    cat.ClassByHash[uint32(item.Class)],
-		Customer: cat.CustomerByHash[uint32(item.Customer)],
+		Customer: cat.CustomerByHash[uint64(item.Customer)],
 		Tier:     item.Tier,
 	})
 }
@@ -269,13 +279,13 @@
 
 func (n *Node) updateShares(view *membership.View) {
 	for _, g := range n.owned {
-		g.sched.SetShare(shareOf(view))
+		g.sched.SetShare(ShareOf(view))
 	}
 }
 
-// shareOf returns how many of the known instances this part of the fleet sees.
+// ShareOf returns how many of the known instances this part of the fleet sees.
 // In a partition each part uses about that share of a server both reach.
-func shareOf(view *membership.View) (live, total int) {
+func ShareOf(view *membership.View) (live, total int) {
 	live = len(view.Live) + len(view.Leaving)
 	return live, max(view.Known, live)
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -14,6 +14,8 @@
 	// Requests held, and those of them that wait for a slot.
 	Requests int `json:"requests"`
 	Waiting  int `json:"waiting"`
+	// Undelivered answers wait for their callers.
+	Undelivered int `json:"undelivered"`
 	// IDs remembered.
 	IDs int `json:"ids"`
 	// Draining says that new requests are refused.
@@ -24,10 +26,22 @@
 	Isolated bool `json:"isolated"`
 	// Counts since the start.
 	Counts Counts `json:"counts"`
+	// Limits counts customers whose limits this node spends from and keeps.
+	Limits LimitStatus `json:"limits"`
 	// Owned groups.
 	Owned []OwnedStatus `json:"owned"`
 }
 
+// LimitStatus is what a node holds of customers' limits.
+type LimitStatus struct {
+	// Held counts customers of which it spends permits.
+	Held int `json:"held"`
+	// Home counts customers whose permits it issues.
+	Home int `json:"home"`
+	// Waiting counts requests that wait for a permit.
+	Waiting int `json:"waiting"`
+}
+
 // OwnedStatus is one owned group.
 type OwnedStatus struct {
 	// Group name.
@@ -38,17 +52,30 @@
 	Stats sched.Stats `json:"stats"`
 }
 
+// Occupancy returns the share of the requests held to those that may be held.
+func (n *Node) Occupancy() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return float64(len(n.requests)) / float64(n.cfg.Capacity)
+}
+
 // Status returns what the node believes.
 func (n *Node) Status(now monotime.Instant) Status {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
 	s := Status{
-		Requests: len(n.requests),
-		IDs:      n.ids.Len(),
-		Draining: n.draining,
-		Pauses:   n.gate.pauses,
-		Isolated: n.gate.isolated,
-		Counts:   n.counts,
+		Requests:    len(n.requests),
+		Undelivered: len(n.undelivered),
+		IDs:         n.ids.Len(),
+		Draining:    n.draining,
+		Pauses:      n.gate.pauses,
+		Isolated:    n.gate.isolated,
+		Counts:      n.counts,
+		Limits: LimitStatus{
+			Held:    n.permits.local.Len(),
+			Home:    n.permits.home.Len(),
+			Waiting: len(n.permits.waiting),
+		},
 	}
 	if cat := n.catalog.Load(); cat != nil {
 		s.Revision = cat.Revision
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basilrudder/internal/catalog"
+	"basilrudder/internal/limits"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/reqid"
 	"basilrudder/internal/route"
@@ -21,9 +22,8 @@
 // Submit admits a request and returns its number at this node. A refusal is
 // always NotRun, except for an id that was taken before or has expired.
 func (n *Node) Submit(now monotime.Instant, in Request) (uint64, *verdict.Error) {
-	n.mu.Lock()
+	n.enter(now)
 	defer n.mu.Unlock()
-	n.noticePause(now)
 	cat := n.catalog.Load()
 	if err := n.admissible(cat); err != nil {
 		n.recordRefused(now, in, err)
@@ -33,8 +33,18 @@
 		n.recordRefused(now, in, err)
 		return 0, err
 	}
+	permitted, err := n.permit(now, in.Customer)
+	if err != nil {
+		n.ids.Forget(in.ID)
+		n.recordRefused(now, in, err)
+		return 0, err
+	}
 	r := n.add(now, cat, in)
 	n.recordStart(now, r)
+	if permitted == limits.Waiting {
+		n.hold(r)
+		return r.seq, nil
+	}
 	n.acquire(now, r)
 	return r.seq, nil
 }
@@ -140,7 +150,7 @@
 		n.submitOwned(now, n.self(), msg)
 		return
 	}
-	n.eff.Send(r.owner, &wire.Envelope{Acquires: []wire.Acquire{msg}})
+	n.sendAcquire(now, r.owner, msg)
 }
 
 func (n *Node) acquireMessage(now monotime.Instant, r *request) wire.Acquire {
