--- a/cmd/basilrudderd/main.go
+++ b/cmd/basilrudderd/main.go
@@ -67,7 +67,6 @@
 	if err != nil {
 		return err
 	}
-	d.PublishVars()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	context.AfterFunc(ctx, stop)
 	err = d.Run(ctx)
--- a/tools/fleet/sample.go
+++ b/tools/fleet/sample.go
@@ -13,7 +13,9 @@
 
 // vars is what is read of /debug/vars.
 type vars struct {
-	Peer     peer.Snapshot `json:"peer"`
+	Daemons map[string]struct {
+		Links peer.Snapshot `json:"links"`
+	} `json:"basilrudder"`
 	Memstats struct {
 		HeapAlloc, HeapInuse, StackInuse, Sys, NextGC uint64
 		TotalAlloc                                    uint64
@@ -25,7 +27,8 @@
 type reading struct {
 	vars
 	usage
-	at time.Time
+	links peer.Snapshot
+	at    time.Time
 }
 
 // readAll reads every member that runs.
@@ -42,6 +45,7 @@
 			}
 			u, err := m.proc().usage()
 			r.usage = u
+			r.links = r.Daemons[m.id].Links
 			r.at = time.Now()
 			mu.Lock()
 			defer mu.Unlock()
@@ -152,13 +156,13 @@
 		a := before[id]
 		seconds := b.at.Sub(a.at).Seconds()
 		cpu.add(100 * (b.CPU - a.CPU).Seconds() / seconds)
-		bytesIn := addKinds(w.KindsIn, a.Peer.BytesIn, b.Peer.BytesIn, seconds)
-		bytesOut := addKinds(w.KindsOut, a.Peer.BytesOut, b.Peer.BytesOut, seconds)
+		bytesIn := addKinds(w.KindsIn, a.links.BytesIn, b.links.BytesIn, seconds)
+		bytesOut := addKinds(w.KindsOut, a.links.BytesOut, b.links.BytesOut, seconds)
 		in.add(bytesIn)
 		out.add(bytesOut)
 		both.add(bytesIn + bytesOut)
-		frames.add(float64(b.Peer.FramesOut-a.Peer.FramesOut) / seconds)
-		links.add(float64(b.Peer.Links))
+		frames.add(float64(b.links.FramesOut-a.links.FramesOut) / seconds)
+		links.add(float64(b.links.Links))
 		rss.add(float64(b.RSS) / megabyte)
 		peak.add(float64(b.PeakRSS) / megabyte)
 		live.add(float64(b.Memstats.NextGC) / 2 / megabyte)
