--- a/cmd/basilrudderd/main.go
+++ b/cmd/basilrudderd/main.go
@@ -66,7 +66,6 @@
 	if err != nil {
 		return err
 	}
-	d.PublishVars()
 	ctx, drain := context.WithCancel(context.Background())
 	defer drain()
 	go followSignals(drain, d.Abort)
