A silent home is unreachable, not gone

Cause: with a daemon stopped for 5.3 s, callers that asked elsewhere for its requests were told home_gone, which is final, although it woke and finished them. The fleet takes a silent member for dead after 5 s; Home made no difference between that and a process known to have ended. Ruled out: a new incarnation (none was started) and a changed configuration. Change: the view names the members that fell silent and may still run; Home says home_unreachable for them, and while nobody has been heard since a start or a pause. A relay ends on either. The fleet driver's callers come back under the same id whenever a refusal that may have run says when. Conclusion: answers are no longer given up while their home may come back.

--- a/internal/callers/relay.go
+++ b/internal/callers/relay.go
@@ -17,9 +17,6 @@
 // back with the same id.
 const homeRetry = time.Second
 
-// errHomeGone ends a relayed request whose home left the fleet meanwhile.
-var errHomeGone = errors.New("the instance that the id is bound to is gone")
-
 // relayLoop refuses a request that another instance relayed here although the
 // id is not bound to this instance either.
 func relayLoop() *verdict.Error {
@@ -96,8 +93,9 @@
 	return writer.Flush()
 }
 
-// checkHome ends the exchange when the home has left the fleet. A home that
-// died silently would otherwise hold the caller for as long as TCP takes.
+// checkHome ends the exchange when the home has left the fleet or fallen silent.
+// A home that died silently would otherwise hold the caller for as long as TCP
+// takes.
 func (r *relayed) checkHome() {
 	ticker := time.NewTicker(r.server.cfg.HomeCheck)
 	defer ticker.Stop()
@@ -107,19 +105,20 @@
 			return
 		case <-ticker.C:
 		}
-		if _, _, err := r.server.backend.Home(r.id); err != nil && err.Reason == verdict.ReasonHomeGone {
-			r.cancel(errHomeGone)
+		if _, _, err := r.server.backend.Home(r.id); err != nil {
+			r.cancel(err)
 			return
 		}
 	}
 }
 
 func (r *relayed) failure(err error) *verdict.Error {
+	var home *verdict.Error
 	switch cause := context.Cause(r.ctx); {
 	case errors.Is(cause, errCallerGone):
 		return verdict.Wrap(verdict.MayHaveRun, verdict.ReasonCallerGone, cause)
-	case errors.Is(cause, errHomeGone):
-		return verdict.Wrap(verdict.MayHaveRun, verdict.ReasonHomeGone, cause)
+	case errors.As(cause, &home):
+		return home
 	default:
 		return verdict.Wrap(verdict.MayHaveRun, verdict.ReasonHomeUnreachable, err).After(homeRetry)
 	}
--- a/internal/callers/relay_test.go
+++ b/internal/callers/relay_test.go
@@ -111,6 +111,34 @@
 	wantRefusal(t, response, http.StatusGone, verdict.MayHaveRun, verdict.ReasonHomeGone)
 }
 
+// The home is paused while the relayed request waits: its connections live and
+// bring nothing. The fleet takes it for dead, but it may wake and finish the
+// answer. So the caller is told to come back with the same id, and not that the
+// answer is lost.
+func TestHomeThatFallsSilentWhileARequestWaits(t *testing.T) {
+	waiting := make(chan struct{})
+	home := newFakeBackend(func(*Request, *answers.Log) { close(waiting) })
+	homeAddress := startServer(t, Config{}, home)
+	backend := relayTo("")
+	var silent atomic.Bool
+	backend.home = func(string) (string, bool, *verdict.Error) {
+		if silent.Load() {
+			return "", false, verdict.New(verdict.MayHaveRun, verdict.ReasonHomeUnreachable, "silent").After(time.Second)
+		}
+		return homeAddress, false, nil
+	}
+	address := startServer(t, Config{HomeCheck: time.Millisecond}, backend)
+	go func() {
+		<-waiting
+		silent.Store(true)
+	}()
+	response := send(t, "POST", address, pathChat, chatBodyWhole, HeaderClass, "letter", HeaderRequestID, "local-1")
+	refusal := wantRefusal(t, response, http.StatusServiceUnavailable, verdict.MayHaveRun, verdict.ReasonHomeUnreachable)
+	if refusal.RetryAfterMS != 1000 {
+		t.Errorf("retry after %d ms, want 1000", refusal.RetryAfterMS)
+	}
+}
+
 // The caller of a relayed request leaves. The home must learn it, since it holds
 // the work.
 func TestCallerGoneReachesTheHome(t *testing.T) {
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -10,13 +10,16 @@
 	"basilrudder/internal/answers"
 	"basilrudder/internal/callers"
 	"basilrudder/internal/catalog"
-	"basilrudder/internal/membership"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/node"
 	"basilrudder/internal/reqid"
 	"basilrudder/internal/verdict"
 )
 
+// homeRetry is when a caller whose request's home can't be reached should ask
+// again.
+const homeRetry = time.Second
+
 // backend serves the caller interface from the node.
 type backend struct {
 	self       reqid.Incarnation
@@ -143,18 +146,27 @@
 	if parsed.Incarnation == b.self {
 		return "", true, nil
 	}
-	member, ok := b.member(parsed.Instance)
-	if !ok || member.Incarnation != parsed.Token {
+	view := b.node.View()
+	if view == nil {
+		return "", false, homeUnreachable()
+	}
+	member, ok := view.Find(parsed.Instance)
+	switch {
+	case ok && member.Incarnation == parsed.Token:
+		return member.CallerAddress, false, nil
+	// "Gone" is final for the caller, who then takes the answer for lost. So it
+	// is said only of a process known to have ended: not of one that fell
+	// silent and may be paused or behind a partition, and not by an instance
+	// that has just started or woken and has not heard of the fleet yet.
+	case !view.Confirmed, view.IsMissing(parsed.Instance, parsed.Token):
+		return "", false, homeUnreachable()
+	default:
 		return "", false, verdict.New(verdict.MayHaveRun, verdict.ReasonHomeGone,
 			"the process that the request id is bound to is gone")
 	}
-	return member.CallerAddress, false, nil
 }
 
-func (b *backend) member(id string) (membership.Member, bool) {
-	view := b.node.View()
-	if view == nil {
-		return membership.Member{}, false
-	}
-	return view.Find(id)
+func homeUnreachable() *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonHomeUnreachable,
+		"the process that the request id is bound to can't be reached now").After(homeRetry)
 }
--- /dev/null
+++ b/internal/daemon/backend_test.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"testing"
+
+	"basilrudder/internal/membership"
+	"basilrudder/internal/node"
+	"basilrudder/internal/reqid"
+	"basilrudder/internal/verdict"
+)
+
+// A caller asks another instance for the answer of a request whose home sleeps
+// or stands beyond a partition. Told that the home is gone, it would take the
+// answer for lost, while the home wakes and finishes it. Only a process known
+// to have ended is gone: a newer one has its place, or the fleet, heard since
+// the start, does not know it.
+func TestHomeIsGoneOnlyWhenItHasEnded(t *testing.T) {
+	member := func(id, incarnation string) membership.Member {
+		return membership.Member{ID: id, Incarnation: incarnation, CallerAddress: "127.0.0.1:1"}
+	}
+	for _, test := range []struct {
+		name string
+		id   string
+		view *membership.View
+		want verdict.Reason
+	}{
+		{"no view yet", "b:1:zz:n", nil, verdict.ReasonHomeUnreachable},
+		{"nobody heard since the start", "b:1:zz:n", &membership.View{}, verdict.ReasonHomeUnreachable},
+		{"alive", "b:1:zz:n", &membership.View{Confirmed: true, Live: []membership.Member{member("b", "1")}}, ""},
+		{"leaving", "b:1:zz:n", &membership.View{Confirmed: true, Leaving: []membership.Member{member("b", "1")}}, ""},
+		{"silent", "b:1:zz:n", &membership.View{Confirmed: true, Missing: []membership.Member{member("b", "1")}}, verdict.ReasonHomeUnreachable},
+		{"an older process, the newer silent", "b:1:zz:n", &membership.View{Confirmed: true, Missing: []membership.Member{member("b", "2")}}, verdict.ReasonHomeGone},
+		{"replaced", "b:1:zz:n", &membership.View{Confirmed: true, Live: []membership.Member{member("b", "2")}}, verdict.ReasonHomeGone},
+		{"unknown", "c:1:zz:n", &membership.View{Confirmed: true, Live: []membership.Member{member("b", "1")}}, verdict.ReasonHomeGone},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			self := reqid.Incarnation{Instance: "a", Token: "1"}
+			n := node.New(node.Config{Self: self}, nil)
+			if test.view != nil {
+				n.SetView(1, test.view)
+			}
+			b := &backend{self: self, node: n}
+			_, local, err := b.Home(test.id)
+			got := verdict.Reason("")
+			if err != nil {
+				got = err.Reason
+			}
+			if got != test.want || local {
+				t.Errorf("reason %q, local %v; want %q", got, local, test.want)
+			}
+			if err != nil && err.Verdict != verdict.MayHaveRun {
+				t.Errorf("verdict %v", err.Verdict)
+			}
+		})
+	}
+}
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -239,13 +239,13 @@
 		if e.State.present() {
 			v.place(e.Member, e.left || e.listedLeaving)
 		} else if e.counted() {
-			v.Known++
+			v.Missing = append(v.Missing, e.Member)
 		}
 	}
 	if !selfPlaced {
 		v.place(c.self, c.self.State == Leaving)
 	}
-	v.Known += len(v.Live) + c.unseen()
+	v.Known = len(v.Live) + len(v.Missing) + c.unseen()
 	c.view = v
 	return v
 }
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -144,6 +144,9 @@
 	Live []Member
 	// Leaving holds the members that finish what they hold, by ID.
 	Leaving []Member
+	// Missing holds the members that fell silent and may still run, paused or
+	// in another part of the fleet, by ID.
+	Missing []Member
 	// Known counts the live members and those that are out of reach but
 	// believed to run in another part of the fleet.
 	Known int
@@ -162,6 +165,12 @@
 	return Member{}, false
 }
 
+// IsMissing reports whether the incarnation fell silent and may still run.
+func (v *View) IsMissing(id, incarnation string) bool {
+	i, found := slices.BinarySearchFunc(v.Missing, id, compareID)
+	return found && v.Missing[i].Incarnation == incarnation
+}
+
 func compareID(m Member, id string) int {
 	switch {
 	case m.ID < id:
--- a/tools/fleet/requests.go
+++ b/tools/fleet/requests.go
@@ -96,8 +96,8 @@
 		case answerRefused:
 			s.why = fmt.Sprintf("%s, %s: %s", a.refusal.Verdict, a.refusal.Reason, a.refusal.Message)
 			out.kind, out.verdict, out.reason = answerRefused, a.refusal.Verdict, a.refusal.Reason
+			_ = sleep(ctx, pauseAfter(a.refusal))
 			if final(a.refusal) {
-				_ = sleep(ctx, pauseAfter(a.refusal))
 				return out
 			}
 		}
@@ -111,7 +111,7 @@
 	if refusal.Verdict == callerapi.VerdictNotRun {
 		return true
 	}
-	return refusal.Reason != "home_unreachable" && refusal.Reason != "draining"
+	return refusal.RetryAfterMS == 0
 }
 
 func pauseAfter(refusal callerapi.RefusalError) time.Duration {
