--- a/tools/fleet/faults.go
+++ b/tools/fleet/faults.go
@@ -22,6 +22,7 @@
 	Rate      float64       `default:"60" help:"Requests per second over the fleet."`
 	StepMS    float64       `name:"step-ms" default:"20" help:"Time between tokens in milliseconds."`
 	Tokens    int           `default:"150" help:"Longest answer in tokens."`
+	Servers   int           `default:"42" help:"Model servers, at least 6."`
 	TTL       int           `name:"ttl" default:"2" help:"Time a directory answer may be used, in seconds."`
 	For       time.Duration `default:"30s" help:"Length of the scenarios that kill and stop daemons."`
 	Seed      uint64        `default:"1" help:"Seed of the load and of the victims."`
@@ -78,7 +79,7 @@
 // Run runs the scenarios and fails when callers were told what is not so.
 func (c *faultsCmd) Run(ctx context.Context) error {
 	f, err := startFleet(ctx, fleetConfig{
-		Shape:   shape{Customers: 20, Servers: models * dataCentres, StepMS: c.StepMS, Rate: c.Rate, TTL: c.TTL},
+		Shape:   shape{Customers: 20, Servers: c.Servers, StepMS: c.StepMS, Rate: c.Rate, TTL: c.TTL},
 		Daemons: c.Daemons, Procs: 2, Accounting: io.Discard,
 	})
 	defer f.close()
--- a/tools/fleet/inventory.go
+++ b/tools/fleet/inventory.go
@@ -21,6 +21,7 @@
 	tiers            = 7
 	customersPerPart = 250
 	serversPerPart   = 25
+	modelVersion     = "1"
 	limitFactor      = 20
 	minLimit         = 50
 )
@@ -47,6 +48,11 @@
 	TTL int `json:"directory_ttl_s"`
 }
 
+// servedModels returns how many of the models some server holds.
+func (s shape) servedModels() int {
+	return min(models, (s.Servers+dataCentres-1)/dataCentres)
+}
+
 func customerName(i int) string {
 	return fmt.Sprintf("customer-%05d", i)
 }
@@ -77,7 +83,7 @@
 		inv.Tiers = append(inv.Tiers, inventory.Tier{Tier: i, Name: fmt.Sprintf("tier-%d", i)})
 	}
 	for i := range models {
-		inv.Models = append(inv.Models, inventory.Model{Name: modelName(i), Version: "1"})
+		inv.Models = append(inv.Models, inventory.Model{Name: modelName(i), Version: modelVersion})
 		inv.Classes = append(inv.Classes, modelClass(className(classStream, i), i, true), modelClass(className(classLetter, i), i, false))
 	}
 	inv.Classes = append(inv.Classes, serviceClass(classService, true), serviceClass(classOnce, false))
--- a/tools/fleet/load.go
+++ b/tools/fleet/load.go
@@ -33,6 +33,8 @@
 	Tokens int `json:"tokens"`
 	// Customers to draw from.
 	Customers int `json:"customers"`
+	// Models to draw from: a small inventory serves only some.
+	Models int `json:"models"`
 }
 
 // loadResult is what the callers saw.
@@ -99,7 +101,7 @@
 		case <-time.After(wait):
 		}
 		customer := customerName(rng.IntN(r.load.Customers))
-		model := rng.IntN(models)
+		model := rng.IntN(r.load.Models)
 		isService := rng.Float64() < serviceShare
 		group.Go(func() { r.call(ctx, m, customer, model, isService) })
 	}
--- a/tools/fleet/measure.go
+++ b/tools/fleet/measure.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"runtime"
 	"slices"
@@ -18,9 +19,10 @@
 const (
 	readyTimeout  = 90 * time.Second
 	noticeTimeout = 40 * time.Second
-	settle        = 4 * time.Second
-	changes       = 5
-	changeEvery   = 3 * time.Second
+	settle        = 3 * time.Second
+	changes       = 4
+	changeEvery   = 2500 * time.Millisecond
+	changeTimeout = 15 * time.Second
 )
 
 // measureCmd measures one fleet.
@@ -188,7 +190,7 @@
 
 // loaded measures under load once the streams of the first requests have ended.
 func (c *measureCmd) loaded(ctx context.Context, f *fleet, out *measurement) error {
-	out.Load = steadyLoad{PerDaemon: c.Rate, Tokens: c.Tokens, Customers: c.Customers}
+	out.Load = steadyLoad{PerDaemon: c.Rate, Tokens: c.Tokens, Customers: c.Customers, Models: out.Shape.servedModels()}
 	stop := make(chan struct{})
 	done := make(chan loadResult, 1)
 	members := f.members()
@@ -240,18 +242,31 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := sleep(ctx, changeEvery); err != nil {
-		return nil, err
+	for wait := changeEvery; ; wait = pollInterval {
+		if err := sleep(ctx, wait); err != nil {
+			return nil, err
+		}
+		times := timesInForce(members, revision, begin)
+		if len(times) == len(members) {
+			return times, nil
+		}
+		if time.Since(begin) > changeTimeout {
+			return nil, errors.Errorf("%d of %d daemons have revision %d in force after %v",
+				len(times), len(members), revision, changeTimeout)
+		}
 	}
+}
+
+// timesInForce returns, for each member that has a revision in force, how long
+// after its publication that was, in milliseconds.
+func timesInForce(members []*member, revision int, published time.Time) []float64 {
 	times := make([]float64, 0, len(members))
 	for _, m := range members {
-		at, ok := m.proc().log.inForceAt(revision)
-		if !ok {
-			return nil, errors.Errorf("%s did not have revision %d in force after %v", m.id, revision, changeEvery)
+		if at, ok := m.proc().log.inForceAt(revision); ok {
+			times = append(times, float64(at.Sub(published))/float64(time.Millisecond))
 		}
-		times = append(times, float64(at.Sub(begin))/float64(time.Millisecond))
 	}
-	return times, nil
+	return times
 }
 
 // notice measures how long the others take to see a daemon die, come back, fall
@@ -302,15 +317,15 @@
 	}
 }
 
-func printHeader(out *os.File) {
-	fmt.Fprintln(out, "daemons customers servers | ready s | idle: CPU %  B/s in+out  RSS MB  live MB  calls/s | loaded: CPU %  B/s | change: last ms  CPU ms  bytes | killed s  stopped s | load")
+func printHeader(out io.Writer) {
+	fmt.Fprintln(out, "daemons customers servers  req/s tokens | ready s | idle: CPU %  B/s  RSS MB  live MB | loaded: CPU %  links B/s  engines B/s | change: last ms  CPU ms  bytes | killed s  stopped s | load")
 }
 
-func (m *measurement) print(out *os.File) {
-	fmt.Fprintf(out, "%7d %9d %7d | %7.2f | %11.2f %11.0f %7.1f %8.1f %8.1f | %13.2f %6.0f | %15.0f %7.1f %6.0f | %8.2f %10.2f | %.1f\n",
-		m.Daemons, m.Shape.Customers, m.Shape.Servers, m.ReadyS,
-		m.Idle.CPU.Mean, m.Idle.Bytes.Mean, m.Idle.RSS.Mean, m.Idle.LiveHeap.Mean, m.Idle.PlatformCallsPerS,
-		m.Loaded.CPU.Mean, m.Loaded.Bytes.Mean,
+func (m *measurement) print(out io.Writer) {
+	fmt.Fprintf(out, "%7d %9d %7d %6.1f %6d | %7.2f | %11.2f %4.0f %7.1f %8.1f | %13.2f %10.0f %12.0f | %15.0f %7.1f %6.0f | %8.2f %10.2f | %.1f\n",
+		m.Daemons, m.Shape.Customers, m.Shape.Servers, m.Load.PerDaemon, m.Load.Tokens, m.ReadyS,
+		m.Idle.CPU.Mean, m.Idle.Control.Mean, m.Idle.RSS.Mean, m.Idle.LiveHeap.Mean,
+		m.Loaded.CPU.Mean, m.Loaded.Bytes.Mean, m.Loaded.EngineBytes.Mean,
 		slices.Max(m.Changes.LastMS), m.Changes.CPUMSPerChange, m.Changes.BytesPerChange,
-		m.Notice.KilledS, m.Notice.StoppedS, m.StartLoad)
+		m.Notice.KilledS, m.Notice.StoppedS, m.Loaded.LoadAverage)
 }
--- a/tools/fleet/sample.go
+++ b/tools/fleet/sample.go
@@ -9,12 +9,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"basilrudder/internal/peer"
+	"basilrudder/internal/upstream"
 )
 
 // vars is what is read of /debug/vars.
 type vars struct {
 	Daemons map[string]struct {
-		Links peer.Snapshot `json:"links"`
+		Links    peer.Snapshot                 `json:"links"`
+		Upstream map[string]upstream.CallStats `json:"upstream"`
 	} `json:"basilrudder"`
 	Memstats struct {
 		HeapAlloc, HeapInuse, StackInuse, Sys, NextGC uint64
@@ -27,8 +29,9 @@
 type reading struct {
 	vars
 	usage
-	links peer.Snapshot
-	at    time.Time
+	links    peer.Snapshot
+	upstream map[string]upstream.CallStats
+	at       time.Time
 }
 
 // readAll reads every member that runs.
@@ -46,6 +49,7 @@
 			u, err := m.proc().usage()
 			r.usage = u
 			r.links = r.Daemons[m.id].Links
+			r.upstream = r.Daemons[m.id].Upstream
 			r.at = time.Now()
 			mu.Lock()
 			defer mu.Unlock()
@@ -90,11 +94,17 @@
 	Seconds float64 `json:"seconds"`
 	// CPU in percent of a core.
 	CPU spread `json:"cpu_percent"`
-	// BytesIn and BytesOut per second over the links, and both added, which the
-	// budget of 6 KB/s is compared with.
+	// BytesIn and BytesOut per second over the links, and both added.
 	BytesIn  spread `json:"bytes_in_per_s"`
 	BytesOut spread `json:"bytes_out_per_s"`
 	Bytes    spread `json:"bytes_per_s"`
+	// EngineBytes per second, in and out, of questions and orders to engines.
+	EngineBytes spread `json:"engine_bytes_per_s"`
+	// EngineKinds are means by kind of call, bytes per second in and out.
+	EngineKinds map[string]float64 `json:"engine_kinds_bytes_per_s"`
+	// Control is Bytes and EngineBytes added, which the budget of 6 KB/s is
+	// compared with.
+	Control spread `json:"control_bytes_per_s"`
 	// KindsIn and KindsOut are means by kind of message, bytes per second.
 	KindsIn  map[string]float64 `json:"kinds_in_bytes_per_s"`
 	KindsOut map[string]float64 `json:"kinds_out_bytes_per_s"`
@@ -151,7 +161,11 @@
 
 func difference(before, after map[string]reading) window {
 	var cpu, in, out, both, frames, links, rss, peak, live, stacks, allocated column
-	w := window{KindsIn: make(map[string]float64), KindsOut: make(map[string]float64)}
+	var engines, control column
+	w := window{
+		KindsIn: make(map[string]float64), KindsOut: make(map[string]float64),
+		EngineKinds: make(map[string]float64),
+	}
 	for id, b := range after {
 		a := before[id]
 		seconds := b.at.Sub(a.at).Seconds()
@@ -161,6 +175,9 @@
 		in.add(bytesIn)
 		out.add(bytesOut)
 		both.add(bytesIn + bytesOut)
+		engineBytes := addCalls(w.EngineKinds, a.upstream, b.upstream, seconds)
+		engines.add(engineBytes)
+		control.add(bytesIn + bytesOut + engineBytes)
 		frames.add(float64(b.links.FramesOut-a.links.FramesOut) / seconds)
 		links.add(float64(b.links.Links))
 		rss.add(float64(b.RSS) / megabyte)
@@ -169,12 +186,12 @@
 		stacks.add(float64(b.Memstats.StackInuse) / megabyte)
 		allocated.add(float64(b.Memstats.TotalAlloc-a.Memstats.TotalAlloc) / megabyte / seconds)
 	}
-	for kind := range w.KindsIn {
-		w.KindsIn[kind] /= float64(len(after))
-	}
-	for kind := range w.KindsOut {
-		w.KindsOut[kind] /= float64(len(after))
+	for _, sums := range []map[string]float64{w.KindsIn, w.KindsOut, w.EngineKinds} {
+		for kind := range sums {
+			sums[kind] /= float64(len(after))
+		}
 	}
+	w.EngineBytes, w.Control = spreadOf(engines), spreadOf(control)
 	w.CPU, w.BytesIn, w.BytesOut, w.Bytes = spreadOf(cpu), spreadOf(in), spreadOf(out), spreadOf(both)
 	w.FramesOut, w.Links = spreadOf(frames), spreadOf(links)
 	w.RSS, w.PeakRSS, w.LiveHeap = spreadOf(rss), spreadOf(peak), spreadOf(live)
@@ -192,3 +209,27 @@
 	}
 	return total
 }
+
+// requestCalls are the kinds of calls that carry requests; all others are
+// control traffic.
+var requestCalls = map[string]bool{
+	upstream.KindGenerate.String(): true,
+	upstream.KindResume.String():   true,
+	upstream.KindService.String():  true,
+}
+
+// addCalls adds the rate of each kind of control call to sums and returns the
+// rate of all.
+func addCalls(sums map[string]float64, before, after map[string]upstream.CallStats, seconds float64) float64 {
+	var total float64
+	for kind, b := range after {
+		if requestCalls[kind] {
+			continue
+		}
+		a := before[kind]
+		rate := float64(b.BytesIn+b.BytesOut-a.BytesIn-a.BytesOut) / seconds
+		sums[kind] += rate
+		total += rate
+	}
+	return total
+}
--- a/tools/fleet/standins.go
+++ b/tools/fleet/standins.go
@@ -72,6 +72,14 @@
 	}
 	cfg := trial.EngineConfig(spec)
 	cfg.Heartbeat = heartbeat
+	// Engines hold their models before the start, as a running deployment's do:
+	// the first load of all of them from the weight store is not what is
+	// measured.
+	for i := range cfg.Engines {
+		for _, model := range spec.Engines[i].Models {
+			cfg.Engines[i].Models = append(cfg.Engines[i].Models, model+"@"+modelVersion)
+		}
+	}
 	server := engine.New(cfg)
 	s.engines[spec.Name] = server
 	s.group.Go(func() error { return server.Serve(ln) })
