--- a/tools/fleet/load.go
+++ b/tools/fleet/load.go
@@ -61,15 +61,15 @@
 
 // run sends the load until stop is closed, waits for the answers, and returns
 // what the callers saw.
-func (l steadyLoad) run(ctx context.Context, members []*member, stop <-chan struct{}) loadResult {
+func (l steadyLoad) run(ctx context.Context, addresses []string, stop <-chan struct{}) loadResult {
 	r := &loadRun{
 		load:   l,
 		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: connectionsKept}},
 		first:  hdrhistogram.New(1, longestLatency, latencyDigits),
 	}
 	var group sync.WaitGroup
-	for i, m := range members {
-		group.Go(func() { r.feed(ctx, m, rand.New(rand.NewPCG(1, uint64(i))), stop) })
+	for i, address := range addresses {
+		group.Go(func() { r.feed(ctx, address, rand.New(rand.NewPCG(1, uint64(i))), stop) })
 	}
 	group.Wait()
 	r.client.CloseIdleConnections()
@@ -88,10 +88,10 @@
 }
 
 // feed sends to one daemon with exponential gaps.
-func (r *loadRun) feed(ctx context.Context, m *member, rng *rand.Rand, stop <-chan struct{}) {
+func (r *loadRun) feed(ctx context.Context, address string, rng *rand.Rand, stop <-chan struct{}) {
 	var group sync.WaitGroup
 	defer group.Wait()
-	for {
+	for r.load.PerDaemon > 0 {
 		wait := time.Duration(rng.ExpFloat64() / r.load.PerDaemon * float64(time.Second))
 		select {
 		case <-stop:
@@ -103,13 +103,13 @@
 		customer := customerName(rng.IntN(r.load.Customers))
 		model := rng.IntN(r.load.Models)
 		isService := rng.Float64() < serviceShare
-		group.Go(func() { r.call(ctx, m, customer, model, isService) })
+		group.Go(func() { r.call(ctx, address, customer, model, isService) })
 	}
 }
 
-func (r *loadRun) call(ctx context.Context, m *member, customer string, model int, isService bool) {
+func (r *loadRun) call(ctx context.Context, address, customer string, model int, isService bool) {
 	r.sent.Add(1)
-	req, err := r.request(ctx, m, customer, model, isService)
+	req, err := r.request(ctx, address, customer, model, isService)
 	if err != nil {
 		r.failed.Add(1)
 		return
@@ -135,13 +135,13 @@
 	}
 }
 
-func (r *loadRun) request(ctx context.Context, m *member, customer string, model int, isService bool) (*http.Request, error) {
+func (r *loadRun) request(ctx context.Context, address, customer string, model int, isService bool) (*http.Request, error) {
 	class := className(classStream, model)
-	url := "http://" + m.address(callersPort) + "/v1/chat/completions"
+	url := "http://" + address + "/v1/chat/completions"
 	body := fmt.Sprintf(`{"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"measure"}]}`, r.load.Tokens)
 	if isService {
 		class = classService
-		url = "http://" + m.address(callersPort) + "/v1/services/" + serviceName + "/measure"
+		url = "http://" + address + "/v1/services/" + serviceName + "/measure"
 		body = ""
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
--- a/tools/fleet/main.go
+++ b/tools/fleet/main.go
@@ -17,6 +17,7 @@
 type commands struct {
 	Measure measureCmd `cmd:"" help:"Measure one fleet."`
 	Matrix  matrixCmd  `cmd:"" help:"Measure the fleets from which the slopes are fitted."`
+	Profile profileCmd `cmd:"" help:"Tell which part of the daemons' CPU time is control."`
 	Fit     fitCmd     `cmd:"" help:"Fit slopes to measured fleets and extrapolate."`
 	Faults  faultsCmd  `cmd:"" help:"Stop, kill and replace daemons under load, and compare what callers were told with what ran."`
 }
--- a/tools/fleet/measure.go
+++ b/tools/fleet/measure.go
@@ -194,7 +194,11 @@
 	stop := make(chan struct{})
 	done := make(chan loadResult, 1)
 	members := f.members()
-	go func() { done <- out.Load.run(ctx, members, stop) }()
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		addresses = append(addresses, m.address(callersPort))
+	}
+	go func() { done <- out.Load.run(ctx, addresses, stop) }()
 	warmUp := time.Duration(float64(c.Tokens)*c.StepMS)*time.Millisecond + time.Second
 	err := sleep(ctx, warmUp)
 	if err == nil {
