--- a/tools/fleet/fit.go
+++ b/tools/fleet/fit.go
@@ -152,6 +152,11 @@
 		{"platform calls of a change, all", "", byDaemons, func(m *measurement) float64 { return m.Changes.PlatformCallsPerChange }},
 		{"killed daemon noticed by all", "s", byDaemons, func(m *measurement) float64 { return m.Notice.KilledS }},
 		{"silent daemon noticed by all", "s", byDaemons, func(m *measurement) float64 { return m.Notice.StoppedS }},
+		{"bytes of a death", "B", byDaemons, func(m *measurement) float64 { return m.Notice.KilledBytes }},
+		{"published inventory", "B", byCustomers, func(m *measurement) float64 { return float64(m.PublishedBytes) }},
+		{"published inventory", "B", byServers, func(m *measurement) float64 { return float64(m.PublishedBytes) }},
+		{"platform calls of a start, all", "", byDaemons, func(m *measurement) float64 { return float64(m.StartCalls) }},
+		{"platform calls of a start, all", "", byCustomers, func(m *measurement) float64 { return float64(m.StartCalls) }},
 		{"start of all until ready", "s", byDaemons, func(m *measurement) float64 { return m.ReadyS }},
 		{"start of all until ready", "s", byCustomers, func(m *measurement) float64 { return m.ReadyS }},
 	}
--- a/tools/fleet/measure.go
+++ b/tools/fleet/measure.go
@@ -50,6 +50,10 @@
 	// ReadyS is the time from the first start until every daemon had the
 	// configuration and saw all the others.
 	ReadyS float64 `json:"ready_s"`
+	// StartCalls counts the calls of all daemons to the platform until then.
+	StartCalls int `json:"start_platform_calls"`
+	// PublishedBytes is the size of the whole inventory as published.
+	PublishedBytes int `json:"published_bytes"`
 	// Idle is without requests, Loaded under Load, Changed while Changes are
 	// published, with no requests.
 	Idle    window        `json:"idle"`
@@ -83,6 +87,9 @@
 	RestartS  float64 `json:"restarted_seen_s"`
 	StoppedS  float64 `json:"stopped_s"`
 	ReturnedS float64 `json:"returned_seen_s"`
+	// KilledBytes are those of each other daemon's links for a death, in and out,
+	// above the idle ones: news, new links and tables compared.
+	KilledBytes float64 `json:"killed_bytes"`
 }
 
 // Run measures and prints one line.
@@ -172,6 +179,10 @@
 		return err
 	}
 	out.ReadyS = took.Seconds()
+	out.StartCalls = f.standins.platform.Calls().Total()
+	if out.PublishedBytes, err = f.standins.published(); err != nil {
+		return err
+	}
 	if err := sleep(ctx, settle); err != nil {
 		return err
 	}
@@ -185,7 +196,10 @@
 	if err := c.loaded(ctx, f, out); err != nil {
 		return errors.Wrap(err, "load")
 	}
-	return wrap(notice(ctx, f, &out.Notice), "notice")
+	if err := notice(ctx, f, &out.Notice); err != nil {
+		return errors.Wrap(err, "notice")
+	}
+	return wrap(c.death(ctx, f, out), "death")
 }
 
 // loaded measures under load once the streams of the first requests have ended.
@@ -312,6 +326,22 @@
 	return nil
 }
 
+// death measures what a death costs the others.
+func (c *measureCmd) death(ctx context.Context, f *fleet, out *measurement) error {
+	// The restart that went before is still talked of for a while.
+	if err := sleep(ctx, settle); err != nil {
+		return err
+	}
+	members := f.members()
+	victim, others := members[len(members)-1], members[:len(members)-1]
+	w, err := f.observe(ctx, others, func() error {
+		victim.proc().kill()
+		return sleep(ctx, c.Window)
+	})
+	out.Notice.KilledBytes = (w.Bytes.Mean - out.Idle.Bytes.Mean) * w.Seconds
+	return err
+}
+
 func sleep(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
--- a/tools/fleet/standins.go
+++ b/tools/fleet/standins.go
@@ -95,6 +95,16 @@
 	return s.platform.Publish(files)
 }
 
+// published returns the size of the inventory as published.
+func (s *standins) published() (int, error) {
+	files, err := values(s.inventory)
+	size := 0
+	for _, file := range files {
+		size += len(file.Data)
+	}
+	return size, err
+}
+
 func (s *standins) close() {
 	for _, server := range s.engines {
 		server.Close()
