A new owner of a group takes over with care

Printing the books at each refusal showed groups of 96 slots with up to 162 held: the new owner filled slots that were in use but not told of yet, and those kept free for the top tier. Ruled out: the wait predicted for the top tier (refusals were for waits that had run out, not early ones).

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -132,7 +132,9 @@
 		result.FirstToken = first.Sub(r.started)
 	}
 	r.charged = tokens
-	if outcome != sched.Finished {
+	if outcome == sched.Finished {
+		n.measures.Learn(r.Class, tokens, now.Sub(r.started))
+	} else {
 		r.wasted += tokens
 	}
 	n.release(now, n.ownerOf(r.group), r.group.Name, r.seq, result)
--- a/internal/node/expire.go
+++ b/internal/node/expire.go
@@ -46,7 +46,7 @@
 // renewMoved tells a new owner at once what runs in its group, so that it does
 // not hand out slots that are in use.
 func (n *Node) renewMoved(now monotime.Instant) {
-	n.renew(now, movedItem, func(r *request) bool { return n.ownerOf(r.group) != r.owner })
+	n.renew(now, n.movedItem, func(r *request) bool { return n.ownerOf(r.group) != r.owner })
 }
 
 type renewalKey struct {
@@ -60,12 +60,13 @@
 }
 
 // movedItem is what a new owner needs to take the slot into its books.
-func movedItem(r *request, tokens int) wire.ProgressItem {
+func (n *Node) movedItem(r *request, tokens int) wire.ProgressItem {
 	item := renewedItem(r, tokens)
 	item.Engine = r.engine.ID
 	item.Class = int(r.Class.Hash)
 	item.Customer = int(r.Customer.Hash)
 	item.Tier = r.tier
+	item.HoldMS = n.holdMS(r)
 	return item
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,14 +97,17 @@
 	owned       map[string]*ownedGroup
 	down        map[string]monotime.Instant
 	owners      map[string]*ownerTalk
-	budget      retryBudget
-	gate        gate
-	permits     permits
-	draining    bool
-	cutOff      bool
-	lastTick    monotime.Instant
-	renewed     monotime.Instant
-	counts      Counts
+	measures    *sched.Measures
+	// idle names groups of this node that were dropped because nobody used them.
+	idle     map[string]bool
+	budget   retryBudget
+	gate     gate
+	permits  permits
+	draining bool
+	cutOff   bool
+	lastTick monotime.Instant
+	renewed  monotime.Instant
+	counts   Counts
 
 	pending   []pendingDecision
 	answering bool
@@ -130,6 +133,8 @@
 		owned:       make(map[string]*ownedGroup),
 		down:        make(map[string]monotime.Instant),
 		owners:      make(map[string]*ownerTalk),
+		idle:        make(map[string]bool),
+		measures:    sched.NewMeasures(),
 		budget:      retryBudget{tokens: retryBurst},
 		permits:     newPermits(),
 	}
@@ -177,6 +182,7 @@
 	defer n.mu.Unlock()
 	old := n.view.Swap(view)
 	n.members = routeMembers(view)
+	n.noteLost()
 	n.dropGoneHolders(now, old, view)
 	n.updateShares(view)
 	n.setPermitMembers(now, view)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -16,12 +16,20 @@
 // idleGroupAfter is how long an owned group without requests is kept.
 const idleGroupAfter = time.Minute
 
+const (
+	// ownerWarmUp covers the time until every holder has heard of the change and
+	// told what it holds.
+	ownerWarmUp = 400 * time.Millisecond
+)
+
 // ownedGroup is a scheduling group that this instance runs. It is soft state:
 // a new owner starts empty and learns from the holders' renewals what runs.
 type ownedGroup struct {
 	name  string
 	sched *sched.Group
 	used  monotime.Instant
+	// lost says that another instance has owned the group since.
+	lost bool
 }
 
 // pendingDecision is a decision of an owned group on its way to the holder.
@@ -36,6 +44,7 @@
 func (n *Node) ownedFor(now monotime.Instant, name string) *ownedGroup {
 	if g := n.owned[name]; g != nil {
 		g.used = now
+		n.warmAgain(now, g)
 		return g
 	}
 	cat := n.catalog.Load()
@@ -47,6 +56,11 @@
 		sched: sched.New(now, cat.Groups[name], cat, n.cfg.Policy, n.rng.Uint64()),
 		used:  now,
 	}
+	g.sched.SetMeasures(n.measures)
+	if !n.idle[name] {
+		g.sched.Warm(now.Add(ownerWarmUp))
+	}
+	delete(n.idle, name)
 	n.owned[name] = g
 	if view := n.view.Load(); view != nil {
 		g.sched.SetShare(ShareOf(view))
@@ -62,6 +76,29 @@
 	return route.Owner(group, n.members)
 }
 
+// noteLost marks the groups that another instance owns now; groups that were
+// dropped while nobody used them may have had another owner meanwhile.
+func (n *Node) noteLost() {
+	clear(n.idle)
+	cat := n.catalog.Load()
+	if cat == nil {
+		return
+	}
+	for name, g := range n.owned {
+		g.lost = g.lost || n.ownerOf(cat.Groups[name]) != n.self()
+	}
+}
+
+// warmAgain lets a group that comes back to this instance start carefully: its
+// books are those of before.
+func (n *Node) warmAgain(now monotime.Instant, g *ownedGroup) {
+	group := n.catalog.Load().Groups[g.name]
+	if g.lost && group != nil && n.ownerOf(group) == n.self() {
+		g.lost = false
+		g.sched.Warm(now.Add(ownerWarmUp))
+	}
+}
+
 func (n *Node) submitOwned(now monotime.Instant, from string, msg wire.Acquire) {
 	demand, ok := n.demandOf(now, from, msg)
 	g := n.ownedFor(now, msg.Group)
@@ -99,6 +136,7 @@
 		EndBy:        dueAt(now, msg.EndBudgetMS),
 		Target:       class.Target,
 		Avoid:        msg.Avoid,
+		ExpectedHold: milliseconds(msg.HoldMS),
 	}, true
 }
 
@@ -137,10 +175,11 @@
 	}
 	cat := n.catalog.Load()
 	g.sched.Adopt(now, ticket(from, item.Seq), sched.Held{
-		Engine:   item.Engine,
-		Class:    cat.ClassByHash[uint32(item.Class)],
-		Customer: cat.CustomerByHash[uint64(item.Customer)],
-		Tier:     item.Tier,
+		Engine:       item.Engine,
+		Class:        cat.ClassByHash[uint32(item.Class)],
+		Customer:     cat.CustomerByHash[uint64(item.Customer)],
+		Tier:         item.Tier,
+		ExpectedHold: milliseconds(item.HoldMS),
 	})
 }
 
@@ -163,6 +202,7 @@
 		g := n.owned[name]
 		if now.Sub(g.used) > idleGroupAfter && g.sched.Idle() {
 			delete(n.owned, name)
+			n.idle[name] = !g.lost
 			continue
 		}
 		n.answerAll(now, g, g.sched.Tick(now, nil))
--- a/internal/node/silence.go
+++ b/internal/node/silence.go
@@ -101,6 +101,7 @@
 // elsewhere at once, and the new owner learns what runs.
 func (n *Node) ownerLost(now monotime.Instant, id string) {
 	n.down[id] = now.Add(unreachableFor)
+	n.noteLost()
 	n.renewMoved(now)
 	n.reroute(now, func(r *request) bool { return r.owner == id })
 }
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -169,9 +169,15 @@
 		BudgetMS:     budgetMS(now, r.firstBy),
 		EndBudgetMS:  budgetMS(now, r.endBy),
 		Avoid:        r.avoid,
+		HoldMS:       n.holdMS(r),
 	}
 }
 
+// holdMS is how long requests of the class hold a slot, as this node measured.
+func (n *Node) holdMS(r *request) int {
+	return int(n.measures.ExpectedHold(r.Class) / time.Millisecond)
+}
+
 // budgetMS turns an instant into the time left, since instants of two processes
 // cannot be compared. A budget used up is sent as 1, for 0 means none.
 func budgetMS(now, by monotime.Instant) int {
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -37,6 +37,8 @@
 
 	health health
 
+	// untold counts slots in use that no holder told a new owner of.
+	untold int
 	// reported is the last load report and reportedAt when it was read.
 	reported   int
 	reportedAt monotime.Instant
@@ -89,7 +91,13 @@
 // its lane.
 func (g *Group) refreshEngine(e *engine, now monotime.Instant) {
 	limit := g.engineLimit(e, now)
-	free := max(0, limit-e.inflight)
+	free := limit - e.inflight
+	if e.untold > 0 {
+		// In a partition the limit leaves room for the other part already; what
+		// that part uses counts against the slots there are.
+		free = min(free, e.spec.Spec.Slots-e.inflight-e.untold)
+	}
+	free = max(0, free)
 	if l := e.lane; l != nil {
 		l.limit += limit - e.limit
 		l.free += free - e.free
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -25,6 +25,11 @@
 	// floors and headroom by tier, from the rules.
 	floors   [maxTiers]float64
 	headroom [maxTiers]float64
+	measures *Measures
+	// warmUntil is when a new owner may fill the slots of its group.
+	warmUntil monotime.Instant
+	// settledAt is when every holder has told a new owner what it holds.
+	settledAt monotime.Instant
 
 	entries map[Ticket]*entry
 	classes map[uint32]*classStats
@@ -110,7 +115,7 @@
 	g.seq++
 	e.seq = g.seq
 	e.tier = g.tierOf(d.Tier)
-	e.work = g.expectedHold(l, stats)
+	e.work = g.toldHold(e, stats)
 	e.latestStart = g.latestStart(&d, l, stats, now)
 	l.tiers[e.tier].arriving.add(now, e.work)
 	g.noteBudget(e, now)
@@ -129,7 +134,7 @@
 // class whose prediction is too high would never be measured again otherwise.
 func (g *Group) atOnce(e *entry, now monotime.Instant) (on *engine, hit bool) {
 	l := e.lane
-	if l.waiting > 0 || !g.mayTake(l, e.tier, e.work) {
+	if l.waiting > 0 || !g.mayTake(l, e.tier, g.roomHold(e), now) {
 		return nil, false
 	}
 	on, hit = g.choose(e, now)
@@ -209,7 +214,7 @@
 		e, why := g.owedFloor(l, now), whyFloor
 		var on *engine
 		var hit bool
-		if e != nil {
+		if e != nil && !g.warming(now) {
 			on, hit = g.choose(e, now)
 		}
 		if on == nil {
@@ -237,7 +242,7 @@
 		if e == nil {
 			continue
 		}
-		if !g.mayTake(l, t, e.work) {
+		if !g.mayTake(l, t, g.roomHold(e), now) {
 			return nil, nil, false
 		}
 		on, hit = g.choose(e, now)
@@ -323,9 +328,9 @@
 	}
 }
 
-// LoadReport notes what an engine reported of itself. The reading is old; only
-// the baseline that chooses by reported load uses it, and an engine that
-// answers after its ejection is probed at once.
+// LoadReport notes what an engine reported of itself. The reading is old: only a
+// new owner, which knows no better, and the baseline that chooses by reported
+// load use it.
 func (g *Group) LoadReport(now monotime.Instant, engineID string, report engineapi.LoadReport) {
 	e := g.byID[engineID]
 	if e == nil {
@@ -337,4 +342,5 @@
 	}
 	e.reported = report.Running + report.Waiting
 	e.reportedAt = taken
+	g.countUntold(e, now)
 }
--- a/internal/sched/headroom.go
+++ b/internal/sched/headroom.go
@@ -59,8 +59,8 @@
 
 // mayTake reports whether a request of the tier that is expected to hold its
 // slot for so many seconds may take a free one.
-func (g *Group) mayTake(l *lane, tier int, hold float64) bool {
-	if l.free <= 0 {
+func (g *Group) mayTake(l *lane, tier int, hold float64, now monotime.Instant) bool {
+	if l.free <= 0 || g.warming(now) && tier > g.lowestWithHeadroom() {
 		return false
 	}
 	if !g.policy.Headroom {
@@ -92,13 +92,42 @@
 	return room >= need
 }
 
+const (
+	// measuredEnough is the number of finished requests from which the measured
+	// slot time of a class is believed when room is kept.
+	measuredEnough = 16
+	// unmeasuredShare of a class's longest answer is assumed before.
+	unmeasuredShare = 0.25
+)
+
+// roomHold is the slot time of a request for the keeping of room. Admission
+// guesses low before a class was measured, since a refusal must rest on what was
+// measured; here the guess is high for the same reason. With a low one, a new
+// owner of a group counts on drafts to end within a moment, fills every slot
+// with them, and refuses the top tier for seconds after each change of owner.
+func (g *Group) roomHold(e *entry) float64 {
+	if e.demand.Class == nil {
+		return e.work
+	}
+	stats := g.statsOf(e.demand.Class)
+	if stats.service || stats.samples >= measuredEnough {
+		return e.work
+	}
+	if e.demand.ExpectedHold > 0 {
+		return e.work
+	}
+	longest := float64(e.demand.Class.MaxOutputTokens) * e.lane.gap()
+	return max(e.work, unmeasuredShare*longest)
+}
+
 // noteHeld counts a slot in the books of its tier.
 func (g *Group) noteHeld(e *entry) {
-	e.lane.tiers[e.tier].held.add(e.work)
+	e.roomHold = g.roomHold(e)
+	e.lane.tiers[e.tier].held.add(e.roomHold)
 }
 
 func (g *Group) noteFreed(e *entry) {
-	e.lane.tiers[e.tier].held.remove(e.work)
+	e.lane.tiers[e.tier].held.remove(e.roomHold)
 }
 
 func (g *Group) noteBudget(e *entry, now monotime.Instant) {
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -87,6 +87,7 @@
 			g.forgetIdle(&l.tiers[t])
 		}
 	}
+	g.endTakeover(now)
 	for _, e := range g.engines {
 		g.refreshEngine(e, now)
 	}
--- a/internal/sched/lease.go
+++ b/internal/sched/lease.go
@@ -113,6 +113,9 @@
 	Customer *catalog.Customer
 	// Tier of the request.
 	Tier int
+	// ExpectedHold is the time that requests of the class hold their slots, as
+	// the holder measured; 0 for unknown.
+	ExpectedHold time.Duration
 }
 
 // Adopt re-creates a slot that an earlier owner of the group gave, so that a
@@ -131,7 +134,9 @@
 	e := g.newEntry()
 	g.seq++
 	e.seq = g.seq
-	e.demand = Demand{Ticket: t, Class: held.Class, Customer: held.Customer, Tier: held.Tier}
+	e.demand = Demand{
+		Ticket: t, Class: held.Class, Customer: held.Customer, Tier: held.Tier, ExpectedHold: held.ExpectedHold,
+	}
 	e.lane = on.lane
 	e.tier = g.tierOf(held.Tier)
 	e.engine = on
@@ -147,6 +152,7 @@
 	g.held.append(e)
 	g.noteHeld(e)
 	on.inflight++
+	on.told()
 	g.refreshEngine(on, now)
 	g.counters.Adopted++
 }
@@ -156,7 +162,7 @@
 	if e.demand.Class == nil {
 		return e.lane.hold.or(1)
 	}
-	return g.expectedHold(e.lane, g.statsOf(e.demand.Class))
+	return g.toldHold(e, g.statsOf(e.demand.Class))
 }
 
 // emptiest returns the engine with most free slots: a guess at where a slot of
--- a/internal/sched/predict.go
+++ b/internal/sched/predict.go
@@ -130,6 +130,7 @@
 		prior = priorServiceMS
 	}
 	s.output.add(prior, priorWeight)
+	g.measures.prime(s, class.Hash)
 	g.refreshQuantiles(s)
 	g.classes[class.Hash] = s
 	return s
@@ -143,8 +144,7 @@
 	}
 }
 
-// learnClass counts a finished request.
-func (g *Group) learnClass(s *classStats, tokens int, held time.Duration) {
+func (s *classStats) learn(tokens int, held time.Duration) {
 	s.hold.add(held.Seconds(), holdWeight)
 	value := float64(tokens)
 	if s.service {
@@ -152,6 +152,11 @@
 	}
 	s.output.add(value, 1)
 	s.samples++
+}
+
+// learnClass counts a finished request.
+func (g *Group) learnClass(s *classStats, tokens int, held time.Duration) {
+	s.learn(tokens, held)
 	if s.samples <= refreshEvery || s.samples%refreshEvery == 0 {
 		g.refreshQuantiles(s)
 	}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -33,7 +33,9 @@
 	// latestStart is the last instant at which a start can still be on time.
 	latestStart monotime.Instant
 	// work is the slot time that the request is expected to take, in seconds.
-	work      float64
+	work float64
+	// roomHold is the slot time that was put down when room was kept.
+	roomHold  float64
 	sharePos  int
 	expiryPos int
 
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -40,6 +40,10 @@
 	EndBy monotime.Instant
 	// Target is the model or the service; the class's own when empty.
 	Target string
+	// ExpectedHold is the time that requests of the class hold their slots, as the
+	// holder measured; 0 for unknown. A group that measured the class does not
+	// need it.
+	ExpectedHold time.Duration
 	// Avoid is the id of an engine that failed this request, or empty.
 	Avoid string
 }
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -19,6 +19,10 @@
 	// Group name.
 	Group string `json:"g"`
 
+	// Time that a request of the class holds its slot, as the sender measured, in
+	// milliseconds; 0 for unknown.
+	HoldMS int `json:"h,omitempty,omitzero"`
+
 	// Model or service when the class gives none.
 	Model string `json:"m,omitempty,omitzero"`
 
@@ -365,6 +369,10 @@
 	// Engine as server/engine, told to a new owner only.
 	Engine string `json:"e,omitempty,omitzero"`
 
+	// Time that a request of the class holds its slot, as the sender measured, in
+	// milliseconds; 0 for unknown.
+	HoldMS int `json:"h,omitempty,omitzero"`
+
 	// Tokens since the last progress.
 	Tokens int `json:"k,omitempty,omitzero"`
 
