--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basilrudder/internal/catalog"
+	"basilrudder/internal/limits"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/reqid"
 	"basilrudder/internal/route"
@@ -15,6 +16,7 @@
 const (
 	retryWhenDraining = time.Second
 	retryWhenNotReady = time.Second
+	retryWhenIsolated = time.Second
 	retryWhenFull     = time.Second
 )
 
@@ -32,8 +34,18 @@
 		n.recordRefused(now, in, err)
 		return 0, err
 	}
+	permitted, err := n.permit(now, in.Customer)
+	if err != nil {
+		n.ids.Forget(in.ID)
+		n.recordRefused(now, in, err)
+		return 0, err
+	}
 	r := n.add(now, cat, in)
 	n.recordStart(now, r)
+	if permitted == limits.Waiting {
+		n.hold(r)
+		return r.seq, nil
+	}
 	n.acquire(now, r)
 	return r.seq, nil
 }
@@ -47,6 +59,9 @@
 	case n.draining:
 		return verdict.New(verdict.NotRun, verdict.ReasonDraining,
 			"this instance is leaving; ask the directory for another").After(retryWhenDraining)
+	case n.cutOff:
+		return verdict.New(verdict.NotRun, verdict.ReasonIsolated,
+			"this instance has reached no other for too long; ask another").After(retryWhenIsolated)
 	case len(n.requests) >= n.cfg.Capacity:
 		return verdict.New(verdict.NotRun, verdict.ReasonOverloaded,
 			"this instance holds as many requests as it may").After(retryWhenFull)
