--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -14,9 +14,9 @@
 // queue looks valid. The gap in its own calls shows the pause. It is looked for
 // on every way in, not in Tick alone: whatever goroutine runs first after the
 // pause may free a slot and thereby start a request, even one that brings a
-// configuration or a view. A pause between this check
-// and the write to the socket is not caught here; the engines that check
-// fencing numbers refuse that work by its revision.
+// configuration or a view. A pause between this check and the write to the
+// socket is not caught: it can bring new work to a server withdrawn meanwhile,
+// and never a second run, since the same process counts the write.
 type gate struct {
 	closed bool
 	since  monotime.Instant
