A silent home whose address refuses connections has ended

Ruled out: the membership, which noticed the death within seconds. Change: a home that is silent and refuses connections has ended; a stopped one is still connected to by its host, one beyond a partition answers nothing.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -5,8 +5,12 @@
 	"encoding/base32"
 	"encoding/binary"
 	"math/rand/v2"
+	"net"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"basilrudder/internal/answers"
 	"basilrudder/internal/callers"
 	"basilrudder/internal/catalog"
@@ -20,6 +24,9 @@
 // again.
 const homeRetry = time.Second
 
+// probeTimeout bounds the connection that tells whether a silent home has ended.
+const probeTimeout = 300 * time.Millisecond
+
 // backend serves the caller interface from the node.
 type backend struct {
 	self       reqid.Incarnation
@@ -151,6 +158,7 @@
 		return "", false, homeUnreachable()
 	}
 	member, ok := view.Find(parsed.Instance)
+	missing, silent := view.FindMissing(parsed.Instance, parsed.Token)
 	switch {
 	case ok && member.Incarnation == parsed.Token:
 		return member.CallerAddress, false, nil
@@ -158,7 +166,7 @@
 	// is said only of a process known to have ended: not of one that fell
 	// silent and may be paused or behind a partition, and not by an instance
 	// that has just started or woken and has not heard of the fleet yet.
-	case !view.Confirmed, view.IsMissing(parsed.Instance, parsed.Token):
+	case !view.Confirmed, silent && !hasEnded(missing.CallerAddress):
 		return "", false, homeUnreachable()
 	default:
 		return "", false, verdict.New(verdict.MayHaveRun, verdict.ReasonHomeGone,
@@ -166,6 +174,18 @@
 	}
 }
 
+// hasEnded reports whether nothing listens at the address of a silent process
+// any more. A stopped process and one behind a partition do not refuse: their
+// host takes the connection, or nothing answers.
+func hasEnded(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, probeTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func homeUnreachable() *verdict.Error {
 	return verdict.New(verdict.MayHaveRun, verdict.ReasonHomeUnreachable,
 		"the process that the request id is bound to can't be reached now").After(homeRetry)
--- a/internal/daemon/backend_test.go
+++ b/internal/daemon/backend_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"net"
 	"testing"
 
 	"basilrudder/internal/membership"
@@ -12,12 +13,18 @@
 // A caller asks another instance for the answer of a request whose home sleeps
 // or stands beyond a partition. Told that the home is gone, it would take the
 // answer for lost, while the home wakes and finishes it. Only a process known
-// to have ended is gone: a newer one has its place, or the fleet, heard since
-// the start, does not know it.
+// to have ended is gone: a newer one has its place, or nothing listens at its
+// address, or the fleet, heard since the start, does not know it.
 func TestHomeIsGoneOnlyWhenItHasEnded(t *testing.T) {
+	stopped, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stopped.Close()
 	member := func(id, incarnation string) membership.Member {
-		return membership.Member{ID: id, Incarnation: incarnation, CallerAddress: "127.0.0.1:1"}
+		return membership.Member{ID: id, Incarnation: incarnation, CallerAddress: stopped.Addr().String()}
 	}
+	ended := membership.Member{ID: "b", Incarnation: "1", CallerAddress: "127.0.0.1:1"}
 	for _, test := range []struct {
 		name string
 		id   string
@@ -29,6 +36,7 @@
 		{"alive", "b:1:zz:n", &membership.View{Confirmed: true, Live: []membership.Member{member("b", "1")}}, ""},
 		{"leaving", "b:1:zz:n", &membership.View{Confirmed: true, Leaving: []membership.Member{member("b", "1")}}, ""},
 		{"silent", "b:1:zz:n", &membership.View{Confirmed: true, Missing: []membership.Member{member("b", "1")}}, verdict.ReasonHomeUnreachable},
+		{"silent, and nothing listens", "b:1:zz:n", &membership.View{Confirmed: true, Missing: []membership.Member{ended}}, verdict.ReasonHomeGone},
 		{"an older process, the newer silent", "b:1:zz:n", &membership.View{Confirmed: true, Missing: []membership.Member{member("b", "2")}}, verdict.ReasonHomeGone},
 		{"replaced", "b:1:zz:n", &membership.View{Confirmed: true, Live: []membership.Member{member("b", "2")}}, verdict.ReasonHomeGone},
 		{"unknown", "c:1:zz:n", &membership.View{Confirmed: true, Live: []membership.Member{member("b", "1")}}, verdict.ReasonHomeGone},
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -165,10 +165,13 @@
 	return Member{}, false
 }
 
-// IsMissing reports whether the incarnation fell silent and may still run.
-func (v *View) IsMissing(id, incarnation string) bool {
+// FindMissing returns the member if that incarnation fell silent and may still run.
+func (v *View) FindMissing(id, incarnation string) (Member, bool) {
 	i, found := slices.BinarySearchFunc(v.Missing, id, compareID)
-	return found && v.Missing[i].Incarnation == incarnation
+	if !found || v.Missing[i].Incarnation != incarnation {
+		return Member{}, false
+	}
+	return v.Missing[i], true
 }
 
 func compareID(m Member, id string) int {
