An owner takes progress and releases before acquires

What was seen: in an end-to-end test of a drain a waiting letter ran at an engine without a free slot, right after the owner of the group had changed.

Cause: the links join messages into one frame and the node took acquires first. (1) A new owner got "I ask for a slot" before "these run", sent in this order even unjoined, and granted slots in use. (2) An instance that retries gives its slot back and asks again under the same number; the owner answered with the slot it still knew, at the engine that had just failed, and then forgot that it was in use. (3) When an owner changed other than by a new view, the next renewal told the new one that a slot is held and not at which engine.

It cost quality and never safety.

Before, in TestReleaseAndAcquireInOneMessage: the retry is granted the failed engine and 0 slots are held. After: the other engine, 1 held. Each of the three changes taken out makes a test fail.

--- a/internal/node/expire.go
+++ b/internal/node/expire.go
@@ -39,14 +39,14 @@
 		return
 	}
 	n.renewed = now
-	n.renew(now, renewedItem, func(*request) bool { return true })
+	n.renew(now, func(*request) bool { return true })
 	n.markLong(now)
 }
 
 // renewMoved tells a new owner at once what runs in its group, so that it does
 // not hand out slots that are in use.
 func (n *Node) renewMoved(now monotime.Instant) {
-	n.renew(now, movedItem, func(r *request) bool { return n.ownerOf(r.group) != r.owner })
+	n.renew(now, func(r *request) bool { return n.ownerOf(r.group) != r.owner })
 }
 
 type renewalKey struct {
@@ -69,14 +69,18 @@
 	return item
 }
 
-func (n *Node) renew(now monotime.Instant, itemOf func(*request, int) wire.ProgressItem, match func(*request) bool) {
+func (n *Node) renew(now monotime.Instant, match func(*request) bool) {
 	var keys []renewalKey
 	items := make(map[renewalKey][]wire.ProgressItem)
 	for r := n.order.head; r != nil; r = r.next {
 		if r.state == stateWaiting || !match(r) {
 			continue
 		}
-		r.owner = n.ownerOf(r.group)
+		itemOf := renewedItem
+		if owner := n.ownerOf(r.group); owner != r.owner {
+			r.owner = owner
+			itemOf = movedItem
+		}
 		key := renewalKey{owner: r.owner, group: r.group}
 		if items[key] == nil {
 			keys = append(keys, key)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,8 +180,8 @@
 	n.dropGoneHolders(now, old, view)
 	n.updateShares(view)
 	n.setPermitMembers(now, view)
-	n.reroute(now, n.misowned)
 	n.renewMoved(now)
+	n.reroute(now, n.misowned)
 }
 
 // LinkDown tells that the link to an instance broke or cannot be made. Requests
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -4,8 +4,8 @@
 //
 // A frame may hold several parts. A receiver handles them in this order, which
 // keeps cause before effect when envelopes were coalesced: Members, MemberSync,
-// Ping, Pong, ConfigOffer, ConfigWant, ConfigPart, Acquires, Withdraws, Grants,
-// Refuses, Queued, Progress, Releases, PermitAsks, PermitGives, LoadAsk, LoadGive.
+// Ping, Pong, ConfigOffer, ConfigWant, ConfigPart, Progress, Releases, Acquires,
+// Withdraws, Grants, Refuses, Queued, PermitAsks, PermitGives, LoadAsk, LoadGive.
 package peer
 
 import (
