--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -39,6 +39,8 @@
 
 	// untold counts slots in use that no holder told a new owner of.
 	untold int
+	// freedAt holds when slots came free since the take-over began.
+	freedAt []monotime.Instant
 	// reported is the last load report and reportedAt when it was read.
 	reported   int
 	reportedAt monotime.Instant
--- a/internal/sched/lease.go
+++ b/internal/sched/lease.go
@@ -233,6 +233,7 @@
 	g.held.remove(e)
 	g.noteFreed(e)
 	e.engine.inflight--
+	g.noteFreeSlot(e.engine, now)
 	g.refreshEngine(e.engine, now)
 	if a := e.account; a != nil {
 		g.settle(e)
--- a/internal/sched/takeover.go
+++ b/internal/sched/takeover.go
@@ -34,15 +34,30 @@
 	return lowest
 }
 
-// countUntold compares a load report with the books.
+// countUntold compares a load report with the books. The reading is old, so
+// slots that came free since it was taken are no longer in use; without that a
+// burst that ends keeps the engine closed until the next report.
 func (g *Group) countUntold(e *engine, now monotime.Instant) {
 	if now >= g.settledAt {
 		return
 	}
-	e.untold = max(0, e.reported-e.inflight)
+	since := 0
+	for _, at := range e.freedAt {
+		if at > e.reportedAt {
+			since++
+		}
+	}
+	e.untold = max(0, e.reported-e.inflight-since)
 	g.refreshEngine(e, now)
 }
 
+// noteFreeSlot notes when a slot came free, while a take-over lasts.
+func (g *Group) noteFreeSlot(e *engine, now monotime.Instant) {
+	if now < g.settledAt {
+		e.freedAt = append(e.freedAt, now)
+	}
+}
+
 // told notes that a holder told of a slot at the engine.
 func (e *engine) told() {
 	e.untold = max(0, e.untold-1)
@@ -55,5 +70,6 @@
 	}
 	for _, e := range g.engines {
 		e.untold = 0
+		e.freedAt = nil
 	}
 }
--- a/internal/sched/takeover_test.go
+++ b/internal/sched/takeover_test.go
@@ -67,3 +67,23 @@
 		t.Errorf("told hold %v, want 3s", got)
 	}
 }
+
+// What the caller sees: a slot as soon as there is one. The engine's report is a
+// second old and from the height of a burst; the slots that came free since do
+// not count as in use.
+func TestSlotsFreedSinceAReportAreFree(t *testing.T) {
+	f := newFixture(t, 1, 2, Default())
+	f.g.Warm(f.now)
+	for seq := range uint64(2) {
+		f.g.Adopt(f.now, Ticket{Holder: "other", Seq: seq}, Held{Engine: "s0/e"})
+	}
+	f.now = f.now.Add(time.Second)
+	for seq := range uint64(2) {
+		f.take(f.g.Release(f.now, Ticket{Holder: "other", Seq: seq}, Result{Tokens: 5}, nil))
+	}
+	f.g.LoadReport(f.now, "s0/e", engineapi.LoadReport{Engine: "e", Running: 2, AgeMS: 900})
+	top := f.submit(0, "ann")
+	if _, ok := f.granted[top]; !ok {
+		t.Error("no slot, though both are free")
+	}
+}
