Admission by sure load, doubt of stragglers, owners heard lately, waits by tier

Cause: early refusal turned away drafts that could wait for minutes: it took the arrivals of a burst for the whole wait, counted refused work and work with later deadlines. A straggler without work counted as fast again and got a full load. A request that lost its owner in a partition met the next silent one. A picker that was told of a low tier's wait kept the top tier away. A release went to the believed owner instead of the one that gave the slot, so that a crashed engine was retried six times. Change: admission counts the lesser of the arrivals of the last seconds and the last minute, admitted work only, and work of the tier that is due earlier; times to the first token are measured by class; a straggler not measured for 5 s gets one request of a lower tier; after a silent owner only owners heard within a second are asked; waits are kept by tier; slots go back to their owner. Tests: the watcher now counts a top-tier refusal as shed when a lower request was started in a group that it asked, while it waited there, by an instance of the same part; before, any lower start in the fleet counted, also one in the other part of a partition, of which nobody on this side can know.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -133,9 +133,9 @@
 	}
 	r.charged = tokens
 	if outcome == sched.Finished {
-		n.measures.Learn(r.Class, tokens, now.Sub(r.started))
+		n.measures.Learn(r.Class, tokens, now.Sub(r.started), result.FirstToken)
 	} else {
 		r.wasted += tokens
 	}
-	n.release(now, n.ownerOf(r.group), r.group.Name, r.seq, result)
+	n.release(now, r.owner, r.group.Name, r.seq, result)
 }
--- a/internal/node/grant.go
+++ b/internal/node/grant.go
@@ -22,7 +22,7 @@
 		n.release(now, from, g.Group, uint64(g.Seq), sched.Result{Outcome: sched.Unused})
 		return
 	}
-	n.picker.Observe(g.Group, milliseconds(g.BacklogMS), now)
+	n.picker.Observe(g.Group, r.tier, milliseconds(g.BacklogMS), now)
 	if n.gate.closed {
 		r.held = true
 		n.release(now, from, g.Group, r.seq, sched.Result{Outcome: sched.Unused})
@@ -83,7 +83,7 @@
 	if r == nil || r.state != stateWaiting || r.owner != from || r.group.Name != f.Group {
 		return
 	}
-	n.picker.Observe(f.Group, milliseconds(f.BacklogMS), now)
+	n.picker.Observe(f.Group, r.tier, milliseconds(f.BacklogMS), now)
 	err := verdict.New(verdict.NotRun, verdict.Reason(f.Reason), "no server can serve the request in time").
 		After(milliseconds(f.RetryAfterMS))
 	r.skip = append(r.skip, f.Group)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -75,9 +75,11 @@
 	group   *catalog.Group
 	owner   string
 	askedAt monotime.Instant
-	skip    []string
-	avoid   string
-	held    bool
+	// lostOwner says that an owner left this request without an answer.
+	lostOwner bool
+	skip      []string
+	avoid     string
+	held      bool
 	// unpermitted requests wait for the customer's limit, not for a slot.
 	unpermitted bool
 
--- a/internal/node/silence.go
+++ b/internal/node/silence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/route"
 	"basilrudder/internal/sched"
 	"basilrudder/internal/schema/wire"
 )
@@ -17,6 +18,9 @@
 	// askAgainAfter is how long an owner that keeps requests waiting may be
 	// silent before it is asked again.
 	askAgainAfter = 500 * time.Millisecond
+	// heardLately is the age up to which an answer of an owner shows that it is
+	// there.
+	heardLately = time.Second
 )
 
 // ownerTalk is when an owner was last asked and heard. A process that is stopped
@@ -61,7 +65,7 @@
 		return
 	}
 	backlog := g.sched.Backlog(now, d.Target, d.Tier)
-	msg := wire.Queued{Group: g.name, BacklogMS: int(backlog / time.Millisecond)}
+	msg := wire.Queued{Group: g.name, Tier: d.Tier, BacklogMS: int(backlog / time.Millisecond)}
 	n.eff.Send(from, &wire.Envelope{Queued: []wire.Queued{msg}})
 }
 
@@ -103,5 +107,30 @@
 	n.down[id] = now.Add(unreachableFor)
 	n.noteLost()
 	n.renewMoved(now)
-	n.reroute(now, func(r *request) bool { return r.owner == id })
+	n.reroute(now, func(r *request) bool {
+		lost := r.owner == id
+		r.lostOwner = r.lostOwner || lost
+		return lost
+	})
+}
+
+// ownerFor returns the owner to ask for a waiting request. One that lost an
+// owner trusts only those heard lately, or this instance itself: in a partition
+// several owners are silent, and finding them one after another would take
+// longer than the request can wait.
+func (n *Node) ownerFor(now monotime.Instant, r *request) string {
+	if !r.lostOwner {
+		return n.ownerOf(r.group)
+	}
+	var heard []route.Member
+	for _, member := range n.reachable() {
+		talk := n.owners[member.ID]
+		if member.ID == n.self() || talk != nil && talk.heard != 0 && now.Sub(talk.heard) < heardLately {
+			heard = append(heard, member)
+		}
+	}
+	if owner := route.Owner(r.group, heard); owner != "" {
+		return owner
+	}
+	return n.self()
 }
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -140,6 +140,7 @@
 	return route.Ask{
 		Target:       r.Class.Target,
 		DataCentre:   n.cfg.DataCentre,
+		Tier:         r.tier,
 		Prefix:       r.Prefix,
 		PromptTokens: r.PromptTokens,
 		Skip:         r.skip,
@@ -148,7 +149,7 @@
 
 // ask sends the acquire for the group already picked.
 func (n *Node) ask(now monotime.Instant, r *request) {
-	r.owner = n.ownerOf(r.group)
+	r.owner = n.ownerFor(now, r)
 	msg := n.acquireMessage(now, r)
 	if r.owner == n.self() {
 		n.submitOwned(now, n.self(), msg)
--- a/internal/replay/call.go
+++ b/internal/replay/call.go
@@ -34,7 +34,8 @@
 	gaps    []float32
 	foreign bool
 
-	started bool
+	// waits are the groups that it asked for a slot.
+	waits   []wait
 	ended   bool
 	lost    bool
 	endedAt monotime.Instant
@@ -105,6 +106,12 @@
 	p.deliver(0, func(now monotime.Instant) { p.node.CallerGone(now, c.id) })
 }
 
+// wait is a group that a call asked for a slot, and since when.
+type wait struct {
+	group string
+	from  monotime.Instant
+}
+
 // token is one token relayed to the caller.
 func (c *call) token(st *stream, offset int, at monotime.Instant) {
 	if c.ended || st.process != c.process || !c.process.alive {
--- a/internal/replay/instance.go
+++ b/internal/replay/instance.go
@@ -181,7 +181,7 @@
 func (p *process) Start(a node.Attempt) {
 	up := p.sim.engines[a.Engine.ID]
 	c := p.sim.callByID[a.RequestID]
-	p.sim.watch.started(p.sim, c, a)
+	p.sim.watch.started(p.sim, p, c, a)
 	delay := p.sim.wireTo(p, up)
 	p.sim.loop.after(delay, func() { up.begin(&stream{process: p, call: c, attempt: a, up: up}) })
 }
@@ -206,7 +206,15 @@
 }
 
 // Record implements node.Effects.
-func (p *process) Record(accounting.Record) {}
+func (p *process) Record(record accounting.Record) {
+	if c := p.sim.callByID[record.Request]; c != nil && record.Kind == accounting.RecordKindDecision {
+		waited := time.Duration(record.AgeMS * float64(time.Millisecond))
+		c.waits = append(c.waits, wait{group: record.Group, from: p.sim.loop.now.Add(-waited)})
+	}
+	if p.sim.cfg.Record != nil {
+		p.sim.cfg.Record(p.sim.loop.now.Sub(p.sim.start), record)
+	}
+}
 
 func (p *process) setView(now monotime.Instant, view *membership.View) {
 	p.node.SetView(now, view)
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -19,6 +19,7 @@
 	"basilrudder/internal/catalog"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/sched"
+	"basilrudder/internal/schema/accounting"
 	"basilrudder/internal/schema/inventory"
 	"basilrudder/internal/trace"
 )
@@ -38,6 +39,8 @@
 	// Grace is how long after the trace unanswered requests are waited for; 0
 	// for two hours.
 	Grace time.Duration
+	// Record, if any, gets the accounting records of every process.
+	Record func(at time.Duration, record accounting.Record)
 }
 
 const (
--- a/internal/replay/watch.go
+++ b/internal/replay/watch.go
@@ -1,11 +1,11 @@
 package replay
 
 import (
+	"slices"
 	"time"
 
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/node"
-	"basilrudder/internal/schema/inventory"
 	"basilrudder/internal/standin/enginemodel"
 	"basilrudder/internal/verdict"
 )
@@ -38,7 +38,7 @@
 
 // watcher looks at a replay from outside and counts broken promises.
 type watcher struct {
-	// lowStarts are the last starts below the top tier, by target pool.
+	// lowStarts are the last starts below the top tier, by group.
 	lowStarts map[string][]lowStart
 	withdrawn map[string]monotime.Instant
 	shed      int
@@ -48,7 +48,7 @@
 
 type lowStart struct {
 	at   monotime.Instant
-	tier int
+	from *instance
 }
 
 type minuteKey struct {
@@ -66,14 +66,6 @@
 	w.minutes = make(map[minuteKey]*minuteCount)
 }
 
-// pool names the engines that a call competes for.
-func pool(kind inventory.ClassKind, target string) string {
-	if kind == inventory.ClassKindModel {
-		return "models"
-	}
-	return target
-}
-
 func (w *watcher) minute(s *sim, c *call) *minuteCount {
 	key := minuteKey{class: c.class.Name, minute: int(s.loop.now.Sub(s.start) / starvedWindow)}
 	m := w.minutes[key]
@@ -84,27 +76,27 @@
 	return m
 }
 
-func (w *watcher) started(s *sim, c *call, a node.Attempt) {
+func (w *watcher) started(s *sim, p *process, c *call, a node.Attempt) {
 	if !a.Resume {
 		w.minute(s, c).served++
 	}
-	c.started = true
 	if c.tier == 0 {
 		return
 	}
-	name := pool(c.class.Kind, c.class.Target)
-	starts := append(w.lowStarts[name], lowStart{at: s.loop.now, tier: c.tier})
+	group := a.Engine.Server.Group.Name
+	starts := append(w.lowStarts[group], lowStart{at: s.loop.now, from: p.inst})
 	if len(starts) > lowStartsKept {
 		starts = append(starts[:0], starts[lowStartsKept/2:]...)
 	}
-	w.lowStarts[name] = starts
+	w.lowStarts[group] = starts
 }
 
 const lowStartsKept = 4096
 
 // ended looks at a call that has its final answer. A request of the top tier
-// that was turned away for lack of room, while it waited and a lower one was
-// started on the engines it waited for, was shed to make room.
+// that was turned away for lack of room, while a lower one was started in a
+// group that it asked, was shed to make room. Starts from the other side of a
+// partition do not count: who turned it away knew nothing of them.
 func (w *watcher) ended(s *sim, c *call) {
 	if c.err == nil || c.tier != 0 || c.err.Verdict != verdict.NotRun {
 		return
@@ -114,14 +106,17 @@
 	default:
 		return
 	}
-	for _, start := range w.lowStarts[pool(c.class.Kind, c.class.Target)] {
-		if start.at > c.arrived && start.at < c.endedAt {
-			w.shed++
-			return
-		}
+	if slices.ContainsFunc(c.waits, func(asked wait) bool { return w.madeRoom(s, c, asked) }) {
+		w.shed++
 	}
 }
 
+func (w *watcher) madeRoom(s *sim, c *call, asked wait) bool {
+	return slices.ContainsFunc(w.lowStarts[asked.group], func(start lowStart) bool {
+		return start.at > asked.from && start.at < c.endedAt && !s.fleet.parted(start.from, c.process.inst)
+	})
+}
+
 func (w *watcher) published(s *sim) {
 	for _, server := range s.inv.Servers {
 		_, known := w.withdrawn[server.Name]
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -12,10 +12,17 @@
 // expected in each, and which group ran a prefix last. It is not safe for
 // concurrent use.
 type Picker struct {
-	groups map[string]*groupView
+	groups map[viewKey]groupView
 	places []prefixPlace
 }
 
+// viewKey names the wait of one tier in one group: where a lower tier waits long,
+// the top tier may not wait at all.
+type viewKey struct {
+	group string
+	tier  int
+}
+
 type groupView struct {
 	backlog time.Duration
 	at      monotime.Instant
@@ -43,7 +50,7 @@
 
 // NewPicker returns a Picker that knows nothing yet.
 func NewPicker() *Picker {
-	return &Picker{groups: make(map[string]*groupView), places: make([]prefixPlace, prefixPlaces)}
+	return &Picker{groups: make(map[viewKey]groupView), places: make([]prefixPlace, prefixPlaces)}
 }
 
 // Ask describes the request that needs a group.
@@ -52,6 +59,8 @@
 	Target string
 	// DataCentre the entry instance runs in.
 	DataCentre string
+	// Tier of the request.
+	Tier int
 	// Prefix is the hash of the prompt's cacheable prefix; 0 for none.
 	Prefix uint64
 	// PromptTokens of the request.
@@ -119,8 +128,8 @@
 // cost is the expected delay of asking a group.
 func (p *Picker) cost(now monotime.Instant, cat *catalog.Catalog, ask *Ask, g *catalog.Group) time.Duration {
 	delay := 2 * cat.OneWay(ask.DataCentre, g.DataCentre)
-	v := p.groups[g.Name]
-	if v == nil {
+	v, known := p.groups[viewKey{g.Name, ask.Tier}]
+	if !known {
 		return delay
 	}
 	return delay + discounted(v.backlog, now.Sub(v.at))
@@ -134,15 +143,9 @@
 	return time.Duration(float64(backlog) * float64(backlogMemory) / float64(backlogMemory+age))
 }
 
-// Observe notes the wait that a group told with a grant or a refusal.
-func (p *Picker) Observe(group string, backlog time.Duration, now monotime.Instant) {
-	v := p.groups[group]
-	if v == nil {
-		v = &groupView{}
-		p.groups[group] = v
-	}
-	v.backlog = backlog
-	v.at = now
+// Observe notes the wait that a group told for a tier.
+func (p *Picker) Observe(group string, tier int, backlog time.Duration, now monotime.Instant) {
+	p.groups[viewKey{group, tier}] = groupView{backlog: backlog, at: now}
 }
 
 // Ran notes that a group ran a request with the prefix.
@@ -154,9 +157,9 @@
 
 // Forget drops what is known of groups that the catalog no longer has.
 func (p *Picker) Forget(cat *catalog.Catalog) {
-	for name := range p.groups {
-		if cat.Groups[name] == nil {
-			delete(p.groups, name)
+	for key := range p.groups {
+		if cat.Groups[key.group] == nil {
+			delete(p.groups, key)
 		}
 	}
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -76,7 +76,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	busy := cat.GroupsFor["m"][0]
 	now := monotime.Instant(time.Second)
-	p.Observe(busy.Name, 10*time.Second, now)
+	p.Observe(busy.Name, 0, 10*time.Second, now)
 	count := 0
 	for range 1000 {
 		if p.Pick(now, cat, Ask{Target: "m", DataCentre: "dc0"}, rng) == busy {
@@ -105,7 +105,7 @@
 			t.Fatalf("picked %s, the prefix is in %s", got.Name, known.Name)
 		}
 	}
-	p.Observe(known.Name, 2*time.Second, now)
+	p.Observe(known.Name, 0, 2*time.Second, now)
 	for range 50 {
 		if p.Pick(now, cat, ask, rng) == known {
 			t.Fatal("a queue of 2 s for 320 ms of saved prefill")
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -43,7 +43,7 @@
 		if candidate.spec.ID == e.demand.Avoid {
 			cost += avoidCost
 		}
-		if g.policy.Stragglers && candidate.slow >= slowFrom && g.tooSlow(e, candidate, now) {
+		if g.policy.Stragglers && candidate.slow >= slowFrom && !candidate.doubtful && g.tooSlow(e, candidate, now) {
 			cost += slowCost
 		}
 		if best == nil || cost < leastCost {
@@ -72,7 +72,11 @@
 	if !g.policy.Stragglers || on.slow < slowFrom {
 		return true
 	}
-	if e.latestStart.Sub(now) < leastPatience {
+	left := e.latestStart.Sub(now)
+	if on.doubtful {
+		return e.tier > 0 || left < e.latestStart.Sub(e.at)/2
+	}
+	if left < leastPatience {
 		return true
 	}
 	return !g.tooSlow(e, on, now)
@@ -115,7 +119,7 @@
 		gap = candidate.stepSeconds()
 	}
 	cost += gap * (1 + crowding*used)
-	if candidate.health.probing() && e.tier == 0 {
+	if candidate.onTrial() && e.tier == 0 {
 		cost += probeCost
 	}
 	return cost
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -32,6 +32,8 @@
 	paceAt monotime.Instant
 	// slow is pace against the median of the peers, at least 1.
 	slow float64
+	// doubtful says that the engine was slow and was not measured lately.
+	doubtful bool
 	// prefillUntil is when the prompts already sent are expected to be done.
 	prefillUntil monotime.Instant
 
@@ -56,10 +58,8 @@
 	// slowFrom is the pace against the peers from which an engine counts as a
 	// straggler; below it, differences are noise.
 	slowFrom = 1.5
-	// paceMemory is the age at which a measured pace starts to fade, so that an
-	// engine that got no work is tried again.
+	// paceMemory is the age at which the measured pace of a straggler is doubted.
 	paceMemory = 5 * time.Second
-	paceFade   = 0.05
 )
 
 // takesWork reports whether the configuration lets the engine take new work.
@@ -118,7 +118,10 @@
 	if g.policy.Learn {
 		slots = min(slots, e.learned)
 	}
-	if g.policy.Stragglers && e.slow >= slowFrom {
+	switch {
+	case g.policy.Stragglers && e.doubtful:
+		slots = 1
+	case g.policy.Stragglers && e.slow >= slowFrom:
 		slots /= e.slow
 	}
 	slots *= g.share
@@ -137,6 +140,7 @@
 	if expected <= 0 || actual <= 0 {
 		return
 	}
+	e.sampled()
 	e.pace.add(min(actual/expected, maxPace), paceWeight)
 	e.paceAt = now
 }
@@ -148,6 +152,7 @@
 	if gap <= 0 {
 		return
 	}
+	e.sampled()
 	e.gap.add(gap.Seconds(), gapWeight)
 	e.learnPace(now, gap.Seconds(), e.stepSeconds())
 	if !g.policy.Learn {
--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"math"
-
 	"basilrudder/internal/catalog"
 )
 
@@ -123,22 +121,17 @@
 	}
 }
 
-// reorder puts a share where its account's counter and its most urgent request
-// belong. Counters are compared in steps: customers who used about as much are
-// served by deadline, so that a small difference makes nobody late while others
-// have time to spare.
+// reorder puts a share where its account's counter belongs; equal counters are
+// ordered by the most urgent request.
 func (g *Group) reorder(s *share) {
-	s.line.shares.update(s.pos, g.step(s.account), uint64(s.entries.min().value.latestStart))
+	s.line.shares.update(s.pos, g.useOf(s.account), uint64(s.entries.min().value.latestStart))
 }
 
-func (g *Group) step(a *account) float64 {
+func (g *Group) useOf(a *account) float64 {
 	if !g.policy.Fairness {
 		return 0
 	}
-	if g.policy.FairnessStep <= 0 {
-		return a.counter
-	}
-	return math.Floor(a.counter / g.policy.FairnessStep)
+	return a.counter
 }
 
 func (g *Group) shareFor(a *account, ln *line) *share {
@@ -151,7 +144,7 @@
 	s.account = a
 	s.line = ln
 	a.shares = append(a.shares, s)
-	ln.shares.push(g.step(a), 0, s)
+	ln.shares.push(g.useOf(a), 0, s)
 	return s
 }
 
--- a/internal/sched/floor.go
+++ b/internal/sched/floor.go
@@ -9,9 +9,8 @@
 // The floor keeps a lower class from starving: each line earns slot time at the
 // floor share of its tier, and a line that is owed a whole request gets the
 // next free slot before higher tiers. That delays a higher request by one slot
-// at most, and only where every higher request that waits has time to spare;
-// admission plans with a margin, which is what the floor uses up. So the floor
-// never makes a higher request late, and none is refused while it waits.
+// at most, and only where every higher request that waits has time to spare. So
+// the floor makes no higher request late, and none is refused while it waits.
 
 const (
 	// longestUnserved is the wait after which a line is owed a slot however
@@ -20,6 +19,10 @@
 	// spareSlots is how many slot releases a waiting higher request must be
 	// able to wait for beyond its turn.
 	spareSlots = 3
+	// leastSpare is the least time to spare, and unmeasuredHold the slot time in
+	// seconds that a new owner assumes before it has measured any.
+	leastSpare     = 200 * time.Millisecond
+	unmeasuredHold = 2.0
 )
 
 func (g *Group) refreshCredit(ln *line, l *lane, now monotime.Instant) {
@@ -71,8 +74,8 @@
 // higherCanSpare reports whether every request of a higher tier can wait for a
 // few more slots and still start on time.
 func (g *Group) higherCanSpare(l *lane, tier int, now monotime.Instant) bool {
-	perSlot := l.hold.mean / float64(max(l.limit, 1))
-	spare := seconds(spareSlots * perSlot)
+	perSlot := l.hold.or(unmeasuredHold) / float64(max(l.limit, 1))
+	spare := max(seconds(spareSlots*perSlot), leastSpare)
 	for t := range tier {
 		q := &l.tiers[t]
 		if q.waiting > 0 && monotime.Instant(q.expiry.min().key).Sub(now) < spare {
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -89,6 +89,7 @@
 	g.fill(e, d, l, now)
 	g.entries[d.Ticket] = e
 	if on, hit := g.atOnce(e, now); on != nil {
+		l.tiers[e.tier].arriving.add(now, e.work)
 		return append(out, g.start(e, on, hit, whyIdle, now))
 	}
 	return g.admit(e, now, out)
@@ -117,7 +118,6 @@
 	e.tier = g.tierOf(d.Tier)
 	e.work = g.toldHold(e, stats)
 	e.latestStart = g.latestStart(&d, l, stats, now)
-	l.tiers[e.tier].arriving.add(now, e.work)
 	g.noteBudget(e, now)
 }
 
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -120,19 +120,33 @@
 	slices.Sort(paces)
 	median := paces[(len(paces)-1)/2]
 	for _, e := range l.engines {
-		e.fade(now, median, l.gapMean)
 		e.slow = max(1, e.pace.or(median)/median)
+		e.doubt(now)
 	}
 }
 
-// fade lets what was measured long ago return to what the peers show, so that an
-// engine which got no work for being slow is tried again.
-func (e *engine) fade(now monotime.Instant, median, gapMean float64) {
-	if e.pace.count == 0 || now.Sub(e.paceAt) < paceMemory {
-		return
+// doubt marks a straggler that was not measured for a while. One request of a
+// lower tier then tries it. Without the doubt it would stay without work for
+// good; without the bound of one, an engine that is still slow would get a full
+// load before its first answer shows it.
+func (e *engine) doubt(now monotime.Instant) {
+	if e.slow >= slowFrom && now.Sub(e.paceAt) >= paceMemory {
+		e.doubtful = true
 	}
-	e.pace.mean += paceFade * (median - e.pace.mean)
-	if e.gap.count > 0 {
-		e.gap.mean += paceFade * (gapMean - e.gap.mean)
+}
+
+// sampled forgets what was known of a doubtful engine: a new sample tells more.
+func (e *engine) sampled() {
+	if !e.doubtful {
+		return
 	}
+	e.doubtful = false
+	e.pace = ewma{}
+	e.gap = ewma{}
+}
+
+// onTrial reports whether the engine should get one request, of a lower tier,
+// to show what it does.
+func (e *engine) onTrial() bool {
+	return e.doubtful || e.health.probing()
 }
--- a/internal/sched/lease.go
+++ b/internal/sched/lease.go
@@ -224,7 +224,7 @@
 	} else {
 		g.learnGap(e.engine, e.lane, now, r.Gap)
 	}
-	g.learnClass(stats, e.tokens, held)
+	g.learnClass(stats, e.tokens, held, r.FirstToken)
 	e.lane.hold.add(held.Seconds(), holdWeight)
 }
 
--- a/internal/sched/measures.go
+++ b/internal/sched/measures.go
@@ -22,15 +22,15 @@
 	return &Measures{classes: make(map[uint32]*classStats)}
 }
 
-// Learn counts a request of the class that ended whole: its tokens and the time
-// it held its slot.
-func (m *Measures) Learn(class *catalog.Class, tokens int, held time.Duration) {
+// Learn counts a request of the class that ended whole: its tokens, the time
+// it held its slot, and the time to its first token (0 for none).
+func (m *Measures) Learn(class *catalog.Class, tokens int, held, first time.Duration) {
 	s := m.classes[class.Hash]
 	if s == nil {
 		s = &classStats{service: class.Kind == inventory.ClassKindService}
 		m.classes[class.Hash] = s
 	}
-	s.learn(tokens, held)
+	s.learn(tokens, held, first)
 }
 
 // prime copies what was measured of a class into fresh statistics.
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -31,9 +31,6 @@
 	Tiers bool
 	// Fairness orders customers of a tier by what they used.
 	Fairness bool
-	// FairnessStep is the difference in use, in tokens over weight, from which a
-	// customer yields to others; below it deadlines decide.
-	FairnessStep float64
 	// Urgent is the time to spare below which a request goes first in its tier.
 	Urgent time.Duration
 	// EarlyRefusal refuses a request whose predicted wait is too long.
@@ -50,9 +47,6 @@
 	Ejection bool
 	// Learn lowers an engine's slots when its token gaps miss their target.
 	Learn bool
-	// AdmitQuantile is the quantile of a class's answer lengths that must fit
-	// before the deadline.
-	AdmitQuantile float64
 	// Margin is the part of the time budget that admission leaves unplanned.
 	Margin float64
 	// MaxWaiting bounds the requests that wait in a group.
@@ -67,33 +61,29 @@
 )
 
 const (
-	defaultMaxWaiting    = 8192
-	defaultAdmitQuantile = 0.5
-	defaultMargin        = 0.1
-	defaultFairnessStep  = 1000
-	defaultUrgent        = 200 * time.Millisecond
+	defaultMaxWaiting = 8192
+	defaultMargin     = 0.05
+	defaultUrgent     = 200 * time.Millisecond
 )
 
 // Default returns the product's policy.
 func Default() Policy {
 	return Policy{
-		Name:          NameDefault,
-		Choice:        ChoosePredicted,
-		Queue:         true,
-		Tiers:         true,
-		Fairness:      true,
-		FairnessStep:  defaultFairnessStep,
-		Urgent:        defaultUrgent,
-		EarlyRefusal:  true,
-		Floor:         true,
-		Headroom:      true,
-		Affinity:      true,
-		Stragglers:    true,
-		Ejection:      true,
-		Learn:         true,
-		AdmitQuantile: defaultAdmitQuantile,
-		Margin:        defaultMargin,
-		MaxWaiting:    defaultMaxWaiting,
+		Name:         NameDefault,
+		Choice:       ChoosePredicted,
+		Queue:        true,
+		Tiers:        true,
+		Fairness:     true,
+		Urgent:       defaultUrgent,
+		EarlyRefusal: true,
+		Floor:        true,
+		Headroom:     true,
+		Affinity:     true,
+		Stragglers:   true,
+		Ejection:     true,
+		Learn:        true,
+		Margin:       defaultMargin,
+		MaxWaiting:   defaultMaxWaiting,
 	}
 }
 
--- a/internal/sched/predict.go
+++ b/internal/sched/predict.go
@@ -29,22 +29,27 @@
 	return m.mean
 }
 
-// rate measures an amount per second over about its window.
+// rate measures an amount per second over a short and a long window.
 type rate struct {
-	value float64
-	at    monotime.Instant
+	short, long float64
+	at          monotime.Instant
 }
 
-const rateWindow = 5 * time.Second
+const (
+	shortWindow = 5 * time.Second
+	longWindow  = 60 * time.Second
+)
 
 func (r *rate) add(now monotime.Instant, amount float64) {
-	r.value = r.get(now) + amount/rateWindow.Seconds()
+	r.short, r.long = r.get(now)
+	r.short += amount / shortWindow.Seconds()
+	r.long += amount / longWindow.Seconds()
 	r.at = now
 }
 
-func (r *rate) get(now monotime.Instant) float64 {
+func (r *rate) get(now monotime.Instant) (short, long float64) {
 	age := now.Sub(r.at).Seconds()
-	return r.value * math.Exp(-age/rateWindow.Seconds())
+	return r.short * math.Exp(-age/shortWindow.Seconds()), r.long * math.Exp(-age/longWindow.Seconds())
 }
 
 const (
@@ -101,12 +106,14 @@
 	// output counts tokens of an answer; for a service, milliseconds.
 	output  histogram
 	samples int
-	// admit is the quantile that admission plans with, median the middle, in
-	// tokens or milliseconds.
-	admit  float64
+	// median is the middle of output.
 	median float64
 	// hold is the slot time in seconds.
 	hold ewma
+	// first counts times from the start to the first token, in milliseconds;
+	// firstLate is one that few exceed.
+	first     histogram
+	firstLate float64
 }
 
 const (
@@ -131,34 +138,39 @@
 	}
 	s.output.add(prior, priorWeight)
 	g.measures.prime(s, class.Hash)
-	g.refreshQuantiles(s)
+	s.refresh()
 	g.classes[class.Hash] = s
 	return s
 }
 
-func (g *Group) refreshQuantiles(s *classStats) {
+func (s *classStats) refresh() {
 	s.median = s.output.quantile(0.5)
-	s.admit = s.median
-	if q := g.policy.AdmitQuantile; q > 0 {
-		s.admit = s.output.quantile(q)
+	if s.first.total > 0 {
+		s.firstLate = s.first.quantile(firstQuantile)
 	}
 }
 
-func (s *classStats) learn(tokens int, held time.Duration) {
+// firstQuantile of the times to the first token must fit before it is due.
+const firstQuantile = 0.9
+
+func (s *classStats) learn(tokens int, held, first time.Duration) {
 	s.hold.add(held.Seconds(), holdWeight)
 	value := float64(tokens)
 	if s.service {
 		value = held.Seconds() * 1000
 	}
 	s.output.add(value, 1)
+	if first > 0 && !s.service {
+		s.first.add(first.Seconds()*1000, 1)
+	}
 	s.samples++
 }
 
 // learnClass counts a finished request.
-func (g *Group) learnClass(s *classStats, tokens int, held time.Duration) {
-	s.learn(tokens, held)
+func (g *Group) learnClass(s *classStats, tokens int, held, first time.Duration) {
+	s.learn(tokens, held, first)
 	if s.samples <= refreshEvery || s.samples%refreshEvery == 0 {
-		g.refreshQuantiles(s)
+		s.refresh()
 	}
 }
 
@@ -205,14 +217,15 @@
 // from there to the end.
 func (g *Group) expectedTimes(d *Demand, l *lane, s *classStats) (first, rest time.Duration) {
 	if s.service {
-		return 0, seconds(s.admit / 1000)
+		return 0, seconds(s.median / 1000)
 	}
 	gap := l.gap()
 	first = seconds(float64(d.PromptTokens)/l.prefillRate() + gap)
 	if s.samples < leastSamples {
 		return first, 0
 	}
-	return first, seconds(s.admit * gap)
+	first = max(first, seconds(s.firstLate/1000))
+	return first, seconds(s.median * gap)
 }
 
 // leastSamples is how many answers are measured before their length decides
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -106,8 +106,11 @@
 	target targetSet
 	tier   int
 	shares heap[*share]
-	// waiting counts requests.
+	// waiting counts requests, work is their slot time in seconds.
 	waiting int
+	work    float64
+	// patience is the time that requests of the line can wait, in seconds.
+	patience ewma
 	// credit is the slot time the floor owes to the line, in seconds.
 	credit   float64
 	creditAt monotime.Instant
@@ -189,6 +192,7 @@
 	}
 	q.expiry.push(float64(e.latestStart), e.seq, e)
 	ln.waiting++
+	ln.work += e.work
 	q.waiting++
 	q.work += e.work
 	e.lane.waiting++
@@ -213,6 +217,7 @@
 	s.entries.remove(e.sharePos)
 	q.expiry.remove(e.expiryPos)
 	s.line.waiting--
+	s.line.work = max(0, s.line.work-e.work)
 	q.waiting--
 	q.work = max(0, q.work-e.work)
 	e.lane.waiting--
--- a/internal/sched/refuse.go
+++ b/internal/sched/refuse.go
@@ -68,6 +68,7 @@
 			return out
 		}
 	}
+	e.lane.tiers[e.tier].arriving.add(now, e.work)
 	g.enqueue(e, now)
 	if g.waiting > g.policy.MaxWaiting {
 		out = g.shed(now, out)
@@ -147,30 +148,66 @@
 }
 
 func (g *Group) strictWait(l *lane, e *entry, now monotime.Instant) time.Duration {
-	higher, busy := g.aboveTier(l, e.tier, now)
-	own := l.tiers[e.tier].work
+	work, busy := g.aboveTier(l, e.tier, now)
+	busy += g.belowTier(l, e.tier)
+	own := g.workBefore(e, now)
 	if g.policy.Fairness {
 		own = min(own, g.ownShareOfWork(&l.tiers[e.tier], e))
 	}
-	slots := float64(l.limit) * max(1-busy, leastLeft)
-	return seconds((higher+own)/slots) + l.nextFree()
+	return l.drainTime(work+own, busy) + l.nextFree()
+}
+
+// workBefore is the slot time in the entry's tier that is served before it: what
+// can wait less long than the entry itself.
+func (g *Group) workBefore(e *entry, now monotime.Instant) float64 {
+	own := g.lineOf(e, now)
+	own.patience.add(e.latestStart.Sub(now).Seconds(), budgetWeight)
+	sum := 0.0
+	for _, ln := range e.lane.lines {
+		if ln.tier == e.tier && ln.patience.mean <= own.patience.mean {
+			sum += ln.work
+		}
+	}
+	return sum
 }
 
 // leastLeft bounds the part of the slots that higher tiers are expected to
 // leave, so that a wait stays finite.
 const leastLeft = 0.02
 
+// drainTime is the time until so much slot time, in seconds, was served while
+// higher tiers keep a part of the slots busy.
+func (l *lane) drainTime(work, busy float64) time.Duration {
+	return seconds(work / (float64(l.limit) * max(1-busy, leastLeft)))
+}
+
 // aboveTier returns the slot time that waits in higher tiers and the part of
-// the slots that their arrivals keep busy.
+// the slots that their arrivals are sure to keep busy: the lesser of the rates
+// of the last seconds and of the last minute. A burst ends, and one refused for
+// its sake could often have been served after it.
 func (g *Group) aboveTier(l *lane, tier int, now monotime.Instant) (work, busy float64) {
 	for t := range tier {
 		q := &l.tiers[t]
 		work += q.work
-		busy += q.arriving.get(now)
+		busy += min(q.arriving.get(now))
 	}
 	return work, busy / float64(l.limit)
 }
 
+// belowTier is the part of the slots that the floors of lower tiers may take.
+func (g *Group) belowTier(l *lane, tier int) float64 {
+	if !g.policy.Floor {
+		return 0
+	}
+	part := 0.0
+	for t := tier + 1; t < maxTiers; t++ {
+		if l.tiers[t].waiting > 0 {
+			part += g.floors[t]
+		}
+	}
+	return part
+}
+
 // ownShareOfWork is the work before a new request of a customer under fair
 // sharing: the customer's own, stretched by what the others may take meanwhile.
 func (g *Group) ownShareOfWork(q *tierQueue, e *entry) float64 {
@@ -209,10 +246,8 @@
 	if l.free > 0 && l.waiting == 0 {
 		return 0
 	}
-	higher, busy := g.aboveTier(l, tier, now)
-	work := higher + l.tiers[tier].work
-	slots := float64(l.limit) * max(1-busy, leastLeft)
-	return seconds(work/slots) + l.nextFree()
+	work, busy := g.aboveTier(l, tier, now)
+	return l.drainTime(work+l.tiers[tier].work, busy) + l.nextFree()
 }
 
 func sortBySeq(entries []*entry) {
--- a/internal/sched/takeover_test.go
+++ b/internal/sched/takeover_test.go
@@ -56,7 +56,7 @@
 	f := newFixture(t, 1, 2, Default())
 	class := f.cat.Classes["c2"]
 	for range measuredEnough {
-		m.Learn(class, 300, 3*time.Second)
+		m.Learn(class, 300, 3*time.Second, 50*time.Millisecond)
 	}
 	f.g.SetMeasures(m)
 	f.submit(2, "ann")
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -392,6 +392,9 @@
 	// Group name.
 	Group string `json:"g"`
 
+	// Tier that waits.
+	Tier int `json:"t,omitempty,omitzero"`
+
 	// Wait expected in the group now, in milliseconds.
 	BacklogMS int `json:"w,omitempty,omitzero"`
 }
