Closing an accepted link between instances takes effect at once

Cause: fasthttp hands an upgraded connection over in a wrapper whose Close does nothing unless KeepHijackedConns is set; the connection closes when the handler returns, and the handler waited for the peer's next message, up to Timing.Silence. So every close by the accepting side was late: at its end, for a replaced link (which holds up all events of links meanwhile), a removed key, a full queue. Ruled out by a dump of goroutines: attempts, calls to engines and to the platform had all ended.

Before: TestAcceptedLinkIsClosedAtOnce with an hour of patience for silence never ends. After: the link ends on both sides.

--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -102,7 +102,10 @@
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
 		CloseOnShutdown:              true,
-		Logger:                       zap.NewStdLog(s.cfg.Log),
+		// Without it closing an accepted link does nothing until its handler
+		// returns, which waits for the peer: up to Silence.
+		KeepHijackedConns: true,
+		Logger:            zap.NewStdLog(s.cfg.Log),
 	}
 	group, running := errgroup.WithContext(ctx)
 	group.Go(func() error { return server.Serve(s.cfg.Listener) })
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -320,3 +320,19 @@
 		old.SetWanted(nil)
 	}
 }
+
+// What the fleet sees: an instance that stops takes its links down at once. Its
+// peer had opened the link; the HTTP library keeps a connection it handed over
+// open for as long as the handler runs, and the handler waited for the peer's
+// next message, up to the time that counts as silence.
+func TestAcceptedLinkIsClosedAtOnce(t *testing.T) {
+	patient := func(cfg *Config) { cfg.Timing.Silence = time.Hour }
+	acceptor := start(t, "a", patient)
+	dialer := start(t, "b", patient)
+	dialer.SetWanted([]Target{{ID: "a", Address: acceptor.address}})
+	next(t, "link", dialer.up)
+	next(t, "link", acceptor.up)
+	acceptor.stop()
+	next(t, "end of the link", acceptor.down)
+	next(t, "end of the link", dialer.down)
+}
