A drain that is ended tells its callers, accounts what it cuts off, and says so

At the deadline of a drain and at the second signal, callers were told "may have run" for everything, also for what had never started, and slots freed by the requests cut off started waiting ones.

Before, in TestDrainThatIsEnded: the waiting letter ran at an engine while its instance ended, and its caller was told "may have run".

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,8 +89,11 @@
 	*dispatcher
 	cfg Config
 	// ctx lasts from New to the end of Run.
-	ctx      context.Context
-	abort    context.CancelFunc
+	ctx context.Context
+	end context.CancelFunc
+	// hurried ends when Abort is called.
+	hurried  context.Context
+	hurry    context.CancelFunc
 	instance *instance.Instance
 	links    *peer.Links
 	platform *platform.Client
@@ -112,7 +115,8 @@
 		platform: platform.New(platform.Config{Address: s.Platform.Address, Timeout: time.Duration(s.Platform.TimeoutMS) * time.Millisecond}),
 		store:    answers.NewStore(storeConfig(s, nil)),
 	}
-	d.ctx, d.abort = context.WithCancel(context.Background())
+	d.ctx, d.end = context.WithCancel(context.Background())
+	d.hurried, d.hurry = context.WithCancel(d.ctx)
 	d.dispatcher = &dispatcher{
 		ctx:     d.ctx,
 		clients: upstream.New(upstream.Config{}),
@@ -241,13 +245,14 @@
 	group.Go(func() error { return d.serveAdmin(running) })
 	group.Go(func() error { return d.tick(running) })
 	group.Go(func() error {
-		defer d.abort()
+		defer d.end()
+		defer context.AfterFunc(running, d.hurry)()
 		select {
 		case <-ctx.Done():
-			d.drain(running)
-		case <-running.Done():
+			d.drain(d.hurried)
+		case <-d.hurried.Done():
 		}
-		return d.end()
+		return d.cutOffRest()
 	})
 	err := group.Wait()
 	d.tasks.Wait()
--- a/internal/daemon/dispatcher.go
+++ b/internal/daemon/dispatcher.go
@@ -133,7 +133,17 @@
 	if ctx.Err() != nil {
 		d.cancelAtEngine(target, attempt.ID)
 	}
-	return err
+	return d.cutOff(err)
+}
+
+// cutOff names the end of the process as the reason of an attempt that it ended.
+func (d *dispatcher) cutOff(err *verdict.Error) *verdict.Error {
+	if err == nil || d.ctx.Err() == nil {
+		return err
+	}
+	out := *err
+	out.Reason = verdict.ReasonDraining
+	return &out
 }
 
 // cancelAtEngine tells the engine to stop: closing the connection alone leaves
@@ -154,7 +164,7 @@
 		Body:        h.request.Body,
 	})
 	if err != nil {
-		return err
+		return d.cutOff(err)
 	}
 	attempt.Progress.Token(monotime.Now())
 	out := answers.ServiceAnswer{Status: answer.Status, Body: answer.Body}
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -14,6 +14,8 @@
 	drainPoll = 100 * time.Millisecond
 	// goodbyeWait lets the last news leave before the links close.
 	goodbyeWait = 100 * time.Millisecond
+	// lastAnswers is the time for refusals of requests that never started.
+	lastAnswers = 100 * time.Millisecond
 )
 
 // ErrCutOff says that the daemon ended with requests in flight.
@@ -39,22 +41,25 @@
 	}
 	d.instance.Goodbye(monotime.Now())
 	sleep(ctx, goodbyeWait)
-	// Requests that this instance passes on to others are in flight here too.
-	_ = d.callers.Shutdown(ctx)
+	if ctx.Err() == nil {
+		// Requests that this instance passes on to others are in flight here too.
+		_ = d.callers.Shutdown(ctx)
+	}
 }
 
-// end closes what is still open. After a drain that is nothing; else callers
-// are told that their requests may have run.
-func (d *Daemon) end() error {
-	d.node.Drain(monotime.Now())
-	ended, cancel := context.WithCancel(context.Background())
-	cancel()
-	open := d.callers.Shutdown(ended) != nil
-	d.cfg.Listeners.Close()
+// cutOffRest closes what is still open. After a drain that is nothing; else callers
+// are told that their requests did not run, or may have run. Waiting requests go
+// first: ending a running one frees a slot, which would start one of them.
+func (d *Daemon) cutOffRest() error {
 	left := d.node.Status(monotime.Now()).Requests
+	d.node.RefuseWaiting(monotime.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	open := errors.Is(d.callers.Shutdown(ctx), context.DeadlineExceeded)
+	d.cfg.Listeners.Close()
 	d.cfg.Log.Info("ended", zap.Int("cut_off", left), zap.Bool("connections_open", open))
-	if left > 0 {
-		return errors.Wrapf(ErrCutOff, "%d", left)
+	if left > 0 || open {
+		return errors.Wrapf(ErrCutOff, "%d held here", left)
 	}
 	return nil
 }
@@ -62,7 +67,7 @@
 // Abort ends Run at once, without a drain or in the middle of one. Callers of
 // requests in flight are told that they may have run.
 func (d *Daemon) Abort() {
-	d.abort()
+	d.hurry()
 }
 
 func (d *Daemon) directoryTTL() time.Duration {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -48,7 +48,7 @@
 	r.worst = verdict.Worse(r.worst, err.Verdict)
 	n.recordDecision(now, r, string(err.Reason), "attempt failed: "+err.Message, 0)
 	switch {
-	case err.Reason == verdict.ReasonCallerGone || r.gone && r.Class.Idempotent:
+	case err.Reason == verdict.ReasonCallerGone || err.Reason == verdict.ReasonDraining || r.gone && r.Class.Idempotent:
 		n.endAttempt(now, r, sched.Cancelled)
 		n.finish(now, r, n.finalError(r, err))
 	case err.Verdict != verdict.NotRun && n.canResume(r, err):
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -1,6 +1,9 @@
 package node
 
-import "basilrudder/internal/monotime"
+import (
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/verdict"
+)
 
 // Drain makes the node refuse new requests. Those it holds go on to their end.
 func (n *Node) Drain(_ monotime.Instant) {
@@ -15,3 +18,18 @@
 	defer n.mu.Unlock()
 	return n.draining && len(n.requests) == 0 && len(n.undelivered) == 0
 }
+
+// RefuseWaiting ends the requests that have not started, for a process that ends
+// before its drain is over. They surely did not run, and their callers can be
+// told so as long as the process lives.
+func (n *Node) RefuseWaiting(now monotime.Instant) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.draining = true
+	all := func(*request) bool { return true }
+	n.eachWaiting(all, func(r *request) {
+		n.withdraw(now, r)
+		n.refuse(now, r, verdict.New(verdict.NotRun, verdict.ReasonDraining,
+			"this instance ends; ask the directory for another").After(retryWhenDraining))
+	})
+}
--- a/internal/node/record.go
+++ b/internal/node/record.go
@@ -30,10 +30,11 @@
 }
 
 // nothingToDeliver reports whether no caller will come for the answer. Work that
-// was cancelled because its caller left has none; were it kept like an answer, a
+// was cancelled because its caller left or the process ends has none; were it kept like an answer, a
 // drain would wait for it and a crash meanwhile would leave it unaccounted.
 func nothingToDeliver(err *verdict.Error) bool {
-	return err != nil && (err.Verdict == verdict.NotRun || err.Reason == verdict.ReasonCallerGone)
+	return err != nil && (err.Verdict == verdict.NotRun ||
+		err.Reason == verdict.ReasonCallerGone || err.Reason == verdict.ReasonDraining)
 }
 
 // Delivered tells that the end of an answer was written to its caller. Only now
--- a/internal/trial/fleet.go
+++ b/internal/trial/fleet.go
@@ -38,6 +38,8 @@
 	Inventory *inventory.Inventory
 	// Instances is the number of daemons.
 	Instances int
+	// DrainS bounds the drain of a daemon in seconds; 0 for no bound.
+	DrainS int
 	// IDPrefix starts their ids; empty for the default. Fleets that run at once
 	// in one process need different ones, since metrics are published by id.
 	IDPrefix string
@@ -77,6 +79,7 @@
 	listed platformapi.Instance
 	stop   context.CancelFunc
 	done   chan struct{}
+	err    error // of Daemon.Run, once done is closed
 }
 
 // Start starts everything and returns when each daemon has its configuration.
@@ -174,6 +177,7 @@
 // AddMember starts one more daemon.
 func (f *Fleet) AddMember(id, dataCentre string) (*Member, error) {
 	s := DaemonSettings(id, dataCentre, f.address)
+	s.Limits.DrainS = f.cfg.DrainS
 	for _, m := range f.Members {
 		s.Peers.Seeds = append(s.Peers.Seeds, m.listed.PeerAddress)
 	}
@@ -211,7 +215,8 @@
 	f.list()
 	f.group.Go(func() error {
 		defer close(m.done)
-		return d.Run(ctx)
+		m.err = d.Run(ctx)
+		return nil
 	})
 	return m, nil
 }
@@ -244,8 +249,9 @@
 	f.Platform.SetInstances(instances)
 }
 
-// Remove drains a daemon and waits until it has ended.
-func (f *Fleet) Remove(m *Member) {
+// Remove drains a daemon and waits until it has ended. It returns an error when
+// requests were cut off.
+func (f *Fleet) Remove(m *Member) error {
 	m.stop()
 	<-m.done
 	for i, other := range f.Members {
@@ -255,6 +261,7 @@
 		}
 	}
 	f.list()
+	return m.err
 }
 
 // Kill ends a daemon at once. The platform goes on listing it, as it does a
--- a/internal/trial/instances_test.go
+++ b/internal/trial/instances_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/daemon"
 	"basilrudder/internal/standin/platform"
 )
 
@@ -62,7 +66,9 @@
 			t.Errorf("a request to a leaving instance: %+v", late)
 		}
 		letter.rest().wantWhole(w)
-		w.fleet.Remove(old)
+		if err := w.fleet.Remove(old); err != nil {
+			t.Error(err)
+		}
 		if end := w.endOf(letter.r.id); !end.Delivered {
 			t.Errorf("accounted as %+v", end)
 		}
@@ -87,7 +93,9 @@
 	w.until("the instance leaves", func() bool { return len(old.Daemon.StatusNow().Members.Leaving) > 0 })
 	w.engineServer(w.runsAt(letter.r.id)).Silence()
 	letter.rest().wantWhole(w)
-	w.fleet.Remove(old)
+	if err := w.fleet.Remove(old); err != nil {
+		t.Error(err)
+	}
 	w.wantRuns(letter.r.id, 1)
 }
 
@@ -135,3 +143,47 @@
 	}
 	w.stream(m, classLetter, w.boundID(m), 5).rest().wantWhole(w)
 }
+
+// What the callers see: the letter that runs "may have run" or "ran", the one
+// that waits did not. The instance drains, but its engines hang; either the
+// drain's deadline passes or the operators end it with a second signal. Both
+// letters are accounted, and the program tells that it cut something off.
+func TestDrainThatIsEnded(t *testing.T) {
+	for name, drainS := range map[string]int{"deadline": 2, "second signal": 0} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorldWith(t, 2, func(cfg *Config) {
+				oneSlot(cfg)
+				cfg.DrainS = drainS
+			})
+			old := w.member(0)
+			running := w.occupy(old, 2)
+			id := w.boundID(old)
+			waiting := w.start(old, classLetter, id, 5)
+			w.until("the letter waits", func() bool { return old.Daemon.StatusNow().Node.Waiting == 1 })
+			old.stop()
+			begun := time.Now()
+			if drainS == 0 {
+				w.until("the instance leaves", func() bool { return len(old.Daemon.StatusNow().Members.Leaving) > 0 })
+				begun = time.Now()
+				old.Daemon.Abort()
+			}
+			if err := w.fleet.Remove(old); !errors.Is(err, daemon.ErrCutOff) {
+				t.Errorf("the daemon ended with %v", err)
+			}
+			t.Logf("ended %v after the signal", time.Since(begun))
+			if r := <-waiting.done; r.verdict != "not_run" || r.reason != "draining" {
+				t.Errorf("the waiting letter: %+v", r)
+			}
+			for _, p := range running {
+				r := <-p.done
+				if r.whole || r.verdict == "not_run" {
+					t.Errorf("a running draft: %+v", r)
+				}
+				if end := w.endOf(r.id); end.Reason != "draining" {
+					t.Errorf("accounted as %+v", end)
+				}
+			}
+			w.endOf(id)
+		})
+	}
+}
--- a/internal/trial/leaving_test.go
+++ b/internal/trial/leaving_test.go
@@ -6,7 +6,6 @@
 	"testing"
 
 	"basilrudder/internal/schema/accounting"
-	spec "basilrudder/internal/schema/inventory"
 	"basilrudder/internal/standin/enginemodel"
 )
 
@@ -31,9 +30,9 @@
 }
 
 // oneSlot gives each model server one slot.
-func oneSlot(inv *spec.Inventory) {
-	for i := range inv.Servers[:2] {
-		inv.Servers[i].Engines[0].Slots = 1
+func oneSlot(cfg *Config) {
+	for i := range cfg.Inventory.Servers[:2] {
+		cfg.Inventory.Servers[i].Engines[0].Slots = 1
 	}
 }
 
--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -172,10 +172,10 @@
 // newWorld starts a fleet. At the end of the test it compares what the callers
 // were told with what the stand-ins ran.
 func newWorld(t *testing.T, instances int) *world {
-	return newWorldWith(t, instances, nil)
+	return newWorldWith(t, instances, func(*Config) {})
 }
 
-func newWorldWith(t *testing.T, instances int, change func(*spec.Inventory)) *world {
+func newWorldWith(t *testing.T, instances int, change func(*Config)) *world {
 	t.Helper()
 	t.Parallel()
 	digest := sha256.Sum256([]byte(CredentialPrefix + testCustomer))
@@ -184,19 +184,18 @@
 	if len(problems) > 0 {
 		t.Fatal(problems)
 	}
-	if change != nil {
-		change(inv)
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	t.Cleanup(cancel)
 	w := &world{t: t, ctx: ctx, inv: inv, records: &records{}, calls: &calls{}}
-	var err error
-	w.fleet, err = Start(ctx, Config{
+	cfg := Config{
 		Inventory: inv,
 		Instances: instances,
 		IDPrefix:  fmt.Sprintf("w%d-", worlds.Add(1)),
 		Records:   w.records,
-	})
+	}
+	change(&cfg)
+	var err error
+	w.fleet, err = Start(ctx, cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
