--- a/internal/node/expire.go
+++ b/internal/node/expire.go
@@ -60,12 +60,13 @@
 }
 
 // movedItem is what a new owner needs to take the slot into its books.
-func movedItem(r *request, tokens int) wire.ProgressItem {
+func (n *Node) movedItem(r *request, tokens int) wire.ProgressItem {
 	item := renewedItem(r, tokens)
 	item.Engine = r.engine.ID
 	item.Class = int(r.Class.Hash)
 	item.Customer = int(r.Customer.Hash)
 	item.Tier = r.tier
+	item.HoldMS = n.holdMS(r)
 	return item
 }
 
@@ -79,7 +80,7 @@
 		itemOf := renewedItem
 		if owner := n.ownerOf(r.group); owner != r.owner {
 			r.owner = owner
-			itemOf = movedItem
+			itemOf = n.movedItem
 		}
 		key := renewalKey{owner: r.owner, group: r.group}
 		if items[key] == nil {
