Floors keep the headroom, and room counts only on what came free lately

The books showed 95 of 96 slots held by lower tiers: floor grants took the slots that headroom kept, and requests that had all started a moment ago were expected to end soon. Change: a floor grant must leave the headroom; expected ends are bounded by the ends of the last seconds.

--- a/internal/sched/floor.go
+++ b/internal/sched/floor.go
@@ -55,8 +55,11 @@
 		g.refreshCredit(ln, l, now)
 		owed := ln.credit >= g.expectedHold(l, g.statsOf(ln.class)) ||
 			now.Sub(ln.servedAt) >= longestUnserved
-		if owed && g.higherCanSpare(l, ln.tier, now) {
-			return ln.first()
+		if !owed || !g.higherCanSpare(l, ln.tier, now) {
+			continue
+		}
+		if e := ln.first(); g.mayTake(l, ln.tier, g.roomHold(e), now) {
+			return e
 		}
 	}
 	return nil
--- a/internal/sched/headroom.go
+++ b/internal/sched/headroom.go
@@ -22,6 +22,8 @@
 	count int
 	// perSecond sums the expected ends per second.
 	perSecond float64
+	// ended measures the ends per second.
+	ended rate
 	// budget is the time that requests of the tier can wait, in seconds.
 	budget ewma
 }
@@ -33,7 +35,8 @@
 	w.perSecond += 1 / max(hold, shortestHold)
 }
 
-func (w *heldWork) remove(hold float64) {
+func (w *heldWork) remove(hold float64, now monotime.Instant) {
+	w.ended.add(now, 1)
 	w.count--
 	w.perSecond = max(0, w.perSecond-1/max(hold, shortestHold))
 	if w.count == 0 {
@@ -44,13 +47,17 @@
 // shortestHold bounds the expected ends per second of one request.
 const shortestHold = 0.001
 
-// within is the number of slots expected to come free in a time in seconds.
-func (w *heldWork) within(budget float64) float64 {
+// within is the number of slots expected to come free in a time in seconds: by
+// the mean slot times, and no more than came free lately. Requests that all
+// started a moment ago end later than their mean suggests; counting on it would
+// leave no room when a group fills within a second.
+func (w *heldWork) within(budget float64, now monotime.Instant) float64 {
 	if w.count == 0 {
 		return 0
 	}
 	n := float64(w.count)
-	return n * (1 - math.Exp(-budget*w.perSecond/n))
+	lately, _ := w.ended.get(now)
+	return min(n*(1-math.Exp(-budget*w.perSecond/n)), lately*budget)
 }
 
 func (w *heldWork) noteBudget(d time.Duration) {
@@ -69,7 +76,7 @@
 	held := 0
 	for t := range tier {
 		held += l.tiers[t].held.count
-		if g.headroom[t] > 0 && !g.keepsRoom(l, t, held, hold) {
+		if g.headroom[t] > 0 && !g.keepsRoom(l, t, held, hold, now) {
 			return false
 		}
 	}
@@ -78,7 +85,7 @@
 
 // keepsRoom reports whether the tier still has its share within its budget when
 // one more slot goes to lower work; held counts the slots of it and above.
-func (g *Group) keepsRoom(l *lane, tier, held int, hold float64) bool {
+func (g *Group) keepsRoom(l *lane, tier, held int, hold float64, now monotime.Instant) bool {
 	need := g.headroom[tier] * float64(l.limit)
 	room := float64(held + l.free - 1)
 	if room >= need {
@@ -87,7 +94,7 @@
 	budget := spareBudget * l.tiers[tier].held.budget.or(0)
 	room += 1 - math.Exp(-budget/max(hold, shortestHold))
 	for t := tier + 1; t < maxTiers && room < need; t++ {
-		room += l.tiers[t].held.within(budget)
+		room += l.tiers[t].held.within(budget, now)
 	}
 	return room >= need
 }
@@ -126,8 +133,8 @@
 	e.lane.tiers[e.tier].held.add(e.roomHold)
 }
 
-func (g *Group) noteFreed(e *entry) {
-	e.lane.tiers[e.tier].held.remove(e.roomHold)
+func (g *Group) noteFreed(e *entry, now monotime.Instant) {
+	e.lane.tiers[e.tier].held.remove(e.roomHold, now)
 }
 
 func (g *Group) noteBudget(e *entry, now monotime.Instant) {
--- a/internal/sched/lease.go
+++ b/internal/sched/lease.go
@@ -231,7 +231,7 @@
 // letGo frees the slot of an entry and settles what it was charged.
 func (g *Group) letGo(e *entry, now monotime.Instant) {
 	g.held.remove(e)
-	g.noteFreed(e)
+	g.noteFreed(e, now)
 	e.engine.inflight--
 	g.refreshEngine(e.engine, now)
 	if a := e.account; a != nil {
