An instance that ends does not take its own end for callers that left

Cause: at the end of a daemon its server for callers ends the answers it still follows, and reported each as a caller that had left. The node then cancelled the work for that reason, when it came before the daemon's own end: the accounting said caller_gone.

--- a/internal/callers/stream.go
+++ b/internal/callers/stream.go
@@ -90,6 +90,10 @@
 		f.server.backend.Delivered(f.customer, f.id)
 		return
 	}
+	if f.server.ctx.Err() != nil && !f.callerGone() {
+		// It is the instance that ends; it settles what it holds itself.
+		return
+	}
 	f.server.counts.callersGone.Add(1)
 	// Another connection may follow the same answer: its caller retried.
 	if left == 0 {
