--- a/internal/sched/lease.go
+++ b/internal/sched/lease.go
@@ -224,7 +224,7 @@
 	} else {
 		g.learnGap(e.engine, e.lane, now, r.Gap)
 	}
-	g.learnClass(stats, e.tokens, held)
+	g.learnClass(stats, e.tokens, held, r.FirstToken)
 	e.lane.hold.add(held.Seconds(), holdWeight)
 }
 
@@ -233,6 +233,7 @@
 	g.held.remove(e)
 	g.noteFreed(e)
 	e.engine.inflight--
+	g.noteFreeSlot(e.engine, now)
 	g.refreshEngine(e.engine, now)
 	if a := e.account; a != nil {
 		g.settle(e)
