Tiers with headroom may go beyond a part's share of the slots

Change: a tier with headroom may take slots that the engine has beyond the share; engines run the higher priority first if both parts do so.

--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -39,14 +39,12 @@
 	return sum
 }
 
-const partitionFault = `{"at_ms":9000,"fault":"partition","target":"rw-north-2","for_ms":8000}`
-
 const everyFault = `
 {"at_ms":5000,"fault":"crash","target":"alert-writing-01","for_ms":5000}
 {"at_ms":6000,"fault":"straggle","target":"alert-writing-02","for_ms":10000,"factor":5}
 {"at_ms":7000,"fault":"pause","target":"entry-2","for_ms":4000}
 {"at_ms":8000,"fault":"silence","target":"alert-writing-03"}
-` + partitionFault + `
+{"at_ms":9000,"fault":"partition","target":"rw-north-2","for_ms":8000}
 {"at_ms":10000,"fault":"config_down","for_ms":3000}
 {"at_ms":11000,"fault":"withdraw","target":"alert-writing-04","for_ms":6000}
 {"at_ms":12000,"fault":"publish"}
@@ -69,26 +67,10 @@
 // with its engine or instance; no promise may break.
 func TestNoPromiseBreaksUnderEveryFault(t *testing.T) {
 	lines := `{"at_ms":0,"generate":"kivu","seed":5,"for_ms":30000,"load":1.5,"burst":2}` + everyFault
-	whole := strings.Replace(lines, partitionFault, "", 1)
 	for seed := range uint64(8) {
-		r := play(t, "kivu", whole, sched.Default(), seed)
+		r := play(t, "kivu", lines, sched.Default(), seed)
 		if r.broken() > 0 {
-			t.Errorf("seed %d without the partition: %v", seed, r.Violations)
-		}
-		r = play(t, "kivu", lines, sched.Default(), seed)
-		if broken := r.broken() - r.Violations[PromiseTopTierShed]; broken > 0 {
 			t.Errorf("seed %d: %v", seed, r.Violations)
 		}
-		r.checkCutOff(t, seed)
-	}
-}
-
-// checkCutOff bounds what a partition may cost the top tier. A part that is cut
-// off gives up a share of its slots at once; a request that waited beside a
-// floor grant of a second before can then be late. One in five hundred may.
-func (r *Result) checkCutOff(t *testing.T, seed uint64) {
-	t.Helper()
-	if shed := r.Violations[PromiseTopTierShed]; shed*500 > r.Tiers[0].Requests {
-		t.Errorf("seed %d: %d of %d top-tier requests shed", seed, shed, r.Tiers[0].Requests)
 	}
 }
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -35,7 +35,7 @@
 			at -= n
 		}
 		candidate := l.engines[at]
-		if candidate.free <= 0 || candidate.serves&e.target == 0 {
+		if !g.hasRoom(candidate, e.tier) || candidate.serves&e.target == 0 {
 			continue
 		}
 		cached := g.policy.Affinity && g.prefixes.holds(e.demand.Prefix, candidate)
@@ -53,6 +53,11 @@
 	return best, hit
 }
 
+// hasRoom reports whether the engine has a slot for a request of the tier.
+func (g *Group) hasRoom(on *engine, tier int) bool {
+	return on.free > 0 || on.extra > 0 && g.headroom[tier] > 0
+}
+
 const (
 	// avoidCost keeps a retry away from the engine that failed it while any
 	// other engine has room, in seconds.
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -19,6 +19,8 @@
 	// it for new work.
 	limit int
 	free  int
+	// extra are the slots beyond the share that tiers with headroom may use.
+	extra int
 	// removed marks an engine that the configuration no longer has.
 	removed bool
 
@@ -100,12 +102,26 @@
 		free = min(free, e.spec.Spec.Slots-e.inflight-e.untold)
 	}
 	free = max(0, free)
+	extra := g.extraSlots(e, limit, free)
 	if l := e.lane; l != nil {
 		l.limit += limit - e.limit
 		l.free += free - e.free
+		l.extra += extra - e.extra
 	}
 	e.limit = limit
 	e.free = free
+	e.extra = extra
+}
+
+// extraSlots are those beyond the share of this part of the fleet, which tiers
+// with headroom may use. A part that is cut off holds more than its share at
+// first, and no slot would come free for seconds; an engine that gets too much
+// from both parts still runs the highest priorities first.
+func (g *Group) extraSlots(e *engine, limit, free int) int {
+	if g.share >= 1 || limit == 0 || !g.policy.Queue {
+		return 0
+	}
+	return max(0, e.spec.Spec.Slots-e.inflight-e.untold-free)
 }
 
 // engineLimit is the number of slots the group may hold at the engine now.
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -210,7 +210,7 @@
 }
 
 func (g *Group) dispatchLane(l *lane, now monotime.Instant, out []Decision) []Decision {
-	for l.waiting > 0 && l.free > 0 {
+	for l.waiting > 0 && l.free+l.extra > 0 {
 		e, why := g.owedFloor(l, now), whyFloor
 		var on *engine
 		var hit bool
--- a/internal/sched/headroom.go
+++ b/internal/sched/headroom.go
@@ -67,7 +67,10 @@
 // mayTake reports whether a request of the tier that is expected to hold its
 // slot for so many seconds may take a free one.
 func (g *Group) mayTake(l *lane, tier int, hold float64, now monotime.Instant) bool {
-	if l.free <= 0 || g.warming(now) && tier > g.lowestWithHeadroom() {
+	if l.free <= 0 && (l.extra <= 0 || g.headroom[tier] == 0) {
+		return false
+	}
+	if g.warming(now) && tier > g.lowestWithHeadroom() {
 		return false
 	}
 	if !g.policy.Headroom {
--- a/internal/sched/lanes.go
+++ b/internal/sched/lanes.go
@@ -15,7 +15,7 @@
 	}
 	for _, l := range g.laneList {
 		l.engines = l.engines[:0]
-		l.free, l.limit, l.usable, l.mixed = 0, 0, 0, false
+		l.free, l.extra, l.limit, l.usable, l.mixed = 0, 0, 0, 0, false
 	}
 	for _, e := range g.engines {
 		g.joinLane(e)
@@ -110,7 +110,7 @@
 
 // joinLane adds the engine to its lane.
 func (g *Group) joinLane(e *engine) {
-	e.limit, e.free, e.lane = 0, 0, nil
+	e.limit, e.free, e.extra, e.lane = 0, 0, 0, nil
 	if len(e.spec.Serves) == 0 {
 		return
 	}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -66,6 +66,7 @@
 	mixed  bool
 	// free and limit are sums over the engines that take new work.
 	free    int
+	extra   int
 	limit   int
 	waiting int
 	tiers   [maxTiers]tierQueue
@@ -156,7 +157,7 @@
 	}
 	var set targetSet
 	for _, e := range l.engines {
-		if e.free > 0 {
+		if e.free+e.extra > 0 {
 			set |= e.serves
 		}
 	}
