--- a/internal/node/silence.go
+++ b/internal/node/silence.go
@@ -13,8 +13,9 @@
 const (
 	// answerWithin is how long an owner may take to answer an acquire. It answers
 	// at once, if only to say that the request waits; the time covers the way
-	// between regions, a tick and a garbage collection.
-	answerWithin = 250 * time.Millisecond
+	// between regions and back and a garbage collection. A top-tier request has
+	// 400 ms, so a longer wait leaves no time to ask the next owner.
+	answerWithin = 100 * time.Millisecond
 	// askAgainAfter is how long an owner that keeps requests waiting may be
 	// silent before it is asked again.
 	askAgainAfter = 500 * time.Millisecond
