--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -4,6 +4,7 @@
 package callers
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"net"
@@ -130,13 +131,13 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.HeaderBytes, defaultHeaderBytes)
-	setDefault(&c.BodyBytes, defaultBodyBytes)
-	setDefault(&c.Connections, defaultConnections)
-	setDefault(&c.ReadTimeout, defaultReadTimeout)
-	setDefault(&c.IdleTimeout, defaultIdleTimeout)
-	setDefault(&c.WriteStall, defaultWriteStall)
-	setDefault(&c.HomeCheck, defaultHomeCheck)
+	c.HeaderBytes = cmp.Or(c.HeaderBytes, defaultHeaderBytes)
+	c.BodyBytes = cmp.Or(c.BodyBytes, defaultBodyBytes)
+	c.Connections = cmp.Or(c.Connections, defaultConnections)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, defaultReadTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, defaultIdleTimeout)
+	c.WriteStall = cmp.Or(c.WriteStall, defaultWriteStall)
+	c.HomeCheck = cmp.Or(c.HomeCheck, defaultHomeCheck)
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
@@ -152,12 +153,6 @@
 	return c
 }
 
-func setDefault[T int | time.Duration](value *T, byDefault T) {
-	if *value == 0 {
-		*value = byDefault
-	}
-}
-
 // Server serves callers.
 type Server struct {
 	cfg     Config
--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -9,6 +9,7 @@
 package confsync
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -122,25 +123,19 @@
 )
 
 func (cfg Config) withDefaults() Config {
-	setDuration(&cfg.AskEvery, DefaultAskEvery)
-	setDuration(&cfg.WatchWait, DefaultWatchWait)
-	setDuration(&cfg.CallTimeout, DefaultCallTimeout)
-	setDuration(&cfg.PartTimeout, DefaultPartTimeout)
-	setDuration(&cfg.QuietAfter, DefaultQuietAfter)
-	setDuration(&cfg.UnrootedAfter, DefaultUnrootedAfter)
-	setDuration(&cfg.PauseAfter, DefaultPauseAfter)
+	cfg.AskEvery = cmp.Or(cfg.AskEvery, DefaultAskEvery)
+	cfg.WatchWait = cmp.Or(cfg.WatchWait, DefaultWatchWait)
+	cfg.CallTimeout = cmp.Or(cfg.CallTimeout, DefaultCallTimeout)
+	cfg.PartTimeout = cmp.Or(cfg.PartTimeout, DefaultPartTimeout)
+	cfg.QuietAfter = cmp.Or(cfg.QuietAfter, DefaultQuietAfter)
+	cfg.UnrootedAfter = cmp.Or(cfg.UnrootedAfter, DefaultUnrootedAfter)
+	cfg.PauseAfter = cmp.Or(cfg.PauseAfter, DefaultPauseAfter)
 	if cfg.ReadersPerDC == 0 {
 		cfg.ReadersPerDC = DefaultReadersPerDC
 	}
 	return cfg
 }
 
-func setDuration(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // Stats counts what the core did. Bytes are those of pieces and values.
 type Stats struct {
 	Installed, Refused, Conflicts, Corrupted  uint64
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -154,21 +155,14 @@
 			ID:            d.self.Instance,
 			Incarnation:   d.self.Token,
 			DataCentre:    s.Instance.DataCentre,
-			CallerAddress: orElse(s.Advertise.Callers, d.cfg.Listeners.Callers.Addr().String()),
-			PeerAddress:   orElse(s.Advertise.Peers, d.cfg.Listeners.Peers.Addr().String()),
+			CallerAddress: cmp.Or(s.Advertise.Callers, d.cfg.Listeners.Callers.Addr().String()),
+			PeerAddress:   cmp.Or(s.Advertise.Peers, d.cfg.Listeners.Peers.Addr().String()),
 			Epoch:         uint64(time.Now().Unix()),
 		},
 		Seeds: s.Peers.Seeds,
 	}
 }
 
-func orElse(value, otherwise string) string {
-	if value == "" {
-		return otherwise
-	}
-	return value
-}
-
 func (d *Daemon) callerConfig() callers.Config {
 	limits := d.cfg.Settings.Limits
 	return callers.Config{
@@ -212,7 +206,7 @@
 	}
 	s := d.cfg.Settings.Peers
 	if s.Key != "" {
-		return append(keys, peer.Key{ID: orElse(s.KeyID, defaultKeyID), Secret: s.Key})
+		return append(keys, peer.Key{ID: cmp.Or(s.KeyID, defaultKeyID), Secret: s.Key})
 	}
 	if len(keys) > 0 {
 		return keys
--- a/internal/orders/reconciler.go
+++ b/internal/orders/reconciler.go
@@ -7,6 +7,7 @@
 package orders
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -103,20 +104,14 @@
 
 // New returns a Reconciler without engines.
 func New(cfg Config, permit Permit) *Reconciler {
-	setDefault(&cfg.Resync, DefaultResync)
-	setDefault(&cfg.LoadPoll, DefaultLoadPoll)
-	setDefault(&cfg.Timeout, DefaultTimeout)
-	setDefault(&cfg.RetryMin, DefaultRetryMin)
-	setDefault(&cfg.RetryMax, DefaultRetryMax)
+	cfg.Resync = cmp.Or(cfg.Resync, DefaultResync)
+	cfg.LoadPoll = cmp.Or(cfg.LoadPoll, DefaultLoadPoll)
+	cfg.Timeout = cmp.Or(cfg.Timeout, DefaultTimeout)
+	cfg.RetryMin = cmp.Or(cfg.RetryMin, DefaultRetryMin)
+	cfg.RetryMax = cmp.Or(cfg.RetryMax, DefaultRetryMax)
 	return &Reconciler{cfg: cfg, permit: permit, engines: make(map[string]*state)}
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Reconfigure takes a catalog and the set of engines to look after. A catalog
 // older than the present one changes nothing.
 func (r *Reconciler) Reconfigure(now monotime.Instant, cat *catalog.Catalog, owns func(*catalog.Engine) bool) {
--- a/internal/standin/enginemodel/config.go
+++ b/internal/standin/enginemodel/config.go
@@ -1,6 +1,9 @@
 package enginemodel
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Config, used for fields left zero.
 const (
@@ -61,26 +64,19 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Slots, DefaultSlots)
-	setDefault(&c.MaxWaiting, c.Slots)
-	setDefault(&c.StepMS, DefaultStepMS)
-	setDefault(&c.BatchSlowdown, DefaultBatchSlowdown)
-	setDefault(&c.PrefillTokensPerS, DefaultPrefillTokensPerS)
-	setDefault(&c.CacheTokens, DefaultCacheTokens)
-	setDefault(&c.PrefixShare, DefaultPrefixShare)
-	setDefault(&c.Slowdown, 1)
-	setDefault(&c.Linger, DefaultLinger)
-	setDefault(&c.KeepEnded, DefaultKeepEnded)
-	setDefault(&c.LoadLag, DefaultLoadLag)
-	setDefault(&c.CacheEventLag, DefaultCacheEventLag)
+	c.Slots = cmp.Or(c.Slots, DefaultSlots)
+	c.MaxWaiting = cmp.Or(c.MaxWaiting, c.Slots)
+	c.StepMS = cmp.Or(c.StepMS, DefaultStepMS)
+	c.BatchSlowdown = cmp.Or(c.BatchSlowdown, DefaultBatchSlowdown)
+	c.PrefillTokensPerS = cmp.Or(c.PrefillTokensPerS, DefaultPrefillTokensPerS)
+	c.CacheTokens = cmp.Or(c.CacheTokens, DefaultCacheTokens)
+	c.PrefixShare = cmp.Or(c.PrefixShare, DefaultPrefixShare)
+	c.Slowdown = cmp.Or(c.Slowdown, 1)
+	c.Linger = cmp.Or(c.Linger, DefaultLinger)
+	c.KeepEnded = cmp.Or(c.KeepEnded, DefaultKeepEnded)
+	c.LoadLag = cmp.Or(c.LoadLag, DefaultLoadLag)
+	c.CacheEventLag = cmp.Or(c.CacheEventLag, DefaultCacheEventLag)
 	perStep := int(float64(c.PrefillTokensPerS) * c.StepMS / 1000)
-	setDefault(&c.PrefillChunk, max(perStep, 1))
+	c.PrefillChunk = cmp.Or(c.PrefillChunk, max(perStep, 1))
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -7,6 +7,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -81,24 +82,18 @@
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
-	setDefault(&c.ConnectTimeout, DefaultConnectTimeout)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.FirstByteTimeout, DefaultFirstByteTimeout)
-	setDefault(&c.FirstTokenTimeout, DefaultFirstTokenTimeout)
-	setDefault(&c.TokenGapTimeout, DefaultTokenGapTimeout)
-	setDefault(&c.ServiceTimeout, DefaultServiceTimeout)
-	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&c.IdlePerAddress, DefaultIdlePerAddress)
-	setDefault(&c.MaxAnswer, DefaultMaxAnswer)
+	c.ConnectTimeout = cmp.Or(c.ConnectTimeout, DefaultConnectTimeout)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
+	c.FirstByteTimeout = cmp.Or(c.FirstByteTimeout, DefaultFirstByteTimeout)
+	c.FirstTokenTimeout = cmp.Or(c.FirstTokenTimeout, DefaultFirstTokenTimeout)
+	c.TokenGapTimeout = cmp.Or(c.TokenGapTimeout, DefaultTokenGapTimeout)
+	c.ServiceTimeout = cmp.Or(c.ServiceTimeout, DefaultServiceTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
+	c.IdlePerAddress = cmp.Or(c.IdlePerAddress, DefaultIdlePerAddress)
+	c.MaxAnswer = cmp.Or(c.MaxAnswer, DefaultMaxAnswer)
 	return c
 }
 
-func setDefault[T time.Duration | int](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var dialer net.Dialer
 	return dialer.DialContext(ctx, "tcp", address)
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"time"
@@ -41,7 +42,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "method or path is not valid")
 	}
 	timeout := call.Timeout
-	setDefault(&timeout, c.cfg.ServiceTimeout)
+	timeout = cmp.Or(timeout, c.cfg.ServiceTimeout)
 	req := newRequest(target, call.Method, call.Path)
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.Set(enginehttp.HeaderRequestID, call.RequestID)
