peer: an accepted link ends when it is closed

Cause: fasthttp's Close of a taken-over connection does nothing until its handler returns, and the handler waited for the connection to close. A link that the accepting side closed (replaced, over-full, key removed, process ending) lived on until it counted as silent, 3.5 s, and a restarted peer's new link waited for that long with the lock of link events held. Change: the server leaves connections to us (KeepHijackedConns); Run closes its listener first and ends connections in their handshake; a dial ends with its context. The restart test now allows silence for an hour, and fails without the change.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -143,16 +143,25 @@
 }
 
 func (s *Links) connect(ctx context.Context, address string) (*websocket.Conn, error) {
+	stop := func() bool { return true }
 	dialer := websocket.Dialer{
 		HandshakeTimeout: s.cfg.Timing.Handshake,
-		NetDialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			return s.cfg.Dial(ctx, address)
+		NetDialContext: func(dialing context.Context, _, _ string) (net.Conn, error) {
+			conn, err := s.cfg.Dial(dialing, address)
+			if err == nil {
+				// The library waits for the answer to the upgrade without
+				// looking at the context. Its own context, dialing, ends when
+				// it returns and must not close the connection.
+				stop = context.AfterFunc(ctx, func() { conn.Close() })
+			}
+			return conn, err
 		},
 	}
 	conn, response, err := dialer.DialContext(ctx, "ws://"+address+Path, nil)
 	if response != nil {
 		response.Body.Close()
 	}
+	stop()
 	return conn, err
 }
 
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/fasthttp/websocket"
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -50,6 +51,7 @@
 	mu      sync.Mutex
 	keys    []Key
 	links   map[string]*link
+	conns   map[*websocket.Conn]struct{} // served, links or in their handshake
 	dials   map[string]*dial
 	wanted  map[string]Target
 	stopped bool
@@ -75,6 +77,7 @@
 		kick:   make(chan struct{}, 1),
 		keys:   slices.Clone(cfg.Keys),
 		links:  make(map[string]*link),
+		conns:  make(map[*websocket.Conn]struct{}),
 		dials:  make(map[string]*dial),
 		wanted: make(map[string]Target),
 	}, nil
@@ -102,13 +105,18 @@
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
 		CloseOnShutdown:              true,
-		Logger:                       zap.NewStdLog(s.cfg.Log),
+		// Without it closing an accepted connection does nothing until its
+		// handler returns, and the handler waits for the connection to close.
+		KeepHijackedConns: true,
+		Logger:            zap.NewStdLog(s.cfg.Log),
 	}
 	group, running := errgroup.WithContext(ctx)
 	group.Go(func() error { return server.Serve(s.cfg.Listener) })
 	group.Go(func() error { return s.manage(running) })
 	group.Go(func() error {
 		<-running.Done()
+		// With the listener open a peer would dial again while links close.
+		s.cfg.Listener.Close()
 		s.stop()
 		return server.Shutdown()
 	})
@@ -124,14 +132,14 @@
 func (s *Links) stop() {
 	s.mu.Lock()
 	s.stopped = true
-	open := make([]*link, 0, len(s.links))
 	for _, l := range s.links {
-		open = append(open, l)
-	}
-	s.mu.Unlock()
-	for _, l := range open {
 		l.close(errStopped)
 	}
+	// Connections in their handshake would hold up the end for its timeout.
+	for conn := range s.conns {
+		conn.NetConn().Close()
+	}
+	s.mu.Unlock()
 }
 
 // SetWanted replaces the set of peers to keep links to.
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -309,10 +309,15 @@
 func TestRestartedPeerReplacesItsLink(t *testing.T) {
 	// A process restarts under its id while the old connection still looks
 	// open. The link of the new incarnation takes over at once, and nothing of
-	// the old one comes after it.
-	b := start(t, "b", nil)
+	// the old one comes after it. The side that accepted the old link must end
+	// it by itself: with silence allowed for an hour, nothing else would.
+	patient := func(cfg *Config) { cfg.Timing.Silence = time.Hour }
+	b := start(t, "b", patient)
 	for i := 1; i <= 3; i++ {
-		old := start(t, "a", func(cfg *Config) { cfg.Self.Incarnation = fmt.Sprint(i) })
+		old := start(t, "a", func(cfg *Config) {
+			patient(cfg)
+			cfg.Self.Incarnation = fmt.Sprint(i)
+		})
 		old.SetWanted([]Target{{ID: "b", Address: b.address}})
 		for got := next(t, "link at b", b.up); got.Incarnation != fmt.Sprint(i); {
 			got = next(t, "link at b", b.up)
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -37,10 +37,10 @@
 // returns nil once the link was open.
 func (s *Links) run(conn *websocket.Conn, dialer bool, expect string) error {
 	defer conn.Close()
-	if !s.begin() {
+	if !s.begin(conn) {
 		return errStopped
 	}
-	defer s.served.Done()
+	defer s.end(conn)
 	agreed, err := s.shake(conn, dialer)
 	if err == nil && expect != "" && agreed.peer.ID != expect {
 		err = errors.Errorf("address of %s answers as %s", expect, agreed.peer.ID)
@@ -66,13 +66,22 @@
 }
 
 // begin counts a connection that Run has to wait for, unless Run is over.
-func (s *Links) begin() bool {
+func (s *Links) begin(conn *websocket.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.stopped {
-		s.served.Add(1)
+	if s.stopped {
+		return false
 	}
-	return !s.stopped
+	s.served.Add(1)
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Links) end(conn *websocket.Conn) {
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+	s.served.Done()
 }
 
 func (s *Links) shake(conn *websocket.Conn, dialer bool) (agreement, error) {
