Explain tells what a choice went by and how old it was

Cause: the age on a decision line was the time since the request was asked for, and nothing said what was known of the group. Change: grants and refusals record the wait the group told last and its age.

--- a/internal/node/grant.go
+++ b/internal/node/grant.go
@@ -73,7 +73,7 @@
 	r.limited = 0
 	n.picker.Ran(now, r.Prefix, r.group)
 	r.queued += now.Sub(r.askedAt)
-	n.recordDecision(now, r, "started", "slot granted by "+r.owner, now.Sub(r.askedAt))
+	n.recordDecision(now, r, "started", n.whyGranted(now, r), r.believed.age)
 	n.eff.Start(n.attemptOf(r))
 }
 
@@ -87,7 +87,7 @@
 	err := verdict.New(verdict.NotRun, verdict.Reason(f.Reason), "no server can serve the request in time").
 		After(milliseconds(f.RetryAfterMS))
 	r.skip = append(r.skip, f.Group)
-	n.recordDecision(now, r, f.Reason, "slot refused by "+from, now.Sub(r.askedAt))
+	n.recordDecision(now, r, f.Reason, n.whyRefused(now, r, from, f), r.believed.age)
 	if len(r.skip) < maxGroups && n.askElsewhere(now, r) {
 		return
 	}
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -75,6 +75,8 @@
 	group   *catalog.Group
 	owner   string
 	askedAt monotime.Instant
+	// believed is what the choice of the group went by.
+	believed belief
 	// lostOwner says that an owner left this request without an answer.
 	lostOwner bool
 	skip      []string
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -150,6 +150,7 @@
 // ask sends the acquire for the group already picked.
 func (n *Node) ask(now monotime.Instant, r *request) {
 	r.owner = n.ownerFor(now, r)
+	r.believed = n.beliefOf(now, r)
 	msg := n.acquireMessage(now, r)
 	if r.owner == n.self() {
 		n.submitOwned(now, n.self(), msg)
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -148,6 +148,13 @@
 	p.groups[viewKey{group, tier}] = groupView{backlog: backlog, at: now}
 }
 
+// Told returns the wait that a group told for a tier last, and how long ago; false
+// when it told none.
+func (p *Picker) Told(now monotime.Instant, group string, tier int) (backlog, age time.Duration, ok bool) {
+	view, ok := p.groups[viewKey{group, tier}]
+	return view.backlog, now.Sub(view.at), ok
+}
+
 // Ran notes that a group ran a request with the prefix.
 func (p *Picker) Ran(now monotime.Instant, prefix uint64, group *catalog.Group) {
 	if prefix != 0 {
