membership: links opened on demand compare no tables

Cause: under load an instance opens links to most of the fleet (limits and slots), and compared its membership table on each: 260 B/s sent a daemon at 64 daemons, 1,055 at 128, growing with the fleet. Ruled out: heartbeats, which run between neighbours only (49 B/s at 64, 52 at 128). Change: tables are compared on links to neighbours, to members not live here, on probes, and while nobody has confirmed the view. Conclusion: the part that grew is gone; hello and framing of these links remain.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -140,15 +140,31 @@
 	ct.up = true
 	ct.mismatch = 0
 	c.heardFrom(now, ct)
+	compare := c.mayKnowMore(id, ct)
 	if c.probe.ID == id {
 		c.probe = Target{}
 	}
-	c.sendSync(now, id, ct, eff)
+	if compare {
+		c.sendSync(now, id, ct, eff)
+	}
 	if !c.confirmed {
 		c.ping(now, id, ct, eff)
 	}
 }
 
+// mayKnowMore reports whether tables are to be compared with a peer on a new
+// link. Links opened on demand, for a slot or a permit, go to members that the
+// graph already keeps current; comparing on each of them costs more than the
+// heartbeats once an instance talks to most of the fleet. A peer that was not
+// live here comes from another part of the fleet, and tables are compared.
+func (c *Core) mayKnowMore(id string, ct *contact) bool {
+	if ct.neighbour || !c.confirmed || c.probe.ID == id {
+		return true
+	}
+	e := c.find(id)
+	return e == nil || !e.State.present()
+}
+
 // OnLinkDown tells that no link to a peer is open any more.
 func (c *Core) OnLinkDown(now monotime.Instant, id string) {
 	ct := c.contacts[id]
