--- a/tools/fleet/fit.go
+++ b/tools/fleet/fit.go
@@ -188,7 +188,8 @@
 func (s series) fit(measured []*measurement) (fitted, error) {
 	out := fitted{Figure: s.figure, Unit: s.unit, Per: s.axis.name, Target: s.axis.target}
 	for _, m := range measured {
-		if s.axis.holds(m) {
+		// Figures that an older driver did not take are 0.
+		if s.axis.holds(m) && s.y(m) != 0 {
 			out.Points = append(out.Points, point{s.axis.x(m), s.y(m)})
 		}
 	}
--- a/tools/fleet/profile.go
+++ b/tools/fleet/profile.go
@@ -52,6 +52,7 @@
 	{"orders and hints of engines", true, regexp.MustCompile(`internal/orders\.|internal/hints\.|daemon\.\(\*(poller|orderer|engineOrders)|upstream\.\(\*Client\)\.(Load|CacheEvents|Order|Holds)`)},
 	{"ticks", true, regexp.MustCompile(`daemon\.\(\*Daemon\)\.tick`)},
 	{"accounting", false, regexp.MustCompile(`internal/accounting\.`)},
+	{"counting relayed tokens", false, regexp.MustCompile(`node\.\(\*Progress\)\.Token`)},
 	{"following requests (node)", true, regexp.MustCompile(`internal/node\.`)},
 	{"upstream streams", false, regexp.MustCompile(`internal/(upstream|answers|daemon)\.`)},
 	{"callers", false, regexp.MustCompile(`internal/callers\.|fasthttp\.`)},
