basilrudderd: a soft memory limit of 112 MB

Cause: a change put in force under load made the process peak at 127.1 MB of the 128 it may take. Change: the collector's limit is 112 MB unless GOMEMLIMIT is set.

--- a/cmd/basilrudderd/main.go
+++ b/cmd/basilrudderd/main.go
@@ -53,6 +53,7 @@
 
 // run serves until the first SIGTERM or SIGINT and its drain.
 func run(s *settings.Settings) error {
+	limitMemory()
 	log, err := newLog(string(s.Log.Level))
 	if err != nil {
 		return err
--- a/tools/fleet/caller.go
+++ b/tools/fleet/caller.go
@@ -118,8 +118,8 @@
 	tokens     int
 }
 
-func drawWork(rng *rand.Rand, mostTokens int) work {
-	model := rng.IntN(models)
+func drawWork(rng *rand.Rand, served, mostTokens int) work {
+	model := rng.IntN(served)
 	w := work{tokens: 1 + rng.IntN(mostTokens), idempotent: rng.IntN(2) == 0}
 	switch {
 	case rng.Float64() < serviceShare && w.idempotent:
--- a/tools/fleet/faults.go
+++ b/tools/fleet/faults.go
@@ -22,7 +22,7 @@
 	Rate      float64       `default:"60" help:"Requests per second over the fleet."`
 	StepMS    float64       `name:"step-ms" default:"20" help:"Time between tokens in milliseconds."`
 	Tokens    int           `default:"150" help:"Longest answer in tokens."`
-	Servers   int           `default:"42" help:"Model servers, at least 6."`
+	Servers   int           `default:"42" help:"Model servers."`
 	TTL       int           `name:"ttl" default:"2" help:"Time a directory answer may be used, in seconds."`
 	For       time.Duration `default:"30s" help:"Length of the scenarios that kill and stop daemons."`
 	Seed      uint64        `default:"1" help:"Seed of the load and of the victims."`
@@ -104,7 +104,7 @@
 		"restart": r.restartAll, "replace": r.replaceAll, "kill": r.kills,
 		"stop": r.stops, "mixed": r.mixed, "withdraw": r.withdrawals,
 	}
-	crowd := newCrowd(r.fleet.cfg.Shape.Customers, r.cmd.Rate, r.cmd.Tokens, r.cmd.Seed, r.entries)
+	crowd := newCrowd(r.fleet.cfg.Shape, r.cmd.Rate, r.cmd.Tokens, r.cmd.Seed, r.entries)
 	var out []faultResult
 	bad := 0
 	for _, name := range r.cmd.Scenarios {
--- a/tools/fleet/measure.go
+++ b/tools/fleet/measure.go
@@ -34,6 +34,7 @@
 	StepMS    float64       `name:"step-ms" default:"250" help:"Time between tokens in milliseconds."`
 	Tokens    int           `default:"20" help:"Tokens of each answer."`
 	Window    time.Duration `default:"15s" help:"Length of each measured window."`
+	Busy      bool          `help:"Also publish a change in the loaded window, where memory peaks."`
 	Procs     int           `default:"2" help:"GOMAXPROCS of each daemon."`
 	Out       string        `type:"path" help:"Write the result to this file, as JSON."`
 }
@@ -216,7 +217,15 @@
 	warmUp := time.Duration(float64(c.Tokens)*c.StepMS)*time.Millisecond + time.Second
 	err := sleep(ctx, warmUp)
 	if err == nil {
-		out.Loaded, err = f.observe(ctx, members, func() error { return sleep(ctx, c.Window) })
+		out.Loaded, err = f.observe(ctx, members, func() error {
+			if c.Busy {
+				f.standins.inventory.Customers[0].Weight++
+				if _, err := f.standins.publish(); err != nil {
+					return err
+				}
+			}
+			return sleep(ctx, c.Window)
+		})
 	}
 	close(stop)
 	out.Callers = <-done
--- a/tools/fleet/requests.go
+++ b/tools/fleet/requests.go
@@ -125,6 +125,7 @@
 type crowd struct {
 	callers    []*caller
 	rate       float64
+	served     int // models that some server holds
 	mostTokens int
 	seed       uint64
 	count      atomic.Uint64
@@ -133,9 +134,9 @@
 	stories []*story
 }
 
-func newCrowd(customers int, rate float64, mostTokens int, seed uint64, entries func() []string) *crowd {
-	c := &crowd{rate: rate, mostTokens: mostTokens, seed: seed}
-	for i := range customers {
+func newCrowd(s shape, rate float64, mostTokens int, seed uint64, entries func() []string) *crowd {
+	c := &crowd{rate: rate, served: s.servedModels(), mostTokens: mostTokens, seed: seed}
+	for i := range s.Customers {
 		c.callers = append(c.callers, newCaller(customerName(i), entries))
 	}
 	return c
@@ -175,7 +176,7 @@
 		case <-time.After(wait):
 		}
 		who := c.callers[rng.IntN(len(c.callers))]
-		w := drawWork(rng, c.mostTokens)
+		w := drawWork(rng, c.served, c.mostTokens)
 		group.Go(func() {
 			s := who.run(ctx, w, c.nonce)
 			c.mu.Lock()
