--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -166,6 +166,17 @@
 	return r.buf.String()
 }
 
+func testInventory(tb testing.TB) *spec.Inventory {
+	tb.Helper()
+	digest := sha256.Sum256([]byte(CredentialPrefix + testCustomer))
+	text := fmt.Sprintf(deployment, hex.EncodeToString(digest[:]))
+	inv, problems := inventory.Parse([]inventory.File{{Name: "inventory.toml", Data: []byte(text)}})
+	if len(problems) > 0 {
+		tb.Fatal(problems)
+	}
+	return inv
+}
+
 // worlds numbers the fleets of the tests.
 var worlds atomic.Int64
 
@@ -178,12 +189,7 @@
 func newWorldWith(t *testing.T, instances int, change func(*Config)) *world {
 	t.Helper()
 	t.Parallel()
-	digest := sha256.Sum256([]byte(CredentialPrefix + testCustomer))
-	text := fmt.Sprintf(deployment, hex.EncodeToString(digest[:]))
-	inv, problems := inventory.Parse([]inventory.File{{Name: "inventory.toml", Data: []byte(text)}})
-	if len(problems) > 0 {
-		t.Fatal(problems)
-	}
+	inv := testInventory(t)
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	t.Cleanup(cancel)
 	w := &world{t: t, ctx: ctx, inv: inv, records: &records{}, calls: &calls{}}
