The histogram of gaps is made at the second token

Cause: each attempt made one, 2.3 KB, also for plain services and answers of one token, which have no gap. It was the largest allocation of a request.

--- a/internal/node/progress.go
+++ b/internal/node/progress.go
@@ -22,12 +22,15 @@
 	tokens atomic.Int64
 	first  atomic.Int64
 	last   atomic.Int64
-	gaps   *hdrhistogram.Histogram
+	// gaps is nil before the second token: plain services and answers of one
+	// token have no gap, and a histogram takes more memory than all else that
+	// is kept of such a request.
+	gaps *hdrhistogram.Histogram
 }
 
 // NewProgress returns an empty Progress.
 func NewProgress() *Progress {
-	return &Progress{gaps: hdrhistogram.New(1, int64(longestGap/gapUnit), gapDigits)}
+	return &Progress{}
 }
 
 // Token counts one token relayed at now.
@@ -37,6 +40,9 @@
 		p.first.Store(int64(now))
 		return
 	}
+	if p.gaps == nil {
+		p.gaps = hdrhistogram.New(1, int64(longestGap/gapUnit), gapDigits)
+	}
 	gap := min(now.Sub(last), longestGap)
 	_ = p.gaps.RecordValue(int64(gap / gapUnit))
 }
@@ -63,5 +69,8 @@
 // GapP95 returns the 95th percentile of the time between tokens. It must not be
 // called while the attempt runs.
 func (p *Progress) GapP95() time.Duration {
+	if p.gaps == nil {
+		return 0
+	}
 	return time.Duration(p.gaps.ValueAtQuantile(gapPercentile)) * gapUnit
 }
