The top tier may overdraw its customer's limit; hedging weighed and left out

Change: a top-tier request without a permit goes into debt, at most one burst for each instance, which later permits pay first.

--- a/internal/limits/local.go
+++ b/internal/limits/local.go
@@ -35,7 +35,7 @@
 // account is what this instance holds for one customer.
 type account struct {
 	customer *catalog.Customer
-	requests int
+	requests int     // below zero when overdrawn
 	tokens   float64 // below zero when overdrawn
 	until    monotime.Instant
 	giver    string
@@ -136,8 +136,10 @@
 	if now < a.until {
 		return
 	}
-	a.returnedRequests += a.requests
-	a.requests = 0
+	if a.requests > 0 {
+		a.returnedRequests += a.requests
+		a.requests = 0
+	}
 	if a.tokens > 0 {
 		a.returnedTokens += a.tokens
 		a.tokens = 0
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -28,16 +28,31 @@
 	return permits{local: limits.NewLocal(), home: limits.NewHome(0)}
 }
 
+// topTier is the tier that may overdraw its customer's limits.
+const topTier = 0
+
 // permit judges a new request before it is admitted.
-func (n *Node) permit(now monotime.Instant, customer *catalog.Customer) (limits.Verdict, *verdict.Error) {
-	verdict, after := n.permits.local.Admit(now, customer)
-	if verdict != limits.Waiting {
-		return verdict, rateError(verdict, after)
+func (n *Node) permit(now monotime.Instant, in Request) (limits.Verdict, *verdict.Error) {
+	v, after := n.permits.local.Admit(now, in.Customer)
+	if v == limits.Waiting {
+		// The home may be this node, which answers at once.
+		n.askPermits(now)
+		v, after = n.permits.local.Again(now, in.Customer)
 	}
-	// The home may be this node, which answers at once.
-	n.askPermits(now)
-	verdict, after = n.permits.local.Again(now, customer)
-	return verdict, rateError(verdict, after)
+	v = n.overdraw(now, v, in)
+	return v, rateError(v, after)
+}
+
+// overdraw admits a request of the top tier that its customer's lower work left
+// no permit for.
+func (n *Node) overdraw(now monotime.Instant, v limits.Verdict, in Request) limits.Verdict {
+	if v != limits.Refused || in.Class.TierFor(in.Customer) != topTier {
+		return v
+	}
+	if !n.permits.local.Overdraw(now, in.Customer) {
+		return v
+	}
+	return limits.Admitted
 }
 
 func rateError(v limits.Verdict, after time.Duration) *verdict.Error {
@@ -68,6 +83,7 @@
 			continue
 		}
 		v, after := n.permits.local.Again(now, r.Customer)
+		v = n.overdraw(now, v, r.Request)
 		switch v {
 		case limits.Waiting:
 			n.permits.waiting = append(n.permits.waiting, r)
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -34,7 +34,7 @@
 		n.recordRefused(now, in, err)
 		return 0, err
 	}
-	permitted, err := n.permit(now, in.Customer)
+	permitted, err := n.permit(now, in)
 	if err != nil {
 		n.ids.Forget(in.ID)
 		n.recordRefused(now, in, err)
