Urgency and untold slots for tiers with headroom only; rules can be switched off

Cause: serving what is nearly late first undid the shares of a tier with more work than fits. After a hand-over the top tier waited for news of slots that engines reported in use.

--- a/internal/cli/replay.go
+++ b/internal/cli/replay.go
@@ -26,6 +26,8 @@
 	Policy     string `default:"default" enum:"default,round-robin,least-loaded" help:"Policy that decides: default, round-robin or least-loaded."`
 	Seed       uint64 `default:"1" help:"Seed of every random choice."`
 	Instances  int    `default:"8" help:"Entry instances."`
+	Without    string `placeholder:"RULE" help:"Switch one rule of the policy off: affinity, ejection, fairness, floor, headroom, learn, refusal, stragglers, tiers or urgent."`
+	Alone      bool   `help:"Let each instance schedule its share of the slots by itself."`
 	JSON       bool   `name:"json" help:"Write JSON instead of a table."`
 }
 
@@ -43,12 +45,18 @@
 	if !ok {
 		return errors.Errorf("no policy %q", c.Policy)
 	}
+	if c.Without != "" {
+		if policy, ok = policy.Without(c.Without); !ok {
+			return errors.Errorf("no rule %q", c.Without)
+		}
+	}
 	result, err := replay.Run(context.Background(), replay.Config{
 		Inventory: inv,
 		Trace:     tr,
 		Policy:    policy,
 		Instances: c.Instances,
 		Seed:      c.Seed,
+		Alone:     c.Alone,
 	})
 	if err != nil {
 		return errors.Wrap(err, "replay")
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -3,6 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,9 +73,10 @@
 	for tier := range 7 {
 		l.classes = append(l.classes, cat.Classes[fmt.Sprintf("c%d-%s", tier, group.Serves[0][1:])])
 	}
-	for i := range cat.Customers {
-		l.customers = append(l.customers, cat.Customers[i])
+	for _, customer := range cat.Customers {
+		l.customers = append(l.customers, customer)
 	}
+	slices.SortFunc(l.customers, func(a, b *catalog.Customer) int { return strings.Compare(a.Name, b.Name) })
 	for l.g.waiting < waiting {
 		l.submit()
 	}
@@ -179,3 +184,38 @@
 		l.out = l.g.Tick(l.now, l.out[:0])
 	}
 }
+
+// BenchmarkContention runs all groups of the fleet from many cores: each group
+// behind its own lock, and all behind one.
+func BenchmarkContention(b *testing.B) {
+	for _, one := range []bool{false, true} {
+		name := "lock=group"
+		if one {
+			name = "lock=one"
+		}
+		b.Run(name, func(b *testing.B) { benchContention(b, one) })
+	}
+}
+
+func benchContention(b *testing.B, one bool) {
+	cat := fleet(600, 27_000)
+	loads := make([]*load, len(cat.GroupList))
+	locks := make([]sync.Mutex, len(loads))
+	for i, group := range cat.GroupList {
+		loads[i] = newLoad(cat, group, 100)
+	}
+	var next atomic.Uint64
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			at := next.Add(1) % uint64(len(loads))
+			lock := &locks[at]
+			if one {
+				lock = &locks[0]
+			}
+			lock.Lock()
+			loads[at].turn()
+			lock.Unlock()
+		}
+	})
+}
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -113,15 +113,16 @@
 	e.extra = extra
 }
 
-// extraSlots are those beyond the share of this part of the fleet, which tiers
-// with headroom may use. A part that is cut off holds more than its share at
-// first, and no slot would come free for seconds; an engine that gets too much
-// from both parts still runs the highest priorities first.
+// extraSlots are those that only tiers with headroom may use: beyond the share of
+// this part of the fleet, or in use by holders that have not told yet. A part
+// that is cut off holds more than its share at first, and a new owner waits for
+// news of what runs; no slot would come free for seconds. An engine that gets too
+// much from two owners still runs the highest priorities first.
 func (g *Group) extraSlots(e *engine, limit, free int) int {
-	if g.share >= 1 || limit == 0 || !g.policy.Queue {
+	if g.share >= 1 && e.untold == 0 || limit == 0 || !g.policy.Queue {
 		return 0
 	}
-	return max(0, e.spec.Spec.Slots-e.inflight-e.untold-free)
+	return max(0, e.spec.Spec.Slots-e.inflight-free)
 }
 
 // engineLimit is the number of slots the group may hold at the engine now.
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -256,7 +256,7 @@
 // turn returns the entry of a tier whose turn it is: the customer who used the
 // least, and among that customer's the most urgent.
 func (g *Group) turn(l *lane, tier int, reach targetSet, now monotime.Instant) *entry {
-	if e := l.tiers[tier].expiry.min().value; e.target&reach != 0 && e.latestStart.Sub(now) < g.policy.Urgent {
+	if e := l.tiers[tier].expiry.min().value; g.goesUrgent(e, now) && e.target&reach != 0 {
 		return e
 	}
 	var best *entry
@@ -274,6 +274,15 @@
 	return best
 }
 
+// goesUrgent reports whether a request goes first in its tier because it would
+// soon be late. Only tiers with headroom have that: they are meant to fit, and a
+// customer who asked a little more must not be late while others can wait. In a
+// tier with more work than fits, every request gets urgent, and serving those
+// would undo the shares.
+func (g *Group) goesUrgent(e *entry, now monotime.Instant) bool {
+	return g.headroom[e.tier] > 0 && e.latestStart.Sub(now) < g.policy.Urgent
+}
+
 func (g *Group) before(a, b *entry) bool {
 	ka, kb := g.orderKey(a), g.orderKey(b)
 	if ka != kb {
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -121,3 +121,29 @@
 	// defaultMaxQueue applies when neither a deadline nor a class bound does.
 	defaultMaxQueue = 10 * time.Minute
 )
+
+// rules are the switches of a policy, by the names that Without takes.
+var rules = map[string]func(*Policy){
+	"affinity":   func(p *Policy) { p.Affinity = false },
+	"ejection":   func(p *Policy) { p.Ejection = false },
+	"fairness":   func(p *Policy) { p.Fairness = false },
+	"floor":      func(p *Policy) { p.Floor = false },
+	"headroom":   func(p *Policy) { p.Headroom = false },
+	"learn":      func(p *Policy) { p.Learn = false },
+	"refusal":    func(p *Policy) { p.EarlyRefusal = false },
+	"stragglers": func(p *Policy) { p.Stragglers = false },
+	"tiers":      func(p *Policy) { p.Tiers = false },
+	"urgent":     func(p *Policy) { p.Urgent = 0 },
+}
+
+// Without returns the policy with one rule switched off, to measure the rule. It
+// returns false for an unknown name.
+func (p Policy) Without(rule string) (Policy, bool) {
+	off, ok := rules[rule]
+	if !ok {
+		return p, false
+	}
+	off(&p)
+	p.Name += " without " + rule
+	return p, true
+}
