--- a/internal/cli/replay.go
+++ b/internal/cli/replay.go
@@ -12,6 +12,7 @@
 
 	"basilrudder/internal/catalog"
 	"basilrudder/internal/inventory"
+	"basilrudder/internal/node"
 	"basilrudder/internal/replay"
 	"basilrudder/internal/sched"
 	schema "basilrudder/internal/schema/inventory"
@@ -24,6 +25,7 @@
 	Trace      string `required:"" type:"path" placeholder:"FILE" help:"Trace to replay (docs/TRACES.md)."`
 	Outcomes   string `type:"path" placeholder:"FILE" help:"Outcomes that must come out (TOML)."`
 	Policy     string `default:"default" enum:"default,round-robin,least-loaded" help:"Policy that decides: default, round-robin or least-loaded."`
+	Owners     string `default:"owner" enum:"owner,independent,shared" help:"Who schedules a group: its owner, or for comparison every instance by itself, with all slots (independent) or its share (shared)."`
 	Seed       uint64 `default:"1" help:"Seed of every random choice."`
 	Instances  int    `default:"8" help:"Entry instances."`
 	Without    string `placeholder:"RULE" help:"Switch one rule of the policy off: affinity, ejection, fairness, floor, headroom, learn, refusal, stragglers, tiers or urgent."`
@@ -54,6 +56,7 @@
 		Inventory: inv,
 		Trace:     tr,
 		Policy:    policy,
+		Ownership: ownerships[c.Owners],
 		Instances: c.Instances,
 		Seed:      c.Seed,
 		Alone:     c.Alone,
@@ -67,6 +70,13 @@
 	return c.check(result)
 }
 
+// ownerships by the names on the command line.
+var ownerships = map[string]node.Ownership{
+	"owner":       node.Owners,
+	"independent": node.Independent,
+	"shared":      node.Shared,
+}
+
 func readTrace(name string, inv *schema.Inventory) (*trace.Trace, error) {
 	file, err := os.Open(name)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,8 +72,24 @@
 	Policy sched.Policy
 	// Seed of all random choices.
 	Seed uint64
+	// Ownership says who schedules a group. Anything but Owners is for comparison
+	// in replays.
+	Ownership Ownership
 }
 
+// Ownership says who schedules a group.
+type Ownership uint8
+
+const (
+	// Owners: one live member schedules each group.
+	Owners Ownership = iota
+	// Independent: every node schedules all groups by what it holds itself, as if
+	// it were alone.
+	Independent
+	// Shared: like Independent, and each uses its equal share of the slots.
+	Shared
+)
+
 // Node is one instance without its I/O. It is safe for concurrent use.
 type Node struct {
 	cfg     Config
@@ -232,6 +248,9 @@
 // ownerOf returns the instance that schedules a group, as far as this node can
 // reach it. A node that reaches none schedules the group itself.
 func (n *Node) ownerOf(group *catalog.Group) string {
+	if n.cfg.Ownership != Owners {
+		return n.self()
+	}
 	owner := route.Owner(group, n.reachable())
 	if owner == "" {
 		return n.self()
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -63,7 +63,7 @@
 	delete(n.idle, name)
 	n.owned[name] = g
 	if view := n.view.Load(); view != nil {
-		g.sched.SetShare(ShareOf(view))
+		g.sched.SetShare(n.slotShare(view))
 	}
 	return g
 }
@@ -319,10 +319,18 @@
 
 func (n *Node) updateShares(view *membership.View) {
 	for _, g := range n.owned {
-		g.sched.SetShare(ShareOf(view))
+		g.sched.SetShare(n.slotShare(view))
 	}
 }
 
+// slotShare is the part of a group's slots that this node may hand out.
+func (n *Node) slotShare(view *membership.View) (live, total int) {
+	if n.cfg.Ownership == Shared {
+		return 1, max(view.Known, 1)
+	}
+	return ShareOf(view)
+}
+
 // ShareOf returns how many of the known instances this part of the fleet sees.
 // In a partition each part uses about that share of a server both reach.
 func ShareOf(view *membership.View) (live, total int) {
--- a/internal/replay/instance.go
+++ b/internal/replay/instance.go
@@ -72,6 +72,7 @@
 		DataCentre: i.dataCentre,
 		Capacity:   nodeCapacity,
 		Policy:     s.cfg.Policy,
+		Ownership:  s.cfg.Ownership,
 		Seed:       s.rng.Uint64(),
 	}, p)
 	i.process = p
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -18,6 +18,7 @@
 
 	"basilrudder/internal/catalog"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/node"
 	"basilrudder/internal/sched"
 	"basilrudder/internal/schema/accounting"
 	"basilrudder/internal/schema/inventory"
@@ -32,6 +33,8 @@
 	Trace *trace.Trace
 	// Policy of the scheduling groups.
 	Policy sched.Policy
+	// Ownership says who schedules a group; the zero value is the product's way.
+	Ownership node.Ownership
 	// Instances is the number of entry instances; 0 for 8.
 	Instances int
 	// Seed of every random choice.
