--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"basilrudder/internal/monotime"
-	"basilrudder/internal/schema/platformapi"
-	"basilrudder/internal/schema/wire"
 )
 
 // Core is the membership of one instance. It is not safe for concurrent use;
@@ -266,17 +264,6 @@
 	return e.State == Dead && !e.left && !e.unlisted
 }
 
-// unseen counts listed live instances that no peer has told of.
-func (c *Core) unseen() int {
-	n := 0
-	for _, cand := range c.candidates {
-		if cand.listing == listedAsLive {
-			n++
-		}
-	}
-	return n
-}
-
 // find returns the row of a member, or nil.
 func (c *Core) find(id string) *entry {
 	i, found := c.search(id)
@@ -303,118 +290,3 @@
 	}
 	return ""
 }
-
-// OnInstanceList takes the platform's list. It names whom to look for and who
-// is still meant to run. It never decides that a member lives or died: it lags.
-func (c *Core) OnInstanceList(now monotime.Instant, list platformapi.InstanceList) {
-	if c.listed && list.Version < c.listVersion {
-		return
-	}
-	c.listVersion = list.Version
-	c.listed = true
-	c.candidates = c.mergeCandidates(list.Instances)
-	// An empty list is a fault of the platform and no reason to forget anybody.
-	if len(list.Instances) > 0 {
-		c.markListed(now, list.Instances)
-	}
-	if len(c.candidates) == 0 && c.alone() {
-		c.setConfirmed(true)
-	}
-	c.graphDirty = true
-	c.viewDirty = true
-}
-
-// alone reports that no other member is known.
-func (c *Core) alone() bool {
-	return !slices.ContainsFunc(c.entries, func(e *entry) bool { return e.State != Gone && !e.unlisted })
-}
-
-func (c *Core) mergeCandidates(instances []platformapi.Instance) []*candidate {
-	old := make(map[string]*candidate, len(c.candidates))
-	for _, cand := range c.candidates {
-		old[cand.id] = cand
-	}
-	out := make([]*candidate, 0, len(instances))
-	for _, in := range instances {
-		if in.ID == c.self.ID || c.find(in.ID) != nil || len(out) >= MaxMembers {
-			continue
-		}
-		cand := &candidate{id: in.ID, address: in.PeerAddress, rings: ringHashes(in.ID), listing: listingOf(in)}
-		if prev := old[in.ID]; prev != nil {
-			cand.retry, cand.backoff = prev.retry, prev.backoff
-		}
-		out = append(out, cand)
-	}
-	slices.SortFunc(out, func(a, b *candidate) int { return strings.Compare(a.id, b.id) })
-	return out
-}
-
-func (c *Core) markListed(now monotime.Instant, instances []platformapi.Instance) {
-	listings := make(map[string]listing, len(instances))
-	for _, in := range instances {
-		listings[in.ID] = listingOf(in)
-	}
-	for _, e := range c.entries {
-		e.listing = listings[e.ID]
-		switch e.listing {
-		case notListed:
-			e.unlisted = e.unlisted || !e.State.present() && now.Sub(e.since) >= forgetUnlisted
-		case listedAsLive:
-			e.listedLive, e.listedLeaving, e.unlisted = true, false, false
-		case listedAsLeaving:
-			// Only a change seen during this incarnation counts: an ID that
-			// was listed as leaving all along may speak of the process before.
-			e.listedLeaving = e.listedLive
-		}
-	}
-}
-
-func listingOf(in platformapi.Instance) listing {
-	if in.State == platformapi.InstanceStateLive {
-		return listedAsLive
-	}
-	return listedAsLeaving
-}
-
-// takeCandidate removes a listed instance that peers have told of and returns
-// how it was listed.
-func (c *Core) takeCandidate(id string) listing {
-	i := slices.IndexFunc(c.candidates, func(cand *candidate) bool { return cand.id == id })
-	if i < 0 {
-		return notListed
-	}
-	listing := c.candidates[i].listing
-	c.candidates = slices.Delete(c.candidates, i, i+1)
-	return listing
-}
-
-func toWire(m Member) wire.MemberUpdate {
-	u := wire.MemberUpdate{
-		ID:          m.ID,
-		Incarnation: m.Incarnation,
-		State:       string(stateCodes[m.State]),
-		Epoch:       int(m.Epoch),
-	}
-	if m.State.present() && m.State != Suspect {
-		u.DataCentre = m.DataCentre
-		u.CallerAddress = m.CallerAddress
-		u.PeerAddress = m.PeerAddress
-	}
-	return u
-}
-
-func fromWire(u wire.MemberUpdate) (Member, bool) {
-	state := slices.Index(stateCodes[:], wire.MemberState(u.State))
-	if state < 0 || u.ID == "" || u.Epoch < 0 {
-		return Member{}, false
-	}
-	return Member{
-		ID:            u.ID,
-		Incarnation:   u.Incarnation,
-		DataCentre:    u.DataCentre,
-		CallerAddress: u.CallerAddress,
-		PeerAddress:   u.PeerAddress,
-		State:         State(state),
-		Epoch:         uint64(u.Epoch),
-	}, true
-}
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -288,3 +288,34 @@
 func backedOff(d time.Duration, first, limit time.Duration) time.Duration {
 	return min(max(first, 2*d), limit)
 }
+
+func toWire(m Member) wire.MemberUpdate {
+	u := wire.MemberUpdate{
+		ID:          m.ID,
+		Incarnation: m.Incarnation,
+		State:       string(stateCodes[m.State]),
+		Epoch:       int(m.Epoch),
+	}
+	if m.State.present() && m.State != Suspect {
+		u.DataCentre = m.DataCentre
+		u.CallerAddress = m.CallerAddress
+		u.PeerAddress = m.PeerAddress
+	}
+	return u
+}
+
+func fromWire(u wire.MemberUpdate) (Member, bool) {
+	state := slices.Index(stateCodes[:], wire.MemberState(u.State))
+	if state < 0 || u.ID == "" || u.Epoch < 0 {
+		return Member{}, false
+	}
+	return Member{
+		ID:            u.ID,
+		Incarnation:   u.Incarnation,
+		DataCentre:    u.DataCentre,
+		CallerAddress: u.CallerAddress,
+		PeerAddress:   u.PeerAddress,
+		State:         State(state),
+		Epoch:         uint64(u.Epoch),
+	}, true
+}
