peer: dialing rests while nothing is due

Cause: the loop that opens links ran every 50 ms and at every SetWanted, which the daemon calls with the same peers at every tick. Change: it wakes when a dial is due, a peer is wanted anew, or after 1 s.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -23,22 +23,25 @@
 
 // manage opens the links that are wanted or waited for, and closes idle ones.
 func (s *Links) manage(ctx context.Context) error {
-	ticker := time.NewTicker(manageInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(restInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-s.kick:
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		now := monotime.Now()
-		s.startDials(ctx, now)
+		due := s.startDials(ctx, now)
 		s.closeIdle(now)
+		timer.Reset(min(due, restInterval, s.cfg.Timing.Idle))
 	}
 }
 
-func (s *Links) startDials(ctx context.Context, now monotime.Instant) {
+// startDials starts what is due and returns when something will be.
+func (s *Links) startDials(ctx context.Context, now monotime.Instant) time.Duration {
+	due := restInterval
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, target := range s.wanted {
@@ -56,6 +59,7 @@
 		case s.links[key] != nil:
 			delete(s.dials, key)
 		case now < d.next:
+			due = min(due, d.next.Sub(now))
 		case !wanted && len(d.pending) == 0:
 			delete(s.dials, key)
 		default:
@@ -67,6 +71,7 @@
 			})
 		}
 	}
+	return due
 }
 
 // sendOnDemand queues an envelope for a peer without a link. It runs with mu
@@ -137,6 +142,7 @@
 		d.pending, d.cost = nil, 0
 	}
 	s.mu.Unlock()
+	s.wake()
 	if lost {
 		s.cfg.Handler.LinkDown(key, err)
 	}
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -33,7 +34,8 @@
 const (
 	handshakesAtOnce = 1024
 	headerBytes      = 4 << 10
-	manageInterval   = 50 * time.Millisecond
+	// restInterval is how long the dialing may rest when nothing is due.
+	restInterval = time.Second
 )
 
 // Links is the set of links of one instance.
@@ -149,9 +151,12 @@
 		wanted[t.key()] = t
 	}
 	s.mu.Lock()
+	same := maps.Equal(s.wanted, wanted)
 	s.wanted = wanted
 	s.mu.Unlock()
-	s.wake()
+	if !same {
+		s.wake()
+	}
 }
 
 // SetKeys replaces the accepted keys; the first one signs. Links whose peer
