Replay uses the event loop of package vtime

Cause: the replay had an event loop of its own beside the one of the tests. Change: it uses vtime.Loop.

--- a/internal/replay/call.go
+++ b/internal/replay/call.go
@@ -49,7 +49,7 @@
 	c.class = s.cat.Classes[c.request.Class]
 	c.customer = s.cat.Customers[c.request.Customer]
 	c.tier = c.class.TierFor(c.customer)
-	c.arrived = s.loop.now
+	c.arrived = s.loop.Now()
 	s.watch.minute(s, c).asked++
 	c.try(s.directory(c.customer))
 }
@@ -71,7 +71,7 @@
 	c.sim.callByID[c.id] = c
 	p.deliver(0, func(now monotime.Instant) { c.submit(now, addresses[1:]) })
 	if c.request.Leaves > 0 {
-		c.sim.loop.after(c.request.Leaves, c.leave)
+		c.sim.loop.After(c.request.Leaves, c.leave)
 	}
 }
 
@@ -137,7 +137,7 @@
 		return
 	}
 	c.ended = true
-	c.endedAt = c.sim.loop.now
+	c.endedAt = c.sim.loop.Now()
 	c.err = err
 	c.sim.open--
 	c.sim.watch.ended(c.sim, c)
--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -68,7 +68,7 @@
 	case schematrace.FaultKindPartition:
 		s.partition(f)
 	case schematrace.FaultKindSilence:
-		s.eachEngine(f.Target, func(u *upstream) { u.model.Silence(s.loop.now) })
+		s.eachEngine(f.Target, func(u *upstream) { u.model.Silence(s.loop.Now()) })
 	case schematrace.FaultKindConfigDown, schematrace.FaultKindConfigStale:
 		s.fleet.noConfig++
 		s.undo(f, s.configBack)
@@ -87,7 +87,7 @@
 // undo ends a fault after its time; one without an end stays.
 func (s *sim) undo(f *trace.Fault, run func()) {
 	if f.For > 0 {
-		s.loop.after(f.For, run)
+		s.loop.After(f.For, run)
 	}
 }
 
@@ -123,8 +123,8 @@
 	for _, id := range s.engineIDs {
 		s.engines[id].dropProcess(p)
 	}
-	s.loop.after(resetAfter, func() { s.linkDown(inst) })
-	s.loop.after(viewAfter, func() {
+	s.loop.After(resetAfter, func() { s.linkDown(inst) })
+	s.loop.After(viewAfter, func() {
 		s.fleet.unlisted[inst] = !inst.process.alive
 		s.updateViews(0)
 	})
@@ -167,14 +167,14 @@
 func (s *sim) pause(f *trace.Fault) {
 	inst := s.instanceNamed(f.Target)
 	if inst == nil {
-		s.eachEngine(f.Target, func(u *upstream) { u.model.SetStalled(s.loop.now, true) })
-		s.undo(f, func() { s.eachEngine(f.Target, func(u *upstream) { u.model.SetStalled(s.loop.now, false) }) })
+		s.eachEngine(f.Target, func(u *upstream) { u.model.SetStalled(s.loop.Now(), true) })
+		s.undo(f, func() { s.eachEngine(f.Target, func(u *upstream) { u.model.SetStalled(s.loop.Now(), false) }) })
 		return
 	}
 	p := inst.process
 	p.paused = true
-	s.loop.after(linkDownAfter, func() { s.silent(p, func() { s.linkDown(inst) }) })
-	s.loop.after(viewAfter, func() {
+	s.loop.After(linkDownAfter, func() { s.silent(p, func() { s.linkDown(inst) }) })
+	s.loop.After(viewAfter, func() {
 		s.silent(p, func() {
 			s.fleet.unlisted[inst] = true
 			s.updateViews(0)
@@ -206,8 +206,8 @@
 // partition cuts a data centre's instances off from the others.
 func (s *sim) partition(f *trace.Fault) {
 	s.fleet.apart = f.Target
-	s.loop.after(linkDownAfter, func() { s.eachPair((*process).downFor) })
-	s.loop.after(viewAfter, func() { s.updateViews(0) })
+	s.loop.After(linkDownAfter, func() { s.eachPair((*process).downFor) })
+	s.loop.After(viewAfter, func() { s.updateViews(0) })
 	s.undo(f, func() {
 		s.eachPair((*process).upFor)
 		s.fleet.apart = ""
--- a/internal/replay/instance.go
+++ b/internal/replay/instance.go
@@ -76,9 +76,9 @@
 		Seed:       s.rng.Uint64(),
 	}, p)
 	i.process = p
-	p.node.SetCatalog(s.loop.now, s.cat)
-	s.loop.after(s.jitter(time.Millisecond, node.TickInterval), p.tick)
-	s.loop.after(s.jitter(time.Millisecond, pollEvery), p.poll)
+	p.node.SetCatalog(s.loop.Now(), s.cat)
+	s.loop.After(s.jitter(time.Millisecond, node.TickInterval), p.tick)
+	s.loop.After(s.jitter(time.Millisecond, pollEvery), p.poll)
 	return p
 }
 
@@ -89,7 +89,7 @@
 // newID makes a request id, as the directory and a caller do together.
 func (p *process) newID() string {
 	p.nonces++
-	prefix, _ := p.self.Prefix(origin.Add(time.Duration(p.sim.loop.now)), idLifetime)
+	prefix, _ := p.self.Prefix(origin.Add(time.Duration(p.sim.loop.Now())), idLifetime)
 	return prefix + strconv.Itoa(p.nonces)
 }
 
@@ -102,10 +102,10 @@
 		return
 	}
 	if !p.paused {
-		p.node.Tick(p.sim.loop.now)
+		p.node.Tick(p.sim.loop.Now())
 		p.stopWhenDrained()
 	}
-	p.sim.loop.after(node.TickInterval, p.tick)
+	p.sim.loop.After(node.TickInterval, p.tick)
 }
 
 func (p *process) stopWhenDrained() {
@@ -120,7 +120,7 @@
 	if !p.alive {
 		return
 	}
-	now := p.sim.loop.now
+	now := p.sim.loop.Now()
 	if !p.paused {
 		for _, id := range p.node.OwnedEngines() {
 			if up := p.sim.engines[id]; !up.model.Down() {
@@ -131,21 +131,21 @@
 			}
 		}
 	}
-	p.sim.loop.after(pollEvery, p.poll)
+	p.sim.loop.After(pollEvery, p.poll)
 }
 
 // deliver runs something at the process after a delay, unless it has died; a
 // paused process sees it when it wakes.
 func (p *process) deliver(delay time.Duration, run func(now monotime.Instant)) {
-	p.sim.loop.after(delay, func() {
+	p.sim.loop.After(delay, func() {
 		if !p.alive {
 			return
 		}
 		if p.paused {
-			p.missed = append(p.missed, func() { run(p.sim.loop.now) })
+			p.missed = append(p.missed, func() { run(p.sim.loop.Now()) })
 			return
 		}
-		run(p.sim.loop.now)
+		run(p.sim.loop.Now())
 	})
 }
 
@@ -184,7 +184,7 @@
 	c := p.sim.callByID[a.RequestID]
 	p.sim.watch.started(p.sim, p, c, a)
 	delay := p.sim.wireTo(p, up)
-	p.sim.loop.after(delay, func() { up.begin(&stream{process: p, call: c, attempt: a, up: up}) })
+	p.sim.loop.After(delay, func() { up.begin(&stream{process: p, call: c, attempt: a, up: up}) })
 }
 
 func (s *sim) wireTo(p *process, up *upstream) time.Duration {
@@ -195,7 +195,7 @@
 func (p *process) CancelAttempt(requestID string) {
 	if c := p.sim.callByID[requestID]; c != nil && c.stream != nil {
 		st := c.stream
-		p.sim.loop.after(p.sim.wireTo(p, st.up), st.cancel)
+		p.sim.loop.After(p.sim.wireTo(p, st.up), st.cancel)
 	}
 }
 
@@ -210,10 +210,10 @@
 func (p *process) Record(record accounting.Record) {
 	if c := p.sim.callByID[record.Request]; c != nil && record.Kind == accounting.RecordKindDecision {
 		waited := time.Duration(record.AgeMS * float64(time.Millisecond))
-		c.waits = append(c.waits, wait{group: record.Group, from: p.sim.loop.now.Add(-waited)})
+		c.waits = append(c.waits, wait{group: record.Group, from: p.sim.loop.Now().Add(-waited)})
 	}
 	if p.sim.cfg.Record != nil {
-		p.sim.cfg.Record(p.sim.loop.now.Sub(p.sim.start), record)
+		p.sim.cfg.Record(p.sim.loop.Now().Sub(p.sim.start), record)
 	}
 }
 
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -23,6 +23,7 @@
 	"basilrudder/internal/schema/accounting"
 	"basilrudder/internal/schema/inventory"
 	"basilrudder/internal/trace"
+	"basilrudder/internal/vtime"
 )
 
 // Config says what to replay.
@@ -74,11 +75,11 @@
 // run plays the trace until every call has its final answer.
 func (s *sim) run(ctx context.Context) error {
 	s.scheduleTrace()
-	for count := 0; s.open > 0 || s.loop.now < s.end; count++ {
+	for count := 0; s.open > 0 || s.loop.Now() < s.end; count++ {
 		if count%checkContextEvery == 0 && ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if s.loop.now > s.end.Add(s.cfg.Grace) || !s.loop.step() {
+		if s.loop.Now() > s.end.Add(s.cfg.Grace) || !s.loop.Step() {
 			break
 		}
 	}
@@ -88,7 +89,7 @@
 // sim is the state of a replay.
 type sim struct {
 	cfg       Config
-	loop      loop
+	loop      vtime.Loop
 	rng       *rand.Rand
 	cat       *catalog.Catalog
 	inv       *inventory.Inventory
@@ -141,7 +142,7 @@
 	s.scheduleCall(0)
 	for i := range s.cfg.Trace.Faults {
 		fault := &s.cfg.Trace.Faults[i]
-		s.loop.at(s.start.Add(fault.At), func() { s.inject(fault) })
+		s.loop.At(s.start.Add(fault.At), func() { s.inject(fault) })
 	}
 }
 
@@ -151,7 +152,7 @@
 	if i >= len(s.calls) {
 		return
 	}
-	s.loop.at(s.start.Add(s.calls[i].request.At), func() {
+	s.loop.At(s.start.Add(s.calls[i].request.At), func() {
 		s.scheduleCall(i + 1)
 		s.calls[i].arrive()
 	})
--- a/internal/replay/upstream.go
+++ b/internal/replay/upstream.go
@@ -72,7 +72,7 @@
 		up.model = enginemodel.New(modelConfig(spec), s.rng.Uint64())
 		s.engines[id] = up
 	}
-	s.loop.after(silenceCheck, s.checkSilence)
+	s.loop.After(silenceCheck, s.checkSilence)
 }
 
 func modelConfig(spec *catalog.Engine) enginemodel.Config {
@@ -93,7 +93,7 @@
 
 // begin sends an attempt to the engine.
 func (u *upstream) begin(st *stream) {
-	now := u.sim.loop.now
+	now := u.sim.loop.Now()
 	st.last = now
 	if u.model.Down() {
 		u.reply(st, connectError(st.attempt.Resume))
@@ -174,12 +174,12 @@
 
 // schedule wakes the engine when its next step ends.
 func (u *upstream) schedule() {
-	next, ok := u.model.NextEvent(u.sim.loop.now)
-	if !ok || u.wakeAt > u.sim.loop.now && u.wakeAt <= next {
+	next, ok := u.model.NextEvent(u.sim.loop.Now())
+	if !ok || u.wakeAt > u.sim.loop.Now() && u.wakeAt <= next {
 		return
 	}
 	u.wakeAt = next
-	u.sim.loop.at(next, func() { u.wake(next) })
+	u.sim.loop.At(next, func() { u.wake(next) })
 }
 
 func (u *upstream) wake(planned monotime.Instant) {
@@ -187,7 +187,7 @@
 		return
 	}
 	u.wakeAt = 0
-	for _, token := range u.model.Advance(u.sim.loop.now) {
+	for _, token := range u.model.Advance(u.sim.loop.Now()) {
 		if st := u.streams[token.Ref]; st != nil {
 			st.token(token)
 		}
@@ -196,7 +196,7 @@
 }
 
 func (st *stream) token(token enginemodel.Token) {
-	now := st.up.sim.loop.now
+	now := st.up.sim.loop.Now()
 	st.last = now
 	st.tokens++
 	delay := st.up.sim.wireTo(st.process, st.up)
@@ -210,13 +210,13 @@
 	if st.closed {
 		return
 	}
-	st.up.model.Cancel(st.up.sim.loop.now, st.attempt.ID)
+	st.up.model.Cancel(st.up.sim.loop.Now(), st.attempt.ID)
 	st.up.reply(st, verdict.New(verdict.Ran, verdict.ReasonCallerGone, "cancelled for the caller"))
 }
 
 // crash breaks every connection of the engine.
 func (u *upstream) crash() {
-	u.model.Crash(u.sim.loop.now)
+	u.model.Crash(u.sim.loop.Now())
 	for _, st := range u.sorted() {
 		u.reply(st, verdict.New(verdict.Ran, verdict.ReasonUpstreamLost, "connection reset"))
 	}
@@ -236,7 +236,7 @@
 	for _, st := range u.sorted() {
 		if st.process == p {
 			st.close()
-			u.model.Detach(u.sim.loop.now, st.attempt.ID)
+			u.model.Detach(u.sim.loop.Now(), st.attempt.ID)
 		}
 	}
 }
@@ -250,11 +250,11 @@
 			if st.tokens > 0 && !u.service {
 				limit = silentAfter
 			}
-			if s.loop.now.Sub(st.last) > limit {
-				u.model.Detach(s.loop.now, st.attempt.ID)
+			if s.loop.Now().Sub(st.last) > limit {
+				u.model.Detach(s.loop.Now(), st.attempt.ID)
 				u.reply(st, verdict.New(verdict.Ran, verdict.ReasonUpstreamSilent, "no token in time"))
 			}
 		}
 	}
-	s.loop.after(silenceCheck, s.checkSilence)
+	s.loop.After(silenceCheck, s.checkSilence)
 }
--- a/internal/replay/watch.go
+++ b/internal/replay/watch.go
@@ -67,7 +67,7 @@
 }
 
 func (w *watcher) minute(s *sim, c *call) *minuteCount {
-	key := minuteKey{class: c.class.Name, minute: int(s.loop.now.Sub(s.start) / starvedWindow)}
+	key := minuteKey{class: c.class.Name, minute: int(s.loop.Now().Sub(s.start) / starvedWindow)}
 	m := w.minutes[key]
 	if m == nil {
 		m = &minuteCount{}
@@ -84,7 +84,7 @@
 		return
 	}
 	group := a.Engine.Server.Group.Name
-	starts := append(w.lowStarts[group], lowStart{at: s.loop.now, from: p.inst})
+	starts := append(w.lowStarts[group], lowStart{at: s.loop.Now(), from: p.inst})
 	if len(starts) > lowStartsKept {
 		starts = append(starts[:0], starts[lowStartsKept/2:]...)
 	}
@@ -122,7 +122,7 @@
 		_, known := w.withdrawn[server.Name]
 		switch {
 		case server.Withdrawn && !known:
-			w.withdrawn[server.Name] = s.loop.now
+			w.withdrawn[server.Name] = s.loop.Now()
 		case !server.Withdrawn:
 			delete(w.withdrawn, server.Name)
 		}
@@ -132,7 +132,7 @@
 // accepted looks at a request that an engine took.
 func (w *watcher) accepted(s *sim, u *upstream) {
 	since, withdrawn := w.withdrawn[u.spec.Server.Spec.Name]
-	if withdrawn && s.loop.now.Sub(since) > withdrawnGrace {
+	if withdrawn && s.loop.Now().Sub(since) > withdrawnGrace {
 		w.lateWork++
 	}
 }
