Links opened on demand send a sign of life each 5 s

Cause: measured with real daemons at 6 requests/s each, the framing of links grows from 229 B/s at 16 daemons to 567 B/s at 128, where each has 110 links: a sign of life each second on every one. At 360 that would be about 1.2 KB/s of the 6 KB/s. Ruled out: frames of messages, which are as many at 16. Change: only neighbours' links, on which the membership relies, keep 1 s and 3.5 s; others have five times that. A dead one shows by its acquires, each of which is answered within 100 ms.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -120,7 +120,7 @@
 	timing := l.set.cfg.Timing
 	life := time.NewTicker(timing.SignOfLife)
 	defer life.Stop()
-	quiet := true
+	quiet := time.Duration(0)
 	for {
 		select {
 		case <-l.done:
@@ -129,19 +129,21 @@
 			if !l.pause(timing.Coalesce) {
 				return
 			}
-			quiet = false
+			quiet = -1
 			if err := l.flush(); err != nil {
 				l.close(err)
 				return
 			}
 		case <-life.C:
-			if quiet {
-				if err := l.signOfLife(); err != nil {
-					l.close(err)
-					return
-				}
+			quiet++
+			if quiet < l.patience() {
+				continue
+			}
+			quiet = 0
+			if err := l.signOfLife(); err != nil {
+				l.close(err)
+				return
 			}
-			quiet = true
 		}
 	}
 }
@@ -185,20 +187,41 @@
 	return nil
 }
 
+// onDemandPatience is how much longer a link that was opened on demand may be
+// silent. An instance under load has one to most of the fleet, and a sign of life
+// each second on all of them would cost more than the heartbeats. That such a
+// link is dead shows sooner by the acquires on it, each of which is answered at
+// once; the sign of life only has it closed. Where one side takes the link for a
+// neighbour's and the other does not, the neighbour's heartbeats are answered
+// each second, so that neither side finds it silent.
+const onDemandPatience = 5
+
+// patience is by how much the link's times are longer than those of a neighbour's.
+func (l *link) patience() time.Duration {
+	if l.set.isWanted(l.peer.ID) {
+		return 1
+	}
+	return onDemandPatience
+}
+
+// silence is how long nothing may come.
+func (l *link) silence() time.Duration {
+	return l.set.cfg.Timing.Silence * l.patience()
+}
+
 // read hands envelopes to the handler until the link ends. Each side sends
 // something at least every SignOfLife, so a link from which nothing came for
 // Silence has lost one direction or the whole path, although TCP still calls
 // it open.
 func (l *link) read() error {
-	silence := l.set.cfg.Timing.Silence
 	l.conn.SetReadLimit(MaxFrame)
 	l.conn.SetPingHandler(func(string) error {
 		l.set.counters.framesIn.Add(1)
 		l.set.counters.in[KindFraming].Add(uint64(framing(0, !l.dialer)))
-		return l.conn.SetReadDeadline(time.Now().Add(silence))
+		return l.conn.SetReadDeadline(time.Now().Add(l.silence()))
 	})
 	for {
-		l.conn.SetReadDeadline(time.Now().Add(silence))
+		l.conn.SetReadDeadline(time.Now().Add(l.silence()))
 		_, data, err := l.conn.ReadMessage()
 		if err != nil {
 			return err
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -198,6 +198,13 @@
 	return l.enqueue(env)
 }
 
+func (s *Links) isWanted(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, wanted := s.wanted[id]
+	return wanted
+}
+
 // Linked reports whether a link to the peer is open.
 func (s *Links) Linked(id string) bool {
 	return s.link(id) != nil
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -341,3 +341,19 @@
 	next(t, "end of the link", acceptor.down)
 	next(t, "end of the link", dialer.down)
 }
+
+// An instance under load has a link to most of the fleet. A sign of life each
+// second on all of them would cost more than the heartbeats, so those opened on
+// demand have a longer time, on both sides, than those to neighbours.
+func TestLinksOnDemandMaySayLess(t *testing.T) {
+	links, err := New(Config{Keys: []Key{{ID: "k", Secret: "a-secret-for-tests"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &link{set: links, peer: Identity{ID: "b"}}
+	onDemand := l.silence()
+	links.SetWanted([]Target{{ID: "b", Address: "127.0.0.1:1"}})
+	if wanted := l.silence(); wanted != links.cfg.Timing.Silence || onDemand != onDemandPatience*wanted {
+		t.Errorf("silence of %v on demand and %v to a neighbour", onDemand, wanted)
+	}
+}
