--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -34,7 +34,7 @@
 		n.recordRefused(now, in, err)
 		return 0, err
 	}
-	permitted, err := n.permit(now, in.Customer)
+	permitted, err := n.permit(now, in)
 	if err != nil {
 		n.ids.Forget(in.ID)
 		n.recordRefused(now, in, err)
@@ -150,6 +150,7 @@
 // ask sends the acquire for the group already picked.
 func (n *Node) ask(now monotime.Instant, r *request) {
 	r.owner = n.ownerFor(now, r)
+	r.believed = n.beliefOf(now, r)
 	msg := n.acquireMessage(now, r)
 	if r.owner == n.self() {
 		n.submitOwned(now, n.self(), msg)
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -17,6 +18,7 @@
 	"sync"
 	"time"
 
+	"github.com/fasthttp/websocket"
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -32,7 +34,8 @@
 const (
 	handshakesAtOnce = 1024
 	headerBytes      = 4 << 10
-	manageInterval   = 50 * time.Millisecond
+	// restInterval is how long the dialing may rest when nothing is due.
+	restInterval = time.Second
 )
 
 // Links is the set of links of one instance.
@@ -50,6 +53,7 @@
 	mu      sync.Mutex
 	keys    []Key
 	links   map[string]*link
+	conns   map[*websocket.Conn]struct{} // served, links or in their handshake
 	dials   map[string]*dial
 	wanted  map[string]Target
 	stopped bool
@@ -75,6 +79,7 @@
 		kick:   make(chan struct{}, 1),
 		keys:   slices.Clone(cfg.Keys),
 		links:  make(map[string]*link),
+		conns:  make(map[*websocket.Conn]struct{}),
 		dials:  make(map[string]*dial),
 		wanted: make(map[string]Target),
 	}, nil
@@ -102,8 +107,8 @@
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
 		CloseOnShutdown:              true,
-		// Without it closing an accepted link does nothing until its handler
-		// returns, which waits for the peer: up to Silence.
+		// Without it closing an accepted connection does nothing until its
+		// handler returns, and the handler waits for the connection to close.
 		KeepHijackedConns: true,
 		Logger:            zap.NewStdLog(s.cfg.Log),
 	}
@@ -112,6 +117,8 @@
 	group.Go(func() error { return s.manage(running) })
 	group.Go(func() error {
 		<-running.Done()
+		// With the listener open a peer would dial again while links close.
+		s.cfg.Listener.Close()
 		s.stop()
 		return server.Shutdown()
 	})
@@ -127,14 +134,14 @@
 func (s *Links) stop() {
 	s.mu.Lock()
 	s.stopped = true
-	open := make([]*link, 0, len(s.links))
 	for _, l := range s.links {
-		open = append(open, l)
-	}
-	s.mu.Unlock()
-	for _, l := range open {
 		l.close(errStopped)
 	}
+	// Connections in their handshake would hold up the end for its timeout.
+	for conn := range s.conns {
+		conn.NetConn().Close()
+	}
+	s.mu.Unlock()
 }
 
 // SetWanted replaces the set of peers to keep links to.
@@ -144,9 +151,12 @@
 		wanted[t.key()] = t
 	}
 	s.mu.Lock()
+	same := maps.Equal(s.wanted, wanted)
 	s.wanted = wanted
 	s.mu.Unlock()
-	s.wake()
+	if !same {
+		s.wake()
+	}
 }
 
 // SetKeys replaces the accepted keys; the first one signs. Links whose peer
@@ -188,6 +198,13 @@
 	return l.enqueue(env)
 }
 
+func (s *Links) isWanted(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, wanted := s.wanted[id]
+	return wanted
+}
+
 // Linked reports whether a link to the peer is open.
 func (s *Links) Linked(id string) bool {
 	return s.link(id) != nil
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -309,10 +309,15 @@
 func TestRestartedPeerReplacesItsLink(t *testing.T) {
 	// A process restarts under its id while the old connection still looks
 	// open. The link of the new incarnation takes over at once, and nothing of
-	// the old one comes after it.
-	b := start(t, "b", nil)
+	// the old one comes after it. The side that accepted the old link must end
+	// it by itself: with silence allowed for an hour, nothing else would.
+	patient := func(cfg *Config) { cfg.Timing.Silence = time.Hour }
+	b := start(t, "b", patient)
 	for i := 1; i <= 3; i++ {
-		old := start(t, "a", func(cfg *Config) { cfg.Self.Incarnation = fmt.Sprint(i) })
+		old := start(t, "a", func(cfg *Config) {
+			patient(cfg)
+			cfg.Self.Incarnation = fmt.Sprint(i)
+		})
 		old.SetWanted([]Target{{ID: "b", Address: b.address}})
 		for got := next(t, "link at b", b.up); got.Incarnation != fmt.Sprint(i); {
 			got = next(t, "link at b", b.up)
@@ -336,3 +341,19 @@
 	next(t, "end of the link", acceptor.down)
 	next(t, "end of the link", dialer.down)
 }
+
+// An instance under load has a link to most of the fleet. A sign of life each
+// second on all of them would cost more than the heartbeats, so those opened on
+// demand have a longer time, on both sides, than those to neighbours.
+func TestLinksOnDemandMaySayLess(t *testing.T) {
+	links, err := New(Config{Keys: []Key{{ID: "k", Secret: "a-secret-for-tests"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &link{set: links, peer: Identity{ID: "b"}}
+	onDemand := l.silence()
+	links.SetWanted([]Target{{ID: "b", Address: "127.0.0.1:1"}})
+	if wanted := l.silence(); wanted != links.cfg.Timing.Silence || onDemand != onDemandPatience*wanted {
+		t.Errorf("silence of %v on demand and %v to a neighbour", onDemand, wanted)
+	}
+}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -18,10 +18,12 @@
 
 	"basilrudder/internal/catalog"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/node"
 	"basilrudder/internal/sched"
 	"basilrudder/internal/schema/accounting"
 	"basilrudder/internal/schema/inventory"
 	"basilrudder/internal/trace"
+	"basilrudder/internal/vtime"
 )
 
 // Config says what to replay.
@@ -32,6 +34,8 @@
 	Trace *trace.Trace
 	// Policy of the scheduling groups.
 	Policy sched.Policy
+	// Ownership says who schedules a group; the zero value is the product's way.
+	Ownership node.Ownership
 	// Instances is the number of entry instances; 0 for 8.
 	Instances int
 	// Seed of every random choice.
@@ -39,6 +43,9 @@
 	// Grace is how long after the trace unanswered requests are waited for; 0
 	// for two hours.
 	Grace time.Duration
+	// Alone lets each instance schedule its share of every group's slots by
+	// itself, to compare with one owner for each group.
+	Alone bool
 	// Record, if any, gets the accounting records of every process.
 	Record func(at time.Duration, record accounting.Record)
 }
@@ -68,11 +75,11 @@
 // run plays the trace until every call has its final answer.
 func (s *sim) run(ctx context.Context) error {
 	s.scheduleTrace()
-	for count := 0; s.open > 0 || s.loop.now < s.end; count++ {
+	for count := 0; s.open > 0 || s.loop.Now() < s.end; count++ {
 		if count%checkContextEvery == 0 && ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if s.loop.now > s.end.Add(s.cfg.Grace) || !s.loop.step() {
+		if s.loop.Now() > s.end.Add(s.cfg.Grace) || !s.loop.Step() {
 			break
 		}
 	}
@@ -82,7 +89,7 @@
 // sim is the state of a replay.
 type sim struct {
 	cfg       Config
-	loop      loop
+	loop      vtime.Loop
 	rng       *rand.Rand
 	cat       *catalog.Catalog
 	inv       *inventory.Inventory
@@ -135,7 +142,7 @@
 	s.scheduleCall(0)
 	for i := range s.cfg.Trace.Faults {
 		fault := &s.cfg.Trace.Faults[i]
-		s.loop.at(s.start.Add(fault.At), func() { s.inject(fault) })
+		s.loop.At(s.start.Add(fault.At), func() { s.inject(fault) })
 	}
 }
 
@@ -145,7 +152,7 @@
 	if i >= len(s.calls) {
 		return
 	}
-	s.loop.at(s.start.Add(s.calls[i].request.At), func() {
+	s.loop.At(s.start.Add(s.calls[i].request.At), func() {
 		s.scheduleCall(i + 1)
 		s.calls[i].arrive()
 	})
