--- a/internal/cli/replay.go
+++ b/internal/cli/replay.go
@@ -29,7 +29,6 @@
 	Seed       uint64 `default:"1" help:"Seed of every random choice."`
 	Instances  int    `default:"8" help:"Entry instances."`
 	Without    string `placeholder:"RULE" help:"Switch one rule of the policy off: affinity, ejection, fairness, floor, headroom, learn, refusal, stragglers, tiers or urgent."`
-	Alone      bool   `help:"Let each instance schedule its share of the slots by itself."`
 	JSON       bool   `name:"json" help:"Write JSON instead of a table."`
 }
 
@@ -59,7 +58,6 @@
 		Ownership: ownerships[c.Owners],
 		Instances: c.Instances,
 		Seed:      c.Seed,
-		Alone:     c.Alone,
 	})
 	if err != nil {
 		return errors.Wrap(err, "replay")
--- a/internal/replay/call.go
+++ b/internal/replay/call.go
@@ -106,10 +106,20 @@
 	p.deliver(0, func(now monotime.Instant) { p.node.CallerGone(now, c.id) })
 }
 
-// wait is a group that a call asked for a slot, and since when.
+// wait is the time between asking a group for a slot and its decision.
 type wait struct {
-	group string
-	from  monotime.Instant
+	group    string
+	from, to monotime.Instant
+}
+
+// waited notes a decision of a group. It was asked when the one before decided,
+// or when the request came.
+func (c *call) waited(group string) {
+	from := c.arrived
+	if n := len(c.waits); n > 0 {
+		from = c.waits[n-1].to
+	}
+	c.waits = append(c.waits, wait{group: group, from: from, to: c.sim.loop.Now()})
 }
 
 // token is one token relayed to the caller.
--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -254,7 +254,7 @@
 			continue
 		}
 		view.Known++
-		if s.fleet.parted(p.inst, inst) || s.cfg.Alone && inst != p.inst {
+		if s.fleet.parted(p.inst, inst) {
 			continue
 		}
 		m := membership.Member{ID: inst.name, Incarnation: other.self.Token, DataCentre: inst.dataCentre}
--- a/internal/replay/instance.go
+++ b/internal/replay/instance.go
@@ -209,8 +209,7 @@
 // Record implements node.Effects.
 func (p *process) Record(record accounting.Record) {
 	if c := p.sim.callByID[record.Request]; c != nil && record.Kind == accounting.RecordKindDecision {
-		waited := time.Duration(record.AgeMS * float64(time.Millisecond))
-		c.waits = append(c.waits, wait{group: record.Group, from: p.sim.loop.Now().Add(-waited)})
+		c.waited(record.Group)
 	}
 	if p.sim.cfg.Record != nil {
 		p.sim.cfg.Record(p.sim.loop.Now().Sub(p.sim.start), record)
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -43,9 +43,6 @@
 	// Grace is how long after the trace unanswered requests are waited for; 0
 	// for two hours.
 	Grace time.Duration
-	// Alone lets each instance schedule its share of every group's slots by
-	// itself, to compare with one owner for each group.
-	Alone bool
 	// Record, if any, gets the accounting records of every process.
 	Record func(at time.Duration, record accounting.Record)
 }
--- a/internal/replay/watch.go
+++ b/internal/replay/watch.go
@@ -113,7 +113,7 @@
 
 func (w *watcher) madeRoom(s *sim, c *call, asked wait) bool {
 	return slices.ContainsFunc(w.lowStarts[asked.group], func(start lowStart) bool {
-		return start.at > asked.from && start.at < c.endedAt && !s.fleet.parted(start.from, c.process.inst)
+		return start.at > asked.from && start.at < asked.to && !s.fleet.parted(start.from, c.process.inst)
 	})
 }
 
