--- a/cmd/basilrudder/main.go
+++ b/cmd/basilrudder/main.go
@@ -12,13 +12,14 @@
 )
 
 type commands struct {
-	Check   cli.CheckCmd   `cmd:"" help:"Check an inventory directory."`
-	Status  cli.StatusCmd  `cmd:"" help:"Show what an instance believes."`
-	Report  cli.ReportCmd  `cmd:"" help:"Report from accounting lines."`
-	Explain cli.ExplainCmd `cmd:"" help:"Tell the story of one request."`
-	Try     cli.TryCmd     `cmd:"" help:"Run a fleet and stand-ins in one process and report."`
-	Replay  cli.ReplayCmd  `cmd:"" help:"Replay a trace on a deployment in virtual time."`
-	Ladder  cli.LadderCmd  `cmd:"" help:"Replay a mix at rising loads under every policy."`
+	Check    cli.CheckCmd    `cmd:"" help:"Check an inventory directory."`
+	Manifest cli.ManifestCmd `cmd:"" help:"Print the manifest that makes the files of a directory a revision."`
+	Status   cli.StatusCmd   `cmd:"" help:"Show what an instance believes."`
+	Report   cli.ReportCmd   `cmd:"" help:"Report from accounting lines."`
+	Explain  cli.ExplainCmd  `cmd:"" help:"Tell the story of one request."`
+	Try      cli.TryCmd      `cmd:"" help:"Run a fleet and stand-ins in one process and report."`
+	Replay   cli.ReplayCmd   `cmd:"" help:"Replay a trace on a deployment in virtual time."`
+	Ladder   cli.LadderCmd   `cmd:"" help:"Replay a mix at rising loads under every policy."`
 }
 
 func main() {
