A refusal at admission is counted once

Cause: status counted it as refused at once and as not run. Change: only admitted requests count by their end.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -42,6 +42,16 @@
 	}
 }
 
+func TestARefusalAtAdmissionIsCountedOnce(t *testing.T) {
+	w, p := quietWorld(t)
+	p.node.Drain(p.clock())
+	w.send(p, "often")
+	counts := p.node.Status(p.clock()).Counts
+	if counts.Refused != 1 || counts.NotRun != 0 {
+		t.Errorf("%d refused at once and %d not run, want 1 and 0", counts.Refused, counts.NotRun)
+	}
+}
+
 // What the caller sees: one answer. An attempt that was given up reports its end
 // while the next one runs; the report must not end the request.
 func TestTheEndOfAFormerAttemptIsIgnored(t *testing.T) {
--- a/internal/node/record.go
+++ b/internal/node/record.go
@@ -168,7 +168,9 @@
 		rec.Reason = string(err.Reason)
 		rec.Message = err.Message
 		rec.RetryAfterMS = int(err.RetryAfter / time.Millisecond)
-		n.counts.failed(err)
+		if r.seq != 0 {
+			n.counts.failed(err)
+		}
 	} else {
 		rec.Verdict = verdict.TextRan
 		rec.Delivered = r.delivered
