--- a/internal/replay/call.go
+++ b/internal/replay/call.go
@@ -49,7 +49,7 @@
 	c.class = s.cat.Classes[c.request.Class]
 	c.customer = s.cat.Customers[c.request.Customer]
 	c.tier = c.class.TierFor(c.customer)
-	c.arrived = s.loop.now
+	c.arrived = s.loop.Now()
 	s.watch.minute(s, c).asked++
 	c.try(s.directory(c.customer))
 }
@@ -71,7 +71,7 @@
 	c.sim.callByID[c.id] = c
 	p.deliver(0, func(now monotime.Instant) { c.submit(now, addresses[1:]) })
 	if c.request.Leaves > 0 {
-		c.sim.loop.after(c.request.Leaves, c.leave)
+		c.sim.loop.After(c.request.Leaves, c.leave)
 	}
 }
 
@@ -106,10 +106,20 @@
 	p.deliver(0, func(now monotime.Instant) { p.node.CallerGone(now, c.id) })
 }
 
-// wait is a group that a call asked for a slot, and since when.
+// wait is the time between asking a group for a slot and its decision.
 type wait struct {
-	group string
-	from  monotime.Instant
+	group    string
+	from, to monotime.Instant
+}
+
+// waited notes a decision of a group. It was asked when the one before decided,
+// or when the request came.
+func (c *call) waited(group string) {
+	from := c.arrived
+	if n := len(c.waits); n > 0 {
+		from = c.waits[n-1].to
+	}
+	c.waits = append(c.waits, wait{group: group, from: from, to: c.sim.loop.Now()})
 }
 
 // token is one token relayed to the caller.
@@ -137,7 +147,7 @@
 		return
 	}
 	c.ended = true
-	c.endedAt = c.sim.loop.now
+	c.endedAt = c.sim.loop.Now()
 	c.err = err
 	c.sim.open--
 	c.sim.watch.ended(c.sim, c)
