A process that starts reads the instance list before the configuration

Change: while no peer is known, the list decides who reads; a list that can't be had is not waited for.

--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -154,6 +154,7 @@
 	lastTick  monotime.Instant
 
 	live       []Member
+	listed     []Member
 	neighbours []string
 	reader     bool
 	extra      bool
--- a/internal/confsync/members.go
+++ b/internal/confsync/members.go
@@ -39,7 +39,11 @@
 func (c *Core) elect() {
 	above := 0
 	mine := readerScore(c.cfg.Self)
-	for _, member := range c.live {
+	members := c.live
+	if len(members) <= 1 {
+		members = c.listed
+	}
+	for _, member := range members {
 		if member.DataCentre != c.cfg.DataCentre || member.ID == c.cfg.Self {
 			continue
 		}
--- a/internal/confsync/platform.go
+++ b/internal/confsync/platform.go
@@ -1,6 +1,7 @@
 package confsync
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -201,6 +202,8 @@
 	}
 	revision := uint64(max(answer.Revision, 0))
 	switch {
+	case c.waitsForList(answer):
+		// The list tells whether this instance is to read the rest at all.
 	case revision > c.watchFloor():
 		useful = true
 		c.stats.Reads++
@@ -223,6 +226,23 @@
 	p.watchAt = now
 }
 
+// waitsForList reports whether a process that has just started should know the
+// instance list before it reads the configuration. Without it each process takes
+// itself for a reader until it meets a peer: a fleet of 360 that starts at once
+// would read everything 360 times, 25 s of the platform's rate. A list that can't
+// be had is not waited for.
+func (c *Core) waitsForList(answer *platformapi.WatchAnswer) bool {
+	starts := c.current.id.number == 0 && len(c.live) <= 1
+	return starts && c.platform.instances == 0 && c.platform.failures == 0 && answer.InstancesVersion > 0
+}
+
+// SetListed tells which instances the platform lists. They stand in for the live
+// members until a peer is known.
+func (c *Core) SetListed(listed []Member) {
+	c.listed = slices.Clone(listed)
+	c.elect()
+}
+
 // staleAnswer leaves what is in force alone: a lower revision is an old answer,
 // never a withdrawal.
 func (c *Core) staleAnswer(revision uint64, eff Effects) {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -225,12 +225,23 @@
 		version := 0
 		if err == nil {
 			version = list.Version
+			i.conf.SetListed(listedMembers(list))
 			i.members.OnInstanceList(now, *list)
 		}
 		i.conf.OnInstances(now, call, version, err, i.confEffects(now))
 	})
 }
 
+func listedMembers(list *platformapi.InstanceList) []confsync.Member {
+	var out []confsync.Member
+	for _, in := range list.Instances {
+		if in.State == platformapi.InstanceStateLive {
+			out = append(out, confsync.Member{ID: in.ID, DataCentre: in.DataCentre})
+		}
+	}
+	return out
+}
+
 // Leave announces that the instance takes no new work from now on; it goes on
 // serving whoever still comes.
 func (i *Instance) Leave(now monotime.Instant) {
