At a start of the whole fleet only the readers of the list read

Cause: with the list known, processes still took themselves for readers once two or three live members were known, none of them in their data centre; and waited 0.5 s for peers that were checking the configuration and did not answer. Change: until it has a configuration a process counts listed instances too, and waits 3 s or more for the readers among them.

--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -110,16 +110,17 @@
 	// MaxChunks is the number of values of a revision.
 	MaxChunks = 4096
 
-	piecesPerWant  = 4
-	fetchesAtOnce  = 4
-	maxRefused     = 64
-	backoffMin     = 250 * time.Millisecond
-	backoffMax     = 15 * time.Second
-	extraBackoff   = 60 * time.Second
-	extraFailures  = 4
-	coldGrace      = 500 * time.Millisecond
-	wakeAskEvery   = 500 * time.Millisecond
-	wakeAloneAfter = 2 * time.Second
+	piecesPerWant   = 4
+	fetchesAtOnce   = 4
+	maxRefused      = 64
+	backoffMin      = 250 * time.Millisecond
+	backoffMax      = 15 * time.Second
+	extraBackoff    = 60 * time.Second
+	extraFailures   = 4
+	coldGrace       = 500 * time.Millisecond
+	coldGraceListed = 3 * time.Second
+	wakeAskEvery    = 500 * time.Millisecond
+	wakeAloneAfter  = 2 * time.Second
 )
 
 func (cfg Config) withDefaults() Config {
--- a/internal/confsync/members.go
+++ b/internal/confsync/members.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -39,11 +40,7 @@
 func (c *Core) elect() {
 	above := 0
 	mine := readerScore(c.cfg.Self)
-	members := c.live
-	if len(members) <= 1 {
-		members = c.listed
-	}
-	for _, member := range members {
+	for _, member := range c.candidatesToRead() {
 		if member.DataCentre != c.cfg.DataCentre || member.ID == c.cfg.Self {
 			continue
 		}
@@ -55,6 +52,22 @@
 	c.reader = above < c.cfg.ReadersPerDC
 }
 
+// candidatesToRead are the live members. A process without a configuration knows
+// only some of them yet and would take itself for a reader; to it the instance
+// list counts too.
+func (c *Core) candidatesToRead() []Member {
+	if c.current.id.number != 0 {
+		return c.live
+	}
+	out := slices.Clone(c.live)
+	for _, listed := range c.listed {
+		if !slices.Contains(out, listed) {
+			out = append(out, listed)
+		}
+	}
+	return out
+}
+
 func readerScore(id string) uint64 {
 	return xxhash.Sum64String(readerSalt + id)
 }
@@ -74,7 +87,7 @@
 func (c *Core) neighboursQuiet(now monotime.Instant) bool {
 	patience := c.cfg.QuietAfter
 	if c.current.id.number == 0 {
-		patience = coldGrace + c.stagger(coldGrace*4)
+		patience = c.coldPatience()
 	}
 	last := c.startedAt
 	for _, id := range c.neighbours {
@@ -88,6 +101,18 @@
 	return now.Sub(last) > patience
 }
 
+// coldPatience is how long a process without a configuration waits for a peer.
+// Where the list names other readers they are worth waiting for: at a start of
+// the whole fleet they read and check the configuration first, and do not answer
+// while they do.
+func (c *Core) coldPatience() time.Duration {
+	grace := coldGrace
+	if len(c.listed) > 1 {
+		grace = coldGraceListed
+	}
+	return grace + c.stagger(grace*4)
+}
+
 func (c *Core) unrooted(now monotime.Instant) bool {
 	since := c.startedAt
 	if c.rooted {
--- a/internal/confsync/revision.go
+++ b/internal/confsync/revision.go
@@ -88,6 +88,7 @@
 		return
 	}
 	c.current = revision{id: id, manifest: f.raw, chunks: chunks}
+	c.elect()
 	c.fetch = nil
 	clear(c.spare)
 	c.stats.Installed++
