--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -159,6 +159,46 @@
 	}
 }
 
+// What the callers see: refusals that are true, at once. Every engine refuses every
+// request; each could be tried again elsewhere without end, and recovery would
+// be the next overload. Retries stay within the budget: a burst at first, then
+// the share of requests that the rules allow.
+func TestRetriesStayWithinTheirBudget(t *testing.T) {
+	w, p := quietWorld(t)
+	refusing := &refuser{effects: p.node.eff.(*effects)}
+	p.node.eff = refusing
+	const sent = 40
+	for range sent {
+		w.send(p, "often")
+		w.Run(200 * time.Millisecond)
+	}
+	w.Run(5 * time.Second)
+	retries := int(p.node.Status(p.clock()).Counts.Retried)
+	share := p.node.Catalog().Rules.RetryBudget
+	if most := retryBurst + int(share*sent); retries == 0 || retries > most {
+		t.Errorf("%d retries of %d requests, want some and at most %d", retries, sent, most)
+	}
+	if refusing.starts != sent+retries {
+		t.Errorf("%d starts, want %d", refusing.starts, sent+retries)
+	}
+}
+
+// refuser is an upstream that refuses every request before it starts.
+type refuser struct {
+	*effects
+	starts int
+}
+
+func (r *refuser) Start(a Attempt) {
+	r.starts++
+	p, self := r.p, r.self
+	p.w.After(time.Millisecond, func() {
+		p.deliver(self, func() {
+			p.node.AttemptEnded(p.clock(), a.Seq, a.Number, verdict.New(verdict.NotRun, verdict.ReasonUpstreamRefused, "full"))
+		})
+	})
+}
+
 // spy keeps the releases that a node sends.
 type spy struct {
 	*effects
