--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -27,7 +27,6 @@
 		ID:        r.ID + attemptSeparator + strconv.Itoa(r.attempt),
 		Engine:    r.engine,
 		Priority:  r.priority,
-		Revision:  n.catalog.Load().Revision,
 		Progress:  r.progress,
 	}
 }
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -41,8 +41,6 @@
 	Resume bool
 	// Offset is the next token wanted, for a resumption.
 	Offset int
-	// Revision of the configuration the decision used.
-	Revision uint64
 	// Progress is to be told of each token.
 	Progress *Progress
 }
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -32,25 +33,17 @@
 }
 
 func (t Timing) withDefaults() Timing {
-	t.SignOfLife = orDefault(t.SignOfLife, time.Second)
-	t.Silence = orDefault(t.Silence, 3500*time.Millisecond)
-	t.Handshake = orDefault(t.Handshake, 2*time.Second)
-	t.Coalesce = orDefault(t.Coalesce, time.Millisecond)
-	t.Idle = orDefault(t.Idle, time.Minute)
-	t.BackoffMin = orDefault(t.BackoffMin, 100*time.Millisecond)
-	t.BackoffMax = orDefault(t.BackoffMax, 5*time.Second)
-	t.QueueBytes = orDefault(t.QueueBytes, 4<<20)
+	t.SignOfLife = cmp.Or(t.SignOfLife, time.Second)
+	t.Silence = cmp.Or(t.Silence, 3500*time.Millisecond)
+	t.Handshake = cmp.Or(t.Handshake, 2*time.Second)
+	t.Coalesce = cmp.Or(t.Coalesce, time.Millisecond)
+	t.Idle = cmp.Or(t.Idle, time.Minute)
+	t.BackoffMin = cmp.Or(t.BackoffMin, 100*time.Millisecond)
+	t.BackoffMax = cmp.Or(t.BackoffMax, 5*time.Second)
+	t.QueueBytes = cmp.Or(t.QueueBytes, 4<<20)
 	return t
 }
 
-func orDefault[T comparable](value, standard T) T {
-	var zero T
-	if value == zero {
-		return standard
-	}
-	return value
-}
-
 // Handler receives what happens on links. Calls of one link come one at a time
 // and in order: LinkUp, then envelopes, then LinkDown.
 type Handler interface {
--- a/internal/reqid/reqid.go
+++ b/internal/reqid/reqid.go
@@ -16,8 +16,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"basilrudder/internal/monotime"
 )
 
 const (
@@ -123,8 +121,3 @@
 	}
 	return true
 }
-
-// Uptime returns how long the process has run at now.
-func Uptime(now monotime.Instant) time.Duration {
-	return time.Duration(now)
-}
--- a/internal/reqid/table.go
+++ b/internal/reqid/table.go
@@ -68,7 +68,7 @@
 // A hash collision would refuse a request that never ran; at a million ids the
 // chance is below one in ten million, and it errs on the side of not running.
 func (t *Table) Claim(now monotime.Instant, id ID) Claim {
-	uptime := Uptime(now)
+	uptime := time.Duration(now)
 	t.expire(uptime)
 	if id.Expiry <= uptime {
 		return ClaimExpired
