Membership tests use the event loop of package vtime

Cause: their network had an event queue of its own, line for line that of vtime. Change: it embeds vtime.Loop; assertions are untouched.

--- a/internal/membership/demand_test.go
+++ b/internal/membership/demand_test.go
@@ -26,15 +26,15 @@
 	}
 	far := w.ids[slices.IndexFunc(w.ids, isFar)]
 	var sent recorder
-	core.OnLinkUp(w.now, far, &sent)
+	core.OnLinkUp(w.Now(), far, &sent)
 	if len(sent.sent) > 0 {
 		t.Errorf("a link to a live member that is no neighbour brought %d envelopes", len(sent.sent))
 	}
-	core.OnLinkDown(w.now, far)
+	core.OnLinkDown(w.Now(), far)
 
 	w.kill(far)
 	w.settle()
-	core.OnLinkUp(w.now, far, &sent)
+	core.OnLinkUp(w.Now(), far, &sent)
 	if len(sent.sent) != 1 || sent.sent[0].MemberSync == nil {
 		t.Errorf("a link to a member taken for dead brought %d envelopes, want a comparison", len(sent.sent))
 	}
--- a/internal/membership/list_test.go
+++ b/internal/membership/list_test.go
@@ -23,14 +23,14 @@
 	lists := []platformapi.InstanceList{{Version: 2}, w.list(3, strangers), w.list(1, nil)}
 	for _, list := range lists {
 		for _, id := range w.ids {
-			w.procs[id].core.OnInstanceList(w.now, list)
+			w.procs[id].core.OnInstanceList(w.Now(), list)
 		}
 		w.always(30*time.Second, "all stay", func() bool { return w.sees(w.ids, w.ids) })
 	}
 	if got := w.view("dc1-000").Known; got != 10 {
 		t.Errorf("Known = %d, want 8 and 2 strangers", got)
 	}
-	w.procs["dc1-000"].core.OnInstanceList(w.now, leaving)
+	w.procs["dc1-000"].core.OnInstanceList(w.Now(), leaving)
 	if v := w.view("dc1-000"); len(v.Live) != 1 || len(v.Leaving) != 7 {
 		t.Errorf("%d live, %d leaving: members that were listed live and now leave must leave", len(v.Live), len(v.Leaving))
 	}
@@ -45,11 +45,11 @@
 	stayed := w.ids[7]
 	for i, id := range slices.Clone(w.ids[:7]) {
 		w.start(fmt.Sprintf("dc1-9%02d", i))
-		w.run(2 * time.Second)
-		w.procs[id].core.Leave(w.now, &sender{w, id})
-		w.run(2 * time.Second)
-		w.procs[id].core.Goodbye(w.now, &sender{w, id})
-		w.run(10 * time.Millisecond)
+		w.Run(2 * time.Second)
+		w.procs[id].core.Leave(w.Now(), &sender{w, id})
+		w.Run(2 * time.Second)
+		w.procs[id].core.Goodbye(w.Now(), &sender{w, id})
+		w.Run(10 * time.Millisecond)
 		w.kill(id)
 	}
 	w.settle()
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -17,7 +17,7 @@
 		w := newNetwork(t, n)
 		took := w.settle()
 		t.Logf("%d members saw each other after %v", n, took)
-		w.run(time.Second)
+		w.Run(time.Second)
 		for _, id := range w.ids {
 			if !w.view(id).Confirmed {
 				t.Errorf("%s is not confirmed", id)
@@ -50,7 +50,7 @@
 	for _, n := range []int{8, 64} {
 		w := newNetwork(t, n)
 		w.settle()
-		w.run(5 * time.Second)
+		w.Run(5 * time.Second)
 		w.kill("dc1-000")
 		took := w.settle()
 		t.Logf("%d members dropped a killed process after %v", n, took)
@@ -67,7 +67,7 @@
 	// A host loses power. Nothing closes its links; they fall silent.
 	w := newNetwork(t, 64)
 	w.settle()
-	w.run(5 * time.Second)
+	w.Run(5 * time.Second)
 	w.lose("dc1-000")
 	took := w.settle()
 	t.Logf("64 members dropped a silent process after %v", took)
@@ -95,15 +95,15 @@
 	w.settle()
 	leaver := "dc3-020"
 	others := without(w.ids, leaver)
-	w.procs[leaver].core.Leave(w.now, &sender{w, leaver})
+	w.procs[leaver].core.Leave(w.Now(), &sender{w, leaver})
 	took := w.until(time.Second, "everyone knows", func() bool { return w.sees(others, others) })
 	t.Logf("a leaving member took no more work after %v", took)
 	w.always(30*time.Second, "it stays reachable", func() bool {
 		m, found := w.view("dc1-000").Find(leaver)
 		return found && m.State == Leaving
 	})
-	w.procs[leaver].core.Goodbye(w.now, &sender{w, leaver})
-	w.run(10 * time.Millisecond)
+	w.procs[leaver].core.Goodbye(w.Now(), &sender{w, leaver})
+	w.Run(10 * time.Millisecond)
 	w.kill(leaver)
 	w.until(time.Second, "everyone drops it", func() bool {
 		_, found := w.view("dc1-000").Find(leaver)
@@ -122,10 +122,10 @@
 	// the same: nobody counts it as running beyond a partition.
 	w := newNetwork(t, 8)
 	w.settle()
-	w.procs["dc1-000"].core.Leave(w.now, &sender{w, "dc1-000"})
-	w.run(time.Second)
+	w.procs["dc1-000"].core.Leave(w.Now(), &sender{w, "dc1-000"})
+	w.Run(time.Second)
 	w.kill("dc1-000")
-	w.run(10 * time.Second)
+	w.Run(10 * time.Second)
 	if v := w.view("dc2-001"); v.Known != 7 || len(v.Leaving) != 0 {
 		t.Errorf("Known = %d, leaving %v", v.Known, v.Leaving)
 	}
@@ -138,16 +138,16 @@
 	// ping does. It then refutes its death.
 	w := newNetwork(t, 16)
 	w.settle()
-	w.run(5 * time.Second)
+	w.Run(5 * time.Second)
 	sleeper := "dc1-000"
 	w.procs[sleeper].paused = true
-	w.run(10 * time.Second)
+	w.Run(10 * time.Second)
 	if !w.sees(w.running(), w.running()) {
 		t.Fatal("the paused process was not dropped")
 	}
 	far := func(id string) bool { return id >= "dc3" }
 	w.cut = func(a, b string) bool { return far(a) != far(b) }
-	w.run(50 * time.Second)
+	w.Run(50 * time.Second)
 	near := slices.DeleteFunc(slices.Clone(w.ids), far)
 
 	w.resume(sleeper)
@@ -193,7 +193,7 @@
 	a := "dc1-000"
 	b := w.procs[a].core.Neighbours()[0]
 	w.cut = func(from, to string) bool {
-		return keyOf(from, to) == keyOf(a, b) && w.now/1e9%10 < 5
+		return keyOf(from, to) == keyOf(a, b) && w.Now()/1e9%10 < 5
 	}
 	w.always(5*time.Minute, "both stay", func() bool { return len(w.view("dc3-002").Live) == 16 })
 	t.Logf("%d suspicions in 5 minutes", w.suspicions())
@@ -207,7 +207,7 @@
 	// is left, stay connected, and still count the lost ones.
 	w := newNetwork(t, 60)
 	w.settle()
-	w.run(5 * time.Second)
+	w.Run(5 * time.Second)
 	for _, id := range w.ids {
 		if id < "dc2" {
 			w.lose(id)
@@ -226,7 +226,7 @@
 	// fall out of anybody's own part on the way to one fleet.
 	w := newNetwork(t, 9)
 	w.settle()
-	w.run(5 * time.Second)
+	w.Run(5 * time.Second)
 	far := func(id string) bool { return id >= "dc3" }
 	near := slices.DeleteFunc(slices.Clone(w.ids), far)
 	other := without(w.ids, near...)
@@ -235,7 +235,7 @@
 		return w.sees(near, near) && w.sees(other, other)
 	})
 	t.Logf("each part agreed after %v", took)
-	w.run(time.Hour)
+	w.Run(time.Hour)
 	for _, id := range w.ids {
 		if got := w.view(id).Known; got != 9 {
 			t.Fatalf("%s: Known = %d, want 9", id, got)
@@ -274,14 +274,14 @@
 	for i := range 8 {
 		id := w.ids[i*3]
 		w.kill(id)
-		w.run(3 * time.Second)
+		w.Run(3 * time.Second)
 		w.start(id)
-		w.run(3 * time.Second)
+		w.Run(3 * time.Second)
 	}
 	w.kill(w.ids[1])
-	w.run(LostLinkGrace + SuspicionLimit/2)
+	w.Run(LostLinkGrace + SuspicionLimit/2)
 	w.start(w.ids[1])
-	w.run(100 * time.Millisecond)
+	w.Run(100 * time.Millisecond)
 	w.drop = func() bool { return false }
 	t.Logf("tables agreed %v after the last loss", w.settle())
 }
@@ -290,7 +290,7 @@
 	// Operators start two processes with the same id. Both claim it and outbid
 	// each other. The claims must not come faster than one in some seconds.
 	core := New(Member{ID: "a", Incarnation: "1", PeerAddress: "a", Epoch: 10}, nil, 1)
-	now := newNetwork(t, 0).now
+	now := newNetwork(t, 0).Now()
 	for range 100 {
 		claim := wire.MemberUpdate{ID: "a", Incarnation: "2", State: "a", Epoch: int(core.View().Self.Epoch) + 1, PeerAddress: "b"}
 		core.OnMembers(now, "b", []wire.MemberUpdate{claim}, discard{})
@@ -309,7 +309,7 @@
 	// A faulty peer tells of endless members. The table stays bounded, dead
 	// rows make room first, and the rest of the news is dropped and counted.
 	core := New(Member{ID: "self", PeerAddress: "self"}, nil, 1)
-	now := newNetwork(t, 0).now
+	now := newNetwork(t, 0).Now()
 	for i := range MaxMembers + 100 {
 		u := wire.MemberUpdate{ID: fmt.Sprint(i), Incarnation: "1", State: "a", PeerAddress: "x"}
 		if i < 50 {
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"slices"
@@ -13,6 +12,7 @@
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/schema/platformapi"
 	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/vtime"
 )
 
 const (
@@ -40,34 +40,12 @@
 	restart int
 }
 
-type event struct {
-	at  monotime.Instant
-	seq int
-	run func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // network runs cores in virtual time. Links open when one side wants them,
 // and close when no side does or when they are silent; a killed process
 // closes its links at once, a lost host or a cut path does not.
 type network struct {
+	vtime.Loop
 	t      testing.TB
-	now    monotime.Instant
-	queue  events
-	seq    int
 	ids    []string
 	procs  map[string]*process
 	links  map[linkKey]*link
@@ -78,11 +56,12 @@
 
 func newNetwork(t testing.TB, n int) *network {
 	w := &network{
-		t: t, now: monotime.Instant(time.Second),
+		t:     t,
 		procs: make(map[string]*process), links: make(map[linkKey]*link),
 		cut:  func(string, string) bool { return false },
 		drop: func() bool { return false },
 	}
+	w.Run(time.Second)
 	for i := range n {
 		w.listed = append(w.listed, fmt.Sprintf("dc%d-%03d", i%3+1, i))
 	}
@@ -92,11 +71,6 @@
 	return w
 }
 
-func (w *network) at(d time.Duration, run func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now.Add(d), w.seq, run})
-}
-
 func (w *network) start(id string) *process {
 	restart := 0
 	if old := w.procs[id]; old != nil {
@@ -115,7 +89,7 @@
 	}
 	p := &process{core: New(self, nil, 7), restart: restart, peers: make(map[string]bool)}
 	w.procs[id] = p
-	p.core.OnInstanceList(w.now, w.list(1, w.listed))
+	p.core.OnInstanceList(w.Now(), w.list(1, w.listed))
 	w.tick(id, p, time.Duration(hash64(id)%uint64(TickInterval)))
 	return p
 }
@@ -129,12 +103,12 @@
 }
 
 func (w *network) tick(id string, p *process, d time.Duration) {
-	w.at(d, func() {
+	w.After(d, func() {
 		if p.dead || w.procs[id] != p {
 			return
 		}
 		if !p.paused {
-			p.core.Tick(w.now, &sender{w, id})
+			p.core.Tick(w.Now(), &sender{w, id})
 			w.connect(id, p)
 		}
 		w.tick(id, p, TickInterval)
@@ -163,7 +137,7 @@
 		return
 	}
 	p := w.procs[to]
-	w.at(testDelay, func() {
+	w.After(testDelay, func() {
 		if w.links[keyOf(from, to)] == l {
 			w.deliver(to, p, func() { w.receive(from, to, l, env) })
 		}
@@ -184,22 +158,22 @@
 
 func (w *network) receive(from, to string, l *link, env *wire.Envelope) {
 	if to < from {
-		l.heardA = w.now
+		l.heardA = w.Now()
 	} else {
-		l.heardB = w.now
+		l.heardB = w.Now()
 	}
 	c, eff := w.procs[to].core, &sender{w, to}
 	if env.Members != nil {
-		c.OnMembers(w.now, from, env.Members, eff)
+		c.OnMembers(w.Now(), from, env.Members, eff)
 	}
 	if env.MemberSync != nil {
-		c.OnSync(w.now, from, env.MemberSync, eff)
+		c.OnSync(w.Now(), from, env.MemberSync, eff)
 	}
 	if env.Ping != nil {
-		c.OnPing(w.now, from, env.Ping, eff)
+		c.OnPing(w.Now(), from, env.Ping, eff)
 	}
 	if env.Pong != nil {
-		c.OnPong(w.now, from, env.Pong, eff)
+		c.OnPong(w.Now(), from, env.Pong, eff)
 	}
 }
 
@@ -220,7 +194,7 @@
 		if !unwanted && !w.cut(other, id) && !w.procs[other].paused && !w.procs[other].dead {
 			continue // the link layer's own sign of life
 		}
-		if unwanted || w.now.Sub(heard) >= testSilence {
+		if unwanted || w.Now().Sub(heard) >= testSilence {
 			w.closeLink(id, other)
 		}
 	}
@@ -231,12 +205,12 @@
 	if other == nil || other.dead || other.paused || w.cut(from, to) || w.cut(to, from) || w.links[keyOf(from, to)] != nil {
 		return
 	}
-	w.links[keyOf(from, to)] = &link{heardA: w.now, heardB: w.now}
+	w.links[keyOf(from, to)] = &link{heardA: w.Now(), heardB: w.Now()}
 	p := w.procs[from]
 	p.peers[to], other.peers[from] = true, true
-	w.at(testDelay, func() {
-		w.deliver(from, p, func() { p.core.OnLinkUp(w.now, to, &sender{w, from}) })
-		w.deliver(to, other, func() { other.core.OnLinkUp(w.now, from, &sender{w, to}) })
+	w.After(testDelay, func() {
+		w.deliver(from, p, func() { p.core.OnLinkUp(w.Now(), to, &sender{w, from}) })
+		w.deliver(to, other, func() { other.core.OnLinkUp(w.Now(), from, &sender{w, to}) })
 	})
 }
 
@@ -245,37 +219,27 @@
 	for _, ends := range [][2]string{{a, b}, {b, a}} {
 		p := w.procs[ends[0]]
 		delete(p.peers, ends[1])
-		w.deliver(ends[0], p, func() { p.core.OnLinkDown(w.now, ends[1]) })
-	}
-}
-
-func (w *network) run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.queue) > 0 && w.queue[0].at <= end {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.run()
+		w.deliver(ends[0], p, func() { p.core.OnLinkDown(w.Now(), ends[1]) })
 	}
-	w.now = end
 }
 
 // until runs in steps until the condition holds and returns the time taken.
 func (w *network) until(limit time.Duration, what string, holds func() bool) time.Duration {
 	w.t.Helper()
-	begin := w.now
+	begin := w.Now()
 	for !holds() {
-		if w.now.Sub(begin) >= limit {
+		if w.Now().Sub(begin) >= limit {
 			w.t.Fatalf("%s: not within %v", what, limit)
 		}
-		w.run(50 * time.Millisecond)
+		w.Run(50 * time.Millisecond)
 	}
-	return w.now.Sub(begin)
+	return w.Now().Sub(begin)
 }
 
 // always fails when the condition does not hold at some time within d.
 func (w *network) always(d time.Duration, what string, holds func() bool) {
 	w.t.Helper()
-	for end := w.now.Add(d); w.now < end; w.run(50 * time.Millisecond) {
+	for end := w.Now().Add(d); w.Now() < end; w.Run(50 * time.Millisecond) {
 		if !holds() {
 			w.t.Fatalf("did not always hold: %s", what)
 		}
--- a/internal/membership/traffic_test.go
+++ b/internal/membership/traffic_test.go
@@ -19,7 +19,7 @@
 		}
 		w := newNetwork(t, n)
 		started := w.settle()
-		w.run(10 * time.Second)
+		w.Run(10 * time.Second)
 		quiet[n] = w.logQuiet()
 		w.logReplacement()
 		w.kill(w.ids[n/2])
@@ -48,10 +48,10 @@
 	const measured = 15 * time.Second
 	quietBytes, quietFrames := w.during(measured)
 	id, n := w.ids[0], float64(len(w.ids))
-	w.at(0, func() { w.procs[id].core.Leave(w.now, &sender{w, id}) })
-	w.at(5*time.Second, func() { w.procs[id].core.Goodbye(w.now, &sender{w, id}) })
-	w.at(5*time.Second+10*time.Millisecond, func() { w.kill(id) })
-	w.at(8*time.Second, func() { w.start(id) })
+	w.After(0, func() { w.procs[id].core.Leave(w.Now(), &sender{w, id}) })
+	w.After(5*time.Second, func() { w.procs[id].core.Goodbye(w.Now(), &sender{w, id}) })
+	w.After(5*time.Second+10*time.Millisecond, func() { w.kill(id) })
+	w.After(8*time.Second, func() { w.start(id) })
 	bytes, frames := w.during(measured)
 	w.t.Logf("%3.0f members: a replacement: %.0f B and %.1f frames sent per member",
 		n, float64(bytes-quietBytes)/n, float64(frames-quietFrames)/n)
@@ -64,7 +64,7 @@
 	for _, n := range []int{32, 64} {
 		w := newNetwork(t, n)
 		w.settle()
-		w.run(10 * time.Second)
+		w.Run(10 * time.Second)
 		quiet, _ := w.during(measured)
 		half := w.ids[n/2]
 		w.cut = func(a, b string) bool { return (a < half) != (b < half) }
@@ -81,7 +81,7 @@
 // during returns what all members send within d.
 func (w *network) during(d time.Duration) (bytes, frames int) {
 	bytes, frames = w.traffic()
-	w.run(d)
+	w.Run(d)
 	endBytes, endFrames := w.traffic()
 	return endBytes - bytes, endFrames - frames
 }
