Configuration tests use the event loop of package vtime

Cause: the third event queue of its kind. Change: their network embeds vtime.Loop; assertions are untouched.

--- a/internal/confsync/bench_test.go
+++ b/internal/confsync/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"basilrudder/internal/monotime"
+	"basilrudder/internal/vtime"
 )
 
 // fleetShape is what the spread of a change depends on.
@@ -44,16 +44,16 @@
 	content := map[string]string{"a": pad("one", 64<<10), "b": pad("rest", 512<<10)}
 	net.platform.publish(5, content)
 	net.link()
-	net.run(20 * time.Second)
+	net.Run(20 * time.Second)
 	net.wantRevision(5)
 	idle := net.bytes
-	net.run(20 * time.Second)
+	net.Run(20 * time.Second)
 	idle = net.bytes - idle
 	before, callsBefore := net.bytes, net.platform.calls
-	published := net.now
+	published := net.Now()
 	content["a"] = pad("two", 64<<10)
 	net.platform.publish(6, content)
-	net.run(3 * time.Second)
+	net.Run(3 * time.Second)
 	net.wantRevision(6)
 	last := time.Duration(0)
 	for _, n := range net.nodes {
@@ -77,13 +77,14 @@
 	net.ring(8, 1, 4)
 	net.platform.publish(5, values(5))
 	net.link()
-	net.run(time.Second)
+	net.Run(time.Second)
 	n := net.nodes[net.ids[0]]
-	offer := *n.core.offer(net.now)
+	now := net.Now()
+	offer := *n.core.offer(now)
 	offer.Question = 1
 	b.ReportAllocs()
 	for b.Loop() {
-		n.core.OnOffer(monotime.Instant(net.now), n.neighbours[0], offer, n)
-		net.events = net.events[:0]
+		n.core.OnOffer(now, n.neighbours[0], offer, n)
+		net.Loop = vtime.Loop{}
 	}
 }
--- a/internal/confsync/confsync_test.go
+++ b/internal/confsync/confsync_test.go
@@ -27,7 +27,7 @@
 	net.ring(n, dcs, 4)
 	net.platform.publish(5, values(5))
 	net.link()
-	net.run(5 * time.Second)
+	net.Run(5 * time.Second)
 	net.wantRevision(5)
 	return net
 }
@@ -36,7 +36,7 @@
 	net := settled(t, 24, 3)
 	calls := net.platform.calls
 	net.platform.publish(6, values(6))
-	net.run(time.Second)
+	net.Run(time.Second)
 	net.wantRevision(6)
 	readers := 0
 	for _, n := range net.nodes {
@@ -64,11 +64,11 @@
 	for _, n := range net.nodes {
 		n.pause()
 	}
-	net.run(5 * time.Second)
+	net.Run(5 * time.Second)
 	for _, n := range net.nodes {
 		n.wake()
 	}
-	net.run(20 * time.Second)
+	net.Run(20 * time.Second)
 	net.wantRevision(5)
 	stale := 0
 	for _, n := range net.nodes {
@@ -78,7 +78,7 @@
 		t.Error("nobody reported the stale answer")
 	}
 	net.platform.publish(6, values(6))
-	net.run(20 * time.Second)
+	net.Run(20 * time.Second)
 	net.wantRevision(6)
 }
 
@@ -97,16 +97,16 @@
 		}
 	}
 	net.link()
-	net.run(3 * time.Second)
+	net.Run(3 * time.Second)
 	net.wantRevision(5)
 	for _, id := range net.ids {
-		if _, age := net.nodes[id].core.Confirmed(net.now); age > 2*DefaultAskEvery {
+		if _, age := net.nodes[id].core.Confirmed(net.Now()); age > 2*DefaultAskEvery {
 			t.Errorf("%s: confirmed %v ago", id, age)
 		}
 	}
 	net.platform.down = false
 	net.platform.publish(6, values(6))
-	net.run(backoffMax + 3*time.Second)
+	net.Run(backoffMax + 3*time.Second)
 	net.wantRevision(6)
 }
 
@@ -118,25 +118,25 @@
 	net := settled(t, 8, 2)
 	n := net.nodes[net.ids[2]]
 	for asked := n.core.gossip.question; n.core.gossip.question == asked; {
-		net.run(peerDelay / 2)
+		net.Run(peerDelay / 2)
 	}
 	n.pause()
-	net.run(time.Minute)
+	net.Run(time.Minute)
 	if len(n.queue) == 0 {
 		t.Fatal("no answer lay in the buffers")
 	}
 	net.cut = func(a, b string) bool { return a == n.id || b == n.id }
 	net.platform.publish(6, values(6))
 	n.offline = true
-	net.run(time.Second)
+	net.Run(time.Second)
 	n.wake()
-	net.run(time.Second)
-	if revision, age := n.core.Confirmed(net.now); revision != 5 || age != NeverConfirmed {
+	net.Run(time.Second)
+	if revision, age := n.core.Confirmed(net.Now()); revision != 5 || age != NeverConfirmed {
 		t.Errorf("revision %d confirmed %v ago", revision, age)
 	}
 	net.cut = func(a, b string) bool { return false }
-	net.run(2 * wakeAskEvery)
-	if revision, age := n.core.Confirmed(net.now); revision != 6 || age > time.Second {
+	net.Run(2 * wakeAskEvery)
+	if revision, age := n.core.Confirmed(net.Now()); revision != 6 || age > time.Second {
 		t.Errorf("after the links came back: revision %d confirmed %v ago", revision, age)
 	}
 }
@@ -155,11 +155,11 @@
 		if len(open) != 1 {
 			t.Fatalf("%s: %d open calls, want one watch", id, len(open))
 		}
-		n.core.OnPaused(net.now, time.Hour, n)
+		n.core.OnPaused(net.Now(), time.Hour, n)
 		for number := range open {
-			n.core.OnWatch(net.now, number, nil, nil, n)
+			n.core.OnWatch(net.Now(), number, nil, nil, n)
 		}
-		if _, age := n.core.Confirmed(net.now); age != NeverConfirmed {
+		if _, age := n.core.Confirmed(net.Now()); age != NeverConfirmed {
 			t.Errorf("%s: confirmed %v ago", id, age)
 		}
 	}
@@ -174,19 +174,19 @@
 	for _, n := range net.nodes {
 		n.pause()
 	}
-	net.run(time.Minute)
+	net.Run(time.Minute)
 	for _, n := range net.nodes {
 		n.wake()
 	}
-	net.run(wakeAloneAfter / 2)
+	net.Run(wakeAloneAfter / 2)
 	for _, n := range net.nodes {
-		if _, age := n.core.Confirmed(net.now); age != NeverConfirmed {
+		if _, age := n.core.Confirmed(net.Now()); age != NeverConfirmed {
 			t.Errorf("%s: confirmed %v ago, too early", n.id, age)
 		}
 	}
-	net.run(wakeAloneAfter + time.Second)
+	net.Run(wakeAloneAfter + time.Second)
 	for _, n := range net.nodes {
-		if _, age := n.core.Confirmed(net.now); age > 2*time.Second {
+		if _, age := n.core.Confirmed(net.Now()); age > 2*time.Second {
 			t.Errorf("%s: confirmed %v ago", n.id, age)
 		}
 	}
@@ -204,7 +204,7 @@
 	}
 	net.link()
 	net.platform.publish(6, values(6))
-	net.run(30 * time.Second)
+	net.Run(30 * time.Second)
 	for _, n := range net.nodes {
 		want := uint64(6)
 		if left(n.id) {
@@ -213,16 +213,16 @@
 		if n.core.Revision() != want {
 			t.Errorf("%s is at %d, want %d", n.id, n.core.Revision(), want)
 		}
-		if _, age := n.core.Confirmed(net.now); age > 2*DefaultAskEvery {
+		if _, age := n.core.Confirmed(net.Now()); age > 2*DefaultAskEvery {
 			t.Errorf("%s: confirmed %v ago inside its part", n.id, age)
 		}
 	}
-	if age := net.nodes[net.ids[0]].core.PlatformAge(net.now); age < 20*time.Second {
+	if age := net.nodes[net.ids[0]].core.PlatformAge(net.Now()); age < 20*time.Second {
 		t.Errorf("the platform's last word is %v old without the platform", age)
 	}
 	net.cut = func(a, b string) bool { return false }
 	net.link()
-	net.run(3 * time.Second)
+	net.Run(3 * time.Second)
 	net.wantRevision(6)
 }
 
@@ -234,8 +234,8 @@
 	n.offline = true
 	net.cut = func(a, b string) bool { return a == n.id || b == n.id }
 	net.link()
-	net.run(5 * time.Minute)
-	if revision, age := n.core.Confirmed(net.now); revision != 5 || age < 4*time.Minute {
+	net.Run(5 * time.Minute)
+	if revision, age := n.core.Confirmed(net.Now()); revision != 5 || age < 4*time.Minute {
 		t.Errorf("revision %d confirmed %v ago", revision, age)
 	}
 	if watches := n.core.Stats().Watches; watches > 60 {
@@ -257,7 +257,7 @@
 		}
 	}
 	net.platform.publish(6, values(6))
-	net.run(3 * time.Second)
+	net.Run(3 * time.Second)
 	net.wantRevision(6)
 	corrupted := uint64(0)
 	for _, n := range net.nodes {
@@ -282,9 +282,9 @@
 		}
 	}
 	net.platform.publish(6, values(6))
-	net.run(5 * time.Second)
+	net.Run(5 * time.Second)
 	reads := net.reads()
-	net.run(time.Minute)
+	net.Run(time.Minute)
 	net.wantRevision(5)
 	if again := net.reads() - reads; again != 0 {
 		t.Errorf("%d reads of a refused revision", again)
@@ -297,12 +297,12 @@
 		if got := n.reported(EventRefused); got != want {
 			t.Errorf("%s reported %d refusals, want %d", n.id, got, want)
 		}
-		if _, age := n.core.Confirmed(net.now); age > DefaultWatchWait+time.Second {
+		if _, age := n.core.Confirmed(net.Now()); age > DefaultWatchWait+time.Second {
 			t.Errorf("%s: last good revision confirmed %v ago", n.id, age)
 		}
 	}
 	net.platform.publish(7, values(7))
-	net.run(3 * time.Second)
+	net.Run(3 * time.Second)
 	net.wantRevision(7)
 }
 
@@ -328,7 +328,7 @@
 		}
 	}
 	net.platform.publish(6, big)
-	net.run(5 * time.Second)
+	net.Run(5 * time.Second)
 	if sender == "" {
 		t.Fatal("no transfer was interrupted")
 	}
@@ -347,17 +347,17 @@
 		n.offline = half(n.id)
 	}
 	net.platform.publish(6, values(6))
-	net.run(20 * time.Second)
+	net.Run(20 * time.Second)
 	for _, n := range net.nodes {
 		n.offline = !half(n.id)
 	}
 	other := values(6)
 	other["rules"] = "other = true"
 	net.platform.publish(6, other)
-	net.run(20 * time.Second)
+	net.Run(20 * time.Second)
 	net.cut = func(a, b string) bool { return false }
 	net.link()
-	net.run(10 * time.Second)
+	net.Run(10 * time.Second)
 	net.wantRevision(6)
 	conflicts := uint64(0)
 	for _, n := range net.nodes {
@@ -370,7 +370,7 @@
 		t.Error("nobody noticed the conflict")
 	}
 	net.platform.publish(7, values(7))
-	net.run(20 * time.Second)
+	net.Run(20 * time.Second)
 	net.wantRevision(7)
 }
 
@@ -382,13 +382,13 @@
 	good := net.platform.values["rules"]
 	net.platform.values["rules"] = []byte("not yet")
 	calls := net.platform.calls
-	net.run(time.Minute)
+	net.Run(time.Minute)
 	net.wantRevision(5)
 	if spent := net.platform.calls - calls; spent > 120 {
 		t.Errorf("%d calls in a minute", spent)
 	}
 	net.platform.values["rules"] = good
-	net.run(backoffMax + 2*time.Second)
+	net.Run(backoffMax + 2*time.Second)
 	net.wantRevision(6)
 }
 
@@ -399,9 +399,9 @@
 	net.platform.publish(6, values(6))
 	good := net.platform.values["rules"]
 	net.platform.values["rules"] = []byte("not yet")
-	net.run(time.Second)
+	net.Run(time.Second)
 	net.platform.values["rules"] = good
-	net.run(2 * time.Second)
+	net.Run(2 * time.Second)
 	net.wantRevision(6)
 }
 
@@ -416,13 +416,13 @@
 	}
 	old.check = func(uint64) error { return errors.New("unknown key") }
 	net.platform.publish(6, values(6))
-	net.run(time.Second)
+	net.Run(time.Second)
 	fetched := old.core.Stats().BytesFromPeers
-	net.run(30 * time.Second)
+	net.Run(30 * time.Second)
 	if again := old.core.Stats().BytesFromPeers - fetched; again != 0 || old.reported(EventRefused) != 1 {
 		t.Errorf("%d bytes fetched again, %d refusals", again, old.reported(EventRefused))
 	}
-	if revision, age := old.core.Confirmed(net.now); revision != 5 || age > 2*DefaultAskEvery {
+	if revision, age := old.core.Confirmed(net.Now()); revision != 5 || age > 2*DefaultAskEvery {
 		t.Errorf("revision %d confirmed %v ago", revision, age)
 	}
 }
@@ -434,13 +434,13 @@
 	net := newNetwork(t)
 	net.ids = []string{"a"}
 	n := net.start("a", "dc-0", []string{"b", "c"})
-	n.core.Members(net.now, []Member{{ID: "a", DataCentre: "dc-0"}}, n.neighbours, n)
+	n.core.Members(net.Now(), []Member{{ID: "a", DataCentre: "dc-0"}}, n.neighbours, n)
 	hash := strings.Repeat("a", 64)
 	for _, from := range n.neighbours {
-		n.core.OnOffer(net.now, from, wire.ConfigOffer{Revision: 6, ManifestSHA256: hash, Answers: 99}, n)
+		n.core.OnOffer(net.Now(), from, wire.ConfigOffer{Revision: 6, ManifestSHA256: hash, Answers: 99}, n)
 	}
 	first := n.core.fetch.items[0].source
-	n.core.OnOffer(net.now, first, wire.ConfigOffer{Revision: 4, ManifestSHA256: hash}, n)
+	n.core.OnOffer(net.Now(), first, wire.ConfigOffer{Revision: 4, ManifestSHA256: hash}, n)
 	if it := n.core.fetch.items[0]; !it.active || it.source == first {
 		t.Errorf("asks %q, active %v", it.source, it.active)
 	}
@@ -457,9 +457,9 @@
 		}
 	}
 	net.cut = func(a, b string) bool { return a == learner.id || b == learner.id }
-	net.run(DefaultQuietAfter + time.Second)
+	net.Run(DefaultQuietAfter + time.Second)
 	net.platform.publish(6, values(6))
-	net.run(3 * time.Second)
+	net.Run(3 * time.Second)
 	net.wantRevision(6)
 }
 
@@ -469,9 +469,9 @@
 	net := settled(t, 6, 1)
 	n := net.nodes[net.ids[0]]
 	bogus := wire.ConfigOffer{Revision: 900, ManifestSHA256: strings.Repeat("a", 64)}
-	n.core.OnOffer(net.now, n.neighbours[0], bogus, n)
+	n.core.OnOffer(net.Now(), n.neighbours[0], bogus, n)
 	net.platform.publish(6, values(6))
-	net.run(3 * time.Second)
+	net.Run(3 * time.Second)
 	net.wantRevision(6)
 }
 
--- a/internal/confsync/network_test.go
+++ b/internal/confsync/network_test.go
@@ -1,7 +1,6 @@
 package confsync
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -16,6 +15,7 @@
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/schema/platformapi"
 	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/vtime"
 )
 
 const (
@@ -26,10 +26,8 @@
 
 // network is a small fleet of cores with one platform in virtual time.
 type network struct {
-	t        testing.TB
-	now      monotime.Instant
-	seq      int
-	events   eventQueue
+	t testing.TB
+	vtime.Loop
 	nodes    map[string]*node
 	ids      []string
 	platform fakePlatform
@@ -45,27 +43,6 @@
 	bytes int
 }
 
-type event struct {
-	at  monotime.Instant
-	seq int
-	run func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // node is one instance; it is the Effects of its core.
 type node struct {
 	net        *network
@@ -85,7 +62,8 @@
 }
 
 func newNetwork(t testing.TB) *network {
-	net := &network{t: t, now: 1, nodes: make(map[string]*node), cut: func(a, b string) bool { return false }}
+	net := &network{t: t, nodes: make(map[string]*node), cut: func(a, b string) bool { return false }}
+	net.Run(1)
 	net.delay = func(a, b *node) time.Duration { return peerDelay }
 	net.platform = fakePlatform{net: net, values: make(map[string][]byte)}
 	return net
@@ -112,10 +90,10 @@
 func (net *network) start(id, dc string, neighbours []string) *node {
 	n := &node{net: net, id: id, dc: dc, neighbours: neighbours, reachedAt: make(map[uint64]monotime.Instant)}
 	n.check = func(uint64) error { return nil }
-	n.core = New(net.now, Config{Self: id, DataCentre: dc, Seed: 7})
+	n.core = New(net.Now(), Config{Self: id, DataCentre: dc, Seed: 7})
 	net.nodes[id] = n
 	offset := time.Duration(len(net.nodes)%10) * tickEvery / 10
-	net.after(offset, n.tick)
+	net.After(offset, n.tick)
 	return n
 }
 
@@ -123,25 +101,10 @@
 	if n.gone {
 		return
 	}
-	n.net.after(tickEvery, n.tick)
+	n.net.After(tickEvery, n.tick)
 	if !n.paused {
-		n.core.Tick(n.net.now, n)
-	}
-}
-
-func (net *network) after(d time.Duration, run func()) {
-	net.seq++
-	heap.Push(&net.events, event{at: net.now.Add(d), seq: net.seq, run: run})
-}
-
-func (net *network) run(d time.Duration) {
-	end := net.now.Add(d)
-	for len(net.events) > 0 && net.events[0].at <= end {
-		next := heap.Pop(&net.events).(event)
-		net.now = next.at
-		next.run()
+		n.core.Tick(n.net.Now(), n)
 	}
-	net.now = end
 }
 
 // link tells every instance who lives and whom it reaches.
@@ -161,7 +124,7 @@
 			}
 		}
 		visible := slices.DeleteFunc(slices.Clone(live), func(m Member) bool { return net.cut(id, m.ID) })
-		n.deliver(func() { n.core.Members(net.now, visible, up, n) })
+		n.deliver(func() { n.core.Members(net.Now(), visible, up, n) })
 	}
 }
 
@@ -184,7 +147,7 @@
 	n.paused = false
 	queue := n.queue
 	n.queue = nil
-	n.core.Tick(n.net.now, n)
+	n.core.Tick(n.net.Now(), n)
 	for _, run := range queue {
 		run()
 	}
@@ -198,8 +161,8 @@
 	}
 	net.bytes += len(raw)
 	target := net.nodes[to]
-	busy := max(n.busyUntil.Sub(net.now), 0)
-	net.after(busy+net.delay(n, target), func() {
+	busy := max(n.busyUntil.Sub(net.Now()), 0)
+	net.After(busy+net.delay(n, target), func() {
 		target := net.nodes[to]
 		if net.cut(n.id, to) {
 			return
@@ -213,7 +176,7 @@
 	if err := cbor.Unmarshal(raw, &envelope); err != nil {
 		n.net.t.Fatal(err)
 	}
-	now := n.net.now
+	now := n.net.Now()
 	switch {
 	case envelope.ConfigOffer != nil:
 		n.core.OnOffer(now, from, *envelope.ConfigOffer, n)
@@ -229,16 +192,16 @@
 
 func (n *node) Watch(number Call, revision uint64, instances int, wait time.Duration) {
 	n.net.platform.watch(n, revision, wait, func(answer *platformapi.WatchAnswer, err error) {
-		n.core.OnWatch(n.net.now, number, answer, err, n)
+		n.core.OnWatch(n.net.Now(), number, answer, err, n)
 	})
 }
 
 func (n *node) FetchManifest(number Call) {
-	n.net.platform.read(n, "manifest", func(data []byte, err error) { n.core.OnManifest(n.net.now, number, data, err, n) })
+	n.net.platform.read(n, "manifest", func(data []byte, err error) { n.core.OnManifest(n.net.Now(), number, data, err, n) })
 }
 
 func (n *node) FetchChunk(number Call, key string) {
-	n.net.platform.read(n, key, func(data []byte, err error) { n.core.OnChunk(n.net.now, number, data, err, n) })
+	n.net.platform.read(n, key, func(data []byte, err error) { n.core.OnChunk(n.net.Now(), number, data, err, n) })
 }
 
 func (n *node) FetchInstances(Call) {}
@@ -251,7 +214,7 @@
 		n.net.t.Errorf("%s went from revision %d to %d", n.id, n.installed[len(n.installed)-1], revision)
 	}
 	n.installed = append(n.installed, revision)
-	n.busyUntil = n.net.now.Add(n.net.installTime)
+	n.busyUntil = n.net.Now().Add(n.net.installTime)
 	n.reachedAt[revision] = n.busyUntil
 	return nil
 }
@@ -316,7 +279,7 @@
 	reply := func(answer *platformapi.WatchAnswer, err error) {
 		if !answered {
 			answered = true
-			p.net.after(platformDelay, func() { n.deliver(func() { done(answer, err) }) })
+			p.net.After(platformDelay, func() { n.deliver(func() { done(answer, err) }) })
 		}
 	}
 	news := func() {
@@ -326,14 +289,14 @@
 			reply(&platformapi.WatchAnswer{Revision: p.told()}, nil)
 		}
 	}
-	p.net.after(platformDelay, news)
+	p.net.After(platformDelay, news)
 	p.waiting = append(p.waiting, news)
-	p.net.after(platformDelay+wait, func() { reply(nil, nil) })
+	p.net.After(platformDelay+wait, func() { reply(nil, nil) })
 }
 
 func (p *fakePlatform) read(n *node, key string, done func([]byte, error)) {
 	p.calls++
-	p.net.after(2*platformDelay, func() {
+	p.net.After(2*platformDelay, func() {
 		data, ok := p.values[key]
 		if p.down || n.offline || !ok {
 			n.deliver(func() { done(nil, errDown) })
