--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -164,3 +164,13 @@
 }
 
 var background = context.Background()
+
+// atToken calls do once the token at the offset has come.
+func (c *collector) atToken(offset int, do func()) {
+	for seen := range c.seen {
+		if seen == offset {
+			do()
+			return
+		}
+	}
+}
--- a/internal/upstream/resume_test.go
+++ b/internal/upstream/resume_test.go
@@ -16,14 +16,7 @@
 	server, target := startEngine(t, fastEngine())
 	client := upstream.New(shortConfig())
 	sink := newCollector()
-	go func() {
-		for offset := range sink.seen {
-			if offset == 5 {
-				server.Cut()
-				return
-			}
-		}
-	}()
+	go sink.atToken(5, server.Cut)
 	err := client.Generate(background, target, generate("a", 200), sink)
 	wantVerdict(t, err, verdict.Ran, verdict.ReasonUpstreamLost)
 	if err := client.Resume(background, target, "a", len(sink.events), sink); err != nil {
@@ -42,14 +35,7 @@
 	server, target := startEngine(t, fastEngine())
 	client := upstream.New(shortConfig())
 	sink := newCollector()
-	go func() {
-		for offset := range sink.seen {
-			if offset == 5 {
-				server.Silence()
-				return
-			}
-		}
-	}()
+	go sink.atToken(5, server.Silence)
 	err := client.Generate(background, target, generate("a", 200), sink)
 	wantVerdict(t, err, verdict.Ran, verdict.ReasonUpstreamSilent)
 	if err := client.Resume(background, target, "a", len(sink.events), sink); err != nil {
