--- a/cmd/basilrudderd/main.go
+++ b/cmd/basilrudderd/main.go
@@ -26,6 +26,12 @@
 )
 
 type options struct {
+	Serve serveCommand `cmd:"" default:"withargs" help:"Serve callers of basilrudder's own interface."`
+	Relay relayCommand `cmd:"" help:"Relay requests on the users' platform."`
+}
+
+// serveCommand runs an instance with the product's own interface.
+type serveCommand struct {
 	Settings string `arg:"" help:"Settings file (TOML)." type:"path"`
 	LogLevel string `help:"Overrides log.level." enum:",debug,info,warn,error" default:"" env:"BASILRUDDER_LOG_LEVEL"`
 	Check    bool   `help:"Check the settings and exit."`
@@ -33,22 +39,27 @@
 
 func main() {
 	var opts options
-	kong.Parse(&opts, kong.Name("basilrudderd"), kong.Description("One instance of the router."))
-	s, problems := checked.Load(opts.Settings, os.Getenv)
+	ctx := kong.Parse(&opts, kong.Name("basilrudderd"), kong.Description("One instance of the router."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "basilrudderd:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+// Run implements the command.
+func (c *serveCommand) Run() error {
+	s, problems := checked.Load(c.Settings, os.Getenv)
 	if len(problems) > 0 {
 		fmt.Fprintln(os.Stderr, problems.Error())
 		os.Exit(exitBadInput)
 	}
-	if opts.LogLevel != "" {
-		s.Log.Level = settings.Level(opts.LogLevel)
-	}
-	if opts.Check {
-		return
+	if c.LogLevel != "" {
+		s.Log.Level = settings.Level(c.LogLevel)
 	}
-	if err := run(s); err != nil {
-		fmt.Fprintln(os.Stderr, "basilrudderd:", err)
-		os.Exit(exitFailed)
+	if c.Check {
+		return nil
 	}
+	return run(s)
 }
 
 // run serves until the first SIGTERM or SIGINT and its drain.
--- /dev/null
+++ b/cmd/basilrudderd/relay.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"basilrudder/internal/eventlog"
+	"basilrudder/internal/gateway"
+	"basilrudder/internal/schema/relaysettings"
+	"basilrudder/platform"
+)
+
+// relayCommand runs an instance that relays requests on the users' platform.
+type relayCommand struct {
+	Settings string `arg:"" help:"Settings file (TOML)." type:"path" env:"BASILRUDDER_SETTINGS"`
+	Check    bool   `help:"Check the settings and exit."`
+}
+
+// collectPercent lets the heap grow to four times what lives before it is
+// collected: what lives is some 10 MB, and processor time is scarcer than memory.
+const collectPercent = 300
+
+// Run implements the command.
+func (c *relayCommand) Run() error {
+	s, problems := gateway.LoadSettings(c.Settings)
+	if len(problems) > 0 {
+		fmt.Fprintln(os.Stderr, problems.Error())
+		os.Exit(exitBadInput)
+	}
+	if c.Check {
+		return nil
+	}
+	debug.SetGCPercent(collectPercent)
+	limitMemory()
+	level, err := zapcore.ParseLevel(string(s.Log.Level))
+	if err != nil {
+		return err
+	}
+	log, sink := eventlog.New(os.Stdout, level)
+	defer sink.Close()
+	timeout := time.Duration(s.Store.TimeoutMS) * time.Millisecond
+	g, err := gateway.New(gateway.Config{
+		Settings:  s,
+		Reload:    c.reload,
+		Source:    platform.NewStore(s.Store.Address, timeout, log),
+		Protocol:  platform.Protocol{},
+		Directory: platform.Directory,
+		Ready:     platform.Ready,
+		Log:       log,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go reloadOnSignal(g)
+	return g.Run(ctx)
+}
+
+func (c *relayCommand) reload() (*relaysettings.RelaySettings, error) {
+	s, problems := gateway.LoadSettings(c.Settings)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return s, nil
+}
+
+// reloadOnSignal takes changed settings at a SIGHUP at once; without one they
+// are noticed within a second.
+func reloadOnSignal(g *gateway.Gateway) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	for range hangups {
+		g.Reload()
+	}
+}
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,307 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/relay"
+	"basilrudder/internal/routing"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/servers"
+)
+
+// fleet is what this instance knows of configuration, servers and runs. It
+// implements relay.Fleet. Deciding takes no message: all of it is kept up to
+// date by the store and by news of the peers.
+type fleet struct {
+	self    string
+	log     *zap.Logger
+	board   *placement.Board
+	budget  *budget
+	members func() int // instances known, this one among them
+	confirm func(ctx context.Context) bool
+	news    *newsroom
+
+	table atomic.Pointer[routing.Table]
+	// heard is when the store last answered, as a monotime.Instant.
+	heard atomic.Int64
+
+	mu       sync.Mutex // guards registry, byService
+	registry *servers.Registry
+	// byService is rebuilt at each change of the registry; readers take the
+	// slices as they are.
+	byService map[string][]servers.Server
+
+	runs    sync.Mutex // guards number and own
+	number  int
+	ownRuns map[int]wire.RelayRun
+}
+
+var _ relay.Fleet = (*fleet)(nil)
+
+// Table implements relay.Fleet.
+func (f *fleet) Table() *routing.Table { return f.table.Load() }
+
+// Confirm implements relay.Fleet.
+func (f *fleet) Confirm(ctx context.Context) bool { return f.confirm(ctx) }
+
+// adopt puts a configuration in force unless one at least as new is. It reports
+// whether it did. A version never goes back while the process lives.
+func (f *fleet) adopt(config *routing.Config, from string) bool {
+	if config == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.table.Load()
+	if old != nil && old.Version() >= config.Version {
+		return false
+	}
+	table, err := routing.NewTable(config)
+	if err != nil {
+		f.log.Error("config_refused", zap.Int64("version", config.Version), zap.String("from", from), zap.Error(err))
+		return false
+	}
+	f.table.Store(table)
+	was := int64(0)
+	if old != nil {
+		was = old.Version()
+	}
+	f.log.Info("config_in_force",
+		zap.Int64("version", config.Version), zap.Int64("was", was), zap.String("from", from),
+		zap.Int("routes", len(config.Routes)), zap.Int("customers", len(config.Customers)))
+	return true
+}
+
+// take is adopt, and tells the peers the new version.
+func (f *fleet) take(config *routing.Config, from string) {
+	if f.adopt(config, from) {
+		f.news.soon()
+	}
+}
+
+// update runs a change of the registry and then tells of what changed.
+func (f *fleet) update(from string, change func(r *servers.Registry, now monotime.Instant) []string) {
+	now := monotime.Now()
+	f.mu.Lock()
+	ids := change(f.registry, now)
+	if len(ids) == 0 {
+		f.mu.Unlock()
+		return
+	}
+	f.byService = make(map[string][]servers.Server)
+	for _, s := range f.registry.List() {
+		if !s.Draining {
+			f.byService[s.Service] = append(f.byService[s.Service], s)
+		}
+	}
+	told := make([]wire.RelayServer, 0, len(ids))
+	for _, id := range ids {
+		if state, ok := f.stateOf(id); ok {
+			told = append(told, state)
+		}
+	}
+	f.mu.Unlock()
+	for _, state := range told {
+		f.log.Info("server_changed", zap.String("server", state.ID), zap.String("from", from),
+			zap.String("service", state.Service), zap.String("address", state.Address),
+			zap.Bool("draining", state.Draining), zap.Bool("gone", state.Gone), zap.Int("revision", state.Revision))
+		if state.Gone {
+			f.board.Forget(state.ID)
+		}
+	}
+	if from == fromStore {
+		f.news.servers(told)
+	}
+}
+
+// Sources of a belief, for logs.
+const (
+	fromStore = "store"
+	fromTimer = "timer"
+)
+
+// stateOf returns what to tell of a server; mu is held.
+func (f *fleet) stateOf(id string) (wire.RelayServer, bool) {
+	if revision, gone := f.registry.Gone(id); gone {
+		return wire.RelayServer{ID: id, Gone: true, Revision: int(revision)}, true
+	}
+	s, ok := f.registry.Get(id)
+	if !ok {
+		return wire.RelayServer{}, false
+	}
+	return wire.RelayServer{
+		ID: s.ID, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre,
+		Slots: s.Slots, Draining: s.Draining, Revision: int(s.Revision),
+	}, true
+}
+
+// allServers returns the state of every live server, for a peer that is new.
+func (f *fleet) allServers() []wire.RelayServer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []wire.RelayServer
+	for _, s := range f.registry.List() {
+		if state, ok := f.stateOf(s.ID); ok {
+			out = append(out, state)
+		}
+	}
+	return out
+}
+
+// known reports whether a server's entry is live.
+func (f *fleet) known(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.registry.Get(id)
+	return ok
+}
+
+// serverCount returns the number of servers that take requests.
+func (f *fleet) serverCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, list := range f.byService {
+		count += len(list)
+	}
+	return count
+}
+
+// Place implements relay.Fleet.
+func (f *fleet) Place(service string, work placement.Work, excluded map[string]bool, now monotime.Instant) (relay.Target, bool) {
+	table := f.table.Load()
+	published := table.Service(service)
+	if published == nil {
+		return relay.Target{}, false
+	}
+	f.mu.Lock()
+	list := f.byService[service]
+	f.mu.Unlock()
+	candidates := make([]placement.Candidate, 0, len(list))
+	for _, s := range list {
+		if !excluded[s.ID] {
+			candidates = append(candidates, candidate(s, published))
+		}
+	}
+	choice, ok := f.board.Choose(work, candidates, now)
+	if !ok {
+		return relay.Target{}, false
+	}
+	at := slices.IndexFunc(list, func(s servers.Server) bool { return s.ID == choice.Server })
+	return relay.Target{
+		Server:   list[at],
+		Choice:   choice,
+		MaxConns: f.connectionShare(published.MaxConns),
+		EntryAge: now.Sub(monotime.Instant(f.heard.Load())),
+	}, true
+}
+
+// minConnections is what an instance may always open to a server: a fleet that
+// grows for a moment must not leave an instance without any.
+const minConnections = 2
+
+// connectionShare is this instance's part of the connections that a server
+// accepts of all instances together.
+func (f *fleet) connectionShare(most int) int {
+	if most <= 0 {
+		return 0
+	}
+	return max(minConnections, most/max(1, f.members()))
+}
+
+func candidate(s servers.Server, service *routing.Service) placement.Candidate {
+	c := placement.Candidate{ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots}
+	if service.Engine != nil {
+		c.MemoryTokens = service.Engine.MemoryTokens
+		c.EventTokens = service.Engine.EventTokens
+	}
+	return c
+}
+
+// Begin implements relay.Fleet.
+func (f *fleet) Begin(target relay.Target, work placement.Work, now monotime.Instant) int {
+	f.runs.Lock()
+	f.number++
+	number := f.number
+	told := encodeRun(number, target, work)
+	f.ownRuns[number] = told
+	f.runs.Unlock()
+	f.board.Begin(placement.RunID{Instance: f.self, Number: number}, target.ID, work, target.Choice.Unread, now)
+	f.news.begun(told)
+	return number
+}
+
+// First implements relay.Fleet.
+func (f *fleet) First(run int, now monotime.Instant) {
+	f.board.First(placement.RunID{Instance: f.self, Number: run}, now)
+	f.news.first(run)
+}
+
+// End implements relay.Fleet.
+func (f *fleet) End(run int, now monotime.Instant) {
+	f.runs.Lock()
+	delete(f.ownRuns, run)
+	f.runs.Unlock()
+	f.board.End(placement.RunID{Instance: f.self, Number: run}, now)
+	f.news.ended(run)
+}
+
+// running returns this instance's runs, for a peer that is new.
+func (f *fleet) running() []wire.RelayRun {
+	f.runs.Lock()
+	defer f.runs.Unlock()
+	out := make([]wire.RelayRun, 0, len(f.ownRuns))
+	for _, r := range f.ownRuns {
+		out = append(out, r)
+	}
+	return out
+}
+
+// Observe implements relay.Fleet.
+func (f *fleet) Observe(server string, outcome placement.Outcome, now monotime.Instant) {
+	if f.board.Observe(server, outcome, now) {
+		f.log.Info("server_reachability", zap.String("server", server), zap.Bool("reachable", outcome == placement.Served))
+	}
+}
+
+// Spend implements relay.Fleet.
+func (f *fleet) Spend(service string, now monotime.Instant) bool {
+	ok := f.budget.spend(service, now, f.members())
+	if !ok {
+		f.log.Info("retry_budget_spent", zap.String("service", service))
+	}
+	return ok
+}
+
+// Count implements relay.Fleet.
+func (f *fleet) Count(service string, now monotime.Instant) { f.budget.count(service, now) }
+
+func encodeRun(number int, target relay.Target, work placement.Work) wire.RelayRun {
+	out := wire.RelayRun{
+		Number: number, Server: target.ID, Unread: target.Choice.Unread, Prompt: work.Prompt,
+		Output: work.Output, GapMS: int(work.MaxGap / time.Millisecond), Priority: work.Priority,
+	}
+	for _, p := range work.Parts {
+		out.Parts = append(out.Parts, wire.RelayPart{ID: p.ID, Tokens: p.Tokens})
+	}
+	return out
+}
+
+func decodeRun(r wire.RelayRun) placement.Work {
+	work := placement.Work{
+		Prompt: r.Prompt, Output: r.Output,
+		MaxGap: time.Duration(r.GapMS) * time.Millisecond, Priority: r.Priority,
+	}
+	for _, p := range r.Parts {
+		work.Parts = append(work.Parts, placement.Part{ID: p.ID, Tokens: p.Tokens})
+	}
+	return work
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,347 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/peer"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/relay"
+	"basilrudder/internal/schema/relaysettings"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/servers"
+)
+
+const (
+	// tick is the interval of what is done regularly.
+	tick = 100 * time.Millisecond
+	// sweepTicks is the number of ticks between sweeps of idle connections.
+	sweepTicks = 10
+	// headerTimeout and idleTimeout bound a caller's connection. Configured
+	// limits are tighter on the header and may change; a connection that is kept
+	// longer than they say harms nobody, one that closes early loses a request.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// headerBytes bounds a request's header in bytes.
+	headerBytes = 64 << 10
+	// endReserve is kept between the end of the drain and the kill.
+	endReserve = 700 * time.Millisecond
+	// drainLeast is how long a leaving instance stays although it has nothing to
+	// do: callers use a directory answer up to three times as long as they may.
+	drainLeast = 4 * time.Second
+	// isolatedAfter is how long an instance that hears neither the store nor a
+	// peer still counts as able to serve.
+	isolatedAfter = 1500 * time.Millisecond
+	// noKey stands for the secret of links where none is set.
+	noKey = "no-secret-is-set"
+	// linkKeyID names the key of the links.
+	linkKeyID = "relay"
+)
+
+// linkTiming finds a lost machine within a second: callers are sent to it, and
+// its runs are believed in, until then.
+var linkTiming = peer.Timing{
+	SignOfLife: 300 * time.Millisecond,
+	Silence:    time.Second,
+	Handshake:  time.Second,
+	BackoffMin: 100 * time.Millisecond,
+	BackoffMax: time.Second,
+}
+
+// Config of a Gateway.
+type Config struct {
+	// Settings of the instance.
+	Settings *relaysettings.RelaySettings
+	// Reload reads the settings again; nil for never.
+	Reload func() (*relaysettings.RelaySettings, error)
+	// Source reads the store.
+	Source Source
+	// Protocol of callers and servers.
+	Protocol relay.Protocol
+	// Directory handles callers' questions where to connect, and Ready those
+	// whether the instance is ready.
+	Directory, Ready func(*Gateway) fasthttp.RequestHandler
+	// Log takes a line per decision.
+	Log *zap.Logger
+}
+
+// Gateway is one instance that relays.
+type Gateway struct {
+	cfg   Config
+	fleet *fleet
+	feed  *feed
+	peers *peers
+	relay *relay.Relay
+	stats *relay.Metrics
+
+	leaving  atomic.Bool
+	isolated atomic.Bool
+	seeds    []string
+}
+
+// New returns a Gateway that does nothing until Run.
+func New(cfg Config) (*Gateway, error) {
+	s := cfg.Settings
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{cfg: cfg, stats: relay.NewMetrics(), seeds: s.Peers.Seeds}
+	g.fleet = &fleet{
+		self:     s.Instance.ID,
+		log:      cfg.Log,
+		board:    placement.NewBoard(placement.DefaultPace, s.Instance.DataCentre),
+		budget:   newBudget(s.Retries.Ratio, s.Retries.Burst, milliseconds(s.Retries.WindowMS)),
+		registry: servers.New(),
+		ownRuns:  make(map[int]wire.RelayRun),
+	}
+	g.feed = &feed{
+		source: cfg.Source, fleet: g.fleet, log: cfg.Log,
+		wait: milliseconds(s.Store.WatchMS), slack: milliseconds(s.Store.TimeoutMS),
+	}
+	g.peers = &peers{
+		self: wire.RelayMember{
+			ID: s.Instance.ID, Incarnation: incarnation, DataCentre: s.Instance.DataCentre,
+			CallerAddress: s.Listen.Callers, PeerAddress: s.Listen.Peers,
+		},
+		fleet: g.fleet, log: cfg.Log, members: make(map[string]*member), seeds: s.Peers.Seeds,
+	}
+	g.fleet.members = g.peers.count
+	g.fleet.confirm = g.feed.confirm
+	g.fleet.news = newNewsroom(g.version)
+	g.fleet.news.send = g.peers.broadcast
+	g.relay = relay.New(relay.Config{
+		Fleet: g.fleet, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
+		DrainTime: milliseconds(s.Drain.GraceMS) - endReserve,
+	})
+	return g, nil
+}
+
+// Run serves until the context ends and the drain after it.
+func (g *Gateway) Run(ctx context.Context) error {
+	listeners, err := g.listen()
+	if err != nil {
+		return err
+	}
+	if err := g.makeLinks(listeners.peers); err != nil {
+		return err
+	}
+	g.cfg.Log.Info("started", zap.String("instance", g.fleet.self),
+		zap.String("incarnation", g.peers.self.Incarnation), zap.Strings("seeds", g.seeds))
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	tasks, work := errgroup.WithContext(work)
+	server := g.callersServer()
+	tasks.Go(func() error { return serveUntilClosed(server, listeners.callers) })
+	tasks.Go(func() error { return serveSmall(work, listeners.ready, g.cfg.Ready(g)) })
+	tasks.Go(func() error { return serveSmall(work, listeners.directory, g.cfg.Directory(g)) })
+	tasks.Go(func() error { return serveSmall(work, listeners.metrics, g.metrics) })
+	tasks.Go(func() error { return g.peers.links.Run(work) })
+	tasks.Go(func() error { return g.feed.run(work) })
+	tasks.Go(func() error { return g.fleet.news.run(work) })
+	tasks.Go(func() error { return g.regularly(work) })
+	tasks.Go(func() error {
+		select {
+		case <-ctx.Done():
+			g.drain()
+		case <-work.Done():
+		}
+		stop()
+		return server.Close()
+	})
+	g.peers.want()
+	err = tasks.Wait()
+	g.cfg.Log.Info("stopped", zap.Error(err))
+	return err
+}
+
+// listeners are the sockets of an instance.
+type listeners struct {
+	callers, ready, directory, peers, metrics net.Listener
+}
+
+func (g *Gateway) listen() (*listeners, error) {
+	s := g.cfg.Settings.Listen
+	out := &listeners{}
+	for _, l := range []struct {
+		to      *net.Listener
+		address string
+	}{
+		{&out.callers, s.Callers}, {&out.ready, s.Ready}, {&out.directory, s.Directory},
+		{&out.peers, s.Peers}, {&out.metrics, s.Metrics},
+	} {
+		listener, err := net.Listen("tcp4", l.address)
+		if err != nil {
+			return nil, errors.Wrap(err, "listen")
+		}
+		*l.to = listener
+	}
+	return out, nil
+}
+
+func (g *Gateway) makeLinks(listener net.Listener) error {
+	secret := g.cfg.Settings.Peers.Key
+	if secret == "" {
+		secret = noKey
+		g.cfg.Log.Warn("links_unauthenticated", zap.String("reason", "no key is set for the links between instances"))
+	}
+	self := g.peers.self
+	links, err := peer.New(peer.Config{
+		Self: peer.Identity{
+			ID: self.ID, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
+			CallerAddress: self.CallerAddress, PeerAddress: self.PeerAddress,
+		},
+		Keys:     []peer.Key{{ID: linkKeyID, Secret: secret}},
+		Listener: listener,
+		Resolve:  func(string) (string, bool) { return "", false },
+		Handler:  g.peers,
+		Timing:   linkTiming,
+		Log:      g.cfg.Log,
+	})
+	if err != nil {
+		return err
+	}
+	g.peers.links = links
+	return nil
+}
+
+func (g *Gateway) callersServer() *http.Server {
+	return &http.Server{
+		Handler:           g.relay,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          zap.NewStdLog(g.cfg.Log),
+	}
+}
+
+func serveUntilClosed(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve callers")
+	}
+	return nil
+}
+
+// serveSmall serves short answers until the context ends.
+func serveSmall(ctx context.Context, listener net.Listener, handler fasthttp.RequestHandler) error {
+	server := &fasthttp.Server{
+		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true,
+		ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
+	defer context.AfterFunc(ctx, func() { _ = server.Shutdown() })()
+	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+// drain leaves the fleet: callers are sent elsewhere, and what is in flight is
+// served for as long as the grace allows.
+func (g *Gateway) drain() {
+	began := monotime.Now()
+	g.leaving.Store(true)
+	g.relay.Drain()
+	g.fleet.news.leaving()
+	g.cfg.Log.Info("draining", zap.Int64("in_flight", g.relay.InFlight()))
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	most := milliseconds(g.cfg.Settings.Drain.GraceMS) - endReserve
+	for range ticker.C {
+		lasted := monotime.Now().Sub(began)
+		if lasted >= most || lasted >= drainLeast && g.relay.InFlight() == 0 {
+			return
+		}
+	}
+}
+
+// regularly does what is due by time alone.
+func (g *Gateway) regularly(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		g.fleet.update(fromTimer, func(r *servers.Registry, now monotime.Instant) []string { return r.Expire(now) })
+		g.checkIsolation()
+		if n%sweepTicks == 0 {
+			g.relay.Sweep(g.fleet.known)
+			g.peers.want()
+			g.Reload()
+		}
+	}
+}
+
+// checkIsolation notices that this instance hears neither the store nor a peer:
+// it is likely cut off from servers too, and callers are better off elsewhere.
+func (g *Gateway) checkIsolation() {
+	silent := monotime.Now().Sub(monotime.Instant(g.fleet.heard.Load()))
+	isolated := silent > isolatedAfter && len(g.peers.linked()) == 0 && g.peers.count() > 1
+	if g.isolated.Swap(isolated) != isolated {
+		g.cfg.Log.Warn("isolation_changed", zap.Bool("isolated", isolated), zap.Duration("store_silent_ms", silent))
+	}
+}
+
+// Reload reads the settings again and takes what may change while running.
+func (g *Gateway) Reload() {
+	if g.cfg.Reload == nil {
+		return
+	}
+	s, err := g.cfg.Reload()
+	if err != nil {
+		g.cfg.Log.Error("reload_failed", zap.Error(err))
+		return
+	}
+	if !slices.Equal(s.Peers.Seeds, g.seeds) {
+		g.seeds = s.Peers.Seeds
+		g.cfg.Log.Info("reloaded", zap.Strings("seeds", g.seeds))
+		g.peers.setSeeds(g.seeds)
+	}
+}
+
+// Ready reports whether the instance takes requests.
+func (g *Gateway) Ready() bool {
+	return !g.leaving.Load() && !g.isolated.Load() && g.fleet.Table() != nil && g.fleet.serverCount() > 0
+}
+
+// Callers returns the addresses that callers should connect to and how long
+// they may use them; false when this instance can't tell.
+func (g *Gateway) Callers() (addresses []string, ttl time.Duration, ok bool) {
+	addresses = g.peers.callers()
+	if g.Ready() {
+		addresses = append(addresses, g.cfg.Settings.Listen.Callers)
+	}
+	ttl = milliseconds(g.cfg.Settings.Directory.TTLMS)
+	return addresses, ttl, len(addresses) > 0 && !g.isolated.Load()
+}
+
+func (g *Gateway) version() int64 {
+	if table := g.fleet.Table(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
+func newIncarnation() (string, error) {
+	var raw [8]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		return "", errors.Wrap(err, "incarnation")
+	}
+	return hex.EncodeToString(raw[:]), nil
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,20 @@
+package gateway
+
+import (
+	"expvar"
+
+	"github.com/valyala/fasthttp"
+)
+
+// metrics answers with all counters and histograms as JSON text.
+func (g *Gateway) metrics(ctx *fasthttp.RequestCtx) {
+	vars := new(expvar.Map).Init()
+	vars.Set("relay", g.stats.Vars())
+	vars.Set("links", g.peers.links.Counters())
+	vars.Set("config_version", expvar.Func(func() any { return g.version() }))
+	vars.Set("servers", expvar.Func(func() any { return g.fleet.serverCount() }))
+	vars.Set("peers_linked", expvar.Func(func() any { return len(g.peers.linked()) }))
+	vars.Set("memory", expvar.Get("memstats"))
+	ctx.SetContentType("application/json; charset=utf-8")
+	ctx.SetBodyString(vars.String())
+}
--- /dev/null
+++ b/internal/gateway/news.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"basilrudder/internal/schema/wire"
+)
+
+const (
+	// newsDelay gathers what happens into one message per peer. Ten
+	// milliseconds is about a step of an engine, so it costs placement little.
+	newsDelay = 10 * time.Millisecond
+	// newsInterval is the longest time without news: it repeats the version of
+	// the configuration, so that a peer whose watch went silent notices.
+	newsInterval = 500 * time.Millisecond
+)
+
+// newsroom gathers news and sends them to all peers. Adding to it never blocks.
+type newsroom struct {
+	send    func(*wire.RelayNews)
+	version func() int64
+
+	mu      sync.Mutex
+	pending wire.RelayNews
+	some    bool
+	kick    chan struct{}
+}
+
+func newNewsroom(version func() int64) *newsroom {
+	return &newsroom{version: version, kick: make(chan struct{}, 1)}
+}
+
+func (n *newsroom) add(change func(*wire.RelayNews)) {
+	n.mu.Lock()
+	change(&n.pending)
+	first := !n.some
+	n.some = true
+	n.mu.Unlock()
+	if !first {
+		return
+	}
+	select {
+	case n.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (n *newsroom) begun(r wire.RelayRun) {
+	n.add(func(p *wire.RelayNews) { p.Begun = append(p.Begun, r) })
+}
+
+func (n *newsroom) first(run int) {
+	n.add(func(p *wire.RelayNews) { p.First = append(p.First, run) })
+}
+
+func (n *newsroom) ended(run int) {
+	n.add(func(p *wire.RelayNews) { p.Ended = append(p.Ended, run) })
+}
+
+func (n *newsroom) servers(changed []wire.RelayServer) {
+	n.add(func(p *wire.RelayNews) { p.Servers = append(p.Servers, changed...) })
+}
+
+// soon has news sent although nothing is to be told but the version.
+func (n *newsroom) soon() {
+	n.add(func(*wire.RelayNews) {})
+}
+
+func (n *newsroom) leaving() {
+	n.add(func(p *wire.RelayNews) { p.Leaving = true })
+}
+
+// run sends what was gathered until the context ends.
+func (n *newsroom) run(ctx context.Context) error {
+	regular := time.NewTicker(newsInterval)
+	defer regular.Stop()
+	gather := time.NewTimer(newsDelay)
+	gather.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.kick:
+			gather.Reset(newsDelay)
+			continue
+		case <-gather.C:
+		case <-regular.C:
+		}
+		n.flush()
+	}
+}
+
+func (n *newsroom) flush() {
+	n.mu.Lock()
+	out := n.pending
+	// A process that leaves says so in all its news.
+	n.pending = wire.RelayNews{Leaving: out.Leaving}
+	n.some = false
+	n.mu.Unlock()
+	out.ConfigVersion = int(n.version())
+	n.send(&out)
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,279 @@
+package gateway
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/peer"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/routing"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/servers"
+)
+
+// memberLife is how long an instance without a link is still tried: the
+// longest restart of a machine and some more.
+const memberLife = time.Minute
+
+// member is another instance.
+type member struct {
+	wire.RelayMember
+	linked  bool
+	leaving bool
+	lostAt  monotime.Instant
+}
+
+// peers keeps the links to the other instances and takes their news. It
+// implements peer.Handler.
+type peers struct {
+	self  wire.RelayMember
+	fleet *fleet
+	log   *zap.Logger
+	links *peer.Links
+
+	mu      sync.Mutex
+	members map[string]*member
+	seeds   []string
+}
+
+var _ peer.Handler = (*peers)(nil)
+
+// LinkUp implements peer.Handler.
+func (p *peers) LinkUp(id peer.Identity) {
+	p.mu.Lock()
+	p.members[id.ID] = &member{
+		RelayMember: wire.RelayMember{
+			ID: id.ID, Incarnation: id.Incarnation, DataCentre: id.DataCentre,
+			CallerAddress: id.CallerAddress, PeerAddress: id.PeerAddress,
+		},
+		linked: true,
+	}
+	everyone := p.everyone()
+	p.mu.Unlock()
+	p.log.Info("peer_linked", zap.String("peer", id.ID), zap.String("incarnation", id.Incarnation))
+	p.want()
+	version := 0
+	if table := p.fleet.Table(); table != nil {
+		version = int(table.Version())
+	}
+	p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{{
+		Members: everyone, ConfigVersion: version,
+		Servers: p.fleet.allServers(), Begun: p.fleet.running(),
+	}}})
+}
+
+// LinkDown implements peer.Handler.
+func (p *peers) LinkDown(id string, err error) {
+	now := monotime.Now()
+	p.mu.Lock()
+	m := p.members[id]
+	was := m != nil && m.linked
+	if was {
+		m.linked = false
+		m.lostAt = now
+	}
+	p.mu.Unlock()
+	if !was {
+		return
+	}
+	p.log.Info("peer_lost", zap.String("peer", id), zap.Error(err))
+	p.fleet.board.InstanceGone(id, now)
+	p.want()
+}
+
+// Envelope implements peer.Handler.
+func (p *peers) Envelope(from string, env *wire.Envelope) {
+	for i := range env.News {
+		p.take(from, &env.News[i])
+	}
+}
+
+func (p *peers) take(from string, news *wire.RelayNews) {
+	p.takeMembers(from, news)
+	p.takeRuns(from, news)
+	if len(news.Servers) > 0 {
+		p.takeServers(from, news.Servers)
+	}
+	p.takeConfig(from, news)
+}
+
+func (p *peers) takeMembers(from string, news *wire.RelayNews) {
+	p.mu.Lock()
+	if m := p.members[from]; m != nil && news.Leaving && !m.leaving {
+		m.leaving = true
+		p.log.Info("peer_leaving", zap.String("peer", from))
+	}
+	added := false
+	for _, told := range news.Members {
+		if told.ID != p.self.ID && p.members[told.ID] == nil {
+			p.members[told.ID] = &member{RelayMember: told, lostAt: monotime.Now()}
+			added = true
+		}
+	}
+	p.mu.Unlock()
+	if added {
+		p.want()
+	}
+}
+
+func (p *peers) takeRuns(from string, news *wire.RelayNews) {
+	now := monotime.Now()
+	for _, r := range news.Begun {
+		p.fleet.board.Begin(placement.RunID{Instance: from, Number: r.Number}, r.Server, decodeRun(r), r.Unread, now)
+	}
+	for _, number := range news.First {
+		p.fleet.board.First(placement.RunID{Instance: from, Number: number}, now)
+	}
+	for _, number := range news.Ended {
+		p.fleet.board.End(placement.RunID{Instance: from, Number: number}, now)
+	}
+}
+
+// takeServers believes a peer what the store told it: each instance may be cut
+// off from the store alone.
+func (p *peers) takeServers(from string, told []wire.RelayServer) {
+	p.fleet.update(from, func(r *servers.Registry, now monotime.Instant) (ids []string) {
+		for _, s := range told {
+			change := servers.Unchanged
+			if s.Gone {
+				change = r.Bury(s.ID, int64(s.Revision), now)
+			} else {
+				change = r.Put(servers.Server{
+					ID: s.ID, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre,
+					Slots: s.Slots, Draining: s.Draining, Revision: int64(s.Revision),
+				}, now)
+			}
+			if change != servers.Unchanged {
+				ids = append(ids, s.ID)
+			}
+		}
+		return ids
+	})
+}
+
+// takeConfig takes a newer configuration, or asks for it.
+func (p *peers) takeConfig(from string, news *wire.RelayNews) {
+	table := p.fleet.Table()
+	if news.ConfigWanted && table != nil {
+		p.sendConfig(from, table)
+	}
+	if news.Config != "" {
+		config := new(routing.Config)
+		if err := json.Unmarshal([]byte(news.Config), config); err != nil {
+			p.log.Error("config_of_peer_refused", zap.String("peer", from), zap.Error(err))
+			return
+		}
+		p.fleet.take(config, from)
+		return
+	}
+	if news.ConfigVersion > 0 && (table == nil || int64(news.ConfigVersion) > table.Version()) {
+		p.links.Send(from, &wire.Envelope{News: []wire.RelayNews{{ConfigWanted: true}}})
+	}
+}
+
+func (p *peers) sendConfig(to string, table *routing.Table) {
+	data, err := json.Marshal(table.Config())
+	if err != nil {
+		p.log.Error("config_not_sent", zap.String("peer", to), zap.Error(err))
+		return
+	}
+	p.links.Send(to, &wire.Envelope{News: []wire.RelayNews{{
+		ConfigVersion: int(table.Version()), Config: string(data),
+	}}})
+}
+
+// broadcast sends news to every linked peer.
+func (p *peers) broadcast(news *wire.RelayNews) {
+	env := &wire.Envelope{News: []wire.RelayNews{*news}}
+	for _, id := range p.linked() {
+		p.links.Send(id, env)
+	}
+}
+
+func (p *peers) linked() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for id, m := range p.members {
+		if m.linked {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// setSeeds replaces the addresses to start from.
+func (p *peers) setSeeds(seeds []string) {
+	p.mu.Lock()
+	p.seeds = seeds
+	p.mu.Unlock()
+	p.want()
+}
+
+// want keeps links to every known instance, and to seeds that are none of them.
+func (p *peers) want() {
+	now := monotime.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var targets []peer.Target
+	taken := map[string]bool{p.self.PeerAddress: true}
+	for id, m := range p.members {
+		if !m.linked && now.Sub(m.lostAt) > memberLife {
+			delete(p.members, id)
+			continue
+		}
+		taken[m.PeerAddress] = true
+		targets = append(targets, peer.Target{ID: id, Address: m.PeerAddress})
+	}
+	for _, seed := range p.seeds {
+		if !taken[seed] {
+			targets = append(targets, peer.Target{Address: seed})
+		}
+	}
+	p.links.SetWanted(targets)
+}
+
+// everyone lists the linked instances and this one; mu is held.
+func (p *peers) everyone() []wire.RelayMember {
+	out := []wire.RelayMember{p.self}
+	for _, m := range p.members {
+		if m.linked {
+			out = append(out, m.RelayMember)
+		}
+	}
+	return out
+}
+
+// count returns the number of instances that are linked or were lately, this
+// one among them.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return 1 + len(p.members)
+}
+
+// callers returns the callers' addresses of the linked instances that do not
+// leave, by id.
+func (p *peers) callers() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var live []*member
+	for _, m := range p.members {
+		if m.linked && !m.leaving {
+			live = append(live, m)
+		}
+	}
+	slices.SortFunc(live, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
+	out := make([]string, 0, len(live))
+	for _, m := range live {
+		out = append(out, m.CallerAddress)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"os"
+
+	"basilrudder/internal/schema/relaysettings"
+	"basilrudder/schema"
+)
+
+const (
+	settingsSchema = "relaysettings.json"
+	// peerKeyVariable names the environment variable that goes before peers.key.
+	peerKeyVariable = "BASILRUDDER_PEER_KEY"
+)
+
+// LoadSettings reads and checks a settings file (TOML). It returns the settings,
+// or every problem.
+func LoadSettings(path string) (*relaysettings.RelaySettings, schema.Problems) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, schema.Problems{{File: path, Expected: "a readable file: " + err.Error()}}
+	}
+	out := &relaysettings.RelaySettings{}
+	if problems := schema.Decode(settingsSchema, path, data, out); len(problems) > 0 {
+		return nil, problems
+	}
+	if key := os.Getenv(peerKeyVariable); key != "" {
+		out.Peers.Key = key
+	}
+	return out, nil
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -47,6 +47,7 @@
 	KindPermitGive
 	KindLoadAsk
 	KindLoadGive
+	KindNews
 	// KindFraming is the overhead of WebSocket, its pings included.
 	KindFraming
 	kindCount
@@ -55,7 +56,7 @@
 var kindNames = [kindCount]string{
 	"hello", "ping", "pong", "members", "member_sync", "config_offer",
 	"config_want", "config_part", "acquire", "withdraw", "grant", "refuse", "queued",
-	"release", "progress", "permit_ask", "permit_give", "load_ask", "load_give",
+	"release", "progress", "permit_ask", "permit_give", "load_ask", "load_give", "news",
 	"framing",
 }
 
@@ -130,6 +131,7 @@
 	add(len(env.PermitGives) > 0, KindPermitGive, wire.Envelope{PermitGives: env.PermitGives})
 	add(env.LoadAsk != nil, KindLoadAsk, wire.Envelope{LoadAsk: env.LoadAsk})
 	add(env.LoadGive != nil, KindLoadGive, wire.Envelope{LoadGive: env.LoadGive})
+	add(len(env.News) > 0, KindNews, wire.Envelope{News: env.News})
 	return out
 }
 
@@ -151,6 +153,9 @@
 	if env.LoadGive != nil {
 		bytes += itemCost * len(env.LoadGive.Engines)
 	}
+	for _, n := range env.News {
+		bytes += len(n.Config) + itemCost*(1+len(n.Members)+len(n.Servers)+len(n.Begun)+len(n.First)+len(n.Ended))
+	}
 	return bytes
 }
 
@@ -189,6 +194,7 @@
 	dst.Progress = append(dst.Progress, src.Progress...)
 	dst.PermitAsks = append(dst.PermitAsks, src.PermitAsks...)
 	dst.PermitGives = append(dst.PermitGives, src.PermitGives...)
+	dst.News = append(dst.News, src.News...)
 }
 
 func either[T any](a, b *T) *T {
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -5,7 +5,8 @@
 // A frame may hold several parts. A receiver handles them in this order, which
 // keeps cause before effect when envelopes were coalesced: Members, MemberSync,
 // Ping, Pong, ConfigOffer, ConfigWant, ConfigPart, Progress, Releases, Acquires,
-// Withdraws, Grants, Refuses, Queued, PermitAsks, PermitGives, LoadAsk, LoadGive.
+// Withdraws, Grants, Refuses, Queued, PermitAsks, PermitGives, LoadAsk, LoadGive,
+// News.
 package peer
 
 import (
--- /dev/null
+++ b/internal/placement/board.go
@@ -0,0 +1,231 @@
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+const (
+	// runLife bounds how long a run is believed in without its end being told:
+	// above the longest deadline of a request, so that lost news heal.
+	runLife = 20 * time.Second
+	// cacheShare is the part of an engine's memory believed to hold cached
+	// parts; the rest is in use by running requests.
+	cacheShare = 0.75
+	// failureDecay is the weight of the newest outcome in a server's failure
+	// rate: about the last seven requests count.
+	failureDecay = 0.15
+	// retryMin and retryMax bound the pause before a server that could not be
+	// reached is tried again. The first is short because a crowded server
+	// resets connections too; the last bounds what a crash costs in new tries.
+	retryMin = 200 * time.Millisecond
+	retryMax = 2 * time.Second
+)
+
+// server is the model of one incarnation.
+type server struct {
+	id         string
+	dataCentre string
+	slots      int
+	memory     int
+	// eventTokens is the number of tokens in an event, each made by a step.
+	eventTokens int
+	runs        map[RunID]*run
+	cache       partCache
+	readUntil   monotime.Instant
+	failures    float64
+	slowdown    float64 // observed time to the first event over the predicted
+	retryAt     monotime.Instant
+	backoff     time.Duration
+}
+
+// Board is the model of all servers. It is safe for concurrent use.
+type Board struct {
+	pace Pace
+	home string // data centre of this instance
+
+	mu      sync.Mutex
+	servers map[string]*server
+	runs    map[RunID]*run
+	swept   monotime.Instant
+}
+
+// NewBoard returns an empty Board for an instance in a data centre.
+func NewBoard(pace Pace, dataCentre string) *Board {
+	return &Board{
+		pace:    pace,
+		home:    dataCentre,
+		servers: make(map[string]*server),
+		runs:    make(map[RunID]*run),
+	}
+}
+
+// Candidate is a server that may take a request.
+type Candidate struct {
+	// ID of the incarnation.
+	ID string
+	// DataCentre it stands in.
+	DataCentre string
+	// Slots is the number of requests it runs at once.
+	Slots int
+	// MemoryTokens is its room for prompts; 0 when it is no engine.
+	MemoryTokens int
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
+}
+
+func (b *Board) server(c Candidate) *server {
+	s := b.servers[c.ID]
+	if s == nil {
+		s = &server{id: c.ID, runs: make(map[RunID]*run), cache: newPartCache(), slowdown: 1}
+		b.servers[c.ID] = s
+	}
+	if c.Slots > 0 {
+		s.dataCentre, s.slots = c.DataCentre, c.Slots
+		s.memory, s.eventTokens = c.MemoryTokens, c.EventTokens
+	}
+	return s
+}
+
+// Forget drops the model of an incarnation that is gone.
+func (b *Board) Forget(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[id]
+	if s == nil {
+		return
+	}
+	for runID := range s.runs {
+		delete(b.runs, runID)
+	}
+	delete(b.servers, id)
+}
+
+// Begin notes that a request was sent to a server, by this instance or a peer.
+func (b *Board) Begin(id RunID, serverID string, work Work, unread int, now monotime.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sweep(now)
+	s := b.server(Candidate{ID: serverID})
+	r := &run{server: s, work: work, unread: unread, begun: now}
+	r.readFrom = max(now, s.readUntil)
+	r.readTo = r.readFrom
+	if unread > 0 {
+		r.readTo = r.readFrom.Add(b.pace.promptTime(unread, work.Prompt, len(s.runs)))
+		s.readUntil = r.readTo
+	}
+	s.runs[id] = r
+	b.runs[id] = r
+	s.cache.add(work.Parts, int(cacheShare*float64(s.memory)))
+}
+
+// First notes that a run gave its first event: its prompt has been read.
+func (b *Board) First(id RunID, now monotime.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.runs[id]; r != nil && !r.first {
+		b.release(r, now)
+		r.first = true
+	}
+}
+
+// End notes that a run is over, however it ended.
+func (b *Board) End(id RunID, now monotime.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.end(id, now)
+}
+
+func (b *Board) end(id RunID, now monotime.Instant) {
+	r := b.runs[id]
+	if r == nil {
+		return
+	}
+	b.release(r, now)
+	delete(b.runs, id)
+	delete(r.server.runs, id)
+}
+
+// release gives the time back that was set aside for reading a prompt.
+func (b *Board) release(r *run, now monotime.Instant) {
+	if !r.reading(now) {
+		return
+	}
+	left := r.readTo.Sub(max(now, r.readFrom))
+	r.server.readUntil = max(now, r.server.readUntil.Add(-left))
+	r.readTo = now
+}
+
+// InstanceGone ends the runs of an instance whose process is gone: servers drop
+// a request when its connection closes.
+func (b *Board) InstanceGone(instance string, now monotime.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id := range b.runs {
+		if id.Instance == instance {
+			b.end(id, now)
+		}
+	}
+}
+
+// sweep ends runs whose end was never told.
+func (b *Board) sweep(now monotime.Instant) {
+	if now.Sub(b.swept) < time.Second {
+		return
+	}
+	b.swept = now
+	for id, r := range b.runs {
+		if now.Sub(r.begun) > runLife {
+			b.end(id, now)
+		}
+	}
+}
+
+// Outcome is what became of a request at a server.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Served: a whole answer came.
+	Served Outcome = iota
+	// Failed: the server broke the answer off, spoilt it or answered with a
+	// failure of its own.
+	Failed
+	// Unreachable: no connection could be made.
+	Unreachable
+)
+
+// Observe takes the outcome of a request into account for later choices. It
+// reports whether the server became reachable or unreachable by it.
+func (b *Board) Observe(serverID string, outcome Outcome, now monotime.Instant) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[serverID]
+	if s == nil {
+		return false
+	}
+	was := s.backoff > 0
+	switch outcome {
+	case Served:
+		s.failures *= 1 - failureDecay
+		s.retryAt, s.backoff = 0, 0
+	case Failed:
+		s.failures += failureDecay * (1 - s.failures)
+	case Unreachable:
+		s.backoff = min(max(retryMin, 2*s.backoff), retryMax)
+		s.retryAt = now.Add(s.backoff)
+	}
+	return was != (s.backoff > 0)
+}
+
+// Running returns the number of runs known on a server.
+func (b *Board) Running(serverID string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[serverID]; s != nil {
+		return len(s.runs)
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/placement/cache.go
@@ -0,0 +1,50 @@
+package placement
+
+import (
+	"container/list"
+)
+
+// partCache is what an engine is believed to keep of prompts: the parts of the
+// requests sent to it, the least recently used of which yield first.
+type partCache struct {
+	tokens int
+	order  *list.List // of Part, most recently used first
+	byID   map[string]*list.Element
+}
+
+func newPartCache() partCache {
+	return partCache{order: list.New(), byID: make(map[string]*list.Element)}
+}
+
+// add notes a use of parts and makes room within capacity tokens. The last part
+// belongs to one request or session and is kept too: a session may come back.
+func (c *partCache) add(parts []Part, capacity int) {
+	for i := len(parts) - 1; i >= 0; i-- {
+		part := parts[i]
+		if at := c.byID[part.ID]; at != nil {
+			c.order.MoveToFront(at)
+			continue
+		}
+		c.byID[part.ID] = c.order.PushFront(part)
+		c.tokens += part.Tokens
+	}
+	for capacity > 0 && c.tokens > capacity && c.order.Len() > 0 {
+		oldest := c.order.Back()
+		part := c.order.Remove(oldest).(Part)
+		delete(c.byID, part.ID)
+		c.tokens -= part.Tokens
+	}
+}
+
+// cached returns how many tokens of a prompt need not be read: those of the
+// parts at its start that are all kept.
+func (c *partCache) cached(parts []Part) int {
+	tokens := 0
+	for _, part := range parts {
+		if c.byID[part.ID] == nil {
+			break
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
--- /dev/null
+++ b/internal/placement/choose.go
@@ -0,0 +1,210 @@
+package placement
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+// Weights of what a choice costs, in the unit of Work.weight: a request on time
+// instead of late or failed.
+const (
+	// rereadCost is what reading a thousand tokens again counts for. Small: it
+	// decides between servers that are all on time.
+	rereadCost = 0.004
+	// distanceCost is what a server in another data centre counts for.
+	distanceCost = 0.004
+	// slowCost is what each share of the goal that the first event takes counts
+	// for, while it is on time.
+	slowCost = 0.03
+	// spreadCost is what it counts for to put a stream with short pauses on an
+	// engine that runs none. Such streams share few engines, so that long
+	// prompts find others on which they disturb nobody.
+	spreadCost = 0.12
+	// orderCost prefers among those engines the same ones at every instance.
+	orderCost = 0.05
+	// fullCost counts for an engine whose slots are all taken.
+	fullCost = 2.0
+	// failureCost is what a certain failure counts for, times the weight.
+	failureCost = 1.0
+)
+
+const (
+	// ttftSpread is how uncertain a predicted first event is, relative to it.
+	ttftSpread = 0.12
+	// gapSpread is how uncertain a predicted pause is.
+	gapSpread = 7 * time.Millisecond
+	// gapReserve is what the way from the server to the caller may add to a pause.
+	gapReserve = 12 * time.Millisecond
+	// deepPrompt is the length of a prompt beyond which reading it makes pauses
+	// long. Streams whose longest pause is below those count as short-paused.
+	deepPrompt = 30000
+	// comfortable is the share of an engine's slots that streams with short
+	// pauses fill before they take another engine.
+	comfortable = 0.6
+)
+
+// Choice is the server chosen for a request, with what decided it.
+type Choice struct {
+	// Server is the chosen incarnation.
+	Server string
+	// Unread is the number of prompt tokens it has to read.
+	Unread int
+	// First is when the first event is predicted, from now.
+	First time.Duration
+	// Gap is the longest pause predicted for the request's events.
+	Gap time.Duration
+	// Running is the number of runs believed to be on the server.
+	Running int
+	// Cost by which it was chosen.
+	Cost float64
+}
+
+// Choose returns the candidate that costs least, and false when none can be
+// reached now.
+func (b *Board) Choose(work Work, candidates []Candidate, now monotime.Instant) (Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sweep(now)
+	best, found := Choice{Cost: math.Inf(1)}, false
+	for _, candidate := range candidates {
+		s := b.server(candidate)
+		if s.retryAt != 0 && now < s.retryAt {
+			continue
+		}
+		choice := b.evaluate(s, &work, now)
+		if !found || choice.Cost < best.Cost {
+			best, found = choice, true
+		}
+	}
+	return best, found
+}
+
+// evaluate predicts what happens when work goes to s.
+func (b *Board) evaluate(s *server, work *Work, now monotime.Instant) Choice {
+	choice := Choice{Server: s.id, Running: len(s.runs)}
+	weight := work.weight()
+	choice.Cost = weight * failureCost * s.failures
+	if s.dataCentre != b.home {
+		choice.Cost += distanceCost
+	}
+	if s.memory == 0 {
+		// No engine: requests wait once all slots are taken.
+		load := float64(len(s.runs)) / float64(max(1, s.slots))
+		choice.Cost += slowCost*load + fullCost*math.Max(0, load-1) + orderCost*orderOf(s.id+b.home)*slowCost
+		return choice
+	}
+	b.evaluateEngine(s, work, now, &choice)
+	return choice
+}
+
+func (b *Board) evaluateEngine(s *server, work *Work, now monotime.Instant, choice *Choice) {
+	weight := work.weight()
+	runs := len(s.runs)
+	choice.Unread = max(0, work.Prompt-s.cache.cached(work.Parts))
+	wait := max(0, s.readUntil.Sub(now))
+	choice.First = time.Duration(s.slowdown * float64(b.pace.First+wait+b.pace.promptTime(choice.Unread, work.Prompt, runs)))
+	late := float64(choice.First-work.Goal) / (ttftSpread * float64(choice.First))
+	ahead := b.ahead(s, now)
+	withWork := ahead.with(choice.Unread, work.Prompt)
+	choice.Gap = b.gap(s, withWork, runs+1)
+	choice.Cost += weight*logistic(late) +
+		slowCost*float64(choice.First)/float64(max(work.Goal, time.Millisecond)) +
+		rereadCost*float64(choice.Unread)/1000 +
+		fullCost*math.Max(0, float64(runs+1)/float64(max(1, s.slots))-1)
+	if work.MaxGap > 0 {
+		choice.Cost += weight * b.lateGap(b.gap(s, ahead, runs+1), work.MaxGap)
+	}
+	if b.shortPaused(s, work) {
+		choice.Cost += b.concentration(s)
+	}
+	choice.Cost += b.harm(s, ahead, withWork, runs)
+}
+
+// harm is what the streams on s lose by the pauses that the new prompt adds.
+func (b *Board) harm(s *server, before, after backlog, runs int) float64 {
+	was, becomes := b.gap(s, before, runs), b.gap(s, after, runs+1)
+	if becomes <= was {
+		return 0
+	}
+	sum := 0.0
+	for _, r := range s.runs {
+		if r.work.MaxGap > 0 {
+			sum += r.work.weight() * (b.lateGap(becomes, r.work.MaxGap) - b.lateGap(was, r.work.MaxGap))
+		}
+	}
+	return sum
+}
+
+// concentration prefers engines that run streams with short pauses already,
+// until those are comfortably full, and then a fixed order of engines.
+func (b *Board) concentration(s *server) float64 {
+	streams := 0
+	for _, r := range s.runs {
+		if b.shortPaused(s, &r.work) {
+			streams++
+		}
+	}
+	cost := orderCost * orderOf(s.id)
+	room := comfortable * float64(s.slots)
+	if streams == 0 || float64(streams) >= room {
+		cost += spreadCost
+	}
+	return cost
+}
+
+// shortPaused reports whether reading long prompts beside it on s makes a stream
+// late.
+func (b *Board) shortPaused(s *server, work *Work) bool {
+	deep := backlog{unread: deepPrompt, deepest: deepPrompt}
+	return work.MaxGap > 0 && work.MaxGap < b.gap(s, deep, 0)
+}
+
+// backlog is what an engine has yet to read.
+type backlog struct {
+	unread  int
+	deepest int // length of the longest prompt among those
+}
+
+func (l backlog) with(unread, prompt int) backlog {
+	if unread == 0 {
+		return l
+	}
+	return backlog{unread: l.unread + unread, deepest: max(l.deepest, prompt)}
+}
+
+func (b *Board) ahead(s *server, now monotime.Instant) backlog {
+	var out backlog
+	for _, r := range s.runs {
+		if r.reading(now) {
+			out = out.with(r.unread, r.work.Prompt)
+		}
+	}
+	return out
+}
+
+// gap is the longest pause between events of streams on an engine: an event
+// takes as many steps as it holds tokens, each of which may read a chunk.
+func (b *Board) gap(s *server, l backlog, runs int) time.Duration {
+	steps := max(1, s.eventTokens)
+	read := min(l.unread, steps*b.pace.Chunk)
+	return time.Duration(steps)*b.pace.plainStep(runs) + b.pace.readTime(read, l.deepest)
+}
+
+// lateGap is the probability that a predicted pause is above what is on time.
+func (b *Board) lateGap(gap, most time.Duration) float64 {
+	return logistic(float64(gap+gapReserve-most) / float64(gapSpread))
+}
+
+func logistic(x float64) float64 {
+	return 1 / (1 + math.Exp(-x))
+}
+
+// orderOf maps an id to [0, 1), the same at every instance.
+func orderOf(id string) float64 {
+	hash := fnv.New32a()
+	hash.Write([]byte(id))
+	return float64(hash.Sum32()) / (1 << 32)
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,192 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+const start = monotime.Instant(time.Hour)
+
+// engines returns n candidates of one data centre.
+func engines(n int) []Candidate {
+	var out []Candidate
+	for i := range n {
+		out = append(out, Candidate{ID: fmt.Sprintf("e%d", i), DataCentre: "here", Slots: 64, MemoryTokens: 500_000, EventTokens: 2})
+	}
+	return out
+}
+
+// note is a short prompt whose stream must not pause for more than 120 ms.
+func note(id string) Work {
+	return Work{
+		Parts:  []Part{{ID: "sys", Tokens: 300}, {ID: id, Tokens: 1100}},
+		Prompt: 1400, Output: 170, Goal: 500 * time.Millisecond, MaxGap: 120 * time.Millisecond,
+	}
+}
+
+// bundle is a long prompt whose stream may pause for half a second.
+func bundle(chain, id string) Work {
+	return Work{
+		Parts:  []Part{{ID: chain, Tokens: 16000}, {ID: id, Tokens: 5000}},
+		Prompt: 21000, Output: 120, Goal: 2500 * time.Millisecond, MaxGap: 500 * time.Millisecond, Priority: 2,
+	}
+}
+
+// place chooses a server for work and notes that it began there.
+func place(t *testing.T, b *Board, number int, work Work, candidates []Candidate, now monotime.Instant) Choice {
+	t.Helper()
+	choice, ok := b.Choose(work, candidates, now)
+	if !ok {
+		t.Fatal("no server")
+	}
+	b.Begin(RunID{"me", number}, choice.Server, work, choice.Unread, now)
+	return choice
+}
+
+// Callers of short notes see their stream pause when a long prompt is read
+// beside it. Notes and bundles come in turn; each kind should find engines on
+// which it does not meet the other, although no engine is set aside for it.
+func TestLongPromptsKeepAwayFromStreamsWithShortPauses(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	candidates := engines(6)
+	notes, bundles := map[string]bool{}, map[string]bool{}
+	now := start
+	for i := range 40 {
+		now = now.Add(20 * time.Millisecond)
+		n := place(t, b, 2*i, note(fmt.Sprint("n", i)), candidates, now)
+		b.First(RunID{"me", 2 * i}, now.Add(50*time.Millisecond))
+		notes[n.Server] = true
+		bundles[place(t, b, 2*i+1, bundle(fmt.Sprint("c", i%8), fmt.Sprint("b", i)), candidates, now).Server] = true
+	}
+	for id := range notes {
+		if bundles[id] {
+			t.Errorf("%s runs notes and bundles: notes on %v, bundles on %v", id, notes, bundles)
+		}
+	}
+}
+
+func TestNotesShareFewEngines(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	used := map[string]bool{}
+	now := start
+	for i := range 30 {
+		now = now.Add(50 * time.Millisecond)
+		used[place(t, b, i, note(fmt.Sprint("n", i)), engines(10), now).Server] = true
+		b.First(RunID{"me", i}, now)
+	}
+	if len(used) > 2 {
+		t.Errorf("30 notes spread over %d engines", len(used))
+	}
+}
+
+func TestAPromptGoesWhereItsPartsAreKept(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	candidates := engines(8)
+	first := place(t, b, 1, bundle("chain", "x"), candidates, start)
+	b.First(RunID{"me", 1}, start.Add(time.Second))
+	b.End(RunID{"me", 1}, start.Add(2*time.Second))
+	second := place(t, b, 2, bundle("chain", "y"), candidates, start.Add(3*time.Second))
+	if second.Server != first.Server || second.Unread != 5000 {
+		t.Errorf("first %+v, second %+v", first, second)
+	}
+}
+
+func TestABusyEngineYieldsEvenItsOwnPrompts(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	candidates := engines(3)
+	home := place(t, b, 0, bundle("chain", "x"), candidates, start).Server
+	elsewhere := false
+	for i := range 20 {
+		elsewhere = elsewhere || place(t, b, i+1, bundle("chain", fmt.Sprint(i)), candidates, start).Server != home
+	}
+	if !elsewhere {
+		t.Error("all of 21 prompts queue on one engine while two are idle")
+	}
+}
+
+func TestAServerThatCannotBeReachedIsTriedAgainLater(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	one := engines(1)
+	place(t, b, 1, note("a"), one, start)
+	if !b.Observe("e0", Unreachable, start) {
+		t.Error("that a server became unreachable is not told")
+	}
+	if _, ok := b.Choose(note("b"), one, start.Add(retryMin/2)); ok {
+		t.Error("tried again at once")
+	}
+	if _, ok := b.Choose(note("b"), one, start.Add(retryMin)); !ok {
+		t.Error("not tried again")
+	}
+}
+
+func TestFailingServersAreAvoided(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	candidates := engines(2)
+	bad := place(t, b, 1, note("a"), candidates, start).Server
+	for range 5 {
+		b.Observe(bad, Failed, start)
+	}
+	if got, _ := b.Choose(note("b"), candidates, start); got.Server == bad {
+		t.Errorf("%s failed five times in a row and is chosen: %+v", bad, got)
+	}
+}
+
+// An instance is killed; the servers drop its requests as its connections
+// close. Its peers must not believe that the engines are still busy with them.
+func TestRunsOfALostInstanceAreOver(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	for i := range 5 {
+		b.Begin(RunID{"lost", i}, "e0", bundle("c", fmt.Sprint(i)), 21000, start)
+	}
+	b.Begin(RunID{"me", 1}, "e0", note("n"), 1400, start)
+	b.InstanceGone("lost", start)
+	if got := b.Running("e0"); got != 1 {
+		t.Errorf("%d runs, want 1", got)
+	}
+	choice, _ := b.Choose(note("m"), engines(1), start)
+	if choice.First > 100*time.Millisecond {
+		t.Errorf("first event predicted after %v of an almost idle engine", choice.First)
+	}
+}
+
+func TestARunWhoseEndIsNeverToldIsForgotten(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	b.Begin(RunID{"peer", 1}, "e0", note("n"), 1400, start)
+	b.Choose(note("m"), engines(1), start.Add(runLife+time.Second))
+	if got := b.Running("e0"); got != 0 {
+		t.Errorf("%d runs after %v", got, runLife)
+	}
+}
+
+func TestTheCacheYieldsTheLeastRecentlyUsed(t *testing.T) {
+	c := newPartCache()
+	c.add([]Part{{"a", 10}, {"b", 10}}, 30)
+	c.add([]Part{{"c", 10}}, 30)
+	c.add([]Part{{"a", 10}}, 30)
+	c.add([]Part{{"d", 10}}, 30)
+	for id, want := range map[string]int{"a": 10, "b": 0, "c": 10, "d": 10} {
+		if got := c.cached([]Part{{id, 10}}); got != want {
+			t.Errorf("%s: %d tokens kept, want %d", id, got, want)
+		}
+	}
+	if got := c.cached([]Part{{"b", 10}, {"a", 10}}); got != 0 {
+		t.Errorf("%d tokens count although the part before them is not kept", got)
+	}
+}
+
+func TestPlainServersShareByLoad(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	candidates := []Candidate{{ID: "p", DataCentre: "here", Slots: 6}, {ID: "q", DataCentre: "here", Slots: 6}, {ID: "r", DataCentre: "far", Slots: 6}}
+	counts := map[string]int{}
+	for i := range 18 {
+		counts[place(t, b, i, Work{Goal: 100 * time.Millisecond}, candidates, start).Server]++
+	}
+	for id, n := range counts {
+		if n < 5 || n > 7 {
+			t.Errorf("%s got %d of 18: %v", id, n, counts)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/work.go
@@ -0,0 +1,66 @@
+package placement
+
+import (
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+// Part is a part of a prompt. Requests with the same parts at their start share
+// what an engine keeps of them.
+type Part struct {
+	// ID of the part.
+	ID string
+	// Tokens of the part.
+	Tokens int
+}
+
+// Work is what is known of a request before it runs.
+type Work struct {
+	// Parts of the prompt in order; none for work that is not a prompt.
+	Parts []Part
+	// Prompt is the number of its tokens.
+	Prompt int
+	// Output is the number of tokens expected to be generated.
+	Output int
+	// Goal is the time to the first event for full credit.
+	Goal time.Duration
+	// MaxGap is the longest pause between events for full credit; 0 for none.
+	MaxGap time.Duration
+	// Priority, 0 first.
+	Priority int
+}
+
+// weightOfFirst is the weight of a request with priority 0 against a request
+// that asks for nothing but to be answered.
+const weightOfFirst = 3.0
+
+// weight says what a request on time counts for. The operators' worth of a
+// class is not published; it falls with the priority in about this way.
+func (w *Work) weight() float64 {
+	return weightOfFirst / (1 + max(0, float64(w.Priority)))
+}
+
+// RunID names a run in the fleet.
+type RunID struct {
+	// Instance that began it.
+	Instance string
+	// Number unique within the incarnation of the instance.
+	Number int
+}
+
+// run is a request on a server.
+type run struct {
+	server   *server
+	work     Work
+	unread   int
+	begun    monotime.Instant
+	readFrom monotime.Instant
+	readTo   monotime.Instant
+	first    bool
+}
+
+// reading reports whether the prompt still waits to be read or is being read.
+func (r *run) reading(now monotime.Instant) bool {
+	return !r.first && now < r.readTo
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -60,6 +60,8 @@
 	Address string
 	// Timeout of one read, and of a watch beyond its wait; 0 for the default.
 	Timeout time.Duration
+	// MaxBytes of an answer; 0 for MaxValueBytes.
+	MaxBytes int
 	// Dial opens a connection; nil for TCP.
 	Dial func(address string) (net.Conn, error)
 }
@@ -76,11 +78,14 @@
 	if cfg.Timeout <= 0 {
 		cfg.Timeout = DefaultTimeout
 	}
+	if cfg.MaxBytes <= 0 {
+		cfg.MaxBytes = MaxValueBytes
+	}
 	host := &fasthttp.HostClient{
 		Addr:                      cfg.Address,
 		MaxConns:                  maxConnections,
 		MaxIdleConnDuration:       maxIdle,
-		MaxResponseBodySize:       MaxValueBytes,
+		MaxResponseBodySize:       cfg.MaxBytes,
 		MaxIdemponentCallAttempts: attempts,
 		DisablePathNormalizing:    true,
 		NoDefaultUserAgentHeader:  true,
@@ -102,7 +107,7 @@
 	query.Set(paramRevision, strconv.FormatUint(revision, 10))
 	query.Set(paramInstances, strconv.Itoa(instances))
 	query.Set(paramTimeout, strconv.FormatInt(wait.Milliseconds(), 10))
-	status, body, err := c.get(ctx, watchPath+"?"+query.Encode(), wait+c.timeout)
+	status, body, err := c.Get(ctx, watchPath+"?"+query.Encode(), wait+c.timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -125,7 +130,7 @@
 	if !validKey(key) {
 		return nil, errors.Wrapf(ErrInvalid, "key %q", key)
 	}
-	status, body, err := c.get(ctx, valuesPath+url.PathEscape(key), c.timeout)
+	status, body, err := c.Get(ctx, valuesPath+url.PathEscape(key), c.timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -139,7 +144,7 @@
 // break the protocol are left out, so that one of them does not hide the rest;
 // skipped counts them.
 func (c *Client) Instances(ctx context.Context) (list *platformapi.InstanceList, skipped int, err error) {
-	status, body, err := c.get(ctx, instancesPath, c.timeout)
+	status, body, err := c.Get(ctx, instancesPath, c.timeout)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -178,9 +183,9 @@
 	err    error
 }
 
-// get reads a path. It returns when ctx ends, though the read itself goes on
-// until its timeout.
-func (c *Client) get(ctx context.Context, path string, timeout time.Duration) (int, []byte, error) {
+// Get reads a path with its query and returns status and body. It returns when
+// ctx ends, though the read itself goes on until its timeout.
+func (c *Client) Get(ctx context.Context, path string, timeout time.Duration) (int, []byte, error) {
 	if err := ctx.Err(); err != nil {
 		return 0, nil, errors.Wrap(err, "platform")
 	}
--- /dev/null
+++ b/internal/relay/deliver.go
@@ -0,0 +1,184 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/verdict"
+)
+
+const (
+	// wholeAnswer is the size up to which an answer is read to its end before
+	// the caller gets any of it, so that one that is cut off can still be
+	// replaced. Longer ones are passed on as they come.
+	wholeAnswer = 256 << 10
+	// copyBuffer is the size of one read of a long answer or stream.
+	copyBuffer = 16 << 10
+	// callerStall is how long beyond the deadline a caller may take to read.
+	callerStall = time.Second
+	// silenceFactor times the predicted first event is how long a request that
+	// may run again waits for it before another server is tried, and at least
+	// silenceMin.
+	silenceFactor = 3
+	silenceMin    = 600 * time.Millisecond
+	// shortSilence is that wait for requests that are no prompts: five times
+	// the goal of the strictest class, 100 ms.
+	shortSilence = 500 * time.Millisecond
+)
+
+// receive reads the answer of one send and passes it on. An error means that
+// the caller has no final answer yet.
+func (f *flight) receive(e *exchange, run int) *verdict.Error {
+	fleet := f.relay.cfg.Fleet
+	err := e.readHead(f.hr.Method, f.request.ID, f.relay.cfg.Protocol, f.patience(), f.deadline)
+	if err != nil {
+		e.abandon()
+		f.observe(placement.Failed)
+		return verdict.Wrap(verdict.MayHaveRun, reasonOf(err), err)
+	}
+	if e.answer.NotRun {
+		return f.refused(e)
+	}
+	if e.resp.StatusCode >= http.StatusInternalServerError {
+		f.observe(placement.Failed)
+		if f.route.MayRepeat() && !f.stream.begun() && f.sends < f.route.Attempts {
+			e.abandon()
+			return verdict.New(verdict.Ran, verdict.ReasonUpstreamError, "status "+strconv.Itoa(e.resp.StatusCode))
+		}
+	}
+	if f.route.Streaming && e.resp.StatusCode < http.StatusMultipleChoices {
+		return f.relayStream(e, run)
+	}
+	if f.stream.begun() {
+		// Events were delivered already; another kind of answer can't follow.
+		e.abandon()
+		return verdict.New(verdict.Ran, verdict.ReasonUpstreamError, "status "+strconv.Itoa(e.resp.StatusCode))
+	}
+	fleet.First(run, monotime.Now())
+	return f.relayWhole(e)
+}
+
+// refused handles a server's promise that it did not run the request.
+func (f *flight) refused(e *exchange) *verdict.Error {
+	status := e.resp.StatusCode
+	after := retryAfter(e.resp.Header)
+	if _, err := io.Copy(io.Discard, e.resp.Body); err != nil {
+		e.abandon()
+	} else {
+		e.finish()
+	}
+	if status == http.StatusMisdirectedRequest {
+		// The address belongs to another incarnation now.
+		f.observe(placement.Unreachable)
+	}
+	problem := verdict.New(verdict.NotRun, verdict.ReasonUpstreamRefused, "status "+strconv.Itoa(status))
+	return problem.After(max(after, retryFull))
+}
+
+// patience is how long to wait for the start of an answer before another
+// server is tried; 0 to wait until the deadline because no other may be.
+func (f *flight) patience() time.Duration {
+	if !f.route.MayRepeat() || f.sends >= f.route.Attempts {
+		return 0
+	}
+	if !f.route.Streaming {
+		return shortSilence
+	}
+	return max(silenceMin, silenceFactor*f.target.Choice.First)
+}
+
+// relayWhole passes on an answer that is no stream.
+func (f *flight) relayWhole(e *exchange) *verdict.Error {
+	body, err := io.ReadAll(io.LimitReader(e.resp.Body, wholeAnswer))
+	if err != nil {
+		e.abandon()
+		f.observe(placement.Failed)
+		return verdict.Wrap(verdict.Ran, verdict.ReasonUpstreamLost, errors.Join(errCut, err))
+	}
+	if e.resp.StatusCode < http.StatusInternalServerError {
+		f.observe(placement.Served)
+	}
+	f.begin(e.resp)
+	whole := len(body) < wholeAnswer
+	if whole {
+		e.finish()
+		if f.hr.Method != http.MethodHead && bodyAllowed(e.resp.StatusCode) {
+			f.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		}
+	}
+	f.w.WriteHeader(e.resp.StatusCode)
+	if _, err := f.w.Write(body); err != nil {
+		e.abandon()
+		return f.callerGone(err)
+	}
+	if whole {
+		return nil
+	}
+	return f.relayRest(e)
+}
+
+// relayRest passes on the rest of a long answer as it comes.
+func (f *flight) relayRest(e *exchange) *verdict.Error {
+	f.stream.started = true
+	if _, err := io.CopyBuffer(f.w, e.resp.Body, make([]byte, copyBuffer)); err != nil {
+		e.abandon()
+		return verdict.Wrap(verdict.Ran, verdict.ReasonUpstreamLost, err)
+	}
+	e.finish()
+	return nil
+}
+
+// begin sets the status and headers of the final answer.
+func (f *flight) begin(resp *http.Response) {
+	copyAnswer(f.w.Header(), resp.Header)
+	f.closeDuringDrain()
+	f.status = resp.StatusCode
+	f.firstByte = monotime.Now()
+	f.worst = verdict.Ran
+	// A writer without deadlines can only be a test's.
+	_ = http.NewResponseController(f.w).SetWriteDeadline(f.deadline.Add(callerStall))
+}
+
+// callerGone ends a request whose caller takes no more bytes.
+func (f *flight) callerGone(err error) *verdict.Error {
+	f.stream.started = true
+	f.stream.callerGone = true
+	return verdict.Wrap(verdict.Ran, verdict.ReasonCallerGone, err)
+}
+
+func (f *flight) observe(outcome placement.Outcome) {
+	if f.hr.Context().Err() != nil {
+		return // a caller that left says nothing about the server
+	}
+	f.relay.cfg.Fleet.Observe(f.target.ID, outcome, monotime.Now())
+}
+
+func reasonOf(err error) verdict.Reason {
+	switch {
+	case errors.Is(err, errSilent), isTimeout(err):
+		return verdict.ReasonUpstreamSilent
+	case errors.Is(err, errUnsigned), errors.Is(err, errAmbiguous):
+		return verdict.ReasonUpstreamError
+	default:
+		return verdict.ReasonUpstreamLost
+	}
+}
+
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// retryAfter reads a Retry-After header in seconds; 0 when there is none.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/internal/relay/flight.go
@@ -0,0 +1,330 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/routing"
+	"basilrudder/internal/verdict"
+)
+
+// flight is one request from its arrival to its final answer.
+type flight struct {
+	relay   *Relay
+	w       http.ResponseWriter
+	hr      *http.Request
+	arrived monotime.Instant
+
+	ctx      context.Context
+	deadline time.Time
+	request  Request
+	table    *routing.Table
+	route    *routing.Route
+	customer *routing.Customer
+	service  string
+	work     placement.Work
+	body     []byte
+
+	target   Target
+	excluded map[string]bool
+	sends    int
+	// worst is what is known of the request's execution over all sends.
+	worst verdict.Verdict
+	// stream holds what was delivered of a stream so far.
+	stream delivery
+
+	status    int
+	reason    verdict.Reason
+	cause     error
+	firstByte monotime.Instant
+}
+
+// serve gives the request its final answer.
+func (f *flight) serve() {
+	if fail := f.admit(); fail != nil {
+		f.refuse(fail)
+		return
+	}
+	defer f.relay.bodyBytes.Add(-int64(len(f.body)))
+	ctx, cancel := context.WithDeadlineCause(f.hr.Context(), f.deadline, errDeadline)
+	defer cancel()
+	f.ctx = ctx
+	f.excluded = make(map[string]bool)
+	f.relay.cfg.Fleet.Count(f.service, f.arrived)
+	f.sendUntilFinal()
+}
+
+var errDeadline = errors.New("deadline of the request")
+
+// admit reads the request and decides whether it may be sent at all.
+func (f *flight) admit() *failure {
+	var err error
+	f.request, err = f.relay.cfg.Protocol.Request(f.hr.Header)
+	if err != nil {
+		return fail(http.StatusBadRequest, verdict.ReasonBadRequest, err)
+	}
+	f.table = f.relay.cfg.Fleet.Table()
+	if f.table == nil {
+		return later(verdict.ReasonNotReady, retryUnknown)
+	}
+	if problem := f.authorize(); problem != nil {
+		return problem
+	}
+	f.setDeadline()
+	if problem := f.admitDuringDrain(); problem != nil {
+		return problem
+	}
+	return f.readBody()
+}
+
+// authorize finds the route and the customer. What the table in force does not
+// know may have just been added: an instance that can't make sure says when to
+// come back, because callers give up for good after a 401 or 404.
+func (f *flight) authorize() *failure {
+	problem := f.lookUp()
+	if problem == nil {
+		return nil
+	}
+	if !f.relay.cfg.Fleet.Confirm(f.hr.Context()) {
+		return later(verdict.ReasonNotReady, retryUnknown)
+	}
+	f.table = f.relay.cfg.Fleet.Table()
+	return f.lookUp()
+}
+
+func (f *flight) lookUp() *failure {
+	f.route = f.table.Match(f.hr.Host, f.hr.URL.EscapedPath())
+	if f.route == nil {
+		return fail(http.StatusNotFound, verdict.ReasonUnknownClass, errors.New("no route for this host and path"))
+	}
+	if !f.table.NeedsKey(f.route) {
+		return nil
+	}
+	f.customer = f.table.Customer(f.request.Key)
+	if f.customer == nil {
+		return fail(http.StatusUnauthorized, verdict.ReasonUnauthorized, errors.New("no customer has this key"))
+	}
+	return nil
+}
+
+func (f *flight) setDeadline() {
+	left := f.route.Timeout
+	if f.request.Deadline > 0 {
+		left = min(left, f.request.Deadline)
+	}
+	f.deadline = time.Now().Add(left)
+	f.service = f.route.Pick(f.request.ID)
+	f.work = placement.Work{
+		Parts:    f.request.Parts,
+		Prompt:   f.request.Prompt,
+		Output:   f.request.Output,
+		Goal:     f.route.Goal,
+		MaxGap:   f.route.MaxGap,
+		Priority: f.priority(),
+	}
+}
+
+func (f *flight) priority() int {
+	if f.customer != nil && f.customer.Priority != nil {
+		return *f.customer.Priority
+	}
+	return f.route.Priority
+}
+
+// admitDuringDrain refuses what would be cut off by the end of the process.
+// Callers keep connections and old directory answers for seconds, so requests
+// still come; another instance serves them at once.
+func (f *flight) admitDuringDrain() *failure {
+	since, draining := f.relay.draining(f.arrived)
+	if !draining {
+		return nil
+	}
+	left := f.relay.cfg.DrainTime - since - drainReserve
+	if f.route.Streaming && since > streamsDuringDrain || !f.route.Streaming && left < f.route.Timeout {
+		return later(verdict.ReasonDraining, retryElsewhere)
+	}
+	return nil
+}
+
+// readBody reads the whole body before anything is sent, so that a caller that
+// breaks off leaves no half request at a server.
+func (f *flight) readBody() *failure {
+	limit := int64(f.table.Limits().BodyBytes)
+	if limit > 0 && f.hr.ContentLength > limit {
+		return fail(http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, errors.Errorf("body over %d bytes", limit))
+	}
+	if f.relay.bodyBytes.Load()+max(f.hr.ContentLength, 0) > bodyRoom {
+		return later(verdict.ReasonOverloaded, retryFull)
+	}
+	reader := io.Reader(f.hr.Body)
+	if limit > 0 {
+		reader = http.MaxBytesReader(f.w, f.hr.Body, limit)
+	}
+	body, err := io.ReadAll(reader)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return fail(http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, err)
+	case err != nil:
+		return fail(http.StatusBadRequest, verdict.ReasonCallerGone, err)
+	}
+	f.body = body
+	f.relay.bodyBytes.Add(int64(len(body)))
+	return nil
+}
+
+// sendUntilFinal sends the request to servers until one answer is final.
+func (f *flight) sendUntilFinal() {
+	for {
+		problem := f.sendOnce()
+		if problem == nil {
+			return
+		}
+		f.worst = verdict.Worse(f.worst, problem.Verdict)
+		f.note(problem)
+		if f.ctx.Err() != nil {
+			f.giveUp()
+			return
+		}
+		if !f.maySendAgain(problem) {
+			f.end(problem)
+			return
+		}
+	}
+}
+
+// maySendAgain decides whether a failed request goes to a further server.
+func (f *flight) maySendAgain(problem *verdict.Error) bool {
+	switch {
+	case problem.Reason == verdict.ReasonNoServer:
+		return false
+	case problem.Reason == verdict.ReasonConnect:
+		// Nothing was sent, so it does not count as a server tried.
+		return len(f.excluded) <= connectTries
+	case f.worst != verdict.NotRun && !f.route.MayRepeat():
+		return false
+	case f.stream.begun() && !f.route.Resumable:
+		return false
+	case f.sends >= f.route.Attempts:
+		return false
+	default:
+		return f.relay.cfg.Fleet.Spend(f.service, monotime.Now())
+	}
+}
+
+// connectTries bounds how many servers that can't be reached are passed over
+// for one request; each may cost connectTimeout.
+const connectTries = 4
+
+// sendOnce sends the request to one server and delivers its answer.
+func (f *flight) sendOnce() *verdict.Error {
+	fleet := f.relay.cfg.Fleet
+	now := monotime.Now()
+	target, ok := fleet.Place(f.service, f.work, f.excluded, now)
+	if !ok {
+		return verdict.New(verdict.NotRun, verdict.ReasonNoServer, "no server can be reached").After(retryNoServer)
+	}
+	f.target = target
+	c, err := f.relay.pool.get(f.ctx, target)
+	if err != nil {
+		f.excluded[target.ID] = true
+		if !errors.Is(err, errPoolFull) && f.ctx.Err() == nil {
+			fleet.Observe(target.ID, placement.Unreachable, monotime.Now())
+		}
+		return verdict.Wrap(verdict.NotRun, verdict.ReasonConnect, err).After(retryNoServer)
+	}
+	f.excluded[target.ID] = true
+	f.sends++
+	run := fleet.Begin(target, f.work, monotime.Now())
+	defer func() { fleet.End(run, monotime.Now()) }()
+	e, problem := send(f.ctx, f.relay.pool, c, f.head(target), f.body, f.deadline)
+	if problem != nil {
+		fleet.Observe(target.ID, placement.Failed, monotime.Now())
+		return problem
+	}
+	return f.receive(e, run)
+}
+
+// head encodes the request for a server.
+func (f *flight) head(target Target) []byte {
+	headers := endToEnd(f.hr.Header)
+	customer := ""
+	if f.customer != nil {
+		customer = f.customer.Name
+	}
+	resume := f.request.ResumeAfter
+	if f.stream.lastID != "" {
+		resume = f.stream.lastID
+	}
+	f.relay.cfg.Protocol.Forward(headers, Forward{
+		Server:      target.ID,
+		Deadline:    time.Until(f.deadline),
+		Customer:    customer,
+		HideKey:     f.table.Config().KeysRequired,
+		Priority:    f.work.Priority,
+		ResumeAfter: resume,
+	})
+	hasBody := f.hr.ContentLength != 0 || len(f.hr.TransferEncoding) > 0
+	return requestHead(f.hr.Method, f.hr.RequestURI, f.hr.Host, headers, f.body, hasBody)
+}
+
+// note logs a send that did not give the final answer.
+func (f *flight) note(problem *verdict.Error) {
+	f.relay.cfg.Log.Info("send_failed",
+		zap.String("id", f.request.ID),
+		zap.String("server", f.target.ID),
+		zap.Int("send", f.sends),
+		zap.Stringer("verdict", problem.Verdict),
+		zap.String("reason", string(problem.Reason)),
+		zap.String("cause", problem.Message))
+	f.relay.cfg.Metrics.sendFailed(problem.Reason)
+}
+
+// record logs how the request ended, with what decided it.
+func (f *flight) record() {
+	now := monotime.Now()
+	f.relay.cfg.Metrics.ended(f, now)
+	fields := []zap.Field{
+		zap.String("id", f.request.ID),
+		zap.Int("status", f.status),
+		zap.String("reason", string(f.reason)),
+		zap.Stringer("verdict", f.worst),
+		zap.Duration("took_ms", now.Sub(f.arrived)),
+		zap.Int("sends", f.sends),
+	}
+	if f.cause != nil {
+		fields = append(fields, zap.String("cause", f.cause.Error()))
+	}
+	if f.table != nil {
+		fields = append(fields, zap.Int64("config", f.table.Version()))
+	}
+	if f.route != nil {
+		fields = append(fields, zap.String("route", f.route.Name), zap.String("service", f.service))
+	}
+	if f.firstByte != 0 {
+		fields = append(fields, zap.Duration("first_ms", f.firstByte.Sub(f.arrived)))
+	}
+	if f.target.ID != "" {
+		choice := f.target.Choice
+		fields = append(fields,
+			zap.String("server", f.target.ID),
+			zap.Duration("entry_age_ms", f.target.EntryAge),
+			zap.Duration("predicted_first_ms", choice.First),
+			zap.Duration("predicted_gap_ms", choice.Gap),
+			zap.Duration("longest_gap_ms", f.stream.longestGap),
+			zap.Duration("max_gap_ms", f.work.MaxGap),
+			zap.Int("unread", choice.Unread),
+			zap.Int("prompt", f.work.Prompt),
+			zap.Int("running", choice.Running),
+			zap.String("cost", strconv.FormatFloat(choice.Cost, 'f', 3, 64)))
+	}
+	f.relay.cfg.Log.Info("request_ended", fields...)
+}
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"encoding/json"
+	"expvar"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/verdict"
+)
+
+const (
+	// longestLatency bounds the histograms, in microseconds: a minute, above
+	// the longest deadline.
+	longestLatency = 60_000_000
+	// digits of the histograms' values.
+	digits = 2
+)
+
+// Metrics counts requests by how they ended and keeps histograms of latency.
+type Metrics struct {
+	inFlight  expvar.Int
+	answers   expvar.Map // by status; "cut" for answers that were cut off
+	reasons   expvar.Map
+	sends     expvar.Map // failed sends by reason
+	total     histogram
+	firstByte histogram
+	gaps      histogram
+}
+
+// NewMetrics returns Metrics with all counts zero.
+func NewMetrics() *Metrics {
+	m := &Metrics{}
+	m.answers.Init()
+	m.reasons.Init()
+	m.sends.Init()
+	for _, h := range []*histogram{&m.total, &m.firstByte, &m.gaps} {
+		h.values = hdrhistogram.New(1, longestLatency, digits)
+	}
+	return m
+}
+
+// Vars returns the variables, to be published by expvar.
+func (m *Metrics) Vars() *expvar.Map {
+	vars := new(expvar.Map).Init()
+	vars.Set("in_flight", &m.inFlight)
+	vars.Set("answers", &m.answers)
+	vars.Set("reasons", &m.reasons)
+	vars.Set("failed_sends", &m.sends)
+	vars.Set("total_us", &m.total)
+	vars.Set("first_byte_us", &m.firstByte)
+	vars.Set("longest_gap_us", &m.gaps)
+	return vars
+}
+
+func (m *Metrics) sendFailed(reason verdict.Reason) {
+	m.sends.Add(string(reason), 1)
+}
+
+func (m *Metrics) ended(f *flight, now monotime.Instant) {
+	status := "cut"
+	if f.status != 0 {
+		status = strconv.Itoa(f.status)
+	}
+	m.answers.Add(status, 1)
+	if f.reason != "" {
+		m.reasons.Add(string(f.reason), 1)
+	}
+	m.total.record(now.Sub(f.arrived))
+	if f.firstByte != 0 {
+		m.firstByte.record(f.firstByte.Sub(f.arrived))
+	}
+	if f.stream.longestGap > 0 {
+		m.gaps.record(f.stream.longestGap)
+	}
+}
+
+// histogram is an expvar.Var of quantiles.
+type histogram struct {
+	mu     sync.Mutex
+	values *hdrhistogram.Histogram
+}
+
+func (h *histogram) record(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	// A value beyond the bound counts as the bound.
+	_ = h.values.RecordValue(min(max(d.Microseconds(), 1), longestLatency))
+}
+
+// String returns count and quantiles as JSON, as expvar.Var wants.
+func (h *histogram) String() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out, err := json.Marshal(map[string]int64{
+		"count": h.values.TotalCount(),
+		"p50":   h.values.ValueAtQuantile(50),
+		"p90":   h.values.ValueAtQuantile(90),
+		"p99":   h.values.ValueAtQuantile(99),
+		"max":   h.values.Max(),
+	})
+	if err != nil {
+		return strconv.Quote(err.Error())
+	}
+	return string(out)
+}
--- /dev/null
+++ b/internal/relay/protocol.go
@@ -0,0 +1,106 @@
+// Package relay takes requests from callers, sends each to a server, and gives
+// the server's answer back unchanged. It decides what may be sent again, and
+// gives every request one final answer.
+//
+// The HTTP server and the parser of answers are those of net/http. A handler of
+// fasthttp does not learn that its caller hung up, so a server would go on
+// working for nobody; and its client hides whether an answer without a length
+// was cut off. Both decide here whether an answer is whole.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/routing"
+	"basilrudder/internal/servers"
+)
+
+// Request is what the relay needs of a caller's headers.
+type Request struct {
+	// ID is the caller's, one for each try.
+	ID string
+	// Deadline is how long the caller waits; 0 when it does not say.
+	Deadline time.Duration
+	// Key that the caller shows; empty for none.
+	Key string
+	// ResumeAfter is the id of the last event that the caller has; empty for none.
+	ResumeAfter string
+	// Parts, Prompt and Output describe a prompt, see placement.Work.
+	Parts          []placement.Part
+	Prompt, Output int
+}
+
+// Forward is what the relay tells a server in headers of its own.
+type Forward struct {
+	// Server that must take the request; another one refuses it.
+	Server string
+	// Deadline is how long an answer is of use.
+	Deadline time.Duration
+	// Customer whose request it is; empty when there are none.
+	Customer string
+	// HideKey keeps the caller's key from the server.
+	HideKey bool
+	// Priority, 0 first.
+	Priority int
+	// ResumeAfter is the id of the last event received; empty for none.
+	ResumeAfter string
+}
+
+// Answer is what the relay needs of a server's headers.
+type Answer struct {
+	// ID of the request it answers; empty when it does not say.
+	ID string
+	// Signed answers are those of a server that worked on the request.
+	Signed bool
+	// NotRun says that the server promises not to have run the request.
+	NotRun bool
+}
+
+// Protocol translates the headers of callers and servers.
+type Protocol interface {
+	// Request reads the headers of a caller.
+	Request(h http.Header) (Request, error)
+	// Forward changes a copy of a caller's headers into those for a server.
+	Forward(h http.Header, f Forward)
+	// Answer reads the headers of a server.
+	Answer(status int, h http.Header) Answer
+	// Event returns the id of an event of a stream, given as its lines; empty
+	// when it has none.
+	EventID(event []byte) string
+}
+
+// Target is a server chosen for a request.
+type Target struct {
+	servers.Server
+	// Choice says what decided.
+	Choice placement.Choice
+	// MaxConns is this instance's share of the server's connections.
+	MaxConns int
+	// EntryAge is the time since the store last confirmed what is known of servers.
+	EntryAge time.Duration
+}
+
+// Fleet is what the relay asks of, and tells, the instance it runs in.
+type Fleet interface {
+	// Table in force; nil before the first configuration is known.
+	Table() *routing.Table
+	// Confirm reports whether the table in force is the newest there is, by
+	// asking who would know.
+	Confirm(ctx context.Context) bool
+	// Place chooses a server of a service, none of those excluded.
+	Place(service string, work placement.Work, excluded map[string]bool, now monotime.Instant) (Target, bool)
+	// Begin, First and End tell of a run at a server; Begin returns its number.
+	Begin(target Target, work placement.Work, now monotime.Instant) int
+	First(run int, now monotime.Instant)
+	End(run int, now monotime.Instant)
+	// Observe tells what became of a request at a server.
+	Observe(server string, outcome placement.Outcome, now monotime.Instant)
+	// Spend takes one send to a further server from the budget of a service.
+	Spend(service string, now monotime.Instant) bool
+	// Count notes a request for a service, which adds to that budget.
+	Count(service string, now monotime.Instant)
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"basilrudder/internal/monotime"
+)
+
+// Config of a Relay.
+type Config struct {
+	// Fleet that the instance belongs to.
+	Fleet Fleet
+	// Protocol of callers and servers.
+	Protocol Protocol
+	// Log takes a line per decision.
+	Log *zap.Logger
+	// Metrics counts what happens; nil for none kept.
+	Metrics *Metrics
+	// Dial opens a connection to a server; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// DrainTime is how long the process may go on after it was told to leave.
+	DrainTime time.Duration
+}
+
+// Relay is the HTTP handler for callers.
+type Relay struct {
+	cfg  Config
+	pool *pool
+	// drainSince is the instant at which the drain began; 0 while there is none.
+	drainSince atomic.Int64
+	bodyBytes  atomic.Int64
+}
+
+const (
+	// bodyRoom bounds the bodies held at once: a quarter of the memory of the
+	// smallest instance, 184 MB.
+	bodyRoom = 48 << 20
+	// streamsDuringDrain is how long after the start of a drain streams are
+	// still taken. They last up to some 5 s, and the process is killed 8 s
+	// after the signal.
+	streamsDuringDrain = 1500 * time.Millisecond
+	// drainReserve is kept between the last answer and the end of the drain.
+	drainReserve = 500 * time.Millisecond
+)
+
+// Times to come back that refusals tell.
+const (
+	// retryElsewhere: another instance can serve it now.
+	retryElsewhere = 20 * time.Millisecond
+	// retryUnknown: configuration or its confirmation is on its way.
+	retryUnknown = 300 * time.Millisecond
+	// retryNoServer: servers that can't be reached are tried again.
+	retryNoServer = 200 * time.Millisecond
+	// retryFull: a server's queue moves within some steps of its engine.
+	retryFull = 150 * time.Millisecond
+)
+
+// New returns a Relay.
+func New(cfg Config) *Relay {
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = NewMetrics()
+	}
+	return &Relay{cfg: cfg, pool: newPool(cfg.Dial)}
+}
+
+// Drain begins to leave: answers tell callers to connect elsewhere, and what
+// could not end in time is refused.
+func (r *Relay) Drain() {
+	r.drainSince.CompareAndSwap(0, int64(monotime.Now()))
+}
+
+// draining returns for how long the drain lasts; false when there is none.
+func (r *Relay) draining(now monotime.Instant) (time.Duration, bool) {
+	since := monotime.Instant(r.drainSince.Load())
+	return now.Sub(since), since != 0
+}
+
+// Sweep closes idle connections to servers that are not needed any more.
+func (r *Relay) Sweep(known func(server string) bool) {
+	r.pool.sweep(known)
+}
+
+// InFlight returns the number of requests held now.
+func (r *Relay) InFlight() int64 {
+	return r.cfg.Metrics.inFlight.Value()
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	r.cfg.Metrics.inFlight.Add(1)
+	defer r.cfg.Metrics.inFlight.Add(-1)
+	f := &flight{relay: r, w: w, hr: hr, arrived: monotime.Now()}
+	defer f.record()
+	f.serve()
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,158 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/verdict"
+)
+
+const (
+	// resumeSilence is how long a stream that may go on elsewhere can be silent,
+	// as a multiple of its longest pause on time, and at least resumeMin. Callers
+	// give up after eight times that pause, or two seconds.
+	resumeSilence = 4
+	resumeMin     = 700 * time.Millisecond
+)
+
+// delivery is what the caller has of a stream.
+type delivery struct {
+	started    bool
+	callerGone bool
+	// lastID is the id of the last event delivered whole.
+	lastID string
+	// rest holds the start of an event whose end has not come.
+	rest []byte
+	// lastAt is when the last bytes came.
+	lastAt     monotime.Instant
+	longestGap time.Duration
+}
+
+func (d *delivery) begun() bool { return d.started }
+
+// relayStream passes events on as they come. Headers go out with the first of
+// them, so that a server which dies before can still be replaced.
+func (f *flight) relayStream(e *exchange, run int) *verdict.Error {
+	f.stream.rest = nil
+	buffer := make([]byte, copyBuffer)
+	first := true
+	for {
+		if err := f.awaitEvents(e); err != nil {
+			e.abandon()
+			return verdict.Wrap(verdict.Ran, verdict.ReasonUpstreamLost, err)
+		}
+		n, err := e.resp.Body.Read(buffer)
+		if n > 0 {
+			if first {
+				first = false
+				f.relay.cfg.Fleet.First(run, monotime.Now())
+			}
+			if problem := f.pass(e, buffer[:n]); problem != nil {
+				e.abandon()
+				return problem
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return f.endStream(e)
+		}
+		if err != nil {
+			e.abandon()
+			f.observe(placement.Failed)
+			return verdict.Wrap(verdict.Ran, f.lossReason(err), err)
+		}
+	}
+}
+
+func (f *flight) lossReason(err error) verdict.Reason {
+	if isTimeout(err) {
+		return verdict.ReasonUpstreamSilent
+	}
+	return verdict.ReasonUpstreamLost
+}
+
+// awaitEvents bounds the silence of a stream that can go on elsewhere.
+func (f *flight) awaitEvents(e *exchange) error {
+	if !f.route.Resumable || f.sends >= f.route.Attempts {
+		return nil
+	}
+	silence := max(resumeMin, resumeSilence*f.work.MaxGap)
+	if !f.stream.started {
+		silence = max(silence, f.patience())
+	}
+	return e.conn.SetReadDeadline(earlier(time.Now().Add(silence), f.deadline))
+}
+
+// pass delivers bytes of a stream. Of a stream that may go on elsewhere only
+// whole events are delivered: a server can die in the middle of one.
+func (f *flight) pass(e *exchange, data []byte) *verdict.Error {
+	if f.route.Resumable {
+		data = f.wholeEvents(data)
+		if len(data) == 0 {
+			return nil
+		}
+	}
+	now := monotime.Now()
+	if !f.stream.started {
+		f.stream.started = true
+		f.begin(e.resp)
+		f.w.WriteHeader(e.resp.StatusCode)
+	} else {
+		f.stream.longestGap = max(f.stream.longestGap, now.Sub(f.stream.lastAt))
+	}
+	f.stream.lastAt = now
+	if _, err := f.w.Write(data); err != nil {
+		return f.callerGone(err)
+	}
+	if err := http.NewResponseController(f.w).Flush(); err != nil {
+		return f.callerGone(err)
+	}
+	return nil
+}
+
+// eventEnd separates events of a stream.
+var eventEnd = []byte("\n\n")
+
+// wholeEvents returns what is complete and keeps the rest for later.
+func (f *flight) wholeEvents(data []byte) []byte {
+	all := append(f.stream.rest, data...)
+	end := bytes.LastIndex(all, eventEnd)
+	if end < 0 {
+		f.stream.rest = all
+		return nil
+	}
+	end += len(eventEnd)
+	f.stream.rest = append([]byte(nil), all[end:]...)
+	whole := all[:end]
+	start := bytes.LastIndex(whole[:end-len(eventEnd)], eventEnd)
+	if start < 0 {
+		start = 0
+	}
+	if id := f.relay.cfg.Protocol.EventID(whole[start:]); id != "" {
+		f.stream.lastID = id
+	}
+	return whole
+}
+
+// endStream ends the caller's stream as the server ended its own.
+func (f *flight) endStream(e *exchange) *verdict.Error {
+	f.observe(placement.Served)
+	if !f.stream.started {
+		f.stream.started = true
+		f.begin(e.resp)
+		f.w.WriteHeader(e.resp.StatusCode)
+	}
+	if len(f.stream.rest) > 0 {
+		if _, err := f.w.Write(f.stream.rest); err != nil {
+			e.abandon()
+			return f.callerGone(err)
+		}
+	}
+	e.finish()
+	return nil
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,136 @@
+package routing
+
+import (
+	"cmp"
+	"hash/fnv"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrInvalid says that a configuration can't be put in force.
+var ErrInvalid = errors.New("routing: invalid configuration")
+
+// Table answers questions about one configuration. It is immutable and safe
+// for concurrent use.
+type Table struct {
+	config    *Config
+	hosts     map[string][]*Route // longest prefix first
+	services  map[string]*Service
+	customers map[string]*Customer // by key
+}
+
+// NewTable builds the table of a configuration, which must not change afterwards.
+func NewTable(config *Config) (*Table, error) {
+	t := &Table{
+		config:    config,
+		hosts:     make(map[string][]*Route),
+		services:  make(map[string]*Service, len(config.Services)),
+		customers: make(map[string]*Customer),
+	}
+	for i := range config.Services {
+		service := &config.Services[i]
+		t.services[service.Name] = service
+	}
+	for i := range config.Routes {
+		route := &config.Routes[i]
+		if err := t.check(route); err != nil {
+			return nil, err
+		}
+		host := normalHost(route.Host)
+		t.hosts[host] = append(t.hosts[host], route)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int {
+			return cmp.Compare(len(b.Prefix), len(a.Prefix))
+		})
+	}
+	for i := range config.Customers {
+		customer := &config.Customers[i]
+		for _, key := range customer.Keys {
+			t.customers[key] = customer
+		}
+	}
+	return t, nil
+}
+
+func (t *Table) check(route *Route) error {
+	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
+		return errors.Wrapf(ErrInvalid, "route %q: prefix %q", route.Name, route.Prefix)
+	}
+	if route.Timeout <= 0 || route.Attempts < 1 || len(route.Shares) == 0 {
+		return errors.Wrapf(ErrInvalid, "route %q: timeout %v, attempts %d, %d services",
+			route.Name, route.Timeout, route.Attempts, len(route.Shares))
+	}
+	for _, share := range route.Shares {
+		if t.services[share.Service] == nil {
+			return errors.Wrapf(ErrInvalid, "route %q: no service %q", route.Name, share.Service)
+		}
+	}
+	return nil
+}
+
+// Version of the configuration.
+func (t *Table) Version() int64 { return t.config.Version }
+
+// Config the table was built from; it must not be changed.
+func (t *Table) Config() *Config { return t.config }
+
+// Limits for callers.
+func (t *Table) Limits() Limits { return t.config.Limits }
+
+// Service by name; nil when there is none.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Match returns the route of a host with the longest prefix that begins path.
+func (t *Table) Match(host, path string) *Route {
+	for _, route := range t.hosts[normalHost(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// NeedsKey reports whether requests of the route must carry a key.
+func (t *Table) NeedsKey(route *Route) bool {
+	return t.config.KeysRequired && !route.Public
+}
+
+// Customer returns the customer who holds key; nil when nobody does.
+func (t *Table) Customer(key string) *Customer {
+	return t.customers[key]
+}
+
+// Pick returns the service for a request. The choice follows the shares over
+// many requests and is the same each time for one id, so that a request sent a
+// second time stays with its service.
+func (r *Route) Pick(requestID string) string {
+	total := 0
+	for _, share := range r.Shares {
+		total += share.Weight
+	}
+	if total <= 0 {
+		return r.Shares[0].Service
+	}
+	hash := fnv.New32a()
+	hash.Write([]byte(requestID))
+	at := int(hash.Sum32() % uint32(total))
+	for _, share := range r.Shares {
+		if at < share.Weight {
+			return share.Service
+		}
+		at -= share.Weight
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// normalHost drops a port and the letters' case.
+func normalHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -151,6 +151,9 @@
 	// Slots given back.
 	Releases []Release `json:"r,omitempty,omitzero"`
 
+	// News of an instance that relays.
+	News []RelayNews `json:"rn,omitempty,omitzero"`
+
 	// Slots renewed.
 	Progress []Progress `json:"s,omitempty,omitzero"`
 
@@ -417,6 +420,118 @@
 	BacklogMS int `json:"w,omitempty,omitzero"`
 }
 
+// RelayMember is an instance that relays, as another one knows it.
+type RelayMember struct {
+	// Address for callers.
+	CallerAddress string `json:"c"`
+
+	// Data centre.
+	DataCentre string `json:"d"`
+
+	// Instance id.
+	ID string `json:"i"`
+
+	// Incarnation of the process.
+	Incarnation string `json:"n"`
+
+	// Address for peers.
+	PeerAddress string `json:"p"`
+}
+
+// RelayNews is what an instance that relays tells the others.
+type RelayNews struct {
+	// Requests that began.
+	Begun []RelayRun `json:"b,omitempty,omitzero"`
+
+	// The configuration as JSON, when asked for.
+	Config string `json:"c,omitempty,omitzero"`
+
+	// Runs that ended.
+	Ended []int `json:"e,omitempty,omitzero"`
+
+	// Runs that gave their first event.
+	First []int `json:"f,omitempty,omitzero"`
+
+	// The sender is leaving and should get no new callers.
+	Leaving bool `json:"l,omitempty,omitzero"`
+
+	// Instances it is linked to, itself among them.
+	Members []RelayMember `json:"m,omitempty,omitzero"`
+
+	// Changes of servers.
+	Servers []RelayServer `json:"s,omitempty,omitzero"`
+
+	// Version of the configuration in force at the sender.
+	ConfigVersion int `json:"v,omitempty,omitzero"`
+
+	// The sender lacks the configuration and asks for it.
+	ConfigWanted bool `json:"vw,omitempty,omitzero"`
+}
+
+// RelayPart is a part of a prompt.
+type RelayPart struct {
+	// Id of the part.
+	ID string `json:"i"`
+
+	// Tokens of the part.
+	Tokens int `json:"t"`
+}
+
+// RelayRun is a request that began on a server.
+type RelayRun struct {
+	// Longest pause between events in milliseconds; 0 for none.
+	GapMS int `json:"g,omitempty,omitzero"`
+
+	// Tokens expected to be generated.
+	Output int `json:"o,omitempty,omitzero"`
+
+	// Shared parts of the prompt, in order.
+	Parts []RelayPart `json:"p,omitempty,omitzero"`
+
+	// Number of the run, unique within the sending process.
+	Number int `json:"r"`
+
+	// Incarnation of the server.
+	Server string `json:"s"`
+
+	// Tokens of the whole prompt.
+	Prompt int `json:"t,omitempty,omitzero"`
+
+	// Prompt tokens that are to be read.
+	Unread int `json:"u,omitempty,omitzero"`
+
+	// Priority, 0 first.
+	Priority int `json:"w,omitempty,omitzero"`
+}
+
+// RelayServer is what the store last said of one incarnation of an upstream
+// server.
+type RelayServer struct {
+	// Host and port.
+	Address string `json:"a,omitempty,omitzero"`
+
+	// Data centre.
+	DataCentre string `json:"d,omitempty,omitzero"`
+
+	// Id of the incarnation.
+	ID string `json:"i"`
+
+	// Requests it runs at once.
+	Slots int `json:"k,omitempty,omitzero"`
+
+	// It takes no new requests because it is leaving.
+	Draining bool `json:"r,omitempty,omitzero"`
+
+	// Service it belongs to; empty once it is gone.
+	Service string `json:"s,omitempty,omitzero"`
+
+	// Revision of the store at which this was so.
+	Revision int `json:"v"`
+
+	// Its entry was removed.
+	Gone bool `json:"x,omitempty,omitzero"`
+}
+
 // Release gives a slot back.
 type Release struct {
 	// Time from start to the first token in milliseconds.
