Relay: requests passed on unchanged, each with one final answer

Ruled out: fasthttp on this path; its handler does not learn that the caller hung up, and its client hides whether an answer without a length was cut. After: 22 tests with scripted servers, among them each way in which a server can fail and what the caller gets then.

--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,63 @@
+package eventlog
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+)
+
+// stalled is an output that takes nothing until it is released.
+type stalled struct {
+	release chan struct{}
+	mu      sync.Mutex
+	bytes.Buffer
+}
+
+func (s *stalled) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Buffer.Write(p)
+}
+
+// The reader of the log stops reading. Requests must go on, and once it reads
+// again it must see that lines are missing.
+func TestAStalledOutputLosesLinesAndSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stalled{release: make(chan struct{})}
+		log, sink := New(out, zapcore.InfoLevel)
+		for range queueLength + 100 {
+			log.Info("line")
+		}
+		close(out.release)
+		time.Sleep(time.Minute)
+		log.Info("after")
+		sink.Close()
+		text := out.String()
+		if !strings.Contains(text, "log_lines_lost") || !strings.Contains(text, `"msg":"after"`) {
+			t.Errorf("the loss or what followed it is not told in %d bytes", len(text))
+		}
+	})
+}
+
+func TestTheVolumeIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		log, sink := New(&out, zapcore.InfoLevel)
+		for range 10 {
+			for range 1000 {
+				log.Info("line")
+			}
+			time.Sleep(time.Second)
+		}
+		sink.Close()
+		if lines := strings.Count(out.String(), `"msg":"line"`); lines > burstLines+10*linesPerSecond {
+			t.Errorf("%d lines in ten seconds", lines)
+		}
+	})
+}
--- /dev/null
+++ b/internal/relay/fake_test.go
@@ -0,0 +1,246 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/routing"
+	"basilrudder/internal/servers"
+)
+
+// plain is a Protocol with headers of its own, so that the tests need none of
+// an outside system.
+type plain struct{}
+
+func (plain) Request(h http.Header) (Request, error) {
+	if h.Get("X-Id") == "" {
+		return Request{}, errors.New("no id")
+	}
+	ms, _ := strconv.Atoi(h.Get("X-Deadline"))
+	return Request{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: h.Get("X-Resume")}, nil
+}
+
+func (plain) Forward(h http.Header, f Forward) {
+	h.Set("X-Server", f.Server)
+	h.Set("X-Customer", f.Customer)
+	if f.HideKey {
+		h.Del("X-Key")
+	}
+	if f.ResumeAfter != "" {
+		h.Set("X-Resume", f.ResumeAfter)
+	}
+}
+
+func (plain) Answer(_ int, h http.Header) Answer {
+	return Answer{ID: h.Get("X-Id"), Signed: h.Get("X-Seal") != "", NotRun: h.Get("X-Not-Run") != ""}
+}
+
+func (plain) EventID(event []byte) string {
+	for line := range strings.SplitSeq(string(event), "\n") {
+		if id, ok := strings.CutPrefix(line, "id:"); ok {
+			return strings.TrimSpace(id)
+		}
+	}
+	return ""
+}
+
+// fakeFleet gives the servers in their order and keeps what it is told.
+type fakeFleet struct {
+	table     *routing.Table
+	confirmed bool
+	servers   []string
+	noBudget  bool
+
+	mu       sync.Mutex
+	begun    []string
+	ended    int
+	outcomes []string
+}
+
+func (f *fakeFleet) Table() *routing.Table        { return f.table }
+func (f *fakeFleet) Confirm(context.Context) bool { return f.confirmed }
+func (f *fakeFleet) Place(_ string, _ placement.Work, excluded map[string]bool, _ monotime.Instant) (Target, bool) {
+	for _, id := range f.servers {
+		if !excluded[id] {
+			return Target{Server: servers.Server{ID: id, Address: id}, Choice: placement.Choice{First: 100 * time.Millisecond}}, true
+		}
+	}
+	return Target{}, false
+}
+
+func (f *fakeFleet) Begin(target Target, _ placement.Work, _ monotime.Instant) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun = append(f.begun, target.ID)
+	return len(f.begun)
+}
+func (f *fakeFleet) First(int, monotime.Instant) {}
+func (f *fakeFleet) End(int, monotime.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended++
+}
+
+func (f *fakeFleet) Observe(server string, outcome placement.Outcome, _ monotime.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outcomes = append(f.outcomes, fmt.Sprint(server, " ", outcome))
+}
+func (f *fakeFleet) Spend(string, monotime.Instant) bool { return !f.noBudget }
+func (f *fakeFleet) Count(string, monotime.Instant)      {}
+
+// script is what a server does on one connection.
+type script func(t *testing.T, c net.Conn, in *bufio.Reader)
+
+// bench is a Relay before scripted servers.
+type bench struct {
+	t     *testing.T
+	fleet *fakeFleet
+	relay *Relay
+	// connections by server; each new one runs the next script of the server.
+	scripts map[string][]script
+	dials   map[string]int
+	mu      sync.Mutex
+	all     sync.WaitGroup
+}
+
+// newBench returns a bench in which each server runs the given scripts, one a
+// connection. A server without any refuses connections.
+func newBench(t *testing.T, routes []routing.Route, scripts map[string][]script, order ...string) *bench {
+	t.Helper()
+	table, err := routing.NewTable(&routing.Config{
+		Version: 1, Routes: routes, Services: []routing.Service{{Name: "svc"}},
+		Limits:       routing.Limits{BodyBytes: 1 << 20},
+		KeysRequired: true, Customers: []routing.Customer{{Name: "acme", Keys: []string{"key"}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{
+		t: t, fleet: &fakeFleet{table: table, servers: order, confirmed: true},
+		scripts: scripts, dials: make(map[string]int),
+	}
+	b.relay = New(Config{Fleet: b.fleet, Protocol: plain{}, Dial: b.dial, DrainTime: 7 * time.Second})
+	return b
+}
+
+func (b *bench) dial(_ context.Context, address string) (net.Conn, error) {
+	b.mu.Lock()
+	n := b.dials[address]
+	b.dials[address]++
+	b.mu.Unlock()
+	if n >= len(b.scripts[address]) {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	b.all.Go(func() {
+		defer far.Close()
+		b.scripts[address][n](b.t, far, bufio.NewReader(far))
+	})
+	return near, nil
+}
+
+// ask sends a request and returns the answer; aborted says that the relay cut
+// the connection.
+func (b *bench) ask(req *http.Request) (rec *httptest.ResponseRecorder, aborted bool) {
+	rec = httptest.NewRecorder()
+	defer func() {
+		if p := recover(); p != nil {
+			if p != http.ErrAbortHandler {
+				panic(p)
+			}
+			aborted = true
+		}
+	}()
+	b.relay.ServeHTTP(rec, req)
+	return rec, false
+}
+
+// close ends the idle connections, so that the scripts end.
+func (b *bench) close() {
+	b.relay.Sweep(func(string) bool { return false })
+	b.all.Wait()
+}
+
+func request(method, path, id string, body string) *http.Request {
+	req := httptest.NewRequest(method, "http://h.example"+path, strings.NewReader(body))
+	req.Header.Set("X-Id", id)
+	req.Header.Set("X-Key", "key")
+	return req
+}
+
+// take reads one request and returns its headers and body.
+func take(t *testing.T, in *bufio.Reader) (*http.Request, string) {
+	req, err := http.ReadRequest(in)
+	if err != nil {
+		t.Errorf("server: %v", err)
+		return &http.Request{Header: http.Header{}}, ""
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		t.Errorf("server: body: %v", err)
+	}
+	return req, string(body)
+}
+
+// answer is an answer to a request id with a length.
+func answer(id string, status int, headers, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d Any\r\nX-Id: %s\r\nX-Seal: s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, headers, len(body), body)
+}
+
+// replying answers each request of a connection with the next text; "" closes.
+func replying(texts ...string) script {
+	return func(t *testing.T, c net.Conn, in *bufio.Reader) {
+		for _, text := range texts {
+			take(t, in)
+			if text == "" {
+				return
+			}
+			if _, err := io.WriteString(c, text); err != nil {
+				return
+			}
+		}
+		// Wait until the relay closes.
+		_, _ = in.ReadByte()
+	}
+}
+
+// silent takes a request and never answers.
+func silent(t *testing.T, _ net.Conn, in *bufio.Reader) {
+	take(t, in)
+	_, _ = in.ReadByte()
+}
+
+var (
+	once = routing.Route{
+		Name: "once", Host: "h.example", Prefix: "/once/", Timeout: 800 * time.Millisecond, Attempts: 2,
+		Shares: []routing.Share{{Service: "svc", Weight: 1}},
+	}
+	again = routing.Route{
+		Name: "again", Host: "h.example", Prefix: "/again/", Timeout: 2 * time.Second, Attempts: 2, Repeat: routing.Idempotent,
+		Shares: []routing.Share{{Service: "svc", Weight: 1}},
+	}
+	stream = routing.Route{
+		Name: "stream", Host: "h.example", Prefix: "/stream/", Timeout: 15 * time.Second, Attempts: 1, Streaming: true,
+		MaxGap: 120 * time.Millisecond, Shares: []routing.Share{{Service: "svc", Weight: 1}},
+	}
+	resumable = routing.Route{
+		Name: "resumable", Host: "h.example", Prefix: "/resumable/", Timeout: 8 * time.Second, Attempts: 2,
+		Streaming: true, Resumable: true, MaxGap: 200 * time.Millisecond, Shares: []routing.Share{{Service: "svc", Weight: 1}},
+	}
+	allRoutes = []routing.Route{once, again, stream, resumable}
+)
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -273,7 +274,16 @@
 		ResumeAfter: resume,
 	})
 	hasBody := f.hr.ContentLength != 0 || len(f.hr.TransferEncoding) > 0
-	return requestHead(f.hr.Method, f.hr.RequestURI, f.hr.Host, headers, f.body, hasBody)
+	return requestHead(f.hr.Method, originForm(f.hr), f.hr.Host, headers, f.body, hasBody)
+}
+
+// originForm returns path and query as the caller sent them; of a request that
+// names a whole URL, as to a proxy, only those.
+func originForm(hr *http.Request) string {
+	if strings.HasPrefix(hr.RequestURI, "/") {
+		return hr.RequestURI
+	}
+	return hr.URL.RequestURI()
 }
 
 // note logs a send that did not give the final answer.
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,443 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestAnAnswerIsPassedOnUnchanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var got *http.Request
+		var body string
+		b := newBench(t, allRoutes, map[string][]script{"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
+			got, body = take(t, in)
+			_, _ = io.WriteString(c, answer("r1", 201, "X-Other: kept\r\nKeep-Alive: timeout=5\r\n", "hello"))
+			_, _ = in.ReadByte()
+		}}}, "s1")
+		req := request("POST", "/once/a%2Fb?q=1", "r1", "body")
+		req.Header.Set("Connection", "X-Drop")
+		req.Header.Set("X-Drop", "1")
+		rec, aborted := b.ask(req)
+		b.close()
+		if aborted || rec.Code != 201 || rec.Body.String() != "hello" || rec.Header().Get("X-Other") != "kept" || rec.Header().Get("X-Seal") != "s" {
+			t.Errorf("aborted %v, %d %q %v", aborted, rec.Code, rec.Body, rec.Header())
+		}
+		if rec.Header().Get("Keep-Alive") != "" {
+			t.Error("a header of the server's connection reached the caller")
+		}
+		if got.RequestURI != "/once/a%2Fb?q=1" || body != "body" || got.Host != "h.example" {
+			t.Errorf("server got %s %q for %s", got.RequestURI, body, got.Host)
+		}
+		want := map[string]string{"X-Server": "s1", "X-Customer": "acme", "X-Key": "", "X-Drop": "", "X-Id": "r1"}
+		for name, value := range want {
+			if got.Header.Get(name) != value {
+				t.Errorf("%s: %q, want %q", name, got.Header.Get(name), value)
+			}
+		}
+	})
+}
+
+// Callers see a final answer for each way in which a server can fail, and the
+// request reaches a second server only where it may run twice or surely has not
+// run. A 503 says that it has not run, so it must not follow a doubt.
+func TestWhatAFailureOfAServerBecomes(t *testing.T) {
+	notRun := answer("r", 503, "X-Not-Run: 1\r\n", "")
+	good := answer("r", 200, "", "ok")
+	for _, c := range []struct {
+		name        string
+		path        string
+		first       script
+		status      int
+		secondAsked bool
+	}{
+		{"closed, at most once", "/once/", replying(""), 502, false},
+		{"closed, idempotent", "/again/", replying(""), 200, true},
+		{"refused, at most once", "/once/", replying(notRun), 200, true},
+		{"503 without a promise", "/once/", replying(answer("r", 503, "", "")), 502, false},
+		{"unsigned success", "/once/", replying("HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 2\r\n\r\nok"), 502, false},
+		{"no id", "/once/", replying("HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok"), 502, false},
+		{"not HTTP", "/once/", replying("garbage\r\n\r\n"), 502, false},
+		{"cut answer, at most once", "/once/", replying("HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Seal: s\r\nContent-Length: 9\r\n\r\nok", ""), 502, false},
+		{"encoded", "/once/", replying(answer("r", 200, "Content-Encoding: gzip\r\n", "ok")), 502, false},
+		{"own failure, at most once", "/once/", replying(answer("r", 500, "", "no")), 500, false},
+		{"own failure, idempotent", "/again/", replying(answer("r", 500, "", "no")), 200, true},
+		{"silent, at most once", "/once/", silent, 504, false},
+		{"silent, idempotent", "/again/", silent, 200, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first := func(t *testing.T, conn net.Conn, in *bufio.Reader) {
+					if strings.HasPrefix(c.name, "cut") {
+						take(t, in)
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Seal: s\r\nContent-Length: 9\r\n\r\nok")
+						return
+					}
+					c.first(t, conn, in)
+				}
+				b := newBench(t, allRoutes, map[string][]script{"s1": {first}, "s2": {replying(good)}}, "s1", "s2")
+				rec, _ := b.ask(request("POST", c.path, "r", "x"))
+				b.close()
+				if rec.Code != c.status {
+					t.Errorf("status %d, want %d", rec.Code, c.status)
+				}
+				if asked := b.dials["s2"] > 0; asked != c.secondAsked {
+					t.Errorf("second server asked: %v, want %v", asked, c.secondAsked)
+				}
+				if len(b.fleet.begun) != b.fleet.ended {
+					t.Errorf("%d runs begun, %d ended", len(b.fleet.begun), b.fleet.ended)
+				}
+			})
+		})
+	}
+}
+
+// All servers say that they did not run the request. The caller hears that too,
+// with a time to come back, as soon as the servers that may be tried are spent.
+func TestARefusalSaysWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		full := replying(answer("r", 503, "X-Not-Run: 1\r\nRetry-After: 0.4\r\n", ""))
+		b := newBench(t, allRoutes, map[string][]script{"s1": {full}, "s2": {full}, "s3": {full}}, "s1", "s2", "s3")
+		rec, _ := b.ask(request("POST", "/once/", "r", "x"))
+		b.close()
+		if rec.Code != 503 || rec.Header().Get("Retry-After") != "0.4" || b.dials["s3"] != 0 {
+			t.Errorf("%d, come back after %q, third server asked %d times", rec.Code, rec.Header().Get("Retry-After"), b.dials["s3"])
+		}
+	})
+}
+
+func TestServersThatCannotBeReachedArePassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, allRoutes, map[string][]script{"s3": {replying(answer("r", 200, "", "ok"))}}, "s1", "s2", "s3")
+		rec, _ := b.ask(request("POST", "/once/", "r", "x"))
+		b.close()
+		if rec.Code != 200 {
+			t.Errorf("status %d", rec.Code)
+		}
+		if diff := cmp.Diff([]string{"s1 2", "s2 2", "s3 0"}, b.fleet.outcomes); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestASecondSendNeedsTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, allRoutes, map[string][]script{"s1": {replying("")}, "s2": {replying(answer("r", 200, "", "ok"))}}, "s1", "s2")
+		b.fleet.noBudget = true
+		rec, _ := b.ask(request("GET", "/again/", "r", ""))
+		b.close()
+		if rec.Code != 502 || b.dials["s2"] != 0 {
+			t.Errorf("status %d, second server asked %d times", rec.Code, b.dials["s2"])
+		}
+	})
+}
+
+// A server answers an earlier request a second time, late: its bytes stand
+// where the next answer is due. The caller must get its own answer.
+func TestALateSecondAnswerReachesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, allRoutes, map[string][]script{"s1": {replying(
+			answer("r1", 200, "", "one"),
+			answer("r1", 200, "", "one")+answer("r2", 200, "", "two"),
+		)}}, "s1")
+		first, _ := b.ask(request("POST", "/once/", "r1", "x"))
+		second, _ := b.ask(request("POST", "/once/", "r2", "x"))
+		b.close()
+		if first.Body.String() != "one" || second.Body.String() != "two" || b.dials["s1"] != 1 {
+			t.Errorf("%q, %q over %d connections", first.Body, second.Body, b.dials["s1"])
+		}
+	})
+}
+
+// A server sends bytes after its answer, before the next request. They belong
+// to no request, so the connection is not used again.
+func TestAConnectionWithBytesLeftIsNotUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, allRoutes, map[string][]script{"s1": {
+			replying(answer("r1", 200, "", "one") + "HTTP/1.1 200 OK\r\n\r\n"),
+			replying(answer("r2", 200, "", "two")),
+		}}, "s1")
+		_, _ = b.ask(request("POST", "/once/", "r1", "x"))
+		second, _ := b.ask(request("POST", "/once/", "r2", "x"))
+		b.close()
+		if second.Body.String() != "two" || b.dials["s1"] != 2 {
+			t.Errorf("%q over %d connections", second.Body, b.dials["s1"])
+		}
+	})
+}
+
+// A server answers before it has read a long body and keeps the connection. The
+// rest of the body must come, or the next request would be read as its rest.
+func TestTheRestOfALongBodyFollowsAnEarlyAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		long := strings.Repeat("x", 200<<10)
+		b := newBench(t, allRoutes, map[string][]script{"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(c, answer("r1", 400, "", "early"))
+			rest, err := io.ReadAll(req.Body)
+			if err != nil || len(rest) != len(long) {
+				t.Errorf("%d bytes of the body, %v", len(rest), err)
+			}
+			take(t, in)
+			_, _ = io.WriteString(c, answer("r2", 200, "", "two"))
+			_, _ = in.ReadByte()
+		}}}, "s1")
+		first, _ := b.ask(request("POST", "/once/", "r1", long))
+		second, _ := b.ask(request("POST", "/once/", "r2", "x"))
+		b.close()
+		if first.Code != 400 || second.Body.String() != "two" || b.dials["s1"] != 1 {
+			t.Errorf("%d, %q over %d connections", first.Code, second.Body, b.dials["s1"])
+		}
+	})
+}
+
+func TestACallerThatLeavesFreesItsServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		closed := make(chan time.Time, 1)
+		b := newBench(t, allRoutes, map[string][]script{"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
+			take(t, in)
+			_, _ = in.ReadByte()
+			closed <- time.Now()
+		}}}, "s1")
+		ctx, cancel := context.WithCancel(t.Context())
+		left := time.Now().Add(100 * time.Millisecond)
+		time.AfterFunc(100*time.Millisecond, cancel)
+		_, _ = b.ask(request("POST", "/stream/", "r", "x").WithContext(ctx))
+		b.close()
+		if at := <-closed; at.After(left) {
+			t.Errorf("the server was freed %v after the caller left", at.Sub(left))
+		}
+		if len(b.fleet.outcomes) != 0 {
+			t.Errorf("the server is blamed for it: %v", b.fleet.outcomes)
+		}
+	})
+}
+
+func TestTheFinalAnswerComesByTheRoutesTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, allRoutes, map[string][]script{"s1": {silent}}, "s1")
+		began := time.Now()
+		rec, _ := b.ask(request("POST", "/once/", "r", "x"))
+		b.close()
+		if took := time.Since(began); rec.Code != 504 || took != once.Timeout {
+			t.Errorf("%d after %v", rec.Code, took)
+		}
+	})
+}
+
+// What the table in force does not know may be new. An instance that can't ask
+// whether it is says when to come back; callers would give up after a 404.
+func TestUnknownRoutesAndKeysAreRefusedForGoodOnlyWhenSure(t *testing.T) {
+	for _, c := range []struct {
+		path, key string
+		sure      bool
+		want      int
+	}{
+		{"/nowhere/", "key", true, 404},
+		{"/nowhere/", "key", false, 503},
+		{"/once/", "wrong", true, 401},
+		{"/once/", "wrong", false, 503},
+	} {
+		b := newBench(t, allRoutes, nil)
+		b.fleet.confirmed = c.sure
+		req := request("GET", c.path, "r", "")
+		req.Header.Set("X-Key", c.key)
+		if rec, _ := b.ask(req); rec.Code != c.want {
+			t.Errorf("%s with key %q, sure %v: %d, want %d", c.path, c.key, c.sure, rec.Code, c.want)
+		}
+	}
+}
+
+func TestWithoutAConfigurationEverythingMayComeBack(t *testing.T) {
+	b := newBench(t, allRoutes, nil)
+	b.fleet.table = nil
+	rec, _ := b.ask(request("GET", "/once/", "r", ""))
+	if rec.Code != 503 || rec.Header().Get("Retry-After") == "" {
+		t.Errorf("%d %v", rec.Code, rec.Header())
+	}
+}
+
+// The process was told to leave and will be killed. Callers still send on
+// connections that they kept. What can end in time is served, with the word to
+// connect elsewhere; a stream that would be cut is refused at once.
+func TestADrainServesWhatCanEndAndRefusesTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, allRoutes, map[string][]script{"s1": {replying(answer("a", 200, "", "ok"))}}, "s1")
+		b.relay.Drain()
+		time.Sleep(streamsDuringDrain + time.Millisecond)
+		served, _ := b.ask(request("POST", "/once/", "a", "x"))
+		refused, _ := b.ask(request("POST", "/stream/", "b", "x"))
+		b.close()
+		if served.Code != 200 || served.Header().Get("Connection") != "close" {
+			t.Errorf("short request: %d %v", served.Code, served.Header())
+		}
+		if refused.Code != 503 || refused.Header().Get("Retry-After") != "0.02" {
+			t.Errorf("stream: %d %v", refused.Code, refused.Header())
+		}
+	})
+}
+
+// events are the events from first to last, of two lines each.
+func events(first, last int) string {
+	var out strings.Builder
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(&out, "id: %d\ndata: %d\n\n", i, i)
+	}
+	return out.String()
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Seal: first\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+const lastChunk = "0\r\n\r\n"
+
+// breaking sends a part of a stream and closes the connection.
+func breaking(parts ...string) script {
+	return func(t *testing.T, c net.Conn, in *bufio.Reader) {
+		take(t, in)
+		for _, part := range parts {
+			_, _ = io.WriteString(c, part)
+		}
+	}
+}
+
+func TestAStreamIsPassedOnWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, allRoutes, map[string][]script{"s1": {replying(streamHead + chunk(events(1, 2)) + chunk(events(3, 3)) + lastChunk)}}, "s1")
+		rec, aborted := b.ask(request("POST", "/stream/", "r", "x"))
+		b.close()
+		if aborted || rec.Body.String() != events(1, 3) || !rec.Flushed {
+			t.Errorf("aborted %v: %q", aborted, rec.Body)
+		}
+	})
+}
+
+// A server dies in the middle of a stream that must not run twice. The caller
+// has its first events; the connection is cut so that what it has does not look
+// complete, and no other server gets the request.
+func TestACutStreamDoesNotLookComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, allRoutes, map[string][]script{"s1": {breaking(streamHead, chunk(events(1, 2)))}, "s2": {silent}}, "s1", "s2")
+		rec, aborted := b.ask(request("POST", "/stream/", "r", "x"))
+		b.close()
+		if !aborted || rec.Body.String() != events(1, 2) || b.dials["s2"] != 0 {
+			t.Errorf("aborted %v: %q", aborted, rec.Body)
+		}
+	})
+}
+
+// A server dies in the middle of the third event of a stream that may be
+// resumed. The second server is asked for what follows the second event, and the
+// caller gets each event once, under the first server's headers.
+func TestAResumableStreamGoesOnElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var after string
+		b := newBench(t, allRoutes, map[string][]script{
+			"s1": {breaking(streamHead, chunk(events(1, 2)+"id: 3\nda"))},
+			"s2": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
+				req, _ := take(t, in)
+				after = req.Header.Get("X-Resume")
+				_, _ = io.WriteString(c, strings.Replace(streamHead, "first", "second", 1)+chunk(events(3, 5))+lastChunk)
+				_, _ = in.ReadByte()
+			}},
+		}, "s1", "s2")
+		rec, aborted := b.ask(request("POST", "/resumable/", "r", "x"))
+		b.close()
+		if aborted || rec.Body.String() != events(1, 5) || after != "2" || rec.Header().Get("X-Seal") != "first" {
+			t.Errorf("aborted %v: %q, resumed after %q, %v", aborted, rec.Body, after, rec.Header())
+		}
+	})
+}
+
+// A server goes silent in the middle of a resumable stream without closing. The
+// caller would give up after two seconds; another server goes on before.
+func TestASilentResumableStreamGoesOnElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, allRoutes, map[string][]script{
+			"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
+				take(t, in)
+				_, _ = io.WriteString(c, streamHead+chunk(events(1, 1)))
+				_, _ = in.ReadByte()
+			}},
+			"s2": {replying(streamHead + chunk(events(2, 2)) + lastChunk)},
+		}, "s1", "s2")
+		began := time.Now()
+		rec, aborted := b.ask(request("POST", "/resumable/", "r", "x"))
+		b.close()
+		if took := time.Since(began); aborted || rec.Body.String() != events(1, 2) || took > 1900*time.Millisecond {
+			t.Errorf("aborted %v after %v: %q", aborted, took, rec.Body)
+		}
+	})
+}
+
+func TestIdleConnectionsEndBeforeTheServerClosesThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, allRoutes, map[string][]script{"s1": {
+			replying(answer("r1", 200, "Keep-Alive: timeout=2\r\n", "one")),
+			replying(answer("r2", 200, "", "two")),
+		}}, "s1")
+		_, _ = b.ask(request("POST", "/once/", "r1", "x"))
+		time.Sleep(2*time.Second - idleReserve)
+		rec, _ := b.ask(request("POST", "/once/", "r2", "x"))
+		b.close()
+		if rec.Body.String() != "two" || b.dials["s1"] != 2 {
+			t.Errorf("%q over %d connections", rec.Body, b.dials["s1"])
+		}
+	})
+}
+
+func TestConnectionsToAServerAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			t.Cleanup(func() { far.Close() })
+			return near, nil
+		})
+		target := Target{MaxConns: 2}
+		target.ID = "s"
+		var open []*conn
+		for range 2 {
+			c, err := p.get(t.Context(), target)
+			if err != nil {
+				t.Fatal(err)
+			}
+			open = append(open, c)
+		}
+		if _, err := p.get(t.Context(), target); err == nil {
+			t.Error("a third connection was opened")
+		}
+		p.discard(open[0])
+		c, err := p.get(t.Context(), target)
+		if err != nil {
+			t.Errorf("after one was closed: %v", err)
+		} else {
+			p.discard(c)
+		}
+		p.discard(open[1])
+		if len(p.count) != 0 {
+			t.Errorf("counts left: %v", p.count)
+		}
+	})
+}
+
+func TestBodiesBeyondTheLimitAreRefused(t *testing.T) {
+	b := newBench(t, allRoutes, nil, "s1")
+	rec, _ := b.ask(request("POST", "/once/", "r", strings.Repeat("x", 1<<20+1)))
+	if rec.Code != http.StatusRequestEntityTooLarge {
+		t.Errorf("status %d", rec.Code)
+	}
+}
