--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -35,7 +34,8 @@
 	revision int64
 	failures int
 
-	confirming sync.Mutex
+	// confirming is held, by a token in it, while the configuration is read.
+	confirming chan struct{}
 	confirmed  monotime.Instant
 }
 
@@ -153,8 +153,12 @@
 // the newest. Questions at the same time share one read.
 func (f *feed) confirm(ctx context.Context) bool {
 	asked := monotime.Now()
-	f.confirming.Lock()
-	defer f.confirming.Unlock()
+	select {
+	case f.confirming <- struct{}{}:
+		defer func() { <-f.confirming }()
+	case <-ctx.Done():
+		return false
+	}
 	if f.confirmed != 0 && asked.Sub(f.confirmed) < confirmFresh {
 		return true
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,7 @@
 	g.feed = &feed{
 		source: cfg.Source, fleet: g.fleet, log: cfg.Log,
 		wait: milliseconds(s.Store.WatchMS), slack: milliseconds(s.Store.TimeoutMS),
+		confirming: make(chan struct{}, 1),
 	}
 	g.peers = &peers{
 		self: wire.RelayMember{
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,275 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/routing"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/servers"
+)
+
+// fakeSource gives the next of its answers to each call.
+type fakeSource struct {
+	all    []result
+	watch  []result
+	config []result
+	calls  []string
+}
+
+type result struct {
+	changes *Changes
+	err     error
+	after   time.Duration
+}
+
+func next(ctx context.Context, list *[]result) (*Changes, error) {
+	if len(*list) == 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	r := (*list)[0]
+	*list = (*list)[1:]
+	time.Sleep(r.after)
+	return r.changes, r.err
+}
+
+func (s *fakeSource) All(ctx context.Context) (*Changes, error) {
+	s.calls = append(s.calls, "all")
+	return next(ctx, &s.all)
+}
+
+func (s *fakeSource) Watch(ctx context.Context, _ int64, _ time.Duration) (*Changes, error) {
+	s.calls = append(s.calls, "watch")
+	return next(ctx, &s.watch)
+}
+
+func (s *fakeSource) Config(ctx context.Context) (*routing.Config, error) {
+	s.calls = append(s.calls, "config")
+	changes, err := next(ctx, &s.config)
+	if err != nil {
+		return nil, err
+	}
+	return changes.Config, nil
+}
+
+func config(version int64) *routing.Config { return &routing.Config{Version: version} }
+
+func entry(id string, revision int64) servers.Server {
+	return servers.Server{ID: id, Service: "svc", Address: "10.0.0.1:1", Slots: 4, Revision: revision}
+}
+
+// newFleet returns a fleet without links, and the news that it tells.
+func newFleet() (*fleet, *feed, *fakeSource) {
+	source := &fakeSource{}
+	f := &fleet{
+		self: "me", log: zap.NewNop(), board: placement.NewBoard(placement.DefaultPace, "here"),
+		budget: newBudget(0.2, 56, 10*time.Second), members: func() int { return 8 },
+		registry: servers.New(), ownRuns: make(map[int]wire.RelayRun),
+	}
+	f.news = newNewsroom(func() int64 { return 0 })
+	fd := &feed{source: source, fleet: f, log: zap.NewNop(), wait: time.Second, slack: 500 * time.Millisecond, confirming: make(chan struct{}, 1)}
+	return f, fd, source
+}
+
+func ready(f *fleet) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, s := range f.byService["svc"] {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
+// The store's connections go silent, then all calls fail for four seconds, in
+// which the entries of both servers run out. On its return the watch says that
+// they are removed. One comes back, the other one had crashed.
+func TestAnOutageOfTheStoreDropsNoServerThatLives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, fd, source := newFleet()
+		down := result{err: errors.New("down"), after: time.Second}
+		source.all = []result{{changes: &Changes{Config: config(1), Servers: []servers.Server{entry("a", 1), entry("b", 2)}, Revision: 2}}}
+		source.watch = []result{down, down, down, down,
+			{changes: &Changes{Removals: []Removal{{"a", 3}, {"b", 4}}, Revision: 4}},
+			{changes: &Changes{Servers: []servers.Server{entry("a", 5)}, Revision: 5}, after: time.Second}}
+		ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+		defer cancel()
+		_ = fd.run(ctx)
+		if diff := cmp.Diff([]string{"a", "b"}, ready(f)); diff != "" {
+			t.Error("within the grace", diff)
+		}
+		time.Sleep(servers.LapseGrace)
+		f.update(fromTimer, func(r *servers.Registry, now monotime.Instant) []string { return r.Expire(now) })
+		if diff := cmp.Diff([]string{"a"}, ready(f)); diff != "" {
+			t.Error("after the grace", diff)
+		}
+	})
+}
+
+// A single call fails because its connection went silent. The store was there
+// all the while, so a removal that it tells next counts at once.
+func TestOneSilentConnectionIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, fd, source := newFleet()
+		source.all = []result{{changes: &Changes{Servers: []servers.Server{entry("a", 1)}, Revision: 1}}}
+		source.watch = []result{{err: errors.New("timeout")}, {changes: &Changes{Removals: []Removal{{"a", 2}}, Revision: 2}}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_ = fd.run(ctx)
+		if got := ready(f); len(got) != 0 {
+			t.Errorf("%v still gets requests", got)
+		}
+	})
+}
+
+func TestLostHistoryIsReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, fd, source := newFleet()
+		source.all = []result{
+			{changes: &Changes{Servers: []servers.Server{entry("a", 1), entry("b", 1)}, Revision: 2}},
+			{changes: &Changes{Servers: []servers.Server{entry("b", 1), entry("c", 8)}, Revision: 9}},
+		}
+		source.watch = []result{{err: ErrHistoryLost}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_ = fd.run(ctx)
+		if diff := cmp.Diff([]string{"b", "c"}, ready(f)); diff != "" {
+			t.Error(diff)
+		}
+		if diff := cmp.Diff([]string{"all", "watch", "all", "watch"}, source.calls); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestAVersionNeverGoesBack(t *testing.T) {
+	f, _, _ := newFleet()
+	for _, step := range []struct {
+		version int64
+		taken   bool
+	}{{5, true}, {4, false}, {5, false}, {9, true}} {
+		if got := f.adopt(config(step.version), "test"); got != step.taken {
+			t.Errorf("version %d taken: %v", step.version, got)
+		}
+	}
+	if got := f.Table().Version(); got != 9 {
+		t.Errorf("version %d in force", got)
+	}
+}
+
+func TestAConfigurationThatCannotServeLeavesTheOldOneInForce(t *testing.T) {
+	f, _, _ := newFleet()
+	f.adopt(config(1), "test")
+	bad := config(2)
+	bad.Routes = []routing.Route{{Prefix: "no slash"}}
+	if f.adopt(bad, "test") || f.Table().Version() != 1 {
+		t.Errorf("version %d in force", f.Table().Version())
+	}
+}
+
+func TestConfirmingReadsTheStoreOnceForMany(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, fd, source := newFleet()
+		f.adopt(config(1), "test")
+		source.config = []result{{changes: &Changes{Config: config(2)}, after: 4 * time.Millisecond}}
+		answers := make(chan bool)
+		for range 10 {
+			go func() { answers <- fd.confirm(t.Context()) }()
+		}
+		for range 10 {
+			if !<-answers {
+				t.Error("not confirmed")
+			}
+		}
+		if len(source.calls) != 1 || f.Table().Version() != 2 {
+			t.Errorf("%d calls, version %d", len(source.calls), f.Table().Version())
+		}
+		time.Sleep(time.Second)
+		if fd.confirm(t.Context()) {
+			t.Error("confirmed although the store is silent")
+		}
+	})
+}
+
+// The whole fleet's budget in a window is ratio times its requests and the
+// burst. Eight instances, each of which knows only its own requests, spend as
+// much as they can; the sum must keep to it.
+func TestTheBudgetHoldsOverTheFleet(t *testing.T) {
+	const members, requests = 8, 100
+	total := 0
+	for range members {
+		b := newBudget(0.2, 56, 10*time.Second)
+		for i := range requests {
+			now := monotime.Instant(time.Hour).Add(time.Duration(i) * 10 * time.Millisecond)
+			b.count("svc", now)
+			for b.spend("svc", now, members) {
+				total++
+			}
+		}
+	}
+	if most := 0.2*members*requests + 56; float64(total) > most {
+		t.Errorf("%d sends of at most %v", total, most)
+	}
+	if total < 150 {
+		t.Errorf("only %d sends of a budget of 216", total)
+	}
+}
+
+func TestTheBudgetOfAWindowComesBackWithTheNext(t *testing.T) {
+	b := newBudget(0, 10, 10*time.Second)
+	now := monotime.Instant(time.Hour)
+	for b.spend("svc", now, 1) {
+	}
+	if b.spend("svc", now.Add(8*time.Second), 1) {
+		t.Error("spent again within the window")
+	}
+	if !b.spend("svc", now.Add(11*time.Second), 1) {
+		t.Error("nothing to spend in the next window")
+	}
+}
+
+// A server leaves while this instance is cut off from the store. A peer that
+// still hears it tells so.
+func TestAPeersWordRemovesAServer(t *testing.T) {
+	f, _, _ := newFleet()
+	p := &peers{fleet: f, log: zap.NewNop(), members: make(map[string]*member)}
+	p.takeServers("peer", []wire.RelayServer{{ID: "a", Service: "svc", Address: "x:1", Revision: 3}, {ID: "b", Service: "svc", Address: "y:1", Revision: 4}})
+	p.takeServers("peer", []wire.RelayServer{{ID: "a", Gone: true, Revision: 8}, {ID: "b", Service: "svc", Address: "y:1", Draining: true, Revision: 9}})
+	if got := ready(f); len(got) != 0 {
+		t.Errorf("%v still get requests", got)
+	}
+	p.takeServers("late", []wire.RelayServer{{ID: "a", Service: "svc", Address: "x:1", Revision: 3}})
+	if got := ready(f); len(got) != 0 {
+		t.Errorf("%v came back by old news", got)
+	}
+}
+
+func TestConnectionsAreSharedOut(t *testing.T) {
+	f, _, _ := newFleet()
+	for _, c := range []struct{ most, members, want int }{{370, 8, 46}, {110, 8, 13}, {10, 59, minConnections}, {0, 8, 0}} {
+		f.members = func() int { return c.members }
+		if got := f.connectionShare(c.most); got != c.want {
+			t.Errorf("share of %d among %d: %d, want %d", c.most, c.members, got, c.want)
+		}
+	}
+}
+
+func TestTheDirectoryNamesLinkedInstancesThatStay(t *testing.T) {
+	p := &peers{members: map[string]*member{
+		"a": {RelayMember: wire.RelayMember{CallerAddress: "a:1"}, linked: true},
+		"b": {RelayMember: wire.RelayMember{CallerAddress: "b:1"}},
+		"c": {RelayMember: wire.RelayMember{CallerAddress: "c:1"}, linked: true, leaving: true},
+	}}
+	if diff := cmp.Diff([]string{"a:1"}, p.callers()); diff != "" {
+		t.Error(diff)
+	}
+}
