--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -49,7 +49,9 @@
 	mu      sync.Mutex
 	servers map[string]*server
 	runs    map[RunID]*run
-	swept   monotime.Instant
+	// used is when a part of a prompt was last sent to any server.
+	used  map[string]monotime.Instant
+	swept monotime.Instant
 }
 
 // NewBoard returns an empty Board for an instance in a data centre.
@@ -59,6 +61,7 @@
 		home:    dataCentre,
 		servers: make(map[string]*server),
 		runs:    make(map[RunID]*run),
+		used:    make(map[string]monotime.Instant),
 	}
 }
 
@@ -119,6 +122,9 @@
 	s.runs[id] = r
 	b.runs[id] = r
 	s.cache.add(work.Parts, int(cacheShare*float64(s.memory)))
+	for _, part := range work.Parts {
+		b.used[part.ID] = now
+	}
 }
 
 // First notes that a run gave its first event: its prompt has been read.
@@ -170,7 +176,7 @@
 	}
 }
 
-// sweep ends runs whose end was never told.
+// sweep ends runs whose end was never told, and forgets parts out of use.
 func (b *Board) sweep(now monotime.Instant) {
 	if now.Sub(b.swept) < time.Second {
 		return
@@ -181,6 +187,11 @@
 			b.end(id, now)
 		}
 	}
+	for id, at := range b.used {
+		if now.Sub(at) > rereadWindow {
+			delete(b.used, id)
+		}
+	}
 }
 
 // Outcome is what became of a request at a server.
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -41,10 +41,14 @@
 func (c *partCache) cached(parts []Part) int {
 	tokens := 0
 	for _, part := range parts {
-		if c.byID[part.ID] == nil {
+		if !c.has(part.ID) {
 			break
 		}
 		tokens += part.Tokens
 	}
 	return tokens
 }
+
+func (c *partCache) has(id string) bool {
+	return c.byID[id] != nil
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -11,9 +11,13 @@
 // Weights of what a choice costs, in the unit of Work.weight: a request on time
 // instead of late or failed.
 const (
-	// rereadCost is what reading a thousand tokens again counts for. Small: it
-	// decides between servers that are all on time.
-	rereadCost = 0.004
+	// rereadCost is what it counts for to read a thousand tokens again that some
+	// engine read within rereadWindow: over half of the price. Reading a usual
+	// shared part of 13,000 tokens again must cost less than a late answer.
+	rereadCost = 0.05
+	// readCost is what reading any thousand tokens counts for. Small: it decides
+	// between servers that are all on time.
+	readCost = 0.002
 	// distanceCost is what a server in another data centre counts for.
 	distanceCost = 0.004
 	// slowCost is what each share of the goal that the first event takes counts
@@ -112,7 +116,8 @@
 	choice.Gap = b.gap(s, withWork, runs+1)
 	choice.Cost += weight*logistic(late) +
 		slowCost*float64(choice.First)/float64(max(work.Goal, time.Millisecond)) +
-		rereadCost*float64(choice.Unread)/1000 +
+		readCost*float64(choice.Unread)/1000 +
+		rereadCost*float64(b.reread(s, work, now))/1000 +
 		fullCost*math.Max(0, float64(runs+1)/float64(max(1, s.slots))-1)
 	if work.MaxGap > 0 {
 		choice.Cost += weight * b.lateGap(b.gap(s, ahead, runs+1), work.MaxGap)
@@ -123,6 +128,27 @@
 	choice.Cost += b.harm(s, ahead, withWork, runs)
 }
 
+// rereadWindow is how long after its last use a part that is read again counts
+// as waste: the operators' window.
+const rereadWindow = 10 * time.Second
+
+// reread is the number of tokens that s would read although some engine has
+// read them lately. The last part is the request's own and is nobody's waste.
+func (b *Board) reread(s *server, work *Work, now monotime.Instant) int {
+	if len(work.Parts) == 0 {
+		return 0
+	}
+	tokens, kept := 0, true
+	for _, part := range work.Parts[:len(work.Parts)-1] {
+		kept = kept && s.cache.has(part.ID)
+		at, used := b.used[part.ID]
+		if !kept && used && now.Sub(at) <= rereadWindow {
+			tokens += part.Tokens
+		}
+	}
+	return tokens
+}
+
 // harm is what the streams on s lose by the pauses that the new prompt adds.
 func (b *Board) harm(s *server, before, after backlog, runs int) float64 {
 	was, becomes := b.gap(s, before, runs), b.gap(s, after, runs+1)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -190,3 +190,30 @@
 		}
 	}
 }
+
+// Many prompts share a long part that one engine has read. As long as they are
+// on time there, none of them is worth reading it on a second engine; a wait of
+// a second would be, and a part that nobody used for long may be read anywhere.
+func TestASharedPartIsReadOnceWhileItIsInUse(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	candidates := engines(8)
+	now := start
+	home := place(t, b, 0, bundle("chain", "x"), candidates, now).Server
+	for i := range 12 {
+		now = now.Add(250 * time.Millisecond)
+		if got := place(t, b, i+1, bundle("chain", fmt.Sprint(i)), candidates, now); got.Server != home {
+			t.Fatalf("prompt %d reads the part again: %+v", i, got)
+		}
+	}
+	s := b.server(candidates[0])
+	work := bundle("chain", "y")
+	if s.id == home {
+		s = b.server(candidates[1])
+	}
+	if got := b.reread(s, &work, now); got != 16000 {
+		t.Errorf("%d tokens to read again, want 16000", got)
+	}
+	if got := b.reread(s, &work, now.Add(rereadWindow+time.Millisecond)); got != 0 {
+		t.Errorf("%d tokens count as read again long after their last use", got)
+	}
+}
