Relay: a slow server is not left before the goal; the deadline's answer is 504

Cause 2, found by a test that failed once: the deadline of the server's connection can fire before the context's; the request then ended as 502 with the server blamed.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -22,11 +22,14 @@
 	copyBuffer = 16 << 10
 	// callerStall is how long beyond the deadline a caller may take to read.
 	callerStall = time.Second
-	// silenceFactor times the predicted first event is how long a request that
-	// may run again waits for it before another server is tried, and at least
-	// silenceMin.
+	// silenceFactor times the predicted first event is how long a stream that may
+	// run again waits for it before another server is tried, and at least
+	// silenceGoals times its goal. Before the goal a second server can only be
+	// later than a first one that is slow: it has to read the prompt too. Beyond
+	// it the stream is late, and only a server that will never answer is worth
+	// leaving; callers give up after four times the goal.
 	silenceFactor = 3
-	silenceMin    = 600 * time.Millisecond
+	silenceGoals  = 1.75
 	// shortSilence is that wait for requests that are no prompts: five times
 	// the goal of the strictest class, 100 ms.
 	shortSilence = 500 * time.Millisecond
@@ -90,7 +93,8 @@
 	if !f.route.Streaming {
 		return shortSilence
 	}
-	return max(silenceMin, silenceFactor*f.target.Choice.First)
+	goals := time.Duration(silenceGoals * float64(f.route.Goal))
+	return max(goals, silenceFactor*f.target.Choice.First)
 }
 
 // relayWhole passes on an answer that is no stream.
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -240,7 +240,7 @@
 	}
 	resumable = routing.Route{
 		Name: "resumable", Host: "h.example", Prefix: "/resumable/", Timeout: 8 * time.Second, Attempts: 2,
-		Streaming: true, Resumable: true, MaxGap: 200 * time.Millisecond, Shares: []routing.Share{{Service: "svc", Weight: 1}},
+		Goal: 800 * time.Millisecond, Streaming: true, Resumable: true, MaxGap: 200 * time.Millisecond, Shares: []routing.Share{{Service: "svc", Weight: 1}},
 	}
 	allRoutes = []routing.Route{once, again, stream, resumable}
 )
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -55,7 +55,7 @@
 		return
 	}
 	defer f.relay.bodyBytes.Add(-int64(len(f.body)))
-	ctx, cancel := context.WithDeadlineCause(f.hr.Context(), f.deadline, errDeadline)
+	ctx, cancel := context.WithDeadline(f.hr.Context(), f.deadline)
 	defer cancel()
 	f.ctx = ctx
 	f.excluded = make(map[string]bool)
@@ -63,8 +63,6 @@
 	f.sendUntilFinal()
 }
 
-var errDeadline = errors.New("deadline of the request")
-
 // admit reads the request and decides whether it may be sent at all.
 func (f *flight) admit() *failure {
 	var err error
@@ -191,7 +189,7 @@
 		}
 		f.worst = verdict.Worse(f.worst, problem.Verdict)
 		f.note(problem)
-		if f.ctx.Err() != nil {
+		if f.over() {
 			f.giveUp()
 			return
 		}
@@ -202,6 +200,13 @@
 	}
 }
 
+// over reports whether the caller left or the time is up. The deadline of the
+// server's connection can fire a moment before the context's; what it breaks off
+// is the end of the time too and no failure of the server.
+func (f *flight) over() bool {
+	return f.ctx.Err() != nil || !time.Now().Before(f.deadline)
+}
+
 // maySendAgain decides whether a failed request goes to a further server.
 func (f *flight) maySendAgain(problem *verdict.Error) bool {
 	switch {
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -75,9 +74,9 @@
 
 // giveUp ends a request whose caller left or whose time is up.
 func (f *flight) giveUp() {
-	reason := verdict.ReasonCallerGone
-	if errors.Is(context.Cause(f.ctx), errDeadline) {
-		reason = verdict.ReasonDeadline
+	reason := verdict.ReasonDeadline
+	if f.hr.Context().Err() != nil {
+		reason = verdict.ReasonCallerGone
 	}
 	switch {
 	case f.stream.begun():
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -226,16 +226,21 @@
 	})
 }
 
+// A server never answers. The timer of its connection and that of the request
+// fire at the same instant, in either order; the caller gets 504 each time, at
+// the timeout of the route.
 func TestTheFinalAnswerComesByTheRoutesTimeout(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, allRoutes, map[string][]script{"s1": {silent}}, "s1")
-		began := time.Now()
-		rec, _ := b.ask(request("POST", "/once/", "r", "x"))
-		b.close()
-		if took := time.Since(began); rec.Code != 504 || took != once.Timeout {
-			t.Errorf("%d after %v", rec.Code, took)
-		}
-	})
+	for range 50 {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(t, allRoutes, map[string][]script{"s1": {silent}}, "s1")
+			began := time.Now()
+			rec, _ := b.ask(request("POST", "/once/", "r", "x"))
+			b.close()
+			if took := time.Since(began); rec.Code != 504 || took != once.Timeout {
+				t.Errorf("%d after %v", rec.Code, took)
+			}
+		})
+	}
 }
 
 // What the table in force does not know may be new. An instance that can't ask
@@ -441,3 +446,44 @@
 		t.Errorf("status %d", rec.Code)
 	}
 }
+
+// A server is slower than predicted: the first event of a stream comes after
+// 700 ms, within its goal of 800. A switch to another server before would have
+// made it late, since that one starts to read the prompt anew.
+func TestASlowServerIsNotLeftBeforeTheGoal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, allRoutes, map[string][]script{
+			"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
+				take(t, in)
+				time.Sleep(700 * time.Millisecond)
+				_, _ = io.WriteString(c, streamHead+chunk(events(1, 2))+lastChunk)
+				_, _ = in.ReadByte()
+			}},
+			"s2": {silent},
+		}, "s1", "s2")
+		began := time.Now()
+		rec, aborted := b.ask(request("POST", "/resumable/", "r", "x"))
+		took := time.Since(began)
+		b.close()
+		if aborted || rec.Body.String() != events(1, 2) || took != 700*time.Millisecond || b.dials["s2"] != 0 {
+			t.Errorf("aborted %v after %v: %q; second server asked %d times", aborted, took, rec.Body, b.dials["s2"])
+		}
+	})
+}
+
+// A server takes a stream and never answers. Its caller would give up after 3.2
+// seconds; another server gives the stream before, late but whole.
+func TestADarkServerIsLeftBeforeTheCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, allRoutes, map[string][]script{
+			"s1": {silent}, "s2": {replying(streamHead + chunk(events(1, 2)) + lastChunk)},
+		}, "s1", "s2")
+		began := time.Now()
+		rec, aborted := b.ask(request("POST", "/resumable/", "r", "x"))
+		took := time.Since(began)
+		b.close()
+		if aborted || rec.Body.String() != events(1, 2) || took > 2*time.Second {
+			t.Errorf("aborted %v after %v: %q", aborted, took, rec.Body)
+		}
+	})
+}
