--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -64,7 +64,7 @@
 func config(version int64) *routing.Config { return &routing.Config{Version: version} }
 
 func entry(id string, revision int64) servers.Server {
-	return servers.Server{ID: id, Service: "svc", Address: "10.0.0.1:1", Slots: 4, Revision: revision}
+	return servers.Server{ID: id, Service: "svc", Address: "10.0.0.1:" + id, Slots: 4, Revision: revision}
 }
 
 // newFleet returns a fleet without links, and the news that it tells.
--- a/internal/servers/registry.go
+++ b/internal/servers/registry.go
@@ -102,6 +102,9 @@
 	}
 	known := r.live[s.ID]
 	if known == nil {
+		if r.superseded(s) {
+			return Unchanged
+		}
 		r.live[s.ID] = &record{server: s}
 		return Added
 	}
@@ -125,6 +128,25 @@
 	}
 }
 
+// superseded reports whether a newer incarnation has the address of s. Those
+// that s itself follows get no more requests.
+//
+// A server that crashed and came back writes a new entry at once; its old one
+// lapses three heartbeats later. Requests meant for the old one would reach the
+// new one, which refuses them, and callers would have to come back.
+func (r *Registry) superseded(s Server) bool {
+	for _, other := range r.live {
+		if other.server.Address != s.Address {
+			continue
+		}
+		if other.server.Revision > s.Revision {
+			return true
+		}
+		other.server.Draining = true
+	}
+	return false
+}
+
 // Remove takes the removal of an entry at a revision.
 //
 // While the store is away the entries of servers that live may run out. Were
--- a/internal/servers/registry_test.go
+++ b/internal/servers/registry_test.go
@@ -22,7 +22,7 @@
 }
 
 func server(id string, revision int64) Server {
-	return Server{ID: id, Service: "s", Address: "10.0.0.1:1", Revision: revision}
+	return Server{ID: id, Service: "s", Address: "10.0.0.1:" + id, Revision: revision}
 }
 
 // While the store is away the entries of three live servers run out. The first
@@ -108,3 +108,26 @@
 		t.Error(diff)
 	}
 }
+
+// A server crashes and is back after two seconds as a new incarnation at the
+// same address. The old entry stands for a while; requests for it would be
+// refused by the new one.
+func TestANewIncarnationAtAnAddressEndsTheOldOne(t *testing.T) {
+	r := New()
+	same := func(id string, revision int64) Server {
+		s := server(id, revision)
+		s.Address = "10.0.0.1:1"
+		return s
+	}
+	r.Put(same("old", 1), at(0))
+	r.Put(same("new", 7), at(2*time.Second))
+	if old, _ := r.Get("old"); !old.Draining {
+		t.Error("the old incarnation still gets requests")
+	}
+	if fresh, _ := r.Get("new"); fresh.Draining {
+		t.Error("the new incarnation gets none")
+	}
+	if got := r.Put(same("older", 3), at(3*time.Second)); got != Unchanged {
+		t.Errorf("late news of an incarnation before the newest: %v", got)
+	}
+}
