--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,9 +19,17 @@
 	feedPauseMax = 400 * time.Millisecond
 	// confirmTimeout bounds the question whether the configuration is the newest.
 	confirmTimeout = 300 * time.Millisecond
-	// confirmFresh is how long an answer to it holds. Callers with a wrong key
-	// may ask often, and each question is a read at the store.
-	confirmFresh = 50 * time.Millisecond
+	// confirmFresh is how long the word of the store that a version is the newest
+	// holds. A change has 2 s to be in force everywhere, so what was refused by a
+	// version that old was refused rightly. Callers with a wrong key may ask
+	// often, and each question is a read at the store.
+	confirmFresh = time.Second
+	// watchSpread is the time that one watch waits for each instance of the
+	// fleet. All watches may go silent at once; instances notice at the end of
+	// theirs and tell the others, so one of n notices about watchSpread later.
+	watchSpread = 350 * time.Millisecond
+	// watchMost bounds one watch whatever the size of the fleet.
+	watchMost = 5 * time.Second
 )
 
 // feed follows the store.
@@ -28,7 +37,7 @@
 	source Source
 	fleet  *fleet
 	log    *zap.Logger
-	wait   time.Duration
+	wait   time.Duration // least time of a watch
 	slack  time.Duration // beyond wait, for the answer to come
 
 	revision int64
@@ -36,7 +45,8 @@
 
 	// confirming is held, by a token in it, while the configuration is read.
 	confirming chan struct{}
-	confirmed  monotime.Instant
+	// linked is the number of instances that hear each other, with this one.
+	linked func() int
 }
 
 // run follows the store until the context ends.
@@ -72,9 +82,10 @@
 		f.takeAll(all)
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.wait+f.slack)
+	wait := f.watchTime()
+	ctx, cancel := context.WithTimeout(ctx, wait+f.slack)
 	defer cancel()
-	changes, err := f.source.Watch(ctx, f.revision, f.wait)
+	changes, err := f.source.Watch(ctx, f.revision, wait)
 	if err != nil {
 		return err
 	}
@@ -83,6 +94,14 @@
 	return nil
 }
 
+// watchTime is how long the next watch waits. Every call is paid for, so the
+// more instances there are, the fewer each makes; the times differ a little, so
+// that their ends do not stay together.
+func (f *feed) watchTime() time.Duration {
+	wait := min(max(f.wait, time.Duration(f.linked())*watchSpread), watchMost)
+	return wait - time.Duration(rand.Int64N(int64(wait/4)+1))
+}
+
 // awayFailures is the number of failures in a row after which the store counts
 // as having been away. A single one may be a connection that went silent, while
 // the store went on removing entries as it should.
@@ -152,17 +171,18 @@
 // confirm reads the configuration and reports whether the one in force is now
 // the newest. Questions at the same time share one read.
 func (f *feed) confirm(ctx context.Context) bool {
-	asked := monotime.Now()
+	if f.fresh() {
+		return true
+	}
 	select {
 	case f.confirming <- struct{}{}:
 		defer func() { <-f.confirming }()
 	case <-ctx.Done():
 		return false
 	}
-	if f.confirmed != 0 && asked.Sub(f.confirmed) < confirmFresh {
+	if f.fresh() {
 		return true
 	}
-	began := monotime.Now()
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	config, err := f.source.Config(ctx)
@@ -171,6 +191,11 @@
 		return false
 	}
 	f.fleet.take(config, fromStore)
-	f.confirmed = began
+	f.fleet.heard.Store(int64(monotime.Now()))
 	return true
 }
+
+// fresh reports whether the version in force was the newest a moment ago.
+func (f *feed) fresh() bool {
+	return monotime.Now().Sub(f.fleet.confirmedAt()) < confirmFresh
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -30,8 +31,11 @@
 	news    *newsroom
 
 	table atomic.Pointer[routing.Table]
-	// heard is when the store last answered, as a monotime.Instant.
+	// heard is when the store last answered this instance, as a monotime.Instant.
 	heard atomic.Int64
+	// vouched is when the store last answered an instance that has the same
+	// version in force, as a monotime.Instant.
+	vouched atomic.Int64
 
 	mu       sync.Mutex // guards registry, byService
 	registry *servers.Registry
@@ -46,6 +50,16 @@
 
 var _ relay.Fleet = (*fleet)(nil)
 
+// never is before every instant of a process, also before those that lie some
+// seconds before its start. Ages since then do not overflow.
+const never = monotime.Instant(math.MinInt64 / 2)
+
+// neverHeard resets what is known of the store's last answers.
+func (f *fleet) neverHeard() {
+	f.heard.Store(int64(never))
+	f.vouched.Store(int64(never))
+}
+
 // Table implements relay.Fleet.
 func (f *fleet) Table() *routing.Table { return f.table.Load() }
 
@@ -87,6 +101,26 @@
 	}
 }
 
+// vouch takes a peer's word that the version was the newest at an instant.
+func (f *fleet) vouch(version int64, at monotime.Instant) {
+	table := f.table.Load()
+	if table == nil || table.Version() != version {
+		return
+	}
+	for {
+		was := f.vouched.Load()
+		if int64(at) <= was || f.vouched.CompareAndSwap(was, int64(at)) {
+			return
+		}
+	}
+}
+
+// confirmedAt is when the version in force was last known to be the newest, or
+// never.
+func (f *fleet) confirmedAt() monotime.Instant {
+	return monotime.Instant(max(f.heard.Load(), f.vouched.Load()))
+}
+
 // update runs a change of the registry and then tells of what changed.
 func (f *fleet) update(from string, change func(r *servers.Registry, now monotime.Instant) []string) {
 	now := monotime.Now()
@@ -200,7 +234,7 @@
 		Server:   list[at],
 		Choice:   choice,
 		MaxConns: f.connectionShare(published.MaxConns),
-		EntryAge: now.Sub(monotime.Instant(f.heard.Load())),
+		EntryAge: now.Sub(f.confirmedAt()),
 	}, true
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,7 @@
 		registry: servers.New(),
 		ownRuns:  make(map[int]wire.RelayRun),
 	}
+	g.fleet.neverHeard()
 	g.feed = &feed{
 		source: cfg.Source, fleet: g.fleet, log: cfg.Log,
 		wait: milliseconds(s.Store.WatchMS), slack: milliseconds(s.Store.TimeoutMS),
@@ -121,7 +122,8 @@
 	}
 	g.fleet.members = g.peers.count
 	g.fleet.confirm = g.feed.confirm
-	g.fleet.news = newNewsroom(g.version)
+	g.feed.linked = func() int { return 1 + len(g.peers.linked()) }
+	g.fleet.news = newNewsroom(g.version, func() monotime.Instant { return monotime.Instant(g.fleet.heard.Load()) })
 	g.fleet.news.send = g.peers.broadcast
 	g.relay = relay.New(relay.Config{
 		Fleet: g.fleet, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -75,8 +75,9 @@
 		budget: newBudget(0.2, 56, 10*time.Second), members: func() int { return 8 },
 		registry: servers.New(), ownRuns: make(map[int]wire.RelayRun),
 	}
-	f.news = newNewsroom(func() int64 { return 0 })
-	fd := &feed{source: source, fleet: f, log: zap.NewNop(), wait: time.Second, slack: 500 * time.Millisecond, confirming: make(chan struct{}, 1)}
+	f.news = newNewsroom(func() int64 { return 0 }, func() monotime.Instant { return never })
+	f.neverHeard()
+	fd := &feed{source: source, fleet: f, log: zap.NewNop(), wait: time.Second, slack: 500 * time.Millisecond, confirming: make(chan struct{}, 1), linked: func() int { return 1 }}
 	return f, fd, source
 }
 
@@ -193,7 +194,7 @@
 		if len(source.calls) != 1 || f.Table().Version() != 2 {
 			t.Errorf("%d calls, version %d", len(source.calls), f.Table().Version())
 		}
-		time.Sleep(time.Second)
+		time.Sleep(confirmFresh)
 		if fd.confirm(t.Context()) {
 			t.Error("confirmed although the store is silent")
 		}
@@ -273,3 +274,36 @@
 		t.Error(diff)
 	}
 }
+
+// All watches of the fleet go silent. The instance whose watch ends first
+// notices and tells the others; each must have heard of a change within two
+// seconds, however many instances there are.
+func TestWatchesOfAFleetEndOftenEnough(t *testing.T) {
+	_, fd, _ := newFleet()
+	fd.wait = 1100 * time.Millisecond
+	for _, n := range []int{1, 3, 8, 59, 360} {
+		fd.linked = func() int { return n }
+		for range 100 {
+			wait := fd.watchTime()
+			if wait > watchMost || wait > max(fd.wait, time.Duration(n)*watchSpread) {
+				t.Fatalf("%d instances: a watch waits %v", n, wait)
+			}
+		}
+	}
+}
+
+// A peer says that the store confirmed its version. That vouches for the same
+// version here, not for another one.
+func TestAPeersWordConfirmsTheSameVersion(t *testing.T) {
+	f, fd, source := newFleet()
+	p := &peers{fleet: f, log: zap.NewNop(), members: make(map[string]*member)}
+	f.adopt(config(5), "test")
+	p.takeConfig("peer", &wire.RelayNews{ConfigVersion: 4, Confirmed: 1})
+	if fd.fresh() {
+		t.Error("an older version vouches for this one")
+	}
+	p.takeConfig("peer", &wire.RelayNews{ConfigVersion: 5, Confirmed: 200})
+	if !fd.fresh() || !fd.confirm(t.Context()) || len(source.calls) != 0 {
+		t.Errorf("not vouched for; %d calls", len(source.calls))
+	}
+}
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"basilrudder/internal/monotime"
 	"basilrudder/internal/schema/wire"
 )
 
@@ -21,6 +22,8 @@
 type newsroom struct {
 	send    func(*wire.RelayNews)
 	version func() int64
+	// confirmed is when the store last answered, or never.
+	confirmed func() monotime.Instant
 
 	mu      sync.Mutex
 	pending wire.RelayNews
@@ -28,8 +31,8 @@
 	kick    chan struct{}
 }
 
-func newNewsroom(version func() int64) *newsroom {
-	return &newsroom{version: version, kick: make(chan struct{}, 1)}
+func newNewsroom(version func() int64, confirmed func() monotime.Instant) *newsroom {
+	return &newsroom{version: version, confirmed: confirmed, kick: make(chan struct{}, 1)}
 }
 
 func (n *newsroom) add(change func(*wire.RelayNews)) {
@@ -100,5 +103,8 @@
 	n.some = false
 	n.mu.Unlock()
 	out.ConfigVersion = int(n.version())
+	if at := n.confirmed(); at != never {
+		out.Confirmed = 1 + int(monotime.Now().Sub(at).Milliseconds())
+	}
 	n.send(&out)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -21,6 +21,10 @@
 // longest restart of a machine and some more.
 const memberLife = time.Minute
 
+// newsTravel is taken off a peer's word for the time it was on its way: several
+// times the usual, of some ms between data centres.
+const newsTravel = 100 * time.Millisecond
+
 // member is another instance.
 type member struct {
 	wire.RelayMember
@@ -159,6 +163,10 @@
 
 // takeConfig takes a newer configuration, or asks for it.
 func (p *peers) takeConfig(from string, news *wire.RelayNews) {
+	if news.Confirmed > 0 {
+		age := time.Duration(news.Confirmed-1) * time.Millisecond
+		p.fleet.vouch(int64(news.ConfigVersion), monotime.Now().Add(-age-newsTravel))
+	}
 	table := p.fleet.Table()
 	if news.ConfigWanted && table != nil {
 		p.sendConfig(from, table)
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -452,6 +452,10 @@
 	// Runs that gave their first event.
 	First []int `json:"f,omitempty,omitzero"`
 
+	// Milliseconds since the store confirmed that version to the sender, plus one; 0
+	// when it never did.
+	Confirmed int `json:"h,omitempty,omitzero"`
+
 	// The sender is leaving and should get no new callers.
 	Leaving bool `json:"l,omitempty,omitzero"`
 
