explain reads the logs of relaying instances; errors in them in one field

Cause: the on-call engineers have only logs; each error took some hundred lines of stack in them, and nothing led from a request's id to what the instance believed when it decided. Ruled out: reading them as accounting lines (they tell of beliefs too). Before: explain knew accounting lines only. Every line names its instance.

--- a/cmd/basilrudderd/relay.go
+++ b/cmd/basilrudderd/relay.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"basilrudder/internal/eventlog"
@@ -45,6 +46,7 @@
 	}
 	log, sink := eventlog.New(os.Stdout, level)
 	defer sink.Close()
+	log = log.With(zap.String("instance", s.Instance.ID))
 	timeout := time.Duration(s.Store.TimeoutMS) * time.Millisecond
 	g, err := gateway.New(gateway.Config{
 		Settings:  s,
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilrudder/internal/relaylog"
 	"basilrudder/internal/report"
 )
 
@@ -120,13 +121,18 @@
 // ExplainCmd tells the story of one request.
 type ExplainCmd struct {
 	ID    string   `arg:"" help:"Request id."`
-	Files []string `arg:"" name:"file" help:"Files of accounting lines of all instances; - for standard input."`
+	Files []string `arg:"" name:"file" help:"Files of accounting lines, or of the log lines of relaying instances; - for standard input."`
 	JSON  bool     `name:"json" help:"Write JSON."`
 }
 
-// Run writes the story.
+// Run writes the story. Accounting lines are looked at first, then log lines.
 func (c *ExplainCmd) Run(streams *Streams) error {
 	story, err := report.Explain(c.ID, c.Files)
+	if errors.Is(err, report.ErrUnknownRequest) {
+		if relayed, logErr := relaylog.Explain(c.ID, c.Files); logErr == nil {
+			return relayed.WriteText(streams.Out)
+		}
+	}
 	if err != nil {
 		return errors.Wrap(err, "explain")
 	}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -118,3 +118,12 @@
 		s.failed.Add(1)
 	}
 }
+
+// Cause is a field with the text of an error; nothing for nil. zap's own field
+// would add the error's stack, of a hundred lines at times.
+func Cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("cause", err.Error())
+}
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"basilrudder/internal/eventlog"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/servers"
 )
@@ -154,7 +155,7 @@
 func (f *feed) failed(err error) {
 	f.failures++
 	if f.failures == 1 {
-		f.log.Warn("store_lost", zap.Error(err), zap.Int64("revision", f.revision))
+		f.log.Warn("store_lost", eventlog.Cause(err), zap.Int64("revision", f.revision))
 	}
 }
 
@@ -187,7 +188,7 @@
 	defer cancel()
 	config, err := f.source.Config(ctx)
 	if err != nil || config == nil {
-		f.log.Info("config_unconfirmed", zap.Error(err))
+		f.log.Info("config_unconfirmed", eventlog.Cause(err))
 		return false
 	}
 	f.fleet.take(config, fromStore)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"basilrudder/internal/eventlog"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/relay"
@@ -80,7 +81,7 @@
 	}
 	table, err := routing.NewTable(config)
 	if err != nil {
-		f.log.Error("config_refused", zap.Int64("version", config.Version), zap.String("from", from), zap.Error(err))
+		f.log.Error("config_refused", zap.Int64("version", config.Version), zap.String("from", from), eventlog.Cause(err))
 		return false
 	}
 	f.table.Store(table)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"basilrudder/internal/eventlog"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/peer"
 	"basilrudder/internal/placement"
@@ -141,8 +142,7 @@
 	if err := g.makeLinks(listeners.peers); err != nil {
 		return err
 	}
-	g.cfg.Log.Info("started", zap.String("instance", g.fleet.self),
-		zap.String("incarnation", g.peers.self.Incarnation), zap.Strings("seeds", g.seeds))
+	g.cfg.Log.Info("started", zap.String("incarnation", g.peers.self.Incarnation), zap.Strings("seeds", g.seeds))
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	tasks, work := errgroup.WithContext(work)
@@ -166,7 +166,7 @@
 	})
 	g.peers.want()
 	err = tasks.Wait()
-	g.cfg.Log.Info("stopped", zap.Error(err))
+	g.cfg.Log.Info("stopped", eventlog.Cause(err))
 	return err
 }
 
@@ -306,7 +306,7 @@
 	}
 	s, err := g.cfg.Reload()
 	if err != nil {
-		g.cfg.Log.Error("reload_failed", zap.Error(err))
+		g.cfg.Log.Error("reload_failed", eventlog.Cause(err))
 		return
 	}
 	if !slices.Equal(s.Peers.Seeds, g.seeds) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"basilrudder/internal/eventlog"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/peer"
 	"basilrudder/internal/placement"
@@ -86,7 +87,7 @@
 	if !was {
 		return
 	}
-	p.log.Info("peer_lost", zap.String("peer", id), zap.Error(err))
+	p.log.Info("peer_lost", zap.String("peer", id), eventlog.Cause(err))
 	p.fleet.board.InstanceGone(id, now)
 	p.want()
 }
@@ -174,7 +175,7 @@
 	if news.Config != "" {
 		config := new(routing.Config)
 		if err := json.Unmarshal([]byte(news.Config), config); err != nil {
-			p.log.Error("config_of_peer_refused", zap.String("peer", from), zap.Error(err))
+			p.log.Error("config_of_peer_refused", zap.String("peer", from), eventlog.Cause(err))
 			return
 		}
 		p.fleet.take(config, from)
@@ -188,7 +189,7 @@
 func (p *peers) sendConfig(to string, table *routing.Table) {
 	data, err := json.Marshal(table.Config())
 	if err != nil {
-		p.log.Error("config_not_sent", zap.String("peer", to), zap.Error(err))
+		p.log.Error("config_not_sent", zap.String("peer", to), eventlog.Cause(err))
 		return
 	}
 	p.links.Send(to, &wire.Envelope{News: []wire.RelayNews{{
--- /dev/null
+++ b/internal/relaylog/relaylog_test.go
@@ -0,0 +1,57 @@
+package relaylog
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const logText = `
+not json
+  0.1 edge-1 {"level":"info","ts":"2026-01-01T10:00:00Z","msg":"config_in_force","instance":"a","version":1}
+{"level":"info","ts":"2026-01-01T10:00:01Z","msg":"config_in_force","instance":"a","version":2}
+{"level":"info","ts":"2026-01-01T10:00:01Z","msg":"server_changed","instance":"a","server":"s1"}
+{"level":"info","ts":"2026-01-01T10:00:01Z","msg":"server_changed","instance":"a","server":"s9"}
+{"level":"info","ts":"2026-01-01T10:00:02Z","msg":"store_lost","instance":"a"}
+{"level":"info","ts":"2026-01-01T10:00:02Z","msg":"store_lost","instance":"b"}
+{"level":"info","ts":"2026-01-01T10:00:10Z","msg":"send_failed","instance":"a","id":"r1","server":"s1"}
+{"level":"info","ts":"2026-01-01T10:00:11Z","msg":"config_in_force","instance":"a","version":3}
+{"level":"info","ts":"2026-01-01T10:00:12Z","msg":"request_ended","instance":"a","id":"r1","server":"s2","took_ms":2500}
+{"level":"info","ts":"2026-01-01T10:00:13Z","msg":"request_ended","instance":"a","id":"r2","took_ms":1}
+`
+
+func messages(lines []Line) []string {
+	var out []string
+	for _, line := range lines {
+		out = append(out, line.Message+" "+line.Server)
+	}
+	return out
+}
+
+func TestTheStoryHoldsTheRequestAndWhatWasBelievedBefore(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(file, []byte(logText), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	story, err := Explain("r1", []string{file})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"send_failed s1", "request_ended s2"}, messages(story.Request)); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"config_in_force ", "server_changed s1", "store_lost "}, messages(story.Beliefs)); diff != "" {
+		t.Error(diff)
+	}
+	var text strings.Builder
+	if err := story.WriteText(&text); err != nil || !strings.Contains(text.String(), `"version":2`) || strings.Contains(text.String(), `"version":3`) {
+		t.Errorf("%v in\n%s", err, text.String())
+	}
+	if _, err := Explain("r7", []string{file}); !errors.Is(err, ErrUnknownRequest) {
+		t.Errorf("unknown request: %v", err)
+	}
+}
