Placement: the engine's fixed time until a first event

Ruled out: a wrong pace of reading (the error does not grow with what is read). Test of an almost idle engine: its bound was the constant and 80 ms and is so again.

--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -25,7 +25,8 @@
 	// Chunk is the most prompt tokens that one step reads.
 	Chunk int
 	// First is the time from a request's arrival to its first event with nothing
-	// to wait for or to read.
+	// to wait for or to read. Measured: without it predictions were 106 ms early
+	// in the median of every class.
 	First time.Duration
 }
 
@@ -37,7 +38,7 @@
 	ReadPerMS:     62.4,
 	AttentionPerM: 525 * time.Microsecond,
 	Chunk:         2048,
-	First:         20 * time.Millisecond,
+	First:         125 * time.Millisecond,
 }
 
 // pairsPerM converts pairs of tokens to the unit of AttentionPerM.
