Placement: parts of prompts fetched from the engine that keeps them

Cause: parts read again stay the largest price; an engine that lacks a shared part read it although another one had it, at 1.17 for a usual one where the transfer costs 0.33. Ruled out: copying ahead of need (nothing says which part is next).

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -230,13 +229,20 @@
 	if !ok {
 		return relay.Target{}, false
 	}
-	at := slices.IndexFunc(list, func(s servers.Server) bool { return s.ID == choice.Server })
-	return relay.Target{
-		Server:   list[at],
+	target := relay.Target{
 		Choice:   choice,
 		MaxConns: f.connectionShare(published.MaxConns),
 		EntryAge: now.Sub(f.confirmedAt()),
-	}, true
+	}
+	for _, s := range list {
+		switch s.ID {
+		case choice.Server:
+			target.Server = s
+		case choice.FetchFrom:
+			target.FetchFrom = s.Address
+		}
+	}
+	return target, true
 }
 
 // minConnections is what an instance may always open to a server: a fleet that
@@ -257,6 +263,8 @@
 	if service.Engine != nil {
 		c.MemoryTokens = service.Engine.MemoryTokens
 		c.EventTokens = service.Engine.EventTokens
+		c.TokenBytes = service.Engine.TokenBytes
+		c.LinkMbps = service.Engine.LinkMbps
 	}
 	return c
 }
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -32,6 +32,8 @@
 	memory     int
 	// eventTokens is the number of tokens in an event, each made by a step.
 	eventTokens int
+	tokenBytes  int
+	linkMbps    float64
 	runs        map[RunID]*run
 	cache       partCache
 	readUntil   monotime.Instant
@@ -77,17 +79,23 @@
 	MemoryTokens int
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int
+	// TokenBytes is the memory of one token of a prompt; 0 when parts of a
+	// prompt can't be fetched from another engine.
+	TokenBytes int
+	// LinkMbps is how fast that memory travels, in Mbit/s.
+	LinkMbps float64
 }
 
 func (b *Board) server(c Candidate) *server {
 	s := b.servers[c.ID]
 	if s == nil {
-		s = &server{id: c.ID, runs: make(map[RunID]*run), cache: newPartCache(), slowdown: 1}
+		s = &server{id: c.ID, runs: make(map[RunID]*run), cache: newPartCache()}
 		b.servers[c.ID] = s
 	}
 	if c.Slots > 0 {
 		s.dataCentre, s.slots = c.DataCentre, c.Slots
 		s.memory, s.eventTokens = c.MemoryTokens, c.EventTokens
+		s.tokenBytes, s.linkMbps = c.TokenBytes, c.LinkMbps
 	}
 	return s
 }
@@ -121,7 +129,7 @@
 	}
 	s.runs[id] = r
 	b.runs[id] = r
-	s.cache.add(work.Parts, int(cacheShare*float64(s.memory)))
+	s.cache.add(work.Parts, r.readTo, int(cacheShare*float64(s.memory)))
 	for _, part := range work.Parts {
 		b.used[part.ID] = now
 	}
@@ -134,6 +142,7 @@
 	if r := b.runs[id]; r != nil && !r.first {
 		b.release(r, now)
 		r.first = true
+		r.server.cache.ready(r.work.Parts, now)
 	}
 }
 
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -2,40 +2,75 @@
 
 import (
 	"container/list"
+
+	"basilrudder/internal/monotime"
 )
 
 // partCache is what an engine is believed to keep of prompts: the parts of the
 // requests sent to it, the least recently used of which yield first.
 type partCache struct {
 	tokens int
-	order  *list.List // of Part, most recently used first
+	order  *list.List // of kept, most recently used first
 	byID   map[string]*list.Element
 }
 
+// kept is a part that an engine keeps.
+type kept struct {
+	Part
+	// from is when it has been read and others may fetch it.
+	from monotime.Instant
+}
+
 func newPartCache() partCache {
 	return partCache{order: list.New(), byID: make(map[string]*list.Element)}
 }
 
-// add notes a use of parts and makes room within capacity tokens. The last part
-// belongs to one request or session and is kept too: a session may come back.
-func (c *partCache) add(parts []Part, capacity int) {
+// add notes a use of parts, which are read by an instant, and makes room within
+// capacity tokens. The last part belongs to one request or session and is kept
+// too: a session may come back.
+func (c *partCache) add(parts []Part, from monotime.Instant, capacity int) {
 	for i := len(parts) - 1; i >= 0; i-- {
 		part := parts[i]
 		if at := c.byID[part.ID]; at != nil {
 			c.order.MoveToFront(at)
 			continue
 		}
-		c.byID[part.ID] = c.order.PushFront(part)
+		c.byID[part.ID] = c.order.PushFront(&kept{Part: part, from: from})
 		c.tokens += part.Tokens
 	}
 	for capacity > 0 && c.tokens > capacity && c.order.Len() > 0 {
 		oldest := c.order.Back()
-		part := c.order.Remove(oldest).(Part)
+		part := c.order.Remove(oldest).(*kept)
 		delete(c.byID, part.ID)
 		c.tokens -= part.Tokens
 	}
 }
 
+// ready notes that parts have been read by now.
+func (c *partCache) ready(parts []Part, now monotime.Instant) {
+	for _, part := range parts {
+		if at := c.byID[part.ID]; at != nil {
+			if k := at.Value.(*kept); now < k.from {
+				k.from = now
+			}
+		}
+	}
+}
+
+// fetchable returns how many tokens at the start of a prompt another engine
+// could fetch now.
+func (c *partCache) fetchable(parts []Part, now monotime.Instant) int {
+	tokens := 0
+	for _, part := range parts {
+		at := c.byID[part.ID]
+		if at == nil || now < at.Value.(*kept).from {
+			break
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // cached returns how many tokens of a prompt need not be read: those of the
 // parts at its start that are all kept.
 func (c *partCache) cached(parts []Part) int {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -12,9 +12,15 @@
 // instead of late or failed.
 const (
 	// rereadCost is what it counts for to read a thousand tokens again that some
-	// engine read within rereadWindow: over half of the price. Reading a usual
-	// shared part of 13,000 tokens again must cost less than a late answer.
-	rereadCost = 0.05
+	// engine read within rereadWindow: the operators' price.
+	rereadCost = 0.088
+	// rereadMost bounds that for one request, as a share of its weight: callers
+	// come first, so no price of reading makes a choice that is late the better.
+	rereadMost = 0.8
+	// fetchCost is what a gigabyte fetched from another engine counts for: the
+	// operators' price. A usual shared part of 13,000 tokens is 0.47 GB: fetched
+	// it costs 0.33 and 8 ms, read again 1.17 and 213 ms.
+	fetchCost = 0.72
 	// readCost is what reading any thousand tokens counts for. Small: it decides
 	// between servers that are all on time.
 	readCost = 0.002
@@ -62,6 +68,9 @@
 	Gap time.Duration
 	// Running is the number of runs believed to be on the server.
 	Running int
+	// FetchFrom is the server to fetch the start of the prompt from; empty to
+	// read it.
+	FetchFrom string
 	// Cost by which it was chosen.
 	Cost float64
 }
@@ -72,13 +81,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweep(now)
-	best, found := Choice{Cost: math.Inf(1)}, false
+	reachable := make([]*server, 0, len(candidates))
 	for _, candidate := range candidates {
-		s := b.server(candidate)
-		if s.retryAt != 0 && now < s.retryAt {
-			continue
+		if s := b.server(candidate); s.retryAt == 0 || now >= s.retryAt {
+			reachable = append(reachable, s)
 		}
-		choice := b.evaluate(s, &work, now)
+	}
+	from := bestSource(reachable, &work, now)
+	best, found := Choice{Cost: math.Inf(1)}, false
+	for _, s := range reachable {
+		choice := b.evaluate(s, &work, from, now)
 		if !found || choice.Cost < best.Cost {
 			best, found = choice, true
 		}
@@ -87,7 +99,7 @@
 }
 
 // evaluate predicts what happens when work goes to s.
-func (b *Board) evaluate(s *server, work *Work, now monotime.Instant) Choice {
+func (b *Board) evaluate(s *server, work *Work, from source, now monotime.Instant) Choice {
 	choice := Choice{Server: s.id, Running: len(s.runs)}
 	weight := work.weight()
 	choice.Cost = weight * failureCost * s.failures
@@ -100,16 +112,26 @@
 		choice.Cost += slowCost*load + fullCost*math.Max(0, load-1) + orderCost*orderOf(s.id+b.home)*slowCost
 		return choice
 	}
-	b.evaluateEngine(s, work, now, &choice)
-	return choice
+	own := s.cache.cached(work.Parts)
+	again := rereadCost / 1000 * float64(b.reread(s, work, now))
+	read := plan{unread: max(0, work.Prompt-own), cost: min(again, rereadMost*weight)}
+	best := b.evaluateEngine(s, work, read, now, choice)
+	if fetch, ok := s.fetch(work, from, own); ok {
+		if fetched := b.evaluateEngine(s, work, fetch, now, choice); fetched.Cost < best.Cost {
+			best = fetched
+		}
+	}
+	return best
 }
 
-func (b *Board) evaluateEngine(s *server, work *Work, now monotime.Instant, choice *Choice) {
+// evaluateEngine adds to choice what happens when an engine takes work with a plan.
+func (b *Board) evaluateEngine(s *server, work *Work, p plan, now monotime.Instant, choice Choice) Choice {
 	weight := work.weight()
 	runs := len(s.runs)
-	choice.Unread = max(0, work.Prompt-s.cache.cached(work.Parts))
-	wait := max(0, s.readUntil.Sub(now))
-	choice.First = time.Duration(s.slowdown * float64(b.pace.First+wait+b.pace.promptTime(choice.Unread, work.Prompt, runs)))
+	choice.Unread, choice.FetchFrom = p.unread, p.from
+	choice.Cost += p.cost
+	wait := max(p.delay, s.readUntil.Sub(now))
+	choice.First = b.pace.First + wait + b.pace.promptTime(choice.Unread, work.Prompt, runs)
 	late := float64(choice.First-work.Goal) / (ttftSpread * float64(choice.First))
 	ahead := b.ahead(s, now)
 	withWork := ahead.with(choice.Unread, work.Prompt)
@@ -117,7 +139,6 @@
 	choice.Cost += weight*logistic(late) +
 		slowCost*float64(choice.First)/float64(max(work.Goal, time.Millisecond)) +
 		readCost*float64(choice.Unread)/1000 +
-		rereadCost*float64(b.reread(s, work, now))/1000 +
 		fullCost*math.Max(0, float64(runs+1)/float64(max(1, s.slots))-1)
 	if work.MaxGap > 0 {
 		choice.Cost += weight * b.lateGap(b.gap(s, ahead, runs+1), work.MaxGap)
@@ -126,6 +147,7 @@
 		choice.Cost += b.concentration(s)
 	}
 	choice.Cost += b.harm(s, ahead, withWork, runs)
+	return choice
 }
 
 // rereadWindow is how long after its last use a part that is read again counts
--- /dev/null
+++ b/internal/placement/fetch.go
@@ -0,0 +1,75 @@
+package placement
+
+import (
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+const (
+	// leastFetch is the fewest tokens worth a fetch: reading that many takes
+	// 16 ms, not much more than fetching them.
+	leastFetch = 1000
+	// fetchSetup is the time of a fetch beside the transfer, from the data sheet
+	// of the engines, with a margin for transfers that queue.
+	fetchSetup = 5 * time.Millisecond
+	// farFactor is how much longer a transfer between data centres takes.
+	farFactor     = 2
+	bitsPerByte   = 8
+	bytesPerGB    = 1e9
+	bitsPerSPerMb = 1e6
+)
+
+// source is the server that keeps most of the start of a prompt.
+type source struct {
+	server *server
+	tokens int
+}
+
+// bestSource finds it among the servers that can be reached.
+func bestSource(reachable []*server, work *Work, now monotime.Instant) source {
+	var best source
+	if len(work.Parts) < 2 {
+		return best
+	}
+	// The last part is the request's own; no other engine has it.
+	shared := work.Parts[:len(work.Parts)-1]
+	for _, s := range reachable {
+		if tokens := s.cache.fetchable(shared, now); tokens > best.tokens {
+			best = source{server: s, tokens: tokens}
+		}
+	}
+	return best
+}
+
+// plan is one way for an engine to come by a prompt.
+type plan struct {
+	// unread is the number of tokens that it reads itself.
+	unread int
+	// from is the server that it fetches the start from; empty for none.
+	from string
+	// delay is the time until it can begin to read.
+	delay time.Duration
+	// cost of waste and transfers.
+	cost float64
+}
+
+// fetch returns the plan to fetch what a source keeps beyond own tokens; false
+// when that is not worth it.
+func (s *server) fetch(work *Work, from source, own int) (plan, bool) {
+	tokens := from.tokens - own
+	if from.server == nil || from.server == s || s.tokenBytes == 0 || s.linkMbps <= 0 || tokens < leastFetch {
+		return plan{}, false
+	}
+	bytes := float64(tokens) * float64(s.tokenBytes)
+	seconds := bytes * bitsPerByte / (s.linkMbps * bitsPerSPerMb)
+	if s.dataCentre != from.server.dataCentre {
+		seconds *= farFactor
+	}
+	return plan{
+		unread: max(0, work.Prompt-from.tokens),
+		from:   from.server.id,
+		delay:  fetchSetup + time.Duration(seconds*float64(time.Second)),
+		cost:   fetchCost * bytes / bytesPerGB,
+	}, true
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -163,10 +163,10 @@
 
 func TestTheCacheYieldsTheLeastRecentlyUsed(t *testing.T) {
 	c := newPartCache()
-	c.add([]Part{{"a", 10}, {"b", 10}}, 30)
-	c.add([]Part{{"c", 10}}, 30)
-	c.add([]Part{{"a", 10}}, 30)
-	c.add([]Part{{"d", 10}}, 30)
+	c.add([]Part{{"a", 10}, {"b", 10}}, start, 30)
+	c.add([]Part{{"c", 10}}, start, 30)
+	c.add([]Part{{"a", 10}}, start, 30)
+	c.add([]Part{{"d", 10}}, start, 30)
 	for id, want := range map[string]int{"a": 10, "b": 0, "c": 10, "d": 10} {
 		if got := c.cached([]Part{{id, 10}}); got != want {
 			t.Errorf("%s: %d tokens kept, want %d", id, got, want)
@@ -217,3 +217,60 @@
 		t.Errorf("%d tokens count as read again long after their last use", got)
 	}
 }
+
+// fetching returns engines that can fetch prompts from each other.
+func fetching(n int) []Candidate {
+	out := engines(n)
+	for i := range out {
+		out[i].TokenBytes, out[i].LinkMbps = 35_000, 740_000
+	}
+	return out
+}
+
+// A part is kept by one engine, which becomes busy. The next prompt with that
+// part goes to an idle engine, which fetches the part and reads the rest alone.
+func TestAnIdleEngineFetchesWhatABusyOneKeeps(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	candidates := fetching(3)
+	home := place(t, b, 0, bundle("chain", "x"), candidates, start).Server
+	b.First(RunID{"me", 0}, start.Add(time.Second))
+	now := start.Add(time.Second)
+	for i := range 12 {
+		b.Begin(RunID{"peer", i}, home, bundle("other", fmt.Sprint(i)), 21000, now)
+	}
+	got := place(t, b, 1, bundle("chain", "y"), candidates, now)
+	if got.Server == home || got.FetchFrom != home || got.Unread != 5000 {
+		t.Errorf("home is %s, chosen %+v", home, got)
+	}
+}
+
+func TestWhatIsNotReadYetIsNotFetched(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	candidates := fetching(2)
+	home := place(t, b, 0, bundle("chain", "x"), candidates, start).Server
+	work := bundle("chain", "y")
+	for _, c := range candidates {
+		if c.ID != home {
+			if got, _ := b.Choose(work, []Candidate{c}, start); got.FetchFrom != "" {
+				t.Errorf("%+v", got)
+			}
+		}
+	}
+	if from := bestSource([]*server{b.servers[home]}, &work, start.Add(2*time.Second)); from.tokens != 16000 {
+		t.Errorf("%d tokens to fetch once the prompt was read", from.tokens)
+	}
+}
+
+func TestEnginesThatCannotFetchRead(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	candidates := engines(2)
+	home := place(t, b, 0, bundle("chain", "x"), candidates, start).Server
+	b.First(RunID{"me", 0}, start)
+	for _, c := range candidates {
+		if c.ID != home {
+			if got, _ := b.Choose(bundle("chain", "y"), []Candidate{c, candidates[0], candidates[1]}, start); got.FetchFrom != "" {
+				t.Errorf("%+v", got)
+			}
+		}
+	}
+}
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -277,6 +277,7 @@
 		HideKey:     f.table.Config().KeysRequired,
 		Priority:    f.work.Priority,
 		ResumeAfter: resume,
+		FetchFrom:   target.FetchFrom,
 	})
 	hasBody := f.hr.ContentLength != 0 || len(f.hr.TransferEncoding) > 0
 	return requestHead(f.hr.Method, originForm(f.hr), f.hr.Host, headers, f.body, hasBody)
@@ -337,6 +338,7 @@
 			zap.Duration("longest_gap_ms", f.stream.longestGap),
 			zap.Duration("max_gap_ms", f.work.MaxGap),
 			zap.Int("unread", choice.Unread),
+			zap.String("fetch_from", choice.FetchFrom),
 			zap.Int("prompt", f.work.Prompt),
 			zap.Int("running", choice.Running),
 			zap.String("cost", strconv.FormatFloat(choice.Cost, 'f', 3, 64)))
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -48,6 +48,9 @@
 	Priority int
 	// ResumeAfter is the id of the last event received; empty for none.
 	ResumeAfter string
+	// FetchFrom is the address of a server to fetch the start of the prompt from;
+	// empty for none.
+	FetchFrom string
 }
 
 // Answer is what the relay needs of a server's headers.
@@ -80,6 +83,8 @@
 	Choice placement.Choice
 	// MaxConns is this instance's share of the server's connections.
 	MaxConns int
+	// FetchFrom is the address of the server to fetch from; empty for none.
+	FetchFrom string
 	// EntryAge is the time since the store last confirmed what is known of servers.
 	EntryAge time.Duration
 }
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -69,6 +69,10 @@
 	MemoryTokens int `json:"memory_tokens"`
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int `json:"event_tokens"`
+	// TokenBytes is the memory of one token of a prompt.
+	TokenBytes int `json:"token_bytes"`
+	// LinkMbps is how fast engines send that memory to each other, in Mbit/s.
+	LinkMbps float64 `json:"link_mbps"`
 }
 
 // Service is a group of servers that do the same work.
