--- a/cmd/basilrudderd/relay.go
+++ b/cmd/basilrudderd/relay.go
@@ -52,6 +52,7 @@
 		Settings:  s,
 		Reload:    c.reload,
 		Source:    platform.NewStore(s.Store.Address, timeout, log),
+		Caches:    platform.Engines{Timeout: timeout},
 		Protocol:  platform.Protocol{},
 		Directory: platform.Directory,
 		Ready:     platform.Ready,
--- /dev/null
+++ b/internal/gateway/caches.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"basilrudder/internal/catalog"
+	"basilrudder/internal/eventlog"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/route"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/servers"
+)
+
+// What engines keep of prompts is known from the requests sent to them, so a
+// process that starts knows nothing of it. It would send prompts to engines that
+// have to read them again, for as long as it takes to fill them anew. Peers tell
+// it. After a restart of all instances no peer knows either; then each asks a
+// part of the engines, which costs each of them a little, and tells the others.
+
+const (
+	// coldStart is how long a process that starts waits for peers that know.
+	coldStart = 500 * time.Millisecond
+	// listTimeout bounds the question to one engine.
+	listTimeout = 500 * time.Millisecond
+	// listsAtOnce bounds the questions open at the same time.
+	listsAtOnce = 4
+	// mostParts bounds what is told of one engine: more than engines keep of the
+	// prompts in use, some 35 of 16,000 tokens.
+	mostParts = 500
+)
+
+// CacheReader asks engines what they keep.
+type CacheReader interface {
+	// Cached returns the parts that the engine at an address keeps.
+	Cached(ctx context.Context, address string) ([]placement.Part, error)
+}
+
+// learnCaches asks peers, and after coldStart engines, what engines keep.
+func (g *Gateway) learnCaches(ctx context.Context) error {
+	timer := time.NewTimer(coldStart)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-timer.C:
+	}
+	if g.peers.warm.Load() || g.cfg.Caches == nil {
+		return nil
+	}
+	var lists errgroup.Group
+	lists.SetLimit(listsAtOnce)
+	for _, s := range g.ownEngines() {
+		lists.Go(func() error {
+			g.listEngine(ctx, s)
+			return nil
+		})
+	}
+	return lists.Wait()
+}
+
+// ownEngines returns the engines that this instance asks.
+func (g *Gateway) ownEngines() []servers.Server {
+	table := g.fleet.Table()
+	if table == nil {
+		return nil
+	}
+	members := g.peers.routeMembers()
+	var out []servers.Server
+	for _, s := range g.fleet.takingRequests() {
+		service := table.Service(s.Service)
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		if route.Owner(&catalog.Group{Name: s.ID, DataCentre: s.DataCentre}, members) == g.fleet.self {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (g *Gateway) listEngine(ctx context.Context, s servers.Server) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	parts, err := g.cfg.Caches.Cached(ctx, s.Address)
+	if err != nil {
+		g.cfg.Log.Info("cache_unknown", zap.String("server", s.ID), eventlog.Cause(err))
+		return
+	}
+	g.cfg.Log.Info("cache_listed", zap.String("server", s.ID), zap.Int("parts", len(parts)))
+	if len(parts) == 0 {
+		return
+	}
+	g.fleet.board.Learn(s.ID, parts, monotime.Now())
+	g.fleet.news.caches(wire.RelayCache{Server: s.ID, Parts: encodeParts(parts)})
+}
+
+// takeCaches believes a peer what engines keep, and answers one that asks.
+func (p *peers) takeCaches(from string, news *wire.RelayNews) {
+	now := monotime.Now()
+	for _, cache := range news.Caches {
+		p.warm.Store(true)
+		p.fleet.board.Learn(cache.Server, decodeParts(cache.Parts), now)
+	}
+	if !news.CachesWanted {
+		return
+	}
+	if caches := p.fleet.caches(); len(caches) > 0 {
+		p.links.Send(from, &wire.Envelope{News: []wire.RelayNews{{Caches: caches}}})
+	}
+}
+
+// caches returns what engines are believed to keep.
+func (f *fleet) caches() []wire.RelayCache {
+	var out []wire.RelayCache
+	for id, parts := range f.board.Kept(mostParts) {
+		out = append(out, wire.RelayCache{Server: id, Parts: encodeParts(parts)})
+	}
+	return out
+}
+
+func encodeParts(parts []placement.Part) []wire.RelayPart {
+	out := make([]wire.RelayPart, 0, len(parts))
+	for _, part := range parts {
+		out = append(out, wire.RelayPart{ID: part.ID, Tokens: part.Tokens})
+	}
+	return out
+}
+
+func decodeParts(parts []wire.RelayPart) []placement.Part {
+	out := make([]placement.Part, 0, len(parts))
+	for _, part := range parts {
+		out = append(out, placement.Part{ID: part.ID, Tokens: part.Tokens})
+	}
+	return out
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -198,15 +198,20 @@
 	return ok
 }
 
-// serverCount returns the number of servers that take requests.
-func (f *fleet) serverCount() int {
+// takingRequests returns the servers of all services that take requests.
+func (f *fleet) takingRequests() []servers.Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	count := 0
+	var out []servers.Server
 	for _, list := range f.byService {
-		count += len(list)
+		out = append(out, list...)
 	}
-	return count
+	return out
+}
+
+// serverCount returns the number of servers that take requests.
+func (f *fleet) serverCount() int {
+	return len(f.takingRequests())
 }
 
 // Place implements relay.Fleet.
@@ -332,19 +337,13 @@
 		Number: number, Server: target.ID, Unread: target.Choice.Unread, Prompt: work.Prompt,
 		Output: work.Output, GapMS: int(work.MaxGap / time.Millisecond), Priority: work.Priority,
 	}
-	for _, p := range work.Parts {
-		out.Parts = append(out.Parts, wire.RelayPart{ID: p.ID, Tokens: p.Tokens})
-	}
+	out.Parts = encodeParts(work.Parts)
 	return out
 }
 
 func decodeRun(r wire.RelayRun) placement.Work {
-	work := placement.Work{
-		Prompt: r.Prompt, Output: r.Output,
+	return placement.Work{
+		Parts: decodeParts(r.Parts), Prompt: r.Prompt, Output: r.Output,
 		MaxGap: time.Duration(r.GapMS) * time.Millisecond, Priority: r.Priority,
 	}
-	for _, p := range r.Parts {
-		work.Parts = append(work.Parts, placement.Part{ID: p.ID, Tokens: p.Tokens})
-	}
-	return work
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,8 @@
 	Reload func() (*relaysettings.RelaySettings, error)
 	// Source reads the store.
 	Source Source
+	// Caches asks engines what they keep; nil for never.
+	Caches CacheReader
 	// Protocol of callers and servers.
 	Protocol relay.Protocol
 	// Directory handles callers' questions where to connect, and Ready those
@@ -157,6 +159,7 @@
 	tasks.Go(func() error { return g.feed.run(work) })
 	tasks.Go(func() error { return g.fleet.news.run(work) })
 	tasks.Go(func() error { return g.regularly(work) })
+	tasks.Go(func() error { return g.learnCaches(work) })
 	tasks.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -307,3 +308,65 @@
 		t.Errorf("not vouched for; %d calls", len(source.calls))
 	}
 }
+
+// cacheReader tells what each address keeps and which were asked.
+type cacheReader struct {
+	mu    sync.Mutex
+	parts map[string][]placement.Part
+	asked []string
+}
+
+func (c *cacheReader) Cached(_ context.Context, address string) ([]placement.Part, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = append(c.asked, address)
+	return c.parts[address], nil
+}
+
+// All instances were restarted, so none knows what the engines keep. Two of them
+// share the engines out and tell each other; a third one that starts later is
+// told by a peer and asks no engine.
+func TestAfterARestartOfAllEachEngineIsAskedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		part := placement.Part{ID: "x", Tokens: 9000}
+		reader := &cacheReader{parts: map[string][]placement.Part{}}
+		var told []wire.RelayCache
+		gateways := map[string]*Gateway{}
+		for _, name := range []string{"a", "b"} {
+			f, fd, _ := newFleet()
+			f.self = name
+			f.adopt(&routing.Config{Version: 1, Services: []routing.Service{{Name: "svc", Engine: &routing.Engine{Slots: 4}}}}, "test")
+			f.update(fromTimer, func(r *servers.Registry, now monotime.Instant) (ids []string) {
+				for _, id := range []string{"e1", "e2", "e3", "e4"} {
+					s := entry(id, 1)
+					reader.parts[s.Address] = []placement.Part{part}
+					r.Put(s, now)
+					ids = append(ids, id)
+				}
+				return ids
+			})
+			other := map[string]string{"a": "b", "b": "a"}[name]
+			p := &peers{self: wire.RelayMember{ID: name}, fleet: f, log: zap.NewNop(), members: map[string]*member{
+				other: {RelayMember: wire.RelayMember{ID: other}, linked: true},
+			}}
+			gateways[name] = &Gateway{cfg: Config{Caches: reader, Log: zap.NewNop()}, fleet: f, feed: fd, peers: p}
+		}
+		for _, g := range gateways {
+			if err := g.learnCaches(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			told = append(told, g.fleet.news.pending.Caches...)
+		}
+		if len(reader.asked) != 4 || len(told) != 4 {
+			t.Errorf("asked %v, told %v", reader.asked, told)
+		}
+		late := gateways["a"]
+		late.peers.takeCaches("b", &wire.RelayNews{Caches: told})
+		if err := late.learnCaches(t.Context()); err != nil || len(reader.asked) != 4 {
+			t.Errorf("%v; asked again: %v", err, reader.asked)
+		}
+		if got := late.fleet.caches(); len(got) != 4 {
+			t.Errorf("knows of %d engines", len(got))
+		}
+	})
+}
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -66,6 +66,10 @@
 	n.add(func(p *wire.RelayNews) { p.Servers = append(p.Servers, changed...) })
 }
 
+func (n *newsroom) caches(cache wire.RelayCache) {
+	n.add(func(p *wire.RelayNews) { p.Caches = append(p.Caches, cache) })
+}
+
 // soon has news sent although nothing is to be told but the version.
 func (n *newsroom) soon() {
 	n.add(func(*wire.RelayNews) {})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +14,7 @@
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/peer"
 	"basilrudder/internal/placement"
+	"basilrudder/internal/route"
 	"basilrudder/internal/routing"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/servers"
@@ -42,6 +44,9 @@
 	log   *zap.Logger
 	links *peer.Links
 
+	// warm says that what engines keep is known, from peers or engines.
+	warm atomic.Bool
+
 	mu      sync.Mutex
 	members map[string]*member
 	seeds   []string
@@ -68,7 +73,7 @@
 		version = int(table.Version())
 	}
 	p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{{
-		Members: everyone, ConfigVersion: version,
+		Members: everyone, ConfigVersion: version, CachesWanted: !p.warm.Load(),
 		Servers: p.fleet.allServers(), Begun: p.fleet.running(),
 	}}})
 }
@@ -105,6 +110,7 @@
 	if len(news.Servers) > 0 {
 		p.takeServers(from, news.Servers)
 	}
+	p.takeCaches(from, news)
 	p.takeConfig(from, news)
 }
 
@@ -260,6 +266,17 @@
 	return out
 }
 
+// routeMembers returns the linked instances and this one.
+func (p *peers) routeMembers() []route.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []route.Member
+	for _, m := range p.everyone() {
+		out = append(out, route.Member{ID: m.ID, DataCentre: m.DataCentre})
+	}
+	return out
+}
+
 // count returns the number of instances that are linked or were lately, this
 // one among them.
 func (p *peers) count() int {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -135,6 +135,30 @@
 	}
 }
 
+// Learn notes that an engine keeps parts, least recently used first.
+func (b *Board) Learn(serverID string, parts []Part, now monotime.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.server(Candidate{ID: serverID})
+	for _, part := range parts {
+		s.cache.add([]Part{part}, now, int(cacheShare*float64(s.memory)))
+	}
+}
+
+// Kept returns what engines are believed to keep: of each at most so many parts,
+// least recently used first.
+func (b *Board) Kept(most int) map[string][]Part {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string][]Part)
+	for id, s := range b.servers {
+		if parts := s.cache.newest(most); len(parts) > 0 {
+			out[id] = parts
+		}
+	}
+	return out
+}
+
 // First notes that a run gave its first event: its prompt has been read.
 func (b *Board) First(id RunID, now monotime.Instant) {
 	b.mu.Lock()
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 
 	"basilrudder/internal/monotime"
 )
@@ -87,3 +88,13 @@
 func (c *partCache) has(id string) bool {
 	return c.byID[id] != nil
 }
+
+// newest returns the parts used last, at most so many, the newest at the end.
+func (c *partCache) newest(most int) []Part {
+	out := make([]Part, 0, min(most, c.order.Len()))
+	for at := c.order.Front(); at != nil && len(out) < most; at = at.Next() {
+		out = append(out, at.Value.(*kept).Part)
+	}
+	slices.Reverse(out)
+	return out
+}
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -420,6 +420,15 @@
 	BacklogMS int `json:"w,omitempty,omitzero"`
 }
 
+// RelayCache is what an engine keeps of prompts.
+type RelayCache struct {
+	// Parts that it keeps, least recently used first.
+	Parts []RelayPart `json:"p,omitempty,omitzero"`
+
+	// Incarnation of the engine.
+	Server string `json:"s"`
+}
+
 // RelayMember is an instance that relays, as another one knows it.
 type RelayMember struct {
 	// Address for callers.
@@ -456,6 +465,12 @@
 	// when it never did.
 	Confirmed int `json:"h,omitempty,omitzero"`
 
+	// What engines keep of prompts, as the sender believes.
+	Caches []RelayCache `json:"k,omitempty,omitzero"`
+
+	// The sender has just started and asks what engines keep.
+	CachesWanted bool `json:"kw,omitempty,omitzero"`
+
 	// The sender is leaving and should get no new callers.
 	Leaving bool `json:"l,omitempty,omitzero"`
 
