Logs: a failed send tells what decided the choice of its server

Cause: on the way from a late request's id to its cause, the line of the first send did not say what the server was believed to do. Ruled out: a line of its own for each choice (twice the volume). Before: server and cause. After: prediction, load and cost too; figures of prompts only where there is one. Conclusion: stays.

--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -294,13 +294,14 @@
 
 // note logs a send that did not give the final answer.
 func (f *flight) note(problem *verdict.Error) {
-	f.relay.cfg.Log.Info("send_failed",
+	fields := []zap.Field{
 		zap.String("id", f.request.ID),
-		zap.String("server", f.target.ID),
 		zap.Int("send", f.sends),
 		zap.Stringer("verdict", problem.Verdict),
 		zap.String("reason", string(problem.Reason)),
-		zap.String("cause", problem.Message))
+		zap.String("cause", problem.Message),
+	}
+	f.relay.cfg.Log.Info("send_failed", append(fields, f.choiceFields()...)...)
 	f.relay.cfg.Metrics.sendFailed(problem.Reason)
 }
 
@@ -328,20 +329,34 @@
 	if f.firstByte != 0 {
 		fields = append(fields, zap.Duration("first_ms", f.firstByte.Sub(f.arrived)))
 	}
-	if f.target.ID != "" {
-		choice := f.target.Choice
+	fields = append(fields, f.choiceFields()...)
+	if f.stream.longestGap > 0 {
 		fields = append(fields,
-			zap.String("server", f.target.ID),
-			zap.Duration("entry_age_ms", f.target.EntryAge),
-			zap.Duration("predicted_first_ms", choice.First),
-			zap.Duration("predicted_gap_ms", choice.Gap),
 			zap.Duration("longest_gap_ms", f.stream.longestGap),
-			zap.Duration("max_gap_ms", f.work.MaxGap),
-			zap.Int("unread", choice.Unread),
-			zap.String("fetch_from", choice.FetchFrom),
-			zap.Int("prompt", f.work.Prompt),
-			zap.Int("running", choice.Running),
-			zap.String("cost", strconv.FormatFloat(choice.Cost, 'f', 3, 64)))
+			zap.Duration("max_gap_ms", f.work.MaxGap))
 	}
 	f.relay.cfg.Log.Info("request_ended", fields...)
 }
+
+// choiceFields tell which server was chosen last and what decided it.
+func (f *flight) choiceFields() []zap.Field {
+	if f.target.ID == "" {
+		return nil
+	}
+	choice := f.target.Choice
+	fields := []zap.Field{
+		zap.String("server", f.target.ID),
+		zap.Duration("entry_age_ms", f.target.EntryAge),
+		zap.Int("running", choice.Running),
+		zap.String("cost", strconv.FormatFloat(choice.Cost, 'f', 3, 64)),
+	}
+	if f.work.Prompt == 0 {
+		return fields
+	}
+	return append(fields,
+		zap.Duration("predicted_first_ms", choice.First),
+		zap.Duration("predicted_gap_ms", choice.Gap),
+		zap.Int("unread", choice.Unread),
+		zap.Int("prompt", f.work.Prompt),
+		zap.String("fetch_from", choice.FetchFrom))
+}
