--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -215,11 +215,11 @@
 }
 
 // Place implements relay.Fleet.
-func (f *fleet) Place(service string, work placement.Work, excluded map[string]bool, now monotime.Instant) (relay.Target, bool) {
+func (f *fleet) Place(service string, work placement.Work, excluded map[string]bool, now monotime.Instant) (relay.Target, placement.Refusal) {
 	table := f.table.Load()
 	published := table.Service(service)
 	if published == nil {
-		return relay.Target{}, false
+		return relay.Target{}, placement.NoneReachable
 	}
 	f.mu.Lock()
 	list := f.byService[service]
@@ -230,9 +230,9 @@
 			candidates = append(candidates, candidate(s, published))
 		}
 	}
-	choice, ok := f.board.Choose(work, candidates, now)
-	if !ok {
-		return relay.Target{}, false
+	choice, refusal := f.board.Choose(work, candidates, now)
+	if refusal != placement.Chosen {
+		return relay.Target{}, refusal
 	}
 	target := relay.Target{
 		Choice:   choice,
@@ -247,7 +247,7 @@
 			target.FetchFrom = s.Address
 		}
 	}
-	return target, true
+	return target, placement.Chosen
 }
 
 // minConnections is what an instance may always open to a server: a fleet that
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -80,9 +80,45 @@
 	Cost float64
 }
 
-// Choose returns the candidate that costs least, and false when none can be
-// reached now.
-func (b *Board) Choose(work Work, candidates []Candidate, now monotime.Instant) (Choice, bool) {
+// Refusal says why no server was chosen.
+type Refusal uint8
+
+const (
+	// Chosen: there is one.
+	Chosen Refusal = iota
+	// NoneReachable: all were tried in vain a moment ago.
+	NoneReachable
+	// AllFull: those that can be reached have no room for this priority.
+	AllFull
+)
+
+// Shares of an engine's slots that requests of the first two priorities may take
+// beyond its slots. Engines admit them ahead of others, which yield; requests
+// that would only wait there are better off being told at once. Without the
+// bound, engines of 16 slots filled up with the least urgent work, preempted
+// more urgent work and turned away a sixth of all.
+const (
+	beyondFirst  = 4 // a quarter
+	beyondSecond = 8 // an eighth
+)
+
+// hasRoom reports whether an engine may be sent more work of a priority.
+func (s *server) hasRoom(priority int) bool {
+	if s.memory == 0 {
+		return true
+	}
+	most := s.slots
+	switch {
+	case priority <= 0:
+		most += s.slots / beyondFirst
+	case priority == 1:
+		most += s.slots / beyondSecond
+	}
+	return len(s.runs) < most
+}
+
+// Choose returns the candidate that costs least, or why there is none.
+func (b *Board) Choose(work Work, candidates []Candidate, now monotime.Instant) (Choice, Refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweep(now)
@@ -93,14 +129,20 @@
 		}
 	}
 	from := bestSource(reachable, &work, now)
-	best, found := Choice{Cost: math.Inf(1)}, false
+	best, refusal := Choice{Cost: math.Inf(1)}, NoneReachable
 	for _, s := range reachable {
+		if !s.hasRoom(work.Priority) {
+			if refusal == NoneReachable {
+				refusal = AllFull
+			}
+			continue
+		}
 		choice := b.evaluate(s, &work, from, now)
-		if !found || choice.Cost < best.Cost {
-			best, found = choice, true
+		if refusal != Chosen || choice.Cost < best.Cost {
+			best, refusal = choice, Chosen
 		}
 	}
-	return best, found
+	return best, refusal
 }
 
 // evaluate predicts what happens when work goes to s.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -38,9 +38,9 @@
 // place chooses a server for work and notes that it began there.
 func place(t *testing.T, b *Board, number int, work Work, candidates []Candidate, now monotime.Instant) Choice {
 	t.Helper()
-	choice, ok := b.Choose(work, candidates, now)
-	if !ok {
-		t.Fatal("no server")
+	choice, refusal := b.Choose(work, candidates, now)
+	if refusal != Chosen {
+		t.Fatalf("no server: %d", refusal)
 	}
 	b.Begin(RunID{"me", number}, choice.Server, work, choice.Unread, now)
 	return choice
@@ -114,10 +114,10 @@
 	if !b.Observe("e0", Unreachable, start) {
 		t.Error("that a server became unreachable is not told")
 	}
-	if _, ok := b.Choose(note("b"), one, start.Add(retryMin/2)); ok {
+	if _, refusal := b.Choose(note("b"), one, start.Add(retryMin/2)); refusal != NoneReachable {
 		t.Error("tried again at once")
 	}
-	if _, ok := b.Choose(note("b"), one, start.Add(retryMin)); !ok {
+	if _, refusal := b.Choose(note("b"), one, start.Add(retryMin)); refusal != Chosen {
 		t.Error("not tried again")
 	}
 }
@@ -292,3 +292,23 @@
 		}
 	}
 }
+
+// Long prompts of the least urgent class fill all engines. More of them would
+// wait there, and push more urgent work out of the engines' memory; they are
+// refused, while there is still room for a note.
+func TestFullEnginesTakeOnlyMoreUrgentWork(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	candidates := engines(2)
+	for i := range 2 * 64 {
+		place(t, b, i, bundle(fmt.Sprint("c", i), fmt.Sprint(i)), candidates, start)
+	}
+	if _, refusal := b.Choose(bundle("c", "x"), candidates, start); refusal != AllFull {
+		t.Errorf("one more bundle: %d", refusal)
+	}
+	for i := range 2 * 64 / beyondFirst {
+		place(t, b, 1000+i, note(fmt.Sprint(i)), candidates, start)
+	}
+	if _, refusal := b.Choose(note("x"), candidates, start); refusal != AllFull {
+		t.Errorf("a note beyond the room for notes: %d", refusal)
+	}
+}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -64,6 +64,7 @@
 	confirmed bool
 	servers   []string
 	noBudget  bool
+	full      bool
 
 	mu       sync.Mutex
 	begun    []string
@@ -73,13 +74,16 @@
 
 func (f *fakeFleet) Table() *routing.Table        { return f.table }
 func (f *fakeFleet) Confirm(context.Context) bool { return f.confirmed }
-func (f *fakeFleet) Place(_ string, _ placement.Work, excluded map[string]bool, _ monotime.Instant) (Target, bool) {
+func (f *fakeFleet) Place(_ string, _ placement.Work, excluded map[string]bool, _ monotime.Instant) (Target, placement.Refusal) {
+	if f.full {
+		return Target{}, placement.AllFull
+	}
 	for _, id := range f.servers {
 		if !excluded[id] {
-			return Target{Server: servers.Server{ID: id, Address: id}, Choice: placement.Choice{First: 100 * time.Millisecond}}, true
+			return Target{Server: servers.Server{ID: id, Address: id}, Choice: placement.Choice{First: 100 * time.Millisecond}}, placement.Chosen
 		}
 	}
-	return Target{}, false
+	return Target{}, placement.NoneReachable
 }
 
 func (f *fakeFleet) Begin(target Target, _ placement.Work, _ monotime.Instant) int {
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -210,7 +210,7 @@
 // maySendAgain decides whether a failed request goes to a further server.
 func (f *flight) maySendAgain(problem *verdict.Error) bool {
 	switch {
-	case problem.Reason == verdict.ReasonNoServer:
+	case problem.Reason == verdict.ReasonNoServer, problem.Reason == verdict.ReasonOverloaded:
 		return false
 	case problem.Reason == verdict.ReasonConnect:
 		// Nothing was sent, so it does not count as a server tried.
@@ -234,9 +234,12 @@
 func (f *flight) sendOnce() *verdict.Error {
 	fleet := f.relay.cfg.Fleet
 	now := monotime.Now()
-	target, ok := fleet.Place(f.service, f.work, f.excluded, now)
-	if !ok {
+	target, refusal := fleet.Place(f.service, f.work, f.excluded, now)
+	switch refusal {
+	case placement.NoneReachable:
 		return verdict.New(verdict.NotRun, verdict.ReasonNoServer, "no server can be reached").After(retryNoServer)
+	case placement.AllFull:
+		return verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "all servers are full").After(spread(retryOverloaded))
 	}
 	f.target = target
 	c, err := f.relay.pool.get(f.ctx, target)
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -96,8 +96,9 @@
 	// Confirm reports whether the table in force is the newest there is, by
 	// asking who would know.
 	Confirm(ctx context.Context) bool
-	// Place chooses a server of a service, none of those excluded.
-	Place(service string, work placement.Work, excluded map[string]bool, now monotime.Instant) (Target, bool)
+	// Place chooses a server of a service, none of those excluded, or says why
+	// there is none.
+	Place(service string, work placement.Work, excluded map[string]bool, now monotime.Instant) (Target, placement.Refusal)
 	// Begin, First and End tell of a run at a server; Begin returns its number.
 	Begin(target Target, work placement.Work, now monotime.Instant) int
 	First(run int, now monotime.Instant)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -57,10 +58,19 @@
 	retryUnknown = 300 * time.Millisecond
 	// retryNoServer: servers that can't be reached are tried again.
 	retryNoServer = 200 * time.Millisecond
+	// retryOverloaded: engines whose slots are all taken have room again when
+	// some of their streams end, which last one to three seconds. It is spread,
+	// so that those refused at once do not come back at once.
+	retryOverloaded = 700 * time.Millisecond
 	// retryFull: a server's queue moves within some steps of its engine.
 	retryFull = 150 * time.Millisecond
 )
 
+// spread returns a time between half of d and one and a half of it.
+func spread(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
 // New returns a Relay.
 func New(cfg Config) *Relay {
 	if cfg.Log == nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -487,3 +487,12 @@
 		}
 	})
 }
+
+func TestWhenAllServersAreFullCallersMayComeBack(t *testing.T) {
+	b := newBench(t, allRoutes, nil, "s1")
+	b.fleet.full = true
+	rec, _ := b.ask(request("POST", "/stream/", "r", "x"))
+	if rec.Code != 503 || rec.Header().Get("Retry-After") == "" || rec.Body.String() != "overloaded\n" {
+		t.Errorf("%d %v %q", rec.Code, rec.Header(), rec.Body)
+	}
+}
