--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -42,14 +42,8 @@
 
 // learnCaches asks peers, and after coldStart engines, what engines keep.
 func (g *Gateway) learnCaches(ctx context.Context) error {
-	timer := time.NewTimer(coldStart)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-timer.C:
-	}
-	if g.peers.warm.Load() || g.cfg.Caches == nil {
+	sleep(ctx, coldStart)
+	if ctx.Err() != nil || g.peers.warm.Load() || g.cfg.Caches == nil {
 		return nil
 	}
 	var lists errgroup.Group
@@ -99,19 +93,13 @@
 	g.fleet.news.caches(wire.RelayCache{Server: s.ID, Parts: encodeParts(parts)})
 }
 
-// takeCaches believes a peer what engines keep, and answers one that asks.
-func (p *peers) takeCaches(from string, news *wire.RelayNews) {
+// takeCaches believes a peer what engines keep.
+func (p *peers) takeCaches(news *wire.RelayNews) {
 	now := monotime.Now()
 	for _, cache := range news.Caches {
 		p.warm.Store(true)
 		p.fleet.board.Learn(cache.Server, decodeParts(cache.Parts), now)
 	}
-	if !news.CachesWanted {
-		return
-	}
-	if caches := p.fleet.caches(); len(caches) > 0 {
-		p.links.Send(from, &wire.Envelope{News: []wire.RelayNews{{Caches: caches}}})
-	}
 }
 
 // caches returns what engines are believed to keep.
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -29,6 +29,17 @@
 	// fleet. All watches may go silent at once; instances notice at the end of
 	// theirs and tell the others, so one of n notices about watchSpread later.
 	watchSpread = 350 * time.Millisecond
+	// readers is the number of instances that read the store in a large fleet. A
+	// trouble of the store that strikes a third of the machines leaves one of
+	// them with a probability of 0.999.
+	readers = 6
+	// takeOverAfter and takeOverSpread bound how long an instance that does not
+	// read goes without anybody's word that its version is the newest. Readers
+	// give it about twice a second.
+	takeOverAfter  = 1800 * time.Millisecond
+	takeOverSpread = 600 * time.Millisecond
+	// restInterval is the time between looks whether to read.
+	restInterval = 100 * time.Millisecond
 	// watchMost bounds one watch whatever the size of the fleet.
 	watchMost = 5 * time.Second
 )
@@ -46,13 +57,18 @@
 
 	// confirming is held, by a token in it, while the configuration is read.
 	confirming chan struct{}
-	// linked is the number of instances that hear each other, with this one.
-	linked func() int
+	// rank is this instance's place among those that hear each other, and how
+	// many they are.
+	rank func() (place, of int)
 }
 
 // run follows the store until the context ends.
 func (f *feed) run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if !f.reads() {
+			f.rest(ctx)
+			continue
+		}
 		err := f.step(ctx)
 		switch {
 		case err == nil:
@@ -70,6 +86,30 @@
 	return nil
 }
 
+// reads reports whether this instance reads the store itself. Every call is
+// paid for, and each change answers all watches, so in a large fleet only the
+// first few in rank read; the others learn from their news, which carry each
+// change and vouch for the version in force. An instance to which nobody vouches
+// reads too, whatever its rank: the readers may be dead, cut off or turned away.
+func (f *feed) reads() bool {
+	place, _ := f.rank()
+	if place < readers || f.fleet.Table() == nil || f.fleet.serverCount() == 0 {
+		return true
+	}
+	patience := takeOverAfter + time.Duration(rand.Int64N(int64(takeOverSpread)))
+	return monotime.Now().Sub(f.fleet.confirmedAt()) > patience
+}
+
+// rest waits before the next look whether this instance should read. What it
+// missed of the store until then is read as a whole.
+func (f *feed) rest(ctx context.Context) {
+	if f.revision != 0 {
+		f.log.Info("store_left_to_others")
+		f.revision, f.failures = 0, 0
+	}
+	sleep(ctx, restInterval)
+}
+
 // step reads everything once, and changes from then on.
 func (f *feed) step(ctx context.Context) error {
 	if f.revision == 0 {
@@ -99,7 +139,8 @@
 // more instances there are, the fewer each makes; the times differ a little, so
 // that their ends do not stay together.
 func (f *feed) watchTime() time.Duration {
-	wait := min(max(f.wait, time.Duration(f.linked())*watchSpread), watchMost)
+	_, of := f.rank()
+	wait := min(max(f.wait, time.Duration(min(of, readers))*watchSpread), watchMost)
 	return wait - time.Duration(rand.Int64N(int64(wait/4)+1))
 }
 
@@ -161,7 +202,12 @@
 
 func (f *feed) pause(ctx context.Context) {
 	wait := min(feedPauseMin<<min(f.failures-1, 4), feedPauseMax)
-	timer := time.NewTimer(wait)
+	sleep(ctx, wait)
+}
+
+// sleep waits for d, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -151,7 +151,7 @@
 			f.board.Forget(state.ID)
 		}
 	}
-	if from == fromStore {
+	if from == fromStore || from == fromTimer {
 		f.news.servers(told)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,12 @@
 	// isolatedAfter is how long an instance that hears neither the store nor a
 	// peer still counts as able to serve.
 	isolatedAfter = 1500 * time.Millisecond
+	// noisePerInstance is the noise of placement for each instance beyond
+	// manyInstances, see placement.Board.SetNoise: the more there are, the more of
+	// them choose before they hear of each other's choices. Fewer hear in time,
+	// and noise costs them 0.005 of worth.
+	noisePerInstance = 0.002
+	manyInstances    = 16
 	// noKey stands for the secret of links where none is set.
 	noKey = "no-secret-is-set"
 	// linkKeyID names the key of the links.
@@ -127,8 +133,9 @@
 	}
 	g.fleet.members = g.peers.count
 	g.fleet.confirm = g.feed.confirm
-	g.feed.linked = func() int { return 1 + len(g.peers.linked()) }
-	g.fleet.news = newNewsroom(g.version, func() monotime.Instant { return monotime.Instant(g.fleet.heard.Load()) })
+	g.feed.rank = g.peers.rank
+	heard := func() monotime.Instant { return monotime.Instant(g.fleet.heard.Load()) }
+	g.fleet.news = newNewsroom(g.version, heard, func() int { return len(g.peers.linked()) })
 	g.fleet.news.send = g.peers.broadcast
 	g.relay = relay.New(relay.Config{
 		Fleet: g.fleet, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
@@ -289,6 +296,7 @@
 		if n%sweepTicks == 0 {
 			g.relay.Sweep(g.fleet.known)
 			g.peers.want()
+			g.fleet.board.SetNoise(noisePerInstance * float64(max(0, g.peers.count()-manyInstances)))
 			g.Reload()
 		}
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -76,9 +77,9 @@
 		budget: newBudget(0.2, 56, 10*time.Second), members: func() int { return 8 },
 		registry: servers.New(), ownRuns: make(map[int]wire.RelayRun),
 	}
-	f.news = newNewsroom(func() int64 { return 0 }, func() monotime.Instant { return never })
+	f.news = newNewsroom(func() int64 { return 0 }, func() monotime.Instant { return never }, func() int { return 7 })
 	f.neverHeard()
-	fd := &feed{source: source, fleet: f, log: zap.NewNop(), wait: time.Second, slack: 500 * time.Millisecond, confirming: make(chan struct{}, 1), linked: func() int { return 1 }}
+	fd := &feed{source: source, fleet: f, log: zap.NewNop(), wait: time.Second, slack: 500 * time.Millisecond, confirming: make(chan struct{}, 1), rank: func() (int, int) { return 0, 1 }}
 	return f, fd, source
 }
 
@@ -283,7 +284,7 @@
 	_, fd, _ := newFleet()
 	fd.wait = 1100 * time.Millisecond
 	for _, n := range []int{1, 3, 8, 59, 360} {
-		fd.linked = func() int { return n }
+		fd.rank = func() (int, int) { return 0, n }
 		for range 100 {
 			wait := fd.watchTime()
 			if wait > watchMost || wait > max(fd.wait, time.Duration(n)*watchSpread) {
@@ -361,7 +362,7 @@
 			t.Errorf("asked %v, told %v", reader.asked, told)
 		}
 		late := gateways["a"]
-		late.peers.takeCaches("b", &wire.RelayNews{Caches: told})
+		late.peers.takeCaches(&wire.RelayNews{Caches: told})
 		if err := late.learnCaches(t.Context()); err != nil || len(reader.asked) != 4 {
 			t.Errorf("%v; asked again: %v", err, reader.asked)
 		}
@@ -370,3 +371,65 @@
 		}
 	})
 }
+
+func TestNewsAreGatheredForLongerInALargeFleet(t *testing.T) {
+	for _, c := range []struct {
+		peers int
+		want  time.Duration
+	}{{0, 10 * time.Millisecond}, {6, 10 * time.Millisecond}, {58, 164 * time.Millisecond}, {359, 400 * time.Millisecond}} {
+		n := newNewsroom(nil, nil, func() int { return c.peers })
+		if got := n.delay(); got != c.want {
+			t.Errorf("%d peers: %v, want %v", c.peers, got, c.want)
+		}
+	}
+}
+
+// In a large fleet few instances read the store. One that does not is vouched
+// for by their news; when all of them are dead, cut off or turned away, nobody
+// vouches any more, and it reads before a change could be two seconds late by
+// much.
+func TestAnInstanceOfLowRankReadsWhenNobodyVouches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, fd, source := newFleet()
+		fd.rank = func() (int, int) { return 40, 59 }
+		if !fd.reads() {
+			t.Error("a cold instance must read")
+		}
+		f.adopt(config(1), "peer")
+		f.update("peer", func(r *servers.Registry, now monotime.Instant) []string {
+			r.Put(entry("a", 1), now)
+			return []string{"a"}
+		})
+		f.vouch(1, monotime.Now())
+		ctx, cancel := context.WithTimeout(t.Context(), takeOverAfter-restInterval)
+		_ = fd.run(ctx)
+		cancel()
+		if len(source.calls) != 0 {
+			t.Errorf("reads although vouched for: %v", source.calls)
+		}
+		ctx, cancel = context.WithTimeout(t.Context(), takeOverSpread+2*restInterval)
+		defer cancel()
+		_ = fd.run(ctx)
+		if len(source.calls) == 0 || source.calls[0] != "all" {
+			t.Errorf("calls %v", source.calls)
+		}
+	})
+}
+
+func TestAllInstancesAgreeOnTheRanks(t *testing.T) {
+	const n = 20
+	seen := map[int]bool{}
+	for self := range n {
+		p := &peers{self: wire.RelayMember{ID: fmt.Sprint("i", self)}, members: map[string]*member{}}
+		for other := range n {
+			if id := fmt.Sprint("i", other); other != self {
+				p.members[id] = &member{RelayMember: wire.RelayMember{ID: id}, linked: true}
+			}
+		}
+		place, of := p.rank()
+		if of != n || seen[place] {
+			t.Errorf("instance %d: place %d of %d", self, place, of)
+		}
+		seen[place] = true
+	}
+}
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -10,9 +10,15 @@
 )
 
 const (
-	// newsDelay gathers what happens into one message per peer. Ten
+	// newsDelayMin gathers what happens into one message per peer. Ten
 	// milliseconds is about a step of an engine, so it costs placement little.
-	newsDelay = 10 * time.Millisecond
+	newsDelayMin = 10 * time.Millisecond
+	// newsDelayPeer is added for each peer beyond the first few: every message
+	// goes to all of them, and each receives from all. So the messages that an
+	// instance handles stay below some 400 a second, whatever the fleet's size.
+	newsDelayPeer = 3 * time.Millisecond
+	// newsDelayMost bounds it: later news would be of runs that are over.
+	newsDelayMost = 400 * time.Millisecond
 	// newsInterval is the longest time without news: it repeats the version of
 	// the configuration, so that a peer whose watch went silent notices.
 	newsInterval = 500 * time.Millisecond
@@ -24,6 +30,8 @@
 	version func() int64
 	// confirmed is when the store last answered, or never.
 	confirmed func() monotime.Instant
+	// peers is the number of instances that get them.
+	peers func() int
 
 	mu      sync.Mutex
 	pending wire.RelayNews
@@ -31,8 +39,13 @@
 	kick    chan struct{}
 }
 
-func newNewsroom(version func() int64, confirmed func() monotime.Instant) *newsroom {
-	return &newsroom{version: version, confirmed: confirmed, kick: make(chan struct{}, 1)}
+func newNewsroom(version func() int64, confirmed func() monotime.Instant, peers func() int) *newsroom {
+	return &newsroom{version: version, confirmed: confirmed, peers: peers, kick: make(chan struct{}, 1)}
+}
+
+// delay is how long news are gathered.
+func (n *newsroom) delay() time.Duration {
+	return min(max(newsDelayMin, time.Duration(n.peers())*newsDelayPeer-newsDelayMin), newsDelayMost)
 }
 
 func (n *newsroom) add(change func(*wire.RelayNews)) {
@@ -83,14 +96,14 @@
 func (n *newsroom) run(ctx context.Context) error {
 	regular := time.NewTicker(newsInterval)
 	defer regular.Stop()
-	gather := time.NewTimer(newsDelay)
+	gather := time.NewTimer(newsDelayMin)
 	gather.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-n.kick:
-			gather.Reset(newsDelay)
+			gather.Reset(n.delay())
 			continue
 		case <-gather.C:
 		case <-regular.C:
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"basilrudder/internal/eventlog"
@@ -73,8 +74,8 @@
 		version = int(table.Version())
 	}
 	p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{{
-		Members: everyone, ConfigVersion: version, CachesWanted: !p.warm.Load(),
-		Servers: p.fleet.allServers(), Begun: p.fleet.running(),
+		Members: everyone, ConfigVersion: version,
+		StateWanted: !p.warm.Load(), Begun: p.fleet.running(),
 	}}})
 }
 
@@ -110,7 +111,10 @@
 	if len(news.Servers) > 0 {
 		p.takeServers(from, news.Servers)
 	}
-	p.takeCaches(from, news)
+	p.takeCaches(news)
+	if news.StateWanted {
+		p.sendState(from)
+	}
 	p.takeConfig(from, news)
 }
 
@@ -146,6 +150,15 @@
 	}
 }
 
+// sendState tells a peer that has just started the servers and what engines
+// keep of prompts.
+func (p *peers) sendState(to string) {
+	state := wire.RelayNews{Servers: p.fleet.allServers(), Caches: p.fleet.caches()}
+	if len(state.Servers)+len(state.Caches) > 0 {
+		p.links.Send(to, &wire.Envelope{News: []wire.RelayNews{state}})
+	}
+}
+
 // takeServers believes a peer what the store told it: each instance may be cut
 // off from the store alone.
 func (p *peers) takeServers(from string, told []wire.RelayServer) {
@@ -277,6 +290,21 @@
 	return out
 }
 
+// rank returns this instance's place among the linked ones in an order that all
+// of them agree on, and how many they are.
+func (p *peers) rank() (place, of int) {
+	members := p.routeMembers()
+	own := rankHash(p.self.ID)
+	for _, m := range members {
+		if m.ID != p.self.ID && cmp.Or(cmp.Compare(rankHash(m.ID), own), cmp.Compare(m.ID, p.self.ID)) < 0 {
+			place++
+		}
+	}
+	return place, len(members)
+}
+
+func rankHash(id string) uint64 { return xxhash.Sum64String(id) }
+
 // count returns the number of instances that are linked or were lately, this
 // one among them.
 func (p *peers) count() int {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -45,8 +45,9 @@
 
 // Board is the model of all servers. It is safe for concurrent use.
 type Board struct {
-	pace Pace
-	home string // data centre of this instance
+	pace  Pace
+	home  string // data centre of this instance
+	noise float64
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -67,6 +68,15 @@
 	}
 }
 
+// SetNoise has up to so much added to the cost of each server, by chance, each
+// time one is chosen. Instances that know each other's choices late would all
+// choose the same one otherwise.
+func (b *Board) SetNoise(noise float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.noise = noise
+}
+
 // Candidate is a server that may take a request.
 type Candidate struct {
 	// ID of the incarnation.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"basilrudder/internal/monotime"
@@ -138,6 +139,7 @@
 			continue
 		}
 		choice := b.evaluate(s, &work, from, now)
+		choice.Cost += b.noise * rand.Float64()
 		if refusal != Chosen || choice.Cost < best.Cost {
 			best, refusal = choice, Chosen
 		}
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -468,8 +468,8 @@
 	// What engines keep of prompts, as the sender believes.
 	Caches []RelayCache `json:"k,omitempty,omitzero"`
 
-	// The sender has just started and asks what engines keep.
-	CachesWanted bool `json:"kw,omitempty,omitzero"`
+	// The sender has just started and asks for servers and what engines keep.
+	StateWanted bool `json:"kw,omitempty,omitzero"`
 
 	// The sender is leaving and should get no new callers.
 	Leaving bool `json:"l,omitempty,omitzero"`
