Peers that know other servers tell each other

The instance does not read the store, and the news of the leaving were lost with a link; nothing told of it again. Ruled out: slow readers (they knew within 6 ms). So servers alone, and one question in 0.4 s.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -31,7 +31,7 @@
 	listsAtOnce = 4
 	// mostParts bounds what is told of one engine: more than engines keep of the
 	// prompts in use, some 35 of 16,000 tokens.
-	mostParts = 500
+	mostParts = 80
 )
 
 // CacheReader asks engines what they keep.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -37,6 +37,9 @@
 	// version in force, as a monotime.Instant.
 	vouched atomic.Int64
 
+	// digest is that of the registry, cut to an int.
+	digest atomic.Int64
+
 	mu       sync.Mutex // guards registry, byService
 	registry *servers.Registry
 	// byService is rebuilt at each change of the registry; readers take the
@@ -136,6 +139,7 @@
 			f.byService[s.Service] = append(f.byService[s.Service], s)
 		}
 	}
+	f.digest.Store(int64(f.registry.Digest() >> 1))
 	told := make([]wire.RelayServer, 0, len(ids))
 	for _, id := range ids {
 		if state, ok := f.stateOf(id); ok {
@@ -177,7 +181,8 @@
 	}, true
 }
 
-// allServers returns the state of every live server, for a peer that is new.
+// allServers returns the state of every server, those that are gone among them,
+// for a peer that is new or has missed something.
 func (f *fleet) allServers() []wire.RelayServer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -187,6 +192,9 @@
 			out = append(out, state)
 		}
 	}
+	for id, revision := range f.registry.Tombstones() {
+		out = append(out, wire.RelayServer{ID: id, Gone: true, Revision: int(revision)})
+	}
 	return out
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,7 +135,8 @@
 	g.fleet.confirm = g.feed.confirm
 	g.feed.rank = g.peers.rank
 	heard := func() monotime.Instant { return monotime.Instant(g.fleet.heard.Load()) }
-	g.fleet.news = newNewsroom(g.version, heard, func() int { return len(g.peers.linked()) })
+	digest := func() int { return int(g.fleet.digest.Load()) }
+	g.fleet.news = newNewsroom(g.version, heard, digest, func() int { return len(g.peers.linked()) })
 	g.fleet.news.send = g.peers.broadcast
 	g.relay = relay.New(relay.Config{
 		Fleet: g.fleet, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/peer"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/routing"
 	"basilrudder/internal/schema/wire"
@@ -77,7 +78,7 @@
 		budget: newBudget(0.2, 56, 10*time.Second), members: func() int { return 8 },
 		registry: servers.New(), ownRuns: make(map[int]wire.RelayRun),
 	}
-	f.news = newNewsroom(func() int64 { return 0 }, func() monotime.Instant { return never }, func() int { return 7 })
+	f.news = newNewsroom(func() int64 { return 0 }, func() monotime.Instant { return never }, func() int { return 0 }, func() int { return 7 })
 	f.neverHeard()
 	fd := &feed{source: source, fleet: f, log: zap.NewNop(), wait: time.Second, slack: 500 * time.Millisecond, confirming: make(chan struct{}, 1), rank: func() (int, int) { return 0, 1 }}
 	return f, fd, source
@@ -377,7 +378,7 @@
 		peers int
 		want  time.Duration
 	}{{0, 10 * time.Millisecond}, {6, 10 * time.Millisecond}, {58, 164 * time.Millisecond}, {359, 400 * time.Millisecond}} {
-		n := newNewsroom(nil, nil, func() int { return c.peers })
+		n := newNewsroom(nil, nil, nil, func() int { return c.peers })
 		if got := n.delay(); got != c.want {
 			t.Errorf("%d peers: %v, want %v", c.peers, got, c.want)
 		}
@@ -433,3 +434,44 @@
 		seen[place] = true
 	}
 }
+
+// A link breaks while a server leaves, and the news of it are lost. The next
+// news of a peer that hears the store show that the servers differ; a while
+// later this instance takes all of them and drops the one that left.
+func TestLostNewsOfAServerAreMadeUpFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, _, _ := newFleet()
+		other, _, _ := newFleet()
+		for _, f := range []*fleet{reader, other} {
+			f.update("peer", func(r *servers.Registry, now monotime.Instant) []string {
+				r.Put(entry("a", 1), now)
+				r.Put(entry("b", 2), now)
+				return []string{"a", "b"}
+			})
+		}
+		p := &peers{fleet: other, log: zap.NewNop(), links: &peer.Links{}, members: map[string]*member{"r": {linked: true}}}
+		news := func() *wire.RelayNews {
+			return &wire.RelayNews{Confirmed: 1, Digest: int(reader.digest.Load())}
+		}
+		p.compareServers("r", news())
+		if p.members["r"].differsSince != 0 {
+			t.Error("the same servers differ")
+		}
+		reader.update(fromStore, func(r *servers.Registry, now monotime.Instant) []string {
+			r.Remove("a", 5, now)
+			return []string{"a"}
+		})
+		p.compareServers("r", news())
+		if p.members["r"].differsSince == 0 {
+			t.Error("not noticed")
+		}
+		p.takeServers("r", reader.allServers())
+		if diff := cmp.Diff([]string{"b"}, ready(other)); diff != "" {
+			t.Error(diff)
+		}
+		p.compareServers("r", news())
+		if p.members["r"].differsSince != 0 {
+			t.Error("still differ")
+		}
+	})
+}
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -30,6 +30,8 @@
 	version func() int64
 	// confirmed is when the store last answered, or never.
 	confirmed func() monotime.Instant
+	// digest of the servers known.
+	digest func() int
 	// peers is the number of instances that get them.
 	peers func() int
 
@@ -39,8 +41,8 @@
 	kick    chan struct{}
 }
 
-func newNewsroom(version func() int64, confirmed func() monotime.Instant, peers func() int) *newsroom {
-	return &newsroom{version: version, confirmed: confirmed, peers: peers, kick: make(chan struct{}, 1)}
+func newNewsroom(version func() int64, confirmed func() monotime.Instant, digest, peers func() int) *newsroom {
+	return &newsroom{version: version, confirmed: confirmed, digest: digest, peers: peers, kick: make(chan struct{}, 1)}
 }
 
 // delay is how long news are gathered.
@@ -120,6 +122,7 @@
 	n.some = false
 	n.mu.Unlock()
 	out.ConfigVersion = int(n.version())
+	out.Digest = n.digest()
 	if at := n.confirmed(); at != never {
 		out.Confirmed = 1 + int(monotime.Now().Sub(at).Milliseconds())
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -35,6 +35,9 @@
 	linked  bool
 	leaving bool
 	lostAt  monotime.Instant
+	// differsSince is when its digest of servers began to differ from that of
+	// this instance; 0 while it does not.
+	differsSince monotime.Instant
 }
 
 // peers keeps the links to the other instances and takes their news. It
@@ -51,6 +54,7 @@
 	mu      sync.Mutex
 	members map[string]*member
 	seeds   []string
+	askedAt monotime.Instant // when a peer was last asked for its state
 }
 
 var _ peer.Handler = (*peers)(nil)
@@ -75,7 +79,7 @@
 	}
 	p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{{
 		Members: everyone, ConfigVersion: version,
-		StateWanted: !p.warm.Load(), Begun: p.fleet.running(),
+		StateWanted: !p.warm.Load() && p.mayAsk(monotime.Now()), Begun: p.fleet.running(),
 	}}})
 }
 
@@ -111,9 +115,13 @@
 	if len(news.Servers) > 0 {
 		p.takeServers(from, news.Servers)
 	}
+	p.compareServers(from, news)
 	p.takeCaches(news)
-	if news.StateWanted {
-		p.sendState(from)
+	switch {
+	case news.StateWanted:
+		p.sendState(from, p.fleet.caches())
+	case news.ServersWanted:
+		p.sendState(from, nil)
 	}
 	p.takeConfig(from, news)
 }
@@ -150,10 +158,62 @@
 	}
 }
 
-// sendState tells a peer that has just started the servers and what engines
-// keep of prompts.
-func (p *peers) sendState(to string) {
-	state := wire.RelayNews{Servers: p.fleet.allServers(), Caches: p.fleet.caches()}
+const (
+	// freshWord is how old the store's word may be with a peer whose servers are
+	// compared, in milliseconds.
+	freshWord = 1500
+	// differsFor is how long servers may differ: news of a change reach the
+	// instances one after the other.
+	differsFor = 400 * time.Millisecond
+)
+
+// compareServers asks a peer for all servers when its own have differed for a
+// while. An instance that does not read the store depends on the news of peers,
+// and news are lost when a link breaks. It would go on sending to a server that
+// left, since nothing tells of it again.
+func (p *peers) compareServers(from string, news *wire.RelayNews) {
+	if news.Confirmed == 0 || news.Confirmed > freshWord {
+		return
+	}
+	now := monotime.Now()
+	p.mu.Lock()
+	m := p.members[from]
+	if m == nil || news.Digest == int(p.fleet.digest.Load()) {
+		if m != nil {
+			m.differsSince = 0
+		}
+		p.mu.Unlock()
+		return
+	}
+	ask := m.differsSince != 0 && now.Sub(m.differsSince) >= differsFor
+	if m.differsSince == 0 || ask {
+		m.differsSince = now
+	}
+	p.mu.Unlock()
+	if ask && p.mayAsk(now) {
+		p.log.Info("servers_differ", zap.String("peer", from), zap.Int("confirmed_ms", news.Confirmed-1))
+		p.links.Send(from, &wire.Envelope{News: []wire.RelayNews{{ServersWanted: true}}})
+	}
+}
+
+// askInterval is the least time between questions for a peer's whole state. The
+// answers of all peers at once would fill a small machine's link for a second.
+const askInterval = 400 * time.Millisecond
+
+// mayAsk reports whether a peer may be asked for its state now.
+func (p *peers) mayAsk(now monotime.Instant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.askedAt != 0 && now.Sub(p.askedAt) < askInterval {
+		return false
+	}
+	p.askedAt = now
+	return true
+}
+
+// sendState tells a peer that asks the servers and what engines keep of prompts.
+func (p *peers) sendState(to string, caches []wire.RelayCache) {
+	state := wire.RelayNews{Servers: p.fleet.allServers(), Caches: caches}
 	if len(state.Servers)+len(state.Caches) > 0 {
 		p.links.Send(to, &wire.Envelope{News: []wire.RelayNews{state}})
 	}
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -480,11 +480,17 @@
 	// Changes of servers.
 	Servers []RelayServer `json:"s,omitempty,omitzero"`
 
+	// The sender knows other servers and asks for all.
+	ServersWanted bool `json:"sw,omitempty,omitzero"`
+
 	// Version of the configuration in force at the sender.
 	ConfigVersion int `json:"v,omitempty,omitzero"`
 
 	// The sender lacks the configuration and asks for it.
 	ConfigWanted bool `json:"vw,omitempty,omitzero"`
+
+	// Digest of the servers that take requests, as the sender knows them.
+	Digest int `json:"x,omitempty,omitzero"`
 }
 
 // RelayPart is a part of a prompt.
--- a/internal/servers/registry.go
+++ b/internal/servers/registry.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"basilrudder/internal/monotime"
 )
 
@@ -248,6 +250,28 @@
 	return stone.revision, ok
 }
 
+// Digest is the same for registries in which the same servers take requests,
+// and differs, but for chance, for others.
+func (r *Registry) Digest() uint64 {
+	var digest uint64
+	for id, known := range r.live {
+		if !known.server.Draining {
+			digest ^= xxhash.Sum64String(id)
+		}
+	}
+	return digest
+}
+
+// Tombstones returns the incarnations that are gone, with the revisions at which
+// they were removed.
+func (r *Registry) Tombstones() map[string]int64 {
+	out := make(map[string]int64, len(r.gone))
+	for id, stone := range r.gone {
+		out[id] = stone.revision
+	}
+	return out
+}
+
 // List returns the live servers by id, those that are leaving among them.
 func (r *Registry) List() []Server {
 	out := make([]Server, 0, len(r.live))
