--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,7 +1,8 @@
 // Package platform reads the configuration service: its watch, its values and
 // the instance list. The service can only be read, counts each call, and may be
 // down, slow, silent or stale; the client bounds the time and size of each
-// answer and leaves it to its user what to believe.
+// answer and leaves it to its user what to believe. Its way of reading serves the
+// users' platform as well, see the package platform at the root.
 package platform
 
 import (
--- /dev/null
+++ b/internal/relay/record.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/verdict"
+)
+
+// note logs a send that did not give the final answer.
+func (f *flight) note(problem *verdict.Error) {
+	fields := []zap.Field{
+		zap.String("id", f.request.ID),
+		zap.Int("send", f.sends),
+		zap.Stringer("verdict", problem.Verdict),
+		zap.String("reason", string(problem.Reason)),
+		zap.String("cause", problem.Message),
+	}
+	f.relay.cfg.Log.Info("send_failed", append(fields, f.choiceFields()...)...)
+	f.relay.cfg.Metrics.sendFailed(problem.Reason)
+}
+
+// record logs how the request ended, with what decided it.
+func (f *flight) record() {
+	now := monotime.Now()
+	f.relay.cfg.Metrics.ended(f, now)
+	fields := []zap.Field{
+		zap.String("id", f.request.ID),
+		zap.Int("status", f.status),
+		zap.String("reason", string(f.reason)),
+		zap.Stringer("verdict", f.worst),
+		zap.Duration("took_ms", now.Sub(f.arrived)),
+		zap.Int("sends", f.sends),
+	}
+	if f.cause != nil {
+		fields = append(fields, zap.String("cause", f.cause.Error()))
+	}
+	if f.table != nil {
+		fields = append(fields, zap.Int64("config", f.table.Version()))
+	}
+	if f.route != nil {
+		fields = append(fields, zap.String("route", f.route.Name), zap.String("service", f.service), zap.Int("rank", f.table.Rank(f.route, f.customer)))
+	}
+	if f.firstByte != 0 {
+		fields = append(fields, zap.Duration("first_ms", f.firstByte.Sub(f.arrived)))
+	}
+	fields = append(fields, f.choiceFields()...)
+	if f.stream.longestGap > 0 {
+		fields = append(fields,
+			zap.Duration("longest_gap_ms", f.stream.longestGap),
+			zap.Duration("max_gap_ms", f.work.MaxGap))
+	}
+	f.relay.cfg.Log.Info("request_ended", fields...)
+}
+
+// choiceFields tell which server was chosen last and what decided it.
+func (f *flight) choiceFields() []zap.Field {
+	if f.target.ID == "" {
+		return nil
+	}
+	choice := f.target.Choice
+	fields := []zap.Field{
+		zap.String("server", f.target.ID),
+		zap.Duration("entry_age_ms", f.target.EntryAge),
+		zap.Int("running", choice.Running),
+		zap.String("cost", strconv.FormatFloat(choice.Cost, 'f', 3, 64)),
+	}
+	if f.work.Prompt == 0 {
+		return fields
+	}
+	return append(fields,
+		zap.Duration("predicted_first_ms", choice.First),
+		zap.Duration("predicted_gap_ms", choice.Gap),
+		zap.Int("unread", choice.Unread),
+		zap.Int("prompt", f.work.Prompt),
+		zap.String("fetch_from", choice.FetchFrom))
+}
