--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -42,7 +42,6 @@
 	cache     partCache
 	readUntil monotime.Instant
 	failures  float64
-	slowdown  float64 // observed time to the first event over the predicted
 	retryAt   monotime.Instant
 	backoff   time.Duration
 }
