Settings of relaying instances take fractions and do without missing bounds

Cause: read as a newcomer, the template wrote three zeros behind figures that may be fractions, and an empty value where a deployment has no such bound; either would keep every process from starting. Ruled out: a decoder of the platform's own file.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -35,8 +35,8 @@
 	sends    [budgetSlices]int
 }
 
-func newBudget(ratio float64, burst int, window time.Duration) *budget {
-	return &budget{ratio: ratio, burst: float64(burst), window: window, services: make(map[string]*spending)}
+func newBudget(ratio, burst float64, window time.Duration) *budget {
+	return &budget{ratio: ratio, burst: burst, window: window, services: make(map[string]*spending)}
 }
 
 // count notes a request for a service.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,7 +114,7 @@
 		self:     s.Instance.ID,
 		log:      cfg.Log,
 		board:    placement.NewBoard(placement.DefaultPace, s.Instance.DataCentre),
-		budget:   newBudget(s.Retries.Ratio, s.Retries.Burst, milliseconds(s.Retries.WindowMS)),
+		budget:   newBudget(s.Retries.Ratio, s.Retries.Burst, seconds(s.Retries.WindowS)),
 		registry: servers.New(),
 		ownRuns:  make(map[int]wire.RelayRun),
 	}
@@ -140,7 +140,7 @@
 	g.fleet.news.send = g.peers.broadcast
 	g.relay = relay.New(relay.Config{
 		Fleet: g.fleet, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
-		DrainTime: milliseconds(s.Drain.GraceMS) - endReserve,
+		DrainTime: seconds(s.Drain.GraceS) - endReserve,
 	})
 	return g, nil
 }
@@ -273,7 +273,7 @@
 	g.cfg.Log.Info("draining", zap.Int64("in_flight", g.relay.InFlight()))
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	most := milliseconds(g.cfg.Settings.Drain.GraceMS) - endReserve
+	most := seconds(g.cfg.Settings.Drain.GraceS) - endReserve
 	for range ticker.C {
 		lasted := monotime.Now().Sub(began)
 		if lasted >= most || lasted >= drainLeast && g.relay.InFlight() == 0 {
@@ -362,3 +362,5 @@
 }
 
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -20,8 +20,13 @@
 	if err != nil {
 		return nil, schema.Problems{{File: path, Expected: "a readable file: " + err.Error()}}
 	}
+	return ParseSettings(path, data)
+}
+
+// ParseSettings is LoadSettings for a file already read; name stands in problems.
+func ParseSettings(name string, data []byte) (*relaysettings.RelaySettings, schema.Problems) {
 	out := &relaysettings.RelaySettings{}
-	if problems := schema.Decode(settingsSchema, path, data, out); len(problems) > 0 {
+	if problems := schema.Decode(settingsSchema, name, data, out); len(problems) > 0 {
 		return nil, problems
 	}
 	if key := os.Getenv(peerKeyVariable); key != "" {
--- a/internal/schema/relaysettings/relaysettings.gen.go
+++ b/internal/schema/relaysettings/relaysettings.gen.go
@@ -10,8 +10,8 @@
 
 // Drain bounds the time between the signal to leave and the end.
 type DrainSettings struct {
-	// Time until the process is killed in milliseconds.
-	GraceMS int `json:"grace_ms,omitempty,omitzero"`
+	// Time until the process is killed in seconds.
+	GraceS float64 `json:"grace_s,omitempty,omitzero"`
 }
 
 // Instance identifies the process.
@@ -94,13 +94,13 @@
 // Retries bounds sends of one request to further servers, over the whole fleet.
 type RetrySettings struct {
 	// Further sends allowed beyond the share.
-	Burst int `json:"burst,omitempty,omitzero"`
+	Burst float64 `json:"burst,omitempty,omitzero"`
 
 	// Share of a service's requests in a window.
 	Ratio float64 `json:"ratio,omitempty,omitzero"`
 
-	// Length of a window in milliseconds.
-	WindowMS int `json:"window_ms,omitempty,omitzero"`
+	// Length of a window in seconds.
+	WindowS float64 `json:"window_s,omitempty,omitzero"`
 }
 
 // Store is the service that publishes configuration and servers.
