--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,7 +99,9 @@
 
 	leaving  atomic.Bool
 	isolated atomic.Bool
-	seeds    []string
+	// reload asks for the settings to be read at once.
+	reload chan struct{}
+	seeds  []string // of the regular task alone
 }
 
 // New returns a Gateway that does nothing until Run.
@@ -109,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{cfg: cfg, stats: relay.NewMetrics(), seeds: s.Peers.Seeds}
+	g := &Gateway{cfg: cfg, stats: relay.NewMetrics(), reload: make(chan struct{}, 1), seeds: s.Peers.Seeds}
 	g.fleet = &fleet{
 		self:     s.Instance.ID,
 		log:      cfg.Log,
@@ -290,6 +292,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-g.reload:
+			g.takeSettings()
+			continue
 		case <-ticker.C:
 		}
 		g.fleet.update(fromTimer, func(r *servers.Registry, now monotime.Instant) []string { return r.Expire(now) })
@@ -298,7 +303,7 @@
 			g.relay.Sweep(g.fleet.known)
 			g.peers.want()
 			g.fleet.board.SetNoise(noisePerInstance * float64(max(0, g.peers.count()-manyInstances)))
-			g.Reload()
+			g.takeSettings()
 		}
 	}
 }
@@ -313,8 +318,16 @@
 	}
 }
 
-// Reload reads the settings again and takes what may change while running.
+// Reload has the settings read again soon. It does not wait.
 func (g *Gateway) Reload() {
+	select {
+	case g.reload <- struct{}{}:
+	default:
+	}
+}
+
+// takeSettings reads the settings again and takes what may change while running.
+func (g *Gateway) takeSettings() {
 	if g.cfg.Reload == nil {
 		return
 	}
