--- /dev/null
+++ b/internal/placement/bench_test.go
@@ -0,0 +1,28 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkChoose is one choice among so many engines, each with ten runs.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{18, 140, 600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			board := NewBoard(DefaultPace, "here")
+			candidates := fetching(n)
+			board.Choose(note("first"), candidates, start)
+			for i := range 10 * n {
+				work := bundle(fmt.Sprint("c", i%n), fmt.Sprint(i))
+				board.Begin(RunID{"peer", i}, candidates[i%n].ID, work, 5000, start)
+			}
+			now := start.Add(time.Second)
+			work := bundle("c1", "x")
+			b.ReportAllocs()
+			for b.Loop() {
+				board.Choose(work, candidates, now)
+			}
+		})
+	}
+}
