Placement: sums of runs are kept for choices

Cause: a choice went through all runs of all engines: 246 us among 140 engines with ten runs each, 1,042 us among 600. Ruled out: choosing among a sample (another choice, to be measured on its own).

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -35,6 +35,7 @@
 	tokenBytes  int
 	linkMbps    float64
 	runs        map[RunID]*run
+	sums
 	// inUse is the memory that running requests hold, in tokens; parts that
 	// several of them share count once, as holders says.
 	inUse     int
@@ -102,7 +103,7 @@
 func (b *Board) server(c Candidate) *server {
 	s := b.servers[c.ID]
 	if s == nil {
-		s = &server{id: c.ID, runs: make(map[RunID]*run), holders: make(map[string]int), cache: newPartCache()}
+		s = &server{id: c.ID, runs: make(map[RunID]*run), holders: make(map[string]int), sums: newSums(), cache: newPartCache()}
 		b.servers[c.ID] = s
 	}
 	if c.Slots > 0 {
@@ -144,6 +145,7 @@
 	s.runs[id] = r
 	b.runs[id] = r
 	s.hold(&r.work)
+	s.sums.add(id, r)
 	s.cache.add(work.Parts, r.readTo, int(cacheShare*float64(s.memory)))
 	for _, part := range work.Parts {
 		b.used[part.ID] = now
@@ -181,6 +183,7 @@
 	if r := b.runs[id]; r != nil && !r.first {
 		b.release(r, now)
 		r.first = true
+		delete(r.server.pending, id)
 		r.server.cache.ready(r.work.Parts, now)
 	}
 }
@@ -199,6 +202,7 @@
 	}
 	b.release(r, now)
 	r.server.letGo(&r.work)
+	r.server.sums.remove(id, r)
 	delete(b.runs, id)
 	delete(r.server.runs, id)
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -193,7 +193,7 @@
 	if work.MaxGap > 0 {
 		choice.Cost += weight * b.lateGap(b.gap(s, ahead, runs+1), work.MaxGap)
 	}
-	if b.shortPaused(s, work) {
+	if b.shortPaused(s, work.MaxGap) {
 		choice.Cost += b.concentration(s)
 	}
 	choice.Cost += b.harm(s, ahead, withWork, runs)
@@ -229,10 +229,9 @@
 		return 0
 	}
 	sum := 0.0
-	for _, r := range s.runs {
-		if r.work.MaxGap > 0 {
-			sum += r.work.weight() * (b.lateGap(becomes, r.work.MaxGap) - b.lateGap(was, r.work.MaxGap))
-		}
+	for kind, count := range s.streams {
+		added := b.lateGap(becomes, kind.maxGap) - b.lateGap(was, kind.maxGap)
+		sum += float64(count) * weightOf(kind.priority) * added
 	}
 	return sum
 }
@@ -241,21 +240,17 @@
 // it draws out the streams beside it: each request makes every step longer.
 func (b *Board) exposure(s *server, work *Work, runs int) float64 {
 	own := time.Duration(work.Output) * b.pace.plainStep(runs+1)
-	sum := work.weight() * own.Seconds()
-	for _, r := range s.runs {
-		drawn := time.Duration(r.work.Output) * b.pace.StepPerRun / 2
-		sum += r.work.weight() * drawn.Seconds()
-	}
-	return exposureCost * sum
+	drawn := s.outputs * b.pace.StepPerRun.Seconds() / 2
+	return exposureCost * (work.weight()*own.Seconds() + drawn)
 }
 
 // concentration prefers engines that run streams with short pauses already,
 // until those are comfortably full, and then a fixed order of engines.
 func (b *Board) concentration(s *server) float64 {
 	streams := 0
-	for _, r := range s.runs {
-		if b.shortPaused(s, &r.work) {
-			streams++
+	for kind, count := range s.streams {
+		if b.shortPaused(s, kind.maxGap) {
+			streams += count
 		}
 	}
 	cost := orderCost * orderOf(s.id)
@@ -268,9 +263,9 @@
 
 // shortPaused reports whether reading long prompts beside it on s makes a stream
 // late.
-func (b *Board) shortPaused(s *server, work *Work) bool {
+func (b *Board) shortPaused(s *server, maxGap time.Duration) bool {
 	deep := backlog{unread: deepPrompt, deepest: deepPrompt}
-	return work.MaxGap > 0 && work.MaxGap < b.gap(s, deep, 0)
+	return maxGap > 0 && maxGap < b.gap(s, deep, 0)
 }
 
 // backlog is what an engine has yet to read.
@@ -288,7 +283,7 @@
 
 func (b *Board) ahead(s *server, now monotime.Instant) backlog {
 	var out backlog
-	for _, r := range s.runs {
+	for _, r := range s.pending {
 		if r.reading(now) {
 			out = out.with(r.unread, r.work.Prompt)
 		}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -360,7 +363,42 @@
 		t.Errorf("%d tokens held", got)
 	}
 	b.End(RunID{"peer", 1}, start)
-	if s := b.servers["e0"]; s.inUse != 0 || b.Running("e0") != 0 {
-		t.Errorf("%d tokens held by %d runs", s.inUse, b.Running("e0"))
+	if s := b.servers["e0"]; s.inUse != 0 || b.Running("e0") != 0 || len(s.streams) != 0 || len(s.pending) != 0 || s.outputs != 0 {
+		t.Errorf("%d tokens held by %d runs, %+v", s.inUse, b.Running("e0"), s.sums)
+	}
+}
+
+// Runs begin, give their first event and end in a random order. What is kept of
+// them for choices must be what going through the runs gives.
+func TestSumsOfRunsAreThoseOfTheRuns(t *testing.T) {
+	b := NewBoard(DefaultPace, "here")
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range 2000 {
+		id := RunID{"peer", random.IntN(40)}
+		switch work := note(fmt.Sprint(i)); random.IntN(4) {
+		case 0:
+			work.Priority = random.IntN(3)
+			b.Begin(id, "e0", work, random.IntN(2)*1000, start)
+		case 1:
+			b.Begin(id, "e0", bundle("c", fmt.Sprint(i)), 5000, start)
+		case 2:
+			b.First(id, start)
+		case 3:
+			b.End(id, start)
+		}
+		s := b.servers["e0"]
+		if s == nil {
+			continue
+		}
+		want := newSums()
+		for id, r := range s.runs {
+			want.add(id, r)
+			if r.first {
+				delete(want.pending, id)
+			}
+		}
+		if len(want.pending) != len(s.pending) || !maps.Equal(want.streams, s.streams) || math.Abs(want.outputs-s.outputs) > 1e-6 {
+			t.Fatalf("step %d: kept %+v, runs give %+v", i, s.sums, want)
+		}
 	}
 }
--- /dev/null
+++ b/internal/placement/sums.go
@@ -0,0 +1,46 @@
+package placement
+
+import "time"
+
+// sums is what a choice needs of the runs on a server, kept as they come and go.
+// A choice looks at every server: among 140 with ten runs each, going through
+// all runs took 0.25 ms.
+type sums struct {
+	// streams counts the runs whose stream must not pause for long.
+	streams map[streamKind]int
+	// pending are the runs whose prompt is not read yet.
+	pending map[RunID]*run
+	// outputs is the sum of weight times tokens to generate.
+	outputs float64
+}
+
+// streamKind groups streams that are late by the same pause and count the same.
+type streamKind struct {
+	maxGap   time.Duration
+	priority int
+}
+
+func newSums() sums {
+	return sums{streams: make(map[streamKind]int), pending: make(map[RunID]*run)}
+}
+
+func (s *sums) add(id RunID, r *run) {
+	s.outputs += r.work.weight() * float64(r.work.Output)
+	if r.unread > 0 {
+		s.pending[id] = r
+	}
+	if r.work.MaxGap > 0 {
+		s.streams[streamKind{r.work.MaxGap, r.work.Priority}]++
+	}
+}
+
+func (s *sums) remove(id RunID, r *run) {
+	s.outputs -= r.work.weight() * float64(r.work.Output)
+	delete(s.pending, id)
+	kind := streamKind{r.work.MaxGap, r.work.Priority}
+	if s.streams[kind] > 1 {
+		s.streams[kind]--
+	} else {
+		delete(s.streams, kind)
+	}
+}
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -39,11 +39,13 @@
 	weightFalls   = 0.5
 )
 
-// weight says what a request on time counts for.
-func (w *Work) weight() float64 {
-	return weightOfFirst / (1 + weightFalls*max(0, float64(w.Priority)))
+// weightOf says what a request on time counts for, by its priority.
+func weightOf(priority int) float64 {
+	return weightOfFirst / (1 + weightFalls*max(0, float64(priority)))
 }
 
+func (w *Work) weight() float64 { return weightOf(w.Priority) }
+
 // RunID names a run in the fleet.
 type RunID struct {
 	// Instance that began it.
