--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -110,8 +110,8 @@
 // script is what a server does on one connection.
 type script func(t *testing.T, c net.Conn, in *bufio.Reader)
 
-// bench is a Relay before scripted servers.
-type bench struct {
+// rig is a Relay before scripted servers.
+type rig struct {
 	t     *testing.T
 	fleet *fakeFleet
 	relay *Relay
@@ -122,9 +122,9 @@
 	all     sync.WaitGroup
 }
 
-// newBench returns a bench in which each server runs the given scripts, one a
+// newRig returns a rig in which each server runs the given scripts, one a
 // connection. A server without any refuses connections.
-func newBench(t *testing.T, routes []routing.Route, scripts map[string][]script, order ...string) *bench {
+func newRig(t *testing.T, routes []routing.Route, scripts map[string][]script, order ...string) *rig {
 	t.Helper()
 	table, err := routing.NewTable(&routing.Config{
 		Version: 1, Routes: routes, Services: []routing.Service{{Name: "svc"}},
@@ -134,7 +134,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &bench{
+	b := &rig{
 		t: t, fleet: &fakeFleet{table: table, servers: order, confirmed: true},
 		scripts: scripts, dials: make(map[string]int),
 	}
@@ -142,7 +142,7 @@
 	return b
 }
 
-func (b *bench) dial(_ context.Context, address string) (net.Conn, error) {
+func (b *rig) dial(_ context.Context, address string) (net.Conn, error) {
 	b.mu.Lock()
 	n := b.dials[address]
 	b.dials[address]++
@@ -160,7 +160,7 @@
 
 // ask sends a request and returns the answer; aborted says that the relay cut
 // the connection.
-func (b *bench) ask(req *http.Request) (rec *httptest.ResponseRecorder, aborted bool) {
+func (b *rig) ask(req *http.Request) (rec *httptest.ResponseRecorder, aborted bool) {
 	rec = httptest.NewRecorder()
 	defer func() {
 		if p := recover(); p != nil {
@@ -175,7 +175,7 @@
 }
 
 // close ends the idle connections, so that the scripts end.
-func (b *bench) close() {
+func (b *rig) close() {
 	b.relay.Sweep(func(string) bool { return false })
 	b.all.Wait()
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,7 +19,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var got *http.Request
 		var body string
-		b := newBench(t, allRoutes, map[string][]script{"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
+		b := newRig(t, allRoutes, map[string][]script{"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
 			got, body = take(t, in)
 			_, _ = io.WriteString(c, answer("r1", 201, "X-Other: kept\r\nKeep-Alive: timeout=5\r\n", "hello"))
 			_, _ = in.ReadByte()
@@ -84,7 +84,7 @@
 					}
 					c.first(t, conn, in)
 				}
-				b := newBench(t, allRoutes, map[string][]script{"s1": {first}, "s2": {replying(good)}}, "s1", "s2")
+				b := newRig(t, allRoutes, map[string][]script{"s1": {first}, "s2": {replying(good)}}, "s1", "s2")
 				rec, _ := b.ask(request("POST", c.path, "r", "x"))
 				b.close()
 				if rec.Code != c.status {
@@ -106,7 +106,7 @@
 func TestARefusalSaysWhenToComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		full := replying(answer("r", 503, "X-Not-Run: 1\r\nRetry-After: 0.4\r\n", ""))
-		b := newBench(t, allRoutes, map[string][]script{"s1": {full}, "s2": {full}, "s3": {full}}, "s1", "s2", "s3")
+		b := newRig(t, allRoutes, map[string][]script{"s1": {full}, "s2": {full}, "s3": {full}}, "s1", "s2", "s3")
 		rec, _ := b.ask(request("POST", "/once/", "r", "x"))
 		b.close()
 		if rec.Code != 503 || rec.Header().Get("Retry-After") != "0.4" || b.dials["s3"] != 0 {
@@ -117,7 +117,7 @@
 
 func TestServersThatCannotBeReachedArePassedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, allRoutes, map[string][]script{"s3": {replying(answer("r", 200, "", "ok"))}}, "s1", "s2", "s3")
+		b := newRig(t, allRoutes, map[string][]script{"s3": {replying(answer("r", 200, "", "ok"))}}, "s1", "s2", "s3")
 		rec, _ := b.ask(request("POST", "/once/", "r", "x"))
 		b.close()
 		if rec.Code != 200 {
@@ -131,7 +131,7 @@
 
 func TestASecondSendNeedsTheBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, allRoutes, map[string][]script{"s1": {replying("")}, "s2": {replying(answer("r", 200, "", "ok"))}}, "s1", "s2")
+		b := newRig(t, allRoutes, map[string][]script{"s1": {replying("")}, "s2": {replying(answer("r", 200, "", "ok"))}}, "s1", "s2")
 		b.fleet.noBudget = true
 		rec, _ := b.ask(request("GET", "/again/", "r", ""))
 		b.close()
@@ -145,7 +145,7 @@
 // where the next answer is due. The caller must get its own answer.
 func TestALateSecondAnswerReachesNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, allRoutes, map[string][]script{"s1": {replying(
+		b := newRig(t, allRoutes, map[string][]script{"s1": {replying(
 			answer("r1", 200, "", "one"),
 			answer("r1", 200, "", "one")+answer("r2", 200, "", "two"),
 		)}}, "s1")
@@ -162,7 +162,7 @@
 // to no request, so the connection is not used again.
 func TestAConnectionWithBytesLeftIsNotUsedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, allRoutes, map[string][]script{"s1": {
+		b := newRig(t, allRoutes, map[string][]script{"s1": {
 			replying(answer("r1", 200, "", "one") + "HTTP/1.1 200 OK\r\n\r\n"),
 			replying(answer("r2", 200, "", "two")),
 		}}, "s1")
@@ -180,7 +180,7 @@
 func TestTheRestOfALongBodyFollowsAnEarlyAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		long := strings.Repeat("x", 200<<10)
-		b := newBench(t, allRoutes, map[string][]script{"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
+		b := newRig(t, allRoutes, map[string][]script{"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
 			req, err := http.ReadRequest(in)
 			if err != nil {
 				t.Error(err)
@@ -207,7 +207,7 @@
 func TestACallerThatLeavesFreesItsServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		closed := make(chan time.Time, 1)
-		b := newBench(t, allRoutes, map[string][]script{"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
+		b := newRig(t, allRoutes, map[string][]script{"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
 			take(t, in)
 			_, _ = in.ReadByte()
 			closed <- time.Now()
@@ -232,7 +232,7 @@
 func TestTheFinalAnswerComesByTheRoutesTimeout(t *testing.T) {
 	for range 50 {
 		synctest.Test(t, func(t *testing.T) {
-			b := newBench(t, allRoutes, map[string][]script{"s1": {silent}}, "s1")
+			b := newRig(t, allRoutes, map[string][]script{"s1": {silent}}, "s1")
 			began := time.Now()
 			rec, _ := b.ask(request("POST", "/once/", "r", "x"))
 			b.close()
@@ -256,7 +256,7 @@
 		{"/once/", "wrong", true, 401},
 		{"/once/", "wrong", false, 503},
 	} {
-		b := newBench(t, allRoutes, nil)
+		b := newRig(t, allRoutes, nil)
 		b.fleet.confirmed = c.sure
 		req := request("GET", c.path, "r", "")
 		req.Header.Set("X-Key", c.key)
@@ -267,7 +267,7 @@
 }
 
 func TestWithoutAConfigurationEverythingMayComeBack(t *testing.T) {
-	b := newBench(t, allRoutes, nil)
+	b := newRig(t, allRoutes, nil)
 	b.fleet.table = nil
 	rec, _ := b.ask(request("GET", "/once/", "r", ""))
 	if rec.Code != 503 || rec.Header().Get("Retry-After") == "" {
@@ -280,7 +280,7 @@
 // connect elsewhere; a stream that would be cut is refused at once.
 func TestADrainServesWhatCanEndAndRefusesTheRest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, allRoutes, map[string][]script{"s1": {replying(answer("a", 200, "", "ok"))}}, "s1")
+		b := newRig(t, allRoutes, map[string][]script{"s1": {replying(answer("a", 200, "", "ok"))}}, "s1")
 		b.relay.Drain()
 		time.Sleep(streamsDuringDrain + time.Millisecond)
 		served, _ := b.ask(request("POST", "/once/", "a", "x"))
@@ -322,7 +322,7 @@
 
 func TestAStreamIsPassedOnWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, allRoutes, map[string][]script{"s1": {replying(streamHead + chunk(events(1, 2)) + chunk(events(3, 3)) + lastChunk)}}, "s1")
+		b := newRig(t, allRoutes, map[string][]script{"s1": {replying(streamHead + chunk(events(1, 2)) + chunk(events(3, 3)) + lastChunk)}}, "s1")
 		rec, aborted := b.ask(request("POST", "/stream/", "r", "x"))
 		b.close()
 		if aborted || rec.Body.String() != events(1, 3) || !rec.Flushed {
@@ -336,7 +336,7 @@
 // complete, and no other server gets the request.
 func TestACutStreamDoesNotLookComplete(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, allRoutes, map[string][]script{"s1": {breaking(streamHead, chunk(events(1, 2)))}, "s2": {silent}}, "s1", "s2")
+		b := newRig(t, allRoutes, map[string][]script{"s1": {breaking(streamHead, chunk(events(1, 2)))}, "s2": {silent}}, "s1", "s2")
 		rec, aborted := b.ask(request("POST", "/stream/", "r", "x"))
 		b.close()
 		if !aborted || rec.Body.String() != events(1, 2) || b.dials["s2"] != 0 {
@@ -351,7 +351,7 @@
 func TestAResumableStreamGoesOnElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var after string
-		b := newBench(t, allRoutes, map[string][]script{
+		b := newRig(t, allRoutes, map[string][]script{
 			"s1": {breaking(streamHead, chunk(events(1, 2)+"id: 3\nda"))},
 			"s2": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
 				req, _ := take(t, in)
@@ -372,7 +372,7 @@
 // caller would give up after two seconds; another server goes on before.
 func TestASilentResumableStreamGoesOnElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, allRoutes, map[string][]script{
+		b := newRig(t, allRoutes, map[string][]script{
 			"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
 				take(t, in)
 				_, _ = io.WriteString(c, streamHead+chunk(events(1, 1)))
@@ -391,7 +391,7 @@
 
 func TestIdleConnectionsEndBeforeTheServerClosesThem(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, allRoutes, map[string][]script{"s1": {
+		b := newRig(t, allRoutes, map[string][]script{"s1": {
 			replying(answer("r1", 200, "Keep-Alive: timeout=2\r\n", "one")),
 			replying(answer("r2", 200, "", "two")),
 		}}, "s1")
@@ -440,7 +440,7 @@
 }
 
 func TestBodiesBeyondTheLimitAreRefused(t *testing.T) {
-	b := newBench(t, allRoutes, nil, "s1")
+	b := newRig(t, allRoutes, nil, "s1")
 	rec, _ := b.ask(request("POST", "/once/", "r", strings.Repeat("x", 1<<20+1)))
 	if rec.Code != http.StatusRequestEntityTooLarge {
 		t.Errorf("status %d", rec.Code)
@@ -452,7 +452,7 @@
 // made it late, since that one starts to read the prompt anew.
 func TestASlowServerIsNotLeftBeforeTheGoal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, allRoutes, map[string][]script{
+		b := newRig(t, allRoutes, map[string][]script{
 			"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
 				take(t, in)
 				time.Sleep(700 * time.Millisecond)
@@ -475,7 +475,7 @@
 // seconds; another server gives the stream before, late but whole.
 func TestADarkServerIsLeftBeforeTheCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, allRoutes, map[string][]script{
+		b := newRig(t, allRoutes, map[string][]script{
 			"s1": {silent}, "s2": {replying(streamHead + chunk(events(1, 2)) + lastChunk)},
 		}, "s1", "s2")
 		began := time.Now()
@@ -489,7 +489,7 @@
 }
 
 func TestWhenAllServersAreFullCallersMayComeBack(t *testing.T) {
-	b := newBench(t, allRoutes, nil, "s1")
+	b := newRig(t, allRoutes, nil, "s1")
 	b.fleet.full = true
 	rec, _ := b.ask(request("POST", "/stream/", "r", "x"))
 	if rec.Code != 503 || rec.Header().Get("Retry-After") == "" || rec.Body.String() != "overloaded\n" {
