One look at an idle connection and one at time-outs; dead code goes

Cause: read once more as a whole, the change had written again what stood elsewhere: whether an idle connection still works (upstream), whether an error is a time-out (callers, peer), what a status of the store means (internal/platform). A field and a flag were written and never read, a cost of placement could not be above zero since nothing is sent beyond the slots, and a stream's start stood twice. Ruled out: the spread of times to come back and peer's jitter, one line each. Before and after: the same behaviour; all tests as they were, but the name that one benchmark calls. Conclusion: package netconn holds both looks.

--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -3,13 +3,13 @@
 import (
 	"encoding/json"
 	"math"
-	"net"
 	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/schema/callerapi"
 	"basilrudder/internal/verdict"
 )
@@ -140,7 +140,7 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "the request body is larger than this instance accepts")
 	case errors.As(cause, &smallBuffer):
 		return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "the request header is larger than this instance accepts")
-	case isTimeout(cause):
+	case netconn.IsTimeout(cause):
 		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the request was not sent in time")
 	default:
 		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the request is not valid HTTP")
@@ -152,14 +152,9 @@
 	switch {
 	case errors.As(cause, &smallBuffer):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
-	case isTimeout(cause):
+	case netconn.IsTimeout(cause):
 		return fasthttp.StatusRequestTimeout
 	default:
 		return 0
 	}
 }
-
-func isTimeout(err error) bool {
-	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
-}
--- a/internal/upstream/open_unix.go
+++ b/internal/netconn/quiet_unix.go
@@ -1,13 +1,18 @@
 //go:build unix
 
-package upstream
+package netconn
 
-import "syscall"
+import (
+	"net"
+	"syscall"
+)
 
-// stillOpen asks the socket, without waiting, whether the other end has closed
-// the connection or sent something unasked; neither can be used again.
-func stillOpen(cn *conn) bool {
-	sc, ok := cn.Conn.(syscall.Conn)
+// Quiet asks the socket of an idle connection, without waiting, whether nothing
+// has come on it: neither its end nor bytes that no request asked for, which
+// would be taken for the next answer. A connection without a socket, as tests
+// use, counts as quiet.
+func Quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/schema/wire"
 )
 
@@ -245,7 +246,7 @@
 	var writer sync.WaitGroup
 	writer.Go(l.write)
 	err := l.read()
-	if isTimeout(err) {
+	if netconn.IsTimeout(err) {
 		l.set.counters.silent.Add(1)
 		err = errSilent
 	}
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -249,11 +249,6 @@
 	}
 }
 
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 func jittered(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -41,7 +41,7 @@
 	// lost. On days with one loss of everything and one of a quarter of the
 	// engines within 45 s that is 0.03.
 	exposureCost = 0.03
-	// fullCost counts for an engine whose slots are all taken.
+	// fullCost counts for a server that is no engine and whose slots are all taken.
 	fullCost = 2.0
 	// failureCost is what a certain failure counts for, times the weight.
 	failureCost = 1.0
@@ -188,8 +188,7 @@
 	choice.Gap = b.gap(s, withWork, runs+1)
 	choice.Cost += weight*logistic(late) +
 		slowCost*float64(choice.First)/float64(max(work.Goal, time.Millisecond)) +
-		readCost*float64(choice.Unread)/1000 +
-		fullCost*math.Max(0, float64(runs+1)/float64(max(1, s.slots))-1)
+		readCost*float64(choice.Unread)/1000
 	if work.MaxGap > 0 {
 		choice.Cost += weight * b.lateGap(b.gap(s, ahead, runs+1), work.MaxGap)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -115,7 +115,7 @@
 	if status == fasthttp.StatusNoContent {
 		return nil, nil
 	}
-	if err := checkStatus(status); err != nil {
+	if err := CheckStatus(status); err != nil {
 		return nil, err
 	}
 	return decodeWatch(body)
@@ -135,7 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkStatus(status); err != nil {
+	if err := CheckStatus(status); err != nil {
 		return nil, err
 	}
 	return body, nil
@@ -149,7 +149,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	if err := checkStatus(status); err != nil {
+	if err := CheckStatus(status); err != nil {
 		return nil, 0, err
 	}
 	return decodeInstances(body)
@@ -166,7 +166,8 @@
 	return true
 }
 
-func checkStatus(status int) error {
+// CheckStatus returns nil for an answer, ErrNotFound, or ErrUnavailable.
+func CheckStatus(status int) error {
 	switch status {
 	case fasthttp.StatusOK:
 		return nil
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/verdict"
 )
@@ -152,7 +153,6 @@
 // callerGone ends a request whose caller takes no more bytes.
 func (f *flight) callerGone(err error) *verdict.Error {
 	f.stream.started = true
-	f.stream.callerGone = true
 	return verdict.Wrap(verdict.Ran, verdict.ReasonCallerGone, err)
 }
 
@@ -165,7 +165,7 @@
 
 func reasonOf(err error) verdict.Reason {
 	switch {
-	case errors.Is(err, errSilent), isTimeout(err):
+	case errors.Is(err, errSilent), netconn.IsTimeout(err):
 		return verdict.ReasonUpstreamSilent
 	case errors.Is(err, errUnsigned), errors.Is(err, errAmbiguous):
 		return verdict.ReasonUpstreamError
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/verdict"
 )
 
@@ -106,7 +107,7 @@
 	for range strayAnswers {
 		resp, err := http.ReadResponse(e.conn.reader, asked)
 		if err != nil {
-			if silence > 0 && isTimeout(err) {
+			if silence > 0 && netconn.IsTimeout(err) {
 				return errors.Join(errSilent, err)
 			}
 			return err
@@ -193,11 +194,6 @@
 	e.pool.discard(e.conn)
 }
 
-func isTimeout(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -7,12 +7,12 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/netconn"
 )
 
 const (
@@ -38,7 +38,6 @@
 	net.Conn
 	reader *bufio.Reader
 	server string
-	reused bool
 	// idleUntil is when an unused connection is closed.
 	idleUntil monotime.Instant
 }
@@ -94,8 +93,7 @@
 		c := list[len(list)-1]
 		p.idle[server] = list[:len(list)-1]
 		p.mu.Unlock()
-		if now < c.idleUntil && quiet(c.Conn) {
-			c.reused = true
+		if now < c.idleUntil && netconn.Quiet(c.Conn) {
 			return c
 		}
 		p.discard(c)
@@ -172,27 +170,6 @@
 	}
 }
 
-// quiet reports whether nothing has come on an idle connection: neither its end
-// nor bytes that no request asked for, which would be taken for the next answer.
-func quiet(c net.Conn) bool {
-	raw, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = control.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && silent
-}
-
 // keepAliveTimeout reads the timeout of a Keep-Alive header.
 func keepAliveTimeout(header string) (time.Duration, bool) {
 	for field := range strings.SplitSeq(header, ",") {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -23,8 +23,7 @@
 
 // delivery is what the caller has of a stream.
 type delivery struct {
-	started    bool
-	callerGone bool
+	started bool
 	// lastID is the id of the last event delivered whole.
 	lastID string
 	// rest holds the start of an event whose end has not come.
@@ -64,18 +63,11 @@
 		if err != nil {
 			e.abandon()
 			f.observe(placement.Failed)
-			return verdict.Wrap(verdict.Ran, f.lossReason(err), err)
+			return verdict.Wrap(verdict.Ran, reasonOf(err), err)
 		}
 	}
 }
 
-func (f *flight) lossReason(err error) verdict.Reason {
-	if isTimeout(err) {
-		return verdict.ReasonUpstreamSilent
-	}
-	return verdict.ReasonUpstreamLost
-}
-
 // awaitEvents bounds the silence of a stream that can go on elsewhere.
 func (f *flight) awaitEvents(e *exchange) error {
 	if !f.route.Resumable || f.sends >= f.route.Attempts {
@@ -99,9 +91,7 @@
 	}
 	now := monotime.Now()
 	if !f.stream.started {
-		f.stream.started = true
-		f.begin(e.resp)
-		f.w.WriteHeader(e.resp.StatusCode)
+		f.startStream(e)
 	} else {
 		f.stream.longestGap = max(f.stream.longestGap, now.Sub(f.stream.lastAt))
 	}
@@ -115,6 +105,13 @@
 	return nil
 }
 
+// startStream sends the headers of the first server that gave an event.
+func (f *flight) startStream(e *exchange) {
+	f.stream.started = true
+	f.begin(e.resp)
+	f.w.WriteHeader(e.resp.StatusCode)
+}
+
 // eventEnd separates events of a stream.
 var eventEnd = []byte("\n\n")
 
@@ -143,9 +140,7 @@
 func (f *flight) endStream(e *exchange) *verdict.Error {
 	f.observe(placement.Served)
 	if !f.stream.started {
-		f.stream.started = true
-		f.begin(e.resp)
-		f.w.WriteHeader(e.resp.StatusCode)
+		f.startStream(e)
 	}
 	if len(f.stream.rest) > 0 {
 		if _, err := f.w.Write(f.stream.rest); err != nil {
--- a/internal/upstream/decode_bench_test.go
+++ b/internal/upstream/decode_bench_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/schema/engineapi"
 )
 
@@ -52,7 +53,7 @@
 	cn := newConn(raw, "")
 	b.ReportAllocs()
 	for b.Loop() {
-		if !stillOpen(cn) {
+		if !netconn.Quiet(cn.Conn) {
 			b.Fatal("the connection is open")
 		}
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"basilrudder/internal/netconn"
 )
 
 // pool keeps unused connections by address, the latest used on top.
@@ -33,7 +35,7 @@
 		if cn == nil {
 			return nil
 		}
-		if time.Since(cn.idleSince) < p.timeout && stillOpen(cn) {
+		if time.Since(cn.idleSince) < p.timeout && netconn.Quiet(cn.Conn) {
 			cn.reused = true
 			return cn
 		}
