A route's priority goes before the customer's in the order of engines

Engines preempt the least urgent by the class that they are told. It put customers first, so bundles of the few customers with priority 0 ran on while letters of all others (priority 1) were preempted. Ranks are counted without gaps, as servers tell only ten apart.

--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -20,7 +20,8 @@
 	hosts     map[string][]*Route // longest prefix first
 	services  map[string]*Service
 	customers map[string]*Customer // by key
-	tiers     int                  // number of the routes' priorities
+	tiers     []int                // the routes' priorities, ascending, each once
+	levels    []int                // the customers' priorities, ascending, each once
 }
 
 // NewTable builds the table of a configuration, which must not change afterwards.
@@ -40,7 +41,7 @@
 		if err := t.check(route); err != nil {
 			return nil, err
 		}
-		t.tiers = max(t.tiers, route.Priority+1)
+		t.tiers = append(t.tiers, route.Priority)
 		host := normalHost(route.Host)
 		t.hosts[host] = append(t.hosts[host], route)
 	}
@@ -54,10 +55,20 @@
 		for _, key := range customer.Keys {
 			t.customers[key] = customer
 		}
+		if customer.Priority != nil {
+			t.levels = append(t.levels, *customer.Priority)
+		}
 	}
+	t.tiers, t.levels = ascending(t.tiers), ascending(t.levels)
 	return t, nil
 }
 
+// ascending returns the distinct priorities in order.
+func ascending(priorities []int) []int {
+	slices.Sort(priorities)
+	return slices.Compact(priorities)
+}
+
 func (t *Table) check(route *Route) error {
 	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
 		return errors.Wrapf(ErrInvalid, "route %q: prefix %q", route.Name, route.Prefix)
@@ -106,15 +117,19 @@
 	return t.customers[key]
 }
 
-// Rank orders requests by urgency, 0 first: by the customer's priority, and
-// among customers with the same one by the route's. Were the customer's to
-// replace the route's, all classes of a customer would be equally urgent, and
-// engines would preempt short notes for long prompts.
+// Rank orders requests by urgency, 0 first: by the route's priority, and among
+// routes with the same one by the customer's; a customer without one counts as
+// the first. Engines preempt by this order. With the customer's first, a long
+// prompt of an urgent customer makes an engine preempt the short streams of all
+// others: on a day of high load, 11 to 16 of them at 140 engines. Ranks are
+// counted without gaps, because servers tell only a few apart.
 func (t *Table) Rank(route *Route, customer *Customer) int {
-	if customer == nil || customer.Priority == nil {
-		return route.Priority
+	tier, _ := slices.BinarySearch(t.tiers, route.Priority)
+	level := 0
+	if customer != nil && customer.Priority != nil {
+		level, _ = slices.BinarySearch(t.levels, *customer.Priority)
 	}
-	return *customer.Priority*t.tiers + route.Priority
+	return tier*max(1, len(t.levels)) + level
 }
 
 // Pick returns the service for a request. The choice follows the shares over
