A soak of the relaying processes, with stand-ins of the platform

The names on the wire and the documents move to platform/wire, so that the stand-ins (platform/standin) and the adapter share one copy. tools/soak runs `basilrudderd relay` processes, a store, servers and callers, and checks what callers were told against what servers ran: no run after "not run", none twice that may not, no answer of another's, a final answer in time, all served and the newest configuration in force when the faults are over, an end at SIGTERM.

--- a/tools/fleet/fleet.go
+++ b/tools/fleet/fleet.go
@@ -18,6 +18,7 @@
 
 	"basilrudder/internal/daemon"
 	"basilrudder/internal/schema/platformapi"
+	"basilrudder/tools/child"
 )
 
 const (
@@ -48,7 +49,7 @@
 	dir      string
 	binary   string
 	subnet   int
-	starter  *starter
+	starter  *child.Starter
 	admin    *http.Client
 
 	mu      sync.Mutex
@@ -89,7 +90,7 @@
 	f := &fleet{
 		cfg:     cfg,
 		subnet:  1 + os.Getpid()%200,
-		starter: newStarter(),
+		starter: child.NewStarter(),
 		admin:   &http.Client{Timeout: statusTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 	var err error
@@ -271,7 +272,7 @@
 			<-p.done
 		}
 	}
-	f.starter.stop()
+	f.starter.Stop()
 	if f.standins != nil {
 		f.standins.close()
 	}
--- a/tools/fleet/process.go
+++ b/tools/fleet/process.go
@@ -9,13 +9,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"basilrudder/tools/child"
 )
 
 const daemonPackage = "./cmd/basilrudderd"
@@ -28,34 +29,6 @@
 	return path, wrap(cmd.Run(), "build the daemon")
 }
 
-// starter starts processes from one locked thread. Linux sends the death signal
-// of a child when the thread that started it ends, not when the process does:
-// children started from any goroutine would die at random.
-type starter struct {
-	jobs chan func()
-}
-
-func newStarter() *starter {
-	s := &starter{jobs: make(chan func())}
-	go func() {
-		runtime.LockOSThread()
-		for job := range s.jobs {
-			job()
-		}
-	}()
-	return s
-}
-
-func (s *starter) start(cmd *exec.Cmd) error {
-	done := make(chan error)
-	s.jobs <- func() { done <- cmd.Start() }
-	return <-done
-}
-
-func (s *starter) stop() {
-	close(s.jobs)
-}
-
 // process is one running basilrudderd.
 type process struct {
 	cmd  *exec.Cmd
@@ -65,7 +38,7 @@
 
 // startProcess starts a daemon. It is killed when this program ends, however it
 // ends.
-func startProcess(s *starter, binary, settings string, accounting io.Writer, procs int) (*process, error) {
+func startProcess(s *child.Starter, binary, settings string, accounting io.Writer, procs int) (*process, error) {
 	p := &process{
 		cmd:  exec.Command(binary, settings),
 		log:  newLogReader(),
@@ -78,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.start(p.cmd); err != nil {
+	if err := s.Start(p.cmd); err != nil {
 		return nil, errors.Wrap(err, "start a daemon")
 	}
 	go func() {
--- /dev/null
+++ b/tools/soak/callers.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/platform/standin"
+	"basilrudder/platform/wire"
+)
+
+const (
+	customerName = "acme"
+	customerKey  = "key-of-acme"
+	// unknownKeys is the share of requests that carry a key that nobody has.
+	unknownKeys = 0.03
+	// deadline of a request, below the timeout of its route.
+	deadline = 3 * time.Second
+	// patience is how long a caller waits beyond that before it gives up.
+	patience = 3 * time.Second
+	// thinking is the longest pause of a caller between two requests.
+	thinking = 40 * time.Millisecond
+	// directoryKept is how long a caller uses an answer of the directory.
+	directoryKept = time.Second
+	directoryWait = time.Second
+)
+
+// routes that callers use.
+var routes = []string{"safe", "unsafe", "stream", "resumable"}
+
+// attempt is a request of a caller and what became of it.
+type attempt struct {
+	id       string
+	route    string
+	instance string
+	// unknownKey says that the request carried a key that nobody has.
+	unknownKey bool
+	// calm says that nothing was done to the instance meanwhile.
+	calm   bool
+	took   time.Duration
+	status int
+	// err is why the answer is not whole, nil when it is.
+	err error
+	// wrong is what a whole answer has that it must not have.
+	wrong string
+}
+
+// served reports whether the caller has all it asked for.
+func (a *attempt) served() bool { return a.status == http.StatusOK && a.err == nil && a.wrong == "" }
+
+// caller sends requests one after another on connections that it keeps.
+type caller struct {
+	fleet  *fleet
+	number int
+	rand   *rand.Rand
+	client *http.Client
+
+	known []string // addresses of instances
+	asked time.Time
+
+	mu       sync.Mutex
+	attempts []*attempt
+}
+
+func newCaller(f *fleet, number int, seed uint64) *caller {
+	return &caller{
+		fleet: f, number: number, rand: rand.New(rand.NewPCG(seed, uint64(number))),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+	}
+}
+
+// run sends requests until the context ends. What is under way is finished.
+func (c *caller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if i := c.choose(); i != nil {
+			c.send(i, routes[c.rand.IntN(len(routes))], c.rand.Float64() < unknownKeys)
+		}
+		time.Sleep(time.Duration(c.rand.Int64N(int64(thinking))))
+	}
+	c.client.CloseIdleConnections()
+}
+
+// choose returns an instance that the directory names. One whose directory does
+// not answer is passed over; old answers are used until there is a new one.
+func (c *caller) choose() *instance {
+	if time.Since(c.asked) > directoryKept {
+		at := c.fleet.instances[c.rand.IntN(len(c.fleet.instances))]
+		if addresses, err := resolve(at.address["directory"]); err == nil && len(addresses) > 0 {
+			c.known, c.asked = addresses, time.Now()
+		}
+	}
+	if len(c.known) == 0 {
+		return nil
+	}
+	return c.fleet.byCallers(c.known[c.rand.IntN(len(c.known))])
+}
+
+func (f *fleet) byCallers(address string) *instance {
+	for _, i := range f.instances {
+		if i.address["callers"] == address {
+			return i
+		}
+	}
+	return nil
+}
+
+// resolve asks a directory where to connect.
+func resolve(directory string) ([]string, error) {
+	client := http.Client{Timeout: directoryWait}
+	answer, err := client.Get("http://" + directory + wire.ResolvePath + "?name=" + host)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("the directory answers %d", answer.StatusCode)
+	}
+	var out wire.ResolveAnswer
+	err = json.NewDecoder(answer.Body).Decode(&out)
+	return out.Addresses, err
+}
+
+// send sends one request and keeps what became of it.
+func (c *caller) send(i *instance, route string, unknownKey bool) *attempt {
+	a := &attempt{
+		id: fmt.Sprintf("%08x%08x", c.number, c.rand.Uint32()), route: route,
+		instance: i.name, unknownKey: unknownKey,
+	}
+	generation, calm := i.disturbed()
+	begun := time.Now()
+	c.exchange(i, a)
+	a.took = time.Since(begun)
+	after, still := i.disturbed()
+	a.calm = calm && still && generation == after
+	c.mu.Lock()
+	c.attempts = append(c.attempts, a)
+	c.mu.Unlock()
+	return a
+}
+
+func (c *caller) exchange(i *instance, a *attempt) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+patience)
+	defer cancel()
+	body := []byte(strings.Repeat(a.id, 1+c.rand.IntN(200)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.callers.address()+"/"+a.route+"/x", bytes.NewReader(body))
+	if err != nil {
+		a.err = err
+		return
+	}
+	key := customerKey
+	if a.unknownKey {
+		key = "key-of-nobody"
+	}
+	r.Host = host
+	r.Header.Set(wire.HeaderID, a.id)
+	r.Header.Set(wire.HeaderKey, wire.KeyScheme+key)
+	r.Header.Set(wire.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+	streaming := a.route == "stream" || a.route == "resumable"
+	if streaming {
+		r.Header.Set(wire.HeaderTokens, "1400,48")
+		r.Header.Set(wire.HeaderParts, fmt.Sprintf("aa%d:900,%s:500", c.rand.IntN(5), a.id))
+	}
+	answer, err := c.client.Do(r)
+	if err != nil {
+		a.err = err
+		return
+	}
+	defer answer.Body.Close()
+	a.status = answer.StatusCode
+	if a.status != http.StatusOK {
+		_, a.err = io.Copy(io.Discard, answer.Body)
+		return
+	}
+	if got := answer.Header.Get(wire.HeaderID); got != a.id {
+		a.wrong = "the answer to " + got
+	}
+	if answer.Header.Get(wire.HeaderSeal) == "" {
+		a.wrong = "no signature"
+	}
+	if streaming {
+		a.readStream(answer.Body)
+		return
+	}
+	text, err := io.ReadAll(answer.Body)
+	a.err = err
+	if want := standin.Body(a.id, body); err == nil && string(text) != want {
+		a.wrong = fmt.Sprintf("the body %q in place of %q", text, want)
+	}
+}
+
+// readStream checks that the events are this request's, in order, each once.
+func (a *attempt) readStream(body io.Reader) {
+	scanner := bufio.NewScanner(body)
+	n := 0
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		n++
+		if want := fmt.Sprintf("%s %d", a.id, n); data != want {
+			a.wrong = fmt.Sprintf("the event %q in place of %q", data, want)
+			return
+		}
+	}
+	a.err = scanner.Err()
+	if a.err == nil && n != standin.StreamEvents {
+		a.wrong = fmt.Sprintf("an end after %d events", n)
+	}
+}
--- /dev/null
+++ b/tools/soak/faults.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"basilrudder/platform/wire"
+)
+
+const (
+	// pause between the starts of two faults, at most.
+	pauseMost = 600 * time.Millisecond
+	// length of a fault.
+	lengthLeast, lengthMost = 100 * time.Millisecond, 2500 * time.Millisecond
+	// drainTime is how long a server that leaves goes on serving.
+	drainTime = 2 * time.Second
+	// series is how often a signal or change comes in a row.
+	series = 3
+)
+
+// fault is one kind of trouble. It returns when it is over.
+type fault struct {
+	name string
+	do   func(s *soak, r *rand.Rand, length time.Duration)
+}
+
+var faults = []fault{
+	{"freeze", freeze},
+	{"kill", kill},
+	{"restart", restart},
+	{"hangups", hangups},
+	{"callers' link", func(s *soak, r *rand.Rand, length time.Duration) {
+		i := s.anyInstance(r)
+		defer i.disturb()()
+		disturbLink(i.callers, r, length)
+	}},
+	{"store's link", func(s *soak, r *rand.Rand, length time.Duration) { disturbLink(s.anyInstance(r).store, r, length) }},
+	{"server's link", func(s *soak, r *rand.Rand, length time.Duration) { disturbLink(s.anyUpstream(r).proxy, r, length) }},
+	{"store down", func(s *soak, _ *rand.Rand, length time.Duration) {
+		s.fleet.store.SetDown(true)
+		time.Sleep(length)
+		s.fleet.store.SetDown(false)
+	}},
+	{"history lost", func(s *soak, _ *rand.Rand, _ time.Duration) { s.fleet.store.Compact() }},
+	{"configurations", func(s *soak, _ *rand.Rand, _ time.Duration) {
+		for range series {
+			s.note(s.fleet.publish())
+		}
+	}},
+	{"server crash", func(s *soak, r *rand.Rand, length time.Duration) {
+		s.replace(s.anyUpstream(r), length, func(u *upstream) { _ = u.http.Close() })
+	}},
+	{"server leaves", func(s *soak, r *rand.Rand, length time.Duration) { s.replace(s.anyUpstream(r), length, s.leave) }},
+}
+
+// trouble starts faults by chance, overlapping, until the context ends, and
+// returns when all are over.
+func (s *soak) trouble(ctx context.Context, r *rand.Rand) {
+	var running sync.WaitGroup
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(r.Int64N(int64(pauseMost))))
+		f := faults[r.IntN(len(faults))]
+		length := lengthLeast + time.Duration(r.Int64N(int64(lengthMost-lengthLeast)))
+		own := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
+		s.tell("%s for %v", f.name, length.Round(time.Millisecond))
+		running.Go(func() { f.do(s, own, length) })
+	}
+	running.Wait()
+}
+
+func (s *soak) anyInstance(r *rand.Rand) *instance {
+	return s.fleet.instances[r.IntN(len(s.fleet.instances))]
+}
+
+func (s *soak) anyUpstream(r *rand.Rand) *upstream {
+	return s.fleet.upstreams[r.IntN(len(s.fleet.upstreams))]
+}
+
+func freeze(s *soak, r *rand.Rand, length time.Duration) {
+	i := s.anyInstance(r)
+	defer i.disturb()()
+	i.signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	i.signal(syscall.SIGCONT)
+}
+
+func kill(s *soak, r *rand.Rand, length time.Duration) {
+	i := s.anyInstance(r)
+	defer i.disturb()()
+	i.ending.Lock()
+	defer i.ending.Unlock()
+	i.signal(syscall.SIGKILL)
+	<-i.process.done
+	time.Sleep(length)
+	s.note(s.fleet.start(i))
+}
+
+// restart ends an instance as the platform does: SIGTERM, at times more than
+// once, and SIGKILL after the grace.
+func restart(s *soak, r *rand.Rand, _ time.Duration) {
+	i := s.anyInstance(r)
+	defer i.disturb()()
+	i.ending.Lock()
+	defer i.ending.Unlock()
+	for range 1 + r.IntN(series) {
+		i.signal(syscall.SIGTERM)
+	}
+	p := i.process
+	if !p.ended(grace + endMargin) {
+		// It may be stopped: then it could not end.
+		i.signal(syscall.SIGCONT)
+		if !p.ended(grace + endMargin) {
+			s.broken("%s does not end at a SIGTERM", i.name)
+		}
+		i.signal(syscall.SIGKILL)
+		<-p.done
+	}
+	if code := p.cmd.ProcessState.ExitCode(); code > 0 {
+		s.broken("%s ended with %d at a SIGTERM", i.name, code)
+	}
+	s.note(s.fleet.start(i))
+}
+
+func hangups(s *soak, r *rand.Rand, _ time.Duration) {
+	i := s.anyInstance(r)
+	for n := range series {
+		s.note(s.fleet.writeSettings(i, []string{"info", "debug"}[n%2]))
+		i.signal(syscall.SIGHUP)
+	}
+}
+
+func disturbLink(p *proxy, r *rand.Rand, length time.Duration) {
+	p.set(1 + mode(r.IntN(int(modes)-1)))
+	time.Sleep(length)
+	p.set(passing)
+}
+
+// leave drains a server, as one that is to be shut down.
+func (s *soak) leave(u *upstream) {
+	s.note(s.fleet.store.PutServer(u.id, u.entry(wire.StateDraining)))
+	time.Sleep(drainTime)
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	if err := u.http.Shutdown(ctx); err != nil {
+		_ = u.http.Close() // idle connections of instances may outlive it
+	}
+}
+
+// replace ends a server in some way and starts its next incarnation at the same
+// address.
+func (s *soak) replace(u *upstream, length time.Duration, end func(*upstream)) {
+	u.ending.Lock()
+	defer u.ending.Unlock()
+	end(u)
+	time.Sleep(length)
+	s.fleet.store.DropServer(u.id)
+	s.note(s.fleet.startUpstream(u))
+}
+
+// disturb says that something is done to an instance until the returned function
+// is called.
+func (i *instance) disturb() func() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.disturbances++
+	i.active++
+	return func() {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.active--
+	}
+}
+
+// disturbed tells how often an instance was disturbed, and whether it is not now.
+func (i *instance) disturbed() (times int, calm bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.disturbances, i.active == 0
+}
+
+// ready reports whether an instance says that it can serve.
+func (i *instance) ready() bool {
+	client := http.Client{Timeout: directoryWait}
+	answer, err := client.Get(fmt.Sprintf("http://%s%s", i.address["ready"], wire.ReadyPath))
+	if err != nil {
+		return false
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/tools/soak/fleet.go
@@ -0,0 +1,308 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/platform/standin"
+	"basilrudder/platform/wire"
+	"basilrudder/tools/child"
+)
+
+const (
+	anyPort = "127.0.0.1:0"
+	host    = "soak.example"
+	model   = "model" // service of streams
+	plain   = "plain" // service of short answers
+	// slots of a server.
+	slots = 16
+	// grace between SIGTERM and SIGKILL, as instances are told.
+	grace = 8 * time.Second
+	// endMargin is how much later than that a process may be seen to end.
+	endMargin = 4 * time.Second
+	fileMode  = 0o600
+)
+
+// instance is one relaying process with its addresses and proxies.
+type instance struct {
+	name     string
+	settings string
+	address  map[string]string // by the name in the settings
+	callers  *proxy
+	store    *proxy
+	log      *os.File
+	// ending is held by the fault that ends and restarts the process.
+	ending sync.Mutex
+
+	mu      sync.Mutex
+	process *process
+	// active is the number of faults on the instance now, disturbances that of
+	// all so far.
+	active, disturbances int
+}
+
+// process is one run of an instance.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// upstream is a server of the fleet, with the proxy that instances reach it by.
+type upstream struct {
+	service string
+	number  int
+	id      string
+	http    *http.Server
+	proxy   *proxy
+	// ending is held by the fault that replaces the server.
+	ending sync.Mutex
+}
+
+// fleet is everything that a soak runs.
+type fleet struct {
+	binary    string
+	dir       string
+	ledger    *standin.Ledger
+	store     *standin.Store
+	storeAt   string
+	storeHTTP *http.Server
+
+	mu      sync.Mutex // guards version
+	version int64
+
+	instances []*instance
+	upstreams []*upstream
+	starter   *child.Starter
+}
+
+// newFleet starts the stand-ins and prepares, but does not start, instances.
+func newFleet(binary, dir string, instances, servers int) (*fleet, error) {
+	f := &fleet{binary: binary, dir: dir, ledger: standin.NewLedger(), store: standin.NewStore(), starter: child.NewStarter()}
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return nil, err
+	}
+	f.storeAt, f.storeHTTP = ln.Addr().String(), &http.Server{Handler: f.store}
+	go serve(f.storeHTTP, ln)
+	for n := range servers {
+		service := model
+		if n%2 == 1 {
+			service = plain
+		}
+		u := &upstream{service: service, number: n}
+		f.upstreams = append(f.upstreams, u)
+		if err := f.startUpstream(u); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.publish(); err != nil {
+		return nil, err
+	}
+	for n := range instances {
+		i, err := f.newInstance(n)
+		if err != nil {
+			return nil, err
+		}
+		f.instances = append(f.instances, i)
+	}
+	for _, i := range f.instances {
+		if err := f.writeSettings(i, "info"); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// serve serves until the server is closed.
+func serve(s *http.Server, ln net.Listener) {
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		fmt.Fprintln(os.Stderr, "a stand-in ended:", err)
+	}
+}
+
+// versionStep is the distance of versions, which rise unevenly elsewhere too.
+const versionStep = 3
+
+// versionRoute is a route that only one version has.
+func versionRoute(version int64) string { return fmt.Sprintf("v%d", version) }
+
+// publish puts the configuration into the store as a new version.
+func (f *fleet) publish() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version += versionStep
+	customers := []wire.Customer{{Name: customerName, Keys: []string{customerKey}}}
+	route := func(name, kind, service string, attempts int) wire.Route {
+		return wire.Route{
+			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, TimeoutMS: 4000, GoalMS: 500,
+			Service: service, Attempts: attempts, MaxGapMS: 500, Resumable: name == "resumable",
+		}
+	}
+	return f.store.PutConfig(&wire.Config{
+		Version: f.version,
+		Routes: []wire.Route{
+			route("safe", wire.KindSafe, plain, 2),
+			route("unsafe", "unsafe", plain, 1),
+			route("stream", wire.KindStreaming, model, 1),
+			route("resumable", wire.KindStreaming, model, 2),
+			route(versionRoute(f.version), wire.KindSafe, plain, 1),
+		},
+		Services: []wire.Service{
+			{Name: plain, MaxConns: 500},
+			{Name: model, MaxConns: 500, Engine: &wire.Engine{Slots: slots, MemoryTokens: 500_000, EventTokens: 4}},
+		},
+		Limits:    wire.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeoutMS: 5000, IdleTimeoutMS: 30000},
+		Customers: &customers,
+	})
+}
+
+// startUpstream starts a new incarnation of a server and publishes it. Its
+// address stays, so that a late request may meet another incarnation there.
+func (f *fleet) startUpstream(u *upstream) error {
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return err
+	}
+	u.id = fmt.Sprintf("s%d-%d", u.number, time.Now().UnixNano())
+	u.http = &http.Server{Handler: standin.NewServer(u.id, slots, f.ledger)}
+	go serve(u.http, ln)
+	if u.proxy == nil {
+		if u.proxy, err = newProxy(ln.Addr().String()); err != nil {
+			return err
+		}
+	} else {
+		u.proxy.retarget(ln.Addr().String())
+	}
+	return f.store.PutServer(u.id, u.entry(wire.StateReady))
+}
+
+func (u *upstream) entry(state string) wire.ServerEntry {
+	return wire.ServerEntry{Service: u.service, Address: u.proxy.address(), Zone: "here", Slots: slots, State: state}
+}
+
+func (f *fleet) newInstance(n int) (*instance, error) {
+	i := &instance{name: fmt.Sprintf("i%d", n), address: make(map[string]string)}
+	i.settings = filepath.Join(f.dir, i.name+".toml")
+	for _, part := range []string{"callers", "ready", "directory", "peers", "metrics"} {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		i.address[part] = address
+	}
+	var err error
+	if i.callers, err = newProxy(i.address["callers"]); err != nil {
+		return nil, err
+	}
+	if i.store, err = newProxy(f.storeAt); err != nil {
+		return nil, err
+	}
+	i.log, err = os.Create(filepath.Join(f.dir, i.name+".log"))
+	return i, err
+}
+
+// Ports of instances are taken from below those that the system gives to outgoing
+// connections: one of those could take a port while its instance is restarted.
+const firstPort, lastPort = 10_000, 30_000
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() (string, error) {
+	const tries = 100
+	var err error
+	for range tries {
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))); err == nil {
+			return ln.Addr().String(), ln.Close()
+		}
+	}
+	return "", err
+}
+
+const seeds = 3
+
+func (f *fleet) writeSettings(i *instance, level string) error {
+	var out strings.Builder
+	fmt.Fprintf(&out, "[instance]\nid = %q\ndata_centre = \"here\"\n[listen]\n", i.name)
+	for part, address := range i.address {
+		fmt.Fprintf(&out, "%s = %q\n", part, address)
+	}
+	fmt.Fprintf(&out, "[store]\naddress = %q\n[peers]\nseeds = [", i.store.address())
+	for _, seed := range f.instances[:min(seeds, len(f.instances))] {
+		fmt.Fprintf(&out, "%q, ", seed.address["peers"])
+	}
+	fmt.Fprintf(&out, "]\n[drain]\ngrace_s = %g\n[log]\nlevel = %q\n", grace.Seconds(), level)
+	// Written beside and renamed: an instance reads a whole file at any moment.
+	beside := i.settings + ".new"
+	if err := os.WriteFile(beside, []byte(out.String()), fileMode); err != nil {
+		return err
+	}
+	return os.Rename(beside, i.settings)
+}
+
+// start starts the process of an instance. It is killed when this program ends,
+// however it ends.
+func (f *fleet) start(i *instance) error {
+	p := &process{cmd: exec.Command(f.binary, "relay", i.settings), done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = i.log, i.log
+	p.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	if err := f.starter.Start(p.cmd); err != nil {
+		return errors.Wrap(err, "start an instance")
+	}
+	go func() {
+		_ = p.cmd.Wait() // whether it was meant to end is asked where that is known
+		close(p.done)
+	}()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.process = p
+	return nil
+}
+
+// signal sends a signal to the process that runs now.
+func (i *instance) signal(s syscall.Signal) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	_ = i.process.cmd.Process.Signal(s) // one that has ended needs none
+}
+
+// ended waits for the end of a process.
+func (p *process) ended(within time.Duration) bool {
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	select {
+	case <-p.done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+func (f *fleet) close() {
+	for _, i := range f.instances {
+		if i.process != nil {
+			i.signal(syscall.SIGKILL)
+			<-i.process.done
+		}
+		i.callers.close()
+		i.store.close()
+		_ = i.log.Close() // its process is gone
+	}
+	for _, u := range f.upstreams {
+		u.proxy.close()
+		_ = u.http.Close() // nobody calls it any more
+	}
+	_ = f.storeHTTP.Close()
+	f.starter.Stop()
+}
