Requests are weighed against those as urgent, not against all

The draw for free slots counted all requests on their way, three quarters of them bundles, against the slots that letters may take too. A test with a crowd of bundles failed first: each letter was refused.

--- a/internal/placement/contest.go
+++ b/internal/placement/contest.go
@@ -32,9 +32,18 @@
 	others int
 	// lag is how long news of a choice are gathered.
 	lag time.Duration
-	// rate of requests at this instance, per second, as of an instant.
-	rate float64
-	at   monotime.Instant
+	// rates of requests at this instance by their priority.
+	rates [lowestCounted + 1]rate
+}
+
+// lowestCounted is the last priority whose requests are counted by themselves;
+// those below it count as it.
+const lowestCounted = 3
+
+// rate is how many requests come in a second, as of an instant.
+type rate struct {
+	perSecond float64
+	at        monotime.Instant
 }
 
 // SetCrowd tells how many other instances choose, and how long they gather news
@@ -46,17 +55,25 @@
 }
 
 // attempt notes that a request came.
-func (c *crowd) attempt(now monotime.Instant) {
-	c.rate *= math.Exp(-now.Sub(c.at).Seconds() / attemptWindow.Seconds())
-	c.rate += 1 / attemptWindow.Seconds()
-	c.at = now
+func (c *crowd) attempt(priority int, now monotime.Instant) {
+	r := &c.rates[min(max(0, priority), lowestCounted)]
+	*r = rate{perSecond: r.as(now) + 1/attemptWindow.Seconds(), at: now}
 }
 
-// unheard is how many requests the others are likely to have sent that are not
-// known here yet. Callers choose instances by chance, so all have about the rate
-// of this one.
-func (c *crowd) unheard() float64 {
-	return lagFactor * c.rate * float64(c.others) * c.lag.Seconds()
+func (r rate) as(now monotime.Instant) float64 {
+	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/attemptWindow.Seconds())
+}
+
+// unheard is how many requests of a priority and of those before it the others
+// are likely to have sent that are not known here yet. Callers choose instances
+// by chance, so all have about the rate of this one. Less urgent requests do not
+// count: they leave some slots to the others, and must not have these refused.
+func (c *crowd) unheard(priority int, now monotime.Instant) float64 {
+	sum := 0.0
+	for p := 0; p <= min(max(0, priority), lowestCounted); p++ {
+		sum += c.rates[p].as(now)
+	}
+	return lagFactor * sum * float64(c.others) * c.lag.Seconds()
 }
 
 // admit returns the servers that a request chooses from, or with what it should
@@ -74,8 +91,8 @@
 	if work.Prompt == 0 || b.crowd.others == 0 {
 		return reachable, nil
 	}
-	b.crowd.attempt(now)
-	unheard, free := b.crowd.unheard(), 0
+	b.crowd.attempt(work.Priority, now)
+	unheard, free := b.crowd.unheard(work.Priority, now), 0
 	for _, s := range reachable {
 		free += s.free(work)
 	}
--- a/internal/placement/contest_test.go
+++ b/internal/placement/contest_test.go
@@ -60,6 +60,39 @@
 	}
 }
 
+// Bundles come at three times what the engines bear, so most are refused. A few
+// letters come among them. Their callers must not be refused, while there are
+// slots that only they and notes may take: bundles are served all the time.
+func TestLettersAreNotRefusedForTheNumberOfBundles(t *testing.T) {
+	b := crowded(1, 59)
+	candidates := engines(20)
+	for n := range candidates {
+		candidates[n].Slots = 16
+		b.server(candidates[n])
+		for slot := range 12 {
+			b.Begin(RunID{candidates[n].ID, slot}, candidates[n].ID, bundle("c", "old"), 0, start)
+		}
+	}
+	letter := bundle("letters", "mine")
+	letter.Priority = 1
+	bundles := 0
+	for n := range 100 {
+		now := start.Add(time.Duration(n) * 500 * time.Millisecond)
+		for range 8 {
+			b.crowd.attempt(2, now)
+		}
+		if _, refusal := b.Choose(letter, candidates, now); refusal != Chosen {
+			t.Fatalf("letter %d refused", n)
+		}
+		if _, refusal := b.Choose(bundle("c", "new"), candidates, now); refusal == Chosen {
+			bundles++
+		}
+	}
+	if bundles > 50 {
+		t.Errorf("%d of 100 bundles sent: there is no such crowd", bundles)
+	}
+}
+
 // An instance alone sees all that is sent: it uses the last slot.
 func TestAnInstanceAloneUsesTheLastSlot(t *testing.T) {
 	b := crowded(1, 1)
@@ -80,7 +113,7 @@
 	b.SetCrowd(instances-1, 164*time.Millisecond)
 	const each = time.Second / 17
 	for at := start.Add(-3 * time.Second); at < start; at = at.Add(each) {
-		b.crowd.attempt(at)
+		b.crowd.attempt(bundle("c", "x").Priority, at)
 	}
 	return b
 }
