Watches of the store begin at least 200 ms apart

Ruled out: the starts themselves (59 whole reads); the later hours (server entries hardly change then).

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -40,6 +40,11 @@
 	takeOverSpread = 600 * time.Millisecond
 	// restInterval is the time between looks whether to read.
 	restInterval = 100 * time.Millisecond
+	// watchLeast is the least time between the starts of two watches. Servers that
+	// start together change the store many times a second; each change answers
+	// the watches of all readers, and each answer is paid for. With several
+	// readers one of them still sees a change some 30 ms after it.
+	watchLeast = 200 * time.Millisecond
 	// watchMost bounds one watch whatever the size of the fleet.
 	watchMost = 5 * time.Second
 )
@@ -69,10 +74,12 @@
 			f.rest(ctx)
 			continue
 		}
+		begun := monotime.Now()
 		err := f.step(ctx)
 		switch {
 		case err == nil:
 			f.succeeded()
+			sleep(ctx, watchLeast-monotime.Now().Sub(begun))
 		case ctx.Err() != nil:
 			return nil
 		case errors.Is(err, ErrHistoryLost):
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -295,6 +295,28 @@
 	}
 }
 
+// Many servers start together, and each change in the store answers the watch at
+// once. The instance gathers them: every answer is paid for, and it need not know
+// of each server within a few milliseconds.
+func TestManyChangesDoNotMakeAWatchEach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, fd, source := newFleet()
+		source.all = []result{{changes: &Changes{Revision: 1}}}
+		for range 100 {
+			source.watch = append(source.watch, result{changes: &Changes{Revision: 2}, after: 10 * time.Millisecond})
+		}
+		const length = 2 * time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), length)
+		defer cancel()
+		if err := fd.run(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if most := int(length/watchLeast) + 1; len(source.calls) > most {
+			t.Errorf("%d calls in %v, at most %d wanted", len(source.calls), length, most)
+		}
+	})
+}
+
 // A peer says that the store confirmed its version. That vouches for the same
 // version here, not for another one.
 func TestAPeersWordConfirmsTheSameVersion(t *testing.T) {
