--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -84,11 +83,19 @@
 	instances []*instance
 	upstreams []*upstream
 	starter   *child.Starter
+	ports     *ports
 }
 
 // newFleet starts the stand-ins and prepares, but does not start, instances.
 func newFleet(binary, dir string, instances, servers int) (*fleet, error) {
-	f := &fleet{binary: binary, dir: dir, ledger: standin.NewLedger(), store: standin.NewStore(), starter: child.NewStarter()}
+	ports, err := newPorts()
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{
+		binary: binary, dir: dir, ledger: standin.NewLedger(), store: standin.NewStore(),
+		starter: child.NewStarter(), ports: ports,
+	}
 	ln, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return nil, err
@@ -195,7 +202,7 @@
 	i := &instance{name: fmt.Sprintf("i%d", n), address: make(map[string]string)}
 	i.settings = filepath.Join(f.dir, i.name+".toml")
 	for _, part := range []string{"callers", "ready", "directory", "peers", "metrics"} {
-		address, err := freeAddress()
+		address, err := f.ports.next()
 		if err != nil {
 			return nil, err
 		}
@@ -212,23 +219,6 @@
 	return i, err
 }
 
-// Ports of instances are taken from below those that the system gives to outgoing
-// connections: one of those could take a port while its instance is restarted.
-const firstPort, lastPort = 10_000, 30_000
-
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() (string, error) {
-	const tries = 100
-	var err error
-	for range tries {
-		var ln net.Listener
-		if ln, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))); err == nil {
-			return ln.Addr().String(), ln.Close()
-		}
-	}
-	return "", err
-}
-
 const seeds = 3
 
 func (f *fleet) writeSettings(i *instance, level string) error {
@@ -305,4 +295,5 @@
 	}
 	_ = f.storeHTTP.Close()
 	f.starter.Stop()
+	f.ports.close()
 }
