Prompts to servers that are no engines are not refused

Cause: read again as a newcomer: the draw for free slots counts an engine's free memory, and a server that is no engine has none, so each request with a prompt for one would be refused once instances are many. A test failed first (each of 40 refused). Ruled out: that it showed on the sites; prompts there go to engines only. Beside it: contention in place of crowd as a name, one function that resets a connection (faultnet.Reset) for the soak too.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -303,7 +303,7 @@
 			g.relay.Sweep(g.fleet.known)
 			g.peers.want()
 			g.fleet.board.SetNoise(noisePerInstance * float64(max(0, g.peers.count()-manyInstances)))
-			g.fleet.board.SetCrowd(g.peers.count()-1, g.fleet.news.delay())
+			g.fleet.board.SetPeers(g.peers.count()-1, g.fleet.news.delay())
 			g.takeSettings()
 		}
 	}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -54,11 +54,11 @@
 	home  string // data centre of this instance
 	noise float64
 
-	mu      sync.Mutex
-	rand    *rand.Rand
-	crowd   crowd
-	servers map[string]*server
-	runs    map[RunID]*run
+	mu         sync.Mutex
+	rand       *rand.Rand
+	contention contention
+	servers    map[string]*server
+	runs       map[RunID]*run
 	// used is when a part of a prompt was last sent to any server.
 	used  map[string]monotime.Instant
 	swept monotime.Instant
@@ -138,7 +138,7 @@
 	defer b.mu.Unlock()
 	b.sweep(now)
 	if b.runs[id] == nil && work.Prompt > 0 {
-		b.crowd.begun[counted(work.Priority)].add(now)
+		b.contention.begun[counted(work.Priority)].add(now)
 	}
 	b.end(id, now) // told again over a new link
 	s := b.server(Candidate{ID: serverID})
--- a/internal/placement/contest.go
+++ b/internal/placement/contention.go
@@ -26,8 +26,8 @@
 	rateWindow = time.Second
 )
 
-// crowd is what is known of the instances that choose beside this one.
-type crowd struct {
+// contention is what is known of the instances that choose beside this one.
+type contention struct {
 	// others is the number of instances beside this one.
 	others int
 	// lag is how long news of a choice are gathered.
@@ -58,12 +58,12 @@
 	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/rateWindow.Seconds())
 }
 
-// SetCrowd tells how many other instances choose, and how long they gather news
+// SetPeers tells how many other instances choose, and how long they gather news
 // of their choices before they send them.
-func (b *Board) SetCrowd(others int, lag time.Duration) {
+func (b *Board) SetPeers(others int, lag time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.crowd.others, b.crowd.lag = others, lag
+	b.contention.others, b.contention.lag = others, lag
 }
 
 // unheard is how many requests of a priority and of those before it the others
@@ -73,7 +73,7 @@
 // instances that has twice its share for a second would refuse while engines are
 // free. Less urgent requests do not count: they leave some slots to the others,
 // and must not have these refused.
-func (c *crowd) unheard(priority int, now monotime.Instant) float64 {
+func (c *contention) unheard(priority int, now monotime.Instant) float64 {
 	others, sum := float64(c.others), 0.0
 	for p := range 1 + counted(priority) {
 		sum += c.begun[p].as(now)*others/(others+1) + c.refused[p].as(now)*others
@@ -93,18 +93,21 @@
 // engines' work, 5 of 100 requests go to an engine with 14 or more in place of
 // 75, and engines preempt 48 requests in place of 722.
 func (b *Board) admit(reachable []*server, work *Work, now monotime.Instant) ([]*server, *Choice) {
-	if work.Prompt == 0 || b.crowd.others == 0 {
+	if work.Prompt == 0 || b.contention.others == 0 {
 		return reachable, nil
 	}
-	unheard, free := b.crowd.unheard(work.Priority, now), 0
+	unheard, free := b.contention.unheard(work.Priority, now), 0
 	for _, s := range reachable {
+		if s.memory == 0 {
+			return reachable, nil // no engine; its requests wait for a slot
+		}
 		free += s.free(work)
 	}
 	if free > 0 && float64(free) >= contestedBelow*unheard {
 		return reachable, nil
 	}
 	if b.rand.Float64()*unheard >= float64(free) {
-		b.crowd.refused[counted(work.Priority)].add(now)
+		b.contention.refused[counted(work.Priority)].add(now)
 		return nil, &Choice{Free: free, Unheard: int(unheard)}
 	}
 	out := b.keepers(reachable, work)
--- a/internal/placement/contest_test.go
+++ b/internal/placement/contention_test.go
@@ -14,7 +14,7 @@
 	const instances, each, free = 59, 3, 4
 	sent := 0
 	for i := range instances {
-		b := crowded(uint64(i), instances)
+		b := contended(uint64(i), instances)
 		candidates := engines(20)
 		for n := range candidates {
 			candidates[n].Slots = 16
@@ -42,7 +42,7 @@
 // Few slots are free, and one of them is at an engine that keeps the prompt. Its
 // caller need not wait for it to be read or fetched elsewhere.
 func TestAmongLastSlotsAnEngineThatKeepsThePromptIsChosen(t *testing.T) {
-	b := crowded(1, 59)
+	b := contended(1, 59)
 	candidates := engines(20)
 	for n := range candidates {
 		candidates[n].Slots = 16
@@ -64,7 +64,7 @@
 // letters come among them. Their callers must not be refused, while there are
 // slots that only they and notes may take: bundles are served all the time.
 func TestLettersAreNotRefusedForTheNumberOfBundles(t *testing.T) {
-	b := crowded(1, 59)
+	b := contended(1, 59)
 	candidates := engines(20)
 	for n := range candidates {
 		candidates[n].Slots = 16
@@ -79,7 +79,7 @@
 	for n := range 100 {
 		now := start.Add(time.Duration(n) * 10 * time.Millisecond)
 		for range 10 { // a thousand in a second
-			b.crowd.begun[2].add(now)
+			b.contention.begun[2].add(now)
 		}
 		if _, refusal := b.Choose(letter, candidates, now); refusal != Chosen {
 			t.Fatalf("letter %d refused", n)
@@ -89,13 +89,13 @@
 		}
 	}
 	if bundles > 30 {
-		t.Errorf("%d of 100 bundles sent to 20 slots: there is no such crowd", bundles)
+		t.Errorf("%d of 100 bundles sent to 20 slots: there is no such contention", bundles)
 	}
 }
 
 // An instance alone sees all that is sent: it uses the last slot.
 func TestAnInstanceAloneUsesTheLastSlot(t *testing.T) {
-	b := crowded(1, 1)
+	b := contended(1, 1)
 	candidates := engines(1)
 	candidates[0].Slots = 2
 	for range 100 {
@@ -105,12 +105,26 @@
 	}
 }
 
+// A service whose servers are no engines gets requests with prompts. They have no
+// memory to be full, and queue what comes.
+func TestPromptsToPlainServersAreNotRefused(t *testing.T) {
+	b := contended(1, 59)
+	candidates := []Candidate{{ID: "p0", DataCentre: "here", Slots: 4}, {ID: "p1", DataCentre: "here", Slots: 4}}
+	for n := range 40 {
+		choice, refusal := b.Choose(bundle("c", "x"), candidates, start)
+		if refusal != Chosen {
+			t.Fatalf("request %d refused", n)
+		}
+		b.Begin(RunID{"me", n}, choice.Server, bundle("c", "x"), 0, start)
+	}
+}
+
 // One of 85 instances happens to get twice its share of bundles for a second,
 // while the engines have room for what all send. Its callers must not be refused.
 func TestAnInstanceWithManyRequestsDoesNotTakeAllForBusy(t *testing.T) {
 	const instances, fleetRate, ownRate = 85, 440, 12
 	b := NewBoard(DefaultPace, "here")
-	b.SetCrowd(instances-1, 245*time.Millisecond)
+	b.SetPeers(instances-1, 245*time.Millisecond)
 	candidates := engines(140)
 	for n := range candidates {
 		candidates[n].Slots = 16
@@ -135,16 +149,16 @@
 	}
 }
 
-// crowded returns a Board whose instance chooses beside others that hear of its
+// contended returns a Board whose instance chooses beside others that hear of its
 // choices 170 ms late and that all together have sent 17 bundles a second for
 // each of them, for three seconds.
-func crowded(seed uint64, instances int) *Board {
+func contended(seed uint64, instances int) *Board {
 	b := NewBoard(DefaultPace, "here")
 	b.rand = rand.New(rand.NewPCG(seed, 0))
-	b.SetCrowd(instances-1, 164*time.Millisecond)
+	b.SetPeers(instances-1, 164*time.Millisecond)
 	each := time.Second / time.Duration(17*instances)
 	for at := start.Add(-3 * time.Second); at < start; at = at.Add(each) {
-		b.crowd.begun[2].add(at)
+		b.contention.begun[2].add(at)
 	}
 	return b
 }
--- a/internal/standin/faultnet/faultnet.go
+++ b/internal/standin/faultnet/faultnet.go
@@ -30,7 +30,7 @@
 			return nil, err
 		}
 		if l.refusing.Load() {
-			reset(raw)
+			Reset(raw)
 			continue
 		}
 		l.accepted.Add(1)
@@ -133,12 +133,12 @@
 	c.once.Do(func() {
 		close(c.closed)
 		c.listener.remove(c)
-		reset(c.Conn)
+		Reset(c.Conn)
 	})
 }
 
-// reset closes a connection so that the other end sees a reset.
-func reset(raw net.Conn) {
+// Reset closes a connection so that the other end sees a reset.
+func Reset(raw net.Conn) {
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"basilrudder/internal/standin/faultnet"
 )
 
 // mode is what a proxy does to the connections through it.
@@ -63,18 +65,18 @@
 
 func (p *proxy) forward(near *net.TCPConn) {
 	if m, _ := p.current(); m == refusing {
-		reset(near)
+		faultnet.Reset(near)
 		return
 	}
 	conn, err := net.Dial("tcp", p.target())
 	if err != nil {
-		reset(near)
+		faultnet.Reset(near)
 		return
 	}
 	far := conn.(*net.TCPConn)
 	if !p.keep(near, far) {
-		reset(near)
-		reset(far)
+		faultnet.Reset(near)
+		faultnet.Reset(far)
 		return
 	}
 	var both sync.WaitGroup
@@ -108,7 +110,7 @@
 		if n > 0 {
 			p.pass(cut)
 			if _, err := to.Write(buffer[:n]); err != nil {
-				reset(from)
+				faultnet.Reset(from)
 				return
 			}
 		}
@@ -118,7 +120,7 @@
 			return
 		}
 		if err != nil {
-			reset(to)
+			faultnet.Reset(to)
 			return
 		}
 	}
@@ -166,7 +168,7 @@
 		return
 	}
 	for conn := range p.conns {
-		reset(conn)
+		faultnet.Reset(conn)
 	}
 }
 
@@ -174,9 +176,3 @@
 	_ = p.ln.Close()
 	p.set(refusing)
 }
-
-// reset closes a connection with a reset.
-func reset(conn *net.TCPConn) {
-	_ = conn.SetLinger(0) // fails only on a connection that is closed
-	_ = conn.Close()
-}
