--- a/tools/soak/ports.go
+++ b/tools/soak/ports.go
@@ -12,8 +12,8 @@
 // connections: one of those could take a port while its instance is restarted.
 const (
 	firstPort = 10_000
-	blockSize = 500
-	blocks    = 40
+	blockSize = 1500
+	blocks    = 13
 )
 
 // ports hands out the ports of a block that no other soak on this machine uses:
