Engines that can't be reached are not taken for full

Cause: read once more: the draw for free slots counted none where no engine can be reached, and refused as "overloaded". Callers were told to come back after 0.7 s in place of 0.2 s, the log named the wrong reason, and the refusals raised the number of requests taken to be on their way. A test failed first. Ruled out: a false "not run"; nothing was sent either way.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -138,6 +138,9 @@
 			reachable = append(reachable, s)
 		}
 	}
+	if len(reachable) == 0 {
+		return Choice{}, NoneReachable
+	}
 	from := bestSource(reachable, &work, now)
 	servers, refused := b.admit(reachable, &work, now)
 	if refused != nil {
--- a/internal/placement/contention_test.go
+++ b/internal/placement/contention_test.go
@@ -18,12 +18,12 @@
 		candidates := engines(20)
 		for n := range candidates {
 			candidates[n].Slots = 16
-			for slot := range 13 {
-				if n != 7 || slot >= free {
-					b.server(candidates[n])
-					b.Begin(RunID{candidates[n].ID, slot}, candidates[n].ID, bundle("c", "old"), 0, start)
-				}
+			b.server(candidates[n])
+			runs := 13
+			if n == 7 {
+				runs -= free
 			}
+			b.fill(candidates[n].ID, runs, bundle("c", "old"))
 		}
 		for range each {
 			if choice, refusal := b.Choose(bundle("c", "new"), candidates, start); refusal == Chosen {
@@ -47,9 +47,7 @@
 	for n := range candidates {
 		candidates[n].Slots = 16
 		b.server(candidates[n])
-		for slot := range 7 {
-			b.Begin(RunID{candidates[n].ID, slot}, candidates[n].ID, note("old"), 0, start)
-		}
+		b.fill(candidates[n].ID, 7, note("old"))
 	}
 	work := bundle("chain", "mine")
 	b.Learn("e11", work.Parts[:1], start)
@@ -69,9 +67,7 @@
 	for n := range candidates {
 		candidates[n].Slots = 16
 		b.server(candidates[n])
-		for slot := range 12 {
-			b.Begin(RunID{candidates[n].ID, slot}, candidates[n].ID, bundle("c", "old"), 0, start)
-		}
+		b.fill(candidates[n].ID, 12, bundle("c", "old"))
 	}
 	letter := bundle("letters", "mine")
 	letter.Priority = 1
@@ -105,6 +101,22 @@
 	}
 }
 
+// No engine can be reached. Callers must be told so, and to come back as soon as
+// one may be tried again, not that all are full.
+func TestUnreachableEnginesAreNotTakenForFull(t *testing.T) {
+	b := contended(1, 59)
+	candidates := engines(3)
+	for _, c := range candidates {
+		b.server(c)
+		b.Observe(c.ID, Unreachable, start)
+	}
+	for _, reached := range [][]Candidate{candidates, nil} {
+		if _, refusal := b.Choose(bundle("c", "x"), reached, start); refusal != NoneReachable {
+			t.Errorf("%d candidates: refusal %d", len(reached), refusal)
+		}
+	}
+}
+
 // A service whose servers are no engines gets requests with prompts. They have no
 // memory to be full, and queue what comes.
 func TestPromptsToPlainServersAreNotRefused(t *testing.T) {
@@ -149,6 +161,13 @@
 	}
 }
 
+// fill has other instances begin so many runs on a server.
+func (b *Board) fill(server string, runs int, work Work) {
+	for n := range runs {
+		b.Begin(RunID{server, n}, server, work, 0, start)
+	}
+}
+
 // contended returns a Board whose instance chooses beside others that hear of its
 // choices 170 ms late and that all together have sent 17 bundles a second for
 // each of them, for three seconds.
