A choice looks once at the room of each server

Cause: the draw for free slots asked each engine for its room, which goes through the parts of the prompt, and the choice, the search for keepers and each draw asked again, up to five times; a request that was refused had also looked for the engine to fetch from. Before and after: the same choices in the same order of chance; no behaviour changes.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -106,11 +106,6 @@
 	keptForSecond = 5  // a fifth, from all others
 )
 
-// hasRoom reports whether a server may be sent more work.
-func (s *server) hasRoom(work *Work) bool {
-	return s.memory == 0 || s.free(work) > 0
-}
-
 // free is the number of an engine's slots that work of this priority may take.
 func (s *server) free(work *Work) int {
 	most := s.slots
@@ -127,40 +122,51 @@
 	return most - len(s.runs)
 }
 
+// opening is a server with room for a request.
+type opening struct {
+	*server
+	// room is the number of slots that the request may take. It says nothing of a
+	// server that is no engine: its requests wait for one.
+	room int
+}
+
 // Choose returns the candidate that costs least, or why there is none.
 func (b *Board) Choose(work Work, candidates []Candidate, now monotime.Instant) (Choice, Refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweep(now)
 	reachable := make([]*server, 0, len(candidates))
+	open := make([]opening, 0, len(candidates))
 	for _, candidate := range candidates {
-		if s := b.server(candidate); s.retryAt == 0 || now >= s.retryAt {
-			reachable = append(reachable, s)
+		s := b.server(candidate)
+		if s.retryAt != 0 && now < s.retryAt {
+			continue
+		}
+		reachable = append(reachable, s)
+		if free := s.free(&work); free > 0 || s.memory == 0 {
+			open = append(open, opening{s, free})
 		}
 	}
 	if len(reachable) == 0 {
 		return Choice{}, NoneReachable
 	}
-	from := bestSource(reachable, &work, now)
-	servers, refused := b.admit(reachable, &work, now)
+	considered, refused := b.admit(open, &work, now)
 	if refused != nil {
 		return *refused, AllFull
 	}
-	best, refusal := Choice{Cost: math.Inf(1)}, NoneReachable
-	for _, s := range servers {
-		if !s.hasRoom(&work) {
-			if refusal == NoneReachable {
-				refusal = AllFull
-			}
-			continue
-		}
-		choice := b.evaluate(s, &work, from, now)
+	if len(considered) == 0 {
+		return Choice{}, AllFull
+	}
+	from := bestSource(reachable, &work, now)
+	best := Choice{Cost: math.Inf(1)}
+	for i, s := range considered {
+		choice := b.evaluate(s.server, &work, from, now)
 		choice.Cost += b.noise * b.rand.Float64()
-		if refusal != Chosen || choice.Cost < best.Cost {
-			best, refusal = choice, Chosen
+		if i == 0 || choice.Cost < best.Cost {
+			best = choice
 		}
 	}
-	return best, refusal
+	return best, Chosen
 }
 
 // evaluate predicts what happens when work goes to s.
--- a/internal/placement/contention.go
+++ b/internal/placement/contention.go
@@ -92,53 +92,53 @@
 // their callers still have time to come back. In a burst that fills 140 engines
 // of 16 slots, 13 of 100 requests go to an engine with 14 or more in place of 73,
 // and engines preempt 212 requests in place of 722.
-func (b *Board) admit(reachable []*server, work *Work, now monotime.Instant) ([]*server, *Choice) {
+func (b *Board) admit(open []opening, work *Work, now monotime.Instant) ([]opening, *Choice) {
 	if work.Prompt == 0 || b.contention.others == 0 {
-		return reachable, nil
+		return open, nil
 	}
 	unheard, free := b.contention.unheard(work.Priority, now), 0
-	for _, s := range reachable {
+	for _, s := range open {
 		if s.memory == 0 {
-			return reachable, nil // no engine; its requests wait for a slot
+			return open, nil // no engine; its requests wait for a slot
 		}
-		free += s.free(work)
+		free += s.room
 	}
 	if free > 0 && float64(free) >= contestedBelow*unheard {
-		return reachable, nil
+		return open, nil
 	}
 	if b.rand.Float64()*unheard >= float64(free) {
 		b.contention.refused[counted(work.Priority)].add(now)
 		return nil, &Choice{Free: free, Unheard: int(unheard)}
 	}
-	out := b.keepers(reachable, work)
+	out := b.keepers(open, work)
 	for range draws {
-		out = append(out, draw(reachable, work, b.rand.IntN(free)))
+		out = append(out, draw(open, b.rand.IntN(free)))
 	}
 	return out, nil
 }
 
-// draw returns the server of a free slot.
-func draw(reachable []*server, work *Work, slot int) *server {
-	for _, s := range reachable {
-		if slot -= s.free(work); slot < 0 {
+// draw returns the engine of a free slot.
+func draw(open []opening, slot int) opening {
+	for _, s := range open {
+		if slot -= s.room; slot < 0 {
 			return s
 		}
 	}
-	return nil // not reached: slot is below the sum of what is free
+	return opening{} // not reached: slot is below the sum of what is free
 }
 
-// keepers returns some of the servers with room that keep most of the shared
-// start of a prompt.
-func (b *Board) keepers(reachable []*server, work *Work) []*server {
+// keepers returns some of the engines that keep most of the shared start of a
+// prompt.
+func (b *Board) keepers(open []opening, work *Work) []opening {
 	if len(work.Parts) < 2 {
 		return nil
 	}
 	shared := work.Parts[:len(work.Parts)-1]
-	var out []*server
+	var out []opening
 	longest := leastFetch
-	for _, s := range reachable {
+	for _, s := range open {
 		tokens := s.cache.cached(shared)
-		if tokens < longest || s.free(work) == 0 {
+		if tokens < longest {
 			continue
 		}
 		if tokens > longest {
