--- a/tools/child/child.go
+++ b/tools/child/child.go
@@ -4,6 +4,7 @@
 import (
 	"os/exec"
 	"runtime"
+	"syscall"
 )
 
 // Starter starts processes from one locked thread. Linux sends the death signal
@@ -25,14 +26,16 @@
 	return s
 }
 
-// Start starts a command, whose SysProcAttr may ask for a death signal.
+// Start starts a command in a process group of its own, so that a signal to this
+// program's group does not reach it, and to be killed when this program ends.
 func (s *Starter) Start(cmd *exec.Cmd) error {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	done := make(chan error)
 	s.jobs <- func() { done <- cmd.Start() }
 	return <-done
 }
 
-// Stop ends the thread, and with it the children that asked for a death signal.
+// Stop ends the thread, and with it the children.
 func (s *Starter) Stop() {
 	close(s.jobs)
 }
--- a/tools/fleet/process.go
+++ b/tools/fleet/process.go
@@ -45,7 +45,6 @@
 		done: make(chan struct{}),
 	}
 	p.cmd.Env = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(procs))
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	p.cmd.Stdout = accounting
 	stderr, err := p.cmd.StderrPipe()
 	if err != nil {
--- a/tools/soak/instance.go
+++ b/tools/soak/instance.go
@@ -96,7 +96,6 @@
 	p := &process{cmd: exec.Command(f.binary, "relay", i.settings), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = i.log, i.log
 	p.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := f.starter.Start(p.cmd); err != nil {
 		return errors.Wrap(err, "start an instance")
 	}
