--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -46,9 +46,7 @@
 	// slices as they are.
 	byService map[string][]servers.Server
 
-	runs    sync.Mutex // guards number and own
-	number  int
-	ownRuns map[int]wire.RelayRun
+	number atomic.Int64 // of the last own run
 }
 
 var _ relay.Fleet = (*fleet)(nil)
@@ -105,6 +103,19 @@
 	}
 }
 
+// status fills in what is in force here, for peers.
+func (f *fleet) status(own *wire.RelayNews) {
+	own.Digest = int(f.digest.Load())
+	if table := f.table.Load(); table != nil {
+		own.ConfigVersion = int(table.Version())
+	}
+	// What others vouched for is passed on: an instance that subscribes to one that
+	// does not read the store would read it too.
+	if at := f.confirmedAt(); at != never {
+		own.Confirmed = 1 + int(monotime.Now().Sub(at).Milliseconds())
+	}
+}
+
 // vouch takes a peer's word that the version was the newest at an instant.
 func (f *fleet) vouch(version int64, at monotime.Instant) {
 	table := f.table.Load()
@@ -290,14 +301,9 @@
 
 // Begin implements relay.Fleet.
 func (f *fleet) Begin(target relay.Target, work placement.Work, now monotime.Instant) int {
-	f.runs.Lock()
-	f.number++
-	number := f.number
-	told := encodeRun(number, target, work)
-	f.ownRuns[number] = told
-	f.runs.Unlock()
+	number := int(f.number.Add(1))
 	f.board.Begin(placement.RunID{Instance: f.self, Number: number}, target.ID, work, target.Choice.Unread, now)
-	f.news.begun(told)
+	f.news.begun(encodeRun(number, target.ID, target.Choice.Unread, work))
 	return number
 }
 
@@ -314,24 +320,10 @@
 
 // End implements relay.Fleet.
 func (f *fleet) End(run int, now monotime.Instant) {
-	f.runs.Lock()
-	delete(f.ownRuns, run)
-	f.runs.Unlock()
 	f.board.End(placement.RunID{Instance: f.self, Number: run}, now)
 	f.news.ended(run)
 }
 
-// running returns this instance's runs, for a peer that is new.
-func (f *fleet) running() []wire.RelayRun {
-	f.runs.Lock()
-	defer f.runs.Unlock()
-	out := make([]wire.RelayRun, 0, len(f.ownRuns))
-	for _, r := range f.ownRuns {
-		out = append(out, r)
-	}
-	return out
-}
-
 // Observe implements relay.Fleet.
 func (f *fleet) Observe(server string, outcome placement.Outcome, now monotime.Instant) {
 	if f.board.Observe(server, outcome, now) {
@@ -351,14 +343,17 @@
 // Count implements relay.Fleet.
 func (f *fleet) Count(service string, now monotime.Instant) { f.budget.count(service, now) }
 
-func encodeRun(number int, target relay.Target, work placement.Work) wire.RelayRun {
-	out := wire.RelayRun{
-		Number: number, Server: target.ID, Unread: target.Choice.Unread, Prompt: work.Prompt,
+func encodeRun(number int, server string, unread int, work placement.Work) wire.RelayRun {
+	return wire.RelayRun{
+		Number: number, Server: server, Unread: unread, Prompt: work.Prompt,
 		Output: work.Output, GapMS: int(work.MaxGap / time.Millisecond), Priority: work.Priority,
-		LeftMS: int(work.Left / time.Millisecond),
+		LeftMS: int(work.Left / time.Millisecond), Parts: encodeParts(work.Parts),
 	}
-	out.Parts = encodeParts(work.Parts)
-	return out
+}
+
+// encodeState is encodeRun for a run that began a while ago.
+func encodeState(r placement.RunState) wire.RelayRun {
+	return encodeRun(r.Number, r.Server, r.Unread, r.Work)
 }
 
 func decodeRun(r wire.RelayRun) placement.Work {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,7 @@
 		board:    placement.NewBoard(pace.Neutral, s.Instance.DataCentre),
 		budget:   newBudget(s.Retries.Ratio, s.Retries.Burst, seconds(s.Retries.WindowS)),
 		registry: servers.New(),
-		ownRuns:  make(map[int]wire.RelayRun),
+		news:     newNewsroom(),
 	}
 	g.fleet.neverHeard()
 	g.feed = &feed{
@@ -131,20 +131,15 @@
 		wait: milliseconds(s.Store.WatchMS), slack: milliseconds(s.Store.TimeoutMS),
 		confirming: make(chan struct{}, 1),
 	}
-	g.peers = &peers{
-		self: wire.RelayMember{
-			ID: s.Instance.ID, Incarnation: incarnation, DataCentre: s.Instance.DataCentre,
-			CallerAddress: s.Listen.Callers, PeerAddress: s.Listen.Peers,
-		},
-		fleet: g.fleet, log: cfg.Log, members: make(map[string]*member), seeds: s.Peers.Seeds,
-	}
+	g.peers = newPeers(wire.RelayMember{
+		ID: s.Instance.ID, Incarnation: incarnation, DataCentre: s.Instance.DataCentre,
+		CallerAddress: s.Listen.Callers, PeerAddress: s.Listen.Peers,
+		Capacity: int(s.Instance.Processor * capacityOfCore),
+	}, s.Peers.Seeds, g.fleet, cfg.Log)
 	g.fleet.members = g.peers.count
 	g.fleet.confirm = g.feed.confirm
 	g.feed.rank = g.peers.rank
-	heard := func() monotime.Instant { return monotime.Instant(g.fleet.heard.Load()) }
-	digest := func() int { return int(g.fleet.digest.Load()) }
-	g.fleet.news = newNewsroom(g.version, heard, digest, func() int { return len(g.peers.linked()) })
-	g.fleet.news.send = g.peers.broadcast
+	g.wireNews()
 	g.relay = relay.New(relay.Config{
 		Fleet: g.fleet, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
 		DrainTime: seconds(s.Drain.GraceS) - endReserve,
@@ -152,6 +147,16 @@
 	return g, nil
 }
 
+// capacityOfCore is the capacity told of an instance with a whole core.
+const capacityOfCore = 1000
+
+// wireNews connects what happens here to the peers that are told of it.
+func (g *Gateway) wireNews() {
+	news := g.fleet.news
+	news.gather, news.due, news.send = g.peers.gather, g.peers.due, g.peers.broadcast
+	news.status = g.fleet.status
+}
+
 // Run serves until the context ends and the drain after it.
 func (g *Gateway) Run(ctx context.Context) error {
 	listeners, err := g.listen()
@@ -161,7 +166,7 @@
 	if err := g.makeLinks(listeners.peers); err != nil {
 		return err
 	}
-	g.cfg.Log.Info("started", zap.String("incarnation", g.peers.self.Incarnation), zap.Strings("seeds", g.seeds))
+	g.cfg.Log.Info("started", zap.String("incarnation", g.peers.node.Self().Incarnation), zap.Strings("seeds", g.seeds))
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	tasks, work := errgroup.WithContext(work)
@@ -184,7 +189,7 @@
 		stop()
 		return server.Close()
 	})
-	g.peers.want()
+	g.peers.tick(monotime.Now())
 	err = tasks.Wait()
 	g.cfg.Log.Info("stopped", eventlog.Cause(err))
 	return err
@@ -220,11 +225,11 @@
 		secret = noKey
 		g.cfg.Log.Warn("links_unauthenticated", zap.String("reason", "no key is set for the links between instances"))
 	}
-	self := g.peers.self
+	self := g.peers.node.Self()
 	links, err := peer.New(peer.Config{
 		Self: peer.Identity{
 			ID: self.ID, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
-			CallerAddress: self.CallerAddress, PeerAddress: self.PeerAddress,
+			CallerAddress: self.CallerAddress, PeerAddress: self.PeerAddress, Capacity: self.Capacity,
 		},
 		Keys:     []peer.Key{{ID: linkKeyID, Secret: secret}},
 		Listener: listener,
@@ -276,6 +281,7 @@
 	began := monotime.Now()
 	g.leaving.Store(true)
 	g.relay.Drain()
+	g.peers.leave()
 	g.fleet.news.leaving()
 	g.cfg.Log.Info("draining", zap.Int64("in_flight", g.relay.InFlight()))
 	ticker := time.NewTicker(tick)
@@ -305,11 +311,11 @@
 		g.fleet.update(fromTimer, func(r *servers.Registry, now monotime.Instant) []string { return r.Expire(now) })
 		g.checkIsolation()
 		g.tellEvidence(monotime.Now())
+		g.peers.tick(monotime.Now())
+		g.fleet.board.SetPeers(g.peers.count()-1, g.peers.staleness())
 		if n%sweepTicks == 0 {
 			g.relay.Sweep(g.fleet.known)
-			g.peers.want()
 			g.fleet.board.SetNoise(noisePerInstance * float64(max(0, g.peers.count()-manyInstances)))
-			g.fleet.board.SetPeers(g.peers.count()-1, g.fleet.news.delay())
 			g.takeSettings()
 			g.logPaces()
 		}
--- /dev/null
+++ b/internal/gateway/links_test.go
@@ -0,0 +1,229 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/peer"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/relay"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/servers"
+)
+
+// memoryNet connects the instances of a test without sockets, so that it can run in
+// virtual time.
+type memoryNet struct {
+	mu        sync.Mutex
+	listeners map[string]*memoryListener
+}
+
+type memoryListener struct {
+	address string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return memoryAddr(l.address) }
+
+type memoryAddr string
+
+func (memoryAddr) Network() string  { return "memory" }
+func (a memoryAddr) String() string { return string(a) }
+
+func (m *memoryNet) listen(address string) net.Listener {
+	l := &memoryListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listeners[address] = l
+	return l
+}
+
+func (m *memoryNet) dial(ctx context.Context, address string) (net.Conn, error) {
+	m.mu.Lock()
+	l := m.listeners[address]
+	m.mu.Unlock()
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	here, there := net.Pipe()
+	select {
+	case l.conns <- there:
+		return here, nil
+	case <-l.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// linkedInstance is the part of an instance that is linked to others.
+type linkedInstance struct {
+	fleet *fleet
+	peers *peers
+}
+
+// begin begins a run on a server.
+func (i *linkedInstance) begin(server string) int {
+	target := relay.Target{Server: servers.Server{ID: server}}
+	return i.fleet.Begin(target, placement.Work{Prompt: 100, Output: 10, Left: time.Minute}, monotime.Now())
+}
+
+// startLinked starts instances that know the first three as seeds; the first is the
+// strongest of all.
+func startLinked(t *testing.T, ctx context.Context, tasks *errgroup.Group, size int) []*linkedInstance {
+	t.Helper()
+	// Virtual time begins before the process did, where instants are negative.
+	for monotime.Now() < monotime.Instant(time.Hour) {
+		time.Sleep(365 * 24 * time.Hour)
+	}
+	network := &memoryNet{listeners: make(map[string]*memoryListener)}
+	var out []*linkedInstance
+	for n := range size {
+		f, _, _ := newFleet()
+		f.self = fmt.Sprintf("instance-%02d", n)
+		self := wire.RelayMember{
+			ID: f.self, Incarnation: f.self + "/1", DataCentre: fmt.Sprint("dc-", n%2),
+			CallerAddress: f.self + ":1", PeerAddress: f.self + ":2", Capacity: 200,
+		}
+		p := newPeers(self, []string{"instance-00:2", "instance-01:2", "instance-02:2"}, f, zap.NewNop())
+		links, err := peer.New(peer.Config{
+			Self: peer.Identity{
+				ID: self.ID, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
+				CallerAddress: self.CallerAddress, PeerAddress: self.PeerAddress, Capacity: self.Capacity,
+			},
+			Keys:     []peer.Key{{ID: linkKeyID, Secret: noKey}},
+			Listener: network.listen(self.PeerAddress),
+			Dial:     network.dial,
+			Handler:  p,
+			Timing:   linkTiming,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.links = links
+		f.members = p.count
+		f.news.gather, f.news.due, f.news.send, f.news.status = p.gather, p.due, p.broadcast, f.status
+		tasks.Go(func() error { return links.Run(ctx) })
+		tasks.Go(func() error { return f.news.run(ctx) })
+		tasks.Go(func() error {
+			for ctx.Err() == nil {
+				p.tick(monotime.Now())
+				sleep(ctx, tick)
+			}
+			return nil
+		})
+		out = append(out, &linkedInstance{fleet: f, peers: p})
+	}
+	return out
+}
+
+func stopLinked(t *testing.T, cancel func(), tasks *errgroup.Group) {
+	t.Helper()
+	cancel()
+	if err := tasks.Wait(); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(time.Minute) // the HTTP library's servers clean up at their next tick
+}
+
+// The HTTP library starts a clock for the Date header with its first answer, and never
+// ends it. It has to start outside of virtual time.
+var _ = new(fasthttp.ResponseHeader).Header()
+
+// Twenty-four instances start, find each other over three seeds, and drop the links
+// that nobody needs then. A dropped link must stay closed: when the other side opened
+// it again at once, small machines did nothing but shake hands, and callers waited.
+func TestLinksOfALargeFleetComeToRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		const size = 24
+		fleet := startLinked(t, ctx, &tasks, size)
+		dials := func() (sum uint64) {
+			for _, i := range fleet {
+				sum += i.peers.links.Counters().Snapshot().Dials
+			}
+			return sum
+		}
+		time.Sleep(8 * time.Second)
+		before := dials()
+		time.Sleep(10 * time.Second)
+		if again := dials() - before; again > 0 {
+			t.Errorf("%d links opened in 10 s in which nothing happened", again)
+		}
+		open := 0
+		for _, i := range fleet {
+			open += len(i.peers.linked())
+			if got := len(i.peers.callers()); got != size-1 {
+				t.Errorf("%s knows %d others", i.fleet.self, got)
+			}
+		}
+		if most := size * 10; open > most {
+			t.Errorf("%d ends of links, at most %d wanted", open, most)
+		}
+		stopLinked(t, cancel, &tasks)
+	})
+}
+
+// Each of twenty-four instances begins runs on a server, and ends them. All others
+// count them for as long as they last, and none afterwards.
+func TestRunsAreKnownOverHubs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		const size = 24
+		fleet := startLinked(t, ctx, &tasks, size)
+		time.Sleep(5 * time.Second)
+		running := func() (least, most int) {
+			least = size + 1
+			for _, i := range fleet {
+				n := i.fleet.board.Running("e")
+				least, most = min(least, n), max(most, n)
+			}
+			return least, most
+		}
+		var runs []int
+		for _, i := range fleet {
+			runs = append(runs, i.begin("e"))
+		}
+		time.Sleep(60 * time.Millisecond)
+		if least, _ := running(); least != size {
+			t.Errorf("some instance knows %d of %d runs after 60 ms", least, size)
+		}
+		for n, i := range fleet {
+			i.fleet.End(runs[n], monotime.Now())
+		}
+		time.Sleep(60 * time.Millisecond)
+		if _, most := running(); most != 0 {
+			t.Errorf("some instance believes in %d runs that ended", most)
+		}
+		stopLinked(t, cancel, &tasks)
+	})
+}
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -9,65 +9,58 @@
 	"basilrudder/internal/schema/wire"
 )
 
-const (
-	// newsDelayMin gathers what happens into one message per peer. Ten
-	// milliseconds is about a step of an engine, so it costs placement little.
-	newsDelayMin = 10 * time.Millisecond
-	// newsDelayPeer is added for each peer beyond the first few: every message
-	// goes to all of them, and each receives from all. So the messages that an
-	// instance handles stay below some 400 a second, whatever the fleet's size. With
-	// half of it 83 instances serve 0.746 of a heavy day in place of 0.710, as fewer
-	// slots are left free for what is not known, and the processor time of all
-	// instances is a tenth more.
-	newsDelayPeer = 3 * time.Millisecond
-	// newsDelayMost bounds it: later news would be of runs that are over.
-	newsDelayMost = 400 * time.Millisecond
-	// newsInterval is the longest time without news: it repeats the version of
-	// the configuration, so that a peer whose watch went silent notices.
-	newsInterval = 500 * time.Millisecond
-)
-
-// newsroom gathers news and sends them to all peers. Adding to it never blocks.
+// newsroom gathers news for a while and has them sent. Adding to it never blocks.
 type newsroom struct {
-	send    func(*wire.RelayNews)
-	version func() int64
-	// confirmed is when the store last answered, or never.
-	confirmed func() monotime.Instant
-	// digest of the servers known.
-	digest func() int
-	// peers is the number of instances that get them.
-	peers func() int
+	// gather is how long news are gathered.
+	gather func() time.Duration
+	// due reports whether something is to be sent although nothing happened.
+	due func() bool
+	// send gets the news of what happened here, since when they were gathered, and
+	// whether all peers are to be told now what is in force here.
+	send func(own *wire.RelayNews, since monotime.Instant, urgent bool)
+	// status fills in what is in force here.
+	status func(own *wire.RelayNews)
 
 	mu      sync.Mutex
 	pending wire.RelayNews
-	some    bool
+	since   monotime.Instant // of the oldest of pending, or 0
+	urgent  bool
+	armed   bool // a flush is due
 	kick    chan struct{}
 }
 
-func newNewsroom(version func() int64, confirmed func() monotime.Instant, digest, peers func() int) *newsroom {
-	return &newsroom{version: version, confirmed: confirmed, digest: digest, peers: peers, kick: make(chan struct{}, 1)}
-}
-
-// delay is how long news are gathered.
-func (n *newsroom) delay() time.Duration {
-	return min(max(newsDelayMin, time.Duration(n.peers())*newsDelayPeer-newsDelayMin), newsDelayMost)
+func newNewsroom() *newsroom {
+	return &newsroom{
+		gather: func() time.Duration { return 0 },
+		due:    func() bool { return false },
+		send:   func(*wire.RelayNews, monotime.Instant, bool) {},
+		status: func(*wire.RelayNews) {},
+		kick:   make(chan struct{}, 1),
+	}
 }
 
-func (n *newsroom) add(change func(*wire.RelayNews)) {
-	n.mu.Lock()
-	change(&n.pending)
-	first := !n.some
-	n.some = true
-	n.mu.Unlock()
-	if !first {
+// arm has a flush follow; mu is held.
+func (n *newsroom) arm() {
+	if n.armed {
 		return
 	}
+	n.armed = true
 	select {
 	case n.kick <- struct{}{}:
 	default:
 	}
 }
 
+func (n *newsroom) add(change func(*wire.RelayNews)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(&n.pending)
+	if n.since == 0 {
+		n.since = monotime.Now()
+	}
+	n.arm()
+}
+
 func (n *newsroom) begun(r wire.RelayRun) {
 	n.add(func(p *wire.RelayNews) { p.Begun = append(p.Begun, r) })
 }
@@ -92,46 +85,58 @@
 	n.add(func(p *wire.RelayNews) { p.Evidence = told })
 }
 
-// soon has news sent although nothing is to be told but the version.
+// pass has a flush follow for what is held for others.
+func (n *newsroom) pass() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.arm()
+}
+
+// soon has all peers told what is in force here.
 func (n *newsroom) soon() {
-	n.add(func(*wire.RelayNews) {})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.urgent = true
+	n.arm()
 }
 
 func (n *newsroom) leaving() {
 	n.add(func(p *wire.RelayNews) { p.Leaving = true })
+	n.soon()
 }
 
 // run sends what was gathered until the context ends.
 func (n *newsroom) run(ctx context.Context) error {
-	regular := time.NewTicker(newsInterval)
+	regular := time.NewTicker(tick)
 	defer regular.Stop()
-	gather := time.NewTimer(newsDelayMin)
+	gather := time.NewTimer(time.Hour)
 	gather.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-n.kick:
-			gather.Reset(n.delay())
+			gather.Reset(n.gather())
 			continue
 		case <-gather.C:
 		case <-regular.C:
+			if !n.due() {
+				continue
+			}
 		}
 		n.flush()
 	}
 }
 
+// flush is called by one goroutine only: news are numbered in the order in which
+// they are sent, and an end that overtook its beginning would leave a run for good.
 func (n *newsroom) flush() {
 	n.mu.Lock()
-	out := n.pending
+	out, since, urgent := n.pending, n.since, n.urgent
 	// A process that leaves says so in all its news.
 	n.pending = wire.RelayNews{Leaving: out.Leaving}
-	n.some = false
+	n.since, n.urgent, n.armed = 0, false, false
 	n.mu.Unlock()
-	out.ConfigVersion = int(n.version())
-	out.Digest = n.digest()
-	if at := n.confirmed(); at != never {
-		out.Confirmed = 1 + int(monotime.Now().Sub(at).Milliseconds())
-	}
-	n.send(&out)
+	n.status(&out)
+	n.send(&out, since, urgent)
 }
--- a/internal/gateway/peernews.go
+++ b/internal/gateway/peernews.go
@@ -8,22 +8,46 @@
 
 	"basilrudder/internal/eventlog"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/overlay"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/routing"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/servers"
 )
 
-// take takes one message of a peer.
-func (p *peers) take(from string, news *wire.RelayNews) {
-	p.takeMembers(from, news)
-	p.takeRuns(from, news)
+// take takes one of the news in a message. It reports whether the links may have to
+// change for it.
+func (p *peers) take(from string, news *wire.RelayNews) (changed bool) {
+	now := monotime.Now()
+	p.mu.Lock()
+	receipt, ok := p.node.Receive(from, news, now)
+	if !ok {
+		p.mu.Unlock()
+		return receipt.Changed
+	}
+	// With mu held, so that news of one origin that come over two links count in order.
+	p.takeRuns(receipt.Origin, news, now)
+	if receipt.State != overlay.FeedUnchanged {
+		p.sendRuns(from, receipt.State, now)
+	}
+	if news.MembersWanted {
+		p.links.Send(from, &wire.Envelope{News: []wire.RelayNews{{Members: p.node.Alive()}}})
+	}
+	p.mu.Unlock()
 	if len(news.Servers) > 0 {
-		p.takeServers(from, news.Servers)
+		p.takeServers(receipt.Origin, news.Servers)
 	}
-	p.compareServers(from, news)
 	p.takeCaches(news)
-	p.takeEvidence(from, news)
+	p.takeEvidence(receipt.Origin, news)
+	if receipt.Direct {
+		p.takeStatus(from, news)
+	}
+	return receipt.Changed
+}
+
+// takeStatus takes what a peer tells this instance alone.
+func (p *peers) takeStatus(from string, news *wire.RelayNews) {
+	p.compareServers(from, news)
 	switch {
 	case news.StateWanted:
 		p.sendState(from, p.fleet.caches())
@@ -33,35 +57,59 @@
 	p.takeConfig(from, news)
 }
 
-func (p *peers) takeMembers(from string, news *wire.RelayNews) {
-	p.mu.Lock()
-	if m := p.members[from]; m != nil && news.Leaving && !m.leaving {
-		m.leaving = true
-		p.log.Info("peer_leaving", zap.String("peer", from))
-	}
-	added := false
-	for _, told := range news.Members {
-		if told.ID != p.self.ID && p.members[told.ID] == nil {
-			p.members[told.ID] = &member{RelayMember: told, lostAt: monotime.Now()}
-			added = true
-		}
+func (p *peers) takeRuns(origin string, news *wire.RelayNews, now monotime.Instant) {
+	board := p.fleet.board
+	if news.Whole {
+		p.takeWhole(origin, news, now)
+		return
 	}
-	p.mu.Unlock()
-	if added {
-		p.want()
+	for _, r := range news.Begun {
+		board.Begin(placement.RunID{Instance: origin, Number: r.Number}, r.Server, decodeRun(r), r.Unread, now)
+	}
+	for _, number := range news.First {
+		board.First(placement.RunID{Instance: origin, Number: number}, now)
+	}
+	for _, number := range news.Ended {
+		board.End(placement.RunID{Instance: origin, Number: number}, now)
 	}
 }
 
-func (p *peers) takeRuns(from string, news *wire.RelayNews) {
-	now := monotime.Now()
+// takeWhole takes all runs of an instance in place of those known: news of it may have
+// been missed while there was no way for them.
+func (p *peers) takeWhole(origin string, news *wire.RelayNews, now monotime.Instant) {
+	board := p.fleet.board
+	states := make([]placement.RunState, 0, len(news.Begun))
 	for _, r := range news.Begun {
-		p.fleet.board.Begin(placement.RunID{Instance: from, Number: r.Number}, r.Server, decodeRun(r), r.Unread, now)
+		states = append(states, placement.RunState{Number: r.Number, Server: r.Server, Work: decodeRun(r), Unread: r.Unread})
+	}
+	for _, s := range board.Keep(origin, states, now) {
+		board.Begin(placement.RunID{Instance: origin, Number: s.Number}, s.Server, s.Work, s.Unread, now)
 	}
 	for _, number := range news.First {
-		p.fleet.board.First(placement.RunID{Instance: from, Number: number}, now)
+		board.First(placement.RunID{Instance: origin, Number: number}, now)
 	}
-	for _, number := range news.Ended {
-		p.fleet.board.End(placement.RunID{Instance: from, Number: number}, now)
+}
+
+// sendRuns tells a peer the runs that it lacks for a feed that it asked for; mu is held.
+func (p *peers) sendRuns(to string, feed overlay.Feed, now monotime.Instant) {
+	runs := p.fleet.board.Runs(now)
+	state := p.node.State(to, feed)
+	for i := range state {
+		news := &state[i]
+		id, ok := p.node.Instance(news.Origin)
+		if !ok {
+			continue
+		}
+		for _, r := range runs[id] {
+			news.Begun = append(news.Begun, encodeState(r))
+			if r.First {
+				news.First = append(news.First, r.Number)
+			}
+		}
+	}
+	p.links.Send(to, &wire.Envelope{News: state})
+	if told := p.fleet.evidence(); len(told) > 0 {
+		p.links.Send(to, &wire.Envelope{News: []wire.RelayNews{{Evidence: told}}})
 	}
 }
 
@@ -84,19 +132,16 @@
 	}
 	now := monotime.Now()
 	p.mu.Lock()
-	m := p.members[from]
-	if m == nil || news.Digest == int(p.fleet.digest.Load()) {
-		if m != nil {
-			m.differsSince = 0
-		}
-		p.mu.Unlock()
+	defer p.mu.Unlock()
+	if news.Digest == int(p.fleet.digest.Load()) {
+		delete(p.differs, from)
 		return
 	}
-	ask := m.differsSince != 0 && now.Sub(m.differsSince) >= differsFor
-	if m.differsSince == 0 || ask {
-		m.differsSince = now
+	since, differed := p.differs[from]
+	ask := differed && now.Sub(since) >= differsFor
+	if !differed || ask {
+		p.differs[from] = now
 	}
-	p.mu.Unlock()
 	if ask && p.mayAsk(now) {
 		p.log.Info("servers_differ", zap.String("peer", from), zap.Int("confirmed_ms", news.Confirmed-1))
 		p.links.Send(from, &wire.Envelope{News: []wire.RelayNews{{ServersWanted: true}}})
@@ -107,10 +152,8 @@
 // answers of all peers at once would fill a small machine's link for a second.
 const askInterval = 400 * time.Millisecond
 
-// mayAsk reports whether a peer may be asked for its state now.
+// mayAsk reports whether a peer may be asked for its state now; mu is held.
 func (p *peers) mayAsk(now monotime.Instant) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.askedAt != 0 && now.Sub(p.askedAt) < askInterval {
 		return false
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,45 +1,27 @@
 package gateway
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"basilrudder/internal/eventlog"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/overlay"
 	"basilrudder/internal/peer"
 	"basilrudder/internal/route"
 	"basilrudder/internal/schema/wire"
 )
 
-// memberLife is how long an instance without a link is still tried: the
-// longest restart of a machine and some more.
-const memberLife = time.Minute
-
 // newsTravel is taken off a peer's word for the time it was on its way: several
 // times the usual, of some ms between data centres.
 const newsTravel = 100 * time.Millisecond
 
-// member is another instance.
-type member struct {
-	wire.RelayMember
-	linked  bool
-	leaving bool
-	lostAt  monotime.Instant
-	// differsSince is when its digest of servers began to differ from that of
-	// this instance; 0 while it does not.
-	differsSince monotime.Instant
-}
-
-// peers keeps the links to the other instances and takes their news. It
-// implements peer.Handler.
+// peers keeps the links to other instances and takes their news. It implements
+// peer.Handler.
 type peers struct {
-	self  wire.RelayMember
 	fleet *fleet
 	log   *zap.Logger
 	links *peer.Links
@@ -47,177 +29,247 @@
 	// warm says that what engines keep is known, from peers or engines.
 	warm atomic.Bool
 
-	mu      sync.Mutex
-	members map[string]*member
-	seeds   []string
+	mu   sync.Mutex
+	node *overlay.Node
+	// differs is since when the servers of a peer are others than those known here.
+	differs map[string]monotime.Instant
 	askedAt monotime.Instant // when a peer was last asked for its state
+	logged  role             // what was last logged
+	// refreshing says that a refresh is due.
+	refreshing bool
+}
+
+// refreshDelay is how long changes of what is known are gathered. While a fleet starts
+// each instance hears of each other one by itself, and 360 refreshes of half a
+// millisecond would keep a small machine from its callers for a second.
+const refreshDelay = 10 * time.Millisecond
+
+// role is what an instance does for the others.
+type role struct {
+	name, primary string
+}
+
+func newPeers(self wire.RelayMember, seeds []string, f *fleet, log *zap.Logger) *peers {
+	return &peers{
+		fleet: f, log: log, node: overlay.New(self, seeds, monotime.Now()),
+		differs: make(map[string]monotime.Instant),
+	}
 }
 
 var _ peer.Handler = (*peers)(nil)
 
 // LinkUp implements peer.Handler.
 func (p *peers) LinkUp(id peer.Identity) {
+	now := monotime.Now()
 	p.mu.Lock()
-	p.members[id.ID] = &member{
-		RelayMember: wire.RelayMember{
-			ID: id.ID, Incarnation: id.Incarnation, DataCentre: id.DataCentre,
-			CallerAddress: id.CallerAddress, PeerAddress: id.PeerAddress,
-		},
-		linked: true,
-	}
-	everyone := p.everyone()
-	p.mu.Unlock()
-	p.log.Info("peer_linked", zap.String("peer", id.ID), zap.String("incarnation", id.Incarnation))
-	p.want()
-	version := 0
-	if table := p.fleet.Table(); table != nil {
-		version = int(table.Version())
+	defer p.mu.Unlock()
+	replaced := p.node.LinkUp(wire.RelayMember{
+		ID: id.ID, Incarnation: id.Incarnation, DataCentre: id.DataCentre,
+		CallerAddress: id.CallerAddress, PeerAddress: id.PeerAddress, Capacity: id.Capacity,
+	}, now)
+	if replaced {
+		p.fleet.board.InstanceGone(id.ID, now)
 	}
-	p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{{
-		Members: everyone, ConfigVersion: version,
-		StateWanted: !p.warm.Load() && p.mayAsk(monotime.Now()), Begun: p.fleet.running(),
-		Evidence: p.fleet.evidence(),
-	}}})
+	p.log.Info("peer_linked", zap.String("peer", id.ID), zap.String("incarnation", id.Incarnation))
+	greeting := p.node.Greeting()
+	greeting.ConfigVersion = p.version()
+	greeting.StateWanted = !p.warm.Load() && p.mayAsk(now)
+	p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{greeting}})
+	p.refreshSoon()
 }
 
 // LinkDown implements peer.Handler.
 func (p *peers) LinkDown(id string, err error) {
 	now := monotime.Now()
 	p.mu.Lock()
-	m := p.members[id]
-	was := m != nil && m.linked
-	if was {
-		m.linked = false
-		m.lostAt = now
-	}
-	p.mu.Unlock()
-	if !was {
-		return
-	}
+	defer p.mu.Unlock()
+	p.node.LinkDown(id, now)
+	delete(p.differs, id)
 	p.log.Info("peer_lost", zap.String("peer", id), eventlog.Cause(err))
-	p.fleet.board.InstanceGone(id, now)
-	p.want()
+	// At once, before the links look what to dial: of a link that the peer dropped
+	// because nobody needs it, this side would open another one, for good.
+	p.setWanted(now)
+	p.refreshSoon()
 }
 
 // Envelope implements peer.Handler.
 func (p *peers) Envelope(from string, env *wire.Envelope) {
+	changed := false
 	for i := range env.News {
-		p.take(from, &env.News[i])
+		changed = p.take(from, &env.News[i]) || changed
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.node.Holds() {
+		p.fleet.news.pass()
+	}
+	if changed {
+		p.refreshSoon()
 	}
 }
 
-// broadcast sends news to every linked peer.
-func (p *peers) broadcast(news *wire.RelayNews) {
-	env := &wire.Envelope{News: []wire.RelayNews{*news}}
-	for _, id := range p.linked() {
-		p.links.Send(id, env)
+// refreshSoon has a refresh follow; mu is held.
+func (p *peers) refreshSoon() {
+	if p.refreshing {
+		return
 	}
+	p.refreshing = true
+	time.AfterFunc(refreshDelay, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.refresh(monotime.Now())
+	})
 }
 
-func (p *peers) linked() []string {
+// refresh does what follows from a change of what is known; mu is held, so that what
+// it sends goes out in the order of the changes.
+func (p *peers) refresh(now monotime.Instant) {
+	p.refreshing = false
+	effects := p.node.Refresh(now)
+	for _, id := range effects.Lost {
+		p.log.Info("instance_lost", zap.String("peer", id))
+		p.fleet.board.InstanceGone(id, now)
+	}
+	for _, ask := range effects.Asks {
+		p.links.Send(ask.To, &wire.Envelope{News: []wire.RelayNews{{Feed: int(ask.Feed)}}})
+	}
+	if effects.MembersFrom != "" {
+		p.links.Send(effects.MembersFrom, &wire.Envelope{News: []wire.RelayNews{{MembersWanted: true}}})
+	}
+	p.setWanted(now)
+	if p.node.LinksChanged() {
+		p.fleet.news.pass()
+	}
+	p.logRole(now)
+}
+
+// setWanted tells the links which of them are wanted; mu is held.
+func (p *peers) setWanted(now monotime.Instant) {
+	wanted := p.node.Wanted(now)
+	targets := make([]peer.Target, 0, len(wanted))
+	for _, t := range wanted {
+		targets = append(targets, peer.Target{ID: t.ID, Address: t.Address})
+	}
+	p.links.SetWanted(targets)
+}
+
+// logRole logs what this instance does for the others, as it changes.
+func (p *peers) logRole(now monotime.Instant) {
+	is := role{p.node.Role(), p.node.Primary()}
+	if is == p.logged {
+		return
+	}
+	p.logged = is
+	p.log.Info("news_role", zap.String("role", is.name), zap.String("hub", is.primary),
+		zap.Int("links", len(p.node.Linked())), zap.Int("instances", len(p.node.Alive())),
+		zap.Duration("news_age_ms", p.node.Staleness(now)))
+}
+
+// tick does what is due by time alone.
+func (p *peers) tick(now monotime.Instant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []string
-	for id, m := range p.members {
-		if m.linked {
-			out = append(out, id)
-		}
+	p.refresh(now)
+	for _, id := range p.node.Surplus(now) {
+		p.links.Drop(id)
 	}
-	slices.Sort(out)
-	return out
 }
 
-// setSeeds replaces the addresses to start from.
-func (p *peers) setSeeds(seeds []string) {
+// gather is how long news are gathered before they are sent.
+func (p *peers) gather() time.Duration {
 	p.mu.Lock()
-	p.seeds = seeds
-	p.mu.Unlock()
-	p.want()
+	defer p.mu.Unlock()
+	return p.node.Gather()
 }
 
-// want keeps links to every known instance, and to seeds that are none of them.
-func (p *peers) want() {
-	now := monotime.Now()
+// due reports whether peers are to be told something although nothing happened.
+func (p *peers) due() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var targets []peer.Target
-	taken := map[string]bool{p.self.PeerAddress: true}
-	for id, m := range p.members {
-		if !m.linked && now.Sub(m.lostAt) > memberLife {
-			delete(p.members, id)
-			continue
-		}
-		taken[m.PeerAddress] = true
-		targets = append(targets, peer.Target{ID: id, Address: m.PeerAddress})
-	}
-	for _, seed := range p.seeds {
-		if !taken[seed] {
-			targets = append(targets, peer.Target{Address: seed})
-		}
-	}
-	p.links.SetWanted(targets)
+	return p.node.Due(monotime.Now())
 }
 
-// everyone lists the linked instances and this one; mu is held.
-func (p *peers) everyone() []wire.RelayMember {
-	out := []wire.RelayMember{p.self}
-	for _, m := range p.members {
-		if m.linked {
-			out = append(out, m.RelayMember)
-		}
+// staleness is about how long after a choice of another instance it is known here.
+func (p *peers) staleness() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node.Staleness(monotime.Now())
+}
+
+// broadcast sends own news and those held for others.
+func (p *peers) broadcast(own *wire.RelayNews, since monotime.Instant, urgent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, frame := range p.node.Flush(*own, since, urgent, monotime.Now()) {
+		p.links.Broadcast(frame.To, &wire.Envelope{News: frame.News})
 	}
-	return out
 }
 
-// routeMembers returns the linked instances and this one.
+// leave has other instances take over what this one does for them.
+func (p *peers) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.node.Leave()
+	p.refresh(monotime.Now())
+}
+
+func (p *peers) linked() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node.Linked()
+}
+
+// setSeeds replaces the addresses to start from.
+func (p *peers) setSeeds(seeds []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.node.SetSeeds(seeds)
+	p.refresh(monotime.Now())
+}
+
+// routeMembers returns the instances that can be reached and this one.
 func (p *peers) routeMembers() []route.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []route.Member
-	for _, m := range p.everyone() {
+	for _, m := range p.node.Alive() {
 		out = append(out, route.Member{ID: m.ID, DataCentre: m.DataCentre})
 	}
 	return out
 }
 
-// rank returns this instance's place among the linked ones in an order that all
-// of them agree on, and how many they are.
+// rank returns this instance's place among those that can be reached in an order that
+// all of them agree on, and how many they are.
 func (p *peers) rank() (place, of int) {
-	members := p.routeMembers()
-	own := rankHash(p.self.ID)
-	for _, m := range members {
-		if m.ID != p.self.ID && cmp.Or(cmp.Compare(rankHash(m.ID), own), cmp.Compare(m.ID, p.self.ID)) < 0 {
-			place++
-		}
-	}
-	return place, len(members)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node.Rank()
 }
 
-func rankHash(id string) uint64 { return xxhash.Sum64String(id) }
-
-// count returns the number of instances that are linked or were lately, this
+// count returns the number of instances that can be reached or could be lately, this
 // one among them.
 func (p *peers) count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return 1 + len(p.members)
+	return p.node.Known()
 }
 
-// callers returns the callers' addresses of the linked instances that do not
-// leave, by id.
+// callers returns the callers' addresses of the instances that can be reached and do
+// not leave, by id.
 func (p *peers) callers() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var live []*member
-	for _, m := range p.members {
-		if m.linked && !m.leaving {
-			live = append(live, m)
-		}
-	}
-	slices.SortFunc(live, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
-	out := make([]string, 0, len(live))
-	for _, m := range live {
+	var out []string
+	for _, m := range p.node.Staying() {
 		out = append(out, m.CallerAddress)
 	}
 	return out
 }
+
+// version of the configuration in force, or 0.
+func (p *peers) version() int {
+	if table := p.fleet.Table(); table != nil {
+		return int(table.Version())
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/overlay/network_test.go
@@ -0,0 +1,470 @@
+package overlay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/vtime"
+)
+
+// Times of the network that the tests play.
+const (
+	inDataCentre  = 300 * time.Microsecond
+	between       = 1200 * time.Microsecond
+	dialTime      = 3 * time.Millisecond
+	dialTimeout   = 300 * time.Millisecond
+	dialInterval  = 200 * time.Millisecond
+	linkSilence   = 700 * time.Millisecond
+	ticking       = 100 * time.Millisecond
+	refreshDelay  = 10 * time.Millisecond
+	clockMostSkew = int64(time.Hour)
+)
+
+// network plays instances, the links between them and what goes wrong.
+type network struct {
+	t      *testing.T
+	loop   vtime.Loop
+	random *rand.Rand
+	nodes  map[string]*instance
+	order  []string
+	seeds  []string
+	// cut reports whether nothing gets from one instance to another.
+	cut func(from, to string) bool
+	// slow is what a message takes beyond the usual.
+	slow func(from, to string) time.Duration
+	// heard has when each instance heard of each run.
+	heard map[runKey]map[string]monotime.Instant
+	begun map[runKey]monotime.Instant
+}
+
+type runKey struct {
+	instance string
+	number   int
+}
+
+type instance struct {
+	net     *network
+	member  wire.RelayMember
+	node    *Node
+	skew    int64 // of its steady clock
+	up      bool
+	frozen  bool
+	links   map[string]*pipe
+	dialing map[string]bool
+	armed   bool
+	stale   bool // a refresh is due
+	pending wire.RelayNews
+	since   monotime.Instant
+	runs    int
+	// messages handled, in and out, and runs known of others.
+	messages int
+	known    map[runKey]bool
+	lost     map[string]int
+}
+
+// pipe is one end of a link.
+type pipe struct {
+	to      string
+	dialer  bool
+	open    bool
+	arrives monotime.Instant // of the last message sent, so that none overtakes it
+	heardAt monotime.Instant
+}
+
+func newNetwork(t *testing.T, dataCentres, size int, strong func(n int) bool) *network {
+	net := &network{
+		t: t, random: rand.New(rand.NewPCG(1, 2)), nodes: make(map[string]*instance),
+		cut: func(string, string) bool { return false }, slow: func(string, string) time.Duration { return 0 },
+		heard: make(map[runKey]map[string]monotime.Instant), begun: make(map[runKey]monotime.Instant),
+	}
+	net.loop.Run(time.Hour)
+	for n := range size {
+		id := fmt.Sprintf("instance-%03d", n)
+		capacity := 200
+		if strong(n) {
+			capacity = 800
+		}
+		net.nodes[id] = &instance{net: net, member: wire.RelayMember{
+			ID: id, DataCentre: fmt.Sprint("dc-", n%dataCentres), PeerAddress: id, CallerAddress: id, Capacity: capacity,
+		}}
+		net.order = append(net.order, id)
+	}
+	net.seeds = []string{net.order[0], net.order[1], net.order[2]}
+	return net
+}
+
+func (net *network) now() monotime.Instant { return net.loop.Now() }
+
+// start starts the process of an instance anew.
+func (i *instance) start() {
+	i.runs += 1000
+	i.member.Incarnation = fmt.Sprintf("%s/%d", i.member.ID, i.runs)
+	i.skew = i.net.random.Int64N(clockMostSkew)
+	i.node = New(i.member, i.net.seeds, i.clock())
+	i.up, i.frozen, i.armed, i.stale = true, false, false, false
+	i.pending, i.since = wire.RelayNews{}, 0
+	i.links, i.dialing = make(map[string]*pipe), make(map[string]bool)
+	i.known, i.lost = make(map[runKey]bool), make(map[string]int)
+	incarnation := i.member.Incarnation
+	i.every(ticking, incarnation, i.tick)
+}
+
+// every calls do while the process lives and is not frozen.
+func (i *instance) every(d time.Duration, incarnation string, do func()) {
+	i.net.loop.After(d, func() {
+		if !i.up || i.member.Incarnation != incarnation {
+			return
+		}
+		if !i.frozen {
+			do()
+		}
+		i.every(d, incarnation, do)
+	})
+}
+
+// clock is the instance's own steady clock.
+func (i *instance) clock() monotime.Instant { return i.net.now().Add(time.Duration(i.skew)) }
+
+func (i *instance) tick() {
+	for _, to := range slices.Sorted(mapKeys(i.links)) {
+		if p := i.links[to]; p.open && i.net.now().Sub(p.heardAt) > linkSilence {
+			i.close(p)
+		}
+	}
+	i.refresh()
+	for _, id := range i.node.Surplus(i.clock()) {
+		if p := i.links[id]; p != nil && p.dialer {
+			i.net.breakLink(i, i.net.nodes[id])
+		}
+	}
+	// A sign of life on every link, as the links send it.
+	for _, to := range slices.Sorted(mapKeys(i.links)) {
+		i.transmit(to, nil)
+	}
+	if i.node.Due(i.clock()) {
+		i.flush()
+	}
+}
+
+func mapKeys[V any](m map[string]V) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// refreshSoon gathers changes for a moment, as a process does.
+func (i *instance) refreshSoon() {
+	if i.stale {
+		return
+	}
+	i.stale = true
+	incarnation := i.member.Incarnation
+	i.net.loop.After(refreshDelay, func() {
+		if i.up && i.member.Incarnation == incarnation {
+			i.refresh()
+		}
+	})
+}
+
+func (i *instance) refresh() {
+	i.stale = false
+	effects := i.node.Refresh(i.clock())
+	for _, id := range effects.Lost {
+		i.lost[id]++
+		i.forget(id)
+	}
+	for _, ask := range effects.Asks {
+		i.transmit(ask.To, []wire.RelayNews{{Feed: int(ask.Feed)}})
+	}
+	if effects.MembersFrom != "" {
+		i.transmit(effects.MembersFrom, []wire.RelayNews{{MembersWanted: true}})
+	}
+	for _, target := range i.node.Wanted(i.clock()) {
+		i.dial(target.Address)
+	}
+	if i.node.LinksChanged() {
+		i.arm()
+	}
+}
+
+func (i *instance) forget(id string) {
+	for key := range i.known {
+		if key.instance == id {
+			delete(i.known, key)
+		}
+	}
+}
+
+func (i *instance) dial(address string) {
+	if address == i.member.ID || i.links[address] != nil || i.dialing[address] {
+		return
+	}
+	i.dialing[address] = true
+	incarnation := i.member.Incarnation
+	other := i.net.nodes[address]
+	i.net.loop.After(dialTime, func() {
+		if !i.up || i.member.Incarnation != incarnation {
+			return
+		}
+		if i.frozen || other.frozen || i.net.cut(i.member.ID, address) || i.net.cut(address, i.member.ID) {
+			i.net.loop.After(dialTimeout, func() { delete(i.dialing, address) })
+			return
+		}
+		if !other.up {
+			i.net.loop.After(dialInterval, func() { delete(i.dialing, address) })
+			return
+		}
+		delete(i.dialing, address)
+		if i.links[address] == nil {
+			i.net.connect(i, other)
+		}
+	})
+}
+
+func (net *network) connect(dialer, acceptor *instance) {
+	if acceptor.links[dialer.member.ID] != nil {
+		net.breakLink(dialer, acceptor)
+	}
+	for _, pair := range [][2]*instance{{dialer, acceptor}, {acceptor, dialer}} {
+		a, b := pair[0], pair[1]
+		a.links[b.member.ID] = &pipe{to: b.member.ID, dialer: a == dialer, open: true, heardAt: net.now()}
+		a.node.LinkUp(b.member, a.clock())
+	}
+	for _, pair := range [][2]*instance{{dialer, acceptor}, {acceptor, dialer}} {
+		pair[0].transmit(pair[1].member.ID, []wire.RelayNews{pair[0].node.Greeting()})
+		pair[0].refreshSoon()
+	}
+}
+
+// breakLink ends a link at both ends, as a reset does.
+func (net *network) breakLink(a, b *instance) {
+	for _, pair := range [][2]*instance{{a, b}, {b, a}} {
+		if p := pair[0].links[pair[1].member.ID]; p != nil && pair[0].up {
+			pair[0].close(p)
+		}
+	}
+}
+
+func (i *instance) close(p *pipe) {
+	p.open = false
+	delete(i.links, p.to)
+	i.node.LinkDown(p.to, i.clock())
+	i.refreshSoon()
+}
+
+// transmit sends a message over a link; nil news are a sign of life.
+func (i *instance) transmit(to string, news []wire.RelayNews) {
+	p := i.links[to]
+	if p == nil || !p.open {
+		return
+	}
+	other := i.net.nodes[to]
+	back := other.links[i.member.ID]
+	if news != nil {
+		i.messages++
+	}
+	took := between
+	if other.member.DataCentre == i.member.DataCentre {
+		took = inDataCentre
+	}
+	took += i.net.slow(i.member.ID, to)
+	p.arrives = max(p.arrives, i.net.now().Add(took))
+	i.net.loop.At(p.arrives, func() { other.receive(back, i.member.ID, news) })
+}
+
+func (i *instance) receive(p *pipe, from string, news []wire.RelayNews) {
+	if p == nil || !p.open || i.links[from] != p || !i.up || i.net.cut(from, i.member.ID) {
+		return
+	}
+	if i.frozen {
+		i.net.loop.After(ticking, func() { i.receive(p, from, news) })
+		return
+	}
+	p.heardAt = i.net.now()
+	if news == nil {
+		return
+	}
+	i.messages++
+	changed := false
+	for n := range news {
+		changed = i.take(from, &news[n]) || changed
+	}
+	if i.node.Holds() {
+		i.arm()
+	}
+	if changed {
+		i.refreshSoon()
+	}
+}
+
+func (i *instance) take(from string, news *wire.RelayNews) bool {
+	receipt, ok := i.node.Receive(from, news, i.clock())
+	if !ok {
+		return receipt.Changed
+	}
+	if news.Whole {
+		i.forget(receipt.Origin)
+	}
+	for _, r := range news.Begun {
+		i.hear(runKey{receipt.Origin, r.Number})
+	}
+	for _, number := range news.Ended {
+		delete(i.known, runKey{receipt.Origin, number})
+	}
+	if receipt.State != FeedUnchanged {
+		i.sendState(from, receipt.State)
+	}
+	if news.MembersWanted {
+		i.transmit(from, []wire.RelayNews{{Members: i.node.Alive()}})
+	}
+	return receipt.Changed
+}
+
+func (i *instance) sendState(to string, feed Feed) {
+	state := i.node.State(to, feed)
+	for n := range state {
+		id, _ := i.node.Instance(state[n].Origin)
+		for key := range i.known {
+			if key.instance == id {
+				state[n].Begun = append(state[n].Begun, wire.RelayRun{Number: key.number})
+			}
+		}
+	}
+	i.transmit(to, state)
+}
+
+func (i *instance) hear(key runKey) {
+	i.known[key] = true
+	if i.net.heard[key][i.member.ID] == 0 {
+		i.net.heard[key][i.member.ID] = i.net.now()
+	}
+}
+
+func (i *instance) arm() {
+	if i.armed {
+		return
+	}
+	i.armed = true
+	incarnation := i.member.Incarnation
+	i.net.loop.After(i.node.Gather(), func() {
+		for i.member.Incarnation == incarnation && i.frozen {
+			i.net.loop.After(ticking, i.flush)
+			return
+		}
+		if i.up && i.member.Incarnation == incarnation {
+			i.flush()
+		}
+	})
+}
+
+func (i *instance) flush() {
+	if i.frozen || !i.up {
+		i.armed = false
+		return
+	}
+	own, since := i.pending, i.since
+	i.pending, i.since, i.armed = wire.RelayNews{}, 0, false
+	for _, frame := range i.node.Flush(own, since, false, i.clock()) {
+		for _, to := range frame.To {
+			i.transmit(to, slices.Clone(frame.News))
+		}
+	}
+}
+
+// begin begins a run, which ends later.
+func (i *instance) begin(lasts time.Duration) runKey {
+	i.runs++
+	key := runKey{i.member.ID, i.runs}
+	i.net.begun[key] = i.net.now()
+	i.net.heard[key] = make(map[string]monotime.Instant)
+	i.known[key] = true
+	i.note(func(p *wire.RelayNews) { p.Begun = append(p.Begun, wire.RelayRun{Number: key.number}) })
+	incarnation := i.member.Incarnation
+	i.net.loop.After(lasts, func() {
+		if i.up && i.member.Incarnation == incarnation {
+			delete(i.known, key)
+			i.note(func(p *wire.RelayNews) { p.Ended = append(p.Ended, key.number) })
+		}
+	})
+	return key
+}
+
+func (i *instance) note(change func(*wire.RelayNews)) {
+	change(&i.pending)
+	if i.since == 0 {
+		i.since = i.clock()
+	}
+	i.arm()
+}
+
+// kill ends a process; its peers see their links reset.
+func (i *instance) kill() {
+	i.up = false
+	for _, to := range slices.Sorted(mapKeys(i.links)) {
+		other := i.net.nodes[to]
+		if p := other.links[i.member.ID]; p != nil && other.up && !other.frozen {
+			other.close(p)
+		}
+	}
+	i.links = make(map[string]*pipe)
+}
+
+// startAll starts all instances within 300 ms and lets them find each other.
+func (net *network) startAll(settle time.Duration) {
+	for _, id := range net.order {
+		net.loop.After(time.Duration(net.random.Int64N(int64(300*time.Millisecond))), net.nodes[id].start)
+	}
+	net.loop.Run(settle)
+}
+
+// load has every instance that lives begin runs for a while, perSecond on the average.
+func (net *network) load(length time.Duration, perSecond float64) []runKey {
+	var out []runKey
+	for _, id := range net.order {
+		for range int(perSecond * length.Seconds()) {
+			net.loop.After(time.Duration(net.random.Int64N(int64(length))), func() {
+				if i := net.nodes[id]; i.up && !i.frozen {
+					out = append(out, i.begin(300*time.Millisecond+time.Duration(net.random.Int64N(int64(2*time.Second)))))
+				}
+			})
+		}
+	}
+	net.loop.Run(length)
+	return out
+}
+
+// delays returns after how long nine in ten of the others had heard of each run, in
+// order; a run of which fewer heard counts as hour.
+func (net *network) delays(runs []runKey) []time.Duration {
+	var out []time.Duration
+	living := 0
+	for _, i := range net.nodes {
+		if i.up {
+			living++
+		}
+	}
+	for _, key := range runs {
+		var at []time.Duration
+		for _, heard := range net.heard[key] {
+			at = append(at, heard.Sub(net.begun[key]))
+		}
+		slices.Sort(at)
+		need := (living-1)*9/10 - 1
+		if need >= len(at) {
+			out = append(out, time.Hour)
+			continue
+		}
+		out = append(out, at[need])
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/overlay/overlay_test.go
@@ -0,0 +1,295 @@
+package overlay
+
+import (
+	"testing"
+	"time"
+
+	"basilrudder/internal/schema/wire"
+)
+
+func quantileOf(sorted []time.Duration, q float64) time.Duration {
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+func everySixth(n int) bool { return n%6 == 0 }
+
+// A request is placed by one of many instances. The others place theirs with what
+// they know, so a choice has to be known to nearly all of them before an engine has
+// made many steps, whatever the size of the fleet. What each handles must not grow
+// with the size, or a large fleet would do nothing else.
+func TestAChoiceIsKnownSoonAtAnySize(t *testing.T) {
+	for _, c := range []struct {
+		size, dataCentres int
+		most              time.Duration
+		messages          float64 // a second, of an instance on the average
+	}{
+		{8, 3, 25 * time.Millisecond, 700},
+		{60, 3, 40 * time.Millisecond, 400},
+		{95, 5, 40 * time.Millisecond, 400},
+		{360, 7, 80 * time.Millisecond, 400},
+	} {
+		if c.size > largestFleet {
+			continue
+		}
+		net := newNetwork(t, c.dataCentres, c.size, everySixth)
+		net.startAll(5 * time.Second)
+		for _, i := range net.nodes {
+			i.messages = 0
+		}
+		const length = 3 * time.Second
+		runs := net.load(length, 4)
+		net.loop.Run(time.Second)
+		delays := net.delays(runs)
+		total, busiest := 0, 0
+		for _, i := range net.nodes {
+			total += i.messages
+			busiest = max(busiest, i.messages)
+		}
+		seconds := (length + time.Second).Seconds()
+		mean := float64(total) / float64(c.size) / seconds
+		t.Logf("%d instances: known to nine in ten after %v in the median, %v for 99 in 100; messages a second: mean %.0f, busiest %.0f",
+			c.size, quantileOf(delays, 0.5), quantileOf(delays, 0.99), mean, float64(busiest)/seconds)
+		if got := quantileOf(delays, 0.9); got > c.most {
+			t.Errorf("%d instances: nine in ten choices are known after %v, want %v", c.size, got, c.most)
+		}
+		if mean > c.messages {
+			t.Errorf("%d instances: %.0f messages a second, want at most %.0f", c.size, mean, c.messages)
+		}
+	}
+}
+
+// allAgree checks that each instance that lives can be reached from each other one, and
+// none that does not live is believed in.
+func allAgree(t *testing.T, net *network) {
+	t.Helper()
+	for _, id := range net.order {
+		i := net.nodes[id]
+		if !i.up || i.frozen {
+			continue
+		}
+		alive := map[string]bool{}
+		for _, m := range i.node.Alive() {
+			alive[m.ID] = true
+		}
+		for _, other := range net.order {
+			if o := net.nodes[other]; alive[other] != (o.up && !o.frozen) {
+				t.Errorf("%s (%s) takes %s for alive: %v", id, i.node.Role(), other, alive[other])
+				return
+			}
+		}
+	}
+}
+
+// settled checks that after the last run ended nobody believes in any.
+func settled(t *testing.T, net *network) {
+	t.Helper()
+	net.loop.Run(4 * time.Second)
+	for _, id := range net.order {
+		if i := net.nodes[id]; i.up && !i.frozen && len(i.known) > 0 {
+			t.Errorf("%s still believes in %d runs that ended", id, len(i.known))
+			return
+		}
+	}
+}
+
+// All processes of a fleet start within 300 ms and know three addresses, one of which
+// is dead. Callers are sent to instances that others know, so each has to find all.
+func TestAFleetThatStartsFindsItself(t *testing.T) {
+	for _, size := range []int{3, 16, 17, 60, 95} {
+		if size > largestFleet {
+			continue
+		}
+		net := newNetwork(t, 5, size, everySixth)
+		net.seeds = []string{net.order[0], net.order[1], net.order[2]}
+		if size > 3 {
+			net.nodes[net.order[0]].up = false
+			net.order = net.order[1:]
+		}
+		net.startAll(1500 * time.Millisecond)
+		allAgree(t, net)
+	}
+}
+
+// Of many instances with load, all hubs of a data centre are killed at once. Callers of
+// the others are placed by what is known, so its instances have to hear again in well
+// under a second, and nothing may be believed of runs that ended meanwhile.
+func TestHubsThatAreKilledAreReplaced(t *testing.T) {
+	net := newNetwork(t, 5, largeFleet, everySixth)
+	net.startAll(5 * time.Second)
+	net.load(time.Second, 4)
+	for _, id := range net.order {
+		if i := net.nodes[id]; i.node.Role() == "hub" && i.member.DataCentre == "dc-1" {
+			i.kill()
+		}
+	}
+	net.load(500*time.Millisecond, 4)
+	delays := net.delays(net.load(2*time.Second, 4))
+	if got := quantileOf(delays, 0.9); got > 40*time.Millisecond {
+		t.Errorf("half a second later choices are known after %v", got)
+	}
+	allAgree(t, net)
+	settled(t, net)
+}
+
+// More than half of all processes are killed at once and start again 2 s later, with
+// other incarnations. The rest goes on hearing of each other, and in the end all do.
+func TestAFleetOfWhichHalfIsKilledFindsItselfAgain(t *testing.T) {
+	net := newNetwork(t, 5, largeFleet, everySixth)
+	net.startAll(5 * time.Second)
+	net.load(time.Second, 4)
+	var killed []*instance
+	for n, id := range net.order {
+		if n%20 < 11 {
+			killed = append(killed, net.nodes[id])
+			net.nodes[id].kill()
+		}
+	}
+	net.load(700*time.Millisecond, 4)
+	if got := quantileOf(net.delays(net.load(1300*time.Millisecond, 4)), 0.9); got > 50*time.Millisecond {
+		t.Errorf("among those left choices are known after %v", got)
+	}
+	allAgree(t, net)
+	for _, i := range killed {
+		i.start()
+	}
+	net.load(time.Second, 4)
+	if got := quantileOf(net.delays(net.load(2*time.Second, 4)), 0.9); got > 50*time.Millisecond {
+		t.Errorf("after the restart choices are known after %v", got)
+	}
+	allAgree(t, net)
+	settled(t, net)
+}
+
+// A hub freezes for three seconds: its links stay open and nothing comes over them. Its
+// subscribers change to another hub before the links count as silent, so their callers
+// are placed well; when it wakes, nothing that it still tells counts.
+func TestAFrozenHubIsLeftByItsSubscribers(t *testing.T) {
+	net := newNetwork(t, 5, largeFleet, everySixth)
+	net.startAll(5 * time.Second)
+	var hub *instance
+	for _, id := range net.order {
+		if i := net.nodes[id]; i.node.Role() == "hub" {
+			hub = i
+		}
+	}
+	net.load(time.Second, 4)
+	hub.frozen = true
+	net.load(500*time.Millisecond, 4)
+	if got := quantileOf(net.delays(net.load(2500*time.Millisecond, 4)), 0.9); got > 50*time.Millisecond {
+		t.Errorf("choices are known after %v while a hub is frozen", got)
+	}
+	allAgree(t, net)
+	hub.frozen = false
+	net.load(2*time.Second, 4)
+	allAgree(t, net)
+	settled(t, net)
+}
+
+// A data centre is cut off from the others for five seconds. Callers in each part are
+// served with what that part knows; afterwards all know all again.
+func TestADataCentreThatWasCutOffComesBack(t *testing.T) {
+	for _, size := range []int{40, largeFleet} {
+		net := newNetwork(t, 5, size, everySixth)
+		net.startAll(5 * time.Second)
+		inside := func(id string) bool { return net.nodes[id].member.DataCentre == "dc-2" }
+		net.cut = func(from, to string) bool { return inside(from) != inside(to) }
+		net.load(5*time.Second, 4)
+		for _, id := range net.order {
+			want := size - size/5
+			if inside(id) {
+				want = size / 5
+			}
+			if got := len(net.nodes[id].node.Alive()); got != want {
+				t.Fatalf("%s reaches %d instances, want %d", id, got, want)
+			}
+		}
+		net.cut = func(string, string) bool { return false }
+		net.load(2*time.Second, 4)
+		allAgree(t, net)
+		if got := quantileOf(net.delays(net.load(2*time.Second, 4)), 0.9); got > 40*time.Millisecond {
+			t.Errorf("choices are known after %v", got)
+		}
+		settled(t, net)
+	}
+}
+
+// Messages of one hub take 150 ms longer than usual. Those who hear over it know that
+// what they know is old, and place with that in mind; the others are not misled.
+func TestALinkThatLagsShowsAsStaleness(t *testing.T) {
+	net := newNetwork(t, 5, largeFleet, everySixth)
+	net.startAll(5 * time.Second)
+	net.load(3*time.Second, 4)
+	var hub, subscriber, other *instance
+	for _, id := range net.order {
+		i := net.nodes[id]
+		switch primary := i.node.Primary(); {
+		case primary != "" && subscriber == nil:
+			subscriber, hub = i, net.nodes[primary]
+		case primary != "" && primary != hub.member.ID:
+			other = i
+		}
+	}
+	before := subscriber.node.Staleness(subscriber.clock())
+	if before < 10*time.Millisecond || before > 45*time.Millisecond {
+		t.Errorf("staleness %v while nothing is wrong", before)
+	}
+	net.slow = func(from, to string) time.Duration {
+		if from == hub.member.ID && to == subscriber.member.ID {
+			return 150 * time.Millisecond
+		}
+		return 0
+	}
+	net.load(3*time.Second, 4)
+	if got := subscriber.node.Staleness(subscriber.clock()); got < 130*time.Millisecond {
+		t.Errorf("staleness %v over a link that lags by 150 ms", got)
+	}
+	if got := other.node.Staleness(other.clock()); got > 60*time.Millisecond {
+		t.Errorf("staleness %v of an instance that hears over another hub", got)
+	}
+	net.slow = func(string, string) time.Duration { return 0 }
+	net.load(3*time.Second, 4)
+	if got := subscriber.node.Staleness(subscriber.clock()); got > 45*time.Millisecond {
+		t.Errorf("staleness %v afterwards", got)
+	}
+}
+
+// A process that was replaced still has news on the way, over a longer path. What it
+// told must not bring it back in place of its successor.
+func TestAnEarlierProcessIsNotBelievedIn(t *testing.T) {
+	n := New(wire.RelayMember{ID: "me", Incarnation: "me/1"}, nil, 1)
+	n.LinkUp(wire.RelayMember{ID: "a", Incarnation: "a/2"}, 2)
+	n.Refresh(3)
+	told := &wire.RelayNews{Members: []wire.RelayMember{{ID: "a", Incarnation: "a/1"}, {ID: "b", Incarnation: "b/1"}}}
+	if receipt, ok := n.Receive("a", told, 4); !ok || !receipt.Changed {
+		t.Errorf("%v %+v", ok, receipt)
+	}
+	if _, known := n.Instance("a/1"); known {
+		t.Error("the earlier process is a member")
+	}
+	if _, known := n.Instance("b/1"); !known {
+		t.Error("a new member is not known")
+	}
+	if _, ok := n.Receive("a", &wire.RelayNews{Origin: "a/1", Number: 7}, 5); ok {
+		t.Error("news of the earlier process count")
+	}
+}
+
+// News of one origin come over two links, as after a change of hubs. Each counts once,
+// and one that comes late does not count at all: the run that it begins may be over.
+func TestNewsCountOnceAndInOrder(t *testing.T) {
+	n := New(wire.RelayMember{ID: "me", Incarnation: "me/1"}, nil, 1)
+	n.LinkUp(wire.RelayMember{ID: "a", Incarnation: "a/1"}, 2)
+	n.LinkUp(wire.RelayMember{ID: "b", Incarnation: "b/1"}, 2)
+	for _, step := range []struct {
+		from   string
+		number int
+		taken  bool
+	}{{"a", 1, true}, {"b", 1, false}, {"b", 2, true}, {"b", 4, true}, {"a", 3, false}, {"a", 4, false}, {"a", 5, true}} {
+		if _, ok := n.Receive(step.from, &wire.RelayNews{Origin: "a/1", Number: step.number}, 3); ok != step.taken {
+			t.Errorf("number %d from %s taken: %v", step.number, step.from, ok)
+		}
+	}
+	if n.Missed() != 1 {
+		t.Errorf("%d missed, want 1", n.Missed())
+	}
+}
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -17,7 +17,7 @@
 	running bool
 	next    monotime.Instant
 	backoff time.Duration
-	pending []*wire.Envelope // of Send, until the link opens
+	pending []outgoing // of Send, until the link opens
 	cost    int
 }
 
@@ -92,14 +92,14 @@
 	if d.backoff > 0 && !d.running || d.cost+add > s.cfg.Timing.QueueBytes {
 		return false
 	}
-	d.pending = append(d.pending, env)
+	d.pending = append(d.pending, outgoing{env: env})
 	d.cost += add
 	return true
 }
 
 // takePending hands the envelopes that waited for a link over to it. It runs
 // with mu held.
-func (s *Links) takePending(id string) []*wire.Envelope {
+func (s *Links) takePending(id string) []outgoing {
 	d := s.dials[id]
 	if d == nil {
 		return nil
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -206,24 +206,30 @@
 
 // coalesce joins queued envelopes into as few frames as it may. Neighbouring
 // envelopes join only, so that a later message never overtakes an earlier one
-// by more than the order of the parts within a frame.
-func coalesce(queue []*wire.Envelope) []*wire.Envelope {
+// by more than the order of the parts within a frame. What goes to several peers
+// is encoded for all of them and stays by itself.
+func coalesce(queue []outgoing) []outgoing {
 	if len(queue) < 2 {
 		return queue
 	}
-	var out []*wire.Envelope
-	size := 0
-	for _, env := range queue {
-		add := cost(env)
-		if len(out) > 0 && size+add <= mergeBytes && joinable(out[len(out)-1], env) {
-			join(out[len(out)-1], env)
+	var out []outgoing
+	size, open := 0, false
+	for _, o := range queue {
+		if o.shared != nil {
+			out = append(out, o)
+			open = false
+			continue
+		}
+		add := cost(o.env)
+		if open && size+add <= mergeBytes && joinable(out[len(out)-1].env, o.env) {
+			join(out[len(out)-1].env, o.env)
 			size += add
 			continue
 		}
 		fresh := new(wire.Envelope)
-		join(fresh, env)
-		out = append(out, fresh)
-		size = add
+		join(fresh, o.env)
+		out = append(out, outgoing{env: fresh})
+		size, open = add, true
 	}
 	return out
 }
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -54,6 +54,8 @@
 	DataCentre string
 	// CallerAddress and PeerAddress are host and port.
 	CallerAddress, PeerAddress string
+	// Capacity is the processor share in thousandths of a core; 0 when it is not told.
+	Capacity int
 }
 
 // role separates the two signatures of a handshake, so that one side's cannot
@@ -87,6 +89,7 @@
 		DataCentre:    self.DataCentre,
 		CallerAddress: self.CallerAddress,
 		PeerAddress:   self.PeerAddress,
+		Capacity:      self.Capacity,
 		KeyID:         key.ID,
 		Nonce:         nonce,
 	}
@@ -105,7 +108,7 @@
 	fields := []string{"basilrudder peer link", string(by), key.ID}
 	for _, h := range []*wire.Hello{dialer, acceptor} {
 		fields = append(fields, strconv.Itoa(h.Version), strconv.Itoa(h.MinVersion),
-			h.ID, h.Incarnation, h.DataCentre, h.CallerAddress, h.PeerAddress, h.KeyID, h.Nonce)
+			h.ID, h.Incarnation, h.DataCentre, h.CallerAddress, h.PeerAddress, strconv.Itoa(h.Capacity), h.KeyID, h.Nonce)
 	}
 	for _, field := range fields {
 		mac.Write([]byte(strconv.Itoa(len(field))))
@@ -196,6 +199,7 @@
 			DataCentre:    theirs.DataCentre,
 			CallerAddress: theirs.CallerAddress,
 			PeerAddress:   theirs.PeerAddress,
+			Capacity:      theirs.Capacity,
 		},
 		version: version,
 		keyID:   theirs.KeyID,
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -22,7 +22,7 @@
 	opened monotime.Instant
 
 	mu       sync.Mutex
-	queue    []*wire.Envelope
+	queue    []outgoing
 	queued   int // cost of queue
 	lastUsed monotime.Instant
 	closing  bool
@@ -46,8 +46,8 @@
 // enqueue adds an envelope without waiting. An over-full queue means that the
 // peer reads more slowly than is sent; the link is closed, so that both sides
 // know that messages were lost, where dropping some would leave them to guess.
-func (l *link) enqueue(env *wire.Envelope) bool {
-	add := cost(env)
+func (l *link) enqueue(o outgoing) bool {
+	add := o.cost()
 	l.mu.Lock()
 	if l.closing {
 		l.mu.Unlock()
@@ -59,7 +59,7 @@
 		l.close(errOverfull)
 		return false
 	}
-	l.queue = append(l.queue, env)
+	l.queue = append(l.queue, o)
 	l.queued += add
 	l.lastUsed = monotime.Now()
 	l.mu.Unlock()
@@ -68,12 +68,12 @@
 }
 
 // preload puts envelopes that waited for the link into its queue.
-func (l *link) preload(envs []*wire.Envelope) {
-	for _, env := range envs {
-		l.queue = append(l.queue, env)
-		l.queued += cost(env)
+func (l *link) preload(waited []outgoing) {
+	for _, o := range waited {
+		l.queue = append(l.queue, o)
+		l.queued += o.cost()
 	}
-	if len(envs) > 0 {
+	if len(waited) > 0 {
 		l.wake()
 	}
 }
@@ -85,7 +85,7 @@
 	}
 }
 
-func (l *link) take() []*wire.Envelope {
+func (l *link) take() []outgoing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	queue := l.queue
@@ -127,7 +127,7 @@
 		case <-l.done:
 			return
 		case <-l.kick:
-			if !l.pause(timing.Coalesce) {
+			if !l.gathered() && !l.pause(timing.Coalesce) {
 				return
 			}
 			quiet = -1
@@ -149,6 +149,19 @@
 	}
 }
 
+// gathered reports whether all that is queued is for several peers. Its sender has
+// gathered it already, and a further wait on each link would be a timer a message.
+func (l *link) gathered() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, o := range l.queue {
+		if o.shared == nil {
+			return false
+		}
+	}
+	return true
+}
+
 func (l *link) pause(d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -161,8 +174,8 @@
 }
 
 func (l *link) flush() error {
-	for _, env := range coalesce(l.take()) {
-		data, err := Encode(env)
+	for _, o := range coalesce(l.take()) {
+		data, err := o.encode()
 		if err != nil {
 			return err
 		}
@@ -170,7 +183,7 @@
 		// the wait that TCP would draw out for minutes.
 		l.conn.SetWriteDeadline(time.Now().Add(l.set.cfg.Timing.Silence))
 		l.set.counters.framesOut.Add(1)
-		count(&l.set.counters.out, env, len(data), l.dialer)
+		count(&l.set.counters.out, o.env, len(data), l.dialer)
 		if err := l.conn.WriteMessage(websocket.BinaryMessage, data); err != nil {
 			return errors.Wrap(err, "write")
 		}
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -196,7 +196,7 @@
 		return taken
 	}
 	s.mu.Unlock()
-	return l.enqueue(env)
+	return l.enqueue(outgoing{env: env})
 }
 
 func (s *Links) isWanted(id string) bool {
--- a/internal/schema/relaysettings/relaysettings.gen.go
+++ b/internal/schema/relaysettings/relaysettings.gen.go
@@ -21,6 +21,10 @@
 
 	// Name of the instance, unique in the fleet.
 	ID string `json:"id"`
+
+	// Share of a core that the instance may use; the strongest instances pass news on
+	// for the others.
+	Processor float64 `json:"processor,omitempty,omitzero"`
 }
 
 type Level string
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -214,6 +214,9 @@
 	// Address for peers.
 	PeerAddress string `json:"p,omitempty,omitzero"`
 
+	// Processor share in thousandths of a core; 0 when it is not told.
+	Capacity int `json:"q,omitempty,omitzero"`
+
 	// Highest protocol version spoken.
 	Version int `json:"v"`
 
@@ -461,10 +464,16 @@
 
 	// Address for peers.
 	PeerAddress string `json:"p"`
+
+	// Processor share in thousandths of a core; 0 when it is not told.
+	Capacity int `json:"q,omitempty,omitzero"`
 }
 
 // RelayNews is what an instance that relays tells the others.
 type RelayNews struct {
+	// Milliseconds for which the news were held by the instances that passed them on.
+	HeldMS int `json:"a,omitempty,omitzero"`
+
 	// Requests that began.
 	Begun []RelayRun `json:"b,omitempty,omitzero"`
 
@@ -477,6 +486,9 @@
 	// Runs that gave their first event.
 	First []int `json:"f,omitempty,omitzero"`
 
+	// Incarnations that the origin has links to.
+	Neighbours []string `json:"g,omitempty,omitzero"`
+
 	// Milliseconds since the store confirmed that version to the sender, plus one; 0
 	// when it never did.
 	Confirmed int `json:"h,omitempty,omitzero"`
@@ -493,6 +505,17 @@
 	// Instances it is linked to, itself among them.
 	Members []RelayMember `json:"m,omitempty,omitzero"`
 
+	// The sender has heard of an instance that it does not know and asks for all
+	// members.
+	MembersWanted bool `json:"mw,omitempty,omitzero"`
+
+	// Number of the news of that incarnation, from 1; each is taken once.
+	Number int `json:"n,omitempty,omitzero"`
+
+	// Incarnation that the news are of; empty for what the sender tells this peer
+	// alone.
+	Origin string `json:"o,omitempty,omitzero"`
+
 	// What the sender has seen of engines.
 	Evidence []RelayEvidence `json:"p,omitempty,omitzero"`
 
@@ -502,14 +525,25 @@
 	// The sender knows other servers and asks for all.
 	ServersWanted bool `json:"sw,omitempty,omitzero"`
 
+	// Milliseconds of the sender's steady clock when the frame was sent, to notice a
+	// link that delays.
+	SentMS int `json:"t,omitempty,omitzero"`
+
 	// Version of the configuration in force at the sender.
 	ConfigVersion int `json:"v,omitempty,omitzero"`
 
 	// The sender lacks the configuration and asks for it.
 	ConfigWanted bool `json:"vw,omitempty,omitzero"`
 
+	// What the sender wants of the receiver's news from now on: 1 none, 2 the
+	// receiver's own and those of its subscribers, 3 all; 0 as before.
+	Feed int `json:"w,omitempty,omitzero"`
+
 	// Digest of the servers that take requests, as the sender knows them.
 	Digest int `json:"x,omitempty,omitzero"`
+
+	// Begun holds all runs of the origin, as of its news of this number.
+	Whole bool `json:"z,omitempty,omitzero"`
 }
 
 // RelayPart is a part of a prompt.
