--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -25,7 +25,11 @@
 // over them.
 func linkedPeers(f *fleet, self string, others ...wire.RelayMember) *peers {
 	p := newPeers(wire.RelayMember{ID: self, Incarnation: self}, nil, f, zap.NewNop())
-	p.links = &peer.Links{}
+	links, err := peer.New(peer.Config{Keys: []peer.Key{{ID: linkKeyID, Secret: noKey}}})
+	if err != nil {
+		panic(err)
+	}
+	p.links = links
 	for _, other := range others {
 		other.Incarnation = other.ID
 		p.node.LinkUp(other, monotime.Now())
@@ -299,6 +303,26 @@
 	}
 }
 
+// A link is so slow that the servers of the peer differ for eight seconds, whatever is
+// asked. Each answer would slow the link further, so the questions become rare.
+func TestAPeerWhoseServersStayDifferentIsAskedRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _, _ := newFleet()
+		p := linkedPeers(f, "me", wire.RelayMember{ID: "r"})
+		for range 80 {
+			p.compareServers("r", &wire.RelayNews{Confirmed: 1, Digest: 7})
+			time.Sleep(100 * time.Millisecond)
+		}
+		if asked := p.differs["r"].asked; asked < 3 || asked > 4 {
+			t.Errorf("asked %d times", asked)
+		}
+		p.compareServers("r", &wire.RelayNews{Confirmed: 1, Digest: int(f.digest.Load())})
+		if len(p.differs) != 0 {
+			t.Error("still counts as different")
+		}
+	})
+}
+
 // All watches of the fleet go silent. The instance whose watch ends first
 // notices and tells the others; each must have heard of a change within two
 // seconds, however many instances there are.
--- a/internal/gateway/peernews.go
+++ b/internal/gateway/peernews.go
@@ -120,8 +120,18 @@
 	// differsFor is how long servers may differ: news of a change reach the
 	// instances one after the other.
 	differsFor = 400 * time.Millisecond
+	// differsMost bounds how often that is doubled: an answer is some 30 KB, and while a
+	// link is so slow that news come late the servers differ whatever is asked.
+	differsMost = 4
 )
 
+// difference is since when the servers of a peer are others than those known here, or
+// when it was last asked for them, and how often it was.
+type difference struct {
+	since monotime.Instant
+	asked int
+}
+
 // compareServers asks a peer for all servers when its own have differed for a
 // while. An instance that does not read the store depends on the news of peers,
 // and news are lost when a link breaks. It would go on sending to a server that
@@ -137,11 +147,15 @@
 		delete(p.differs, from)
 		return
 	}
-	since, differed := p.differs[from]
-	ask := differed && now.Sub(since) >= differsFor
+	d, differed := p.differs[from]
+	ask := differed && now.Sub(d.since) >= differsFor<<min(d.asked, differsMost)
 	if !differed || ask {
-		p.differs[from] = now
+		d.since = now
+	}
+	if ask {
+		d.asked++
 	}
+	p.differs[from] = d
 	if ask && p.mayAsk(now) {
 		p.log.Info("servers_differ", zap.String("peer", from), zap.Int("confirmed_ms", news.Confirmed-1))
 		p.links.Send(from, &wire.Envelope{News: []wire.RelayNews{{ServersWanted: true}}})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -29,15 +29,15 @@
 	// warm says that what engines keep is known, from peers or engines.
 	warm atomic.Bool
 
-	mu   sync.Mutex
-	node *overlay.Node
-	// differs is since when the servers of a peer are others than those known here.
-	differs map[string]monotime.Instant
-	askedAt monotime.Instant // when a peer was last asked for its state
+	mu      sync.Mutex
+	node    *overlay.Node
+	differs map[string]difference // by peer
+	askedAt monotime.Instant      // when a peer was last asked for its state
 	// configAsked is the version that a peer was last asked for.
 	configAsked   int
 	configAskedAt monotime.Instant
 	logged        role // what was last logged
+	late          bool // news come late, as was last logged
 	// refreshing says that a refresh is due.
 	refreshing bool
 }
@@ -55,7 +55,7 @@
 func newPeers(self wire.RelayMember, seeds []string, f *fleet, log *zap.Logger) *peers {
 	return &peers{
 		fleet: f, log: log, node: overlay.New(self, seeds, monotime.Now()),
-		differs: make(map[string]monotime.Instant),
+		differs: make(map[string]difference),
 	}
 }
 
@@ -176,6 +176,48 @@
 	for _, id := range p.node.Surplus(now) {
 		p.links.Drop(id)
 	}
+	p.logLateness(now)
+}
+
+const (
+	// newsLate is the age from which on news count as late: requests are then placed on
+	// engines that have been given some ten others meanwhile. newsFresh is the age at
+	// which they no longer do.
+	newsLate  = 200 * time.Millisecond
+	newsFresh = 100 * time.Millisecond
+)
+
+// logLateness logs that news come late, and that they no longer do.
+func (p *peers) logLateness(now monotime.Instant) {
+	age := p.node.Staleness(now)
+	switch {
+	case !p.late && age >= newsLate:
+		p.late = true
+		p.log.Warn("news_late", zap.String("hub", p.node.Primary()), zap.Duration("news_age_ms", age), zap.Int("missed", p.node.Missed()))
+	case p.late && age <= newsFresh:
+		p.late = false
+		p.log.Info("news_fresh", zap.String("hub", p.node.Primary()), zap.Duration("news_age_ms", age), zap.Int("missed", p.node.Missed()))
+	}
+}
+
+// newsState is what an operator asks about the news of other instances.
+type newsState struct {
+	Role      string `json:"role"`
+	Hub       string `json:"hub"`
+	Links     int    `json:"links"`
+	Instances int    `json:"instances"`
+	AgeMS     int64  `json:"age_ms"`
+	Missed    int    `json:"missed"`
+}
+
+// state returns what is known of the news now, for metrics.
+func (p *peers) state() newsState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return newsState{
+		Role: p.node.Role(), Hub: p.node.Primary(), Links: len(p.node.Linked()),
+		Instances: len(p.node.Alive()), AgeMS: p.node.Staleness(monotime.Now()).Milliseconds(), Missed: p.node.Missed(),
+	}
 }
 
 // gather is how long news are gathered before they are sent.
--- a/internal/overlay/hubs.go
+++ b/internal/overlay/hubs.go
@@ -6,41 +6,54 @@
 	"slices"
 )
 
-// hubsLeast is the number of hubs of a data centre: when one is lost, the instances
-// that subscribe to it have a link to another one already.
-const hubsLeast = 2
+const (
+	// hubsLeast is the number of hubs of a data centre: when one is lost, the instances
+	// that subscribe to it have a link to another one already.
+	hubsLeast = 2
+	// capacityOfSubscriber is the processor share in thousandths of a core that a hub
+	// needs for each subscriber. Small machines have slow links too: with 600 requests
+	// a second in the fleet a subscriber is told 80 KB a second, and fourteen of them
+	// filled a link of 10 Mbit/s, so that news came four seconds late.
+	capacityOfSubscriber = 50
+	// capacityUnknown stands for that of an instance which does not tell it.
+	capacityUnknown = 1000
+)
 
 // hubs returns those that are hubs among the instances given: of each data centre the
-// strongest few. With about as many hubs as each has subscribers, the messages that a
-// hub handles grow with the root of the size of the fleet.
+// strongest few which together are strong enough for the others.
 func hubs(members []*member) map[*member]bool {
 	out := make(map[*member]bool)
 	byDataCentre := make(map[string][]*member)
 	for _, m := range members {
 		byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], m)
 	}
-	if len(members) == 0 {
-		return out
-	}
-	root := math.Sqrt(float64(len(members)))
-	each := max(hubsLeast, int(math.Ceil(root/float64(len(byDataCentre)))))
 	for _, list := range byDataCentre {
 		slices.SortFunc(list, func(a, b *member) int {
-			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), compareHash(a.hash, b.hash, a.ID, b.ID))
+			return cmp.Or(cmp.Compare(b.capacity(), a.capacity()), compareHash(a.hash, b.hash, a.ID, b.ID))
 		})
-		for _, m := range list[:min(each, len(list))] {
+		served := 0
+		for n, m := range list {
+			if n >= hubsLeast && served >= len(list) {
+				break
+			}
 			out[m] = true
+			served += 1 + m.capacity()/capacityOfSubscriber
 		}
 	}
 	return out
 }
 
+func (m *member) capacity() int { return cmp.Or(m.Capacity, capacityUnknown) }
+
 // compareHash orders by hash, and by id where hashes are the same.
 func compareHash(a, b uint64, idA, idB string) int {
 	return cmp.Or(cmp.Compare(a, b), cmp.Compare(idA, idB))
 }
 
-// affinity is how much an instance prefers a hub to others: hashes of pairs, so that
-// the instances of a data centre spread over its hubs, and few of them change when one
-// is lost.
-func affinity(id, hub string) uint64 { return hash(id + "\x00" + hub) }
+// affinity is how much an instance prefers a hub to others, least first: weighted
+// rendezvous hashing, so that the instances of a data centre spread over its hubs by
+// their capacity, and few of them change when one is lost.
+func affinity(id string, hub *member) float64 {
+	u := (float64(hash(id+"\x00"+hub.ID)>>11) + 0.5) / (1 << 53)
+	return -math.Log(u) / float64(hub.capacity())
+}
--- a/internal/overlay/network_test.go
+++ b/internal/overlay/network_test.go
@@ -61,6 +61,7 @@
 	pending wire.RelayNews
 	since   monotime.Instant
 	runs    int
+	flushes int
 	// messages handled, in and out, and runs known of others.
 	messages int
 	known    map[runKey]bool
@@ -354,25 +355,27 @@
 		return
 	}
 	i.armed = true
+	i.flushAfter(i.node.Gather(), i.flushes)
+}
+
+// flushAfter sends what was gathered later, unless something else sent it before.
+func (i *instance) flushAfter(d time.Duration, flushes int) {
 	incarnation := i.member.Incarnation
-	i.net.loop.After(i.node.Gather(), func() {
-		for i.member.Incarnation == incarnation && i.frozen {
-			i.net.loop.After(ticking, i.flush)
-			return
-		}
-		if i.up && i.member.Incarnation == incarnation {
+	i.net.loop.After(d, func() {
+		switch {
+		case !i.up || i.member.Incarnation != incarnation || i.flushes != flushes:
+		case i.frozen:
+			i.flushAfter(ticking, flushes)
+		default:
 			i.flush()
 		}
 	})
 }
 
 func (i *instance) flush() {
-	if i.frozen || !i.up {
-		i.armed = false
-		return
-	}
 	own, since := i.pending, i.since
 	i.pending, i.since, i.armed = wire.RelayNews{}, 0, false
+	i.flushes++
 	for _, frame := range i.node.Flush(own, since, false, i.clock()) {
 		for _, to := range frame.To {
 			i.transmit(to, slices.Clone(frame.News))
--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -100,7 +100,8 @@
 	clock       linkClock
 	// hash orders members of the same strength, and affinity those that this instance
 	// may subscribe to; least first.
-	hash, affinity uint64
+	hash     uint64
+	affinity float64
 	// wantedAt is since when a link is wanted in vain, avoidUntil when it is tried
 	// first again, and surplusAt since when a link is not needed; 0 for neither.
 	wantedAt, avoidUntil, surplusAt monotime.Instant
@@ -155,7 +156,8 @@
 // put makes told the member of its id, in place of another process's.
 func (n *Node) put(told wire.RelayMember) *member {
 	n.remove(told.ID)
-	m := &member{RelayMember: told, hash: hash(told.ID), affinity: affinity(n.self.ID, told.ID)}
+	m := &member{RelayMember: told, hash: hash(told.ID)}
+	m.affinity = affinity(n.self.ID, m)
 	n.members[told.ID] = m
 	n.incarnations[told.Incarnation] = m
 	n.list = append(n.list, m)
--- a/internal/overlay/overlay_test.go
+++ b/internal/overlay/overlay_test.go
@@ -1,6 +1,7 @@
 package overlay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -253,6 +254,41 @@
 	}
 }
 
+// Of 28 instances of a data centre two are strong. They suffice, and the weak ones have
+// slow links; when the strong ones are gone, several weak ones share the work, so that
+// none has more subscribers than it can tell in time.
+func TestHubsAreStrongEnoughForTheirSubscribers(t *testing.T) {
+	var members []*member
+	for n := range 28 {
+		m := &member{RelayMember: wire.RelayMember{ID: fmt.Sprint("i", n), DataCentre: "dc", Capacity: 192}, hash: hash(fmt.Sprint("i", n))}
+		if n < 2 {
+			m.Capacity = 800
+		}
+		members = append(members, m)
+	}
+	chosen := hubs(members)
+	if len(chosen) != 2 || !chosen[members[0]] || !chosen[members[1]] {
+		t.Errorf("%d hubs while two are strong", len(chosen))
+	}
+	weak := hubs(members[2:])
+	if len(weak) < 5 || len(weak) > 8 {
+		t.Errorf("%d hubs among 26 weak instances", len(weak))
+	}
+	subscribers := make(map[string]int)
+	for n := range 1000 {
+		best := members[0]
+		for _, m := range []*member{members[0], members[5]} {
+			if affinity(fmt.Sprint("s", n), m) < affinity(fmt.Sprint("s", n), best) {
+				best = m
+			}
+		}
+		subscribers[best.ID]++
+	}
+	if share := float64(subscribers["i0"]) / 1000; share < 0.75 || share > 0.86 {
+		t.Errorf("a hub four times as strong as the other has %.2f of the subscribers", share)
+	}
+}
+
 // A process that was replaced still has news on the way, over a longer path. What it
 // told must not bring it back in place of its successor.
 func TestAnEarlierProcessIsNotBelievedIn(t *testing.T) {
--- a/internal/overlay/wanted.go
+++ b/internal/overlay/wanted.go
@@ -117,9 +117,9 @@
 // dialsLost reports whether this hub is one of those that try to reach a lost member.
 func (n *Node) dialsLost(lost *member) bool {
 	before := 0
-	own := affinity(lost.ID, n.self.ID)
+	own := affinity(lost.ID, &member{RelayMember: n.self})
 	for _, m := range n.list {
-		if m.hub && m.alive && affinity(lost.ID, m.ID) < own {
+		if m.hub && m.alive && affinity(lost.ID, m) < own {
 			before++
 		}
 	}
@@ -157,7 +157,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *member) int {
-		return cmp.Or(cmp.Compare(class(a), class(b)), compareHash(a.affinity, b.affinity, a.ID, b.ID))
+		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(a.affinity, b.affinity), cmp.Compare(a.ID, b.ID))
 	})
 	return out
 }
