--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -5,7 +5,6 @@
 	"math"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -299,31 +298,6 @@
 	return c
 }
 
-// Begin implements relay.Fleet.
-func (f *fleet) Begin(target relay.Target, work placement.Work, now monotime.Instant) int {
-	number := int(f.number.Add(1))
-	f.board.Begin(placement.RunID{Instance: f.self, Number: number}, target.ID, work, target.Choice.Unread, now)
-	f.news.begun(encodeRun(number, target.ID, target.Choice.Unread, work))
-	return number
-}
-
-// First implements relay.Fleet.
-func (f *fleet) First(run int, now monotime.Instant) {
-	f.board.OwnFirst(placement.RunID{Instance: f.self, Number: run}, now)
-	f.news.first(run)
-}
-
-// Events implements relay.Fleet.
-func (f *fleet) Events(run, count int, now monotime.Instant) {
-	f.board.Events(placement.RunID{Instance: f.self, Number: run}, count, now)
-}
-
-// End implements relay.Fleet.
-func (f *fleet) End(run int, now monotime.Instant) {
-	f.board.End(placement.RunID{Instance: f.self, Number: run}, now)
-	f.news.ended(run)
-}
-
 // Observe implements relay.Fleet.
 func (f *fleet) Observe(server string, outcome placement.Outcome, now monotime.Instant) {
 	if f.board.Observe(server, outcome, now) {
@@ -342,24 +316,3 @@
 
 // Count implements relay.Fleet.
 func (f *fleet) Count(service string, now monotime.Instant) { f.budget.count(service, now) }
-
-func encodeRun(number int, server string, unread int, work placement.Work) wire.RelayRun {
-	return wire.RelayRun{
-		Number: number, Server: server, Unread: unread, Prompt: work.Prompt,
-		Output: work.Output, GapMS: int(work.MaxGap / time.Millisecond), Priority: work.Priority,
-		LeftMS: int(work.Left / time.Millisecond), Parts: encodeParts(work.Parts),
-	}
-}
-
-// encodeState is encodeRun for a run that began a while ago.
-func encodeState(r placement.RunState) wire.RelayRun {
-	return encodeRun(r.Number, r.Server, r.Unread, r.Work)
-}
-
-func decodeRun(r wire.RelayRun) placement.Work {
-	return placement.Work{
-		Parts: decodeParts(r.Parts), Prompt: r.Prompt, Output: r.Output,
-		MaxGap: time.Duration(r.GapMS) * time.Millisecond, Priority: r.Priority,
-		Left: time.Duration(r.LeftMS) * time.Millisecond,
-	}
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,8 +5,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net"
-	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -195,30 +193,6 @@
 	return err
 }
 
-// listeners are the sockets of an instance.
-type listeners struct {
-	callers, ready, directory, peers, metrics net.Listener
-}
-
-func (g *Gateway) listen() (*listeners, error) {
-	s := g.cfg.Settings.Listen
-	out := &listeners{}
-	for _, l := range []struct {
-		to      *net.Listener
-		address string
-	}{
-		{&out.callers, s.Callers}, {&out.ready, s.Ready}, {&out.directory, s.Directory},
-		{&out.peers, s.Peers}, {&out.metrics, s.Metrics},
-	} {
-		listener, err := net.Listen("tcp4", l.address)
-		if err != nil {
-			return nil, errors.Wrap(err, "listen")
-		}
-		*l.to = listener
-	}
-	return out, nil
-}
-
 func (g *Gateway) makeLinks(listener net.Listener) error {
 	secret := g.cfg.Settings.Peers.Key
 	if secret == "" {
@@ -245,118 +219,6 @@
 	return nil
 }
 
-func (g *Gateway) callersServer() *http.Server {
-	return &http.Server{
-		Handler:           g.relay,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
-		ErrorLog:          zap.NewStdLog(g.cfg.Log),
-	}
-}
-
-func serveUntilClosed(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve callers")
-	}
-	return nil
-}
-
-// serveSmall serves short answers until the context ends.
-func serveSmall(ctx context.Context, listener net.Listener, handler fasthttp.RequestHandler) error {
-	server := &fasthttp.Server{
-		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true,
-		ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}
-	defer context.AfterFunc(ctx, func() { _ = server.Shutdown() })()
-	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
-		return errors.Wrap(err, "serve")
-	}
-	return nil
-}
-
-// drain leaves the fleet: callers are sent elsewhere, and what is in flight is
-// served for as long as the grace allows.
-func (g *Gateway) drain() {
-	began := monotime.Now()
-	g.leaving.Store(true)
-	g.relay.Drain()
-	g.peers.leave()
-	g.fleet.news.leaving()
-	g.cfg.Log.Info("draining", zap.Int64("in_flight", g.relay.InFlight()))
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	most := seconds(g.cfg.Settings.Drain.GraceS) - endReserve
-	for range ticker.C {
-		lasted := monotime.Now().Sub(began)
-		if lasted >= most || lasted >= drainLeast && g.relay.InFlight() == 0 {
-			return
-		}
-	}
-}
-
-// regularly does what is due by time alone.
-func (g *Gateway) regularly(ctx context.Context) error {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for n := 0; ; n++ {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-g.reload:
-			g.takeSettings()
-			continue
-		case <-ticker.C:
-		}
-		g.fleet.update(fromTimer, func(r *servers.Registry, now monotime.Instant) []string { return r.Expire(now) })
-		g.checkIsolation()
-		g.tellEvidence(monotime.Now())
-		g.peers.tick(monotime.Now())
-		g.fleet.board.SetPeers(g.peers.count()-1, g.peers.staleness())
-		if n%sweepTicks == 0 {
-			g.relay.Sweep(g.fleet.known)
-			g.fleet.board.SetNoise(noisePerInstance * float64(max(0, g.peers.count()-manyInstances)))
-			g.takeSettings()
-			g.logPaces()
-		}
-	}
-}
-
-// checkIsolation notices that this instance hears neither the store nor a peer:
-// it is likely cut off from servers too, and callers are better off elsewhere.
-func (g *Gateway) checkIsolation() {
-	silent := monotime.Now().Sub(monotime.Instant(g.fleet.heard.Load()))
-	isolated := silent > isolatedAfter && len(g.peers.linked()) == 0 && g.peers.count() > 1
-	if g.isolated.Swap(isolated) != isolated {
-		g.cfg.Log.Warn("isolation_changed", zap.Bool("isolated", isolated), zap.Duration("store_silent_ms", silent))
-	}
-}
-
-// Reload has the settings read again soon. It does not wait.
-func (g *Gateway) Reload() {
-	select {
-	case g.reload <- struct{}{}:
-	default:
-	}
-}
-
-// takeSettings reads the settings again and takes what may change while running.
-func (g *Gateway) takeSettings() {
-	if g.cfg.Reload == nil {
-		return
-	}
-	s, err := g.cfg.Reload()
-	if err != nil {
-		g.cfg.Log.Error("reload_failed", eventlog.Cause(err))
-		return
-	}
-	if !slices.Equal(s.Peers.Seeds, g.seeds) {
-		g.seeds = s.Peers.Seeds
-		g.cfg.Log.Info("reloaded", zap.Strings("seeds", g.seeds))
-		g.peers.setSeeds(g.seeds)
-	}
-}
-
 // Ready reports whether the instance takes requests.
 func (g *Gateway) Ready() bool {
 	return !g.leaving.Load() && !g.isolated.Load() && g.fleet.Table() != nil && g.fleet.serverCount() > 0
--- /dev/null
+++ b/internal/gateway/listen.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+)
+
+// listeners are the sockets of an instance.
+type listeners struct {
+	callers, ready, directory, peers, metrics net.Listener
+}
+
+func (g *Gateway) listen() (*listeners, error) {
+	s := g.cfg.Settings.Listen
+	out := &listeners{}
+	for _, l := range []struct {
+		to      *net.Listener
+		address string
+	}{
+		{&out.callers, s.Callers}, {&out.ready, s.Ready}, {&out.directory, s.Directory},
+		{&out.peers, s.Peers}, {&out.metrics, s.Metrics},
+	} {
+		listener, err := net.Listen("tcp4", l.address)
+		if err != nil {
+			return nil, errors.Wrap(err, "listen")
+		}
+		*l.to = listener
+	}
+	return out, nil
+}
+
+func (g *Gateway) callersServer() *http.Server {
+	return &http.Server{
+		Handler:           g.relay,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          zap.NewStdLog(g.cfg.Log),
+	}
+}
+
+func serveUntilClosed(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve callers")
+	}
+	return nil
+}
+
+// serveSmall serves short answers until the context ends.
+func serveSmall(ctx context.Context, listener net.Listener, handler fasthttp.RequestHandler) error {
+	server := &fasthttp.Server{
+		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true,
+		ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
+	defer context.AfterFunc(ctx, func() { _ = server.Shutdown() })()
+	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/runs.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/relay"
+	"basilrudder/internal/schema/wire"
+)
+
+// Begin implements relay.Fleet.
+func (f *fleet) Begin(target relay.Target, work placement.Work, now monotime.Instant) int {
+	number := int(f.number.Add(1))
+	f.board.Begin(placement.RunID{Instance: f.self, Number: number}, target.ID, work, target.Choice.Unread, now)
+	f.news.begun(encodeRun(number, target.ID, target.Choice.Unread, work))
+	return number
+}
+
+// First implements relay.Fleet.
+func (f *fleet) First(run int, now monotime.Instant) {
+	f.board.OwnFirst(placement.RunID{Instance: f.self, Number: run}, now)
+	f.news.first(run)
+}
+
+// Events implements relay.Fleet.
+func (f *fleet) Events(run, count int, now monotime.Instant) {
+	f.board.Events(placement.RunID{Instance: f.self, Number: run}, count, now)
+}
+
+// End implements relay.Fleet.
+func (f *fleet) End(run int, now monotime.Instant) {
+	f.board.End(placement.RunID{Instance: f.self, Number: run}, now)
+	f.news.ended(run)
+}
+
+func encodeRun(number int, server string, unread int, work placement.Work) wire.RelayRun {
+	return wire.RelayRun{
+		Number: number, Server: server, Unread: unread, Prompt: work.Prompt,
+		Output: work.Output, GapMS: int(work.MaxGap / time.Millisecond), Priority: work.Priority,
+		LeftMS: int(work.Left / time.Millisecond), Parts: encodeParts(work.Parts),
+	}
+}
+
+// encodeState is encodeRun for a run that began a while ago.
+func encodeState(r placement.RunState) wire.RelayRun {
+	return encodeRun(r.Number, r.Server, r.Unread, r.Work)
+}
+
+func decodeRun(r wire.RelayRun) placement.Work {
+	return placement.Work{
+		Parts: decodeParts(r.Parts), Prompt: r.Prompt, Output: r.Output,
+		MaxGap: time.Duration(r.GapMS) * time.Millisecond, Priority: r.Priority,
+		Left: time.Duration(r.LeftMS) * time.Millisecond,
+	}
+}
--- a/internal/servers/registry.go
+++ b/internal/servers/registry.go
@@ -4,14 +4,10 @@
 package servers
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"basilrudder/internal/monotime"
 )
 
@@ -209,29 +205,6 @@
 	return id, Updated
 }
 
-// Taking returns the servers that take requests, by id: those whose entry is valid
-// and not draining, of services that are published.
-//
-// A server that crashed and came back under a new name writes a new entry at once;
-// its old one lapses three heartbeats later. Requests meant for the old one would
-// reach the new one, which refuses them, and callers would have to come back. So of
-// entries with the same address only the one written last counts. An entry of a
-// service that nobody published comes from another writer and displaces none.
-func (r *Registry) Taking(published func(service string) bool) []Server {
-	var out []Server
-	holder := make(map[string]int64) // revision of the newest entry of an address
-	for _, s := range r.List() {
-		if s.Invalid || !published(s.Service) {
-			continue
-		}
-		holder[s.Address] = max(holder[s.Address], s.Revision)
-		if !s.Draining {
-			out = append(out, s)
-		}
-	}
-	return slices.DeleteFunc(out, func(s Server) bool { return s.Revision < holder[s.Address] })
-}
-
 // Remove takes the removal of the entry under a name at a revision. It returns the
 // id of the incarnation that this changes.
 //
@@ -350,59 +323,3 @@
 		}
 	}
 }
-
-// Get returns a live server.
-func (r *Registry) Get(id string) (Server, bool) {
-	known := r.live[id]
-	if known == nil {
-		return Server{}, false
-	}
-	return known.server, true
-}
-
-// Gone returns the revision at which an incarnation was removed.
-func (r *Registry) Gone(id string) (revision int64, gone bool) {
-	stone, ok := r.gone[id]
-	return stone.revision, ok
-}
-
-// Digest is the same for registries in which the same servers take requests,
-// and differs, but for chance, for others.
-func (r *Registry) Digest() uint64 {
-	var digest uint64
-	for id, known := range r.live {
-		if !known.server.Draining && !known.server.Invalid {
-			digest ^= xxhash.Sum64String(id)
-		}
-	}
-	return digest
-}
-
-// Tombstones returns the incarnations that are gone, with the revisions at which
-// they were removed.
-func (r *Registry) Tombstones() map[string]int64 {
-	out := make(map[string]int64, len(r.gone))
-	for id, stone := range r.gone {
-		out[id] = stone.revision
-	}
-	return out
-}
-
-// List returns the live servers by id, those that are leaving among them.
-func (r *Registry) List() []Server {
-	out := make([]Server, 0, len(r.live))
-	for _, known := range r.live {
-		out = append(out, known.server)
-	}
-	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
-
-func (r *Registry) ids() []string {
-	out := make([]string, 0, len(r.live))
-	for id := range r.live {
-		out = append(out, id)
-	}
-	slices.Sort(out)
-	return out
-}
