--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -35,7 +35,8 @@
 	readers = 6
 	// takeOverAfter and takeOverSpread bound how long an instance that does not
 	// read goes without anybody's word that its version is the newest. Readers
-	// give it about twice a second.
+	// hear the store about every half second together, and hubs pass that on ten
+	// times a second.
 	takeOverAfter  = 1800 * time.Millisecond
 	takeOverSpread = 600 * time.Millisecond
 	// restInterval is the time between looks whether to read, and coldInterval that of
--- a/internal/placement/contention.go
+++ b/internal/placement/contention.go
@@ -19,8 +19,9 @@
 	// keepersMost is the number of engines that keep most of the prompt that are
 	// chosen from too. With them a burst moves 1.3 TB of prompts, without 2.4.
 	keepersMost = 2
-	// lagFactor is how much longer a choice stays unknown than news of it are
-	// gathered: it is then sent and handled. With 1 and 2.5 less is on time.
+	// lagFactor is how much longer a choice may stay unknown than news of choices take
+	// in the mean: each hop holds some for longer than others. With 1 and 2.5 less is on
+	// time in a burst that fills all engines.
 	lagFactor = 1.5
 	// rateWindow is the time over which rates of requests are averaged.
 	rateWindow = time.Second
@@ -30,7 +31,7 @@
 type contention struct {
 	// others is the number of instances beside this one.
 	others int
-	// lag is how long news of a choice are gathered.
+	// lag is how long after a choice of theirs it is known here, in the mean.
 	lag time.Duration
 	// begun is the rate of requests sent by all instances, as heard, and refused
 	// that of those that this one refused; by priority.
@@ -70,8 +71,8 @@
 	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/rateWindow.Seconds())
 }
 
-// SetPeers tells how many other instances choose, and how long they gather news
-// of their choices before they send them.
+// SetPeers tells how many other instances choose, and how long after a choice of
+// theirs it is known here, in the mean.
 func (b *Board) SetPeers(others int, lag time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
