Damaged evidence of a peer no longer predicts times below nothing

Cause: the fuzzer of peers' news found sums of a regression that are finite and absurd. Fitted, they give an engine a first event after years, which overflows into a negative time; every request would go to that service's engines first. Ruled out: values that are not finite (refused before), a bad count of samples.

--- a/internal/pace/model.go
+++ b/internal/pace/model.go
@@ -213,4 +213,11 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-func fromMS(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// slowestMS bounds each learned time, in milliseconds: a minute, beyond any engine.
+// Sums of a peer that are damaged can be fitted to years, which overflow into times
+// below nothing, and every request would go to the engine of that service.
+const slowestMS = 60_000
+
+func fromMS(ms float64) time.Duration {
+	return time.Duration(min(ms, slowestMS) * float64(time.Millisecond))
+}
