Parts of prompts are fetched from engines of evacuated data centres

Cause: the engines of an emptied data centre keep a third of the shared starts of prompts. Ruled out: sending there (it is emptied), moving everything at once (most is not asked for again, and moves are paid for). Change: engines of evacuated data centres take no requests and stay sources of fetches, chosen by the same costs as any.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -119,11 +119,15 @@
 	f.slowStart.SetCold(state.ID, until)
 }
 
-// listServers rebuilds byService for a table, or for none; mu is held.
+// listServers rebuilds byService and sources for a table, or for none; mu is held.
 func (f *fleet) listServers(table *routing.Table) {
 	published := func(service string) bool { return table == nil || table.Service(service) != nil }
 	f.byService = make(map[string][]servers.Server)
 	for _, s := range f.registry.Taking(published) {
 		f.byService[s.Service] = append(f.byService[s.Service], s)
 	}
+	f.sources = make(map[string][]servers.Server)
+	for _, s := range f.registry.Sheltered(published) {
+		f.sources[s.Service] = append(f.sources[s.Service], s)
+	}
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -42,11 +42,13 @@
 	// digest is that of the registry, cut to an int.
 	digest atomic.Int64
 
-	mu       sync.Mutex // guards registry, byService
+	mu       sync.Mutex // guards registry, byService, sources
 	registry *servers.Registry
 	// byService is rebuilt at each change of the registry; readers take the
 	// slices as they are.
 	byService map[string][]servers.Server
+	// sources are the servers of evacuated data centres, rebuilt and read likewise.
+	sources map[string][]servers.Server
 
 	number atomic.Int64 // of the last own run
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"slices"
+	"strings"
+
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/relay"
@@ -17,12 +20,17 @@
 		return relay.Target{}, placement.NoneReachable
 	}
 	f.mu.Lock()
-	list := f.byService[service]
+	list, sources := f.byService[service], f.sources[service]
 	f.mu.Unlock()
 	candidates, cold := f.candidates(list, published, &work, excluded, now)
 	if len(candidates) == 0 && cold {
 		return relay.Target{}, placement.AllCold
 	}
+	for _, s := range sources {
+		source := candidate(s, published)
+		source.SourceOnly = true
+		candidates = append(candidates, source)
+	}
 	choice, refusal := f.board.Choose(work, candidates, now)
 	if refusal != placement.Chosen {
 		return relay.Target{Choice: choice}, refusal
@@ -32,17 +40,26 @@
 		MaxConns: f.connectionShare(published.MaxConns),
 		EntryAge: now.Sub(f.confirmedAt()),
 	}
-	for _, s := range list {
-		switch s.ID {
-		case choice.Server:
-			target.Server = s
-		case choice.FetchFrom:
-			target.FetchFrom = s.Address
-		}
+	if s, ok := find(list, choice.Server); ok {
+		target.Server = s
+	}
+	if s, ok := find(list, choice.FetchFrom); ok {
+		target.FetchFrom = s.Address
+	} else if s, ok := find(sources, choice.FetchFrom); ok {
+		target.FetchFrom = s.Address
 	}
 	return target, placement.Chosen
 }
 
+// find returns the server of an id, by which the list is sorted.
+func find(list []servers.Server, id string) (servers.Server, bool) {
+	i, ok := slices.BinarySearchFunc(list, id, func(s servers.Server, id string) int { return strings.Compare(s.ID, id) })
+	if !ok {
+		return servers.Server{}, false
+	}
+	return list[i], true
+}
+
 // candidates returns the servers of a list that a request may go to now, and whether
 // some are left out because they are cold and have got what they bear.
 func (f *fleet) candidates(list []servers.Server, service *routing.Service, work *placement.Work, excluded map[string]bool, now monotime.Instant) (out []placement.Candidate, cold bool) {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -90,6 +90,8 @@
 	TokenBytes int
 	// LinkMbps is how fast that memory travels, in Mbit/s.
 	LinkMbps float64
+	// SourceOnly servers take no requests now; parts of prompts may be fetched from them.
+	SourceOnly bool
 }
 
 func (b *Board) server(c Candidate) *server {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -67,17 +67,22 @@
 	b.sweep(now)
 	reachable := make([]*server, 0, len(candidates))
 	open := make([]opening, 0, len(candidates))
+	sources := 0
 	for _, candidate := range candidates {
 		s := b.server(candidate)
 		if s.retryAt != 0 && now < s.retryAt {
 			continue
 		}
 		reachable = append(reachable, s)
+		if candidate.SourceOnly {
+			sources++
+			continue
+		}
 		if free := s.free(&work, now); free > 0 || s.memory == 0 {
 			open = append(open, opening{s, free})
 		}
 	}
-	if len(reachable) == 0 {
+	if len(reachable) == sources {
 		return Choice{}, NoneReachable
 	}
 	considered, refused := b.admit(open, &work, now)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -411,3 +411,26 @@
 		}
 	}
 }
+
+// The only engine that keeps the long start of a prompt stands in a data centre that is
+// emptied. The request goes to another engine, which fetches the start from there while
+// it can, in place of reading it for a quarter of a second.
+func TestThePromptOfAnEvacuatedEngineIsFetched(t *testing.T) {
+	b := NewBoard(testPace, "here")
+	candidates := engines(2)
+	for i := range candidates {
+		candidates[i].TokenBytes, candidates[i].LinkMbps = 35_000, 740_000
+	}
+	work := bundle("c", "x")
+	b.Begin(RunID{"me", 1}, "e0", work, work.Prompt, start)
+	b.First(RunID{"me", 1}, start.Add(time.Second))
+	b.End(RunID{"me", 1}, start.Add(2*time.Second))
+	candidates[0].SourceOnly = true
+	choice, refusal := b.Choose(bundle("c", "y"), candidates, start.Add(3*time.Second))
+	if refusal != Chosen || choice.Server != "e1" || choice.FetchFrom != "e0" {
+		t.Errorf("%v %+v", refusal, choice)
+	}
+	if _, refusal := b.Choose(work, candidates[:1], start.Add(3*time.Second)); refusal != NoneReachable {
+		t.Errorf("placed on a server that takes nothing: %v", refusal)
+	}
+}
--- a/internal/servers/listing.go
+++ b/internal/servers/listing.go
@@ -16,6 +16,16 @@
 // entries with the same address only the one written last counts. An entry of a
 // service that nobody published comes from another writer and displaces none.
 func (r *Registry) Taking(published func(service string) bool) []Server {
+	return slices.DeleteFunc(r.usable(published), func(s Server) bool { return r.Evacuated(s.DataCentre) })
+}
+
+// Sheltered returns the servers that would take requests but for the evacuation of their
+// data centre. What they keep can still be fetched from them.
+func (r *Registry) Sheltered(published func(service string) bool) []Server {
+	return slices.DeleteFunc(r.usable(published), func(s Server) bool { return !r.Evacuated(s.DataCentre) })
+}
+
+func (r *Registry) usable(published func(service string) bool) []Server {
 	var out []Server
 	holder := make(map[string]int64) // revision of the newest entry of an address
 	for _, s := range r.List() {
@@ -23,7 +33,7 @@
 			continue
 		}
 		holder[s.Address] = max(holder[s.Address], s.Revision)
-		if !s.Draining && !r.Evacuated(s.DataCentre) {
+		if !s.Draining {
 			out = append(out, s)
 		}
 	}
