After a restart of all instances each asks its engines what they keep

Cause: the logs of a final fault show four of forty engines asked: the first instance tells the others what its engines keep, and these took themselves for informed. The prompts that the other 36 keep were read again, and first events came late for seconds. Ruled out: answers of engines that failed (none), a late start (all are up within 0.45 s). Change: only a peer that knows all engines spares the question; it says so in its state.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -40,7 +40,9 @@
 	Cached(ctx context.Context, server servers.Server) ([]placement.Part, error)
 }
 
-// learnCaches asks peers, and after coldStart engines, what engines keep.
+// learnCaches asks peers, and after coldStart engines, what engines keep. After a restart
+// of all instances each of them must ask its own engines, also when others were faster:
+// what they tell is of theirs.
 func (g *Gateway) learnCaches(ctx context.Context) error {
 	sleep(ctx, coldStart)
 	if ctx.Err() != nil || g.peers.warm.Load() || g.cfg.Caches == nil {
@@ -49,12 +51,18 @@
 	var lists errgroup.Group
 	lists.SetLimit(listsAtOnce)
 	for _, s := range g.ownEngines() {
+		if g.fleet.board.CacheLearned(s.ID) {
+			continue
+		}
 		lists.Go(func() error {
 			g.listEngine(ctx, s)
 			return nil
 		})
 	}
-	return lists.Wait()
+	err := lists.Wait()
+	sleep(ctx, listTimeout)
+	g.peers.warm.Store(true)
+	return err
 }
 
 // ownEngines returns the engines that this instance asks.
@@ -96,8 +104,10 @@
 // takeCaches believes a peer what engines keep.
 func (p *peers) takeCaches(news *wire.RelayNews) {
 	now := monotime.Now()
-	for _, cache := range news.Caches {
+	if news.CachesWhole {
 		p.warm.Store(true)
+	}
+	for _, cache := range news.Caches {
 		p.fleet.board.Learn(cache.Server, decodeParts(cache.Parts), now)
 	}
 }
--- a/internal/gateway/peernews.go
+++ b/internal/gateway/peernews.go
@@ -192,6 +192,7 @@
 		Evacuations: encodeEvacuations(p.fleet.allEvacuations()),
 		Servers:     p.fleet.allServers(),
 		Caches:      caches,
+		CachesWhole: len(caches) > 0 && p.warm.Load(),
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -26,7 +26,8 @@
 	log   *zap.Logger
 	links *peer.Links
 
-	// warm says that what engines keep is known, from peers or engines.
+	// warm says that what all engines keep is known, from a peer that knew it or from
+	// the engines. What some peer has just heard of a few does not count.
 	warm atomic.Bool
 
 	mu      sync.Mutex
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -169,11 +169,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.server(Candidate{ID: serverID})
+	s.learned = true
 	for _, part := range parts {
 		s.cache.add([]Part{part}, now, int(cacheShare*float64(s.memory)))
 	}
 }
 
+// CacheLearned reports whether an engine or a peer told what the engine keeps.
+func (b *Board) CacheLearned(serverID string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[serverID]
+	return s != nil && s.learned
+}
+
 // Kept returns what engines are believed to keep: of each at most so many parts,
 // least recently used first.
 func (b *Board) Kept(most int) map[string][]Part {
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -20,9 +20,11 @@
 	sums
 	// inUse is the memory that running requests hold, in tokens; parts that
 	// several of them share count once, as holders says.
-	inUse     int
-	holders   map[string]int
-	cache     partCache
+	inUse   int
+	holders map[string]int
+	cache   partCache
+	// learned says that it was told what the engine keeps.
+	learned   bool
 	readUntil monotime.Instant
 	failures  float64
 	// kind of engines it is one of; done is what it did up to ticked; begun counts the
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -492,6 +492,10 @@
 	// The configuration as JSON, when asked for.
 	Config string `json:"c,omitempty,omitzero"`
 
+	// The caches told are those of all engines, not only of some that the sender
+	// asked.
+	CachesWhole bool `json:"cw,omitempty,omitzero"`
+
 	// Runs that ended.
 	Ended []int `json:"e,omitempty,omitzero"`
 
