Instances that start together do not all choose the same engine

Cause: after a final fault each instance serves some 80 ms after its start and knows no other one for 400 ms. To each of them the same idle engine looks best: first events came after 2.4 s where 0.2 s were predicted. Ruled out: what engines keep (not known to any, the same for all), slow links to seeds (the seeds themselves start last). Change: a process younger than a second chooses with the noise of some 70 instances. Before: 60 of 60 requests go to one of 40 engines by the new test. After: at most 8.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,12 +45,6 @@
 	// isolatedAfter is how long an instance that hears neither the store nor a
 	// peer still counts as able to serve.
 	isolatedAfter = 1500 * time.Millisecond
-	// noisePerInstance is the noise of placement for each instance beyond
-	// manyInstances, see placement.Board.SetNoise: the more there are, the more of
-	// them choose before they hear of each other's choices. Fewer hear in time,
-	// and noise costs them 0.005 of worth.
-	noisePerInstance = 0.002
-	manyInstances    = 16
 	// noKey stands for the secret of links where none is set.
 	noKey = "no-secret-is-set"
 	// linkKeyID names the key of the links.
@@ -99,6 +93,8 @@
 
 	leaving  atomic.Bool
 	isolated atomic.Bool
+	// begun is when the process began.
+	begun monotime.Instant
 	// reload asks for the settings to be read at once.
 	reload chan struct{}
 	// Of the regular task alone: the seeds in use, what was last logged of how fast
@@ -115,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{cfg: cfg, stats: relay.NewMetrics(), reload: make(chan struct{}, 1), seeds: s.Peers.Seeds, loggedPaces: make(map[string]pace.Pace)}
+	g := &Gateway{cfg: cfg, begun: monotime.Now(), stats: relay.NewMetrics(), reload: make(chan struct{}, 1), seeds: s.Peers.Seeds, loggedPaces: make(map[string]pace.Pace)}
 	g.fleet = &fleet{
 		self:      s.Instance.ID,
 		log:       cfg.Log,
@@ -126,6 +122,7 @@
 		slowStart: slowstart.New(s.Instance.ID, monotime.Now()),
 	}
 	g.fleet.neverHeard()
+	g.fleet.board.SetNoise(choiceNoise(0, 1))
 	g.feed = &feed{
 		source: cfg.Source, fleet: g.fleet, log: cfg.Log,
 		wait: milliseconds(s.Store.WatchMS), slack: milliseconds(s.Store.TimeoutMS),
--- /dev/null
+++ b/internal/gateway/noise_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/routing"
+)
+
+// All 60 instances start at the same moment before 40 idle engines, and each gets a
+// request before it knows any other instance. Callers wait for each other when many of
+// the requests go to one engine.
+func TestInstancesThatStartTogetherSpread(t *testing.T) {
+	sent := make(map[string]int)
+	for range 60 {
+		f, _, _ := newFleet()
+		f.board.SetNoise(choiceNoise(0, 1))
+		f.adopt(&routing.Config{Version: 1, Services: []routing.Service{{
+			Name: "svc", Engine: &routing.Engine{Slots: 64, MemoryTokens: 500_000, EventTokens: 4},
+		}}}, fromStore)
+		for n := range 40 {
+			put(f, fromStore, entry(fmt.Sprintf("e%02d", n), int64(n+1)))
+		}
+		work := placement.Work{Prompt: 17_000, Output: 120, Goal: 2500 * time.Millisecond, Left: 12 * time.Second}
+		target, refusal := f.Place("svc", work, nil, monotime.Now())
+		if refusal != placement.Chosen {
+			t.Fatal(refusal)
+		}
+		sent[target.ID]++
+	}
+	for id, n := range sent {
+		if n > 8 {
+			t.Errorf("%d of 60 requests go to %s", n, id)
+		}
+	}
+}
+
+func TestNoiseOfChoicesFollowsWhatIsKnown(t *testing.T) {
+	for _, c := range []struct {
+		age       time.Duration
+		instances int
+		want      float64
+	}{{0, 1, noiseAtStart}, {startTime, 1, 0}, {startTime, manyInstances, 0}, {startTime, 66, 0.1}, {0, 166, 0.3}} {
+		if got := choiceNoise(c.age, c.instances); got != c.want {
+			t.Errorf("after %v with %d instances: %v, want %v", c.age, c.instances, got, c.want)
+		}
+	}
+}
--- a/internal/gateway/regular.go
+++ b/internal/gateway/regular.go
@@ -49,10 +49,11 @@
 		g.checkIsolation()
 		g.tellEvidence(monotime.Now())
 		g.peers.tick(monotime.Now())
-		g.fleet.board.SetPeers(g.peers.count()-1, g.peers.staleness())
+		instances := g.peers.count()
+		g.fleet.board.SetPeers(instances-1, g.peers.staleness())
+		g.fleet.board.SetNoise(choiceNoise(monotime.Now().Sub(g.begun), instances))
 		if n%sweepTicks == 0 {
 			g.relay.Sweep(g.fleet.known)
-			g.fleet.board.SetNoise(noisePerInstance * float64(max(0, g.peers.count()-manyInstances)))
 			g.takeSettings()
 			g.logPaces()
 		}
