Requests of routes and customers with homes stay in their regions

Ruled out: leaving it to the directory alone (a server in another region is chosen by cost, not by place). Change: both bind, servers outside are no candidates and no sources of prompts; a data centre of which no region is known is in none. The settings say where data centres lie, and the directory names instances of the caller's region while it has any. Before: the new tests fail.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,12 +223,24 @@
 	return !g.leaving.Load() && !g.isolated.Load() && g.fleet.Table() != nil && g.fleet.serverCount() > 0
 }
 
-// Callers returns the addresses that callers should connect to and how long
-// they may use them; false when this instance can't tell.
-func (g *Gateway) Callers() (addresses []string, ttl time.Duration, ok bool) {
-	addresses = g.peers.callers()
+// Callers returns the addresses that callers in a region should connect to and how long
+// they may use them; false when this instance can't tell. Instances of another region are
+// named only where the caller's has none: what callers send stays in their region then.
+func (g *Gateway) Callers(region string) (addresses []string, ttl time.Duration, ok bool) {
+	known := g.peers.staying()
 	if g.Ready() {
-		addresses = append(addresses, g.cfg.Settings.Listen.Callers)
+		known = append(known, g.peers.node.Self())
+	}
+	var elsewhere []string
+	for _, m := range known {
+		if region == "" || g.fleet.regions[m.DataCentre] == region {
+			addresses = append(addresses, m.CallerAddress)
+		} else {
+			elsewhere = append(elsewhere, m.CallerAddress)
+		}
+	}
+	if len(addresses) == 0 {
+		addresses = elsewhere
 	}
 	ttl = milliseconds(g.cfg.Settings.Directory.TTLMS)
 	return addresses, ttl, len(addresses) > 0 && !g.isolated.Load()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -301,7 +301,11 @@
 		t.Error("that a peer leaves changes nothing")
 	}
 	p.node.Refresh(now)
-	if diff := cmp.Diff([]string{"a:1"}, p.callers()); diff != "" {
+	var named []string
+	for _, m := range p.staying() {
+		named = append(named, m.CallerAddress)
+	}
+	if diff := cmp.Diff([]string{"a:1"}, named); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -187,7 +187,7 @@
 		open := 0
 		for _, i := range fleet {
 			open += len(i.peers.linked())
-			if got := len(i.peers.callers()); got != size-1 {
+			if got := len(i.peers.staying()); got != size-1 {
 				t.Errorf("%s knows %d others", i.fleet.self, got)
 			}
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -308,16 +308,11 @@
 	return p.node.Known()
 }
 
-// callers returns the callers' addresses of the instances that can be reached and do
-// not leave, by id.
-func (p *peers) callers() []string {
+// staying returns the instances that can be reached and do not leave, by id.
+func (p *peers) staying() []wire.RelayMember {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []string
-	for _, m := range p.node.Staying() {
-		out = append(out, m.CallerAddress)
-	}
-	return out
+	return p.node.Staying()
 }
 
 // version of the configuration in force, or 0.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -27,6 +27,9 @@
 		return relay.Target{}, placement.AllCold
 	}
 	for _, s := range sources {
+		if !f.regions.allow(work.Homes, s.DataCentre) {
+			continue
+		}
 		source := candidate(s, published)
 		source.SourceOnly = true
 		candidates = append(candidates, source)
@@ -68,7 +71,7 @@
 	out = make([]placement.Candidate, 0, len(list))
 	for _, s := range list {
 		switch {
-		case excluded[s.ID]:
+		case excluded[s.ID], !f.regions.allow(work.Homes, s.DataCentre):
 		case !f.slowStart.Open(s.ID, ask, now):
 			cold = true
 		default:
--- /dev/null
+++ b/internal/gateway/regions.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"slices"
+
+	"basilrudder/internal/schema/relaysettings"
+)
+
+// regions holds the region of each data centre.
+type regions map[string]string
+
+func newRegions(places []relaysettings.PlaceSettings) regions {
+	out := make(regions, len(places))
+	for _, place := range places {
+		out[place.DataCentre] = place.Region
+	}
+	return out
+}
+
+// allow reports whether a request that must stay in some regions may go to a data centre.
+// With none given it may go anywhere. A data centre of which no region is known is in none:
+// a caller who gets a refusal can come back, one whose data left its region can't undo it.
+func (r regions) allow(homes []string, dataCentre string) bool {
+	if homes == nil {
+		return true
+	}
+	region, known := r[dataCentre]
+	return known && slices.Contains(homes, region)
+}
--- /dev/null
+++ b/internal/gateway/regions_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/relay"
+	"basilrudder/internal/routing"
+	"basilrudder/internal/schema/relaysettings"
+	"basilrudder/internal/schema/wire"
+)
+
+var twoRegions = regions{"hall": "north", "yard": "south"}
+
+// A customer's certificates must stay in the north. The server there is lost; the caller
+// is refused although one in the south is free, and so is one whose route and customer
+// leave no region in common, or while nobody says where a data centre lies.
+func TestRequestsStayInTheirRegions(t *testing.T) {
+	f, _, _ := newFleet()
+	f.regions = twoRegions
+	f.adopt(config(1), fromStore)
+	put(f, fromStore, entryIn("a", "hall", 1))
+	put(f, fromStore, entryIn("b", "yard", 2))
+	put(f, fromStore, entryIn("c", "nowhere", 3))
+	for _, c := range []struct {
+		name     string
+		homes    []string
+		excluded map[string]bool
+		want     string
+	}{
+		{"north", []string{"north"}, nil, "a"},
+		{"south", []string{"south"}, nil, "b"},
+		{"north without its server", []string{"north"}, map[string]bool{"a": true}, ""},
+		{"no region in common", routing.Homes(&routing.Route{Homes: []string{"north"}}, &routing.Customer{Homes: []string{"south"}}), nil, ""},
+		{"both in common", routing.Homes(&routing.Route{Homes: []string{"north", "south"}}, &routing.Customer{Homes: []string{"south"}}), nil, "b"},
+		{"customer alone", routing.Homes(&routing.Route{}, &routing.Customer{Homes: []string{"south"}}), nil, "b"},
+	} {
+		target, refusal := f.Place("svc", placement.Work{Homes: c.homes}, c.excluded, monotime.Now())
+		if target.ID != c.want || (refusal == placement.Chosen) != (c.want != "") {
+			t.Errorf("%s: %q %v", c.name, target.ID, refusal)
+		}
+	}
+	if homes := routing.Homes(&routing.Route{}, nil); homes != nil {
+		t.Errorf("bound to %v without any", homes)
+	}
+}
+
+// Callers of a region are sent to its instances, and elsewhere only when it has none.
+func TestTheDirectoryNamesInstancesOfTheCallersRegion(t *testing.T) {
+	f, _, _ := newFleet()
+	f.regions = twoRegions
+	g := &Gateway{
+		cfg:   Config{Settings: &relaysettings.RelaySettings{}, Log: zap.NewNop()},
+		fleet: f, stats: relay.NewMetrics(),
+		peers: linkedPeers(f, "me",
+			wire.RelayMember{ID: "a", CallerAddress: "a:1", DataCentre: "hall"},
+			wire.RelayMember{ID: "b", CallerAddress: "b:1", DataCentre: "yard"}),
+	}
+	for region, want := range map[string][]string{
+		"north": {"a:1"}, "south": {"b:1"}, "west": {"a:1", "b:1"}, "": {"a:1", "b:1"},
+	} {
+		got, _, _ := g.Callers(region)
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("region %q: %s", region, diff)
+		}
+	}
+}
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -31,6 +31,9 @@
 	Left time.Duration
 	// Priority, 0 first.
 	Priority int
+	// Homes are the regions that the request must stay in; nil for no bound. Who lists
+	// the candidates keeps to it.
+	Homes []string
 }
 
 // What a request on time counts for, against costs: two and a half, and a quarter of it
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -126,6 +126,7 @@
 		Goal:     f.route.Goal,
 		MaxGap:   f.route.MaxGap,
 		Priority: f.route.Priority,
+		Homes:    routing.Homes(f.route, f.customer),
 	}
 }
 
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -54,6 +54,8 @@
 	Shares []Share `json:"shares"`
 	// Attempts is the number of servers that one request may be sent to.
 	Attempts int `json:"attempts"`
+	// Homes are the regions that requests must stay in; none for no bound.
+	Homes []string `json:"homes,omitempty"`
 }
 
 // MayRepeat reports whether a request of the route may run again.
@@ -110,6 +112,8 @@
 	Keys []string `json:"keys"`
 	// Priority goes before the route's, see Table.Rank; nil for none.
 	Priority *int `json:"priority,omitempty"`
+	// Homes are the regions that its requests must stay in; none for no bound.
+	Homes []string `json:"homes,omitempty"`
 }
 
 // Config is one published version.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -132,6 +132,31 @@
 	return tier*max(1, len(t.levels)) + level
 }
 
+// Homes returns the regions that a request must stay in; nil for no bound. Where route
+// and customer both have some, both bind, and there may be no region left: such a request
+// can't be served anywhere.
+func Homes(route *Route, customer *Customer) []string {
+	var of []string
+	if customer != nil {
+		of = customer.Homes
+	}
+	switch {
+	case len(route.Homes) == 0 && len(of) == 0:
+		return nil
+	case len(of) == 0:
+		return route.Homes
+	case len(route.Homes) == 0:
+		return of
+	}
+	both := []string{}
+	for _, region := range route.Homes {
+		if slices.Contains(of, region) {
+			both = append(both, region)
+		}
+	}
+	return both
+}
+
 // Pick returns the service for a request. The choice follows the shares over
 // many requests and is the same each time for one id, so that a request sent a
 // second time stays with its service.
--- a/internal/schema/relaysettings/relaysettings.gen.go
+++ b/internal/schema/relaysettings/relaysettings.gen.go
@@ -68,6 +68,15 @@
 	Seeds []string `json:"seeds,omitempty,omitzero"`
 }
 
+// Place is a data centre and its region.
+type PlaceSettings struct {
+	// Data centre.
+	DataCentre string `json:"data_centre"`
+
+	// Region that it lies in.
+	Region string `json:"region"`
+}
+
 // Settings of one relaying instance.
 type RelaySettings struct {
 	// Directory configures what callers are told.
@@ -88,6 +97,9 @@
 	// Peers configures links between instances.
 	Peers PeerSettings `json:"peers,omitempty,omitzero"`
 
+	// Places say in which region each data centre lies.
+	Places []PlaceSettings `json:"places,omitempty,omitzero"`
+
 	// Retries bounds sends of one request to further servers, over the whole fleet.
 	Retries RetrySettings `json:"retries,omitempty,omitzero"`
 
