Regions of data centres are taken from the settings

Every request bound to a region would have been refused. Before: TestRegionsAreTakenFromTheSettings fails. After: it passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,6 +119,7 @@
 		budget:    newBudget(s.Retries.Ratio, s.Retries.Burst, seconds(s.Retries.WindowS)),
 		registry:  servers.New(),
 		news:      newNewsroom(),
+		regions:   newRegions(s.Places),
 		slowStart: slowstart.New(s.Instance.ID, monotime.Now()),
 	}
 	g.fleet.neverHeard()
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -49,6 +49,21 @@
 	}
 }
 
+// The regions come from the settings: an instance that lost them would refuse every
+// request that is bound to one.
+func TestRegionsAreTakenFromTheSettings(t *testing.T) {
+	g, err := New(Config{Log: zap.NewNop(), Settings: &relaysettings.RelaySettings{
+		Places:  []relaysettings.PlaceSettings{{DataCentre: "hall", Region: "north"}, {DataCentre: "yard", Region: "south"}},
+		Retries: relaysettings.RetrySettings{WindowS: 10},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(twoRegions, g.fleet.regions); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Callers of a region are sent to its instances, and elsewhere only when it has none.
 func TestTheDirectoryNamesInstancesOfTheCallersRegion(t *testing.T) {
 	f, _, _ := newFleet()
