Callers wait a little for turns at cold servers, and come back later from an outage

Others were refused for want of a turn that came some ms later. Ruled out: owners that have no requests (all servers' cold times are known 30 to 440 ms after they are back), room at the servers (none fell over). Change: whether others reach the service decides the time to come back also after failed connections; it is a sixth to a third of the time left. Where all servers are cold a request waits for a turn, half its goal and 500 ms at most; nothing is sent meanwhile.

--- a/internal/gateway/evacuations_test.go
+++ b/internal/gateway/evacuations_test.go
@@ -111,7 +111,7 @@
 	f.adopt(config(1), fromStore)
 	put(f, fromStore, entryIn("a", "north", 1))
 	f.takeEvacuations(fromStore, []servers.Evacuation{evacuation("north", true, 2)})
-	if _, refusal := f.Place("svc", placement.Work{}, nil, monotime.Now()); refusal != placement.ServiceDown {
+	if _, refusal := f.Place("svc", placement.Work{}, nil, monotime.Now()); refusal != placement.NoneReachable {
 		t.Errorf("placed: %v", refusal)
 	}
 	if f.serverCount() != 1 || fd.cold() {
@@ -216,23 +216,22 @@
 	})
 }
 
-// All servers of a service crash at once. Callers come back once, so they are told to
-// come back when servers may be up again; those of an instance that alone reaches none
-// are told to come back at once, since the next instance serves them.
+// All servers of a service crash at once. Callers come back once, so those of an outage
+// for all are told a later time than those of an instance that alone reaches none. News of
+// what others send tell which it is.
 func TestAnOutageForAllIsToldFromOneOfThisInstance(t *testing.T) {
 	f, _, _ := newFleet()
 	f.adopt(config(1), fromStore)
 	p := linkedPeers(f, "me", wire.RelayMember{ID: "peer"})
 	put(f, fromStore, entryIn("a", "north", 1))
-	if _, refusal := f.Place("svc", placement.Work{}, nil, monotime.Now()); refusal != placement.Chosen {
-		t.Fatal(refusal)
-	}
-	f.Observe("a", placement.Unreachable, monotime.Now())
-	if _, refusal := f.Place("svc", placement.Work{}, nil, monotime.Now()); refusal != placement.ServiceDown {
-		t.Errorf("nobody reaches it: %v", refusal)
+	if f.Serving("svc", monotime.Now()) {
+		t.Error("nobody has sent anything")
 	}
 	p.takeRuns("peer", &wire.RelayNews{Begun: []wire.RelayRun{{Number: 1, Server: "a"}}}, monotime.Now())
-	if _, refusal := f.Place("svc", placement.Work{}, nil, monotime.Now()); refusal != placement.NoneReachable {
-		t.Errorf("a peer reaches it: %v", refusal)
+	if !f.Serving("svc", monotime.Now()) {
+		t.Error("a peer reaches it")
+	}
+	if f.Serving("svc", monotime.Now().Add(time.Second)) {
+		t.Error("a peer reached it a second ago")
 	}
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -36,9 +36,6 @@
 		candidates = append(candidates, source)
 	}
 	choice, refusal := f.board.Choose(work, candidates, now)
-	if refusal == placement.NoneReachable && !f.slowStart.InUse(ids(list), now) {
-		return relay.Target{Choice: choice}, placement.ServiceDown
-	}
 	if refusal != placement.Chosen {
 		return relay.Target{Choice: choice}, refusal
 	}
@@ -58,6 +55,14 @@
 	return target, placement.Chosen
 }
 
+// Serving implements relay.Fleet.
+func (f *fleet) Serving(service string, now monotime.Instant) bool {
+	f.mu.Lock()
+	list := f.byService[service]
+	f.mu.Unlock()
+	return f.slowStart.InUse(ids(list), now)
+}
+
 // ids lists those of servers.
 func ids(list []servers.Server) iter.Seq[string] {
 	return func(yield func(string) bool) {
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -10,8 +10,6 @@
 	Chosen Refusal = iota
 	// NoneReachable: all were tried in vain a moment ago.
 	NoneReachable
-	// ServiceDown: as NoneReachable, and no other instance has reached one either.
-	ServiceDown
 	// AllFull: those that can be reached have no room for this priority.
 	AllFull
 	// NotWorth: wherever it is placed, streams as urgent as it lose more than it earns.
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -67,6 +67,10 @@
 	full      bool
 	// cold servers get nothing once a connection to them is open.
 	cold map[string]bool
+	// coldPlaces is how often all servers are cold when one is asked for.
+	coldPlaces int
+	// down says that no instance reaches a server.
+	down bool
 
 	mu       sync.Mutex
 	begun    []string
@@ -80,6 +84,10 @@
 	if f.full {
 		return Target{}, placement.AllFull
 	}
+	if f.coldPlaces > 0 {
+		f.coldPlaces--
+		return Target{}, placement.AllCold
+	}
 	for _, id := range f.servers {
 		if !excluded[id] {
 			return Target{Server: servers.Server{ID: id, Name: id, Address: id}, Choice: placement.Choice{First: 100 * time.Millisecond}}, placement.Chosen
@@ -111,8 +119,9 @@
 	defer f.mu.Unlock()
 	f.outcomes = append(f.outcomes, fmt.Sprint(server, " ", outcome))
 }
-func (f *fakeFleet) Spend(string, monotime.Instant) bool { return !f.noBudget }
-func (f *fakeFleet) Count(string, monotime.Instant)      {}
+func (f *fakeFleet) Serving(string, monotime.Instant) bool { return !f.down }
+func (f *fakeFleet) Spend(string, monotime.Instant) bool   { return !f.noBudget }
+func (f *fakeFleet) Count(string, monotime.Instant)        {}
 
 // script is what a server does on one connection.
 type script func(t *testing.T, c net.Conn, in *bufio.Reader)
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -225,14 +225,10 @@
 // sendOnce sends the request to one server and delivers its answer.
 func (f *flight) sendOnce() *verdict.Error {
 	fleet := f.relay.cfg.Fleet
-	now := monotime.Now()
-	f.work.Left = time.Until(f.deadline)
-	target, refusal := fleet.Place(f.service, f.work, f.excluded, now)
+	target, refusal := f.place()
 	switch refusal {
 	case placement.NoneReachable:
-		return verdict.New(verdict.NotRun, verdict.ReasonNoServer, "no server can be reached").After(retryNoServer)
-	case placement.ServiceDown:
-		return verdict.New(verdict.NotRun, verdict.ReasonNoServer, "no instance reaches a server").After(spread(retryServiceDown))
+		return verdict.New(verdict.NotRun, verdict.ReasonNoServer, "no server can be reached").After(f.afterUnreachable())
 	case placement.AllCold:
 		return verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "all servers have just started and get what they bear").After(spread(retryOverloaded))
 	case placement.AllFull, placement.NotWorth:
@@ -245,7 +241,7 @@
 		if !errors.Is(err, errPoolFull) && f.ctx.Err() == nil {
 			fleet.Observe(target.ID, placement.Unreachable, monotime.Now())
 		}
-		return verdict.Wrap(verdict.NotRun, verdict.ReasonConnect, err).After(retryNoServer)
+		return verdict.Wrap(verdict.NotRun, verdict.ReasonConnect, err).After(f.afterUnreachable())
 	}
 	f.excluded[target.ID] = true
 	run, ok := fleet.Begin(target, f.work, monotime.Now())
@@ -263,6 +259,36 @@
 	return f.receive(e, run)
 }
 
+const (
+	// coldWait is how long a request waits for its turn where all servers are cold, as a
+	// share of its goal, and coldWaitMost bounds it. Owners of a cold server get a turn
+	// each second, so most requests that would be refused in between find one; a caller
+	// that is refused comes back later than that, and only once.
+	coldWait     = 0.5
+	coldWaitMost = 500 * time.Millisecond
+	// coldPoll is the time between looks for a turn.
+	coldPoll = 25 * time.Millisecond
+)
+
+// place chooses a server. Nothing has been sent while it waits for a turn at a cold one.
+func (f *flight) place() (Target, placement.Refusal) {
+	wait := min(time.Duration(coldWait*float64(f.work.Goal)), coldWaitMost)
+	until := monotime.Now().Add(wait)
+	for {
+		now := monotime.Now()
+		f.work.Left = time.Until(f.deadline)
+		target, refusal := f.relay.cfg.Fleet.Place(f.service, f.work, f.excluded, now)
+		if refusal != placement.AllCold || now >= until {
+			return target, refusal
+		}
+		select {
+		case <-time.After(coldPoll):
+		case <-f.ctx.Done():
+			return target, refusal
+		}
+	}
+}
+
 // head encodes the request for a server.
 func (f *flight) head(target Target) []byte {
 	headers := endToEnd(f.hr.Header)
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -99,6 +99,9 @@
 	// Place chooses a server of a service, none of those excluded, or says why
 	// there is none.
 	Place(service string, work placement.Work, excluded map[string]bool, now monotime.Instant) (Target, placement.Refusal)
+	// Serving reports whether any instance has sent a request to a server of a service
+	// lately, as far as this one has heard.
+	Serving(service string, now monotime.Instant) bool
 	// Begin, First, Events and End tell of a run at a server; Begin returns its
 	// number, or false when the server may not get the request now after all, and
 	// Events takes how many events of a stream have just come.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -50,32 +49,6 @@
 	drainReserve = 500 * time.Millisecond
 )
 
-// Times to come back that refusals tell.
-const (
-	// retryElsewhere: another instance can serve it now.
-	retryElsewhere = 20 * time.Millisecond
-	// retryUnknown: configuration or its confirmation is on its way.
-	retryUnknown = 300 * time.Millisecond
-	// retryNoServer: servers that can't be reached are tried again.
-	retryNoServer = 200 * time.Millisecond
-	// retryServiceDown: no instance reaches any server of the service. Servers that were
-	// killed are back after one to three seconds, and most callers come back only once:
-	// of those told to come back after 200 ms none was served in an outage of 1.5 s. It is
-	// spread, see retryOverloaded.
-	retryServiceDown = 1500 * time.Millisecond
-	// retryOverloaded: engines whose slots are all taken have room again when
-	// some of their streams end, which last one to three seconds. It is spread,
-	// so that those refused at once do not come back at once.
-	retryOverloaded = 700 * time.Millisecond
-	// retryFull: a server's queue moves within some steps of its engine.
-	retryFull = 150 * time.Millisecond
-)
-
-// spread returns a time between half of d and one and a half of it.
-func spread(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
-
 // New returns a Relay.
 func New(cfg Config) *Relay {
 	if cfg.Log == nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,12 +7,15 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"basilrudder/internal/routing"
 )
 
 func TestAnAnswerIsPassedOnUnchanged(t *testing.T) {
@@ -521,3 +524,70 @@
 		}
 	})
 }
+
+// All servers have just started, and their turns of this second are taken. A caller whose
+// request finds one a moment later is served without coming back; one that finds none is
+// refused soon, and may come back.
+func TestARequestWaitsALittleForItsTurnAtColdServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			places int
+			status int
+			most   time.Duration
+		}{
+			{0, 200, 0},
+			{4, 200, 4 * coldPoll},
+			{1000, 503, coldWaitMost + coldPoll},
+		} {
+			waiting := again
+			waiting.Goal = 2 * time.Second
+			b := newRig(t, []routing.Route{waiting}, map[string][]script{"s1": {replying(answer("r", 200, "", "ok"))}}, "s1")
+			b.fleet.coldPlaces = c.places
+			began := time.Now()
+			rec, _ := b.ask(request("GET", "/again/x", "r", ""))
+			if took := time.Since(began); rec.Code != c.status || took > c.most {
+				t.Errorf("cold %d times: %d after %v", c.places, rec.Code, took)
+			}
+			if c.status == 503 && (rec.Header().Get("Retry-After") == "" || len(b.fleet.begun) > 0) {
+				t.Errorf("refused without a time to come back, or sent to %v", b.fleet.begun)
+			}
+			b.close()
+		}
+	})
+}
+
+// A service is down for all. Callers come back once, so they are told a time in which
+// servers may be up again, which differs between them and lies within what they wait.
+func TestCallersOfAnOutageComeBackLaterAndApart(t *testing.T) {
+	least, most := time.Hour, time.Duration(0)
+	for range 200 {
+		after := afterOutage(6 * time.Second)
+		least, most = min(least, after), max(most, after)
+	}
+	if least < time.Second || most > 2*time.Second || most-least < 800*time.Millisecond {
+		t.Errorf("from %v to %v", least, most)
+	}
+	if got := afterOutage(600 * time.Millisecond); got != outageLeast {
+		t.Errorf("%v with little time left", got)
+	}
+}
+
+// A server refuses connections. Where other instances reach some, the caller is told to
+// come back at once; in an outage for all, when servers may be up again.
+func TestCallersComeBackSoonOnlyWhereOthersServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, down := range []bool{false, true} {
+			b := newRig(t, allRoutes, nil, "s1")
+			b.fleet.down = down
+			rec, _ := b.ask(request("GET", "/stream/x", "r", ""))
+			seconds, err := strconv.ParseFloat(rec.Header().Get("Retry-After"), 64)
+			if err != nil || rec.Code != 503 {
+				t.Fatalf("%d, Retry-After %q", rec.Code, rec.Header().Get("Retry-After"))
+			}
+			if late := seconds >= outageLeast.Seconds(); late != down {
+				t.Errorf("down for all: %v, told to come back after %v s", down, seconds)
+			}
+			b.close()
+		}
+	})
+}
