What is told of engines after a start is bounded for the whole fleet

Since each instance asks its own engines, all that 300 engines keep was told to each of 100 instances, and those asked every new peer for everything until they knew all: some 24 bytes a part, 80 parts an engine, twice and more over. Before: the new tests fail (80 parts each of 1,000 engines; asked again).

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -30,8 +30,11 @@
 	// listsAtOnce bounds the questions open at the same time.
 	listsAtOnce = 4
 	// mostParts bounds what is told of one engine: more than engines keep of the
-	// prompts in use, some 35 of 16,000 tokens.
-	mostParts = 80
+	// prompts in use, some 35 of 16,000 tokens. mostPartsOfAll bounds it for all engines
+	// together: some 120 KB for each instance that starts. With all that 300 engines keep,
+	// 100 instances that started together filled their links for eight seconds.
+	mostParts      = 80
+	mostPartsOfAll = 5000
 )
 
 // CacheReader asks engines what they keep.
@@ -98,12 +101,22 @@
 		return
 	}
 	g.fleet.board.Learn(s.ID, parts, monotime.Now())
-	g.fleet.news.caches(wire.RelayCache{Server: s.ID, Parts: encodeParts(parts)})
+	told := parts[max(0, len(parts)-partsTold(g.fleet.serverCount())):]
+	g.fleet.news.caches(wire.RelayCache{Server: s.ID, Parts: encodeParts(told)})
+}
+
+// partsTold is how many parts are told of each of so many engines, the most recently used
+// ones.
+func partsTold(engines int) int {
+	return min(mostParts, max(1, mostPartsOfAll/max(1, engines)))
 }
 
 // takeCaches believes a peer what engines keep.
 func (p *peers) takeCaches(news *wire.RelayNews) {
 	now := monotime.Now()
+	if len(news.Caches) > 0 {
+		p.informed.Store(true)
+	}
 	if news.CachesWhole {
 		p.warm.Store(true)
 	}
@@ -115,7 +128,7 @@
 // caches returns what engines are believed to keep.
 func (f *fleet) caches() []wire.RelayCache {
 	var out []wire.RelayCache
-	for id, parts := range f.board.Kept(mostParts) {
+	for id, parts := range f.board.Kept(partsTold(f.serverCount())) {
 		out = append(out, wire.RelayCache{Server: id, Parts: encodeParts(parts)})
 	}
 	return out
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -464,6 +464,9 @@
 		if g.peers.stateNews(f.caches()).CachesWhole {
 			t.Error("tells others that it knows all")
 		}
+		if g.peers.wantsState() {
+			t.Error("asks the next peer for all that the first has told")
+		}
 		if err := g.learnCaches(t.Context()); err != nil {
 			t.Fatal(err)
 		}
@@ -477,6 +480,37 @@
 	})
 }
 
+// A whole fleet starts again, and each instance is told what the engines keep. That must
+// not fill the links of small instances: a link of 10 Mbit/s takes a tenth of a second for
+// 120 KB, and a part is some 25 bytes.
+func TestWhatIsToldOfEnginesIsBounded(t *testing.T) {
+	const bytesOfPart, most = 25, 130_000
+	for _, engines := range []int{0, 1, 9, 60, 100, 333, 1000, 2400} {
+		parts := partsTold(engines)
+		if parts < 1 || parts > mostParts || engines*parts*bytesOfPart > most {
+			t.Errorf("%d parts of each of %d engines", parts, engines)
+		}
+	}
+	f, _, _ := newFleet()
+	f.adopt(engines(), fromStore)
+	for n := range 1000 {
+		id := fmt.Sprintf("e%04d", n)
+		put(f, fromStore, entry(id, int64(n+1)))
+		var kept []placement.Part
+		for k := range 40 {
+			kept = append(kept, placement.Part{ID: fmt.Sprint(id, "-", k), Tokens: 1000})
+		}
+		f.board.Learn(id, kept, monotime.Now())
+	}
+	told := 0
+	for _, cache := range f.caches() {
+		told += len(cache.Parts)
+	}
+	if told == 0 || told > mostPartsOfAll {
+		t.Errorf("%d parts told of 1,000 engines", told)
+	}
+}
+
 // In a large fleet few instances read the store. One that does not is vouched
 // for by their news; when all of them are dead, cut off or turned away, nobody
 // vouches any more, and it reads before a change could be two seconds late by
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -29,6 +29,10 @@
 	// warm says that what all engines keep is known, from a peer that knew it or from
 	// the engines. What some peer has just heard of a few does not count.
 	warm atomic.Bool
+	// informed says that some peer has told what engines keep. Each answer to a question
+	// for it is as long as all servers and caches together, so peers are asked only until
+	// the first.
+	informed atomic.Bool
 
 	mu      sync.Mutex
 	node    *overlay.Node
@@ -77,11 +81,14 @@
 	p.log.Info("peer_linked", zap.String("peer", id.ID), zap.String("incarnation", id.Incarnation))
 	greeting := p.node.Greeting()
 	greeting.ConfigVersion = p.version()
-	greeting.StateWanted = !p.warm.Load() && p.mayAsk(now)
+	greeting.StateWanted = p.wantsState() && p.mayAsk(now)
 	p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{greeting}})
 	p.refreshSoon()
 }
 
+// wantsState reports whether the next peer is to be asked for what it knows.
+func (p *peers) wantsState() bool { return !p.warm.Load() && !p.informed.Load() }
+
 // LinkDown implements peer.Handler.
 func (p *peers) LinkDown(id string, err error) {
 	now := monotime.Now()
