What one server costs the limiter does not grow with their number

Each change of a server went through all others to count those that need a look: 54 us of 8,000 servers, 5 us of 500, and a fleet that starts learns all at once. Change: the count follows each change. Before: TestLearningServersCostsTheSameForEach fails with a ratio of 10. After: below 6.

--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -124,16 +124,15 @@
 func (l *Limiter) SetCold(id string, until monotime.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.server(id).until = until
-	l.recount()
+	l.change(id, func(s *server) { s.until = until })
 }
 
 // Forget drops what is known of an incarnation that is gone.
 func (l *Limiter) Forget(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.change(id, func(s *server) { *s = server{} })
 	delete(l.servers, id)
-	l.recount()
 }
 
 // Lost notes that a server can't be reached. When it answers again it may have
@@ -141,8 +140,7 @@
 func (l *Limiter) Lost(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.server(id).lost = true
-	l.recount()
+	l.change(id, func(s *server) { s.lost = true })
 }
 
 // Reached notes that a connection to a server was made. One that had been lost counts
@@ -157,24 +155,31 @@
 	if s == nil || !s.lost {
 		return
 	}
-	s.lost = false
-	if limit.Rate > 0 {
-		s.suspectAt, s.suspectUntil = now, now.Add(limit.Lasts)
-	}
-	l.recount()
+	l.change(id, func(s *server) {
+		s.lost = false
+		if limit.Rate > 0 {
+			s.suspectAt, s.suspectUntil = now, now.Add(limit.Lasts)
+		}
+	})
 }
 
-// recount counts the servers that need a look; mu is held.
-func (l *Limiter) recount() {
-	count := int64(0)
-	for _, s := range l.servers {
-		if s.until != 0 || s.suspectUntil != 0 || s.lost {
-			count++
-		}
+// change changes what is known of a server and keeps watched right; mu is held. A fleet
+// that starts learns thousands of servers at once, so the others are not looked at.
+func (l *Limiter) change(id string, f func(*server)) {
+	s := l.server(id)
+	was := s.watched()
+	f(s)
+	switch now := s.watched(); {
+	case now && !was:
+		l.watched.Add(1)
+	case was && !now:
+		l.watched.Add(-1)
 	}
-	l.watched.Store(count)
 }
 
+// watched reports whether the server is or may be cold.
+func (s *server) watched() bool { return s.until != 0 || s.suspectUntil != 0 || s.lost }
+
 // Note notes that a request of any instance began on a server.
 func (l *Limiter) Note(id string, now monotime.Instant) {
 	l.mu.Lock()
--- a/internal/slowstart/slowstart_test.go
+++ b/internal/slowstart/slowstart_test.go
@@ -259,3 +259,50 @@
 		}
 	}
 }
+
+// A fleet that starts learns of all servers at once. What one of them costs must not grow
+// with their number: small instances would be busy with it for seconds, lose their links
+// and be told everything again.
+func TestLearningServersCostsTheSameForEach(t *testing.T) {
+	took := func(servers int) time.Duration {
+		best := time.Hour
+		for range 5 {
+			l := New("me", start)
+			began := time.Now()
+			for n := range servers {
+				l.SetCold(fmt.Sprint("server-", n), 0)
+			}
+			best = min(best, time.Since(began)/time.Duration(servers))
+		}
+		return best
+	}
+	few, many := took(500), took(8000)
+	if many > 6*few {
+		t.Errorf("%v each of 500 servers, %v each of 8,000", few, many)
+	}
+}
+
+// The number of servers that need a look follows every change: with a wrong one warm
+// servers would cost each request, or cold ones be taken for warm.
+func TestServersThatNeedALookAreCounted(t *testing.T) {
+	l := New("me", start)
+	for _, step := range []struct {
+		do   func()
+		want int64
+	}{
+		{func() { l.SetCold("a", start.Add(time.Second)) }, 1},
+		{func() { l.SetCold("a", start.Add(time.Minute)) }, 1},
+		{func() { l.Lost("b") }, 2},
+		{func() { l.Lost("a") }, 2},
+		{func() { l.Reached("b", Limit{}, start) }, 1},
+		{func() { l.Forget("a") }, 0},
+		{func() { l.Forget("unknown") }, 0},
+		{func() { l.Lost("c"); l.Reached("c", coldEngine, start) }, 1},
+		{func() { l.SetCold("c", 0); l.Forget("c") }, 0},
+	} {
+		step.do()
+		if got := l.watched.Load(); got != step.want {
+			t.Errorf("%d need a look, want %d", got, step.want)
+		}
+	}
+}
