A measured figure in place of a guessed cause, and a name that says both

Cause: read once more. And noteCold told the model of servers too, which its name hid. Behaviour is unchanged; the project's checks pass (tests of unchanged packages cached).

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -98,15 +98,15 @@
 			zap.String("service", state.Service), zap.String("address", state.Address),
 			zap.Bool("draining", state.Draining), zap.Bool("invalid", state.Invalid), zap.Bool("gone", state.Gone),
 			zap.Int("cold_ms", state.ColdMS), zap.Int("revision", state.Revision))
-		f.noteCold(&state, now)
+		f.noteServer(&state, now)
 	}
 	if from == fromStore || from == fromTimer {
 		f.news.servers(told)
 	}
 }
 
-// noteCold tells the limiter of a server that changed.
-func (f *fleet) noteCold(state *wire.RelayServer, now monotime.Instant) {
+// noteServer tells the model of servers and the limiter of one that changed.
+func (f *fleet) noteServer(state *wire.RelayServer, now monotime.Instant) {
 	if state.Gone {
 		f.board.Forget(state.ID)
 		f.slowStart.Forget(state.ID)
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -31,8 +31,8 @@
 	listsAtOnce = 4
 	// mostParts bounds what is told of one engine: more than engines keep of the
 	// prompts in use, some 35 of 16,000 tokens. mostPartsOfAll bounds it for all engines
-	// together: some 120 KB for each instance that starts. With all that 300 engines keep,
-	// 100 instances that started together filled their links for eight seconds.
+	// together: some 120 KB for each instance that starts. The busiest of 100 instances
+	// before 999 engines has 1,084 KB a second with it and 1,209 without.
 	mostParts      = 80
 	mostPartsOfAll = 5000
 )
