Links that end tell what they were busy with, and versions how long they took

Nothing in the logs told the hypotheses of the incident apart. link_ended has the bytes received of an unfinished message, the age of the last ones, what is queued and for how long; config_received has the time since the first word of a version, the asks, the size.

--- a/internal/gateway/peernews.go
+++ b/internal/gateway/peernews.go
@@ -241,6 +241,7 @@
 		p.sendConfig(from, table)
 	}
 	if news.Config != "" {
+		p.logConfigReceived(from, news)
 		config := new(routing.Config)
 		if err := json.Unmarshal([]byte(news.Config), config); err != nil {
 			p.log.Error("config_of_peer_refused", zap.String("peer", from), eventlog.Cause(err))
@@ -266,10 +267,24 @@
 	if p.configAsked == version && now.Sub(p.configAskedAt) < configInterval {
 		return false
 	}
+	if p.configAsked != version {
+		p.configToldAt, p.configAsks = now, 0
+	}
 	p.configAsked, p.configAskedAt = version, now
+	p.configAsks++
 	return true
 }
 
+// logConfigReceived logs how long a version took to come after the first word of it.
+func (p *peers) logConfigReceived(from string, news *wire.RelayNews) {
+	now := monotime.Now()
+	p.mu.Lock()
+	told, asked, asks := p.configToldAt, p.configAskedAt, p.configAsks
+	p.mu.Unlock()
+	p.log.Info("config_received", zap.String("peer", from), zap.Int("version", news.ConfigVersion), zap.Int("bytes", len(news.Config)),
+		zap.Duration("told_ms", now.Sub(told)), zap.Duration("asked_ms", now.Sub(asked)), zap.Int("asks", asks))
+}
+
 func (p *peers) sendConfig(to string, table *routing.Table) {
 	data, err := json.Marshal(table.Config())
 	if err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -41,8 +41,11 @@
 	// configAsked is the version that a peer was last asked for.
 	configAsked   int
 	configAskedAt monotime.Instant
-	logged        role // what was last logged
-	late          bool // news come late, as was last logged
+	// configToldAt is when it was first asked for, and configAsks how often.
+	configToldAt monotime.Instant
+	configAsks   int
+	logged       role // what was last logged
+	late         bool // news come late, as was last logged
 	// refreshing says that a refresh is due.
 	refreshing bool
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -228,7 +228,7 @@
 		}
 		fresh := new(wire.Envelope)
 		join(fresh, o.env)
-		out = append(out, outgoing{env: fresh})
+		out = append(out, outgoing{env: fresh, queuedAt: o.queuedAt})
 		size, open = add, true
 	}
 	return out
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fasthttp/websocket"
@@ -21,12 +23,18 @@
 	dialer bool // this side opened it
 	opened monotime.Instant
 
+	// partial is the size of the part that has come of a message, in bytes, and
+	// heardAt when the last bytes came, as a monotime.Instant.
+	partial, heardAt atomic.Int64
+
 	mu       sync.Mutex
 	queue    []outgoing
 	queued   int // cost of queue
 	lastUsed monotime.Instant
-	closing  bool
-	reason   error
+	// writing is when what is being written was queued; 0 for nothing.
+	writing monotime.Instant
+	closing bool
+	reason  error
 
 	kick     chan struct{}
 	done     chan struct{} // closed when the link is to end
@@ -59,9 +67,10 @@
 		l.close(errOverfull)
 		return false
 	}
+	o.queuedAt = monotime.Now()
 	l.queue = append(l.queue, o)
 	l.queued += add
-	l.lastUsed = monotime.Now()
+	l.lastUsed = o.queuedAt
 	l.mu.Unlock()
 	l.wake()
 	return true
@@ -94,6 +103,26 @@
 	return queue
 }
 
+func (l *link) noteWriting(queuedAt monotime.Instant) {
+	l.mu.Lock()
+	l.writing = queuedAt
+	l.mu.Unlock()
+}
+
+// delay returns how long ago the oldest message was queued that is not written yet.
+func (l *link) delay(now monotime.Instant) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.writing != 0:
+		return now.Sub(l.writing)
+	case len(l.queue) > 0:
+		return now.Sub(l.queue[0].queuedAt)
+	default:
+		return 0
+	}
+}
+
 // close ends the link; the first reason counts.
 func (l *link) close(reason error) {
 	l.mu.Lock()
@@ -174,7 +203,9 @@
 }
 
 func (l *link) flush() error {
+	defer l.noteWriting(0)
 	for _, o := range coalesce(l.take()) {
+		l.noteWriting(o.queuedAt)
 		data, err := o.encode()
 		if err != nil {
 			return err
@@ -236,7 +267,7 @@
 	})
 	for {
 		l.conn.SetReadDeadline(time.Now().Add(l.silence()))
-		_, data, err := l.conn.ReadMessage()
+		data, err := l.readMessage()
 		if err != nil {
 			return err
 		}
@@ -254,6 +285,31 @@
 	}
 }
 
+func (l *link) readMessage() ([]byte, error) {
+	_, reader, err := l.conn.NextReader()
+	if err != nil {
+		return nil, err
+	}
+	data, err := io.ReadAll(&countingReader{reader, l})
+	if err == nil {
+		l.partial.Store(0)
+	}
+	return data, err
+}
+
+// countingReader notes what has come of a message.
+type countingReader struct {
+	io.Reader
+	link *link
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.link.partial.Add(int64(n))
+	r.link.heardAt.Store(int64(monotime.Now()))
+	return n, err
+}
+
 // serve runs the link until it ends and returns why.
 func (l *link) serve() error {
 	var writer sync.WaitGroup
--- a/internal/peer/outgoing.go
+++ b/internal/peer/outgoing.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"basilrudder/internal/monotime"
 	"basilrudder/internal/schema/wire"
 )
 
@@ -12,6 +13,8 @@
 	// shared is what the links of a Broadcast have in common; nil for an envelope
 	// of one link.
 	shared *shared
+	// queuedAt is when it was queued.
+	queuedAt monotime.Instant
 }
 
 // shared is an envelope for several peers, which is encoded once.
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -56,6 +56,7 @@
 		opened: now, lastUsed: now,
 		kick: make(chan struct{}, 1), done: make(chan struct{}), finished: make(chan struct{}),
 	}
+	l.heardAt.Store(int64(now))
 	if !s.register(l) {
 		return nil
 	}
@@ -153,9 +154,23 @@
 		delete(s.links, l.peer.ID)
 	}
 	s.mu.Unlock()
+	s.logEnd(l, reason)
 	if current {
 		s.counters.open.Add(-1)
 		s.cfg.Handler.LinkDown(l.peer.ID, reason)
 		s.wake()
 	}
 }
+
+// logEnd logs what the link was busy with when it ended.
+func (s *Links) logEnd(l *link, reason error) {
+	now := monotime.Now()
+	l.mu.Lock()
+	queued := l.queued
+	l.mu.Unlock()
+	s.cfg.Log.Info("link_ended", zap.String("peer", l.peer.ID), zap.NamedError("cause", reason), zap.Bool("dialer", l.dialer),
+		zap.Duration("lasted_ms", now.Sub(l.opened)),
+		zap.Int("queued_bytes", queued), zap.Duration("queue_delay_ms", l.delay(now)),
+		zap.Int64("partial_bytes", l.partial.Load()),
+		zap.Duration("heard_ms", now.Sub(monotime.Instant(l.heardAt.Load()))))
+}
