Failing tests: large configurations over slow links

What callers saw: requests handled by old versions, and sent to servers that had left. The first test plays 24 instances of which 20 have links of 10 Mbit/s (narrownet, a network of links with a speed in virtual time): a version of 2,800 routes each half second while servers leave.

--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -111,14 +111,30 @@
 	t.Helper()
 	passProcessStart()
 	network := &memoryNet{listeners: make(map[string]*memoryListener)}
+	return startLinkedOver(t, ctx, tasks, size, func(int) linkedHost {
+		return linkedHost{listen: network.listen, dial: network.dial, capacity: 200}
+	})
+}
+
+// linkedHost is the machine of an instance.
+type linkedHost struct {
+	listen   func(address string) net.Listener
+	dial     func(ctx context.Context, address string) (net.Conn, error)
+	capacity int
+}
+
+// startLinkedOver starts instances on hosts.
+func startLinkedOver(t *testing.T, ctx context.Context, tasks *errgroup.Group, size int, hostOf func(n int) linkedHost) []*linkedInstance {
+	t.Helper()
 	var out []*linkedInstance
 	for n := range size {
+		host := hostOf(n)
 		f, _, _ := newFleet()
 		f.self = fmt.Sprintf("instance-%02d", n)
 		f.throttle = throttle.New(f.self, monotime.Now())
 		self := wire.RelayMember{
 			ID: f.self, Incarnation: f.self + "/1", DataCentre: fmt.Sprint("dc-", n%2),
-			CallerAddress: f.self + ":1", PeerAddress: f.self + ":2", Capacity: 200,
+			CallerAddress: f.self + ":1", PeerAddress: f.self + ":2", Capacity: host.capacity,
 		}
 		p := newPeers(self, []string{"instance-00:2", "instance-01:2", "instance-02:2"}, f, zap.NewNop())
 		links, err := peer.New(peer.Config{
@@ -127,8 +143,8 @@
 				CallerAddress: self.CallerAddress, PeerAddress: self.PeerAddress, Capacity: self.Capacity,
 			},
 			Keys:     []peer.Key{{ID: linkKeyID, Secret: noKey}},
-			Listener: network.listen(self.PeerAddress),
-			Dial:     network.dial,
+			Listener: host.listen(self.PeerAddress),
+			Dial:     host.dial,
 			Handler:  p,
 			Timing:   linkTiming,
 		})
--- /dev/null
+++ b/internal/gateway/narrow_test.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/routing"
+	"basilrudder/internal/servers"
+	"basilrudder/internal/standin/narrownet"
+)
+
+const megabit = 1e6 / 8 // bytes
+
+// manyRoutes is a configuration in which each version differs from the one before by the
+// time-out of one route.
+func manyRoutes(version int64, routes int) *routing.Config {
+	out := &routing.Config{
+		Version: version, Services: []routing.Service{{Name: "svc"}}, KeysRequired: true,
+		Limits: routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second},
+	}
+	for n := range routes {
+		out.Routes = append(out.Routes, routing.Route{
+			Name: fmt.Sprintf("r-%07d", 7919*n), Host: "some13.example", Prefix: fmt.Sprintf("/path%d/%x/", n%10, 104729*n),
+			Timeout: 2 * time.Second, Goal: 300 * time.Millisecond, Attempts: 2, Priority: n % 3,
+			Shares: []routing.Share{{Service: "svc", Weight: 1}},
+		})
+	}
+	if routes > 0 {
+		out.Routes[int(version)%routes].Timeout += time.Duration(version) * time.Millisecond
+	}
+	return out
+}
+
+// startNarrow starts instances of which the first few have fast links and all others
+// slow ones.
+func startNarrow(t *testing.T, ctx context.Context, tasks *errgroup.Group, fast, slow int) ([]*linkedInstance, []*narrownet.Host) {
+	t.Helper()
+	passProcessStart()
+	network := narrownet.New()
+	var hosts []*narrownet.Host
+	fleet := startLinkedOver(t, ctx, tasks, fast+slow, func(n int) linkedHost {
+		rate, capacity := 10*megabit, 192
+		if n < fast {
+			rate, capacity = 200*megabit, 800
+		}
+		host := network.Host(fmt.Sprint(n), rate)
+		hosts = append(hosts, host)
+		return linkedHost{listen: host.Listen, dial: host.Dial, capacity: capacity}
+	})
+	return fleet, hosts
+}
+
+func closedSilent(fleet []*linkedInstance) (sum uint64) {
+	for _, i := range fleet {
+		sum += i.peers.links.Counters().Snapshot().ClosedSilent
+	}
+	return sum
+}
+
+// Guards against links that are closed as silent while a large configuration comes over
+// them, and against versions and leaving servers that are known too late for it.
+func TestLargeConfigurationsReachInstancesWithSlowLinks(t *testing.T) {
+	const (
+		fast, slow = 4, 20
+		routes     = 2800
+		versions   = 8
+		every      = 500 * time.Millisecond
+		inForce    = 2 * time.Second
+		leftAlone  = 2 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		fleet, _ := startNarrow(t, ctx, &tasks, fast, slow)
+		time.Sleep(5 * time.Second)
+		for n := range versions {
+			version := int64(n + 1)
+			server := fmt.Sprint("s", n)
+			fleet[0].fleet.take(manyRoutes(version, routes), fromStore)
+			fleet[1].fleet.update(fromStore, func(r *servers.Registry, now monotime.Instant) []string {
+				r.Put(entry(server, servers.Revision(2*n+1)), now)
+				return []string{server}
+			})
+			time.Sleep(every)
+			fleet[1].fleet.update(fromStore, func(r *servers.Registry, now monotime.Instant) []string {
+				s := entry(server, servers.Revision(2*n+2))
+				s.Draining = true
+				r.Put(s, now)
+				return []string{server}
+			})
+			since := time.Now()
+			tasks.Go(func() error {
+				sleep(ctx, inForce-every)
+				late := 0
+				for _, i := range fleet {
+					if i.peers.version() < int(version) {
+						late++
+					}
+				}
+				if late > 0 {
+					t.Errorf("version %d: not in force at %d of %d instances after %v", version, late, fast+slow, inForce)
+				}
+				sleep(ctx, leftAlone-time.Since(since))
+				late = 0
+				for _, i := range fleet {
+					for _, s := range i.fleet.takingRequests() {
+						if s.ID == server {
+							late++
+						}
+					}
+				}
+				if late > 0 {
+					t.Errorf("server %s: still gets requests from %d instances %v after it said that it leaves", server, late, leftAlone)
+				}
+				return nil
+			})
+		}
+		time.Sleep(inForce + leftAlone)
+		if n := closedSilent(fleet); n > 0 {
+			t.Errorf("%d links closed as silent", n)
+		}
+		stopLinked(t, cancel, &tasks)
+	})
+}
+
+// Guards against a whole configuration being sent for the change of one route.
+func TestAChangeOfOneRouteIsToldByItsSize(t *testing.T) {
+	const routes = 1400
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		fleet, hosts := startNarrow(t, ctx, &tasks, 2, 1)
+		fleet[0].fleet.take(manyRoutes(1, routes), fromStore)
+		time.Sleep(5 * time.Second)
+		received := func(version int64) int64 {
+			before := hosts[2].Received()
+			if version > 0 {
+				fleet[0].fleet.take(manyRoutes(version, routes), fromStore)
+			}
+			time.Sleep(2 * time.Second)
+			return hosts[2].Received() - before
+		}
+		idle := received(0)
+		change := received(2) - idle
+		if got := fleet[2].peers.version(); got != 2 {
+			t.Fatalf("version %d in force", got)
+		}
+		const whole, most = 350_000, 35_000
+		if change > most {
+			t.Errorf("%d bytes for one route of a configuration of some %d, at most %d wanted", change, whole, most)
+		}
+		stopLinked(t, cancel, &tasks)
+	})
+}
