A link counts as silent when no byte comes, not when no message ends

What callers saw: instances that handled requests by old versions and sent to servers that had left, in the minutes after a large configuration.

Cause: the silence limit of a link ran from one whole message to the next, and the write deadline over a whole message. 363 KB take 290 ms of an idle link of 10 Mbit/s and more of a shared one, so the link was closed while bytes came; both sides then began anew.

Now each byte read renews the limit, and a message is written in fragments of 16 KiB with a deadline each.

Conclusion: the loop of closing and beginning anew is broken; what is sent is still too much, and urgent news wait behind it.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -210,18 +211,35 @@
 		if err != nil {
 			return err
 		}
-		// A peer that is stopped or cut off does not read; the deadline ends
-		// the wait that TCP would draw out for minutes.
-		l.conn.SetWriteDeadline(time.Now().Add(l.set.cfg.Timing.Silence))
 		l.set.counters.framesOut.Add(1)
 		count(&l.set.counters.out, o.env, len(data), l.dialer)
-		if err := l.conn.WriteMessage(websocket.BinaryMessage, data); err != nil {
+		if err := l.writeMessage(data); err != nil {
 			return errors.Wrap(err, "write")
 		}
 	}
 	return nil
 }
 
+// fragmentBytes is the most that is written under one deadline.
+const fragmentBytes = 16 << 10
+
+// writeMessage writes a message in fragments. A peer that is stopped or cut off does not
+// read, and the deadline of a fragment ends the wait that TCP would draw out for minutes;
+// a peer behind a slow link takes one fragment after the other.
+func (l *link) writeMessage(data []byte) error {
+	writer, err := l.conn.NextWriter(websocket.BinaryMessage)
+	if err != nil {
+		return err
+	}
+	for fragment := range slices.Chunk(data, fragmentBytes) {
+		l.conn.SetWriteDeadline(time.Now().Add(l.set.cfg.Timing.Silence))
+		if _, err := writer.Write(fragment); err != nil {
+			return err
+		}
+	}
+	return writer.Close()
+}
+
 func (l *link) signOfLife() error {
 	deadline := time.Now().Add(l.set.cfg.Timing.Silence)
 	if err := l.conn.WriteControl(websocket.PingMessage, nil, deadline); err != nil {
@@ -257,7 +275,7 @@
 // read hands envelopes to the handler until the link ends. Each side sends
 // something at least every SignOfLife, so a link from which nothing came for
 // Silence has lost one direction or the whole path, although TCP still calls
-// it open.
+// it open. Each byte counts, also of a message that is not complete.
 func (l *link) read() error {
 	l.conn.SetReadLimit(MaxFrame)
 	l.conn.SetPingHandler(func(string) error {
@@ -290,20 +308,23 @@
 	if err != nil {
 		return nil, err
 	}
-	data, err := io.ReadAll(&countingReader{reader, l})
+	data, err := io.ReadAll(&partialReader{reader, l})
 	if err == nil {
 		l.partial.Store(0)
 	}
 	return data, err
 }
 
-// countingReader notes what has come of a message.
-type countingReader struct {
+// partialReader reads a message for as long as bytes of it come.
+type partialReader struct {
 	io.Reader
 	link *link
 }
 
-func (r *countingReader) Read(p []byte) (int, error) {
+func (r *partialReader) Read(p []byte) (int, error) {
+	if err := r.link.conn.SetReadDeadline(time.Now().Add(r.link.silence())); err != nil {
+		return 0, err
+	}
 	n, err := r.Reader.Read(p)
 	r.link.partial.Add(int64(n))
 	r.link.heardAt.Store(int64(monotime.Now()))
--- /dev/null
+++ b/internal/peer/slow_test.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/standin/narrownet"
+)
+
+// The HTTP library starts a clock for the Date header with its first answer, and never
+// ends it. It has to start outside of virtual time.
+var _ = new(fasthttp.ResponseHeader).Header()
+
+const slowLink = 10e6 / 8 // bytes a second
+
+// startSlow links two instances over slow links in virtual time and returns them with a
+// function that ends both.
+func startSlow(t *testing.T, timing Timing) (a, b *instance, stop func()) {
+	t.Helper()
+	for monotime.Now() <= 0 { // virtual time begins before the process did
+		time.Sleep(365 * 24 * time.Hour)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks errgroup.Group
+	network := narrownet.New()
+	begin := func(id string) *instance {
+		host := network.Host(id, slowLink)
+		in := &instance{
+			recorder: &recorder{make(chan received, 4096), make(chan Identity, 4096), make(chan error, 4096)},
+			address:  id + ":1",
+		}
+		links, err := New(Config{
+			Self:     Identity{ID: id, Incarnation: "1", DataCentre: "dc1", PeerAddress: in.address},
+			Keys:     []Key{{"k1", "a secret of the fleet"}},
+			Listener: host.Listen(in.address), Dial: host.Dial,
+			Handler: in.recorder, Timing: timing,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		in.Links = links
+		tasks.Go(func() error { return links.Run(ctx) })
+		return in
+	}
+	a, b = begin("a"), begin("b")
+	a.SetWanted([]Target{{ID: "b", Address: b.address}})
+	<-a.up
+	<-b.up
+	b.SetWanted([]Target{{ID: "a", Address: a.address}})
+	return a, b, func() {
+		cancel()
+		if err := tasks.Wait(); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Minute) // the HTTP library's servers clean up at their next tick
+	}
+}
+
+// Guards against a link that is closed as silent while a message longer than its silence
+// limit comes in, in either direction.
+func TestALongMessageIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b, stop := startSlow(t, Timing{SignOfLife: 200 * time.Millisecond, Silence: 700 * time.Millisecond})
+		long := &wire.Envelope{ConfigPart: &wire.ConfigPart{Data: make([]byte, slowLink)}}
+		for _, side := range []struct {
+			from, to *instance
+			id       string
+		}{{a, b, "b"}, {b, a, "a"}} {
+			side.from.Send(side.id, long)
+			select {
+			case got := <-side.to.envelopes:
+				if n := len(got.env.ConfigPart.Data); n != len(long.ConfigPart.Data) {
+					t.Errorf("%d bytes came", n)
+				}
+			case err := <-side.to.down:
+				t.Errorf("link to %s lost: %v", side.id, err)
+			}
+		}
+		stop()
+	})
+}
