Pieces of configurations let other messages of a link pass

What callers saw: requests at servers that had said over three seconds before that they leave, while large configurations were told.

Cause: a link had one queue, and short urgent news waited behind all that was queued before. Now pieces of configurations have a queue of their own that is sent while the other one is empty, one piece at a time, and at a pace over all links of an instance, so that the buffers of the system hold little of them.

TestBulkKeepsToItsPace has the bound. No instance sets a pace yet.

Ruled out as sufficient: order alone.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,7 @@
 	vars := new(expvar.Map).Init()
 	vars.Set("relay", g.stats.Vars())
 	vars.Set("links", g.peers.links.Counters())
+	vars.Set("link_queue_delay_ms", expvar.Func(func() any { return g.peers.links.QueueDelay().Milliseconds() }))
 	vars.Set("config_version", expvar.Func(func() any { return g.version() }))
 	vars.Set("servers", expvar.Func(func() any { return g.fleet.serverCount() }))
 	vars.Set("evacuated", expvar.Func(func() any { return g.fleet.evacuated() }))
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -30,6 +30,9 @@
 	BackoffMin, BackoffMax time.Duration
 	// QueueBytes bounds what waits on one link, roughly. Default 4 MiB.
 	QueueBytes int
+	// BulkBytes bounds what of configurations is sent in a second, on all links together.
+	// Default 0, no bound.
+	BulkBytes int
 }
 
 func (t Timing) withDefaults() Timing {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -30,7 +30,8 @@
 
 	mu       sync.Mutex
 	queue    []outgoing
-	queued   int // cost of queue
+	bulk     []outgoing // sent while queue is empty
+	queued   int        // cost of queue and bulk
 	lastUsed monotime.Instant
 	// writing is when what is being written was queued; 0 for nothing.
 	writing monotime.Instant
@@ -69,19 +70,27 @@
 		return false
 	}
 	o.queuedAt = monotime.Now()
-	l.queue = append(l.queue, o)
-	l.queued += add
+	l.append(o)
 	l.lastUsed = o.queuedAt
 	l.mu.Unlock()
 	l.wake()
 	return true
 }
 
+// append puts an envelope into its queue; mu is held.
+func (l *link) append(o outgoing) {
+	l.queued += o.cost()
+	if o.isBulk() {
+		l.bulk = append(l.bulk, o)
+		return
+	}
+	l.queue = append(l.queue, o)
+}
+
 // preload puts envelopes that waited for the link into its queue.
 func (l *link) preload(waited []outgoing) {
 	for _, o := range waited {
-		l.queue = append(l.queue, o)
-		l.queued += o.cost()
+		l.append(o)
 	}
 	if len(waited) > 0 {
 		l.wake()
@@ -95,15 +104,44 @@
 	}
 }
 
+// take returns what is queued but for bulk.
 func (l *link) take() []outgoing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	queue := l.queue
 	l.queue = nil
-	l.queued = 0
+	for _, o := range queue {
+		l.queued -= o.cost()
+	}
+	return queue
+}
+
+// takeAll returns all that is queued.
+func (l *link) takeAll() []outgoing {
+	queue := l.take()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	queue = append(queue, l.bulk...)
+	l.bulk, l.queued = nil, 0
 	return queue
 }
 
+// takeBulk returns the next of bulk. When something else is queued, or the pace does not
+// allow it yet, there is none; wait is how long until it does, or 0.
+func (l *link) takeBulk(now monotime.Instant) (o outgoing, wait time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.queue) > 0 || len(l.bulk) == 0 {
+		return outgoing{}, 0, false
+	}
+	if wait = l.set.pace.take(l.bulk[0].cost(), now); wait > 0 {
+		return outgoing{}, wait, false
+	}
+	o, l.bulk = l.bulk[0], l.bulk[1:]
+	l.queued -= o.cost()
+	return o, 0, true
+}
+
 func (l *link) noteWriting(queuedAt monotime.Instant) {
 	l.mu.Lock()
 	l.writing = queuedAt
@@ -119,6 +157,8 @@
 		return now.Sub(l.writing)
 	case len(l.queue) > 0:
 		return now.Sub(l.queue[0].queuedAt)
+	case len(l.bulk) > 0:
+		return now.Sub(l.bulk[0].queuedAt)
 	default:
 		return 0
 	}
@@ -151,6 +191,8 @@
 	timing := l.set.cfg.Timing
 	life := time.NewTicker(timing.SignOfLife)
 	defer life.Stop()
+	paced := time.NewTimer(time.Hour)
+	defer paced.Stop()
 	quiet := time.Duration(0)
 	for {
 		select {
@@ -161,7 +203,13 @@
 				return
 			}
 			quiet = -1
-			if err := l.flush(); err != nil {
+			if err := l.flush(paced); err != nil {
+				l.close(err)
+				return
+			}
+		case <-paced.C:
+			quiet = -1
+			if err := l.flush(paced); err != nil {
 				l.close(err)
 				return
 			}
@@ -203,20 +251,49 @@
 	}
 }
 
-func (l *link) flush() error {
-	defer l.noteWriting(0)
-	for _, o := range coalesce(l.take()) {
-		l.noteWriting(o.queuedAt)
-		data, err := o.encode()
-		if err != nil {
-			return err
+// flush writes what is queued, and of bulk what there is time for. paced is set for the
+// rest.
+func (l *link) flush(paced *time.Timer) error {
+	for {
+		for _, o := range coalesce(l.take()) {
+			if err := l.send(o); err != nil {
+				return err
+			}
 		}
-		l.set.counters.framesOut.Add(1)
-		count(&l.set.counters.out, o.env, len(data), l.dialer)
-		if err := l.writeMessage(data); err != nil {
-			return errors.Wrap(err, "write")
+		o, wait, ok := l.takeBulk(monotime.Now())
+		switch {
+		case wait > 0:
+			paced.Reset(wait)
+			return nil
+		case ok:
+			if err := l.send(o); err != nil {
+				return err
+			}
+		case !l.waits():
+			return nil
 		}
 	}
+}
+
+// waits reports whether anything is queued but bulk.
+func (l *link) waits() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue) > 0
+}
+
+func (l *link) send(o outgoing) error {
+	l.noteWriting(o.queuedAt)
+	defer l.noteWriting(0)
+	data, err := o.encode()
+	if err != nil {
+		return err
+	}
+	l.set.counters.framesOut.Add(1)
+	count(&l.set.counters.out, o.env, len(data), l.dialer)
+	if err := l.writeMessage(data); err != nil {
+		return errors.Wrap(err, "write")
+	}
 	return nil
 }
 
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -43,6 +43,7 @@
 type Links struct {
 	cfg      Config
 	counters Counters
+	pace     bulkPace
 	tasks    errgroup.Group
 	served   sync.WaitGroup
 	kick     chan struct{}
@@ -77,6 +78,7 @@
 	}
 	return &Links{
 		cfg:    cfg,
+		pace:   bulkPace{rate: cfg.Timing.BulkBytes},
 		kick:   make(chan struct{}, 1),
 		keys:   slices.Clone(cfg.Keys),
 		links:  make(map[string]*link),
@@ -180,6 +182,19 @@
 	}
 }
 
+// QueueDelay returns how long ago the oldest message was queued that is not written yet,
+// on any link.
+func (s *Links) QueueDelay() time.Duration {
+	now := monotime.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	longest := time.Duration(0)
+	for _, l := range s.links {
+		longest = max(longest, l.delay(now))
+	}
+	return longest
+}
+
 // Send queues an envelope for a peer and reports whether it was taken. It
 // opens a link when there is none and Resolve knows the address. It does not
 // block and may be called from the handler. The envelope must not be changed
--- a/internal/peer/outgoing.go
+++ b/internal/peer/outgoing.go
@@ -32,6 +32,10 @@
 	return cost(o.env)
 }
 
+// isBulk reports whether other envelopes are to pass this one. What it holds must count
+// whenever it comes.
+func (o outgoing) isBulk() bool { return o.env.ConfigPart != nil }
+
 func (o outgoing) encode() ([]byte, error) {
 	if o.shared == nil {
 		return Encode(o.env)
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -113,7 +113,7 @@
 	if old != nil {
 		old.close(errReplaced)
 		if old.peer.Incarnation == l.peer.Incarnation {
-			l.preload(old.take())
+			l.preload(old.takeAll())
 		}
 	}
 	s.links[l.peer.ID] = l
@@ -168,7 +168,7 @@
 	l.mu.Lock()
 	queued := l.queued
 	l.mu.Unlock()
-	s.cfg.Log.Info("link_ended", zap.String("peer", l.peer.ID), zap.NamedError("cause", reason), zap.Bool("dialer", l.dialer),
+	s.cfg.Log.Info("link_ended", zap.String("peer", l.peer.ID), zap.String("cause", reason.Error()), zap.Bool("dialer", l.dialer),
 		zap.Duration("lasted_ms", now.Sub(l.opened)),
 		zap.Int("queued_bytes", queued), zap.Duration("queue_delay_ms", l.delay(now)),
 		zap.Int64("partial_bytes", l.partial.Load()),
--- a/internal/peer/slow_test.go
+++ b/internal/peer/slow_test.go
@@ -86,3 +86,56 @@
 		stop()
 	})
 }
+
+// Guards against urgent messages that wait in the queue of a link behind pieces of a
+// configuration.
+func TestUrgentMessagesPassPieces(t *testing.T) {
+	const pieces, pieceBytes = 64, 32 << 10
+	const whole = pieces * pieceBytes * time.Second / slowLink
+	for _, rate := range []int{0, slowLink / 2} {
+		synctest.Test(t, func(t *testing.T) {
+			timing := Timing{SignOfLife: 200 * time.Millisecond, Silence: 700 * time.Millisecond, BulkBytes: rate}
+			a, b, stop := startSlow(t, timing)
+			for n := range pieces {
+				a.Send("b", &wire.Envelope{ConfigPart: &wire.ConfigPart{Offset: n, Data: make([]byte, pieceBytes)}})
+			}
+			time.Sleep(whole / 10)
+			sent := time.Now()
+			a.Send("b", &wire.Envelope{News: []wire.RelayNews{{Leaving: true}}})
+			var took time.Duration
+			for n := 0; n < pieces; {
+				got := <-b.envelopes
+				if len(got.env.News) > 0 {
+					took = time.Since(sent)
+				}
+				if piece := got.env.ConfigPart; piece != nil {
+					if piece.Offset != n {
+						t.Fatalf("piece %d came as number %d", piece.Offset, n)
+					}
+					n++
+				}
+			}
+			if most := whole / 10; took == 0 || took > most {
+				t.Errorf("urgent after %v, at most %v wanted; all pieces take %v", took, most, whole)
+			}
+			stop()
+		})
+	}
+}
+
+// Guards against bulk that takes more of a link than it may.
+func TestBulkKeepsToItsPace(t *testing.T) {
+	pace := bulkPace{rate: 1 << 20}
+	now, sent := monotime.Instant(time.Hour), 0
+	until := now.Add(time.Second)
+	for now < until {
+		if wait := pace.take(32<<10, now); wait > 0 {
+			now = now.Add(wait)
+			continue
+		}
+		sent += 32 << 10
+	}
+	if least, most := 1<<20, 1<<20+bulkBurst+32<<10; sent < least || sent > most {
+		t.Errorf("%d bytes in a second, between %d and %d wanted", sent, least, most)
+	}
+}
