What a late answer of the store tells counts from its beginning

The instant at which the store had answered was noted before what it told was in force, and as the end of the answer. With 0.5 MB a version, over a link of 10 Mbit/s, an instance vouched for the version before while it built the table of the next, and for versions up to half a second younger than the answer.

Now it is noted once all that was told is in force, and as of the beginning of a call that brought a configuration.

Before and after: TestALongAnswerVouchesFromItsBeginning, 0 ms before for an answer of 900 ms, 900 now.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -144,6 +144,7 @@
 
 // step reads everything once, and changes from then on.
 func (f *feed) step(ctx context.Context) error {
+	begun := monotime.Now()
 	if f.revision == 0 {
 		ctx, cancel := context.WithTimeout(ctx, f.slack)
 		defer cancel()
@@ -153,6 +154,7 @@
 		}
 		f.returned()
 		f.takeAll(all)
+		f.heardAt(begun)
 		return nil
 	}
 	wait := f.watchTime()
@@ -164,9 +166,20 @@
 	}
 	f.returned()
 	f.take(changes)
+	if changes.Config == nil {
+		begun = monotime.Now()
+	}
+	f.heardAt(begun)
 	return nil
 }
 
+// heardAt notes since when the store has told all that this instance has in force. A long
+// answer is as old as its beginning, and counts only once what it tells is in force: the
+// version before would be vouched for.
+func (f *feed) heardAt(at monotime.Instant) {
+	f.fleet.heard.Store(max(f.fleet.heard.Load(), int64(at)))
+}
+
 // watchInterval is the least time between the starts of two watches of this reader.
 func (f *feed) watchInterval() time.Duration {
 	place, _ := f.rank()
@@ -189,7 +202,6 @@
 
 // returned tells the registry that the store is back, before what it says is taken.
 func (f *feed) returned() {
-	f.fleet.heard.Store(int64(monotime.Now()))
 	if f.failures < awayFailures {
 		return
 	}
@@ -290,13 +302,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
+	begun := monotime.Now()
 	config, err := f.source.Config(ctx)
 	if err != nil || config == nil {
 		f.log.Info("config_unconfirmed", eventlog.Cause(err))
 		return false
 	}
 	f.fleet.take(config, fromStore)
-	f.fleet.heard.Store(int64(monotime.Now()))
+	f.heardAt(begun)
 	return true
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -688,3 +688,23 @@
 		t.Errorf("%d calls in %v, want at most %d", sum, length, most)
 	}
 }
+
+// Guards against a word of the store that counts from the end of a long answer: a version
+// written meanwhile is not in it.
+func TestALongAnswerVouchesFromItsBeginning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		passProcessStart()
+		f, fd, source := newFleet()
+		const travel = 900 * time.Millisecond
+		source.all = []result{{changes: &Changes{Config: config(1), Revision: 1}}}
+		source.watch = []result{{changes: &Changes{Config: config(2), Revision: 2}, after: travel}}
+		ctx, cancel := context.WithTimeout(t.Context(), travel)
+		defer cancel()
+		_ = fd.run(ctx)
+		var own wire.RelayNews
+		f.status(&own)
+		if least := 1 + int(travel.Milliseconds()); own.ConfigVersion != 2 || own.Confirmed < least {
+			t.Errorf("version %d confirmed %d ms ago, at least %d wanted", own.ConfigVersion, own.Confirmed-1, least-1)
+		}
+	})
+}
