Configurations take half of a link at most; what engines keep lets other news pass

Configurations and these are paced to half of the instance's link, whose speed is a new setting (link_mbps).

Before and after: TestWhatEnginesKeepIsToldInShortMessages is new with the function that it tests.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -134,6 +134,22 @@
 	return out
 }
 
+// partsAtOnce is how many parts are told in a message: some 16 KB.
+const partsAtOnce = 640
+
+// splitCaches cuts what engines keep into messages.
+func splitCaches(caches []wire.RelayCache) (out [][]wire.RelayCache) {
+	start, parts := 0, 0
+	for i, cache := range caches {
+		parts += len(cache.Parts)
+		if parts >= partsAtOnce || i+1 == len(caches) {
+			out = append(out, caches[start:i+1])
+			start, parts = i+1, 0
+		}
+	}
+	return out
+}
+
 func encodeParts(parts []placement.Part) []wire.RelayPart {
 	out := make([]wire.RelayPart, 0, len(parts))
 	for _, part := range parts {
--- a/internal/gateway/evacuations_test.go
+++ b/internal/gateway/evacuations_test.go
@@ -88,10 +88,10 @@
 	if diff := cmp.Diff(want, told); diff != "" {
 		t.Error("news", diff)
 	}
-	if diff := cmp.Diff(want, p.stateNews(nil).Evacuations); diff != "" {
+	if diff := cmp.Diff(want, p.stateNews().Evacuations); diff != "" {
 		t.Error("state", diff)
 	}
-	data, err := peer.Encode(&wire.Envelope{News: []wire.RelayNews{p.stateNews(nil)}})
+	data, err := peer.Encode(&wire.Envelope{News: []wire.RelayNews{p.stateNews()}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,18 @@
 	BackoffMax: 500 * time.Millisecond,
 }
 
+// bulkShare is the share of an instance's link that configurations may take.
+const bulkShare = 0.5
+
+// timingOf returns the times and bounds of links between instances for a machine whose link
+// has so many Mbit/s; 0 for unknown.
+func timingOf(linkMbps float64) peer.Timing {
+	const bytesPerMegabit = 1e6 / 8
+	out := linkTiming
+	out.BulkBytes = int(bulkShare * linkMbps * bytesPerMegabit)
+	return out
+}
+
 // Config of a Gateway.
 type Config struct {
 	// Settings of the instance.
@@ -211,7 +223,7 @@
 		Listener: listener,
 		Resolve:  func(string) (string, bool) { return "", false },
 		Handler:  g.peers,
-		Timing:   linkTiming,
+		Timing:   timingOf(g.cfg.Settings.Instance.LinkMbps),
 		Log:      g.cfg.Log,
 	})
 	if err != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -462,7 +462,7 @@
 		}
 		g := &Gateway{cfg: Config{Caches: reader, Log: zap.NewNop()}, fleet: f, feed: fd, peers: linkedPeers(f, "me")}
 		g.peers.takeCaches(&wire.RelayNews{Caches: []wire.RelayCache{{Server: "e1", Parts: encodeParts([]placement.Part{part})}}})
-		if g.peers.stateNews(f.caches()).CachesWhole {
+		if g.peers.cacheNews(f.caches())[0].CachesWhole {
 			t.Error("tells others that it knows all")
 		}
 		if g.peers.wantsState() {
@@ -475,7 +475,7 @@
 		if diff := cmp.Diff([]string{entry("e2", 1).Address, entry("e3", 1).Address}, reader.asked); diff != "" {
 			t.Error(diff)
 		}
-		if !g.peers.stateNews(f.caches()).CachesWhole {
+		if !g.peers.cacheNews(f.caches())[0].CachesWhole {
 			t.Error("does not tell others what it knows by now")
 		}
 	})
@@ -708,3 +708,37 @@
 		}
 	})
 }
+
+// Guards against what engines keep being told in one long message, behind which urgent
+// news wait.
+func TestWhatEnginesKeepIsToldInShortMessages(t *testing.T) {
+	f, _, _ := newFleet()
+	p := linkedPeers(f, "me")
+	p.warm.Store(true)
+	var caches []wire.RelayCache
+	for n := range 600 {
+		cache := wire.RelayCache{Server: fmt.Sprint("engine-", n)}
+		for part := range n % mostParts {
+			cache.Parts = append(cache.Parts, wire.RelayPart{ID: fmt.Sprintf("%08x", part*n), Tokens: 9000})
+		}
+		caches = append(caches, cache)
+	}
+	var told []wire.RelayCache
+	messages := p.cacheNews(caches)
+	for i, news := range messages {
+		data, err := peer.Encode(&wire.Envelope{News: []wire.RelayNews{news}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(data) > 32<<10 {
+			t.Errorf("message %d has %d bytes", i, len(data))
+		}
+		if last := i+1 == len(messages); news.CachesWhole != last {
+			t.Errorf("message %d of %d says whole: %v", i, len(messages), news.CachesWhole)
+		}
+		told = append(told, news.Caches...)
+	}
+	if diff := cmp.Diff(caches, told); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/gateway/narrow_test.go
+++ b/internal/gateway/narrow_test.go
@@ -158,3 +158,71 @@
 		stopLinked(t, cancel, &tasks)
 	})
 }
+
+// Guards against versions that reach a large fleet, or one with many routes, too late. One
+// instance in ten has a fast link; each version changes one route, the last one adds half
+// as many.
+func TestVersionsAreInForceSoonAtAnySize(t *testing.T) {
+	const most = 2 * time.Second
+	for _, size := range spreadSizes {
+		for _, routes := range []int{100, 1500, 5000} {
+			t.Run(fmt.Sprintf("%d instances, %d routes", size, routes), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					var tasks errgroup.Group
+					fast := max(2, size/10)
+					fleet, hosts := startNarrow(t, ctx, &tasks, fast, size-fast)
+					time.Sleep(5 * time.Second)
+					for version, n := range []int{routes, routes, routes, routes + routes/2} {
+						spread := spreadOf(fleet, hosts, manyRoutes(int64(version+1), n), most)
+						t.Logf("version %d: last after %v, 99 in 100 after %v, %d KB at the busiest", version+1, spread.last, spread.p99, spread.busiest>>10)
+						if spread.missing > 0 {
+							t.Errorf("version %d: not in force at %d instances after %v", version+1, spread.missing, most)
+						}
+					}
+					stopLinked(t, cancel, &tasks)
+				})
+			})
+		}
+	}
+}
+
+// spread tells how a version came to all instances.
+type spread struct {
+	last, p99 time.Duration
+	missing   int
+	busiest   int64 // bytes sent and received by the host with most of them
+}
+
+// spreadOf has the first instance read a version, and follows it for a while.
+func spreadOf(fleet []*linkedInstance, hosts []*narrownet.Host, config *routing.Config, most time.Duration) (out spread) {
+	const look = 5 * time.Millisecond
+	before := make([]int64, len(hosts))
+	for i, h := range hosts {
+		before[i] = h.Sent() + h.Received()
+	}
+	begun := time.Now()
+	fleet[0].fleet.take(config, fromStore)
+	var after []time.Duration
+	pending := fleet
+	for len(pending) > 0 && time.Since(begun) < most {
+		time.Sleep(look)
+		var left []*linkedInstance
+		for _, i := range pending {
+			if i.fleet.version() < config.Version {
+				left = append(left, i)
+				continue
+			}
+			after = append(after, time.Since(begun))
+		}
+		pending = left
+	}
+	out.missing = len(pending)
+	if len(after) > 0 {
+		out.last, out.p99 = after[len(after)-1], after[(len(after)-1)*99/100]
+	}
+	for i, h := range hosts {
+		out.busiest = max(out.busiest, h.Sent()+h.Received()-before[i])
+	}
+	return out
+}
--- a/internal/gateway/peernews.go
+++ b/internal/gateway/peernews.go
@@ -175,25 +175,38 @@
 	return true
 }
 
-// sendState tells a peer that asks the evacuations, the servers and what engines keep
-// of prompts.
+// sendState tells a peer that asks the evacuations, the servers and, behind whatever else
+// is sent to it, what engines keep of prompts.
 func (p *peers) sendState(to string, caches []wire.RelayCache) {
-	state := p.stateNews(caches)
-	if len(state.Evacuations)+len(state.Servers)+len(state.Caches) > 0 {
+	state := p.stateNews()
+	if len(state.Evacuations)+len(state.Servers) > 0 {
 		p.links.Send(to, &wire.Envelope{News: []wire.RelayNews{state}})
 	}
+	for _, news := range p.cacheNews(caches) {
+		p.links.SendBulk(to, &wire.Envelope{News: []wire.RelayNews{news}})
+	}
 }
 
-func (p *peers) stateNews(caches []wire.RelayCache) wire.RelayNews {
+func (p *peers) stateNews() wire.RelayNews {
 	return wire.RelayNews{
 		Evacuations:   encodeEvacuations(p.fleet.allEvacuations()),
 		ServersListed: int(p.fleet.listed()),
 		Servers:       p.fleet.allServers(),
-		Caches:        caches,
-		CachesWhole:   len(caches) > 0 && p.warm.Load(),
 	}
 }
 
+// cacheNews returns what engines keep in messages of bounded size. The last one says
+// whether they tell of all engines.
+func (p *peers) cacheNews(caches []wire.RelayCache) (out []wire.RelayNews) {
+	for _, some := range splitCaches(caches) {
+		out = append(out, wire.RelayNews{Caches: some})
+	}
+	if len(out) > 0 {
+		out[len(out)-1].CachesWhole = p.warm.Load()
+	}
+	return out
+}
+
 // takeServers believes a peer what the store told it: each instance may be cut
 // off from the store alone. listed is the revision of the full list that is told; 0 for
 // changes.
--- /dev/null
+++ b/internal/gateway/race_test.go
@@ -0,0 +1,7 @@
+//go:build race
+
+package gateway
+
+// spreadSizes are the fleets over which versions are spread. Larger ones are too slow under
+// the race detector; CI runs the test without it too.
+var spreadSizes = []int{8, 24}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -19,6 +19,8 @@
 	// itemCost stands for the encoded size of a small message in the bound of
 	// the queue.
 	itemCost = 64
+	// partCost stands for that of a part of a prompt.
+	partCost = 24
 	// mergeBytes is the size above which no more messages join a frame.
 	mergeBytes = 64 << 10
 )
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -214,6 +214,13 @@
 	return l.enqueue(outgoing{env: env})
 }
 
+// SendBulk queues an envelope for a peer with a link, as bulk: what it holds must count
+// whenever it comes. It should not be longer than a few ten kilobytes. It does not block.
+func (s *Links) SendBulk(to string, env *wire.Envelope) bool {
+	l := s.link(to)
+	return l != nil && l.enqueue(outgoing{env: env, late: true})
+}
+
 func (s *Links) isWanted(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/peer/outgoing.go
+++ b/internal/peer/outgoing.go
@@ -13,6 +13,8 @@
 	// shared is what the links of a Broadcast have in common; nil for an envelope
 	// of one link.
 	shared *shared
+	// late says that other envelopes are to pass this one.
+	late bool
 	// queuedAt is when it was queued.
 	queuedAt monotime.Instant
 }
@@ -32,9 +34,7 @@
 	return cost(o.env)
 }
 
-// isBulk reports whether other envelopes are to pass this one. What it holds must count
-// whenever it comes.
-func (o outgoing) isBulk() bool { return o.env.ConfigPart != nil }
+func (o outgoing) isBulk() bool { return o.late || o.env.ConfigPart != nil }
 
 func (o outgoing) encode() ([]byte, error) {
 	if o.shared == nil {
--- a/internal/schema/relaysettings/relaysettings.gen.go
+++ b/internal/schema/relaysettings/relaysettings.gen.go
@@ -22,6 +22,10 @@
 	// Name of the instance, unique in the fleet.
 	ID string `json:"id"`
 
+	// Speed of the link in Mbit/s; half of it at most is spent on sending
+	// configurations to other instances. 0 for unknown, without a bound.
+	LinkMbps float64 `json:"link_mbps,omitempty,omitzero"`
+
 	// Share of a core that the instance may use; the strongest instances pass news on
 	// for the others.
 	Processor float64 `json:"processor,omitempty,omitzero"`
