Failing test: a request that crashes servers, sent again and again

What callers saw: streams cut and requests refused while one engine after the other went down. Three instances before eight servers; one body crashes the server that runs it, its caller sends it each 300 ms at any instance, and a server is back after two seconds.

--- /dev/null
+++ b/internal/gateway/crash_test.go
@@ -0,0 +1,303 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/relay"
+	"basilrudder/internal/routing"
+	"basilrudder/internal/servers"
+)
+
+// bareHeaders is a protocol with the least headers.
+type bareHeaders struct{}
+
+func (bareHeaders) Request(h http.Header) (relay.Request, error) {
+	return relay.Request{ID: h.Get("X-Id"), Key: h.Get("X-Key")}, nil
+}
+
+func (bareHeaders) Forward(h http.Header, f relay.Forward) { h.Set("X-Server", f.Server) }
+
+func (bareHeaders) Answer(_ int, h http.Header) relay.Answer {
+	return relay.Answer{ID: h.Get("X-Id"), Signed: true}
+}
+
+func (bareHeaders) EventID([]byte) string { return "" }
+
+const (
+	// queueTime is how long a request waits at a server before it runs, and runTime how
+	// long it runs.
+	queueTime = 150 * time.Millisecond
+	runTime   = 250 * time.Millisecond
+	// downTime is how long a server that crashed is away.
+	downTime = 2 * time.Second
+)
+
+// crashingServer is a server that crashes when it runs a request with a certain body.
+type crashingServer struct {
+	site    *crashSite
+	address string
+
+	mu          sync.Mutex
+	incarnation int
+	up          bool
+	conns       map[net.Conn]bool
+}
+
+// crashSite is a fleet before servers that may crash.
+type crashSite struct {
+	t        *testing.T
+	fleet    []*linkedInstance
+	relays   []*relay.Relay
+	servers  []*crashingServer
+	revision servers.Revision
+
+	mu       sync.Mutex
+	crashes  []time.Time
+	arrivals map[string][]time.Time // of bodies that crash servers
+}
+
+const crashBody = "crash"
+
+func newCrashSite(t *testing.T, ctx context.Context, tasks *errgroup.Group, instances, size int) *crashSite {
+	site := &crashSite{t: t, arrivals: make(map[string][]time.Time)}
+	site.fleet = startLinked(t, ctx, tasks, instances)
+	config := &routing.Config{
+		Version: 1, Services: []routing.Service{{Name: "svc"}},
+		Routes: []routing.Route{
+			{Name: "once", Host: "h.example", Prefix: "/once/", Timeout: 5 * time.Second, Attempts: 1, Shares: []routing.Share{{Service: "svc", Weight: 1}}},
+			{Name: "again", Host: "h.example", Prefix: "/again/", Timeout: 5 * time.Second, Attempts: 2, Repeat: routing.Idempotent, Shares: []routing.Share{{Service: "svc", Weight: 1}}},
+		},
+		KeysRequired: true, Customers: []routing.Customer{{Name: "a", Keys: []string{"key-a"}}, {Name: "b", Keys: []string{"key-b"}}},
+	}
+	for _, i := range site.fleet {
+		i.fleet.adopt(config, fromStore)
+		site.relays = append(site.relays, relay.New(relay.Config{Fleet: i.fleet, Protocol: bareHeaders{}, Log: zap.NewNop(), Dial: site.dial, DrainTime: time.Minute}))
+	}
+	time.Sleep(2 * time.Second)
+	for n := range size {
+		s := &crashingServer{site: site, address: fmt.Sprintf("10.0.0.%d:80", n+1), conns: make(map[net.Conn]bool)}
+		site.servers = append(site.servers, s)
+		s.start()
+	}
+	time.Sleep(time.Second)
+	return site
+}
+
+func (s *crashingServer) id() string { return fmt.Sprint(s.address, "/", s.incarnation) }
+
+// start brings the server up as a new incarnation, which the first instance reads.
+func (s *crashingServer) start() {
+	s.mu.Lock()
+	before := s.id()
+	s.incarnation++
+	s.up = true
+	entry := servers.Server{ID: s.id(), Name: s.id(), Service: "svc", Address: s.address, Slots: 16}
+	s.mu.Unlock()
+	s.site.fleet[0].fleet.update(fromStore, func(r *servers.Registry, now monotime.Instant) []string {
+		s.site.revision += 2
+		entry.Revision = s.site.revision
+		r.Put(entry, now)
+		r.Remove(before, entry.Revision-1, now)
+		return []string{entry.ID, before}
+	})
+}
+
+func (s *crashingServer) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.up {
+		return
+	}
+	s.up = false
+	for c := range s.conns {
+		c.Close()
+	}
+	clear(s.conns)
+	s.site.mu.Lock()
+	s.site.crashes = append(s.site.crashes, time.Now())
+	s.site.mu.Unlock()
+	time.AfterFunc(downTime, s.start)
+}
+
+func (site *crashSite) dial(_ context.Context, address string) (net.Conn, error) {
+	for _, s := range site.servers {
+		if s.address != address {
+			continue
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.up {
+			break
+		}
+		near, far := net.Pipe()
+		s.conns[far] = true
+		go s.serve(far)
+		return near, nil
+	}
+	return nil, errors.New("connection refused")
+}
+
+func (s *crashingServer) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		crashes := strings.HasPrefix(string(body), crashBody)
+		if crashes {
+			s.site.mu.Lock()
+			s.site.arrivals[string(body)] = append(s.site.arrivals[string(body)], time.Now())
+			s.site.mu.Unlock()
+		}
+		time.Sleep(queueTime)
+		if crashes {
+			s.crash()
+			return
+		}
+		time.Sleep(runTime)
+		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nok", req.Header.Get("X-Id")); err != nil {
+			return
+		}
+	}
+}
+
+// ask sends a request to an instance and returns the status of its answer, or 0 when the
+// instance cut it off.
+func (site *crashSite) ask(instance int, path, key, body string) (status int) {
+	defer func() {
+		if p := recover(); p != nil && p != http.ErrAbortHandler {
+			panic(p)
+		}
+	}()
+	rec := httptest.NewRecorder()
+	req := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader(body))
+	req.Header.Set("X-Id", fmt.Sprint(rand.Uint64()))
+	req.Header.Set("X-Key", key)
+	site.relays[instance].ServeHTTP(rec, req)
+	return rec.Code
+}
+
+// callers sends requests of other callers, thirty a second, until the context ends and
+// returns which were served in their last part.
+func (site *crashSite) callers(ctx context.Context, lasts, counted time.Duration) (served, asked int) {
+	begun := time.Now()
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for n := 0; time.Since(begun) < lasts && ctx.Err() == nil; n++ {
+		counts := time.Since(begun) >= lasts-counted
+		all.Go(func() {
+			status := site.ask(n%len(site.relays), "/once/x", "key-b", fmt.Sprint("note ", n))
+			mu.Lock()
+			defer mu.Unlock()
+			if counts {
+				asked++
+			}
+			if counts && status == http.StatusOK {
+				served++
+			}
+		})
+		time.Sleep(time.Second / 30)
+	}
+	all.Wait()
+	return served, asked
+}
+
+func (site *crashSite) stop(cancel func(), tasks *errgroup.Group) {
+	for _, r := range site.relays {
+		r.Sweep(func(string) bool { return false })
+	}
+	stopLinked(site.t, cancel, tasks)
+}
+
+// lateArrivals counts those of a body that came later than a while after the third crash.
+func (site *crashSite) lateArrivals(body string, after time.Duration) (late, all int) {
+	site.mu.Lock()
+	defer site.mu.Unlock()
+	if len(site.crashes) < 3 {
+		return 0, len(site.arrivals[body])
+	}
+	limit := site.crashes[2].Add(after)
+	for _, at := range site.arrivals[body] {
+		if at.After(limit) {
+			late++
+		}
+	}
+	return late, len(site.arrivals[body])
+}
+
+// Guards against a request that crashes each server which runs it, sent again by its caller
+// to any instance: it takes one server after the other from all callers.
+func TestARequestThatCrashesServersIsNotSentOn(t *testing.T) {
+	const (
+		lasts, counted = 20 * time.Second, 8 * time.Second
+		contact        = 3 * time.Second
+		most           = 3
+		servedLeast    = 0.95
+	)
+	for _, path := range []string{"/once/x", "/again/x"} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			var tasks errgroup.Group
+			site := newCrashSite(t, ctx, &tasks, 3, 8)
+			var statuses []int
+			var mu sync.Mutex
+			tasks.Go(func() error {
+				begun := time.Now()
+				for n := 0; time.Since(begun) < lasts-time.Second; n++ {
+					tasks.Go(func() error {
+						status := site.ask(n%3, path, "key-a", crashBody)
+						mu.Lock()
+						defer mu.Unlock()
+						statuses = append(statuses, status)
+						return nil
+					})
+					time.Sleep(300 * time.Millisecond)
+				}
+				return nil
+			})
+			served, asked := site.callers(ctx, lasts, counted)
+			late, all := site.lateArrivals(crashBody, contact)
+			if late > most {
+				t.Errorf("%s: reached servers %d times, %d of them over %v after the third crash", path, all, late, contact)
+			}
+			if share := float64(served) / float64(asked); share < servedLeast {
+				t.Errorf("%s: %d of %d requests of other callers served in the last %v", path, served, asked, counted)
+			}
+			slices.Sort(statuses)
+			t.Logf("%s: %d arrivals, %d crashes, answers %v", path, all, len(site.crashes), countsOf(statuses))
+			site.stop(cancel, &tasks)
+		})
+	}
+}
+
+func countsOf(statuses []int) map[int]int {
+	out := make(map[int]int)
+	for _, status := range statuses {
+		out[status]++
+	}
+	return out
+}
