A request that crashes servers is known to all instances and not sent on

What callers saw: one request, sent again and again by its caller, took one engine after the other from everybody.

Cause: an instance forgot a request once it had answered it, so a repeat, which comes under another id and at any instance, was placed like any other. The class: what became of a request is not kept beyond it. Now the end of a server during a request that it had just begun to run is a belief: by a fingerprint of method, path, caller and body, told to all peers within a flush and to each peer over a new link. After three servers, with no run elsewhere in the last minute, the request is refused with 400 and not sent: final, at once, and it did not run. A server has ended when it refuses a connection after it broke off an answer. Bounded: 32 requests of a customer, 4,096 in all, ten minutes.

Before and after: TestARequestThatCrashesServersIsNotSentOn, 64 of 64 arrivals crashed a server and 32 of 240 requests of others were served; now 3 arrivals, 3 crashes, at least 95 in 100 served; at five times the rate 5 arrivals, 4 crashes.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -20,9 +20,11 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"basilrudder/internal/crashes"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/relay"
 	"basilrudder/internal/routing"
+	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/servers"
 )
 
@@ -258,7 +260,11 @@
 		most           = 3
 		servedLeast    = 0.95
 	)
-	for _, path := range []string{"/once/x", "/again/x"} {
+	for _, c := range []struct {
+		path  string
+		every time.Duration
+	}{{"/once/x", 300 * time.Millisecond}, {"/again/x", 300 * time.Millisecond}, {"/once/x", 60 * time.Millisecond}} {
+		path := c.path
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			var tasks errgroup.Group
@@ -275,7 +281,7 @@
 						statuses = append(statuses, status)
 						return nil
 					})
-					time.Sleep(300 * time.Millisecond)
+					time.Sleep(c.every)
 				}
 				return nil
 			})
@@ -294,6 +300,54 @@
 	}
 }
 
+// Guards against an instance that starts later, or was cut off, and sends a request on that
+// all others know to crash servers.
+func TestCrashesAreToldToInstancesThatComeLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		known := crashes.Fingerprint{1}
+		var early []*linkedInstance
+		network := &memoryNet{listeners: make(map[string]*memoryListener)}
+		passProcessStart()
+		host := func(int) linkedHost {
+			return linkedHost{listen: network.listen, dial: network.dial, capacity: 200}
+		}
+		early = startLinkedOver(t, ctx, &tasks, 2, host)
+		time.Sleep(time.Second)
+		for n := range 3 {
+			// Two instances each see a part of the crashes.
+			early[n%2].fleet.Crashed(crashes.Crash{Request: known, Customer: "a", Server: fmt.Sprint("s", n), At: monotime.Now()}, monotime.Now())
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, i := range early {
+			if !i.fleet.Culprit(known, monotime.Now()) {
+				t.Errorf("%s does not know of it", i.fleet.self)
+			}
+		}
+		late := startLinkedFrom(t, ctx, &tasks, 2, 1, host)[0]
+		time.Sleep(time.Second)
+		if !late.fleet.Culprit(known, monotime.Now()) {
+			t.Error("an instance that starts later does not know of it")
+		}
+		stopLinked(t, cancel, &tasks)
+	})
+}
+
+// Guards against what a damaged message says of crashes.
+func TestDamagedCrashesAreRefused(t *testing.T) {
+	f, _, _ := newFleet()
+	now := monotime.Instant(time.Hour)
+	for _, told := range []wire.RelayCrash{
+		{Request: []byte("short"), Server: "s"}, {Server: "s"},
+		{Request: make([]byte, 16), Server: "s", AgeMS: -1}, {Request: make([]byte, 16), Server: "s", AgeMS: 1 << 62},
+	} {
+		if news := f.crashes.take("peer", []wire.RelayCrash{told}, now); len(news) > 0 || f.Suspects() {
+			t.Errorf("%+v was believed", told)
+		}
+	}
+}
+
 func countsOf(statuses []int) map[int]int {
 	out := make(map[int]int)
 	for _, status := range statuses {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -29,6 +29,7 @@
 	// throttle bounds what this instance sends to servers that bear few requests.
 	throttle *throttle.Limiter
 	outages  *outages
+	crashes  *crashBook
 	regions  regions
 	members  func() int // instances known, this one among them
 	confirm  func(ctx context.Context) bool
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,6 +135,7 @@
 		throttle: throttle.New(s.Instance.ID, monotime.Now()),
 		outages:  newOutages(),
 	}
+	g.fleet.crashes = newCrashBook(g.fleet.news, cfg.Log)
 	g.fleet.neverHeard()
 	g.fleet.board.SetNoise(choiceNoise(0, 1))
 	g.feed = &feed{
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -102,6 +102,7 @@
 		throttle: throttle.New("me", monotime.Now()),
 		outages:  newOutages(), publish: func(*routing.Config) {},
 	}
+	f.crashes = newCrashBook(f.news, f.log)
 	f.neverHeard()
 	fd := &feed{source: source, fleet: f, log: zap.NewNop(), wait: time.Second, slack: 500 * time.Millisecond, confirming: make(chan struct{}, 1), rank: func() (int, int) { return 0, 1 }, hears: func() bool { return false }}
 	return f, fd, source
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -125,9 +125,15 @@
 
 // startLinkedOver starts instances on hosts.
 func startLinkedOver(t *testing.T, ctx context.Context, tasks *errgroup.Group, size int, hostOf func(n int) linkedHost) []*linkedInstance {
+	t.Helper()
+	return startLinkedFrom(t, ctx, tasks, 0, size, hostOf)
+}
+
+// startLinkedFrom starts some more instances, from a number on.
+func startLinkedFrom(t *testing.T, ctx context.Context, tasks *errgroup.Group, first, size int, hostOf func(n int) linkedHost) []*linkedInstance {
 	t.Helper()
 	var out []*linkedInstance
-	for n := range size {
+	for n := first; n < first+size; n++ {
 		host := hostOf(n)
 		f, _, _ := newFleet()
 		f.self = fmt.Sprintf("instance-%02d", n)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,7 @@
 	vars.Set("cold_servers", expvar.Func(func() any { return g.fleet.coldServers() }))
 	vars.Set("store", expvar.Func(func() any { return g.storeState() }))
 	vars.Set("limited_servers", expvar.Func(func() any { return g.fleet.limitedServers() }))
+	vars.Set("crashes", expvar.Func(func() any { return g.fleet.crashes.state() }))
 	vars.Set("news", expvar.Func(func() any { return g.peers.state() }))
 	vars.Set("peers_linked", expvar.Func(func() any { return len(g.peers.linked()) }))
 	vars.Set("memory", expvar.Get("memstats"))
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -94,6 +94,10 @@
 	n.add(func(p *wire.RelayNews) { p.Caches = append(p.Caches, cache) })
 }
 
+func (n *newsroom) crashes(told []wire.RelayCrash) {
+	n.add(func(p *wire.RelayNews) { p.Crashes = append(p.Crashes, told...) })
+}
+
 func (n *newsroom) evidence(told []wire.RelayEvidence) {
 	n.add(func(p *wire.RelayNews) { p.Evidence = told })
 }
--- a/internal/gateway/peernews.go
+++ b/internal/gateway/peernews.go
@@ -36,6 +36,7 @@
 	if len(news.Servers) > 0 {
 		p.takeServers(receipt.Origin, news.Servers, servers.Revision(news.ServersListed))
 	}
+	p.takeCrashes(receipt.Origin, news, news.Origin == "")
 	p.takeCaches(news)
 	p.takeEvidence(receipt.Origin, news)
 	if receipt.Direct {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,6 +85,9 @@
 	greeting.ConfigVersion = p.version()
 	greeting.StateWanted = p.wantsState() && p.mayAsk(now)
 	p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{greeting}})
+	for told := range slices.Chunk(p.fleet.crashes.all(now), crashesAtOnce) {
+		p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{{Crashes: told}}})
+	}
 	p.refreshSoon()
 }
 
--- a/internal/gateway/regular.go
+++ b/internal/gateway/regular.go
@@ -55,6 +55,7 @@
 		g.fleet.board.SetNoise(choiceNoise(monotime.Now().Sub(g.begun), instances))
 		if n%sweepTicks == 0 {
 			g.relay.Sweep(g.fleet.known)
+			g.fleet.crashes.expire(monotime.Now())
 			g.takeSettings()
 			g.logPaces()
 		}
--- /dev/null
+++ b/internal/relay/crash.go
@@ -0,0 +1,143 @@
+package relay
+
+import (
+	"context"
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"basilrudder/internal/crashes"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/netconn"
+	"basilrudder/internal/verdict"
+)
+
+const (
+	// startOfRun is how long after the first bytes of its answer the end of a server is put
+	// down to a request. What runs longer did not crash it by being begun.
+	startOfRun = 500 * time.Millisecond
+	// probeMemory is how long it is remembered whether a server has ended.
+	probeMemory = 2 * time.Second
+)
+
+// fingerprint stands for method, path, caller and body. It is worked out once.
+func (f *flight) fingerprint() crashes.Fingerprint {
+	if f.print != nil {
+		return *f.print
+	}
+	hash := sha256.New()
+	for _, text := range []string{f.hr.Method, f.hr.Host, originForm(f.hr), f.caller()} {
+		// A hash takes every write.
+		_, _ = io.WriteString(hash, text)
+		_, _ = hash.Write([]byte{0})
+	}
+	_, _ = hash.Write(f.body)
+	f.print = new(crashes.Fingerprint)
+	copy(f.print[:], hash.Sum(nil))
+	return *f.print
+}
+
+// caller is the customer's name, or the key where there are no customers.
+func (f *flight) caller() string {
+	if f.customer != nil {
+		return f.customer.Name
+	}
+	return f.request.Key
+}
+
+// culprit reports whether the request is known to crash servers.
+func (f *flight) culprit() bool {
+	fleet := f.relay.cfg.Fleet
+	return fleet.Suspects() && fleet.Culprit(f.fingerprint(), monotime.Now())
+}
+
+// ran notes that the server went on after it had begun to run the request.
+func (f *flight) ran() {
+	fleet := f.relay.cfg.Fleet
+	if fleet.Suspects() {
+		fleet.Survived(f.fingerprint(), monotime.Now())
+	}
+}
+
+// interrupted looks whether the server has ended that broke off an answer, and tells so
+// when it had just begun to run the request.
+func (f *flight) interrupted(problem *verdict.Error) {
+	now := monotime.Now()
+	if problem.Reason != verdict.ReasonUpstreamLost || problem.Verdict == verdict.NotRun || f.ctx.Err() != nil {
+		return
+	}
+	if f.eventsAt != 0 && now.Sub(f.eventsAt) > startOfRun {
+		f.ran()
+		return
+	}
+	if !f.relay.probes.ended(f.ctx, f.target, f.relay.pool.dial) {
+		return
+	}
+	crash := crashes.Crash{Request: f.fingerprint(), Customer: f.caller(), Server: f.target.ID, At: now}
+	f.relay.cfg.Log.Info("server_crashed", zap.String("id", f.request.ID), zap.String("server", crash.Server),
+		zap.Binary("fingerprint", crash.Request[:]), zap.String("customer", crash.Customer), zap.Bool("answered", f.eventsAt != 0))
+	f.relay.cfg.Fleet.Crashed(crash, now)
+}
+
+// crashMessage is what a caller is told of a request that is not sent on.
+var errCulprit = errors.New("servers crash when they run this request; it was not sent to another one")
+
+// refuseCulprit ends a request that crashes servers. Its caller must not send it again.
+func (f *flight) refuseCulprit() {
+	f.refuse(fail(http.StatusBadRequest, verdict.ReasonCrashesServers, errCulprit))
+}
+
+// probes finds out whether servers that broke off answers have ended. Of a server that
+// ended, all answers break off at once, so what one look found holds for the others.
+type probes struct {
+	mu    sync.Mutex
+	known map[string]*probe
+}
+
+type probe struct {
+	at    monotime.Instant
+	done  chan struct{}
+	ended bool
+}
+
+// ended reports whether a server refuses connections, as one does that has just ended; one
+// that only lost its connections takes new ones.
+func (p *probes) ended(ctx context.Context, target Target, dial dialFunc) bool {
+	now := monotime.Now()
+	p.mu.Lock()
+	for id, old := range p.known {
+		if now.Sub(old.at) > probeMemory {
+			delete(p.known, id)
+		}
+	}
+	look := p.known[target.ID]
+	first := look == nil
+	if first {
+		look = &probe{at: now, done: make(chan struct{})}
+		p.known[target.ID] = look
+	}
+	p.mu.Unlock()
+	if !first {
+		select {
+		case <-look.done:
+			return look.ended
+		case <-ctx.Done():
+			return false
+		}
+	}
+	defer close(look.done)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), connectTimeout)
+	defer cancel()
+	c, err := dial(ctx, target.Address)
+	if err == nil {
+		_ = c.Close()
+		return false
+	}
+	look.ended = !netconn.IsTimeout(err) && ctx.Err() == nil
+	return look.ended
+}
--- /dev/null
+++ b/internal/relay/crash_test.go
@@ -0,0 +1,106 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"basilrudder/internal/crashes"
+)
+
+// cutting takes a request, answers the start of a stream after a while, and breaks off.
+func cutting(head bool, after time.Duration) script {
+	return func(t *testing.T, c net.Conn, in *bufio.Reader) {
+		req, _ := take(t, in)
+		if head {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+req.Header.Get("X-Id")+"\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n")
+		}
+		time.Sleep(after)
+	}
+}
+
+// Guards against a server's end that is put down to no request, or to one that it had run
+// for long, and against a lost connection that is taken for a server's end.
+func TestTheEndOfAServerIsPutDownToWhatItHadJustBegun(t *testing.T) {
+	alive := replying()
+	for _, c := range []struct {
+		name              string
+		path              string
+		scripts           []script
+		crashed, survived int
+	}{
+		{"before an answer", "/once/x", []script{cutting(false, 100*time.Millisecond)}, 1, 0},
+		{"after the first event", "/stream/x", []script{cutting(true, 50*time.Millisecond)}, 1, 0},
+		{"long after it", "/stream/x", []script{cutting(true, 2*startOfRun)}, 0, 1},
+		{"only the connection", "/once/x", []script{cutting(false, 100*time.Millisecond), alive}, 0, 0},
+		{"not at all", "/once/x", []script{replying(answer("r", 200, "", "ok"))}, 0, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newRig(t, allRoutes, map[string][]script{"s1": c.scripts}, "s1")
+				b.ask(request("POST", c.path, "r", "body"))
+				b.close()
+				if len(b.fleet.crashed) != c.crashed || len(b.fleet.survived) != c.survived {
+					t.Errorf("%d crashes, %d runs without; %d and %d wanted", len(b.fleet.crashed), len(b.fleet.survived), c.crashed, c.survived)
+				}
+				for _, crash := range b.fleet.crashed {
+					if crash.Server != "s1" || crash.Customer != "acme" {
+						t.Errorf("%+v", crash)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that is sent on although it crashes servers, and against an
+// answer that has its caller send it again.
+func TestAKnownCulpritGetsAFinalAnswerAtOnce(t *testing.T) {
+	for _, path := range []string{"/once/x", "/again/x", "/stream/x", "/resumable/x"} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newRig(t, allRoutes, map[string][]script{"s1": {replying()}}, "s1")
+			b.fleet.culprit = true
+			begun := time.Now()
+			rec, aborted := b.ask(request("POST", path, "r", "body"))
+			b.close()
+			if aborted || rec.Code != http.StatusBadRequest || rec.Header().Get("Retry-After") != "" || !strings.Contains(rec.Body.String(), "crashes_servers") {
+				t.Errorf("%s: aborted %v, %d %q %v", path, aborted, rec.Code, rec.Body, rec.Header())
+			}
+			if took := time.Since(begun); took > 0 || len(b.fleet.begun) > 0 {
+				t.Errorf("%s: after %v, sent %d times", path, took, len(b.fleet.begun))
+			}
+		})
+	}
+}
+
+// Guards against a caller's repeat that is taken for another request, and against requests
+// of others that are taken for it.
+func TestARequestIsKnownByWhatItAsks(t *testing.T) {
+	ask := func(method, path, id, key, body string) crashes.Fingerprint {
+		b := newRig(t, allRoutes, nil)
+		hr := request(method, path, id, body)
+		hr.Header.Set("X-Key", key)
+		f := &flight{relay: b.relay, hr: hr, request: Request{ID: id, Key: key}, body: []byte(body)}
+		return f.fingerprint()
+	}
+	one := ask("POST", "/once/x?q=1", "r1", "key", "body")
+	if again := ask("POST", "/once/x?q=1", "r2", "key", "body"); again != one {
+		t.Error("the same request under another id is another one")
+	}
+	for name, other := range map[string]crashes.Fingerprint{
+		"method": ask("PUT", "/once/x?q=1", "r1", "key", "body"),
+		"path":   ask("POST", "/once/y?q=1", "r1", "key", "body"),
+		"query":  ask("POST", "/once/x?q=2", "r1", "key", "body"),
+		"caller": ask("POST", "/once/x?q=1", "r1", "key2", "body"),
+		"body":   ask("POST", "/once/x?q=1", "r1", "key", "body2"),
+	} {
+		if other == one {
+			t.Errorf("another %s makes no other request", name)
+		}
+	}
+}
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -122,6 +122,7 @@
 		f.observe(placement.Failed)
 		return verdict.Wrap(verdict.Ran, verdict.ReasonUpstreamLost, errors.Join(errCut, err))
 	}
+	f.ran()
 	if e.resp.StatusCode < http.StatusInternalServerError {
 		f.observe(placement.Served)
 	}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilrudder/internal/crashes"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/routing"
@@ -75,7 +76,12 @@
 	// down says that no instance reaches a server.
 	down bool
 
+	// culprit says that every request is known to crash servers.
+	culprit bool
+
 	mu       sync.Mutex
+	crashed  []crashes.Crash
+	survived []crashes.Fingerprint
 	begun    []string
 	ended    int
 	outcomes []string
@@ -131,6 +137,21 @@
 	}
 }
 
+func (f *fakeFleet) Suspects() bool { return true }
+func (f *fakeFleet) Culprit(crashes.Fingerprint, monotime.Instant) bool {
+	return f.culprit
+}
+func (f *fakeFleet) Crashed(crash crashes.Crash, _ monotime.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashed = append(f.crashed, crash)
+}
+func (f *fakeFleet) Survived(request crashes.Fingerprint, _ monotime.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.survived = append(f.survived, request)
+}
+
 func (f *fakeFleet) Serving(string, monotime.Instant) bool { return !f.down }
 func (f *fakeFleet) Spend(string, monotime.Instant) bool   { return !f.noBudget }
 func (f *fakeFleet) Count(string, monotime.Instant)        {}
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilrudder/internal/crashes"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/routing"
@@ -32,11 +33,16 @@
 	work     placement.Work
 	body     []byte
 
+	// print is the fingerprint once it is known.
+	print *crashes.Fingerprint
+
 	target   Target
 	excluded map[string]bool
 	sends    int
 	// worst is what is known of the request's execution over all sends.
 	worst verdict.Verdict
+	// eventsAt is when the first bytes of the last server's stream came; 0 for none.
+	eventsAt monotime.Instant
 	// stream holds what was delivered of a stream so far.
 	stream delivery
 
@@ -204,7 +210,7 @@
 // maySendAgain decides whether a failed request goes to a further server.
 func (f *flight) maySendAgain(problem *verdict.Error) bool {
 	switch {
-	case problem.Reason == verdict.ReasonNoServer, problem.Reason == verdict.ReasonOverloaded:
+	case problem.Reason == verdict.ReasonNoServer, problem.Reason == verdict.ReasonOverloaded, problem.Reason == verdict.ReasonCrashesServers:
 		return false
 	case problem.Reason == verdict.ReasonConnect:
 		// Nothing was sent, so it does not count as a server tried.
@@ -246,19 +252,29 @@
 		return verdict.Wrap(verdict.NotRun, verdict.ReasonConnect, err).After(f.afterUnreachable())
 	}
 	f.excluded[target.ID] = true
+	if f.culprit() {
+		f.relay.pool.keep(c, "")
+		return verdict.Wrap(verdict.NotRun, verdict.ReasonCrashesServers, errCulprit)
+	}
 	run, ok := fleet.Begin(target, f.work, monotime.Now())
 	if !ok {
 		f.relay.pool.keep(c, "")
 		return verdict.New(verdict.NotRun, verdict.ReasonConnect, "the server has just started, named a limit or wants nothing for a while, and gets what it bears").After(retryFull)
 	}
 	f.sends++
+	f.eventsAt = 0
 	defer func() { fleet.End(run, monotime.Now()) }()
 	e, problem := send(f.ctx, f.relay.pool, c, f.head(target), f.body, f.deadline)
 	if problem != nil {
 		fleet.Observe(target.ID, placement.Failed, monotime.Now())
+		f.interrupted(problem)
 		return problem
 	}
-	return f.receive(e, run)
+	problem = f.receive(e, run)
+	if problem != nil {
+		f.interrupted(problem)
+	}
+	return problem
 }
 
 const (
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -42,16 +42,19 @@
 	idleUntil monotime.Instant
 }
 
+// dialFunc opens a connection to an address.
+type dialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // pool keeps the open connections to servers, by incarnation.
 type pool struct {
-	dial func(ctx context.Context, address string) (net.Conn, error)
+	dial dialFunc
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	count map[string]int // open, in use or not
 }
 
-func newPool(dial func(ctx context.Context, address string) (net.Conn, error)) *pool {
+func newPool(dial dialFunc) *pool {
 	if dial == nil {
 		dialer := &net.Dialer{Timeout: connectTimeout}
 		dial = func(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"basilrudder/internal/crashes"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/routing"
@@ -113,6 +114,15 @@
 	End(run int, now monotime.Instant)
 	// Observe tells what became of a request at a server.
 	Observe(server string, outcome placement.Outcome, now monotime.Instant)
+	// Suspects reports whether any request is suspected of crashing servers; while there is
+	// none, requests need no fingerprint.
+	Suspects() bool
+	// Culprit reports whether a request is known to crash servers.
+	Culprit(request crashes.Fingerprint, now monotime.Instant) bool
+	// Crashed tells that a server ended soon after it began to run a request, and Survived
+	// that one did not.
+	Crashed(crash crashes.Crash, now monotime.Instant)
+	Survived(request crashes.Fingerprint, now monotime.Instant)
 	// Heard tells what a server said of itself in its answer to a request that was sent
 	// at an instant.
 	Heard(server string, notice servers.Notice, sent, now monotime.Instant)
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -72,6 +72,10 @@
 		f.cut(problem)
 		return
 	}
+	if f.worst == verdict.NotRun && problem.Reason == verdict.ReasonCrashesServers {
+		f.refuseCulprit()
+		return
+	}
 	if f.worst == verdict.NotRun {
 		after := problem.RetryAfter
 		if after == 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,8 +30,9 @@
 
 // Relay is the HTTP handler for callers.
 type Relay struct {
-	cfg  Config
-	pool *pool
+	cfg    Config
+	pool   *pool
+	probes probes
 	// drainSince is the instant at which the drain began; 0 while there is none.
 	drainSince atomic.Int64
 	bodyBytes  atomic.Int64
@@ -57,7 +58,7 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = NewMetrics()
 	}
-	return &Relay{cfg: cfg, pool: newPool(cfg.Dial)}
+	return &Relay{cfg: cfg, pool: newPool(cfg.Dial), probes: probes{known: make(map[string]*probe)}}
 }
 
 // Drain begins to leave: answers tell callers to connect elsewhere, and what
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -50,6 +50,7 @@
 		if n > 0 {
 			if first {
 				first = false
+				f.eventsAt = monotime.Now()
 				f.relay.cfg.Fleet.First(run, monotime.Now())
 			}
 			f.relay.cfg.Fleet.Events(run, bytes.Count(buffer[:n], eventEnd), monotime.Now())
@@ -139,6 +140,7 @@
 
 // endStream ends the caller's stream as the server ended its own.
 func (f *flight) endStream(e *exchange) *verdict.Error {
+	f.ran()
 	f.observe(placement.Served)
 	if !f.stream.started {
 		f.startStream(e)
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -436,6 +436,22 @@
 	Server string `json:"s"`
 }
 
+// RelayCrash is the end of a server soon after it began to run a request, or a run
+// of that request without.
+type RelayCrash struct {
+	// Age in milliseconds.
+	AgeMS int `json:"a,omitempty,omitzero"`
+
+	// Customer of the request.
+	Customer string `json:"c,omitempty,omitzero"`
+
+	// Fingerprint of the request; a CBOR byte string.
+	Request []byte `json:"p"`
+
+	// Id of the server's incarnation; empty when it did not end.
+	Server string `json:"s,omitempty,omitzero"`
+}
+
 // RelayEvacuation is whether the servers of a data centre are to get nothing.
 type RelayEvacuation struct {
 	// It is in force.
@@ -493,6 +509,9 @@
 	// Requests that began.
 	Begun []RelayRun `json:"b,omitempty,omitzero"`
 
+	// Servers that crashed during requests, and such requests that ran without.
+	Crashes []RelayCrash `json:"cr,omitempty,omitzero"`
+
 	// The caches told are those of all engines, not only of some that the sender
 	// asked.
 	CachesWhole bool `json:"cw,omitempty,omitzero"`
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -75,6 +75,7 @@
 	ReasonUpstreamLost    Reason = "upstream_lost"
 	ReasonUpstreamSilent  Reason = "upstream_silent"
 	ReasonUpstreamError   Reason = "upstream_error"
+	ReasonCrashesServers  Reason = "crashes_servers"
 	ReasonCallerGone      Reason = "caller_gone"
 	ReasonInternal        Reason = "internal"
 )
