The soak plays configurations with many routes

Versions with 1,500 routes more come in series while all other faults go on, drawn apart so that earlier seeds play the rest as they did.

--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -21,6 +21,9 @@
 	// lapseTime is how long the entry of a server that is gone stands in a store that is
 	// back from a copy.
 	lapseTime = 3 * time.Second
+	// configPauseMost is pauseMost of configFaults, and manyRoutes how many they add.
+	configPauseMost = 4 * time.Second
+	manyRoutes      = 1500
 	// series is how often a signal or change comes in a row.
 	series = 3
 )
@@ -76,6 +79,19 @@
 	}},
 }
 
+// configFaults are drawn apart from both, for the same reason.
+var configFaults = []fault{
+	{"many routes", func(s *soak, r *rand.Rand, length time.Duration) {
+		s.fleet.setMoreRoutes(manyRoutes)
+		for range series {
+			s.note(s.fleet.publish())
+			time.Sleep(time.Duration(r.Int64N(int64(length))))
+		}
+		s.fleet.setMoreRoutes(0)
+		s.note(s.fleet.publish())
+	}},
+}
+
 // trouble starts faults of a list by chance, overlapping, until the context ends, and
 // returns when all are over.
 func (s *soak) trouble(ctx context.Context, faults []fault, pause time.Duration, r *rand.Rand) {
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -46,8 +46,9 @@
 	storeAt   string
 	storeHTTP *http.Server
 
-	mu      sync.Mutex // guards version
+	mu      sync.Mutex // guards version and more
 	version int64
+	more    int // routes beside those that callers use
 
 	instances []*instance
 	upstreams []*upstream
@@ -121,6 +122,13 @@
 	return f.putConfig()
 }
 
+// setMoreRoutes has the next versions hold that many routes that nobody uses.
+func (f *fleet) setMoreRoutes(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.more = n
+}
+
 // publishAgain puts the newest version into a store that may have lost it.
 func (f *fleet) publishAgain() error {
 	f.mu.Lock()
@@ -137,15 +145,19 @@
 			Service: service, Attempts: attempts, MaxGapMS: 500, Resumable: name == "resumable",
 		}
 	}
+	routes := []wire.Route{
+		route("safe", wire.KindSafe, plain, 2),
+		route("unsafe", "unsafe", plain, 1),
+		route("stream", wire.KindStreaming, model, 1),
+		route("resumable", wire.KindStreaming, model, 2),
+		route(versionRoute(f.version), wire.KindSafe, plain, 1),
+	}
+	for n := range f.more {
+		routes = append(routes, route(fmt.Sprint("more", n), wire.KindSafe, plain, 1))
+	}
 	return f.store.PutConfig(&wire.Config{
 		Version: f.version,
-		Routes: []wire.Route{
-			route("safe", wire.KindSafe, plain, 2),
-			route("unsafe", "unsafe", plain, 1),
-			route("stream", wire.KindStreaming, model, 1),
-			route("resumable", wire.KindStreaming, model, 2),
-			route(versionRoute(f.version), wire.KindSafe, plain, 1),
-		},
+		Routes:  routes,
 		Services: []wire.Service{
 			{Name: plain, MaxConns: 500},
 			{Name: model, MaxConns: 500, Engine: &wire.Engine{Slots: slots, MemoryTokens: 500_000, EventTokens: 4}},
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -114,6 +114,7 @@
 	var troubles sync.WaitGroup
 	troubles.Go(func() { s.trouble(ctx, faults, pauseMost, rand.New(rand.NewPCG(s.seed, 0))) })
 	troubles.Go(func() { s.trouble(ctx, moreFaults, morePauseMost, rand.New(rand.NewPCG(s.seed, 1))) })
+	troubles.Go(func() { s.trouble(ctx, configFaults, configPauseMost, rand.New(rand.NewPCG(s.seed, 2))) })
 	troubles.Wait()
 	calling.Wait()
 	return callers
