--- /dev/null
+++ b/internal/gateway/return_test.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/routing"
+	"basilrudder/internal/servers"
+)
+
+// fleetSize plays the tests of any size with one more.
+var fleetSize = flag.Int("fleet", 0, "number of instances of one more fleet")
+
+func sizes() []int {
+	if *fleetSize > 0 {
+		return append(slices.Clone(spreadSizes), *fleetSize)
+	}
+	return spreadSizes
+}
+
+// memoryStore is a store that many instances read, and that can come back from a copy.
+type memoryStore struct {
+	mu      sync.Mutex
+	config  *routing.Config
+	entries map[string]servers.Server
+	latest  servers.Revision
+	changed chan struct{}
+	calls   int
+}
+
+const storeDelay = 4 * time.Millisecond
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{config: config(1), entries: make(map[string]servers.Server), changed: make(chan struct{})}
+}
+
+// change runs a change of the store and answers the watches.
+func (s *memoryStore) change(do func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	do()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// put writes an entry; mu is held.
+func (s *memoryStore) put(id string) {
+	s.latest++
+	s.entries[id] = entry(id, s.latest)
+}
+
+func (s *memoryStore) call() {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	time.Sleep(storeDelay)
+}
+
+func (s *memoryStore) All(context.Context) (*Changes, error) {
+	s.call()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Changes{Config: s.config, Servers: slices.Collect(maps.Values(s.entries)), Revision: s.latest}, nil
+}
+
+func (s *memoryStore) Watch(ctx context.Context, after servers.Revision, wait time.Duration) (*Changes, error) {
+	s.call()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		out, changed := &Changes{Revision: s.latest}, s.changed
+		lost := after.Era() != s.latest.Era()
+		for _, e := range s.entries {
+			if e.Revision > after {
+				out.Servers = append(out.Servers, e)
+			}
+		}
+		s.mu.Unlock()
+		if lost {
+			return nil, ErrHistoryLost
+		}
+		if len(out.Servers) > 0 {
+			return out, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return out, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (s *memoryStore) Config(context.Context) (*routing.Config, error) {
+	s.call()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config, nil
+}
+
+// Guards against instances that go on with the view of before for long when the store is
+// back from a copy, and against all of them reading it at once.
+func TestAStoreThatCameBackIsKnownSoonAtAnySize(t *testing.T) {
+	const (
+		aim         = time.Second // to a right view
+		watched     = 4 * time.Second
+		readerCalls = 60 // of the six readers in that time
+		lost, kept  = 5, 20
+	)
+	for _, size := range sizes() {
+		t.Run(fmt.Sprint(size, " instances"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				var tasks errgroup.Group
+				store := newMemoryStore()
+				store.change(func() {
+					for n := range kept {
+						store.put(fmt.Sprint("kept-", n))
+					}
+				})
+				fleet := startLinked(t, ctx, &tasks, size)
+				for _, i := range fleet {
+					fd := &feed{
+						source: store, fleet: i.fleet, log: i.fleet.log, wait: 1100 * time.Millisecond, slack: 600 * time.Millisecond,
+						confirming: make(chan struct{}, 1), rank: i.peers.rank, hears: i.peers.hears,
+					}
+					tasks.Go(func() error { return fd.run(ctx) })
+				}
+				time.Sleep(10 * time.Second)
+				copied := maps.Clone(store.entries)
+				store.change(func() {
+					for n := range lost {
+						store.put(fmt.Sprint("lost-", n))
+					}
+				})
+				time.Sleep(2 * time.Second)
+				begun, calls := time.Now(), store.calls
+				store.change(func() {
+					store.latest = revision(t, 1, 1)
+					store.entries = make(map[string]servers.Server)
+					for _, id := range slices.Sorted(maps.Keys(copied)) {
+						store.put(id)
+					}
+					store.put("new")
+				})
+				last := lastRight(fleet, begun, watched, func(f *fleetView) bool { return f.era == 1 && f.uses["new"] && f.uses["lost-0"] })
+				if last > aim {
+					t.Errorf("some instance has no right view after %v", last)
+				}
+				time.Sleep(watched - time.Since(begun))
+				calls = store.calls - calls
+				t.Logf("right at all after %v, %d calls to the store in %v", last, calls, watched)
+				if most := readerCalls + 2*size; calls > most {
+					t.Errorf("%d calls in %v, at most %d wanted", calls, watched, most)
+				}
+				for _, i := range fleet {
+					i.fleet.update(fromTimer, func(r *servers.Registry, now monotime.Instant) []string { return r.Expire(now) })
+					if v := viewOf(i.fleet); v.uses["lost-0"] || len(v.uses) != kept+1 {
+						t.Errorf("%s uses %d servers", i.fleet.self, len(v.uses))
+					}
+				}
+				stopLinked(t, cancel, &tasks)
+			})
+		})
+	}
+}
+
+// fleetView is what an instance believes of the servers.
+type fleetView struct {
+	era  int64
+	uses map[string]bool
+}
+
+func viewOf(f *fleet) *fleetView {
+	latest, _ := f.latest()
+	out := &fleetView{era: latest.Era(), uses: make(map[string]bool)}
+	for _, id := range ready(f) {
+		out.uses[id] = true
+	}
+	return out
+}
+
+// lastRight returns how long after an instant the last instance had a right view, or most.
+func lastRight(fleet []*linkedInstance, begun time.Time, most time.Duration, right func(*fleetView) bool) time.Duration {
+	const look = 10 * time.Millisecond
+	for time.Since(begun) < most {
+		time.Sleep(look)
+		if !slices.ContainsFunc(fleet, func(i *linkedInstance) bool { return !right(viewOf(i.fleet)) }) {
+			return time.Since(begun)
+		}
+	}
+	return most
+}
