Frames between instances are compressed from 1 KB on

Cause: news of runs and whole states after a start repeat ids and names many times, as plain CBOR. Frames of 1 KB and more are compressed now, once for all links of a broadcast, for peers of protocol version 2; a frame may hold no more than before once decompressed.

Tests of slow links now send data that can't be compressed, or they would prove nothing. The memory network of the gateway's tests is replaced by narrownet, which does the same.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -307,13 +307,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var tasks errgroup.Group
 		known := crashes.Fingerprint{1}
-		var early []*linkedInstance
-		network := &memoryNet{listeners: make(map[string]*memoryListener)}
 		passProcessStart()
-		host := func(int) linkedHost {
-			return linkedHost{listen: network.listen, dial: network.dial, capacity: 200}
-		}
-		early = startLinkedOver(t, ctx, &tasks, 2, host)
+		host := fastHosts()
+		early := startLinkedOver(t, ctx, &tasks, 2, host)
 		time.Sleep(time.Second)
 		for n := range 3 {
 			// Two instances each see a part of the crashes.
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -4,12 +4,10 @@
 	"context"
 	"fmt"
 	"net"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -20,70 +18,10 @@
 	"basilrudder/internal/relay"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/servers"
+	"basilrudder/internal/standin/narrownet"
 	"basilrudder/internal/throttle"
 )
 
-// memoryNet connects the instances of a test without sockets, so that it can run in
-// virtual time.
-type memoryNet struct {
-	mu        sync.Mutex
-	listeners map[string]*memoryListener
-}
-
-type memoryListener struct {
-	address string
-	conns   chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
-}
-
-func (l *memoryListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *memoryListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *memoryListener) Addr() net.Addr { return memoryAddr(l.address) }
-
-type memoryAddr string
-
-func (memoryAddr) Network() string  { return "memory" }
-func (a memoryAddr) String() string { return string(a) }
-
-func (m *memoryNet) listen(address string) net.Listener {
-	l := &memoryListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.listeners[address] = l
-	return l
-}
-
-func (m *memoryNet) dial(ctx context.Context, address string) (net.Conn, error) {
-	m.mu.Lock()
-	l := m.listeners[address]
-	m.mu.Unlock()
-	if l == nil {
-		return nil, errors.New("connection refused")
-	}
-	here, there := net.Pipe()
-	select {
-	case l.conns <- there:
-		return here, nil
-	case <-l.closed:
-		return nil, errors.New("connection refused")
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // linkedInstance is the part of an instance that is linked to others.
 type linkedInstance struct {
 	fleet *fleet
@@ -110,10 +48,7 @@
 func startLinked(t *testing.T, ctx context.Context, tasks *errgroup.Group, size int) []*linkedInstance {
 	t.Helper()
 	passProcessStart()
-	network := &memoryNet{listeners: make(map[string]*memoryListener)}
-	return startLinkedOver(t, ctx, tasks, size, func(int) linkedHost {
-		return linkedHost{listen: network.listen, dial: network.dial, capacity: 200}
-	})
+	return startLinkedOver(t, ctx, tasks, size, fastHosts())
 }
 
 // linkedHost is the machine of an instance.
@@ -123,6 +58,15 @@
 	capacity int
 }
 
+// fastHosts returns machines whose links take no time.
+func fastHosts() func(n int) linkedHost {
+	network := narrownet.New()
+	return func(n int) linkedHost {
+		host := network.Host(fmt.Sprint(n), 0)
+		return linkedHost{listen: host.Listen, dial: host.Dial, capacity: 200}
+	}
+}
+
 // startLinkedOver starts instances on hosts.
 func startLinkedOver(t *testing.T, ctx context.Context, tasks *errgroup.Group, size int, hostOf func(n int) linkedHost) []*linkedInstance {
 	t.Helper()
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -105,7 +105,8 @@
 }
 
 // count adds one frame to the counters of one direction. A frame of several
-// kinds is encoded again part by part, since its bytes cannot be told apart.
+// kinds is encoded again part by part, since its bytes cannot be told apart; of a
+// compressed one each gets its share.
 func count(counts *[kindCount]atomic.Uint64, env *wire.Envelope, payload int, masked bool) {
 	counts[KindFraming].Add(uint64(framing(payload, masked)))
 	split := parts(env)
@@ -113,10 +114,16 @@
 		counts[split[0].kind].Add(uint64(payload))
 		return
 	}
-	for _, p := range split {
+	sizes, sum := make([]int, len(split)), 0
+	for i, p := range split {
 		if data, err := Encode(&p.env); err == nil {
 			// The one-byte map header belongs to the frame.
-			counts[p.kind].Add(uint64(len(data) - 1))
+			sizes[i] = len(data) - 1
+			sum += sizes[i]
 		}
 	}
+	share := min(1, float64(payload)/float64(max(1, sum)))
+	for i, p := range split {
+		counts[p.kind].Add(uint64(share * float64(sizes[i])))
+	}
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -84,6 +84,10 @@
 // Decode reads the envelope of one frame. Unknown parts are ignored, so that
 // a newer release can add some.
 func Decode(data []byte) (*wire.Envelope, error) {
+	data, err := unpack(data)
+	if err != nil {
+		return nil, err
+	}
 	env := new(wire.Envelope)
 	if err := decoding.Unmarshal(data, env); err != nil {
 		return nil, errors.Wrap(err, "decode envelope")
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"bytes"
 	"errors"
+	"math/rand/v2"
 	"reflect"
 	"testing"
 
@@ -146,3 +148,53 @@
 		parts(env)
 	})
 }
+
+// Guards against a frame that is changed by compressing it, or grows by it.
+func TestFramesAreTheSameAfterCompressing(t *testing.T) {
+	for _, n := range []int{0, 1, packLeast - 1, packLeast, 100_000} {
+		for name, fill := range map[string]func(i int) byte{
+			"alike":  func(int) byte { return 'a' },
+			"random": func(i int) byte { return byte(rand.Uint32()) },
+		} {
+			want := make([]byte, n)
+			for i := range want {
+				want[i] = fill(i)
+			}
+			env := &wire.Envelope{ConfigPart: &wire.ConfigPart{Data: want}}
+			plain, err := encode(env, false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			packed, err := encode(env, true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := Decode(packed)
+			if err != nil || !bytes.Equal(got.ConfigPart.Data, want) {
+				t.Errorf("%d bytes %s: %v", n, name, err)
+			}
+			if len(packed) > len(plain) {
+				t.Errorf("%d bytes %s: %d compressed, %d plain", n, name, len(packed), len(plain))
+			}
+		}
+	}
+}
+
+// Guards against a short frame that takes all memory once it is decompressed.
+func TestACompressedFrameIsBounded(t *testing.T) {
+	if _, err := Decode(pack(make([]byte, MaxFrame+1))); !errors.Is(err, errUnpacked) {
+		t.Errorf("%v", err)
+	}
+	if _, err := Decode(pack(make([]byte, 100_000))[:50]); err == nil {
+		t.Error("a frame that was cut off was taken")
+	}
+}
+
+// Guards against compressed frames for a peer of an earlier release, which reads none.
+func TestPeersOfAnEarlierReleaseGetPlainFrames(t *testing.T) {
+	theirs := &wire.Hello{Version: 1, MinVersion: 1, ID: "old"}
+	agreed, err := agree(Identity{ID: "new"}, theirs)
+	if err != nil || agreed.version >= versionPacked {
+		t.Errorf("version %d: %v", agreed.version, err)
+	}
+}
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -17,8 +17,11 @@
 // side use the highest that both speak; parts an old one does not know are
 // ignored by it.
 const (
-	Version    = 1
+	Version    = versionPacked
 	MinVersion = 1
+
+	// versionPacked is the first whose frames may be compressed.
+	versionPacked = 2
 )
 
 const nonceBytes = 16
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -21,6 +21,7 @@
 	set    *Links
 	peer   Identity
 	keyID  string
+	packs  bool // the peer understands compressed frames
 	dialer bool // this side opened it
 	opened monotime.Instant
 
@@ -285,7 +286,7 @@
 func (l *link) send(o outgoing) error {
 	l.noteWriting(o.queuedAt)
 	defer l.noteWriting(0)
-	data, err := o.encode()
+	data, err := o.encode(l.packs)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/outgoing.go
+++ b/internal/peer/outgoing.go
@@ -19,14 +19,33 @@
 	queuedAt monotime.Instant
 }
 
-// shared is an envelope for several peers, which is encoded once.
+// shared is an envelope for several peers, which is encoded once for each form of frames.
 type shared struct {
-	cost int
+	cost          int
+	plain, packed encoded
+}
+
+// encoded is a frame that is made when it is first needed.
+type encoded struct {
 	once sync.Once
 	data []byte
 	err  error
 }
 
+func (e *encoded) make(env *wire.Envelope, packs bool) ([]byte, error) {
+	e.once.Do(func() { e.data, e.err = encode(env, packs) })
+	return e.data, e.err
+}
+
+// encode writes the envelope of a frame, compressed where the peer understands that.
+func encode(env *wire.Envelope, packs bool) ([]byte, error) {
+	data, err := Encode(env)
+	if err != nil || !packs {
+		return data, err
+	}
+	return pack(data), nil
+}
+
 func (o outgoing) cost() int {
 	if o.shared != nil {
 		return o.shared.cost
@@ -36,12 +55,15 @@
 
 func (o outgoing) isBulk() bool { return o.late || o.env.ConfigPart != nil }
 
-func (o outgoing) encode() ([]byte, error) {
-	if o.shared == nil {
-		return Encode(o.env)
+func (o outgoing) encode(packs bool) ([]byte, error) {
+	switch {
+	case o.shared == nil:
+		return encode(o.env, packs)
+	case packs:
+		return o.shared.packed.make(o.env, packs)
+	default:
+		return o.shared.plain.make(o.env, packs)
 	}
-	o.shared.once.Do(func() { o.shared.data, o.shared.err = Encode(o.env) })
-	return o.shared.data, o.shared.err
 }
 
 // Broadcast queues an envelope for several peers with a link; the others are passed
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -53,6 +53,7 @@
 	now := monotime.Now()
 	l := &link{
 		conn: conn, set: s, peer: agreed.peer, keyID: agreed.keyID, dialer: dialer,
+		packs:  agreed.version >= versionPacked,
 		opened: now, lastUsed: now,
 		kick: make(chan struct{}, 1), done: make(chan struct{}), finished: make(chan struct{}),
 	}
--- a/internal/peer/slow_test.go
+++ b/internal/peer/slow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,13 @@
 // ends it. It has to start outside of virtual time.
 var _ = new(fasthttp.ResponseHeader).Header()
 
+func incompressible(n int) []byte {
+	out := make([]byte, n)
+	rng := rand.NewChaCha8([32]byte{})
+	_, _ = rng.Read(out) // it never fails
+	return out
+}
+
 const slowLink = 10e6 / 8 // bytes a second
 
 // startSlow links two instances over slow links in virtual time and returns them with a
@@ -68,7 +76,7 @@
 func TestALongMessageIsNoSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, b, stop := startSlow(t, Timing{SignOfLife: 200 * time.Millisecond, Silence: 700 * time.Millisecond})
-		long := &wire.Envelope{ConfigPart: &wire.ConfigPart{Data: make([]byte, slowLink)}}
+		long := &wire.Envelope{ConfigPart: &wire.ConfigPart{Data: incompressible(slowLink)}}
 		for _, side := range []struct {
 			from, to *instance
 			id       string
@@ -97,7 +105,7 @@
 			timing := Timing{SignOfLife: 200 * time.Millisecond, Silence: 700 * time.Millisecond, BulkBytes: rate}
 			a, b, stop := startSlow(t, timing)
 			for n := range pieces {
-				a.Send("b", &wire.Envelope{ConfigPart: &wire.ConfigPart{Offset: n, Data: make([]byte, pieceBytes)}})
+				a.Send("b", &wire.Envelope{ConfigPart: &wire.ConfigPart{Offset: n, Data: incompressible(pieceBytes)}})
 			}
 			time.Sleep(whole / 10)
 			sent := time.Now()
--- a/internal/standin/narrownet/narrownet.go
+++ b/internal/standin/narrownet/narrownet.go
@@ -44,7 +44,8 @@
 	up, down *direction
 }
 
-// Host returns the host of a name, with a link of so many bytes a second.
+// Host returns the host of a name, with a link of so many bytes a second; 0 for one that
+// takes no time.
 func (n *Network) Host(name string, bytesPerSecond float64) *Host {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -75,7 +76,9 @@
 	if d.free.Before(at) {
 		d.free = at
 	}
-	d.free = d.free.Add(time.Duration(float64(bytes) / d.rate * float64(time.Second)))
+	if d.rate > 0 {
+		d.free = d.free.Add(time.Duration(float64(bytes) / d.rate * float64(time.Second)))
+	}
 	d.bytes += int64(bytes)
 	return d.free
 }
