--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -84,10 +84,10 @@
 	f.relay.cfg.Fleet.Crashed(crash, now)
 }
 
-// crashMessage is what a caller is told of a request that is not sent on.
 var errCulprit = errors.New("servers crash when they run this request; it was not sent to another one")
 
-// refuseCulprit ends a request that crashes servers. Its caller must not send it again.
+// refuseCulprit ends a request that crashes servers. Callers send no request again after
+// this status.
 func (f *flight) refuseCulprit() {
 	f.refuse(fail(http.StatusBadRequest, verdict.ReasonCrashesServers, errCulprit))
 }
@@ -136,8 +136,16 @@
 	c, err := dial(ctx, target.Address)
 	if err == nil {
 		_ = c.Close()
+		p.forget(target.ID)
 		return false
 	}
 	look.ended = !netconn.IsTimeout(err) && ctx.Err() == nil
 	return look.ended
 }
+
+// forget has the next look at a server be a new one: it may end later.
+func (p *probes) forget(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.known, server)
+}
