--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -161,6 +161,9 @@
 	}
 	for _, n := range env.News {
 		bytes += itemCost * (1 + len(n.Members) + len(n.Servers) + len(n.Begun) + len(n.First) + len(n.Ended))
+		for _, cache := range n.Caches {
+			bytes += itemCost + partCost*len(cache.Parts)
+		}
 	}
 	return bytes
 }
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -198,3 +198,24 @@
 		t.Errorf("version %d: %v", agreed.version, err)
 	}
 }
+
+// Guards against long messages that count as short ones in the bounds of a queue and of the
+// pace of bulk.
+func TestTheCostOfAMessageFollowsItsSize(t *testing.T) {
+	parts := make([]wire.RelayPart, 640)
+	for i := range parts {
+		parts[i] = wire.RelayPart{ID: "0123456789abcdef", Tokens: 100_000}
+	}
+	for name, env := range map[string]*wire.Envelope{
+		"a piece": {ConfigPart: &wire.ConfigPart{Data: make([]byte, 32<<10)}},
+		"caches":  {News: []wire.RelayNews{{Caches: []wire.RelayCache{{Server: "s", Parts: parts}}}}},
+	} {
+		data, err := Encode(env)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := cost(env); got < len(data)/2 || got > 2*len(data) {
+			t.Errorf("%s: a cost of %d for %d bytes", name, got, len(data))
+		}
+	}
+}
