--- a/internal/gateway/return_test.go
+++ b/internal/gateway/return_test.go
@@ -139,15 +139,17 @@
 					tasks.Go(func() error { return fd.run(ctx) })
 				}
 				time.Sleep(10 * time.Second)
-				copied := maps.Clone(store.entries)
+				var copied map[string]servers.Server
 				store.change(func() {
+					copied = maps.Clone(store.entries)
 					for n := range lost {
 						store.put(fmt.Sprint("lost-", n))
 					}
 				})
 				time.Sleep(2 * time.Second)
-				begun, calls := time.Now(), store.calls
+				begun, calls := time.Now(), 0
 				store.change(func() {
+					calls = -store.calls
 					store.latest = revision(t, 1, 1)
 					store.entries = make(map[string]servers.Server)
 					for _, id := range slices.Sorted(maps.Keys(copied)) {
@@ -160,7 +162,7 @@
 					t.Errorf("some instance has no right view after %v", last)
 				}
 				time.Sleep(watched - time.Since(begun))
-				calls = store.calls - calls
+				store.change(func() { calls += store.calls })
 				t.Logf("right at all after %v, %d calls to the store in %v", last, calls, watched)
 				if most := readerCalls + 2*size; calls > most {
 					t.Errorf("%d calls in %v, at most %d wanted", calls, watched, most)
