A known culprit is refused before a server is looked for

Found by reading the change: the question came once a server and a connection were had, so with all servers full the caller was told to come back (503) in place of the final 400. It is asked at once now, and again before the request is sent, as others may have found out meanwhile. TestAKnownCulpritGetsAFinalAnswerAtOnce plays full servers now and fails without the change; TestACulpritThatIsFoundOutWhileItWaitsIsNotSent is new.

The instant of the store's last word is raised as that of a peer's is, in one piece of code that no later word can overtake.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -176,9 +176,7 @@
 // heardAt notes since when the store has told all that this instance has in force. A long
 // answer is as old as its beginning, and counts only once what it tells is in force: the
 // version before would be vouched for.
-func (f *feed) heardAt(at monotime.Instant) {
-	f.fleet.heard.Store(max(f.fleet.heard.Load(), int64(at)))
-}
+func (f *feed) heardAt(at monotime.Instant) { raise(&f.fleet.heard, at) }
 
 // watchInterval is the least time between the starts of two watches of this reader.
 func (f *feed) watchInterval() time.Duration {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -149,9 +149,14 @@
 	if version == 0 || f.version() != version {
 		return
 	}
+	raise(&f.vouched, at)
+}
+
+// raise sets an instant unless a later one is set.
+func raise(to *atomic.Int64, at monotime.Instant) {
 	for {
-		was := f.vouched.Load()
-		if int64(at) <= was || f.vouched.CompareAndSwap(was, int64(at)) {
+		was := to.Load()
+		if int64(at) <= was || to.CompareAndSwap(was, int64(at)) {
 			return
 		}
 	}
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -64,7 +64,7 @@
 	for _, path := range []string{"/once/x", "/again/x", "/stream/x", "/resumable/x"} {
 		synctest.Test(t, func(t *testing.T) {
 			b := newRig(t, allRoutes, map[string][]script{"s1": {replying()}}, "s1")
-			b.fleet.culprit = true
+			b.fleet.culprit, b.fleet.full = true, true
 			begun := time.Now()
 			rec, aborted := b.ask(request("POST", path, "r", "body"))
 			b.close()
@@ -104,3 +104,17 @@
 		}
 	}
 }
+
+// Guards against a request that is sent although others have found out what it does while
+// it waited for a server.
+func TestACulpritThatIsFoundOutWhileItWaitsIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newRig(t, allRoutes, map[string][]script{"s1": {replying()}}, "s1")
+		b.fleet.culprit, b.fleet.unknown = true, 1
+		rec, _ := b.ask(request("POST", "/once/x", "r", "body"))
+		b.close()
+		if rec.Code != http.StatusBadRequest || len(b.fleet.begun) > 0 {
+			t.Errorf("%d, sent %d times", rec.Code, len(b.fleet.begun))
+		}
+	})
+}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -76,8 +76,10 @@
 	// down says that no instance reaches a server.
 	down bool
 
-	// culprit says that every request is known to crash servers.
+	// culprit says that every request is known to crash servers, from the question after
+	// unknown ones on.
 	culprit bool
+	unknown int
 
 	mu       sync.Mutex
 	crashed  []crashes.Crash
@@ -139,7 +141,10 @@
 
 func (f *fakeFleet) Suspects() bool { return true }
 func (f *fakeFleet) Culprit(crashes.Fingerprint, monotime.Instant) bool {
-	return f.culprit
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unknown--
+	return f.culprit && f.unknown < 0
 }
 func (f *fakeFleet) Crashed(crash crashes.Crash, _ monotime.Instant) {
 	f.mu.Lock()
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -64,6 +64,10 @@
 	ctx, cancel := context.WithDeadline(f.hr.Context(), f.deadline)
 	defer cancel()
 	f.ctx = ctx
+	if f.culprit() {
+		f.refuseCulprit()
+		return
+	}
 	f.excluded = make(map[string]bool)
 	f.relay.cfg.Fleet.Count(f.service, f.arrived)
 	f.sendUntilFinal()
