--- a/internal/gateway/narrow_test.go
+++ b/internal/gateway/narrow_test.go
@@ -164,7 +164,7 @@
 // as many.
 func TestVersionsAreInForceSoonAtAnySize(t *testing.T) {
 	const most = 2 * time.Second
-	for _, size := range spreadSizes {
+	for _, size := range sizes() {
 		for _, routes := range []int{100, 1500, 5000} {
 			t.Run(fmt.Sprintf("%d instances, %d routes", size, routes), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/news_fuzz_test.go
+++ b/internal/gateway/news_fuzz_test.go
@@ -11,8 +11,9 @@
 	"basilrudder/internal/schema/wire"
 )
 
-// FuzzNews: whatever a peer's frame says of servers, runs, caches and engines, the
-// instance goes on placing requests, and predicts times that are not negative.
+// FuzzNews: whatever a peer's frame says of servers, runs, caches, engines, crashes and
+// configurations, the instance goes on placing requests, and predicts times that are not
+// negative.
 func FuzzNews(f *testing.F) {
 	for _, news := range []wire.RelayNews{
 		{Servers: []wire.RelayServer{{ID: "a@7", Name: "a", Born: 7, Service: "llm", Address: "10.0.0.1:80", Slots: 4, Revision: 3}}},
@@ -23,6 +24,7 @@
 		{First: []int{1, -1}, Ended: []int{1, 1 << 40}},
 		{Caches: []wire.RelayCache{{Server: "a", Parts: []wire.RelayPart{{ID: "p", Tokens: 1 << 40}}}}},
 		{Evidence: []wire.RelayEvidence{{Service: "llm", StepSamples: -4, FirstSamples: 1 << 40, Sums: make([]float64, 18)}}},
+		{Crashes: []wire.RelayCrash{{Request: make([]byte, 16), Customer: "a", Server: "a", AgeMS: -1}, {Request: []byte("x")}, {Request: make([]byte, 16), AgeMS: 1 << 60}}},
 		{Origin: "peer", Number: -1, HeldMS: -1, SentMS: 1 << 40, Neighbours: []string{"x", "me", "peer"}, Feed: 3},
 		{Origin: "peer", Number: 1 << 40, Whole: true, Feed: -7, MembersWanted: true},
 		{Leaving: true, Members: []wire.RelayMember{{ID: "x"}}, Confirmed: -1, ConfigVersion: -1},
@@ -42,6 +44,7 @@
 		fl.adopt(&routing.Config{Version: 1, Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 4, MemoryTokens: 100_000}}}}, fromStore)
 		put(fl, fromStore, bornEntry(1, 1))
 		p := linkedPeers(fl, "me", wire.RelayMember{ID: "peer"})
+		p.configs.take("peer", env)
 		for i := range env.News {
 			p.takeRuns("peer", &env.News[i], monotime.Now())
 			_, _ = p.node.Receive("peer", &env.News[i], monotime.Now())
@@ -51,6 +54,7 @@
 			p.takeServers("peer", env.News[i].Servers, 0)
 			p.takeCaches(&env.News[i])
 			p.takeEvidence("peer", &env.News[i])
+			p.takeCrashes("peer", &env.News[i], true)
 		}
 		work := placement.Work{Prompt: 1000, Output: 100, Goal: time.Second, MaxGap: time.Second, Left: time.Minute}
 		target, refusal := fl.Place("llm", work, nil, monotime.Now())
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -136,7 +136,9 @@
 			f.Fatal(err)
 		}
 		f.Add(data)
+		f.Add(pack(append(data, make([]byte, packLeast)...)))
 	}
+	f.Add(pack(make([]byte, 2*packLeast)))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		env, err := Decode(data)
 		if err != nil {
