--- a/internal/confsync/publish_test.go
+++ b/internal/confsync/publish_test.go
@@ -42,8 +42,7 @@
 	}
 }
 
-// Guards against two readers of one revision that are taken for a conflict, and against
-// whole revisions fetched where one value changed.
+// Guards against readers of one revision that count as a conflict, and against whole revisions fetched for one value.
 func TestWhatReadersPublishReachesAll(t *testing.T) {
 	net := published(t, 24)
 	readers := []*node{net.nodes[net.ids[0]], net.nodes[net.ids[9]]}
@@ -65,8 +64,7 @@
 	}
 }
 
-// Guards against a revision that goes back, or is never reached, when readers publish at
-// different times, revisions overtake each other and pieces are lost.
+// Guards against a revision that goes back, or is never reached, while others overtake it and messages are lost.
 func TestPublishedRevisionsOvertakeEachOther(t *testing.T) {
 	for seed := range uint64(10) {
 		rng := rand.New(rand.NewPCG(seed, 0))
--- a/internal/crashes/crashes_test.go
+++ b/internal/crashes/crashes_test.go
@@ -20,8 +20,7 @@
 	return Crash{Request: print(request), Customer: customer, Server: server, At: at}
 }
 
-// Guards against a request that goes on crashing servers, and against one refused that only
-// was there once or twice.
+// Guards against a request that goes on crashing servers, and against one blamed before the third.
 func TestThreeCrashesMakeACulprit(t *testing.T) {
 	b := NewBook()
 	for n := range 3 {
@@ -271,8 +270,7 @@
 	return innocent, asked, guiltyAfter
 }
 
-// Guards against requests refused that were at servers which crashed for other reasons:
-// how soon after it began a request was interrupted, and whether it ran elsewhere, tell.
+// Guards against requests blamed for crashes that they only were beside.
 func TestInnocentRequestsAreNotBlamed(t *testing.T) {
 	ways := []blame{
 		{"all that ran there", false, false},
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -251,8 +251,7 @@
 	return late, len(site.arrivals[body])
 }
 
-// Guards against a request that crashes each server which runs it, sent again by its caller
-// to any instance: it takes one server after the other from all callers.
+// Guards against a caller's repeated request that takes one server after the other from all callers.
 func TestARequestThatCrashesServersIsNotSentOn(t *testing.T) {
 	const (
 		lasts, counted = 20 * time.Second, 8 * time.Second
@@ -300,8 +299,7 @@
 	}
 }
 
-// Guards against an instance that starts later, or was cut off, and sends a request on that
-// all others know to crash servers.
+// Guards against an instance that starts later and sends on what all others know to crash servers.
 func TestCrashesAreToldToInstancesThatComeLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -690,8 +690,7 @@
 	}
 }
 
-// Guards against a word of the store that counts from the end of a long answer: a version
-// written meanwhile is not in it.
+// Guards against a word of the store that counts from the end of a long answer.
 func TestALongAnswerVouchesFromItsBeginning(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		passProcessStart()
@@ -710,8 +709,7 @@
 	})
 }
 
-// Guards against what engines keep being told in one long message, behind which urgent
-// news wait.
+// Guards against urgent news that wait behind one long message of what engines keep.
 func TestWhatEnginesKeepIsToldInShortMessages(t *testing.T) {
 	f, _, _ := newFleet()
 	p := linkedPeers(f, "me")
--- a/internal/gateway/narrow_test.go
+++ b/internal/gateway/narrow_test.go
@@ -63,8 +63,7 @@
 	return sum
 }
 
-// Guards against links that are closed as silent while a large configuration comes over
-// them, and against versions and leaving servers that are known too late for it.
+// Guards against working links that are closed, and versions and leaving servers known late, while configurations are large.
 func TestLargeConfigurationsReachInstancesWithSlowLinks(t *testing.T) {
 	const (
 		fast, slow = 4, 20
@@ -159,9 +158,7 @@
 	})
 }
 
-// Guards against versions that reach a large fleet, or one with many routes, too late. One
-// instance in ten has a fast link; each version changes one route, the last one adds half
-// as many.
+// Guards against versions that reach a large fleet, or one with many routes, too late.
 func TestVersionsAreInForceSoonAtAnySize(t *testing.T) {
 	const most = 2 * time.Second
 	for _, size := range sizes() {
--- a/internal/gateway/return_test.go
+++ b/internal/gateway/return_test.go
@@ -110,8 +110,7 @@
 	return s.config, nil
 }
 
-// Guards against instances that go on with the view of before for long when the store is
-// back from a copy, and against all of them reading it at once.
+// Guards against an old view, or reads by all instances at once, when the store is back from a copy.
 func TestAStoreThatCameBackIsKnownSoonAtAnySize(t *testing.T) {
 	const (
 		aim         = time.Second // to a right view
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -201,8 +201,7 @@
 	}
 }
 
-// Guards against long messages that count as short ones in the bounds of a queue and of the
-// pace of bulk.
+// Guards against long messages that count as short ones in the bounds of a queue.
 func TestTheCostOfAMessageFollowsItsSize(t *testing.T) {
 	parts := make([]wire.RelayPart, 640)
 	for i := range parts {
--- a/internal/peer/slow_test.go
+++ b/internal/peer/slow_test.go
@@ -71,8 +71,7 @@
 	}
 }
 
-// Guards against a link that is closed as silent while a message longer than its silence
-// limit comes in, in either direction.
+// Guards against a link that is closed as silent while a long message comes in.
 func TestALongMessageIsNoSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, b, stop := startSlow(t, Timing{SignOfLife: 200 * time.Millisecond, Silence: 700 * time.Millisecond})
@@ -95,8 +94,7 @@
 	})
 }
 
-// Guards against urgent messages that wait in the queue of a link behind pieces of a
-// configuration.
+// Guards against urgent messages that wait behind pieces of a configuration.
 func TestUrgentMessagesPassPieces(t *testing.T) {
 	const pieces, pieceBytes = 64, 32 << 10
 	const whole = pieces * pieceBytes * time.Second / slowLink
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -24,8 +24,7 @@
 	}
 }
 
-// Guards against a server's end that is put down to no request, or to one that it had run
-// for long, and against a lost connection that is taken for a server's end.
+// Guards against a server's end put down to the wrong request, and a lost connection taken for one.
 func TestTheEndOfAServerIsPutDownToWhatItHadJustBegun(t *testing.T) {
 	alive := replying()
 	for _, c := range []struct {
@@ -58,8 +57,7 @@
 	}
 }
 
-// Guards against a request that is sent on although it crashes servers, and against an
-// answer that has its caller send it again.
+// Guards against a request that crashes servers and is sent on, or is told to come back.
 func TestAKnownCulpritGetsAFinalAnswerAtOnce(t *testing.T) {
 	for _, path := range []string{"/once/x", "/again/x", "/stream/x", "/resumable/x"} {
 		synctest.Test(t, func(t *testing.T) {
@@ -78,8 +76,7 @@
 	}
 }
 
-// Guards against a caller's repeat that is taken for another request, and against requests
-// of others that are taken for it.
+// Guards against a repeat taken for another request, and another request taken for a repeat.
 func TestARequestIsKnownByWhatItAsks(t *testing.T) {
 	ask := func(method, path, id, key, body string) crashes.Fingerprint {
 		b := newRig(t, allRoutes, nil)
@@ -105,8 +102,7 @@
 	}
 }
 
-// Guards against a request that is sent although others have found out what it does while
-// it waited for a server.
+// Guards against a request sent although it was found out while it waited for a server.
 func TestACulpritThatIsFoundOutWhileItWaitsIsNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newRig(t, allRoutes, map[string][]script{"s1": {replying()}}, "s1")
--- /dev/null
+++ b/internal/standin/narrownet/conn.go
@@ -0,0 +1,210 @@
+package narrownet
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// stream carries bytes one way.
+type stream struct {
+	up, down *direction
+
+	mu        sync.Mutex
+	parts     []part
+	buffered  int
+	closed    bool          // by the writer
+	abandoned bool          // by the reader
+	changed   chan struct{} // closed and replaced at each change
+}
+
+type part struct {
+	at   time.Time
+	data []byte
+}
+
+func newStream(up, down *direction) *stream {
+	return &stream{up: up, down: down, changed: make(chan struct{})}
+}
+
+// change wakes those who wait; mu is held.
+func (s *stream) change() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *stream) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.change()
+}
+
+func (s *stream) abandon() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.abandoned = true
+	s.change()
+}
+
+// put takes what there is room for; wait is closed when there may be more.
+func (s *stream) put(p []byte) (n int, wait <-chan struct{}, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.abandoned {
+		return 0, nil, net.ErrClosed
+	}
+	n = min(len(p), window-s.buffered, segment)
+	if n <= 0 {
+		return 0, s.changed, nil
+	}
+	left := s.up.pass(time.Now(), n)
+	s.parts = append(s.parts, part{at: s.down.pass(left.Add(delay), n), data: append([]byte(nil), p[:n]...)})
+	s.buffered += n
+	s.change()
+	return n, nil, nil
+}
+
+// get returns what has come; until is when the next bytes come, or zero, and wait is
+// closed at the next change.
+func (s *stream) get(p []byte) (n int, until time.Time, wait <-chan struct{}, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.abandoned:
+		return 0, until, nil, net.ErrClosed
+	case len(s.parts) == 0 && s.closed:
+		return 0, until, nil, io.EOF
+	case len(s.parts) == 0:
+		return 0, until, s.changed, nil
+	}
+	first := &s.parts[0]
+	if first.at.After(time.Now()) {
+		return 0, first.at, s.changed, nil
+	}
+	n = copy(p, first.data)
+	first.data = first.data[n:]
+	if len(first.data) == 0 {
+		s.parts = s.parts[1:]
+	}
+	s.buffered -= n
+	s.change()
+	return n, until, nil, nil
+}
+
+type conn struct {
+	write, read *stream
+	remote      addr
+
+	mu                      sync.Mutex
+	readUntil, writeUntil   time.Time
+	readChange, writeChange chan struct{}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, until, wait, err := c.read.get(p)
+		if n > 0 || err != nil || len(p) == 0 {
+			return n, err
+		}
+		if err := c.await(wait, until, &c.readUntil, &c.readChange); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (written int, err error) {
+	for written < len(p) {
+		n, wait, err := c.write.put(p[written:])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		if n > 0 {
+			continue
+		}
+		if err := c.await(wait, time.Time{}, &c.writeUntil, &c.writeChange); err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// await waits for a change, for an instant, or for a deadline, which is an error.
+func (c *conn) await(change <-chan struct{}, until time.Time, deadline *time.Time, moved *chan struct{}) error {
+	c.mu.Lock()
+	limit := *deadline
+	if *moved == nil {
+		*moved = make(chan struct{})
+	}
+	again := *moved
+	c.mu.Unlock()
+	late := !limit.IsZero() && (until.IsZero() || limit.Before(until))
+	if late {
+		until = limit
+	}
+	if until.IsZero() {
+		select {
+		case <-change:
+		case <-again:
+		}
+		return nil
+	}
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-change:
+	case <-again:
+	case <-timer.C:
+		if late {
+			return os.ErrDeadlineExceeded
+		}
+	}
+	return nil
+}
+
+// Close implements net.Conn. What is on its way is not lost.
+func (c *conn) Close() error {
+	c.write.close()
+	c.read.abandon()
+	return nil
+}
+
+// LocalAddr implements net.Conn.
+func (c *conn) LocalAddr() net.Addr { return addr("here") }
+
+// RemoteAddr implements net.Conn.
+func (c *conn) RemoteAddr() net.Addr { return c.remote }
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.move(t, &c.readUntil, &c.readChange)
+	c.move(t, &c.writeUntil, &c.writeChange)
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.move(t, &c.readUntil, &c.readChange)
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.move(t, &c.writeUntil, &c.writeChange)
+	return nil
+}
+
+func (c *conn) move(t time.Time, deadline *time.Time, moved *chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*deadline = t
+	if *moved != nil {
+		close(*moved)
+		*moved = nil
+	}
+}
