Callers without a customer are named by a digest of their key

Found by reading: on public routes, or where no customers are configured, the caller of a request that crashed a server was named by its key in the news to peers and in the log. TestAKeyWithoutACustomerIsNotTold does not compile without the function that it tests; a line of server_crashed would have held the key. Reached only after a server's end.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/hex"
 	"io"
 	"net/http"
 	"sync"
@@ -64,6 +65,15 @@
 	}
 }
 
+// callerName names the caller to peers and in logs, where a key must not stand.
+func (f *flight) callerName() string {
+	if f.customer != nil || f.request.Key == "" {
+		return f.caller()
+	}
+	digest := sha256.Sum256([]byte(f.request.Key))
+	return "key " + hex.EncodeToString(digest[:4])
+}
+
 // interrupted looks whether the server has ended that broke off an answer, and tells so
 // when it had just begun to run the request.
 func (f *flight) interrupted(problem *verdict.Error) {
@@ -78,7 +88,7 @@
 	if !f.relay.probes.ended(f.ctx, f.target, f.relay.pool.dial) {
 		return
 	}
-	crash := crashes.Crash{Request: f.fingerprint(), Customer: f.caller(), Server: f.target.ID, At: now}
+	crash := crashes.Crash{Request: f.fingerprint(), Customer: f.callerName(), Server: f.target.ID, At: now}
 	f.relay.cfg.Log.Info("server_crashed", zap.String("id", f.request.ID), zap.String("server", crash.Server),
 		zap.Binary("fingerprint", crash.Request[:]), zap.String("customer", crash.Customer), zap.Bool("answered", f.eventsAt != 0))
 	f.relay.cfg.Fleet.Crashed(crash, now)
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -114,3 +114,13 @@
 		}
 	})
 }
+
+// Guards against a caller's key that is told to peers or stands in a log.
+func TestAKeyWithoutACustomerIsNotTold(t *testing.T) {
+	name := func(key string) string {
+		return (&flight{request: Request{Key: key}}).callerName()
+	}
+	if got := name("secret"); strings.Contains(got, "secret") || got == name("another") || name("") != "" {
+		t.Errorf("callers are named %q, %q and %q", got, name("another"), name(""))
+	}
+}
