The test of a store that came back lets entries expire as instances do

Traced: an instance that does not read the store is told a list which holds the servers that the reader still doubts, and drops them when the reader does, whose removal is news. The test had all instances expire entries once, at its end, and looked before that news was there; it passed where the hearer had happened to read the store itself (21 calls in place of 20). Instances look each tick, and so does the test now. Not a fault of the product.

--- a/internal/gateway/return_test.go
+++ b/internal/gateway/return_test.go
@@ -136,6 +136,13 @@
 						confirming: make(chan struct{}, 1), rank: i.peers.rank, hears: i.peers.hears,
 					}
 					tasks.Go(func() error { return fd.run(ctx) })
+					tasks.Go(func() error {
+						for ctx.Err() == nil {
+							i.fleet.update(fromTimer, func(r *servers.Registry, now monotime.Instant) []string { return r.Expire(now) })
+							sleep(ctx, tick)
+						}
+						return nil
+					})
 				}
 				time.Sleep(10 * time.Second)
 				var copied map[string]servers.Server
@@ -167,7 +174,6 @@
 					t.Errorf("%d calls in %v, at most %d wanted", calls, watched, most)
 				}
 				for _, i := range fleet {
-					i.fleet.update(fromTimer, func(r *servers.Registry, now monotime.Instant) []string { return r.Expire(now) })
 					if v := viewOf(i.fleet); v.uses["lost-0"] || len(v.uses) != kept+1 {
 						t.Errorf("%s uses %d servers", i.fleet.self, len(v.uses))
 					}
