A run without a crash keeps its age when it is passed on

Found in the last reading: what a peer tells over a new link of a request that ran without a crash was told on with an age of 0, so a run of some time ago would have spoken for a request as if it had just run. TestARunThatIsPassedOnKeepsItsAge fails without the change (the age was 0).

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -328,6 +328,19 @@
 	})
 }
 
+// Guards against a run of long ago that is passed on as one of now.
+func TestARunThatIsPassedOnKeepsItsAge(t *testing.T) {
+	f, _, _ := newFleet()
+	now := monotime.Instant(time.Hour)
+	request := crashes.Fingerprint{1}
+	f.Crashed(crashes.Crash{Request: request, Server: "s", At: now}, now)
+	const age = 20_000
+	news := f.crashes.take("peer", []wire.RelayCrash{{Request: request[:], AgeMS: age}}, now)
+	if len(news) != 1 || news[0].AgeMS != age {
+		t.Errorf("passed on as %+v", news)
+	}
+}
+
 // Guards against what a damaged message says of crashes.
 func TestDamagedCrashesAreRefused(t *testing.T) {
 	f, _, _ := newFleet()
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -49,7 +49,7 @@
 
 // Survived implements relay.Fleet.
 func (f *fleet) Survived(request crashes.Fingerprint, now monotime.Instant) {
-	f.crashes.tell(f.crashes.addServed(request, now))
+	f.crashes.tell(f.crashes.addServed(request, now, now))
 }
 
 func (c *crashBook) culprit(request crashes.Fingerprint, now monotime.Instant) bool {
@@ -81,13 +81,14 @@
 	return news
 }
 
-func (c *crashBook) addServed(request crashes.Fingerprint, at monotime.Instant) []wire.RelayCrash {
+// addServed takes a run without a crash and returns what of it is news.
+func (c *crashBook) addServed(request crashes.Fingerprint, at, now monotime.Instant) []wire.RelayCrash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.book.Served(request, at) {
 		return nil
 	}
-	return []wire.RelayCrash{{Request: request[:]}}
+	return []wire.RelayCrash{{Request: request[:], AgeMS: ageOf(at, now)}}
 }
 
 // tell tells all peers.
@@ -133,7 +134,7 @@
 		case !ok:
 			c.log.Warn("crash_unreadable", zap.String("from", from), zap.Int("bytes", len(t.Request)), zap.Int("age_ms", t.AgeMS))
 		case crash.Server == "":
-			news = append(news, c.addServed(crash.Request, crash.At)...)
+			news = append(news, c.addServed(crash.Request, crash.At, now)...)
 		default:
 			list = append(list, crash)
 		}
