A prompt waits for those that its engine reads before it

Cause: an engine's queue was taken for first come, first served: each prompt was put behind all earlier ones. The logs show that engines read the more urgent first. Ruled out: slow engines (all engines are as fast as ever until 5.4 s), the learned pace (predictions without a queue are right within a third from 1 to 4.3 s), chunks of another size (saturated engines read 53 to 61 tokens a ms, 55 expected).

The queue of each engine is kept in the order in which it is read. A prompt waits for those as urgent or more, and longer by the share of the engine that more urgent ones take that will come. A prompt that delays less urgent ones is charged for what these lose.

A part of the cause.

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -34,10 +34,13 @@
 	used map[string]monotime.Instant
 	// gaps are the bounds of pauses in use, with their last use.
 	gaps map[time.Duration]monotime.Instant
+	// goals are the times to the first event for full credit, by kind of stream.
+	goals map[streamKind]time.Duration
 	// meanRead is the mean share of reading of the engines that are being chosen
-	// from, and meanHazard their mean rate of pauses too long for the request.
-	meanRead, meanHazard float64
-	swept                monotime.Instant
+	// from, meanHazard their mean rate of pauses too long for the request, and
+	// meanUrgent the mean share of reading that is more urgent than it.
+	meanRead, meanHazard, meanUrgent float64
+	swept                            monotime.Instant
 }
 
 // NewBoard returns an empty Board for an instance in a data centre. prior is
@@ -52,6 +55,7 @@
 		runs:    make(map[RunID]*run),
 		used:    make(map[string]monotime.Instant),
 		gaps:    make(map[time.Duration]monotime.Instant),
+		goals:   make(map[streamKind]time.Duration),
 	}
 }
 
@@ -142,12 +146,13 @@
 	s.begun++
 	s.urgencyAt = 0
 	r := &run{server: s, work: work, unread: unread, begun: now, order: s.begun, alone: len(s.pending) == 0}
-	r.readFrom = max(now, s.readUntil)
-	r.readTo = r.readFrom
+	readTo := now
 	if unread > 0 {
 		speed := s.pace(now)
-		r.readTo = r.readFrom.Add(speed.Prompt(unread, work.Prompt, len(s.runs)))
-		s.readUntil = r.readTo
+		readTo = now.Add(s.queue.ahead(work.Priority, now) + speed.Prompt(unread, work.Prompt, len(s.runs)))
+		r.left = readingTime(&speed, unread, work.Prompt, len(s.runs))
+		s.queue.add(r)
+		s.queue.arrive(work.Priority, r.left, now)
 		s.kind.noteReading(speed.Read(unread, work.Prompt))
 	}
 	if work.Left > 0 {
@@ -158,7 +163,7 @@
 	b.runs[id] = r
 	s.hold(&r.work)
 	s.sums.add(id, r)
-	s.cache.add(work.Parts, r.readTo, int(cacheShare*float64(s.memory)))
+	s.cache.add(work.Parts, readTo, int(cacheShare*float64(s.memory)))
 	for _, part := range work.Parts {
 		b.used[part.ID] = now
 	}
@@ -202,7 +207,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.runs[id]; r != nil && !r.first {
-		b.release(r, now)
+		r.server.queue.read(now)
+		r.server.queue.remove(r)
 		r.first, r.firstAt = true, now
 		speed := r.server.pace(now)
 		r.server.noteRead(speed.Read(r.unread, r.work.Prompt), now)
@@ -236,7 +242,8 @@
 	if r == nil {
 		return
 	}
-	b.release(r, now)
+	r.server.queue.read(now)
+	r.server.queue.remove(r)
 	r.server.tick(now)
 	r.server.learnSteps(&r.watch.calm)
 	r.server.letGo(&r.work)
@@ -246,16 +253,6 @@
 	delete(r.server.runs, id)
 }
 
-// release gives the time back that was set aside for reading a prompt.
-func (b *Board) release(r *run, now monotime.Instant) {
-	if !r.reading(now) {
-		return
-	}
-	left := r.readTo.Sub(max(now, r.readFrom))
-	r.server.readUntil = max(now, r.server.readUntil.Add(-left))
-	r.readTo = now
-}
-
 // InstanceGone ends the runs of an instance whose process is gone: servers drop
 // a request when its connection closes.
 func (b *Board) InstanceGone(instance string, now monotime.Instant) {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -65,6 +65,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweep(now)
+	if work.Prompt > 0 {
+		b.goals[work.kind()] = work.Goal
+	}
 	reachable := make([]*server, 0, len(candidates))
 	open := make([]opening, 0, len(candidates))
 	sources := 0
@@ -94,6 +97,7 @@
 	}
 	from := bestSource(reachable, &work, now)
 	b.meanRead = meanReadShare(considered, now)
+	b.meanUrgent = meanUrgent(considered, work.Priority, now)
 	b.meanHazard = 0
 	if work.MaxGap > 0 {
 		b.meanHazard = meanHazard(considered, work.MaxGap, now)
@@ -176,25 +180,31 @@
 func (b *Board) outlook(s *server, speed *pace.Pace, work *Work, p plan, now monotime.Instant) outlook {
 	var o outlook
 	runs := len(s.runs)
-	wait := max(p.delay, s.readUntil.Sub(now))
-	o.first = speed.First + wait + speed.Prompt(p.unread, work.Prompt, runs)
+	ahead := s.queue.ahead(work.Priority, now)
+	own := speed.Prompt(p.unread, work.Prompt, runs)
+	urgent := (s.queue.moreUrgent(work.Priority, now) + b.meanUrgent) / 2
+	o.first = speed.First + max(p.delay+own, overtaken(ahead+own, urgent))
 	life := time.Duration(work.Output) * s.tokenTime(speed, runs+1, b.meanRead, now)
 	o.end = o.first + life
-	ahead := s.ahead(now)
-	withWork := ahead.with(p.unread, work.Prompt)
+	unread := s.unread(now)
+	withWork := unread.with(p.unread, work.Prompt)
 	o.gap = s.gap(speed, withWork, runs+1)
 
-	pausing := s.ownPauses(speed, work, ahead, life, b.meanHazard, now)
+	pausing := s.ownPauses(speed, work, unread, life, b.meanHazard, now)
 	o.late = 1 - (1-lateFirst(o.first, work.Goal))*(1-pausing)
 	if work.Left > 0 {
 		o.lost = lateEnd(o.end, work.Left)
 	}
 	o.crowded = overflow(s.arrivals.as(now)*b.contention.blind().Seconds(), s.free(work, now))
-	o.harm = s.pauseHarm(speed, ahead, withWork)
+	o.harm = s.pauseHarm(speed, unread, withWork)
 	later := delay(speed, p.unread, work).Seconds()
-	for priority, perSecond := range b.endHarm(s, speed, b.meanRead, now) {
+	harm := b.delayHarm(s, speed, b.meanRead, now)
+	for priority, perSecond := range harm.running {
 		o.harm[priority] += perSecond * later
 	}
+	for priority := counted(work.Priority) + 1; priority <= lowestCounted; priority++ {
+		o.harm[priority] += harm.waiting[priority] * readingTime(speed, p.unread, work.Prompt, runs).Seconds()
+	}
 	return o
 }
 
@@ -210,6 +220,16 @@
 	return logistic(float64(first-goal) / (ttftSpread * float64(max(first, 1))))
 }
 
+// lateFirstRate is how much lateFirst grows with each second of first.
+func lateFirstRate(first, goal time.Duration) float64 {
+	if goal <= 0 {
+		return 0
+	}
+	first = max(leastTime, first)
+	late := lateFirst(first, goal)
+	return late * (1 - late) * goal.Seconds() / (ttftSpread * first.Seconds() * first.Seconds())
+}
+
 // rereadWindow is how long after its last use a part that is read again counts
 // as waste: the operators' window.
 const rereadWindow = 10 * time.Second
--- a/internal/placement/ends.go
+++ b/internal/placement/ends.go
@@ -64,18 +64,34 @@
 	return logistic(math.Log(float64(max(leastTime, expected))/float64(max(leastTime, left))) / endSpread)
 }
 
-// endHarm is what the streams on an engine lose by each second that it reads longer,
-// by priority.
-func (b *Board) endHarm(s *server, speed *pace.Pace, mean float64, now monotime.Instant) byPriority {
+// urgency is what the requests on an engine lose by each second for which they are
+// delayed, by priority.
+type urgency struct {
+	// running are those whose streams have begun, waiting those whose prompt is not
+	// read: only more urgent prompts delay them.
+	running, waiting byPriority
+}
+
+// delayHarm returns the urgency of an engine.
+func (b *Board) delayHarm(s *server, speed *pace.Pace, mean float64, now monotime.Instant) *urgency {
 	if s.urgencyAt != 0 && now.Sub(s.urgencyAt) < urgencyAge {
-		return s.urgency
+		return &s.urgency
 	}
 	token := s.tokenTime(speed, len(s.runs), mean, now)
-	s.urgency, s.urgencyAt = byPriority{}, now
+	s.urgency, s.urgencyAt = urgency{}, now
 	for _, r := range s.runs {
-		s.urgency[counted(r.work.Priority)] += r.urgency(token, now)
+		if !r.reading() {
+			s.urgency.running[counted(r.work.Priority)] += r.urgency(token, now)
+		}
+	}
+	wait := time.Duration(0)
+	for _, r := range s.queue.runs {
+		if r.reading() {
+			wait += r.left
+			s.urgency.waiting[counted(r.work.Priority)] += r.waitingUrgency(wait, token, b.goals[r.work.kind()], now)
+		}
 	}
-	return s.urgency
+	return &s.urgency
 }
 
 // urgency is what a run loses by each second that it ends later.
@@ -88,7 +104,23 @@
 		made := float64(now.Sub(r.firstAt)) / float64(max(token, 1))
 		rest = max(rest-made, restLeast*rest)
 	}
-	expected := max(leastTime, time.Duration(rest*float64(token)))
-	late := lateEnd(expected, r.deadline.Sub(now))
-	return r.work.weight() * late * (1 - late) / (endSpread * expected.Seconds())
+	return r.work.weight() * lateEndRate(time.Duration(rest*float64(token)), r.deadline.Sub(now))
+}
+
+// waitingUrgency is what a run loses by each second that its prompt, of which the last
+// is read after a wait, is read later.
+func (r *run) waitingUrgency(wait, token, goal time.Duration, now monotime.Instant) float64 {
+	lost := lateLoses * lateFirstRate(now.Sub(r.begun)+wait, goal)
+	if r.deadline != 0 {
+		end := wait + time.Duration(r.work.Output)*token
+		lost = max(lost, lateEndRate(end, r.deadline.Sub(now)))
+	}
+	return r.work.weight() * lost
+}
+
+// lateEndRate is how much lateEnd grows with each second of expected.
+func lateEndRate(expected, left time.Duration) float64 {
+	expected = max(leastTime, expected)
+	late := lateEnd(expected, left)
+	return late * (1 - late) / (endSpread * expected.Seconds())
 }
--- a/internal/placement/pauses.go
+++ b/internal/placement/pauses.go
@@ -79,10 +79,11 @@
 	return backlog{unread: l.unread + unread, deepest: max(l.deepest, prompt)}
 }
 
-func (s *server) ahead(now monotime.Instant) backlog {
+func (s *server) unread(now monotime.Instant) backlog {
 	var out backlog
-	for _, r := range s.pending {
-		if r.reading(now) {
+	s.queue.read(now)
+	for _, r := range s.queue.runs {
+		if r.reading() {
 			out = out.with(r.unread, r.work.Prompt)
 		}
 	}
@@ -147,7 +148,7 @@
 // there, for all bounds of pauses in use. The run is not yet on s.
 func (b *Board) notePauses(s *server, r *run, now monotime.Instant) {
 	speed := s.pace(now)
-	before := s.ahead(now)
+	before := s.unread(now)
 	if r.unread > 0 {
 		after := before.with(r.unread, r.work.Prompt)
 		for most := range b.gaps {
@@ -175,7 +176,7 @@
 }
 
 func (s *server) joinPunctual(r *run, probability float64) {
-	kind := streamKind{r.work.MaxGap, r.work.Priority}
+	kind := r.work.kind()
 	p := s.punctual[kind]
 	if p == nil {
 		p = &punctual{kept: 1}
@@ -186,7 +187,7 @@
 }
 
 func (s *server) leavePunctual(r *run) {
-	kind := streamKind{r.work.MaxGap, r.work.Priority}
+	kind := r.work.kind()
 	p := s.punctual[kind]
 	if p == nil {
 		return
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -24,9 +24,9 @@
 	holders map[string]int
 	cache   partCache
 	// learned says that it was told what the engine keeps.
-	learned   bool
-	readUntil monotime.Instant
-	failures  float64
+	learned  bool
+	queue    queue
+	failures float64
 	// kind of engines it is one of; done is what it did up to ticked; begun counts the
 	// requests that began on it.
 	kind   *engineKind
@@ -45,7 +45,7 @@
 	// of reading costs the streams, as of urgencyAt.
 	readSum   float64
 	readAt    monotime.Instant
-	urgency   byPriority
+	urgency   urgency
 	urgencyAt monotime.Instant
 	retryAt   monotime.Instant
 	fullUntil monotime.Instant
--- a/internal/placement/sums.go
+++ b/internal/placement/sums.go
@@ -18,6 +18,8 @@
 	priority int
 }
 
+func (w *Work) kind() streamKind { return streamKind{w.MaxGap, w.Priority} }
+
 func newSums() sums {
 	return sums{streams: make(map[streamKind]int), pending: make(map[RunID]*run)}
 }
@@ -27,13 +29,13 @@
 		s.pending[id] = r
 	}
 	if r.work.MaxGap > 0 {
-		s.streams[streamKind{r.work.MaxGap, r.work.Priority}]++
+		s.streams[r.work.kind()]++
 	}
 }
 
 func (s *sums) remove(id RunID, r *run) {
 	delete(s.pending, id)
-	kind := streamKind{r.work.MaxGap, r.work.Priority}
+	kind := r.work.kind()
 	if s.streams[kind] > 1 {
 		s.streams[kind]--
 	} else {
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -63,14 +63,14 @@
 
 // run is a request on a server.
 type run struct {
-	server   *server
-	work     Work
-	unread   int
-	begun    monotime.Instant
-	readFrom monotime.Instant
-	readTo   monotime.Instant
-	first    bool
-	firstAt  monotime.Instant
+	server *server
+	work   Work
+	unread int
+	begun  monotime.Instant
+	// left is how long its prompt is yet read, once that has begun.
+	left    time.Duration
+	first   bool
+	firstAt monotime.Instant
 	// deadline is when nobody waits any more; 0 for never.
 	deadline monotime.Instant
 	// punctual is the probability that the stream did not pause too long at its
@@ -85,6 +85,6 @@
 }
 
 // reading reports whether the prompt still waits to be read or is being read.
-func (r *run) reading(now monotime.Instant) bool {
-	return !r.first && now < r.readTo
+func (r *run) reading() bool {
+	return !r.first && r.left > 0
 }
