What waits in the queue of an engine at work is not given up

Callers (KNOWN-RED, hot-customer) got 502 or nothing for requests that were about to begin: an instance gave up 0.7 to 0.9 s after a send, "server was silent", and no other engine had room. At one engine two rewrites were given up 25 and 120 ms before rewrites sent after them began.

Cause: silence for 1.75 times the goal was taken for a lost request, though the engine was at work on more urgent prompts.

A request waits on while its engine shows events, nobody who came later and ranks no better has been served for half a second, and its own prompt is not read for longer than patience. The rank goes with the news. It leaves for another engine that begins it in half of the time waited. Servers that are no engines are left as before.

TestWhatWaitsInAQueueIsNotGivenUp, TestWhatWaitsInAQueueIsToldFromWhatAnEngineHasLost. Ruled out: waiting until the deadline in any case, which leaves callers of lost answers without one.

--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -42,10 +42,15 @@
 	f.news.ended(run)
 }
 
+// Standing implements relay.Fleet.
+func (f *fleet) Standing(run int, now monotime.Instant) placement.Standing {
+	return f.board.Standing(placement.RunID{Instance: f.self, Number: run}, now)
+}
+
 func encodeRun(number int, server string, unread int, work placement.Work) wire.RelayRun {
 	return wire.RelayRun{
 		Number: number, Server: server, Unread: unread, Prompt: work.Prompt,
-		Output: work.Output, GapMS: int(work.MaxGap / time.Millisecond), Priority: work.Priority,
+		Output: work.Output, GapMS: int(work.MaxGap / time.Millisecond), Priority: work.Priority, Rank: work.Rank,
 		LeftMS: int(work.Left / time.Millisecond), Parts: encodeParts(work.Parts),
 	}
 }
@@ -58,7 +63,7 @@
 func decodeRun(r wire.RelayRun) placement.Work {
 	return placement.Work{
 		Parts: decodeParts(r.Parts), Prompt: r.Prompt, Output: r.Output,
-		MaxGap: time.Duration(r.GapMS) * time.Millisecond, Priority: r.Priority,
+		MaxGap: time.Duration(r.GapMS) * time.Millisecond, Priority: r.Priority, Rank: r.Rank,
 		Left: time.Duration(r.LeftMS) * time.Millisecond,
 	}
 }
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -149,7 +149,7 @@
 	readTo := now
 	if unread > 0 {
 		speed := s.pace(now)
-		readTo = now.Add(s.queue.ahead(work.Priority, now) + speed.Prompt(unread, work.Prompt, len(s.runs)))
+		readTo = now.Add(s.queue.ahead(&work, now) + speed.Prompt(unread, work.Prompt, len(s.runs)))
 		r.left = readingTime(&speed, unread, work.Prompt, len(s.runs))
 		s.queue.add(r)
 		s.queue.arrive(work.Priority, r.left, now)
@@ -158,6 +158,9 @@
 	if work.Left > 0 {
 		r.deadline = now.Add(work.Left)
 	}
+	if s.queue.before(&r.work, r.order) == (Ahead{}) {
+		r.headAt = now
+	}
 	b.notePauses(s, r, now)
 	s.runs[id] = r
 	b.runs[id] = r
@@ -210,6 +213,8 @@
 		r.server.queue.read(now)
 		r.server.queue.remove(r)
 		r.first, r.firstAt = true, now
+		r.server.workedAt = now
+		r.server.noteOvertaken(r, now)
 		speed := r.server.pace(now)
 		r.server.noteRead(speed.Read(r.unread, r.work.Prompt), now)
 		delete(r.server.pending, id)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -32,6 +32,10 @@
 	failureCost = 1.0
 )
 
+// soonerFactor is by how many times sooner than it has waited a request that waits in the
+// queue of a server has to begin at another one to go there.
+const soonerFactor = 2
+
 // Choice is the server chosen for a request, with what decided it.
 type Choice struct {
 	// Server is the chosen incarnation.
@@ -58,6 +62,8 @@
 	// was the answer, and Unheard about how many requests were on their way to
 	// them from other instances.
 	Free, Unheard int
+	// Ahead is what the server is believed to read before the prompt.
+	Ahead Ahead
 }
 
 // Choose returns the candidate that costs least, or why there is none.
@@ -113,6 +119,12 @@
 	if best.Worth < worthLeast && best.Running > 0 && b.trusted(best.Server) {
 		return best, NotWorth
 	}
+	if work.Waited > 0 && soonerFactor*best.First > work.Waited {
+		return best, NotWorth
+	}
+	if chosen := b.servers[best.Server]; chosen.memory > 0 {
+		best.Ahead = chosen.queue.before(&work, chosen.begun+1)
+	}
 	return best, Chosen
 }
 
@@ -180,7 +192,7 @@
 func (b *Board) outlook(s *server, speed *pace.Pace, work *Work, p plan, now monotime.Instant) outlook {
 	var o outlook
 	runs := len(s.runs)
-	ahead := s.queue.ahead(work.Priority, now)
+	ahead := s.queue.ahead(work, now)
 	own := speed.Prompt(p.unread, work.Prompt, runs)
 	urgent := (s.queue.moreUrgent(work.Priority, now) + b.meanUrgent) / 2
 	o.first = speed.First + max(p.delay+own, overtaken(ahead+own, urgent))
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -99,6 +99,7 @@
 		return
 	}
 	s := r.server
+	s.workedAt = now
 	s.tick(now)
 	if r.watch.any.add(s, count, now) {
 		s.noteSlowness(&r.watch.any)
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -41,7 +41,11 @@
 }
 
 func compareReading(a, b *run) int {
-	return cmp.Or(cmp.Compare(a.work.Priority, b.work.Priority), cmp.Compare(a.order, b.order))
+	return cmp.Or(compareUrgency(&a.work, &b.work), cmp.Compare(a.order, b.order))
+}
+
+func compareUrgency(a, b *Work) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Rank, b.Rank))
 }
 
 // read accounts for the reading done up to an instant.
@@ -61,12 +65,12 @@
 	}
 }
 
-// ahead is how long reading takes that comes before a new prompt of a priority.
-func (q *queue) ahead(priority int, now monotime.Instant) time.Duration {
+// ahead is how long reading takes that comes before new work.
+func (q *queue) ahead(work *Work, now monotime.Instant) time.Duration {
 	q.read(now)
 	sum := time.Duration(0)
 	for _, r := range q.runs {
-		if r.work.Priority > priority {
+		if compareUrgency(&r.work, work) > 0 {
 			break
 		}
 		sum += r.left
@@ -109,8 +113,91 @@
 	return sum / float64(max(1, len(of)))
 }
 
+// Ahead is what an engine is believed to have to read before a prompt.
+type Ahead struct {
+	// Prompts and Tokens of them, by priority; those beyond the last counted are in it.
+	Prompts, Tokens [lowestCounted + 1]int
+}
+
+// before lists what is read before work that arrived with an order.
+func (q *queue) before(work *Work, order int) Ahead {
+	var out Ahead
+	for _, r := range q.runs {
+		if cmp.Or(compareUrgency(&r.work, work), cmp.Compare(r.order, order)) >= 0 {
+			break
+		}
+		out.Prompts[counted(r.work.Priority)]++
+		out.Tokens[counted(r.work.Priority)] += r.unread
+	}
+	return out
+}
+
 // readingTime is how long an engine reads a prompt among others, which share its steps.
 func readingTime(speed *pace.Pace, unread, prompt, runs int) time.Duration {
 	steps := float64(unread) / pace.Chunk
 	return speed.Read(unread, prompt) + time.Duration(steps*float64(speed.Plain(runs)))
 }
+
+const (
+	// workShown is how long after its last sign of work an engine is believed to go on.
+	// Its steps take some tens of milliseconds; the first event of a long prompt takes
+	// longer, and news of it travel.
+	workShown = time.Second
+	// overtakenFor is how long a request may be overtaken: engines read prompts in parts
+	// and fetch some, so the next one may be ready before.
+	overtakenFor = 500 * time.Millisecond
+)
+
+// Standing is where a request is believed to stand that an engine has not answered yet.
+type Standing struct {
+	// Ahead of it are the prompts that are read before its own.
+	Ahead Ahead
+	// Head is for how long there have been none.
+	Head time.Duration
+	// Quiet is how long no event of the engine is known of.
+	Quiet time.Duration
+	// Overtaken is how long ago a request gave its first event that came later and
+	// ranks no better; 0 for never.
+	Overtaken time.Duration
+}
+
+// Queued reports whether the engine is believed to be at work on the prompts before it, or
+// for no longer than patience on its own. An engine that serves those who came later has
+// lost it.
+func (s *Standing) Queued(patience time.Duration) bool {
+	return s.Quiet <= workShown && s.Overtaken <= overtakenFor && s.Head <= patience
+}
+
+// Standing returns where a run stands. A server that is no engine tells nothing of its queue,
+// and counts as quiet.
+func (b *Board) Standing(id RunID, now monotime.Instant) Standing {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.runs[id]
+	if r == nil || r.work.Prompt == 0 {
+		return Standing{Quiet: runLife}
+	}
+	out := Standing{Ahead: r.server.queue.before(&r.work, r.order), Quiet: now.Sub(r.server.workedAt)}
+	switch {
+	case out.Ahead != Ahead{}:
+		r.headAt = 0
+	case r.headAt == 0:
+		r.headAt = now
+	default:
+		out.Head = now.Sub(r.headAt)
+	}
+	if r.overtakenAt != 0 {
+		out.Overtaken = now.Sub(r.overtakenAt)
+	}
+	return out
+}
+
+// noteOvertaken notes which requests wait that came before one with a first event and rank
+// no worse.
+func (s *server) noteOvertaken(by *run, now monotime.Instant) {
+	for _, r := range s.runs {
+		if !r.first && r.order < by.order && r.overtakenAt == 0 && compareUrgency(&r.work, &by.work) <= 0 {
+			r.overtakenAt = now
+		}
+	}
+}
--- a/internal/placement/queue_test.go
+++ b/internal/placement/queue_test.go
@@ -39,3 +39,47 @@
 		t.Errorf("%v beside notes, %v without", overtaken.First, alone.First)
 	}
 }
+
+// An instance gives a request up that waits in the queue of an engine at work. It loses its
+// place, and its caller gets nothing.
+func TestWhatWaitsInAQueueIsToldFromWhatAnEngineHasLost(t *testing.T) {
+	const patience = 700 * time.Millisecond
+	mine := RunID{"me", 1}
+	for _, c := range []struct {
+		name    string
+		happens func(b *Board)
+		at      time.Duration
+		queued  bool
+	}{
+		{"notes are read before it", func(b *Board) {
+			b.First(RunID{"peer", 1}, start.Add(800*time.Millisecond))
+		}, time.Second, true},
+		{"the engine gives no event", func(*Board) {}, 1500 * time.Millisecond, false},
+		{"one that came later was served", func(b *Board) {
+			b.First(RunID{"peer", 3}, start.Add(300*time.Millisecond))
+			b.First(RunID{"peer", 1}, start.Add(800*time.Millisecond))
+		}, time.Second, false},
+		{"a more urgent one that came later was served", func(b *Board) {
+			b.First(RunID{"peer", 4}, start.Add(300*time.Millisecond))
+		}, time.Second, true},
+		{"its own prompt is read", func(b *Board) {
+			b.End(RunID{"peer", 1}, start)
+			b.End(RunID{"peer", 2}, start)
+			b.End(RunID{"peer", 4}, start)
+			b.Standing(mine, start.Add(400*time.Millisecond))
+			b.First(RunID{"peer", 5}, start.Add(900*time.Millisecond))
+		}, time.Second, true},
+	} {
+		b := NewBoard(testPace, "here")
+		b.Begin(RunID{"peer", 1}, "e0", note("a"), 1000, start)
+		b.Begin(RunID{"peer", 2}, "e0", note("b"), 1000, start)
+		b.Begin(mine, "e0", bundle("c", "mine"), 20_000, start)
+		b.Begin(RunID{"peer", 3}, "e0", bundle("c", "later"), 20_000, start)
+		b.Begin(RunID{"peer", 4}, "e0", note("c"), 1000, start)
+		b.Begin(RunID{"peer", 5}, "e0", note("d"), 0, start)
+		c.happens(b)
+		if standing := b.Standing(mine, start.Add(c.at)); standing.Queued(patience) != c.queued {
+			t.Errorf("%s: %+v", c.name, standing)
+		}
+	}
+}
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -37,6 +37,8 @@
 	// expected, as of slowAt, or 0 when there was none.
 	slow   float64
 	slowAt monotime.Instant
+	// workedAt is when it last gave an event that is known of.
+	workedAt monotime.Instant
 	// hazards are how often pauses are longer than each bound in use, and punctual
 	// the streams that are likely not to have paused too long.
 	hazards  map[time.Duration]*hazard
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -29,8 +29,13 @@
 	MaxGap time.Duration
 	// Left is the time until nobody waits for the answer any more; 0 for no bound.
 	Left time.Duration
+	// Waited is how long it has waited in the queue of a server, of which it asks whether
+	// to leave it for another one; 0 where it has none.
+	Waited time.Duration
 	// Priority, 0 first.
 	Priority int
+	// Rank by which engines order it among others of its priority, 0 first.
+	Rank int
 	// Homes are the regions that the request must stay in; nil for no bound. Who lists
 	// the candidates keeps to it.
 	Homes []string
@@ -68,7 +73,12 @@
 	unread int
 	begun  monotime.Instant
 	// left is how long its prompt is yet read, once that has begun.
-	left    time.Duration
+	left time.Duration
+	// headAt is since when no prompt is known that is read before its own, and
+	// overtakenAt when a request gave its first event that came later and ranks no
+	// better; 0 for never.
+	headAt, overtakenAt monotime.Instant
+
 	first   bool
 	firstAt monotime.Instant
 	// deadline is when nobody waits any more; 0 for never.
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -40,11 +40,16 @@
 // the caller has no final answer yet.
 func (f *flight) receive(e *exchange, run int) *verdict.Error {
 	fleet := f.relay.cfg.Fleet
-	err := e.readHead(f.hr.Method, f.request.ID, f.relay.cfg.Protocol, f.patience(), f.deadline)
+	err := f.await(e, run, f.patience())
+	if err == nil {
+		err = e.readHead(f.hr.Method, f.request.ID, f.relay.cfg.Protocol, f.patience(), f.deadline)
+	}
 	f.hear(e)
 	if err != nil {
 		e.abandon()
-		f.observe(placement.Failed)
+		if !errors.Is(err, errMoved) {
+			f.observe(placement.Failed)
+		}
 		return verdict.Wrap(verdict.MayHaveRun, reasonOf(err), err)
 	}
 	if e.answer.NotRun {
@@ -182,7 +187,7 @@
 
 func reasonOf(err error) verdict.Reason {
 	switch {
-	case errors.Is(err, errSilent), netconn.IsTimeout(err):
+	case errors.Is(err, errSilent), errors.Is(err, errMoved), netconn.IsTimeout(err):
 		return verdict.ReasonUpstreamSilent
 	case errors.Is(err, errUnsigned), errors.Is(err, errAmbiguous):
 		return verdict.ReasonUpstreamError
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -39,6 +39,8 @@
 	target   Target
 	excluded map[string]bool
 	sends    int
+	// paid says that the next send was taken from the budget already.
+	paid bool
 	// worst is what is known of the request's execution over all sends.
 	worst verdict.Verdict
 	// eventsAt is when the first bytes of the last server's stream came; 0 for none.
@@ -138,6 +140,7 @@
 		Goal:     f.route.Goal,
 		MaxGap:   f.route.MaxGap,
 		Priority: f.route.Priority,
+		Rank:     f.table.Rank(f.route, f.customer),
 		Homes:    routing.Homes(f.route, f.customer),
 	}
 }
@@ -225,6 +228,9 @@
 		return false
 	case f.sends >= f.route.Attempts:
 		return false
+	case f.paid:
+		f.paid = false
+		return true
 	default:
 		return f.relay.cfg.Fleet.Spend(f.service, monotime.Now())
 	}
@@ -327,7 +333,7 @@
 		Deadline:    time.Until(f.deadline),
 		Customer:    customer,
 		HideKey:     f.table.Config().KeysRequired,
-		Priority:    f.table.Rank(f.route, f.customer),
+		Priority:    f.work.Rank,
 		ResumeAfter: resume,
 		FetchFrom:   target.FetchFrom,
 	})
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -79,5 +79,7 @@
 		zap.Duration("predicted_end_ms", choice.End),
 		zap.Int("unread", choice.Unread),
 		zap.Int("prompt", f.work.Prompt),
+		zap.Ints("ahead_prompts", choice.Ahead.Prompts[:]),
+		zap.Ints("ahead_tokens", choice.Ahead.Tokens[:]),
 		zap.String("fetch_from", choice.FetchFrom))
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -634,3 +634,36 @@
 		}
 	})
 }
+
+// A prompt waits behind others in the queue of an engine at work. Given up, it is last in
+// another queue or finds none; its caller gets 502 for an answer that was on its way.
+func TestWhatWaitsInAQueueIsNotGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		queued int
+		sooner bool
+		want   string
+	}{
+		{"queued until it is served", 100, false, "first"},
+		{"queued, and another server begins it sooner", 100, true, "second"},
+		{"lost after a while", 3, false, "second"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				late := func(t *testing.T, conn net.Conn, in *bufio.Reader) {
+					take(t, in)
+					time.Sleep(1200 * time.Millisecond)
+					_, _ = io.WriteString(conn, answer("r", 200, "", "first"))
+					_, _ = in.ReadByte()
+				}
+				b := newRig(t, allRoutes, map[string][]script{"s1": {late}, "s2": {replying(answer("r", 200, "", "second"))}}, "s1", "s2")
+				b.fleet.queued, b.fleet.sooner = c.queued, c.sooner
+				rec, aborted := b.ask(request("POST", "/again/", "r", "x"))
+				b.close()
+				if aborted || rec.Code != 200 || rec.Body.String() != c.want {
+					t.Errorf("aborted %v, %d %q", aborted, rec.Code, rec.Body)
+				}
+			})
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -42,7 +42,7 @@
 	buffer := make([]byte, copyBuffer)
 	first := true
 	for {
-		if err := f.awaitEvents(e); err != nil {
+		if err := f.awaitEvents(e, run); err != nil {
 			e.abandon()
 			return verdict.Wrap(verdict.Ran, verdict.ReasonUpstreamLost, err)
 		}
@@ -71,13 +71,13 @@
 }
 
 // awaitEvents bounds the silence of a stream that can go on elsewhere.
-func (f *flight) awaitEvents(e *exchange) error {
+func (f *flight) awaitEvents(e *exchange, run int) error {
 	if !f.route.Resumable || f.sends >= f.route.Attempts {
 		return nil
 	}
 	silence := max(resumeMin, resumeSilence*f.work.MaxGap)
-	if !f.stream.started {
-		silence = max(silence, f.patience())
+	if f.eventsAt == 0 && e.resp.ContentLength != 0 {
+		return f.await(e, run, max(silence, f.patience()))
 	}
 	return e.conn.SetReadDeadline(earlier(time.Now().Add(silence), f.deadline))
 }
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -600,6 +600,9 @@
 	// Longest pause between events in milliseconds; 0 for none.
 	GapMS int `json:"g,omitempty,omitzero"`
 
+	// Rank among all requests, by which servers order them; 0 first.
+	Rank int `json:"k,omitempty,omitzero"`
+
 	// Milliseconds until nobody waits for the answer any more; 0 for no bound.
 	LeftMS int `json:"l,omitempty,omitzero"`
 
