What its caller would hardly wait for is refused at once

Callers (KNOWN-RED, hot-customer) waited 2.4 s in the queue of an engine and left with nothing: 20 of 43 title-rewrites. A refusal at once, with a time to come back, is better for them.

Cause: a request was placed wherever it cost least, also where its end was predicted after its deadline; and that callers of streams leave when no event comes for two seconds, four goals or eight pauses counted for nothing.

The chance that no event comes while the caller waits counts as a loss, and a request that is lost with more than 0.9 is refused, where the engines' pace is known by 100 samples. TestWhatItsCallerWouldNotWaitForIsRefused fails without it.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -51,6 +51,8 @@
 	// Worth is what the request is likely to earn, less what streams as urgent as it
 	// lose by it.
 	Worth float64
+	// Lost is the probability that it ends, or begins, when its caller has left.
+	Lost float64
 	// Running is the number of runs believed to be on the server.
 	Running int
 	// FetchFrom is the server to fetch the start of the prompt from; empty to
@@ -116,7 +118,7 @@
 			best = choice
 		}
 	}
-	if best.Worth < worthLeast && best.Running > 0 && b.trusted(best.Server) {
+	if best.hopeless() && best.Running > 0 && b.trusted(best.Server) {
 		return best, NotWorth
 	}
 	if work.Waited > 0 && soonerFactor*best.First > work.Waited {
@@ -128,6 +130,12 @@
 	return best, Chosen
 }
 
+// hopeless reports whether a request is rather refused, while its caller has time to come
+// back, than placed.
+func (c *Choice) hopeless() bool {
+	return c.Worth < worthLeast || c.Lost > lostMost
+}
+
 // trustedSamples is the number of samples of a service's engines from which on
 // requests are refused for what is predicted of them. Engines ten times faster than
 // assumed at first would be taken for full of work that they do in no time.
@@ -170,7 +178,7 @@
 	o := b.outlook(s, speed, work, p, now)
 	weight := work.weight()
 	choice.Unread, choice.FetchFrom = p.unread, p.from
-	choice.First, choice.Gap, choice.End = o.first, o.gap, o.end
+	choice.First, choice.Gap, choice.End, choice.Lost = o.first, o.gap, o.end, o.lost
 	choice.Worth = weight*(1-max(o.lost, lateLoses*o.late)) - o.harm.upTo(work.Priority)
 	choice.Cost += p.cost + readCost*float64(p.unread)/1000 +
 		weight*max(o.late, o.lost, o.crowded) + o.harm.upTo(lowestCounted)
@@ -204,9 +212,7 @@
 
 	pausing := s.ownPauses(speed, work, unread, life, b.meanHazard, now)
 	o.late = 1 - (1-lateFirst(o.first, work.Goal))*(1-pausing)
-	if work.Left > 0 {
-		o.lost = lateEnd(o.end, work.Left)
-	}
+	o.lost = 1 - (1-lateBy(o.end, work.Left))*(1-lateBy(o.first, work.FirstLeft))
 	o.crowded = overflow(s.arrivals.as(now)*b.contention.blind().Seconds(), s.free(work, now))
 	o.harm = s.pauseHarm(speed, unread, withWork)
 	later := delay(speed, p.unread, work).Seconds()
--- a/internal/placement/ends.go
+++ b/internal/placement/ends.go
@@ -99,12 +99,17 @@
 	if r.deadline == 0 || r.work.Output == 0 {
 		return 0
 	}
+	return r.work.weight() * lateEndRate(r.rest(token, now), r.deadline.Sub(now))
+}
+
+// rest is how long a run is expected to generate from now on.
+func (r *run) rest(token time.Duration, now monotime.Instant) time.Duration {
 	rest := float64(r.work.Output)
 	if r.first {
 		made := float64(now.Sub(r.firstAt)) / float64(max(token, 1))
 		rest = max(rest-made, restLeast*rest)
 	}
-	return r.work.weight() * lateEndRate(time.Duration(rest*float64(token)), r.deadline.Sub(now))
+	return time.Duration(rest * float64(token))
 }
 
 // waitingUrgency is what a run loses by each second that its prompt, of which the last
@@ -118,6 +123,14 @@
 	return r.work.weight() * lost
 }
 
+// lateBy is lateEnd where there may be no bound.
+func lateBy(expected, left time.Duration) float64 {
+	if left <= 0 {
+		return 0
+	}
+	return lateEnd(expected, left)
+}
+
 // lateEndRate is how much lateEnd grows with each second of expected.
 func lateEndRate(expected, left time.Duration) float64 {
 	expected = max(leastTime, expected)
--- a/internal/placement/queue_test.go
+++ b/internal/placement/queue_test.go
@@ -83,3 +83,26 @@
 		}
 	}
 }
+
+// What an engine is predicted to begin when its caller has left is accepted and gets
+// nothing, though it could have come back.
+func TestWhatItsCallerWouldNotWaitForIsRefused(t *testing.T) {
+	b := NewBoard(testPace, "here")
+	for i := range 200 {
+		b.servers["e0"] = b.server(engines(1)[0])
+		streamOn(b, RunID{"peer", 1000 + i}, "e0", note(fmt.Sprint(i)), 20, 20*time.Millisecond, start)
+	}
+	now := start.Add(time.Second)
+	for i := range 20 {
+		b.Begin(RunID{"peer", i}, "e0", bundle("c", fmt.Sprint(i)), 20_000, now)
+	}
+	work := bundle("c", "x")
+	work.FirstLeft = 2 * time.Second
+	if choice, refusal := b.Choose(work, engines(1), now); refusal != NotWorth {
+		t.Errorf("%v %+v", refusal, choice)
+	}
+	work.FirstLeft = 0
+	if choice, refusal := b.Choose(work, engines(1), now); choice.Lost > 0.5 || refusal != Chosen {
+		t.Errorf("where its caller waits: %v %+v", refusal, choice)
+	}
+}
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -25,6 +25,10 @@
 // come back serves more of them.
 const worthLeast = 0.0
 
+// lostMost is the largest probability of being lost with which a request is placed. Beyond
+// it its caller would almost certainly have left; one that is refused at once may come back.
+const lostMost = 0.9
+
 // lateLoses is the share of its worth that an answer loses which comes late: callers
 // still take most of them.
 const lateLoses = 0.5
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -29,6 +29,8 @@
 	MaxGap time.Duration
 	// Left is the time until nobody waits for the answer any more; 0 for no bound.
 	Left time.Duration
+	// FirstLeft is the time until its caller leaves if no event has come; 0 for no bound.
+	FirstLeft time.Duration
 	// Waited is how long it has waited in the queue of a server, of which it asks whether
 	// to leave it for another one; 0 where it has none.
 	Waited time.Duration
--- a/internal/relay/await.go
+++ b/internal/relay/await.go
@@ -51,6 +51,7 @@
 	work := f.work
 	work.Waited = now.Sub(e.sentAt)
 	work.Left = time.Until(f.deadline)
+	work.FirstLeft = f.firstLeft()
 	target, refusal := f.relay.cfg.Fleet.Place(f.service, work, f.excluded, now)
 	if refusal != placement.Chosen || !f.relay.cfg.Fleet.Spend(f.service, now) {
 		return false
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -49,6 +49,9 @@
 
 // fullMessage tells what decided that no server has room.
 func fullMessage(c placement.Choice) string {
+	if c.Server != "" && c.Lost > 0 && c.Worth >= 0 {
+		return fmt.Sprintf("its caller would have left before its first or last event, with a probability of %.2f", c.Lost)
+	}
 	if c.Server != "" {
 		return fmt.Sprintf("streams beside it would lose %.2f more than it earns", -c.Worth)
 	}
