Slots are left to urgent and to brief requests

Cause: slots kept for the more urgent were a fixed share of each engine. Long streams filled one engine after the other to the last slot; three of twelve then read 13 to 23 tokens a ms while others, at 55, had rewrites waiting. And a long less urgent stream that begins holds its slot for seconds in which more urgent requests are refused. Ruled out: want of reading in all (the idle three), slow engines (later).

A long stream takes one of an engine's last slots only where all have no more; brief requests of the second priority may take them unless more urgent ones were refused lately. A stream that holds its slot for longer than more urgent requests can wait is refused where these are expected to need more slots meanwhile than runs free, by the rates that all instances hear and refuse.

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -239,6 +239,9 @@
 func (b *Board) End(id RunID, now monotime.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if r := b.runs[id]; r != nil && r.work.Prompt > 0 {
+		b.contention.ended.add(now)
+	}
 	b.end(id, now)
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -64,6 +64,9 @@
 	// was the answer, and Unheard about how many requests were on their way to
 	// them from other instances.
 	Free, Unheard int
+	// Reserved is the number of slots that more urgent requests are expected to need
+	// until the request would end, where that was why it got none.
+	Reserved int
 	// Ahead is what the server is believed to read before the prompt.
 	Ahead Ahead
 }
@@ -76,34 +79,85 @@
 	if work.Prompt > 0 {
 		b.goals[work.kind()] = work.Goal
 	}
-	reachable := make([]*server, 0, len(candidates))
-	open := make([]opening, 0, len(candidates))
-	sources := 0
+	found := b.survey(&work, candidates, now)
+	if !found.anyReachable() {
+		return Choice{}, NoneReachable
+	}
+	considered, refused := b.admit(found.open, &work, now)
+	if len(considered) == 0 {
+		b.refuse(&work, now)
+		return refused, AllFull
+	}
+	best := b.cheapest(considered, found.reachable, &work, now)
+	chosen := b.servers[best.Server]
+	if chosen.memory == 0 {
+		return best, Chosen
+	}
+	best.Ahead = chosen.queue.before(&work, chosen.begun+1)
+	if best.hopeless() && best.Running > 0 && chosen.kind.trusted() {
+		return best, NotWorth
+	}
+	if work.Waited > 0 && soonerFactor*best.First > work.Waited {
+		return best, NotWorth
+	}
+	if reserved := b.reserved(&work, best.End-best.First, now); float64(found.free) < reserved {
+		b.refuse(&work, now)
+		return Choice{Free: found.free, Reserved: int(reserved)}, AllFull
+	}
+	return best, Chosen
+}
+
+// refuse notes that a request got no slot; one that has a server is not refused.
+func (b *Board) refuse(work *Work, now monotime.Instant) {
+	if work.Waited == 0 {
+		b.contention.refused[counted(work.Priority)].add(now)
+	}
+}
+
+// survey is what is known of the candidates for a request.
+type survey struct {
+	// reachable are all that are not left out for a while, and takers those of them that
+	// take requests; open are those with room for this one.
+	reachable, takers []*server
+	open              []opening
+	// free is the number of slots that nothing is known to use.
+	free int
+}
+
+func (s *survey) anyReachable() bool { return len(s.takers) > 0 }
+
+func (b *Board) survey(work *Work, candidates []Candidate, now monotime.Instant) survey {
+	found := survey{
+		reachable: make([]*server, 0, len(candidates)),
+		takers:    make([]*server, 0, len(candidates)),
+		open:      make([]opening, 0, len(candidates)),
+	}
+	brief := b.brief(work, candidates)
+	last := brief && !b.contention.wanting(work.Priority, now)
 	for _, candidate := range candidates {
 		s := b.server(candidate)
 		if s.retryAt != 0 && now < s.retryAt {
 			continue
 		}
-		reachable = append(reachable, s)
+		found.reachable = append(found.reachable, s)
 		if candidate.SourceOnly {
-			sources++
 			continue
 		}
-		if free := s.free(&work, now); free > 0 || s.memory == 0 {
-			open = append(open, opening{s, free})
+		found.takers = append(found.takers, s)
+		found.free += s.unused(now)
+		if room := s.free(work, last, now); room > 0 || s.memory == 0 {
+			found.open = append(found.open, opening{s, room})
 		}
 	}
-	if len(reachable) == sources {
-		return Choice{}, NoneReachable
-	}
-	considered, refused := b.admit(open, &work, now)
-	if refused != nil {
-		return *refused, AllFull
+	if !brief {
+		found.open = notLast(found.open)
 	}
-	if len(considered) == 0 {
-		return Choice{}, AllFull
-	}
-	from := bestSource(reachable, &work, now)
+	return found
+}
+
+// cheapest evaluates the servers that a request chooses from.
+func (b *Board) cheapest(considered []opening, reachable []*server, work *Work, now monotime.Instant) Choice {
+	from := bestSource(reachable, work, now)
 	b.meanRead = meanReadShare(considered, now)
 	b.meanUrgent = meanUrgent(considered, work.Priority, now)
 	b.meanHazard = 0
@@ -112,22 +166,13 @@
 	}
 	best := Choice{Cost: math.Inf(1)}
 	for i, s := range considered {
-		choice := b.evaluate(s.server, &work, from, now)
+		choice := b.evaluate(s, work, from, now)
 		choice.Cost += b.noise * b.rand.Float64()
 		if i == 0 || choice.Cost < best.Cost {
 			best = choice
 		}
 	}
-	if best.hopeless() && best.Running > 0 && b.trusted(best.Server) {
-		return best, NotWorth
-	}
-	if work.Waited > 0 && soonerFactor*best.First > work.Waited {
-		return best, NotWorth
-	}
-	if chosen := b.servers[best.Server]; chosen.memory > 0 {
-		best.Ahead = chosen.queue.before(&work, chosen.begun+1)
-	}
-	return best, Chosen
+	return best
 }
 
 // hopeless reports whether a request is rather refused, while its caller has time to come
@@ -141,13 +186,10 @@
 // assumed at first would be taken for full of work that they do in no time.
 const trustedSamples = 100
 
-func (b *Board) trusted(id string) bool {
-	s := b.servers[id]
-	return s != nil && s.memory > 0 && s.kind.model.Samples() >= trustedSamples
-}
+func (k *engineKind) trusted() bool { return k.model.Samples() >= trustedSamples }
 
 // evaluate predicts what happens when work goes to s.
-func (b *Board) evaluate(s *server, work *Work, from source, now monotime.Instant) Choice {
+func (b *Board) evaluate(s opening, work *Work, from source, now monotime.Instant) Choice {
 	choice := Choice{Server: s.id, Running: len(s.runs)}
 	weight := work.weight()
 	choice.Cost = weight * failureCost * s.failures
@@ -162,7 +204,7 @@
 	}
 	own := s.cache.cached(work.Parts)
 	speed := s.pace(now)
-	again := s.kind.waste(&speed, b.reread(s, work, now))
+	again := s.kind.waste(&speed, b.reread(s.server, work, now))
 	read := plan{unread: max(0, work.Prompt-own), cost: min(again, rereadMost*weight)}
 	best := b.evaluateEngine(s, &speed, work, read, now, choice)
 	if fetch, ok := s.fetch(&speed, work, from, own); ok {
@@ -174,7 +216,7 @@
 }
 
 // evaluateEngine adds to choice what happens when an engine takes work with a plan.
-func (b *Board) evaluateEngine(s *server, speed *pace.Pace, work *Work, p plan, now monotime.Instant, choice Choice) Choice {
+func (b *Board) evaluateEngine(s opening, speed *pace.Pace, work *Work, p plan, now monotime.Instant, choice Choice) Choice {
 	o := b.outlook(s, speed, work, p, now)
 	weight := work.weight()
 	choice.Unread, choice.FetchFrom = p.unread, p.from
@@ -197,7 +239,7 @@
 	harm byPriority
 }
 
-func (b *Board) outlook(s *server, speed *pace.Pace, work *Work, p plan, now monotime.Instant) outlook {
+func (b *Board) outlook(s opening, speed *pace.Pace, work *Work, p plan, now monotime.Instant) outlook {
 	var o outlook
 	runs := len(s.runs)
 	ahead := s.queue.ahead(work, now)
@@ -213,10 +255,10 @@
 	pausing := s.ownPauses(speed, work, unread, life, b.meanHazard, now)
 	o.late = 1 - (1-lateFirst(o.first, work.Goal))*(1-pausing)
 	o.lost = 1 - (1-lateBy(o.end, work.Left))*(1-lateBy(o.first, work.FirstLeft))
-	o.crowded = overflow(s.arrivals.as(now)*b.contention.blind().Seconds(), s.free(work, now))
+	o.crowded = overflow(s.arrivals.as(now)*b.contention.blind().Seconds(), s.room)
 	o.harm = s.pauseHarm(speed, unread, withWork)
 	later := delay(speed, p.unread, work).Seconds()
-	harm := b.delayHarm(s, speed, b.meanRead, now)
+	harm := b.delayHarm(s.server, speed, b.meanRead, now)
 	for priority, perSecond := range harm.running {
 		o.harm[priority] += perSecond * later
 	}
--- a/internal/placement/contention.go
+++ b/internal/placement/contention.go
@@ -23,6 +23,9 @@
 	// in the mean: each hop holds some for longer than others. With 1 and 2.5 less is on
 	// time in a burst that fills all engines.
 	lagFactor = 1.5
+	// wantingLeast is the rate of refusals over all instances, in requests a second, from
+	// which on slots are left to the more urgent.
+	wantingLeast = 1.0
 	// rateWindow is the time over which rates of requests are averaged.
 	rateWindow = time.Second
 )
@@ -34,8 +37,10 @@
 	// lag is how long after a choice of theirs it is known here, in the mean.
 	lag time.Duration
 	// begun is the rate of requests sent by all instances, as heard, and refused
-	// that of those that this one refused; by priority.
+	// that of those that this one refused for want of slots; by priority.
 	begun, refused [lowestCounted + 1]rate
+	// ended is the rate of runs that all instances ended, as heard.
+	ended rate
 }
 
 // lowestCounted is the last priority whose requests are counted by themselves;
@@ -102,6 +107,28 @@
 	return time.Duration(lagFactor * float64(c.lag))
 }
 
+// wanting reports whether requests that are more urgent than a priority have been refused
+// lately for want of slots.
+func (c *contention) wanting(priority int, now monotime.Instant) bool {
+	for p := range counted(priority) {
+		if c.refused[p].as(now)*float64(c.others+1) >= wantingLeast {
+			return true
+		}
+	}
+	return false
+}
+
+// missing is by how much more slots are asked for in a second by requests that are more
+// urgent than a priority than runs leave free. Callers choose instances by chance, so the
+// others refuse about what this one does.
+func (c *contention) missing(priority int, now monotime.Instant) float64 {
+	coming := 0.0
+	for p := range counted(priority) {
+		coming += c.begun[p].as(now) + c.refused[p].as(now)*float64(c.others+1)
+	}
+	return max(0, coming-c.ended.as(now))
+}
+
 // overflow is the probability that at least as many requests are on their way to an
 // engine as it has slots free, of which arrivals are expected. Instances that see the
 // same engine as the best one send there together before they hear of each other: of
@@ -130,29 +157,28 @@
 // their callers still have time to come back. In a burst that fills 140 engines
 // of 16 slots, 13 of 100 requests go to an engine with 14 or more in place of 73,
 // and engines preempt 212 requests in place of 722.
-func (b *Board) admit(open []opening, work *Work, now monotime.Instant) ([]opening, *Choice) {
+func (b *Board) admit(open []opening, work *Work, now monotime.Instant) ([]opening, Choice) {
 	if work.Prompt == 0 || b.contention.others == 0 {
-		return open, nil
+		return open, Choice{}
 	}
 	unheard, free := b.contention.unheard(work.Priority, now), 0
 	for _, s := range open {
 		if s.memory == 0 {
-			return open, nil // no engine; its requests wait for a slot
+			return open, Choice{} // no engine; its requests wait for a slot
 		}
 		free += s.room
 	}
 	if free > 0 && float64(free) >= contestedBelow*unheard {
-		return open, nil
+		return open, Choice{}
 	}
 	if b.rand.Float64()*unheard >= float64(free) {
-		b.contention.refused[counted(work.Priority)].add(now)
-		return nil, &Choice{Free: free, Unheard: int(unheard)}
+		return nil, Choice{Free: free, Unheard: int(unheard)}
 	}
 	out := b.keepers(open, work)
 	for range draws {
 		out = append(out, draw(open, b.rand.IntN(free)))
 	}
-	return out, nil
+	return out, Choice{}
 }
 
 // draw returns the engine of a free slot.
--- a/internal/placement/contention_test.go
+++ b/internal/placement/contention_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -239,3 +240,51 @@
 		t.Errorf("not chosen a moment later: %d", refusal)
 	}
 }
+
+// Notes come faster than slots become free. Bundles that take the last ones hold them for
+// seconds, and notes are refused.
+func TestSlotsThatUrgentRequestsWillNeedAreNotGivenToLongStreams(t *testing.T) {
+	b := NewBoard(testPace, "here")
+	b.SetPeers(8, 10*time.Millisecond)
+	candidates := engines(2)
+	for n := range candidates {
+		candidates[n].Slots = 40
+		b.server(candidates[n])
+		b.fill(candidates[n].ID, 20, note("old"))
+	}
+	calm := start.Add(5 * time.Second)
+	for _, work := range []Work{note("new"), bundle("c", "new")} {
+		if _, refusal := b.Choose(work, candidates, calm); refusal != Chosen {
+			t.Fatalf("priority %d is refused while few notes come: %v", work.Priority, refusal)
+		}
+	}
+	for i := range 200 {
+		b.contention.begun[0].add(calm.Add(time.Duration(i) * time.Millisecond))
+	}
+	now := calm.Add(200 * time.Millisecond)
+	if choice, refusal := b.Choose(bundle("c", "new"), candidates, now); refusal != AllFull || choice.Reserved == 0 {
+		t.Errorf("a bundle while notes need the slots: %v %+v", refusal, choice)
+	}
+	if _, refusal := b.Choose(note("new"), candidates, now); refusal != Chosen {
+		t.Errorf("a note: %v", refusal)
+	}
+}
+
+// Long streams fill engines to the last slot one after the other. Brief requests find no
+// slot there while those engines read next to nothing.
+func TestBriefRequestsFindSlotsBesideLongStreams(t *testing.T) {
+	b := NewBoard(testPace, "here")
+	candidates := engines(6)
+	now := start
+	for i := range 100 {
+		now = now.Add(10 * time.Millisecond)
+		if i%5 == 0 {
+			place(t, b, 1000+i, bundle(fmt.Sprint("c", i%25), fmt.Sprint("b", i)), candidates, now)
+		}
+		choice := place(t, b, i, note(fmt.Sprint(i)), candidates, now)
+		b.First(RunID{"me", i}, now)
+		if used := b.Running(choice.Server); used > 64-64/keptForFirst {
+			t.Fatalf("note %d takes slot %d of 64 while others have more free", i, used)
+		}
+	}
+}
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -39,15 +39,16 @@
 // work finds one. Nothing is sent beyond the slots: it would preempt or wait. In
 // a burst that fills 140 engines of 16 slots this halves the preemptions.
 const (
-	keptForFirst  = 16 // a sixteenth, from the second priority
+	keptForFirst  = 16 // a sixteenth, from the second priority, and from long streams
 	keptForSecond = 5  // a fifth, from all others
 )
 
-// free is the number of an engine's slots that work of this priority may take.
-func (s *server) free(work *Work, now monotime.Instant) int {
+// free is the number of an engine's slots that work may take; last says that work of the
+// second priority may take those kept from it too.
+func (s *server) free(work *Work, last bool, now monotime.Instant) int {
 	most := s.slots
 	switch {
-	case work.Priority <= 0:
+	case work.Priority <= 0, work.Priority == 1 && last:
 	case work.Priority == 1:
 		most -= s.slots / keptForFirst
 	default:
@@ -59,6 +60,30 @@
 	return most - len(s.runs)
 }
 
+// notLast returns the engines on which a long stream would not take one of the last slots,
+// or all if there are no such. An engine whose slots are all held for seconds reads nothing
+// for brief requests, which hold theirs for a moment.
+func notLast(open []opening) []opening {
+	var out []opening
+	for _, s := range open {
+		if s.memory == 0 || s.slots-len(s.runs) > s.slots/keptForFirst {
+			out = append(out, s)
+		}
+	}
+	if len(out) == 0 {
+		return open
+	}
+	return out
+}
+
+// unused is the number of an engine's slots that nothing is known to use.
+func (s *server) unused(now monotime.Instant) int {
+	if now < s.fullUntil {
+		return 0
+	}
+	return max(0, s.slots-len(s.runs))
+}
+
 // opening is a server with room for a request.
 type opening struct {
 	*server
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -55,6 +55,9 @@
 	if c.Server != "" {
 		return fmt.Sprintf("streams beside it would lose %.2f more than it earns", -c.Worth)
 	}
+	if c.Reserved > 0 {
+		return fmt.Sprintf("%d slots are free and more urgent requests need %d more until it would end", c.Free, c.Reserved)
+	}
 	if c.Free == 0 {
 		return "all servers are full"
 	}
