--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -145,7 +145,7 @@
 	s.tick(now)
 	s.begun++
 	s.urgencyAt = 0
-	r := &run{server: s, work: work, unread: unread, begun: now, order: s.begun, alone: len(s.pending) == 0}
+	r := &run{server: s, work: work, unread: unread, begun: now, order: s.begun, alone: len(s.queue.runs) == 0}
 	readTo := now
 	if unread > 0 {
 		speed := s.pace(now)
@@ -158,14 +158,14 @@
 	if work.Left > 0 {
 		r.deadline = now.Add(work.Left)
 	}
-	if s.queue.before(&r.work, r.order) == (Ahead{}) {
+	if s.queue.headedBy(r) {
 		r.headAt = now
 	}
 	b.notePauses(s, r, now)
 	s.runs[id] = r
 	b.runs[id] = r
 	s.hold(&r.work)
-	s.sums.add(id, r)
+	s.sums.add(r)
 	s.cache.add(work.Parts, readTo, int(cacheShare*float64(s.memory)))
 	for _, part := range work.Parts {
 		b.used[part.ID] = now
@@ -210,14 +210,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.runs[id]; r != nil && !r.first {
-		r.server.queue.read(now)
-		r.server.queue.remove(r)
+		r.server.queue.leave(r, now)
 		r.first, r.firstAt = true, now
 		r.server.workedAt = now
 		r.server.noteOvertaken(r, now)
 		speed := r.server.pace(now)
 		r.server.noteRead(speed.Read(r.unread, r.work.Prompt), now)
-		delete(r.server.pending, id)
 		r.server.done.read += float64(r.unread)
 		r.server.done.pairsM += pace.Pairs(r.unread, r.work.Prompt)
 		r.server.cache.ready(r.work.Parts, now)
@@ -250,12 +248,11 @@
 	if r == nil {
 		return
 	}
-	r.server.queue.read(now)
-	r.server.queue.remove(r)
+	r.server.queue.leave(r, now)
 	r.server.tick(now)
 	r.server.learnSteps(&r.watch.calm)
 	r.server.letGo(&r.work)
-	r.server.sums.remove(id, r)
+	r.server.sums.remove(r)
 	r.server.leavePunctual(r)
 	delete(b.runs, id)
 	delete(r.server.runs, id)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -80,7 +80,7 @@
 		b.goals[work.kind()] = work.Goal
 	}
 	found := b.survey(&work, candidates, now)
-	if !found.anyReachable() {
+	if len(found.takers) == 0 {
 		return Choice{}, NoneReachable
 	}
 	considered, refused := b.admit(found.open, &work, now)
@@ -124,8 +124,7 @@
 	free int
 }
 
-func (s *survey) anyReachable() bool { return len(s.takers) > 0 }
-
+// survey looks at each candidate once.
 func (b *Board) survey(work *Work, candidates []Candidate, now monotime.Instant) survey {
 	found := survey{
 		reachable: make([]*server, 0, len(candidates)),
@@ -159,10 +158,10 @@
 func (b *Board) cheapest(considered []opening, reachable []*server, work *Work, now monotime.Instant) Choice {
 	from := bestSource(reachable, work, now)
 	b.meanRead = meanReadShare(considered, now)
-	b.meanUrgent = meanUrgent(considered, work.Priority, now)
+	b.meanUrgent = mean(considered, func(s *server) float64 { return s.queue.moreUrgent(work.Priority, now) })
 	b.meanHazard = 0
 	if work.MaxGap > 0 {
-		b.meanHazard = meanHazard(considered, work.MaxGap, now)
+		b.meanHazard = mean(considered, func(s *server) float64 { return s.hazards[work.MaxGap].perSecond(now) })
 	}
 	best := Choice{Cost: math.Inf(1)}
 	for i, s := range considered {
--- a/internal/placement/contention.go
+++ b/internal/placement/contention.go
@@ -107,11 +107,17 @@
 	return time.Duration(lagFactor * float64(c.lag))
 }
 
+// refusedByAll is the rate of requests of a priority that all instances refuse for want of
+// slots. Callers choose instances by chance, so the others refuse about what this one does.
+func (c *contention) refusedByAll(priority int, now monotime.Instant) float64 {
+	return c.refused[priority].as(now) * float64(c.others+1)
+}
+
 // wanting reports whether requests that are more urgent than a priority have been refused
 // lately for want of slots.
 func (c *contention) wanting(priority int, now monotime.Instant) bool {
 	for p := range counted(priority) {
-		if c.refused[p].as(now)*float64(c.others+1) >= wantingLeast {
+		if c.refusedByAll(p, now) >= wantingLeast {
 			return true
 		}
 	}
@@ -119,12 +125,11 @@
 }
 
 // missing is by how much more slots are asked for in a second by requests that are more
-// urgent than a priority than runs leave free. Callers choose instances by chance, so the
-// others refuse about what this one does.
+// urgent than a priority than runs leave free.
 func (c *contention) missing(priority int, now monotime.Instant) float64 {
 	coming := 0.0
 	for p := range counted(priority) {
-		coming += c.begun[p].as(now) + c.refused[p].as(now)*float64(c.others+1)
+		coming += c.begun[p].as(now) + c.refusedByAll(p, now)
 	}
 	return max(0, coming-c.ended.as(now))
 }
--- a/internal/placement/contention_test.go
+++ b/internal/placement/contention_test.go
@@ -241,8 +241,7 @@
 	}
 }
 
-// Notes come faster than slots become free. Bundles that take the last ones hold them for
-// seconds, and notes are refused.
+// Bundles take the last slots for seconds while notes come faster than slots become free.
 func TestSlotsThatUrgentRequestsWillNeedAreNotGivenToLongStreams(t *testing.T) {
 	b := NewBoard(testPace, "here")
 	b.SetPeers(8, 10*time.Millisecond)
@@ -270,8 +269,7 @@
 	}
 }
 
-// Long streams fill engines to the last slot one after the other. Brief requests find no
-// slot there while those engines read next to nothing.
+// Long streams fill all slots of engines that then read next to nothing for brief requests.
 func TestBriefRequestsFindSlotsBesideLongStreams(t *testing.T) {
 	b := NewBoard(testPace, "here")
 	candidates := engines(6)
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -108,7 +108,7 @@
 	}
 	calm := &r.watch.calm
 	switch {
-	case len(s.pending) > 0 || calm.begun != s.begun:
+	case len(s.queue.runs) > 0 || calm.begun != s.begun:
 		s.learnSteps(calm)
 		r.watch.calm = s.stretch(now)
 	case calm.add(s, count, now):
--- a/internal/placement/pauses.go
+++ b/internal/placement/pauses.go
@@ -44,15 +44,6 @@
 	return h.sum * fadeOver(now.Sub(h.at), hazardWindow) / hazardWindow.Seconds()
 }
 
-// meanHazard is the rate of pauses above a bound, averaged over engines.
-func meanHazard(of []opening, most time.Duration, now monotime.Instant) float64 {
-	sum := 0.0
-	for _, s := range of {
-		sum += s.hazards[most].perSecond(now)
-	}
-	return sum / float64(max(1, len(of)))
-}
-
 func fadeOver(passed, window time.Duration) float64 {
 	return math.Exp(-passed.Seconds() / window.Seconds())
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -372,7 +372,7 @@
 		t.Errorf("%d tokens held", got)
 	}
 	b.End(RunID{"peer", 1}, start)
-	if s := b.servers["e0"]; s.inUse != 0 || b.Running("e0") != 0 || len(s.streams) != 0 || len(s.pending) != 0 || len(s.punctual) != 0 {
+	if s := b.servers["e0"]; s.inUse != 0 || b.Running("e0") != 0 || len(s.streams) != 0 || len(s.queue.runs) != 0 || len(s.punctual) != 0 {
 		t.Errorf("%d tokens held by %d runs, %+v", s.inUse, b.Running("e0"), s.sums)
 	}
 }
@@ -399,15 +399,15 @@
 		if s == nil {
 			continue
 		}
-		want := newSums()
-		for id, r := range s.runs {
-			want.add(id, r)
-			if r.first {
-				delete(want.pending, id)
+		want, pending := newSums(), 0
+		for _, r := range s.runs {
+			want.add(r)
+			if r.unread > 0 && !r.first {
+				pending++
 			}
 		}
-		if len(want.pending) != len(s.pending) || !maps.Equal(want.streams, s.streams) {
-			t.Fatalf("step %d: kept %+v, runs give %+v", i, s.sums, want)
+		if pending != len(s.queue.runs) || !maps.Equal(want.streams, s.streams) {
+			t.Fatalf("step %d: kept %+v and %d prompts, runs give %+v and %d", i, s.sums, len(s.queue.runs), want, pending)
 		}
 	}
 }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -34,12 +34,19 @@
 	q.runs = slices.Insert(q.runs, at, r)
 }
 
-func (q *queue) remove(r *run) {
+// leave takes a run out whose prompt is read, or that is over.
+func (q *queue) leave(r *run, now monotime.Instant) {
+	q.read(now)
 	if at, ok := slices.BinarySearchFunc(q.runs, r, compareReading); ok {
 		q.runs = slices.Delete(q.runs, at, at+1)
 	}
 }
 
+// headedBy reports whether nothing is read before a run.
+func (q *queue) headedBy(r *run) bool {
+	return len(q.runs) == 0 || compareReading(r, q.runs[0]) <= 0
+}
+
 func compareReading(a, b *run) int {
 	return cmp.Or(compareUrgency(&a.work, &b.work), cmp.Compare(a.order, b.order))
 }
@@ -103,16 +110,6 @@
 	return time.Duration(float64(wait) / (1 - min(share, urgentMost)))
 }
 
-// meanUrgent is the mean over engines of the share of their time that reading prompts
-// takes which are more urgent than a priority.
-func meanUrgent(of []opening, priority int, now monotime.Instant) float64 {
-	sum := 0.0
-	for _, s := range of {
-		sum += s.queue.moreUrgent(priority, now)
-	}
-	return sum / float64(max(1, len(of)))
-}
-
 // Ahead is what an engine is believed to have to read before a prompt.
 type Ahead struct {
 	// Prompts and Tokens of them, by priority; those beyond the last counted are in it.
--- a/internal/placement/queue_test.go
+++ b/internal/placement/queue_test.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// Long reports wait on an engine that would read a note before them; a note that is
-// predicted behind them is kept from the engines that would serve it at once.
+// A note is kept from engines that would read it at once, before the long prompts that wait.
 func TestAnUrgentPromptIsNotPredictedBehindLessUrgentOnes(t *testing.T) {
 	b := NewBoard(testPace, "here")
 	for i := range 10 {
@@ -22,8 +21,7 @@
 	}
 }
 
-// Notes keep coming and are read first; a bundle that is predicted without them waits for
-// several times as long as was thought when it was placed.
+// A bundle is placed where notes that keep coming are read before it for far longer than predicted.
 func TestALessUrgentPromptIsPredictedBehindThoseThatWillCome(t *testing.T) {
 	b := NewBoard(testPace, "here")
 	now := start
@@ -40,8 +38,7 @@
 	}
 }
 
-// An instance gives a request up that waits in the queue of an engine at work. It loses its
-// place, and its caller gets nothing.
+// A request is given up that waits in the queue of an engine at work, and gets nothing.
 func TestWhatWaitsInAQueueIsToldFromWhatAnEngineHasLost(t *testing.T) {
 	const patience = 700 * time.Millisecond
 	mine := RunID{"me", 1}
@@ -84,8 +81,7 @@
 	}
 }
 
-// What an engine is predicted to begin when its caller has left is accepted and gets
-// nothing, though it could have come back.
+// A request is accepted that begins after its caller has left, though it could have come back.
 func TestWhatItsCallerWouldNotWaitForIsRefused(t *testing.T) {
 	b := NewBoard(testPace, "here")
 	for i := range 200 {
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -91,3 +91,12 @@
 	// server that is no engine: its requests wait for one.
 	room int
 }
+
+// mean is the mean of a value over servers; 0 for none.
+func mean(of []opening, value func(*server) float64) float64 {
+	sum := 0.0
+	for _, s := range of {
+		sum += value(s.server)
+	}
+	return sum / float64(max(1, len(of)))
+}
--- a/internal/placement/sums.go
+++ b/internal/placement/sums.go
@@ -8,8 +8,6 @@
 type sums struct {
 	// streams counts the runs whose stream must not pause for long.
 	streams map[streamKind]int
-	// pending are the runs whose prompt is not read yet.
-	pending map[RunID]*run
 }
 
 // streamKind groups streams that are late by the same pause and count the same.
@@ -21,20 +19,16 @@
 func (w *Work) kind() streamKind { return streamKind{w.MaxGap, w.Priority} }
 
 func newSums() sums {
-	return sums{streams: make(map[streamKind]int), pending: make(map[RunID]*run)}
+	return sums{streams: make(map[streamKind]int)}
 }
 
-func (s *sums) add(id RunID, r *run) {
-	if r.unread > 0 {
-		s.pending[id] = r
-	}
+func (s *sums) add(r *run) {
 	if r.work.MaxGap > 0 {
 		s.streams[r.work.kind()]++
 	}
 }
 
-func (s *sums) remove(id RunID, r *run) {
-	delete(s.pending, id)
+func (s *sums) remove(r *run) {
 	kind := r.work.kind()
 	if s.streams[kind] > 1 {
 		s.streams[kind]--
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -36,7 +36,7 @@
 	Waited time.Duration
 	// Priority, 0 first.
 	Priority int
-	// Rank by which engines order it among others of its priority, 0 first.
+	// Rank among all requests, by which engines order them; 0 first.
 	Rank int
 	// Homes are the regions that the request must stay in; nil for no bound. Who lists
 	// the candidates keeps to it.
--- a/internal/relay/await.go
+++ b/internal/relay/await.go
@@ -14,6 +14,29 @@
 // standingPoll is the time between looks at a request that waits in a server's queue.
 const standingPoll = 100 * time.Millisecond
 
+// Callers of streams leave after a time without an event, also before the first one: the
+// longest of these.
+const (
+	callerSilence      = 2 * time.Second
+	callerSilenceGoals = 4
+	callerSilenceGaps  = 8
+)
+
+// firstLeft is the time until the caller leaves if no event comes; 0 for no bound.
+func (f *flight) firstLeft() time.Duration {
+	if !f.route.Streaming || f.stream.begun() {
+		return 0
+	}
+	silence := max(callerSilence, callerSilenceGoals*f.route.Goal, callerSilenceGaps*f.route.MaxGap)
+	return max(1, silence-monotime.Now().Sub(f.arrived))
+}
+
+// lookAtTime notes how much time is left for the request.
+func (f *flight) lookAtTime() {
+	f.work.Left = time.Until(f.deadline)
+	f.work.FirstLeft = f.firstLeft()
+}
+
 // await waits for the next bytes of an answer, and no longer than silence unless the
 // request waits in the queue of a server that works. A request that is taken back from a
 // queue loses its place, and the server what it has read of it; elsewhere it would be the
@@ -49,10 +72,9 @@
 // at another one, and takes the send there from the budget.
 func (f *flight) mayLeave(e *exchange) bool {
 	now := monotime.Now()
+	f.lookAtTime()
 	work := f.work
 	work.Waited = now.Sub(e.sentAt)
-	work.Left = time.Until(f.deadline)
-	work.FirstLeft = f.firstLeft()
 	target, refusal := f.relay.cfg.Fleet.Place(f.service, work, f.excluded, now)
 	if refusal != placement.Chosen || !f.relay.cfg.Fleet.Spend(f.service, now) {
 		return false
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -304,8 +304,7 @@
 	until := monotime.Now().Add(wait)
 	for {
 		now := monotime.Now()
-		f.work.Left = time.Until(f.deadline)
-		f.work.FirstLeft = f.firstLeft()
+		f.lookAtTime()
 		target, refusal := f.relay.cfg.Fleet.Place(f.service, f.work, f.excluded, now)
 		if refusal != placement.AllBounded || now >= until {
 			return target, refusal
@@ -318,23 +317,6 @@
 	}
 }
 
-// Callers of streams leave after a time without an event, also before the first one: the
-// longest of these.
-const (
-	callerSilence      = 2 * time.Second
-	callerSilenceGoals = 4
-	callerSilenceGaps  = 8
-)
-
-// firstLeft is the time until the caller leaves if no event comes; 0 for no bound.
-func (f *flight) firstLeft() time.Duration {
-	if !f.route.Streaming || f.stream.begun() {
-		return 0
-	}
-	silence := max(callerSilence, callerSilenceGoals*f.route.Goal, callerSilenceGaps*f.route.MaxGap)
-	return max(1, silence-monotime.Now().Sub(f.arrived))
-}
-
 // head encodes the request for a server.
 func (f *flight) head(target Target) []byte {
 	headers := endToEnd(f.hr.Header)
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -49,7 +49,7 @@
 
 // fullMessage tells what decided that no server has room.
 func fullMessage(c placement.Choice) string {
-	if c.Server != "" && c.Lost > 0 && c.Worth >= 0 {
+	if c.Server != "" && c.Worth >= 0 {
 		return fmt.Sprintf("its caller would have left before its first or last event, with a probability of %.2f", c.Lost)
 	}
 	if c.Server != "" {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -635,8 +635,7 @@
 	})
 }
 
-// A prompt waits behind others in the queue of an engine at work. Given up, it is last in
-// another queue or finds none; its caller gets 502 for an answer that was on its way.
+// A prompt in the queue of an engine at work is given up, and its caller gets 502 for an answer on its way.
 func TestWhatWaitsInAQueueIsNotGivenUp(t *testing.T) {
 	for _, c := range []struct {
 		name   string
