request_ended tells the time that the caller stated

A caller that was refused returns under a new id, and no line told that two attempts are one request. deadline_ms, the time left that the caller stated, ties them: the instant at which it runs out is the same for both.

--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -34,6 +34,9 @@
 		zap.Duration("took_ms", now.Sub(f.arrived)),
 		zap.Int("sends", f.sends),
 	}
+	if f.request.Deadline > 0 {
+		fields = append(fields, zap.Duration("deadline_ms", f.request.Deadline))
+	}
 	if f.retryAfter > 0 {
 		fields = append(fields, zap.Duration("come_back_ms", f.retryAfter))
 	}
