Brief urgent requests take the slots of long streams that are less urgent

Cause: slots were only given when free. A full-audit that began in calm holds its slot for 3.6 s in the median and can't be ended when load rises; a title-rewrite needs one for 0.16 s. From 5.6 s on every slot that became free was contested: 665 title-rewrites and 197 fix-hints were refused from 5.2 to 6.2 s with 'N slots are free and about M requests are already on their way'. Change: a full engine counts as free for brief requests, up to half of its slots, in place of long streams that are less urgent; for the most urgent ones in place of brief ones, which leave soon, so that these don't keep slots that become free from them.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -113,3 +113,14 @@
 		t.Errorf("%v %q", err, out.String())
 	}
 }
+
+// Guards against long streams that keep their slots in a burst of more urgent requests:
+// these were refused although the slots of a few long streams would have served them.
+func TestBurstIsServedBesideLongStreams(t *testing.T) {
+	r := play(scenario(t, "burst-on-long-streams"))
+	for _, class := range []string{"live", "rewrite"} {
+		if got := r.mean(class, Refused); got > 1.0/12 {
+			t.Errorf("%.3f of %s requests are refused", got, class)
+		}
+	}
+}
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -20,6 +20,9 @@
 	EventTokens int
 	// Pace is the speed model.
 	Pace pace.Pace
+	// Preempts lets a queued run take the slot of a less urgent one, whose output,
+	// and what is no longer cached of its prompt, is read again later.
+	Preempts bool
 }
 
 // engine models an engine with continuous batching. In each step, every request whose
@@ -63,26 +66,59 @@
 	if e.down || len(e.running)+len(e.queue) >= e.kind.Slots+e.kind.Queue {
 		return false
 	}
+	e.addToQueue(r)
+	e.admit()
+	e.startStep()
+	return true
+}
+
+func (e *engine) addToQueue(r *run) {
 	e.queue = append(e.queue, r)
 	slices.SortStableFunc(e.queue, func(a, b *run) int {
 		return cmp.Compare(a.call.work.Priority, b.call.work.Priority)
 	})
-	e.admit()
-	e.startStep()
-	return true
 }
 
-// admit starts queued runs while slots are free.
+// admit starts queued runs while slots are free or can be taken from less urgent runs.
 func (e *engine) admit() {
-	for len(e.queue) > 0 && len(e.running) < e.kind.Slots {
+	for len(e.queue) > 0 {
+		if len(e.running) >= e.kind.Slots && !e.preempt(e.queue[0].call.work.Priority) {
+			return
+		}
 		r := e.queue[0]
 		e.queue = e.queue[1:]
-		r.unread = e.cachePrompt(r.call.work)
+		r.unread = e.unreadOf(r)
 		e.sim.result.PromptTokensRead += r.unread
 		e.running = append(e.running, r)
 	}
 }
 
+// preempt moves the newest of the least urgent runs back to the queue if it is less
+// urgent than a priority. It reports whether a slot is free now.
+func (e *engine) preempt(priority int) bool {
+	if !e.kind.Preempts {
+		return false
+	}
+	var least *run
+	for _, r := range e.running {
+		if r.call.work.Priority > priority && (least == nil || r.call.work.Priority >= least.call.work.Priority) {
+			least = r
+		}
+	}
+	if least == nil {
+		return false
+	}
+	e.remove(least)
+	e.addToQueue(least)
+	return true
+}
+
+// unreadOf returns the number of tokens to read before a run starts or continues: what is
+// not cached of its prompt, and the output generated before it was preempted.
+func (e *engine) unreadOf(r *run) int {
+	return e.cachePrompt(r.call.work) + r.generated
+}
+
 // cachePrompt returns the number of prompt tokens after the cached prefix, at least 1,
 // and caches all parts of the prompt.
 func (e *engine) cachePrompt(work placement.Work) int {
--- a/internal/emulator/scenarios.go
+++ b/internal/emulator/scenarios.go
@@ -61,5 +61,25 @@
 	many.Kind.Slots, many.Kind.Queue = 12, 12
 	many.Classes = classes(5, 1)
 	many.Length = 5 * time.Second
-	return []Scenario{calm, steepCalm, burst, crash, slow, slower, faster, many}
+	return []Scenario{calm, steepCalm, burst, crash, slow, slower, faster, many, burstOnLongStreams()}
+}
+
+// burstOnLongStreams has reports that hold a third of the slots when live responses and
+// rewrites arrive at several times their rate. These fit into the slots only if reports
+// give way.
+func burstOnLongStreams() Scenario {
+	out := Scenario{
+		Name: "burst-on-long-streams", Instances: 20, MaxUpdateDelay: 80 * time.Millisecond, Engines: 28,
+		Kind:    EngineKind{Slots: 12, Queue: 25, MemoryTokens: 380_000, EventTokens: 8, Pace: flatPace, Preempts: true},
+		Classes: classes(1, 1), Length: 6 * time.Second,
+	}
+	const live, rewrite, report = 0, 1, 2
+	out.Classes[live].PerSecond = 30
+	out.Classes[rewrite].PerSecond = 52
+	out.Classes[report].PerSecond = 37
+	out.Classes[report].Output = 700
+	for _, class := range []int{live, rewrite} {
+		out.Bursts = append(out.Bursts, Burst{At: 3 * time.Second, For: 3 * time.Second, Class: out.Classes[class].Name, Factor: 5})
+	}
+	return out
 }
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -154,6 +154,7 @@
 	s.begun++
 	s.delayCostAt = 0
 	r := &run{server: s, work: work, unread: unread, begun: now, order: s.begun, alone: len(s.queue.runs) == 0}
+	r.long = !b.isBriefOn(s.kind, s.slots, &work)
 	readTo := now
 	if unread > 0 {
 		speed := s.pace(now)
--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -40,8 +40,8 @@
 // Shares of an engine's slots that are reserved for more urgent requests, as divisors of
 // the number of slots. A request that arrives at a full engine makes it preempt another
 // one in the middle of its stream, which has to be read again later; with reserved slots,
-// more urgent requests find a free one. Nothing is sent beyond the slots, as it would
-// preempt or wait. In a burst that fills 140 engines of 16 slots this halves the
+// more urgent requests find a free one. Beyond the slots an engine gets only what
+// preemptableSlots allows. In a burst that fills 140 engines of 16 slots this halves the
 // preemptions.
 const (
 	firstReserveDivisor  = 16 // a sixteenth, from the second priority and from long streams
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -57,8 +57,10 @@
 	// LostProbability is the probability that the request ends, or begins, after its
 	// caller has left.
 	LostProbability float64
-	// Running is the number of tracked runs on the server.
-	Running int
+	// Running is the number of tracked runs on the server, and Preempts whether they take
+	// all of its slots, so that it preempts one.
+	Running  int
+	Preempts bool
 	// FetchFrom is the server to fetch the start of the prompt from; empty to read it.
 	FetchFrom string
 	// Cost of the choice; the candidate with the lowest cost is chosen.
@@ -86,7 +88,7 @@
 	if len(found.accepting) == 0 {
 		return Choice{}, NoneReachable
 	}
-	considered, refused := b.admit(found.available, &work, now)
+	considered, refused := b.admit(found.available, found.preemptable, &work, now)
 	if len(considered) == 0 {
 		b.recordRefusal(&work, now)
 		return refused, AllFull
@@ -96,6 +98,7 @@
 	if chosen.memory == 0 {
 		return best, Chosen
 	}
+	best.Preempts = best.Running >= chosen.slots
 	best.Ahead = chosen.queue.promptsAhead(&work, chosen.begun+1)
 	if best.notWorthwhile() && best.Running > 0 && chosen.kind.hasEnoughSamples() {
 		return best, NotWorthwhile
@@ -121,10 +124,10 @@
 // survey is the result of checking the candidates for a request.
 type survey struct {
 	// reachable are the servers that are not paused after a failed connection, accepting
-	// those of them that take requests, and available those with free capacity for this
-	// request.
-	reachable, accepting []*server
-	available            []availableServer
+	// those of them that take requests, available those with free capacity for this
+	// request, and preemptable the full engines that may serve it in place of another.
+	reachable, accepting   []*server
+	available, preemptable []availableServer
 	// free is the total of unused slots.
 	free int
 }
@@ -149,8 +152,14 @@
 		}
 		found.accepting = append(found.accepting, s)
 		found.free += s.unusedSlots(now)
-		if slots := s.freeSlotsFor(work, useReserve, now); slots > 0 || s.memory == 0 {
+		slots := s.freeSlotsFor(work, useReserve, now)
+		switch {
+		case slots > 0, s.memory == 0:
 			found.available = append(found.available, availableServer{s, slots})
+		case len(s.runs) >= s.slots:
+			if slots := b.preemptableSlots(s, work, brief, useReserve, now); slots > 0 {
+				found.preemptable = append(found.preemptable, availableServer{s, slots})
+			}
 		}
 	}
 	if !brief {
--- a/internal/placement/contention.go
+++ b/internal/placement/contention.go
@@ -156,8 +156,9 @@
 	return max(0, 1-below)
 }
 
-// admit returns the servers that a request may choose from; if there are none, the Choice
-// describes the refusal.
+// admit returns the servers that a request may choose from, out of those with free
+// capacity and, where that is scarce, of the preemptable ones; if there are none, the
+// Choice describes the refusal.
 //
 // When nearly all engines are full, every instance sees the same few with a free slot,
 // and all send there before they receive each other's reports: 59 instances sent 50
@@ -167,8 +168,14 @@
 // retry. In a burst that fills 140 engines of 16 slots, 13 of 100 requests go to an
 // engine with 14 or more in place of 73, and engines preempt 212 requests in place of
 // 722.
-func (b *Board) admit(open []availableServer, work *Work, now monotime.Instant) ([]availableServer, Choice) {
-	if work.Prompt == 0 || b.contention.others == 0 {
+func (b *Board) admit(open, preemptable []availableServer, work *Work, now monotime.Instant) ([]availableServer, Choice) {
+	if work.Prompt == 0 {
+		return open, Choice{}
+	}
+	if b.contention.others == 0 {
+		if len(open) == 0 {
+			return preemptable, Choice{}
+		}
 		return open, Choice{}
 	}
 	unreported, free := b.contention.unreported(work.Priority, now), 0
@@ -181,6 +188,10 @@
 	if free > 0 && float64(free) >= contendedBelow*unreported {
 		return open, Choice{}
 	}
+	open = append(open, preemptable...)
+	for _, s := range preemptable {
+		free += s.freeSlots
+	}
 	if b.rand.Float64()*unreported >= float64(free) {
 		return nil, Choice{Free: free, Unreported: int(unreported)}
 	}
--- /dev/null
+++ b/internal/placement/preempt.go
@@ -0,0 +1,59 @@
+package placement
+
+import (
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+// A request at a full engine preempts the newest of the least urgent streams, which waits
+// for a slot and has its prompt read again. Streams hold a slot for seconds and cannot be
+// ended when load rises, so slots that they took in calm would be missing in a burst. A
+// stream that is preempted gives its slot to many brief requests in a row.
+
+const (
+	// preemptDivisor is the divisor of an engine's slots that brief requests may take from
+	// less urgent streams. With a larger one brief requests are refused while long streams
+	// run, with 1 all long streams of an engine may stand still at once.
+	preemptDivisor = 2
+	// maxReadShareToPreempt is the share of an engine's time needed to read arriving
+	// prompts up to which it gets requests that preempt. The rest is for the prompts of
+	// the preempted streams.
+	maxReadShareToPreempt = 0.7
+)
+
+// preemptableSlots returns how many requests like work a full engine may get in addition:
+// brief requests in place of long streams that are less urgent, and the most urgent ones
+// in place of brief requests, which leave soon.
+func (b *Board) preemptableSlots(s *server, work *Work, brief, useReserve bool, now monotime.Instant) int {
+	extra := min(s.slots/preemptDivisor, s.longLessUrgent(work.Priority))
+	switch {
+	case brief && (work.Priority <= 0 || useReserve):
+	case brief:
+		extra -= max(1, s.slots/firstReserveDivisor)
+	case work.Priority <= 0:
+		extra = min(extra, s.briefLessUrgent(work.Priority))
+	default:
+		return 0
+	}
+	free := s.slots + extra - len(s.runs)
+	if free <= 0 || now < s.fullUntil || !s.hasMemory(work) || !b.servesSoon(s, work, brief, now) {
+		return 0
+	}
+	return free
+}
+
+// servesSoon reports whether an engine has reading time to spare and begins work, and ends
+// it if it is brief, within the shortest time that any request can wait.
+func (b *Board) servesSoon(s *server, work *Work, brief bool, now monotime.Instant) bool {
+	if s.queue.readShare(now) > maxReadShareToPreempt {
+		return false
+	}
+	speed := s.pace(now)
+	unread := max(0, work.Prompt-s.cache.cachedTokens(work.Parts))
+	took := s.queue.timeAhead(work, now) + speed.Prompt(unread, work.Prompt, len(s.runs))
+	if brief {
+		took += time.Duration(work.Output) * speed.DecodeStep(len(s.runs))
+	}
+	return took <= b.minGoal(lastPriorityIndex+1)
+}
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -104,6 +104,11 @@
 	return q.load.upTo(priority-1) * decay(now.Sub(q.loadAt), urgentWindow)
 }
 
+// readShare returns the share of an engine's time needed to read arriving prompts.
+func (q *queue) readShare(now monotime.Instant) float64 {
+	return q.load.upTo(lastPriorityIndex) * decay(now.Sub(q.loadAt), urgentWindow)
+}
+
 // delayedByUrgent returns the length of a wait during which arriving prompts that are
 // more urgent, and so are read first, take a share of the time.
 func delayedByUrgent(wait time.Duration, share float64) time.Duration {
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -30,10 +30,18 @@
 
 // isBrief reports whether work holds its slot for no longer than any request can wait.
 func (b *Board) isBrief(work *Work, candidates []Candidate) bool {
-	if work.Output == 0 || len(candidates) == 0 {
+	if len(candidates) == 0 {
 		return false
 	}
-	speed := b.kindOf(candidates[0].Service).model.Pace()
-	holds := time.Duration(work.Output) * speed.DecodeStep(candidates[0].Slots)
+	return b.isBriefOn(b.kindOf(candidates[0].Service), candidates[0].Slots, work)
+}
+
+// isBriefOn is isBrief for the engines of a kind.
+func (b *Board) isBriefOn(kind *engineKind, slots int, work *Work) bool {
+	if work.Output == 0 {
+		return false
+	}
+	speed := kind.model.Pace()
+	holds := time.Duration(work.Output) * speed.DecodeStep(slots)
 	return holds <= b.minGoal(lastPriorityIndex+1)
 }
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -91,6 +91,8 @@
 	onTime, survivalBefore float64
 	// order is the number of requests that had begun on the server, this one included.
 	order int
+	// long is set if the run holds its slot for longer than any request can wait.
+	long bool
 	// alone is set if no other prompt waited to be read on the server when it began.
 	alone bool
 	// watch is empty for runs of other instances.
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -71,6 +71,7 @@
 		zap.String("server", f.target.ID),
 		zap.Duration("entry_age_ms", f.target.EntryAge),
 		zap.Int("running", choice.Running),
+		zap.Bool("preempts", choice.Preempts),
 		zap.String("cost", strconv.FormatFloat(choice.Cost, 'f', 3, 64)),
 	}
 	if f.work.Prompt == 0 {
