Name the two shares of reading apart, and the slots that runs yield

queue.readShare is what arriving prompts need, server.readShare what was spent: one name for two things. What other runs yield to a request is a function of its own, with no empty case. The decisions are the same: no test changes.

--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -22,31 +22,36 @@
 	maxReadShareToPreempt = 0.7
 )
 
-// preemptableSlots returns how many requests like work a full engine may get in addition:
-// brief requests in place of long streams that are less urgent, and the most urgent ones
-// in place of brief requests, which leave soon.
+// preemptableSlots returns how many requests like work a full engine may get in addition.
 func (b *Board) preemptableSlots(s *server, work *Work, brief, useReserve bool, now monotime.Instant) int {
-	extra := min(s.slots/preemptDivisor, s.longLessUrgent(work.Priority))
-	switch {
-	case brief && (work.Priority <= 0 || useReserve):
-	case brief:
-		extra -= max(1, s.slots/firstReserveDivisor)
-	case work.Priority <= 0:
-		extra = min(extra, s.briefLessUrgent(work.Priority))
-	default:
-		return 0
-	}
-	free := s.slots + extra - len(s.runs)
+	free := s.slots + s.yieldedSlots(work, brief, useReserve) - len(s.runs)
 	if free <= 0 || now < s.fullUntil || !s.hasMemory(work) || !b.servesSoon(s, work, brief, now) {
 		return 0
 	}
 	return free
 }
 
+// yieldedSlots returns how many slots other runs may yield to requests like work: long
+// less urgent ones to brief requests, and brief ones, which end soon, to the most urgent.
+// With useReserve, brief requests may also take the slots reserved for the most urgent.
+func (s *server) yieldedSlots(work *Work, brief, useReserve bool) int {
+	yielded := min(s.slots/preemptDivisor, s.longLessUrgent(work.Priority))
+	switch {
+	case !brief && work.Priority <= 0:
+		return min(yielded, s.briefLessUrgent(work.Priority))
+	case !brief:
+		return 0
+	case work.Priority <= 0 || useReserve:
+		return yielded
+	default:
+		return yielded - max(1, s.slots/firstReserveDivisor)
+	}
+}
+
 // servesSoon reports whether an engine has reading time to spare and begins work, and ends
 // it if it is brief, within the shortest time that any request can wait.
 func (b *Board) servesSoon(s *server, work *Work, brief bool, now monotime.Instant) bool {
-	if s.queue.readShare(now) > maxReadShareToPreempt {
+	if s.queue.arrivingShare(now) > maxReadShareToPreempt {
 		return false
 	}
 	speed := s.pace(now)
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -104,8 +104,8 @@
 	return q.load.upTo(priority-1) * decay(now.Sub(q.loadAt), urgentWindow)
 }
 
-// readShare returns the share of an engine's time needed to read arriving prompts.
-func (q *queue) readShare(now monotime.Instant) float64 {
+// arrivingShare returns the share of an engine's time needed to read arriving prompts.
+func (q *queue) arrivingShare(now monotime.Instant) float64 {
 	return q.load.upTo(lastPriorityIndex) * decay(now.Sub(q.loadAt), urgentWindow)
 }
 
