--- a/internal/placement/preempt_test.go
+++ b/internal/placement/preempt_test.go
@@ -37,7 +37,7 @@
 	return b, candidates
 }
 
-// placed returns how many of n requests are placed at once, with none reported by others.
+// placed returns how many of n requests are placed on each server, all at one instant.
 func placed(b *Board, work func(id string) Work, n int, candidates []Candidate) map[string]int {
 	at := start.Add(time.Second)
 	out := make(map[string]int)
@@ -66,6 +66,11 @@
 	if got := total(placed(b, rewrite, 8, candidates)); got == 0 {
 		t.Error("all of 8 brief requests refused by 8 engines with 4 long streams each")
 	}
+	b, candidates = newFullBoard(1, 4)
+	b.SetPeers(0, 0)
+	if got := total(placed(b, rewrite, 1, candidates)); got != 1 {
+		t.Error("a brief request refused by the only instance")
+	}
 	b, candidates = newFullBoard(8, 0)
 	if got := placed(b, rewrite, 8, candidates); total(got) > 0 {
 		t.Errorf("%v placed although all streams are more urgent", got)
@@ -75,7 +80,11 @@
 // Guards against an engine whose long streams all stand still.
 func TestBriefRequestsTakeABoundedNumberOfSlots(t *testing.T) {
 	b, candidates := newFullBoard(4, 9)
-	for server, n := range placed(b, rewrite, 200, candidates) {
+	got := placed(b, rewrite, 200, candidates)
+	if total(got) == 0 {
+		t.Error("none of 200 brief requests placed")
+	}
+	for server, n := range got {
 		if n > 12/preemptDivisor {
 			t.Errorf("%d brief requests beyond the slots of %s", n, server)
 		}
--- a/tools/unserved/main.go
+++ b/tools/unserved/main.go
@@ -46,7 +46,7 @@
 	if len(attempts) == 0 {
 		return errNoData
 	}
-	return print(out, worstWindows(link(attempts), o.Window, o.Step, o.Min))
+	return writeTable(out, worstWindows(link(attempts), o.Window, o.Step, o.Min))
 }
 
 func readFiles(names []string) ([]attempt, error) {
@@ -66,7 +66,7 @@
 	return out, nil
 }
 
-func print(out io.Writer, windows []window) error {
+func writeTable(out io.Writer, windows []window) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "service\troute\trank\tfrom\trequests\tunserved\tshare")
 	for _, x := range windows {
