One reader for log lines; one line before each test of a failure

tools/unserved read the lines of instances as relaylog does: both now call relaylog.EachObject. The limit of a line and what is skipped are the same.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -114,8 +114,7 @@
 	}
 }
 
-// Guards against long streams that keep their slots in a burst of more urgent requests:
-// these were refused although the slots of a few long streams would have served them.
+// Guards against refusing urgent requests in a burst while long streams keep their slots.
 func TestBurstIsServedBesideLongStreams(t *testing.T) {
 	r := play(scenario(t, "burst-on-long-streams"))
 	for _, class := range []string{"live", "rewrite"} {
--- a/internal/placement/preempt_test.go
+++ b/internal/placement/preempt_test.go
@@ -59,8 +59,7 @@
 	return sum
 }
 
-// Guards against refusing brief urgent requests while less urgent streams keep their slots
-// for seconds.
+// Guards against refusing brief urgent requests while less urgent streams keep their slots.
 func TestBriefRequestsTakeSlotsOfLongLessUrgentStreams(t *testing.T) {
 	b, candidates := newFullBoard(8, 4)
 	if got := total(placed(b, rewrite, 8, candidates)); got == 0 {
@@ -91,8 +90,7 @@
 	}
 }
 
-// Guards against preempted streams whose prompts are read again by engines that cannot
-// read what arrives.
+// Guards against preempting where an engine has no time to read prompts again.
 func TestBriefRequestsDoNotPreemptWhereReadingIsScarce(t *testing.T) {
 	b, candidates := newFullBoard(1, 4)
 	b.SetPeers(0, 0)
@@ -108,8 +106,7 @@
 	}
 }
 
-// Guards against brief requests that keep a slot which has become free from a more urgent
-// one, since they leave the engine above its slots at all times.
+// Guards against brief requests that keep every freed slot from more urgent ones.
 func TestUrgentRequestsTakeFreedSlotsBesideBriefOnes(t *testing.T) {
 	b, candidates := newFullBoard(1, 6)
 	if got := total(placed(b, rewrite, 20, candidates)); got < 2 {
@@ -126,8 +123,7 @@
 	}
 }
 
-// Guards against streams that are preempted, though their engine caches the prompt, while
-// another one has free slots.
+// Guards against preempting on an engine that caches the prompt while another has free slots.
 func TestNothingIsPreemptedWhileSlotsAreFree(t *testing.T) {
 	b, candidates := newFullBoard(8, 4)
 	idle := Candidate{ID: "idle", DataCentre: "there", Slots: 64, MemoryTokens: 500_000, EventTokens: 2}
--- a/internal/relaylog/relaylog.go
+++ b/internal/relaylog/relaylog.go
@@ -76,26 +76,33 @@
 	return read(file)
 }
 
-// read parses the JSON object of each line. It ignores text before the object, such as a
-// collector's timestamp, and skips lines without a valid object.
+// read parses the JSON object of each line. It skips lines without a valid object.
 func read(in io.Reader) ([]Line, error) {
+	var out []Line
+	err := EachObject(in, func(object []byte) {
+		var line Line
+		if err := json.Unmarshal(object, &line); err != nil || line.Message == "" {
+			return
+		}
+		line.text = string(object)
+		out = append(out, line)
+	})
+	return out, err
+}
+
+// EachObject calls use for each line of a log with the text from its first brace on, which
+// is valid until use returns. It ignores text before that, such as a collector's timestamp,
+// and skips lines without a brace. A line longer than 1 MiB ends the reading with an error.
+func EachObject(in io.Reader, use func(object []byte)) error {
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLine)
-	var out []Line
 	for scanner.Scan() {
 		text := scanner.Bytes()
-		start := bytes.IndexByte(text, '{')
-		if start < 0 {
-			continue
-		}
-		var line Line
-		if err := json.Unmarshal(text[start:], &line); err != nil || line.Message == "" {
-			continue
+		if start := bytes.IndexByte(text, '{'); start >= 0 {
+			use(text[start:])
 		}
-		line.text = string(text[start:])
-		out = append(out, line)
 	}
-	return out, scanner.Err()
+	return scanner.Err()
 }
 
 func explainLines(id string, lines []Line) (*Explanation, error) {
--- a/tools/unserved/requests.go
+++ b/tools/unserved/requests.go
@@ -1,19 +1,17 @@
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
 	"slices"
 	"time"
+
+	"basilrudder/internal/relaylog"
 )
 
 const (
-	// maxLine is the maximum length of a line in bytes. A longer one ends the reading.
-	maxLine = 1 << 20
 	// deadlineTolerance is by how much the deadlines of two attempts of one request may
 	// differ, since the network delays each of them differently. A larger one links
 	// attempts of different callers.
@@ -48,27 +46,19 @@
 	served  bool
 }
 
-// read returns the attempts in a log. It ignores text before the JSON object of a line,
-// and lines of other kinds.
+// read returns the attempts in a log. It ignores lines of other kinds.
 func read(in io.Reader) ([]attempt, error) {
-	scanner := bufio.NewScanner(in)
-	scanner.Buffer(nil, maxLine)
 	var out []attempt
-	for scanner.Scan() {
-		text := scanner.Bytes()
-		start := bytes.IndexByte(text, '{')
-		if start < 0 {
-			continue
-		}
+	err := relaylog.EachObject(in, func(object []byte) {
 		var l line
-		if err := json.Unmarshal(text[start:], &l); err != nil {
-			continue // a line that was cut off, or not of an instance
+		if err := json.Unmarshal(object, &l); err != nil {
+			return // a line that was cut off, or not of an instance
 		}
 		if l.Message == "request_ended" && l.Service != "" && l.DeadlineMS > 0 {
 			out = append(out, l.attempt())
 		}
-	}
-	return out, scanner.Err()
+	})
+	return out, err
 }
 
 func (l *line) attempt() attempt {
