servers: Expire looks only at what may expire

It runs ten times a second in each instance, sorted the ids of all servers, looked each up, and went over all births of names, with nothing to expire.

Ruled out: its callers (the interval is the same at any size); what it returns (nothing, but after an outage or a restored copy).

Change: servers in their grace period are kept in a set, tombstones in order of their times, and births of a name are dropped with its last tombstone. The work follows what expires.

--- a/internal/servers/era.go
+++ b/internal/servers/era.go
@@ -48,13 +48,7 @@
 
 // CountInGrace returns the number of servers whose entries are missing but may reappear.
 func (r *Registry) CountInGrace() int {
-	n := 0
-	for _, rec := range r.live {
-		if rec.graceEndsAt != 0 {
-			n++
-		}
-	}
-	return n
+	return len(r.inGrace)
 }
 
 // eraJustBegan reports whether the store began an era less than EraGrace ago, so that it
--- a/internal/servers/registry.go
+++ b/internal/servers/registry.go
@@ -28,6 +28,13 @@
 type Registry struct {
 	live map[string]*record
 	gone map[string]tombstone
+	// inGrace holds the ids of the live records with a grace period.
+	inGrace map[string]struct{}
+	// expiring lists tombstones in the order of their times. One that was removed or
+	// replaced since is still listed.
+	expiring []expiringTombstone
+	// tombstoneCount is the number of tombstones of each name.
+	tombstoneCount map[string]int
 	// current is the live incarnation of each name, and newestBorn the birth of the
 	// newest incarnation observed of it.
 	current    map[string]string
@@ -58,6 +65,7 @@
 func New() *Registry {
 	return &Registry{
 		live: make(map[string]*record), gone: make(map[string]tombstone),
+		inGrace: make(map[string]struct{}), tombstoneCount: make(map[string]int),
 		current: make(map[string]string), newestBorn: make(map[string]int64),
 		evacuations: make(map[string]Evacuation), deferred: make(map[string]Evacuation),
 		copiedEntries: make(map[string]Server),
@@ -82,7 +90,7 @@
 			return Unchanged
 		}
 		s.Draining = s.Draining || stone.draining
-		delete(r.gone, s.ID)
+		r.removeTombstone(s.ID)
 	}
 	rec := r.live[s.ID]
 	if rec == nil {
@@ -91,7 +99,11 @@
 		r.current[s.Name], r.newestBorn[s.Name] = s.ID, s.Born
 		return Added
 	}
-	return rec.update(s, coldUntil)
+	change := rec.update(s, coldUntil)
+	if rec.graceEndsAt == 0 {
+		delete(r.inGrace, s.ID)
+	}
+	return change
 }
 
 // update applies an entry of the same incarnation.
--- a/internal/servers/removal.go
+++ b/internal/servers/removal.go
@@ -1,6 +1,7 @@
 package servers
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -27,6 +28,12 @@
 	draining bool
 }
 
+// expiringTombstone is a tombstone as of its creation.
+type expiringTombstone struct {
+	id string
+	at monotime.Instant
+}
+
 // Remove applies the removal of the entry under a name at a revision. It returns the id
 // of the incarnation concerned.
 //
@@ -47,6 +54,7 @@
 			return id, Unchanged
 		}
 		rec.graceEndsAt = r.unstableUntil
+		r.inGrace[id] = struct{}{}
 		rec.server.Revision = revision
 		return id, InGrace
 	}
@@ -86,7 +94,24 @@
 		delete(r.current, stone.name)
 	}
 	delete(r.live, id)
+	delete(r.inGrace, id)
+	r.removeTombstone(id)
 	r.gone[id] = stone
+	r.tombstoneCount[stone.name]++
+	r.expiring = append(r.expiring, expiringTombstone{id: id, at: now})
+}
+
+// removeTombstone removes the tombstone of an incarnation, if there is one.
+func (r *Registry) removeTombstone(id string) {
+	stone, ok := r.gone[id]
+	if !ok {
+		return
+	}
+	delete(r.gone, id)
+	r.tombstoneCount[stone.name]--
+	if r.tombstoneCount[stone.name] == 0 {
+		delete(r.tombstoneCount, stone.name)
+	}
 }
 
 // StoreRecovered starts the grace period: the store answers again after an outage.
@@ -96,34 +121,41 @@
 
 // Expire drops servers whose entries did not reappear in the grace period, restores
 // entries that outlasted copyLife, drops old tombstones, and returns the ids of what
-// changed.
+// changed. Its work depends on what expires, not on the number of servers.
 func (r *Registry) Expire(now monotime.Instant) (changed []string) {
 	changed = r.restoreCopies(now)
-	for _, id := range r.ids() {
-		rec := r.live[id]
-		if rec.graceEndsAt != 0 && now >= rec.graceEndsAt {
-			r.addTombstone(id, rec.server.Revision, now)
-			changed = append(changed, id)
+	changed = append(changed, r.endGrace(now)...)
+	r.expireTombstones(now)
+	return changed
+}
+
+// endGrace ends the servers whose grace period is over and returns their ids, sorted.
+func (r *Registry) endGrace(now monotime.Instant) (ended []string) {
+	for id := range r.inGrace {
+		if now >= r.live[id].graceEndsAt {
+			ended = append(ended, id)
 		}
 	}
-	for id, stone := range r.gone {
-		if now.Sub(stone.at) > tombstoneTTL {
-			delete(r.gone, id)
-		}
+	slices.Sort(ended)
+	for _, id := range ended {
+		r.addTombstone(id, r.live[id].server.Revision, now)
 	}
-	r.dropUnusedNames()
-	return changed
+	return ended
 }
 
-// dropUnusedNames drops the births of names without a live incarnation or a tombstone.
-func (r *Registry) dropUnusedNames() {
-	hasTombstone := make(map[string]bool, len(r.gone))
-	for _, stone := range r.gone {
-		hasTombstone[stone.name] = true
-	}
-	for name := range r.newestBorn {
-		if r.current[name] == "" && !hasTombstone[name] {
-			delete(r.newestBorn, name)
+// expireTombstones drops tombstones older than tombstoneTTL, and the births of names
+// that have neither a tombstone nor a live incarnation left.
+func (r *Registry) expireTombstones(now monotime.Instant) {
+	for len(r.expiring) > 0 && now.Sub(r.expiring[0].at) > tombstoneTTL {
+		oldest := r.expiring[0]
+		r.expiring = r.expiring[1:]
+		stone, ok := r.gone[oldest.id]
+		if !ok || stone.at != oldest.at {
+			continue
+		}
+		r.removeTombstone(oldest.id)
+		if r.current[stone.name] == "" && r.tombstoneCount[stone.name] == 0 {
+			delete(r.newestBorn, stone.name)
 		}
 	}
 }
