store: a listing of any size is read to its end, mostly from stale pages

By reading: all pages of a listing shared one timeout of 600 ms, so a store that takes 20 ms a page never gave one to its end; one failed page began the listing anew (with a third of the answers lost, 31 pages in a row succeed once in 500,000 times); and what stood beyond 64 pages was left out without a word, from 12,800 items on.

Ruled out: the length of the timeout itself. A longer one holds at one size only.

Change: the timeout bounds each call. A listing is kept when a page fails and continues with that page. Pages after the first may be stale, which costs the store a tenth; a watch from the lowest revision of the pages closes the listing, so it is as fresh as before. A process that has its state from a peer meanwhile stops between two pages. Repeated loss of the history backs off like other failures.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -65,7 +65,7 @@
 	return r.changes, r.err
 }
 
-func (s *fakeSource) All(ctx context.Context) (*Changes, error) {
+func (s *fakeSource) All(ctx context.Context, _ func() bool) (*Changes, error) {
 	s.calls = append(s.calls, "all")
 	return nextResult(ctx, &s.all)
 }
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -66,7 +66,7 @@
 	time.Sleep(storeCallTime)
 }
 
-func (s *memoryStore) All(context.Context) (*Changes, error) {
+func (s *memoryStore) All(context.Context, func() bool) (*Changes, error) {
 	s.call()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -16,6 +16,9 @@
 // has begun a new era; everything must be read again.
 var ErrHistoryLost = errors.New("gateway: the store's history is lost")
 
+// ErrNotWanted reports that a listing was given up because it was no longer wanted.
+var ErrNotWanted = errors.New("gateway: the listing is no longer wanted")
+
 // Changes holds what the store published. The order of elements has no meaning; only
 // revisions order them.
 type Changes struct {
@@ -23,7 +26,8 @@
 	Config *routing.Config
 	// Servers holds the entries as they were written.
 	Servers []servers.Server
-	// Removals holds the entries that were removed or expired.
+	// Removals holds the entries that were removed or expired. Those of a listing were
+	// removed while it was read.
 	Removals []servers.EntryRef
 	// Invalid holds the entries that cannot be read.
 	Invalid []servers.EntryRef
@@ -36,8 +40,10 @@
 // Source reads the store. The store counts every call.
 type Source interface {
 	// All reads everything: the configuration and every server's entry. Changes after its
-	// Revision may or may not be included.
-	All(ctx context.Context) (*Changes, error)
+	// Revision may or may not be included. It bounds the time of each call to the store,
+	// continues with the call that failed at last, and fails with ErrNotWanted if wanted
+	// reports false between two calls.
+	All(ctx context.Context, wanted func() bool) (*Changes, error)
 	// Watch waits until there are changes after a revision, for wait at most. It fails
 	// with ErrHistoryLost if the store no longer has them.
 	Watch(ctx context.Context, after servers.Revision, wait time.Duration) (*Changes, error)
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -102,7 +102,8 @@
 			sleep(ctx, f.watchInterval()-monotime.Now().Sub(begun))
 		case ctx.Err() != nil:
 			return nil
-		case errors.Is(err, ErrHistoryLost):
+		case errors.Is(err, ErrNotWanted):
+		case errors.Is(err, ErrHistoryLost) && f.revision != 0:
 			f.log.Info("store_history_lost", zap.Stringer("revision", f.revision))
 			f.revision = 0
 		default:
@@ -151,9 +152,7 @@
 func (f *storeSync) readNext(ctx context.Context) error {
 	begun := monotime.Now()
 	if f.revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, f.answerTimeout)
-		defer cancel()
-		all, err := f.source.All(ctx)
+		all, err := f.source.All(ctx, f.shouldRead)
 		if err != nil {
 			return err
 		}
@@ -221,7 +220,8 @@
 	})
 	listedBefore := f.fleet.listedRevision()
 	f.fleet.changeServers(fromStore, func(r *servers.Registry, now monotime.Instant) []string {
-		return r.Replace(all.Servers, all.Invalid, all.Revision, now)
+		ids := r.Replace(all.Servers, all.Invalid, all.Revision, now)
+		return append(ids, remove(r, all.Removals, now)...)
 	})
 	f.revision = all.Revision
 	if listedBefore != 0 && listedBefore.Era() < all.Revision.Era() {
@@ -238,11 +238,7 @@
 				ids = append(ids, s.ID)
 			}
 		}
-		for _, removal := range changes.Removals {
-			if id, change := r.Remove(removal.Name, removal.Revision, now); change != servers.Unchanged {
-				ids = append(ids, id)
-			}
-		}
+		ids = append(ids, remove(r, changes.Removals, now)...)
 		for _, mark := range changes.Invalid {
 			if id, change := r.Invalidate(mark, now); change != servers.Unchanged {
 				ids = append(ids, id)
@@ -253,6 +249,16 @@
 	f.revision = max(f.revision, changes.Revision)
 }
 
+// remove applies removals of entries and returns the ids of what changed.
+func remove(r *servers.Registry, removals []servers.EntryRef, now monotime.Instant) (ids []string) {
+	for _, removal := range removals {
+		if id, change := r.Remove(removal.Name, removal.Revision, now); change != servers.Unchanged {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (f *storeSync) succeeded() {
 	if f.failures > 0 {
 		f.log.Info("store_regained", zap.Int("failures", f.failures), zap.Stringer("revision", f.revision))
