placement: a choice considers a bounded number of engines

By reading, two more that hold only while a fleet is small: the jitter of costs grew by 0.002 with each instance, so it was 1.14 at 585, above the cost of reading 13,300 shared tokens again (0.35): a prompt went to any of thousands of engines but the one that caches its start. And the lists of servers were built anew at each change of one server, sorted four times over, whether a request came in between or not.

Ruled out: a smaller constant of jitter (it spreads requests that instances place before they hear of each other, and is right where all of them consider all servers).

Change: in a pool of more than 256 servers a choice considers the engines known to cache the start of the prompt, its homes on a hash ring (two in the own data centre, two in all), and, while nothing suitable is found, a random sample of 32, 128 and at last 512 servers, most of the own data centre. Counts of free slots are scaled by the share considered, and so is the jitter: it follows the instances that consider the same server. Up to 256 servers the choice is the one of before. Servers are listed when they are needed after a change.

Ways weighed: all engines at lower cost (grows), homes alone (a route whose homes died or are full is refused), a sample alone (prompts are read again at each engine). Sizes of samples stand in internal/placement/shortlist.go.

TestManyInstancesKeepPromptsWhereTheyAreCached fails with the former jitter: ten requests go to two engines.

--- a/internal/gateway/evacuations.go
+++ b/internal/gateway/evacuations.go
@@ -50,7 +50,7 @@
 	for _, id := range cold {
 		f.throttle.SetCold(id, f.registry.ColdUntil(id))
 	}
-	f.rebuildServerLists(f.table.Load())
+	f.lists = nil
 	f.digest.Store(int64(f.registry.Digest() >> 1))
 	f.mu.Unlock()
 	for _, e := range changed {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -54,14 +54,11 @@
 	// answers that carry no notice take no lock.
 	rateLimitedCount atomic.Int64
 
-	mu       sync.Mutex // guards registry, byService, sources
+	mu       sync.Mutex // guards registry and lists
 	registry *servers.Registry
-	// byService is rebuilt at each change of the registry. Its slices are never modified,
-	// so readers use them without the lock.
-	byService map[string][]servers.Server
-	// sources holds the servers of evacuated data centres, by service. It is rebuilt and
-	// read like byService.
-	sources map[string][]servers.Server
+	// lists holds the usable servers by service; nil after a change of the registry or of
+	// the configuration, until they are needed.
+	lists map[string]*serverList
 
 	lastRun atomic.Int64 // number of the last run begun here
 }
@@ -112,7 +109,7 @@
 		return false, nil
 	}
 	f.table.Store(table)
-	f.rebuildServerLists(table)
+	f.lists = nil
 	f.mu.Unlock()
 	f.log.Info("config_in_force",
 		zap.Int64("version", config.Version), zap.Int64("was", was), zap.String("from", from),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -109,10 +109,8 @@
 }
 
 func ready(f *fleet) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	var out []string
-	for _, s := range f.byService["svc"] {
+	for _, s := range f.serverList("svc").accepting {
 		out = append(out, s.ID)
 	}
 	return out
--- a/internal/gateway/jitter.go
+++ b/internal/gateway/jitter.go
@@ -4,8 +4,9 @@
 
 const (
 	// jitterPerInstance is the random jitter added to placement costs for each instance
-	// beyond instancesWithoutJitter, see placement.Board: the more instances there are,
-	// the more of them choose a server before they receive each other's choices. With
+	// beyond instancesWithoutJitter that considers the same server, see placement.Board:
+	// the more there are, the more of them choose it before they receive each other's
+	// choices. With
 	// fewer instances the updates arrive in time, and jitter would cost 0.005 of value.
 	jitterPerInstance      = 0.002
 	instancesWithoutJitter = 16
@@ -21,11 +22,17 @@
 )
 
 // placementJitter returns the jitter of placement costs for the age of the process and
-// the number of instances tracked.
-func placementJitter(age time.Duration, instances int) float64 {
-	jitter := jitterPerInstance * float64(max(0, instances-instancesWithoutJitter))
+// the number of instances expected to consider the same server.
+func placementJitter(age time.Duration, instances float64) float64 {
+	jitter := jitterPerInstance * max(0, instances-instancesWithoutJitter)
 	if age < startupTime {
 		return max(jitter, startupJitter)
 	}
 	return jitter
 }
+
+// jitterOf returns placementJitter as a function of the share of the servers that a choice
+// considers: of so many instances, that share considers any one of them.
+func jitterOf(age time.Duration, instances int) func(share float64) float64 {
+	return func(share float64) float64 { return placementJitter(age, share*float64(instances)) }
+}
--- a/internal/gateway/jitter_test.go
+++ b/internal/gateway/jitter_test.go
@@ -18,7 +18,7 @@
 	sent := make(map[string]int)
 	for range 60 {
 		f, _, _ := newFleet()
-		f.board.SetCostJitter(placementJitter(0, 1))
+		f.board.SetCostJitter(jitterOf(0, 1))
 		f.installConfig(&routing.Config{Version: 1, Services: []routing.Service{{
 			Name: "svc", Engine: &routing.Engine{Slots: 64, MemoryTokens: 500_000, EventTokens: 4},
 		}}}, fromStore)
@@ -39,14 +39,45 @@
 	}
 }
 
+// Guards against placement at random in a large fleet: with a jitter for each instance,
+// whatever the number of engines, a prompt was read anew by another engine each time.
+func TestManyInstancesKeepPromptsWhereTheyAreCached(t *testing.T) {
+	f, _, _ := newFleet()
+	f.board.SetCostJitter(jitterOf(time.Minute, 585))
+	f.installConfig(&routing.Config{Version: 1, Services: []routing.Service{{
+		Name: "svc", Engine: &routing.Engine{Slots: 16, MemoryTokens: 500_000, EventTokens: 7},
+	}}}, fromStore)
+	for n := range 600 {
+		put(f, fromStore, entry(fmt.Sprintf("e%03d", n), servers.Revision(n+1)))
+	}
+	work := placement.Work{
+		Parts:  []placement.Part{{ID: "shared", Tokens: 13_300}, {ID: "own", Tokens: 3700}},
+		Prompt: 17_000, Output: 120, Goal: 2500 * time.Millisecond, Left: 12 * time.Second,
+	}
+	sent := make(map[string]bool)
+	for range 10 {
+		target, refusal := f.Place("svc", work, nil, monotime.Now())
+		if refusal != placement.Chosen {
+			t.Fatal(refusal)
+		}
+		sent[target.ID] = true
+		run, _ := f.Begin(target, work, monotime.Now())
+		f.FirstEvent(run, monotime.Now())
+		f.End(run, monotime.Now())
+	}
+	if len(sent) > 1 {
+		t.Errorf("ten requests with the same start went to %d engines", len(sent))
+	}
+}
+
 func TestPlacementJitterByAgeAndFleetSize(t *testing.T) {
 	for _, c := range []struct {
 		age       time.Duration
-		instances int
+		instances float64
 		want      float64
 	}{{0, 1, startupJitter}, {startupTime, 1, 0}, {startupTime, instancesWithoutJitter, 0}, {startupTime, 66, 0.1}, {0, 166, 0.3}} {
 		if got := placementJitter(c.age, c.instances); got != c.want {
-			t.Errorf("after %v with %d instances: %v, want %v", c.age, c.instances, got, c.want)
+			t.Errorf("after %v with %v instances: %v, want %v", c.age, c.instances, got, c.want)
 		}
 	}
 }
--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -52,7 +52,7 @@
 		g.peers.tick(monotime.Now())
 		instances := g.peers.memberCount()
 		g.fleet.board.SetPeers(instances-1, g.peers.staleness())
-		g.fleet.board.SetCostJitter(placementJitter(monotime.Now().Sub(g.started), instances))
+		g.fleet.board.SetCostJitter(jitterOf(monotime.Now().Sub(g.started), instances))
 		if n%ticksPerSweep == 0 {
 			g.relay.Sweep(g.fleet.hasServer)
 			g.fleet.crashes.expire(monotime.Now())
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -20,22 +20,12 @@
 	if published == nil {
 		return relay.Target{}, placement.NoneReachable
 	}
-	f.mu.Lock()
-	list, sources := f.byService[service], f.sources[service]
-	f.mu.Unlock()
-	candidates, atLimit := f.candidates(list, published, &work, excluded, now)
-	if len(candidates) == 0 && atLimit {
+	list := f.serverList(service)
+	filter := f.newFilter(list, published, &work, excluded, now)
+	choice, refusal := f.board.ChooseFrom(work, list.pool, list.sourcePool, filter.allows, now)
+	if refusal == placement.NoneReachable && filter.allowed == 0 && filter.atLimit {
 		return relay.Target{}, placement.AllLimited
 	}
-	for _, s := range sources {
-		if !f.regions.allow(work.AllowedRegions, s.DataCentre) {
-			continue
-		}
-		source := candidate(s, published)
-		source.SourceOnly = true
-		candidates = append(candidates, source)
-	}
-	choice, refusal := f.board.Choose(work, candidates, now)
 	if refusal != placement.Chosen {
 		return relay.Target{Choice: choice}, refusal
 	}
@@ -44,12 +34,12 @@
 		MaxConns: f.connectionShare(published.MaxConns),
 		EntryAge: now.Sub(f.confirmedAt()),
 	}
-	if s, ok := find(list, choice.Server); ok {
+	if s, ok := find(list.accepting, choice.Server); ok {
 		target.Server = s
 	}
-	if s, ok := find(list, choice.FetchFrom); ok {
+	if s, ok := find(list.accepting, choice.FetchFrom); ok {
 		target.FetchFrom = s.Address
-	} else if s, ok := find(sources, choice.FetchFrom); ok {
+	} else if s, ok := find(list.sources, choice.FetchFrom); ok {
 		target.FetchFrom = s.Address
 	}
 	return target, placement.Chosen
@@ -59,9 +49,7 @@
 // whose updates were in transit when it began, are no sign that a server is reachable:
 // callers would retry during the outage.
 func (f *fleet) Serving(service string, now monotime.Instant) bool {
-	f.mu.Lock()
-	list := f.byService[service]
-	f.mu.Unlock()
+	list := f.serverList(service).accepting
 	cutoff := never
 	if since, outage := f.outages.outageSince(service, len(list)); outage {
 		cutoff = since.Add(updateTravelTime)
@@ -89,22 +77,41 @@
 	return list[i], true
 }
 
-// candidates returns the servers of a list that a request may go to now, and whether some
-// are left out because they are at their limit.
-func (f *fleet) candidates(list []servers.Server, service *routing.Service, work *placement.Work, excluded map[string]bool, now monotime.Instant) (out []placement.Candidate, atLimit bool) {
+// filter decides which servers a request may go to now.
+type filter struct {
+	fleet    *fleet
+	work     *placement.Work
+	excluded map[string]bool
+	request  throttle.Request
+	now      monotime.Instant
+	// allowed is the number of servers found to be allowed, and atLimit whether some were
+	// not because they are at their limit.
+	allowed int
+	atLimit bool
+}
+
+func (f *fleet) newFilter(list *serverList, service *routing.Service, work *placement.Work, excluded map[string]bool, now monotime.Instant) *filter {
 	request := f.limiterRequest(service.Name, work, now)
-	request.AllLimited = f.allLimited(list, request, now)
-	out = make([]placement.Candidate, 0, len(list))
-	for _, s := range list {
-		switch {
-		case excluded[s.ID], !f.regions.allow(work.AllowedRegions, s.DataCentre):
-		case !f.throttle.Allows(s.ID, request, now):
-			atLimit = true
-		default:
-			out = append(out, candidate(s, service))
-		}
-	}
-	return out, atLimit
+	request.AllLimited = f.allLimited(list.accepting, request, now)
+	return &filter{fleet: f, work: work, excluded: excluded, request: request, now: now}
+}
+
+// allows reports whether the request may go to a candidate or, for one that takes no
+// requests, fetch from it.
+func (a *filter) allows(c *placement.Candidate) bool {
+	switch {
+	case !a.fleet.regions.allow(a.work.AllowedRegions, c.DataCentre):
+		return false
+	case c.SourceOnly:
+		return true
+	case a.excluded[c.ID]:
+		return false
+	case !a.fleet.throttle.Allows(c.ID, a.request, a.now):
+		a.atLimit = true
+		return false
+	}
+	a.allowed++
+	return true
 }
 
 // limiterRequest returns what the limiter is asked for a request.
@@ -162,9 +169,10 @@
 	return max(minConnections, maxConns/max(1, f.memberCount()))
 }
 
+// candidate returns a server as a candidate for placement; service may be nil.
 func candidate(s servers.Server, service *routing.Service) placement.Candidate {
 	c := placement.Candidate{ID: s.ID, Service: s.Service, DataCentre: s.DataCentre, Slots: s.Slots}
-	if service.Engine != nil {
+	if service != nil && service.Engine != nil {
 		c.MemoryTokens = service.Engine.MemoryTokens
 		c.EventTokens = service.Engine.EventTokens
 		c.TokenBytes = service.Engine.TokenBytes
--- /dev/null
+++ b/internal/gateway/serverlist.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"basilrudder/internal/placement"
+	"basilrudder/internal/routing"
+	"basilrudder/internal/servers"
+)
+
+// serverList holds the usable servers of one service. It is immutable.
+type serverList struct {
+	// accepting are the servers that accept requests, and sources those of evacuated data
+	// centres, from which data may be fetched; both by id.
+	accepting, sources []servers.Server
+	// pool and sourcePool are the same for placement.
+	pool, sourcePool *placement.Pool
+}
+
+// noServers is the list of a service without servers.
+var noServers = &serverList{pool: placement.NewPool(nil)}
+
+// serverList returns the servers of a service.
+func (f *fleet) serverList(service string) *serverList {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if list := f.serverLists()[service]; list != nil {
+		return list
+	}
+	return noServers
+}
+
+// acceptingServers returns the servers of all services that accept requests.
+func (f *fleet) acceptingServers() []servers.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []servers.Server
+	for _, list := range f.serverLists() {
+		out = append(out, list.accepting...)
+	}
+	return out
+}
+
+// serverLists returns the lists of all services, of the published ones if there is a
+// configuration. They are built when they are first needed after a change: in a fleet that
+// replaces its servers there are many times more changes than requests. mu is held.
+func (f *fleet) serverLists() map[string]*serverList {
+	if f.lists != nil {
+		return f.lists
+	}
+	table := f.table.Load()
+	published := func(service string) bool { return table == nil || table.Service(service) != nil }
+	lists := make(map[string]*serverList)
+	of := func(service string) *serverList {
+		if lists[service] == nil {
+			lists[service] = &serverList{}
+		}
+		return lists[service]
+	}
+	for _, s := range f.registry.Accepting(published) {
+		list := of(s.Service)
+		list.accepting = append(list.accepting, s)
+	}
+	for _, s := range f.registry.EvacuatedServers(published) {
+		list := of(s.Service)
+		list.sources = append(list.sources, s)
+	}
+	for name, list := range lists {
+		list.fillPools(publishedService(table, name))
+	}
+	f.lists = lists
+	return lists
+}
+
+func publishedService(table *routing.Table, name string) *routing.Service {
+	if table == nil {
+		return nil
+	}
+	return table.Service(name)
+}
+
+func (l *serverList) fillPools(service *routing.Service) {
+	candidates := make([]placement.Candidate, 0, len(l.accepting))
+	for _, s := range l.accepting {
+		candidates = append(candidates, candidate(s, service))
+	}
+	l.pool = placement.NewPool(candidates)
+	sources := make([]placement.Candidate, 0, len(l.sources))
+	for _, s := range l.sources {
+		source := candidate(s, service)
+		source.SourceOnly = true
+		sources = append(sources, source)
+	}
+	l.sourcePool = placement.NewPool(sources)
+}
--- a/internal/gateway/serverstate.go
+++ b/internal/gateway/serverstate.go
@@ -4,7 +4,6 @@
 	"go.uber.org/zap"
 
 	"basilrudder/internal/monotime"
-	"basilrudder/internal/routing"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/servers"
 )
@@ -62,17 +61,6 @@
 	return ok
 }
 
-// acceptingServers returns the servers of all services that accept requests.
-func (f *fleet) acceptingServers() []servers.Server {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []servers.Server
-	for _, list := range f.byService {
-		out = append(out, list...)
-	}
-	return out
-}
-
 // serverCount returns the number of servers with a live entry, including those of
 // evacuated data centres: an instance that may send to none of them still answers
 // callers.
@@ -95,7 +83,7 @@
 		f.mu.Unlock()
 		return
 	}
-	f.rebuildServerLists(f.table.Load())
+	f.lists = nil
 	f.digest.Store(int64(f.registry.Digest() >> 1))
 	f.rateLimitedCount.Store(int64(len(f.registry.RateLimited())))
 	states := make([]wire.RelayServer, 0, len(ids))
@@ -163,17 +151,3 @@
 		f.throttle.ClearRateLimit(state.ID)
 	}
 }
-
-// rebuildServerLists rebuilds byService and sources for the services of a table, or for
-// all services if the table is nil. mu is held.
-func (f *fleet) rebuildServerLists(table *routing.Table) {
-	published := func(service string) bool { return table == nil || table.Service(service) != nil }
-	f.byService = make(map[string][]servers.Server)
-	for _, s := range f.registry.Accepting(published) {
-		f.byService[s.Service] = append(f.byService[s.Service], s)
-	}
-	f.sources = make(map[string][]servers.Server)
-	for _, s := range f.registry.EvacuatedServers(published) {
-		f.sources[s.Service] = append(f.sources[s.Service], s)
-	}
-}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,7 +27,9 @@
 type Board struct {
 	prior      pace.Pace
 	dataCentre string // data centre of this instance
-	costJitter float64
+	// costJitter returns the maximum random amount added to the cost of each server of a
+	// choice that considers a share of the servers.
+	costJitter func(share float64) float64
 
 	mu         sync.Mutex
 	rand       *rand.Rand
@@ -34,6 +37,8 @@
 	servers    map[string]*server
 	kinds      map[string]*engineKind // by service
 	runs       map[RunID]*run
+	// holders are the engines assumed to cache a part of a prompt that requests share.
+	holders map[string][]*server
 	// partUsedAt is when each part of a prompt was last sent to any server.
 	partUsedAt map[string]monotime.Instant
 	// gapLimitUsedAt is when each limit of pauses (Work.MaxGap) was last used.
@@ -55,7 +60,9 @@
 		prior:          prior,
 		dataCentre:     dataCentre,
 		rand:           newRand(),
+		costJitter:     func(float64) float64 { return 0 },
 		servers:        make(map[string]*server),
+		holders:        make(map[string][]*server),
 		kinds:          make(map[string]*engineKind),
 		runs:           make(map[RunID]*run),
 		partUsedAt:     make(map[string]monotime.Instant),
@@ -72,9 +79,9 @@
 }
 
 // SetCostJitter sets the maximum random amount that is added to the cost of each server
-// at each choice. Without it, instances that receive each other's choices late would all
-// choose the same server.
-func (b *Board) SetCostJitter(jitter float64) {
+// at each choice, given the share of the servers that the choice considers. Without it,
+// instances that receive each other's choices late would all choose the same server.
+func (b *Board) SetCostJitter(jitter func(share float64) float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.costJitter = jitter
@@ -135,6 +142,9 @@
 	for runID := range s.runs {
 		delete(b.runs, runID)
 	}
+	for part := range s.cache.byID {
+		b.removeHolder(part, s)
+	}
 	delete(b.servers, id)
 }
 
@@ -175,12 +185,42 @@
 	b.runs[id] = r
 	s.holdMemory(&r.work)
 	s.streamCounts.add(r)
-	s.cache.add(work.Parts, readTo, int(cacheShare*float64(s.memory)))
+	b.cacheParts(s, work.Parts, readTo)
+	b.addHolder(work.Parts[:max(0, len(work.Parts)-1)], s)
 	for _, part := range work.Parts {
 		b.partUsedAt[part.ID] = now
 	}
 }
 
+// cacheParts records that an engine caches parts which have been read at readyAt.
+func (b *Board) cacheParts(s *server, parts []Part, readyAt monotime.Instant) {
+	for _, evicted := range s.cache.add(parts, readyAt, int(cacheShare*float64(s.memory))) {
+		b.removeHolder(evicted, s)
+	}
+}
+
+// addHolder records an engine as caching parts that requests share.
+func (b *Board) addHolder(parts []Part, s *server) {
+	for _, part := range parts {
+		held := b.holders[part.ID]
+		if len(held) < maxKnownHolders && s.cache.has(part.ID) && !slices.Contains(held, s) {
+			b.holders[part.ID] = append(held, s)
+		}
+	}
+}
+
+func (b *Board) removeHolder(part string, s *server) {
+	held := b.holders[part]
+	i := slices.Index(held, s)
+	switch {
+	case i < 0:
+	case len(held) == 1:
+		delete(b.holders, part)
+	default:
+		b.holders[part] = slices.Delete(held, i, i+1)
+	}
+}
+
 // RecordCachedParts records that an engine has cached parts, least recently used first.
 func (b *Board) RecordCachedParts(serverID string, parts []Part, now monotime.Instant) {
 	b.mu.Lock()
@@ -188,8 +228,9 @@
 	s := b.server(Candidate{ID: serverID})
 	s.cacheReported = true
 	for _, part := range parts {
-		s.cache.add([]Part{part}, now, int(cacheShare*float64(s.memory)))
+		b.cacheParts(s, []Part{part}, now)
 	}
+	b.addHolder(parts, s)
 }
 
 // CacheReported reports whether an engine or a peer has reported the cached parts of the
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -28,8 +28,9 @@
 
 // add records a use of parts that will have been read at readyAt, and evicts the least
 // recently used parts beyond capacity tokens (0 for no limit). The last part belongs to
-// one request or session and is cached too, as the session may send another request.
-func (c *partCache) add(parts []Part, readyAt monotime.Instant, capacity int) {
+// one request or session and is cached too, as the session may send another request. It
+// returns the ids of the evicted parts.
+func (c *partCache) add(parts []Part, readyAt monotime.Instant, capacity int) (evicted []string) {
 	for i := len(parts) - 1; i >= 0; i-- {
 		part := parts[i]
 		if at := c.byID[part.ID]; at != nil {
@@ -44,7 +45,9 @@
 		part := c.order.Remove(oldest).(*cachedPart)
 		delete(c.byID, part.ID)
 		c.tokens -= part.Tokens
+		evicted = append(evicted, part.ID)
 	}
+	return evicted
 }
 
 // ready records that parts have been read by now.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -80,35 +80,49 @@
 func (b *Board) Choose(work Work, candidates []Candidate, now monotime.Instant) (Choice, Refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.begin(&work, now)
+	choice, refusal := b.choose(&work, candidates, 1, now)
+	if refusal == AllFull {
+		b.recordRefusal(&work, now)
+	}
+	return choice, refusal
+}
+
+// begin prepares a choice for work.
+func (b *Board) begin(work *Work, now monotime.Instant) {
 	b.sweep(now)
 	if work.Prompt > 0 {
 		b.goals[work.kind()] = work.Goal
 	}
-	found := b.survey(&work, candidates, now)
+}
+
+// choose is Choose without the count of refusals. The candidates are the given share of
+// the servers.
+func (b *Board) choose(work *Work, candidates []Candidate, share float64, now monotime.Instant) (Choice, Refusal) {
+	found := b.survey(work, candidates, now)
 	if len(found.accepting) == 0 {
 		return Choice{}, NoneReachable
 	}
-	considered, refused := b.admit(found.available, found.preemptable, &work, now)
+	considered, refused := b.admit(found.available, found.preemptable, work, share, now)
 	if len(considered) == 0 {
-		b.recordRefusal(&work, now)
 		return refused, AllFull
 	}
-	best := b.cheapest(considered, found.reachable, &work, now)
+	best := b.cheapest(considered, found.reachable, work, share, now)
 	chosen := b.servers[best.Server]
 	if chosen.memory == 0 {
 		return best, Chosen
 	}
 	best.Preempts = best.Running >= chosen.slots
-	best.Ahead = chosen.queue.promptsAhead(&work, chosen.begun+1)
+	best.Ahead = chosen.queue.promptsAhead(work, chosen.begun+1)
 	if best.notWorthwhile() && best.Running > 0 && chosen.kind.hasEnoughSamples() {
 		return best, NotWorthwhile
 	}
 	if work.Waited > 0 && minSpeedup*best.First > work.Waited {
 		return best, NotWorthwhile
 	}
-	if reserved := b.reservedSlots(&work, best.End-best.First, now); float64(found.free) < reserved {
-		b.recordRefusal(&work, now)
-		return Choice{Free: found.free, Reserved: int(reserved)}, AllFull
+	free := float64(found.free) / share
+	if reserved := b.reservedSlots(work, best.End-best.First, now); free < reserved {
+		return Choice{Free: int(free), Reserved: int(reserved)}, AllFull
 	}
 	return best, Chosen
 }
@@ -169,7 +183,7 @@
 }
 
 // cheapest returns the choice with the lowest cost among the considered servers.
-func (b *Board) cheapest(considered []availableServer, reachable []*server, work *Work, now monotime.Instant) Choice {
+func (b *Board) cheapest(considered []availableServer, reachable []*server, work *Work, share float64, now monotime.Instant) Choice {
 	from := bestSource(reachable, work, now)
 	b.meanRead = meanReadShare(considered, now)
 	b.meanUrgent = mean(considered, func(s *server) float64 { return s.queue.moreUrgentShare(work.Priority, now) })
@@ -177,10 +191,11 @@
 	if work.MaxGap > 0 {
 		b.meanHazard = mean(considered, func(s *server) float64 { return s.hazards[work.MaxGap].perSecond(now) })
 	}
+	jitter := b.costJitter(share)
 	best := Choice{Cost: math.Inf(1)}
 	for i, s := range considered {
 		choice := b.evaluate(s, work, from, now)
-		choice.Cost += b.costJitter * b.rand.Float64()
+		choice.Cost += jitter * b.rand.Float64()
 		if i == 0 || choice.Cost < best.Cost {
 			best = choice
 		}
--- a/internal/placement/contention.go
+++ b/internal/placement/contention.go
@@ -168,7 +168,9 @@
 // retry. In a burst that fills 140 engines of 16 slots, 13 of 100 requests go to an
 // engine with 14 or more in place of 73, and engines preempt 212 requests in place of
 // 722.
-func (b *Board) admit(open, preemptable []availableServer, work *Work, now monotime.Instant) ([]availableServer, Choice) {
+//
+// The servers are the given share of those that all instances choose from.
+func (b *Board) admit(open, preemptable []availableServer, work *Work, share float64, now monotime.Instant) ([]availableServer, Choice) {
 	if work.Prompt == 0 {
 		return open, Choice{}
 	}
@@ -178,7 +180,7 @@
 		}
 		return open, Choice{}
 	}
-	unreported, free := b.contention.unreported(work.Priority, now), 0
+	unreported, free := share*b.contention.unreported(work.Priority, now), 0
 	for _, s := range open {
 		if s.memory == 0 {
 			return open, Choice{} // not an engine: requests wait for a slot
@@ -193,7 +195,7 @@
 		free += s.freeSlots
 	}
 	if b.rand.Float64()*unreported >= float64(free) {
-		return nil, Choice{Free: free, Unreported: int(unreported)}
+		return nil, Choice{Free: int(float64(free) / share), Unreported: int(unreported / share)}
 	}
 	out := b.cacheHolders(open, work)
 	for range draws {
--- /dev/null
+++ b/internal/placement/shortlist.go
@@ -0,0 +1,208 @@
+package placement
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"basilrudder/internal/monotime"
+)
+
+// In a large pool most engines are alike to a request: idle, without its prompt. A choice
+// therefore considers the engines that cache the start of the prompt, the homes of the
+// prompt, on which all instances agree without a message, and a random sample of the
+// others, which grows while nothing suitable is found. The work of a choice is bounded,
+// whatever the size of the pool.
+
+const (
+	// maxWholePool is the largest pool of which every server is considered.
+	maxWholePool = 256
+	// maxHolders is the number of engines considered for caching the start of a prompt,
+	// and maxKnownHolders the number recorded for each part of a prompt.
+	maxHolders, maxKnownHolders = 8, 64
+	// homes is the number of engines considered as homes of a prompt in the own data
+	// centre, and again in the whole pool.
+	homes = 2
+	// firstSample is the number of other servers considered at first, and maxSample the
+	// largest number; each sample is sampleGrowth times as large as the one before. If
+	// none of maxSample random servers has a free slot, fewer than one in a hundred has
+	// one, with a probability of 0.99.
+	firstSample, sampleGrowth, maxSample = 32, 4, 512
+	// otherDataCentres is the divisor of a sample taken from the whole pool; the rest is
+	// taken from the own data centre.
+	otherDataCentres = 4
+	// minSatisfactory is the share of a request's weight from which on an engine that
+	// caches its prompt, or its home, is taken without a look at others. That is so only
+	// for prompts that share at least minFetchTokens: shorter ones are read soon
+	// anywhere, and those of all callers may begin alike.
+	minSatisfactory = 0.9
+)
+
+// ChooseFrom is Choose among the servers of a pool for which allowed holds. Parts of a
+// prompt may also be fetched from the servers of sources, which may be nil and whose
+// candidates are marked SourceOnly.
+func (b *Board) ChooseFrom(work Work, pool, sources *Pool, allowed func(*Candidate) bool, now monotime.Instant) (Choice, Refusal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.begin(&work, now)
+	list := newShortlist(pool, allowed)
+	if pool.Len() <= maxWholePool {
+		list.addAll()
+		list.addSources(sources)
+		return b.decide(&work, list, now)
+	}
+	b.addHolders(list, sources, &work)
+	b.addHomes(list, &work)
+	if work.sharedTokens() >= minFetchTokens {
+		choice, refusal := b.choose(&work, list.candidates, list.share(), now)
+		if refusal == Chosen && choice.satisfactory(&work) {
+			return choice, refusal
+		}
+	}
+	offset := b.rand.Uint64()
+	for sample := firstSample; sample < maxSample; sample *= sampleGrowth {
+		b.addSample(list, sample, offset)
+		if choice, refusal := b.choose(&work, list.candidates, list.share(), now); refusal == Chosen {
+			return choice, refusal
+		}
+	}
+	b.addSample(list, maxSample, offset)
+	if list.accepting == 0 {
+		list.addAll()
+	}
+	return b.decide(&work, list, now)
+}
+
+// decide is choose with the final list: a refusal counts.
+func (b *Board) decide(work *Work, list *shortlist, now monotime.Instant) (Choice, Refusal) {
+	choice, refusal := b.choose(work, list.candidates, list.share(), now)
+	if refusal == AllFull {
+		b.recordRefusal(work, now)
+	}
+	return choice, refusal
+}
+
+// sharedTokens returns the length of the start of the prompt that other requests may share.
+func (w *Work) sharedTokens() int {
+	tokens := 0
+	for _, part := range w.Parts[:max(0, len(w.Parts)-1)] {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+// satisfactory reports whether a request probably loses little by the choice.
+func (c *Choice) satisfactory(work *Work) bool {
+	return !c.Preempts && c.Value >= minSatisfactory*work.weight()
+}
+
+// addHolders adds engines that cache the longest starts of a prompt.
+func (b *Board) addHolders(list *shortlist, sources *Pool, work *Work) {
+	for i := len(work.Parts) - 2; i >= 0; i-- {
+		held := b.holders[work.Parts[i].ID]
+		offset := b.rand.IntN(max(1, len(held)))
+		for n := range held {
+			if len(list.candidates) >= maxHolders {
+				return
+			}
+			s := held[(offset+n)%len(held)]
+			if !list.addID(s.id) {
+				list.addSource(sources, s.id)
+			}
+		}
+	}
+}
+
+// addHomes adds the homes of a prompt with a shared start.
+func (b *Board) addHomes(list *shortlist, work *Work) {
+	if len(work.Parts) < 2 {
+		return
+	}
+	key := xxhash.Sum64String(work.Parts[0].ID)
+	for _, r := range []ring{list.pool.byDataCentre[b.dataCentre], list.pool.all} {
+		list.addFrom(r, key, homes)
+	}
+}
+
+// addSample adds so many servers from an offset that differs by request, most of them of
+// the own data centre.
+func (b *Board) addSample(list *shortlist, size int, offset uint64) {
+	local := list.pool.byDataCentre[b.dataCentre]
+	list.addFrom(local, offset, size-size/otherDataCentres)
+	list.addFrom(list.pool.all, offset, size-min(len(local), size-size/otherDataCentres))
+}
+
+// shortlist is the list of servers that a choice considers.
+type shortlist struct {
+	pool       *Pool
+	allowed    func(*Candidate) bool
+	candidates []Candidate
+	// looked holds the indexes in the pool of the servers looked at, allowed or not.
+	looked map[int]bool
+	// accepting is the number of candidates that take requests.
+	accepting int
+}
+
+func newShortlist(pool *Pool, allowed func(*Candidate) bool) *shortlist {
+	return &shortlist{pool: pool, allowed: allowed, looked: make(map[int]bool)}
+}
+
+// share returns the part of the pool that was looked at.
+func (l *shortlist) share() float64 {
+	return float64(max(1, len(l.looked))) / float64(max(1, l.pool.Len()))
+}
+
+func (l *shortlist) addAll() {
+	for i := range l.pool.Len() {
+		l.add(i)
+	}
+}
+
+// addFrom adds the servers at n places of a ring, beginning at a hash.
+func (l *shortlist) addFrom(r ring, hash uint64, n int) {
+	if len(r) == 0 {
+		return
+	}
+	position := r.from(hash)
+	for i := range min(n, len(r)) {
+		l.add(r.at(position, i))
+	}
+}
+
+// add adds a server of the pool if it is allowed and not listed yet.
+func (l *shortlist) add(index int) {
+	if l.looked[index] {
+		return
+	}
+	l.looked[index] = true
+	c := &l.pool.candidates[index]
+	if l.allowed(c) {
+		l.candidates = append(l.candidates, *c)
+		l.accepting++
+	}
+}
+
+// addID adds a server by its id. It reports whether the pool has it.
+func (l *shortlist) addID(id string) bool {
+	i, ok := l.pool.index[id]
+	if ok {
+		l.add(i)
+	}
+	return ok
+}
+
+func (l *shortlist) addSources(sources *Pool) {
+	if sources == nil {
+		return
+	}
+	for i := range sources.candidates {
+		l.addSource(sources, sources.candidates[i].ID)
+	}
+}
+
+// addSource adds a server that parts may be fetched from, if sources has it.
+func (l *shortlist) addSource(sources *Pool, id string) {
+	c, ok := sources.find(id)
+	if !ok || !l.allowed(c) {
+		return
+	}
+	l.candidates = append(l.candidates, *c)
+}
