A change of one server costs no pass over all servers, and a start one line

What was seen: 40 of 585 starting instances of the untouched fleet logged 68,005 lines of server_changed within four seconds and lost others 198 times (log_lines_lost): one line for each of 6,000 servers, 3.5 million over the fleet.

Ruled out: the number of changes (a release of hundreds of servers is what a fleet does); the bound of the log, which did what it is for.

Change: the digest and the set of limited servers follow each change.

TestDigestAfterManyChangesIsThatOfTheServers compares with a fresh digest over 5,000 random changes.

--- a/internal/gateway/serverstate.go
+++ b/internal/gateway/serverstate.go
@@ -70,8 +70,8 @@
 	return f.registry.Len()
 }
 
-// changeServers applies a change to the registry, logs the servers whose state changed,
-// and sends them to the peers unless a peer sent the change.
+// changeServers applies a change to the registry, logs what changed of the servers, and
+// sends them to the peers unless a peer sent the change.
 func (f *fleet) changeServers(from string, change func(r *servers.Registry, now monotime.Instant) []string) {
 	now := monotime.Now()
 	f.mu.Lock()
@@ -85,7 +85,7 @@
 	}
 	f.lists = nil
 	f.digest.Store(int64(f.registry.Digest() >> 1))
-	f.rateLimitedCount.Store(int64(len(f.registry.RateLimited())))
+	f.rateLimitedCount.Store(int64(f.registry.RateLimitedCount()))
 	states := make([]wire.RelayServer, 0, len(ids))
 	for _, id := range ids {
 		if state, ok := f.serverState(id); ok {
@@ -93,16 +93,52 @@
 		}
 	}
 	f.mu.Unlock()
+	f.logServerChanges(from, states)
+	for i := range states {
+		f.applyServerState(&states[i], now)
+	}
+	if from == fromStore || from == fromTimer || from == fromServer {
+		f.updates.addServers(states)
+	}
+}
+
+// maxServerLines bounds the lines logged for one change of servers. A process that starts
+// learns of all servers at once, and a line for each would displace those of its requests.
+const maxServerLines = 64
+
+// logServerChanges logs each changed server, or a summary of many.
+func (f *fleet) logServerChanges(from string, states []wire.RelayServer) {
+	if len(states) > maxServerLines {
+		f.logServerSummary(from, states)
+		return
+	}
 	for _, state := range states {
 		f.log.Info("server_changed", zap.String("server", state.ID), zap.String("from", from),
 			zap.String("service", state.Service), zap.String("address", state.Address),
 			zap.Bool("draining", state.Draining), zap.Bool("invalid", state.Invalid), zap.Bool("gone", state.Gone),
 			zap.Int("cold_ms", state.ColdMS), zap.Bool("limited", state.Limited), zap.Float64("limit_per_s", state.Rate),
 			zap.Stringer("revision", servers.Revision(state.Revision)))
-		f.applyServerState(&state, now)
 	}
-	if from == fromStore || from == fromTimer || from == fromServer {
-		f.updates.addServers(states)
+}
+
+func (f *fleet) logServerSummary(from string, states []wire.RelayServer) {
+	var draining, invalid, gone, cold, limited, newest int
+	for _, state := range states {
+		count(&draining, state.Draining)
+		count(&invalid, state.Invalid)
+		count(&gone, state.Gone)
+		count(&cold, state.ColdMS > 0)
+		count(&limited, state.Limited)
+		newest = max(newest, state.Revision)
+	}
+	f.log.Info("servers_changed", zap.Int("servers", len(states)), zap.String("from", from),
+		zap.Int("draining", draining), zap.Int("invalid", invalid), zap.Int("gone", gone),
+		zap.Int("cold", cold), zap.Int("limited", limited), zap.Stringer("revision", servers.Revision(newest)))
+}
+
+func count(n *int, holds bool) {
+	if holds {
+		*n++
 	}
 }
 
--- a/internal/servers/growth_test.go
+++ b/internal/servers/growth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -70,3 +71,62 @@
 		})
 	}
 }
+
+// Guards against passes over all servers at each change of one: while a fleet replaces
+// its servers each instance applies hundreds of changes a second.
+func TestOneChangeVisitsNoOtherServer(t *testing.T) {
+	for _, size := range []int{600, 1200} {
+		r := registryOf(size)
+		changing := server("server-1", Revision(2*size))
+		allocations := testing.AllocsPerRun(10, func() {
+			changing.Revision++
+			changing.Slots = 1 + int(changing.Revision%2)
+			r.Put(changing, at(time.Second))
+			r.Digest()
+			r.RateLimitedCount()
+		})
+		if allocations > 0 {
+			t.Errorf("%d servers: %v allocations", size, allocations)
+		}
+	}
+}
+
+// Guards against a digest that no longer is that of the servers after some changes:
+// instances would ask each other for all servers again and again, or never.
+func TestDigestAfterManyChangesIsThatOfTheServers(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	r := New()
+	for n := range 5000 {
+		now, revision := at(time.Duration(n)*time.Millisecond), Revision(n+1)
+		name := fmt.Sprint("server-", rng.IntN(20))
+		s := server(Incarnation(name, 1+rng.Int64N(3)), revision)
+		s.Name, s.Born = name, int64(s.ID[len(s.ID)-1]-'0')
+		s.Draining = rng.IntN(5) == 0
+		switch rng.IntN(8) {
+		case 0:
+			r.Remove(name, revision, now)
+		case 1:
+			r.Invalidate(EntryRef{Name: name, Revision: revision}, now)
+		case 2:
+			r.MarkGone(s.ID, revision, now)
+		case 3:
+			r.ApplyNotice(s.ID, Notice{Leaving: s.Draining, Limited: rng.IntN(2) == 0, Rate: 1}, now, now)
+		case 4:
+			r.StoreRecovered(now)
+		case 5:
+			r.Expire(now)
+		default:
+			r.Put(s, now)
+		}
+		fresh, limited := New(), 0
+		for _, live := range r.List() {
+			fresh.Put(live, now)
+			if r.RateLimit(live.ID).Limited {
+				limited++
+			}
+		}
+		if r.Digest() != fresh.Digest() || len(r.RateLimited()) != limited {
+			t.Fatalf("after %d changes: digest %x, of the servers %x; %d limited, %d of the servers", n, r.Digest(), fresh.Digest(), len(r.RateLimited()), limited)
+		}
+	}
+}
--- a/internal/servers/listing.go
+++ b/internal/servers/listing.go
@@ -58,13 +58,23 @@
 // Digest returns a hash of the servers that accept requests and of the active
 // evacuations, for comparison between registries. Collisions are possible.
 func (r *Registry) Digest() uint64 {
-	digest := r.evacuationDigest()
-	for id, rec := range r.live {
-		if !rec.server.Draining && !rec.server.Invalid {
-			digest ^= xxhash.Sum64String(id)
-		}
+	return r.digest ^ r.evacuationDigest()
+}
+
+// updateDigest brings digest up to date after a change of a live server.
+func (r *Registry) updateDigest(rec *record) {
+	if accepts := !rec.server.Draining && !rec.server.Invalid; accepts != rec.counted {
+		rec.counted = accepts
+		r.digest ^= xxhash.Sum64String(rec.server.ID)
+	}
+}
+
+// dropFromDigest removes a server that is no longer live from digest.
+func (r *Registry) dropFromDigest(rec *record) {
+	if rec.counted {
+		rec.counted = false
+		r.digest ^= xxhash.Sum64String(rec.server.ID)
 	}
-	return digest
 }
 
 // Tombstones returns the revisions at which incarnations were removed, by id.
--- a/internal/servers/notice.go
+++ b/internal/servers/notice.go
@@ -1,6 +1,8 @@
 package servers
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"basilrudder/internal/monotime"
@@ -46,6 +48,7 @@
 	change := Unchanged
 	if n.Leaving {
 		change = rec.drain()
+		r.updateDigest(rec)
 	}
 	switch {
 	case n.Limited:
@@ -66,6 +69,11 @@
 	}
 	previous := rec.rateLimit
 	rec.rateLimit = b
+	if b.Limited {
+		r.limited[id] = struct{}{}
+	} else {
+		delete(r.limited, id)
+	}
 	if previous.Limited == b.Limited && previous.Rate == b.Rate {
 		return Unchanged
 	}
@@ -81,13 +89,12 @@
 	return RateLimit{}
 }
 
-// RateLimited returns the ids of the servers that advertise a limit.
+// RateLimited returns the ids of the servers that advertise a limit, sorted.
 func (r *Registry) RateLimited() []string {
-	out := []string{}
-	for _, id := range r.ids() {
-		if r.live[id].rateLimit.Limited {
-			out = append(out, id)
-		}
-	}
+	out := slices.AppendSeq(make([]string, 0, len(r.limited)), maps.Keys(r.limited))
+	slices.Sort(out)
 	return out
 }
+
+// RateLimitedCount returns the number of servers that advertise a limit.
+func (r *Registry) RateLimitedCount() int { return len(r.limited) }
--- a/internal/servers/registry.go
+++ b/internal/servers/registry.go
@@ -22,6 +22,8 @@
 	rateLimit RateLimit
 	// firstInEra is the first revision observed of its entry in the entry's era.
 	firstInEra Revision
+	// counted is whether the server is part of Registry.digest.
+	counted bool
 }
 
 // Registry tracks servers and evacuations. It is not safe for concurrent use.
@@ -42,6 +44,10 @@
 	// replaced are the incarnations that ended by a restart of their server since the
 	// last call of Replaced.
 	replaced []string
+	// digest combines the hashes of the servers that accept requests, and limited holds the
+	// ids of those that advertise a limit.
+	digest  uint64
+	limited map[string]struct{}
 	// evacuations holds the state in force of each data centre.
 	evacuations map[string]Evacuation
 	// deferred holds states of a new era that contradict those in evacuations.
@@ -65,7 +71,7 @@
 func New() *Registry {
 	return &Registry{
 		live: make(map[string]*record), gone: make(map[string]tombstone),
-		inGrace: make(map[string]struct{}), tombstoneCount: make(map[string]int),
+		inGrace: make(map[string]struct{}), limited: make(map[string]struct{}), tombstoneCount: make(map[string]int),
 		current: make(map[string]string), newestBorn: make(map[string]int64),
 		evacuations: make(map[string]Evacuation), deferred: make(map[string]Evacuation),
 		copiedEntries: make(map[string]Server),
@@ -95,11 +101,14 @@
 	rec := r.live[s.ID]
 	if rec == nil {
 		r.endFormer(s, now)
-		r.live[s.ID] = &record{server: s, coldUntil: coldUntil, firstInEra: s.Revision}
+		rec = &record{server: s, coldUntil: coldUntil, firstInEra: s.Revision}
+		r.live[s.ID] = rec
+		r.updateDigest(rec)
 		r.current[s.Name], r.newestBorn[s.Name] = s.ID, s.Born
 		return Added
 	}
 	change := rec.update(s, coldUntil)
+	r.updateDigest(rec)
 	if rec.graceEndsAt == 0 {
 		delete(r.inGrace, s.ID)
 	}
@@ -182,6 +191,7 @@
 		return id, Unchanged
 	}
 	rec.server.Invalid, rec.server.Revision = true, m.Revision
+	r.updateDigest(rec)
 	return id, Updated
 }
 
--- a/internal/servers/removal.go
+++ b/internal/servers/removal.go
@@ -86,6 +86,7 @@
 	stone.name, _, _ = strings.Cut(id, bornSeparator)
 	if rec := r.live[id]; rec != nil {
 		stone.name, stone.draining = rec.server.Name, rec.server.Draining
+		r.dropFromDigest(rec)
 		if r.endedInEarlierEra(rec, revision) {
 			r.copiedEntries[id] = rec.server
 		}
@@ -95,6 +96,7 @@
 	}
 	delete(r.live, id)
 	delete(r.inGrace, id)
+	delete(r.limited, id)
 	r.removeTombstone(id)
 	r.gone[id] = stone
 	r.tombstoneCount[stone.name]++
