overlay: who is reachable and who is a hub is computed after changes only

Ten times a second each instance walked the links of all others, sorted all to choose the hubs, and sorted all ids for the shares of limited servers, with nothing changed.

Ruled out: the interval (silent hubs and dials do depend on time, and are still looked at each time).

Change: links, members and what they report set a mark; without it Refresh leaves the result of the last time. An unknown neighbour is asked for again until it is known, also without a change.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -145,7 +145,9 @@
 func (p *peers) refresh(now monotime.Instant) {
 	p.refreshPending = false
 	effects := p.node.Refresh(now)
-	p.fleet.throttle.SetMembers(p.node.Sharers())
+	if effects.MembersChanged {
+		p.fleet.throttle.SetMembers(p.node.Sharers())
+	}
 	for _, id := range effects.Lost {
 		p.log.Info("instance_lost", zap.String("peer", id))
 		p.fleet.board.InstanceGone(id, now)
--- a/internal/overlay/feed.go
+++ b/internal/overlay/feed.go
@@ -135,6 +135,7 @@
 func (n *Node) mergeLeaving(m *member, update *wire.RelayNews) (changed bool) {
 	changed = update.Leaving && !m.leaving
 	m.leaving = m.leaving || update.Leaving
+	n.topologyChanged = n.topologyChanged || changed
 	return changed
 }
 
@@ -143,6 +144,7 @@
 		return false
 	}
 	m.neighbours = update.Neighbours
+	n.topologyChanged = true
 	return true
 }
 
--- a/internal/overlay/links.go
+++ b/internal/overlay/links.go
@@ -42,10 +42,8 @@
 func (n *Node) LinkTargets(now monotime.Instant) []Target {
 	needed := n.neededLinks(now)
 	var out []Target
-	listed := map[string]bool{n.self.PeerAddress: true}
 	for _, m := range n.list {
 		n.trackDialing(m, needed[m], now)
-		listed[m.PeerAddress] = true
 		if needed[m] || m.linked {
 			out = append(out, Target{ID: m.ID, Address: m.PeerAddress})
 		}
@@ -54,13 +52,18 @@
 		return out
 	}
 	for _, seed := range n.seeds {
-		if !listed[seed] {
+		if seed != n.self.PeerAddress && !n.knowsAddress(seed) {
 			out = append(out, Target{Address: seed})
 		}
 	}
 	return out
 }
 
+// knowsAddress reports whether a member has an address.
+func (n *Node) knowsAddress(address string) bool {
+	return slices.ContainsFunc(n.list, func(m *member) bool { return m.PeerAddress == address })
+}
+
 // SurplusLinks returns the peers whose links have not been needed for a while, neither by
 // this instance nor by the peer, as far as feeds were requested.
 func (n *Node) SurplusLinks(now monotime.Instant) []string {
@@ -136,17 +139,19 @@
 // preference: hubs of its data centre, other hubs, and, if hubs are few, other instances,
 // which may report more hubs.
 func (n *Node) primaryCandidates(now monotime.Instant) []*member {
-	var out, others []*member
+	usableHub := func(m *member) bool { return m.reachable && m.hub && !m.leaving && now >= m.avoidUntil }
+	var out []*member
 	for _, m := range n.list {
-		switch {
-		case m.reachable && m.hub && !m.leaving && now >= m.avoidUntil:
+		if usableHub(m) {
 			out = append(out, m)
-		case m.reachable || n.detachedSince != 0:
-			others = append(others, m)
 		}
 	}
 	if len(out) < hubLinks+maxHubDials {
-		out = append(out, others...)
+		for _, m := range n.list {
+			if !usableHub(m) && (m.reachable || n.detachedSince != 0) {
+				out = append(out, m)
+			}
+		}
 	}
 	preference := func(m *member) int {
 		switch {
--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -70,11 +70,16 @@
 	incarnations map[string]*member
 
 	leaving bool
+	// topologyChanged is set when a link, a member or what it reports has changed since
+	// the last Refresh. Without a change who is reachable and who is a hub stay the same,
+	// and are not computed again.
+	topologyChanged bool
 	// mesh and hub are the role of this instance as of the last Refresh.
 	mesh, hub          bool
 	primary            string // the hub that a subscriber subscribes to
 	detachedSince      monotime.Instant
 	unknownOrigin      bool // an incarnation that is no member's was received
+	unknownNeighbour   bool // a member reports a link to one
 	membersRequestedAt monotime.Instant
 
 	out           outbox
@@ -116,7 +121,7 @@
 // New returns the Node of an instance with no members.
 func New(self wire.RelayMember, seeds []string, now monotime.Instant) *Node {
 	return &Node{
-		self: self, seeds: seeds, mesh: true, detachedSince: now,
+		self: self, seeds: seeds, mesh: true, detachedSince: now, topologyChanged: true,
 		members: make(map[string]*member), incarnations: make(map[string]*member),
 	}
 }
@@ -140,6 +145,7 @@
 	m.dialingSince, m.avoidUntil, m.surplusSince = 0, 0, 0
 	n.detachedSince = 0
 	n.out.newPeers = append(n.out.newPeers, peer)
+	n.topologyChanged = true
 	return replaced
 }
 
@@ -150,6 +156,7 @@
 		return
 	}
 	m.linked = false
+	n.topologyChanged = true
 	m.outFeed, m.inFeed = FeedNone, FeedUnchanged
 	if len(n.Linked()) == 0 {
 		n.detachedSince = now
@@ -157,11 +164,12 @@
 }
 
 // Leave records that this instance is leaving: it no longer acts as a hub.
-func (n *Node) Leave() { n.leaving = true }
+func (n *Node) Leave() { n.leaving, n.topologyChanged = true, true }
 
 // replaceMember makes peer the member of its id, in place of another process's.
 func (n *Node) replaceMember(peer wire.RelayMember) *member {
 	n.removeMember(peer.ID)
+	n.topologyChanged = true
 	m := &member{RelayMember: peer, hash: hash(peer.ID)}
 	m.hubScore = hubScore(n.self.ID, m)
 	n.members[peer.ID] = m
@@ -176,6 +184,7 @@
 	if old == nil {
 		return
 	}
+	n.topologyChanged = true
 	delete(n.members, id)
 	delete(n.incarnations, old.Incarnation)
 	n.list = slices.DeleteFunc(n.list, func(m *member) bool { return m == old })
--- a/internal/overlay/refresh.go
+++ b/internal/overlay/refresh.go
@@ -15,6 +15,8 @@
 
 // Effects are the actions due after a change of the members or links.
 type Effects struct {
+	// MembersChanged is set if Sharers or MemberCount may have changed.
+	MembersChanged bool
 	// Lost are instances that are no longer reachable.
 	Lost []string
 	// FeedRequests are to be sent, each over its peer's link.
@@ -32,22 +34,35 @@
 // called after each change that LinkUp, LinkDown or Receive reports, and periodically.
 func (n *Node) Refresh(now monotime.Instant) Effects {
 	var out Effects
-	out.Lost = n.updateReachable(now)
-	for _, m := range slices.Clone(n.list) {
-		if !m.reachable && !m.linked && now.Sub(m.lostAt) > MemberTTL {
-			n.removeMember(m.ID)
-		}
+	n.removeExpired(now)
+	if n.topologyChanged || n.detachedSince != 0 {
+		n.topologyChanged = false
+		out.MembersChanged = true
+		out.Lost = n.updateReachable(now)
+		n.updateHubs()
 	}
-	n.updateHubs()
 	n.choosePrimary(now)
 	out.FeedRequests = n.updateFeedRequests()
-	if n.unknownOrigin && now.Sub(n.membersRequestedAt) >= membersRequestInterval {
+	if (n.unknownOrigin || n.unknownNeighbour) && now.Sub(n.membersRequestedAt) >= membersRequestInterval {
 		n.unknownOrigin, n.membersRequestedAt = false, now
 		out.RequestMembersFrom = n.anyLinkedPeer()
 	}
 	return out
 }
 
+// removeExpired removes the members that have been unreachable for MemberTTL.
+func (n *Node) removeExpired(now monotime.Instant) {
+	var expired []string
+	for _, m := range n.list {
+		if !m.reachable && !m.linked && now.Sub(m.lostAt) > MemberTTL {
+			expired = append(expired, m.ID)
+		}
+	}
+	for _, id := range expired {
+		n.removeMember(id)
+	}
+}
+
 // updateReachable marks the reachable members and returns those that no longer are. Paths
 // run over this instance's own links and over those that reachable members report. A
 // member is therefore lost only if all peers once linked to it report the link gone or
@@ -69,6 +84,7 @@
 }
 
 func (n *Node) reachableMembers() map[*member]bool {
+	n.unknownNeighbour = false
 	reached := make(map[*member]bool, len(n.members))
 	var queue []*member
 	for _, m := range n.list {
@@ -83,7 +99,7 @@
 		for _, incarnation := range m.neighbours {
 			next := n.incarnations[incarnation]
 			if next == nil {
-				n.unknownOrigin = n.unknownOrigin || incarnation != n.self.Incarnation
+				n.unknownNeighbour = n.unknownNeighbour || incarnation != n.self.Incarnation
 				continue
 			}
 			if !reached[next] {
