overlay: a greeting in a large fleet has a digest in place of all members

What was seen: 40 of 585 starting instances of the untouched fleet logged 2,264 links within four seconds, 57 each; an instance needs three. Each link began with a list of all members from either end, some 150 bytes each: some 33,000 links of up to 585 entries twice over.

Ruled out: the lists as such (an instance has to learn all members once). What opens so many links is not mended here: instances that know few others yet take weak ones for hubs.

Change: above the size of a mesh a greeting has the number and a digest of the members known. An instance that knows others asks for the list, of one peer each 400 ms, as it does for an unknown origin.

--- a/internal/overlay/feed.go
+++ b/internal/overlay/feed.go
@@ -80,6 +80,7 @@
 	out := Receipt{Origin: from, Direct: true, Age: m.clock.excessDelay + milliseconds(update.HeldMS)}
 	if update.Origin == "" {
 		out.Changed = n.mergeMembers(update.Members, now)
+		out.Changed = n.compareMembers(from, update) || out.Changed
 		out.Changed = n.mergeLeaving(m, update) || out.Changed
 		out.Changed = n.mergeNeighbours(m, update) || out.Changed
 		out.RequestedFeed = n.setOutFeed(m, Feed(update.Feed), &out.Changed)
@@ -148,9 +149,39 @@
 	return true
 }
 
-// Greeting returns the first message to a peer over a new link.
+// Greeting returns the first message to a peer over a new link. In a large fleet it has a
+// digest in place of the members: an instance that starts opens some tens of links, and
+// most peers know the members that others have sent it already.
 func (n *Node) Greeting() wire.RelayNews {
-	return wire.RelayNews{Members: n.Reachable(), Neighbours: n.out.sentLinks, Leaving: n.leaving}
+	out := wire.RelayNews{Neighbours: n.out.sentLinks, Leaving: n.leaving}
+	members := n.Reachable()
+	if len(members) <= maxMeshSize {
+		out.Members = members
+		return out
+	}
+	out.MembersKnown, out.MembersDigest = len(members), membersDigest(members)
+	return out
+}
+
+// membersDigest returns a non-negative digest of processes, whatever their order.
+func membersDigest(members []wire.RelayMember) int {
+	var digest uint64
+	for _, m := range members {
+		digest ^= hash(m.Incarnation)
+	}
+	return int(digest >> 1)
+}
+
+// compareMembers notes a peer that knows other members.
+func (n *Node) compareMembers(from string, update *wire.RelayNews) (differ bool) {
+	if update.MembersKnown == 0 {
+		return false
+	}
+	if update.MembersDigest == membersDigest(n.Reachable()) {
+		return false
+	}
+	n.differingPeer = from
+	return true
 }
 
 // setOutFeed records the feed that a peer requests, and returns the feed whose state the
--- a/internal/overlay/growth_test.go
+++ b/internal/overlay/growth_test.go
@@ -84,3 +84,23 @@
 		})
 	}
 }
+
+// Guards against lists of all members over each new link: 585 instances that start at the
+// same moment open some tens of links each, and sent a list of up to 585 over all of them.
+func TestMembersSentInAStartFollowTheFleet(t *testing.T) {
+	const (
+		settle = 3 * time.Second
+		// mostLists is one for each interval in which one may be requested, and some for
+		// the first links, while the fleet is small to all.
+		mostLists = int(settle/membersRequestInterval) + 3
+	)
+	for _, size := range []int{60, min(240, largestFleet)} {
+		net := newNetwork(t, 5, size, everySixth)
+		net.seeds = net.order[:3]
+		net.startAll(settle)
+		checkReachability(t, net)
+		if perInstance := net.memberEntries / size; perInstance > mostLists*size {
+			t.Errorf("%d instances were sent %d members each", size, perInstance)
+		}
+	}
+}
--- a/internal/overlay/network_test.go
+++ b/internal/overlay/network_test.go
@@ -40,6 +40,8 @@
 	// deliveredAt holds when each instance received each run.
 	deliveredAt map[runKey]map[string]monotime.Instant
 	begunAt     map[runKey]monotime.Instant
+	// memberEntries counts the members in all messages.
+	memberEntries int
 }
 
 type runKey struct {
@@ -273,6 +275,9 @@
 	back := other.links[i.member.ID]
 	if updates != nil {
 		i.messages++
+		for n := range updates {
+			i.net.memberEntries += len(updates[n].Members)
+		}
 	}
 	delay := delayBetweenDataCentres
 	if other.member.DataCentre == i.member.DataCentre {
--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -75,11 +75,13 @@
 	// and are not computed again.
 	topologyChanged bool
 	// mesh and hub are the role of this instance as of the last Refresh.
-	mesh, hub          bool
-	primary            string // the hub that a subscriber subscribes to
-	detachedSince      monotime.Instant
-	unknownOrigin      bool // an incarnation that is no member's was received
-	unknownNeighbour   bool // a member reports a link to one
+	mesh, hub        bool
+	primary          string // the hub that a subscriber subscribes to
+	detachedSince    monotime.Instant
+	unknownOrigin    bool // an incarnation that is no member's was received
+	unknownNeighbour bool // a member reports a link to one
+	// differingPeer is the last peer found to know other members; empty for none.
+	differingPeer      string
 	membersRequestedAt monotime.Instant
 
 	out           outbox
--- a/internal/overlay/refresh.go
+++ b/internal/overlay/refresh.go
@@ -43,13 +43,27 @@
 	}
 	n.choosePrimary(now)
 	out.FeedRequests = n.updateFeedRequests()
-	if (n.unknownOrigin || n.unknownNeighbour) && now.Sub(n.membersRequestedAt) >= membersRequestInterval {
-		n.unknownOrigin, n.membersRequestedAt = false, now
-		out.RequestMembersFrom = n.anyLinkedPeer()
-	}
+	out.RequestMembersFrom = n.membersSource(now)
 	return out
 }
 
+// membersSource returns the peer to request all members from now, or the empty string.
+func (n *Node) membersSource(now monotime.Instant) string {
+	if now.Sub(n.membersRequestedAt) < membersRequestInterval {
+		return ""
+	}
+	peer := ""
+	if m := n.members[n.differingPeer]; m != nil && m.linked {
+		peer = m.ID
+	} else if n.unknownOrigin || n.unknownNeighbour {
+		peer = n.anyLinkedPeer()
+	}
+	if peer != "" {
+		n.unknownOrigin, n.differingPeer, n.membersRequestedAt = false, "", now
+	}
+	return peer
+}
+
 // removeExpired removes the members that have been unreachable for MemberTTL.
 func (n *Node) removeExpired(now monotime.Instant) {
 	var expired []string
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -544,6 +544,13 @@
 	// Instances it is linked to, itself among them.
 	Members []RelayMember `json:"m,omitempty,omitzero"`
 
+	// Digest of the members that the sender knows, sent with their number.
+	MembersDigest int `json:"md,omitempty,omitzero"`
+
+	// Number of members that the sender knows, in place of a list of them; 0 if it
+	// sends the list.
+	MembersKnown int `json:"mk,omitempty,omitzero"`
+
 	// The sender has heard of an instance that it does not know and asks for all
 	// members.
 	MembersWanted bool `json:"mw,omitempty,omitzero"`
