Servers are exchanged by the digests of buckets, and few read at a start

What was seen, at 40 of 585 starting instances of the untouched fleet: 65 whole listings of the store ended (each instance reads, and some again); 128,598 lines of server_changed within 18 s and 582 reports of lost lines, three times as many as servers; 193 servers_differ, of which each asks a peer for all servers. In a profile of 80 instances in the first seconds encoding, compressing and decoding of messages are 50%. By reading: each instance that reads the store sent all it read to all others (585 lists of 6,000 servers of some 230 bytes each to 585 instances); each request of a peer was answered with all servers, 1.4 MB in place of the 30 KB that the code assumed; an instance without a hub after 40 ms read the store itself.

Ruled out: a longer pause between requests (a change would arrive later, at any size); compression (the lists are compressed already).

Change: servers are divided into 256 buckets by their id. A request has the digests of the asking instance's buckets, an answer the servers of those that differ, and those with parts that no digest covers (limits, cold). Of a change of more than 256 servers the digest alone goes to all; those that lack the change ask for it, one without servers at once. An instance with a link to others leaves the first read to the six first in rank of those it knows, for up to 600 ms.

Before and after, counted: servers in an answer about two changes of 1,200, 6,000 and 12,000: all of them before; at most 18, 93 and 187 now (TestAPeerIsSentTheServersThatItLacks, its bound is twice the mean of two buckets). TestAWholeListOfServersIsNotSentToAll and TestAnInstanceWithPeersLeavesTheFirstReadToOthers fail before by reading (a list was sent, any instance read). Up to 256 servers a list goes to all as before.

--- a/internal/gateway/evacuations_test.go
+++ b/internal/gateway/evacuations_test.go
@@ -89,10 +89,10 @@
 	if diff := cmp.Diff(want, sent); diff != "" {
 		t.Error("update", diff)
 	}
-	if diff := cmp.Diff(want, p.stateUpdate().Evacuations); diff != "" {
+	if diff := cmp.Diff(want, p.stateUpdate(nil).Evacuations); diff != "" {
 		t.Error("state", diff)
 	}
-	data, err := peer.Encode(&wire.Envelope{News: []wire.RelayNews{p.stateUpdate()}})
+	data, err := peer.Encode(&wire.Envelope{News: []wire.RelayNews{p.stateUpdate(nil)}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,7 +154,7 @@
 	g.fleet.memberCount = g.peers.memberCount
 	g.fleet.confirm = g.storeSync.confirm
 	g.fleet.publish = g.peers.configs.publish
-	g.storeSync.rank, g.storeSync.hasHub = g.peers.rank, g.peers.hasHub
+	g.storeSync.rank, g.storeSync.hasHub, g.storeSync.hasPeer = g.peers.rank, g.peers.hasHub, g.peers.hasPeer
 	g.connectUpdates()
 	g.relay = relay.New(relay.Config{
 		Fleet: g.fleet, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -104,7 +104,7 @@
 	}
 	f.crashes = newCrashTracker(f.updates, f.log)
 	f.resetConfirmations()
-	fd := &storeSync{source: source, fleet: f, log: zap.NewNop(), minWatch: time.Second, answerTimeout: 500 * time.Millisecond, confirming: make(chan struct{}, 1), rank: func() (int, int) { return 0, 1 }, hasHub: func() bool { return false }}
+	fd := &storeSync{source: source, fleet: f, log: zap.NewNop(), minWatch: time.Second, answerTimeout: 500 * time.Millisecond, confirming: make(chan struct{}, 1), rank: func() (int, int) { return 0, 1 }, hasHub: func() bool { return false }, hasPeer: func() bool { return false }}
 	return f, fd, source
 }
 
@@ -269,12 +269,12 @@
 func TestPeerUpdateRemovesServer(t *testing.T) {
 	f, _, _ := newFleet()
 	p := linkedPeers(f, "me")
-	p.applyServers("peer", []wire.RelayServer{{ID: "a", Service: "svc", Address: "x:1", Revision: 3}, {ID: "b", Service: "svc", Address: "y:1", Revision: 4}}, 0)
-	p.applyServers("peer", []wire.RelayServer{{ID: "a", Gone: true, Revision: 8}, {ID: "b", Service: "svc", Address: "y:1", Draining: true, Revision: 9}}, 0)
+	p.applyServers("peer", []wire.RelayServer{{ID: "a", Service: "svc", Address: "x:1", Revision: 3}, {ID: "b", Service: "svc", Address: "y:1", Revision: 4}}, nil, 0)
+	p.applyServers("peer", []wire.RelayServer{{ID: "a", Gone: true, Revision: 8}, {ID: "b", Service: "svc", Address: "y:1", Draining: true, Revision: 9}}, nil, 0)
 	if got := ready(f); len(got) != 0 {
 		t.Errorf("%v still get requests", got)
 	}
-	p.applyServers("late", []wire.RelayServer{{ID: "a", Service: "svc", Address: "x:1", Revision: 3}}, 0)
+	p.applyServers("late", []wire.RelayServer{{ID: "a", Service: "svc", Address: "x:1", Revision: 3}}, nil, 0)
 	if got := ready(f); len(got) != 0 {
 		t.Errorf("%v reappeared after an outdated update", got)
 	}
@@ -651,7 +651,7 @@
 		if len(p.differences) == 0 {
 			t.Error("not noticed")
 		}
-		p.applyServers("r", reader.allServers(), 0)
+		p.applyServers("r", reader.allServers(), nil, 0)
 		if diff := cmp.Diff([]string{"b"}, ready(other)); diff != "" {
 			t.Error(diff)
 		}
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -73,6 +73,6 @@
 	p := linkedPeers(receiver, "follower")
 	return func(update *wire.RelayNews, _ monotime.Instant, _ bool) {
 		receiver.applyEvacuations("peer", decodeEvacuations(update.Evacuations))
-		p.applyServers("peer", update.Servers, servers.Revision(update.ServersListed))
+		p.applyServers("peer", update.Servers, nil, servers.Revision(update.ServersListed))
 	}
 }
--- a/internal/gateway/limited_test.go
+++ b/internal/gateway/limited_test.go
@@ -242,7 +242,7 @@
 		f, _, _ := newFleet()
 		f.installConfig(config(1), fromStore)
 		p := linkedPeers(f, "me")
-		p.applyServers("peer", informed.allServers(), 0)
+		p.applyServers("peer", informed.allServers(), nil, 0)
 		time.Sleep(3 * time.Second)
 		if n := countPlaced(t, f); n > 1 {
 			t.Errorf("%d requests in a second, of a server that takes one in two", n)
@@ -251,10 +251,10 @@
 		damaged := informed.allServers()
 		for _, rate := range []float64{-1, math.NaN(), math.Inf(1)} {
 			damaged[0].Rate, damaged[0].LimitAge = rate, 1
-			p.applyServers("peer", damaged, 0)
+			p.applyServers("peer", damaged, nil, 0)
 		}
 		damaged[0].Rate, damaged[0].LimitAge, damaged[0].Limited = 0, math.MaxInt, false
-		p.applyServers("peer", damaged, 0)
+		p.applyServers("peer", damaged, nil, 0)
 		if got := f.rateLimitedServers(); len(got) != 1 {
 			t.Error("after damaged limits", got)
 		}
@@ -262,7 +262,7 @@
 		sent := monotime.Now()
 		time.Sleep(time.Second)
 		informed.ApplyNotice("a", servers.Notice{}, sent, monotime.Now())
-		p.applyServers("peer", informed.allServers(), 0)
+		p.applyServers("peer", informed.allServers(), nil, 0)
 		if got := f.rateLimitedServers(); len(got) != 0 {
 			t.Error("after its end", got)
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -85,6 +85,9 @@
 	greeting := p.node.Greeting()
 	greeting.ConfigVersion = p.configVersion()
 	greeting.StateWanted = p.needsState() && p.mayRequestState(now)
+	if greeting.StateWanted {
+		greeting.ServerDigests = p.fleet.serverDigests()
+	}
 	p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{greeting}})
 	for list := range slices.Chunk(p.fleet.crashes.encodeAll(now), crashesPerMessage) {
 		p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{{Crashes: list}}})
@@ -320,6 +323,13 @@
 	return p.node.Primary() != ""
 }
 
+// hasPeer reports whether this instance has a link to any other.
+func (p *peers) hasPeer() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.node.Linked()) > 0
+}
+
 // memberCount returns the number of instances that can be reached or could be recently,
 // including this one.
 func (p *peers) memberCount() int {
--- a/internal/gateway/serverstate.go
+++ b/internal/gateway/serverstate.go
@@ -37,20 +37,52 @@
 }
 
 // allServers returns the state of every server and the tombstones of those that are gone.
-// It is sent to a peer that is new or has missed updates.
 func (f *fleet) allServers() []wire.RelayServer {
+	out, _ := f.differingServers(nil)
+	return out
+}
+
+// differingServers returns the state of every server and tombstone of the buckets whose
+// digests differ from the given ones, of the servers whose state has parts that digests
+// do not cover, and those buckets; everything and no buckets if the digests are not those
+// of as many buckets. It is sent to a peer that is new or has missed updates.
+func (f *fleet) differingServers(digests []int) (out []wire.RelayServer, buckets []int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []wire.RelayServer
+	differs := func(string) bool { return true }
+	if len(digests) == servers.Buckets {
+		var differing [servers.Buckets]bool
+		for bucket, own := range f.registry.BucketDigests() {
+			if own != digests[bucket] {
+				differing[bucket] = true
+				buckets = append(buckets, bucket)
+			}
+		}
+		differs = func(id string) bool { return differing[servers.BucketOf(id)] }
+	}
 	for _, s := range f.registry.List() {
-		if state, ok := f.serverState(s.ID); ok {
+		state, ok := f.serverState(s.ID)
+		if ok && (differs(s.ID) || state.Limited || state.ColdMS > 0) {
 			out = append(out, state)
 		}
 	}
 	for id, revision := range f.registry.Tombstones() {
-		out = append(out, wire.RelayServer{ID: id, Gone: true, Revision: int(revision)})
+		if differs(id) {
+			out = append(out, wire.RelayServer{ID: id, Gone: true, Revision: int(revision)})
+		}
 	}
-	return out
+	return out, buckets
+}
+
+// serverDigests returns the digests of the buckets of servers, or nil if there are no
+// servers.
+func (f *fleet) serverDigests() []int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.registry.Len() == 0 {
+		return nil
+	}
+	return f.registry.BucketDigests()
 }
 
 // hasServer reports whether the registry holds a live entry of a server.
@@ -70,6 +102,12 @@
 	return f.registry.Len()
 }
 
+// maxServersSent is the number of changed servers up to which an instance sends their
+// states to all. Of a larger change it sends its digest alone, and instances that lack the
+// change ask for it: all instances that read the store at a start would otherwise send all
+// servers to all others.
+const maxServersSent = 256
+
 // changeServers applies a change to the registry, logs what changed of the servers, and
 // sends them to the peers unless a peer sent the change.
 func (f *fleet) changeServers(from string, change func(r *servers.Registry, now monotime.Instant) []string) {
@@ -97,7 +135,11 @@
 	for i := range states {
 		f.applyServerState(&states[i], now)
 	}
-	if from == fromStore || from == fromTimer || from == fromServer {
+	switch {
+	case from != fromStore && from != fromTimer && from != fromServer:
+	case len(states) > maxServersSent:
+		f.updates.sendStatus()
+	default:
 		f.updates.addServers(states)
 	}
 }
--- a/internal/gateway/serverstate_test.go
+++ b/internal/gateway/serverstate_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/servers"
 )
 
@@ -35,3 +38,104 @@
 		}
 	}
 }
+
+// withServers returns a fleet that has read so many servers from the store.
+func withServers(size int) *fleet {
+	f, _, _ := newFleet()
+	list := make([]servers.Server, 0, size)
+	for n := range size {
+		list = append(list, entry(fmt.Sprint("e", n), servers.Revision(n+1)))
+	}
+	f.changeServers(fromStore, func(r *servers.Registry, now monotime.Instant) []string {
+		return r.Replace(list, nil, servers.Revision(size), now)
+	})
+	return f
+}
+
+// Guards against answers that have all servers when the peer lacks one: with 6,000 servers
+// each was 1.4 MB, and a starting instance asked for one each 400 ms.
+func TestAPeerIsSentTheServersThatItLacks(t *testing.T) {
+	for _, size := range []int{1200, 6000, 12000} {
+		informed, other := withServers(size), withServers(size)
+		put(informed, fromStore, entry("new", servers.Revision(size+1)))
+		informed.changeServers(fromStore, func(r *servers.Registry, now monotime.Instant) []string {
+			id, _ := r.Remove("e7", servers.Revision(size+2), now)
+			return []string{id}
+		})
+		p, q := linkedPeers(informed, "informed"), linkedPeers(other, "other")
+		update := p.stateUpdate(other.serverDigests())
+		if most := 2 * 2 * size / servers.Buckets; len(update.Servers) > most {
+			t.Errorf("%d servers, two changes: %d sent", size, len(update.Servers))
+		}
+		q.applyServers("informed", update.Servers, update.ServerBuckets, servers.Revision(update.ServersListed))
+		if informed.digest.Load() != other.digest.Load() || other.serverCount() != size {
+			t.Errorf("%d servers of %d, digests differ: %v", other.serverCount(), size, informed.digest.Load() != other.digest.Load())
+		}
+		if again := p.stateUpdate(other.serverDigests()); len(again.Servers) != 0 {
+			t.Errorf("%d servers sent to a peer that lacks none", len(again.Servers))
+		}
+		empty, _, _ := newFleet()
+		if all := p.stateUpdate(empty.serverDigests()); len(all.Servers) != size+1 || len(all.ServerBuckets) != 0 {
+			t.Errorf("%d servers sent to an instance without any", len(all.Servers))
+		}
+	}
+}
+
+// Guards against limits that an instance does not learn because the servers that advertise
+// them are the same here and there.
+func TestLimitsAreSentWithEqualServers(t *testing.T) {
+	informed, other := withServers(600), withServers(600)
+	informed.changeServers(fromServer, func(r *servers.Registry, now monotime.Instant) []string {
+		r.ApplyNotice("e3", servers.Notice{Limited: true, Rate: 2}, now, now)
+		return []string{"e3"}
+	})
+	update := linkedPeers(informed, "informed").stateUpdate(other.serverDigests())
+	if len(update.Servers) != 1 || update.Servers[0].ID != "e3" || !update.Servers[0].Limited {
+		t.Errorf("sent: %+v", update.Servers)
+	}
+}
+
+// Guards against a start in which each instance that reads the store sends all servers to
+// all others: with 585 of them each received hundreds of lists of 6,000 servers.
+func TestAWholeListOfServersIsNotSentToAll(t *testing.T) {
+	sent := func(f *fleet) (states int, urgent bool) {
+		f.updates.send = func(own *wire.RelayNews, _ monotime.Instant, now bool) { states, urgent = len(own.Servers), now }
+		f.updates.flush()
+		return states, urgent
+	}
+	if states, urgent := sent(withServers(maxServersSent + 1)); states != 0 || !urgent {
+		t.Errorf("%d servers sent, digest sent at once: %v", states, urgent)
+	}
+	if states, _ := sent(withServers(maxServersSent)); states != maxServersSent {
+		t.Errorf("%d of %d servers sent", states, maxServersSent)
+	}
+	f, _, _ := newFleet()
+	p := linkedPeers(f, "me", wire.RelayMember{ID: "hub"})
+	p.compareServers("hub", &wire.RelayNews{Confirmed: 1, Digest: 7})
+	if p.differences["hub"].requests != 1 {
+		t.Error("an instance without servers does not ask a peer with some")
+	}
+}
+
+// Guards against a start in which all instances read the store.
+func TestAnInstanceWithPeersLeavesTheFirstReadToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, fd, _ := newFleet()
+		fd.started = monotime.Now()
+		fd.hasPeer = func() bool { return true }
+		time.Sleep(hubDiscoveryWait)
+		fd.rank = func() (int, int) { return storeReaders, 40 }
+		if fd.shouldRead() {
+			t.Error("reads although others are before it in rank")
+		}
+		fd.rank = func() (int, int) { return storeReaders - 1, 40 }
+		if !fd.shouldRead() {
+			t.Error("one of the first in rank does not read")
+		}
+		fd.rank = func() (int, int) { return storeReaders, 40 }
+		time.Sleep(hubStateWait)
+		if !fd.shouldRead() {
+			t.Error("does not read although no peer has sent any state")
+		}
+	})
+}
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -46,8 +46,8 @@
 	readCheckInterval    = 100 * time.Millisecond
 	initialCheckInterval = 10 * time.Millisecond
 	// hubDiscoveryWait is how long a process that has just started waits to find out
-	// whether it has a hub, and hubStateWait how long it waits for the hub to send its
-	// state. A link to a seed and one to a hub take some 20 ms. Without the wait, each of
+	// whether it has peers and a hub, and hubStateWait how long it waits for them to send
+	// their state. A link to a seed and one to a hub take some 20 ms. Without the wait, each of
 	// 95 processes that start together would read five pages of the store, and callers
 	// would not be served sooner.
 	hubDiscoveryWait = 40 * time.Millisecond
@@ -80,8 +80,9 @@
 	// rank returns this instance's rank among the instances that can reach each other,
 	// and how many they are.
 	rank func() (place, of int)
-	// hasHub reports whether this instance has a hub that sends it what it lacks.
-	hasHub func() bool
+	// hasHub reports whether this instance has a hub that sends it what it lacks, and
+	// hasPeer whether it has a link to any instance.
+	hasHub, hasPeer func() bool
 	// started is when the process began to follow the store.
 	started monotime.Instant
 }
@@ -121,8 +122,7 @@
 // rank: the readers may have crashed, be disconnected or be refused by the store.
 func (f *storeSync) shouldRead() bool {
 	if f.lacksState() {
-		waited := monotime.Now().Sub(f.started)
-		return waited >= hubStateWait || waited >= hubDiscoveryWait && !f.hasHub()
+		return f.shouldReadFirst()
 	}
 	if place, _ := f.rank(); place < storeReaders {
 		return true
@@ -131,6 +131,22 @@
 	return monotime.Now().Sub(f.fleet.confirmedAt()) > limit
 }
 
+// shouldReadFirst reports whether an instance without state reads the store instead of
+// waiting for a peer. Of instances that start together, each reads that knows few others
+// before it in rank.
+func (f *storeSync) shouldReadFirst() bool {
+	waited := monotime.Now().Sub(f.started)
+	place, _ := f.rank()
+	switch {
+	case waited >= hubStateWait:
+		return true
+	case waited < hubDiscoveryWait, f.hasHub():
+		return false
+	default:
+		return place < storeReaders || !f.hasPeer()
+	}
+}
+
 // lacksState reports whether this instance lacks what it needs to serve any caller.
 func (f *storeSync) lacksState() bool { return f.fleet.Table() == nil || f.fleet.serverCount() == 0 }
 
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,7 +37,7 @@
 	// centre.
 	p.fleet.applyEvacuations(receipt.Origin, decodeEvacuations(update.Evacuations))
 	if len(update.Servers) > 0 {
-		p.applyServers(receipt.Origin, update.Servers, servers.Revision(update.ServersListed))
+		p.applyServers(receipt.Origin, update.Servers, update.ServerBuckets, servers.Revision(update.ServersListed))
 	}
 	p.applyCrashes(receipt.Origin, update, update.Origin == "")
 	p.applyCaches(update)
@@ -52,9 +53,9 @@
 	p.compareServers(from, update)
 	switch {
 	case update.StateWanted:
-		p.sendState(from, p.fleet.cacheStates())
+		p.sendState(from, update.ServerDigests, p.fleet.cacheStates())
 	case update.ServersWanted:
-		p.sendState(from, nil)
+		p.sendState(from, update.ServerDigests, nil)
 	}
 	p.applyConfigStatus(from, update)
 }
@@ -153,6 +154,8 @@
 	}
 	d, differed := p.differences[from]
 	request := differed && now.Sub(d.since) >= differenceDelay<<min(d.requests, maxDelayDoublings)
+	// An instance without servers has no update to wait for.
+	request = request || !differed && p.fleet.serverCount() == 0
 	if !differed || request {
 		d.since = now
 	}
@@ -162,7 +165,7 @@
 	p.differences[from] = d
 	if request && p.mayRequestState(now) {
 		p.log.Info("servers_differ", zap.String("peer", from), zap.Int("confirmed_ms", update.Confirmed-1))
-		p.links.Send(from, &wire.Envelope{News: []wire.RelayNews{{ServersWanted: true}}})
+		p.links.Send(from, &wire.Envelope{News: []wire.RelayNews{{ServersWanted: true, ServerDigests: p.fleet.serverDigests()}}})
 	}
 }
 
@@ -180,10 +183,11 @@
 	return true
 }
 
-// sendState sends a peer that requested them the evacuations, the servers and, as bulk
-// behind all other messages, the cache states of engines.
-func (p *peers) sendState(to string, caches []wire.RelayCache) {
-	state := p.stateUpdate()
+// sendState sends a peer that requested them the evacuations, the servers of the buckets
+// whose digests differ from the peer's and, as bulk behind all other messages, the cache
+// states of engines.
+func (p *peers) sendState(to string, digests []int, caches []wire.RelayCache) {
+	state := p.stateUpdate(digests)
 	if len(state.Evacuations)+len(state.Servers) > 0 {
 		p.links.Send(to, &wire.Envelope{News: []wire.RelayNews{state}})
 	}
@@ -192,11 +196,13 @@
 	}
 }
 
-func (p *peers) stateUpdate() wire.RelayNews {
+func (p *peers) stateUpdate(digests []int) wire.RelayNews {
+	states, buckets := p.fleet.differingServers(digests)
 	return wire.RelayNews{
 		Evacuations:   encodeEvacuations(p.fleet.allEvacuations()),
 		ServersListed: int(p.fleet.listedRevision()),
-		Servers:       p.fleet.allServers(),
+		Servers:       states,
+		ServerBuckets: buckets,
 	}
 }
 
@@ -214,8 +220,8 @@
 
 // applyServers applies the servers that a peer read from the store or received: any
 // instance may be disconnected from the store alone. listed is the revision of the full
-// list that they are; 0 for changes.
-func (p *peers) applyServers(from string, states []wire.RelayServer, listed servers.Revision) {
+// list of which they are the given buckets, or all of it if there are none; 0 for changes.
+func (p *peers) applyServers(from string, states []wire.RelayServer, buckets []int, listed servers.Revision) {
 	p.fleet.changeServers(from, func(r *servers.Registry, now monotime.Instant) (ids []string) {
 		present := make(map[string]bool, len(states))
 		for _, s := range states {
@@ -239,7 +245,10 @@
 			}
 		}
 		if listed != 0 && r.Plausible(listed) {
-			ids = append(ids, r.ApplyPeerList(present, listed, now)...)
+			// Servers of the other buckets are the same here and there.
+			ids = append(ids, r.ApplyPeerList(func(id string) bool {
+				return present[id] || len(buckets) > 0 && !slices.Contains(buckets, servers.BucketOf(id))
+			}, listed, now)...)
 		}
 		return ids
 	})
--- a/internal/gateway/updates_fuzz_test.go
+++ b/internal/gateway/updates_fuzz_test.go
@@ -51,7 +51,7 @@
 			p.node.Refresh(monotime.Now())
 			p.node.Flush(wire.RelayNews{}, 0, true, monotime.Now())
 			fl.applyEvacuations("peer", decodeEvacuations(env.News[i].Evacuations))
-			p.applyServers("peer", env.News[i].Servers, 0)
+			p.applyServers("peer", env.News[i].Servers, env.News[i].ServerBuckets, 0)
 			p.applyCaches(&env.News[i])
 			p.applyPaceStats("peer", &env.News[i])
 			p.applyCrashes("peer", &env.News[i], true)
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -568,6 +568,14 @@
 	// Changes of servers.
 	Servers []RelayServer `json:"s,omitempty,omitzero"`
 
+	// Buckets of which the servers sent are all that the sender knows; none: of all
+	// buckets.
+	ServerBuckets []int `json:"sb,omitempty,omitzero"`
+
+	// Digests of the buckets of servers that the sender knows, sent when it asks for
+	// servers: it lacks those of the buckets that differ. None: it lacks all.
+	ServerDigests []int `json:"sd,omitempty,omitzero"`
+
 	// Revision of a full list of the store; the servers told are all that it holds. 0
 	// when they are only changes.
 	ServersListed int `json:"sl,omitempty,omitzero"`
--- a/internal/servers/era.go
+++ b/internal/servers/era.go
@@ -133,17 +133,17 @@
 	r.listed = max(r.listed, revision)
 }
 
-// ApplyPeerList applies a full list of the store that a peer received; present are the
-// ids of the servers sent in the same message. Entries of earlier eras that are not among
-// them are missing in the store. It returns the ids of what changed.
+// ApplyPeerList applies a full list of the store that a peer received; present reports
+// whether the list has a server. Entries of earlier eras that it does not have are missing
+// in the store. It returns the ids of what changed.
 //
 // An instance that does not read the store has no other way to find them: no peer can
 // report the removal of an entry that no reader ever received.
-func (r *Registry) ApplyPeerList(present map[string]bool, revision Revision, now monotime.Instant) (changed []string) {
+func (r *Registry) ApplyPeerList(present func(id string) bool, revision Revision, now monotime.Instant) (changed []string) {
 	r.observeList(revision, now)
 	for _, id := range r.ids() {
 		s := r.live[id].server
-		if present[id] || s.Revision.Era() >= revision.Era() {
+		if s.Revision.Era() >= revision.Era() || present(id) {
 			continue
 		}
 		if _, change := r.Remove(s.Name, revision, now); change != Unchanged {
--- a/internal/servers/era_test.go
+++ b/internal/servers/era_test.go
@@ -187,7 +187,7 @@
 	r.Put(server("a", 5), at(0))
 	r.Put(server("ghost", 6), at(0))
 	r.Put(server("a", rev(1, 4)), at(time.Second))
-	r.ApplyPeerList(map[string]bool{"a": true}, rev(1, 4), at(time.Second))
+	r.ApplyPeerList(func(id string) bool { return id == "a" }, rev(1, 4), at(time.Second))
 	if diff := cmp.Diff([]string{"a", "ghost"}, acceptingIDs(r)); diff != "" {
 		t.Error("during the grace", diff)
 	}
@@ -413,7 +413,7 @@
 			h.follower.MarkGone(id, revision, h.now)
 		}
 		if m.listed != 0 {
-			h.follower.ApplyPeerList(present, m.listed, h.now)
+			h.follower.ApplyPeerList(func(id string) bool { return present[id] }, m.listed, h.now)
 		}
 	}
 	h.messages = later
--- a/internal/servers/listing.go
+++ b/internal/servers/listing.go
@@ -58,25 +58,51 @@
 // Digest returns a hash of the servers that accept requests and of the active
 // evacuations, for comparison between registries. Collisions are possible.
 func (r *Registry) Digest() uint64 {
-	return r.digest ^ r.evacuationDigest()
+	digest := r.evacuationDigest()
+	for _, bucket := range r.digests {
+		digest ^= bucket
+	}
+	return digest
 }
 
-// updateDigest brings digest up to date after a change of a live server.
+// Buckets is the number of buckets into which servers are divided by a hash of their id.
+// Registries that differ in a few servers then differ in as many buckets. Instances must
+// use the same number.
+const Buckets = 256
+
+// BucketOf returns the bucket of a server.
+func BucketOf(id string) int { return int(xxhash.Sum64String(id) % Buckets) }
+
+// BucketDigests returns a digest of the servers of each bucket that accept requests.
+// Digests are non-negative.
+func (r *Registry) BucketDigests() []int {
+	out := make([]int, 0, Buckets)
+	for _, bucket := range r.digests {
+		out = append(out, int(bucket>>1))
+	}
+	return out
+}
+
+// updateDigest brings the digest of a server's bucket up to date after a change of it.
 func (r *Registry) updateDigest(rec *record) {
 	if accepts := !rec.server.Draining && !rec.server.Invalid; accepts != rec.counted {
-		rec.counted = accepts
-		r.digest ^= xxhash.Sum64String(rec.server.ID)
+		r.toggleDigest(rec)
 	}
 }
 
-// dropFromDigest removes a server that is no longer live from digest.
+// dropFromDigest removes a server that is no longer live from the digest of its bucket.
 func (r *Registry) dropFromDigest(rec *record) {
 	if rec.counted {
-		rec.counted = false
-		r.digest ^= xxhash.Sum64String(rec.server.ID)
+		r.toggleDigest(rec)
 	}
 }
 
+func (r *Registry) toggleDigest(rec *record) {
+	hash := xxhash.Sum64String(rec.server.ID)
+	r.digests[hash%Buckets] ^= hash
+	rec.counted = !rec.counted
+}
+
 // Tombstones returns the revisions at which incarnations were removed, by id.
 func (r *Registry) Tombstones() map[string]Revision {
 	out := make(map[string]Revision, len(r.gone))
--- a/internal/servers/registry.go
+++ b/internal/servers/registry.go
@@ -22,7 +22,7 @@
 	rateLimit RateLimit
 	// firstInEra is the first revision observed of its entry in the entry's era.
 	firstInEra Revision
-	// counted is whether the server is part of Registry.digest.
+	// counted is whether the server is part of Registry.digests.
 	counted bool
 }
 
@@ -44,9 +44,9 @@
 	// replaced are the incarnations that ended by a restart of their server since the
 	// last call of Replaced.
 	replaced []string
-	// digest combines the hashes of the servers that accept requests, and limited holds the
-	// ids of those that advertise a limit.
-	digest  uint64
+	// digests combines, for each bucket, the hashes of its servers that accept requests,
+	// and limited holds the ids of those that advertise a limit.
+	digests [Buckets]uint64
 	limited map[string]struct{}
 	// evacuations holds the state in force of each data centre.
 	evacuations map[string]Evacuation
