--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,8 @@
 	// ticksPerSweep is the number of ticks between runs of the slower tasks, such as
 	// closing idle connections and reading the settings.
 	ticksPerSweep = 10
+	// ticksPerStoreCalls is the number of ticks between lines about calls to the store.
+	ticksPerStoreCalls = 100
 	// headerTimeout and idleTimeout bound a caller's connection. The configured limits
 	// are lower for the header and may change. Keeping a connection longer than they
 	// allow is harmless, but closing it earlier loses a request.
@@ -113,9 +115,11 @@
 	// reload requests an immediate reload of the settings.
 	reload chan struct{}
 	// Used by the periodic task only: the seeds in use, the paces of engines last logged,
-	// by service, and when pace statistics were last sent to peers.
+	// by service, the calls to the store last logged, and when pace statistics were last
+	// sent to peers.
 	seeds           []string
 	loggedPaces     map[string]pace.Pace
+	loggedCalls     StoreCalls
 	paceStatsSentAt monotime.Instant
 }
 
@@ -209,6 +213,7 @@
 	})
 	g.peers.tick(monotime.Now())
 	err = tasks.Wait()
+	g.logStoreCalls()
 	g.cfg.Log.Info("stopped", eventlog.Cause(err))
 	return err
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -75,6 +75,8 @@
 	return nextResult(ctx, &s.watch)
 }
 
+func (s *fakeSource) Calls() StoreCalls { return StoreCalls{} }
+
 func (s *fakeSource) Config(ctx context.Context) (*routing.Config, error) {
 	s.calls = append(s.calls, "config")
 	changes, err := nextResult(ctx, &s.config)
--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -59,7 +59,24 @@
 			g.reloadSettings()
 			g.logPaces()
 		}
+		if n%ticksPerStoreCalls == 0 {
+			g.logStoreCalls()
+		}
+	}
+}
+
+// logStoreCalls logs the calls to the store since the start, if there were any since the
+// last line.
+func (g *Gateway) logStoreCalls() {
+	calls := g.cfg.Source.Calls()
+	if calls == g.loggedCalls {
+		return
 	}
+	g.loggedCalls = calls
+	g.cfg.Log.Info("store_calls",
+		zap.Int64("pages", calls.Pages), zap.Int64("stale_pages", calls.StalePages),
+		zap.Int64("changed_watches", calls.ChangedWatches), zap.Int64("empty_watches", calls.EmptyWatches),
+		zap.Int64("configs", calls.Configs), zap.Int64("failed", calls.Failed))
 }
 
 // checkIsolation marks the instance as isolated if it has neither an answer of the store
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -103,6 +103,8 @@
 	}
 }
 
+func (s *memoryStore) Calls() StoreCalls { return StoreCalls{} }
+
 func (s *memoryStore) Config(context.Context) (*routing.Config, error) {
 	s.call()
 	s.mu.Lock()
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -37,6 +37,19 @@
 	Revision servers.Revision
 }
 
+// StoreCalls counts the calls of a process to the store by what they were for. The store
+// counts each of them, also those that fail.
+type StoreCalls struct {
+	// Pages of listings, and StalePages those of them that may be stale.
+	Pages, StalePages int64
+	// ChangedWatches ended with changes, and EmptyWatches without any.
+	ChangedWatches, EmptyWatches int64
+	// Configs are reads of the configuration alone.
+	Configs int64
+	// Failed calls of any kind, which the other counters do not include.
+	Failed int64
+}
+
 // Source reads the store. The store counts every call.
 type Source interface {
 	// All reads everything: the configuration and every server's entry. Changes after its
@@ -49,4 +62,6 @@
 	Watch(ctx context.Context, after servers.Revision, wait time.Duration) (*Changes, error)
 	// Config reads the newest configuration; nil if there is none yet.
 	Config(ctx context.Context) (*routing.Config, error)
+	// Calls returns the calls made so far. It may be called concurrently with the others.
+	Calls() StoreCalls
 }
