storesync: instances take over reading in the order of their rank

What was seen, by reading: without a confirmation for 1.8 s all instances that do not read the store began to, spread over 0.6 s: with 585 of them some 300 before the first has an answer and the others know of it, each with a listing of 31 pages. After a failure such an instance slept for up to 400 ms for each six instances of the fleet, 39 s at 585, and noticed only then that it had become one of the first in rank: with the readers killed in an outage of the store, the fleet would follow no change meanwhile.

Ruled out: a longer jitter (holds at one size only, and makes small fleets late).

Change: the delay follows the place in rank, 10 ms a place and at most 1.5 s, on which all instances that reach each other agree; one that is cut off is first by itself. The wait after a failure ends when the instance is one of the first.

Before and after, counted: instances that begin within 0.3 s of the first: half of all at any size before, 30 at 585 and 1,200 now (TestFewInstancesTakeOverBeforeTheFirstHasAnAnswer). 16 calls in the 10 s after an instance became a reader in an outage before, more than 20 now (TestAnInstanceThatBecomesAReaderDoesNotWaitOn, fails before). Not seen in a log of the fleet yet.

--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -35,12 +35,17 @@
 	// failure disconnects a third of the machines from the store, at least one reader is
 	// left with a probability of 0.999.
 	storeReaders = 6
-	// takeOverAfter and takeOverJitter bound how long an instance that does not read the
-	// store goes without a confirmation that its version is the newest. The readers
-	// together receive an answer of the store about every half second, and hubs pass the
-	// confirmation on ten times a second.
-	takeOverAfter  = 1800 * time.Millisecond
-	takeOverJitter = 600 * time.Millisecond
+	// takeOverAfter, takeOverStep for each place in rank and takeOverJitter bound how long
+	// an instance that does not read the store goes without a confirmation that its
+	// version is the newest. The readers together receive an answer of the store about
+	// every half second, and hubs pass the confirmation on ten times a second. With the
+	// steps few instances have begun to read when the first of them has an answer,
+	// whatever their number. maxTakeOverSteps bounds the steps, for a fleet in which many
+	// places in rank cannot reach the store.
+	takeOverAfter    = 1800 * time.Millisecond
+	takeOverStep     = 10 * time.Millisecond
+	maxTakeOverSteps = 1500 * time.Millisecond
+	takeOverJitter   = 100 * time.Millisecond
 	// readCheckInterval is the time between checks whether this instance should read the
 	// store, and initialCheckInterval that of a process without any state yet.
 	readCheckInterval    = 100 * time.Millisecond
@@ -124,13 +129,19 @@
 	if f.lacksState() {
 		return f.shouldReadFirst()
 	}
-	if place, _ := f.rank(); place < storeReaders {
+	place, _ := f.rank()
+	if place < storeReaders {
 		return true
 	}
-	limit := takeOverAfter + time.Duration(rand.Int64N(int64(takeOverJitter)))
+	limit := takeOverDelay(place) + time.Duration(rand.Int64N(int64(takeOverJitter)))
 	return monotime.Now().Sub(f.fleet.confirmedAt()) > limit
 }
 
+// takeOverDelay returns how long the instance at a place in rank waits for a confirmation.
+func takeOverDelay(place int) time.Duration {
+	return takeOverAfter + min(time.Duration(place)*takeOverStep, maxTakeOverSteps)
+}
+
 // shouldReadFirst reports whether an instance without state reads the store instead of
 // waiting for a peer. Of instances that start together, each reads that knows few others
 // before it in rank.
@@ -296,11 +307,23 @@
 	// as usual and inform the others when it has recovered, so the others may try rarely,
 	// in proportion to their number.
 	if place, of := f.rank(); place >= storeReaders && !f.lacksState() {
-		wait *= time.Duration(max(1, of/storeReaders))
+		f.waitUnlessFirst(ctx, wait*time.Duration(max(1, of/storeReaders)))
+		return
 	}
 	sleep(ctx, wait)
 }
 
+// waitUnlessFirst waits for d, or until this instance is one of the first in rank: in a
+// large fleet d is many times as long as an instance may go without a confirmation.
+func (f *storeSync) waitUnlessFirst(ctx context.Context, d time.Duration) {
+	for until := monotime.Now().Add(d); ctx.Err() == nil && monotime.Now() < until; {
+		if place, _ := f.rank(); place < storeReaders {
+			return
+		}
+		sleep(ctx, min(readCheckInterval, until.Sub(monotime.Now())))
+	}
+}
+
 // sleep waits for d, or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- /dev/null
+++ b/internal/gateway/storesync_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/monotime"
+)
+
+// Guards against all instances that read the store at once when its readers are lost: of
+// 585 each would list thousands of servers.
+func TestFewInstancesTakeOverBeforeTheFirstHasAnAnswer(t *testing.T) {
+	const (
+		// answerWithin is the time in which the first one reads the store and the others
+		// receive its confirmation.
+		answerWithin = 300 * time.Millisecond
+		most         = int((answerWithin + takeOverJitter) / takeOverStep)
+		// inForceWithin is the time in which a change must be in force.
+		inForceWithin = 5 * time.Second
+	)
+	for _, size := range []int{60, 585, 1200} {
+		reading, last := 0, time.Duration(0)
+		for place := storeReaders; place < size; place++ {
+			delay := takeOverDelay(place)
+			if delay <= takeOverDelay(storeReaders)+answerWithin {
+				reading++
+			}
+			last = max(last, delay+takeOverJitter)
+		}
+		if reading > most {
+			t.Errorf("%d of %d instances read at once", reading, size)
+		}
+		if last > inForceWithin-takeOverAfter/2 {
+			t.Errorf("the last of %d instances reads after %v", size, last)
+		}
+	}
+}
+
+// Guards against instances that do not become readers because they wait after a failure:
+// in a fleet of 585 for up to 39 s.
+func TestAnInstanceThatBecomesAReaderDoesNotWaitOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, fd, source := newFleet()
+		place := 50
+		fd.rank = func() (int, int) { return place, 585 }
+		f.installConfig(config(1), "peer")
+		put(f, "peer", entry("a", 1))
+		f.confirmVersion(1, monotime.Now())
+		for range 1000 {
+			source.all = append(source.all, result{err: errors.New("refused"), after: time.Millisecond})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		time.AfterFunc(10*time.Second, func() { place, source.calls = 1, nil })
+		_ = fd.run(ctx)
+		if n := len(source.calls); n < 20 {
+			t.Errorf("one of the first in rank asks %d times in 10 s", n)
+		}
+	})
+}
