storesync: beyond a hundred places in rank a first read waits for longer

A process without state reads the store when no peer has sent it any after 0.6 s. Places beyond the hundredth wait 10 ms more each, up to 1.5 s; a listing that has begun stops when the state arrives. Up to a hundred instances nothing changes.

Counted: instances that begin within 0.3 s, all of 585 and 1,200 before, 131 now (TestFewInstancesReadAtOnceAfterAStart).

--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -57,6 +57,9 @@
 	// would not be served sooner.
 	hubDiscoveryWait = 40 * time.Millisecond
 	hubStateWait     = 600 * time.Millisecond
+	// maxFirstReaders is the number of instances without state that may read the store at
+	// once after hubStateWait.
+	maxFirstReaders = 100
 	// minWatchInterval is the minimum time between the starts of two watches of the first
 	// reader in rank; each further reader waits that much longer. Servers that start
 	// together change the store many times a second, each change answers the watches of
@@ -149,7 +152,7 @@
 	waited := monotime.Now().Sub(f.started)
 	place, _ := f.rank()
 	switch {
-	case waited >= hubStateWait:
+	case waited >= stateWait(place):
 		return true
 	case waited < hubDiscoveryWait, f.hasHub():
 		return false
@@ -158,6 +161,13 @@
 	}
 }
 
+// stateWait returns how long a process at a place in rank waits for a peer to send its
+// state. A peer that reads thousands of servers has them after more than hubStateWait, so
+// places beyond maxFirstReaders wait for longer.
+func stateWait(place int) time.Duration {
+	return hubStateWait + min(time.Duration(max(0, place-maxFirstReaders))*takeOverStep, maxTakeOverSteps)
+}
+
 // lacksState reports whether this instance lacks what it needs to serve any caller.
 func (f *storeSync) lacksState() bool { return f.fleet.Table() == nil || f.fleet.serverCount() == 0 }
 
--- a/internal/gateway/storesync_test.go
+++ b/internal/gateway/storesync_test.go
@@ -62,3 +62,22 @@
 		}
 	})
 }
+
+// Guards against a start in which all instances read the store because the first ones that
+// do take longer than in a small fleet.
+func TestFewInstancesReadAtOnceAfterAStart(t *testing.T) {
+	for _, size := range []int{60, 585, 1200} {
+		reading := 0
+		for place := range size {
+			if stateWait(place) <= hubStateWait+300*time.Millisecond {
+				reading++
+			}
+			if stateWait(place) > 3*time.Second {
+				t.Errorf("place %d waits for %v", place, stateWait(place))
+			}
+		}
+		if most := maxFirstReaders + 30; reading > most+1 {
+			t.Errorf("%d of %d instances read at once", reading, size)
+		}
+	}
+}
