placement: homes of the whole shared start; shallow holders don't attract

Prompts of thousands of kinds begin with the same few hundred or thousand tokens, so all of these went to the same four homes and to a few known holders of that part.

Change: homes are those of the whole start that a prompt shares. Engines that cache less than half of it are no holders. An engine with half of its slots in use is not taken without a look at others.

Not played on the fleet yet.

--- a/internal/placement/shortlist.go
+++ b/internal/placement/shortlist.go
@@ -34,6 +34,9 @@
 	// for prompts that share at least minFetchTokens: shorter ones are read soon
 	// anywhere, and those of all callers may begin alike.
 	minSatisfactory = 0.9
+	// homeSlotsDivisor is the divisor of an engine's slots from which on others are
+	// considered as well.
+	homeSlotsDivisor = 2
 )
 
 // ChooseFrom is Choose among the servers of a pool for which allowed holds. Parts of a
@@ -53,7 +56,7 @@
 	b.addHomes(list, &work)
 	if work.sharedTokens() >= minFetchTokens {
 		choice, refusal := b.choose(&work, list.candidates, list.share(), now)
-		if refusal == Chosen && choice.satisfactory(&work) {
+		if refusal == Chosen && b.satisfactory(&choice, &work) {
 			return choice, refusal
 		}
 	}
@@ -81,22 +84,28 @@
 }
 
 // sharedTokens returns the length of the start of the prompt that other requests may share.
-func (w *Work) sharedTokens() int {
-	tokens := 0
-	for _, part := range w.Parts[:max(0, len(w.Parts)-1)] {
+func (w *Work) sharedTokens() int { return tokensOf(w.Parts[:max(0, len(w.Parts)-1)]) }
+
+func tokensOf(parts []Part) (tokens int) {
+	for _, part := range parts {
 		tokens += part.Tokens
 	}
 	return tokens
 }
 
-// satisfactory reports whether a request probably loses little by the choice.
-func (c *Choice) satisfactory(work *Work) bool {
-	return !c.Preempts && c.Value >= minSatisfactory*work.weight()
+// satisfactory reports whether a request probably loses little by the choice, also if
+// others that are not reported yet go there too.
+func (b *Board) satisfactory(choice *Choice, work *Work) bool {
+	slots := b.servers[choice.Server].slots
+	return choice.Running < slots/homeSlotsDivisor && choice.Value >= minSatisfactory*work.weight()
 }
 
-// addHolders adds engines that cache the longest starts of a prompt.
+// addHolders adds engines that cache the longest starts of a prompt. Starts of fewer than
+// minFetchTokens, or of less than half of what the prompt shares, are left out: those of
+// all callers may begin alike, and few engines of the many that cache them are known.
 func (b *Board) addHolders(list *shortlist, sources *Pool, work *Work) {
-	for i := len(work.Parts) - 2; i >= 0; i-- {
+	shortest := max(minFetchTokens, work.sharedTokens()/2)
+	for i := len(work.Parts) - 2; i >= 0 && tokensOf(work.Parts[:i+1]) >= shortest; i-- {
 		held := b.holders[work.Parts[i].ID]
 		offset := b.rand.IntN(max(1, len(held)))
 		for n := range held {
@@ -111,12 +120,16 @@
 	}
 }
 
-// addHomes adds the homes of a prompt with a shared start.
+// addHomes adds the homes of the whole start that a prompt shares with others.
 func (b *Board) addHomes(list *shortlist, work *Work) {
 	if len(work.Parts) < 2 {
 		return
 	}
-	key := xxhash.Sum64String(work.Parts[0].ID)
+	start := xxhash.New()
+	for _, part := range work.Parts[:len(work.Parts)-1] {
+		_, _ = start.WriteString(part.ID)
+	}
+	key := start.Sum64()
 	for _, r := range []ring{list.pool.byDataCentre[b.dataCentre], list.pool.all} {
 		list.addFrom(r, key, homes)
 	}
--- a/internal/placement/shortlist_test.go
+++ b/internal/placement/shortlist_test.go
@@ -142,6 +142,40 @@
 	}
 }
 
+// Guards against engines that all requests go to because their prompts begin alike: the
+// first part is common to all, the second to few of them.
+func TestPromptsWithACommonBeginningSpread(t *testing.T) {
+	pool := largePool(6000)
+	allowed, _ := counted()
+	const instances, chains, requests = 20, 200, 600
+	var boards []*Board
+	for n := range instances {
+		b := NewBoard(testPace, fmt.Sprint("there-", 1+n%4))
+		b.Seed(uint64(n))
+		b.SetPeers(584, 35*time.Millisecond)
+		boards = append(boards, b)
+	}
+	arrivals := make(map[string]int)
+	for number := range requests {
+		now := start.Add(time.Duration(number) * 2 * time.Millisecond)
+		work := longPrompt(fmt.Sprint("chain-", number%chains), fmt.Sprint(number))
+		work.Parts = append([]Part{{ID: "common", Tokens: 1200}}, work.Parts...)
+		choice, refusal := boards[number%instances].ChooseFrom(work, pool, nil, allowed, now)
+		if refusal != Chosen {
+			t.Fatal(refusal)
+		}
+		arrivals[choice.Server]++
+		for _, b := range boards {
+			b.Begin(RunID{"any", number}, choice.Server, work, choice.Unread, now)
+		}
+	}
+	for id, n := range arrivals {
+		if most := 2 * requests / chains; n > most {
+			t.Errorf("%d of %d requests arrive at %s, for %d of each prompt", n, requests, id, requests/chains)
+		}
+	}
+}
+
 // Guards against requests refused while a home and the engines that cache their prompts
 // are full or not allowed, and others are free.
 func TestAChoiceGoesBeyondFullAndForbiddenEngines(t *testing.T) {
