--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,8 @@
 	// ticksPerSweep is the number of ticks between runs of the slower tasks, such as
 	// closing idle connections and reading the settings.
 	ticksPerSweep = 10
+	// ticksPerStoreCalls is the number of ticks between lines about calls to the store.
+	ticksPerStoreCalls = 100
 	// headerTimeout and idleTimeout bound a caller's connection. The configured limits
 	// are lower for the header and may change. Keeping a connection longer than they
 	// allow is harmless, but closing it earlier loses a request.
@@ -113,9 +115,11 @@
 	// reload requests an immediate reload of the settings.
 	reload chan struct{}
 	// Used by the periodic task only: the seeds in use, the paces of engines last logged,
-	// by service, and when pace statistics were last sent to peers.
+	// by service, the calls to the store last logged, and when pace statistics were last
+	// sent to peers.
 	seeds           []string
 	loggedPaces     map[string]pace.Pace
+	loggedCalls     StoreCalls
 	paceStatsSentAt monotime.Instant
 }
 
@@ -140,7 +144,7 @@
 	}
 	g.fleet.crashes = newCrashTracker(g.fleet.updates, cfg.Log)
 	g.fleet.resetConfirmations()
-	g.fleet.board.SetCostJitter(placementJitter(0, 1))
+	g.fleet.board.SetCostJitter(jitterOf(0, 1))
 	g.storeSync = &storeSync{
 		source: cfg.Source, fleet: g.fleet, log: cfg.Log,
 		minWatch: milliseconds(s.Store.WatchMS), answerTimeout: milliseconds(s.Store.TimeoutMS),
@@ -154,7 +158,7 @@
 	g.fleet.memberCount = g.peers.memberCount
 	g.fleet.confirm = g.storeSync.confirm
 	g.fleet.publish = g.peers.configs.publish
-	g.storeSync.rank, g.storeSync.hasHub = g.peers.rank, g.peers.hasHub
+	g.storeSync.rank, g.storeSync.hasHub, g.storeSync.hasPeer = g.peers.rank, g.peers.hasHub, g.peers.hasPeer
 	g.connectUpdates()
 	g.relay = relay.New(relay.Config{
 		Fleet: g.fleet, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
@@ -209,6 +213,7 @@
 	})
 	g.peers.tick(monotime.Now())
 	err = tasks.Wait()
+	g.logStoreCalls()
 	g.cfg.Log.Info("stopped", eventlog.Cause(err))
 	return err
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -65,7 +65,7 @@
 	return r.changes, r.err
 }
 
-func (s *fakeSource) All(ctx context.Context) (*Changes, error) {
+func (s *fakeSource) All(ctx context.Context, _ func() bool) (*Changes, error) {
 	s.calls = append(s.calls, "all")
 	return nextResult(ctx, &s.all)
 }
@@ -75,6 +75,8 @@
 	return nextResult(ctx, &s.watch)
 }
 
+func (s *fakeSource) Calls() StoreCalls { return StoreCalls{} }
+
 func (s *fakeSource) Config(ctx context.Context) (*routing.Config, error) {
 	s.calls = append(s.calls, "config")
 	changes, err := nextResult(ctx, &s.config)
@@ -104,15 +106,13 @@
 	}
 	f.crashes = newCrashTracker(f.updates, f.log)
 	f.resetConfirmations()
-	fd := &storeSync{source: source, fleet: f, log: zap.NewNop(), minWatch: time.Second, answerTimeout: 500 * time.Millisecond, confirming: make(chan struct{}, 1), rank: func() (int, int) { return 0, 1 }, hasHub: func() bool { return false }}
+	fd := &storeSync{source: source, fleet: f, log: zap.NewNop(), minWatch: time.Second, answerTimeout: 500 * time.Millisecond, confirming: make(chan struct{}, 1), rank: func() (int, int) { return 0, 1 }, hasHub: func() bool { return false }, hasPeer: func() bool { return false }}
 	return f, fd, source
 }
 
 func ready(f *fleet) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	var out []string
-	for _, s := range f.byService["svc"] {
+	for _, s := range f.serverList("svc").accepting {
 		out = append(out, s.ID)
 	}
 	return out
@@ -271,12 +271,12 @@
 func TestPeerUpdateRemovesServer(t *testing.T) {
 	f, _, _ := newFleet()
 	p := linkedPeers(f, "me")
-	p.applyServers("peer", []wire.RelayServer{{ID: "a", Service: "svc", Address: "x:1", Revision: 3}, {ID: "b", Service: "svc", Address: "y:1", Revision: 4}}, 0)
-	p.applyServers("peer", []wire.RelayServer{{ID: "a", Gone: true, Revision: 8}, {ID: "b", Service: "svc", Address: "y:1", Draining: true, Revision: 9}}, 0)
+	p.applyServers("peer", []wire.RelayServer{{ID: "a", Service: "svc", Address: "x:1", Revision: 3}, {ID: "b", Service: "svc", Address: "y:1", Revision: 4}}, nil, 0)
+	p.applyServers("peer", []wire.RelayServer{{ID: "a", Gone: true, Revision: 8}, {ID: "b", Service: "svc", Address: "y:1", Draining: true, Revision: 9}}, nil, 0)
 	if got := ready(f); len(got) != 0 {
 		t.Errorf("%v still get requests", got)
 	}
-	p.applyServers("late", []wire.RelayServer{{ID: "a", Service: "svc", Address: "x:1", Revision: 3}}, 0)
+	p.applyServers("late", []wire.RelayServer{{ID: "a", Service: "svc", Address: "x:1", Revision: 3}}, nil, 0)
 	if got := ready(f); len(got) != 0 {
 		t.Errorf("%v reappeared after an outdated update", got)
 	}
@@ -540,7 +540,7 @@
 		if len(source.calls) != 0 {
 			t.Errorf("reads although confirmed: %v", source.calls)
 		}
-		ctx, cancel = context.WithTimeout(t.Context(), takeOverJitter+2*readCheckInterval)
+		ctx, cancel = context.WithTimeout(t.Context(), takeOverDelay(40)-takeOverAfter+takeOverJitter+2*readCheckInterval)
 		defer cancel()
 		_ = fd.run(ctx)
 		if len(source.calls) == 0 || source.calls[0] != "all" {
@@ -653,7 +653,7 @@
 		if len(p.differences) == 0 {
 			t.Error("not noticed")
 		}
-		p.applyServers("r", reader.allServers(), 0)
+		p.applyServers("r", reader.allServers(), nil, 0)
 		if diff := cmp.Diff([]string{"b"}, ready(other)); diff != "" {
 			t.Error(diff)
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -85,6 +85,9 @@
 	greeting := p.node.Greeting()
 	greeting.ConfigVersion = p.configVersion()
 	greeting.StateWanted = p.needsState() && p.mayRequestState(now)
+	if greeting.StateWanted {
+		greeting.ServerDigests = p.fleet.serverDigests()
+	}
 	p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{greeting}})
 	for list := range slices.Chunk(p.fleet.crashes.encodeAll(now), crashesPerMessage) {
 		p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{{Crashes: list}}})
@@ -145,7 +148,9 @@
 func (p *peers) refresh(now monotime.Instant) {
 	p.refreshPending = false
 	effects := p.node.Refresh(now)
-	p.fleet.throttle.SetMembers(p.node.Sharers())
+	if effects.MembersChanged {
+		p.fleet.throttle.SetMembers(p.node.Sharers())
+	}
 	for _, id := range effects.Lost {
 		p.log.Info("instance_lost", zap.String("peer", id))
 		p.fleet.board.InstanceGone(id, now)
@@ -318,6 +323,13 @@
 	return p.node.Primary() != ""
 }
 
+// hasPeer reports whether this instance has a link to any other.
+func (p *peers) hasPeer() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.node.Linked()) > 0
+}
+
 // memberCount returns the number of instances that can be reached or could be recently,
 // including this one.
 func (p *peers) memberCount() int {
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -66,7 +66,7 @@
 	time.Sleep(storeCallTime)
 }
 
-func (s *memoryStore) All(context.Context) (*Changes, error) {
+func (s *memoryStore) All(context.Context, func() bool) (*Changes, error) {
 	s.call()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -103,6 +103,8 @@
 	}
 }
 
+func (s *memoryStore) Calls() StoreCalls { return StoreCalls{} }
+
 func (s *memoryStore) Config(context.Context) (*routing.Config, error) {
 	s.call()
 	s.mu.Lock()
@@ -134,7 +136,7 @@
 				for _, i := range fleet {
 					fd := &storeSync{
 						source: store, fleet: i.fleet, log: i.fleet.log, minWatch: 1100 * time.Millisecond, answerTimeout: 600 * time.Millisecond,
-						confirming: make(chan struct{}, 1), rank: i.peers.rank, hasHub: i.peers.hasHub,
+						confirming: make(chan struct{}, 1), rank: i.peers.rank, hasHub: i.peers.hasHub, hasPeer: i.peers.hasPeer,
 					}
 					tasks.Go(func() error { return fd.run(ctx) })
 					tasks.Go(func() error {
--- a/internal/gateway/serverstate.go
+++ b/internal/gateway/serverstate.go
@@ -4,7 +4,6 @@
 	"go.uber.org/zap"
 
 	"basilrudder/internal/monotime"
-	"basilrudder/internal/routing"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/servers"
 )
@@ -38,39 +37,60 @@
 }
 
 // allServers returns the state of every server and the tombstones of those that are gone.
-// It is sent to a peer that is new or has missed updates.
 func (f *fleet) allServers() []wire.RelayServer {
+	out, _ := f.differingServers(nil)
+	return out
+}
+
+// differingServers returns the state of every server and tombstone of the buckets whose
+// digests differ from the given ones, of the servers whose state has parts that digests
+// do not cover, and those buckets; everything and no buckets if the digests are not those
+// of as many buckets. It is sent to a peer that is new or has missed updates.
+func (f *fleet) differingServers(digests []int) (out []wire.RelayServer, buckets []int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []wire.RelayServer
+	differs := func(string) bool { return true }
+	if len(digests) == servers.Buckets {
+		var differing [servers.Buckets]bool
+		for bucket, own := range f.registry.BucketDigests() {
+			if own != digests[bucket] {
+				differing[bucket] = true
+				buckets = append(buckets, bucket)
+			}
+		}
+		differs = func(id string) bool { return differing[servers.BucketOf(id)] }
+	}
 	for _, s := range f.registry.List() {
-		if state, ok := f.serverState(s.ID); ok {
+		state, ok := f.serverState(s.ID)
+		if ok && (differs(s.ID) || state.Limited || state.ColdMS > 0) {
 			out = append(out, state)
 		}
 	}
 	for id, revision := range f.registry.Tombstones() {
-		out = append(out, wire.RelayServer{ID: id, Gone: true, Revision: int(revision)})
+		if differs(id) {
+			out = append(out, wire.RelayServer{ID: id, Gone: true, Revision: int(revision)})
+		}
 	}
-	return out
+	return out, buckets
 }
 
-// hasServer reports whether the registry holds a live entry of a server.
-func (f *fleet) hasServer(id string) bool {
+// serverDigests returns the digests of the buckets of servers, or nil if there are no
+// servers.
+func (f *fleet) serverDigests() []int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, ok := f.registry.Get(id)
-	return ok
+	if f.registry.Len() == 0 {
+		return nil
+	}
+	return f.registry.BucketDigests()
 }
 
-// acceptingServers returns the servers of all services that accept requests.
-func (f *fleet) acceptingServers() []servers.Server {
+// hasServer reports whether the registry holds a live entry of a server.
+func (f *fleet) hasServer(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []servers.Server
-	for _, list := range f.byService {
-		out = append(out, list...)
-	}
-	return out
+	_, ok := f.registry.Get(id)
+	return ok
 }
 
 // serverCount returns the number of servers with a live entry, including those of
@@ -82,8 +102,14 @@
 	return f.registry.Len()
 }
 
-// changeServers applies a change to the registry, logs the servers whose state changed,
-// and sends them to the peers unless a peer sent the change.
+// maxServersSent is the number of changed servers up to which an instance sends their
+// states to all. Of a larger change it sends its digest alone, and instances that lack the
+// change ask for it: all instances that read the store at a start would otherwise send all
+// servers to all others.
+const maxServersSent = 256
+
+// changeServers applies a change to the registry, logs what changed of the servers, and
+// sends them to the peers unless a peer sent the change.
 func (f *fleet) changeServers(from string, change func(r *servers.Registry, now monotime.Instant) []string) {
 	now := monotime.Now()
 	f.mu.Lock()
@@ -95,9 +121,9 @@
 		f.mu.Unlock()
 		return
 	}
-	f.rebuildServerLists(f.table.Load())
+	f.lists = nil
 	f.digest.Store(int64(f.registry.Digest() >> 1))
-	f.rateLimitedCount.Store(int64(len(f.registry.RateLimited())))
+	f.rateLimitedCount.Store(int64(f.registry.RateLimitedCount()))
 	states := make([]wire.RelayServer, 0, len(ids))
 	for _, id := range ids {
 		if state, ok := f.serverState(id); ok {
@@ -105,16 +131,56 @@
 		}
 	}
 	f.mu.Unlock()
+	f.logServerChanges(from, states)
+	for i := range states {
+		f.applyServerState(&states[i], now)
+	}
+	switch {
+	case from != fromStore && from != fromTimer && from != fromServer:
+	case len(states) > maxServersSent:
+		f.updates.sendStatus()
+	default:
+		f.updates.addServers(states)
+	}
+}
+
+// maxServerLines bounds the lines logged for one change of servers. A process that starts
+// learns of all servers at once, and a line for each would displace those of its requests.
+const maxServerLines = 64
+
+// logServerChanges logs each changed server, or a summary of many.
+func (f *fleet) logServerChanges(from string, states []wire.RelayServer) {
+	if len(states) > maxServerLines {
+		f.logServerSummary(from, states)
+		return
+	}
 	for _, state := range states {
 		f.log.Info("server_changed", zap.String("server", state.ID), zap.String("from", from),
 			zap.String("service", state.Service), zap.String("address", state.Address),
 			zap.Bool("draining", state.Draining), zap.Bool("invalid", state.Invalid), zap.Bool("gone", state.Gone),
 			zap.Int("cold_ms", state.ColdMS), zap.Bool("limited", state.Limited), zap.Float64("limit_per_s", state.Rate),
 			zap.Stringer("revision", servers.Revision(state.Revision)))
-		f.applyServerState(&state, now)
 	}
-	if from == fromStore || from == fromTimer || from == fromServer {
-		f.updates.addServers(states)
+}
+
+func (f *fleet) logServerSummary(from string, states []wire.RelayServer) {
+	var draining, invalid, gone, cold, limited, newest int
+	for _, state := range states {
+		count(&draining, state.Draining)
+		count(&invalid, state.Invalid)
+		count(&gone, state.Gone)
+		count(&cold, state.ColdMS > 0)
+		count(&limited, state.Limited)
+		newest = max(newest, state.Revision)
+	}
+	f.log.Info("servers_changed", zap.Int("servers", len(states)), zap.String("from", from),
+		zap.Int("draining", draining), zap.Int("invalid", invalid), zap.Int("gone", gone),
+		zap.Int("cold", cold), zap.Int("limited", limited), zap.Stringer("revision", servers.Revision(newest)))
+}
+
+func count(n *int, holds bool) {
+	if holds {
+		*n++
 	}
 }
 
@@ -163,17 +229,3 @@
 		f.throttle.ClearRateLimit(state.ID)
 	}
 }
-
-// rebuildServerLists rebuilds byService and sources for the services of a table, or for
-// all services if the table is nil. mu is held.
-func (f *fleet) rebuildServerLists(table *routing.Table) {
-	published := func(service string) bool { return table == nil || table.Service(service) != nil }
-	f.byService = make(map[string][]servers.Server)
-	for _, s := range f.registry.Accepting(published) {
-		f.byService[s.Service] = append(f.byService[s.Service], s)
-	}
-	f.sources = make(map[string][]servers.Server)
-	for _, s := range f.registry.EvacuatedServers(published) {
-		f.sources[s.Service] = append(f.sources[s.Service], s)
-	}
-}
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -16,6 +16,9 @@
 // has begun a new era; everything must be read again.
 var ErrHistoryLost = errors.New("gateway: the store's history is lost")
 
+// ErrNotWanted reports that a listing was given up because it was no longer wanted.
+var ErrNotWanted = errors.New("gateway: the listing is no longer wanted")
+
 // Changes holds what the store published. The order of elements has no meaning; only
 // revisions order them.
 type Changes struct {
@@ -23,7 +26,8 @@
 	Config *routing.Config
 	// Servers holds the entries as they were written.
 	Servers []servers.Server
-	// Removals holds the entries that were removed or expired.
+	// Removals holds the entries that were removed or expired. Those of a listing were
+	// removed while it was read.
 	Removals []servers.EntryRef
 	// Invalid holds the entries that cannot be read.
 	Invalid []servers.EntryRef
@@ -33,14 +37,31 @@
 	Revision servers.Revision
 }
 
+// StoreCalls counts the calls of a process to the store by what they were for. The store
+// counts each of them, also those that fail.
+type StoreCalls struct {
+	// Pages of listings, and StalePages those of them that may be stale.
+	Pages, StalePages int64
+	// ChangedWatches ended with changes, and EmptyWatches without any.
+	ChangedWatches, EmptyWatches int64
+	// Configs are reads of the configuration alone.
+	Configs int64
+	// Failed calls of any kind, which the other counters do not include.
+	Failed int64
+}
+
 // Source reads the store. The store counts every call.
 type Source interface {
 	// All reads everything: the configuration and every server's entry. Changes after its
-	// Revision may or may not be included.
-	All(ctx context.Context) (*Changes, error)
+	// Revision may or may not be included. It bounds the time of each call to the store,
+	// continues with the call that failed at last, and fails with ErrNotWanted if wanted
+	// reports false between two calls.
+	All(ctx context.Context, wanted func() bool) (*Changes, error)
 	// Watch waits until there are changes after a revision, for wait at most. It fails
 	// with ErrHistoryLost if the store no longer has them.
 	Watch(ctx context.Context, after servers.Revision, wait time.Duration) (*Changes, error)
 	// Config reads the newest configuration; nil if there is none yet.
 	Config(ctx context.Context) (*routing.Config, error)
+	// Calls returns the calls made so far. It may be called concurrently with the others.
+	Calls() StoreCalls
 }
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -35,23 +35,31 @@
 	// failure disconnects a third of the machines from the store, at least one reader is
 	// left with a probability of 0.999.
 	storeReaders = 6
-	// takeOverAfter and takeOverJitter bound how long an instance that does not read the
-	// store goes without a confirmation that its version is the newest. The readers
-	// together receive an answer of the store about every half second, and hubs pass the
-	// confirmation on ten times a second.
-	takeOverAfter  = 1800 * time.Millisecond
-	takeOverJitter = 600 * time.Millisecond
+	// takeOverAfter, takeOverStep for each place in rank and takeOverJitter bound how long
+	// an instance that does not read the store goes without a confirmation that its
+	// version is the newest. The readers together receive an answer of the store about
+	// every half second, and hubs pass the confirmation on ten times a second. With the
+	// steps few instances have begun to read when the first of them has an answer,
+	// whatever their number. maxTakeOverSteps bounds the steps, for a fleet in which many
+	// places in rank cannot reach the store.
+	takeOverAfter    = 1800 * time.Millisecond
+	takeOverStep     = 10 * time.Millisecond
+	maxTakeOverSteps = 1500 * time.Millisecond
+	takeOverJitter   = 100 * time.Millisecond
 	// readCheckInterval is the time between checks whether this instance should read the
 	// store, and initialCheckInterval that of a process without any state yet.
 	readCheckInterval    = 100 * time.Millisecond
 	initialCheckInterval = 10 * time.Millisecond
 	// hubDiscoveryWait is how long a process that has just started waits to find out
-	// whether it has a hub, and hubStateWait how long it waits for the hub to send its
-	// state. A link to a seed and one to a hub take some 20 ms. Without the wait, each of
+	// whether it has peers and a hub, and hubStateWait how long it waits for them to send
+	// their state. A link to a seed and one to a hub take some 20 ms. Without the wait, each of
 	// 95 processes that start together would read five pages of the store, and callers
 	// would not be served sooner.
 	hubDiscoveryWait = 40 * time.Millisecond
 	hubStateWait     = 600 * time.Millisecond
+	// maxFirstReaders is the number of instances without state that may read the store at
+	// once after hubStateWait.
+	maxFirstReaders = 100
 	// minWatchInterval is the minimum time between the starts of two watches of the first
 	// reader in rank; each further reader waits that much longer. Servers that start
 	// together change the store many times a second, each change answers the watches of
@@ -80,8 +88,9 @@
 	// rank returns this instance's rank among the instances that can reach each other,
 	// and how many they are.
 	rank func() (place, of int)
-	// hasHub reports whether this instance has a hub that sends it what it lacks.
-	hasHub func() bool
+	// hasHub reports whether this instance has a hub that sends it what it lacks, and
+	// hasPeer whether it has a link to any instance.
+	hasHub, hasPeer func() bool
 	// started is when the process began to follow the store.
 	started monotime.Instant
 }
@@ -102,7 +111,8 @@
 			sleep(ctx, f.watchInterval()-monotime.Now().Sub(begun))
 		case ctx.Err() != nil:
 			return nil
-		case errors.Is(err, ErrHistoryLost):
+		case errors.Is(err, ErrNotWanted):
+		case errors.Is(err, ErrHistoryLost) && f.revision != 0:
 			f.log.Info("store_history_lost", zap.Stringer("revision", f.revision))
 			f.revision = 0
 		default:
@@ -120,16 +130,44 @@
 // rank: the readers may have crashed, be disconnected or be refused by the store.
 func (f *storeSync) shouldRead() bool {
 	if f.lacksState() {
-		waited := monotime.Now().Sub(f.started)
-		return waited >= hubStateWait || waited >= hubDiscoveryWait && !f.hasHub()
+		return f.shouldReadFirst()
 	}
-	if place, _ := f.rank(); place < storeReaders {
+	place, _ := f.rank()
+	if place < storeReaders {
 		return true
 	}
-	limit := takeOverAfter + time.Duration(rand.Int64N(int64(takeOverJitter)))
+	limit := takeOverDelay(place) + time.Duration(rand.Int64N(int64(takeOverJitter)))
 	return monotime.Now().Sub(f.fleet.confirmedAt()) > limit
 }
 
+// takeOverDelay returns how long the instance at a place in rank waits for a confirmation.
+func takeOverDelay(place int) time.Duration {
+	return takeOverAfter + min(time.Duration(place)*takeOverStep, maxTakeOverSteps)
+}
+
+// shouldReadFirst reports whether an instance without state reads the store instead of
+// waiting for a peer. Of instances that start together, each reads that knows few others
+// before it in rank.
+func (f *storeSync) shouldReadFirst() bool {
+	waited := monotime.Now().Sub(f.started)
+	place, _ := f.rank()
+	switch {
+	case waited >= stateWait(place):
+		return true
+	case waited < hubDiscoveryWait, f.hasHub():
+		return false
+	default:
+		return place < storeReaders || !f.hasPeer()
+	}
+}
+
+// stateWait returns how long a process at a place in rank waits for a peer to send its
+// state. A peer that reads thousands of servers has them after more than hubStateWait, so
+// places beyond maxFirstReaders wait for longer.
+func stateWait(place int) time.Duration {
+	return hubStateWait + min(time.Duration(max(0, place-maxFirstReaders))*takeOverStep, maxTakeOverSteps)
+}
+
 // lacksState reports whether this instance lacks what it needs to serve any caller.
 func (f *storeSync) lacksState() bool { return f.fleet.Table() == nil || f.fleet.serverCount() == 0 }
 
@@ -151,9 +189,7 @@
 func (f *storeSync) readNext(ctx context.Context) error {
 	begun := monotime.Now()
 	if f.revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, f.answerTimeout)
-		defer cancel()
-		all, err := f.source.All(ctx)
+		all, err := f.source.All(ctx, f.shouldRead)
 		if err != nil {
 			return err
 		}
@@ -221,7 +257,8 @@
 	})
 	listedBefore := f.fleet.listedRevision()
 	f.fleet.changeServers(fromStore, func(r *servers.Registry, now monotime.Instant) []string {
-		return r.Replace(all.Servers, all.Invalid, all.Revision, now)
+		ids := r.Replace(all.Servers, all.Invalid, all.Revision, now)
+		return append(ids, remove(r, all.Removals, now)...)
 	})
 	f.revision = all.Revision
 	if listedBefore != 0 && listedBefore.Era() < all.Revision.Era() {
@@ -238,11 +275,7 @@
 				ids = append(ids, s.ID)
 			}
 		}
-		for _, removal := range changes.Removals {
-			if id, change := r.Remove(removal.Name, removal.Revision, now); change != servers.Unchanged {
-				ids = append(ids, id)
-			}
-		}
+		ids = append(ids, remove(r, changes.Removals, now)...)
 		for _, mark := range changes.Invalid {
 			if id, change := r.Invalidate(mark, now); change != servers.Unchanged {
 				ids = append(ids, id)
@@ -253,6 +286,16 @@
 	f.revision = max(f.revision, changes.Revision)
 }
 
+// remove applies removals of entries and returns the ids of what changed.
+func remove(r *servers.Registry, removals []servers.EntryRef, now monotime.Instant) (ids []string) {
+	for _, removal := range removals {
+		if id, change := r.Remove(removal.Name, removal.Revision, now); change != servers.Unchanged {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (f *storeSync) succeeded() {
 	if f.failures > 0 {
 		f.log.Info("store_regained", zap.Int("failures", f.failures), zap.Stringer("revision", f.revision))
@@ -274,11 +317,23 @@
 	// as usual and inform the others when it has recovered, so the others may try rarely,
 	// in proportion to their number.
 	if place, of := f.rank(); place >= storeReaders && !f.lacksState() {
-		wait *= time.Duration(max(1, of/storeReaders))
+		f.waitUnlessFirst(ctx, wait*time.Duration(max(1, of/storeReaders)))
+		return
 	}
 	sleep(ctx, wait)
 }
 
+// waitUnlessFirst waits for d, or until this instance is one of the first in rank: in a
+// large fleet d is many times as long as an instance may go without a confirmation.
+func (f *storeSync) waitUnlessFirst(ctx context.Context, d time.Duration) {
+	for until := monotime.Now().Add(d); ctx.Err() == nil && monotime.Now() < until; {
+		if place, _ := f.rank(); place < storeReaders {
+			return
+		}
+		sleep(ctx, min(readCheckInterval, until.Sub(monotime.Now())))
+	}
+}
+
 // sleep waits for d, or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -544,6 +544,13 @@
 	// Instances it is linked to, itself among them.
 	Members []RelayMember `json:"m,omitempty,omitzero"`
 
+	// Digest of the members that the sender knows, sent with their number.
+	MembersDigest int `json:"md,omitempty,omitzero"`
+
+	// Number of members that the sender knows, in place of a list of them; 0 if it
+	// sends the list.
+	MembersKnown int `json:"mk,omitempty,omitzero"`
+
 	// The sender has heard of an instance that it does not know and asks for all
 	// members.
 	MembersWanted bool `json:"mw,omitempty,omitzero"`
@@ -561,6 +568,14 @@
 	// Changes of servers.
 	Servers []RelayServer `json:"s,omitempty,omitzero"`
 
+	// Buckets of which the servers sent are all that the sender knows; none: of all
+	// buckets.
+	ServerBuckets []int `json:"sb,omitempty,omitzero"`
+
+	// Digests of the buckets of servers that the sender knows, sent when it asks for
+	// servers: it lacks those of the buckets that differ. None: it lacks all.
+	ServerDigests []int `json:"sd,omitempty,omitzero"`
+
 	// Revision of a full list of the store; the servers told are all that it holds. 0
 	// when they are only changes.
 	ServersListed int `json:"sl,omitempty,omitzero"`
--- a/internal/servers/listing.go
+++ b/internal/servers/listing.go
@@ -59,14 +59,50 @@
 // evacuations, for comparison between registries. Collisions are possible.
 func (r *Registry) Digest() uint64 {
 	digest := r.evacuationDigest()
-	for id, rec := range r.live {
-		if !rec.server.Draining && !rec.server.Invalid {
-			digest ^= xxhash.Sum64String(id)
-		}
+	for _, bucket := range r.digests {
+		digest ^= bucket
 	}
 	return digest
 }
 
+// Buckets is the number of buckets into which servers are divided by a hash of their id.
+// Registries that differ in a few servers then differ in as many buckets. Instances must
+// use the same number.
+const Buckets = 256
+
+// BucketOf returns the bucket of a server.
+func BucketOf(id string) int { return int(xxhash.Sum64String(id) % Buckets) }
+
+// BucketDigests returns a digest of the servers of each bucket that accept requests.
+// Digests are non-negative.
+func (r *Registry) BucketDigests() []int {
+	out := make([]int, 0, Buckets)
+	for _, bucket := range r.digests {
+		out = append(out, int(bucket>>1))
+	}
+	return out
+}
+
+// updateDigest brings the digest of a server's bucket up to date after a change of it.
+func (r *Registry) updateDigest(rec *record) {
+	if accepts := !rec.server.Draining && !rec.server.Invalid; accepts != rec.counted {
+		r.toggleDigest(rec)
+	}
+}
+
+// dropFromDigest removes a server that is no longer live from the digest of its bucket.
+func (r *Registry) dropFromDigest(rec *record) {
+	if rec.counted {
+		r.toggleDigest(rec)
+	}
+}
+
+func (r *Registry) toggleDigest(rec *record) {
+	hash := xxhash.Sum64String(rec.server.ID)
+	r.digests[hash%Buckets] ^= hash
+	rec.counted = !rec.counted
+}
+
 // Tombstones returns the revisions at which incarnations were removed, by id.
 func (r *Registry) Tombstones() map[string]Revision {
 	out := make(map[string]Revision, len(r.gone))
--- a/internal/servers/registry.go
+++ b/internal/servers/registry.go
@@ -22,12 +22,21 @@
 	rateLimit RateLimit
 	// firstInEra is the first revision observed of its entry in the entry's era.
 	firstInEra Revision
+	// counted is whether the server is part of Registry.digests.
+	counted bool
 }
 
 // Registry tracks servers and evacuations. It is not safe for concurrent use.
 type Registry struct {
 	live map[string]*record
 	gone map[string]tombstone
+	// inGrace holds the ids of the live records with a grace period.
+	inGrace map[string]struct{}
+	// expiring lists tombstones in the order of their times. One that was removed or
+	// replaced since is still listed.
+	expiring []expiringTombstone
+	// tombstoneCount is the number of tombstones of each name.
+	tombstoneCount map[string]int
 	// current is the live incarnation of each name, and newestBorn the birth of the
 	// newest incarnation observed of it.
 	current    map[string]string
@@ -35,6 +44,10 @@
 	// replaced are the incarnations that ended by a restart of their server since the
 	// last call of Replaced.
 	replaced []string
+	// digests combines, for each bucket, the hashes of its servers that accept requests,
+	// and limited holds the ids of those that advertise a limit.
+	digests [Buckets]uint64
+	limited map[string]struct{}
 	// evacuations holds the state in force of each data centre.
 	evacuations map[string]Evacuation
 	// deferred holds states of a new era that contradict those in evacuations.
@@ -58,6 +71,7 @@
 func New() *Registry {
 	return &Registry{
 		live: make(map[string]*record), gone: make(map[string]tombstone),
+		inGrace: make(map[string]struct{}), limited: make(map[string]struct{}), tombstoneCount: make(map[string]int),
 		current: make(map[string]string), newestBorn: make(map[string]int64),
 		evacuations: make(map[string]Evacuation), deferred: make(map[string]Evacuation),
 		copiedEntries: make(map[string]Server),
@@ -82,16 +96,23 @@
 			return Unchanged
 		}
 		s.Draining = s.Draining || stone.draining
-		delete(r.gone, s.ID)
+		r.removeTombstone(s.ID)
 	}
 	rec := r.live[s.ID]
 	if rec == nil {
 		r.endFormer(s, now)
-		r.live[s.ID] = &record{server: s, coldUntil: coldUntil, firstInEra: s.Revision}
+		rec = &record{server: s, coldUntil: coldUntil, firstInEra: s.Revision}
+		r.live[s.ID] = rec
+		r.updateDigest(rec)
 		r.current[s.Name], r.newestBorn[s.Name] = s.ID, s.Born
 		return Added
 	}
-	return rec.update(s, coldUntil)
+	change := rec.update(s, coldUntil)
+	r.updateDigest(rec)
+	if rec.graceEndsAt == 0 {
+		delete(r.inGrace, s.ID)
+	}
+	return change
 }
 
 // update applies an entry of the same incarnation.
@@ -170,6 +191,7 @@
 		return id, Unchanged
 	}
 	rec.server.Invalid, rec.server.Revision = true, m.Revision
+	r.updateDigest(rec)
 	return id, Updated
 }
 
