A start: the first confirmation is waited for; refreshes follow the fleet's size

Cause: an instance that has its state from a peer and no confirmation of the store yet counted as without one for longer than any limit, and began to read at once. And changes were collected for 10 ms at any size, while a refresh takes 1 ms at 585 instances and each link made one due.

Change: the wait for a confirmation begins with the start. Changes are collected for 60 us a member, 35 ms at 585; up to 166 members for 10 ms as before. The tests of the overlay in virtual time use the same delay.

TestAStartingProcessWaitsForItsFirstConfirmation fails before.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -47,11 +47,6 @@
 	refreshPending bool
 }
 
-// refreshDelay is how long changes of the view are collected. While a fleet starts, each
-// instance discovers the others one by one, and 360 refreshes of half a millisecond would
-// delay the callers of a small machine for a second.
-const refreshDelay = 10 * time.Millisecond
-
 // role is what an instance does for the others, and its primary hub.
 type role struct {
 	name, primary string
@@ -135,7 +130,7 @@
 		return
 	}
 	p.refreshPending = true
-	time.AfterFunc(refreshDelay, func() {
+	time.AfterFunc(p.node.RefreshDelay(), func() {
 		p.mu.Lock()
 		p.refresh(monotime.Now())
 		p.mu.Unlock()
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -97,7 +97,9 @@
 
 // run follows the store until the context ends.
 func (f *storeSync) run(ctx context.Context) error {
-	f.started = monotime.Now()
+	if f.started == 0 {
+		f.started = monotime.Now()
+	}
 	for ctx.Err() == nil {
 		if !f.shouldRead() {
 			f.idle(ctx)
@@ -137,7 +139,7 @@
 		return true
 	}
 	limit := takeOverDelay(place) + time.Duration(rand.Int64N(int64(takeOverJitter)))
-	return monotime.Now().Sub(f.fleet.confirmedAt()) > limit
+	return monotime.Now().Sub(max(f.started, f.fleet.confirmedAt())) > limit
 }
 
 // takeOverDelay returns how long the instance at a place in rank waits for a confirmation.
--- a/internal/gateway/storesync_test.go
+++ b/internal/gateway/storesync_test.go
@@ -81,3 +81,21 @@
 		}
 	}
 }
+
+// Guards against a process that lists the store right after a peer has sent it everything,
+// because it has had no confirmation yet.
+func TestAStartingProcessWaitsForItsFirstConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, fd, source := newFleet()
+		fd.rank = func() (int, int) { return 20, 59 }
+		fd.hasPeer = func() bool { return true }
+		f.installConfig(config(1), "peer")
+		put(f, "peer", entry("a", 1))
+		ctx, cancel := context.WithTimeout(t.Context(), takeOverAfter)
+		defer cancel()
+		_ = fd.run(ctx)
+		if len(source.calls) != 0 {
+			t.Errorf("calls %v", source.calls)
+		}
+	})
+}
--- a/internal/overlay/network_test.go
+++ b/internal/overlay/network_test.go
@@ -21,7 +21,6 @@
 	dialInterval            = 200 * time.Millisecond
 	linkTimeout             = 700 * time.Millisecond
 	tickInterval            = 100 * time.Millisecond
-	refreshDelay            = 10 * time.Millisecond
 	maxClockSkew            = int64(time.Hour)
 )
 
@@ -165,14 +164,14 @@
 	}
 }
 
-// scheduleRefresh combines changes within refreshDelay, as a real process does.
+// scheduleRefresh combines changes within RefreshDelay, as a real process does.
 func (i *instance) scheduleRefresh() {
 	if i.refreshDue {
 		return
 	}
 	i.refreshDue = true
 	incarnation := i.member.Incarnation
-	i.net.loop.After(refreshDelay, func() {
+	i.net.loop.After(i.node.RefreshDelay(), func() {
 		if i.up && i.member.Incarnation == incarnation {
 			i.refresh()
 		}
--- a/internal/overlay/refresh.go
+++ b/internal/overlay/refresh.go
@@ -64,6 +64,19 @@
 	return peer
 }
 
+const (
+	// minRefreshDelay and refreshDelayPerMember bound how long changes are collected
+	// before a Refresh. While a fleet starts, each instance discovers the others one by
+	// one, and a Refresh takes longer the more there are.
+	minRefreshDelay       = 10 * time.Millisecond
+	refreshDelayPerMember = 60 * time.Microsecond
+)
+
+// RefreshDelay returns how long changes are to be collected before the next Refresh.
+func (n *Node) RefreshDelay() time.Duration {
+	return max(minRefreshDelay, time.Duration(len(n.members))*refreshDelayPerMember)
+}
+
 // removeExpired removes the members that have been unreachable for MemberTTL.
 func (n *Node) removeExpired(now monotime.Instant) {
 	var expired []string
