--- a/internal/placement/shortlist_test.go
+++ b/internal/placement/shortlist_test.go
@@ -25,6 +25,18 @@
 	return func(*Candidate) bool { *calls++; return true }, calls
 }
 
+// fleetBoards returns the boards of some instances of a large fleet, in four data centres.
+func fleetBoards(instances int) []*Board {
+	var out []*Board
+	for n := range instances {
+		b := NewBoard(testPace, fmt.Sprint("there-", 1+n%4))
+		b.Seed(uint64(n))
+		b.SetPeers(584, 35*time.Millisecond)
+		out = append(out, b)
+	}
+	return out
+}
+
 func fillSlots(b *Board, pool *Pool, work Work) {
 	number := 0
 	for i := range pool.candidates {
@@ -74,13 +86,7 @@
 	allowed, _ := counted()
 	sends := make(map[string]map[string]bool) // engines by chain
 	const instances, chains, requests = 20, 40, 5
-	var boards []*Board
-	for n := range instances {
-		b := NewBoard(testPace, fmt.Sprint("there-", 1+n%4))
-		b.Seed(uint64(n))
-		b.SetPeers(584, 35*time.Millisecond)
-		boards = append(boards, b)
-	}
+	boards := fleetBoards(instances)
 	number := 0
 	for round := range requests {
 		for c := range chains {
@@ -148,13 +154,7 @@
 	pool := largePool(6000)
 	allowed, _ := counted()
 	const instances, chains, requests = 20, 200, 600
-	var boards []*Board
-	for n := range instances {
-		b := NewBoard(testPace, fmt.Sprint("there-", 1+n%4))
-		b.Seed(uint64(n))
-		b.SetPeers(584, 35*time.Millisecond)
-		boards = append(boards, b)
-	}
+	boards := fleetBoards(instances)
 	arrivals := make(map[string]int)
 	for number := range requests {
 		now := start.Add(time.Duration(number) * 2 * time.Millisecond)
