Servers that register are sent as updates, and not asked for meanwhile

At 40 instances 221 servers_differ in seven seconds, 47 a second at the most, and in a profile of 150 instances 27% of their processor time was in differingServers and 25% in compression.

Cause: a batch of more than 256 changes went out as a digest alone, and the answer to each question had all servers, as all buckets differ while so many change. And digests of two instances differ all the time while changes are under way, which counted like a lost update after 0.4 s.

Change: only the first list of a process is left to questions; later changes go to all as before, whatever their number. With more than 256 servers the time for which servers differ counts from the last change of either side, up to two seconds. With fewer nothing changes.

TestServersThatRegisterAreNotAskedForMeanwhile: two questions in four seconds of changes at most; TestAWholeListOfServersIsNotSentToAll has the second case.

--- a/internal/gateway/serverstate.go
+++ b/internal/gateway/serverstate.go
@@ -102,10 +102,10 @@
 	return f.registry.Len()
 }
 
-// maxServersSent is the number of changed servers up to which an instance sends their
-// states to all. Of a larger change it sends its digest alone, and instances that lack the
-// change ask for it: all instances that read the store at a start would otherwise send all
-// servers to all others.
+// maxServersSent is the number of servers up to which an instance sends all others the
+// servers of its first list. Of a longer list it sends the digest alone, and instances that
+// lack servers ask for them: all instances that read the store at a start would otherwise
+// send all servers to all others.
 const maxServersSent = 256
 
 // changeServers applies a change to the registry, logs what changed of the servers, and
@@ -137,7 +137,7 @@
 	}
 	switch {
 	case from != fromStore && from != fromTimer && from != fromServer:
-	case len(states) > maxServersSent:
+	case before == 0 && len(states) > maxServersSent:
 		f.updates.sendStatus()
 	default:
 		f.updates.addServers(states)
--- a/internal/gateway/serverstate_test.go
+++ b/internal/gateway/serverstate_test.go
@@ -109,6 +109,19 @@
 	if states, _ := sent(withServers(maxServersSent)); states != maxServersSent {
 		t.Errorf("%d of %d servers sent", states, maxServersSent)
 	}
+	registering := withServers(maxServersSent)
+	registering.updates.flush()
+	registering.changeServers(fromStore, func(r *servers.Registry, now monotime.Instant) (ids []string) {
+		for n := range 2 * maxServersSent {
+			s := entry(fmt.Sprint("late", n), servers.Revision(maxServersSent+1+n))
+			r.Put(s, now)
+			ids = append(ids, s.ID)
+		}
+		return ids
+	})
+	if states, _ := sent(registering); states != 2*maxServersSent {
+		t.Errorf("%d of %d servers sent that registered since", states, 2*maxServersSent)
+	}
 	f, _, _ := newFleet()
 	p := linkedPeers(f, "me", wire.RelayMember{ID: "hub"})
 	p.compareServers("hub", &wire.RelayNews{Confirmed: 1, Digest: 7})
@@ -139,3 +152,32 @@
 		}
 	})
 }
+
+// Guards against requests for all servers while thousands of them register: the digests of
+// two instances differ all the time then, though each change arrives a moment later.
+func TestServersThatRegisterAreNotAskedForMeanwhile(t *testing.T) {
+	for _, size := range []int{maxServersSent, 1200} {
+		synctest.Test(t, func(t *testing.T) {
+			p := linkedPeers(withServers(size), "me", wire.RelayMember{ID: "hub"})
+			requestsIn := func(length time.Duration, digest func(n int) int) int {
+				before := p.differences["hub"].requests
+				for n := range int(length / tickInterval) {
+					p.compareServers("hub", &wire.RelayNews{Confirmed: 1, Digest: digest(n)})
+					time.Sleep(tickInterval)
+				}
+				return p.differences["hub"].requests - before
+			}
+			const registering = 4 * time.Second
+			changing := requestsIn(registering, func(n int) int { return 10 + n })
+			if most := int(registering / maxDifferenceAge); size > maxServersSent && changing > most {
+				t.Errorf("%d servers: %d requests in %v of changes", size, changing, registering)
+			}
+			if size <= maxServersSent && changing < 3 {
+				t.Errorf("%d servers: only %d requests in %v", size, changing, registering)
+			}
+			if still := requestsIn(10*time.Second, func(int) int { return 7 }); still == 0 {
+				t.Errorf("%d servers: no request although the servers stay different", size)
+			}
+		})
+	}
+}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -124,6 +124,10 @@
 	// differenceDelay is how long servers may differ before they are requested: the
 	// update of a change reaches the instances one after the other.
 	differenceDelay = 400 * time.Millisecond
+	// maxDifferenceAge is how long the servers of a peer may differ before they are
+	// requested although one of the two sides is still changing. While thousands of
+	// servers register, digests differ all the time, and an answer has nearly all servers.
+	maxDifferenceAge = 2 * time.Second
 	// maxDelayDoublings bounds how often that delay is doubled. An answer is some 30 KB,
 	// and while a link is so slow that updates are late, the servers differ whatever is
 	// requested.
@@ -135,6 +139,20 @@
 type difference struct {
 	since    monotime.Instant
 	requests int
+	// began is when the difference was first found, or last led to a request, and own and
+	// peer the digests found last.
+	began     monotime.Instant
+	own, peer int
+}
+
+// update applies the digests found at an instant. Of a long list the time without a change
+// of either side counts, up to maxDifferenceAge.
+func (d *difference) update(own, peer int, long bool, now monotime.Instant) {
+	changing := own != d.own || peer != d.peer
+	d.own, d.peer = own, peer
+	if long && changing && now.Sub(d.began) < maxDifferenceAge {
+		d.since = now
+	}
 }
 
 // compareServers requests all servers of a peer if they have differed from those here for
@@ -148,16 +166,20 @@
 	now := monotime.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if update.Digest == int(p.fleet.digest.Load()) {
+	own, count := int(p.fleet.digest.Load()), p.fleet.serverCount()
+	if update.Digest == own {
 		delete(p.differences, from)
 		return
 	}
 	d, differed := p.differences[from]
+	if differed {
+		d.update(own, update.Digest, count > maxServersSent, now)
+	}
 	request := differed && now.Sub(d.since) >= differenceDelay<<min(d.requests, maxDelayDoublings)
 	// An instance without servers has no update to wait for.
-	request = request || !differed && p.fleet.serverCount() == 0
+	request = request || !differed && count == 0
 	if !differed || request {
-		d.since = now
+		d.since, d.began = now, now
 	}
 	if request {
 		d.requests++
