storesync: the jitter of taking over is drawn once

By reading, before it was seen: the condition under which an instance reads the store is asked again between two pages since listings may stop, and drew its jitter of up to 0.1 s anew each time, so a listing of an instance that takes over could be given up after each page. The jitter is drawn with the start; TestAnInstanceThatTakesOverReadsOn.

--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -52,9 +52,9 @@
 	initialCheckInterval = 10 * time.Millisecond
 	// hubDiscoveryWait is how long a process that has just started waits to find out
 	// whether it has peers and a hub, and hubStateWait how long it waits for them to send
-	// their state. A link to a seed and one to a hub take some 20 ms. Without the wait, each of
-	// 95 processes that start together would read five pages of the store, and callers
-	// would not be served sooner.
+	// their state. A link to a seed and one to a hub take some 20 ms. Without the wait,
+	// each of 95 processes that start together would read five pages of the store, and
+	// callers would not be served sooner.
 	hubDiscoveryWait = 40 * time.Millisecond
 	hubStateWait     = 600 * time.Millisecond
 	// maxFirstReaders is the number of instances without state that may read the store at
@@ -91,14 +91,18 @@
 	// hasHub reports whether this instance has a hub that sends it what it lacks, and
 	// hasPeer whether it has a link to any instance.
 	hasHub, hasPeer func() bool
-	// started is when the process began to follow the store.
-	started monotime.Instant
+	// started is when the process began to follow the store, and takeOverJitter its part
+	// of the delay before it takes over. Drawn anew at each check, the jitter would end
+	// listings that have begun.
+	started        monotime.Instant
+	takeOverJitter time.Duration
 }
 
 // run follows the store until the context ends.
 func (f *storeSync) run(ctx context.Context) error {
 	if f.started == 0 {
 		f.started = monotime.Now()
+		f.takeOverJitter = time.Duration(rand.Int64N(int64(takeOverJitter)))
 	}
 	for ctx.Err() == nil {
 		if !f.shouldRead() {
@@ -138,8 +142,8 @@
 	if place < storeReaders {
 		return true
 	}
-	limit := takeOverDelay(place) + time.Duration(rand.Int64N(int64(takeOverJitter)))
-	return monotime.Now().Sub(max(f.started, f.fleet.confirmedAt())) > limit
+	unconfirmed := monotime.Now().Sub(max(f.started, f.fleet.confirmedAt()))
+	return unconfirmed > takeOverDelay(place)+f.takeOverJitter
 }
 
 // takeOverDelay returns how long the instance at a place in rank waits for a confirmation.
--- a/internal/gateway/storesync_test.go
+++ b/internal/gateway/storesync_test.go
@@ -99,3 +99,25 @@
 		}
 	})
 }
+
+// Guards against a listing of many pages that is given up because the instance no longer
+// counts as one that takes over: its jitter was drawn anew at each page.
+func TestAnInstanceThatTakesOverReadsOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, fd, source := newFleet()
+		fd.rank = func() (int, int) { return 40, 59 }
+		f.installConfig(config(1), "peer")
+		put(f, "peer", entry("a", 1))
+		ctx, cancel := context.WithTimeout(t.Context(), takeOverDelay(40)+2*takeOverJitter)
+		defer cancel()
+		_ = fd.run(ctx)
+		if len(source.calls) == 0 {
+			t.Fatal("does not take over")
+		}
+		for range 1000 {
+			if !fd.shouldRead() {
+				t.Fatal("gives up although nothing is confirmed")
+			}
+		}
+	})
+}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -128,9 +128,9 @@
 	// requested although one of the two sides is still changing. While thousands of
 	// servers register, digests differ all the time, and an answer has nearly all servers.
 	maxDifferenceAge = 2 * time.Second
-	// maxDelayDoublings bounds how often that delay is doubled. An answer is some 30 KB,
-	// and while a link is so slow that updates are late, the servers differ whatever is
-	// requested.
+	// maxDelayDoublings bounds how often that delay is doubled. While a link is so slow
+	// that updates are late, the servers differ whatever is requested, and each answer
+	// slows it further.
 	maxDelayDoublings = 4
 )
 
@@ -155,7 +155,7 @@
 	}
 }
 
-// compareServers requests all servers of a peer if they have differed from those here for
+// compareServers requests the servers of a peer if they have differed from those here for
 // a while. An instance that does not read the store depends on updates of peers, and
 // updates are lost when a link breaks. It would go on sending to a server that left,
 // since no later update reports it again.
