--- a/internal/placement/shortlist.go
+++ b/internal/placement/shortlist.go
@@ -30,7 +30,7 @@
 	// taken from the own data centre.
 	otherDataCentres = 4
 	// minSatisfactory is the share of a request's weight from which on an engine that
-	// caches its prompt, or its home, is taken without a look at others. That is so only
+	// caches its prompt, or its home, is taken without examining others. That is so only
 	// for prompts that share at least minFetchTokens: shorter ones are read soon
 	// anywhere, and those of all callers may begin alike.
 	minSatisfactory = 0.9
@@ -148,19 +148,19 @@
 	pool       *Pool
 	allowed    func(*Candidate) bool
 	candidates []Candidate
-	// looked holds the indexes in the pool of the servers looked at, allowed or not.
-	looked map[int]bool
+	// examined holds the indexes in the pool of the servers examined, allowed or not.
+	examined map[int]bool
 	// accepting is the number of candidates that take requests.
 	accepting int
 }
 
 func newShortlist(pool *Pool, allowed func(*Candidate) bool) *shortlist {
-	return &shortlist{pool: pool, allowed: allowed, looked: make(map[int]bool)}
+	return &shortlist{pool: pool, allowed: allowed, examined: make(map[int]bool)}
 }
 
-// share returns the part of the pool that was looked at.
+// share returns the part of the pool that was examined.
 func (l *shortlist) share() float64 {
-	return float64(max(1, len(l.looked))) / float64(max(1, l.pool.Len()))
+	return float64(max(1, len(l.examined))) / float64(max(1, l.pool.Len()))
 }
 
 func (l *shortlist) addAll() {
@@ -182,10 +182,10 @@
 
 // add adds a server of the pool if it is allowed and not listed yet.
 func (l *shortlist) add(index int) {
-	if l.looked[index] {
+	if l.examined[index] {
 		return
 	}
-	l.looked[index] = true
+	l.examined[index] = true
 	c := &l.pool.candidates[index]
 	if l.allowed(c) {
 		l.candidates = append(l.candidates, *c)
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -544,11 +544,11 @@
 	// Instances it is linked to, itself among them.
 	Members []RelayMember `json:"m,omitempty,omitzero"`
 
-	// Digest of the members that the sender knows, sent with their number.
+	// Digest of these members.
 	MembersDigest int `json:"md,omitempty,omitzero"`
 
-	// Number of members that the sender knows, in place of a list of them; 0 if it
-	// sends the list.
+	// Number of members recorded by the sender, sent in place of their list; 0 if the
+	// list is sent.
 	MembersKnown int `json:"mk,omitempty,omitzero"`
 
 	// The sender has heard of an instance that it does not know and asks for all
@@ -568,12 +568,12 @@
 	// Changes of servers.
 	Servers []RelayServer `json:"s,omitempty,omitzero"`
 
-	// Buckets of which the servers sent are all that the sender knows; none: of all
-	// buckets.
+	// Buckets that the list of servers covers; none: it covers all.
 	ServerBuckets []int `json:"sb,omitempty,omitzero"`
 
-	// Digests of the buckets of servers that the sender knows, sent when it asks for
-	// servers: it lacks those of the buckets that differ. None: it lacks all.
+	// Digests of the sender's buckets of servers, sent with a request for servers:
+	// the answer has those of the buckets that differ. None: the answer has all
+	// servers.
 	ServerDigests []int `json:"sd,omitempty,omitzero"`
 
 	// Revision of a full list of the store; the servers told are all that it holds. 0
