--- a/internal/report/burn.go
+++ b/internal/report/burn.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// windows over which burn is told, shortest first. A high burn over a short and
-// a long window together tells of a fault that lasts and is still there.
+// windows are the windows of burn, shortest first. A high burn over a short and a long
+// window together indicates a fault that has lasted and has not ended.
 var windows = []time.Duration{
 	5 * time.Minute,
 	time.Hour,
@@ -12,8 +12,8 @@
 	30 * 24 * time.Hour,
 }
 
-// Burn tells how fast the error budget, 1 minus the goal, is used up: 1 uses it
-// up exactly, 10 uses ten times as much.
+// Burn is the rate at which the error budget, 1 minus the goal, is consumed: 1 consumes it
+// exactly, 10 ten times as much.
 type Burn struct {
 	// WindowS is the length of the window in seconds, ending at the report's now.
 	WindowS int `json:"window_s"`
@@ -21,7 +21,7 @@
 	Requests int `json:"requests"`
 	// Missed counts requests that did not meet their target.
 	Missed int `json:"missed"`
-	// Rate is the share missed over the error budget.
+	// Rate is the share of missed requests divided by the error budget.
 	Rate float64 `json:"rate"`
 }
 
--- a/internal/report/explain.go
+++ b/internal/report/explain.go
@@ -11,20 +11,20 @@
 	"basilrudder/internal/schema/accounting"
 )
 
-// ErrUnknownRequest means that no line tells of the request.
+// ErrUnknownRequest reports that no line is about the request.
 var ErrUnknownRequest = errors.New("no line tells of this request")
 
 // Story holds all lines of one request, oldest first.
 type Story struct {
 	// Request id.
 	Request string `json:"request"`
-	// Records of all instances that wrote of it, each once.
+	// Records that instances wrote about it, without duplicates.
 	Records []accounting.Record `json:"records"`
-	// Cut reports that a damaged line tells of the request as well.
+	// Cut reports whether a damaged line is about the request as well.
 	Cut bool `json:"cut"`
 }
 
-// Explain reads the story of one request from accounting lines.
+// Explain reads the lines of one request from accounting files.
 func Explain(id string, files []string) (*Story, error) {
 	s := storySink{id: id, seen: make(map[accounting.Record]bool)}
 	if _, err := readFiles(files, &s); err != nil {
@@ -62,8 +62,8 @@
 	return story, nil
 }
 
-// earlier orders by time, since lines of several instances number on their own.
-// Lines of one instance with the same time keep their numbers' order.
+// earlier orders lines by time, because instances number their lines independently.
+// Lines of one instance with the same time are ordered by number.
 func earlier(a, b *accounting.Record) bool {
 	switch {
 	case a.Ts != b.Ts:
@@ -81,7 +81,7 @@
 	}
 }
 
-// WriteText writes the story for people.
+// WriteText writes the story as readable text.
 func (s *Story) WriteText(out io.Writer) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "Request %s\n", printable(s.Request))
@@ -111,7 +111,7 @@
 	b.WriteString("\n")
 }
 
-// parts tells what a record holds, in the order in which it matters.
+// parts returns the fields of a record, the most important first.
 func parts(r *accounting.Record) []string {
 	var out []string
 	add := func(format string, value any, present bool) {
--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -18,7 +18,7 @@
 	"window":  windowName,
 }).Parse(pageText))
 
-// pageData is what the page shows.
+// pageData is the content of the page.
 type pageData struct {
 	*Report
 	// Plots are svg elements.
@@ -37,7 +37,7 @@
 	Totals
 }
 
-// WriteHTML writes the report as one page that needs no other file.
+// WriteHTML writes the report as a single self-contained page.
 func (r *Report) WriteHTML(out io.Writer) error {
 	data := pageData{Report: r, Tables: r.tables()}
 	draws := []func(*Report) (*plot.Plot, error){plotAttainment, plotOutcomes, plotTokens, plotBurn}
@@ -50,7 +50,7 @@
 		if err != nil {
 			return errors.Wrap(err, "plot")
 		}
-		// The plotting library escapes the texts it draws.
+		// The plotting library escapes the texts that it draws.
 		data.Plots = append(data.Plots, template.HTML(text))
 	}
 	return page.Execute(out, data)
--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -22,8 +22,7 @@
 	lineWidth  = 1.2 * vg.Millimeter / 2
 )
 
-// palette holds colours that differ in lightness too, for readers who do not
-// see all hues.
+// palette holds colours that also differ in lightness, for colour-blind readers.
 var palette = []color.Color{
 	color.RGBA{R: 0x00, G: 0x72, B: 0xb2, A: 0xff},
 	color.RGBA{R: 0xd5, G: 0x5e, B: 0x00, A: 0xff},
@@ -70,7 +69,7 @@
 	return p, nil
 }
 
-// plotOutcomes draws what became of the requests over time.
+// plotOutcomes draws the outcomes of the requests over time.
 func plotOutcomes(r *Report) (*plot.Plot, error) {
 	p := newPlot("Outcomes", "time (UTC)", "requests per second")
 	p.Y.Min = 0
@@ -134,7 +133,7 @@
 // legendShare is the share of a plot's width kept free for its legend.
 const legendShare = 0.2
 
-// leaveRoom widens the plot beyond its data, since the legend is drawn over it.
+// leaveRoom extends the axis beyond the data, because the legend is drawn over the plot.
 func leaveRoom(p *plot.Plot) {
 	p.X.Max += legendShare / (1 - legendShare) * (p.X.Max - p.X.Min)
 }
@@ -153,7 +152,7 @@
 
 func addLine(p *plot.Plot, name string, points plotter.XYs, c color.Color) error {
 	if len(points) == 0 {
-		return nil // a plot refuses an empty line
+		return nil // the library rejects an empty line
 	}
 	line, dots, err := plotter.NewLinePoints(points)
 	if err != nil {
@@ -204,8 +203,8 @@
 	return nil
 }
 
-// svg draws a plot as an svg element, without the XML prologue that does not
-// belong inside a page.
+// svg draws a plot as an svg element, without the XML prologue, which is not allowed
+// inside a page.
 func svg(p *plot.Plot) (string, error) {
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(canvas))
--- a/internal/report/read.go
+++ b/internal/report/read.go
@@ -1,7 +1,7 @@
-// Package report reads accounting lines and tells who got what, who was turned
-// away and why. It takes lines in any order, any number of times, and cut off
-// anywhere: each request counts exactly once, and one whose end is missing
-// counts as unknown, never as served.
+// Package report reads accounting lines and reports which requests were served, which were
+// refused and why. Lines may be in any order, repeated, or cut off at any point: each
+// request counts exactly once, and one whose end is missing counts as unknown, never as
+// served.
 package report
 
 import (
@@ -19,7 +19,7 @@
 const (
 	// maxLine bounds a line, in bytes. Accounting lines are far shorter.
 	maxLine = 256 << 10
-	// maxObjects bounds the objects looked for in a damaged line.
+	// maxObjects bounds the objects searched for in a damaged line.
 	maxObjects = 8
 	// objectStart begins an object of accounting; within strings it is escaped.
 	objectStart = `{"`
@@ -29,7 +29,7 @@
 	stdinName = "-"
 )
 
-// Messages of the lines that are read; lines with others are not for reports.
+// Messages of the lines that are read; other lines are ignored.
 const (
 	messageAccounting = "accounting"
 	messageLost       = "accounting_lost"
@@ -43,15 +43,15 @@
 	Damaged int `json:"damaged"`
 	// Other lines of the log.
 	Other int `json:"other"`
-	// Lost lines (marks and decisions) of which instances told.
+	// Lost lines (marks and decisions), as reported by the instances.
 	Lost int `json:"lost"`
 }
 
-// sink takes what is found in the lines.
+// sink receives the content of the lines.
 type sink interface {
-	// record takes a whole record.
+	// record receives a complete record.
 	record(r *accounting.Record)
-	// remnant takes what is left of a damaged one: a sign that the request was.
+	// remnant receives what is left of a damaged record: evidence that the request existed.
 	remnant(r *accounting.Record)
 }
 
@@ -117,8 +117,7 @@
 	Lines int `json:"lines"`
 }
 
-// readLine reads one line. What collects the output may have put a prefix
-// before the JSON.
+// readLine reads one line. A log collector may have put a prefix before the JSON.
 func readLine(text []byte, lines *Lines, to sink) {
 	text = bytes.TrimSpace(text)
 	start := bytes.IndexByte(text, '{')
@@ -131,9 +130,9 @@
 	readObjects(text[start:], lines, to)
 }
 
-// readObjects reads the object that a line holds. Where a process died within a
-// line, the next one may have gone on behind it, so the search goes on at the
-// next object; accounting records hold no objects themselves.
+// readObjects reads the object that a line holds. If a process died within a line, the
+// next process may have continued the same line, so the search continues at the next
+// object; accounting records contain no nested objects.
 func readObjects(text []byte, lines *Lines, to sink) {
 	for range maxObjects {
 		var l line
@@ -176,15 +175,15 @@
 	return r.Request != "" && counts && durations && r.Ts >= 0 && r.Ts < maxTime
 }
 
-// counted reports whether n can be a count of one request. Larger ones, which no
-// instance writes, would make the totals overflow.
+// counted reports whether n is a plausible count of one request. Instances write no larger
+// ones, which could make the totals overflow.
 func counted(n int) bool {
 	const maxCount = 1 << 40
 	return 0 <= n && n <= maxCount
 }
 
-// readDamaged looks for what is left of a cut line. When a process dies with the
-// only line of a request half written, the request must still be counted.
+// readDamaged extracts what is left of a truncated line. If a process died while writing
+// the only line of a request, the request must still be counted.
 func readDamaged(text []byte, lines *Lines, to sink) {
 	lines.Damaged++
 	var r accounting.Record
@@ -194,8 +193,8 @@
 	}
 }
 
-// salvage takes the whole strings at the beginning of a cut JSON object. A
-// number may have lost digits, so numbers are left out.
+// salvage returns the complete strings at the beginning of a truncated JSON object.
+// Numbers are omitted, since they may have lost digits.
 func salvage(text []byte, r *accounting.Record) (msg string, err error) {
 	decoder := json.NewDecoder(bytes.NewReader(text))
 	if _, err := decoder.Token(); err != nil {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -19,7 +19,7 @@
 	Now float64
 }
 
-// Report tells who got what and who was turned away.
+// Report holds the outcomes of requests, by class and by customer.
 type Report struct {
 	// From and To are the times of the first and last line, in seconds since 1970.
 	From float64 `json:"from"`
@@ -106,23 +106,23 @@
 	OwnFault int `json:"own_fault"`
 	// Failed requests: they ran, or may have, and were not delivered.
 	Failed int `json:"failed"`
-	// Unknown requests: no end is known.
+	// Unknown requests have no end line.
 	Unknown int `json:"unknown"`
 	// GoodTokens were delivered on time.
 	GoodTokens int `json:"good_tokens"`
 	// Tokens of served requests.
 	Tokens int `json:"tokens"`
-	// WastedTokens were generated for nobody, or for an answer that failed.
+	// WastedTokens were generated for an answer that nobody received or that failed.
 	WastedTokens int `json:"wasted_tokens"`
 	// UnknownTokens were relayed by requests whose end is unknown.
 	UnknownTokens int `json:"unknown_tokens"`
-	// Attainment is OnTime over Requests without OwnFault; 1 when there are none.
+	// Attainment is OnTime divided by Requests without OwnFault; 1 if there are none.
 	Attainment float64 `json:"attainment"`
 	// GoodputPerS is OnTime requests per second of the report's time.
 	GoodputPerS float64 `json:"goodput_per_s"`
 	// GoodTokensPerS is GoodTokens per second of the report's time.
 	GoodTokensPerS float64 `json:"good_tokens_per_s"`
-	// WasteShare is WastedTokens over WastedTokens and Tokens.
+	// WasteShare is WastedTokens divided by the sum of WastedTokens and Tokens.
 	WasteShare float64 `json:"waste_share"`
 }
 
@@ -152,7 +152,7 @@
 		burn:      newBurnCounter(options),
 	}
 	timeline := newTimeline(rs.first, rs.last)
-	// All that is counted are sums, so the order of requests does not show.
+	// Only sums are counted, so the order of requests has no effect.
 	rs.each(func(r *request) {
 		b.add(r, options)
 		timeline.add(r)
@@ -228,7 +228,7 @@
 		t.WastedTokens += r.end.wasted
 	case Failed:
 		t.Failed++
-		// Nobody received the answer, also not what was relayed of it.
+		// Nobody received the answer, including the part that was relayed.
 		t.WastedTokens += max(r.end.wasted, r.end.tokens)
 	default:
 		t.Unknown++
@@ -243,7 +243,7 @@
 	}
 }
 
-// rates computes the figures that follow from the counts.
+// rates computes the figures derived from the counts.
 func (t *Totals) rates(seconds float64) {
 	t.Attainment = 1
 	if counted := t.Requests - t.OwnFault; counted > 0 {
--- a/internal/report/requests.go
+++ b/internal/report/requests.go
@@ -7,17 +7,17 @@
 	"basilrudder/internal/verdict"
 )
 
-// key names a request: a hash of its id, and one of the instance and incarnation
-// that held it. A caller's own id may name one execution at each of two
-// instances. A month holds many millions of requests, and hashes take a small
-// part of the memory of the texts; two keys of 128 bits do not meet by chance.
+// key identifies a request: a hash of its id, and one of the instance and incarnation that
+// held it. An id chosen by a caller may identify an execution at each of two instances. A
+// month has many millions of requests, and hashes need a small part of the memory of the
+// texts; collisions of 128-bit keys are not expected.
 type key struct {
 	request, holder uint64
 }
 
 func keyOf(r *accounting.Record) key {
 	holder := xxhash.New()
-	// A digest never fails to write.
+	// Writing to a digest never fails.
 	_, _ = holder.WriteString(r.Instance)
 	_, _ = holder.Write([]byte{0})
 	_, _ = holder.WriteString(r.Incarnation)
@@ -26,7 +26,7 @@
 	return key{request: xxhash.Sum64String(r.Request), holder: holder.Sum64()}
 }
 
-// Outcome tells what became of a request. Each request has exactly one.
+// Outcome is the result of a request. Each request has exactly one.
 type Outcome uint8
 
 // Outcomes.
@@ -42,7 +42,7 @@
 	Failed
 )
 
-// request is what is known of one request.
+// request holds what the lines contain about one request.
 type request struct {
 	customer, class string
 	seen            float64 // wall-clock time of the latest start or mark line
@@ -50,7 +50,7 @@
 	end             *ending // nil while no end line is known
 }
 
-// ending is what reports need of an end line.
+// ending holds the fields of an end line that reports use.
 type ending struct {
 	seq                          int
 	ts                           float64
@@ -65,8 +65,8 @@
 	byKey map[key]*request
 	// known holds the ids in byKey.
 	known map[uint64]struct{}
-	// decided holds requests of which only decisions tell so far. They count when
-	// it stays so: an owner of a group decides on requests of other instances.
+	// decided holds requests that only decisions are about so far. They count if no other
+	// line follows: the owner of a group decides on requests of other instances.
 	decided map[uint64]decided
 	names   names
 	first   float64
@@ -114,8 +114,8 @@
 	return found
 }
 
-// record implements sink. Nothing here depends on the order of lines, and a
-// repeated line finds its effect already there.
+// record implements sink. The result does not depend on the order of lines, and repeated
+// lines have no effect.
 func (rs *requests) record(r *accounting.Record) {
 	if r.Ts > 0 {
 		if rs.first == 0 || r.Ts < rs.first {
@@ -180,15 +180,15 @@
 	}
 }
 
-// finish keeps the last of several end lines.
+// finish keeps the latest of several end lines.
 func (r *request) finish(end *ending) {
 	if r.end == nil || r.end.precedes(end) {
 		r.end = end
 	}
 }
 
-// precedes orders end lines by number, and two different ones with the same
-// number by what they say, so that the choice does not depend on their order.
+// precedes orders end lines by number, and different ones with the same number by their
+// content, so that the choice does not depend on the order of lines.
 func (e *ending) precedes(other *ending) bool {
 	switch {
 	case e.seq != other.seq:
@@ -208,9 +208,8 @@
 	}
 }
 
-// each calls f with every request once, in no order. Those that only decisions
-// tell of count too: the start line was cut off with the process, and yet the
-// request was there.
+// each calls f once with every request, in no particular order. Requests that only
+// decisions are about count too: the process ended before it wrote the start line.
 func (rs *requests) each(f func(*request)) {
 	for _, r := range rs.byKey {
 		f(r)
@@ -238,7 +237,7 @@
 	return r.outcome() == Served && r.end.onTime
 }
 
-// at is the wall-clock time at which the request counts, in seconds.
+// at returns the wall-clock time at which the request counts, in seconds.
 func (r *request) at() float64 {
 	if r.end != nil {
 		return r.end.ts
@@ -247,7 +246,7 @@
 }
 
 // ownFault reports whether the request was refused for what its caller sent or
-// for the customer's own limit. Such a request says nothing of the service.
+// for the customer's own limit. Such a request is no evidence about the service.
 func (r *request) ownFault() bool {
 	return r.outcome() == Refused && ownFaultReasons[verdict.Reason(r.end.reason)]
 }
--- a/internal/report/series.go
+++ b/internal/report/series.go
@@ -42,7 +42,7 @@
 
 func (t *timeline) add(r *request) {
 	if len(t.totals) == 0 || r.at() == 0 {
-		return // where only a cut line tells of the request, its time is unknown
+		return // only a truncated line is about the request, so its time is unknown
 	}
 	i := min(max(int((r.at()-t.from)/t.width), 0), seriesLength-1)
 	t.totals[i].add(r)
--- a/internal/report/table.go
+++ b/internal/report/table.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// WriteTable writes the report for people.
+// WriteTable writes the report as readable tables.
 func (r *Report) WriteTable(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintf(w, "From %s to %s, goal %s\n", wallClock(r.From), wallClock(r.To), percent(r.Goal))
@@ -83,7 +83,8 @@
 	}
 }
 
-// printable keeps text of damaged lines from moving columns or the terminal.
+// printable prevents text of damaged lines from breaking the columns or controlling the
+// terminal.
 func printable(s string) string {
 	if s == "" {
 		return "-"
@@ -100,7 +101,7 @@
 	return fmt.Sprintf("%.2f%%", 100*share)
 }
 
-// wallClock shows seconds since 1970 in UTC.
+// wallClock formats seconds since 1970 in UTC.
 func wallClock(seconds float64) string {
 	if seconds <= 0 {
 		return "-"
