emulator: choices from a pool, and a fleet of 40 instances and 2,400 engines

The emulator chooses as an instance does, also among thousands of engines. TestALargeFleetReadsTheStartsOfPromptsAboutOnce: 800 requests with 200 starts, at 1,200 and 2,400 engines; on time and tokens read are bounded.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -94,6 +94,8 @@
 	// timeout is longer.
 	drainTime = 30 * time.Second
 	service   = "engines"
+	// dataCentre is that of all instances and engines.
+	dataCentre = "here"
 )
 
 type sim struct {
@@ -103,6 +105,7 @@
 	instances []*instance
 	engines   []*engine
 	byID      map[string]*engine
+	pool      *placement.Pool
 	result    Result
 	calls     int
 }
@@ -120,6 +123,7 @@
 		s.engines = append(s.engines, e)
 		s.byID[e.id] = e
 	}
+	s.pool = s.newPool()
 	for n := range scenario.Instances {
 		s.instances = append(s.instances, newInstance(s, n))
 	}
@@ -138,6 +142,19 @@
 	return s.result
 }
 
+// newPool returns the pool of all engines.
+func (s *sim) newPool() *placement.Pool {
+	kind := &s.scenario.Kind
+	candidates := make([]placement.Candidate, 0, len(s.engines))
+	for _, e := range s.engines {
+		candidates = append(candidates, placement.Candidate{
+			ID: e.id, Service: service, DataCentre: dataCentre,
+			Slots: kind.Slots, MemoryTokens: kind.MemoryTokens, EventTokens: kind.EventTokens,
+		})
+	}
+	return placement.NewPool(candidates)
+}
+
 func (s *sim) affectedEngines(f Fault) []*engine {
 	return s.engines[:int(math.Round(f.Share*float64(len(s.engines))))]
 }
@@ -208,7 +225,7 @@
 
 // newBoard returns the Board of an instance, without samples of the engines.
 func (s *sim) newBoard() *placement.Board {
-	b := placement.NewBoard(pace.DefaultPrior, "here")
+	b := placement.NewBoard(pace.DefaultPrior, dataCentre)
 	b.SetPeers(s.scenario.Instances-1, s.scenario.MaxUpdateDelay)
 	b.Seed(s.random.Uint64())
 	return b
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -123,3 +123,22 @@
 		}
 	}
 }
+
+// Guards against prompts that are read anew by each engine, and against a few engines that
+// all instances choose, in a fleet with thousands of engines: 40 instances send 800
+// requests with 200 starts.
+func TestALargeFleetReadsTheStartsOfPromptsAboutOnce(t *testing.T) {
+	for _, engines := range []int{1200, 2400} {
+		s := largeFleet(engines)
+		class := s.Classes[0]
+		r := Run(s, 1)
+		if got := r.Class(class.Name).Share(OnTime); got < 0.97 {
+			t.Errorf("%d engines: %.3f on time", engines, got)
+		}
+		own := r.Class(class.Name).Total() * class.OwnTokens
+		starts := class.SharedParts * class.SharedTokens
+		if most := own*6/5 + starts*3/2; r.PromptTokensRead > most {
+			t.Errorf("%d engines: %d tokens read, of which %d are the requests' own and %d all starts once", engines, r.PromptTokensRead, own, starts)
+		}
+	}
+}
--- a/internal/emulator/instance.go
+++ b/internal/emulator/instance.go
@@ -31,28 +31,18 @@
 	}
 }
 
-func (i *instance) candidates() []placement.Candidate {
-	kind := &i.sim.scenario.Kind
-	out := make([]placement.Candidate, 0, len(i.sim.engines))
-	for _, e := range i.sim.engines {
-		out = append(out, placement.Candidate{
-			ID: e.id, Service: service, DataCentre: "here",
-			Slots: kind.Slots, MemoryTokens: kind.MemoryTokens, EventTokens: kind.EventTokens,
-		})
-	}
-	return out
-}
-
 // maxAttempts bounds the unreachable engines that are tried for one request, which is
 // refused after them. At 1, every crashed engine would cost a refusal.
 const maxAttempts = 4
 
+func allowAll(*placement.Candidate) bool { return true }
+
 // place chooses an engine for a call and starts a run there, or refuses the call.
 func (i *instance) place(c *call) {
 	now := i.sim.now()
 	c.work.Left = c.deadline.Sub(now)
 	for range maxAttempts {
-		choice, refusal := i.board.Choose(c.work, i.candidates(), now)
+		choice, refusal := i.board.ChooseFrom(c.work, i.sim.pool, nil, allowAll, now)
 		if refusal != placement.Chosen {
 			c.retryOrRefuse()
 			return
--- a/internal/emulator/scenarios.go
+++ b/internal/emulator/scenarios.go
@@ -61,7 +61,21 @@
 	many.Kind.Slots, many.Kind.Queue = 12, 12
 	many.Classes = classes(5, 1)
 	many.Length = 5 * time.Second
-	return []Scenario{calm, steepCalm, burst, crash, slow, slower, faster, many, burstOnLongStreams()}
+	return []Scenario{calm, steepCalm, burst, crash, slow, slower, faster, many, burstOnLongStreams(), largeFleet(2400)}
+}
+
+// largeFleet has many more engines than requests at any time. Prompts share long starts, of
+// which each is requested a few times.
+func largeFleet(engines int) Scenario {
+	return Scenario{
+		Name: "large-fleet", Instances: 40, MaxUpdateDelay: 50 * time.Millisecond, Engines: engines,
+		Kind: EngineKind{Slots: 16, Queue: 24, MemoryTokens: 460_000, EventTokens: 7, Pace: steepPace},
+		Classes: []Class{
+			{Name: "bundle", PerSecond: 200, SharedParts: 200, SharedTokens: 8000, OwnTokens: 1000, Output: 100,
+				Goal: 2500 * time.Millisecond, MaxGap: 1200 * time.Millisecond, Timeout: 12 * time.Second},
+		},
+		Length: 4 * time.Second,
+	}
 }
 
 // burstOnLongStreams has reports that hold a third of the slots when live responses and
