--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -152,8 +152,8 @@
 }
 
 // shouldReadFirst reports whether an instance without state reads the store instead of
-// waiting for a peer. Of instances that start together, each reads that knows few others
-// before it in rank.
+// waiting for a peer. Of instances that start together, those read that have recorded few
+// others with a lower place in rank.
 func (f *storeSync) shouldReadFirst() bool {
 	waited := monotime.Now().Sub(f.started)
 	place, _ := f.rank()
--- a/internal/overlay/feed.go
+++ b/internal/overlay/feed.go
@@ -151,7 +151,7 @@
 
 // Greeting returns the first message to a peer over a new link. In a large fleet it has a
 // digest in place of the members: an instance that starts opens some tens of links, and
-// most peers know the members that others have sent it already.
+// most of its peers have recorded the same members.
 func (n *Node) Greeting() wire.RelayNews {
 	out := wire.RelayNews{Neighbours: n.out.sentLinks, Leaving: n.leaving}
 	members := n.Reachable()
@@ -172,12 +172,10 @@
 	return int(digest >> 1)
 }
 
-// compareMembers notes a peer that knows other members.
+// compareMembers records a peer whose members differ from those recorded here. It reports
+// whether they do.
 func (n *Node) compareMembers(from string, update *wire.RelayNews) (differ bool) {
-	if update.MembersKnown == 0 {
-		return false
-	}
-	if update.MembersDigest == membersDigest(n.Reachable()) {
+	if update.MembersKnown == 0 || update.MembersDigest == membersDigest(n.Reachable()) {
 		return false
 	}
 	n.differingPeer = from
--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -70,9 +70,8 @@
 	incarnations map[string]*member
 
 	leaving bool
-	// topologyChanged is set when a link, a member or what it reports has changed since
-	// the last Refresh. Without a change who is reachable and who is a hub stay the same,
-	// and are not computed again.
+	// topologyChanged is set when a link, a member or its report has changed since the
+	// last Refresh. Otherwise the reachable members and the hubs are still the same.
 	topologyChanged bool
 	// mesh and hub are the role of this instance as of the last Refresh.
 	mesh, hub        bool
@@ -80,7 +79,7 @@
 	detachedSince    monotime.Instant
 	unknownOrigin    bool // an incarnation that is no member's was received
 	unknownNeighbour bool // a member reports a link to one
-	// differingPeer is the last peer found to know other members; empty for none.
+	// differingPeer is the last peer found to have recorded other members; empty for none.
 	differingPeer      string
 	membersRequestedAt monotime.Instant
 
