--- a/internal/gateway/storesync_test.go
+++ b/internal/gateway/storesync_test.go
@@ -45,20 +45,26 @@
 func TestAnInstanceThatBecomesAReaderDoesNotWaitOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, fd, source := newFleet()
-		place := 50
-		fd.rank = func() (int, int) { return place, 585 }
+		const becomesReader, length = 10 * time.Second, 20 * time.Second
+		begun, callsBefore := monotime.Now(), 0
+		fd.rank = func() (int, int) {
+			if monotime.Now().Sub(begun) >= becomesReader {
+				return 1, 585
+			}
+			callsBefore = len(source.calls)
+			return 50, 585
+		}
 		f.installConfig(config(1), "peer")
 		put(f, "peer", entry("a", 1))
 		f.confirmVersion(1, monotime.Now())
 		for range 1000 {
 			source.all = append(source.all, result{err: errors.New("refused"), after: time.Millisecond})
 		}
-		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), length)
 		defer cancel()
-		time.AfterFunc(10*time.Second, func() { place, source.calls = 1, nil })
 		_ = fd.run(ctx)
-		if n := len(source.calls); n < 20 {
-			t.Errorf("one of the first in rank asks %d times in 10 s", n)
+		if n := len(source.calls) - callsBefore; n < 20 {
+			t.Errorf("one of the first in rank asks %d times in %v", n, length-becomesReader)
 		}
 	})
 }
