A second reading: one path for refusals and whole pools, files by question

Cause: read once more, the change had the count of a refusal twice (Choose and ChooseFrom), built a map of examined servers also for pools that are considered whole, on the path of each request, sorted all servers a second time for evacuated data centres when none is evacuated, and copied the counts of calls to the store field by field into the metrics.

Change: Choose and ChooseFrom share decide; a whole pool is filtered without the map; nothing is listed for evacuations without an active one; the metrics embed StoreCalls, with the same names in JSON. Behaviour is the same, in the order of candidates too.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -124,9 +124,7 @@
 	}
 }
 
-// Guards against prompts that are read anew by each engine, and against a few engines that
-// all instances choose, in a fleet with thousands of engines: 40 instances send 800
-// requests with 200 starts.
+// Guards against prompts that each of thousands of engines reads anew.
 func TestALargeFleetReadsTheStartsOfPromptsAboutOnce(t *testing.T) {
 	for _, engines := range []int{1200, 2400} {
 		s := largeFleet(engines)
--- a/internal/gateway/jitter.go
+++ b/internal/gateway/jitter.go
@@ -6,8 +6,8 @@
 	// jitterPerInstance is the random jitter added to placement costs for each instance
 	// beyond instancesWithoutJitter that considers the same server, see placement.Board:
 	// the more there are, the more of them choose it before they receive each other's
-	// choices. With
-	// fewer instances the updates arrive in time, and jitter would cost 0.005 of value.
+	// choices. With fewer instances the updates arrive in time, and jitter would cost
+	// 0.005 of value.
 	jitterPerInstance      = 0.002
 	instancesWithoutJitter = 16
 	// startupJitter is the jitter of a process that has just started: that of some 70
--- a/internal/gateway/jitter_test.go
+++ b/internal/gateway/jitter_test.go
@@ -39,8 +39,7 @@
 	}
 }
 
-// Guards against placement at random in a large fleet: with a jitter for each instance,
-// whatever the number of engines, a prompt was read anew by another engine each time.
+// Guards against a jitter of hundreds of instances that exceeds the cost of reading again.
 func TestManyInstancesKeepPromptsWhereTheyAreCached(t *testing.T) {
 	f, _, _ := newFleet()
 	f.board.SetCostJitter(jitterOf(time.Minute, 585))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,22 +32,13 @@
 	Era                int64 `json:"era"`
 	Revision           int64 `json:"revision"`
 	UnconfirmedServers int   `json:"doubtful_servers"`
-	// Calls of this process to the store, by purpose.
-	Pages          int64 `json:"pages"`
-	StalePages     int64 `json:"stale_pages"`
-	ChangedWatches int64 `json:"changed_watches"`
-	EmptyWatches   int64 `json:"empty_watches"`
-	Configs        int64 `json:"configs"`
-	Failed         int64 `json:"failed"`
+	StoreCalls
 }
 
 func (g *Gateway) storeMetrics() storeMetrics {
 	revision, unconfirmed := g.fleet.latestRevision()
-	calls := g.cfg.Source.Calls()
 	return storeMetrics{
 		Era: revision.Era(), Revision: revision.Number(), UnconfirmedServers: unconfirmed,
-		Pages: calls.Pages, StalePages: calls.StalePages,
-		ChangedWatches: calls.ChangedWatches, EmptyWatches: calls.EmptyWatches,
-		Configs: calls.Configs, Failed: calls.Failed,
+		StoreCalls: g.cfg.Source.Calls(),
 	}
 }
--- a/internal/gateway/serverstate_test.go
+++ b/internal/gateway/serverstate_test.go
@@ -14,8 +14,7 @@
 	"basilrudder/internal/servers"
 )
 
-// Guards against a log that grows with the number of servers each time a process starts:
-// lines of its requests are lost among them.
+// Guards against a log in which a start displaces the lines of requests.
 func TestTheFirstListOfServersIsLoggedInOneLine(t *testing.T) {
 	for _, size := range []int{600, 1200} {
 		f, _, _ := newFleet()
@@ -52,8 +51,7 @@
 	return f
 }
 
-// Guards against answers that have all servers when the peer lacks one: with 6,000 servers
-// each was 1.4 MB, and a starting instance asked for one each 400 ms.
+// Guards against answers that have all servers when the peer lacks one.
 func TestAPeerIsSentTheServersThatItLacks(t *testing.T) {
 	for _, size := range []int{1200, 6000, 12000} {
 		informed, other := withServers(size), withServers(size)
@@ -81,8 +79,7 @@
 	}
 }
 
-// Guards against limits that an instance does not learn because the servers that advertise
-// them are the same here and there.
+// Guards against limits that are missing because the servers are equal on both sides.
 func TestLimitsAreSentWithEqualServers(t *testing.T) {
 	informed, other := withServers(600), withServers(600)
 	informed.changeServers(fromServer, func(r *servers.Registry, now monotime.Instant) []string {
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -41,13 +41,15 @@
 // counts each of them, also those that fail.
 type StoreCalls struct {
 	// Pages of listings, and StalePages those of them that may be stale.
-	Pages, StalePages int64
+	Pages      int64 `json:"pages"`
+	StalePages int64 `json:"stale_pages"`
 	// ChangedWatches ended with changes, and EmptyWatches without any.
-	ChangedWatches, EmptyWatches int64
+	ChangedWatches int64 `json:"changed_watches"`
+	EmptyWatches   int64 `json:"empty_watches"`
 	// Configs are reads of the configuration alone.
-	Configs int64
+	Configs int64 `json:"configs"`
 	// Failed calls of any kind, which the other counters do not include.
-	Failed int64
+	Failed int64 `json:"failed"`
 }
 
 // Source reads the store. The store counts every call.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -81,9 +81,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.begin(&work, now)
-	choice, refusal := b.choose(&work, candidates, 1, now)
+	return b.decide(&work, candidates, 1, now)
+}
+
+// decide is choose for the last list of candidates of a request: a refusal counts.
+func (b *Board) decide(work *Work, candidates []Candidate, share float64, now monotime.Instant) (Choice, Refusal) {
+	choice, refusal := b.choose(work, candidates, share, now)
 	if refusal == AllFull {
-		b.recordRefusal(&work, now)
+		b.recordRefusal(work, now)
 	}
 	return choice, refusal
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -42,6 +42,17 @@
 	return len(p.candidates)
 }
 
+// filter returns the servers for which allowed holds; none for a nil Pool.
+func (p *Pool) filter(allowed func(*Candidate) bool) []Candidate {
+	out := make([]Candidate, 0, p.Len())
+	for i := range p.Len() {
+		if c := &p.candidates[i]; allowed(c) {
+			out = append(out, *c)
+		}
+	}
+	return out
+}
+
 // find returns a server by id.
 func (p *Pool) find(id string) (*Candidate, bool) {
 	if p == nil {
--- a/internal/placement/shortlist.go
+++ b/internal/placement/shortlist.go
@@ -46,12 +46,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.begin(&work, now)
-	list := newShortlist(pool, allowed)
 	if pool.Len() <= maxWholePool {
-		list.addAll()
-		list.addSources(sources)
-		return b.decide(&work, list, now)
+		return b.decide(&work, append(pool.filter(allowed), sources.filter(allowed)...), 1, now)
 	}
+	list := newShortlist(pool, allowed)
 	b.addHolders(list, sources, &work)
 	b.addHomes(list, &work)
 	if work.sharedTokens() >= minFetchTokens {
@@ -69,18 +67,9 @@
 	}
 	b.addSample(list, maxSample, offset)
 	if list.accepting == 0 {
-		list.addAll()
+		return b.decide(&work, append(list.candidates, pool.filter(allowed)...), 1, now)
 	}
-	return b.decide(&work, list, now)
-}
-
-// decide is choose with the final list: a refusal counts.
-func (b *Board) decide(work *Work, list *shortlist, now monotime.Instant) (Choice, Refusal) {
-	choice, refusal := b.choose(work, list.candidates, list.share(), now)
-	if refusal == AllFull {
-		b.recordRefusal(work, now)
-	}
-	return choice, refusal
+	return b.decide(&work, list.candidates, list.share(), now)
 }
 
 // sharedTokens returns the length of the start of the prompt that other requests may share.
@@ -163,12 +152,6 @@
 	return float64(max(1, len(l.examined))) / float64(max(1, l.pool.Len()))
 }
 
-func (l *shortlist) addAll() {
-	for i := range l.pool.Len() {
-		l.add(i)
-	}
-}
-
 // addFrom adds the servers at n places of a ring, beginning at a hash.
 func (l *shortlist) addFrom(r ring, hash uint64, n int) {
 	if len(r) == 0 {
@@ -202,15 +185,6 @@
 	return ok
 }
 
-func (l *shortlist) addSources(sources *Pool) {
-	if sources == nil {
-		return
-	}
-	for i := range sources.candidates {
-		l.addSource(sources, sources.candidates[i].ID)
-	}
-}
-
 // addSource adds a server that parts may be fetched from, if sources has it.
 func (l *shortlist) addSource(sources *Pool, id string) {
 	c, ok := sources.find(id)
--- a/internal/servers/evacuation.go
+++ b/internal/servers/evacuation.go
@@ -102,6 +102,16 @@
 	return r.evacuations[dataCentre].Active
 }
 
+// anyEvacuated reports whether an evacuation is active.
+func (r *Registry) anyEvacuated() bool {
+	for _, e := range r.evacuations {
+		if e.Active {
+			return true
+		}
+	}
+	return false
+}
+
 // evacuationDigest is the part of Digest that covers active evacuations.
 func (r *Registry) evacuationDigest() uint64 {
 	var digest uint64
--- a/internal/servers/listing.go
+++ b/internal/servers/listing.go
@@ -22,6 +22,9 @@
 // EvacuatedServers returns the servers that would accept requests if their data centre
 // were not evacuated. Data that they keep can still be fetched from them.
 func (r *Registry) EvacuatedServers(published func(service string) bool) []Server {
+	if !r.anyEvacuated() {
+		return nil
+	}
 	return slices.DeleteFunc(r.usable(published), func(s Server) bool { return !r.Evacuated(s.DataCentre) })
 }
 
