Log that a service is unreachable from here while others serve it

Cause: in the records of the incident nothing tells the first hypothesis (the instance does not know that it is cut off) from the second (it knows and has nowhere to send): it tracks outages of a service, and what the others send, but logs neither.

Change: service_unreachable with peers_serve, once per change, service_reachable at its end, and the metric unreachable_services. Decisions are the same.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -29,6 +29,7 @@
 	// throttle limits what this instance sends to servers that sustain few requests.
 	throttle    *throttle.Limiter
 	outages     *outageDetector
+	outageLog   outageLog
 	crashes     *crashTracker
 	regions     regions
 	memberCount func() int // instances tracked, including this one
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,7 @@
 	vars.Set("cold_servers", expvar.Func(func() any { return g.fleet.coldServers() }))
 	vars.Set("store", expvar.Func(func() any { return g.storeMetrics() }))
 	vars.Set("limited_servers", expvar.Func(func() any { return g.fleet.rateLimitedServers() }))
+	vars.Set("unreachable_services", expvar.Func(func() any { return g.fleet.unreachableServices() }))
 	vars.Set("crashes", expvar.Func(func() any { return g.fleet.crashes.metrics() }))
 	vars.Set("news", expvar.Func(func() any { return g.peers.metrics() }))
 	vars.Set("peers_linked", expvar.Func(func() any { return len(g.peers.linked()) }))
--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -71,3 +73,13 @@
 	}
 	return s.since, true
 }
+
+// services returns the sorted names of the services with a streak.
+func (o *outageDetector) services() []string {
+	if o.failing.Load() == 0 {
+		return nil
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Sorted(maps.Keys(o.streaks))
+}
--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -50,6 +50,7 @@
 		g.checkIsolation()
 		g.sendPaceStats(monotime.Now())
 		g.peers.tick(monotime.Now())
+		g.fleet.logOutages(g.peers.staleness(), monotime.Now())
 		instances := g.peers.memberCount()
 		g.fleet.board.SetPeers(instances-1, g.peers.staleness())
 		g.fleet.board.SetCostJitter(jitterOf(monotime.Now().Sub(g.started), instances))
