--- /dev/null
+++ b/internal/gateway/servercut_test.go
@@ -0,0 +1,500 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/relay"
+	"basilrudder/internal/routing"
+	"basilrudder/internal/servers"
+	"basilrudder/internal/standin/narrownet"
+)
+
+const (
+	// contactTime is how long after the begin of a cut first tries at the instances that
+	// are cut off may fail.
+	contactTime = 3 * time.Second
+	// cutInstances and cutServers are the sizes of the fleet.
+	cutInstances = 8
+	cutServers   = 9
+	// cutUserTimeout is the user timeout of the connections in the test's network.
+	cutUserTimeout = 2 * time.Second
+	// tryInterval is the time between two requests to one instance.
+	tryInterval = 90 * time.Millisecond
+	// streamEvents is the number of events of a stream, one each streamGap.
+	streamEvents = 20
+	streamGap    = 40 * time.Millisecond
+)
+
+// cutCluster is a fleet of instances in front of servers, whose connections can be cut.
+type cutCluster struct {
+	t       *testing.T
+	ctx     context.Context
+	tasks   *errgroup.Group
+	network *narrownet.Network
+	hosts   []*narrownet.Host // of the instances
+	servers []*narrownet.Host
+	fleet   []*linkedInstance
+	relays  []*relay.Relay
+	begun   time.Time
+
+	mu   sync.Mutex
+	runs map[string]int // by request id
+	// cutSince is when each instance lost its servers, by its number.
+	cutSince map[int]time.Time
+	tries    tally
+}
+
+// tally counts first tries while some instances are cut off: those at instances that have
+// been cut off for contactTime, and those at the others.
+type tally struct {
+	cut, cutServed, others, othersServed int
+	failures                             map[string]int // of instances that are cut off
+}
+
+// fair reports whether the instances that are cut off served at least two thirds of the
+// share that the others served, or nearly all.
+func (c *tally) fair() bool {
+	failed := c.cut - c.cutServed
+	if failed <= 10+(c.cut+c.others)/50 {
+		return true
+	}
+	return 3*c.cutServed*c.others >= 2*c.othersServed*c.cut
+}
+
+func newCutCluster(t *testing.T, ctx context.Context, tasks *errgroup.Group) *cutCluster {
+	passProcessStart()
+	c := &cutCluster{
+		t: t, ctx: ctx, tasks: tasks, network: narrownet.New(), runs: make(map[string]int),
+		cutSince: make(map[int]time.Time), tries: tally{failures: make(map[string]int)},
+	}
+	c.network.SetUserTimeout(cutUserTimeout)
+	for n := range cutServers {
+		c.startServer(n)
+	}
+	c.startInstances(0, cutInstances)
+	time.Sleep(2 * time.Second)
+	c.begun = time.Now()
+	return c
+}
+
+func serverAddress(n int) string { return fmt.Sprintf("10.0.0.%d:80", n+1) }
+
+// serviceOf returns the service of a server: two thirds serve "llm", the others "app".
+func serviceOf(server int) string { return []string{"llm", "llm", "app"}[server%3] }
+
+// startInstances starts instances, numbered from first on, with their configuration and
+// list of servers.
+func (c *cutCluster) startInstances(first, size int) {
+	started := startLinkedFrom(c.t, c.ctx, c.tasks, first, size, func(n int) linkedHost {
+		host := c.network.Host(fmt.Sprint("instance ", n), 0)
+		c.hosts = append(c.hosts, host)
+		return linkedHost{listen: host.Listen, dial: host.Dial, capacity: 400}
+	})
+	for n, i := range started {
+		i.fleet.installConfig(cutConfig(1), fromStore)
+		i.fleet.changeServers(fromStore, putCutServers)
+		c.fleet = append(c.fleet, i)
+		c.relays = append(c.relays, newCutRelay(c, i, c.hosts[first+n]))
+	}
+}
+
+func putCutServers(r *servers.Registry, now monotime.Instant) (ids []string) {
+	for n := range cutServers {
+		s := servers.Server{
+			ID: serverAddress(n), Name: serverAddress(n), Service: serviceOf(n), Address: serverAddress(n),
+			DataCentre: fmt.Sprint("dc-", n%2), Slots: 64, Revision: servers.Revision(n + 1),
+		}
+		r.Put(s, now)
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
+func newCutRelay(_ *cutCluster, i *linkedInstance, host *narrownet.Host) *relay.Relay {
+	return relay.New(relay.Config{
+		Fleet: i.fleet, Protocol: minimalProtocol{}, Log: zap.NewNop(), Dial: host.Dial, DrainTime: time.Minute,
+	})
+}
+
+func cutConfig(version int64) *routing.Config {
+	route := func(name, service string) routing.Route {
+		return routing.Route{
+			Name: name, Host: "h.example", Prefix: "/" + name + "/", Timeout: 1500 * time.Millisecond, Goal: 100 * time.Millisecond,
+			Attempts: 1, Shares: []routing.Share{{Service: service, Weight: 1}},
+		}
+	}
+	again := route("again", "app")
+	again.Repeat, again.Attempts = routing.Idempotent, 2
+	stream := route("stream", "llm")
+	stream.Streaming, stream.Timeout, stream.Goal, stream.MaxGap = true, 5*time.Second, 500*time.Millisecond, 200*time.Millisecond
+	return &routing.Config{
+		Version: version, Services: []routing.Service{{Name: "llm"}, {Name: "app"}},
+		Routes:       []routing.Route{route("once", "app"), again, stream},
+		KeysRequired: true, Customers: []routing.Customer{{Name: "a", Keys: []string{"key-a"}}},
+	}
+}
+
+// startServer starts a server on a host of its own.
+func (c *cutCluster) startServer(n int) {
+	host := c.network.Host(fmt.Sprint("server ", n), 0)
+	c.servers = append(c.servers, host)
+	listener := host.Listen(serverAddress(n))
+	c.tasks.Go(func() error {
+		<-c.ctx.Done()
+		return listener.Close()
+	})
+	c.tasks.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			c.tasks.Go(func() error {
+				defer conn.Close()
+				defer context.AfterFunc(c.ctx, func() { conn.Close() })()
+				in := bufio.NewReader(conn)
+				for c.serve(conn, in) {
+				}
+				return nil
+			})
+		}
+	})
+}
+
+// serve answers one request on a connection. It reports whether another one may follow.
+func (c *cutCluster) serve(conn net.Conn, in *bufio.Reader) bool {
+	req, err := http.ReadRequest(in)
+	if err != nil {
+		return false
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return false
+	}
+	id := req.Header.Get("X-Id")
+	c.mu.Lock()
+	c.runs[id]++
+	c.mu.Unlock()
+	time.Sleep(10 * time.Millisecond)
+	if !strings.HasPrefix(req.URL.Path, "/stream/") {
+		_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+		return err == nil
+	}
+	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id); err != nil {
+		return false
+	}
+	for n := range streamEvents {
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false
+		}
+		time.Sleep(streamGap)
+	}
+	_, err = io.WriteString(conn, "0\r\n\r\n")
+	return err == nil
+}
+
+// cut sets a fault between an instance and some servers.
+func (c *cutCluster) cut(instance int, fault narrownet.Fault, from ...int) {
+	for _, n := range from {
+		c.network.Cut(c.hosts[instance], c.servers[n], fault)
+	}
+	c.noteCut(instance, fault)
+}
+
+// noteCut notes that an instance has lost its servers, or has them back.
+func (c *cutCluster) noteCut(instance int, fault narrownet.Fault) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if fault == narrownet.None {
+		delete(c.cutSince, instance)
+	} else if _, ok := c.cutSince[instance]; !ok {
+		c.cutSince[instance] = time.Now()
+	}
+}
+
+func allServers() (out []int) {
+	for n := range cutServers {
+		out = append(out, n)
+	}
+	return out
+}
+
+// call sends a request to an instance and reports whether the whole answer came.
+func (c *cutCluster) call(instance int, path, id string) (ok bool, status int) {
+	defer func() {
+		if p := recover(); p != nil && p != http.ErrAbortHandler {
+			panic(p)
+		}
+	}()
+	rec := httptest.NewRecorder()
+	req := httptest.NewRequest(http.MethodPost, "http://h.example"+path+"x", strings.NewReader("body"))
+	req.Header.Set("X-Id", id)
+	req.Header.Set("X-Key", "key-a")
+	status = -1
+	c.relays[instance].ServeHTTP(rec, req)
+	body := rec.Body.String()
+	if path == "/stream/" {
+		return rec.Code == http.StatusOK && strings.Count(body, "data: "+id) == streamEvents, rec.Code
+	}
+	return rec.Code == http.StatusOK && body == id, rec.Code
+}
+
+// load sends requests to each of the instances for a while and counts them.
+func (c *cutCluster) load(lasts time.Duration, instances ...int) {
+	paths := []string{"/once/", "/again/", "/stream/"}
+	begun := time.Now()
+	var all sync.WaitGroup
+	for n := 0; time.Since(begun) < lasts && c.ctx.Err() == nil; n++ {
+		for _, i := range instances {
+			path := paths[(n+i)%len(paths)]
+			all.Go(func() { c.try(i, path) })
+		}
+		time.Sleep(tryInterval)
+	}
+	all.Wait()
+}
+
+// try sends a request and counts it by whether its instance was cut off when it was sent.
+func (c *cutCluster) try(instance int, path string) {
+	c.mu.Lock()
+	since, isCut := c.cutSince[instance]
+	counts := isCut && time.Since(since) >= contactTime || !isCut && len(c.cutSince) > 0
+	c.mu.Unlock()
+	id := fmt.Sprint(rand.Uint64())
+	served, status := c.call(instance, path, id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.runs[id] > 1 && path != "/again/" {
+		c.t.Errorf("%s ran %d times", path, c.runs[id])
+	}
+	switch {
+	case counts && isCut:
+		c.tries.cut++
+		if served {
+			c.tries.cutServed++
+		} else {
+			c.tries.failures[fmt.Sprint(path, " ", status)]++
+		}
+	case counts:
+		c.tries.others++
+		if served {
+			c.tries.othersServed++
+		}
+	}
+}
+
+func (c *cutCluster) stop(cancel func()) {
+	for _, r := range c.relays {
+		r.Sweep(func(string) bool { return false })
+	}
+	stopLinked(c.t, cancel, c.tasks)
+}
+
+func instanceNumbers(size int) (out []int) {
+	for n := range size {
+		out = append(out, n)
+	}
+	return out
+}
+
+// cutCase is a way in which instances lose their servers.
+type cutCase struct {
+	name string
+	play func(c *cutCluster)
+}
+
+const cutLasts = 10 * time.Second
+
+// during cuts instances off from all servers for cutLasts.
+func during(fault narrownet.Fault, instances ...int) func(*cutCluster) {
+	return func(c *cutCluster) {
+		for _, i := range instances {
+			c.cut(i, fault, allServers()...)
+		}
+		time.Sleep(cutLasts)
+		for _, i := range instances {
+			c.cut(i, narrownet.None, allServers()...)
+		}
+	}
+}
+
+// oneWay cuts one direction between instances and all servers.
+func oneWay(toServers bool, instances ...int) func(*cutCluster) {
+	return func(c *cutCluster) {
+		set := func(fault narrownet.Fault) {
+			for _, i := range instances {
+				for _, s := range c.servers {
+					if toServers {
+						c.network.SetFault(c.hosts[i], s, fault)
+					} else {
+						c.network.SetFault(s, c.hosts[i], fault)
+					}
+				}
+				c.noteCut(i, fault)
+			}
+		}
+		set(narrownet.Silent)
+		time.Sleep(cutLasts)
+		set(narrownet.None)
+	}
+}
+
+var cutCases = []cutCase{
+	{"connections hang", during(narrownet.Silent, 0, 1, 3, 4, 6)},
+	{"connections are reset", during(narrownet.Reset, 0, 1, 3, 4, 6)},
+	{"connections live on, new ones are refused", during(narrownet.Refuse, 0, 1, 3, 4, 6)},
+	{"a whole data centre", during(narrownet.Silent, 0, 2, 4, 6)},
+	{"all but one", during(narrownet.Reset, 0, 1, 2, 3, 4, 5, 6)},
+	{"nothing reaches the servers", oneWay(true, 1, 2, 5)},
+	{"nothing comes back", oneWay(false, 1, 2, 5)},
+	{"one service", func(c *cutCluster) {
+		var some []int
+		for n := range cutServers {
+			if serviceOf(n) == "app" {
+				some = append(some, n)
+			}
+		}
+		for _, i := range []int{0, 1, 3, 4, 6} {
+			c.cut(i, narrownet.Silent, some...)
+		}
+		time.Sleep(cutLasts)
+		for _, i := range []int{0, 1, 3, 4, 6} {
+			c.cut(i, narrownet.None, some...)
+		}
+	}},
+	{"some servers of each service", func(c *cutCluster) {
+		some := []int{0, 1, 2, 3, 5, 6}
+		for _, i := range []int{0, 1, 3, 4, 6} {
+			c.cut(i, narrownet.Silent, some...)
+		}
+		time.Sleep(cutLasts)
+		for _, i := range []int{0, 1, 3, 4, 6} {
+			c.cut(i, narrownet.None, some...)
+		}
+	}},
+	{"a second cut while the first lasts", func(c *cutCluster) {
+		var both sync.WaitGroup
+		both.Go(func() { during(narrownet.Reset, 0, 1, 3)(c) })
+		time.Sleep(4 * time.Second)
+		both.Go(func() { during(narrownet.Silent, 2, 4)(c) })
+		both.Wait()
+	}},
+	{"beside restarts and configurations", func(c *cutCluster) {
+		var both sync.WaitGroup
+		both.Go(func() { during(narrownet.Silent, 0, 1, 3, 4)(c) })
+		for version := range int64(4) {
+			time.Sleep(2 * time.Second)
+			for _, i := range c.fleet {
+				i.fleet.installConfig(cutConfig(version+2), fromStore)
+			}
+			c.fleet[5+version%2].peers.leave()
+		}
+		both.Wait()
+	}},
+	{"an instance starts while it is cut off", func(c *cutCluster) {
+		host := len(c.hosts)
+		c.startInstances(host, 1)
+		c.cut(host, narrownet.Silent, allServers()...)
+		c.load(cutLasts, host)
+		c.cut(host, narrownet.None, allServers()...)
+	}},
+}
+
+// Guards against an instance that refuses its callers while it is cut off from servers
+// that other instances reach.
+func TestInstancesCutOffFromServersServeTheirCallers(t *testing.T) {
+	for _, test := range cutCases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				var tasks errgroup.Group
+				c := newCutCluster(t, ctx, &tasks)
+				tasks.Go(func() error {
+					c.load(cutLasts+7*time.Second, instanceNumbers(cutInstances)...)
+					return nil
+				})
+				time.Sleep(2 * time.Second)
+				test.play(c)
+				time.Sleep(5 * time.Second)
+				c.mu.Lock()
+				got := c.tries
+				c.mu.Unlock()
+				t.Logf("cut off: %d of %d served, others: %d of %d; failed: %v", got.cutServed, got.cut, got.othersServed, got.others, got.failures)
+				if got.cut == 0 {
+					t.Error("no request was counted")
+				}
+				if !got.fair() {
+					t.Errorf("instances cut off served %d of %d first tries, the others %d of %d", got.cutServed, got.cut, got.othersServed, got.others)
+				}
+				c.stop(cancel)
+			})
+		})
+	}
+}
+
+// Guards against requests that go round through peers although no instance reaches a
+// server, and against servers that are found late after it.
+func TestACrashOfAllServersIsNoCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		c := newCutCluster(t, ctx, &tasks)
+		tasks.Go(func() error {
+			c.load(9*time.Second, instanceNumbers(cutInstances)...)
+			return nil
+		})
+		time.Sleep(2 * time.Second)
+		for i := range cutInstances {
+			c.cut(i, narrownet.Reset, allServers()...)
+		}
+		time.Sleep(2 * time.Second)
+		for i := range cutInstances {
+			c.cut(i, narrownet.None, allServers()...)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		for i := range cutInstances {
+			if ok, status := c.call(i, "/once/", fmt.Sprint("after-", i)); !ok {
+				t.Errorf("instance %d: status %d 2.5 s after the servers are back", i, status)
+			}
+		}
+		c.stop(cancel)
+	})
+}
+
+// Guards against requests that count as crashing servers because an instance lost its
+// connections to servers that go on running.
+func TestACutIsNoCrashOfServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		c := newCutCluster(t, ctx, &tasks)
+		tasks.Go(func() error {
+			c.load(3*time.Second, 0, 1, 3)
+			return nil
+		})
+		time.Sleep(2 * time.Second)
+		during(narrownet.Reset, 0, 1, 3)(c)
+		for _, i := range c.fleet {
+			if i.fleet.AnySuspected() {
+				t.Errorf("%s suspects a request", i.fleet.self)
+			}
+		}
+		c.stop(cancel)
+	})
+}
--- a/internal/standin/narrownet/conn.go
+++ b/internal/standin/narrownet/conn.go
@@ -5,18 +5,25 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // stream is one direction of a connection.
 type stream struct {
 	up, down *direction
+	path     *path
+	// opposite is the other direction of the connection.
+	opposite *stream
 
 	mu        sync.Mutex
 	parts     []part
 	buffered  int
 	closed    bool          // by the writer
 	abandoned bool          // by the reader
+	reset     bool          // by the network
+	broken    bool          // bytes were held up for the user timeout
+	watching  bool          // watchHeldUp is pending
 	changed   chan struct{} // closed and replaced by notifyChange
 }
 
@@ -25,8 +32,15 @@
 	data []byte
 }
 
-func newStream(up, down *direction) *stream {
-	return &stream{up: up, down: down, changed: make(chan struct{})}
+// newStreams returns both directions of a connection.
+func newStreams(near, far *Host, there, back *path) (out, in *stream) {
+	out, in = newStream(near.up, far.down, there), newStream(far.up, near.down, back)
+	out.opposite, in.opposite = in, out
+	return out, in
+}
+
+func newStream(up, down *direction, p *path) *stream {
+	return &stream{up: up, down: down, path: p, changed: make(chan struct{})}
 }
 
 // notifyChange wakes all waiting readers and writers. The caller holds mu.
@@ -54,8 +68,13 @@
 func (s *stream) put(p []byte) (n int, wait <-chan struct{}, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.abandoned {
+	switch {
+	case s.closed || s.abandoned:
 		return 0, nil, net.ErrClosed
+	case s.reset:
+		return 0, nil, syscall.ECONNRESET
+	case s.broken:
+		return 0, nil, timeoutError{}
 	}
 	n = min(len(p), window-s.buffered, segment)
 	if n <= 0 {
@@ -64,6 +83,7 @@
 	left := s.up.transmit(time.Now(), n)
 	s.parts = append(s.parts, part{at: s.down.transmit(left.Add(propagationDelay), n), data: append([]byte(nil), p[:n]...)})
 	s.buffered += n
+	s.watchHeldUp()
 	s.notifyChange()
 	return n, nil, nil
 }
@@ -76,6 +96,12 @@
 	switch {
 	case s.abandoned:
 		return 0, until, nil, net.ErrClosed
+	case s.reset:
+		return 0, until, nil, syscall.ECONNRESET
+	case s.broken:
+		return 0, until, nil, timeoutError{}
+	case s.path.silent():
+		return 0, until, s.changed, nil
 	case len(s.parts) == 0 && s.closed:
 		return 0, until, nil, io.EOF
 	case len(s.parts) == 0:
--- a/internal/standin/narrownet/narrownet.go
+++ b/internal/standin/narrownet/narrownet.go
@@ -31,16 +31,21 @@
 	mu        sync.Mutex
 	hosts     map[string]*Host
 	listeners map[string]*listener
+	paths     map[route]*path
+	// userTimeout breaks a connection whose bytes are held up for so long, as
+	// TCP_USER_TIMEOUT does; 0 for never.
+	userTimeout time.Duration
 }
 
 // New returns a network without hosts.
 func New() *Network {
-	return &Network{hosts: make(map[string]*Host), listeners: make(map[string]*listener)}
+	return &Network{hosts: make(map[string]*Host), listeners: make(map[string]*listener), paths: make(map[route]*path)}
 }
 
 // Host is a host with one link to the network.
 type Host struct {
 	net      *Network
+	name     string
 	up, down *direction
 }
 
@@ -48,7 +53,7 @@
 func (n *Network) Host(name string, bytesPerSecond float64) *Host {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	h := &Host{net: n, up: &direction{rate: bytesPerSecond}, down: &direction{rate: bytesPerSecond}}
+	h := &Host{net: n, name: name, up: &direction{rate: bytesPerSecond}, down: &direction{rate: bytesPerSecond}}
 	n.hosts[name] = h
 	return h
 }
@@ -139,12 +144,22 @@
 	if l == nil {
 		return nil, ErrRefused
 	}
-	out, in := newStream(h.up, l.host.down), newStream(l.host.up, h.down)
-	here := &conn{write: out, read: in, remote: addr(address)}
-	there := &conn{write: in, read: out, remote: addr("caller of " + address)}
+	there, back := h.net.path(h, l.host), h.net.path(l.host, h)
+	if there.refuses() {
+		return nil, ErrRefused
+	}
+	if there.silent() || back.silent() {
+		<-ctx.Done()
+		return nil, timeoutError{}
+	}
+	out, in := newStreams(h, l.host, there, back)
+	near := &conn{write: out, read: in, remote: addr(address)}
+	far := &conn{write: in, read: out, remote: addr("caller of " + address)}
 	select {
-	case l.conns <- there:
-		return here, nil
+	case l.conns <- far:
+		there.add(out)
+		back.add(in)
+		return near, nil
 	case <-l.closed:
 		return nil, ErrRefused
 	case <-ctx.Done():
