Connect to servers through peers where this instance has lost its paths to them

An instance knows within half a second that it reaches no server (all 21 servers unreachable at each of the five), and has nowhere to send: requests go to servers directly or are refused. Ruled out: that it does not know (503 after 2 to 3 ms at the median); that the others refuse too (they served 251 of 252); that it finds servers late (43 of 43 in the second after the end). That callers come because the directory names it is true and not the cause: they keep answers for seconds.

A frame says that the server closed its side: without it an answer without a length would look complete when a peer is killed. Kept connections that were not proven since the path was lost are not used. Probes, four a second at most, find the end.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -22,10 +22,11 @@
 // relay.Fleet. Decisions need no message: the view is kept current by the store and by
 // updates of the peers.
 type fleet struct {
-	self   string
-	log    *zap.Logger
-	board  *placement.Board
-	budget *retryBudget
+	self       string
+	dataCentre string
+	log        *zap.Logger
+	board      *placement.Board
+	budget     *retryBudget
 	// throttle limits what this instance sends to servers that sustain few requests.
 	throttle    *throttle.Limiter
 	outages     *outageDetector
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -23,6 +24,7 @@
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/servers"
 	"basilrudder/internal/throttle"
+	"basilrudder/internal/tunnel"
 )
 
 const (
@@ -68,13 +70,15 @@
 	BackoffMax:        500 * time.Millisecond,
 }
 
+// bytesPerMegabit is the number of bytes in a megabit.
+const bytesPerMegabit = 1e6 / 8
+
 // bulkShare is the share of an instance's link that configurations may use.
 const bulkShare = 0.5
 
 // linkTimingFor returns the timing and limits of links between instances for a machine
 // whose link has linkMbps Mbit/s; 0 means unknown.
 func linkTimingFor(linkMbps float64) peer.Timing {
-	const bytesPerMegabit = 1e6 / 8
 	out := linkTiming
 	out.BulkRate = int(bulkShare * linkMbps * bytesPerMegabit)
 	return out
@@ -105,6 +109,8 @@
 	fleet     *fleet
 	storeSync *storeSync
 	peers     *peers
+	connector *connector
+	tunnels   *tunnel.Server
 	relay     *relay.Relay
 	stats     *relay.Metrics
 
@@ -132,15 +138,16 @@
 	}
 	g := &Gateway{cfg: cfg, started: monotime.Now(), stats: relay.NewMetrics(), reload: make(chan struct{}, 1), seeds: s.Peers.Seeds, loggedPaces: make(map[string]pace.Pace)}
 	g.fleet = &fleet{
-		self:     s.Instance.ID,
-		log:      cfg.Log,
-		board:    placement.NewBoard(pace.DefaultPrior, s.Instance.DataCentre),
-		budget:   newRetryBudget(s.Retries.Ratio, s.Retries.Burst, seconds(s.Retries.WindowS)),
-		registry: servers.New(),
-		updates:  newUpdateBatcher(),
-		regions:  newRegions(s.Places),
-		throttle: throttle.New(s.Instance.ID, monotime.Now()),
-		outages:  newOutageDetector(),
+		self:       s.Instance.ID,
+		dataCentre: s.Instance.DataCentre,
+		log:        cfg.Log,
+		board:      placement.NewBoard(pace.DefaultPrior, s.Instance.DataCentre),
+		budget:     newRetryBudget(s.Retries.Ratio, s.Retries.Burst, seconds(s.Retries.WindowS)),
+		registry:   servers.New(),
+		updates:    newUpdateBatcher(),
+		regions:    newRegions(s.Places),
+		throttle:   throttle.New(s.Instance.ID, monotime.Now()),
+		outages:    newOutageDetector(),
 	}
 	g.fleet.crashes = newCrashTracker(g.fleet.updates, cfg.Log)
 	g.fleet.resetConfirmations()
@@ -160,13 +167,38 @@
 	g.fleet.publish = g.peers.configs.publish
 	g.storeSync.rank, g.storeSync.hasHub, g.storeSync.hasPeer = g.peers.rank, g.peers.hasHub, g.peers.hasPeer
 	g.connectUpdates()
+	g.connectTunnels(incarnation)
 	g.relay = relay.New(relay.Config{
-		Fleet: g.fleet, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
+		Fleet: g.fleet, Connector: g.connector, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
 		DrainTime: seconds(s.Drain.GraceS) - drainReserve,
 	})
 	return g, nil
 }
 
+// connectTunnels sets up connections to servers, and those for peers.
+func (g *Gateway) connectTunnels(incarnation string) {
+	s := g.cfg.Settings
+	client := &tunnel.Client{
+		Self: tunnel.Instance{ID: s.Instance.ID, Incarnation: incarnation}, Secret: g.linkSecret(), Dial: dialTCP,
+	}
+	g.connector = newConnector(g.fleet, g.peers, client, dialTCP)
+	g.tunnels = g.connector.newTunnelServer(int(s.Instance.Processor*capacityPerCore), int(s.Instance.LinkMbps*bytesPerMegabit))
+	serve := g.tunnels.Connect
+	g.tunnels.Connect = func(ctx context.Context, server string) (net.Conn, error) {
+		if g.leaving.Load() {
+			return nil, tunnel.ErrLeaving
+		}
+		return serve(ctx, server)
+	}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, "tcp", address)
+}
+
+// linkSecret returns the secret of the links between instances.
+func (g *Gateway) linkSecret() string { return cmp.Or(g.cfg.Settings.Peers.Key, defaultLinkSecret) }
+
 // capacityPerCore is the capacity that an instance with one whole core advertises. The
 // overlay counts what a hub needs for each subscriber in the same unit, thousandths of a
 // core.
@@ -219,9 +251,7 @@
 }
 
 func (g *Gateway) createLinks(listener net.Listener) error {
-	secret := g.cfg.Settings.Peers.Key
-	if secret == "" {
-		secret = defaultLinkSecret
+	if g.cfg.Settings.Peers.Key == "" {
 		g.cfg.Log.Warn("links_unauthenticated", zap.String("reason", "no key is set for the links between instances"))
 	}
 	self := g.peers.node.Self()
@@ -230,9 +260,10 @@
 			ID: self.ID, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
 			CallerAddress: self.CallerAddress, PeerAddress: self.PeerAddress, Capacity: self.Capacity,
 		},
-		Keys:     []peer.Key{{ID: linkKeyID, Secret: secret}},
+		Keys:     []peer.Key{{ID: linkKeyID, Secret: g.linkSecret()}},
 		Listener: listener,
 		Resolve:  func(string) (string, bool) { return "", false },
+		Other:    g.serveTunnel,
 		Handler:  g.peers,
 		Timing:   linkTimingFor(g.cfg.Settings.Instance.LinkMbps),
 		Log:      g.cfg.Log,
@@ -244,6 +275,15 @@
 	return nil
 }
 
+// serveTunnel answers a peer's request for a connection to a server.
+func (g *Gateway) serveTunnel(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != tunnel.Path {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	g.tunnels.Handle(ctx)
+}
+
 // Ready reports whether callers should connect to the instance.
 func (g *Gateway) Ready() bool {
 	return !g.leaving.Load() && !g.isolated.Load() && g.fleet.Table() != nil && g.fleet.serverCount() > 0
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -20,12 +20,14 @@
 	"basilrudder/internal/servers"
 	"basilrudder/internal/standin/narrownet"
 	"basilrudder/internal/throttle"
+	"basilrudder/internal/tunnel"
 )
 
 // linkedInstance is the part of an instance that is linked to others.
 type linkedInstance struct {
-	fleet *fleet
-	peers *peers
+	fleet     *fleet
+	peers     *peers
+	connector *connector
 }
 
 // begin begins a run on a server.
@@ -87,6 +89,8 @@
 			CallerAddress: f.self + ":1", PeerAddress: f.self + ":2", Capacity: host.capacity,
 		}
 		p := newPeers(self, []string{"instance-00:2", "instance-01:2", "instance-02:2"}, f, zap.NewNop())
+		client := &tunnel.Client{Self: tunnel.Instance{ID: self.ID, Incarnation: self.Incarnation}, Dial: host.dial}
+		c := newConnector(f, p, client, host.dial)
 		links, err := peer.New(peer.Config{
 			Self: peer.Identity{
 				ID: self.ID, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
@@ -95,6 +99,7 @@
 			Keys:     []peer.Key{{ID: linkKeyID, Secret: defaultLinkSecret}},
 			Listener: host.listen(self.PeerAddress),
 			Dial:     host.dial,
+			Other:    c.newTunnelServer(host.capacity, 0).Handle,
 			Handler:  p,
 			Timing:   linkTiming,
 		})
@@ -109,11 +114,12 @@
 		tasks.Go(func() error {
 			for ctx.Err() == nil {
 				p.tick(monotime.Now())
+				c.probe(monotime.Now())
 				sleep(ctx, tickInterval)
 			}
 			return nil
 		})
-		out = append(out, &linkedInstance{fleet: f, peers: p})
+		out = append(out, &linkedInstance{fleet: f, peers: p, connector: c})
 	}
 	return out
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,8 @@
 	vars.Set("store", expvar.Func(func() any { return g.storeMetrics() }))
 	vars.Set("limited_servers", expvar.Func(func() any { return g.fleet.rateLimitedServers() }))
 	vars.Set("unreachable_services", expvar.Func(func() any { return g.fleet.unreachableServices() }))
+	vars.Set("paths", expvar.Func(func() any { return g.connector.metrics() }))
+	vars.Set("tunnels", expvar.Func(func() any { return tunnelMetrics{Open: g.tunnels.Open(), Opened: g.tunnels.Total()} }))
 	vars.Set("crashes", expvar.Func(func() any { return g.fleet.crashes.metrics() }))
 	vars.Set("news", expvar.Func(func() any { return g.peers.metrics() }))
 	vars.Set("peers_linked", expvar.Func(func() any { return len(g.peers.linked()) }))
@@ -43,3 +45,9 @@
 		StoreCalls: g.cfg.Source.Calls(),
 	}
 }
+
+// tunnelMetrics counts the connections to servers that this instance passes on for others.
+type tunnelMetrics struct {
+	Open   int64 `json:"open"`
+	Opened int64 `json:"opened"`
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -341,5 +341,12 @@
 	return p.node.Staying()
 }
 
+// stays reports whether a process can be reached and does not leave.
+func (p *peers) stays(id, incarnation string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node.Stays(id, incarnation)
+}
+
 // configVersion returns the version of the configuration in force, or 0.
 func (p *peers) configVersion() int { return int(p.fleet.configVersion()) }
--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -26,7 +26,7 @@
 	maxDrain := seconds(g.cfg.Settings.Drain.GraceS) - drainReserve
 	for range ticker.C {
 		lasted := monotime.Now().Sub(began)
-		if lasted >= maxDrain || lasted >= minDrain && g.relay.InFlight() == 0 {
+		if lasted >= maxDrain || lasted >= minDrain && g.relay.InFlight()+g.tunnels.Open() == 0 {
 			return
 		}
 	}
@@ -50,6 +50,7 @@
 		g.checkIsolation()
 		g.sendPaceStats(monotime.Now())
 		g.peers.tick(monotime.Now())
+		g.connector.probe(monotime.Now())
 		g.fleet.logOutages(g.peers.staleness(), monotime.Now())
 		instances := g.peers.memberCount()
 		g.fleet.board.SetPeers(instances-1, g.peers.staleness())
--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -106,11 +106,11 @@
 		c.hosts = append(c.hosts, host)
 		return linkedHost{listen: host.Listen, dial: host.Dial, capacity: 400}
 	})
-	for n, i := range started {
+	for _, i := range started {
 		i.fleet.installConfig(cutConfig(1), fromStore)
 		i.fleet.changeServers(fromStore, putCutServers)
 		c.fleet = append(c.fleet, i)
-		c.relays = append(c.relays, newCutRelay(c, i, c.hosts[first+n]))
+		c.relays = append(c.relays, newCutRelay(i))
 	}
 }
 
@@ -126,9 +126,9 @@
 	return ids
 }
 
-func newCutRelay(_ *cutCluster, i *linkedInstance, host *narrownet.Host) *relay.Relay {
+func newCutRelay(i *linkedInstance) *relay.Relay {
 	return relay.New(relay.Config{
-		Fleet: i.fleet, Protocol: minimalProtocol{}, Log: zap.NewNop(), Dial: host.Dial, DrainTime: time.Minute,
+		Fleet: i.fleet, Protocol: minimalProtocol{}, Log: zap.NewNop(), Connector: i.connector, DrainTime: time.Minute,
 	})
 }
 
--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -240,6 +240,12 @@
 	return out
 }
 
+// Stays reports whether a process is reachable and not leaving.
+func (n *Node) Stays(id, incarnation string) bool {
+	m := n.members[id]
+	return m != nil && m.Incarnation == incarnation && m.reachable && !m.leaving
+}
+
 // Sharers returns the sorted ids of the instances, this one included, among which a limit
 // of the whole fleet is divided: the reachable ones. If those are fewer than half of the
 // recorded ones, this instance is probably cut off from the others, which go on using
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"basilrudder/internal/schema/wire"
@@ -97,6 +98,8 @@
 	// Resolve returns the address of a peer for a link on demand; nil disables such
 	// links.
 	Resolve func(id string) (address string, ok bool)
+	// Other handles HTTP requests on other paths than Path; nil answers them with 404.
+	Other fasthttp.RequestHandler
 	// Handler receives events.
 	Handler Handler
 	// Timing; zero values select the defaults.
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -23,7 +23,7 @@
 
 func (s *Links) accept(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != Path {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		s.serveOther(ctx)
 		return
 	}
 	err := upgrader.Upgrade(ctx, func(conn *websocket.Conn) {
@@ -34,6 +34,14 @@
 	}
 }
 
+func (s *Links) serveOther(ctx *fasthttp.RequestCtx) {
+	if s.cfg.Other == nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	s.cfg.Other(ctx)
+}
+
 // serveConn runs the handshake on a connection and serves it as a link until it ends. It
 // returns an error only if the handshake failed or Run has ended.
 func (s *Links) serveConn(conn *websocket.Conn, dialer bool, expectedID string) error {
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -14,7 +14,6 @@
 
 	"basilrudder/internal/crashes"
 	"basilrudder/internal/monotime"
-	"basilrudder/internal/netconn"
 	"basilrudder/internal/verdict"
 )
 
@@ -89,7 +88,7 @@
 		f.reportSurvived()
 		return
 	}
-	if !f.relay.probes.ended(f.ctx, f.target, f.relay.pool.dial) {
+	if !f.relay.probes.ended(f.ctx, f.target, f.relay.cfg.Connector) {
 		return
 	}
 	crash := crashes.Crash{Request: f.fingerprint(), Customer: f.callerName(), Server: f.target.ID, At: now}
@@ -121,7 +120,7 @@
 
 // ended reports whether a server refuses connections, as one that has just ended does. A
 // server that only lost its connections accepts new ones.
-func (p *probes) ended(ctx context.Context, target Target, dial dialFunc) bool {
+func (p *probes) ended(ctx context.Context, target Target, connector Connector) bool {
 	now := monotime.Now()
 	p.mu.Lock()
 	for id, old := range p.recent {
@@ -145,16 +144,12 @@
 		}
 	}
 	defer close(current.done)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), connectTimeout)
-	defer cancel()
-	c, err := dial(ctx, target.Address)
-	if err == nil {
-		_ = c.Close()
+	refuses, accepts := connector.Probe(context.WithoutCancel(ctx), target)
+	if accepts {
 		p.forget(target.ID)
-		return false
 	}
-	current.ended = !netconn.IsTimeout(err) && ctx.Err() == nil
-	return current.ended
+	current.ended = refuses
+	return refuses
 }
 
 // forget removes the probe of a server that is alive: the server may end later, so the
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -35,16 +35,22 @@
 	// plainResponseTimeout is that wait for requests that are not prompts: five times the
 	// goal of the strictest class, 100 ms.
 	plainResponseTimeout = 500 * time.Millisecond
+	// answerOverdue is how long a server may take to begin its answer before its path is
+	// suspected. Prompts take longer to read, so a suspicion alone changes nothing.
+	answerOverdue = 400 * time.Millisecond
 )
 
 // receive reads the answer to one send and passes it on. After an error the caller has no
 // final answer yet.
 func (f *forwarder) receive(e *exchange, run int) *verdict.Error {
 	fleet := f.relay.cfg.Fleet
+	overdue := time.AfterFunc(answerOverdue, f.unansweredReport())
 	err := f.awaitBytes(e, run, f.responseTimeout())
 	if err == nil {
 		err = e.readHead(f.hr.Method, f.request.ID, f.relay.cfg.Protocol, f.responseTimeout(), f.deadline)
 	}
+	overdue.Stop()
+	f.reportHead(e, err)
 	f.applyNotice(e)
 	if err != nil {
 		e.abandon()
@@ -75,6 +81,40 @@
 	return f.relayWhole(e)
 }
 
+// reportHead reports whether the server began its answer.
+func (f *forwarder) reportHead(e *exchange, err error) {
+	switch {
+	case e.resp != nil:
+		f.reportReached()
+	case err != nil && !errors.Is(err, errMoved):
+		f.reportUnanswered()
+	}
+}
+
+// reportReached reports bytes of an answer over a direct connection.
+func (f *forwarder) reportReached() {
+	if f.via == nil {
+		f.relay.cfg.Connector.Reached(f.target)
+	}
+}
+
+// reportUnanswered reports a direct connection that broke before an answer began.
+func (f *forwarder) reportUnanswered() {
+	if f.ctx.Err() == nil {
+		f.unansweredReport()()
+	}
+}
+
+// unansweredReport returns a function that reports the current server as one that does not
+// answer. It may be called after the forwarder has moved on.
+func (f *forwarder) unansweredReport() func() {
+	if f.via != nil {
+		return func() {}
+	}
+	target, connector := f.target, f.relay.cfg.Connector
+	return func() { connector.Unanswered(target) }
+}
+
 // applyNotice applies what the server reported about itself, also in an answer that is
 // not passed on. An answer to a request sent to the wrong address comes from another
 // server and is ignored.
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -36,7 +36,9 @@
 	// cachedFingerprint is the fingerprint once it has been computed.
 	cachedFingerprint *crashes.Fingerprint
 
-	target   Target
+	target Target
+	// via is the instance through which the last send went; nil if it was direct.
+	via      *Via
 	excluded map[string]bool
 	sends    int
 	// budgetSpent means that the next send has already been taken from the retry budget.
@@ -239,7 +241,7 @@
 }
 
 // maxUnreachable bounds how many unreachable servers are skipped for one request. Each
-// may cost connectTimeout.
+// may cost ConnectTimeout.
 const maxUnreachable = 4
 
 // sendOnce sends the request to one server and delivers its answer.
@@ -255,7 +257,7 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonOverloaded, overloadMessage(target.Choice)).After(jitter(retryOverloaded))
 	}
 	f.target = target
-	c, err := f.relay.pool.get(f.ctx, target)
+	c, err := f.relay.pool.get(f.ctx, target, &f.work)
 	if err != nil {
 		f.excluded[target.ID] = true
 		if !errors.Is(err, errPoolFull) && f.ctx.Err() == nil {
@@ -264,6 +266,7 @@
 		return verdict.Wrap(verdict.NotRun, verdict.ReasonConnect, err).After(f.retryAfterUnreachable())
 	}
 	f.excluded[target.ID] = true
+	f.via = c.via
 	if f.isPoison() {
 		f.relay.pool.putIdle(c, "")
 		return verdict.Wrap(verdict.NotRun, verdict.ReasonCrashesServers, errPoison)
@@ -278,6 +281,7 @@
 	defer func() { fleet.End(run, monotime.Now()) }()
 	e, problem := send(f.ctx, f.relay.pool, c, f.encodeRequest(target), f.body, f.deadline)
 	if problem != nil {
+		f.reportUnanswered()
 		fleet.Observe(target.ID, placement.Failed, monotime.Now())
 		f.reportIfCrashed(problem)
 		return problem
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,13 +14,14 @@
 
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
+	"basilrudder/internal/placement"
 )
 
 const (
-	// connectTimeout bounds opening a connection to a server. Servers accept within a few
-	// ms; an unresponsive or overcrowded one does not. A longer timeout would leave too
-	// little time for another server to answer.
-	connectTimeout = 300 * time.Millisecond
+	// ConnectTimeout bounds opening a direct connection to a server. Servers accept within
+	// a few ms; an unresponsive or overcrowded one does not. A longer timeout would leave
+	// too little time for another server to answer.
+	ConnectTimeout = 300 * time.Millisecond
 	// maxIdle is how long unused connections are kept if the server does not announce its
 	// own timeout.
 	maxIdle = 10 * time.Second
@@ -37,72 +39,93 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	server string
+	target Target
+	// via is the instance through which the connection goes; nil for a direct one.
+	via *Via
+	// received is when the last answer was received.
+	received monotime.Instant
 	// idleUntil is when the unused connection is closed.
 	idleUntil monotime.Instant
 }
 
+// reusable reports whether the idle connection still works as far as its socket tells.
+func (c *conn) reusable() bool {
+	if b, ok := c.Conn.(interface{ Buffered() int }); ok && b.Buffered() > 0 {
+		return false
+	}
+	return netconn.IsReusable(c.Conn)
+}
+
 // dialFunc opens a connection to an address.
 type dialFunc func(ctx context.Context, address string) (net.Conn, error)
 
 // pool keeps the open connections to servers, by incarnation.
 type pool struct {
-	dial dialFunc
+	connector Connector
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	count map[string]int // open connections, in use or idle
 }
 
-func newPool(dial dialFunc) *pool {
-	if dial == nil {
-		dialer := &net.Dialer{Timeout: connectTimeout}
-		dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		}
-	}
-	return &pool{dial: dial, idle: make(map[string][]*conn), count: make(map[string]int)}
+// dialTCP opens a TCP connection to a server.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: ConnectTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+func newPool(connector Connector) *pool {
+	return &pool{connector: connector, idle: make(map[string][]*conn), count: make(map[string]int)}
 }
 
-// get returns a connection to the server, preferably an idle one that still works. After
-// an error nothing has been sent.
-func (p *pool) get(ctx context.Context, target Target) (*conn, error) {
-	if c := p.takeIdle(target.ID); c != nil {
+// get returns a connection to the server for a request, preferably an idle one that still
+// works. After an error nothing has been sent.
+func (p *pool) get(ctx context.Context, target Target, work *placement.Work) (*conn, error) {
+	if c := p.takeIdle(target, work); c != nil {
 		return c, nil
 	}
 	if !p.reserve(target) {
 		return nil, errPoolFull
 	}
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	raw, err := p.dial(ctx, target.Address)
+	raw, via, err := p.connector.Connect(ctx, target, work)
 	if err != nil {
 		p.release(target.ID)
 		return nil, errors.Wrap(err, "connect")
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), server: target.ID}, nil
+	return &conn{
+		Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), target: target, via: via, received: monotime.Now(),
+	}, nil
 }
 
-func (p *pool) takeIdle(server string) *conn {
+func (p *pool) takeIdle(target Target, work *placement.Work) *conn {
 	now := monotime.Now()
 	for {
-		p.mu.Lock()
-		list := p.idle[server]
-		if len(list) == 0 {
-			p.mu.Unlock()
+		c := p.popIdle(target.ID, work)
+		if c == nil {
 			return nil
 		}
-		// Reusing the newest one lets surplus connections reach their timeout.
-		c := list[len(list)-1]
-		p.idle[server] = list[:len(list)-1]
-		p.mu.Unlock()
-		if now < c.idleUntil && netconn.IsReusable(c.Conn) {
+		if now < c.idleUntil && c.reusable() && p.connector.Usable(target, c.via, c.received) {
 			return c
 		}
 		p.discard(c)
 	}
 }
 
+// popIdle removes and returns the newest idle connection that the request may use; nil if
+// there is none. Reusing the newest one lets surplus connections reach their timeout.
+func (p *pool) popIdle(server string, work *placement.Work) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[server]
+	for i, c := range slices.Backward(list) {
+		if c.via == nil || p.connector.Allowed(c.via, work) {
+			p.idle[server] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 func (p *pool) reserve(target Target) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -133,17 +156,21 @@
 		p.discard(c)
 		return
 	}
-	c.idleUntil = monotime.Now().Add(idle)
+	c.received = monotime.Now()
+	c.idleUntil = c.received.Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[c.server] = append(p.idle[c.server], c)
+	p.idle[c.target.ID] = append(p.idle[c.target.ID], c)
 }
 
 // discard closes a connection, idle or in use.
 func (p *pool) discard(c *conn) {
 	// An error means that it was closed already.
 	_ = c.Close()
-	p.release(c.server)
+	if c.via != nil {
+		p.connector.Closed(c.via)
+	}
+	p.release(c.target.ID)
 }
 
 // sweep closes idle connections that reached their timeout or whose server is not needed
@@ -155,7 +182,7 @@
 	for server, list := range p.idle {
 		remaining := list[:0]
 		for _, c := range list {
-			if now < c.idleUntil && needed(server) {
+			if now < c.idleUntil && needed(server) && p.connector.Usable(c.target, c.via, c.received) {
 				remaining = append(remaining, c)
 			} else {
 				expired = append(expired, c)
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -74,6 +74,9 @@
 		zap.Bool("preempts", choice.Preempts),
 		zap.String("cost", strconv.FormatFloat(choice.Cost, 'f', 3, 64)),
 	}
+	if f.via != nil {
+		fields = append(fields, zap.String("via", f.via.Peer), zap.String("tunnel", f.via.Tunnel))
+	}
 	if f.work.Prompt == 0 {
 		return fields
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,8 +22,10 @@
 	Log *zap.Logger
 	// Metrics counts requests; nil means counts that are not published.
 	Metrics *Metrics
-	// Dial opens a connection to a server; nil means TCP.
+	// Dial opens a direct connection to a server; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Connector opens the connections to servers; nil means direct ones by Dial.
+	Connector Connector
 	// DrainTime is how long the process may run after the drain began.
 	DrainTime time.Duration
 }
@@ -60,7 +62,13 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = NewMetrics()
 	}
-	return &Relay{cfg: cfg, pool: newPool(cfg.Dial), probes: probes{recent: make(map[string]*probe)}}
+	if cfg.Dial == nil {
+		cfg.Dial = dialTCP
+	}
+	if cfg.Connector == nil {
+		cfg.Connector = directConnector{cfg.Dial}
+	}
+	return &Relay{cfg: cfg, pool: newPool(cfg.Connector), probes: probes{recent: make(map[string]*probe)}}
 }
 
 // Drain starts draining: answers ask callers to connect elsewhere, and requests that may
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"basilrudder/internal/placement"
 	"basilrudder/internal/routing"
 )
 
@@ -439,26 +440,26 @@
 
 func TestConnectionsToAServerAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPool(func(context.Context, string) (net.Conn, error) {
+		p := newPool(directConnector{func(context.Context, string) (net.Conn, error) {
 			near, far := net.Pipe()
 			t.Cleanup(func() { far.Close() })
 			return near, nil
-		})
+		}})
 		target := Target{MaxConns: 2}
 		target.ID = "s"
 		var open []*conn
 		for range 2 {
-			c, err := p.get(t.Context(), target)
+			c, err := p.get(t.Context(), target, &placement.Work{})
 			if err != nil {
 				t.Fatal(err)
 			}
 			open = append(open, c)
 		}
-		if _, err := p.get(t.Context(), target); err == nil {
+		if _, err := p.get(t.Context(), target, &placement.Work{}); err == nil {
 			t.Error("a third connection was opened")
 		}
 		p.discard(open[0])
-		c, err := p.get(t.Context(), target)
+		c, err := p.get(t.Context(), target, &placement.Work{})
 		if err != nil {
 			t.Errorf("after one was closed: %v", err)
 		} else {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -49,6 +49,7 @@
 		}
 		n, err := e.resp.Body.Read(buffer)
 		if n > 0 {
+			f.reportReached()
 			if first {
 				first = false
 				f.firstEventAt = monotime.Now()
--- /dev/null
+++ b/internal/tunnel/server.go
@@ -0,0 +1,184 @@
+package tunnel
+
+import (
+	"context"
+	"crypto/hmac"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"basilrudder/internal/eventlog"
+	"basilrudder/internal/monotime"
+)
+
+const (
+	// closeTimeout is how long the opener of a tunnel may take to read the rest of it
+	// after the server has closed its side.
+	closeTimeout = 2 * time.Second
+	// rateWindow is the span over which the rate of passed bytes is taken.
+	rateWindow = time.Second
+)
+
+// Server opens tunnels for peers.
+type Server struct {
+	// Self is the process that serves.
+	Self Instance
+	// Secret of the links between instances.
+	Secret string
+	// Connect opens a direct connection to a server, or returns one of the errors of this
+	// package.
+	Connect func(ctx context.Context, server string) (net.Conn, error)
+	// MaxOpen bounds the tunnels that are open at once.
+	MaxOpen int
+	// MaxRate bounds the bytes a second passed on in all tunnels, in one direction: beyond
+	// it no further tunnel is opened. 0 for no bound.
+	MaxRate int
+	// Log receives a line for each tunnel.
+	Log *zap.Logger
+
+	open  atomic.Int64
+	total atomic.Int64
+	rate  rateMeter
+}
+
+// Open returns the number of open tunnels.
+func (s *Server) Open() int64 { return s.open.Load() }
+
+// Total returns the number of tunnels opened since the start.
+func (s *Server) Total() int64 { return s.total.Load() }
+
+// Handle answers a request for a tunnel.
+func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	header := func(name string) string { return string(ctx.Request.Header.Peek(name)) }
+	from := Instance{ID: header(headerInstance), Incarnation: header(headerIncarnation)}
+	server, id := header(headerServer), header(headerTunnel)
+	if !hmac.Equal([]byte(token(s.Secret, from, s.Self, server, id)), []byte(header(headerToken))) {
+		s.refuse(ctx, from.ID, server, id, ErrUnauthenticated)
+		return
+	}
+	if int(s.open.Add(1)) > s.MaxOpen || s.MaxRate > 0 && s.rate.perSecond(monotime.Now()) > s.MaxRate {
+		s.open.Add(-1)
+		s.refuse(ctx, from.ID, server, id, ErrBusy)
+		return
+	}
+	begun := monotime.Now()
+	upstream, err := s.Connect(ctx, server)
+	if err != nil {
+		s.open.Add(-1)
+		s.refuse(ctx, from.ID, server, id, err)
+		return
+	}
+	s.total.Add(1)
+	s.Log.Info("tunnel_opened", zap.String("tunnel", id), zap.String("for", from.ID), zap.String("server", server),
+		zap.Duration("connect_ms", monotime.Now().Sub(begun)))
+	ctx.SetStatusCode(fasthttp.StatusSwitchingProtocols)
+	ctx.Response.Header.Set("Connection", "Upgrade")
+	ctx.Response.Header.Set("Upgrade", upgradeProtocol)
+	ctx.Hijack(func(near net.Conn) {
+		defer s.open.Add(-1)
+		p := &passage{near: near, upstream: upstream, rate: &s.rate}
+		err := p.run()
+		s.Log.Info("tunnel_closed", zap.String("tunnel", id), zap.String("for", from.ID), zap.String("server", server),
+			zap.Duration("lasted_ms", monotime.Now().Sub(begun)), zap.Int64("up_bytes", p.up.Load()), zap.Int64("down_bytes", p.down.Load()),
+			eventlog.Cause(err))
+	})
+}
+
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, from, server, id string, err error) {
+	s.Log.Info("tunnel_refused", zap.String("tunnel", id), zap.String("for", from), zap.String("server", server), eventlog.Cause(err))
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	ctx.Response.Header.Set(headerReason, reasonText(err))
+	ctx.SetConnectionClose()
+}
+
+// passage passes the bytes of one tunnel on.
+type passage struct {
+	near, upstream net.Conn
+	rate           *rateMeter
+	up, down       atomic.Int64
+}
+
+// run returns when both connections are closed. The error is that of the server's side, or
+// nil if the server closed it.
+func (p *passage) run() error {
+	_ = p.near.SetDeadline(time.Time{})
+	var upwards sync.WaitGroup
+	upwards.Go(func() {
+		// The opener closes a tunnel when nobody waits for the answer any more, so the
+		// server has to stop at once.
+		defer p.upstream.Close()
+		_, _ = io.CopyBuffer(counting{p.upstream, p.countUp}, struct{ io.Reader }{p.near}, make([]byte, bufferSize))
+	})
+	err := writeFrames(p.near, p.upstream, p.countDown)
+	left := time.Duration(0)
+	if err == nil {
+		// Closing with unread bytes would reset the connection and drop the answer.
+		left = closeTimeout
+	}
+	_ = p.near.SetDeadline(time.Now().Add(left))
+	// The connection of a hijacked request must not be used after it was closed.
+	upwards.Wait()
+	_ = p.near.Close()
+	return err
+}
+
+func (p *passage) countUp(n int) {
+	p.up.Add(int64(n))
+	p.rate.add(n, monotime.Now())
+}
+
+func (p *passage) countDown(n int) {
+	p.down.Add(int64(n))
+	p.rate.add(n, monotime.Now())
+}
+
+// counting is a writer that counts.
+type counting struct {
+	io.Writer
+	count func(n int)
+}
+
+func (c counting) Write(p []byte) (int, error) {
+	n, err := c.Writer.Write(p)
+	c.count(n)
+	return n, err
+}
+
+// rateMeter measures bytes a second.
+type rateMeter struct {
+	mu           sync.Mutex
+	since        monotime.Instant
+	bytes        int
+	lastInterval int // bytes of the last whole window
+}
+
+func (m *rateMeter) add(n int, now monotime.Instant) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advance(now)
+	m.bytes += n
+}
+
+func (m *rateMeter) perSecond(now monotime.Instant) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advance(now)
+	return max(m.bytes, m.lastInterval)
+}
+
+func (m *rateMeter) advance(now monotime.Instant) {
+	elapsed := now.Sub(m.since)
+	if elapsed < rateWindow {
+		return
+	}
+	m.lastInterval = m.bytes
+	if elapsed >= 2*rateWindow {
+		m.lastInterval = 0
+	}
+	m.since, m.bytes = now, 0
+}
