A refused connection is no crash unless a peer that reaches other servers confirms it

Callers could have seen 400: in the incident five instances reported 75 crashes of servers within seconds, and a request of one customer counted as one that crashes servers at all eight instances.

Cause: an instance takes a server that broke off an answer and refuses the next connection for one that ended. A cut by resets looks the same from where it is. The class: what one instance sees of its own path is told to all as a fact about a server. Ruled out: that servers crashed (the record has no crash at that time).

Change: the probe counts only if the instance reaches another server of the service at that moment, and a peer, for which the same holds, confirms the refusal.

Before and after: TestACutIsNoCrashOfServers, all eight instances suspected a request, now none; TestARequestThatCrashesServersIsNotSentOn goes on.

--- a/internal/gateway/connector.go
+++ b/internal/gateway/connector.go
@@ -33,6 +33,9 @@
 	// maxPeersFailed is the number of peers that must fail to reach a server for it to
 	// count as unreachable for all.
 	maxPeersFailed = 2
+	// maxOthersAsked is the number of other servers that are tried to tell a server that
+	// ended from a path that is lost.
+	maxOthersAsked = 2
 	// minTunnels is the least number of tunnels that an instance keeps open for others. It
 	// keeps one for each thousandth of a core: a tunnel takes two descriptors, of which
 	// such a machine has over four times as many.
@@ -288,9 +291,35 @@
 	}
 }
 
-// Probe implements relay.Connector.
+// Probe implements relay.Connector. A server that refuses this instance only has not ended,
+// so a peer has to confirm it if there is any.
 func (c *connector) Probe(ctx context.Context, target relay.Target) (refuses, accepts bool) {
-	return relay.Probe(ctx, c.dial, target.Address)
+	refuses, accepts = relay.Probe(ctx, c.dial, target.Address)
+	if !refuses || !c.reachesAnother(ctx, target.Server) {
+		return false, accepts
+	}
+	members := c.allowedPeers(nil)
+	if len(members) == 0 {
+		return true, false
+	}
+	excluded := make(map[string]bool)
+	for len(excluded) < maxPeersAsked {
+		peer, ok := c.peers.Pick(c.candidates(members), target.Service, excluded, monotime.Now())
+		if !ok {
+			return false, false
+		}
+		excluded[peer.ID] = true
+		conn, via, err := c.openTunnel(ctx, members[peer.ID], target.Server)
+		switch {
+		case err == nil:
+			_ = conn.Close()
+			c.Closed(via)
+			return false, true
+		case errors.Is(err, tunnel.ErrRefused):
+			return true, false
+		}
+	}
+	return false, false
 }
 
 // serveTunnel connects a peer's tunnel to a server: directly, or not at all, so that no
@@ -313,11 +342,34 @@
 		return nil, tunnel.ErrCutOff
 	case netconn.IsTimeout(err):
 		return nil, errors.Wrap(tunnel.ErrUnreachable, err.Error())
+	case !c.reachesAnother(ctx, s):
+		return nil, tunnel.ErrCutOff
 	default:
 		return nil, errors.Wrap(tunnel.ErrRefused, err.Error())
 	}
 }
 
+// reachesAnother reports whether this instance reaches another server of the same service
+// directly, or there is none. If it does not, a refused connection says nothing about the
+// server: the network may refuse it.
+func (c *connector) reachesAnother(ctx context.Context, s servers.Server) bool {
+	list := c.fleet.serverList(s.Service).accepting
+	asked := 0
+	for _, n := range rand.Perm(len(list)) {
+		if list[n].ID == s.ID {
+			continue
+		}
+		if asked++; asked > maxOthersAsked {
+			return false
+		}
+		if conn, err := c.connectDirectly(ctx, list[n]); err == nil {
+			_ = conn.Close()
+			return true
+		}
+	}
+	return asked == 0
+}
+
 // probe tries a suspected server directly unless the last probe was too recent. It is
 // called periodically, so that the end of a cut is found without callers' requests.
 func (c *connector) probe(now monotime.Instant) {
