Brittle servers get no request for which they may have no room

Callers of a brittle service would lose all servers: one that has to refuse more than it says in a second falls over.

Cause: servers with no free slot get requests all the same: they queue a few, and several instances send to the same free slot before they hear of each other.

Change: the notice is read, kept by incarnation and told to all instances as limits are; a service counts as brittle while any of its servers says so. Then a request goes only where more slots are free than requests of others may be under way, or to servers that this instance owns by the hash that also shares out limits. After a refusal the server gets half of its number a second from its owners, until it answers without one. The end of a brittle server accuses no request.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -32,13 +33,17 @@
 type minimalProtocol struct{}
 
 func (minimalProtocol) Request(h http.Header) (relay.Request, error) {
-	return relay.Request{ID: h.Get("X-Id"), Key: h.Get("X-Key")}, nil
+	prompt, _ := strconv.Atoi(h.Get("X-Prompt"))
+	return relay.Request{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Prompt: prompt, Output: prompt / 10}, nil
 }
 
 func (minimalProtocol) Forward(h http.Header, f relay.Forward) { h.Set("X-Server", f.Server) }
 
 func (minimalProtocol) Answer(_ int, h http.Header) relay.Answer {
-	return relay.Answer{ID: h.Get("X-Id"), Signed: true}
+	out := relay.Answer{ID: h.Get("X-Id"), Signed: true, NotRun: h.Get("X-Not-Run") != ""}
+	refusals, err := strconv.ParseFloat(h.Get("X-Brittle"), 64)
+	out.Notice.Brittle, out.Notice.MaxRefusals = err == nil, refusals
+	return out
 }
 
 func (minimalProtocol) EventID([]byte) string { return "" }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -45,9 +45,24 @@
 
 // Crashed implements relay.Fleet.
 func (f *fleet) Crashed(crash crashes.Crash, now monotime.Instant) {
+	if f.isBrittleServer(crash.Server) {
+		f.log.Info("brittle_server_ended", zap.String("server", crash.Server))
+		return
+	}
 	f.crashes.broadcast(f.crashes.add(f.self, []crashes.Crash{crash}, now))
 }
 
+// isBrittleServer reports whether a server says that it is brittle: then it may have ended
+// because it had to refuse requests.
+func (f *fleet) isBrittleServer(id string) bool {
+	if f.brittleCount.Load() == 0 {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.registry.Brittleness(id).Brittle
+}
+
 // Survived implements relay.Fleet.
 func (f *fleet) Survived(request crashes.Fingerprint, now monotime.Instant) {
 	f.crashes.broadcast(f.crashes.addSurvived(request, now, now))
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -52,9 +52,10 @@
 
 	// digest is the digest of the registry, shifted right to fit a non-negative int.
 	digest atomic.Int64
-	// rateLimitedCount is the number of servers that advertise a limit. While it is zero,
-	// answers that carry no notice take no lock.
-	rateLimitedCount atomic.Int64
+	// rateLimitedCount is the number of servers that advertise a limit, and brittleCount
+	// of those that say that they are brittle. While both are zero, answers that carry no
+	// notice take no lock.
+	rateLimitedCount, brittleCount atomic.Int64
 
 	mu       sync.Mutex // guards registry and lists
 	registry *servers.Registry
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,6 +152,7 @@
 	g.fleet.crashes = newCrashTracker(g.fleet.updates, cfg.Log)
 	g.fleet.resetConfirmations()
 	g.fleet.board.SetCostJitter(jitterOf(0, 1))
+	g.fleet.board.SetOwner(g.fleet.ownsServer)
 	g.storeSync = &storeSync{
 		source: cfg.Source, fleet: g.fleet, log: cfg.Log,
 		minWatch: milliseconds(s.Store.WatchMS), answerTimeout: milliseconds(s.Store.TimeoutMS),
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -84,6 +84,7 @@
 		f, _, _ := newFleet()
 		f.self = fmt.Sprintf("instance-%02d", n)
 		f.throttle = throttle.New(f.self, monotime.Now())
+		f.board.SetOwner(f.ownsServer)
 		self := wire.RelayMember{
 			ID: f.self, Incarnation: f.self + "/1", DataCentre: fmt.Sprint("dc-", n%2),
 			CallerAddress: f.self + ":1", PeerAddress: f.self + ":2", Capacity: host.capacity,
@@ -115,6 +116,7 @@
 			for ctx.Err() == nil {
 				p.tick(monotime.Now())
 				c.probe(monotime.Now())
+				f.board.SetPeers(p.memberCount()-1, p.staleness())
 				sleep(ctx, tickInterval)
 			}
 			return nil
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -17,7 +17,7 @@
 	if notice.Pause > 0 {
 		f.pauseServer(server, notice.Pause, now)
 	}
-	if !notice.Leaving && !notice.Limited && f.rateLimitedCount.Load() == 0 {
+	if !notice.Leaving && !notice.Limited && !notice.Brittle && f.rateLimitedCount.Load() == 0 && f.brittleCount.Load() == 0 {
 		return
 	}
 	f.changeServers(fromServer, func(r *servers.Registry, _ monotime.Instant) []string {
@@ -59,13 +59,42 @@
 // decodeRateLimit decodes a limit that a peer sent. A damaged value yields no limit: neither
 // a rate that cannot be applied, nor a limit that would count as newer than later ones.
 func decodeRateLimit(state *wire.RelayServer, now monotime.Instant) servers.RateLimit {
-	rateValid := state.Rate >= 0 && !math.IsInf(state.Rate, 1)
-	if state.LimitAge <= 0 || !rateValid {
+	if state.LimitAge <= 0 || !validRate(state.Rate) {
 		return servers.RateLimit{}
 	}
-	age := maxLimitAge
-	if state.LimitAge <= int(maxLimitAge.Milliseconds()) {
-		age = milliseconds(state.LimitAge - 1)
+	return servers.RateLimit{Limited: state.Limited, Rate: state.Rate, At: now.Add(-decodeAge(state.LimitAge))}
+}
+
+func validRate(rate float64) bool { return rate >= 0 && !math.IsInf(rate, 1) }
+
+// decodeAge decodes an age in milliseconds plus one.
+func decodeAge(sent int) time.Duration {
+	if sent > int(maxLimitAge.Milliseconds()) {
+		return maxLimitAge
+	}
+	return milliseconds(sent - 1)
+}
+
+func encodeBrittleness(state *wire.RelayServer, b servers.Brittleness, now monotime.Instant) {
+	if b.At == 0 {
+		return
+	}
+	if b.Brittle {
+		state.MaxRefusals = max(b.MaxRefusals, minMaxRefusals)
+	}
+	state.BrittleAge = 1 + int(max(0, now.Sub(b.At)).Milliseconds())
+}
+
+// minMaxRefusals stands for no refusals at all, as 0 stands for a server that says nothing
+// of them.
+const minMaxRefusals = 0.01
+
+// decodeBrittleness decodes what a peer received of a server's refusals. A damaged value
+// yields nothing, as in decodeRateLimit.
+func decodeBrittleness(state *wire.RelayServer, now monotime.Instant) servers.Brittleness {
+	if state.BrittleAge <= 0 || !validRate(state.MaxRefusals) {
+		return servers.Brittleness{}
 	}
-	return servers.RateLimit{Limited: state.Limited, Rate: state.Rate, At: now.Add(-age)}
+	at := now.Add(-decodeAge(state.BrittleAge))
+	return servers.Brittleness{Brittle: state.MaxRefusals > 0, MaxRefusals: state.MaxRefusals, At: at}
 }
--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -51,7 +51,9 @@
 	servers []*narrownet.Host
 	fleet   []*linkedInstance
 	relays  []*relay.Relay
-	begun   time.Time
+	// config and putServers are what an instance starts with.
+	config     *routing.Config
+	putServers func(r *servers.Registry, now monotime.Instant) []string
 
 	mu   sync.Mutex
 	runs map[string]int // by request id
@@ -77,19 +79,25 @@
 	return 3*c.cutServed*c.others >= 2*c.othersServed*c.cut
 }
 
-func newCutCluster(t *testing.T, ctx context.Context, tasks *errgroup.Group) *cutCluster {
-	passProcessStart()
+// emptyCutCluster returns a cluster without servers and instances.
+func emptyCutCluster(t *testing.T, ctx context.Context, tasks *errgroup.Group) *cutCluster {
 	c := &cutCluster{
 		t: t, ctx: ctx, tasks: tasks, network: narrownet.New(), runs: make(map[string]int),
 		cutSince: make(map[int]time.Time), tries: tally{failures: make(map[string]int)},
+		config: cutConfig(1), putServers: putCutServers,
 	}
 	c.network.SetUserTimeout(cutUserTimeout)
+	return c
+}
+
+func newCutCluster(t *testing.T, ctx context.Context, tasks *errgroup.Group) *cutCluster {
+	passProcessStart()
+	c := emptyCutCluster(t, ctx, tasks)
 	for n := range cutServers {
-		c.startServer(n)
+		c.startServer(n, c.serve)
 	}
 	c.startInstances(0, cutInstances)
 	time.Sleep(2 * time.Second)
-	c.begun = time.Now()
 	return c
 }
 
@@ -107,8 +115,8 @@
 		return linkedHost{listen: host.Listen, dial: host.Dial, capacity: 400}
 	})
 	for _, i := range started {
-		i.fleet.installConfig(cutConfig(1), fromStore)
-		i.fleet.changeServers(fromStore, putCutServers)
+		i.fleet.installConfig(c.config, fromStore)
+		i.fleet.changeServers(fromStore, c.putServers)
 		c.fleet = append(c.fleet, i)
 		c.relays = append(c.relays, newCutRelay(i))
 	}
@@ -141,17 +149,19 @@
 	}
 	again := route("again", "app")
 	again.Repeat, again.Attempts = routing.Idempotent, 2
+	prompt := route("prompt", "app")
 	stream := route("stream", "llm")
 	stream.Streaming, stream.Timeout, stream.Goal, stream.MaxGap = true, 5*time.Second, 500*time.Millisecond, 200*time.Millisecond
 	return &routing.Config{
 		Version: version, Services: []routing.Service{{Name: "llm"}, {Name: "app"}},
-		Routes:       []routing.Route{route("once", "app"), again, stream},
+		Routes:       []routing.Route{route("once", "app"), again, prompt, stream},
 		KeysRequired: true, Customers: []routing.Customer{{Name: "a", Keys: []string{"key-a"}}},
 	}
 }
 
-// startServer starts a server on a host of its own.
-func (c *cutCluster) startServer(n int) {
+// startServer starts a server on a host of its own, which answers each request of a
+// connection by serve.
+func (c *cutCluster) startServer(n int, serve func(conn net.Conn, in *bufio.Reader) bool) {
 	host := c.network.Host(fmt.Sprint("server ", n), 0)
 	c.servers = append(c.servers, host)
 	listener := host.Listen(serverAddress(n))
@@ -169,7 +179,7 @@
 				defer conn.Close()
 				defer context.AfterFunc(c.ctx, func() { conn.Close() })()
 				in := bufio.NewReader(conn)
-				for c.serve(conn, in) {
+				for serve(conn, in) {
 				}
 				return nil
 			})
@@ -246,6 +256,9 @@
 	req := httptest.NewRequest(http.MethodPost, "http://h.example"+path+"x", strings.NewReader("body"))
 	req.Header.Set("X-Id", id)
 	req.Header.Set("X-Key", "key-a")
+	if path == "/prompt/" {
+		req.Header.Set("X-Prompt", "200")
+	}
 	status = -1
 	c.relays[instance].ServeHTTP(rec, req)
 	body := rec.Body.String()
@@ -270,6 +283,25 @@
 	all.Wait()
 }
 
+// press sends requests to all instances at an interval for a while.
+func (c *cutCluster) press(lasts, interval time.Duration, path string) {
+	var all sync.WaitGroup
+	for i := range cutInstances {
+		all.Go(func() { c.pressOne(i, lasts, interval, path) })
+	}
+	all.Wait()
+}
+
+func (c *cutCluster) pressOne(instance int, lasts, interval time.Duration, path string) {
+	begun := time.Now()
+	var all sync.WaitGroup
+	for time.Since(begun) < lasts && c.ctx.Err() == nil {
+		all.Go(func() { c.call(instance, path, fmt.Sprint(rand.Uint64())) })
+		time.Sleep(interval)
+	}
+	all.Wait()
+}
+
 // try sends a request and counts it by whether its instance was cut off when it was sent.
 func (c *cutCluster) try(instance int, path string) {
 	c.mu.Lock()
--- a/internal/gateway/serverlist.go
+++ b/internal/gateway/serverlist.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+
 	"basilrudder/internal/placement"
 	"basilrudder/internal/routing"
 	"basilrudder/internal/servers"
@@ -64,7 +66,7 @@
 		list.sources = append(list.sources, s)
 	}
 	for name, list := range lists {
-		list.fillPools(publishedService(table, name))
+		list.fillPools(publishedService(table, name), f.isBrittle(list.accepting))
 	}
 	f.lists = lists
 	return lists
@@ -77,10 +79,21 @@
 	return table.Service(name)
 }
 
-func (l *serverList) fillPools(service *routing.Service) {
+// isBrittle reports whether any server of a service says that it is brittle. All servers
+// of a service are at the same time, and this instance may not have heard of each. mu is
+// held.
+func (f *fleet) isBrittle(list []servers.Server) bool {
+	return f.registry.BrittleCount() > 0 && slices.ContainsFunc(list, func(s servers.Server) bool {
+		return f.registry.Brittleness(s.ID).Brittle
+	})
+}
+
+func (l *serverList) fillPools(service *routing.Service, brittle bool) {
 	candidates := make([]placement.Candidate, 0, len(l.accepting))
 	for _, s := range l.accepting {
-		candidates = append(candidates, candidate(s, service))
+		c := candidate(s, service)
+		c.Brittle = brittle
+		candidates = append(candidates, c)
 	}
 	l.pool = placement.NewPool(candidates)
 	sources := make([]placement.Candidate, 0, len(l.sources))
--- a/internal/gateway/serverstate.go
+++ b/internal/gateway/serverstate.go
@@ -33,6 +33,7 @@
 		ColdMS: int(max(0, f.registry.ColdUntil(id).Sub(now)).Milliseconds()),
 	}
 	encodeRateLimit(&state, f.registry.RateLimit(id), now)
+	encodeBrittleness(&state, f.registry.Brittleness(id), now)
 	return state, true
 }
 
@@ -62,7 +63,7 @@
 	}
 	for _, s := range f.registry.List() {
 		state, ok := f.serverState(s.ID)
-		if ok && (differs(s.ID) || state.Limited || state.ColdMS > 0) {
+		if ok && (differs(s.ID) || state.Limited || state.MaxRefusals > 0 || state.ColdMS > 0) {
 			out = append(out, state)
 		}
 	}
@@ -124,6 +125,7 @@
 	f.lists = nil
 	f.digest.Store(int64(f.registry.Digest() >> 1))
 	f.rateLimitedCount.Store(int64(f.registry.RateLimitedCount()))
+	f.brittleCount.Store(int64(f.registry.BrittleCount()))
 	states := make([]wire.RelayServer, 0, len(ids))
 	for _, id := range ids {
 		if state, ok := f.serverState(id); ok {
@@ -159,23 +161,25 @@
 			zap.String("service", state.Service), zap.String("address", state.Address),
 			zap.Bool("draining", state.Draining), zap.Bool("invalid", state.Invalid), zap.Bool("gone", state.Gone),
 			zap.Int("cold_ms", state.ColdMS), zap.Bool("limited", state.Limited), zap.Float64("limit_per_s", state.Rate),
+			zap.Float64("refusals_per_s", state.MaxRefusals),
 			zap.Stringer("revision", servers.Revision(state.Revision)))
 	}
 }
 
 func (f *fleet) logServerSummary(from string, states []wire.RelayServer) {
-	var draining, invalid, gone, cold, limited, newest int
+	var draining, invalid, gone, cold, limited, brittle, newest int
 	for _, state := range states {
 		count(&draining, state.Draining)
 		count(&invalid, state.Invalid)
 		count(&gone, state.Gone)
 		count(&cold, state.ColdMS > 0)
 		count(&limited, state.Limited)
+		count(&brittle, state.MaxRefusals > 0)
 		newest = max(newest, state.Revision)
 	}
 	f.log.Info("servers_changed", zap.Int("servers", len(states)), zap.String("from", from),
 		zap.Int("draining", draining), zap.Int("invalid", invalid), zap.Int("gone", gone),
-		zap.Int("cold", cold), zap.Int("limited", limited), zap.Stringer("revision", servers.Revision(newest)))
+		zap.Int("cold", cold), zap.Int("limited", limited), zap.Int("brittle", brittle), zap.Stringer("revision", servers.Revision(newest)))
 }
 
 func count(n *int, holds bool) {
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -262,7 +262,8 @@
 				}, now)
 			}
 			limitChange := r.SetRateLimit(s.ID, decodeRateLimit(&s, now))
-			if change != servers.Unchanged || limitChange != servers.Unchanged {
+			brittleChange := r.SetBrittleness(s.ID, decodeBrittleness(&s, now))
+			if max(change, limitChange, brittleChange) != servers.Unchanged {
 				ids = append(ids, s.ID)
 			}
 		}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -29,6 +29,8 @@
 	// costJitter returns the maximum random amount added to the cost of each server of a
 	// choice that considers a share of the servers.
 	costJitter func(share float64) float64
+	// owns reports whether this instance may use the last free slots of a server.
+	owns func(server string) bool
 
 	mu         sync.Mutex
 	rand       *rand.Rand
@@ -60,6 +62,7 @@
 		dataCentre:     dataCentre,
 		rand:           newRand(),
 		costJitter:     func(float64) float64 { return 0 },
+		owns:           func(string) bool { return true },
 		servers:        make(map[string]*server),
 		holders:        make(map[string][]*server),
 		kinds:          make(map[string]*engineKind),
@@ -106,6 +109,9 @@
 	TokenBytes int
 	// LinkMbps is the rate at which that memory is transferred, in Mbit/s.
 	LinkMbps float64
+	// Brittle marks a server that may fail when it has to refuse requests, so it gets none
+	// for which it may have no free slot.
+	Brittle bool
 	// SourceOnly marks a server that takes no requests, but from which parts of prompts
 	// may be fetched.
 	SourceOnly bool
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -104,11 +104,14 @@
 // choose is Choose without the count of refusals. The candidates are the given share of
 // the servers.
 func (b *Board) choose(work *Work, candidates []Candidate, share float64, now monotime.Instant) (Choice, Refusal) {
-	found := b.survey(work, candidates, now)
+	found := b.survey(work, candidates, share, now)
 	if len(found.accepting) == 0 {
 		return Choice{}, NoneReachable
 	}
-	considered, refused := b.admit(found.available, found.preemptable, work, share, now)
+	considered, refused := found.available, Choice{}
+	if !found.brittle {
+		considered, refused = b.admit(found.available, found.preemptable, work, share, now)
+	}
 	if len(considered) == 0 {
 		return refused, AllFull
 	}
@@ -149,10 +152,13 @@
 	available, preemptable []availableServer
 	// free is the total of unused slots.
 	free int
+	// brittle is set if the servers are brittle: then available holds only those whose
+	// free slots no other instance is expected to take.
+	brittle bool
 }
 
 // survey checks each candidate once.
-func (b *Board) survey(work *Work, candidates []Candidate, now monotime.Instant) survey {
+func (b *Board) survey(work *Work, candidates []Candidate, share float64, now monotime.Instant) survey {
 	found := survey{
 		reachable: make([]*server, 0, len(candidates)),
 		accepting: make([]*server, 0, len(candidates)),
@@ -160,6 +166,8 @@
 	}
 	brief := b.isBrief(work, candidates)
 	useReserve := brief && !b.contention.urgentRefused(work.Priority, now)
+	brittle := b.brittleRoom(candidates, share, now)
+	found.brittle = len(candidates) > 0 && candidates[0].Brittle
 	for _, candidate := range candidates {
 		s := b.server(candidate)
 		if s.retryAt != 0 && now < s.retryAt {
@@ -171,6 +179,9 @@
 		}
 		found.accepting = append(found.accepting, s)
 		found.free += s.unusedSlots(now)
+		if candidate.Brittle && !brittle.mayTake(s, now) {
+			continue
+		}
 		slots := s.freeSlotsFor(work, useReserve, now)
 		switch {
 		case slots > 0, s.memory == 0:
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -48,6 +48,8 @@
 	// meanReadTime is the mean time to read a prompt, over prompts that were not entirely
 	// cached.
 	meanReadTime time.Duration
+	// asked is the rate of choices of this instance while the servers are brittle.
+	asked rate
 }
 
 // progress sums up the work of an engine. The difference between two instants is the work
--- a/internal/placement/shortlist.go
+++ b/internal/placement/shortlist.go
@@ -46,6 +46,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.begin(&work, now)
+	b.recordAsked(pool, now)
 	if pool.Len() <= maxWholePool {
 		return b.decide(&work, append(pool.filter(allowed), sources.filter(allowed)...), 1, now)
 	}
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -126,6 +126,7 @@
 	if promisesNotRun(e.resp.StatusCode) {
 		notice.Pause = parseRetryAfter(e.resp.Header)
 	}
+	notice.Refused = e.answer.NotRun && e.resp.StatusCode == http.StatusServiceUnavailable
 	f.relay.cfg.Fleet.ApplyNotice(f.target.ID, notice, e.sentAt, monotime.Now())
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -127,12 +127,12 @@
 		name, answer string
 		want         []string
 	}{
-		{"an answer", answer("r", 200, "X-Leaving: 1\r\n", "x"), []string{"s1 {Leaving:true Limited:false Rate:0 Pause:0s}"}},
-		{"a refusal", answer("r", 503, "X-Not-Run: 1\r\nRetry-After: 2.5\r\n", ""), []string{"s1 {Leaving:false Limited:false Rate:0 Pause:2.5s}"}},
-		{"a refusal without a promise", answer("r", 503, "X-Leaving: 1\r\nRetry-After: 2\r\n", ""), []string{"s1 {Leaving:true Limited:false Rate:0 Pause:2s}"}},
-		{"a failure", answer("r", 500, "X-Leaving: 1\r\nRetry-After: 3\r\n", ""), []string{"s1 {Leaving:true Limited:false Rate:0 Pause:0s}"}},
+		{"an answer", answer("r", 200, "X-Leaving: 1\r\n", "x"), []string{"s1 {Leaving:true Limited:false Rate:0 Pause:0s Brittle:false MaxRefusals:0 Refused:false}"}},
+		{"a refusal", answer("r", 503, "X-Not-Run: 1\r\nRetry-After: 2.5\r\n", ""), []string{"s1 {Leaving:false Limited:false Rate:0 Pause:2.5s Brittle:false MaxRefusals:0 Refused:true}"}},
+		{"a refusal without a promise", answer("r", 503, "X-Leaving: 1\r\nRetry-After: 2\r\n", ""), []string{"s1 {Leaving:true Limited:false Rate:0 Pause:2s Brittle:false MaxRefusals:0 Refused:false}"}},
+		{"a failure", answer("r", 500, "X-Leaving: 1\r\nRetry-After: 3\r\n", ""), []string{"s1 {Leaving:true Limited:false Rate:0 Pause:0s Brittle:false MaxRefusals:0 Refused:false}"}},
 		{"another incarnation", answer("r", 421, "X-Not-Run: 1\r\nX-Leaving: 1\r\n", ""), nil},
-		{"no time that can be read", answer("r", 503, "X-Not-Run: 1\r\nRetry-After: NaN\r\n", ""), nil},
+		{"no time that can be read", answer("r", 503, "X-Not-Run: 1\r\nRetry-After: NaN\r\n", ""), []string{"s1 {Leaving:false Limited:false Rate:0 Pause:0s Brittle:false MaxRefusals:0 Refused:true}"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -652,6 +652,14 @@
 	// When it started, as a Unix time in milliseconds; 0 when it does not tell.
 	Born int `json:"b,omitempty,omitzero"`
 
+	// One more than the age of what is said of refusals in milliseconds; 0 when it
+	// never named a number.
+	BrittleAge int `json:"ba,omitempty,omitzero"`
+
+	// Refusals a second that it survives, as its answers say; 0 when they say nothing
+	// of it.
+	MaxRefusals float64 `json:"bf,omitempty,omitzero"`
+
 	// Data centre.
 	DataCentre string `json:"d,omitempty,omitzero"`
 
--- a/internal/servers/notice.go
+++ b/internal/servers/notice.go
@@ -19,8 +19,28 @@
 	// Pause is how long the server accepts nothing more from this instance; 0 for no
 	// pause.
 	Pause time.Duration
+	// Brittle is true if the server fails when it has to refuse more than MaxRefusals
+	// requests a second of all instances together. It holds for as long as its answers
+	// say so.
+	Brittle     bool
+	MaxRefusals float64
+	// Refused is true if the server refused the request for lack of capacity.
+	Refused bool
 }
 
+// Brittleness is how many refusals a server survives, if it says so.
+type Brittleness struct {
+	Brittle     bool
+	MaxRefusals float64
+	// At is when this was last confirmed, as in RateLimit; 0 if it never was.
+	At monotime.Instant
+}
+
+// refusalShare is the share of the refusals that a brittle server survives up to which the
+// fleet sends it requests after a refusal. Two sets of instances that do not know of each
+// other, each within its limit, then stay within the number together.
+const refusalShare = 0.5
+
 // RateLimit is the limit that a server advertises, if any.
 type RateLimit struct {
 	// Limited is true if it advertises one.
@@ -50,9 +70,13 @@
 		change = rec.drain()
 		r.updateDigest(rec)
 	}
+	change = max(change, r.applyBrittleness(id, n, sent, now))
 	switch {
 	case n.Limited:
 		return max(change, r.SetRateLimit(id, RateLimit{Limited: true, Rate: n.Rate, At: now}))
+	case n.Brittle && n.Refused:
+		// It had no room although it was expected to have some.
+		return max(change, r.SetRateLimit(id, RateLimit{Limited: true, Rate: refusalShare * n.MaxRefusals, At: now}))
 	case rec.rateLimit.Limited:
 		return max(change, r.SetRateLimit(id, RateLimit{At: sent}))
 	default:
@@ -80,6 +104,48 @@
 	return Updated
 }
 
+func (r *Registry) applyBrittleness(id string, n Notice, sent, now monotime.Instant) Change {
+	switch {
+	case n.Brittle:
+		return r.SetBrittleness(id, Brittleness{Brittle: true, MaxRefusals: n.MaxRefusals, At: now})
+	case r.live[id].brittleness.Brittle:
+		return r.SetBrittleness(id, Brittleness{At: sent})
+	default:
+		return Unchanged
+	}
+}
+
+// SetBrittleness applies what a server or a peer said of refusals. What is older than the
+// current state is ignored.
+func (r *Registry) SetBrittleness(id string, b Brittleness) Change {
+	rec := r.live[id]
+	if rec == nil || b.At <= rec.brittleness.At {
+		return Unchanged
+	}
+	previous := rec.brittleness
+	rec.brittleness = b
+	if b.Brittle {
+		r.brittle[id] = struct{}{}
+	} else {
+		delete(r.brittle, id)
+	}
+	if previous.Brittle == b.Brittle && previous.MaxRefusals == b.MaxRefusals {
+		return Unchanged
+	}
+	return Updated
+}
+
+// Brittleness returns what a server says of refusals; the zero value for an unknown one.
+func (r *Registry) Brittleness(id string) Brittleness {
+	if rec := r.live[id]; rec != nil {
+		return rec.brittleness
+	}
+	return Brittleness{}
+}
+
+// BrittleCount returns the number of servers that say that they are brittle.
+func (r *Registry) BrittleCount() int { return len(r.brittle) }
+
 // RateLimit returns the limit that a server advertises; the zero value for an unknown
 // server.
 func (r *Registry) RateLimit(id string) RateLimit {
--- a/internal/servers/registry.go
+++ b/internal/servers/registry.go
@@ -20,6 +20,8 @@
 	graceEndsAt monotime.Instant
 	// rateLimit is the limit that the server advertises, if any.
 	rateLimit RateLimit
+	// brittleness is how many refusals it survives, if it says so.
+	brittleness Brittleness
 	// firstInEra is the first revision observed of its entry in the entry's era.
 	firstInEra Revision
 	// counted is whether the server is part of Registry.digests.
@@ -45,9 +47,11 @@
 	// last call of Replaced.
 	replaced []string
 	// digests combines, for each bucket, the hashes of its servers that accept requests,
-	// and limited holds the ids of those that advertise a limit.
+	// limited holds the ids of those that advertise a limit, and brittle of those that say
+	// that they are brittle.
 	digests [Buckets]uint64
 	limited map[string]struct{}
+	brittle map[string]struct{}
 	// evacuations holds the state in force of each data centre.
 	evacuations map[string]Evacuation
 	// deferred holds states of a new era that contradict those in evacuations.
@@ -71,7 +75,7 @@
 func New() *Registry {
 	return &Registry{
 		live: make(map[string]*record), gone: make(map[string]tombstone),
-		inGrace: make(map[string]struct{}), limited: make(map[string]struct{}), tombstoneCount: make(map[string]int),
+		inGrace: make(map[string]struct{}), limited: make(map[string]struct{}), brittle: make(map[string]struct{}), tombstoneCount: make(map[string]int),
 		current: make(map[string]string), newestBorn: make(map[string]int64),
 		evacuations: make(map[string]Evacuation), deferred: make(map[string]Evacuation),
 		copiedEntries: make(map[string]Server),
--- a/internal/servers/removal.go
+++ b/internal/servers/removal.go
@@ -97,6 +97,7 @@
 	delete(r.live, id)
 	delete(r.inGrace, id)
 	delete(r.limited, id)
+	delete(r.brittle, id)
 	r.removeTombstone(id)
 	r.gone[id] = stone
 	r.tombstoneCount[stone.name]++
--- a/internal/throttle/throttle.go
+++ b/internal/throttle/throttle.go
@@ -103,6 +103,15 @@
 	}
 }
 
+// Owns reports whether this instance is the first owner of a server. A process that has
+// just started owns none, as it has few members yet.
+func (l *Limiter) Owns(id string, now monotime.Instant) bool {
+	l.mu.Lock()
+	v := l.view
+	l.mu.Unlock()
+	return now.Sub(l.startedAt) >= startupDelay && owns(v, id, 1)
+}
+
 func (l *Limiter) server(id string) *server {
 	s := l.servers[id]
 	if s == nil {
