--- /dev/null
+++ b/internal/paths/paths_test.go
@@ -0,0 +1,172 @@
+package paths
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+const start = monotime.Instant(time.Hour)
+
+func at(d time.Duration) monotime.Instant { return start.Add(d) }
+
+// Guards against one server that is down and sends all connections of its service through
+// peers.
+func TestOneFailedServerIsNotALostService(t *testing.T) {
+	table := NewTable()
+	if table.Failed("svc", "a", 5, at(0)) || table.Lost("svc") {
+		t.Error("lost after one failure")
+	}
+	if table.Direct("svc", "a", at(0)) || !table.Direct("svc", "b", at(0)) {
+		t.Error("only the failed server should be connected to through peers")
+	}
+	table.Reached("svc", "b", 5, at(time.Second))
+	if table.Failed("svc", "a", 5, at(2*time.Second)) || table.Lost("svc") {
+		t.Error("lost although another server was reached in between")
+	}
+	if !table.Direct("svc", "a", at(2*time.Second+failureTTL+1)) {
+		t.Error("the server is never tried directly again")
+	}
+}
+
+// Guards against a lost path that each server has to show anew, and against a path that is
+// taken as back by a single server.
+func TestAServiceIsLostAndBackAfterTwoServers(t *testing.T) {
+	table := NewTable()
+	table.Failed("svc", "a", 5, at(0))
+	if !table.Failed("svc", "b", 5, at(time.Second)) || !table.Lost("svc") {
+		t.Fatal("not lost after two servers")
+	}
+	if table.Direct("svc", "c", at(time.Second)) || !table.Direct("other", "c", at(time.Second)) {
+		t.Error("all servers of this service, and none of others, should be lost")
+	}
+	if table.Reached("svc", "c", 5, at(2*time.Second)) || table.Direct("svc", "d", at(2*time.Second)) {
+		t.Error("back after one server")
+	}
+	if !table.Direct("svc", "c", at(2*time.Second)) {
+		t.Error("a server that was reached should be connected to directly")
+	}
+	if !table.Reached("svc", "d", 5, at(3*time.Second)) || table.Lost("svc") || !table.Direct("svc", "e", at(3*time.Second)) {
+		t.Error("not back after two servers")
+	}
+}
+
+func TestAServiceOfOneServerIsLostWithIt(t *testing.T) {
+	table := NewTable()
+	if !table.Failed("svc", "a", 1, at(0)) {
+		t.Error("not lost")
+	}
+	if !table.Reached("svc", "a", 1, at(time.Second)) || table.Tracked() {
+		t.Error("not back, or state is left")
+	}
+}
+
+// Guards against requests that find out one by one that the kept connections are dead.
+func TestKeptConnectionsNeedAnAnswerSinceThePathWasLost(t *testing.T) {
+	table := NewTable()
+	table.Failed("svc", "a", 5, at(time.Second))
+	if table.Usable("svc", "a", at(0)) || !table.Usable("svc", "b", at(0)) {
+		t.Error("one failed server: only its connections are in doubt")
+	}
+	table.Failed("svc", "b", 5, at(2*time.Second))
+	if table.Usable("svc", "c", at(0)) {
+		t.Error("a connection that was not used since is taken as working")
+	}
+	if !table.Usable("svc", "c", at(1500*time.Millisecond)) {
+		t.Error("a connection that goes on working is dropped")
+	}
+}
+
+// Guards against peers that are asked again and again while the servers are down for all.
+func TestPeersAreLeftAloneWhileNobodyReachesTheServers(t *testing.T) {
+	table := NewTable()
+	table.Failed("svc", "a", 5, at(0))
+	table.Failed("svc", "b", 5, at(0))
+	now, asked := at(0), 0
+	for ; now < at(10*time.Second); now = now.Add(10 * time.Millisecond) {
+		if table.MayAskPeers("svc", now) {
+			asked++
+			table.PeerFailed("svc", now)
+		} else if !table.Direct("svc", "c", now) {
+			t.Fatal("neither peers nor a direct connection")
+		}
+	}
+	if most := maxPeerFailures + 2 + int(10*time.Second/holdMax); asked > most {
+		t.Errorf("asked %d times in 10 s, at most %d wanted", asked, most)
+	}
+	table.PeerReached("svc")
+	if !table.MayAskPeers("svc", now) || table.Direct("svc", "c", now) {
+		t.Error("peers that reach the servers again are not asked")
+	}
+}
+
+func candidates(n int) (out []Peer) {
+	for i := range n {
+		out = append(out, Peer{ID: fmt.Sprint("p", i), Capacity: 400, Local: i%2 == 0})
+	}
+	return out
+}
+
+// Guards against a few peers that carry the load of all others, in a large fleet of which
+// half is cut off.
+func TestPeersThatHelpAreFoundAndShareTheLoad(t *testing.T) {
+	const size, connections = 585, 400
+	load := make(map[string]int)
+	asked := 0
+	for range 60 { // instances that are cut off
+		p := NewPicker()
+		for n := range connections / 10 {
+			excluded := make(map[string]bool)
+			for {
+				now := at(time.Duration(n) * 100 * time.Millisecond)
+				peer, ok := p.Pick(candidates(size), "svc", excluded, now)
+				if !ok {
+					t.Fatal("no peer left")
+				}
+				asked++
+				excluded[peer.ID] = true
+				var number int
+				_, _ = fmt.Sscanf(peer.ID, "p%d", &number)
+				if number < size/2 {
+					p.Avoid(peer.ID, "svc", now.Add(AvoidCutOff), now)
+					continue
+				}
+				p.Opened(peer.ID)
+				load[peer.ID]++
+				break
+			}
+		}
+	}
+	opened, most := 60*connections/10, 0
+	for _, n := range load {
+		most = max(most, n)
+	}
+	if asked > 2*opened {
+		t.Errorf("%d peers asked for %d connections", asked, opened)
+	}
+	if mean := opened / (size / 2); most > 8*max(1, mean) {
+		t.Errorf("a peer carries %d connections, the mean is %d", most, mean)
+	}
+}
+
+// Guards against a peer that is full, leaving or cut off and is asked at once again.
+func TestAvoidedPeersAreNotPicked(t *testing.T) {
+	p := NewPicker()
+	one := candidates(1)
+	p.Avoid("p0", "svc", at(time.Second), at(0))
+	if _, ok := p.Pick(one, "svc", nil, at(0)); ok {
+		t.Error("picked for the service")
+	}
+	if _, ok := p.Pick(one, "other", nil, at(0)); !ok {
+		t.Error("not picked for another service")
+	}
+	p.Avoid("p0", "", at(time.Second), at(0))
+	if _, ok := p.Pick(one, "other", nil, at(0)); ok {
+		t.Error("picked for any service")
+	}
+	if _, ok := p.Pick(one, "svc", nil, at(time.Second)); !ok {
+		t.Error("not picked later")
+	}
+}
