Probes end with the doubt they resolve; tunnels end when nothing passes; explain follows them

Probes are now started by a failure only while the service is not yet lost, and by the clock else; a tunnel without bytes for 30 s ends.

Also: the suspects of a large fleet are not listed ten times a second (one random failed server is enough), a service without a peer that may be asked is tried directly, and explain shows the lines of the tunnels of a request at all instances.

--- a/internal/gateway/connector.go
+++ b/internal/gateway/connector.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +32,8 @@
 	// maxPeersFailed is the number of peers that must fail to reach a server for it to
 	// count as unreachable for all.
 	maxPeersFailed = 2
+	// maxSuspectDraws bounds the servers drawn in search of one without a failure.
+	maxSuspectDraws = 8
 	// maxOthersAsked is the number of other servers that are tried to tell a server that
 	// ended from a path that is lost.
 	maxOthersAsked = 2
@@ -95,7 +96,10 @@
 // Connect implements relay.Connector.
 func (c *connector) Connect(ctx context.Context, target relay.Target, work *placement.Work) (net.Conn, *relay.Via, error) {
 	if !c.direct(target.Server) {
-		return c.connectThroughPeer(ctx, target.Server, work.AllowedRegions)
+		conn, via, err := c.connectThroughPeer(ctx, target.Server, work.AllowedRegions)
+		if !errors.Is(err, errNoPeer) {
+			return conn, via, err
+		}
 	}
 	conn, err := c.connectDirectly(ctx, target.Server)
 	if err == nil {
@@ -134,14 +138,16 @@
 		c.log.Warn("service_path_lost", zap.String("service", s.Service), zap.String("server", s.ID), eventlog.Cause(cause))
 		return
 	}
-	c.probe(now)
+	if !c.paths.Lost(s.Service) {
+		c.probe(now)
+	}
 }
 
 // reached records a server that was reached directly.
 func (c *connector) reached(s servers.Server) {
 	now := monotime.Now()
 	c.noteAnswer(s.Service, now)
-	if c.paths.Reached(s.Service, s.ID, c.serverCountIfTracked(s.Service), now) {
+	if c.paths.Reached(s.Service, s.ID, func() int { return c.serverCount(s.Service) }, now) {
 		c.log.Info("service_path_back", zap.String("service", s.Service), zap.String("server", s.ID))
 	}
 }
@@ -150,15 +156,6 @@
 	return len(c.fleet.serverList(service).accepting)
 }
 
-// serverCountIfTracked is serverCount, without a lock on the path of each request, where
-// no server has failed.
-func (c *connector) serverCountIfTracked(service string) int {
-	if !c.paths.Tracked() {
-		return 0
-	}
-	return c.serverCount(service)
-}
-
 // connectThroughPeer opens a connection through one of the peers.
 func (c *connector) connectThroughPeer(ctx context.Context, s servers.Server, allowedRegions []string) (net.Conn, *relay.Via, error) {
 	members := c.allowedPeers(allowedRegions)
@@ -373,35 +370,48 @@
 // probe tries a suspected server directly unless the last probe was too recent. It is
 // called periodically, so that the end of a cut is found without callers' requests.
 func (c *connector) probe(now monotime.Instant) {
-	s, interval, ok := c.suspect(now)
-	if ok && now.Sub(monotime.Instant(c.probedAt.Load())) >= interval {
+	since := now.Sub(monotime.Instant(c.probedAt.Load()))
+	if since < probeInterval {
+		return
+	}
+	s, urgent, ok := c.suspect(now)
+	if ok && (urgent || since >= singleProbeInterval) {
 		c.startProbe(s)
 	}
 }
 
-// suspect returns a random server to probe, and the least time since the last probe. A
-// service that is lost, or would be after a further failure, goes first.
-func (c *connector) suspect(now monotime.Instant) (s servers.Server, interval time.Duration, ok bool) {
-	var urgent, single []servers.Server
-	for service, suspect := range c.paths.Suspects(now) {
-		list := c.fleet.serverList(service).accepting
-		for _, s := range list {
-			failed := slices.Contains(suspect.Failed, s.ID)
-			switch {
-			case suspect.Lost, suspect.Unconfirmed && !failed:
-				urgent = append(urgent, s)
-			case failed:
-				single = append(single, s)
-			}
+// suspect returns a server to probe. It is urgent if its service is lost, or would be
+// after a further failure.
+func (c *connector) suspect(now monotime.Instant) (s servers.Server, urgent, ok bool) {
+	suspects := c.paths.Suspects(now)
+	rand.Shuffle(len(suspects), func(i, j int) { suspects[i], suspects[j] = suspects[j], suspects[i] })
+	for _, suspect := range suspects {
+		if s, ok := c.urgentSuspect(&suspect, now); ok {
+			return s, true, true
 		}
 	}
-	switch {
-	case len(urgent) > 0:
-		return urgent[rand.IntN(len(urgent))], probeInterval, true
-	case len(single) > 0:
-		return single[rand.IntN(len(single))], singleProbeInterval, true
+	for _, suspect := range suspects {
+		if s, ok := find(c.fleet.serverList(suspect.Service).accepting, suspect.Failed); ok {
+			return s, false, true
+		}
+	}
+	return servers.Server{}, false, false
+}
+
+// urgentSuspect returns a random server of a lost service, or one without a failure of a
+// service that may be lost.
+func (c *connector) urgentSuspect(suspect *paths.Suspect, now monotime.Instant) (servers.Server, bool) {
+	list := c.fleet.serverList(suspect.Service).accepting
+	if len(list) == 0 || !suspect.Lost && !suspect.Unconfirmed {
+		return servers.Server{}, false
+	}
+	for range maxSuspectDraws {
+		s := list[rand.IntN(len(list))]
+		if suspect.Lost || c.paths.Direct(s.Service, s.ID, now) {
+			return s, true
+		}
 	}
-	return servers.Server{}, 0, false
+	return servers.Server{}, false
 }
 
 // startProbe probes a server unless another probe runs.
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -28,6 +28,7 @@
 	fleet     *fleet
 	peers     *peers
 	connector *connector
+	tunnels   *tunnel.Server
 }
 
 // begin begins a run on a server.
@@ -92,6 +93,7 @@
 		p := newPeers(self, []string{"instance-00:2", "instance-01:2", "instance-02:2"}, f, zap.NewNop())
 		client := &tunnel.Client{Self: tunnel.Instance{ID: self.ID, Incarnation: self.Incarnation}, Dial: host.dial}
 		c := newConnector(f, p, client, host.dial)
+		tunnels := c.newTunnelServer(host.capacity, 0)
 		links, err := peer.New(peer.Config{
 			Self: peer.Identity{
 				ID: self.ID, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
@@ -100,7 +102,7 @@
 			Keys:     []peer.Key{{ID: linkKeyID, Secret: defaultLinkSecret}},
 			Listener: host.listen(self.PeerAddress),
 			Dial:     host.dial,
-			Other:    c.newTunnelServer(host.capacity, 0).Handle,
+			Other:    tunnels.Handle,
 			Handler:  p,
 			Timing:   linkTiming,
 		})
@@ -121,7 +123,7 @@
 			}
 			return nil
 		})
-		out = append(out, &linkedInstance{fleet: f, peers: p, connector: c})
+		out = append(out, &linkedInstance{fleet: f, peers: p, connector: c, tunnels: tunnels})
 	}
 	return out
 }
--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
 	"basilrudder/internal/relay"
 	"basilrudder/internal/routing"
 	"basilrudder/internal/servers"
@@ -60,6 +63,10 @@
 	// cutSince is when each instance lost its servers, by its number.
 	cutSince map[int]time.Time
 	tries    tally
+	// down holds the instances that have lost more than their servers.
+	down map[int]bool
+	// slow is how much longer servers take to begin an answer.
+	slow atomic.Int64
 }
 
 // tally counts first tries while some instances are cut off: those at instances that have
@@ -83,7 +90,7 @@
 func emptyCutCluster(t *testing.T, ctx context.Context, tasks *errgroup.Group) *cutCluster {
 	c := &cutCluster{
 		t: t, ctx: ctx, tasks: tasks, network: narrownet.New(), runs: make(map[string]int),
-		cutSince: make(map[int]time.Time), tries: tally{failures: make(map[string]int)},
+		cutSince: make(map[int]time.Time), down: make(map[int]bool), tries: tally{failures: make(map[string]int)},
 		config: cutConfig(1), putServers: putCutServers,
 	}
 	c.network.SetUserTimeout(cutUserTimeout)
@@ -200,7 +207,7 @@
 	c.mu.Lock()
 	c.runs[id]++
 	c.mu.Unlock()
-	time.Sleep(10 * time.Millisecond)
+	time.Sleep(10*time.Millisecond + time.Duration(c.slow.Load()))
 	if !strings.HasPrefix(req.URL.Path, "/stream/") {
 		_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
 		return err == nil
@@ -227,6 +234,18 @@
 	c.noteCut(instance, fault)
 }
 
+// lose sets a fault between an instance and everything else.
+func (c *cutCluster) lose(instance int, fault narrownet.Fault) {
+	c.mu.Lock()
+	c.down[instance] = true
+	c.mu.Unlock()
+	for n, other := range append(slices.Clone(c.hosts), c.servers...) {
+		if n != instance {
+			c.network.Cut(c.hosts[instance], other, fault)
+		}
+	}
+}
+
 // noteCut notes that an instance has lost its servers, or has them back.
 func (c *cutCluster) noteCut(instance int, fault narrownet.Fault) {
 	c.mu.Lock()
@@ -306,7 +325,7 @@
 func (c *cutCluster) try(instance int, path string) {
 	c.mu.Lock()
 	since, isCut := c.cutSince[instance]
-	counts := isCut && time.Since(since) >= contactTime || !isCut && len(c.cutSince) > 0
+	counts := !c.down[instance] && isCut && time.Since(since) >= contactTime || !c.down[instance] && !isCut && len(c.cutSince) > 0
 	c.mu.Unlock()
 	id := fmt.Sprint(rand.Uint64())
 	served, status := c.call(instance, path, id)
@@ -439,6 +458,15 @@
 		}
 		both.Wait()
 	}},
+	{"peers are lost on the way", func(c *cutCluster) {
+		var both sync.WaitGroup
+		both.Go(func() { during(narrownet.Silent, 0, 1, 3)(c) })
+		for n, fault := range []narrownet.Fault{narrownet.Reset, narrownet.Silent} {
+			time.Sleep(4 * time.Second)
+			c.lose(5+n, fault)
+		}
+		both.Wait()
+	}},
 	{"an instance starts while it is cut off", func(c *cutCluster) {
 		host := len(c.hosts)
 		c.startInstances(host, 1)
@@ -530,3 +558,99 @@
 		c.stop(cancel)
 	})
 }
+
+// Guards against a request that leaves the regions in which it must stay, on its way
+// through a peer.
+func TestConnectionsThroughPeersStayInTheirRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		c := newCutCluster(t, ctx, &tasks)
+		me := c.fleet[0]
+		me.fleet.regions = regions{"dc-0": "north", "dc-1": "south"}
+		c.cut(0, narrownet.Reset, allServers()...)
+		s, _ := find(me.fleet.serverList("app").accepting, serverAddress(2))
+		open := func(allowed ...string) *relay.Via {
+			for range 4 { // the first attempts find that the path is lost
+				conn, via, err := me.connector.Connect(ctx, relay.Target{Server: s}, &placement.Work{AllowedRegions: allowed})
+				if err == nil {
+					conn.Close()
+					me.connector.Closed(via)
+					return via
+				}
+				time.Sleep(time.Second)
+			}
+			return nil
+		}
+		for range 20 {
+			if via := open("north"); via == nil || via.DataCentre != "dc-0" {
+				t.Fatalf("a request that must stay in the north went by %+v", via)
+			}
+		}
+		if via := open("west"); via != nil {
+			t.Errorf("a request that must stay in the west went by %+v", via)
+		}
+		if me.connector.Allowed(&relay.Via{DataCentre: "dc-1"}, &placement.Work{AllowedRegions: []string{"north"}}) {
+			t.Error("an idle connection through the south may be used by a request of the north")
+		}
+		c.stop(cancel)
+	})
+}
+
+// Guards against connections through a peer that keep it from ending.
+func TestPeersThatLeaveAreNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		c := newCutCluster(t, ctx, &tasks)
+		tasks.Go(func() error {
+			c.load(6*time.Second, 0, 1, 2)
+			return nil
+		})
+		for i := range 3 {
+			c.cut(i, narrownet.Reset, allServers()...)
+		}
+		time.Sleep(4 * time.Second)
+		for _, i := range c.fleet[3:7] {
+			i.peers.leave()
+			i.fleet.updates.announceLeaving()
+		}
+		time.Sleep(time.Second)
+		for _, r := range c.relays {
+			r.Sweep(func(string) bool { return true })
+		}
+		time.Sleep(4 * time.Second)
+		for _, i := range c.fleet[3:7] {
+			if n := i.tunnels.Open(); n > 0 {
+				t.Errorf("%s has %d connections open for others after it announced that it leaves", i.fleet.self, n)
+			}
+		}
+		if !c.tries.fair() {
+			t.Errorf("served %d of %d", c.tries.cutServed, c.tries.cut)
+		}
+		c.stop(cancel)
+	})
+}
+
+// Guards against sound servers that are silent for a second and then taken as lost, or
+// whose requests are given up.
+func TestServersThatAreSilentForASecondAreWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		c := newCutCluster(t, ctx, &tasks)
+		c.slow.Store(int64(time.Second))
+		for n := range 20 {
+			id := fmt.Sprint("r", n)
+			if ok, status := c.call(n%cutInstances, "/once/", id); !ok || c.runs[id] != 1 {
+				t.Errorf("request %d: status %d, %d runs", n, status, c.runs[id])
+			}
+		}
+		for _, i := range c.fleet {
+			if lost := i.connector.paths.LostServices(); len(lost) > 0 {
+				t.Errorf("%s takes %v as lost", i.fleet.self, lost)
+			}
+		}
+		c.stop(cancel)
+	})
+}
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -96,9 +96,9 @@
 	return true
 }
 
-// Reached records that a server answered over a direct connection. It reports whether the
-// lost service is back by it.
-func (t *Table) Reached(serviceName, server string, servers int, now monotime.Instant) (back bool) {
+// Reached records that a server answered over a direct connection, of a service with as
+// many servers as servers returns. It reports whether the lost service is back by it.
+func (t *Table) Reached(serviceName, server string, servers func() int, now monotime.Instant) (back bool) {
 	if t.tracked.Load() == 0 {
 		return false
 	}
@@ -112,7 +112,7 @@
 	clear(s.streak)
 	if s.lost {
 		s.reached[server] = true
-		back = len(s.reached) >= min(minReached, servers)
+		back = len(s.reached) >= min(minReached, servers())
 	}
 	if back {
 		s.lost = false
@@ -219,42 +219,39 @@
 	}
 }
 
-// Suspects returns, for each service with a failed server, the servers that failed, and
-// whether the service is lost. These are to be tried again directly.
-func (t *Table) Suspects(now monotime.Instant) map[string]Suspect {
+// Suspect is a service with servers that are not reached directly.
+type Suspect struct {
+	Service string
+	// Lost is set if the service counts as lost.
+	Lost bool
+	// Unconfirmed is set if no server has been reached since the last failure: one more
+	// failure would make the service lost.
+	Unconfirmed bool
+	// Failed is one of the servers that failed and have not been reached since; empty for
+	// none.
+	Failed string
+}
+
+// Suspects returns the services with servers that are to be tried again directly.
+func (t *Table) Suspects(now monotime.Instant) (out []Suspect) {
 	if t.tracked.Load() == 0 {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]Suspect, len(t.services))
 	for name, s := range t.services {
 		t.expire(name, s, now)
-		suspect := Suspect{Lost: s.lost, Unconfirmed: !s.lost && len(s.streak) > 0}
-		for server := range s.failedAt {
-			suspect.Failed = append(suspect.Failed, server)
+		suspect := Suspect{Service: name, Lost: s.lost, Unconfirmed: !s.lost && len(s.streak) > 0}
+		for suspect.Failed = range s.failedAt {
+			break // any of them: maps are read in random order
 		}
-		if suspect.Lost || len(suspect.Failed) > 0 {
-			out[name] = suspect
+		if suspect.Lost || suspect.Failed != "" {
+			out = append(out, suspect)
 		}
 	}
 	return out
 }
 
-// Suspect is a service with servers that are not reached directly.
-type Suspect struct {
-	// Lost is set if the service counts as lost.
-	Lost bool
-	// Unconfirmed is set if no server has been reached since the last failure: one more
-	// failure would make the service lost.
-	Unconfirmed bool
-	// Failed holds the servers that failed and have not been reached since.
-	Failed []string
-}
-
-// Tracked reports whether any server has failed.
-func (t *Table) Tracked() bool { return t.tracked.Load() > 0 }
-
 // LostServices returns the sorted names of the lost services.
 func (t *Table) LostServices() []string {
 	t.mu.Lock()
--- a/internal/paths/paths_test.go
+++ b/internal/paths/paths_test.go
@@ -10,6 +10,8 @@
 
 const start = monotime.Instant(time.Hour)
 
+func servers(n int) func() int { return func() int { return n } }
+
 func at(d time.Duration) monotime.Instant { return start.Add(d) }
 
 // Guards against one server that is down and sends all connections of its service through
@@ -22,7 +24,7 @@
 	if table.Direct("svc", "a", at(0)) || !table.Direct("svc", "b", at(0)) {
 		t.Error("only the failed server should be connected to through peers")
 	}
-	table.Reached("svc", "b", 5, at(time.Second))
+	table.Reached("svc", "b", servers(5), at(time.Second))
 	if table.Failed("svc", "a", 5, at(2*time.Second)) || table.Lost("svc") {
 		t.Error("lost although another server was reached in between")
 	}
@@ -42,13 +44,13 @@
 	if table.Direct("svc", "c", at(time.Second)) || !table.Direct("other", "c", at(time.Second)) {
 		t.Error("all servers of this service, and none of others, should be lost")
 	}
-	if table.Reached("svc", "c", 5, at(2*time.Second)) || table.Direct("svc", "d", at(2*time.Second)) {
+	if table.Reached("svc", "c", servers(5), at(2*time.Second)) || table.Direct("svc", "d", at(2*time.Second)) {
 		t.Error("back after one server")
 	}
 	if !table.Direct("svc", "c", at(2*time.Second)) {
 		t.Error("a server that was reached should be connected to directly")
 	}
-	if !table.Reached("svc", "d", 5, at(3*time.Second)) || table.Lost("svc") || !table.Direct("svc", "e", at(3*time.Second)) {
+	if !table.Reached("svc", "d", servers(5), at(3*time.Second)) || table.Lost("svc") || !table.Direct("svc", "e", at(3*time.Second)) {
 		t.Error("not back after two servers")
 	}
 }
@@ -58,7 +60,7 @@
 	if !table.Failed("svc", "a", 1, at(0)) {
 		t.Error("not lost")
 	}
-	if !table.Reached("svc", "a", 1, at(time.Second)) || table.Tracked() {
+	if !table.Reached("svc", "a", servers(1), at(time.Second)) || len(table.Suspects(at(time.Second))) > 0 {
 		t.Error("not back, or state is left")
 	}
 }
--- a/internal/relaylog/relaylog.go
+++ b/internal/relaylog/relaylog.go
@@ -34,10 +34,13 @@
 	At       time.Time `json:"ts"`
 	Message  string    `json:"msg"`
 	Instance string    `json:"instance"`
-	// ID of the request, and the Server and Peer that the line concerns.
-	ID     string  `json:"id"`
-	Server string  `json:"server"`
-	Peer   string  `json:"peer"`
+	// ID of the request, and the Server, Service and Peer that the line concerns.
+	ID      string `json:"id"`
+	Server  string `json:"server"`
+	Service string `json:"service"`
+	Peer    string `json:"peer"`
+	// Tunnel is the connection through a peer that the line concerns.
+	Tunnel string  `json:"tunnel"`
 	TookMS float64 `json:"took_ms"`
 
 	text string
@@ -47,6 +50,9 @@
 type Explanation struct {
 	// Request holds the lines of the request, oldest first.
 	Request []Line
+	// Tunnels holds the lines, of all instances, on the connections through peers over
+	// which the request was sent, oldest first.
+	Tunnels []Line
 	// State holds the newest line before the request arrived on each subject that decided
 	// it: configuration, the servers tried, store, peers, drain. Oldest first.
 	State []Line
@@ -107,7 +113,7 @@
 
 func explainLines(id string, lines []Line) (*Explanation, error) {
 	out := &Explanation{}
-	instances, servers := map[string]bool{}, map[string]bool{}
+	instances, concerned, tunnels := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	var arrived time.Time
 	for _, line := range lines {
 		if line.ID != id {
@@ -115,7 +121,8 @@
 		}
 		out.Request = append(out.Request, line)
 		instances[line.Instance] = true
-		servers[line.Server] = true
+		concerned[line.Server], concerned[line.Service] = true, true
+		tunnels[line.Tunnel] = true
 		began := line.At.Add(-time.Duration(line.TookMS * float64(time.Millisecond)))
 		if arrived.IsZero() || began.Before(arrived) {
 			arrived = began
@@ -124,12 +131,16 @@
 	if len(out.Request) == 0 {
 		return nil, errors.Wrap(ErrUnknownRequest, id)
 	}
+	delete(tunnels, "")
 	newest := map[string]Line{}
 	for _, line := range lines {
+		if tunnels[line.Tunnel] && line.ID == "" {
+			out.Tunnels = append(out.Tunnels, line)
+		}
 		if !instances[line.Instance] || line.At.After(arrived) {
 			continue
 		}
-		if subject, ok := subjectOf(line, servers, arrived); ok {
+		if subject, ok := subjectOf(line, concerned, arrived); ok {
 			newest[line.Instance+" "+subject] = line
 		}
 	}
@@ -143,16 +154,20 @@
 }
 
 // subjectOf returns the subject of a line that could have affected a request that arrived
-// at the given time and tried these servers. Of several lines with one subject only the
-// newest counts.
-func subjectOf(line Line, servers map[string]bool, arrived time.Time) (string, bool) {
+// at the given time and tried these servers of these services. Of several lines with one
+// subject only the newest counts.
+func subjectOf(line Line, concerned map[string]bool, arrived time.Time) (string, bool) {
 	switch line.Message {
 	case "config_in_force", "draining", "started", "isolation_changed":
 		return line.Message, true
 	case "store_lost", "store_regained", "store_history_lost":
 		return "store", true
 	case "server_changed", "server_reachability":
-		return line.Message + line.Server, servers[line.Server]
+		return line.Message + line.Server, concerned[line.Server]
+	case "service_path_lost", "service_path_back":
+		return "path" + line.Service, concerned[line.Service]
+	case "service_unreachable", "service_reachable":
+		return "reach" + line.Service, concerned[line.Service]
 	case "peer_linked", "peer_lost", "peer_leaving":
 		return "peer" + line.Peer, arrived.Sub(line.At) <= peerWindow
 	default:
@@ -171,7 +186,13 @@
 	if _, err := fmt.Fprintln(out, "what happened to the request:"); err != nil {
 		return err
 	}
-	return writeLines(out, s.Request)
+	if err := writeLines(out, s.Request); err != nil || len(s.Tunnels) == 0 {
+		return err
+	}
+	if _, err := fmt.Fprintln(out, "connections through peers:"); err != nil {
+		return err
+	}
+	return writeLines(out, s.Tunnels)
 }
 
 func writeLines(out io.Writer, lines []Line) error {
--- a/internal/relaylog/relaylog_test.go
+++ b/internal/relaylog/relaylog_test.go
@@ -55,3 +55,29 @@
 		t.Errorf("unknown request: %v", err)
 	}
 }
+
+// Guards against a request that went through a peer and whose lines there are not found.
+func TestTheExplanationFollowsARequestThroughAPeer(t *testing.T) {
+	const text = `
+{"ts":"2026-01-01T10:00:00Z","msg":"service_path_lost","instance":"a","service":"svc"}
+{"ts":"2026-01-01T10:00:00Z","msg":"service_path_lost","instance":"a","service":"other"}
+{"ts":"2026-01-01T10:00:01Z","msg":"tunnel_opened","instance":"b","server":"s1","tunnel":"t1"}
+{"ts":"2026-01-01T10:00:01Z","msg":"tunnel_opened","instance":"b","server":"s1","tunnel":"t2"}
+{"ts":"2026-01-01T10:00:02Z","msg":"request_ended","instance":"a","id":"r1","server":"s1","service":"svc","tunnel":"t1","took_ms":900}
+{"ts":"2026-01-01T10:00:03Z","msg":"tunnel_closed","instance":"b","server":"s1","tunnel":"t1"}
+`
+	lines, err := read(strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := explainLines("r1", lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"tunnel_opened s1", "tunnel_closed s1"}, messages(got.Tunnels)); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"service_path_lost "}, messages(got.State)); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/hmac"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -14,12 +13,16 @@
 
 	"basilrudder/internal/eventlog"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/netconn"
 )
 
 const (
 	// closeTimeout is how long the opener of a tunnel may take to read the rest of it
 	// after the server has closed its side.
 	closeTimeout = 2 * time.Second
+	// idleTimeout closes a tunnel without bytes in either direction. It is above the
+	// longest time for which an opener keeps one unused.
+	idleTimeout = 30 * time.Second
 	// rateWindow is the span over which the rate of passed bytes is taken.
 	rateWindow = time.Second
 )
@@ -101,6 +104,10 @@
 	near, upstream net.Conn
 	rate           *rateMeter
 	up, down       atomic.Int64
+
+	mu sync.Mutex
+	// closing is set once the deadline of near is that of the end.
+	closing bool
 }
 
 // run returns when both connections are closed. The error is that of the server's side, or
@@ -112,7 +119,7 @@
 		// The opener closes a tunnel when nobody waits for the answer any more, so the
 		// server has to stop at once.
 		defer p.upstream.Close()
-		_, _ = io.CopyBuffer(counting{p.upstream, p.countUp}, struct{ io.Reader }{p.near}, make([]byte, bufferSize))
+		p.passUp()
 	})
 	err := writeFrames(p.near, p.upstream, p.countDown)
 	left := time.Duration(0)
@@ -120,13 +127,56 @@
 		// Closing with unread bytes would reset the connection and drop the answer.
 		left = closeTimeout
 	}
-	_ = p.near.SetDeadline(time.Now().Add(left))
+	p.endWithin(left)
 	// The connection of a hijacked request must not be used after it was closed.
 	upwards.Wait()
 	_ = p.near.Close()
 	return err
 }
 
+// passUp passes bytes on to the server until the opener closes the tunnel or nothing was
+// passed on in either direction for idleTimeout: the opener may be gone without a sign.
+func (p *passage) passUp() {
+	buffer := make([]byte, bufferSize)
+	for {
+		before := p.down.Load()
+		p.extendDeadline()
+		n, err := p.near.Read(buffer)
+		if n > 0 {
+			p.countUp(n)
+			if _, err := p.upstream.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		idle := p.down.Load() == before
+		if err != nil && (idle || !netconn.IsTimeout(err) || p.isClosing()) {
+			return
+		}
+	}
+}
+
+func (p *passage) extendDeadline() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closing {
+		_ = p.near.SetReadDeadline(time.Now().Add(idleTimeout))
+	}
+}
+
+// endWithin bounds the rest of the tunnel.
+func (p *passage) endWithin(left time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closing = true
+	_ = p.near.SetDeadline(time.Now().Add(left))
+}
+
+func (p *passage) isClosing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closing
+}
+
 func (p *passage) countUp(n int) {
 	p.up.Add(int64(n))
 	p.rate.add(n, monotime.Now())
@@ -137,18 +187,6 @@
 	p.rate.add(n, monotime.Now())
 }
 
-// counting is a writer that counts.
-type counting struct {
-	io.Writer
-	count func(n int)
-}
-
-func (c counting) Write(p []byte) (int, error) {
-	n, err := c.Writer.Write(p)
-	c.count(n)
-	return n, err
-}
-
 // rateMeter measures bytes a second.
 type rateMeter struct {
 	mu           sync.Mutex
