--- a/internal/gateway/connector.go
+++ b/internal/gateway/connector.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -13,7 +12,6 @@
 
 	"basilrudder/internal/eventlog"
 	"basilrudder/internal/monotime"
-	"basilrudder/internal/netconn"
 	"basilrudder/internal/paths"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/relay"
@@ -32,25 +30,6 @@
 	// maxPeersFailed is the number of peers that must fail to reach a server for it to
 	// count as unreachable for all.
 	maxPeersFailed = 2
-	// maxSuspectDraws bounds the servers drawn in search of one without a failure.
-	maxSuspectDraws = 8
-	// maxOthersAsked is the number of other servers that are tried to tell a server that
-	// ended from a path that is lost.
-	maxOthersAsked = 2
-	// minTunnels is the least number of tunnels that an instance keeps open for others. It
-	// keeps one for each thousandth of a core: a tunnel takes two descriptors, of which
-	// such a machine has over four times as many.
-	minTunnels = 16
-	// tunnelShare is the share of an instance's link, in both directions together, beyond
-	// which it opens no further tunnel.
-	tunnelShare = 0.5
-	// quietService is how long no server of a service must have answered for a server
-	// that does not answer to be probed.
-	quietService = 400 * time.Millisecond
-	// probeInterval is the least time between two probes while a service is lost, over all
-	// services, and singleProbeInterval while single servers are not reached.
-	probeInterval       = 250 * time.Millisecond
-	singleProbeInterval = time.Second
 )
 
 // connector opens connections to servers, directly or through a peer. It implements
@@ -84,15 +63,6 @@
 	}
 }
 
-// newTunnelServer returns the server of tunnels for peers, on a machine with so many
-// thousandths of a core and a link of so many bytes a second; 0 for unknown.
-func (c *connector) newTunnelServer(capacity, linkRate int) *tunnel.Server {
-	return &tunnel.Server{
-		Self: c.tunnels.Self, Secret: c.tunnels.Secret, Connect: c.serveTunnel, Log: c.log,
-		MaxOpen: max(minTunnels, capacity), MaxRate: int(tunnelShare * float64(linkRate)),
-	}
-}
-
 // Connect implements relay.Connector.
 func (c *connector) Connect(ctx context.Context, target relay.Target, work *placement.Work) (net.Conn, *relay.Via, error) {
 	if !c.direct(target.Server) {
@@ -260,191 +230,3 @@
 
 // Reached implements relay.Connector.
 func (c *connector) Reached(target relay.Target) { c.reached(target.Server) }
-
-// noteAnswer records that a server of a service answered.
-func (c *connector) noteAnswer(service string, now monotime.Instant) {
-	at, ok := c.answered.Load(service)
-	if !ok {
-		at, _ = c.answered.LoadOrStore(service, new(atomic.Int64))
-	}
-	at.(*atomic.Int64).Store(int64(now))
-}
-
-func (c *connector) lastAnswer(service string) monotime.Instant {
-	at, ok := c.answered.Load(service)
-	if !ok {
-		return never
-	}
-	return monotime.Instant(at.(*atomic.Int64).Load())
-}
-
-// Unanswered implements relay.Connector. If no server of the service answers, the path may
-// be lost, and kept connections would not show it for a long time.
-func (c *connector) Unanswered(target relay.Target) {
-	now := monotime.Now()
-	quiet := now.Sub(c.lastAnswer(target.Service)) >= quietService
-	if quiet && now.Sub(monotime.Instant(c.probedAt.Load())) >= probeInterval {
-		c.startProbe(target.Server)
-	}
-}
-
-// Probe implements relay.Connector. A server that refuses this instance only has not ended,
-// so a peer has to confirm it if there is any.
-func (c *connector) Probe(ctx context.Context, target relay.Target) (refuses, accepts bool) {
-	refuses, accepts = relay.Probe(ctx, c.dial, target.Address)
-	if !refuses || !c.reachesAnother(ctx, target.Server) {
-		return false, accepts
-	}
-	members := c.allowedPeers(nil)
-	if len(members) == 0 {
-		return true, false
-	}
-	excluded := make(map[string]bool)
-	for len(excluded) < maxPeersAsked {
-		peer, ok := c.peers.Pick(c.candidates(members), target.Service, excluded, monotime.Now())
-		if !ok {
-			return false, false
-		}
-		excluded[peer.ID] = true
-		conn, via, err := c.openTunnel(ctx, members[peer.ID], target.Server)
-		switch {
-		case err == nil:
-			_ = conn.Close()
-			c.Closed(via)
-			return false, true
-		case errors.Is(err, tunnel.ErrRefused):
-			return true, false
-		}
-	}
-	return false, false
-}
-
-// serveTunnel connects a peer's tunnel to a server: directly, or not at all, so that no
-// connection goes through a third instance.
-func (c *connector) serveTunnel(ctx context.Context, server string) (net.Conn, error) {
-	c.fleet.mu.Lock()
-	s, ok := c.fleet.registry.Get(server)
-	c.fleet.mu.Unlock()
-	if !ok {
-		return nil, tunnel.ErrUnknownServer
-	}
-	if c.paths.Lost(s.Service) && !c.paths.Direct(s.Service, s.ID, monotime.Now()) {
-		return nil, tunnel.ErrCutOff
-	}
-	conn, err := c.connectDirectly(ctx, s)
-	switch {
-	case err == nil:
-		return conn, nil
-	case c.paths.Lost(s.Service):
-		return nil, tunnel.ErrCutOff
-	case netconn.IsTimeout(err):
-		return nil, errors.Wrap(tunnel.ErrUnreachable, err.Error())
-	case !c.reachesAnother(ctx, s):
-		return nil, tunnel.ErrCutOff
-	default:
-		return nil, errors.Wrap(tunnel.ErrRefused, err.Error())
-	}
-}
-
-// reachesAnother reports whether this instance reaches another server of the same service
-// directly, or there is none. If it does not, a refused connection says nothing about the
-// server: the network may refuse it.
-func (c *connector) reachesAnother(ctx context.Context, s servers.Server) bool {
-	list := c.fleet.serverList(s.Service).accepting
-	asked := 0
-	for _, n := range rand.Perm(len(list)) {
-		if list[n].ID == s.ID {
-			continue
-		}
-		if asked++; asked > maxOthersAsked {
-			return false
-		}
-		if conn, err := c.connectDirectly(ctx, list[n]); err == nil {
-			_ = conn.Close()
-			return true
-		}
-	}
-	return asked == 0
-}
-
-// probe tries a suspected server directly unless the last probe was too recent. It is
-// called periodically, so that the end of a cut is found without callers' requests.
-func (c *connector) probe(now monotime.Instant) {
-	since := now.Sub(monotime.Instant(c.probedAt.Load()))
-	if since < probeInterval {
-		return
-	}
-	s, urgent, ok := c.suspect(now)
-	if ok && (urgent || since >= singleProbeInterval) {
-		c.startProbe(s)
-	}
-}
-
-// suspect returns a server to probe. It is urgent if its service is lost, or would be
-// after a further failure.
-func (c *connector) suspect(now monotime.Instant) (s servers.Server, urgent, ok bool) {
-	suspects := c.paths.Suspects(now)
-	rand.Shuffle(len(suspects), func(i, j int) { suspects[i], suspects[j] = suspects[j], suspects[i] })
-	for _, suspect := range suspects {
-		if s, ok := c.urgentSuspect(&suspect, now); ok {
-			return s, true, true
-		}
-	}
-	for _, suspect := range suspects {
-		if s, ok := find(c.fleet.serverList(suspect.Service).accepting, suspect.Failed); ok {
-			return s, false, true
-		}
-	}
-	return servers.Server{}, false, false
-}
-
-// urgentSuspect returns a random server of a lost service, or one without a failure of a
-// service that may be lost.
-func (c *connector) urgentSuspect(suspect *paths.Suspect, now monotime.Instant) (servers.Server, bool) {
-	list := c.fleet.serverList(suspect.Service).accepting
-	if len(list) == 0 || !suspect.Lost && !suspect.Unconfirmed {
-		return servers.Server{}, false
-	}
-	for range maxSuspectDraws {
-		s := list[rand.IntN(len(list))]
-		if suspect.Lost || c.paths.Direct(s.Service, s.ID, now) {
-			return s, true
-		}
-	}
-	return servers.Server{}, false
-}
-
-// startProbe probes a server unless another probe runs.
-func (c *connector) startProbe(s servers.Server) {
-	if !c.probing.CompareAndSwap(false, true) {
-		return
-	}
-	c.probedAt.Store(int64(monotime.Now()))
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), relay.ConnectTimeout)
-		defer cancel()
-		conn, err := c.dial(ctx, s.Address)
-		c.probing.Store(false)
-		if err != nil {
-			c.failed(s, err)
-			return
-		}
-		_ = conn.Close()
-		c.reached(s)
-	}()
-}
-
-// pathMetrics is the state of paths in the metrics.
-type pathMetrics struct {
-	LostServices []string `json:"lost_services"`
-	OpenThrough  int      `json:"open_through_peers"`
-	Opened       int64    `json:"opened_through_peers"`
-	Refused      int64    `json:"refused_by_peers"`
-}
-
-func (c *connector) metrics() pathMetrics {
-	return pathMetrics{
-		LostServices: c.paths.LostServices(), OpenThrough: c.peers.Open(),
-		Opened: c.opened.Load(), Refused: c.refused.Load(),
-	}
-}
--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -654,3 +654,23 @@
 		c.stop(cancel)
 	})
 }
+
+// Guards against a service with few requests whose kept connections hide for long that the
+// instance has lost it together with another one.
+func TestServicesAreVerifiedWhenAnotherIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		c := newCutCluster(t, ctx, &tasks)
+		for n := range 12 { // kept connections of both services
+			c.call(0, []string{"/once/", "/stream/"}[n%2], fmt.Sprint("before-", n))
+		}
+		c.cut(0, narrownet.Silent, allServers()...)
+		c.call(0, "/stream/", "first")
+		time.Sleep(2 * time.Second)
+		if ok, status := c.call(0, "/once/", "rare"); !ok {
+			t.Errorf("status %d", status)
+		}
+		c.stop(cancel)
+	})
+}
--- a/internal/gateway/serverlist.go
+++ b/internal/gateway/serverlist.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 
 	"basilrudder/internal/placement"
@@ -30,6 +31,13 @@
 	return noServers
 }
 
+// services returns the names of the services with servers.
+func (f *fleet) services() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.serverLists()))
+}
+
 // acceptingServers returns the servers of all services that accept requests.
 func (f *fleet) acceptingServers() []servers.Server {
 	f.mu.Lock()
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -222,8 +222,10 @@
 // Suspect is a service with servers that are not reached directly.
 type Suspect struct {
 	Service string
-	// Lost is set if the service counts as lost.
-	Lost bool
+	// Lost is set if the service counts as lost, and Since is then when its first server
+	// failed.
+	Lost  bool
+	Since monotime.Instant
 	// Unconfirmed is set if no server has been reached since the last failure: one more
 	// failure would make the service lost.
 	Unconfirmed bool
@@ -241,7 +243,7 @@
 	defer t.mu.Unlock()
 	for name, s := range t.services {
 		t.expire(name, s, now)
-		suspect := Suspect{Service: name, Lost: s.lost, Unconfirmed: !s.lost && len(s.streak) > 0}
+		suspect := Suspect{Service: name, Lost: s.lost, Since: s.streakSince, Unconfirmed: !s.lost && len(s.streak) > 0}
 		for suspect.Failed = range s.failedAt {
 			break // any of them: maps are read in random order
 		}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -28,7 +28,7 @@
 
 // pair is an instance and a peer that opens tunnels to one server, over loopback.
 type pair struct {
-	t       *testing.T
+	t       testing.TB
 	server  *Server
 	client  *Client
 	address string
@@ -36,7 +36,7 @@
 	upstreams chan net.Conn
 }
 
-func newPair(t *testing.T) *pair {
+func newPair(t testing.TB) *pair {
 	p := &pair{t: t, upstreams: make(chan net.Conn, 8)}
 	listen := func() net.Listener {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
