Peers share the load of instances that are cut off; tests in fewer lines

A finding: TestPeersThatHelpAreFoundAndShareTheLoad failed once, a peer carried 70 connections where the mean was 8 and the bound is 64. Traced: an instance went on with its first helpful peer for most of its connections, as only one in four tried a further one.

--- a/internal/callers/tcptimeouts_linux_test.go
+++ b/internal/callers/tcptimeouts_linux_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// Guards against an idle connection that one lost probe closes: the user timeout decides
-// when probes give up, whatever their count.
+// Guards against an idle connection that the user timeout closes after one lost probe.
 func TestProbesOfAnIdleConnectionFitInTheUserTimeout(t *testing.T) {
 	for _, userTimeout := range []time.Duration{5 * time.Second, 10 * time.Second, time.Minute} {
 		c := keepAlive(userTimeout)
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -144,8 +144,7 @@
 	return c, all
 }
 
-// Guards against servers that say how few refusals they survive, and fall over because the
-// instances go on sending them requests for which they have no room.
+// Guards against brittle servers that fall because they get requests without room for them.
 func TestBrittleServersAreNotOverrun(t *testing.T) {
 	for _, prompts := range []bool{false, true} {
 		t.Run(fmt.Sprint("prompts ", prompts), func(t *testing.T) {
--- a/internal/gateway/outagelog_test.go
+++ b/internal/gateway/outagelog_test.go
@@ -17,8 +17,7 @@
 	"basilrudder/internal/servers"
 )
 
-// Guards against an instance that is cut off from a service without a line that says so
-// and whether the others still serve it.
+// Guards against an instance that is cut off from a service without a line that says so.
 func TestOutageOfAServiceIsLoggedOncePerChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		passProcessStart()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,7 +12,6 @@
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/overlay"
 	"basilrudder/internal/peer"
-	"basilrudder/internal/route"
 	"basilrudder/internal/schema/wire"
 )
 
@@ -278,12 +277,6 @@
 	p.refresh(monotime.Now())
 }
 
-func (p *peers) linked() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.node.Linked()
-}
-
 // setSeeds replaces the seed addresses.
 func (p *peers) setSeeds(seeds []string) {
 	p.mu.Lock()
@@ -292,61 +285,5 @@
 	p.refresh(monotime.Now())
 }
 
-// routeMembers returns this instance and those that can be reached.
-func (p *peers) routeMembers() []route.Member {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []route.Member
-	for _, m := range p.node.Reachable() {
-		out = append(out, route.Member{ID: m.ID, DataCentre: m.DataCentre})
-	}
-	return out
-}
-
-// rank returns this instance's rank among those that can be reached, in an order that all
-// of them agree on, and how many they are.
-func (p *peers) rank() (place, of int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.node.Rank()
-}
-
-// hasHub reports whether this instance receives all updates over a hub.
-func (p *peers) hasHub() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.node.Primary() != ""
-}
-
-// hasPeer reports whether this instance has a link to any other.
-func (p *peers) hasPeer() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.node.Linked()) > 0
-}
-
-// memberCount returns the number of instances that can be reached or could be recently,
-// including this one.
-func (p *peers) memberCount() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.node.MemberCount()
-}
-
-// staying returns the other instances that can be reached and do not leave, in order of
-// id.
-func (p *peers) staying() []wire.RelayMember {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.node.Staying()
-}
-
-// stays reports whether a process can be reached and does not leave.
-func (p *peers) stays(id, incarnation string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.node.Stays(id, incarnation)
-}
-
 // configVersion returns the version of the configuration in force, or 0.
 func (p *peers) configVersion() int { return int(p.fleet.configVersion()) }
--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -108,6 +108,25 @@
 	return c
 }
 
+// playCuts plays a test on a cluster in virtual time.
+func playCuts(t *testing.T, play func(c *cutCluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		c := newCutCluster(t, ctx, &tasks)
+		play(c)
+		c.stop(cancel)
+	})
+}
+
+// loadMeanwhile is load beside the rest of the test.
+func (c *cutCluster) loadMeanwhile(lasts time.Duration, instances ...int) {
+	c.tasks.Go(func() error {
+		c.load(lasts, instances...)
+		return nil
+	})
+}
+
 func serverAddress(n int) string { return fmt.Sprintf("10.0.0.%d:80", n+1) }
 
 // serviceOf returns the service of a server: two thirds serve "llm", the others "app".
@@ -476,19 +495,12 @@
 	}},
 }
 
-// Guards against an instance that refuses its callers while it is cut off from servers
-// that other instances reach.
+// Guards against refusals of an instance cut off from servers that others reach.
 func TestInstancesCutOffFromServersServeTheirCallers(t *testing.T) {
 	for _, test := range cutCases {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				var tasks errgroup.Group
-				c := newCutCluster(t, ctx, &tasks)
-				tasks.Go(func() error {
-					c.load(cutLasts+7*time.Second, instanceNumbers(cutInstances)...)
-					return nil
-				})
+			playCuts(t, func(c *cutCluster) {
+				c.loadMeanwhile(cutLasts+7*time.Second, instanceNumbers(cutInstances)...)
 				time.Sleep(2 * time.Second)
 				test.play(c)
 				time.Sleep(5 * time.Second)
@@ -502,23 +514,15 @@
 				if !got.fair() {
 					t.Errorf("instances cut off served %d of %d first tries, the others %d of %d", got.cutServed, got.cut, got.othersServed, got.others)
 				}
-				c.stop(cancel)
 			})
 		})
 	}
 }
 
-// Guards against requests that go round through peers although no instance reaches a
-// server, and against servers that are found late after it.
+// Guards against servers that are found late after a crash of all of them.
 func TestACrashOfAllServersIsNoCut(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		var tasks errgroup.Group
-		c := newCutCluster(t, ctx, &tasks)
-		tasks.Go(func() error {
-			c.load(9*time.Second, instanceNumbers(cutInstances)...)
-			return nil
-		})
+	playCuts(t, func(c *cutCluster) {
+		c.loadMeanwhile(9*time.Second, instanceNumbers(cutInstances)...)
 		time.Sleep(2 * time.Second)
 		for i := range cutInstances {
 			c.cut(i, narrownet.Reset, allServers()...)
@@ -533,21 +537,13 @@
 				t.Errorf("instance %d: status %d 2.5 s after the servers are back", i, status)
 			}
 		}
-		c.stop(cancel)
 	})
 }
 
-// Guards against requests that count as crashing servers because an instance lost its
-// connections to servers that go on running.
+// Guards against requests that count as crashing servers because connections were cut.
 func TestACutIsNoCrashOfServers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		var tasks errgroup.Group
-		c := newCutCluster(t, ctx, &tasks)
-		tasks.Go(func() error {
-			c.load(3*time.Second, 0, 1, 3)
-			return nil
-		})
+	playCuts(t, func(c *cutCluster) {
+		c.loadMeanwhile(3*time.Second, 0, 1, 3)
 		time.Sleep(2 * time.Second)
 		during(narrownet.Reset, 0, 1, 3)(c)
 		for _, i := range c.fleet {
@@ -555,24 +551,19 @@
 				t.Errorf("%s suspects a request", i.fleet.self)
 			}
 		}
-		c.stop(cancel)
 	})
 }
 
-// Guards against a request that leaves the regions in which it must stay, on its way
-// through a peer.
+// Guards against a request that leaves its regions on its way through a peer.
 func TestConnectionsThroughPeersStayInTheirRegions(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		var tasks errgroup.Group
-		c := newCutCluster(t, ctx, &tasks)
+	playCuts(t, func(c *cutCluster) {
 		me := c.fleet[0]
 		me.fleet.regions = regions{"dc-0": "north", "dc-1": "south"}
 		c.cut(0, narrownet.Reset, allServers()...)
 		s, _ := find(me.fleet.serverList("app").accepting, serverAddress(2))
 		open := func(allowed ...string) *relay.Via {
 			for range 4 { // the first attempts find that the path is lost
-				conn, via, err := me.connector.Connect(ctx, relay.Target{Server: s}, &placement.Work{AllowedRegions: allowed})
+				conn, via, err := me.connector.Connect(c.ctx, relay.Target{Server: s}, &placement.Work{AllowedRegions: allowed})
 				if err == nil {
 					conn.Close()
 					me.connector.Closed(via)
@@ -593,20 +584,13 @@
 		if me.connector.Allowed(&relay.Via{DataCentre: "dc-1"}, &placement.Work{AllowedRegions: []string{"north"}}) {
 			t.Error("an idle connection through the south may be used by a request of the north")
 		}
-		c.stop(cancel)
 	})
 }
 
 // Guards against connections through a peer that keep it from ending.
 func TestPeersThatLeaveAreNotUsed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		var tasks errgroup.Group
-		c := newCutCluster(t, ctx, &tasks)
-		tasks.Go(func() error {
-			c.load(6*time.Second, 0, 1, 2)
-			return nil
-		})
+	playCuts(t, func(c *cutCluster) {
+		c.loadMeanwhile(6*time.Second, 0, 1, 2)
 		for i := range 3 {
 			c.cut(i, narrownet.Reset, allServers()...)
 		}
@@ -628,17 +612,12 @@
 		if !c.tries.fair() {
 			t.Errorf("served %d of %d", c.tries.cutServed, c.tries.cut)
 		}
-		c.stop(cancel)
 	})
 }
 
-// Guards against sound servers that are silent for a second and then taken as lost, or
-// whose requests are given up.
+// Guards against sound servers that are given up because they are silent for a second.
 func TestServersThatAreSilentForASecondAreWaitedFor(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		var tasks errgroup.Group
-		c := newCutCluster(t, ctx, &tasks)
+	playCuts(t, func(c *cutCluster) {
 		c.slow.Store(int64(time.Second))
 		for n := range 20 {
 			id := fmt.Sprint("r", n)
@@ -651,17 +630,12 @@
 				t.Errorf("%s takes %v as lost", i.fleet.self, lost)
 			}
 		}
-		c.stop(cancel)
 	})
 }
 
-// Guards against a service with few requests whose kept connections hide for long that the
-// instance has lost it together with another one.
+// Guards against kept connections that hide the loss of a service with few requests.
 func TestServicesAreVerifiedWhenAnotherIsLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		var tasks errgroup.Group
-		c := newCutCluster(t, ctx, &tasks)
+	playCuts(t, func(c *cutCluster) {
 		for n := range 12 { // kept connections of both services
 			c.call(0, []string{"/once/", "/stream/"}[n%2], fmt.Sprint("before-", n))
 		}
@@ -671,6 +645,5 @@
 		if ok, status := c.call(0, "/once/", "rare"); !ok {
 			t.Errorf("status %d", status)
 		}
-		c.stop(cancel)
 	})
 }
--- a/internal/paths/paths_test.go
+++ b/internal/paths/paths_test.go
@@ -14,8 +14,7 @@
 
 func at(d time.Duration) monotime.Instant { return start.Add(d) }
 
-// Guards against one server that is down and sends all connections of its service through
-// peers.
+// Guards against one failed server that sends all connections through peers.
 func TestOneFailedServerIsNotALostService(t *testing.T) {
 	table := NewTable()
 	if table.Failed("svc", "a", 5, at(0)) || table.Lost("svc") {
@@ -33,8 +32,7 @@
 	}
 }
 
-// Guards against a lost path that each server has to show anew, and against a path that is
-// taken as back by a single server.
+// Guards against a service that is lost or back because of a single server.
 func TestAServiceIsLostAndBackAfterTwoServers(t *testing.T) {
 	table := NewTable()
 	table.Failed("svc", "a", 5, at(0))
@@ -111,8 +109,7 @@
 	return out
 }
 
-// Guards against a few peers that carry the load of all others, in a large fleet of which
-// half is cut off.
+// Guards against few peers that carry the load of half a large fleet.
 func TestPeersThatHelpAreFoundAndShareTheLoad(t *testing.T) {
 	const size, connections = 585, 400
 	load := make(map[string]int)
@@ -145,6 +142,7 @@
 	for _, n := range load {
 		most = max(most, n)
 	}
+	t.Logf("%d peers asked for %d connections, at most %d through one", asked, opened, most)
 	if asked > 2*opened {
 		t.Errorf("%d peers asked for %d connections", asked, opened)
 	}
--- a/internal/paths/peers.go
+++ b/internal/paths/peers.go
@@ -10,11 +10,9 @@
 
 const (
 	// workingSet is the number of peers that are used at a time: enough to spread the
-	// load, few enough that most attempts go to a peer that is known to help.
-	workingSet = 8
-	// exploreShare is the share of connections for which a further peer is tried while
-	// the working set is not full.
-	exploreShare = 0.25
+	// load, few enough that most attempts go to a peer that is known to help. The fewer
+	// there are, the more connections try a further one.
+	workingSet = 16
 	// remotePenalty is added to the load of a peer in another data centre.
 	remotePenalty = 0.05
 )
@@ -62,7 +60,7 @@
 			others = append(others, c)
 		}
 	}
-	explore := len(helpful) == 0 || len(helpful) < workingSet && rand.Float64() < exploreShare
+	explore := rand.IntN(workingSet) >= len(helpful)
 	if explore && len(others) > 0 {
 		helpful = others
 	}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -107,8 +107,7 @@
 	}
 }
 
-// Guards against an answer without a length that looks complete because its server's
-// connection was reset.
+// Guards against an answer that looks complete though its server was reset.
 func TestAResetOfTheServerIsNoEnd(t *testing.T) {
 	near, far := newPair(t).open()
 	_, _ = far.Write([]byte("part"))
@@ -122,8 +121,7 @@
 	}
 }
 
-// Guards against an answer without a length that looks complete because the peer was
-// killed: the kernel then closes its connections as if it had ended them.
+// Guards against an answer that looks complete because the kernel closed a killed peer.
 func TestTheEndOfThePeerIsNoEndOfTheServer(t *testing.T) {
 	near, far := net.Pipe()
 	conn := newConn(near, bufio.NewReader(near))
@@ -146,8 +144,7 @@
 	}
 }
 
-// Guards against tunnels that a peer should refuse: without the secret of the fleet, for
-// another process, to an unknown server, and more than it may have open.
+// Guards against tunnels without a secret, to another process or server, or too many.
 func TestRefusedTunnels(t *testing.T) {
 	p := newPair(t)
 	for _, c := range []struct {
