--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -104,8 +105,11 @@
 func (s *brittleServer) fall() {
 	s.falls++
 	s.refusals = nil
+	s.cluster.mu.Lock()
+	hosts := slices.Clone(s.cluster.hosts)
+	s.cluster.mu.Unlock()
 	set := func(fault narrownet.Fault) {
-		for _, host := range s.cluster.hosts {
+		for _, host := range hosts {
 			s.cluster.network.Cut(host, s.cluster.servers[s.number], fault)
 		}
 	}
@@ -182,8 +186,10 @@
 				time.Sleep(3 * time.Second)
 				falls, served := 0, 0
 				for _, s := range all {
+					s.mu.Lock()
 					falls += s.falls
 					served += s.served
+					s.mu.Unlock()
 				}
 				t.Logf("%d falls, %d served", falls, served)
 				if falls > brittleMaxFalls {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -301,8 +301,10 @@
 			if share := float64(served) / float64(asked); share < minServed {
 				t.Errorf("%s: %d of %d requests of other callers served in the last %v", path, served, asked, counted)
 			}
+			mu.Lock()
 			slices.Sort(statuses)
 			t.Logf("%s: %d arrivals, %d crashes, answers %v", path, all, len(site.crashes), countByStatus(statuses))
+			mu.Unlock()
 			site.stop(cancel, &tasks)
 		})
 	}
--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -50,16 +51,16 @@
 	ctx     context.Context
 	tasks   *errgroup.Group
 	network *narrownet.Network
-	hosts   []*narrownet.Host // of the instances
 	servers []*narrownet.Host
-	fleet   []*linkedInstance
-	relays  []*relay.Relay
 	// config and putServers are what an instance starts with.
 	config     *routing.Config
 	putServers func(r *servers.Registry, now monotime.Instant) []string
 
-	mu   sync.Mutex
-	runs map[string]int // by request id
+	mu     sync.Mutex
+	hosts  []*narrownet.Host // of the instances
+	fleet  []*linkedInstance
+	relays []*relay.Relay
+	runs   map[string]int // by request id
 	// cutSince is when each instance lost its servers, by its number.
 	cutSince map[int]time.Time
 	tries    tally
@@ -137,14 +138,18 @@
 func (c *cutCluster) startInstances(first, size int) {
 	started := startLinkedFrom(c.t, c.ctx, c.tasks, first, size, func(n int) linkedHost {
 		host := c.network.Host(fmt.Sprint("instance ", n), 0)
+		c.mu.Lock()
 		c.hosts = append(c.hosts, host)
+		c.mu.Unlock()
 		return linkedHost{listen: host.Listen, dial: host.Dial, capacity: 400}
 	})
 	for _, i := range started {
 		i.fleet.installConfig(c.config, fromStore)
 		i.fleet.changeServers(fromStore, c.putServers)
+		c.mu.Lock()
 		c.fleet = append(c.fleet, i)
 		c.relays = append(c.relays, newCutRelay(i))
+		c.mu.Unlock()
 	}
 }
 
@@ -298,7 +303,10 @@
 		req.Header.Set("X-Prompt", "200")
 	}
 	status = -1
-	c.relays[instance].ServeHTTP(rec, req)
+	c.mu.Lock()
+	handler := c.relays[instance]
+	c.mu.Unlock()
+	handler.ServeHTTP(rec, req)
 	body := rec.Body.String()
 	if path == "/stream/" {
 		return rec.Code == http.StatusOK && strings.Count(body, "data: "+id) == streamEvents, rec.Code
@@ -369,6 +377,22 @@
 	}
 }
 
+// counted returns the counts so far.
+func (c *cutCluster) counted() tally {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.tries
+	out.failures = maps.Clone(out.failures)
+	return out
+}
+
+// ran returns how often a request ran.
+func (c *cutCluster) ran(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs[id]
+}
+
 func (c *cutCluster) stop(cancel func()) {
 	for _, r := range c.relays {
 		r.Sweep(func(string) bool { return false })
@@ -504,9 +528,7 @@
 				time.Sleep(2 * time.Second)
 				test.play(c)
 				time.Sleep(5 * time.Second)
-				c.mu.Lock()
-				got := c.tries
-				c.mu.Unlock()
+				got := c.counted()
 				t.Logf("cut off: %d of %d served, others: %d of %d; failed: %v", got.cutServed, got.cut, got.othersServed, got.others, got.failures)
 				if got.cut == 0 {
 					t.Error("no request was counted")
@@ -609,8 +631,8 @@
 				t.Errorf("%s has %d connections open for others after it announced that it leaves", i.fleet.self, n)
 			}
 		}
-		if !c.tries.fair() {
-			t.Errorf("served %d of %d", c.tries.cutServed, c.tries.cut)
+		if got := c.counted(); !got.fair() {
+			t.Errorf("served %d of %d", got.cutServed, got.cut)
 		}
 	})
 }
@@ -621,8 +643,8 @@
 		c.slow.Store(int64(time.Second))
 		for n := range 20 {
 			id := fmt.Sprint("r", n)
-			if ok, status := c.call(n%cutInstances, "/once/", id); !ok || c.runs[id] != 1 {
-				t.Errorf("request %d: status %d, %d runs", n, status, c.runs[id])
+			if ok, status := c.call(n%cutInstances, "/once/", id); !ok || c.ran(id) != 1 {
+				t.Errorf("request %d: status %d, %d runs", n, status, c.ran(id))
 			}
 		}
 		for _, i := range c.fleet {
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -68,8 +68,7 @@
 var moreFaults = []fault{
 	{"store restored", restoreStore},
 	{"limit", func(s *soak, r *rand.Rand, length time.Duration) {
-		u := s.anyUpstream(r)
-		server := u.server
+		server := s.anyUpstream(r).server()
 		server.SetLimit([]string{"0", "0.5", "3.25", "40"}[r.IntN(4)])
 		time.Sleep(length)
 		server.SetLimit("")
@@ -199,7 +198,7 @@
 
 // leaveUnheard has a server leave that can't write it to the store: its answers tell it.
 func (s *soak) leaveUnheard(u *upstream) {
-	u.server.AnnounceLeaving()
+	u.server().AnnounceLeaving()
 	s.shutDown(u)
 }
 
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -30,11 +30,27 @@
 	service string
 	number  int
 	id      string
-	server  *standin.Server
 	http    *http.Server
 	proxy   *proxy
 	// ending is held by the fault that replaces the server.
 	ending sync.Mutex
+
+	mu sync.Mutex
+	// running is the incarnation that runs.
+	running *standin.Server
+}
+
+// server returns the incarnation that runs.
+func (u *upstream) server() *standin.Server {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.running
+}
+
+func (u *upstream) setServer(s *standin.Server) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running = s
 }
 
 // fleet is everything that a soak runs.
@@ -175,8 +191,9 @@
 		return err
 	}
 	u.id = fmt.Sprintf("s%d-%d", u.number, time.Now().UnixNano())
-	u.server = standin.NewServer(u.id, slots, f.ledger)
-	u.http = &http.Server{Handler: u.server}
+	server := standin.NewServer(u.id, slots, f.ledger)
+	u.setServer(server)
+	u.http = &http.Server{Handler: server}
 	go serve(u.http, ln)
 	if u.proxy == nil {
 		if u.proxy, err = newProxy(ln.Addr().String()); err != nil {
