Tunnels: connect with the links' context, not with that of the request

Cause: tunnel.Server.Handle passed fasthttp's RequestCtx as the context of the connection to the server. The attempt derives contexts with a timeout from it. When the timer fires, its goroutine takes itself off the parent, which reads the user values of the request; by then the handler has returned, and fasthttp resets the request and uses it for the next one. It needs a peer whose attempt ends by its timeout, which is why only the case in which connections hang shows it.

Ruled out: another place of the same kind. A search by types for a RequestCtx that is passed as anything else finds this one only (and an io.Writer in daemon/admin.go, used within its handler).

Conclusion: the links pass the context of their Run to the handler of other requests, which the handler gets beside the request.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -277,12 +277,12 @@
 }
 
 // serveTunnel answers a peer's request for a connection to a server.
-func (g *Gateway) serveTunnel(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != tunnel.Path {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
+func (g *Gateway) serveTunnel(ctx context.Context, request *fasthttp.RequestCtx) {
+	if string(request.Path()) != tunnel.Path {
+		request.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	g.tunnels.Handle(ctx)
+	g.tunnels.Handle(ctx, request)
 }
 
 // Ready reports whether callers should connect to the instance.
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -98,8 +98,9 @@
 	// Resolve returns the address of a peer for a link on demand; nil disables such
 	// links.
 	Resolve func(id string) (address string, ok bool)
-	// Other handles HTTP requests on other paths than Path; nil answers them with 404.
-	Other fasthttp.RequestHandler
+	// Other handles HTTP requests on other paths than Path; nil answers them with 404. The
+	// context ends with Run; the request must not be used after the handler returned.
+	Other func(ctx context.Context, request *fasthttp.RequestCtx)
 	// Handler receives events.
 	Handler Handler
 	// Timing; zero values select the defaults.
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -103,8 +103,9 @@
 
 // Run accepts and opens links until ctx is canceled, then closes all of them.
 func (s *Links) Run(ctx context.Context) error {
+	group, running := errgroup.WithContext(ctx)
 	server := &fasthttp.Server{
-		Handler:                      s.accept,
+		Handler:                      func(request *fasthttp.RequestCtx) { s.accept(running, request) },
 		Concurrency:                  maxHandshakes,
 		ReadTimeout:                  s.cfg.Timing.HandshakeTimeout,
 		WriteTimeout:                 s.cfg.Timing.HandshakeTimeout,
@@ -119,7 +120,6 @@
 		KeepHijackedConns: true,
 		Logger:            zap.NewStdLog(s.cfg.Log),
 	}
-	group, running := errgroup.WithContext(ctx)
 	group.Go(func() error { return server.Serve(s.cfg.Listener) })
 	group.Go(func() error { return s.manage(running) })
 	group.Go(func() error {
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"time"
 
 	"github.com/fasthttp/websocket"
@@ -21,12 +22,12 @@
 	CheckOrigin: func(*fasthttp.RequestCtx) bool { return true },
 }
 
-func (s *Links) accept(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != Path {
-		s.serveOther(ctx)
+func (s *Links) accept(ctx context.Context, request *fasthttp.RequestCtx) {
+	if string(request.Path()) != Path {
+		s.serveOther(ctx, request)
 		return
 	}
-	err := upgrader.Upgrade(ctx, func(conn *websocket.Conn) {
+	err := upgrader.Upgrade(request, func(conn *websocket.Conn) {
 		s.serveConn(conn, false, "")
 	})
 	if err != nil {
@@ -34,12 +35,12 @@
 	}
 }
 
-func (s *Links) serveOther(ctx *fasthttp.RequestCtx) {
+func (s *Links) serveOther(ctx context.Context, request *fasthttp.RequestCtx) {
 	if s.cfg.Other == nil {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		request.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	s.cfg.Other(ctx)
+	s.cfg.Other(ctx, request)
 }
 
 // serveConn runs the handshake on a connection and serves it as a link until it ends. It
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -55,34 +55,35 @@
 // Total returns the number of tunnels opened since the start.
 func (s *Server) Total() int64 { return s.total.Load() }
 
-// Handle answers a request for a tunnel.
-func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
-	header := func(name string) string { return string(ctx.Request.Header.Peek(name)) }
+// Handle answers a request for a tunnel. Connect gets ctx, which must outlive the request:
+// timers of an attempt to connect may still use it after the answer.
+func (s *Server) Handle(ctx context.Context, request *fasthttp.RequestCtx) {
+	header := func(name string) string { return string(request.Request.Header.Peek(name)) }
 	from := Instance{ID: header(headerInstance), Incarnation: header(headerIncarnation)}
 	server, id := header(headerServer), header(headerTunnel)
 	if !hmac.Equal([]byte(token(s.Secret, from, s.Self, server, id)), []byte(header(headerToken))) {
-		s.refuse(ctx, from.ID, server, id, ErrUnauthenticated)
+		s.refuse(request, from.ID, server, id, ErrUnauthenticated)
 		return
 	}
 	if int(s.open.Add(1)) > s.MaxOpen || s.MaxRate > 0 && s.rate.perSecond(monotime.Now()) > s.MaxRate {
 		s.open.Add(-1)
-		s.refuse(ctx, from.ID, server, id, ErrBusy)
+		s.refuse(request, from.ID, server, id, ErrBusy)
 		return
 	}
 	begun := monotime.Now()
 	upstream, err := s.Connect(ctx, server)
 	if err != nil {
 		s.open.Add(-1)
-		s.refuse(ctx, from.ID, server, id, err)
+		s.refuse(request, from.ID, server, id, err)
 		return
 	}
 	s.total.Add(1)
 	s.Log.Info("tunnel_opened", zap.String("tunnel", id), zap.String("for", from.ID), zap.String("server", server),
 		zap.Duration("connect_ms", monotime.Now().Sub(begun)))
-	ctx.SetStatusCode(fasthttp.StatusSwitchingProtocols)
-	ctx.Response.Header.Set("Connection", "Upgrade")
-	ctx.Response.Header.Set("Upgrade", upgradeProtocol)
-	ctx.Hijack(func(near net.Conn) {
+	request.SetStatusCode(fasthttp.StatusSwitchingProtocols)
+	request.Response.Header.Set("Connection", "Upgrade")
+	request.Response.Header.Set("Upgrade", upgradeProtocol)
+	request.Hijack(func(near net.Conn) {
 		defer s.open.Add(-1)
 		p := &passage{near: near, upstream: upstream, rate: &s.rate}
 		err := p.run()
@@ -92,11 +93,11 @@
 	})
 }
 
-func (s *Server) refuse(ctx *fasthttp.RequestCtx, from, server, id string, err error) {
+func (s *Server) refuse(request *fasthttp.RequestCtx, from, server, id string, err error) {
 	s.Log.Info("tunnel_refused", zap.String("tunnel", id), zap.String("for", from), zap.String("server", server), eventlog.Cause(err))
-	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-	ctx.Response.Header.Set(headerReason, reasonText(err))
-	ctx.SetConnectionClose()
+	request.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	request.Response.Header.Set(headerReason, reasonText(err))
+	request.SetConnectionClose()
 }
 
 // passage passes the bytes of one tunnel on.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,7 +67,8 @@
 		},
 	}
 	front := listen()
-	web := &fasthttp.Server{Handler: p.server.Handle, KeepHijackedConns: true, NoDefaultServerHeader: true}
+	handle := func(request *fasthttp.RequestCtx) { p.server.Handle(t.Context(), request) }
+	web := &fasthttp.Server{Handler: handle, KeepHijackedConns: true, NoDefaultServerHeader: true}
 	go func() { _ = web.Serve(front) }()
 	p.address = front.Addr().String()
 	p.client = &Client{Self: self, Secret: secret, Dial: func(ctx context.Context, address string) (net.Conn, error) {
@@ -229,3 +231,23 @@
 		}
 	})
 }
+
+// Guards against timers of a connection attempt that read a request which is answered already.
+func TestTimersOfConnectMayOutliveTheRequest(t *testing.T) {
+	p := newPair(t)
+	var pending sync.WaitGroup
+	p.server.Connect = func(ctx context.Context, _ string) (net.Conn, error) {
+		limited, cancel := context.WithTimeout(ctx, time.Millisecond)
+		pending.Go(func() {
+			defer cancel()
+			<-limited.Done()
+		})
+		return nil, ErrUnreachable
+	}
+	for range 20 {
+		if _, err := p.client.Open(t.Context(), NewID(), peer, p.address, "s1"); !errors.Is(err, ErrUnreachable) {
+			t.Fatal(err)
+		}
+	}
+	pending.Wait()
+}
