One loop over the peers to ask, one dial function; failures expire in one place

No change of behaviour but one: a connection whose request was given up before any peer was asked counts as one refused attempt in the metrics.

- connectThroughPeer and Probe each walked the peers and built the candidates anew for each of them: peersToAsk yields them to both.
- Four packages had the same dialTCP: netconn.Dial. callers keeps its own, which sets timeouts.
The timeout of relay's own never mattered, since its callers bound the context by the same ConnectTimeout.
- The check that an instance which leaves opens no more tunnels stands in connector.serveTunnel, with the other reasons to refuse.
- paths.Table.Reached walked all failed servers of a service at each answer; Suspects, ten times a second, drops the old ones anyway.

Measured: tests of paths, peer, relay, tunnel, upstream; of the gateway those of cuts, crashes, tunnels, leaving.

--- a/internal/gateway/connector.go
+++ b/internal/gateway/connector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -44,7 +45,10 @@
 	staying func() []wire.RelayMember
 	// stays reports whether a peer can be reached and is not leaving.
 	stays func(id, incarnation string) bool
-	dial  func(ctx context.Context, address string) (net.Conn, error)
+	// leaving reports whether this instance is leaving, so that it opens no more tunnels for
+	// peers.
+	leaving func() bool
+	dial    func(ctx context.Context, address string) (net.Conn, error)
 	// answered is when a server of each service last answered, as an atomic.Int64 of a
 	// monotime.Instant.
 	answered sync.Map
@@ -56,10 +60,10 @@
 
 var _ relay.Connector = (*connector)(nil)
 
-func newConnector(f *fleet, p *peers, client *tunnel.Client, dial func(ctx context.Context, address string) (net.Conn, error)) *connector {
+func newConnector(f *fleet, p *peers, client *tunnel.Client, leaving func() bool, dial func(ctx context.Context, address string) (net.Conn, error)) *connector {
 	return &connector{
 		fleet: f, log: f.log, paths: paths.NewTable(), peers: paths.NewPicker(),
-		tunnels: client, staying: p.staying, stays: p.stays, dial: dial,
+		tunnels: client, staying: p.staying, stays: p.stays, leaving: leaving, dial: dial,
 	}
 }
 
@@ -128,17 +132,10 @@
 
 // connectThroughPeer opens a connection through one of the peers.
 func (c *connector) connectThroughPeer(ctx context.Context, s servers.Server, allowedRegions []string) (net.Conn, *relay.Via, error) {
-	members := c.allowedPeers(allowedRegions)
-	excluded := make(map[string]bool)
 	unreachable := 0
 	err := errNoPeer
-	for len(excluded) < maxPeersAsked && unreachable < maxPeersFailed && ctx.Err() == nil {
-		peer, ok := c.peers.Pick(c.candidates(members), s.Service, excluded, monotime.Now())
-		if !ok {
-			break
-		}
-		excluded[peer.ID] = true
-		conn, via, openErr := c.openTunnel(ctx, members[peer.ID], s)
+	for member := range c.peersToAsk(s.Service, allowedRegions) {
+		conn, via, openErr := c.openTunnel(ctx, member, s)
 		if openErr == nil {
 			return conn, via, nil
 		}
@@ -146,12 +143,32 @@
 		if errors.Is(err, tunnel.ErrUnreachable) {
 			unreachable++
 		}
+		if unreachable >= maxPeersFailed || ctx.Err() != nil {
+			break
+		}
 	}
 	return nil, nil, errors.Wrap(err, "through peers")
 }
 
 var errNoPeer = errors.New("no peer can be asked for a connection")
 
+// peersToAsk returns the peers to ask for a connection to a server of a service, one after
+// the other.
+func (c *connector) peersToAsk(service string, allowedRegions []string) iter.Seq[wire.RelayMember] {
+	return func(yield func(wire.RelayMember) bool) {
+		members := c.allowedPeers(allowedRegions)
+		candidates := c.candidates(members)
+		excluded := make(map[string]bool)
+		for len(excluded) < maxPeersAsked {
+			peer, ok := c.peers.Pick(candidates, service, excluded, monotime.Now())
+			if !ok || !yield(members[peer.ID]) {
+				return
+			}
+			excluded[peer.ID] = true
+		}
+	}
+}
+
 // allowedPeers returns the peers, by id, that may see requests which have to stay in some
 // regions.
 func (c *connector) allowedPeers(allowedRegions []string) map[string]wire.RelayMember {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"basilrudder/internal/eventlog"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/pace"
 	"basilrudder/internal/peer"
 	"basilrudder/internal/placement"
@@ -180,21 +181,10 @@
 func (g *Gateway) connectTunnels(incarnation string) {
 	s := g.cfg.Settings
 	client := &tunnel.Client{
-		Self: tunnel.Instance{ID: s.Instance.ID, Incarnation: incarnation}, Secret: g.linkSecret(), Dial: dialTCP,
+		Self: tunnel.Instance{ID: s.Instance.ID, Incarnation: incarnation}, Secret: g.linkSecret(), Dial: netconn.Dial,
 	}
-	g.connector = newConnector(g.fleet, g.peers, client, dialTCP)
+	g.connector = newConnector(g.fleet, g.peers, client, g.leaving.Load, netconn.Dial)
 	g.tunnels = g.connector.newTunnelServer(int(s.Instance.Processor*capacityPerCore), int(s.Instance.LinkMbps*bytesPerMegabit))
-	serve := g.tunnels.Connect
-	g.tunnels.Connect = func(ctx context.Context, server string) (net.Conn, error) {
-		if g.leaving.Load() {
-			return nil, tunnel.ErrLeaving
-		}
-		return serve(ctx, server)
-	}
-}
-
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	return new(net.Dialer).DialContext(ctx, "tcp", address)
 }
 
 // linkSecret returns the secret of the links between instances.
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -43,18 +43,11 @@
 	if !refuses || !c.reachesAnother(ctx, target.Server) {
 		return false, accepts
 	}
-	members := c.allowedPeers(nil)
-	if len(members) == 0 {
+	if len(c.staying()) == 0 {
 		return true, false
 	}
-	excluded := make(map[string]bool)
-	for len(excluded) < maxPeersAsked {
-		peer, ok := c.peers.Pick(c.candidates(members), target.Service, excluded, monotime.Now())
-		if !ok {
-			return false, false
-		}
-		excluded[peer.ID] = true
-		conn, via, err := c.openTunnel(ctx, members[peer.ID], target.Server)
+	for member := range c.peersToAsk(target.Service, nil) {
+		conn, via, err := c.openTunnel(ctx, member, target.Server)
 		switch {
 		case err == nil:
 			_ = conn.Close()
@@ -70,6 +63,9 @@
 // serveTunnel connects a peer's tunnel to a server: directly, or not at all, so that no
 // connection goes through a third instance.
 func (c *connector) serveTunnel(ctx context.Context, server string) (net.Conn, error) {
+	if c.leaving() {
+		return nil, tunnel.ErrLeaving
+	}
 	c.fleet.mu.Lock()
 	s, ok := c.fleet.registry.Get(server)
 	c.fleet.mu.Unlock()
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -2,11 +2,17 @@
 package netconn
 
 import (
+	"context"
 	"net"
 
 	"github.com/go-faster/errors"
 )
 
+// Dial opens a TCP connection. Only the context bounds the time that it takes.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, "tcp", address)
+}
+
 // IsTimeout reports whether err is or wraps a network timeout.
 func IsTimeout(err error) bool {
 	var timeout net.Error
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -118,21 +118,25 @@
 		s.lost = false
 		clear(s.reached)
 	}
-	t.expire(serviceName, s, now)
+	t.forgetIfClean(serviceName, s)
 	return back
 }
 
-// expire drops failures that are too old, and the state of a service that has none.
-func (t *Table) expire(name string, s *service, now monotime.Instant) {
+// forgetIfClean drops the state of a service that has no failures.
+func (t *Table) forgetIfClean(name string, s *service) {
+	if !s.lost && len(s.failedAt) == 0 && len(s.streak) == 0 {
+		delete(t.services, name)
+		t.tracked.Store(int64(len(t.services)))
+	}
+}
+
+// expire drops failures that are too old.
+func (s *service) expire(now monotime.Instant) {
 	for server, at := range s.failedAt {
 		if now.Sub(at) > failureTTL {
 			delete(s.failedAt, server)
 		}
 	}
-	if !s.lost && len(s.failedAt) == 0 && len(s.streak) == 0 {
-		delete(t.services, name)
-		t.tracked.Store(int64(len(t.services)))
-	}
 }
 
 // Direct reports whether a new connection to a server should be direct.
@@ -242,7 +246,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, s := range t.services {
-		t.expire(name, s, now)
+		s.expire(now)
+		t.forgetIfClean(name, s)
 		suspect := Suspect{Service: name, Lost: s.lost, Since: s.streakSince, Unconfirmed: !s.lost && len(s.streak) > 0}
 		for suspect.Failed = range s.failedAt {
 			break // any of them: maps are read in random order
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -13,7 +13,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -26,6 +25,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/schema/wire"
 )
 
@@ -72,7 +72,7 @@
 	}
 	cfg.Timing = cfg.Timing.withDefaults()
 	if cfg.Dial == nil {
-		cfg.Dial = dialTCP
+		cfg.Dial = netconn.Dial
 	}
 	if cfg.Resolve == nil {
 		cfg.Resolve = func(string) (string, bool) { return "", false }
@@ -92,10 +92,6 @@
 	}, nil
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	return new(net.Dialer).DialContext(ctx, "tcp", address)
-}
-
 // Counters returns the counters for expvar.
 func (s *Links) Counters() *Counters {
 	return &s.counters
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/schema/wire"
 )
 
@@ -83,7 +84,7 @@
 		Timing:   testTiming,
 	}
 	cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-		conn, err := dialTCP(ctx, address)
+		conn, err := netconn.Dial(ctx, address)
 		in.dropping.Store(new(atomic.Bool))
 		return droppingConn{conn, in.dropping.Load()}, err
 	}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -68,12 +68,6 @@
 	count map[string]int // open connections, in use or idle
 }
 
-// dialTCP opens a TCP connection to a server.
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: ConnectTimeout}
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
 func newPool(connector Connector) *pool {
 	return &pool{connector: connector, idle: make(map[string][]*conn), count: make(map[string]int)}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/netconn"
 )
 
 // Config configures a Relay.
@@ -63,7 +64,7 @@
 		cfg.Metrics = NewMetrics()
 	}
 	if cfg.Dial == nil {
-		cfg.Dial = dialTCP
+		cfg.Dial = netconn.Dial
 	}
 	if cfg.Connector == nil {
 		cfg.Connector = directConnector{cfg.Dial}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"basilrudder/internal/netconn"
 )
 
 // Defaults of Config, used for fields that are zero. A longer timeout delays the detection
@@ -104,7 +106,7 @@
 
 func (c Config) withDefaults() Config {
 	if c.Dial == nil {
-		c.Dial = dialTCP
+		c.Dial = netconn.Dial
 	}
 	c.ConnectTimeout = cmp.Or(c.ConnectTimeout, DefaultConnectTimeout)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
@@ -118,11 +120,6 @@
 	return c
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
 	cfg      Config
