Requests leave peers alone while they do not reach the servers either

What callers saw: while no instance reaches the servers of a lost service, each request asked two peers more, each of which waited for a connection of its own, before its caller was refused.

Cause: during the wait Table.Direct sends a request to the direct path; when that failed, connector.Connect asked peers all the same, since the service counts as lost. The test of the table modelled the rule without the caller.

Ruled out: that the answers "cut off" bound it, by which a peer is not asked for a second. They do where peers know that they are cut off; a peer that only runs into its timeout does not say so.

--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -27,6 +27,7 @@
 	"basilrudder/internal/routing"
 	"basilrudder/internal/servers"
 	"basilrudder/internal/standin/narrownet"
+	"basilrudder/internal/tunnel"
 )
 
 const (
@@ -562,6 +563,25 @@
 	})
 }
 
+// Guards against peers that are asked for each request while they do not reach the servers either.
+func TestPeersThatDoNotReachTheServersAreLeftAlone(t *testing.T) {
+	playCuts(t, func(c *cutCluster) {
+		for _, i := range c.fleet[1:] {
+			i.tunnels.Connect = func(context.Context, string) (net.Conn, error) { return nil, tunnel.ErrUnreachable }
+		}
+		c.cut(0, narrownet.Silent, allServers()...)
+		c.load(3*time.Second, 0) // until the waits have their full length
+		me := c.fleet[0].connector
+		before := me.refused.Load()
+		c.load(cutLasts, 0)
+		const services, longestWait = 2, time.Second
+		asked := me.refused.Load() - before
+		if most := int64(services * maxPeersFailed * (cutLasts/longestWait + 1)); asked > most {
+			t.Errorf("asked peers %d times in %v, at most %d wanted", asked, cutLasts, most)
+		}
+	})
+}
+
 // Guards against requests that count as crashing servers because connections were cut.
 func TestACutIsNoCrashOfServers(t *testing.T) {
 	playCuts(t, func(c *cutCluster) {
