--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -4,9 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -53,13 +51,10 @@
 }
 
 func (s *brittleServer) serve(conn net.Conn, in *bufio.Reader) bool {
-	req, err := http.ReadRequest(in)
+	req, _, err := readRequest(in)
 	if err != nil {
 		return false
 	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
-		return false
-	}
 	id := req.Header.Get("X-Id")
 	room, notice := s.begin()
 	if !room {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -167,11 +166,7 @@
 	defer c.Close()
 	in := bufio.NewReader(c)
 	for {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(req.Body)
+		req, body, err := readRequest(in)
 		if err != nil {
 			return
 		}
--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -219,13 +219,20 @@
 	})
 }
 
-// serve answers one request on a connection. It reports whether another one may follow.
-func (c *cutCluster) serve(conn net.Conn, in *bufio.Reader) bool {
+// readRequest reads a request and its whole body.
+func readRequest(in *bufio.Reader) (*http.Request, []byte, error) {
 	req, err := http.ReadRequest(in)
 	if err != nil {
-		return false
+		return nil, nil, err
 	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+	body, err := io.ReadAll(req.Body)
+	return req, body, err
+}
+
+// serve answers one request on a connection. It reports whether another one may follow.
+func (c *cutCluster) serve(conn net.Conn, in *bufio.Reader) bool {
+	req, _, err := readRequest(in)
+	if err != nil {
 		return false
 	}
 	id := req.Header.Get("X-Id")
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -78,119 +77,6 @@
 	f.sendUntilFinal()
 }
 
-// admit parses the request and decides whether it may be sent at all.
-func (f *forwarder) admit() *failure {
-	var err error
-	f.request, err = f.relay.cfg.Protocol.Request(f.hr.Header)
-	if err != nil {
-		return fail(http.StatusBadRequest, verdict.ReasonBadRequest, err)
-	}
-	f.table = f.relay.cfg.Fleet.Table()
-	if f.table == nil {
-		return unavailable(verdict.ReasonNotReady, retryNotReady)
-	}
-	if problem := f.authorize(); problem != nil {
-		return problem
-	}
-	f.setDeadline()
-	if problem := f.admitDuringDrain(); problem != nil {
-		return problem
-	}
-	return f.readBody()
-}
-
-// authorize finds the route and the customer. A route or key that is missing from the
-// table in force may have been added since. If the instance can't confirm that its table
-// is current, it answers with a Retry-After, because callers never retry after a 401 or
-// 404.
-func (f *forwarder) authorize() *failure {
-	problem := f.matchRoute()
-	if problem == nil {
-		return nil
-	}
-	if !f.relay.cfg.Fleet.Confirm(f.hr.Context()) {
-		return unavailable(verdict.ReasonNotReady, retryNotReady)
-	}
-	f.table = f.relay.cfg.Fleet.Table()
-	return f.matchRoute()
-}
-
-func (f *forwarder) matchRoute() *failure {
-	f.route = f.table.Match(f.hr.Host, f.hr.URL.EscapedPath())
-	if f.route == nil {
-		return fail(http.StatusNotFound, verdict.ReasonUnknownClass, errors.New("no route for this host and path"))
-	}
-	if !f.table.NeedsKey(f.route) {
-		return nil
-	}
-	f.customer = f.table.Customer(f.request.Key)
-	if f.customer == nil {
-		return fail(http.StatusUnauthorized, verdict.ReasonUnauthorized, errors.New("no customer has this key"))
-	}
-	return nil
-}
-
-func (f *forwarder) setDeadline() {
-	left := f.route.Timeout
-	if f.request.Deadline > 0 {
-		left = min(left, f.request.Deadline)
-	}
-	f.deadline = time.Now().Add(left)
-	f.service = f.route.Pick(f.request.ID)
-	f.work = placement.Work{
-		Parts:          f.request.Parts,
-		Prompt:         f.request.Prompt,
-		Output:         f.request.Output,
-		Goal:           f.route.Goal,
-		MaxGap:         f.route.MaxGap,
-		Priority:       f.route.Priority,
-		Rank:           f.table.Rank(f.route, f.customer),
-		AllowedRegions: routing.AllowedRegions(f.route, f.customer),
-	}
-}
-
-// admitDuringDrain refuses requests that the end of the process would cut off. Callers
-// keep connections and old directory answers for seconds, so requests still arrive;
-// another instance can serve them at once.
-func (f *forwarder) admitDuringDrain() *failure {
-	since, draining := f.relay.draining(f.arrived)
-	if !draining {
-		return nil
-	}
-	left := f.relay.cfg.DrainTime - since - drainReserve
-	if f.route.Streaming && since > drainStreamWindow || !f.route.Streaming && left < f.route.Timeout {
-		return unavailable(verdict.ReasonDraining, retryElsewhere)
-	}
-	return nil
-}
-
-// readBody reads the whole body before anything is sent: a caller that aborts then leaves
-// no partial request on a server.
-func (f *forwarder) readBody() *failure {
-	limit := int64(f.table.Limits().BodyBytes)
-	if limit > 0 && f.hr.ContentLength > limit {
-		return fail(http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, errors.Errorf("body is larger than %d bytes", limit))
-	}
-	if f.relay.bodyBytes.Load()+max(f.hr.ContentLength, 0) > maxHeldBodies {
-		return unavailable(verdict.ReasonOverloaded, retryFull)
-	}
-	reader := io.Reader(f.hr.Body)
-	if limit > 0 {
-		reader = http.MaxBytesReader(f.w, f.hr.Body, limit)
-	}
-	body, err := io.ReadAll(reader)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return fail(http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, err)
-	case err != nil:
-		return fail(http.StatusBadRequest, verdict.ReasonCallerGone, err)
-	}
-	f.body = body
-	f.relay.bodyBytes.Add(int64(len(body)))
-	return nil
-}
-
 // sendUntilFinal sends the request to servers until one answer is final.
 func (f *forwarder) sendUntilFinal() {
 	for {
