--- a/internal/callers/relay.go
+++ b/internal/callers/relay.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"basilrudder/internal/timer"
 	"basilrudder/internal/verdict"
 )
 
@@ -98,7 +99,7 @@
 // Otherwise a home that fails without closing its connections would keep the caller
 // waiting until TCP times out.
 func (r *relayedRequest) checkHome() {
-	ticker := time.NewTicker(r.server.cfg.HomeCheckInterval)
+	ticker := timer.NewTicker(r.server.cfg.HomeCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"basilrudder/internal/sched"
 	"basilrudder/internal/schema/settings"
 	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/timer"
 	"basilrudder/internal/upstream"
 )
 
@@ -263,7 +264,7 @@
 }
 
 func (d *Daemon) tick(ctx context.Context) error {
-	ticker := time.NewTicker(instance.TickInterval)
+	ticker := timer.NewTicker(instance.TickInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/timer"
 )
 
 const (
@@ -85,10 +86,5 @@
 }
 
 func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	timer.Sleep(wait, ctx.Done())
 }
--- a/internal/gateway/batcher.go
+++ b/internal/gateway/batcher.go
@@ -8,6 +8,7 @@
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/servers"
+	"basilrudder/internal/timer"
 )
 
 // updateBatcher collects updates for a short time and then sends them to the peers.
@@ -126,10 +127,10 @@
 
 // run sends collected updates until the context ends.
 func (n *updateBatcher) run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
+	ticker := timer.NewTicker(tickInterval)
 	defer ticker.Stop()
-	delay := time.NewTimer(time.Hour)
-	delay.Stop()
+	delay := timer.NewStopped()
+	defer delay.Stop()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"go.uber.org/zap"
 
 	"basilrudder/internal/eventlog"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/servers"
+	"basilrudder/internal/timer"
 )
 
 // drain leaves the fleet: callers are sent elsewhere, and requests in flight are served
@@ -21,7 +21,7 @@
 	g.peers.leave()
 	g.fleet.updates.announceLeaving()
 	g.cfg.Log.Info("draining", zap.Int64("in_flight", g.relay.InFlight()))
-	ticker := time.NewTicker(tickInterval)
+	ticker := timer.NewTicker(tickInterval)
 	defer ticker.Stop()
 	maxDrain := seconds(g.cfg.Settings.Drain.GraceS) - drainReserve
 	for range ticker.C {
@@ -34,7 +34,7 @@
 
 // runPeriodic runs the tasks that depend on time alone.
 func (g *Gateway) runPeriodic(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
+	ticker := timer.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		select {
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -16,6 +16,7 @@
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/routing"
 	"basilrudder/internal/servers"
+	"basilrudder/internal/timer"
 )
 
 // fleetSize adds a fleet size to the tests of any fleet size.
@@ -75,8 +76,8 @@
 
 func (s *memoryStore) Watch(ctx context.Context, after servers.Revision, wait time.Duration) (*Changes, error) {
 	s.call()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	end := timer.New(wait)
+	defer end.Stop()
 	for {
 		s.mu.Lock()
 		out, changed := &Changes{Revision: s.latest}, s.changed
@@ -95,7 +96,7 @@
 		}
 		select {
 		case <-changed:
-		case <-timer.C:
+		case <-end.C:
 			return out, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -11,6 +11,7 @@
 	"basilrudder/internal/eventlog"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/servers"
+	"basilrudder/internal/timer"
 )
 
 const (
@@ -294,12 +295,7 @@
 
 // sleep waits for d, or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	timer.Sleep(d, ctx.Done())
 }
 
 // confirm reads the configuration and reports whether the version in force is now the
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -9,6 +9,7 @@
 
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/timer"
 )
 
 // dial is the state of the attempts to open a link to one target.
@@ -23,19 +24,19 @@
 
 // manage opens links to targets and to peers with pending envelopes, and closes idle ones.
 func (s *Links) manage(ctx context.Context) error {
-	timer := time.NewTimer(maxCheckInterval)
-	defer timer.Stop()
+	next := timer.New(maxCheckInterval)
+	defer next.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-s.wakeup:
-		case <-timer.C:
+		case <-next.C:
 		}
 		now := monotime.Now()
 		wait := s.startDials(ctx, now)
 		s.closeIdle(now)
-		timer.Reset(min(wait, maxCheckInterval, s.cfg.Timing.IdleTimeout))
+		next.Reset(min(wait, maxCheckInterval, s.cfg.Timing.IdleTimeout))
 	}
 }
 
--- a/internal/peer/link_write.go
+++ b/internal/peer/link_write.go
@@ -8,15 +8,16 @@
 	"github.com/go-faster/errors"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/timer"
 )
 
 // writeLoop sends queued envelopes, coalesced over a short delay, and pings while there is
 // nothing else to send.
 func (l *link) writeLoop() {
 	timing := l.links.cfg.Timing
-	keepAlive := time.NewTicker(timing.KeepAliveInterval)
+	keepAlive := timer.NewTicker(timing.KeepAliveInterval)
 	defer keepAlive.Stop()
-	bulkTimer := time.NewTimer(time.Hour)
+	bulkTimer := timer.NewStopped()
 	defer bulkTimer.Stop()
 	idleTicks := time.Duration(0)
 	for {
@@ -24,7 +25,7 @@
 		case <-l.done:
 			return
 		case <-l.wakeup:
-			if !l.onlyBroadcasts() && !l.pause(timing.CoalesceDelay) {
+			if !l.onlyBroadcasts() && !timer.Sleep(timing.CoalesceDelay, l.done) {
 				return
 			}
 			idleTicks = -1
@@ -52,20 +53,9 @@
 	}
 }
 
-func (l *link) pause(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-l.done:
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // flush writes the queued envelopes, then bulk as far as the rate limit allows. It sets
 // bulkTimer for the rest.
-func (l *link) flush(bulkTimer *time.Timer) error {
+func (l *link) flush(bulkTimer *timer.Timer) error {
 	for {
 		for _, o := range coalesce(l.takeQueued()) {
 			if err := l.send(o); err != nil {
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -11,6 +11,7 @@
 
 	"basilrudder/internal/netconn"
 	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/timer"
 )
 
 var testTiming = Timing{
@@ -111,7 +112,7 @@
 	select {
 	case v := <-ch:
 		return v
-	case <-time.After(20 * time.Second):
+	case <-timer.New(20 * time.Second).C:
 		t.Fatalf("no %s", what)
 		panic("unreachable")
 	}
@@ -119,10 +120,12 @@
 
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
-	deadline := time.After(20 * time.Second)
-	for poll := time.Tick(time.Millisecond); !holds(); {
+	deadline := timer.New(20 * time.Second).C
+	poll := timer.NewTicker(time.Millisecond)
+	defer poll.Stop()
+	for !holds() {
 		select {
-		case <-poll:
+		case <-poll.C:
 		case <-deadline:
 			t.Fatalf("timed out waiting for: %s", what)
 		}
@@ -135,7 +138,7 @@
 // replaced.
 func deliver(t *testing.T, from, to *instance, id string, seq int) {
 	t.Helper()
-	deadline := time.After(20 * time.Second)
+	deadline := timer.New(20 * time.Second).C
 	for {
 		from.Send(id, ping(seq))
 		select {
@@ -143,7 +146,7 @@
 			if got.env.Ping != nil && got.env.Ping.Seq == seq {
 				return
 			}
-		case <-time.After(20 * time.Millisecond):
+		case <-timer.New(20 * time.Millisecond).C:
 		case <-deadline:
 			t.Fatalf("envelope %d never arrived", seq)
 		}
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -12,6 +12,7 @@
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/routing"
+	"basilrudder/internal/timer"
 	"basilrudder/internal/verdict"
 )
 
@@ -203,9 +204,7 @@
 		if refusal != placement.AllLimited || now >= until {
 			return target, refusal
 		}
-		select {
-		case <-time.After(rateLimitPoll):
-		case <-f.ctx.Done():
+		if !timer.Sleep(rateLimitPoll, f.ctx.Done()) {
 			return target, refusal
 		}
 	}
--- a/internal/standin/appserver/appserver.go
+++ b/internal/standin/appserver/appserver.go
@@ -15,6 +15,7 @@
 	"basilrudder/internal/enginehttp"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/standin/faultnet"
+	"basilrudder/internal/timer"
 )
 
 // DefaultWorkers is the number of calls that run at once by default. With fewer, more
@@ -145,14 +146,7 @@
 
 // waitServiceTime waits for the service time. It returns false if the server stops first.
 func (s *Server) waitServiceTime(serviceTime time.Duration) bool {
-	timer := time.NewTimer(serviceTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-s.Stopped():
-		return false
-	}
+	return timer.Sleep(serviceTime, s.Stopped())
 }
 
 // end records that the run has ended.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -12,6 +12,7 @@
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/schema/engineapi"
 	"basilrudder/internal/standin/enginemodel"
+	"basilrudder/internal/timer"
 )
 
 // FinishStop is the finish reason of a complete answer.
@@ -56,12 +57,12 @@
 
 // drive advances the model in real time until stop is closed.
 func (e *Engine) drive(stop <-chan struct{}) {
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
+	next := timer.NewStopped()
+	defer next.Stop()
 	for {
-		timer.Reset(e.advance())
+		next.Reset(e.advance())
 		select {
-		case <-timer.C:
+		case <-next.C:
 		case <-e.wake:
 		case <-stop:
 			return
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -16,6 +16,7 @@
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/schema/engineapi"
 	"basilrudder/internal/standin/enginemodel"
+	"basilrudder/internal/timer"
 )
 
 const (
@@ -165,11 +166,11 @@
 }
 
 // newHeartbeat returns a ticker for the interval; it never fires if that is not positive.
-func newHeartbeat(every time.Duration) *time.Ticker {
+func newHeartbeat(every time.Duration) *timer.Ticker {
 	if every > 0 {
-		return time.NewTicker(every)
+		return timer.NewTicker(every)
 	}
-	ticker := time.NewTicker(time.Hour)
+	ticker := timer.NewTicker(time.Hour)
 	ticker.Stop()
 	return ticker
 }
--- a/internal/standin/narrownet/conn.go
+++ b/internal/standin/narrownet/conn.go
@@ -1,6 +1,7 @@
 package narrownet
 
 import (
+	"basilrudder/internal/timer"
 	"io"
 	"net"
 	"os"
@@ -182,12 +183,12 @@
 		}
 		return nil
 	}
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
+	end := timer.New(time.Until(until))
+	defer end.Stop()
 	select {
 	case <-change:
 	case <-deadlineMoved:
-	case <-timer.C:
+	case <-end.C:
 		if deadlineFirst {
 			return os.ErrDeadlineExceeded
 		}
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"basilrudder/internal/schema/platformapi"
+	"basilrudder/internal/timer"
 )
 
 // Paths of the protocol. The path of a value is pathValues followed by its key. Clients use
@@ -91,8 +92,8 @@
 	revision := args.GetUintOrZero("revision")
 	instances := args.GetUintOrZero("instances")
 	wait := min(time.Duration(args.GetUintOrZero("timeout_ms"))*time.Millisecond, maxWatchWait)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	end := timer.New(wait)
+	defer end.Stop()
 	for {
 		served, mode, changed := s.state()
 		if mode == Down {
@@ -106,7 +107,7 @@
 			})
 			return
 		}
-		timeout := timer.C
+		timeout := end.C
 		if mode == Hanging {
 			timeout = nil
 		}
--- a/internal/trial/fleet.go
+++ b/internal/trial/fleet.go
@@ -23,6 +23,7 @@
 	"basilrudder/internal/standin/engine"
 	"basilrudder/internal/standin/enginemodel"
 	"basilrudder/internal/standin/platform"
+	"basilrudder/internal/timer"
 )
 
 const (
@@ -274,7 +275,7 @@
 // WaitReady waits until every daemon has the newest configuration and sees all
 // the others.
 func (f *Fleet) WaitReady(ctx context.Context) error {
-	ticker := time.NewTicker(readyPoll)
+	ticker := timer.NewTicker(readyPoll)
 	defer ticker.Stop()
 	for !f.ready() {
 		select {
--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -16,6 +16,7 @@
 	spec "basilrudder/internal/schema/inventory"
 	"basilrudder/internal/standin/engine"
 	"basilrudder/internal/standin/enginemodel"
+	"basilrudder/internal/timer"
 )
 
 const (
@@ -215,7 +216,7 @@
 // until waits for a condition.
 func (w *world) until(what string, condition func() bool) {
 	w.t.Helper()
-	ticker := time.NewTicker(5 * time.Millisecond)
+	ticker := timer.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
 	for !condition() {
 		select {
