One question to the path table: may peers be asked for a server

After a failed direct connection the connector asked the table two things under its lock, one after the other: is the service lost, and is the wait over. The rule stands in the table now, which decides; its test covers what the connector does. No change of behaviour.

TestPeersAreAskedForLostServicesOnly is new.

--- a/internal/gateway/connector.go
+++ b/internal/gateway/connector.go
@@ -79,7 +79,7 @@
 	if err == nil {
 		return conn, nil, nil
 	}
-	if !c.paths.Lost(target.Service) || !c.paths.MayAskPeers(target.Service, monotime.Now()) || ctx.Err() != nil {
+	if ctx.Err() != nil || !c.paths.MayAskPeers(target.Service, monotime.Now()) {
 		return nil, nil, err
 	}
 	return c.connectThroughPeer(ctx, target.Server, work.AllowedRegions)
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -191,12 +191,13 @@
 	return !s.lost || received > s.streakSince
 }
 
-// MayAskPeers reports whether peers may be asked for a connection to a service's servers.
+// MayAskPeers reports whether peers may be asked for a connection to a server of a service
+// that could not be reached directly just now.
 func (t *Table) MayAskPeers(serviceName string, now monotime.Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[serviceName]
-	return s == nil || now >= s.holdUntil
+	return s != nil && s.lost && now >= s.holdUntil
 }
 
 // PeerFailed records that a peer could not reach a server either. After some in a row
--- a/internal/paths/paths_test.go
+++ b/internal/paths/paths_test.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// Guards against a crash of one server that moves its service's connections to peers.
+func TestPeersAreAskedForLostServicesOnly(t *testing.T) {
+	table := NewTable()
+	if table.MayAskPeers("svc", at(0)) {
+		t.Error("peers are asked before any failure")
+	}
+	table.Failed("svc", "a", 5, at(0))
+	if table.MayAskPeers("svc", at(0)) {
+		t.Error("peers are asked after the failure of one server")
+	}
+	table.Failed("svc", "b", 5, at(0))
+	if !table.MayAskPeers("svc", at(0)) || table.MayAskPeers("other", at(0)) {
+		t.Error("peers must be asked for the lost service, and for no other")
+	}
+}
+
 func candidates(n int) (out []Peer) {
 	for i := range n {
 		out = append(out, Peer{ID: fmt.Sprint("p", i), Capacity: 400, Local: i%2 == 0})
