Test: clusters with cuts of any size are set up in one place

The test of large fleets repeated the set-up of the small ones line by line. playFleetCuts takes the size and the time the instances need to find each other.

--- a/internal/gateway/cutfleet_test.go
+++ b/internal/gateway/cutfleet_test.go
@@ -1,22 +1,18 @@
 package gateway
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"basilrudder/internal/standin/narrownet"
 )
 
 const (
-	// fleetStart is how long the instances of a large fleet take to find each other.
-	fleetStart = 10 * time.Second
+	// largeFleetStart is how long the instances of a large fleet take to find each other.
+	largeFleetStart = 10 * time.Second
 	// rareInterval is the time between two requests to one instance of a large fleet.
 	rareInterval = time.Second
 )
@@ -39,35 +35,29 @@
 	}
 }
 
+// threeFifths returns three of each five instances.
+func threeFifths(size int) (out []int) {
+	for n := range size {
+		if n%5 < 3 {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // Guards against instances with few requests that find a cut, or peers that help, too late.
 func TestInstancesCutOffInFleetsOfAnySize(t *testing.T) {
 	for _, size := range fleetSizes() {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				passProcessStart()
-				ctx, cancel := context.WithCancel(t.Context())
-				var tasks errgroup.Group
-				c := emptyCutCluster(t, ctx, &tasks)
-				for n := range cutServers {
-					c.startServer(n, c.serve)
-				}
-				c.startInstances(0, size)
-				time.Sleep(fleetStart)
+			playFleetCuts(t, size, largeFleetStart, func(c *cutCluster) {
 				c.loadRarely(cutLasts + 2*time.Second)
 				time.Sleep(2 * time.Second)
-				var cut []int
-				for n := range size {
-					if n%5 < 3 {
-						cut = append(cut, n)
-					}
-				}
-				during(narrownet.Silent, cut...)(c)
+				during(narrownet.Silent, threeFifths(size)...)(c)
 				got := c.counted()
 				t.Logf("cut off: %d of %d served, others: %d of %d; failed: %v", got.cutServed, got.cut, got.othersServed, got.others, got.failures)
 				if got.cut == 0 || !got.fair() {
 					t.Errorf("instances cut off served %d of %d first tries, the others %d of %d", got.cutServed, got.cut, got.othersServed, got.others)
 				}
-				c.stop(cancel)
 			})
 		})
 	}
--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -37,6 +37,8 @@
 	// cutInstances and cutServers are the sizes of the fleet.
 	cutInstances = 8
 	cutServers   = 9
+	// smallFleetStart is how long the instances of a small fleet take to find each other.
+	smallFleetStart = 2 * time.Second
 	// cutUserTimeout is the user timeout of the connections in the test's network.
 	cutUserTimeout = 2 * time.Second
 	// tryInterval is the time between two requests to one instance.
@@ -99,23 +101,29 @@
 	return c
 }
 
-func newCutCluster(t *testing.T, ctx context.Context, tasks *errgroup.Group) *cutCluster {
+// newCutCluster starts a cluster of so many instances and waits while they find each other.
+func newCutCluster(t *testing.T, ctx context.Context, tasks *errgroup.Group, size int, start time.Duration) *cutCluster {
 	passProcessStart()
 	c := emptyCutCluster(t, ctx, tasks)
 	for n := range cutServers {
 		c.startServer(n, c.serve)
 	}
-	c.startInstances(0, cutInstances)
-	time.Sleep(2 * time.Second)
+	c.startInstances(0, size)
+	time.Sleep(start)
 	return c
 }
 
-// playCuts plays a test on a cluster in virtual time.
+// playCuts plays a test on a small cluster in virtual time.
 func playCuts(t *testing.T, play func(c *cutCluster)) {
+	playFleetCuts(t, cutInstances, smallFleetStart, play)
+}
+
+// playFleetCuts plays a test on a cluster of so many instances in virtual time.
+func playFleetCuts(t *testing.T, size int, start time.Duration, play func(c *cutCluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var tasks errgroup.Group
-		c := newCutCluster(t, ctx, &tasks)
+		c := newCutCluster(t, ctx, &tasks, size, start)
 		play(c)
 		c.stop(cancel)
 	})
