Sleeps that end early call timer.Sleep; an import in its group

gateway and daemon each had a function sleep that only passed its arguments on to timer.Sleep since that exists. Their callers call it. narrownet named internal/timer among the imports of the standard library. No change of behaviour.

--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -41,13 +41,13 @@
 	}
 	d.cfg.Log.Info("leaving", zap.Duration("directory_ttl", d.directoryTTL()))
 	d.instance.Leave(monotime.Now())
-	sleep(ctx, d.directoryTTL())
+	timer.Sleep(d.directoryTTL(), ctx.Done())
 	d.node.Drain(monotime.Now())
 	for !d.node.Drained() && ctx.Err() == nil {
-		sleep(ctx, drainPollInterval)
+		timer.Sleep(drainPollInterval, ctx.Done())
 	}
 	d.instance.Goodbye(monotime.Now())
-	sleep(ctx, goodbyeDelay)
+	timer.Sleep(goodbyeDelay, ctx.Done())
 	if ctx.Err() == nil {
 		// Requests that this instance forwards to other instances are also in flight here.
 		_ = d.callers.Shutdown(ctx)
@@ -84,7 +84,3 @@
 	}
 	return 0
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer.Sleep(wait, ctx.Done())
-}
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -14,6 +14,7 @@
 	"basilrudder/internal/route"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/servers"
+	"basilrudder/internal/timer"
 )
 
 // The parts of prompts that engines keep are tracked from the requests sent to them, so a
@@ -51,7 +52,7 @@
 // engines. After a restart of all instances each must ask its own engines even if others
 // were faster, because an update of theirs covers only their engines.
 func (g *Gateway) discoverCaches(ctx context.Context) error {
-	sleep(ctx, peerCacheWait)
+	timer.Sleep(peerCacheWait, ctx.Done())
 	if ctx.Err() != nil || g.peers.cachesComplete.Load() || g.cfg.Caches == nil {
 		return nil
 	}
@@ -67,7 +68,7 @@
 		})
 	}
 	err := lists.Wait()
-	sleep(ctx, cacheListTimeout)
+	timer.Sleep(cacheListTimeout, ctx.Done())
 	g.peers.cachesComplete.Store(true)
 	return err
 }
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -20,6 +20,7 @@
 	"basilrudder/internal/servers"
 	"basilrudder/internal/standin/narrownet"
 	"basilrudder/internal/throttle"
+	"basilrudder/internal/timer"
 	"basilrudder/internal/tunnel"
 )
 
@@ -119,7 +120,7 @@
 				p.tick(monotime.Now())
 				c.probe(monotime.Now())
 				f.board.SetPeers(p.memberCount()-1, p.staleness())
-				sleep(ctx, tickInterval)
+				timer.Sleep(tickInterval, ctx.Done())
 			}
 			return nil
 		})
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -143,7 +143,7 @@
 					tasks.Go(func() error {
 						for ctx.Err() == nil {
 							i.fleet.changeServers(fromTimer, func(r *servers.Registry, now monotime.Instant) []string { return r.Expire(now) })
-							sleep(ctx, tickInterval)
+							timer.Sleep(tickInterval, ctx.Done())
 						}
 						return nil
 					})
--- a/internal/gateway/slowlinks_test.go
+++ b/internal/gateway/slowlinks_test.go
@@ -13,6 +13,7 @@
 	"basilrudder/internal/routing"
 	"basilrudder/internal/servers"
 	"basilrudder/internal/standin/narrownet"
+	"basilrudder/internal/timer"
 )
 
 const megabit = 1e6 / 8 // bytes
@@ -96,7 +97,7 @@
 			})
 			since := time.Now()
 			tasks.Go(func() error {
-				sleep(ctx, inForce-every)
+				timer.Sleep(inForce-every, ctx.Done())
 				late := 0
 				for _, i := range fleet {
 					if i.peers.configVersion() < int(version) {
@@ -106,7 +107,7 @@
 				if late > 0 {
 					t.Errorf("version %d: not in force at %d of %d instances after %v", version, late, fast+slow, inForce)
 				}
-				sleep(ctx, leftAlone-time.Since(since))
+				timer.Sleep(leftAlone-time.Since(since), ctx.Done())
 				late = 0
 				for _, i := range fleet {
 					for _, s := range i.fleet.acceptingServers() {
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -115,7 +115,7 @@
 		switch {
 		case err == nil:
 			f.succeeded()
-			sleep(ctx, f.watchInterval()-monotime.Now().Sub(begun))
+			timer.Sleep(f.watchInterval()-monotime.Now().Sub(begun), ctx.Done())
 		case ctx.Err() != nil:
 			return nil
 		case errors.Is(err, ErrNotWanted):
@@ -138,10 +138,10 @@
 		f.revision, f.failures = 0, 0
 	}
 	if f.lacksState() {
-		sleep(ctx, initialCheckInterval)
+		timer.Sleep(initialCheckInterval, ctx.Done())
 		return
 	}
-	sleep(ctx, readCheckInterval)
+	timer.Sleep(readCheckInterval, ctx.Done())
 }
 
 // readNext reads everything at first, and from then on the changes.
@@ -279,7 +279,7 @@
 		f.waitUnlessFirst(ctx, wait*time.Duration(max(1, of/storeReaders)))
 		return
 	}
-	sleep(ctx, wait)
+	timer.Sleep(wait, ctx.Done())
 }
 
 // waitUnlessFirst waits for d, or until this instance is one of the first in rank: in a
@@ -289,15 +289,10 @@
 		if place, _ := f.rank(); place < storeReaders {
 			return
 		}
-		sleep(ctx, min(readCheckInterval, until.Sub(monotime.Now())))
+		timer.Sleep(min(readCheckInterval, until.Sub(monotime.Now())), ctx.Done())
 	}
 }
 
-// sleep waits for d, or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer.Sleep(d, ctx.Done())
-}
-
 // confirm reads the configuration and reports whether the version in force is now the
 // newest. Concurrent calls share one read.
 func (f *storeSync) confirm(ctx context.Context) bool {
--- a/internal/standin/narrownet/conn.go
+++ b/internal/standin/narrownet/conn.go
@@ -1,13 +1,14 @@
 package narrownet
 
 import (
-	"basilrudder/internal/timer"
 	"io"
 	"net"
 	"os"
 	"sync"
 	"syscall"
 	"time"
+
+	"basilrudder/internal/timer"
 )
 
 // stream is one direction of a connection.
