Connections to servers: one bounded dial, one record of its outcome

The connector dialled and recorded twice, for requests and for probes, and the relay's own connector had the third copy of the bounded dial. relay.Dial bounds, connector.record records; a probe still clears its flag in between, so that a failure may start the next probe. The connector also listed all peers before each connection that is not direct, only to see whether there are any: connectThroughPeer tells that, and Connect then dials directly as before.

--- a/internal/gateway/connector.go
+++ b/internal/gateway/connector.go
@@ -69,7 +69,7 @@
 
 // Connect implements relay.Connector.
 func (c *connector) Connect(ctx context.Context, target relay.Target, work *placement.Work) (net.Conn, *relay.Via, error) {
-	if !c.direct(target.Server) {
+	if !c.paths.Direct(target.Service, target.ID, monotime.Now()) {
 		conn, via, err := c.connectThroughPeer(ctx, target.Server, work.AllowedRegions)
 		if !errors.Is(err, errNoPeer) {
 			return conn, via, err
@@ -85,25 +85,24 @@
 	return c.connectThroughPeer(ctx, target.Server, work.AllowedRegions)
 }
 
-// direct reports whether the next connection to a server should be direct.
-func (c *connector) direct(s servers.Server) bool {
-	return c.paths.Direct(s.Service, s.ID, monotime.Now()) || len(c.staying()) == 0
-}
-
 // connectDirectly opens a direct connection and records whether that worked.
 func (c *connector) connectDirectly(ctx context.Context, s servers.Server) (net.Conn, error) {
-	limited, cancel := context.WithTimeout(ctx, relay.ConnectTimeout)
-	defer cancel()
-	conn, err := c.dial(limited, s.Address)
-	switch {
-	case err == nil:
-		c.reached(s)
-	case ctx.Err() == nil:
-		c.failed(s, err)
+	conn, err := relay.Dial(ctx, c.dial, s.Address)
+	if err == nil || ctx.Err() == nil {
+		c.record(s, err)
 	}
 	return conn, err
 }
 
+// record records whether a direct connection to a server could be opened.
+func (c *connector) record(s servers.Server, err error) {
+	if err != nil {
+		c.failed(s, err)
+		return
+	}
+	c.reached(s)
+}
+
 // failed records a server that can't be reached directly. If the service may be lost,
 // another of its servers is probed at once.
 func (c *connector) failed(s servers.Server, cause error) {
--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -126,15 +126,11 @@
 	}
 	c.probedAt.Store(int64(monotime.Now()))
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), relay.ConnectTimeout)
-		defer cancel()
-		conn, err := c.dial(ctx, s.Address)
-		c.probing.Store(false)
-		if err != nil {
-			c.failed(s, err)
-			return
+		conn, err := relay.Dial(context.Background(), c.dial, s.Address)
+		if err == nil {
+			_ = conn.Close()
 		}
-		_ = conn.Close()
-		c.reached(s)
+		c.probing.Store(false) // recording a failure may start the next probe
+		c.record(s, err)
 	}()
 }
--- a/internal/relay/connector.go
+++ b/internal/relay/connector.go
@@ -46,9 +46,7 @@
 var _ Connector = directConnector{}
 
 func (d directConnector) Connect(ctx context.Context, target Target, _ *placement.Work) (net.Conn, *Via, error) {
-	ctx, cancel := context.WithTimeout(ctx, ConnectTimeout)
-	defer cancel()
-	c, err := d.dial(ctx, target.Address)
+	c, err := Dial(ctx, d.dial, target.Address)
 	return c, nil, err
 }
 
@@ -62,6 +60,13 @@
 	return Probe(ctx, d.dial, target.Address)
 }
 
+// Dial opens a direct connection to a server within ConnectTimeout.
+func Dial(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, ConnectTimeout)
+	defer cancel()
+	return dial(ctx, address)
+}
+
 // Probe reports whether a server refuses direct connections, and whether it accepts them.
 // Neither holds if it does not answer.
 func Probe(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), address string) (refuses, accepts bool) {
