Whether candidates are brittle is asked in one place

brittleRoom, recordAsked and survey each looked at the first candidate. areBrittle says why that is enough. No change of behaviour; the tests of internal/placement pass.

--- a/internal/placement/brittle.go
+++ b/internal/placement/brittle.go
@@ -24,7 +24,7 @@
 // brittleRoom returns the decision for a choice among candidates of one service, which are
 // the given share of its servers.
 func (b *Board) brittleRoom(candidates []Candidate, share float64, now monotime.Instant) brittleRoom {
-	if len(candidates) == 0 || !candidates[0].Brittle {
+	if !areBrittle(candidates) {
 		return brittleRoom{owns: b.owns}
 	}
 	free := 0
@@ -44,9 +44,14 @@
 	return unused > 0 && (float64(unused) > r.unreported || r.owns(s.id))
 }
 
+// areBrittle reports whether candidates of one service are brittle: all or none are.
+func areBrittle(candidates []Candidate) bool {
+	return len(candidates) > 0 && candidates[0].Brittle
+}
+
 // recordAsked records a request for a service of brittle servers.
 func (b *Board) recordAsked(pool *Pool, now monotime.Instant) {
-	if pool.Len() > 0 && pool.candidates[0].Brittle {
+	if pool.Len() > 0 && areBrittle(pool.candidates) {
 		b.kindOf(pool.candidates[0].Service).asked.add(now)
 	}
 }
--- a/internal/placement/survey.go
+++ b/internal/placement/survey.go
@@ -26,7 +26,7 @@
 	brief := b.isBrief(work, candidates)
 	useReserve := brief && !b.contention.urgentRefused(work.Priority, now)
 	brittle := b.brittleRoom(candidates, share, now)
-	found.brittle = len(candidates) > 0 && candidates[0].Brittle
+	found.brittle = areBrittle(candidates)
 	for _, candidate := range candidates {
 		s := b.server(candidate)
 		if s.retryAt != 0 && now < s.retryAt {
