One rule for rates received from outside, one encoding of ages

The ages of a limit and of a brittle server are encoded by one function, as they were decoded by one.

--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -50,7 +49,7 @@
 		return
 	}
 	state.Limited, state.Rate = b.Limited, b.Rate
-	state.LimitAge = 1 + int(max(0, now.Sub(b.At)).Milliseconds())
+	state.LimitAge = encodeAge(b.At, now)
 }
 
 // maxLimitAge bounds the age of a limit that a peer sent: a damaged age could overflow.
@@ -59,15 +58,18 @@
 // decodeRateLimit decodes a limit that a peer sent. A damaged value yields no limit: neither
 // a rate that cannot be applied, nor a limit that would count as newer than later ones.
 func decodeRateLimit(state *wire.RelayServer, now monotime.Instant) servers.RateLimit {
-	if state.LimitAge <= 0 || !validRate(state.Rate) {
+	if state.LimitAge <= 0 || !servers.ValidRate(state.Rate) {
 		return servers.RateLimit{}
 	}
 	return servers.RateLimit{Limited: state.Limited, Rate: state.Rate, At: now.Add(-decodeAge(state.LimitAge))}
 }
 
-func validRate(rate float64) bool { return rate >= 0 && !math.IsInf(rate, 1) }
+// encodeAge encodes the time since at as milliseconds plus one, as 0 stands for no value.
+func encodeAge(at, now monotime.Instant) int {
+	return 1 + int(max(0, now.Sub(at)).Milliseconds())
+}
 
-// decodeAge decodes an age in milliseconds plus one.
+// decodeAge decodes an age that a peer encoded.
 func decodeAge(sent int) time.Duration {
 	if sent > int(maxLimitAge.Milliseconds()) {
 		return maxLimitAge
@@ -82,7 +84,7 @@
 	if b.Brittle {
 		state.MaxRefusals = max(b.MaxRefusals, minMaxRefusals)
 	}
-	state.BrittleAge = 1 + int(max(0, now.Sub(b.At)).Milliseconds())
+	state.BrittleAge = encodeAge(b.At, now)
 }
 
 // minMaxRefusals stands for no refusals at all, as 0 stands for a server that says nothing
@@ -92,7 +94,7 @@
 // decodeBrittleness decodes what a peer received of a server's refusals. A damaged value
 // yields nothing, as in decodeRateLimit.
 func decodeBrittleness(state *wire.RelayServer, now monotime.Instant) servers.Brittleness {
-	if state.BrittleAge <= 0 || !validRate(state.MaxRefusals) {
+	if state.BrittleAge <= 0 || !servers.ValidRate(state.MaxRefusals) {
 		return servers.Brittleness{}
 	}
 	at := now.Add(-decodeAge(state.BrittleAge))
--- a/internal/servers/notice.go
+++ b/internal/servers/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -28,6 +29,10 @@
 	Refused bool
 }
 
+// ValidRate reports whether a number of requests a second, received from outside, can be
+// applied.
+func ValidRate(rate float64) bool { return rate >= 0 && !math.IsInf(rate, 1) }
+
 // Brittleness is how many refusals a server survives, if it says so.
 type Brittleness struct {
 	Brittle     bool
