--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -62,6 +62,7 @@
 	if e.answer.NotRun {
 		return f.handleRefusal(e)
 	}
+	f.received.framing = framingOf(e.resp)
 	if e.resp.StatusCode >= http.StatusInternalServerError {
 		f.observe(placement.Failed)
 		if f.route.MayRepeat() && !f.stream.begun() && f.sends < f.route.Attempts {
@@ -166,6 +167,7 @@
 // relayWhole passes on an answer that is not a stream.
 func (f *forwarder) relayWhole(e *exchange) *verdict.Error {
 	body, err := io.ReadAll(io.LimitReader(e.resp.Body, maxBufferedAnswer))
+	f.received.bytes = int64(len(body))
 	if err != nil {
 		e.abandon()
 		f.observe(placement.Failed)
@@ -197,7 +199,9 @@
 // relayRest passes on the rest of a long answer as it arrives.
 func (f *forwarder) relayRest(e *exchange) *verdict.Error {
 	f.stream.started = true
-	if _, err := io.CopyBuffer(f.w, e.resp.Body, make([]byte, copyBufferSize)); err != nil {
+	n, err := io.CopyBuffer(f.w, e.resp.Body, make([]byte, copyBufferSize))
+	f.received.bytes += n
+	if err != nil {
 		e.abandon()
 		return verdict.Wrap(verdict.Ran, verdict.ReasonUpstreamLost, err)
 	}
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -48,6 +48,8 @@
 	// firstEventAt is when the first bytes of the last server's stream arrived; 0 for
 	// none.
 	firstEventAt monotime.Instant
+	// received describes what has arrived of the last server's answer.
+	received received
 	// stream tracks what has been delivered of a stream so far.
 	stream delivery
 
@@ -165,6 +167,7 @@
 	}
 	f.sends++
 	f.firstEventAt = 0
+	f.received = received{}
 	defer func() { fleet.End(run, monotime.Now()) }()
 	e, problem := send(f.ctx, f.relay.pool, c, f.encodeRequest(target), f.body, f.deadline)
 	if problem != nil {
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -18,6 +18,7 @@
 		zap.String("reason", string(problem.Reason)),
 		zap.String("cause", problem.Message),
 	}
+	fields = append(fields, f.received.fields()...)
 	f.relay.cfg.Log.Info("send_failed", append(fields, f.choiceFields()...)...)
 	f.relay.cfg.Metrics.sendFailed(problem.Reason)
 }
@@ -52,6 +53,7 @@
 	if f.firstByte != 0 {
 		fields = append(fields, zap.Duration("first_ms", f.firstByte.Sub(f.arrived)))
 	}
+	fields = append(fields, f.received.fields()...)
 	fields = append(fields, f.choiceFields()...)
 	if f.stream.longestGap > 0 {
 		fields = append(fields,
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilrudder/internal/eventstream"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/verdict"
@@ -41,6 +42,7 @@
 func (f *forwarder) relayStream(e *exchange, run int) *verdict.Error {
 	f.stream.partialEvent = nil
 	buffer := make([]byte, copyBufferSize)
+	var scanner eventstream.Scanner
 	first := true
 	for {
 		if err := f.awaitEvents(e, run); err != nil {
@@ -55,6 +57,8 @@
 				f.firstEventAt = monotime.Now()
 				f.relay.cfg.Fleet.FirstEvent(run, monotime.Now())
 			}
+			_, _ = scanner.Scan(buffer[:n])
+			f.received.bytes, f.received.eventOpen = f.received.bytes+int64(n), scanner.Open()
 			f.relay.cfg.Fleet.Events(run, bytes.Count(buffer[:n], eventEnd), monotime.Now())
 			if problem := f.deliver(e, buffer[:n]); problem != nil {
 				e.abandon()
