--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -191,6 +191,8 @@
 	// scripts by server; each new connection runs the server's next one.
 	scripts map[string][]script
 	dials   map[string]int
+	// sockets means that connections to servers are TCP connections, which can be reset.
+	sockets bool
 	mu      sync.Mutex
 	running sync.WaitGroup
 }
@@ -224,6 +226,9 @@
 		return nil, errors.New("connection refused")
 	}
 	near, far := net.Pipe()
+	if b.sockets {
+		near, far = tcpPair(b.t)
+	}
 	b.running.Go(func() {
 		defer far.Close()
 		b.scripts[address][n](b.t, far, bufio.NewReader(far))
@@ -231,6 +236,24 @@
 	return near, nil
 }
 
+// tcpPair returns both ends of a connection on loopback.
+func tcpPair(t *testing.T) (near, far net.Conn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	near, err = net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err = listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return near, far
+}
+
 // serve handles a request and returns the answer; aborted reports that the relay aborted
 // the connection.
 func (b *rig) serve(req *http.Request) (rec *httptest.ResponseRecorder, aborted bool) {
--- /dev/null
+++ b/internal/relay/truncated_test.go
@@ -0,0 +1,165 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// Heads of answers whose end is that of their connection.
+const (
+	closeStreamHead = "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Seal: first\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	closePlainHead  = "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Seal: first\r\nContent-Type: application/json\r\n\r\n"
+)
+
+func lengthHead(length int) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Seal: first\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n", length)
+}
+
+// sendThenReset sends parts of an answer and resets the connection.
+func sendThenReset(parts ...string) script {
+	return func(t *testing.T, c net.Conn, in *bufio.Reader) {
+		sendThenClose(parts...)(t, c, in)
+		if err := c.(*net.TCPConn).SetLinger(0); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// seen is what a caller has received of an answer.
+type seen struct {
+	status  int
+	framing framing
+	body    string
+	// broken means that the answer ended before the end that its framing marks, or with a
+	// reset.
+	broken bool
+}
+
+// call sends a request over a connection of its own and returns what its caller sees.
+func (b *rig) call(version, method, path string) seen {
+	b.t.Helper()
+	front := httptest.NewServer(b.relay)
+	defer front.Close()
+	c, err := net.Dial("tcp", front.Listener.Addr().String())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "%s %s HTTP/%s\r\nHost: h.example\r\nX-Id: r\r\nX-Key: key\r\nContent-Length: 1\r\n\r\nx", method, path, version)
+	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+	if err != nil {
+		return seen{broken: true}
+	}
+	body, err := io.ReadAll(resp.Body)
+	return seen{resp.StatusCode, framingOf(resp), string(body), err != nil}
+}
+
+// Guards against answers that a server broke off and that look complete to their caller,
+// in every framing, and against whole ones that don't arrive whole.
+func TestTruncatedAnswersDoNotLookComplete(t *testing.T) {
+	whole := events(1, 5)
+	inside := events(1, 2) + "id: 3\nda"
+	crlf := strings.ReplaceAll(whole, "\n", "\r\n")
+	resumed := replying(streamHead + chunk(events(3, 5)) + lastChunk)
+	fromStart := replying(streamHead + chunk(whole) + lastChunk)
+	for _, c := range []struct {
+		name, path string
+		first      script
+		second     script // of another server; nil for none
+		want       seen
+	}{
+		{"stream, closed when whole", "/stream/", sendThenClose(closeStreamHead, whole), nil, seen{200, framingClose, whole, false}},
+		{"stream with CRLF, closed when whole", "/stream/", sendThenClose(closeStreamHead, crlf), nil, seen{200, framingClose, crlf, false}},
+		{"stream, closed inside an event", "/stream/", sendThenClose(closeStreamHead, inside), nil, seen{status: 200, broken: true}},
+		{"stream, closed inside an event after CRLF", "/stream/", sendThenClose(closeStreamHead, crlf+"id: 6\r\n"), nil, seen{status: 200, broken: true}},
+		{"stream, reset inside an event", "/stream/", sendThenReset(closeStreamHead, inside), nil, seen{status: 200, broken: true}},
+		{"stream, reset between events", "/stream/", sendThenReset(closeStreamHead, events(1, 2)), nil, seen{status: 200, broken: true}},
+		{"stream, closed between events", "/stream/", sendThenClose(closeStreamHead, events(1, 2)), nil, seen{200, framingClose, events(1, 2), false}},
+		{"stream, closed before an event", "/stream/", sendThenClose(closeStreamHead), nil, seen{502, framingLength, "upstream_lost\n", false}},
+		{"stream in chunks, ended inside an event", "/stream/", replying(streamHead + chunk(inside) + lastChunk), nil, seen{status: 200, broken: true}},
+		{"stream in chunks, without the last", "/stream/", sendThenClose(streamHead, chunk(whole)), nil, seen{status: 200, broken: true}},
+		{"stream in chunks, whole", "/stream/", replying(streamHead + chunk(whole) + lastChunk), nil, seen{200, framingChunked, whole, false}},
+		{"stream shorter than its length", "/stream/", sendThenClose(lengthHead(len(whole)+1), whole), nil, seen{status: 200, broken: true}},
+		{"stream of its length, ended inside an event", "/stream/", replying(lengthHead(len(inside)) + inside), nil, seen{status: 200, broken: true}},
+
+		{"resumable, closed when whole", "/resumable/", sendThenClose(closeStreamHead, whole), unresponsive, seen{200, framingClose, whole, false}},
+		{"resumable with CRLF, closed when whole", "/resumable/", sendThenClose(closeStreamHead, crlf), unresponsive, seen{200, framingClose, crlf, false}},
+		{"resumable, closed inside an event", "/resumable/", sendThenClose(closeStreamHead, inside), resumed, seen{200, framingClose, whole, false}},
+		{"resumable, closed inside an event, no other server", "/resumable/", sendThenClose(closeStreamHead, inside), nil, seen{status: 200, broken: true}},
+		{"resumable, closed inside the first event", "/resumable/", sendThenClose(closeStreamHead, "id: 1\nda"), fromStart, seen{200, framingChunked, whole, false}},
+		{"resumable, closed before an event", "/resumable/", sendThenClose(closeStreamHead), fromStart, seen{200, framingChunked, whole, false}},
+		{"resumable, reset between events", "/resumable/", sendThenReset(closeStreamHead, events(1, 2)), resumed, seen{200, framingClose, whole, false}},
+		{"resumable in chunks, ended inside an event", "/resumable/", replying(streamHead + chunk(inside) + lastChunk), resumed, seen{200, framingChunked, whole, false}},
+		{"resumable in chunks, resumed, closed", "/resumable/", sendThenClose(streamHead, chunk(inside)), sendThenClose(closeStreamHead, events(3, 5)), seen{status: 200, broken: true}},
+		{"resumable in chunks, resumed, closed inside an event", "/resumable/", sendThenClose(streamHead, chunk(inside)), sendThenClose(closeStreamHead, "id: 3\n"), seen{status: 200, broken: true}},
+
+		{"plain, closed", "/once/", sendThenClose(closePlainHead, "{}"), nil, seen{200, framingClose, "{}", false}},
+		{"plain and long, closed", "/once/", sendThenClose(closePlainHead, strings.Repeat("x", maxBufferedAnswer+1)), nil, seen{200, framingClose, strings.Repeat("x", maxBufferedAnswer+1), false}},
+		{"plain, reset", "/once/", sendThenReset(closePlainHead, "{"), nil, seen{502, framingLength, "upstream_lost\n", false}},
+		{"plain, shorter than its length", "/once/", sendThenClose(lengthHead(3), "{}"), nil, seen{502, framingLength, "upstream_lost\n", false}},
+		{"plain that may run again, reset", "/again/", sendThenReset(closePlainHead, "{"), replying(answer("r", 200, "", "{}")), seen{200, framingLength, "{}", false}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			scripts := map[string][]script{"s1": {c.first, replying(), replying()}}
+			if c.second != nil {
+				scripts["s2"] = []script{c.second}
+			}
+			b := newRig(t, allRoutes, scripts, "s1", "s2")
+			b.sockets = true
+			got := b.call("1.1", "POST", c.path)
+			b.close()
+			if c.want.broken {
+				got.framing, got.body = "", ""
+			}
+			if got != c.want {
+				t.Errorf("got %.120q, want %.120q", fmt.Sprint(got), fmt.Sprint(c.want))
+			}
+		})
+	}
+}
+
+// Guards against answers to HTTP/1.0 callers, which know no chunks, that look whole although
+// a server broke them off.
+func TestTruncatedAnswersAreResetForCallersWithoutChunks(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first script
+		want  seen
+	}{
+		{"whole", replying(streamHead + chunk(events(1, 5)) + lastChunk), seen{200, framingClose, events(1, 5), false}},
+		{"whole, closed", sendThenClose(closeStreamHead, events(1, 5)), seen{200, framingClose, events(1, 5), false}},
+		{"without the last chunk", sendThenClose(streamHead, chunk(events(1, 5))), seen{broken: true}},
+		{"closed inside an event", sendThenClose(closeStreamHead, events(1, 5)+"id"), seen{broken: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newRig(t, allRoutes, map[string][]script{"s1": {c.first, replying(), replying()}}, "s1")
+			b.sockets = true
+			got := b.call("1.0", "POST", "/stream/")
+			b.close()
+			if c.want.broken {
+				got = seen{broken: got.broken}
+			}
+			if got != c.want {
+				t.Errorf("got %.120q, want %.120q", fmt.Sprint(got), fmt.Sprint(c.want))
+			}
+		})
+	}
+}
+
+// Guards against a stream that ends inside an event and counts as one that its server
+// served, or as a request that it survived.
+func TestAStreamThatEndsInsideAnEventIsAFailureOfItsServer(t *testing.T) {
+	b := newRig(t, allRoutes, map[string][]script{"s1": {sendThenClose(closeStreamHead, "id: 1\n")}}, "s1")
+	b.sockets = true
+	b.call("1.1", "POST", "/stream/")
+	b.close()
+	if len(b.fleet.survived) != 0 || len(b.fleet.crashed) != 1 || fmt.Sprint(b.fleet.outcomes) != "[s1 failed]" {
+		t.Errorf("survived %v, crashed %v, outcomes %v", b.fleet.survived, b.fleet.crashed, b.fleet.outcomes)
+	}
+}
