The caller's answer ends no more clearly than the server's

What callers saw: an answer that ended with its connection came in chunks with their last one, or with a Content-Length, so that one that had been cut off between two events, or anywhere in a plain answer, looked whole. To callers of HTTP/1.0 each broken-off answer looked whole, since its connection was closed in the ordinary way.

Cause: the instance set the framing anew for each caller, and vouched for an end that nobody had marked. By RFC 9112, sections 6.3 and 8, the end of a connection does not tell.

Now an answer without a length and chunks is passed on without them and ends with the caller's connection; if it is broken off, that connection is reset. A stream that began in chunks and was resumed at a server whose answer ends with its connection can't be ended as whole any more and is broken off.

Weighed: keeping chunks and leaving out the last one would make each whole answer of such a server look broken; the cost of the chosen way is a connection of the caller for each such answer, as it is one of the server already.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -181,7 +181,8 @@
 	whole := len(body) < maxBufferedAnswer
 	if whole {
 		e.finish()
-		if f.hr.Method != http.MethodHead && bodyAllowed(e.resp.StatusCode) {
+		if f.received.framing == framingLength || f.received.framing == framingChunked {
+			f.framing = framingLength
 			f.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		}
 	}
@@ -212,6 +213,7 @@
 // beginAnswer sets the headers of the final answer and records its status.
 func (f *forwarder) beginAnswer(resp *http.Response) {
 	copyAnswer(f.w.Header(), resp.Header)
+	f.setFraming(f.received.framing)
 	f.closeDuringDrain()
 	f.status = resp.StatusCode
 	f.firstByte = monotime.Now()
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -53,6 +53,8 @@
 	// stream tracks what has been delivered of a stream so far.
 	stream delivery
 
+	// framing of the answer to the caller; empty before it has begun.
+	framing   framing
 	status    int
 	reason    verdict.Reason
 	cause     error
--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"net"
 	"net/http"
 
 	"go.uber.org/zap"
+
+	"basilrudder/internal/eventlog"
 )
 
 // framing is how the end of an answer is marked (RFC 9112, section 6.3).
@@ -51,3 +54,32 @@
 		zap.Bool("event_open", r.eventOpen),
 	}
 }
+
+// setFraming gives the caller's answer no clearer an end than the server's has: an answer
+// that ends with the server's connection ends with the caller's.
+func (f *forwarder) setFraming(server framing) {
+	f.framing = framingChunked
+	if server == framingClose {
+		f.framing = framingClose
+		// The value by which net/http sends a body without length and chunks.
+		f.w.Header().Set("Transfer-Encoding", "identity")
+	}
+	if !f.hr.ProtoAtLeast(1, 1) {
+		f.framing = framingClose
+	}
+}
+
+// resetCaller breaks off an answer that ends with its connection by resetting that: if it
+// were closed, the answer would look complete.
+func (f *forwarder) resetCaller() {
+	c, _, err := http.NewResponseController(f.w).Hijack()
+	if err != nil {
+		f.relay.cfg.Log.Warn("caller_not_reset", zap.String("id", f.request.ID), eventlog.Cause(err))
+		return
+	}
+	if socket, ok := c.(*net.TCPConn); ok {
+		// After an error the connection is already closed.
+		_ = socket.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -114,8 +114,12 @@
 }
 
 // abort breaks off an answer that has begun so that it can't look complete: the
-// connection closes before the length or the last chunk is reached.
+// connection closes before the length or the last chunk is reached, or is reset where its
+// end is that of the answer.
 func (f *forwarder) abort(problem *verdict.Error) {
 	f.reason, f.cause = problem.Reason, problem
+	if f.framing == framingClose {
+		f.resetCaller()
+	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -37,8 +37,14 @@
 
 func (d *delivery) begun() bool { return d.started }
 
-// errInsideEvent ends a stream that its server ended without the end of its last event.
-var errInsideEvent = errors.New("stream ended inside an event")
+// Errors of streams that their servers ended without a network error.
+var (
+	errInsideEvent = errors.New("stream ended inside an event")
+	errNoEvent     = errors.New("server closed its connection before the first event")
+	// errUnknownEnd is that of a server that marks the end less clearly than the caller was
+	// promised by the framing of an earlier server.
+	errUnknownEnd = errors.New("server closed its connection, which does not tell whether the stream was whole")
+)
 
 // relayStream passes events on as they arrive. The headers go out with the first one, so
 // that a server that fails before it can still be replaced.
@@ -71,6 +77,13 @@
 			return f.streamLost(e, err)
 		case scanner.Open():
 			return f.streamLost(e, errInsideEvent)
+		case f.received.framing != framingClose:
+			return f.endStream(e)
+		case scan && !f.stream.begun() && f.request.ResumeAfter == "":
+			return f.streamLost(e, errNoEvent)
+		case f.stream.begun() && f.framing != framingClose:
+			e.abandon()
+			return verdict.Wrap(verdict.Ran, verdict.ReasonUpstreamLost, errUnknownEnd)
 		default:
 			return f.endStream(e)
 		}
