A stream without event ids is not resumed at another server

Without an id a further server begins anew, and the caller gets the first events twice, joined to those of another run. Found while looking for the cause of truncated answers elsewhere. The case 'resumable without ids, reset between events' of TestTruncatedAnswersDoNotLookComplete failed before: the caller got a whole stream with its first event twice. Now the answer is broken off.

--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -119,7 +119,7 @@
 		return len(f.excluded) <= maxUnreachable
 	case f.worst != verdict.NotRun && !f.route.MayRepeat():
 		return false
-	case f.stream.begun() && !f.route.Resumable:
+	case f.stream.begun() && !f.route.Resumable, !f.stream.resumable():
 		return false
 	case f.sends >= f.route.Attempts:
 		return false
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -37,6 +37,10 @@
 
 func (d *delivery) begun() bool { return d.started }
 
+// resumable reports whether what was delivered can be continued by another server: an id
+// tells with which event it ends.
+func (d *delivery) resumable() bool { return !d.started || d.lastID != "" }
+
 // Errors of streams that their servers ended without a network error.
 var (
 	errInsideEvent = errors.New("stream ended inside an event")
--- a/internal/relay/truncated_test.go
+++ b/internal/relay/truncated_test.go
@@ -102,6 +102,8 @@
 		{"resumable in chunks, resumed, closed", "/resumable/", sendThenClose(streamHead, chunk(inside)), sendThenClose(closeStreamHead, events(3, 5)), seen{status: 200, broken: true}},
 		{"resumable in chunks, resumed, closed inside an event", "/resumable/", sendThenClose(streamHead, chunk(inside)), sendThenClose(closeStreamHead, "id: 3\n"), seen{status: 200, broken: true}},
 
+		{"resumable without ids, reset between events", "/resumable/", sendThenReset(closeStreamHead, "data: 1\n\n"), fromStart, seen{status: 200, broken: true}},
+
 		{"plain, closed", "/once/", sendThenClose(closePlainHead, "{}"), nil, seen{200, framingClose, "{}", false}},
 		{"plain and long, closed", "/once/", sendThenClose(closePlainHead, strings.Repeat("x", maxBufferedAnswer+1)), nil, seen{200, framingClose, strings.Repeat("x", maxBufferedAnswer+1), false}},
 		{"plain, reset", "/once/", sendThenReset(closePlainHead, "{"), nil, seen{502, framingLength, "upstream_lost\n", false}},
