What is held of an event of a resumable stream is bounded

The start of an event is held until its end, and had no bound: a server that sends one endless line would fill the memory of the instance. Beyond 64 KiB an event is passed on as it arrives, and the stream can't go on elsewhere any more. What is held is no longer copied at each read.

Two cases of TestTruncatedAnswersDoNotLookComplete; the one that resets inside a long event got a joined stream without the rule that such a stream is not resumed.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -21,6 +21,9 @@
 	// the other server.
 	resumeTimeoutGaps = 4
 	minResumeTimeout  = 700 * time.Millisecond
+	// maxPartialEvent bounds what is held of an event of a stream that may be resumed, in
+	// bytes. A longer event is passed on as it arrives.
+	maxPartialEvent = 64 << 10
 )
 
 // delivery tracks what the caller has received of a stream.
@@ -30,6 +33,9 @@
 	lastID string
 	// partial holds the start of an event that has not arrived completely.
 	partial []byte
+	// split means that a part of an event longer than maxPartialEvent was delivered. The
+	// stream can't go on at another server then.
+	split bool
 	// lastAt is when the last bytes were passed on.
 	lastAt     monotime.Instant
 	longestGap time.Duration
@@ -37,9 +43,9 @@
 
 func (d *delivery) begun() bool { return d.started }
 
-// resumable reports whether what was delivered can be continued by another server: an id
-// tells with which event it ends.
-func (d *delivery) resumable() bool { return !d.started || d.lastID != "" }
+// resumable reports whether what was delivered can be continued by another server: it ends
+// with an event, and an id tells which.
+func (d *delivery) resumable() bool { return !d.started || !d.split && d.lastID != "" }
 
 // Errors of streams that their servers ended without a network error.
 var (
@@ -168,21 +174,26 @@
 }
 
 // completeEvents returns the events that are complete with the first closed bytes of data,
-// and keeps the rest for the next call.
+// and keeps the rest for the next call, up to maxPartialEvent.
 func (f *forwarder) completeEvents(data []byte, closed int) []byte {
-	if closed == 0 {
+	if closed == 0 && len(f.stream.partial)+len(data) <= maxPartialEvent {
 		f.stream.partial = append(f.stream.partial, data...)
 		return nil
 	}
-	whole := data[:closed]
-	if len(f.stream.partial) > 0 {
-		whole = append(f.stream.partial, whole...)
+	all := append(f.stream.partial, data...)
+	end := len(f.stream.partial) + closed
+	f.stream.partial = nil
+	if closed == 0 {
+		f.stream.split = true
+		return all
 	}
-	f.stream.partial = append([]byte(nil), data[closed:]...)
-	if id := f.relay.cfg.Protocol.LastEventID(whole); id != "" {
+	if id := f.relay.cfg.Protocol.LastEventID(all[:end]); id != "" {
 		f.stream.lastID = id
 	}
-	return whole
+	if end < len(all) {
+		f.stream.partial = append([]byte(nil), all[end:]...)
+	}
+	return all[:end]
 }
 
 // endStream ends the caller's stream after the server ended its own between two events.
--- a/internal/relay/truncated_test.go
+++ b/internal/relay/truncated_test.go
@@ -102,7 +102,9 @@
 		{"resumable in chunks, resumed, closed", "/resumable/", sendThenClose(streamHead, chunk(inside)), sendThenClose(closeStreamHead, events(3, 5)), seen{status: 200, broken: true}},
 		{"resumable in chunks, resumed, closed inside an event", "/resumable/", sendThenClose(streamHead, chunk(inside)), sendThenClose(closeStreamHead, "id: 3\n"), seen{status: 200, broken: true}},
 
+		{"resumable, reset inside a long event", "/resumable/", sendThenReset(closeStreamHead, "id: 1\n\ndata: ", strings.Repeat("x", 2*maxPartialEvent)), resumed, seen{status: 200, broken: true}},
 		{"resumable without ids, reset between events", "/resumable/", sendThenReset(closeStreamHead, "data: 1\n\n"), fromStart, seen{status: 200, broken: true}},
+		{"resumable, a long event", "/resumable/", sendThenClose(closeStreamHead, "data: "+strings.Repeat("x", 2*maxPartialEvent)+"\n\n"), unresponsive, seen{200, framingClose, "data: " + strings.Repeat("x", 2*maxPartialEvent) + "\n\n", false}},
 
 		{"plain, closed", "/once/", sendThenClose(closePlainHead, "{}"), nil, seen{200, framingClose, "{}", false}},
 		{"plain and long, closed", "/once/", sendThenClose(closePlainHead, strings.Repeat("x", maxBufferedAnswer+1)), nil, seen{200, framingClose, strings.Repeat("x", maxBufferedAnswer+1), false}},
