--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -236,13 +236,20 @@
 	return near, nil
 }
 
+// loopback is shared by all pairs: a listener each would use up the ports.
+var loopback = sync.OnceValues(func() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") })
+
+var pairing sync.Mutex
+
 // tcpPair returns both ends of a connection on loopback.
 func tcpPair(t *testing.T) (near, far net.Conn) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	pairing.Lock()
+	defer pairing.Unlock()
+	listener, err := loopback()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
 	near, err = net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -254,6 +261,33 @@
 	return near, far
 }
 
+// oneConn is a listener of a single connection.
+type oneConn struct {
+	net.Conn
+	conns chan net.Conn
+}
+
+func newOneConn(c net.Conn) *oneConn {
+	out := &oneConn{Conn: c, conns: make(chan net.Conn, 1)}
+	out.conns <- c
+	return out
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l *oneConn) Close() error {
+	close(l.conns)
+	return nil
+}
+
+func (l *oneConn) Addr() net.Addr { return l.LocalAddr() }
+
 // serve handles a request and returns the answer; aborted reports that the relay aborted
 // the connection.
 func (b *rig) serve(req *http.Request) (rec *httptest.ResponseRecorder, aborted bool) {
--- a/internal/relay/truncated_test.go
+++ b/internal/relay/truncated_test.go
@@ -6,11 +6,11 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
 
+	"basilrudder/internal/eventstream"
 	"basilrudder/internal/placement"
 )
 
@@ -47,13 +47,13 @@
 // call sends a request over a connection of its own and returns what its caller sees.
 func (b *rig) call(version, method, path string) seen {
 	b.t.Helper()
-	front := httptest.NewServer(b.relay)
-	defer front.Close()
-	c, err := net.Dial("tcp", front.Listener.Addr().String())
-	if err != nil {
-		b.t.Fatal(err)
-	}
+	c, far := tcpPair(b.t)
 	defer c.Close()
+	// Many plays in a row would otherwise use up the ports.
+	_ = c.(*net.TCPConn).SetLinger(0)
+	front := &http.Server{Handler: b.relay}
+	b.running.Go(func() { _ = front.Serve(newOneConn(far)) })
+	defer front.Close()
 	fmt.Fprintf(c, "%s %s HTTP/%s\r\nHost: h.example\r\nX-Id: r\r\nX-Key: key\r\nContent-Length: 1\r\n\r\nx", method, path, version)
 	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
 	if err != nil {
@@ -171,3 +171,76 @@
 		t.Errorf("survived %v, crashed %v, outcomes %v", b.fleet.survived, b.fleet.crashed, b.fleet.outcomes)
 	}
 }
+
+// FuzzAnswerEnds guards against answers that look complete to the caller without having
+// been sent as complete: what a caller sees as complete is byte for byte what the server
+// sent as complete, whatever the bytes, their framing, their end and how they are split.
+func FuzzAnswerEnds(f *testing.F) {
+	for how := range uint8(18) {
+		f.Add([]byte(events(1, 3)), how, uint16(len(events(1, 2))), uint8(7))
+		f.Add([]byte("id: 1\r\ndata: a\r\n\r\nid: 2\r\n"), how, uint16(30), uint8(1))
+		f.Add([]byte("data: a\r\r: x\r"), how, uint16(12), uint8(200))
+	}
+	f.Fuzz(func(t *testing.T, body []byte, how uint8, cut uint16, split uint8) {
+		server := []framing{framingLength, framingChunked, framingClose}[how%3]
+		end := how / 3 % 3
+		path := []string{"/stream/", "/resumable/", "/once/"}[how/9%3]
+		sent := body
+		if end != endWhole {
+			sent = body[:min(int(cut), len(body))]
+		}
+		b := newRig(t, allRoutes, map[string][]script{"s1": {sendFramed(server, body, sent, end, int(split)+1), replying(), replying()}}, "s1")
+		b.sockets = true
+		got := b.call("1.1", "POST", path)
+		b.close()
+		wholeAtServer := end == endWhole || server == framingLength && len(sent) == len(body) || server == framingClose && end == endClosed
+		var scanner eventstream.Scanner
+		_, _ = scanner.Scan(sent)
+		if path != "/once/" && scanner.Open() {
+			wholeAtServer = false
+		}
+		complete := got.status == http.StatusOK && !got.broken
+		switch {
+		case complete && got.body != string(sent):
+			t.Errorf("complete with %q, the server sent %q", got.body, sent)
+		case complete && !wholeAtServer:
+			t.Errorf("%q looks complete, the server's answer (%s, end %d) was not", got.body, server, end)
+		case complete && server == framingClose && got.framing != framingClose:
+			t.Errorf("%q is framed by %s, the server's by its connection", got.body, got.framing)
+		case !complete && wholeAtServer && len(sent) > 0 && end != endReset:
+			// A reset drops what the server's socket has not sent yet.
+			t.Errorf("%q does not look complete (status %d), the server's answer was", got.body, got.status)
+		}
+	})
+}
+
+// Ends of an answer that a server sends.
+const (
+	endWhole = iota
+	endClosed
+	endReset
+)
+
+// sendFramed sends the first bytes of an answer, sent, in pieces of the given size, and ends
+// it.
+func sendFramed(server framing, body, sent []byte, end uint8, size int) script {
+	return func(t *testing.T, c net.Conn, in *bufio.Reader) {
+		head := map[framing]string{framingLength: lengthHead(len(body)), framingChunked: streamHead, framingClose: closeStreamHead}[server]
+		parts := []string{head}
+		for piece := range slices.Chunk(sent, size) {
+			if server == framingChunked {
+				parts = append(parts, chunk(string(piece)))
+			} else {
+				parts = append(parts, string(piece))
+			}
+		}
+		if server == framingChunked && end == endWhole {
+			parts = append(parts, lastChunk)
+		}
+		if end == endReset {
+			sendThenReset(parts...)(t, c, in)
+			return
+		}
+		sendThenClose(parts...)(t, c, in)
+	}
+}
