Own interface: an answer of a service whose end is not marked is not whole

Found while looking for the cause of truncated answers elsewhere: CallService read an answer with neither a length nor chunks to the end of its connection and kept it as whole, so callers got one that was cut off with a Content-Length. It is a lost upstream now, as an answer of this kind between instances already was; passing it on unmarked is not possible, because answers are kept and asked for again. docs/CALLERS.md says what services owe.

Looked at and sound: tunnels between instances (the end of the server's side is a frame of its own), listings and watches of the store and control calls (JSON objects, which can't be cut unnoticed), streams of engines (their last event says that it is the last).

Two cases of TestServiceVerdicts failed before.

--- a/internal/upstream/calls_test.go
+++ b/internal/upstream/calls_test.go
@@ -105,6 +105,8 @@
 		{"closed", "", verdict.MayHaveRun, verdict.ReasonUpstreamLost},
 		{"cut off", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", verdict.Ran, verdict.ReasonUpstreamLost},
 		{"cut off error", "HTTP/1.1 500 Oops\r\nContent-Length: 10\r\n\r\nabc", verdict.MayHaveRun, verdict.ReasonUpstreamLost},
+		{"end not marked", "HTTP/1.1 200 OK\r\n\r\nabc", verdict.Ran, verdict.ReasonUpstreamLost},
+		{"end of error not marked", "HTTP/1.1 500 Oops\r\n\r\nabc", verdict.MayHaveRun, verdict.ReasonUpstreamLost},
 		{"too large", "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n", verdict.Ran, verdict.ReasonUpstreamError},
 		{"header too large", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 20_000) + "\r\n\r\n", verdict.MayHaveRun, verdict.ReasonUpstreamError},
 		{"not HTTP", "hello\r\n\r\n", verdict.MayHaveRun, verdict.ReasonUpstreamError},
@@ -122,6 +124,14 @@
 	}
 }
 
+func TestServiceAnswersWithoutABodyNeedNoMarkedEnd(t *testing.T) {
+	_, target := startScripted(t, reply("HTTP/1.1 204 No Content\r\n\r\n"))
+	answer, err := upstream.New(shortConfig()).CallService(background, target, upstream.ServiceCall{Method: "GET", Path: "/"})
+	if err != nil || answer.Status != 204 {
+		t.Errorf("%v, %v", answer, err)
+	}
+}
+
 func TestServicePathCannotInjectHeaders(t *testing.T) {
 	server, target := startScripted(t, reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 	client := upstream.New(shortConfig())
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -230,10 +230,15 @@
 // long time.
 const maxRetryAfterSeconds = 3600
 
+// hasBody reports whether the answer may have a body.
+func (x *exchange) hasBody() bool {
+	status := x.resp.StatusCode()
+	return !x.resp.SkipBody && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
+
 // readBody reads the rest of an answer that is not streamed. limit is in bytes.
 func (x *exchange) readBody(limit int) error {
-	status := x.resp.StatusCode()
-	if x.resp.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+	if !x.hasBody() {
 		return nil
 	}
 	if err := x.resp.ReadBody(x.conn.reader, limit); err != nil {
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"context"
+	"io"
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
 	"basilrudder/internal/enginehttp"
@@ -66,6 +68,9 @@
 	// even if the rest of the answer is lost.
 	x.started = x.resp.StatusCode() < fasthttp.StatusInternalServerError
 	x.resp.SkipBody = call.Method == fasthttp.MethodHead
+	if x.hasBody() && x.resp.Header.ContentLength() == unmarkedLength {
+		return nil, x.fail(errUnmarkedEnd, "read answer")
+	}
 	if err := x.readBody(c.cfg.MaxAnswer); err != nil {
 		return nil, x.fail(err, "read answer")
 	}
@@ -74,6 +79,14 @@
 	return answer, nil
 }
 
+// unmarkedLength is the content length that fasthttp reports for a body that ends with its
+// connection.
+const unmarkedLength = -2
+
+// errUnmarkedEnd is that of an answer with neither a length nor chunks: one that was cut
+// off looks like a whole one.
+var errUnmarkedEnd = errors.Wrap(io.ErrUnexpectedEOF, "the end of the answer is not marked")
+
 // validRequestLine reports whether the method and path can be written to a request line.
 // A path with spaces or control characters could add headers to the request.
 func validRequestLine(method, path string) bool {
