Decode and log the software versions of servers and what a request resumes

The version in a server's entry is decoded now and goes with the server between instances; server_changed, send_failed and request_ended name it, and request_ended names the try and the event after which a caller takes a stream up. No decision depends on either yet.

--- a/internal/gateway/serverstate.go
+++ b/internal/gateway/serverstate.go
@@ -29,7 +29,7 @@
 	now := monotime.Now()
 	state := wire.RelayServer{
 		ID: s.ID, Name: s.Name, Born: int(s.Born), Service: s.Service, Address: s.Address, DataCentre: s.DataCentre,
-		Slots: s.Slots, Draining: s.Draining, Invalid: s.Invalid, Revision: int(s.Revision),
+		Software: s.Software, Slots: s.Slots, Draining: s.Draining, Invalid: s.Invalid, Revision: int(s.Revision),
 		ColdMS: int(max(0, f.registry.ColdUntil(id).Sub(now)).Milliseconds()),
 	}
 	encodeRateLimit(&state, f.registry.RateLimit(id), now)
@@ -158,7 +158,7 @@
 	}
 	for _, state := range states {
 		f.log.Info("server_changed", zap.String("server", state.ID), zap.String("from", from),
-			zap.String("service", state.Service), zap.String("address", state.Address),
+			zap.String("service", state.Service), zap.String("address", state.Address), zap.String("software", state.Software),
 			zap.Bool("draining", state.Draining), zap.Bool("invalid", state.Invalid), zap.Bool("gone", state.Gone),
 			zap.Int("cold_ms", state.ColdMS), zap.Bool("limited", state.Limited), zap.Float64("limit_per_s", state.Rate),
 			zap.Float64("refusals_per_s", state.MaxRefusals),
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -257,7 +257,7 @@
 			} else {
 				change = r.Put(servers.Server{
 					ID: s.ID, Name: s.Name, Born: int64(s.Born), Service: s.Service, Address: s.Address, DataCentre: s.DataCentre,
-					Slots: s.Slots, Draining: s.Draining, Invalid: s.Invalid, Revision: servers.Revision(s.Revision),
+					Software: s.Software, Slots: s.Slots, Draining: s.Draining, Invalid: s.Invalid, Revision: servers.Revision(s.Revision),
 					ColdLeft: milliseconds(s.ColdMS),
 				}, now)
 			}
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -41,6 +41,9 @@
 	if f.retryAfter > 0 {
 		fields = append(fields, zap.Duration("come_back_ms", f.retryAfter))
 	}
+	if f.request.ResumeAfter != "" {
+		fields = append(fields, zap.String("resumes", f.request.Resumes), zap.String("resume_after", f.request.ResumeAfter))
+	}
 	if f.cause != nil {
 		fields = append(fields, zap.String("cause", f.cause.Error()))
 	}
@@ -71,6 +74,7 @@
 	choice := f.target.Choice
 	fields := []zap.Field{
 		zap.String("server", f.target.ID),
+		zap.String("software", f.target.Software),
 		zap.Duration("entry_age_ms", f.target.EntryAge),
 		zap.Int("running", choice.Running),
 		zap.Bool("preempts", choice.Preempts),
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -688,6 +688,9 @@
 	// Service it belongs to; empty once it is gone.
 	Service string `json:"s,omitempty,omitzero"`
 
+	// Version of the software that it runs.
+	Software string `json:"sv,omitempty,omitzero"`
+
 	// The newest entry under its name can't be read.
 	Invalid bool `json:"u,omitempty,omitzero"`
 
--- a/internal/servers/server.go
+++ b/internal/servers/server.go
@@ -21,6 +21,8 @@
 	Address string
 	// DataCentre in which it is located.
 	DataCentre string
+	// Software is the version of its software; versions have no order.
+	Software string
 	// Slots is the number of requests that it runs at once.
 	Slots int
 	// ColdLeft is how much longer it is cold, as of when this is received. A cold server
