--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -57,6 +57,7 @@
 	servers []*narrownet.Host
 	// config and putServers are what an instance starts with.
 	config     *routing.Config
+	protocol   relay.Protocol
 	putServers func(r *servers.Registry, now monotime.Instant) []string
 
 	mu     sync.Mutex
@@ -95,7 +96,7 @@
 	c := &cutCluster{
 		t: t, ctx: ctx, tasks: tasks, network: narrownet.New(), runs: make(map[string]int),
 		cutSince: make(map[int]time.Time), down: make(map[int]bool), tries: tally{failures: make(map[string]int)},
-		config: cutConfig(1), putServers: putCutServers,
+		config: cutConfig(1), protocol: minimalProtocol{}, putServers: putCutServers,
 	}
 	c.network.SetUserTimeout(cutUserTimeout)
 	return c
@@ -157,7 +158,7 @@
 		i.fleet.changeServers(fromStore, c.putServers)
 		c.mu.Lock()
 		c.fleet = append(c.fleet, i)
-		c.relays = append(c.relays, newCutRelay(i))
+		c.relays = append(c.relays, newCutRelay(i, c.protocol))
 		c.mu.Unlock()
 	}
 }
@@ -174,9 +175,9 @@
 	return ids
 }
 
-func newCutRelay(i *linkedInstance) *relay.Relay {
+func newCutRelay(i *linkedInstance, protocol relay.Protocol) *relay.Relay {
 	return relay.New(relay.Config{
-		Fleet: i.fleet, Protocol: minimalProtocol{}, Log: zap.NewNop(), Connector: i.connector, DrainTime: time.Minute,
+		Fleet: i.fleet, Protocol: protocol, Log: zap.NewNop(), Connector: i.connector, DrainTime: time.Minute,
 	})
 }
 
