A stream goes on at its software version only, within one answer

What callers saw: a stream that its server had broken off went on, in the same answer, at a server of another software version.

Cause: a second send was placed like the first; nothing restricted it to the version whose events the caller had got.

Now the first event that a caller is given binds the request to the version of its server, and every later placement (resumption, a move out of a queue, a connection through a peer) considers servers of that version alone; where none is left the answer is broken off at once, so that its caller can act. Servers of several versions have a list and a pool each, built when the list is: a bound choice among thousands of servers considers its own, not a sample of all.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -20,7 +20,7 @@
 	if published == nil {
 		return relay.Target{}, placement.NoneReachable
 	}
-	list := f.serverList(service)
+	list := f.serverList(service).of(work.Software)
 	filter := f.newFilter(list, published, &work, excluded, now)
 	choice, refusal := f.board.ChooseFrom(work, list.pool, list.sourcePool, filter.allows, now)
 	if refusal == placement.NoneReachable && filter.allowed == 0 && filter.atLimit {
--- a/internal/gateway/serverlist.go
+++ b/internal/gateway/serverlist.go
@@ -16,10 +16,24 @@
 	accepting, sources []servers.Server
 	// pool and sourcePool are the same for placement.
 	pool, sourcePool *placement.Pool
+	// bySoftware are the lists of each software version, if there are several.
+	bySoftware map[string]*serverList
 }
 
 // noServers is the list of a service without servers.
-var noServers = &serverList{pool: placement.NewPool(nil)}
+var noServers = &serverList{pool: placement.NewPool(nil), sourcePool: placement.NewPool(nil)}
+
+// of returns the part of the list that a bound allows.
+func (l *serverList) of(bound placement.SoftwareBound) *serverList {
+	switch {
+	case !bound.Bound, l.bySoftware == nil && len(l.accepting) > 0 && l.accepting[0].Software == bound.Version:
+		return l
+	case l.bySoftware[bound.Version] != nil:
+		return l.bySoftware[bound.Version]
+	default:
+		return noServers
+	}
+}
 
 // serverList returns the servers of a service.
 func (f *fleet) serverList(service string) *serverList {
@@ -111,4 +125,27 @@
 		sources = append(sources, source)
 	}
 	l.sourcePool = placement.NewPool(sources)
+	l.splitBySoftware(candidates)
+}
+
+// splitBySoftware fills the lists of each version. The candidates are those of accepting.
+func (l *serverList) splitBySoftware(candidates []placement.Candidate) {
+	same := func(s servers.Server) bool { return s.Software == l.accepting[0].Software }
+	if len(l.accepting) == 0 || !slices.ContainsFunc(l.accepting, func(s servers.Server) bool { return !same(s) }) {
+		return
+	}
+	l.bySoftware = make(map[string]*serverList)
+	pools := make(map[string][]placement.Candidate)
+	for n, s := range l.accepting {
+		part := l.bySoftware[s.Software]
+		if part == nil {
+			part = &serverList{sources: l.sources, sourcePool: l.sourcePool}
+			l.bySoftware[s.Software] = part
+		}
+		part.accepting = append(part.accepting, s)
+		pools[s.Software] = append(pools[s.Software], candidates[n])
+	}
+	for version, part := range l.bySoftware {
+		part.pool = placement.NewPool(pools[version])
+	}
 }
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -42,8 +42,26 @@
 	// AllowedRegions are the regions that the request must stay in; nil for no bound. The caller
 	// of Choose restricts the candidates accordingly.
 	AllowedRegions []string
+	// Software is the version that a stream may go on at. The caller of Choose restricts the
+	// candidates accordingly.
+	Software SoftwareBound
 }
 
+// SoftwareBound restricts a request to servers of one software version. The zero value
+// allows all.
+type SoftwareBound struct {
+	Bound   bool
+	Version string
+}
+
+// OnlySoftware returns the bound to a version.
+func OnlySoftware(version string) SoftwareBound {
+	return SoftwareBound{Bound: true, Version: version}
+}
+
+// Allows reports whether servers of a version are allowed.
+func (b SoftwareBound) Allows(version string) bool { return !b.Bound || b.Version == version }
+
 // The weight of a request on time is 2.5 for the most urgent priority, and falls gently:
 // it is divided by 1 plus a quarter for each lower priority. The configuration sets which
 // requests go first, not how much more they are worth, and engines admit the more urgent
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -79,6 +79,8 @@
 	queued int
 	// otherIsSooner means that another server would start a waiting request sooner.
 	otherIsSooner bool
+	// software is the version of servers, by id.
+	software map[string]string
 	// outage means that no instance reaches a server.
 	outage bool
 
@@ -110,8 +112,8 @@
 		return Target{}, placement.AllLimited
 	}
 	for _, id := range f.servers {
-		if !excluded[id] {
-			return Target{Server: servers.Server{ID: id, Name: id, Address: id}, Choice: placement.Choice{First: 100 * time.Millisecond}}, placement.Chosen
+		if !excluded[id] && work.Software.Allows(f.software[id]) {
+			return Target{Server: servers.Server{ID: id, Name: id, Address: id, Software: f.software[id]}, Choice: placement.Choice{First: 100 * time.Millisecond}}, placement.Chosen
 		}
 	}
 	return Target{}, placement.NoneReachable
--- /dev/null
+++ b/internal/relay/version_test.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a stream that goes on, in one answer, at another software version than
+// the one that began it, and against waiting where none of its version is left.
+func TestAStreamGoesOnAtItsSoftwareVersionOnly(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		software map[string]string
+		aborted  bool
+		want     string
+	}{
+		{"a server of its version is left", map[string]string{"s1": "v1", "s2": "v2", "s3": "v1"}, false, events(1, 5)},
+		{"none is left", map[string]string{"s1": "v1", "s2": "v2", "s3": "v3"}, true, events(1, 2)},
+		{"versions that are not named are one", nil, false, events(1, 5)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rest := []script{replying(streamHead + chunk(events(3, 5)) + lastChunk)}
+				b := newRig(t, allRoutes, map[string][]script{
+					"s1": {sendThenClose(streamHead, chunk(events(1, 2)))}, "s2": nil, "s3": rest,
+				}, "s1", "s2", "s3")
+				if c.software == nil {
+					b.scripts["s2"] = rest
+				}
+				b.fleet.software = c.software
+				began := time.Now()
+				rec, aborted := b.serve(request("POST", "/resumable/", "r", "x"))
+				took := time.Since(began)
+				b.close()
+				if aborted != c.aborted || rec.Body.String() != c.want || took > 100*time.Millisecond || c.software != nil && b.dials["s2"] != 0 {
+					t.Errorf("aborted %v after %v, s2 asked %d times: %q", aborted, took, b.dials["s2"], rec.Body)
+				}
+			})
+		})
+	}
+}
+
+// Guards against binding a stream to the version of a server that failed before its first
+// event.
+func TestAVersionIsBoundByTheFirstEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newRig(t, allRoutes, map[string][]script{
+			"s1": {sendThenClose(streamHead, chunk("id: 1\nda"))},
+			"s2": {replying(streamHead + chunk(events(1, 5)) + lastChunk)},
+		}, "s1", "s2")
+		b.fleet.software = map[string]string{"s1": "v1", "s2": "v2"}
+		rec, aborted := b.serve(request("POST", "/resumable/", "r", "x"))
+		b.close()
+		if aborted || rec.Body.String() != events(1, 5) {
+			t.Errorf("aborted %v: %q", aborted, rec.Body)
+		}
+	})
+}
