A stream is taken up at its software version only, over a caller's tries

What callers saw: a stream that they took up again went on at a server of another software version. As long as the first server lived, its cached prompt drew them back to it, which hid the fault.

Cause: an instance read neither the version of a server nor the try that a caller names in Resumes, and nothing of a stream outlived the instance that relayed it.

One that does not know a stream which is taken up asks eight linked peers and waits 150 ms at most. Unknown is not any: it goes on if the service has had one version only for 30 s and the store has confirmed that within 3 s, here or at a peer that is asked, and is refused with 503 otherwise. Two versions said to have begun one stream count as unknown. stream_taken_up and stream_unknown say what was known, from whom and for how long.

--- a/internal/gateway/batcher.go
+++ b/internal/gateway/batcher.go
@@ -76,6 +76,20 @@
 	n.add(func(p *wire.RelayNews) { p.Ended = append(p.Ended, run) })
 }
 
+// addStream adds a stream that a software version began. The streams of one version are
+// sent together.
+func (n *updateBatcher) addStream(key int, software string) {
+	n.add(func(p *wire.RelayNews) {
+		for i := range p.Streams {
+			if p.Streams[i].Software == software {
+				p.Streams[i].Keys = append(p.Streams[i].Keys, key)
+				return
+			}
+		}
+		p.Streams = append(p.Streams, wire.RelayStreams{Software: software, Keys: []int{key}})
+	})
+}
+
 func (n *updateBatcher) addServers(changed []wire.RelayServer) {
 	n.add(func(p *wire.RelayNews) { p.Servers = append(p.Servers, changed...) })
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -32,6 +32,7 @@
 	outages     *outageDetector
 	outageLog   outageLog
 	crashes     *crashTracker
+	streams     *streamVersions
 	regions     regions
 	memberCount func() int // instances tracked, including this one
 	confirm     func(ctx context.Context) bool
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -57,6 +57,7 @@
 		configs:     newConfigSync(self.ID, f, log),
 		differences: make(map[string]difference),
 	}
+	f.streams.ask = p.askStreams
 	p.configs.send = func(to string, env *wire.Envelope) bool { return p.links.Send(to, env) }
 	return p
 }
--- a/internal/gateway/serverstate.go
+++ b/internal/gateway/serverstate.go
@@ -123,6 +123,7 @@
 		return
 	}
 	f.lists = nil
+	f.streams.history.Observe(f.registry.Versions(), now)
 	f.digest.Store(int64(f.registry.Digest() >> 1))
 	f.rateLimitedCount.Store(int64(f.registry.RateLimitedCount()))
 	f.brittleCount.Store(int64(f.registry.BrittleCount()))
--- /dev/null
+++ b/internal/gateway/streamversions.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/relay"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/streams"
+	"basilrudder/internal/timer"
+)
+
+const (
+	// streamQueryTimeout bounds the wait for peers that are asked for a stream, and for an
+	// update that tells of it and is still on its way. Peers answer within a few ms; one that
+	// is cut off never does.
+	streamQueryTimeout = 150 * time.Millisecond
+	// maxStreamPeers is the number of peers that are asked for one stream.
+	maxStreamPeers = 8
+	// maxStreamQueries bounds the streams that are asked for at once. Further ones count as
+	// unknown.
+	maxStreamQueries = 512
+	// maxVersionViewAge is how old the store's last confirmation of the servers may be for
+	// a conclusion from the versions that they have.
+	maxVersionViewAge = 3 * time.Second
+)
+
+// streamVersions knows which software version began each stream of the fleet that may be
+// resumed. Each instance tells all others of the streams that it begins; one that does not
+// know a stream asks some of them.
+type streamVersions struct {
+	table   *streams.Table
+	history *streams.History
+	// ask asks peers for a stream.
+	ask func(key streams.Key, service string)
+	// asked and unknown count the streams that peers were asked for, and those that stayed
+	// unknown.
+	asked, unknown atomic.Int64
+
+	mu      sync.Mutex
+	waiting map[streams.Key]*streamQuery
+}
+
+// streamQuery is a question to peers. done is closed once the stream is known.
+type streamQuery struct {
+	done  chan struct{}
+	users int
+}
+
+func newStreamVersions() *streamVersions {
+	return &streamVersions{
+		table: streams.NewTable(), history: streams.NewHistory(), waiting: make(map[streams.Key]*streamQuery),
+		ask: func(streams.Key, string) {},
+	}
+}
+
+// apply records the streams of an update.
+func (s *streamVersions) apply(from string, update *wire.RelayNews, now monotime.Instant) {
+	for _, told := range update.Streams {
+		for _, key := range told.Keys {
+			s.table.Put(streams.Key(key), told.Software, from, now)
+			s.wake(streams.Key(key))
+		}
+	}
+}
+
+// wake ends the query of a stream that has become known.
+func (s *streamVersions) wake(key streams.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if q := s.waiting[key]; q != nil {
+		delete(s.waiting, key)
+		close(q.done)
+	}
+}
+
+// query asks peers for a stream and waits until it is known. Requests for the same stream
+// share a query.
+func (s *streamVersions) query(ctx context.Context, key streams.Key, service string) {
+	q, first := s.join(key)
+	if q == nil {
+		return
+	}
+	defer s.leave(key, q)
+	if first {
+		s.asked.Add(1)
+		s.ask(key, service)
+	}
+	timeout := timer.New(streamQueryTimeout)
+	defer timeout.Stop()
+	select {
+	case <-q.done:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *streamVersions) join(key streams.Key) (q *streamQuery, first bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q = s.waiting[key]
+	if q == nil {
+		if len(s.waiting) >= maxStreamQueries {
+			return nil, false
+		}
+		q, first = &streamQuery{done: make(chan struct{})}, true
+		s.waiting[key] = q
+	}
+	q.users++
+	return q, first
+}
+
+func (s *streamVersions) leave(key streams.Key, q *streamQuery) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q.users--
+	if q.users == 0 && s.waiting[key] == q {
+		delete(s.waiting, key)
+	}
+}
+
+// streamMetrics is what is known of streams that may be resumed, in the metrics.
+type streamMetrics struct {
+	Known   int   `json:"known"`
+	Asked   int64 `json:"asked"`
+	Unknown int64 `json:"unknown"`
+}
+
+func (s *streamVersions) metrics() streamMetrics {
+	return streamMetrics{Known: s.table.Len(), Asked: s.asked.Load(), Unknown: s.unknown.Load()}
+}
+
+// askStreams asks some linked peers for a stream.
+func (p *peers) askStreams(key streams.Key, service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	linked := p.node.Linked()
+	rand.Shuffle(len(linked), func(i, j int) { linked[i], linked[j] = linked[j], linked[i] })
+	query := wire.RelayNews{StreamsWanted: []wire.RelayStreamQuery{{Key: int(key), Service: service}}}
+	for _, id := range linked[:min(len(linked), maxStreamPeers)] {
+		p.links.Send(id, &wire.Envelope{News: []wire.RelayNews{query}})
+	}
+}
+
+// answerStreams answers a peer that asks for streams.
+func (p *peers) answerStreams(to string, wanted []wire.RelayStreamQuery) {
+	if len(wanted) == 0 {
+		return
+	}
+	var out wire.RelayNews
+	for _, w := range wanted {
+		if origin := p.fleet.knownStream(streams.Key(w.Key), w.Service, monotime.Now()); origin.Known {
+			out.Streams = append(out.Streams, wire.RelayStreams{Software: origin.Version, Keys: []int{w.Key}})
+		}
+	}
+	if len(out.Streams) > 0 {
+		p.links.Send(to, &wire.Envelope{News: []wire.RelayNews{out}})
+	}
+}
+
+// StreamBegan implements relay.Fleet.
+func (f *fleet) StreamBegan(service, try, version string, now monotime.Instant) {
+	key := streams.KeyOf(service, try)
+	f.streams.table.Put(key, version, f.self, now)
+	f.updates.addStream(int(key), version)
+}
+
+// StreamOrigin implements relay.Fleet.
+func (f *fleet) StreamOrigin(ctx context.Context, service, try string) relay.StreamOrigin {
+	key := streams.KeyOf(service, try)
+	if origin := f.knownStream(key, service, monotime.Now()); origin.Known {
+		return origin
+	}
+	f.streams.query(ctx, key, service)
+	origin := f.knownStream(key, service, monotime.Now())
+	if !origin.Known {
+		f.streams.unknown.Add(1)
+	}
+	return origin
+}
+
+// knownStream returns what this instance knows of a stream: it was told of it, or the
+// service has had one version only.
+func (f *fleet) knownStream(key streams.Key, service string, now monotime.Instant) relay.StreamOrigin {
+	if r, ok := f.streams.table.Get(key, now); ok {
+		return relay.StreamOrigin{Known: true, Version: r.Version, From: r.From, Age: now.Sub(r.At)}
+	}
+	version, lasted, ok := f.streams.history.Only(service, now)
+	if viewAge := f.sinceServersConfirmed(now); !ok || viewAge > maxVersionViewAge {
+		return relay.StreamOrigin{Age: viewAge}
+	}
+	return relay.StreamOrigin{Known: true, Version: version, From: relay.OnlyVersion, Age: lasted}
+}
+
+func (f *fleet) sinceServersConfirmed(now monotime.Instant) time.Duration {
+	return now.Sub(f.serversConfirmedAt(now))
+}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -26,6 +26,7 @@
 	// With mu held, so that updates of one origin that arrive over two links are applied
 	// in order.
 	p.applyRuns(receipt.Origin, update, now)
+	p.fleet.streams.apply(receipt.Origin, update, now)
 	if receipt.RequestedFeed != overlay.FeedUnchanged {
 		p.sendRuns(from, receipt.RequestedFeed, now)
 	}
@@ -51,6 +52,7 @@
 // applyStatus applies what a peer sent to this instance only.
 func (p *peers) applyStatus(from string, update *wire.RelayNews) {
 	p.compareServers(from, update)
+	p.answerStreams(from, update.StreamsWanted)
 	switch {
 	case update.StateWanted:
 		p.sendState(from, update.ServerDigests, p.fleet.cacheStates())
--- a/internal/gateway/updates_fuzz_test.go
+++ b/internal/gateway/updates_fuzz_test.go
@@ -9,6 +9,7 @@
 	"basilrudder/internal/placement"
 	"basilrudder/internal/routing"
 	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/streams"
 )
 
 // FuzzNews checks that with any content of a peer's frame about servers, runs, caches,
@@ -27,6 +28,7 @@
 		{Crashes: []wire.RelayCrash{{Request: make([]byte, 16), Customer: "a", Server: "a", AgeMS: -1}, {Request: []byte("x")}, {Request: make([]byte, 16), AgeMS: 1 << 60}}},
 		{Origin: "peer", Number: -1, HeldMS: -1, SentMS: 1 << 40, Neighbours: []string{"x", "me", "peer"}, Feed: 3},
 		{Origin: "peer", Number: 1 << 40, Whole: true, Feed: -7, MembersWanted: true},
+		{Streams: []wire.RelayStreams{{Software: "v1", Keys: []int{1, -1, 1 << 60}}, {Software: "v2", Keys: []int{1}}}, StreamsWanted: []wire.RelayStreamQuery{{Key: -1, Service: "llm"}}},
 		{Leaving: true, Members: []wire.RelayMember{{ID: "x"}}, Confirmed: -1, ConfigVersion: -1},
 	} {
 		data, err := peer.Encode(&wire.Envelope{News: []wire.RelayNews{update}})
@@ -47,6 +49,10 @@
 		p.configs.receive("peer", env)
 		for i := range env.News {
 			p.applyRuns("peer", &env.News[i], monotime.Now())
+			fl.streams.apply("peer", &env.News[i], monotime.Now())
+			for _, w := range env.News[i].StreamsWanted {
+				_ = fl.knownStream(streams.Key(w.Key), w.Service, monotime.Now())
+			}
 			_, _ = p.node.Receive("peer", &env.News[i], monotime.Now())
 			p.node.Refresh(monotime.Now())
 			p.node.Flush(wire.RelayNews{}, 0, true, monotime.Now())
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -32,7 +32,7 @@
 		return Request{}, errors.New("no id")
 	}
 	ms, _ := strconv.Atoi(h.Get("X-Deadline"))
-	return Request{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: h.Get("X-Resume")}, nil
+	return Request{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: h.Get("X-Resume"), Resumes: h.Get("X-Resumes")}, nil
 }
 
 func (plainProtocol) Forward(h http.Header, f Forward) {
@@ -79,8 +79,9 @@
 	queued int
 	// otherIsSooner means that another server would start a waiting request sooner.
 	otherIsSooner bool
-	// software is the version of servers, by id.
+	// software is the version of servers, by id, and origins what is known of streams.
 	software map[string]string
+	origins  map[string]StreamOrigin
 	// outage means that no instance reaches a server.
 	outage bool
 
@@ -96,6 +97,7 @@
 	ended    int
 	outcomes []string
 	notices  []string
+	streams  []string // that began
 }
 
 func (f *fakeFleet) Table() *routing.Table        { return f.table }
@@ -178,6 +180,16 @@
 	f.survived = append(f.survived, request)
 }
 
+func (f *fakeFleet) StreamBegan(service, try, version string, _ monotime.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.streams = append(f.streams, fmt.Sprint(service, " ", try, " ", version))
+}
+
+func (f *fakeFleet) StreamOrigin(_ context.Context, _, try string) StreamOrigin {
+	return f.origins[try]
+}
+
 func (f *fakeFleet) Serving(string, monotime.Instant) bool { return !f.outage }
 func (f *fakeFleet) Spend(string, monotime.Instant) bool   { return !f.noBudget }
 func (f *fakeFleet) Count(string, monotime.Instant)        {}
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -77,6 +77,10 @@
 		f.refusePoison()
 		return
 	}
+	if problem := f.bindVersion(); problem != nil {
+		f.refuse(problem)
+		return
+	}
 	f.excluded = make(map[string]bool)
 	f.relay.cfg.Fleet.Count(f.service, f.arrived)
 	f.sendUntilFinal()
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -98,6 +98,20 @@
 	EntryAge time.Duration
 }
 
+// StreamOrigin is which software version began a stream.
+type StreamOrigin struct {
+	// Known is false if no version can be named. The stream must not go on then.
+	Known   bool
+	Version string
+	// From is the instance that told of the stream, or OnlyVersion.
+	From string
+	// Age of what is known; if nothing is, that of the view of the servers.
+	Age time.Duration
+}
+
+// OnlyVersion is the From of streams of a service that has had one version only.
+const OnlyVersion = "only version"
+
 // Fleet is the interface between the relay and the instance it runs in. It chooses
 // servers and records how requests went.
 type Fleet interface {
@@ -112,6 +126,12 @@
 	// Serving reports whether any instance has recently sent a request to a server of the
 	// service, according to the updates received so far.
 	Serving(service string, now monotime.Instant) bool
+	// StreamBegan reports that a server of a software version has begun a stream that may
+	// be resumed, for a try whose caller gets its first event now.
+	StreamBegan(service, try, version string, now monotime.Instant)
+	// StreamOrigin returns the software version that began the stream whose first event
+	// came with a try. It may ask other instances.
+	StreamOrigin(ctx context.Context, service, try string) StreamOrigin
 	// Begin, First, Events and End report the progress of a run on a server. Begin
 	// returns the run's number, or false if the server may not get the request now after
 	// all. Events takes the number of stream events that have just arrived.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -152,7 +152,7 @@
 	}
 	now := monotime.Now()
 	if !f.stream.started {
-		f.bindVersion()
+		f.recordVersion()
 		f.startStream(e)
 	} else {
 		f.stream.longestGap = max(f.stream.longestGap, now.Sub(f.stream.lastAt))
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -1,12 +1,46 @@
 package relay
 
-import "basilrudder/internal/placement"
-
-// bindVersion binds a stream that may be resumed to the software version of the server whose
-// first event the caller gets. What two versions write does not fit together, and servers do
-// not check.
-func (f *forwarder) bindVersion() {
-	if f.route.Resumable {
-		f.work.Software = placement.OnlySoftware(f.target.Software)
+import (
+	"go.uber.org/zap"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
+	"basilrudder/internal/verdict"
+)
+
+// bindVersion restricts a stream that a caller takes up to servers of the software version
+// that began it. What two versions write does not fit together, and servers do not check.
+func (f *forwarder) bindVersion() *failure {
+	if !f.route.Resumable || f.request.ResumeAfter == "" {
+		return nil
+	}
+	origin := f.relay.cfg.Fleet.StreamOrigin(f.ctx, f.service, f.request.Resumes)
+	if !origin.Known {
+		f.relay.cfg.Log.Info("stream_unknown",
+			zap.String("id", f.request.ID),
+			zap.String("resumes", f.request.Resumes),
+			zap.String("service", f.service),
+			zap.Duration("view_age_ms", origin.Age))
+		return unavailable(verdict.ReasonUnknownStream, jitter(retryElsewhere))
+	}
+	f.work.Software = placement.OnlySoftware(origin.Version)
+	f.relay.cfg.Log.Info("stream_taken_up",
+		zap.String("id", f.request.ID),
+		zap.String("resumes", f.request.Resumes),
+		zap.String("software", origin.Version),
+		zap.String("known_from", origin.From),
+		zap.Duration("known_ms", origin.Age))
+	return nil
+}
+
+// recordVersion binds a stream that may be resumed to the software version of the server
+// whose first event the caller gets.
+func (f *forwarder) recordVersion() {
+	if !f.route.Resumable {
+		return
+	}
+	f.work.Software = placement.OnlySoftware(f.target.Software)
+	if f.request.ResumeAfter == "" {
+		f.relay.cfg.Fleet.StreamBegan(f.service, f.request.ID, f.target.Software, monotime.Now())
 	}
 }
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,3 +58,49 @@
 		}
 	})
 }
+
+// Guards against a stream that a caller takes up at a server of another software version,
+// or although nothing tells which one began it.
+func TestAStreamIsTakenUpAtItsSoftwareVersionOnly(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		path   string
+		after  string
+		origin StreamOrigin
+		status int
+		asked  string
+		began  []string
+	}{
+		{"it began at v2", "/resumable/", "2", StreamOrigin{Known: true, Version: "v2"}, 200, "s2", nil},
+		{"its version is gone", "/resumable/", "2", StreamOrigin{Known: true, Version: "v3"}, 503, "", nil},
+		{"its version is unknown", "/resumable/", "2", StreamOrigin{}, 503, "", nil},
+		{"a new stream", "/resumable/", "", StreamOrigin{}, 200, "s1", []string{"svc r v1"}},
+		{"a stream that may not be resumed", "/stream/", "", StreamOrigin{}, 200, "s1", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				whole := []script{replying(streamHead + chunk(events(3, 5)) + lastChunk)}
+				b := newRig(t, allRoutes, map[string][]script{"s1": whole, "s2": whole}, "s1", "s2")
+				b.fleet.software = map[string]string{"s1": "v1", "s2": "v2"}
+				b.fleet.origins = map[string]StreamOrigin{"first": c.origin}
+				req := request("POST", c.path, "r", "x")
+				if c.after != "" {
+					req.Header.Set("X-Resume", c.after)
+					req.Header.Set("X-Resumes", "first")
+				}
+				rec, _ := b.serve(req)
+				b.close()
+				asked := ""
+				for _, server := range b.fleet.begun {
+					asked += server
+				}
+				if rec.Code != c.status || asked != c.asked || !slices.Equal(b.fleet.streams, c.began) {
+					t.Errorf("status %d, asked %q, began %q", rec.Code, asked, b.fleet.streams)
+				}
+				if c.status == 503 && rec.Header().Get("Retry-After") == "" {
+					t.Error("no Retry-After")
+				}
+			})
+		})
+	}
+}
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -580,6 +580,12 @@
 	// when they are only changes.
 	ServersListed int `json:"sl,omitempty,omitzero"`
 
+	// Streams whose version the sender asks for.
+	StreamsWanted []RelayStreamQuery `json:"sq,omitempty,omitzero"`
+
+	// Streams that began and may be resumed, or that the receiver asked for.
+	Streams []RelayStreams `json:"st,omitempty,omitzero"`
+
 	// The sender knows other servers and asks for all.
 	ServersWanted bool `json:"sw,omitempty,omitzero"`
 
@@ -704,6 +710,24 @@
 	Gone bool `json:"x,omitempty,omitzero"`
 }
 
+// RelayStreamQuery asks which software version began a stream.
+type RelayStreamQuery struct {
+	// Key of the stream.
+	Key int `json:"k"`
+
+	// Service of the stream.
+	Service string `json:"s"`
+}
+
+// RelayStreams are streams that a software version began.
+type RelayStreams struct {
+	// Keys of the streams.
+	Keys []int `json:"k"`
+
+	// Version of the software.
+	Software string `json:"v"`
+}
+
 // Release gives a slot back.
 type Release struct {
 	// Time from start to the first token in milliseconds.
--- a/internal/servers/registry.go
+++ b/internal/servers/registry.go
@@ -52,6 +52,8 @@
 	digests [Buckets]uint64
 	limited map[string]struct{}
 	brittle map[string]struct{}
+	// versions counts the live servers of each software version, by service.
+	versions versionCounts
 	// evacuations holds the state in force of each data centre.
 	evacuations map[string]Evacuation
 	// deferred holds states of a new era that contradict those in evacuations.
@@ -78,7 +80,7 @@
 		inGrace: make(map[string]struct{}), limited: make(map[string]struct{}), brittle: make(map[string]struct{}), tombstoneCount: make(map[string]int),
 		current: make(map[string]string), newestBorn: make(map[string]int64),
 		evacuations: make(map[string]Evacuation), deferred: make(map[string]Evacuation),
-		copiedEntries: make(map[string]Server),
+		copiedEntries: make(map[string]Server), versions: make(versionCounts),
 	}
 }
 
@@ -107,11 +109,14 @@
 		r.endFormer(s, now)
 		rec = &record{server: s, coldUntil: coldUntil, firstInEra: s.Revision}
 		r.live[s.ID] = rec
+		r.versions.add(&rec.server, 1)
 		r.updateDigest(rec)
 		r.current[s.Name], r.newestBorn[s.Name] = s.ID, s.Born
 		return Added
 	}
+	r.versions.add(&rec.server, -1)
 	change := rec.update(s, coldUntil)
+	r.versions.add(&rec.server, 1)
 	r.updateDigest(rec)
 	if rec.graceEndsAt == 0 {
 		delete(r.inGrace, s.ID)
--- a/internal/servers/removal.go
+++ b/internal/servers/removal.go
@@ -87,6 +87,7 @@
 	if rec := r.live[id]; rec != nil {
 		stone.name, stone.draining = rec.server.Name, rec.server.Draining
 		r.dropFromDigest(rec)
+		r.versions.add(&rec.server, -1)
 		if r.endedInEarlierEra(rec, revision) {
 			r.copiedEntries[id] = rec.server
 		}
--- /dev/null
+++ b/internal/streams/streams_test.go
@@ -0,0 +1,112 @@
+package streams
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"basilrudder/internal/monotime"
+)
+
+func at(d time.Duration) monotime.Instant { return monotime.Instant(time.Hour + d) }
+
+func TestStreamsAreRememberedForALifetime(t *testing.T) {
+	table := NewTable()
+	key := KeyOf("llm", "try")
+	table.Put(key, "v1", "a", at(0))
+	for _, after := range []time.Duration{0, Lifetime / 2, Lifetime} {
+		got, ok := table.Get(key, at(after))
+		if want := (Record{Version: "v1", From: "a", At: at(0)}); !ok || got != want {
+			t.Errorf("after %v: %+v %v", after, got, ok)
+		}
+	}
+	if got, ok := table.Get(key, at(3*Lifetime)); ok || table.Len() != 0 {
+		t.Errorf("remembered for ever: %+v, %d", got, table.Len())
+	}
+}
+
+// Guards against a stream that goes on at one of two versions that are both said to have
+// begun it.
+func TestContradictingVersionsAreUnknown(t *testing.T) {
+	table := NewTable()
+	key := KeyOf("llm", "try")
+	table.Put(key, "v1", "a", at(0))
+	table.Put(key, "v1", "b", at(time.Second))
+	if got, ok := table.Get(key, at(time.Second)); !ok || got.From != "a" {
+		t.Errorf("told twice: %+v %v", got, ok)
+	}
+	table.Put(key, "v2", "c", at(2*time.Second))
+	table.Put(key, "v1", "a", at(3*time.Second))
+	if got, ok := table.Get(key, at(3*time.Second)); ok {
+		t.Errorf("contradicting: %+v", got)
+	}
+}
+
+func TestKeysTellServicesApart(t *testing.T) {
+	if KeyOf("a", "bc") == KeyOf("ab", "c") || KeyOf("llm", "x") == KeyOf("app", "x") {
+		t.Error("streams of two services have one key")
+	}
+}
+
+// Guards against a table that grows without bound while streams begin faster than they are
+// forgotten.
+func TestTheTableIsBounded(t *testing.T) {
+	table := NewTable()
+	for n := range 3 * maxStreams {
+		table.Put(Key(n), "v1", "a", at(0))
+	}
+	if got := table.Len(); got > 2*maxStreams {
+		t.Errorf("%d streams", got)
+	}
+	if _, ok := table.Get(Key(3*maxStreams-1), at(0)); !ok {
+		t.Error("the last stream is unknown")
+	}
+}
+
+func TestTooManyNamesAreNotRecorded(t *testing.T) {
+	table := NewTable()
+	for n := range conflicting + 10 {
+		table.Put(Key(n), fmt.Sprint(n), "", at(0))
+	}
+	if got, ok := table.Get(Key(conflicting+5), at(0)); ok {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestTheOnlyVersionOfAService(t *testing.T) {
+	one := map[string]map[string]bool{"llm": {"v1": true}}
+	two := map[string]map[string]bool{"llm": {"v1": true, "v2": true}}
+	other := map[string]map[string]bool{"llm": {"v2": true}}
+	type step struct {
+		at  time.Duration
+		now map[string]map[string]bool
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+		ask   time.Duration
+		want  string
+	}{
+		{"never listed", nil, time.Hour, ""},
+		{"tracked for too short a time", []step{{0, one}}, Lifetime - 1, ""},
+		{"one for long", []step{{0, one}}, Lifetime, "v1"},
+		{"two serve", []step{{0, one}, {Lifetime, two}}, 3 * Lifetime, ""},
+		{"replaced just now", []step{{0, one}, {Lifetime, other}}, 2 * Lifetime, ""},
+		{"replaced long ago", []step{{0, one}, {Lifetime, other}}, 2*Lifetime + 1, "v2"},
+		{"turned back", []step{{0, one}, {Lifetime, two}, {Lifetime + 1, one}}, 2 * Lifetime, ""},
+		{"turned back long ago", []step{{0, one}, {Lifetime, two}, {Lifetime + 1, one}}, 2*Lifetime + 2, "v1"},
+		{"all gone just now", []step{{0, one}, {Lifetime, map[string]map[string]bool{}}}, Lifetime + 1, "v1"},
+		{"all gone", []step{{0, one}, {Lifetime, map[string]map[string]bool{}}}, 3 * Lifetime, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := NewHistory()
+			for _, s := range c.steps {
+				h.Observe(s.now, at(s.at))
+			}
+			got, _, ok := h.Only("llm", at(c.ask))
+			if ok != (c.want != "") || ok && got != c.want {
+				t.Errorf("%q %v, want %q", got, ok, c.want)
+			}
+		})
+	}
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -57,6 +57,7 @@
 	ReasonForbidden       Reason = "forbidden"
 	ReasonUnknownClass    Reason = "unknown_class"
 	ReasonUnknownRequest  Reason = "unknown_request"
+	ReasonUnknownStream   Reason = "unknown_stream"
 	ReasonUnboundKey      Reason = "unbound_key"
 	ReasonIDExpired       Reason = "id_expired"
 	ReasonHomeGone        Reason = "home_gone"
