What one version proves of a stream follows the routes' timeouts

A stream may be taken up for about its route's timeout, so one and a half times the longest one among the service's resumable routes suffices, and streams are kept for that long where it is more than 30 s.

A stream without a name now has a key of its own for its query (TestAStreamWithoutANameIsNotTakenForAnother).

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -115,6 +115,7 @@
 	f.table.Store(table)
 	f.lists = nil
 	f.mu.Unlock()
+	f.streams.setRoutes(config.Routes)
 	f.log.Info("config_in_force",
 		zap.Int64("version", config.Version), zap.Int64("was", was), zap.String("from", from),
 		zap.Int("routes", len(config.Routes)), zap.Int("customers", len(config.Customers)))
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -9,6 +9,7 @@
 
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/relay"
+	"basilrudder/internal/routing"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/streams"
 	"basilrudder/internal/timer"
@@ -37,6 +38,9 @@
 	history *streams.History
 	// ask asks peers for a stream.
 	ask func(key streams.Key, service string)
+	// lifetimes are how long streams of each service may be taken up, by its routes; guarded
+	// by mu.
+	lifetimes map[string]time.Duration
 	// asked and unknown count the streams that peers were asked for, and those that stayed
 	// unknown.
 	asked, unknown atomic.Int64
@@ -54,10 +58,43 @@
 func newStreamVersions() *streamVersions {
 	return &streamVersions{
 		table: streams.NewTable(), history: streams.NewHistory(), waiting: make(map[streams.Key]*streamQuery),
-		ask: func(streams.Key, string) {},
+		ask: func(streams.Key, string) {}, lifetimes: make(map[string]time.Duration),
 	}
 }
 
+// lifetimePerTimeout is how long a stream may be taken up after it began, as a multiple of
+// its route's timeout. Callers wait for about that timeout over all their tries, and some of
+// them for one that was longer before a change of the configuration.
+const lifetimePerTimeout = 1.5
+
+// setRoutes applies the routes of a configuration. A lifetime never becomes shorter: streams
+// that began before may still be taken up.
+func (s *streamVersions) setRoutes(routes []routing.Route) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range routes {
+		if !routes[i].Resumable {
+			continue
+		}
+		lifetime := time.Duration(lifetimePerTimeout * float64(routes[i].Timeout))
+		s.table.Keep(lifetime)
+		for _, share := range routes[i].Shares {
+			s.lifetimes[share.Service] = max(s.lifetimes[share.Service], lifetime)
+		}
+	}
+}
+
+// only returns the only version that a stream of a service can have begun at.
+func (s *streamVersions) only(service string, now monotime.Instant) (version string, lasted time.Duration, ok bool) {
+	s.mu.Lock()
+	lifetime := s.lifetimes[service]
+	s.mu.Unlock()
+	if lifetime == 0 {
+		return "", 0, false
+	}
+	return s.history.Only(service, lifetime, now)
+}
+
 // apply records the streams of an update.
 func (s *streamVersions) apply(from string, update *wire.RelayNews, now monotime.Instant) {
 	for _, told := range update.Streams {
@@ -172,6 +209,10 @@
 // StreamOrigin implements relay.Fleet.
 func (f *fleet) StreamOrigin(ctx context.Context, service, try string) relay.StreamOrigin {
 	key := streams.KeyOf(service, try)
+	if try == "" {
+		// The stream has no name; what is said of it holds for this request only.
+		key = streams.Key(rand.Int64())
+	}
 	if origin := f.knownStream(key, service, monotime.Now()); origin.Known {
 		return origin
 	}
@@ -189,7 +230,7 @@
 	if r, ok := f.streams.table.Get(key, now); ok {
 		return relay.StreamOrigin{Known: true, Version: r.Version, From: r.From, Age: now.Sub(r.At)}
 	}
-	version, lasted, ok := f.streams.history.Only(service, now)
+	version, lasted, ok := f.streams.only(service, now)
 	if viewAge := f.sinceServersConfirmed(now); !ok || viewAge > maxVersionViewAge {
 		return relay.StreamOrigin{Age: viewAge}
 	}
--- /dev/null
+++ b/internal/gateway/streamversions_test.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/relay"
+	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/servers"
+	"basilrudder/internal/streams"
+)
+
+// versionFleet returns a fleet before a server of version v1, which the store confirms.
+func versionFleet() *fleet {
+	f, _, _ := newFleet()
+	f.installConfig(versionConfig(), fromStore)
+	put(f, fromStore, servers.Server{ID: "a", Name: "a", Service: "llm", Address: "10.0.0.1:80", DataCentre: "here", Slots: 4, Software: "v1", Revision: 1})
+	advance(&f.confirmedByStore, monotime.Now())
+	return f
+}
+
+// Guards against streams of a service with one version that are refused although nothing
+// else can have begun them, and against that conclusion where it is not certain.
+func TestAnUnknownStreamGoesOnWhereOneVersionServedOnly(t *testing.T) {
+	const lifetime = time.Duration(lifetimePerTimeout * float64(streamDeadline))
+	addOther := func(f *fleet) {
+		put(f, fromStore, servers.Server{ID: "b", Name: "b", Service: "llm", Address: "10.0.0.2:80", DataCentre: "here", Slots: 4, Software: "v2", Revision: 2})
+	}
+	for _, c := range []struct {
+		name string
+		play func(f *fleet)
+		want bool
+	}{
+		{"long enough", func(*fleet) { time.Sleep(lifetime) }, true},
+		{"not long enough", func(*fleet) { time.Sleep(lifetime - time.Second) }, false},
+		{"two versions", func(f *fleet) { time.Sleep(lifetime); addOther(f) }, false},
+		{"two versions a moment ago", func(f *fleet) {
+			addOther(f)
+			f.changeServers(fromStore, func(r *servers.Registry, now monotime.Instant) []string {
+				r.MarkGone("b", 3, now)
+				return []string{"b"}
+			})
+			time.Sleep(lifetime)
+		}, false},
+		{"an old view", func(f *fleet) {
+			time.Sleep(lifetime)
+			f.confirmedByStore.Store(int64(monotime.Now().Add(-maxVersionViewAge - time.Second)))
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := versionFleet()
+				c.play(f)
+				if c.name != "an old view" {
+					advance(&f.confirmedByStore, monotime.Now())
+				}
+				got := f.StreamOrigin(t.Context(), "llm", "try")
+				if got.Known != c.want || got.Known && (got.Version != "v1" || got.From != relay.OnlyVersion) {
+					t.Errorf("%+v", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a stream whose caller names no try, and that goes on at the version said of
+// another such stream.
+func TestAStreamWithoutANameIsNotTakenForAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := versionFleet()
+		f.streams.ask = func(key streams.Key, _ string) {
+			f.streams.apply("peer", &wire.RelayNews{Streams: []wire.RelayStreams{{Software: "v1", Keys: []int{int(key)}}}}, monotime.Now())
+		}
+		if got := f.StreamOrigin(t.Context(), "llm", ""); got.Version != "v1" || got.From != "peer" {
+			t.Errorf("a peer that knows: %+v", got)
+		}
+		f.streams.ask = func(streams.Key, string) {}
+		if got := f.StreamOrigin(t.Context(), "llm", ""); got.Known {
+			t.Errorf("nobody knows: %+v", got)
+		}
+	})
+}
+
+// Guards against queries that outlive their requests, and against waiting for all of the
+// time once a peer has answered.
+func TestAQueryEndsWithItsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := versionFleet()
+		key := streams.KeyOf("llm", "try")
+		f.streams.ask = func(streams.Key, string) {
+			time.AfterFunc(10*time.Millisecond, func() {
+				f.streams.apply("peer", &wire.RelayNews{Streams: []wire.RelayStreams{{Software: "v2", Keys: []int{int(key)}}}}, monotime.Now())
+			})
+		}
+		begun := time.Now()
+		got := f.StreamOrigin(t.Context(), "llm", "try")
+		if took := time.Since(begun); got.Version != "v2" || took != 10*time.Millisecond {
+			t.Errorf("%+v after %v", got, took)
+		}
+		begun = time.Now()
+		f.streams.ask = func(streams.Key, string) {}
+		got = f.StreamOrigin(t.Context(), "llm", "other")
+		if took := time.Since(begun); got.Known || took != streamQueryTimeout || len(f.streams.waiting) != 0 {
+			t.Errorf("%+v after %v, %d waiting", got, took, len(f.streams.waiting))
+		}
+	})
+}
--- a/internal/streams/history.go
+++ b/internal/streams/history.go
@@ -7,6 +7,9 @@
 	"basilrudder/internal/monotime"
 )
 
+// maxLifetime bounds how long versions that are gone are tracked.
+const maxLifetime = 5 * time.Minute
+
 // History tracks which software versions the servers of each service have had. It is safe
 // for concurrent use.
 type History struct {
@@ -51,21 +54,22 @@
 		}
 	}
 	for version, at := range s.gone {
-		if present[version] || now.Sub(at) > Lifetime {
+		if present[version] || now.Sub(at) > maxLifetime {
 			delete(s.gone, version)
 		}
 	}
 	s.present = present
 }
 
-// Only returns the only version that any stream of a service still alive can have begun
-// at, and for how long it has been the only one. It is false if the servers had several
-// versions within Lifetime, or were not tracked for so long.
-func (h *History) Only(name string, now monotime.Instant) (version string, lasted time.Duration, ok bool) {
+// Only returns the only version at which a stream of a service can have begun within a
+// lifetime, and for how long it has been the only one. It is false if the servers had
+// several versions within the lifetime, or were not tracked for so long.
+func (h *History) Only(name string, lifetime time.Duration, now monotime.Instant) (version string, lasted time.Duration, ok bool) {
+	lifetime = min(lifetime, maxLifetime)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.services[name]
-	if s == nil || now.Sub(s.since) < Lifetime {
+	if s == nil || now.Sub(s.since) < lifetime {
 		return "", 0, false
 	}
 	lasted = now.Sub(s.since)
@@ -74,7 +78,7 @@
 		versions[v], version = true, v
 	}
 	for v, at := range s.gone {
-		if now.Sub(at) <= Lifetime {
+		if now.Sub(at) <= lifetime {
 			versions[v], version = true, v
 		} else {
 			lasted = min(lasted, now.Sub(at))
--- a/internal/streams/streams_test.go
+++ b/internal/streams/streams_test.go
@@ -10,21 +10,31 @@
 
 func at(d time.Duration) monotime.Instant { return monotime.Instant(time.Hour + d) }
 
-func TestStreamsAreRememberedForALifetime(t *testing.T) {
+func TestStreamsAreRememberedForAWhile(t *testing.T) {
 	table := NewTable()
 	key := KeyOf("llm", "try")
 	table.Put(key, "v1", "a", at(0))
-	for _, after := range []time.Duration{0, Lifetime / 2, Lifetime} {
+	for _, after := range []time.Duration{0, minKept / 2, minKept} {
 		got, ok := table.Get(key, at(after))
 		if want := (Record{Version: "v1", From: "a", At: at(0)}); !ok || got != want {
 			t.Errorf("after %v: %+v %v", after, got, ok)
 		}
 	}
-	if got, ok := table.Get(key, at(3*Lifetime)); ok || table.Len() != 0 {
+	if got, ok := table.Get(key, at(3*minKept)); ok || table.Len() != 0 {
 		t.Errorf("remembered for ever: %+v, %d", got, table.Len())
 	}
 }
 
+func TestLongStreamsAreRememberedForLonger(t *testing.T) {
+	table := NewTable()
+	table.Keep(2 * minKept)
+	table.Keep(time.Second)
+	table.Put(1, "v1", "a", at(0))
+	if _, ok := table.Get(1, at(2*minKept)); !ok {
+		t.Error("forgotten")
+	}
+}
+
 // Guards against a stream that goes on at one of two versions that are both said to have
 // begun it.
 func TestContradictingVersionsAreUnknown(t *testing.T) {
@@ -74,6 +84,7 @@
 }
 
 func TestTheOnlyVersionOfAService(t *testing.T) {
+	const lifetime = 12 * time.Second
 	one := map[string]map[string]bool{"llm": {"v1": true}}
 	two := map[string]map[string]bool{"llm": {"v1": true, "v2": true}}
 	other := map[string]map[string]bool{"llm": {"v2": true}}
@@ -88,22 +99,22 @@
 		want  string
 	}{
 		{"never listed", nil, time.Hour, ""},
-		{"tracked for too short a time", []step{{0, one}}, Lifetime - 1, ""},
-		{"one for long", []step{{0, one}}, Lifetime, "v1"},
-		{"two serve", []step{{0, one}, {Lifetime, two}}, 3 * Lifetime, ""},
-		{"replaced just now", []step{{0, one}, {Lifetime, other}}, 2 * Lifetime, ""},
-		{"replaced long ago", []step{{0, one}, {Lifetime, other}}, 2*Lifetime + 1, "v2"},
-		{"turned back", []step{{0, one}, {Lifetime, two}, {Lifetime + 1, one}}, 2 * Lifetime, ""},
-		{"turned back long ago", []step{{0, one}, {Lifetime, two}, {Lifetime + 1, one}}, 2*Lifetime + 2, "v1"},
-		{"all gone just now", []step{{0, one}, {Lifetime, map[string]map[string]bool{}}}, Lifetime + 1, "v1"},
-		{"all gone", []step{{0, one}, {Lifetime, map[string]map[string]bool{}}}, 3 * Lifetime, ""},
+		{"tracked for too short a time", []step{{0, one}}, lifetime - 1, ""},
+		{"one for long", []step{{0, one}}, lifetime, "v1"},
+		{"two serve", []step{{0, one}, {lifetime, two}}, 3 * lifetime, ""},
+		{"replaced just now", []step{{0, one}, {lifetime, other}}, 2 * lifetime, ""},
+		{"replaced long ago", []step{{0, one}, {lifetime, other}}, 2*lifetime + 1, "v2"},
+		{"turned back", []step{{0, one}, {lifetime, two}, {lifetime + 1, one}}, 2 * lifetime, ""},
+		{"turned back long ago", []step{{0, one}, {lifetime, two}, {lifetime + 1, one}}, 2*lifetime + 2, "v1"},
+		{"all gone just now", []step{{0, one}, {lifetime, map[string]map[string]bool{}}}, lifetime + 1, "v1"},
+		{"all gone", []step{{0, one}, {lifetime, map[string]map[string]bool{}}}, 3 * lifetime, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := NewHistory()
 			for _, s := range c.steps {
 				h.Observe(s.now, at(s.at))
 			}
-			got, _, ok := h.Only("llm", at(c.ask))
+			got, _, ok := h.Only("llm", lifetime, at(c.ask))
 			if ok != (c.want != "") || ok && got != c.want {
 				t.Errorf("%q %v, want %q", got, ok, c.want)
 			}
--- a/internal/streams/table.go
+++ b/internal/streams/table.go
@@ -15,11 +15,10 @@
 )
 
 const (
-	// Lifetime is how long a stream is remembered at least. Callers take a stream up before
-	// the deadline of their first try; beyond Lifetime it is unknown.
-	Lifetime = 30 * time.Second
-	// maxStreams bounds the streams remembered for one Lifetime: 4,300 begin each second in
-	// the largest fleet.
+	// minKept is how long a stream is remembered at least.
+	minKept = 30 * time.Second
+	// maxStreams bounds the streams remembered for that time: 4,300 begin each second in the
+	// largest fleet.
 	maxStreams = 1 << 17
 )
 
@@ -42,11 +41,12 @@
 	At monotime.Instant
 }
 
-// Table holds the streams that began in the last Lifetime or two. It is safe for concurrent
-// use.
+// Table holds the streams that began lately. It is safe for concurrent use.
 type Table struct {
 	mu sync.Mutex
-	// newer and older are the streams of the current Lifetime and of the one before it.
+	// kept is how long a stream is remembered at least; newer are the streams of the current
+	// span of this length, and older those of the one before it.
+	kept         time.Duration
 	newer, older map[Key]entry
 	turnedAt     monotime.Instant
 	names        names
@@ -64,7 +64,14 @@
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{newer: make(map[Key]entry), names: names{numbers: make(map[string]uint16)}}
+	return &Table{kept: minKept, newer: make(map[Key]entry), names: names{numbers: make(map[string]uint16)}}
+}
+
+// Keep remembers streams for at least so long from now on.
+func (t *Table) Keep(lifetime time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.kept = min(max(t.kept, lifetime), maxLifetime)
 }
 
 // Put records that a version began a stream, as an instance tells.
@@ -119,13 +126,13 @@
 	return e, ok
 }
 
-// turn forgets the older streams once the newer ones have been collected for Lifetime.
+// turn forgets the older streams once the newer ones have been collected for long enough.
 func (t *Table) turn(now monotime.Instant) {
 	switch {
-	case now.Sub(t.turnedAt) >= 2*Lifetime:
+	case now.Sub(t.turnedAt) >= 2*t.kept:
 		t.newer = make(map[Key]entry)
 		t.forgetOlder(now)
-	case now.Sub(t.turnedAt) >= Lifetime:
+	case now.Sub(t.turnedAt) >= t.kept:
 		t.forgetOlder(now)
 	}
 }
