--- a/internal/gateway/streamversions_test.go
+++ b/internal/gateway/streamversions_test.go
@@ -37,12 +37,13 @@
 		{"not long enough", func(*fleet) { time.Sleep(lifetime - time.Second) }, false},
 		{"two versions", func(f *fleet) { time.Sleep(lifetime); addOther(f) }, false},
 		{"two versions a moment ago", func(f *fleet) {
+			time.Sleep(lifetime)
 			addOther(f)
 			f.changeServers(fromStore, func(r *servers.Registry, now monotime.Instant) []string {
 				r.MarkGone("b", 3, now)
 				return []string{"b"}
 			})
-			time.Sleep(lifetime)
+			time.Sleep(lifetime / 2)
 		}, false},
 		{"an old view", func(f *fleet) {
 			time.Sleep(lifetime)
