--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -94,6 +94,11 @@
 }
 
 func playVersions(t *testing.T, seed uint64, play func(v *versionCluster)) {
+	playFleetVersions(t, seed, cutInstances, smallFleetStart, play)
+}
+
+// playFleetVersions plays a test on so many instances in virtual time.
+func playFleetVersions(t *testing.T, seed uint64, size int, start time.Duration, play func(v *versionCluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var tasks errgroup.Group
@@ -109,12 +114,12 @@
 			v.newIncarnation(n, "v1")
 			v.startServer(n, func(conn net.Conn, in *bufio.Reader) bool { return v.serveStream(n, conn, in) })
 		}
-		v.start(0, cutInstances)
+		v.start(0, size)
 		v.tasks.Go(func() error {
 			v.confirmByStore()
 			return nil
 		})
-		time.Sleep(smallFleetStart)
+		time.Sleep(start)
 		play(v)
 		v.stop(cancel)
 	})
@@ -571,12 +576,7 @@
 	for _, test := range versionCases {
 		t.Run(test.name, func(t *testing.T) {
 			playVersions(t, 7, func(v *versionCluster) {
-				for n := versionServers / 2; n < versionServers; n++ {
-					was := v.running[n].ID
-					v.tellEntry(v.newIncarnation(n, "v2"))
-					v.tellGone(was)
-				}
-				time.Sleep(entryLag + time.Second)
+				v.replaceHalf()
 				v.tasks.Go(func() error {
 					test.play(v)
 					return nil
@@ -588,6 +588,38 @@
 	}
 }
 
+// replaceHalf replaces half of the servers by ones of another version.
+func (v *versionCluster) replaceHalf() {
+	for n := versionServers / 2; n < versionServers; n++ {
+		was := v.running[n].ID
+		v.tellEntry(v.newIncarnation(n, "v2"))
+		v.tellGone(was)
+	}
+	time.Sleep(entryLag + time.Second)
+}
+
+// Guards against versions that are told too late, or not to all, in large fleets.
+func TestStreamsGoOnInFleetsOfAnySize(t *testing.T) {
+	for _, size := range fleetSizes() {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			playFleetVersions(t, 5, size, largeFleetStart, func(v *versionCluster) {
+				v.replaceHalf()
+				v.tasks.Go(func() error {
+					for n := range 6 {
+						v.kill(n)
+						v.restart()
+						v.crash(n%versionServers, 800*time.Millisecond, []string{"v1", "v2", "v3"}[n%3])
+						time.Sleep(500 * time.Millisecond)
+					}
+					return nil
+				})
+				v.streams(versionsLast)
+				v.check()
+			})
+		})
+	}
+}
+
 // Guards against refusing streams of a service that has one version only, because the
 // instances that knew them were restarted.
 func TestStreamsOfTheOnlyVersionAreTakenUpByRestartedInstances(t *testing.T) {
