A stream is taken up at the service of its first try

On a route that is split among services, each try drew its service by its own id, so a stream could be taken up at another service, where nothing is known of it and nobody continues it. Found while looking for the cause elsewhere. The draw takes the id of the first try now, which the caller names.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -70,7 +70,7 @@
 		left = min(left, f.request.Deadline)
 	}
 	f.deadline = time.Now().Add(left)
-	f.service = f.route.Pick(f.request.ID)
+	f.service = f.route.Pick(f.firstTry())
 	f.work = placement.Work{
 		Parts:          f.request.Parts,
 		Prompt:         f.request.Prompt,
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -98,6 +98,7 @@
 	outcomes []string
 	notices  []string
 	streams  []string // that began
+	origin   string   // service whose stream was asked for last
 }
 
 func (f *fakeFleet) Table() *routing.Table        { return f.table }
@@ -186,7 +187,10 @@
 	f.streams = append(f.streams, fmt.Sprint(service, " ", try, " ", version))
 }
 
-func (f *fakeFleet) StreamOrigin(_ context.Context, _, try string) StreamOrigin {
+func (f *fakeFleet) StreamOrigin(_ context.Context, service, try string) StreamOrigin {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.origin = service
 	return f.origins[try]
 }
 
@@ -216,7 +220,7 @@
 func newRig(t *testing.T, routes []routing.Route, scripts map[string][]script, order ...string) *rig {
 	t.Helper()
 	table, err := routing.NewTable(&routing.Config{
-		Version: 1, Routes: routes, Services: []routing.Service{{Name: "svc"}},
+		Version: 1, Routes: routes, Services: []routing.Service{{Name: "svc"}, {Name: "other"}},
 		Limits:       routing.Limits{BodyBytes: 1 << 20},
 		KeysRequired: true, Customers: []routing.Customer{{Name: "acme", Keys: []string{"key"}}},
 	})
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -8,6 +8,15 @@
 	"basilrudder/internal/verdict"
 )
 
+// firstTry returns the id of the try that brought the first event of a stream that is taken
+// up, and the request's own id otherwise.
+func (f *forwarder) firstTry() string {
+	if f.route.Resumable && f.request.ResumeAfter != "" && f.request.Resumes != "" {
+		return f.request.Resumes
+	}
+	return f.request.ID
+}
+
 // bindVersion restricts a stream that a caller takes up to servers of the software version
 // that began it. What two versions write does not fit together, and servers do not check.
 func (f *forwarder) bindVersion() *failure {
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -1,10 +1,13 @@
 package relay
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"basilrudder/internal/routing"
 )
 
 // Guards against a stream that goes on, in one answer, at another software version than
@@ -104,3 +107,23 @@
 		})
 	}
 }
+
+// Guards against a stream on a route that is split among services, and that is taken up at
+// another service than that of its first try.
+func TestAStreamIsTakenUpAtItsService(t *testing.T) {
+	split := resumable
+	split.Shares = []routing.Share{{Service: "svc", Weight: 1}, {Service: "other", Weight: 2}}
+	synctest.Test(t, func(t *testing.T) {
+		b := newRig(t, []routing.Route{split}, nil)
+		for n := range 40 {
+			first := fmt.Sprint("first-", n)
+			req := request("POST", "/resumable/", fmt.Sprint("later-", n), "x")
+			req.Header.Set("X-Resume", "2")
+			req.Header.Set("X-Resumes", first)
+			b.serve(req)
+			if want := split.Pick(first); b.fleet.origin != want {
+				t.Errorf("%s went to %s, its first try to %s", first, b.fleet.origin, want)
+			}
+		}
+	})
+}
