A store that is down proves nothing against the only version

While the store answers nobody, every view of the servers is old, and an unknown stream of a service with one version was refused, also in deployments that never had two. Servers cannot become known through such a store either: what any instance learns it tells the others at once. So an instance that reaches all others it has seen lately concludes from its view however old that is; one that is cut off does not. Found in review of the conclusion; TestAnUnknownStreamGoesOnWhereOneVersionServedOnly has both cases, the first failed before (it was unknown).

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -57,7 +57,7 @@
 		configs:     newConfigSync(self.ID, f, log),
 		differences: make(map[string]difference),
 	}
-	f.streams.ask = p.askStreams
+	f.streams.ask, f.streams.reachesAll = p.askStreams, p.reachesAll
 	p.configs.send = func(to string, env *wire.Envelope) bool { return p.links.Send(to, env) }
 	return p
 }
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -38,6 +38,8 @@
 	history *streams.History
 	// ask asks peers for a stream.
 	ask func(key streams.Key, service string)
+	// reachesAll reports whether all instances that were seen lately can be reached.
+	reachesAll func() bool
 	// lifetimes are how long streams of each service may be taken up, by its routes; guarded
 	// by mu.
 	lifetimes map[string]time.Duration
@@ -59,6 +61,7 @@
 	return &streamVersions{
 		table: streams.NewTable(), history: streams.NewHistory(), waiting: make(map[streams.Key]*streamQuery),
 		ask: func(streams.Key, string) {}, lifetimes: make(map[string]time.Duration),
+		reachesAll: func() bool { return false },
 	}
 }
 
@@ -171,6 +174,13 @@
 	return streamMetrics{Known: s.table.Len(), Asked: s.asked.Load(), Unknown: s.unknown.Load()}
 }
 
+// reachesAll reports whether all members can be reached.
+func (p *peers) reachesAll() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.node.Reachable()) == p.node.MemberCount()
+}
+
 // askStreams asks some linked peers for a stream.
 func (p *peers) askStreams(key streams.Key, service string) {
 	p.mu.Lock()
@@ -231,7 +241,10 @@
 		return relay.StreamOrigin{Known: true, Version: r.Version, From: r.From, Age: now.Sub(r.At)}
 	}
 	version, lasted, ok := f.streams.only(service, now)
-	if viewAge := f.sinceServersConfirmed(now); !ok || viewAge > maxVersionViewAge {
+	viewAge := f.sinceServersConfirmed(now)
+	// While the store confirms nothing to anyone, an instance that reaches all others
+	// hears of each version that any of them learns of.
+	if !ok || viewAge > maxVersionViewAge && !f.streams.reachesAll() {
 		return relay.StreamOrigin{Age: viewAge}
 	}
 	return relay.StreamOrigin{Known: true, Version: version, From: relay.OnlyVersion, Age: lasted}
