Soak: servers of two software versions, callers that leave and take streams up

Each start of a server brings another of two versions, a third of the callers of streams that may be resumed leave in between, and broken-off ones are taken up elsewhere, naming the first try.

--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -50,12 +50,28 @@
 	calm   bool
 	took   time.Duration
 	status int
+	// stream is what the caller has of a stream that may be resumed, over all its tries; nil
+	// for other requests. leaveAfter is the event after which it leaves; 0 for none.
+	stream     *stream
+	leaveAfter int
 	// err is why the answer is not whole, nil when it is.
 	err error
 	// wrong is what a whole answer has that it must not have.
 	wrong string
 }
 
+// stream is a stream that may be resumed, as its caller has it.
+type stream struct {
+	firstTry string // that brought the first event
+	events   int
+	software map[string]bool // versions of the servers that made them
+	tries    int             // that took it up, and goneOn those that brought events
+	goneOn   int
+}
+
+// errLeft ends an attempt whose caller leaves to go on elsewhere.
+var errLeft = errors.New("the caller left")
+
 // served reports whether the caller has all it asked for.
 func (a *attempt) served() bool { return a.status == http.StatusOK && a.err == nil && a.wrong == "" }
 
@@ -71,6 +87,7 @@
 
 	mu       sync.Mutex
 	attempts []*attempt
+	streams  []*stream
 }
 
 func newCaller(f *fleet, number int, seed uint64) *caller {
@@ -84,7 +101,12 @@
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if i := c.choose(); i != nil {
-			c.send(i, routes[c.rand.IntN(len(routes))], c.rand.Float64() < unknownKeys)
+			route, unknownKey := routes[c.rand.IntN(len(routes))], c.rand.Float64() < unknownKeys
+			leaveAfter := 0
+			if route == "resumable" && c.rand.Float64() < leavers {
+				leaveAfter = 1 + c.rand.IntN(standin.StreamEvents-1)
+			}
+			c.takeUp(c.sendUntil(i, route, unknownKey, leaveAfter))
 		}
 		time.Sleep(time.Duration(c.rand.Int64N(int64(thinking))))
 	}
@@ -131,12 +153,53 @@
 	return out.Addresses, err
 }
 
+// leavers is the share of streams whose caller leaves in between, and maxTakeUps how often a
+// caller takes a stream up.
+const (
+	leavers    = 0.3
+	maxTakeUps = 3
+)
+
+// takeUp takes a stream that may be resumed up at other instances until it is whole.
+func (c *caller) takeUp(a *attempt) {
+	s := a.stream
+	for range maxTakeUps {
+		if s == nil || s.events == 0 || s.events >= standin.StreamEvents {
+			return
+		}
+		time.Sleep(time.Duration(c.rand.Int64N(int64(thinking))))
+		i := c.choose()
+		if i == nil {
+			return
+		}
+		before := s.events
+		s.tries++
+		c.keep(i, &attempt{id: c.newID(), route: a.route, instance: i.name, stream: s})
+		s.goneOn += min(1, s.events-before)
+	}
+}
+
+func (c *caller) newID() string { return fmt.Sprintf("%08x%08x", c.number, c.rand.Uint32()) }
+
 // send sends one request and keeps what became of it.
 func (c *caller) send(i *instance, route string, unknownKey bool) *attempt {
-	a := &attempt{
-		id: fmt.Sprintf("%08x%08x", c.number, c.rand.Uint32()), route: route,
-		instance: i.name, unknownKey: unknownKey,
+	return c.sendUntil(i, route, unknownKey, 0)
+}
+
+// sendUntil is send for a caller that leaves after an event of a stream; 0 for never.
+func (c *caller) sendUntil(i *instance, route string, unknownKey bool, leaveAfter int) *attempt {
+	a := &attempt{id: c.newID(), route: route, instance: i.name, unknownKey: unknownKey, leaveAfter: leaveAfter}
+	if route == "resumable" {
+		a.stream = &stream{firstTry: a.id, software: make(map[string]bool)}
+		c.mu.Lock()
+		c.streams = append(c.streams, a.stream)
+		c.mu.Unlock()
 	}
+	return c.keep(i, a)
+}
+
+// keep sends a request and keeps what became of it.
+func (c *caller) keep(i *instance, a *attempt) *attempt {
 	generation, calm := i.disturbed()
 	begun := time.Now()
 	c.exchange(i, a)
@@ -171,6 +234,10 @@
 		r.Header.Set(wire.HeaderTokens, "1400,48")
 		r.Header.Set(wire.HeaderParts, fmt.Sprintf("aa%d:900,%s:500", c.rand.IntN(5), a.id))
 	}
+	if s := a.stream; s != nil && s.events > 0 {
+		r.Header.Set(wire.HeaderResume, strconv.Itoa(s.events))
+		r.Header.Set(wire.HeaderResumes, s.firstTry)
+	}
 	answer, err := c.client.Do(r)
 	if err != nil {
 		a.err = err
@@ -202,8 +269,14 @@
 // readStream checks that the events are this request's, in order, each once.
 func (a *attempt) readStream(body io.Reader) {
 	scanner := bufio.NewScanner(body)
-	n := 0
+	n, software := 0, ""
+	if a.stream != nil {
+		n = a.stream.events
+	}
 	for scanner.Scan() {
+		if version, ok := strings.CutPrefix(scanner.Text(), standin.SoftwareField+": "); ok {
+			software = version
+		}
 		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
 		if !ok {
 			continue
@@ -213,6 +286,13 @@
 			a.wrong = fmt.Sprintf("the event %q in place of %q", data, want)
 			return
 		}
+		if a.stream != nil {
+			a.stream.events, a.stream.software[software] = n, true
+		}
+		if n == a.leaveAfter {
+			a.err = errLeft
+			return
+		}
 	}
 	a.err = scanner.Err()
 	if a.err == nil && n != standin.StreamEvents {
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -29,9 +29,12 @@
 type upstream struct {
 	service string
 	number  int
-	id      string
-	http    *http.Server
-	proxy   *proxy
+	// starts counts the incarnations; software is the version of the one that runs.
+	starts   int
+	software string
+	id       string
+	http     *http.Server
+	proxy    *proxy
 	// ending is held by the fault that replaces the server.
 	ending sync.Mutex
 
@@ -191,7 +194,11 @@
 		return err
 	}
 	u.id = fmt.Sprintf("s%d-%d", u.number, time.Now().UnixNano())
+	// Each start brings another of two versions, and both serve at any time.
+	u.starts++
+	u.software = fmt.Sprint("v", 1+(u.number/2+u.starts)%2)
 	server := standin.NewServer(u.id, slots, f.ledger)
+	server.Software = u.software
 	u.setServer(server)
 	u.http = &http.Server{Handler: server}
 	go serve(u.http, ln)
@@ -217,7 +224,7 @@
 }
 
 func (u *upstream) entry(state string) wire.ServerEntry {
-	return wire.ServerEntry{Service: u.service, Address: u.proxy.address(), Zone: "here", Slots: float64(slots), State: state}
+	return wire.ServerEntry{Service: u.service, Address: u.proxy.address(), Zone: "here", Software: u.software, Slots: float64(slots), State: state}
 }
 
 func (f *fleet) close() {
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -97,6 +97,9 @@
 	for _, c := range callers {
 		s.check(c, r)
 	}
+	if r.mixed > maxMixed {
+		s.broken("%d streams hold events of two software versions", r.mixed)
+	}
 	r.broken = s.breaches
 	return r, nil
 }
@@ -174,8 +177,18 @@
 // and never will.
 var notRun = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
+// maxMixed is the number of streams that may hold events of two software versions.
+const maxMixed = 2
+
 // check compares what a caller was told with what servers ran.
 func (s *soak) check(c *caller, r *report) {
+	for _, of := range c.streams {
+		r.takenUp += of.tries
+		r.goneOn += of.goneOn
+		if len(of.software) > 1 {
+			r.mixed++
+		}
+	}
 	for _, a := range c.attempts {
 		r.byOutcome[a.outcome()]++
 		runs := s.fleet.ledger.Runs(a.id)
@@ -215,6 +228,8 @@
 		return "served"
 	case a.wrong != "":
 		return "wrong"
+	case errors.Is(a.err, errLeft):
+		return "left"
 	case a.status == 0:
 		return "no answer"
 	case a.status == http.StatusOK:
@@ -226,7 +241,10 @@
 // report is what a run found.
 type report struct {
 	byOutcome map[string]int
-	broken    []string
+	// takenUp counts tries that take a stream up, goneOn those of them that brought events,
+	// and mixed the streams with events of two software versions.
+	takenUp, goneOn, mixed int
+	broken                 []string
 }
 
 // String implements fmt.Stringer.
@@ -235,6 +253,7 @@
 	for _, outcome := range slices.Sorted(maps.Keys(r.byOutcome)) {
 		fmt.Fprintf(&out, "%s %d, ", outcome, r.byOutcome[outcome])
 	}
+	fmt.Fprintf(&out, "%d of %d streams taken up go on, %d with two versions, ", r.goneOn, r.takenUp, r.mixed)
 	fmt.Fprintf(&out, "%d promises broken", len(r.broken))
 	for _, breach := range r.broken {
 		out.WriteString("\n  " + breach)
