New versions take streams that no settled one takes

Leaving a new version out for 4 s where a stream begins must not refuse streams while its servers are free: a fast release leaves few settled servers for some seconds. A stream that no settled server takes, for whatever reason, goes to the new ones; before, only where none was left. Without a test of its own: the choice is the one that TestAVersionSettlesBeforeStreamsBeginThere covers for none left.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -24,7 +24,7 @@
 	filter := f.newFilter(list, published, &work, excluded, now)
 	filter.unsettled = f.unsettledVersions(list, service, &work, now)
 	choice, refusal := f.board.ChooseFrom(work, list.pool, list.sourcePool, filter.allows, now)
-	if refusal == placement.NoneReachable && filter.unsettled != nil {
+	if refusal != placement.Chosen && filter.unsettled != nil {
 		filter.unsettled = nil
 		choice, refusal = f.board.ChooseFrom(work, list.pool, list.sourcePool, filter.allows, now)
 	}
