--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -13,22 +13,22 @@
 	"basilrudder/internal/routing"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/streams"
-	"basilrudder/internal/timer"
 )
 
 const (
-	// streamQueryTimeout bounds the wait for peers that are asked for a stream, and for an
-	// update that tells of it and is still on its way. Peers answer within a few ms; one that
-	// is cut off never does.
-	streamQueryTimeout = 150 * time.Millisecond
-	// maxStreamPeers is the number of peers that are asked for one stream.
-	maxStreamPeers = 8
-	// maxStreamQueries bounds the streams that are asked for at once. Further ones count as
-	// unknown.
-	maxStreamQueries = 512
 	// maxVersionViewAge is how old the store's last confirmation of the servers may be for
 	// a conclusion from the versions that they have.
 	maxVersionViewAge = 3 * time.Second
+	// versionSettling is how long a new software version is left out where a stream begins
+	// that may be taken up elsewhere. It exceeds maxVersionViewAge: whoever concludes from a
+	// view that the service has one version only would have the new one in it.
+	versionSettling = maxVersionViewAge + time.Second
+	// maxVersionAge bounds the ages of versions that peers tell; older ones are as settled.
+	maxVersionAge = time.Hour
+	// lifetimePerTimeout is how long a stream may be taken up after it began, as a multiple
+	// of its route's timeout. Callers wait for about that timeout over all their tries, and
+	// some of them for one that was longer before a change of the configuration.
+	lifetimePerTimeout = 1.5
 )
 
 // streamVersions knows which software version began each stream of the fleet that may be
@@ -52,12 +52,6 @@
 	waiting map[streams.Key]*streamQuery
 }
 
-// streamQuery is a question to peers. done is closed once the stream is known.
-type streamQuery struct {
-	done  chan struct{}
-	users int
-}
-
 func newStreamVersions() *streamVersions {
 	return &streamVersions{
 		table: streams.NewTable(), history: streams.NewHistory(), waiting: make(map[streams.Key]*streamQuery),
@@ -66,11 +60,6 @@
 	}
 }
 
-// lifetimePerTimeout is how long a stream may be taken up after it began, as a multiple of
-// its route's timeout. Callers wait for about that timeout over all their tries, and some of
-// them for one that was longer before a change of the configuration.
-const lifetimePerTimeout = 1.5
-
 // setRoutes applies the routes of a configuration. A lifetime never becomes shorter: streams
 // that began before may still be taken up.
 func (s *streamVersions) setRoutes(routes []routing.Route) {
@@ -109,61 +98,6 @@
 	}
 }
 
-// wake ends the query of a stream that has become known.
-func (s *streamVersions) wake(key streams.Key) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if q := s.waiting[key]; q != nil {
-		delete(s.waiting, key)
-		close(q.done)
-	}
-}
-
-// query asks peers for a stream and waits until it is known. Requests for the same stream
-// share a query.
-func (s *streamVersions) query(ctx context.Context, key streams.Key, service string) {
-	q, first := s.join(key)
-	if q == nil {
-		return
-	}
-	defer s.leave(key, q)
-	if first {
-		s.asked.Add(1)
-		s.ask(key, service)
-	}
-	timeout := timer.New(streamQueryTimeout)
-	defer timeout.Stop()
-	select {
-	case <-q.done:
-	case <-timeout.C:
-	case <-ctx.Done():
-	}
-}
-
-func (s *streamVersions) join(key streams.Key) (q *streamQuery, first bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	q = s.waiting[key]
-	if q == nil {
-		if len(s.waiting) >= maxStreamQueries {
-			return nil, false
-		}
-		q, first = &streamQuery{done: make(chan struct{})}, true
-		s.waiting[key] = q
-	}
-	q.users++
-	return q, first
-}
-
-func (s *streamVersions) leave(key streams.Key, q *streamQuery) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	q.users--
-	if q.users == 0 && s.waiting[key] == q {
-		delete(s.waiting, key)
-	}
-}
-
 // streamMetrics is what is known of streams that may be resumed, in the metrics.
 type streamMetrics struct {
 	Known   int   `json:"known"`
@@ -182,14 +116,6 @@
 	return len(p.node.Reachable()) == p.node.MemberCount()
 }
 
-// versionSettling is how long a new software version is left out where a stream begins that
-// may be taken up elsewhere. It exceeds maxVersionViewAge: whoever concludes from a view that
-// the service has one version only would have the new one in it.
-const versionSettling = maxVersionViewAge + time.Second
-
-// maxVersionAge bounds the ages of versions that peers tell; older ones are as settled.
-const maxVersionAge = time.Hour
-
 // versionAges returns the ages of the versions of all services, as sent to peers.
 func (s *streamVersions) versionAges(now monotime.Instant) (out []wire.RelayVersion) {
 	for _, a := range s.history.Ages(now) {
@@ -214,34 +140,6 @@
 	return f.streams.history.New(service, versionSettling, now)
 }
 
-// askStreams asks some linked peers for a stream.
-func (p *peers) askStreams(key streams.Key, service string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	linked := p.node.Linked()
-	rand.Shuffle(len(linked), func(i, j int) { linked[i], linked[j] = linked[j], linked[i] })
-	query := wire.RelayNews{StreamsWanted: []wire.RelayStreamQuery{{Key: int(key), Service: service}}}
-	for _, id := range linked[:min(len(linked), maxStreamPeers)] {
-		p.links.Send(id, &wire.Envelope{News: []wire.RelayNews{query}})
-	}
-}
-
-// answerStreams answers a peer that asks for streams.
-func (p *peers) answerStreams(to string, wanted []wire.RelayStreamQuery) {
-	if len(wanted) == 0 {
-		return
-	}
-	var out wire.RelayNews
-	for _, w := range wanted {
-		if origin := p.fleet.knownStream(streams.Key(w.Key), w.Service, monotime.Now()); origin.Known {
-			out.Streams = append(out.Streams, wire.RelayStreams{Software: origin.Version, Keys: []int{w.Key}})
-		}
-	}
-	if len(out.Streams) > 0 {
-		p.links.Send(to, &wire.Envelope{News: []wire.RelayNews{out}})
-	}
-}
-
 // StreamBegan implements relay.Fleet.
 func (f *fleet) StreamBegan(service, try, version string, now monotime.Instant) {
 	key := streams.KeyOf(service, try)
