Nothing is concluded for streams that live longer than versions are tracked

Versions are tracked for an hour now, and beyond it nothing is concluded; TestNothingIsConcludedForVeryLongStreams failed before.

--- a/internal/streams/history.go
+++ b/internal/streams/history.go
@@ -7,8 +7,9 @@
 	"basilrudder/internal/monotime"
 )
 
-// maxLifetime bounds how long versions that are gone are tracked.
-const maxLifetime = 5 * time.Minute
+// maxLifetime bounds how long versions that are gone are tracked. Nothing is concluded for
+// streams that live for longer.
+const maxLifetime = time.Hour
 
 // History tracks which software versions the servers of each service have had. It is safe
 // for concurrent use.
@@ -87,11 +88,10 @@
 // lifetime, and for how long it has been the only one. It is false if the servers had
 // several versions within the lifetime, or were not tracked for so long.
 func (h *History) Only(name string, lifetime time.Duration, now monotime.Instant) (version string, lasted time.Duration, ok bool) {
-	lifetime = min(lifetime, maxLifetime)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.services[name]
-	if s == nil || now.Sub(s.since) < lifetime {
+	if s == nil || lifetime > maxLifetime || now.Sub(s.since) < lifetime {
 		return "", 0, false
 	}
 	lasted = now.Sub(s.since)
--- a/internal/streams/streams_test.go
+++ b/internal/streams/streams_test.go
@@ -124,6 +124,18 @@
 	}
 }
 
+// Guards against a conclusion for streams that live for longer than versions are tracked.
+func TestNothingIsConcludedForVeryLongStreams(t *testing.T) {
+	h := NewHistory()
+	h.Observe(map[string]map[string]bool{"llm": {"v1": true}}, at(0))
+	if _, _, ok := h.Only("llm", maxLifetime, at(3*maxLifetime)); !ok {
+		t.Error("unknown after three lifetimes")
+	}
+	if version, _, ok := h.Only("llm", maxLifetime+1, at(3*maxLifetime)); ok {
+		t.Errorf("concluded %q", version)
+	}
+}
+
 func TestNewVersions(t *testing.T) {
 	h := NewHistory()
 	const settling = 4 * time.Second
