Services that may be lost are probed before one that is

Cause: while one service is lost, the next probe went to a random one of those suspected, so as often to the service known to be lost, whose requests go through peers already, as to the one that has not answered since. Some five probes fit into the second that was left; where chance gave all of them to the first, the request found a kept connection that was dead and waited for its whole timeout. Ruled out: too late a detection of the first loss, which the test waits for.

Now those that are not known to be lost come first; two probes settle one. TestUnverifiedServicesAreProbedFirst failed before, at once.

--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -70,6 +71,9 @@
 	suspects := c.paths.Suspects(now)
 	suspects = append(suspects, c.unverifiedServices(suspects)...)
 	rand.Shuffle(len(suspects), func(i, j int) { suspects[i], suspects[j] = suspects[j], suspects[i] })
+	// Requests of a service that is known to be lost go through peers; those of one that may
+	// be lost wait for servers in vain.
+	slices.SortStableFunc(suspects, func(a, b paths.Suspect) int { return lostLast(&a) - lostLast(&b) })
 	for _, suspect := range suspects {
 		if s, ok := c.urgentSuspect(&suspect, now); ok {
 			return s, true, true
@@ -83,6 +87,13 @@
 	return servers.Server{}, false, false
 }
 
+func lostLast(s *paths.Suspect) int {
+	if s.Lost {
+		return 1
+	}
+	return 0
+}
+
 // unverifiedServices returns the services that have not answered since another one was
 // lost: they may be lost too, and their few requests would find out late.
 func (c *connector) unverifiedServices(suspects []paths.Suspect) (out []paths.Suspect) {
--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -705,3 +705,23 @@
 		}
 	})
 }
+
+// Guards against probes that go to a service known to be lost, while one that may be lost
+// too waits for them and its rare requests find out by themselves.
+func TestUnverifiedServicesAreProbedFirst(t *testing.T) {
+	playCuts(t, func(c *cutCluster) {
+		me := c.fleet[0].connector
+		now := monotime.Now()
+		for n := range cutServers {
+			if serviceOf(n) == "llm" {
+				me.paths.Failed("llm", serverAddress(n), cutServers, now)
+			}
+		}
+		for range 50 {
+			if s, urgent, ok := me.suspect(now); !ok || !urgent || s.Service != "app" {
+				t.Errorf("probes %q of service %q, urgent %v", s.ID, s.Service, urgent)
+				return
+			}
+		}
+	})
+}
