explain names the tries that took a stream up

From the first try's id the lines of later tries at other instances were not found: they have ids of their own. They name the first in 'resumes', and stand under a title of their own now, with the version, from whom it was known and for how long.

--- a/internal/relaylog/relaylog.go
+++ b/internal/relaylog/relaylog.go
@@ -39,6 +39,8 @@
 	Server  string `json:"server"`
 	Service string `json:"service"`
 	Peer    string `json:"peer"`
+	// Resumes is the try whose stream the request takes up.
+	Resumes string `json:"resumes"`
 	// Tunnel is the connection through a peer that the line concerns.
 	Tunnel string  `json:"tunnel"`
 	TookMS float64 `json:"took_ms"`
@@ -50,6 +52,9 @@
 type Explanation struct {
 	// Request holds the lines of the request, oldest first.
 	Request []Line
+	// TakenUp holds the lines, of all instances, of later tries that took the request's
+	// stream up, oldest first.
+	TakenUp []Line
 	// Tunnels holds the lines, of all instances, on the connections through peers over
 	// which the request was sent, oldest first.
 	Tunnels []Line
@@ -116,6 +121,9 @@
 	instances, concerned, tunnels := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	var arrived time.Time
 	for _, line := range lines {
+		if line.Resumes == id {
+			out.TakenUp = append(out.TakenUp, line)
+		}
 		if line.ID != id {
 			continue
 		}
@@ -177,22 +185,27 @@
 
 // WriteText writes the explanation as text.
 func (s *Explanation) WriteText(out io.Writer) error {
-	if _, err := fmt.Fprintln(out, "state of the instance when the request arrived:"); err != nil {
-		return err
-	}
-	if err := writeLines(out, s.State); err != nil {
-		return err
-	}
-	if _, err := fmt.Fprintln(out, "what happened to the request:"); err != nil {
-		return err
-	}
-	if err := writeLines(out, s.Request); err != nil || len(s.Tunnels) == 0 {
-		return err
-	}
-	if _, err := fmt.Fprintln(out, "connections through peers:"); err != nil {
-		return err
+	for _, part := range []struct {
+		title  string
+		lines  []Line
+		always bool
+	}{
+		{"state of the instance when the request arrived:", s.State, true},
+		{"what happened to the request:", s.Request, true},
+		{"later tries that took its stream up:", s.TakenUp, false},
+		{"connections through peers:", s.Tunnels, false},
+	} {
+		if len(part.lines) == 0 && !part.always {
+			continue
+		}
+		if _, err := fmt.Fprintln(out, part.title); err != nil {
+			return err
+		}
+		if err := writeLines(out, part.lines); err != nil {
+			return err
+		}
 	}
-	return writeLines(out, s.Tunnels)
+	return nil
 }
 
 func writeLines(out io.Writer, lines []Line) error {
--- a/internal/relaylog/relaylog_test.go
+++ b/internal/relaylog/relaylog_test.go
@@ -81,3 +81,28 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against a stream whose later tries, at other instances, are not found from its
+// first.
+func TestTheExplanationNamesTriesThatTookAStreamUp(t *testing.T) {
+	lines, err := read(strings.NewReader(`
+{"ts":"2026-01-01T10:00:01Z","msg":"request_ended","instance":"a","id":"first","server":"s1"}
+{"ts":"2026-01-01T10:00:02Z","msg":"stream_taken_up","instance":"b","id":"later","resumes":"first","software":"v1","known_from":"a","known_ms":900}
+{"ts":"2026-01-01T10:00:03Z","msg":"request_ended","instance":"b","id":"later","resumes":"first","server":"s2"}
+{"ts":"2026-01-01T10:00:03Z","msg":"request_ended","instance":"b","id":"other","resumes":"another","server":"s3"}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	explanation, err := explainLines("first", lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"stream_taken_up ", "request_ended s2"}, messages(explanation.TakenUp)); diff != "" {
+		t.Error(diff)
+	}
+	var text strings.Builder
+	if err := explanation.WriteText(&text); err != nil || !strings.Contains(text.String(), `"known_from":"a"`) {
+		t.Errorf("%v in\n%s", err, text.String())
+	}
+}
