--- a/internal/streams/model_test.go
+++ b/internal/streams/model_test.go
@@ -51,7 +51,7 @@
 	instances [modelInstances]modelInstance
 	// begun is the version of the stream's first event, plus one, and at when it came.
 	begun, at int8
-	// told are the instances to which word of it is on its way.
+	// told are the instances to which an update about it is on its way.
 	told [modelInstances]bool
 	// mixed means that the stream holds events of two versions.
 	mixed bool
@@ -233,7 +233,7 @@
 	}
 }
 
-// begin begins the stream: word of it goes to all others and may never arrive.
+// begin begins the stream: an update goes to all others and may never arrive.
 func (s *modelState) begin(i int, v int8) {
 	s.begun, s.at = v+1, s.tick
 	s.instances[i].record = s.begun
--- a/internal/streams/table.go
+++ b/internal/streams/table.go
@@ -35,7 +35,7 @@
 type Record struct {
 	// Version of the software that began it.
 	Version string
-	// From is the instance that told of it.
+	// From is the instance that reported it.
 	From string
 	// At is when this process heard of it.
 	At monotime.Instant
@@ -74,14 +74,14 @@
 	t.kept = min(max(t.kept, lifetime), maxLifetime)
 }
 
-// Put records that a version began a stream, as an instance tells.
+// Put records that a version began a stream, as an instance reports.
 func (t *Table) Put(k Key, version, from string, now monotime.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.turn(now)
 	number, ok := t.names.number(version)
-	teller, tellerOK := t.names.number(from)
-	if !ok || !tellerOK {
+	sender, senderOK := t.names.number(from)
+	if !ok || !senderOK {
 		return
 	}
 	if known, ok := t.find(k); ok {
@@ -94,7 +94,7 @@
 	if len(t.newer) >= maxStreams {
 		t.forgetOlder(now)
 	}
-	t.newer[k] = entry{number, teller, milliseconds(now)}
+	t.newer[k] = entry{number, sender, milliseconds(now)}
 }
 
 // Get returns what is known of a stream; false if nothing is, or versions contradict each
