--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -20,12 +20,12 @@
 	// a conclusion from the versions that they have.
 	maxVersionViewAge = 3 * time.Second
 	// versionSettling is how long a new software version is left out where a stream begins
-	// that may be taken up elsewhere. It exceeds maxVersionViewAge: whoever concludes from a
+	// that may be resumed elsewhere. It exceeds maxVersionViewAge: whoever concludes from a
 	// view that the service has one version only would have the new one in it.
 	versionSettling = maxVersionViewAge + time.Second
 	// maxVersionAge bounds the ages of versions that peers tell; older ones are as settled.
 	maxVersionAge = time.Hour
-	// lifetimePerTimeout is how long a stream may be taken up after it began, as a multiple
+	// lifetimePerTimeout is how long a stream may be resumed after it began, as a multiple
 	// of its route's timeout. Callers wait for about that timeout over all their tries, and
 	// some of them for one that was longer before a change of the configuration.
 	lifetimePerTimeout = 1.5
@@ -41,7 +41,7 @@
 	ask func(key streams.Key, service string)
 	// reachesAll reports whether all instances that were seen lately can be reached.
 	reachesAll func() bool
-	// lifetimes are how long streams of each service may be taken up, by its routes; guarded
+	// lifetimes are how long streams of each service may be resumed, by its routes; guarded
 	// by mu.
 	lifetimes map[string]time.Duration
 	// asked and unknown count the streams that peers were asked for, and those that stayed
@@ -61,7 +61,7 @@
 }
 
 // setRoutes applies the routes of a configuration. A lifetime never becomes shorter: streams
-// that began before may still be taken up.
+// that began before may still be resumed.
 func (s *streamVersions) setRoutes(routes []routing.Route) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/streamversions_test.go
+++ b/internal/gateway/streamversions_test.go
@@ -127,7 +127,7 @@
 }
 
 // Guards against a stream that begins at a version of which another instance has not heard:
-// that one would take the stream up at the only version that it knows.
+// that one would resume the stream at the only version that it knows.
 func TestAVersionSettlesBeforeStreamsBeginThere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := versionFleet()
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -32,9 +32,9 @@
 	versionServers = 8
 	// maxMixedStreams is the number of streams that may hold events of two versions.
 	maxMixedStreams = 2
-	// minTakenUp is the number of streams that are taken up, from which the share that goes
+	// minResumed is the number of streams that are resumed, from which the share that goes
 	// on is compared with that of new ones.
-	minTakenUp = 12
+	minResumed = 12
 	// streamDeadline is how long a caller waits for a stream, over all its tries.
 	streamDeadline = 8 * time.Second
 	// maxStreamTries is how often a caller sends a request for one stream.
@@ -90,8 +90,8 @@
 // streamCount counts streams as the rules do.
 type streamCount struct {
 	begun, tried           int // new streams
-	goneOn, takenUp        int // streams that are taken up again, at instances in touch
-	elsewhere              int // streams that are taken up at other instances
+	goneOn, resumed        int // streams that are resumed, at instances in touch
+	elsewhere              int // streams that are resumed at other instances
 	mixedAnswer, mixedOver int // with events of two versions: in one answer, over tries
 	refused                int
 }
@@ -333,7 +333,7 @@
 }
 
 // readStream plays a caller of one stream until it is whole or the caller gives up. A caller
-// that leaves does so once, in the middle of the stream, and takes it up elsewhere.
+// that leaves does so once, in the middle of the stream, and resumes it elsewhere.
 func (v *versionCluster) readStream(leaves bool) {
 	until := time.Now().Add(streamDeadline)
 	got := receivedStream{versions: make(map[string]bool)}
@@ -418,7 +418,7 @@
 
 // countTry adds the events of one answer, of an instance in touch or not, to a stream.
 func (v *versionCluster) countTry(got *receivedStream, id, body string, inTouch bool) {
-	takenUp := got.events > 0
+	resumed := got.events > 0
 	before := len(got.versions)
 	here := make(map[string]bool)
 	events := 0
@@ -429,17 +429,17 @@
 			got.versions[version] = true
 		}
 	}
-	if !takenUp && events > 0 {
+	if !resumed && events > 0 {
 		got.firstTry = id
 	}
 	got.events += events
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	switch {
-	case takenUp && !inTouch:
+	case resumed && !inTouch:
 		v.count.elsewhere++
-	case takenUp:
-		v.count.takenUp++
+	case resumed:
+		v.count.resumed++
 		v.count.goneOn += min(events, 1)
 	default:
 		v.count.tried++
@@ -448,7 +448,7 @@
 	switch {
 	case len(here) > 1:
 		v.count.mixedAnswer++
-	case takenUp && before == 1 && len(got.versions) > 1:
+	case resumed && before == 1 && len(got.versions) > 1:
 		v.count.mixedOver++
 	}
 }
@@ -471,16 +471,16 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	c := v.count
-	v.t.Logf("new: %d of %d begin; taken up: %d of %d go on, %d at instances that are cut off; mixed: %d in one answer, %d over tries; refused or failed: %d",
-		c.begun, c.tried, c.goneOn, c.takenUp, c.elsewhere, c.mixedAnswer, c.mixedOver, c.refused)
+	v.t.Logf("new: %d of %d begin; resumed: %d of %d go on, %d at instances that are cut off; mixed: %d in one answer, %d over tries; refused or failed: %d",
+		c.begun, c.tried, c.goneOn, c.resumed, c.elsewhere, c.mixedAnswer, c.mixedOver, c.refused)
 	if c.mixedAnswer+c.mixedOver > maxMixedStreams {
 		v.t.Errorf("%d streams hold events of two versions in one answer, %d over tries", c.mixedAnswer, c.mixedOver)
 	}
-	if c.takenUp < minTakenUp {
-		v.t.Errorf("only %d streams were taken up", c.takenUp)
+	if c.resumed < minResumed {
+		v.t.Errorf("only %d streams were resumed", c.resumed)
 	}
-	if 2*c.goneOn*c.tried < c.begun*c.takenUp {
-		v.t.Errorf("%d of %d streams that were taken up go on, %d of %d new ones begin", c.goneOn, c.takenUp, c.begun, c.tried)
+	if 2*c.goneOn*c.tried < c.begun*c.resumed {
+		v.t.Errorf("%d of %d streams that were resumed go on, %d of %d new ones begin", c.goneOn, c.resumed, c.begun, c.tried)
 	}
 }
 
@@ -588,7 +588,7 @@
 }
 
 // Guards against streams that go on at another software version than the one that began
-// them, in one answer or over a caller's tries, and against refusing all that are taken up.
+// them, in one answer or over a caller's tries, and against refusing all that are resumed.
 func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
 	for _, test := range versionCases {
 		t.Run(test.name, func(t *testing.T) {
@@ -639,7 +639,7 @@
 
 // Guards against refusing streams of a service that has one version only, because the
 // instances that knew them were restarted.
-func TestStreamsOfTheOnlyVersionAreTakenUpByRestartedInstances(t *testing.T) {
+func TestStreamsOfTheOnlyVersionAreResumedByRestartedInstances(t *testing.T) {
 	playVersions(t, 3, func(v *versionCluster) {
 		v.tasks.Go(func() error {
 			for n := range 6 {
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -32,7 +32,7 @@
 	// none.
 	ResumeAfter string
 	// Resumes is the id of the try that brought the first event of the stream that this
-	// one takes up; empty for none.
+	// one resumes; empty for none.
 	Resumes string
 	// Parts, Prompt and Output describe a prompt, see placement.Work.
 	Parts          []placement.Part
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -17,7 +17,7 @@
 	return f.request.ID
 }
 
-// bindVersion restricts a stream that a caller takes up to servers of the software version
+// bindVersion restricts a stream that a caller resumes to servers of the software version
 // that began it. What two versions write does not fit together, and servers do not check.
 func (f *forwarder) bindVersion() *failure {
 	if !f.route.Resumable || f.request.ResumeAfter == "" {
@@ -33,7 +33,7 @@
 		return unavailable(verdict.ReasonUnknownStream, jitter(retryElsewhere))
 	}
 	f.work.Software = placement.OnlySoftware(origin.Version)
-	f.relay.cfg.Log.Info("stream_taken_up",
+	f.relay.cfg.Log.Info("stream_resumed",
 		zap.String("id", f.request.ID),
 		zap.String("resumes", f.request.Resumes),
 		zap.String("software", origin.Version),
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -62,9 +62,9 @@
 	})
 }
 
-// Guards against a stream that a caller takes up at a server of another software version,
+// Guards against a stream that a caller resumes at a server of another software version,
 // or although nothing tells which one began it.
-func TestAStreamIsTakenUpAtItsSoftwareVersionOnly(t *testing.T) {
+func TestAStreamIsResumedAtItsSoftwareVersionOnly(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		path   string
@@ -108,9 +108,9 @@
 	}
 }
 
-// Guards against a stream on a route that is split among services, and that is taken up at
+// Guards against a stream on a route that is split among services, and that is resumed at
 // another service than that of its first try.
-func TestAStreamIsTakenUpAtItsService(t *testing.T) {
+func TestAStreamIsResumedAtItsService(t *testing.T) {
 	split := resumable
 	split.Shares = []routing.Share{{Service: "svc", Weight: 1}, {Service: "other", Weight: 2}}
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/relaylog/relaylog.go
+++ b/internal/relaylog/relaylog.go
@@ -39,7 +39,7 @@
 	Server  string `json:"server"`
 	Service string `json:"service"`
 	Peer    string `json:"peer"`
-	// Resumes is the try whose stream the request takes up.
+	// Resumes is the try whose stream the request resumes.
 	Resumes string `json:"resumes"`
 	// Tunnel is the connection through a peer that the line concerns.
 	Tunnel string  `json:"tunnel"`
@@ -52,9 +52,9 @@
 type Explanation struct {
 	// Request holds the lines of the request, oldest first.
 	Request []Line
-	// TakenUp holds the lines, of all instances, of later tries that took the request's
-	// stream up, oldest first.
-	TakenUp []Line
+	// Resumed holds the lines, of all instances, of later tries that resumed the
+	// request's stream, oldest first.
+	Resumed []Line
 	// Tunnels holds the lines, of all instances, on the connections through peers over
 	// which the request was sent, oldest first.
 	Tunnels []Line
@@ -122,7 +122,7 @@
 	var arrived time.Time
 	for _, line := range lines {
 		if line.Resumes == id {
-			out.TakenUp = append(out.TakenUp, line)
+			out.Resumed = append(out.Resumed, line)
 		}
 		if line.ID != id {
 			continue
@@ -192,7 +192,7 @@
 	}{
 		{"state of the instance when the request arrived:", s.State, true},
 		{"what happened to the request:", s.Request, true},
-		{"later tries that took its stream up:", s.TakenUp, false},
+		{"later tries that resumed its stream:", s.Resumed, false},
 		{"connections through peers:", s.Tunnels, false},
 	} {
 		if len(part.lines) == 0 && !part.always {
--- a/internal/relaylog/relaylog_test.go
+++ b/internal/relaylog/relaylog_test.go
@@ -87,7 +87,7 @@
 func TestTheExplanationNamesTriesThatTookAStreamUp(t *testing.T) {
 	lines, err := read(strings.NewReader(`
 {"ts":"2026-01-01T10:00:01Z","msg":"request_ended","instance":"a","id":"first","server":"s1"}
-{"ts":"2026-01-01T10:00:02Z","msg":"stream_taken_up","instance":"b","id":"later","resumes":"first","software":"v1","known_from":"a","known_ms":900}
+{"ts":"2026-01-01T10:00:02Z","msg":"stream_resumed","instance":"b","id":"later","resumes":"first","software":"v1","known_from":"a","known_ms":900}
 {"ts":"2026-01-01T10:00:03Z","msg":"request_ended","instance":"b","id":"later","resumes":"first","server":"s2"}
 {"ts":"2026-01-01T10:00:03Z","msg":"request_ended","instance":"b","id":"other","resumes":"another","server":"s3"}
 `))
@@ -98,7 +98,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff([]string{"stream_taken_up ", "request_ended s2"}, messages(explanation.TakenUp)); diff != "" {
+	if diff := cmp.Diff([]string{"stream_resumed ", "request_ended s2"}, messages(explanation.Resumed)); diff != "" {
 		t.Error(diff)
 	}
 	var text strings.Builder
--- a/internal/streams/model_test.go
+++ b/internal/streams/model_test.go
@@ -6,7 +6,7 @@
 )
 
 // The model walks all states of a small fleet: instances that read which versions the store
-// lists, begin a stream, tell of it, are killed and start again, and take the stream up. Time
+// lists, begin a stream, tell of it, are killed and start again, and resume the stream. Time
 // is counted in ticks; the rules are those of this package and of its user.
 const (
 	modelInstances = 2
@@ -16,7 +16,7 @@
 	modelTicks   = 6
 	modelChanges = 3
 	modelKills   = 1
-	// modelStream is how long a stream may be taken up, and modelLinger how long a server may
+	// modelStream is how long a stream may be resumed, and modelLinger how long a server may
 	// serve without an entry; together they are the lifetime of the rules.
 	modelStream   = 2
 	modelLinger   = 1
@@ -104,7 +104,7 @@
 	m.listed, m.confirmed = s.store, s.tick
 }
 
-// origin returns the version at which the instance takes the stream up, or false.
+// origin returns the version at which the instance resumes the stream, or false.
 func (m *modelInstance) origin(s *modelState, r rules) (version int8, ok bool) {
 	if m.record > 0 {
 		return m.record - 1, true
@@ -157,7 +157,7 @@
 }
 
 // nextOf takes the steps of one instance. Both are alike, so only the first one begins the
-// stream, which ends what it can do, and only the other one takes it up.
+// stream, which ends what it can do, and only the other one resumes it.
 func (s *modelState) nextOf(i int, r rules, step func(string, func(*modelState))) {
 	m := s.instances[i]
 	if i == 0 && s.begun > 0 {
@@ -192,7 +192,7 @@
 		return
 	}
 	if v, ok := m.origin(s, r); ok || r.unknownIsAny {
-		step(fmt.Sprint("instance ", i, " takes up at version ", v), func(n *modelState) { n.mixed = v+1 != n.begun })
+		step(fmt.Sprint("instance ", i, " resumes at version ", v), func(n *modelState) { n.mixed = v+1 != n.begun })
 	}
 }
 
--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -65,7 +65,7 @@
 	firstTry string // that brought the first event
 	events   int
 	software map[string]bool // versions of the servers that made them
-	tries    int             // that took it up, and goneOn those that brought events
+	tries    int             // that resumed it, and goneOn those that brought events
 	goneOn   int
 }
 
@@ -106,7 +106,7 @@
 			if route == "resumable" && c.rand.Float64() < leavers {
 				leaveAfter = 1 + c.rand.IntN(standin.StreamEvents-1)
 			}
-			c.takeUp(c.sendUntil(i, route, unknownKey, leaveAfter))
+			c.resume(c.sendUntil(i, route, unknownKey, leaveAfter))
 		}
 		time.Sleep(time.Duration(c.rand.Int64N(int64(thinking))))
 	}
@@ -153,17 +153,17 @@
 	return out.Addresses, err
 }
 
-// leavers is the share of streams whose caller leaves in between, and maxTakeUps how often a
-// caller takes a stream up.
+// leavers is the share of streams whose caller leaves in between, and maxResumes how often a
+// caller resumes a stream.
 const (
 	leavers    = 0.3
-	maxTakeUps = 3
+	maxResumes = 3
 )
 
-// takeUp takes a stream that may be resumed up at other instances until it is whole.
-func (c *caller) takeUp(a *attempt) {
+// resume resumes a stream at other instances until it is whole.
+func (c *caller) resume(a *attempt) {
 	s := a.stream
-	for range maxTakeUps {
+	for range maxResumes {
 		if s == nil || s.events == 0 || s.events >= standin.StreamEvents {
 			return
 		}
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -183,7 +183,7 @@
 // check compares what a caller was told with what servers ran.
 func (s *soak) check(c *caller, r *report) {
 	for _, of := range c.streams {
-		r.takenUp += of.tries
+		r.resumed += of.tries
 		r.goneOn += of.goneOn
 		if len(of.software) > 1 {
 			r.mixed++
@@ -241,9 +241,9 @@
 // report is what a run found.
 type report struct {
 	byOutcome map[string]int
-	// takenUp counts tries that take a stream up, goneOn those of them that brought events,
+	// resumed counts tries that resume a stream, goneOn those of them that brought events,
 	// and mixed the streams with events of two software versions.
-	takenUp, goneOn, mixed int
+	resumed, goneOn, mixed int
 	broken                 []string
 }
 
@@ -253,7 +253,7 @@
 	for _, outcome := range slices.Sorted(maps.Keys(r.byOutcome)) {
 		fmt.Fprintf(&out, "%s %d, ", outcome, r.byOutcome[outcome])
 	}
-	fmt.Fprintf(&out, "%d of %d streams taken up go on, %d with two versions, ", r.goneOn, r.takenUp, r.mixed)
+	fmt.Fprintf(&out, "%d of %d streams resumed go on, %d with two versions, ", r.goneOn, r.resumed, r.mixed)
 	fmt.Fprintf(&out, "%d promises broken", len(r.broken))
 	for _, breach := range r.broken {
 		out.WriteString("\n  " + breach)
