A server's version is counted without dropping to none at each entry

Read again after the landing: each entry of a known server took its version out of the counts before it put it back, so a version with one server went through zero, was deleted, made anew and noted as passed at every change of its entry. Nothing followed from it, since a version that serves counts as seen anyway. The new state is counted first now. go test -race ./internal/servers passes.

--- a/internal/servers/registry.go
+++ b/internal/servers/registry.go
@@ -114,9 +114,10 @@
 		r.current[s.Name], r.newestBorn[s.Name] = s.ID, s.Born
 		return Added
 	}
-	r.versions.add(&rec.server, -1)
+	before := rec.server
 	change := rec.update(s, coldUntil)
 	r.versions.add(&rec.server, 1)
+	r.versions.add(&before, -1)
 	r.updateDigest(rec)
 	if rec.graceEndsAt == 0 {
 		delete(r.inGrace, s.ID)
