One line before each test, and the product's own name for the first try

Read again after the landing: nineteen tests of this issue had two lines where one says which failure they guard against; relay.Request.Resumes had the name of the platform's header, which platform/ alone should know, and is FirstTry now. Comments, names and a header of tests only; no assertion and no behaviour changed.

--- a/internal/eventstream/scanner_test.go
+++ b/internal/eventstream/scanner_test.go
@@ -2,8 +2,7 @@
 
 import "testing"
 
-// Guards against missing the end of an event whose lines end with CRLF or CR, and against
-// taking the middle of an event for its end, however the stream is split.
+// Guards against a missed or an invented end of an event with CRLF or CR, in any split.
 func TestEventsEndAtBlankLinesInEverySplit(t *testing.T) {
 	for _, c := range []struct {
 		name, stream string
--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -706,8 +706,7 @@
 	})
 }
 
-// Guards against probes that go to a service known to be lost, while one that may be lost
-// too waits for them and its rare requests find out by themselves.
+// Guards against rare requests that wait while probes go to a service known to be lost.
 func TestUnverifiedServicesAreProbedFirst(t *testing.T) {
 	playCuts(t, func(c *cutCluster) {
 		me := c.fleet[0].connector
--- a/internal/gateway/streamversions_test.go
+++ b/internal/gateway/streamversions_test.go
@@ -23,8 +23,7 @@
 	return f
 }
 
-// Guards against streams of a service with one version that are refused although nothing
-// else can have begun them, and against that conclusion where it is not certain.
+// Guards against refusing what one version alone can have begun, and against a guess.
 func TestAnUnknownStreamGoesOnWhereOneVersionServedOnly(t *testing.T) {
 	const lifetime = time.Duration(lifetimePerTimeout * float64(streamDeadline))
 	addOther := func(f *fleet) {
@@ -83,8 +82,7 @@
 	}
 }
 
-// Guards against a stream whose caller names no try, and that goes on at the version said of
-// another such stream.
+// Guards against a stream without a name that goes on at the version of another one.
 func TestAStreamWithoutANameIsNotTakenForAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := versionFleet()
@@ -101,8 +99,7 @@
 	})
 }
 
-// Guards against queries that outlive their requests, and against waiting for all of the
-// time once a peer has answered.
+// Guards against queries that outlive their requests, or wait on after an answer.
 func TestAQueryEndsWithItsAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := versionFleet()
@@ -126,8 +123,7 @@
 	})
 }
 
-// Guards against a stream that begins at a version of which another instance has not heard:
-// that one would resume the stream at the only version that it knows.
+// Guards against a stream that begins at a version of which others have not heard yet.
 func TestAVersionSettlesBeforeStreamsBeginThere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := versionFleet()
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -48,7 +48,7 @@
 
 func (p resumingProtocol) Request(h http.Header) (relay.Request, error) {
 	out, err := p.minimalProtocol.Request(h)
-	out.ResumeAfter, out.Resumes = h.Get("X-Resume"), h.Get("X-Resumes")
+	out.ResumeAfter, out.FirstTry = h.Get("X-Resume"), h.Get("X-First-Try")
 	return out, err
 }
 
@@ -359,7 +359,7 @@
 	req.Header.Set("X-Key", "key-a")
 	if got.events > 0 {
 		req.Header.Set("X-Resume", strconv.Itoa(got.events))
-		req.Header.Set("X-Resumes", got.firstTry)
+		req.Header.Set("X-First-Try", got.firstTry)
 	}
 	instance, alive := v.anyInstance()
 	inTouch := v.inTouch(instance)
@@ -587,8 +587,7 @@
 	}
 }
 
-// Guards against streams that go on at another software version than the one that began
-// them, in one answer or over a caller's tries, and against refusing all that are resumed.
+// Guards against streams with events of two versions, and against refusing them all.
 func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
 	for _, test := range versionCases {
 		t.Run(test.name, func(t *testing.T) {
@@ -637,8 +636,7 @@
 	}
 }
 
-// Guards against refusing streams of a service that has one version only, because the
-// instances that knew them were restarted.
+// Guards against refusing streams of the only version after restarts of instances.
 func TestStreamsOfTheOnlyVersionAreResumedByRestartedInstances(t *testing.T) {
 	playVersions(t, 3, func(v *versionCluster) {
 		v.tasks.Go(func() error {
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -32,7 +32,7 @@
 		return Request{}, errors.New("no id")
 	}
 	ms, _ := strconv.Atoi(h.Get("X-Deadline"))
-	return Request{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: h.Get("X-Resume"), Resumes: h.Get("X-Resumes")}, nil
+	return Request{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: h.Get("X-Resume"), FirstTry: h.Get("X-First-Try")}, nil
 }
 
 func (plainProtocol) Forward(h http.Header, f Forward) {
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -31,9 +31,9 @@
 	// ResumeAfter is the id of the last event that the caller has received; empty for
 	// none.
 	ResumeAfter string
-	// Resumes is the id of the try that brought the first event of the stream that this
+	// FirstTry is the id of the try that brought the first event of the stream that this
 	// one resumes; empty for none.
-	Resumes string
+	FirstTry string
 	// Parts, Prompt and Output describe a prompt, see placement.Work.
 	Parts          []placement.Part
 	Prompt, Output int
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -42,7 +42,7 @@
 		fields = append(fields, zap.Duration("come_back_ms", f.retryAfter))
 	}
 	if f.request.ResumeAfter != "" {
-		fields = append(fields, zap.String("resumes", f.request.Resumes), zap.String("resume_after", f.request.ResumeAfter))
+		fields = append(fields, zap.String("resumes", f.request.FirstTry), zap.String("resume_after", f.request.ResumeAfter))
 	}
 	if f.cause != nil {
 		fields = append(fields, zap.String("cause", f.cause.Error()))
--- a/internal/relay/truncated_test.go
+++ b/internal/relay/truncated_test.go
@@ -63,8 +63,7 @@
 	return seen{resp.StatusCode, framingOf(resp), string(body), err != nil}
 }
 
-// Guards against answers that a server broke off and that look complete to their caller,
-// in every framing, and against whole ones that don't arrive whole.
+// Guards against broken-off answers that look complete, and whole ones that arrive in part.
 func TestTruncatedAnswersDoNotLookComplete(t *testing.T) {
 	whole := events(1, 5)
 	inside := events(1, 2) + "id: 3\nda"
@@ -131,8 +130,7 @@
 	}
 }
 
-// Guards against answers to HTTP/1.0 callers, which know no chunks, that look whole although
-// a server broke them off.
+// Guards against broken-off answers that look whole to callers of HTTP/1.0.
 func TestTruncatedAnswersAreResetForCallersWithoutChunks(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -159,8 +157,7 @@
 	}
 }
 
-// Guards against a stream that ends inside an event and counts as one that its server
-// served, or as a request that it survived.
+// Guards against a stream that ends inside an event and counts as served or survived.
 func TestAStreamThatEndsInsideAnEventIsAFailureOfItsServer(t *testing.T) {
 	b := newRig(t, allRoutes, map[string][]script{"s1": {sendThenClose(closeStreamHead, "id: 1\n")}}, "s1")
 	b.sockets = true
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -11,8 +11,8 @@
 // firstTry returns the id of the try that brought the first event of a stream that is taken
 // up, and the request's own id otherwise.
 func (f *forwarder) firstTry() string {
-	if f.route.Resumable && f.request.ResumeAfter != "" && f.request.Resumes != "" {
-		return f.request.Resumes
+	if f.route.Resumable && f.request.ResumeAfter != "" && f.request.FirstTry != "" {
+		return f.request.FirstTry
 	}
 	return f.request.ID
 }
@@ -23,11 +23,11 @@
 	if !f.route.Resumable || f.request.ResumeAfter == "" {
 		return nil
 	}
-	origin := f.relay.cfg.Fleet.StreamOrigin(f.ctx, f.service, f.request.Resumes)
+	origin := f.relay.cfg.Fleet.StreamOrigin(f.ctx, f.service, f.request.FirstTry)
 	if !origin.Known {
 		f.relay.cfg.Log.Info("stream_unknown",
 			zap.String("id", f.request.ID),
-			zap.String("resumes", f.request.Resumes),
+			zap.String("resumes", f.request.FirstTry),
 			zap.String("service", f.service),
 			zap.Duration("view_age_ms", origin.Age))
 		return unavailable(verdict.ReasonUnknownStream, jitter(retryElsewhere))
@@ -35,7 +35,7 @@
 	f.work.Software = placement.OnlySoftware(origin.Version)
 	f.relay.cfg.Log.Info("stream_resumed",
 		zap.String("id", f.request.ID),
-		zap.String("resumes", f.request.Resumes),
+		zap.String("resumes", f.request.FirstTry),
 		zap.String("software", origin.Version),
 		zap.String("known_from", origin.From),
 		zap.Duration("known_ms", origin.Age))
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -10,8 +10,7 @@
 	"basilrudder/internal/routing"
 )
 
-// Guards against a stream that goes on, in one answer, at another software version than
-// the one that began it, and against waiting where none of its version is left.
+// Guards against an answer that goes on at another software version, or waits for its own.
 func TestAStreamGoesOnAtItsSoftwareVersionOnly(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -45,8 +44,7 @@
 	}
 }
 
-// Guards against binding a stream to the version of a server that failed before its first
-// event.
+// Guards against binding a stream to a server that failed before its first event.
 func TestAVersionIsBoundByTheFirstEvent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newRig(t, allRoutes, map[string][]script{
@@ -62,8 +60,7 @@
 	})
 }
 
-// Guards against a stream that a caller resumes at a server of another software version,
-// or although nothing tells which one began it.
+// Guards against resuming a stream at another software version, or at a guessed one.
 func TestAStreamIsResumedAtItsSoftwareVersionOnly(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -89,7 +86,7 @@
 				req := request("POST", c.path, "r", "x")
 				if c.after != "" {
 					req.Header.Set("X-Resume", c.after)
-					req.Header.Set("X-Resumes", "first")
+					req.Header.Set("X-First-Try", "first")
 				}
 				rec, _ := b.serve(req)
 				b.close()
@@ -108,8 +105,7 @@
 	}
 }
 
-// Guards against a stream on a route that is split among services, and that is resumed at
-// another service than that of its first try.
+// Guards against resuming a stream of a split route at another service than its own.
 func TestAStreamIsResumedAtItsService(t *testing.T) {
 	split := resumable
 	split.Shares = []routing.Share{{Service: "svc", Weight: 1}, {Service: "other", Weight: 2}}
@@ -119,7 +115,7 @@
 			first := fmt.Sprint("first-", n)
 			req := request("POST", "/resumable/", fmt.Sprint("later-", n), "x")
 			req.Header.Set("X-Resume", "2")
-			req.Header.Set("X-Resumes", first)
+			req.Header.Set("X-First-Try", first)
 			b.serve(req)
 			if want := split.Pick(first); b.fleet.origin != want {
 				t.Errorf("%s went to %s, its first try to %s", first, b.fleet.origin, want)
--- a/internal/relaylog/relaylog_test.go
+++ b/internal/relaylog/relaylog_test.go
@@ -82,9 +82,8 @@
 	}
 }
 
-// Guards against a stream whose later tries, at other instances, are not found from its
-// first.
-func TestTheExplanationNamesTriesThatTookAStreamUp(t *testing.T) {
+// Guards against later tries of a stream, at other instances, that are not found.
+func TestTheExplanationNamesTriesThatResumedAStream(t *testing.T) {
 	lines, err := read(strings.NewReader(`
 {"ts":"2026-01-01T10:00:01Z","msg":"request_ended","instance":"a","id":"first","server":"s1"}
 {"ts":"2026-01-01T10:00:02Z","msg":"stream_resumed","instance":"b","id":"later","resumes":"first","software":"v1","known_from":"a","known_ms":900}
--- a/internal/streams/model_test.go
+++ b/internal/streams/model_test.go
@@ -275,8 +275,7 @@
 	return nil, len(list)
 }
 
-// Guards against each part of the rules being left out: with all of them no play of the model
-// gives a stream two versions.
+// Guards against a stream with two versions, and against a rule that is not needed.
 func TestNoPlayOfTheModelMixesVersions(t *testing.T) {
 	for _, c := range []struct {
 		name  string
--- a/internal/streams/streams_test.go
+++ b/internal/streams/streams_test.go
@@ -37,8 +37,7 @@
 	}
 }
 
-// Guards against a stream that goes on at one of two versions that are both said to have
-// begun it.
+// Guards against a stream that goes on at one of two versions said to have begun it.
 func TestContradictingVersionsAreUnknown(t *testing.T) {
 	table := NewTable()
 	key := KeyOf("llm", "try")
@@ -60,8 +59,7 @@
 	}
 }
 
-// Guards against a table that grows without bound while streams begin faster than they are
-// forgotten.
+// Guards against a table that grows while streams begin faster than they are forgotten.
 func TestTheTableIsBounded(t *testing.T) {
 	table := NewTable()
 	for n := range 3 * maxStreams {
