--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -128,6 +128,14 @@
 
 func (s *requestState) poison() bool { return len(s.crashes) >= poisonCrashes }
 
+// CrashCount returns the number of crashes recorded for a request.
+func (t *Tracker) CrashCount(request Fingerprint) int {
+	if s := t.requests[request]; s != nil {
+		return len(s.crashes)
+	}
+	return 0
+}
+
 // Crashes returns all recorded crashes, for an instance that may have missed some.
 func (t *Tracker) Crashes() (out []Crash) {
 	for request, s := range t.requests {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -103,7 +103,12 @@
 func (c *crashTracker) addSurvived(request crashes.Fingerprint, at, now monotime.Instant) []wire.RelayCrash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.tracker.Survived(request, at) {
+	before := c.tracker.CrashCount(request)
+	fresh := c.tracker.Survived(request, at)
+	if cleared := before - c.tracker.CrashCount(request); cleared > 0 {
+		c.log.Info("crashes_cleared", zap.Binary("fingerprint", request[:]), zap.Int("crashes", cleared), zap.Duration("age_ms", now.Sub(at)))
+	}
+	if !fresh {
 		return nil
 	}
 	return []wire.RelayCrash{{Request: request[:], AgeMS: ageMS(at, now)}}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -16,6 +16,9 @@
 	if notice.Pause > 0 {
 		f.pauseServer(server, notice.Pause, now)
 	}
+	if notice.Brittle && notice.Refused {
+		f.logBrittleRefusal(server, notice.MaxRefusals, sent, now)
+	}
 	if !notice.Leaving && !notice.Limited && !notice.Brittle && f.rateLimitedCount.Load() == 0 && f.brittleCount.Load() == 0 {
 		return
 	}
@@ -27,6 +30,16 @@
 	})
 }
 
+// logBrittleRefusal logs what this instance knew of a brittle server that had no room.
+func (f *fleet) logBrittleRefusal(server string, maxRefusals float64, sent, now monotime.Instant) {
+	view := f.board.SlotsOf(server, f.self)
+	f.log.Info("brittle_server_refused",
+		zap.String("server", server), zap.Float64("refusals_per_s", maxRefusals), zap.Duration("took_ms", now.Sub(sent)),
+		zap.Int("slots", view.Slots), zap.Int("runs", view.Runs), zap.Int("own_runs", view.Own),
+		zap.Duration("report_delay_ms", view.ReportDelay), zap.Int("instances", f.memberCount()),
+		zap.Bool("owned", f.ownsServer(server)))
+}
+
 // pauseServer sends a server nothing from this instance for a while. The server asks that
 // of this instance only, so peers are not informed.
 func (f *fleet) pauseServer(server string, lasts time.Duration, now monotime.Instant) {
--- a/internal/placement/brittle.go
+++ b/internal/placement/brittle.go
@@ -1,6 +1,10 @@
 package placement
 
-import "basilrudder/internal/monotime"
+import (
+	"time"
+
+	"basilrudder/internal/monotime"
+)
 
 // SetOwner sets the function that reports whether this instance is the one that may use
 // the last free slots of a server. It must not call the Board.
@@ -55,3 +59,28 @@
 		b.kindOf(pool.candidates[0].Service).asked.add(now)
 	}
 }
+
+// SlotView is what this instance knows of the slots of a server.
+type SlotView struct {
+	// Slots of the server, and Runs of all instances that are known to be on it, Own of
+	// them of this instance.
+	Slots, Runs, Own int
+	// ReportDelay is for how long choices of other instances may be unreported.
+	ReportDelay time.Duration
+}
+
+// SlotsOf returns what is known of the slots of a server.
+func (b *Board) SlotsOf(server, self string) SlotView {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	view := SlotView{ReportDelay: b.contention.reportDelay()}
+	if s := b.servers[server]; s != nil {
+		view.Slots, view.Runs = s.slots, len(s.runs)
+		for id := range s.runs {
+			if id.Instance == self {
+				view.Own++
+			}
+		}
+	}
+	return view
+}
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -85,10 +85,12 @@
 		return
 	}
 	if f.firstEventAt != 0 && now.Sub(f.firstEventAt) > crashWindow {
+		f.logNotCounted("the answer had begun long before", now)
 		f.reportSurvived()
 		return
 	}
 	if !f.relay.probes.ended(f.ctx, f.target, f.relay.cfg.Connector) {
+		f.logNotCounted("the server was not found to refuse connections", now)
 		return
 	}
 	crash := crashes.Crash{Request: f.fingerprint(), Customer: f.callerName(), Server: f.target.ID, At: now}
@@ -97,6 +99,15 @@
 	f.relay.cfg.Fleet.Crashed(crash, now)
 }
 
+// logNotCounted logs that a broken answer is not taken for a crash of its server.
+func (f *forwarder) logNotCounted(why string, now monotime.Instant) {
+	fields := []zap.Field{zap.String("id", f.request.ID), zap.String("server", f.target.ID), zap.String("reason", why)}
+	if f.firstEventAt != 0 {
+		fields = append(fields, zap.Duration("answered_ms", now.Sub(f.firstEventAt)))
+	}
+	f.relay.cfg.Log.Info("crash_not_counted", append(fields, f.received.fields()...)...)
+}
+
 var errPoison = errors.New("servers crash when they run this request; it was not sent to another one")
 
 // refusePoison ends a request that crashes servers. Callers do not retry after this
