Failing tests: falls of brittle servers at scale, crashes that are not counted

The brittle test's figures moved into a shape, the crash test's play into a function of the look of an end; their checks and bounds are unchanged.

--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -21,29 +22,40 @@
 	"basilrudder/internal/standin/narrownet"
 )
 
-const (
-	brittleSlots   = 4
-	brittleQueue   = 1
-	brittleRunTime = 100 * time.Millisecond
-	// brittleRefusals is the number of refusals a second that a server survives.
-	brittleRefusals = 6
-	brittleDownTime = 3 * time.Second
-	// brittleServers is the number of servers of the service.
-	brittleServers = 6
-	// brittleMaxFalls is how often all servers together may fall in one brittle time.
-	brittleMaxFalls = 2 + brittleServers/10
-)
+// brittleShape is the size of a service of brittle servers.
+type brittleShape struct {
+	// servers of the service, each with so many slots and places in its queue.
+	servers, slots, queue int
+	// refusals is the number of refusals a second that a server survives.
+	refusals int
+	// run is how long a request runs, and down how long a server that fell stays down.
+	run, down time.Duration
+}
+
+// maxFalls is how often all servers together may fall in one brittle time.
+func (s *brittleShape) maxFalls() int { return 2 + s.servers/10 }
+
+// perSecond is the number of requests that all servers can serve in a second.
+func (s *brittleShape) perSecond() float64 {
+	return float64(s.servers*s.slots) / s.run.Seconds()
+}
+
+var smallBrittleShape = brittleShape{servers: 6, slots: 4, queue: 1, refusals: 6, run: 100 * time.Millisecond, down: 3 * time.Second}
 
 // brittleServer refuses requests for want of room, and falls over after too many refusals
 // within a second.
 type brittleServer struct {
 	cluster *cutCluster
 	number  int
+	shape   brittleShape
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// starts counts the falls and crashes, after which the server has no requests.
+	starts   int
 	active   int
 	refusals []time.Time
 	falls    int
+	refused  int
 	served   int
 	// announces is whether answers say that the server is brittle, and falling whether it
 	// falls over.
@@ -56,50 +68,67 @@
 		return false
 	}
 	id := req.Header.Get("X-Id")
-	room, notice := s.begin()
+	room, start, notice := s.begin()
 	if !room {
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nX-Id: %s\r\nX-Not-Run: 1\r\n%sContent-Length: 0\r\n\r\n", id, notice)
 		return err == nil
 	}
-	time.Sleep(brittleRunTime)
-	s.end()
+	time.Sleep(s.shape.run)
+	if !s.end(start) {
+		return false
+	}
 	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, notice, len(id), id)
 	return err == nil
 }
 
 // begin takes a place, or records a refusal.
-func (s *brittleServer) begin() (room bool, notice string) {
+func (s *brittleServer) begin() (room bool, start int, notice string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.announces {
-		notice = fmt.Sprintf("X-Brittle: %d\r\n", brittleRefusals)
+		notice = fmt.Sprintf("X-Brittle: %d\r\n", s.shape.refusals)
 	}
-	if s.active < brittleSlots+brittleQueue {
+	if s.active < s.shape.slots+s.shape.queue {
 		s.active++
-		return true, notice
+		return true, s.starts, notice
 	}
+	s.refused++
 	now := time.Now()
 	for len(s.refusals) > 0 && now.Sub(s.refusals[0]) >= time.Second {
 		s.refusals = s.refusals[1:]
 	}
 	s.refusals = append(s.refusals, now)
-	if s.falling && len(s.refusals) > brittleRefusals {
-		s.fall()
+	if s.falling && len(s.refusals) > s.shape.refusals {
+		s.falls++
+		s.stop()
 	}
-	return false, notice
+	return false, s.starts, notice
 }
 
-func (s *brittleServer) end() {
+// end releases a place. It reports whether the server has run all the while since start.
+func (s *brittleServer) end(start int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.starts != start {
+		return false
+	}
 	s.active--
 	s.served++
+	return true
 }
 
-// fall cuts the server off from all instances for a while; mu is held.
-func (s *brittleServer) fall() {
-	s.falls++
-	s.refusals = nil
+// crash ends the server for another reason than refusals.
+func (s *brittleServer) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stop()
+}
+
+// stop drops all requests and cuts the server off from all instances for a while; mu is
+// held.
+func (s *brittleServer) stop() {
+	s.starts++
+	s.active, s.refusals = 0, nil
 	s.cluster.mu.Lock()
 	hosts := slices.Clone(s.cluster.hosts)
 	s.cluster.mu.Unlock()
@@ -109,55 +138,58 @@
 		}
 	}
 	set(narrownet.Reset)
-	time.AfterFunc(brittleDownTime, func() { set(narrownet.None) })
+	time.AfterFunc(s.shape.down, func() { set(narrownet.None) })
 }
 
-// newBrittleCluster starts instances in front of brittle servers, whose service is one of
-// engines if prompts is set.
-func newBrittleCluster(t *testing.T, ctx context.Context, tasks *errgroup.Group, prompts bool) (*cutCluster, []*brittleServer) {
+// newBrittleCluster starts so many instances in front of brittle servers, whose service is
+// one of engines if prompts is set.
+func newBrittleCluster(t *testing.T, ctx context.Context, tasks *errgroup.Group, instances int, shape brittleShape, prompts bool) (*cutCluster, []*brittleServer) {
 	passProcessStart()
 	c := emptyCutCluster(t, ctx, tasks)
 	c.config = cutConfig(1)
 	c.config.Services = []routing.Service{{Name: "app"}, {Name: "llm"}}
 	if prompts {
-		c.config.Services[0].Engine = &routing.Engine{Slots: brittleSlots, MemoryTokens: 100_000, EventTokens: 2}
+		c.config.Services[0].Engine = &routing.Engine{Slots: shape.slots, MemoryTokens: 100_000, EventTokens: 2}
 	}
 	var all []*brittleServer
-	for n := range brittleServers {
-		s := &brittleServer{cluster: c, number: n}
+	for n := range shape.servers {
+		s := &brittleServer{cluster: c, number: n, shape: shape}
 		all = append(all, s)
 		c.startServer(n, s.serve)
 	}
 	c.putServers = func(r *servers.Registry, now monotime.Instant) (ids []string) {
-		for n := range brittleServers {
+		for n := range shape.servers {
 			r.Put(servers.Server{
 				ID: serverAddress(n), Name: serverAddress(n), Service: "app", Address: serverAddress(n),
-				DataCentre: fmt.Sprint("dc-", n%2), Slots: brittleSlots, Revision: servers.Revision(n + 1),
+				DataCentre: fmt.Sprint("dc-", n%2), Slots: shape.slots, Revision: servers.Revision(n + 1),
 			}, now)
 			ids = append(ids, serverAddress(n))
 		}
 		return ids
 	}
-	c.startInstances(0, cutInstances)
+	c.startInstances(0, instances)
 	time.Sleep(2 * time.Second)
 	return c, all
 }
 
+// setBrittle sets whether servers say that they are brittle, and whether they fall.
+func setBrittle(all []*brittleServer, announces, falling bool) {
+	for _, s := range all {
+		s.mu.Lock()
+		s.announces, s.falling = announces, falling
+		s.mu.Unlock()
+	}
+}
+
 // Guards against brittle servers that fall because they get requests without room for them.
 func TestBrittleServersAreNotOverrun(t *testing.T) {
+	shape := smallBrittleShape
 	for _, prompts := range []bool{false, true} {
 		t.Run(fmt.Sprint("prompts ", prompts), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				var tasks errgroup.Group
-				c, all := newBrittleCluster(t, ctx, &tasks, prompts)
-				set := func(announces, falling bool) {
-					for _, s := range all {
-						s.mu.Lock()
-						s.announces, s.falling = announces, falling
-						s.mu.Unlock()
-					}
-				}
+				c, all := newBrittleCluster(t, ctx, &tasks, cutInstances, shape, prompts)
 				path := "/once/"
 				if prompts {
 					path = "/prompt/"
@@ -167,9 +199,9 @@
 					return nil
 				})
 				time.Sleep(time.Second)
-				set(true, false)
+				setBrittle(all, true, false)
 				time.Sleep(contactTime)
-				set(true, true)
+				setBrittle(all, true, true)
 				tasks.Go(func() error {
 					// An instance that starts meanwhile has heard of nothing.
 					c.startInstances(cutInstances, 1)
@@ -177,7 +209,7 @@
 					return nil
 				})
 				time.Sleep(6 * time.Second)
-				set(false, false)
+				setBrittle(all, false, false)
 				time.Sleep(3 * time.Second)
 				falls, served := 0, 0
 				for _, s := range all {
@@ -187,12 +219,12 @@
 					s.mu.Unlock()
 				}
 				t.Logf("%d falls, %d served", falls, served)
-				if falls > brittleMaxFalls {
-					t.Errorf("%d falls, at most %d wanted", falls, brittleMaxFalls)
+				if falls > shape.maxFalls() {
+					t.Errorf("%d falls, at most %d wanted", falls, shape.maxFalls())
 				}
 				// Half of what the servers can serve in the time of the load: the servers are few,
 				// so some instances own none of them.
-				if least := 12 * brittleServers * brittleSlots * int(time.Second/brittleRunTime) / 2; served < least {
+				if least := int(12 * shape.perSecond() / 2); served < least {
 					t.Errorf("%d requests served, at least %d wanted", served, least)
 				}
 				for _, i := range c.fleet {
@@ -206,6 +238,87 @@
 	}
 }
 
+// largeBrittleShape is a service before which many instances each have few requests.
+var largeBrittleShape = brittleShape{servers: 20, slots: 8, refusals: 3, run: 900 * time.Millisecond, down: 2500 * time.Millisecond}
+
+// pressInWaves sends requests to random instances, by turns more and fewer than the
+// servers can serve. Callers that are refused or fail come back once.
+func (c *cutCluster) pressInWaves(lasts time.Duration, perSecond float64, path string) {
+	const wave, over, under, returnAfter = 3 * time.Second, 1.2, 0.7, 400 * time.Millisecond
+	begun := time.Now()
+	var all sync.WaitGroup
+	for n := 0; time.Since(begun) < lasts && c.ctx.Err() == nil; n++ {
+		all.Go(func() {
+			for try := range 2 {
+				if ok, _ := c.call(rand.IntN(len(c.fleet)), path, fmt.Sprint("wave-", n, "-", try)); ok {
+					return
+				}
+				time.Sleep(returnAfter)
+			}
+		})
+		factor := over
+		if time.Since(begun)/wave%2 == 1 {
+			factor = under
+		}
+		time.Sleep(time.Duration(float64(time.Second) / (factor * perSecond)))
+	}
+	all.Wait()
+}
+
+// Guards against brittle servers that fall because many instances send to the same slot.
+func TestBrittleServersBeforeManyInstances(t *testing.T) {
+	const lasts = 15 * time.Second
+	for _, c := range []struct {
+		name              string
+		instances         int
+		prompts, crashing bool
+	}{
+		{"8 instances", 8, true, false},
+		{"24 instances", 24, true, false},
+		{"24 instances, no prompts", 24, false, false},
+		{"24 instances, servers crash", 24, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			shape := largeBrittleShape
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				var tasks errgroup.Group
+				cluster, all := newBrittleCluster(t, ctx, &tasks, c.instances, shape, c.prompts)
+				setBrittle(all, true, false)
+				path := "/once/"
+				if c.prompts {
+					path = "/prompt/"
+				}
+				tasks.Go(func() error {
+					cluster.pressInWaves(lasts, shape.perSecond(), path)
+					return nil
+				})
+				time.Sleep(contactTime)
+				setBrittle(all, true, true)
+				for n := 0; c.crashing && n < 6; n++ {
+					all[n*3].crash()
+					time.Sleep(contactTime / 2)
+				}
+				time.Sleep(lasts - contactTime)
+				falls, served, refused := 0, 0, 0
+				for _, s := range all {
+					s.mu.Lock()
+					falls, served, refused = falls+s.falls, served+s.served, refused+s.refused
+					s.mu.Unlock()
+				}
+				t.Logf("%d falls, %d refusals, %d served", falls, refused, served)
+				if falls > shape.maxFalls() {
+					t.Errorf("%d falls, at most %d wanted", falls, shape.maxFalls())
+				}
+				if least := int(lasts.Seconds() * shape.perSecond() / 2); served < least {
+					t.Errorf("%d requests served, at least %d wanted", served, least)
+				}
+				cluster.stop(cancel)
+			})
+		})
+	}
+}
+
 // Guards against requests that count as crashing servers because a brittle server fell.
 func TestTheFallOfABrittleServerAccusesNoRequest(t *testing.T) {
 	f, _, _ := newFleet()
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -54,8 +54,26 @@
 	serverRunTime   = 250 * time.Millisecond
 	// serverDownTime is how long a crashed server stays down.
 	serverDownTime = 2 * time.Second
+	// serverEntryLag is how long after its start the entry of a server is read.
+	serverEntryLag = 300 * time.Millisecond
 )
 
+// crashLook is how the end of a server looks to the instances.
+type crashLook struct {
+	name string
+	// refusals is what all answers say of the refusals that the server survives.
+	refusals string
+	// unmarked means that the server ends its answers, streams, by closing the connection.
+	unmarked bool
+	// kept means that the port accepts connections while the server is down and closes
+	// them.
+	kept bool
+	// down is how long the server is down; 0 if a new incarnation is there at once.
+	down time.Duration
+}
+
+var refusingLook = crashLook{name: "refuses connections", down: serverDownTime}
+
 // crashingServer is a server that crashes when it runs a request whose body begins with
 // crashBody.
 type crashingServer struct {
@@ -74,6 +92,7 @@
 	fleet    []*linkedInstance
 	relays   []*relay.Relay
 	servers  []*crashingServer
+	look     crashLook
 	revision servers.Revision
 
 	mu       sync.Mutex
@@ -83,13 +102,14 @@
 
 const crashBody = "crash"
 
-func newCrashCluster(t *testing.T, ctx context.Context, tasks *errgroup.Group, instances, size int) *crashCluster {
-	site := &crashCluster{t: t, arrivals: make(map[string][]time.Time)}
+func newCrashCluster(t *testing.T, ctx context.Context, tasks *errgroup.Group, instances, size int, look crashLook) *crashCluster {
+	site := &crashCluster{t: t, look: look, arrivals: make(map[string][]time.Time)}
 	site.fleet = startLinked(t, ctx, tasks, instances)
 	config := &routing.Config{
 		Version: 1, Services: []routing.Service{{Name: "svc"}},
 		Routes: []routing.Route{
 			{Name: "once", Host: "h.example", Prefix: "/once/", Timeout: 5 * time.Second, Attempts: 1, Shares: []routing.Share{{Service: "svc", Weight: 1}}},
+			{Name: "stream", Host: "h.example", Prefix: "/stream/", Timeout: 5 * time.Second, Attempts: 1, Streaming: true, Shares: []routing.Share{{Service: "svc", Weight: 1}}},
 			{Name: "again", Host: "h.example", Prefix: "/again/", Timeout: 5 * time.Second, Attempts: 2, Repeat: routing.Idempotent, Shares: []routing.Share{{Service: "svc", Weight: 1}}},
 		},
 		KeysRequired: true, Customers: []routing.Customer{{Name: "a", Keys: []string{"key-a"}}, {Name: "b", Keys: []string{"key-b"}}},
@@ -110,14 +130,30 @@
 
 func (s *crashingServer) id() string { return fmt.Sprint(s.address, "/", s.incarnation) }
 
-// start starts a new incarnation of the server; the first instance reads its entry.
+// start starts a new incarnation of the server.
 func (s *crashingServer) start() {
 	s.mu.Lock()
-	before := s.id()
+	before := s.begin()
+	id, first := s.id(), s.incarnation == 1
+	s.mu.Unlock()
+	if !first {
+		time.Sleep(serverEntryLag)
+	}
+	s.register(id, before)
+}
+
+// begin begins a new incarnation and returns the id of the former one; mu is held.
+func (s *crashingServer) begin() (before string) {
+	before = s.id()
 	s.incarnation++
 	s.up = true
-	entry := servers.Server{ID: s.id(), Name: s.id(), Service: "svc", Address: s.address, Slots: 16}
-	s.mu.Unlock()
+	return before
+}
+
+// register lets the first instance read the entry of an incarnation, and the end of the one
+// before.
+func (s *crashingServer) register(id, before string) {
+	entry := servers.Server{ID: id, Name: id, Service: "svc", Address: s.address, Slots: 16}
 	s.site.fleet[0].fleet.changeServers(fromStore, func(r *servers.Registry, now monotime.Instant) []string {
 		s.site.revision += 2
 		entry.Revision = s.site.revision
@@ -141,7 +177,13 @@
 	s.site.mu.Lock()
 	s.site.crashes = append(s.site.crashes, time.Now())
 	s.site.mu.Unlock()
-	time.AfterFunc(serverDownTime, s.start)
+	if s.site.look.down > 0 {
+		time.AfterFunc(s.site.look.down, s.start)
+		return
+	}
+	before := s.begin()
+	id := s.id()
+	time.AfterFunc(serverEntryLag, func() { s.register(id, before) })
 }
 
 func (site *crashCluster) dial(_ context.Context, address string) (net.Conn, error) {
@@ -151,10 +193,14 @@
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if !s.up {
+		if !s.up && !site.look.kept {
 			break
 		}
 		near, far := net.Pipe()
+		if !s.up {
+			far.Close()
+			return near, nil
+		}
 		s.conns[far] = true
 		go s.serve(far)
 		return near, nil
@@ -170,22 +216,52 @@
 		if err != nil {
 			return
 		}
-		crashes := strings.HasPrefix(string(body), crashBody)
+		crashes := strings.HasPrefix(string(body), crashBody) && s.is(req.Header.Get("X-Server"))
 		if crashes {
 			s.site.mu.Lock()
 			s.site.arrivals[string(body)] = append(s.site.arrivals[string(body)], time.Now())
 			s.site.mu.Unlock()
 		}
+		if name := req.Header.Get("X-Server"); !s.is(name) {
+			if _, err := fmt.Fprintf(c, "HTTP/1.1 421 Other\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", req.Header.Get("X-Id")); err != nil {
+				return
+			}
+			continue
+		}
 		time.Sleep(serverQueueTime)
-		if crashes {
-			s.crash()
+		if !s.answer(c, req.Header.Get("X-Id"), crashes) {
 			return
 		}
-		time.Sleep(serverRunTime)
-		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nok", req.Header.Get("X-Id")); err != nil {
-			return
+	}
+}
+
+func (s *crashingServer) is(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return id == s.id()
+}
+
+// answer runs a request. It reports whether another one may follow on the connection.
+func (s *crashingServer) answer(c net.Conn, id string, crashes bool) bool {
+	head := "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\n"
+	if s.site.look.refusals != "" {
+		head += "X-Brittle: " + s.site.look.refusals + "\r\n"
+	}
+	body := "Content-Length: 2\r\n\r\nok"
+	if s.site.look.unmarked {
+		if _, err := fmt.Fprint(c, head, "\r\nid: 1\ndata: x\n\n"); err != nil {
+			return false
 		}
+		head, body = "", "id: 2\ndata: x\n\n"
+	}
+	if crashes {
+		time.Sleep(serverRunTime / 5)
+		s.crash()
+		return false
 	}
+	time.Sleep(serverRunTime)
+	_, err := fmt.Fprint(c, head, body)
+	return err == nil && !s.site.look.unmarked
 }
 
 // request sends a request to an instance and returns the status of its answer, or 0 if
@@ -201,20 +277,23 @@
 	req.Header.Set("X-Id", fmt.Sprint(rand.Uint64()))
 	req.Header.Set("X-Key", key)
 	site.relays[instance].ServeHTTP(rec, req)
+	if path == "/stream/x" && strings.Count(rec.Body.String(), "data: ") != 2 {
+		return 0
+	}
 	return rec.Code
 }
 
-// sendOthers sends thirty harmless requests a second until the context ends or the time
+// sendOthers sends so many harmless requests a second until the context ends or the time
 // is over. Of the requests in the last part of that time it returns how many were served
 // and how many were sent.
-func (site *crashCluster) sendOthers(ctx context.Context, lasts, measured time.Duration) (served, asked int) {
+func (site *crashCluster) sendOthers(ctx context.Context, path string, perSecond int, lasts, measured time.Duration) (served, asked int) {
 	begun := time.Now()
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	for n := 0; time.Since(begun) < lasts && ctx.Err() == nil; n++ {
 		counts := time.Since(begun) >= lasts-measured
 		all.Go(func() {
-			status := site.request(n%len(site.relays), "/once/x", "key-b", fmt.Sprint("note ", n))
+			status := site.request(n%len(site.relays), path, "key-b", fmt.Sprint("note ", n))
 			mu.Lock()
 			defer mu.Unlock()
 			if counts {
@@ -224,7 +303,7 @@
 				served++
 			}
 		})
-		time.Sleep(time.Second / 30)
+		time.Sleep(time.Second / time.Duration(perSecond))
 	}
 	all.Wait()
 	return served, asked
@@ -254,54 +333,85 @@
 	return late, len(site.arrivals[body])
 }
 
-// Guards against a poison request that its caller repeats: it takes one server after the
-// other from all callers.
-func TestARequestThatCrashesServersIsNotSentOn(t *testing.T) {
+// playPoison lets a caller repeat a poison request, and checks how often it reaches servers
+// and that others are served.
+func playPoison(t *testing.T, look crashLook, path string, every time.Duration, perSecond int) {
 	const (
 		lasts, counted = 20 * time.Second, 8 * time.Second
 		contact        = 3 * time.Second
 		maxLate        = 3
 		minServed      = 0.95
 	)
+	othersPath := "/once/x"
+	if look.unmarked {
+		othersPath = path
+	}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		site := newCrashCluster(t, ctx, &tasks, 3, 8, look)
+		var statuses []int
+		var mu sync.Mutex
+		tasks.Go(func() error {
+			begun := time.Now()
+			for n := 0; time.Since(begun) < lasts-time.Second; n++ {
+				tasks.Go(func() error {
+					status := site.request(n%3, path, "key-a", crashBody)
+					mu.Lock()
+					defer mu.Unlock()
+					statuses = append(statuses, status)
+					return nil
+				})
+				time.Sleep(every)
+			}
+			return nil
+		})
+		served, asked := site.sendOthers(ctx, othersPath, perSecond, lasts, counted)
+		late, all := site.lateArrivals(crashBody, contact)
+		if late > maxLate {
+			t.Errorf("%s: reached servers %d times, %d of them over %v after the third crash", path, all, late, contact)
+		}
+		if share := float64(served) / float64(asked); share < minServed {
+			t.Errorf("%s: %d of %d requests of other callers served in the last %v", path, served, asked, counted)
+		}
+		mu.Lock()
+		slices.Sort(statuses)
+		t.Logf("%s: %d arrivals, %d crashes, answers %v", path, all, len(site.crashes), countByStatus(statuses))
+		mu.Unlock()
+		site.stop(cancel, &tasks)
+	})
+}
+
+// Guards against a poison request that its caller repeats: it takes one server after the
+// other from all callers.
+func TestARequestThatCrashesServersIsNotSentOn(t *testing.T) {
 	for _, c := range []struct {
 		path  string
 		every time.Duration
 	}{{"/once/x", 300 * time.Millisecond}, {"/again/x", 300 * time.Millisecond}, {"/once/x", 60 * time.Millisecond}} {
-		path := c.path
-		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(t.Context())
-			var tasks errgroup.Group
-			site := newCrashCluster(t, ctx, &tasks, 3, 8)
-			var statuses []int
-			var mu sync.Mutex
-			tasks.Go(func() error {
-				begun := time.Now()
-				for n := 0; time.Since(begun) < lasts-time.Second; n++ {
-					tasks.Go(func() error {
-						status := site.request(n%3, path, "key-a", crashBody)
-						mu.Lock()
-						defer mu.Unlock()
-						statuses = append(statuses, status)
-						return nil
-					})
-					time.Sleep(c.every)
-				}
-				return nil
-			})
-			served, asked := site.sendOthers(ctx, lasts, counted)
-			late, all := site.lateArrivals(crashBody, contact)
-			if late > maxLate {
-				t.Errorf("%s: reached servers %d times, %d of them over %v after the third crash", path, all, late, contact)
-			}
-			if share := float64(served) / float64(asked); share < minServed {
-				t.Errorf("%s: %d of %d requests of other callers served in the last %v", path, served, asked, counted)
-			}
-			mu.Lock()
-			slices.Sort(statuses)
-			t.Logf("%s: %d arrivals, %d crashes, answers %v", path, all, len(site.crashes), countByStatus(statuses))
-			mu.Unlock()
-			site.stop(cancel, &tasks)
-		})
+		playPoison(t, refusingLook, c.path, c.every, 30)
+	}
+}
+
+// Guards against a poison request whose crashes do not count because the servers say that
+// they are brittle.
+func TestACrashOfABrittleServerCounts(t *testing.T) {
+	playPoison(t, crashLook{refusals: "8", down: serverDownTime}, "/once/x", 600*time.Millisecond, 60)
+}
+
+// Guards against a poison request whose crashes look like the ends of whole answers.
+func TestACrashAfterAnUnmarkedAnswerCounts(t *testing.T) {
+	playPoison(t, crashLook{unmarked: true, down: serverDownTime}, "/stream/x", 160*time.Millisecond, 60)
+}
+
+// Guards against a poison request whose servers are back, or whose ports answer, before
+// their ends are looked for.
+func TestACrashCountsThoughThePortAnswers(t *testing.T) {
+	for _, look := range []crashLook{
+		{name: "back at once"},
+		{name: "port kept", kept: true, down: serverDownTime},
+	} {
+		t.Run(look.name, func(t *testing.T) { playPoison(t, look, "/once/x", 160*time.Millisecond, 60) })
 	}
 }
 
