A refusal limits a brittle server for the second that it counts

Cause, the fourth hypothesis: a refusal limits the server to half of what it survives, but the first answer to a request that it took ended that at once, with the refusals of the same second still counting. Peers that were told of the first refusal only ended it sooner than the instance that was refused. The class: a limit that lasts until the next word instead of for the span that it is about.

Change: while the server is brittle the limit lasts a second beyond the last refusal, and refusals that confirm it are told to peers, at most five times a second for each server.

TestARefusalLimitsABrittleServerForASecond fails without it.

--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -304,6 +304,7 @@
 		{"24 instances, no prompts", 24, false, false, false},
 		{"24 instances, servers crash", 24, true, true, false},
 		{"24 instances, instances are replaced", 24, true, false, true},
+		{"24 instances, both", 24, true, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			shape := largeBrittleShape
--- a/internal/servers/notice.go
+++ b/internal/servers/notice.go
@@ -46,6 +46,14 @@
 // other, each within its limit, then stay within the number together.
 const refusalShare = 0.5
 
+// refusalWindow is the span over which brittle servers count their refusals. For as long,
+// a server that refused counts as full, whatever else it answers.
+const refusalWindow = time.Second
+
+// limitRefresh is after how long a limit that was confirmed unchanged counts as a change, so
+// that peers receive it: with the instant of an old one they would end it sooner.
+const limitRefresh = 200 * time.Millisecond
+
 // RateLimit is the limit that a server advertises, if any.
 type RateLimit struct {
 	// Limited is true if it advertises one.
@@ -82,7 +90,7 @@
 	case n.Brittle && n.Refused:
 		// It had no room although it was expected to have some.
 		return max(change, r.SetRateLimit(id, RateLimit{Limited: true, Rate: refusalShare * n.MaxRefusals, At: now}))
-	case rec.rateLimit.Limited:
+	case rec.rateLimit.Limited && (!n.Brittle || sent.Sub(rec.rateLimit.At) >= refusalWindow):
 		return max(change, r.SetRateLimit(id, RateLimit{At: sent}))
 	default:
 		return change
@@ -103,7 +111,8 @@
 	} else {
 		delete(r.limited, id)
 	}
-	if previous.Limited == b.Limited && previous.Rate == b.Rate {
+	confirmed := b.Limited && b.At.Sub(previous.At) >= limitRefresh && r.Brittleness(id).Brittle
+	if previous.Limited == b.Limited && previous.Rate == b.Rate && !confirmed {
 		return Unchanged
 	}
 	return Updated
--- a/internal/servers/notice_test.go
+++ b/internal/servers/notice_test.go
@@ -76,3 +76,33 @@
 		t.Error(got)
 	}
 }
+
+// Guards against a brittle server that gets as much as before as soon as it takes one
+// request again, and against peers that end its limit sooner than the instance it refused.
+func TestARefusalLimitsABrittleServerForASecond(t *testing.T) {
+	r := New()
+	now := monotime.Instant(time.Hour)
+	r.Put(Server{ID: "a", Name: "a", Revision: 1}, now)
+	full, room := Notice{Brittle: true, MaxRefusals: 4, Refused: true}, Notice{Brittle: true, MaxRefusals: 4}
+	for _, step := range []struct {
+		at      time.Duration
+		notice  Notice
+		want    Change
+		limited bool
+	}{
+		{0, full, Updated, true},
+		{50 * time.Millisecond, room, Unchanged, true},
+		{100 * time.Millisecond, full, Unchanged, true},
+		{400 * time.Millisecond, full, Updated, true},
+		{1300 * time.Millisecond, room, Unchanged, true},
+		{1400 * time.Millisecond, room, Updated, false},
+		{1500 * time.Millisecond, full, Updated, true},
+		{1600 * time.Millisecond, Notice{}, Updated, false},
+	} {
+		at := now.Add(step.at)
+		change := r.ApplyNotice("a", step.notice, at, at)
+		if bound := r.RateLimit("a"); change != step.want || bound.Limited != step.limited {
+			t.Errorf("after %v: %v, %+v", step.at, change, bound)
+		}
+	}
+}
