Owners of a limited server come first where its slots are shared

Cause: two orders. A refusal limits a server to its owners, by one hash of instance and server, and the slots of a brittle server are shared by another. With 3 owners of 9 and 4 slots it happens that no owner has a share; then nothing is sent, and only an answer ends a limit. Ruled out: a lost update, since all nine instances listed the same server.

Change: one order for both. The faster hash stays, as places are computed for all servers. Owners of cold servers change with it once; instances of two releases may have different owners for as long as a release takes, and each counts what others report (docs/design/slow-start.md).

TestOwnersOfALimitedServerComeFirstInItsOrder fails before (places of owners up to 8).

--- a/internal/throttle/owners.go
+++ b/internal/throttle/owners.go
@@ -2,27 +2,6 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// owns reports whether the view's own instance is among the given number of owners of a
-// server, by rendezvous hashing: instances with the same members agree, and when one
-// leaves, only the servers that it owned get another owner.
-func owns(v *view, id string, owners int) bool {
-	mine := hashWeight(v.self, id)
-	preceding := 0
-	for _, member := range v.members {
-		if member == v.self {
-			continue
-		}
-		if a := hashWeight(member, id); a < mine || a == mine && member < v.self {
-			preceding++
-		}
-	}
-	return preceding < owners
-}
-
-func hashWeight(member, server string) uint64 {
-	return xxhash.Sum64String(member + "\x00" + server)
-}
-
 // newView returns the view of an instance on its members, itself included.
 func newView(self string, members []string) *view {
 	v := &view{self: self, members: members, ownHash: xxhash.Sum64String(self)}
@@ -35,8 +14,11 @@
 }
 
 // place returns the place of the view's own instance among the members in an order that
-// differs by server: when one leaves, those behind it move up by one. It combines hashes in
-// place of owns's names, since it is computed for all servers and members.
+// differs by server, by rendezvous hashing: instances with the same members agree, and when
+// one leaves, those behind it move up by one.
+//
+// The first ones in this order own a limited server. A brittle server is shared in the same
+// order, as otherwise none of its owners might have a share of its slots.
 func (v *view) place(server string) (preceding int) {
 	hash := xxhash.Sum64String(server)
 	mine := mix(v.ownHash ^ hash)
--- a/internal/throttle/throttle.go
+++ b/internal/throttle/throttle.go
@@ -342,7 +342,7 @@
 func (l *Limiter) owns(id string, s *server, rate float64) bool {
 	if s.ownedView != l.view || s.ownedRate != rate {
 		s.ownerCount = int(min(math.Ceil(rate/maxOwnerRate), float64(len(l.view.members))))
-		s.owned = owns(l.view, id, s.ownerCount)
+		s.owned = l.view.place(id) < s.ownerCount
 		s.ownedView, s.ownedRate = l.view, rate
 	}
 	return s.owned
--- a/internal/throttle/throttle_test.go
+++ b/internal/throttle/throttle_test.go
@@ -403,3 +403,33 @@
 		t.Error("a process that has just started shares servers")
 	}
 }
+
+// Guards against a brittle server that gets nothing any more once it is limited, since the
+// instances that may use its limit have no share of its slots.
+func TestOwnersOfALimitedServerComeFirstInItsOrder(t *testing.T) {
+	const rate = 3.0
+	var members []string
+	for n := range 9 {
+		members = append(members, fmt.Sprint("instance-", n))
+	}
+	now := start.Add(startupDelay)
+	for n := range 30 {
+		server, owners := fmt.Sprint("server-", n), 0
+		for _, self := range members {
+			l := New(self, start)
+			l.SetMembers(members)
+			l.SetRateLimit(server, rate)
+			place, _, _ := l.Place(server, now)
+			owner := l.Allows(server, Request{}, now)
+			if owner != (place < rate) {
+				t.Errorf("%s at %s: place %d, owner %v", self, server, place, owner)
+			}
+			if owner {
+				owners++
+			}
+		}
+		if owners != rate {
+			t.Errorf("%s has %d owners", server, owners)
+		}
+	}
+}
