Requests of a killed instance hold slots of brittle servers

Cause: the runs of an instance that is gone are ended at once, since most servers drop a request when its connection closes.

Change: for one and a half times the mean time of a run, such a request still counts as holding a slot, where servers are brittle. The others are unchanged: there a wrongly taken slot costs a wait, not a server.

TestRequestsOfALostInstanceHoldSlotsOfBrittleServers fails before. Requests whose callers left, and which a server finishes, are not counted: the limit after a refusal is left for them.

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -285,8 +285,11 @@
 func (b *Board) End(id RunID, now monotime.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r := b.runs[id]; r != nil && r.work.Prompt > 0 {
-		b.contention.ended.add(now)
+	if r := b.runs[id]; r != nil {
+		r.server.kind.recordLife(now.Sub(r.begun))
+		if r.work.Prompt > 0 {
+			b.contention.ended.add(now)
+		}
 	}
 	b.end(id, now)
 }
@@ -306,13 +309,14 @@
 	delete(r.server.runs, id)
 }
 
-// InstanceGone ends the runs of an instance whose process is gone: servers drop a request
-// when its connection closes.
+// InstanceGone ends the runs of an instance whose process is gone: most servers drop a
+// request when its connection closes.
 func (b *Board) InstanceGone(instance string, now monotime.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id := range b.runs {
+	for id, r := range b.runs {
 		if id.Instance == instance {
+			r.server.addOrphan(r, now)
 			b.end(id, now)
 		}
 	}
--- a/internal/placement/brittle.go
+++ b/internal/placement/brittle.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"basilrudder/internal/monotime"
@@ -24,7 +25,8 @@
 // gives it until the others have received its reports. Together they send no more requests
 // than there are slots, unless their lists of members differ.
 func (b *Board) hasBrittleSlot(s *server, now monotime.Instant) bool {
-	if s.unusedSlots(now) == 0 {
+	unused := s.unusedSlots(now) - s.orphaned(now)
+	if unused <= 0 {
 		return false
 	}
 	place, instances, ok := b.places(s.id)
@@ -32,7 +34,7 @@
 		return false
 	}
 	unreported := s.ownRuns(b.self, now.Add(-b.contention.reportDelay()))
-	return unreported < shareOf(s.unusedSlots(now)+unreported, place, instances)
+	return unreported < shareOf(unused+unreported, place, instances)
 }
 
 // shareOf returns how many of the given slots, dealt out in turn, the instance at a place
@@ -51,6 +53,26 @@
 	return count
 }
 
+// orphanMargin is how much longer than the mean run a server is expected to go on with a
+// request whose instance is gone.
+const orphanMargin = 1.5
+
+// addOrphan records a run whose instance is gone. Some servers finish such requests, and
+// a brittle one must not be sent others meanwhile.
+func (s *server) addOrphan(r *run, now monotime.Instant) {
+	until := r.begun.Add(time.Duration(orphanMargin * float64(s.kind.meanLife)))
+	if s.orphaned(now); until > now && len(s.orphans) < s.slots {
+		s.orphans = append(s.orphans, until)
+	}
+}
+
+// orphaned returns the number of requests without an instance that the server may be
+// running.
+func (s *server) orphaned(now monotime.Instant) int {
+	s.orphans = slices.DeleteFunc(s.orphans, func(until monotime.Instant) bool { return until <= now })
+	return len(s.orphans)
+}
+
 // chooseShared is ChooseFrom for brittle servers.
 func (b *Board) chooseShared(work *Work, pool, sources *Pool, allowed func(*Candidate) bool, now monotime.Instant) (Choice, Refusal) {
 	asked := &b.kindOf(pool.candidates[0].Service).asked
--- a/internal/placement/brittle_test.go
+++ b/internal/placement/brittle_test.go
@@ -259,3 +259,27 @@
 		}
 	}
 }
+
+// Guards against brittle servers that get requests for slots in which they go on with those
+// of an instance that was killed.
+func TestRequestsOfALostInstanceHoldSlotsOfBrittleServers(t *testing.T) {
+	const life = time.Second
+	b := NewBoard(testPace, "here")
+	c := Candidate{ID: "s", Service: "app", Slots: 2, Brittle: true}
+	b.Choose(Work{}, []Candidate{c}, start)
+	b.Begin(RunID{Instance: "other", Number: 1}, c.ID, Work{}, 0, start)
+	b.End(RunID{Instance: "other", Number: 1}, start.Add(life))
+	begun := start.Add(2 * life)
+	for n := range 2 {
+		b.Begin(RunID{Instance: "lost", Number: n}, c.ID, Work{}, 0, begun)
+	}
+	b.InstanceGone("lost", begun.Add(life/10))
+	for _, step := range []struct {
+		after time.Duration
+		want  Refusal
+	}{{life / 2, AllFull}, {life, AllFull}, {2 * life, Chosen}} {
+		if _, refusal := b.Choose(Work{}, []Candidate{c}, begun.Add(step.after)); refusal != step.want {
+			t.Errorf("%v after the requests began: %v, want %v", step.after, refusal, step.want)
+		}
+	}
+}
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -48,6 +48,8 @@
 	// meanReadTime is the mean time to read a prompt, over prompts that were not entirely
 	// cached.
 	meanReadTime time.Duration
+	// meanLife is the mean time from the begin of a run to its end.
+	meanLife time.Duration
 	// asked is the rate of choices of this instance while the servers are brittle.
 	asked rate
 }
@@ -257,3 +259,14 @@
 	}
 	return e
 }
+
+// lifeWeight is the weight of the latest run in meanLife: about the last thirty count.
+const lifeWeight = 1.0 / 32
+
+func (k *engineKind) recordLife(life time.Duration) {
+	if k.meanLife == 0 {
+		k.meanLife = life
+		return
+	}
+	k.meanLife += time.Duration(lifeWeight * float64(life-k.meanLife))
+}
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -54,4 +54,7 @@
 	// arrivals is the rate of requests sent to it by all instances, as far as reported.
 	arrivals rate
 	backoff  time.Duration
+	// orphans are until when the server may go on with requests whose instances are gone,
+	// in no order.
+	orphans []monotime.Instant
 }
