The end of a brittle server counts unless refusals explain it

What callers saw: while servers say that they are brittle, a request that crashes them was sent on without end; what ran beside it was lost.

Cause: the end of any server that says it is brittle was dropped, since it may have fallen from what it had to refuse. So no request was suspected while a service was brittle. The class: a possible other cause was taken for the cause, without its evidence. Ruled out for this symptom: ends that are taken back or not seen; every end was logged with the reason.

Change: a fall needs refusals. When the end of a brittle server is reported, each instance tells how many requests of its own it refused in the second before. More than half of what it survives explain the end; then all crashes of that incarnation are dropped, also those reported later, and instances that start later are told.

TestTheFallOfABrittleServerAccusesNoRequest asked that the end of any brittle server accuse nobody, without a refusal, which is this fault. In its place: refused more than it survives, here, at a peer or at both, accuses nobody; refused a few, long before or nothing does; the same when the end is reported again. TestAFallIsKnownToAllInstances: four instances that were each refused once, and one that starts later.

--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -7,6 +7,7 @@
 package crashes
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -60,11 +61,13 @@
 type Tracker struct {
 	requests    map[Fingerprint]*requestState
 	perCustomer map[string]int // requests by customer
+	// fallen are the servers whose ends have another cause, and when they ended.
+	fallen map[string]monotime.Instant
 }
 
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
-	return &Tracker{requests: make(map[Fingerprint]*requestState), perCustomer: make(map[string]int)}
+	return &Tracker{requests: make(map[Fingerprint]*requestState), perCustomer: make(map[string]int), fallen: make(map[string]monotime.Instant)}
 }
 
 // Len returns the number of tracked requests.
@@ -73,7 +76,7 @@
 // Add records a crash. It reports whether the crash is new, and whether it makes the
 // request poison.
 func (t *Tracker) Add(c Crash, now monotime.Instant) (isNew, isPoison bool) {
-	if now.Sub(c.At) > Retention {
+	if _, fell := t.fallen[c.Server]; fell || now.Sub(c.At) > Retention {
 		return false, false
 	}
 	s := t.requests[c.Request]
@@ -92,6 +95,31 @@
 	return true, s.poison()
 }
 
+// maxFallen bounds the servers whose ends are known to have another cause.
+const maxFallen = 4096
+
+// Fell records that the end of a server has another cause than a request. It reports
+// whether that is new.
+func (t *Tracker) Fell(server string, endedAt monotime.Instant) bool {
+	if _, known := t.fallen[server]; known || len(t.fallen) >= maxFallen {
+		return false
+	}
+	t.fallen[server] = endedAt
+	for request, s := range t.requests {
+		if _, ok := s.crashes[server]; !ok {
+			continue
+		}
+		delete(s.crashes, server)
+		if len(s.crashes) == 0 && s.survivedAt == 0 {
+			t.remove(request)
+		}
+	}
+	return true
+}
+
+// Fallen returns the servers whose ends have another cause, and when they ended.
+func (t *Tracker) Fallen() map[string]monotime.Instant { return maps.Clone(t.fallen) }
+
 // Survived records that a request ran without crashing its server. It reports whether
 // this should be sent to peers: the request is tracked, and its last such run is none or
 // more than half of exonerationTTL before.
@@ -174,6 +202,7 @@
 			t.remove(request)
 		}
 	}
+	maps.DeleteFunc(t.fallen, func(_ string, endedAt monotime.Instant) bool { return now.Sub(endedAt) > Retention })
 }
 
 // evict removes a request if there are too many after one was added: the least suspected
--- a/internal/gateway/batcher.go
+++ b/internal/gateway/batcher.go
@@ -115,6 +115,10 @@
 	n.add(func(p *wire.RelayNews) { p.Crashes = append(p.Crashes, list...) })
 }
 
+func (n *updateBatcher) addFalls(list []wire.RelayFall) {
+	n.add(func(p *wire.RelayNews) { p.Falls = append(p.Falls, list...) })
+}
+
 func (n *updateBatcher) setPaceStats(stats []wire.RelayEvidence) {
 	n.add(func(p *wire.RelayNews) { p.Evidence = stats })
 }
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -360,19 +360,81 @@
 
 // Guards against requests that count as crashing servers because a brittle server fell.
 func TestTheFallOfABrittleServerAccusesNoRequest(t *testing.T) {
-	f, _, _ := newFleet()
-	put(f, fromStore, entry("a", 1))
-	put(f, fromStore, entry("b", 2))
-	now := monotime.Instant(time.Hour)
-	f.ApplyNotice("a", servers.Notice{Brittle: true, MaxRefusals: 5}, now, now)
-	for n, server := range []string{"a", "b"} {
-		f.Crashed(crashes.Crash{Request: crashes.Fingerprint{1}, Customer: "c", Server: server, At: now}, now)
-		if got, want := f.AnySuspected(), n == 1; got != want {
-			t.Errorf("after the end of %s: suspected %v, want %v", server, got, want)
+	const survives = 5
+	request := crashes.Fingerprint{1}
+	for _, c := range []struct {
+		name string
+		// own are the refusals of this instance, reported those of a peer, and before how
+		// long before the end they were.
+		own, reported int
+		before        time.Duration
+		accused       bool
+	}{
+		{"refused more than it survives", survives + 1, 0, 500 * time.Millisecond, false},
+		{"refused both instances", 1, survives, 500 * time.Millisecond, false},
+		{"refused the peer", 0, survives + 1, 500 * time.Millisecond, false},
+		{"refused only a few", 1, 1, 500 * time.Millisecond, true},
+		{"refused long before", survives + 1, 0, 3 * time.Second, true},
+		{"refused nothing", 0, 0, 0, true},
+	} {
+		f, _, _ := newFleet()
+		put(f, fromStore, entry("a", 1))
+		now := monotime.Instant(time.Hour)
+		refused := servers.Notice{Brittle: true, MaxRefusals: survives, Refused: true}
+		f.ApplyNotice("a", servers.Notice{Brittle: true, MaxRefusals: survives}, now, now)
+		for range c.own {
+			f.ApplyNotice("a", refused, now, now)
+		}
+		endedAt := now.Add(c.before)
+		f.Crashed(crashes.Crash{Request: request, Customer: "c", Server: "a", At: endedAt}, endedAt)
+		if c.reported > 0 {
+			f.applyRefusals("peer", &wire.RelayFall{Server: "a", Refusals: c.reported}, endedAt, endedAt)
+		}
+		if got := f.AnySuspected(); got != c.accused {
+			t.Errorf("%s: suspected %v, want %v", c.name, got, c.accused)
+		}
+		f.crashes.receive("late", []wire.RelayCrash{{Request: request[:], Customer: "c", Server: "a"}}, endedAt)
+		if got := f.AnySuspected(); got != c.accused {
+			t.Errorf("%s, reported again: suspected %v, want %v", c.name, got, c.accused)
 		}
 	}
 }
 
+// Guards against instances that attribute the end of a brittle server to different causes.
+func TestAFallIsKnownToAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		passProcessStart()
+		host := fastHosts()
+		fleet := startLinkedOver(t, ctx, &tasks, 4, host)
+		time.Sleep(time.Second)
+		put(fleet[0].fleet, fromStore, entry("a", 1))
+		time.Sleep(time.Second)
+		now := monotime.Now()
+		for _, i := range fleet {
+			i.fleet.ApplyNotice("a", servers.Notice{Brittle: true, MaxRefusals: 3, Refused: true}, now, now)
+		}
+		time.Sleep(100 * time.Millisecond)
+		now = monotime.Now()
+		fleet[1].fleet.Crashed(crashes.Crash{Request: crashes.Fingerprint{1}, Server: "a", At: now}, now)
+		time.Sleep(time.Second)
+		fleet = append(fleet, startLinkedFrom(t, ctx, &tasks, 4, 1, host)...)
+		time.Sleep(time.Second)
+		for _, i := range fleet {
+			if i.fleet.AnySuspected() {
+				t.Errorf("%s suspects a request", i.fleet.self)
+			}
+		}
+		now = monotime.Now()
+		fleet[4].fleet.Crashed(crashes.Crash{Request: crashes.Fingerprint{1}, Server: "a", At: now}, now)
+		if fleet[4].fleet.AnySuspected() {
+			t.Error("an instance that started later suspects a request")
+		}
+		stopLinked(t, cancel, &tasks)
+	})
+}
+
 // Guards against a refusal of a brittle server of which the other instances do not hear.
 func TestARefusalOfABrittleServerLimitsItForAll(t *testing.T) {
 	f, _, _ := newFleet()
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -29,10 +28,11 @@
 
 	mu      sync.Mutex
 	tracker *crashes.Tracker
+	falls   *crashes.Falls
 }
 
 func newCrashTracker(updates *updateBatcher, log *zap.Logger) *crashTracker {
-	return &crashTracker{log: log, updates: updates, tracker: crashes.NewTracker()}
+	return &crashTracker{log: log, updates: updates, tracker: crashes.NewTracker(), falls: crashes.NewFalls()}
 }
 
 // AnySuspected implements relay.Fleet.
@@ -45,22 +45,8 @@
 
 // Crashed implements relay.Fleet.
 func (f *fleet) Crashed(crash crashes.Crash, now monotime.Instant) {
-	if f.isBrittleServer(crash.Server) {
-		f.log.Info("brittle_server_ended", zap.String("server", crash.Server))
-		return
-	}
 	f.crashes.broadcast(f.crashes.add(f.self, []crashes.Crash{crash}, now))
-}
-
-// isBrittleServer reports whether a server says that it is brittle: then it may have ended
-// because it had to refuse requests.
-func (f *fleet) isBrittleServer(id string) bool {
-	if f.brittleCount.Load() == 0 {
-		return false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.registry.Brittleness(id).Brittle
+	f.checkFall(crash.Server, crash.At, now)
 }
 
 // Survived implements relay.Fleet.
@@ -174,13 +160,21 @@
 func ageMS(at, now monotime.Instant) int { return int(max(0, now.Sub(at)).Milliseconds()) }
 
 func decodeCrash(received wire.RelayCrash, now monotime.Instant) (out crashes.Crash, ok bool) {
-	if len(received.Request) != len(out.Request) || received.AgeMS < 0 || received.AgeMS > int(crashes.Retention.Milliseconds()) {
+	if len(received.Request) != len(out.Request) {
 		return out, false
 	}
 	copy(out.Request[:], received.Request)
 	out.Customer, out.Server = received.Customer, received.Server
-	out.At = now.Add(-time.Duration(received.AgeMS) * time.Millisecond)
-	return out, true
+	out.At, ok = decodeEnd(received.AgeMS, now)
+	return out, ok
+}
+
+// decodeEnd decodes when a server ended, or a run of a suspected request did.
+func decodeEnd(ageMS int, now monotime.Instant) (at monotime.Instant, ok bool) {
+	if ageMS < 0 || ageMS > int(crashes.Retention.Milliseconds()) {
+		return 0, false
+	}
+	return now.Add(-milliseconds(ageMS)), true
 }
 
 // applyCrashes applies the crashes that a peer sent. If they were sent to this instance
@@ -195,6 +189,11 @@
 	if direct {
 		p.fleet.crashes.broadcast(fresh)
 	}
+	for _, crash := range fresh {
+		if crash.Server != "" {
+			p.fleet.checkFall(crash.Server, now.Add(-milliseconds(crash.AgeMS)), now)
+		}
+	}
 }
 
 // crashMetrics is the state of poison request detection in the metrics.
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -17,6 +17,7 @@
 		f.pauseServer(server, notice.Pause, now)
 	}
 	if notice.Brittle && notice.Refused {
+		f.crashes.recordRefusal(server, now)
 		f.logBrittleRefusal(server, notice.MaxRefusals, sent, now)
 	}
 	if !notice.Leaving && !notice.Limited && !notice.Brittle && f.rateLimitedCount.Load() == 0 && f.brittleCount.Load() == 0 {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -84,6 +84,9 @@
 		greeting.ServerDigests = p.fleet.serverDigests()
 	}
 	p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{greeting}})
+	for list := range slices.Chunk(p.fleet.crashes.encodeFalls(now), crashesPerMessage) {
+		p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{{Falls: list}}})
+	}
 	for list := range slices.Chunk(p.fleet.crashes.encodeAll(now), crashesPerMessage) {
 		p.links.Send(id.ID, &wire.Envelope{News: []wire.RelayNews{{Crashes: list}}})
 	}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -42,6 +42,7 @@
 	}
 	p.fleet.streams.learn(update.Versions, now)
 	p.applyCrashes(receipt.Origin, update, update.Origin == "")
+	p.applyFalls(receipt.Origin, update.Falls, update.Origin == "")
 	p.applyCaches(update)
 	p.applyPaceStats(receipt.Origin, update)
 	if receipt.Direct {
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -480,6 +480,20 @@
 	Sums []float64 `json:"v"`
 }
 
+// RelayFall is the end of a brittle server, and how many requests it refused
+// shortly before.
+type RelayFall struct {
+	// Age of the end in milliseconds.
+	AgeMS int `json:"a,omitempty,omitzero"`
+
+	// Requests of the sender that it refused in the second before its end; 0 if
+	// enough were refused for the end to be attributed to them.
+	Refusals int `json:"n,omitempty,omitzero"`
+
+	// Id of the server's incarnation.
+	Server string `json:"s"`
+}
+
 // RelayMember is an instance that relays, as another one knows it.
 type RelayMember struct {
 	// Address for callers.
@@ -525,6 +539,9 @@
 	// Runs that gave their first event.
 	First []int `json:"f,omitempty,omitzero"`
 
+	// Ends of brittle servers that refused requests before.
+	Falls []RelayFall `json:"fl,omitempty,omitzero"`
+
 	// Incarnations that the origin has links to.
 	Neighbours []string `json:"g,omitempty,omitzero"`
 
