Only an answer with a marked end shows that its server survived

What callers saw: where a service ends its answers by closing the connection, a request that crashes servers was sent on without end.

Cause: such an answer that closes between two events counts as whole, and so as a run that the server survived. A crash looks just like that. The word deletes the crashes of the minute before at all instances, so one undid three. The same word was given for streams that broke off more than half a second after their first event, for errors of servers, and before the rest of a long body. The class: the absence of a sign was taken for a sign. Ruled out for this symptom: brittle servers (none there) and a port that answers (it refuses).

Change: only 2xx answers with a length or chunks, read to their end, tell that the server survived, as of when the answer began. Where an answer without a marked end closes within half a second of its begin, its server is examined 150 ms later, without holding the caller: something else it has sent shows that it survived; else it is probed, four times a second at most over all servers, and one that refuses crashed.

TestACrashIsAttributedToTheRequestJustStarted wanted a survival for a stream that broke off late, which is this fault; it wants none now, and has five more cases.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -50,8 +50,8 @@
 }
 
 // Survived implements relay.Fleet.
-func (f *fleet) Survived(request crashes.Fingerprint, now monotime.Instant) {
-	f.crashes.broadcast(f.crashes.addSurvived(request, now, now))
+func (f *fleet) Survived(request crashes.Fingerprint, begunAt monotime.Instant) {
+	f.crashes.broadcast(f.crashes.addSurvived(request, begunAt, monotime.Now()))
 }
 
 func (c *crashTracker) isPoison(request crashes.Fingerprint, now monotime.Instant) bool {
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -14,6 +14,7 @@
 
 	"basilrudder/internal/crashes"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/timer"
 	"basilrudder/internal/verdict"
 )
 
@@ -25,6 +26,15 @@
 	// probeTTL is how long the result of a probe is reused. Within it, all answers that
 	// one crash broke off share a single probe.
 	probeTTL = 2 * time.Second
+	// unmarkedEndDelay is how long after the end of an answer without a marked end its
+	// server is examined. Busy servers have sent something else by then, which saves a
+	// connection.
+	unmarkedEndDelay = 150 * time.Millisecond
+	// unmarkedProbeInterval is the least time between two probes for such answers, over all
+	// servers. Services may end all their answers so, and each probe is a connection.
+	unmarkedProbeInterval = 250 * time.Millisecond
+	// lateBytes is how long after the end of a server bytes that it had sent may arrive.
+	lateBytes = 50 * time.Millisecond
 )
 
 // fingerprint returns a hash of method, host, path with query, caller and body. It is
@@ -59,12 +69,14 @@
 	return fleet.AnySuspected() && fleet.IsPoison(f.fingerprint(), monotime.Now())
 }
 
-// reportSurvived reports that the server kept running after it had begun to run the
-// request.
-func (f *forwarder) reportSurvived() {
-	fleet := f.relay.cfg.Fleet
-	if fleet.AnySuspected() {
-		fleet.Survived(f.fingerprint(), monotime.Now())
+// reportSurvived reports that the server kept running after it had begun to answer the
+// request. Only an answer whose end is marked shows that: a crash closes the connection too.
+func (f *forwarder) reportSurvived(e *exchange, begunAt monotime.Instant) {
+	if f.received.framing == framingClose || e.resp.StatusCode >= http.StatusMultipleChoices {
+		return
+	}
+	if fleet := f.relay.cfg.Fleet; fleet.AnySuspected() {
+		fleet.Survived(f.fingerprint(), begunAt)
 	}
 }
 
@@ -86,17 +98,45 @@
 	}
 	if f.firstEventAt != 0 && now.Sub(f.firstEventAt) > crashWindow {
 		f.logNotCounted("the answer had begun long before", now)
-		f.reportSurvived()
 		return
 	}
 	if !f.relay.probes.ended(f.ctx, f.target, f.relay.cfg.Connector) {
 		f.logNotCounted("the server was not found to refuse connections", now)
 		return
 	}
-	crash := crashes.Crash{Request: f.fingerprint(), Customer: f.callerName(), Server: f.target.ID, At: now}
-	f.relay.cfg.Log.Info("server_crashed", zap.String("id", f.request.ID), zap.String("server", crash.Server),
-		zap.Binary("fingerprint", crash.Request[:]), zap.String("customer", crash.Customer), zap.Bool("answered", f.firstEventAt != 0))
-	f.relay.cfg.Fleet.Crashed(crash, now)
+	f.relay.reportCrash(f.crashOf(now), f.request.ID)
+}
+
+// crashOf returns the crash of the server under the request.
+func (f *forwarder) crashOf(at monotime.Instant) crashes.Crash {
+	return crashes.Crash{Request: f.fingerprint(), Customer: f.callerName(), Server: f.target.ID, At: at}
+}
+
+func (r *Relay) reportCrash(crash crashes.Crash, id string) {
+	r.cfg.Log.Info("server_crashed", zap.String("id", id), zap.String("server", crash.Server),
+		zap.Binary("fingerprint", crash.Request[:]), zap.String("customer", crash.Customer))
+	r.cfg.Fleet.Crashed(crash, monotime.Now())
+}
+
+// checkUnmarkedEnd finds out whether the server crashed where an answer without a marked end
+// was closed soon after its begin. The caller does not wait for that.
+func (f *forwarder) checkUnmarkedEnd(begunAt monotime.Instant) {
+	now := monotime.Now()
+	if f.received.framing != framingClose || now.Sub(begunAt) > crashWindow {
+		return
+	}
+	crash, target, id, r := f.crashOf(now), f.target, f.request.ID, f.relay
+	go func() {
+		timer.Sleep(unmarkedEndDelay, nil)
+		switch {
+		case r.answers.since(target.ID, crash.At.Add(lateBytes)):
+			if r.cfg.Fleet.AnySuspected() {
+				r.cfg.Fleet.Survived(crash.Request, begunAt)
+			}
+		case r.mayProbeUnmarked() && r.probes.ended(context.Background(), target, r.cfg.Connector):
+			r.reportCrash(crash, id)
+		}
+	}()
 }
 
 // logNotCounted logs that a broken answer is not taken for a crash of its server.
@@ -108,6 +148,13 @@
 	f.relay.cfg.Log.Info("crash_not_counted", append(fields, f.received.fields()...)...)
 }
 
+// mayProbeUnmarked reports whether a server may be probed because an answer of it had no
+// marked end, and records the probe.
+func (r *Relay) mayProbeUnmarked() bool {
+	now, last := int64(monotime.Now()), r.unmarkedProbeAt.Load()
+	return (last == 0 || now-last >= int64(unmarkedProbeInterval)) && r.unmarkedProbeAt.CompareAndSwap(last, now)
+}
+
 var errPoison = errors.New("servers crash when they run this request; it was not sent to another one")
 
 // refusePoison ends a request that crashes servers. Callers do not retry after this
@@ -170,3 +217,29 @@
 	defer p.mu.Unlock()
 	delete(p.recent, server)
 }
+
+// answerTimes holds when each server last sent a part of an answer.
+type answerTimes struct {
+	mu sync.Mutex
+	at map[string]monotime.Instant
+}
+
+// maxAnswerTimes bounds the servers in answerTimes. Beyond it all are dropped, which costs
+// some probes.
+const maxAnswerTimes = 8192
+
+func (a *answerTimes) record(server string, now monotime.Instant) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.at == nil || len(a.at) >= maxAnswerTimes {
+		a.at = make(map[string]monotime.Instant)
+	}
+	a.at[server] = now
+}
+
+// since reports whether a server has sent a part of an answer after an instant.
+func (a *answerTimes) since(server string, after monotime.Instant) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.at[server] > after
+}
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -150,9 +150,9 @@
 	// IsPoison reports whether a request is confirmed to crash servers.
 	IsPoison(request crashes.Fingerprint, now monotime.Instant) bool
 	// Crashed reports that a server ended soon after it began to run a request, and
-	// Survived that one did not.
+	// Survived that one whose answer began at an instant did not.
 	Crashed(crash crashes.Crash, now monotime.Instant)
-	Survived(request crashes.Fingerprint, now monotime.Instant)
+	Survived(request crashes.Fingerprint, begunAt monotime.Instant)
 	// ApplyNotice applies what a server reported about itself in its answer to a request
 	// sent at the instant sent.
 	ApplyNotice(server string, notice servers.Notice, sent, now monotime.Instant)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,9 +33,13 @@
 
 // Relay is the HTTP handler for callers.
 type Relay struct {
-	cfg    Config
-	pool   *pool
-	probes probes
+	cfg     Config
+	pool    *pool
+	probes  probes
+	answers answerTimes
+	// unmarkedProbeAt is when a server was last probed because of an answer without a marked
+	// end, as a monotime.Instant; 0 for never.
+	unmarkedProbeAt atomic.Int64
 	// drainSince is when the drain began; 0 while there is none.
 	drainSince atomic.Int64
 	bodyBytes  atomic.Int64
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -112,6 +112,7 @@
 func (f *forwarder) reportEvents(run, bytes, events int) {
 	now := monotime.Now()
 	f.reportReached()
+	f.relay.answers.record(f.target.ID, now)
 	if f.firstEventAt == 0 {
 		f.firstEventAt = now
 		f.relay.cfg.Fleet.FirstEvent(run, now)
@@ -199,7 +200,8 @@
 
 // endStream ends the caller's stream after the server ended its own between two events.
 func (f *forwarder) endStream(e *exchange) *verdict.Error {
-	f.reportSurvived()
+	f.reportSurvived(e, f.firstEventAt)
+	f.checkUnmarkedEnd(f.firstEventAt)
 	f.observe(placement.Served)
 	if !f.stream.started {
 		f.startStream(e)
