A broken answer counts once its server turns out to have ended

What callers saw: where the port of a crashed server answers, because a proxy or supervisor keeps it or a new incarnation is there at once, a request that crashes servers was sent on without end.

Cause: the end of a server was known by one sign, a connection that is refused right after. The class: one symptom stands for the fact.

It counts, as of when it broke, when the server's entry goes, another incarnation's entry names its address, or a request to it is answered by another server. Servers that said they leave, or whose entries went before, end as announced: what they break off is not counted any more, also where they refuse connections.

TestABrokenAnswerCountsOnceItsServerHasEnded has what is no end.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -479,3 +479,62 @@
 	}
 	return out
 }
+
+// Guards against broken answers that count although their servers go on or leave, and
+// against those that never count although their servers have ended.
+func TestABrokenAnswerCountsOnceItsServerHasEnded(t *testing.T) {
+	replacement := servers.Server{ID: "b", Name: "b", Service: "svc", Address: "a:1", Slots: 1, Revision: 5}
+	for _, c := range []struct {
+		name    string
+		then    func(f *fleet, now monotime.Instant)
+		counted bool
+	}{
+		{"goes on", func(*fleet, monotime.Instant) {}, false},
+		{"its entry goes", func(f *fleet, _ monotime.Instant) { end(f, "a", 6) }, true},
+		{"another one at its address", func(f *fleet, _ monotime.Instant) { put(f, fromStore, replacement) }, true},
+		{"another one answers", func(f *fleet, now monotime.Instant) { f.Misdirected("a", now) }, true},
+		{"another one answers elsewhere", func(f *fleet, now monotime.Instant) { f.Misdirected("b", now) }, false},
+		{"leaves", func(f *fleet, now monotime.Instant) {
+			f.ApplyNotice("a", servers.Notice{Leaving: true}, now, now)
+			end(f, "a", 6)
+		}, false},
+	} {
+		f, _, _ := newFleet()
+		server := servers.Server{ID: "a", Name: "a", Service: "svc", Address: "a:1", Slots: 1, Revision: 1}
+		put(f, fromStore, server)
+		now := monotime.Now()
+		f.BrokeOff(relay.Target{Server: server}, crashes.Crash{Request: crashes.Fingerprint{1}, Server: "a", At: now}, now)
+		if f.AnySuspected() {
+			t.Errorf("%s: counts at once", c.name)
+		}
+		c.then(f, now)
+		if got := f.AnySuspected(); got != c.counted {
+			t.Errorf("%s: suspected %v, want %v", c.name, got, c.counted)
+		}
+	}
+}
+
+// Guards against requests that count as crashing servers which ended as they had announced.
+func TestAnAnnouncedEndAccusesNoRequest(t *testing.T) {
+	for name, announce := range map[string]func(f *fleet, now monotime.Instant){
+		"said so":       func(f *fleet, now monotime.Instant) { f.ApplyNotice("a", servers.Notice{Leaving: true}, now, now) },
+		"entry removed": func(f *fleet, _ monotime.Instant) { end(f, "a", 6) },
+	} {
+		f, _, _ := newFleet()
+		put(f, fromStore, entry("a", 1))
+		now := monotime.Now()
+		announce(f, now)
+		f.Crashed(crashes.Crash{Request: crashes.Fingerprint{1}, Server: "a", At: now}, now)
+		if f.AnySuspected() {
+			t.Errorf("%s: a request is suspected", name)
+		}
+	}
+}
+
+// end lets the store tell an instance that the entry of a server is gone.
+func end(f *fleet, id string, revision servers.Revision) {
+	f.changeServers(fromStore, func(r *servers.Registry, now monotime.Instant) []string {
+		r.MarkGone(id, revision, now)
+		return []string{id}
+	})
+}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -45,6 +45,15 @@
 
 // Crashed implements relay.Fleet.
 func (f *fleet) Crashed(crash crashes.Crash, now monotime.Instant) {
+	if f.endWasAnnounced(crash.Server) {
+		f.log.Info("announced_end_not_counted", zap.String("server", crash.Server))
+		return
+	}
+	f.recordCrash(crash, now)
+}
+
+// recordCrash records a crash and reports it to all peers.
+func (f *fleet) recordCrash(crash crashes.Crash, now monotime.Instant) {
 	f.crashes.broadcast(f.crashes.add(f.self, []crashes.Crash{crash}, now))
 	f.checkFall(crash.Server, crash.At, now)
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -32,6 +32,7 @@
 	outages     *outageDetector
 	outageLog   outageLog
 	crashes     *crashTracker
+	suspicions  suspicions
 	streams     *streamVersions
 	regions     regions
 	memberCount func() int // instances tracked, including this one
--- a/internal/gateway/serverstate.go
+++ b/internal/gateway/serverstate.go
@@ -140,6 +140,7 @@
 	for i := range states {
 		f.applyServerState(&states[i], now)
 	}
+	f.settleServers(states, now)
 	switch {
 	case from != fromStore && from != fromTimer && from != fromServer:
 	case before == 0 && len(states) > maxServersSent:
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -102,6 +102,7 @@
 	}
 	if !f.relay.probes.ended(f.ctx, f.target, f.relay.cfg.Connector) {
 		f.logNotCounted("the server was not found to refuse connections", now)
+		f.relay.cfg.Fleet.BrokeOff(f.target, f.crashOf(now), now)
 		return
 	}
 	f.relay.reportCrash(f.crashOf(now), f.request.ID)
@@ -135,6 +136,8 @@
 			}
 		case r.mayProbeUnmarked() && r.probes.ended(context.Background(), target, r.cfg.Connector):
 			r.reportCrash(crash, id)
+		default:
+			r.cfg.Fleet.BrokeOff(target, crash, monotime.Now())
 		}
 	}()
 }
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -40,21 +40,21 @@
 func TestACrashIsAttributedToTheRequestJustStarted(t *testing.T) {
 	alive := replying()
 	for _, c := range []struct {
-		name              string
-		path              string
-		scripts           []script
-		crashed, survived int
+		name                        string
+		path                        string
+		scripts                     []script
+		crashed, brokeOff, survived int
 	}{
-		{"before an answer", "/once/x", []script{startThenClose(false, 100*time.Millisecond)}, 1, 0},
-		{"after the first event", "/stream/x", []script{startThenClose(true, 50*time.Millisecond)}, 1, 0},
-		{"long after it", "/stream/x", []script{startThenClose(true, 2*crashWindow)}, 0, 0},
-		{"only the connection", "/once/x", []script{startThenClose(false, 100*time.Millisecond), alive}, 0, 0},
-		{"not at all", "/once/x", []script{replying(answer("r", 200, "", "ok"))}, 0, 1},
-		{"an error of the server", "/once/x", []script{replying(answer("r", 500, "", "no"))}, 0, 0},
-		{"after an event, without a marked end", "/stream/x", []script{closing("id: 1\n\n", 50*time.Millisecond)}, 1, 0},
-		{"after a body, without a marked end", "/once/x", []script{closing("ok", 0)}, 1, 0},
-		{"not at all, without a marked end", "/stream/x", []script{closing("id: 1\n\n", 50*time.Millisecond), alive}, 0, 0},
-		{"long after it, without a marked end", "/stream/x", []script{closing("id: 1\n\n", 2*crashWindow)}, 0, 0},
+		{"before an answer", "/once/x", []script{startThenClose(false, 100*time.Millisecond)}, 1, 0, 0},
+		{"after the first event", "/stream/x", []script{startThenClose(true, 50*time.Millisecond)}, 1, 0, 0},
+		{"long after it", "/stream/x", []script{startThenClose(true, 2*crashWindow)}, 0, 0, 0},
+		{"only the connection", "/once/x", []script{startThenClose(false, 100*time.Millisecond), alive}, 0, 1, 0},
+		{"not at all", "/once/x", []script{replying(answer("r", 200, "", "ok"))}, 0, 0, 1},
+		{"an error of the server", "/once/x", []script{replying(answer("r", 500, "", "no"))}, 0, 0, 0},
+		{"after an event, without a marked end", "/stream/x", []script{closing("id: 1\n\n", 50*time.Millisecond)}, 1, 0, 0},
+		{"after a body, without a marked end", "/once/x", []script{closing("ok", 0)}, 1, 0, 0},
+		{"not at all, without a marked end", "/stream/x", []script{closing("id: 1\n\n", 50*time.Millisecond), alive}, 0, 1, 0},
+		{"long after it, without a marked end", "/stream/x", []script{closing("id: 1\n\n", 2*crashWindow)}, 0, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -62,8 +62,9 @@
 				b.serve(request("POST", c.path, "r", "body"))
 				time.Sleep(2 * unmarkedEndDelay)
 				b.close()
-				if len(b.fleet.crashed) != c.crashed || len(b.fleet.survived) != c.survived {
-					t.Errorf("%d crashes and %d runs without, want %d and %d", len(b.fleet.crashed), len(b.fleet.survived), c.crashed, c.survived)
+				if len(b.fleet.crashed) != c.crashed || len(b.fleet.brokeOff) != c.brokeOff || len(b.fleet.survived) != c.survived {
+					t.Errorf("%d crashes, %d broken answers and %d runs without, want %d, %d and %d",
+						len(b.fleet.crashed), len(b.fleet.brokeOff), len(b.fleet.survived), c.crashed, c.brokeOff, c.survived)
 				}
 				for _, crash := range b.fleet.crashed {
 					if crash.Server != "s1" || crash.Customer != "acme" {
@@ -87,8 +88,8 @@
 		b.serve(request("POST", "/once/x", "r2", "other"))
 		time.Sleep(2 * unmarkedEndDelay)
 		b.close()
-		if len(b.fleet.survived) != 1 || len(b.fleet.crashed) > 0 {
-			t.Errorf("%d runs without a crash, %d crashes", len(b.fleet.survived), len(b.fleet.crashed))
+		if len(b.fleet.survived) != 1 || len(b.fleet.crashed)+len(b.fleet.brokeOff) > 0 {
+			t.Errorf("%d runs without a crash, %d crashes, %d broken answers", len(b.fleet.survived), len(b.fleet.crashed), len(b.fleet.brokeOff))
 		}
 	})
 }
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -146,6 +146,7 @@
 	if status == http.StatusMisdirectedRequest {
 		// The address now belongs to another incarnation.
 		f.observe(placement.Unreachable)
+		f.relay.cfg.Fleet.Misdirected(f.target.ID, monotime.Now())
 	} else {
 		f.observe(placement.Refused)
 	}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -92,6 +92,7 @@
 
 	mu       sync.Mutex
 	crashed  []crashes.Crash
+	brokeOff []crashes.Crash
 	survived []crashes.Fingerprint
 	begun    []string
 	ended    int
@@ -175,6 +176,12 @@
 	defer f.mu.Unlock()
 	f.crashed = append(f.crashed, crash)
 }
+func (f *fakeFleet) BrokeOff(_ Target, crash crashes.Crash, _ monotime.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.brokeOff = append(f.brokeOff, crash)
+}
+func (f *fakeFleet) Misdirected(string, monotime.Instant) {}
 func (f *fakeFleet) Survived(request crashes.Fingerprint, _ monotime.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -153,6 +153,11 @@
 	// Survived that one whose answer began at an instant did not.
 	Crashed(crash crashes.Crash, now monotime.Instant)
 	Survived(request crashes.Fingerprint, begunAt monotime.Instant)
+	// BrokeOff reports the same as Crashed of a server that may have ended: its address
+	// accepts connections, or it is not known whether it does.
+	BrokeOff(target Target, crash crashes.Crash, now monotime.Instant)
+	// Misdirected reports that another incarnation answers at the address of a server.
+	Misdirected(server string, now monotime.Instant)
 	// ApplyNotice applies what a server reported about itself in its answer to a request
 	// sent at the instant sent.
 	ApplyNotice(server string, notice servers.Notice, sent, now monotime.Instant)
