--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -7,6 +7,8 @@
 package crashes
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"maps"
 	"slices"
 	"time"
@@ -33,6 +35,19 @@
 // Fingerprint identifies the content of a request.
 type Fingerprint [16]byte
 
+// partDomain separates the fingerprints of parts from those of requests.
+const partDomain = "part\x00"
+
+// PartFingerprint returns the fingerprint of a part of a prompt with an id.
+func PartFingerprint(id string) (out Fingerprint) {
+	hash := sha256.Sum256([]byte(partDomain + id))
+	copy(out[:], hash[:])
+	return out
+}
+
+// String returns the start of the fingerprint in hexadecimal, for logs.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:6]) }
+
 // Crash is the end of a server during a request, as seen by one instance.
 type Crash struct {
 	// Request that had been sent to the server.
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -55,6 +55,19 @@
 	return *f.cachedFingerprint
 }
 
+// maxContentParts bounds the parts of a prompt that are considered.
+const maxContentParts = 32
+
+// sharedParts returns the fingerprints of the parts of the prompt that other requests may
+// share, which the last one is not.
+func (f *forwarder) sharedParts() (out []crashes.Fingerprint) {
+	parts := f.request.Parts
+	for _, part := range parts[:min(maxContentParts, max(0, len(parts)-1))] {
+		out = append(out, crashes.PartFingerprint(part.ID))
+	}
+	return out
+}
+
 // caller returns the customer's name, or the key where no customer is identified.
 func (f *forwarder) caller() string {
 	if f.customer != nil {
@@ -105,7 +118,7 @@
 		f.relay.cfg.Fleet.BrokeOff(f.target, f.crashOf(now), now)
 		return
 	}
-	f.relay.reportCrash(f.crashOf(now), f.request.ID)
+	f.relay.reportCrash(f.crashOf(now), f.request.ID, f.sharedParts())
 }
 
 // crashOf returns the crash of the server under the request.
@@ -113,9 +126,9 @@
 	return crashes.Crash{Request: f.fingerprint(), Customer: f.callerName(), Server: f.target.ID, At: at}
 }
 
-func (r *Relay) reportCrash(crash crashes.Crash, id string) {
+func (r *Relay) reportCrash(crash crashes.Crash, id string, parts []crashes.Fingerprint) {
 	r.cfg.Log.Info("server_crashed", zap.String("id", id), zap.String("server", crash.Server),
-		zap.Binary("fingerprint", crash.Request[:]), zap.String("customer", crash.Customer))
+		zap.Binary("fingerprint", crash.Request[:]), zap.Stringers("parts", parts), zap.String("customer", crash.Customer))
 	r.cfg.Fleet.Crashed(crash, monotime.Now())
 }
 
@@ -126,7 +139,7 @@
 	if f.received.framing != framingClose || now.Sub(begunAt) > crashWindow {
 		return
 	}
-	crash, target, id, r := f.crashOf(now), f.target, f.request.ID, f.relay
+	crash, parts, target, id, r := f.crashOf(now), f.sharedParts(), f.target, f.request.ID, f.relay
 	go func() {
 		timer.Sleep(unmarkedEndDelay, nil)
 		switch {
@@ -135,7 +148,7 @@
 				r.cfg.Fleet.Survived(crash.Request, begunAt)
 			}
 		case r.mayProbeUnmarked() && r.probes.ended(context.Background(), target, r.cfg.Connector):
-			r.reportCrash(crash, id)
+			r.reportCrash(crash, id, parts)
 		default:
 			r.cfg.Fleet.BrokeOff(target, crash, monotime.Now())
 		}
