--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -22,6 +22,7 @@
 
 	"basilrudder/internal/crashes"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/placement"
 	"basilrudder/internal/relay"
 	"basilrudder/internal/routing"
 	"basilrudder/internal/schema/wire"
@@ -33,7 +34,11 @@
 
 func (minimalProtocol) Request(h http.Header) (relay.Request, error) {
 	prompt, _ := strconv.Atoi(h.Get("X-Prompt"))
-	return relay.Request{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Prompt: prompt, Output: prompt / 10}, nil
+	var parts []placement.Part
+	for _, id := range strings.Fields(h.Get("X-Parts")) {
+		parts = append(parts, placement.Part{ID: id, Tokens: 1})
+	}
+	return relay.Request{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Prompt: prompt, Output: prompt / 10, Parts: parts}, nil
 }
 
 func (minimalProtocol) Forward(h http.Header, f relay.Forward) { h.Set("X-Server", f.Server) }
@@ -95,15 +100,26 @@
 	look     crashLook
 	revision servers.Revision
 
-	mu       sync.Mutex
-	crashes  []time.Time
-	arrivals map[string][]time.Time // by body, for bodies that crash servers
+	mu sync.Mutex
+	// crashes and arrivals are those of requests that crash servers, by the part or body
+	// that does it.
+	crashes, arrivals map[string][]time.Time
+}
+
+// crashingPart returns the part of a prompt that crashes servers, if any.
+func crashingPart(parts string) string {
+	for _, part := range strings.Fields(parts) {
+		if strings.HasPrefix(part, "bad") {
+			return part
+		}
+	}
+	return ""
 }
 
 const crashBody = "crash"
 
 func newCrashCluster(t *testing.T, ctx context.Context, tasks *errgroup.Group, instances, size int, look crashLook) *crashCluster {
-	site := &crashCluster{t: t, look: look, arrivals: make(map[string][]time.Time)}
+	site := &crashCluster{t: t, look: look, crashes: make(map[string][]time.Time), arrivals: make(map[string][]time.Time)}
 	site.fleet = startLinked(t, ctx, tasks, instances)
 	config := &routing.Config{
 		Version: 1, Services: []routing.Service{{Name: "svc"}},
@@ -163,7 +179,7 @@
 	})
 }
 
-func (s *crashingServer) crash() {
+func (s *crashingServer) crash(culprit string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.up {
@@ -175,7 +191,7 @@
 	}
 	clear(s.conns)
 	s.site.mu.Lock()
-	s.site.crashes = append(s.site.crashes, time.Now())
+	s.site.crashes[culprit] = append(s.site.crashes[culprit], time.Now())
 	s.site.mu.Unlock()
 	if s.site.look.down > 0 {
 		time.AfterFunc(s.site.look.down, s.start)
@@ -216,10 +232,14 @@
 		if err != nil {
 			return
 		}
-		crashes := strings.HasPrefix(string(body), crashBody) && s.is(req.Header.Get("X-Server"))
+		culprit := crashingPart(req.Header.Get("X-Parts"))
+		if strings.HasPrefix(string(body), crashBody) {
+			culprit = string(body)
+		}
+		crashes := culprit != "" && s.is(req.Header.Get("X-Server"))
 		if crashes {
 			s.site.mu.Lock()
-			s.site.arrivals[string(body)] = append(s.site.arrivals[string(body)], time.Now())
+			s.site.arrivals[culprit] = append(s.site.arrivals[culprit], time.Now())
 			s.site.mu.Unlock()
 		}
 		if name := req.Header.Get("X-Server"); !s.is(name) {
@@ -229,7 +249,7 @@
 			continue
 		}
 		time.Sleep(serverQueueTime)
-		if !s.answer(c, req.Header.Get("X-Id"), crashes) {
+		if !s.answer(c, req.Header.Get("X-Id"), culprit, crashes) {
 			return
 		}
 	}
@@ -242,7 +262,7 @@
 }
 
 // answer runs a request. It reports whether another one may follow on the connection.
-func (s *crashingServer) answer(c net.Conn, id string, crashes bool) bool {
+func (s *crashingServer) answer(c net.Conn, id, culprit string, crashes bool) bool {
 	head := "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\n"
 	if s.site.look.refusals != "" {
 		head += "X-Brittle: " + s.site.look.refusals + "\r\n"
@@ -256,7 +276,7 @@
 	}
 	if crashes {
 		time.Sleep(serverRunTime / 5)
-		s.crash()
+		s.crash(culprit)
 		return false
 	}
 	time.Sleep(serverRunTime)
@@ -266,7 +286,7 @@
 
 // request sends a request to an instance and returns the status of its answer, or 0 if
 // the instance aborted the connection.
-func (site *crashCluster) request(instance int, path, key, body string) (status int) {
+func (site *crashCluster) request(instance int, path, key, body string, parts ...string) (status int) {
 	defer func() {
 		if p := recover(); p != nil && p != http.ErrAbortHandler {
 			panic(p)
@@ -276,6 +296,7 @@
 	req := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader(body))
 	req.Header.Set("X-Id", fmt.Sprint(rand.Uint64()))
 	req.Header.Set("X-Key", key)
+	req.Header.Set("X-Parts", strings.Join(parts, " "))
 	site.relays[instance].ServeHTTP(rec, req)
 	if path == "/stream/x" && strings.Count(rec.Body.String(), "data: ") != 2 {
 		return 0
@@ -316,21 +337,21 @@
 	stopLinked(site.t, cancel, tasks)
 }
 
-// lateArrivals returns how many requests with a body arrived later than a given time
-// after the third crash, and how many arrived in all.
-func (site *crashCluster) lateArrivals(body string, after time.Duration) (late, all int) {
+// lateArrivals returns how many requests with a culprit arrived later than a given time
+// after a crash by it, counted from one, and how many arrived in all.
+func (site *crashCluster) lateArrivals(culprit string, crash int, after time.Duration) (late, all int) {
 	site.mu.Lock()
 	defer site.mu.Unlock()
-	if len(site.crashes) < 3 {
-		return 0, len(site.arrivals[body])
+	if len(site.crashes[culprit]) < crash {
+		return 0, len(site.arrivals[culprit])
 	}
-	limit := site.crashes[2].Add(after)
-	for _, at := range site.arrivals[body] {
+	limit := site.crashes[culprit][crash-1].Add(after)
+	for _, at := range site.arrivals[culprit] {
 		if at.After(limit) {
 			late++
 		}
 	}
-	return late, len(site.arrivals[body])
+	return late, len(site.arrivals[culprit])
 }
 
 // playPoison lets a caller repeat a poison request, and checks how often it reaches servers
@@ -367,7 +388,7 @@
 			return nil
 		})
 		served, asked := site.sendOthers(ctx, othersPath, perSecond, lasts, counted)
-		late, all := site.lateArrivals(crashBody, contact)
+		late, all := site.lateArrivals(crashBody, 3, contact)
 		if late > maxLate {
 			t.Errorf("%s: reached servers %d times, %d of them over %v after the third crash", path, all, late, contact)
 		}
@@ -376,7 +397,7 @@
 		}
 		mu.Lock()
 		slices.Sort(statuses)
-		t.Logf("%s: %d arrivals, %d late, %d crashes, answers %v; %d of %d others served", path, all, late, len(site.crashes), countByStatus(statuses), served, asked)
+		t.Logf("%s: %d arrivals, %d late, %d crashes, answers %v; %d of %d others served", path, all, late, len(site.crashes[crashBody]), countByStatus(statuses), served, asked)
 		mu.Unlock()
 		site.stop(cancel, &tasks)
 	})
