A part of prompts that crashes servers is refused

What callers saw: requests of which no two were alike, but which shared a part of their prompts, ended one engine after the other; sound requests beside them lost their streams.

Cause: a fingerprint covers the whole request, so nothing tied two of them together. The class: identity by the whole where the cause is a part.

Change: each crash tells the fingerprints of the parts that the request shares with others, and a tracker finds the fewest parts that explain the ends. A part is to blame after three ends at three moments, if no request with it ran to its marked end within a minute before; after five that begin two seconds after such a run otherwise. Parts that were together at all ends are refused together only, so a sound request that shares one of them is sent, and either clears it or separates it. Where all ends are under one customer's requests, only that customer's are refused. A culprit is tried again after a minute, ten and each hour, by one instance. Each instance remembers which parts ran here, and speaks for those that others accuse. A whole request is known after three ends as before, by the same state.

--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -1,12 +1,14 @@
-// Package crashes identifies poison requests, which crash the servers that run them, from
-// the ends of servers that all instances have seen. It does no I/O.
+// Package crashes identifies content that crashes the servers that run it, from the ends
+// of servers that all instances have seen. It does no I/O.
 //
-// A request is identified by a fingerprint of its content, not by its id: callers send it
-// again under a new one. It counts as poison once enough servers have crashed soon after
-// they began to run it, and none has run it without a crash.
+// Content is a whole request, or a part of a prompt that requests share. Either is
+// identified by a fingerprint, not by an id: callers send a request again under a new one.
+// It is refused once enough servers have ended soon after they began to answer requests
+// that carry it, none has survived one, and no other content explains these ends.
 package crashes
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"maps"
@@ -17,22 +19,23 @@
 )
 
 const (
-	// poisonCrashes is the number of crashed servers that make a request poison. A lower
-	// number would refuse more requests that merely ran on a server that crashed; a
-	// higher one costs more servers.
-	poisonCrashes = 3
-	// exonerationTTL is how long a run without a crash exonerates a request. If it never
-	// expired, a request that ran once would never be suspected again.
+	// exonerationTTL is how long after a run without a crash an end counts for less. If it
+	// never expired, content that was harmless once would hardly be suspected again.
 	exonerationTTL = time.Minute
-	// Retention is how long an absent request is tracked. Older crashes are ignored.
+	// Retention is how long absent content is tracked. Older crashes are ignored.
 	Retention = 10 * time.Minute
-	// MaxPerCustomer bounds the tracked requests of one customer, and maxRequests those
-	// of all, so that neither one customer nor made-up requests displace the others.
-	MaxPerCustomer = 32
-	maxRequests    = 4096
+	// MaxPerCustomer bounds the tracked contents of one customer, and maxSuspects those of
+	// all, so that neither one customer nor made-up requests displace the others.
+	MaxPerCustomer = 256
+	maxSuspects    = 4096
+	// maxFallen bounds the servers whose ends are known to have another cause.
+	maxFallen = 4096
+	// maxEnds bounds the ends recorded of one content, the earliest, and maxRuns the
+	// requests recorded of one end.
+	maxEnds, maxRuns = 16, 16
 )
 
-// Fingerprint identifies the content of a request.
+// Fingerprint identifies content.
 type Fingerprint [16]byte
 
 // partDomain separates the fingerprints of parts from those of requests.
@@ -48,70 +51,158 @@
 // String returns the start of the fingerprint in hexadecimal, for logs.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:6]) }
 
-// Crash is the end of a server during a request, as seen by one instance.
-type Crash struct {
-	// Request that had been sent to the server.
+// Content is what a request carries that may crash servers.
+type Content struct {
+	// Request is the fingerprint of the whole request.
 	Request Fingerprint
+	// Parts are those of the parts of its prompt that other requests may share.
+	Parts []Fingerprint
 	// Customer of the request; empty for none.
 	Customer string
+}
+
+// Crash is the end of a server soon after it began to run a request, as seen by one
+// instance.
+type Crash struct {
+	// Request, Parts and Customer are those of the request, see Content.
+	Request  Fingerprint
+	Parts    []Fingerprint
+	Customer string
 	// Server is the id of the incarnation that ended.
 	Server string
 	// At is when it ended.
 	At monotime.Instant
+	// From is the instance that reported the crash.
+	From string
+}
+
+// Content returns what the request carried.
+func (c *Crash) Content() Content {
+	return Content{Request: c.Request, Parts: c.Parts, Customer: c.Customer}
 }
 
-// requestState is the state of one tracked request.
-type requestState struct {
+// suspect is one tracked content.
+type suspect struct {
+	// whole is true for a request and false for a part of prompts.
+	whole bool
+	// customer of the first request that was recorded with it.
 	customer string
-	// crashes holds when each server ended, by its id.
-	crashes map[string]monotime.Instant
-	// survivedAt is when it last ran without a crash; 0 for never.
+	// ends are those since it last ran without a crash, by server.
+	ends map[string]*serverEnd
+	// survivedAt is when the answer to its last run without a crash began; 0 for never.
 	survivedAt monotime.Instant
-	// seenAt is when it last arrived or crashed a server.
-	seenAt monotime.Instant
+	// seenAt is when it last arrived or crashed a server, and triedAt when this instance
+	// last sent it on to find out whether it still crashes servers.
+	seenAt, triedAt monotime.Instant
 }
 
-// Tracker holds the suspected requests of one instance. It is not safe for concurrent
+// serverEnd is the end of a server under requests with some content.
+type serverEnd struct {
+	at monotime.Instant
+	// runs are the requests that carried the content.
+	runs []run
+	// from is the instance that reported the end first, as far as known here.
+	from string
+}
+
+type run struct {
+	request  Fingerprint
+	customer string
+}
+
+// Tracker holds the suspected contents of one instance. It is not safe for concurrent
 // use.
 type Tracker struct {
-	requests    map[Fingerprint]*requestState
-	perCustomer map[string]int // requests by customer
+	suspects    map[Fingerprint]*suspect
+	perCustomer map[string]int // suspects by customer
 	// fallen are the servers whose ends have another cause, and when they ended.
 	fallen map[string]monotime.Instant
+	// culprits are the contents to refuse, as of culpritsAt, unless changed is set.
+	culprits   []Culprit
+	culpritsAt monotime.Instant
+	changed    bool
 }
 
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
-	return &Tracker{requests: make(map[Fingerprint]*requestState), perCustomer: make(map[string]int), fallen: make(map[string]monotime.Instant)}
+	return &Tracker{
+		suspects: make(map[Fingerprint]*suspect), perCustomer: make(map[string]int),
+		fallen: make(map[string]monotime.Instant),
+	}
 }
 
-// Len returns the number of tracked requests.
-func (t *Tracker) Len() int { return len(t.requests) }
+// Len returns the number of tracked contents.
+func (t *Tracker) Len() int { return len(t.suspects) }
 
-// Add records a crash. It reports whether the crash is new, and whether it makes the
-// request poison.
-func (t *Tracker) Add(c Crash, now monotime.Instant) (isNew, isPoison bool) {
+// Add records a crash. It reports whether the crash is new, and whether the request is to
+// be refused now.
+func (t *Tracker) Add(c Crash, now monotime.Instant) (isNew, refused bool) {
 	if _, fell := t.fallen[c.Server]; fell || now.Sub(c.At) > Retention {
 		return false, false
 	}
-	s := t.requests[c.Request]
+	isNew = t.addEnd(c.Request, true, &c)
+	for _, part := range c.Parts {
+		isNew = t.addEnd(part, false, &c) || isNew
+	}
+	if !isNew {
+		return false, false
+	}
+	t.changed = true
+	if !slices.ContainsFunc(append(c.Parts[:len(c.Parts):len(c.Parts)], c.Request), func(f Fingerprint) bool { return t.EndCount(f) >= minEnds }) {
+		return true, false
+	}
+	_, refused = t.Refuses(c.Content(), now, nil)
+	return true, refused
+}
+
+// addEnd records the end of a server under one content. It reports whether that is new.
+func (t *Tracker) addEnd(f Fingerprint, whole bool, c *Crash) bool {
+	s := t.suspects[f]
 	if s == nil {
-		s = &requestState{customer: c.Customer, crashes: make(map[string]monotime.Instant)}
-		t.requests[c.Request] = s
+		s = &suspect{customer: c.Customer, ends: make(map[string]*serverEnd)}
+		t.suspects[f] = s
 		t.perCustomer[c.Customer]++
-		defer t.evict(c.Request)
+		defer t.evict(f)
 	}
-	_, seen := s.crashes[c.Server]
-	if seen || len(s.crashes) >= poisonCrashes || s.exonerates(c.At) {
-		return false, false
+	s.whole = whole
+	if s.survivedAt != 0 && c.At <= s.survivedAt {
+		return false
 	}
-	s.crashes[c.Server] = c.At
 	s.seenAt = max(s.seenAt, c.At)
-	return true, s.poison()
+	e := s.ends[c.Server]
+	if e != nil {
+		return e.addRun(c)
+	}
+	s.ends[c.Server] = &serverEnd{at: c.At, runs: []run{{c.Request, c.Customer}}, from: c.From}
+	if len(s.ends) > maxEnds {
+		last := s.lastEnd()
+		delete(s.ends, last)
+		return last != c.Server
+	}
+	return true
 }
 
-// maxFallen bounds the servers whose ends are known to have another cause.
-const maxFallen = 4096
+// addRun adds a request to an end. Instances that know of different ones keep the same in
+// the end.
+func (e *serverEnd) addRun(c *Crash) bool {
+	i, found := slices.BinarySearchFunc(e.runs, c.Request, func(r run, f Fingerprint) int { return bytes.Compare(r.request[:], f[:]) })
+	if found || i >= maxRuns {
+		return false
+	}
+	e.runs = slices.Insert(e.runs, i, run{c.Request, c.Customer})
+	e.runs = e.runs[:min(len(e.runs), maxRuns)]
+	return true
+}
+
+// lastEnd returns the server that ended last.
+func (s *suspect) lastEnd() (server string) {
+	for id, e := range s.ends {
+		if last := s.ends[server]; last == nil || e.at > last.at || e.at == last.at && id > server {
+			server = id
+		}
+	}
+	return server
+}
 
 // Fell records that the end of a server has another cause than a request. It reports
 // whether that is new.
@@ -120,13 +211,14 @@
 		return false
 	}
 	t.fallen[server] = endedAt
-	for request, s := range t.requests {
-		if _, ok := s.crashes[server]; !ok {
+	t.changed = true
+	for f, s := range t.suspects {
+		if _, ok := s.ends[server]; !ok {
 			continue
 		}
-		delete(s.crashes, server)
-		if len(s.crashes) == 0 && s.survivedAt == 0 {
-			t.remove(request)
+		delete(s.ends, server)
+		if len(s.ends) == 0 && s.survivedAt == 0 {
+			t.remove(f)
 		}
 	}
 	return true
@@ -135,111 +227,116 @@
 // Fallen returns the servers whose ends have another cause, and when they ended.
 func (t *Tracker) Fallen() map[string]monotime.Instant { return maps.Clone(t.fallen) }
 
-// Survived records that a request ran without crashing its server. It reports whether
-// this should be sent to peers: the request is tracked, and its last such run is none or
-// more than half of exonerationTTL before.
-func (t *Tracker) Survived(request Fingerprint, at monotime.Instant) bool {
-	s := t.requests[request]
-	if s == nil || at <= s.survivedAt {
+// Ran records that a server went on after it had begun to answer a request with some
+// content at an instant, unless the content is not tracked. It reports whether this should
+// be sent to peers: it clears ends, or the last such run is none or more than half of
+// exonerationTTL before.
+func (t *Tracker) Ran(f Fingerprint, begunAt monotime.Instant) bool {
+	return t.suspects[f] != nil && t.Survived(f, begunAt)
+}
+
+// Survived is Ran for content that a peer tracks: the crash that it refers to may be
+// received later.
+func (t *Tracker) Survived(f Fingerprint, begunAt monotime.Instant) bool {
+	s := t.suspects[f]
+	if s == nil {
+		s = &suspect{ends: make(map[string]*serverEnd), seenAt: begunAt}
+		t.suspects[f] = s
+		t.perCustomer[s.customer]++
+		defer t.evict(f)
+	}
+	if begunAt <= s.survivedAt {
 		return false
 	}
-	isNew := at.Sub(s.survivedAt) > exonerationTTL/2 || s.survivedAt == 0
-	s.survivedAt = at
-	for server, ended := range s.crashes {
-		if s.exonerates(ended) {
-			delete(s.crashes, server)
+	isNew := s.survivedAt == 0 || begunAt.Sub(s.survivedAt) > exonerationTTL/2
+	s.survivedAt = begunAt
+	t.changed = true
+	for server, e := range s.ends {
+		if e.at <= begunAt {
+			delete(s.ends, server)
+			isNew = true
 		}
 	}
 	return isNew
 }
 
-// exonerates reports whether a run without a crash shows that a crash was not caused by
-// the request.
-func (s *requestState) exonerates(crashedAt monotime.Instant) bool {
-	return s.survivedAt != 0 && crashedAt.Sub(s.survivedAt) <= exonerationTTL
-}
-
-// Poison reports whether an arriving request is poison.
-func (t *Tracker) Poison(request Fingerprint, now monotime.Instant) bool {
-	s := t.requests[request]
-	if s == nil || !s.poison() {
-		return false
-	}
-	s.seenAt = now
-	return true
-}
-
-func (s *requestState) poison() bool { return len(s.crashes) >= poisonCrashes }
-
-// CrashCount returns the number of crashes recorded for a request.
-func (t *Tracker) CrashCount(request Fingerprint) int {
-	if s := t.requests[request]; s != nil {
-		return len(s.crashes)
+// EndCount returns the number of ends recorded for some content.
+func (t *Tracker) EndCount(f Fingerprint) int {
+	if s := t.suspects[f]; s != nil {
+		return len(s.ends)
 	}
 	return 0
 }
 
 // Crashes returns all recorded crashes, for an instance that may have missed some.
 func (t *Tracker) Crashes() (out []Crash) {
-	for request, s := range t.requests {
-		for server, at := range s.crashes {
-			out = append(out, Crash{Request: request, Customer: s.customer, Server: server, At: at})
+	type key struct {
+		server  string
+		request Fingerprint
+	}
+	byRun := make(map[key]*Crash)
+	for f, s := range t.suspects {
+		for server, e := range s.ends {
+			for _, r := range e.runs {
+				c := byRun[key{server, r.request}]
+				if c == nil {
+					c = &Crash{Request: r.request, Customer: r.customer, Server: server, At: e.at, From: e.from}
+					byRun[key{server, r.request}] = c
+				}
+				if !s.whole {
+					c.Parts = append(c.Parts, f)
+				}
+			}
 		}
 	}
+	for _, c := range byRun {
+		out = append(out, *c)
+	}
 	return out
 }
 
-// SurvivedAt returns the tracked requests that ran without a crash, and when they last did.
+// SurvivedAt returns the tracked contents that ran without a crash, and when the answers to
+// the last such runs began.
 func (t *Tracker) SurvivedAt() map[Fingerprint]monotime.Instant {
 	out := make(map[Fingerprint]monotime.Instant)
-	for request, s := range t.requests {
+	for f, s := range t.suspects {
 		if s.survivedAt != 0 {
-			out[request] = s.survivedAt
+			out[f] = s.survivedAt
 		}
 	}
 	return out
 }
 
-// PoisonCount returns the number of poison requests.
-func (t *Tracker) PoisonCount() (n int) {
-	for _, s := range t.requests {
-		if s.poison() {
-			n++
-		}
-	}
-	return n
-}
-
-// Expire drops requests that have been absent for longer than Retention.
+// Expire drops contents that have been absent for longer than Retention.
 func (t *Tracker) Expire(now monotime.Instant) {
-	for request, s := range t.requests {
+	for f, s := range t.suspects {
 		if now.Sub(s.seenAt) > Retention {
-			t.remove(request)
+			t.remove(f)
 		}
 	}
 	maps.DeleteFunc(t.fallen, func(_ string, endedAt monotime.Instant) bool { return now.Sub(endedAt) > Retention })
 }
 
-// evict removes a request if there are too many after one was added: the least suspected
+// evict removes a content if there are too many after one was added: the least suspected
 // other one, of the same customer if that has too many, or else of all.
 func (t *Tracker) evict(added Fingerprint) {
-	customer := t.requests[added].customer
+	customer := t.suspects[added].customer
 	switch {
 	case t.perCustomer[customer] > MaxPerCustomer:
-		t.removeLeastSuspected(added, func(s *requestState) bool { return s.customer == customer })
-	case len(t.requests) > maxRequests:
-		t.removeLeastSuspected(added, func(*requestState) bool { return true })
+		t.removeLeastSuspected(added, func(s *suspect) bool { return s.customer == customer })
+	case len(t.suspects) > maxSuspects:
+		t.removeLeastSuspected(added, func(*suspect) bool { return true })
 	}
 }
 
-func (t *Tracker) removeLeastSuspected(except Fingerprint, eligible func(*requestState) bool) {
+func (t *Tracker) removeLeastSuspected(except Fingerprint, eligible func(*suspect) bool) {
 	least, found := Fingerprint{}, false
-	for request, s := range t.requests {
-		if request == except || !eligible(s) {
+	for f, s := range t.suspects {
+		if f == except || !eligible(s) {
 			continue
 		}
-		if !found || t.lessSuspected(request, least) {
-			least, found = request, true
+		if !found || t.lessSuspected(f, least) {
+			least, found = f, true
 		}
 	}
 	if found {
@@ -247,25 +344,23 @@
 	}
 }
 
-func (t *Tracker) remove(request Fingerprint) {
-	customer := t.requests[request].customer
-	delete(t.requests, request)
+func (t *Tracker) remove(f Fingerprint) {
+	customer := t.suspects[f].customer
+	delete(t.suspects, f)
+	t.changed = true
 	if t.perCustomer[customer]--; t.perCustomer[customer] == 0 {
 		delete(t.perCustomer, customer)
 	}
 }
 
-// lessSuspected orders requests by how strongly they are suspected.
+// lessSuspected orders contents by how strongly they are suspected.
 func (t *Tracker) lessSuspected(x, y Fingerprint) bool {
-	p, q := t.requests[x], t.requests[y]
-	if p.poison() != q.poison() {
-		return q.poison()
-	}
-	if len(p.crashes) != len(q.crashes) {
-		return len(p.crashes) < len(q.crashes)
+	p, q := t.suspects[x], t.suspects[y]
+	if len(p.ends) != len(q.ends) {
+		return len(p.ends) < len(q.ends)
 	}
 	if p.seenAt != q.seenAt {
 		return p.seenAt < q.seenAt
 	}
-	return slices.Compare(x[:], y[:]) < 0
+	return bytes.Compare(x[:], y[:]) < 0
 }
--- a/internal/crashes/crashes_test.go
+++ b/internal/crashes/crashes_test.go
@@ -101,19 +101,19 @@
 		b.Add(crash(2, "b", fmt.Sprint("s", n), start), start)
 	}
 	now := start
-	for n := range 3 * maxRequests {
+	for n := range 3 * maxSuspects {
 		now = now.Add(time.Millisecond)
 		customer := "b"
 		if n%2 == 0 {
 			customer = fmt.Sprint("made up ", n%5000)
 		}
 		b.Add(crash(100+n, customer, "s", now), now)
-		if b.Len() > maxRequests {
+		if b.Len() > maxSuspects {
 			t.Fatalf("%d requests tracked", b.Len())
 		}
 	}
 	of := 0
-	for _, s := range b.requests {
+	for _, s := range b.suspects {
 		if s.customer == "b" {
 			of++
 		}
@@ -249,7 +249,7 @@
 					left = append(left, r)
 				case now >= r.until:
 					if attribution.served {
-						b.Survived(fingerprint(r.request), now)
+						b.Ran(fingerprint(r.request), now)
 					}
 				default:
 					left = append(left, r)
@@ -261,13 +261,13 @@
 			}
 		}
 	}
-	for request, s := range b.requests {
-		if request != fingerprint(poison) && s.poison() {
+	for _, c := range b.Culprits(now) {
+		if c.Contents[0] != fingerprint(poison) {
 			innocent++
 		}
 	}
-	if s := b.requests[fingerprint(poison)]; s != nil {
-		poisonAfter = len(s.crashes)
+	if s := b.suspects[fingerprint(poison)]; s != nil {
+		poisonAfter = len(s.ends)
 	}
 	return innocent, asked, poisonAfter
 }
@@ -285,7 +285,7 @@
 		for seed := range uint64(10) {
 			i, a, after := simulateAttribution(seed, variant)
 			innocent, asked = innocent+i, asked+a
-			if after != poisonCrashes {
+			if after != minEnds {
 				t.Errorf("%s: the poison request has %d recorded crashes", variant.name, after)
 			}
 		}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -453,13 +453,13 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 		for _, i := range early {
-			if !i.fleet.IsPoison(poison, monotime.Now()) {
+			if !i.fleet.Refuses("", crashes.Content{Request: poison}, monotime.Now()) {
 				t.Errorf("%s does not treat the request as poison", i.fleet.self)
 			}
 		}
 		late := startLinkedFrom(t, ctx, &tasks, 2, 1, host)[0]
 		time.Sleep(time.Second)
-		if !late.fleet.IsPoison(poison, monotime.Now()) {
+		if !late.fleet.Refuses("", crashes.Content{Request: poison}, monotime.Now()) {
 			t.Error("an instance that starts later does not treat the request as poison")
 		}
 		stopLinked(t, cancel, &tasks)
@@ -473,7 +473,7 @@
 	request := crashes.Fingerprint{1}
 	f.Crashed(crashes.Crash{Request: request, Server: "s", At: now}, now)
 	const age = 20_000
-	fresh := f.crashes.receive("peer", []wire.RelayCrash{{Request: request[:], AgeMS: age}}, now)
+	fresh, _ := f.crashes.receive("peer", []wire.RelayCrash{{Request: request[:], AgeMS: age}}, now)
 	if len(fresh) != 1 || fresh[0].AgeMS != age {
 		t.Errorf("passed on as %+v", fresh)
 	}
@@ -487,7 +487,7 @@
 		{Request: []byte("short"), Server: "s"}, {Server: "s"},
 		{Request: make([]byte, 16), Server: "s", AgeMS: -1}, {Request: make([]byte, 16), Server: "s", AgeMS: 1 << 62},
 	} {
-		if fresh := f.crashes.receive("peer", []wire.RelayCrash{crash}, now); len(fresh) > 0 || f.AnySuspected() {
+		if fresh, _ := f.crashes.receive("peer", []wire.RelayCrash{crash}, now); len(fresh) > 0 || f.AnySuspected() {
 			t.Errorf("%+v was applied", crash)
 		}
 	}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -11,36 +12,54 @@
 	"basilrudder/internal/schema/wire"
 )
 
-// crashesPerMessage bounds the crashes in a message: some 16 KB.
-const crashesPerMessage = 256
+const (
+	// crashesPerMessage bounds the crashes in a message: some 30 KB.
+	crashesPerMessage = 256
+	// maxPartsSent bounds the parts of one crash that a peer may send.
+	maxPartsSent = 32
+	// trialStep is how long one half of the instances, then twice as many, wait for the
+	// others to send a culprit on for trial.
+	trialStep = 5 * time.Second
+)
 
-// crashTracker tracks the requests suspected of crashing servers. It exchanges crashes
-// with all instances.
+// crashTracker tracks the content suspected of crashing servers. It exchanges crashes with
+// all instances.
 type crashTracker struct {
 	log     *zap.Logger
 	updates *updateBatcher
+	// trialPlace returns the place of this instance among those that may send a culprit on
+	// for trial.
+	trialPlace func(content string) (place int, ok bool)
 
-	// suspectedCount is the number of tracked requests. While it is zero, requests need
+	// suspectedCount is the number of tracked contents. While it is zero, requests need
 	// neither a fingerprint nor the lock.
 	suspectedCount atomic.Int64
-	// refused counts the times that a poison request was not sent on.
-	refused atomic.Int64
+	// refusedCount counts the times that a request was not sent on.
+	refusedCount atomic.Int64
 
 	mu      sync.Mutex
 	tracker *crashes.Tracker
 	falls   *crashes.Falls
+	known   int // culprits that were logged
+
+	// runsMu guards runs, which each answer to a prompt changes.
+	runsMu sync.Mutex
+	runs   *crashes.Runs
 }
 
 func newCrashTracker(updates *updateBatcher, log *zap.Logger) *crashTracker {
-	return &crashTracker{log: log, updates: updates, tracker: crashes.NewTracker(), falls: crashes.NewFalls()}
+	return &crashTracker{
+		log: log, updates: updates, tracker: crashes.NewTracker(), falls: crashes.NewFalls(), runs: crashes.NewRuns(),
+		trialPlace: func(string) (int, bool) { return 0, true },
+	}
 }
 
 // AnySuspected implements relay.Fleet.
 func (f *fleet) AnySuspected() bool { return f.crashes.suspectedCount.Load() > 0 }
 
-// IsPoison implements relay.Fleet.
-func (f *fleet) IsPoison(request crashes.Fingerprint, now monotime.Instant) bool {
-	return f.crashes.isPoison(request, now)
+// Refuses implements relay.Fleet.
+func (f *fleet) Refuses(id string, content crashes.Content, now monotime.Instant) bool {
+	return f.crashes.refuses(id, content, now)
 }
 
 // Crashed implements relay.Fleet.
@@ -52,61 +71,119 @@
 	f.recordCrash(crash, now)
 }
 
-// recordCrash records a crash and reports it to all peers.
+// recordCrash records a crash and reports it to all peers, with the runs here that speak
+// for parts of the request.
 func (f *fleet) recordCrash(crash crashes.Crash, now monotime.Instant) {
-	f.crashes.broadcast(f.crashes.add(f.self, []crashes.Crash{crash}, now))
+	crash.From = f.self
+	list := f.crashes.add([]crashes.Crash{crash}, now)
+	f.crashes.broadcast(append(list, f.crashes.addOwnRuns(crash.Parts, now)...))
 	f.checkFall(crash.Server, crash.At, now)
 }
 
 // Survived implements relay.Fleet.
-func (f *fleet) Survived(request crashes.Fingerprint, begunAt monotime.Instant) {
-	f.crashes.broadcast(f.crashes.addSurvived(request, begunAt, monotime.Now()))
+func (f *fleet) Survived(content crashes.Content, begunAt monotime.Instant) {
+	c := f.crashes
+	if len(content.Parts) > 0 {
+		c.runsMu.Lock()
+		c.runs.Record(content.Parts, begunAt)
+		c.runsMu.Unlock()
+	}
+	if !f.AnySuspected() {
+		return
+	}
+	now := monotime.Now()
+	var fresh []wire.RelayCrash
+	for _, one := range append(content.Parts[:len(content.Parts):len(content.Parts)], content.Request) {
+		fresh = append(fresh, c.addRun(one, begunAt, now, c.tracker.Ran)...)
+	}
+	c.broadcast(fresh)
 }
 
-func (c *crashTracker) isPoison(request crashes.Fingerprint, now monotime.Instant) bool {
+// refuses reports whether a request is to be refused, and logs why.
+func (c *crashTracker) refuses(id string, content crashes.Content, now monotime.Instant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	found := c.tracker.Poison(request, now)
-	if found {
-		c.refused.Add(1)
+	culprit, refused := c.tracker.Refuses(content, now, c.mayTry)
+	switch {
+	case refused:
+		c.refusedCount.Add(1)
+		c.log.Info("request_refused_as_poison", append(culpritFields(&culprit, now), zap.String("id", id))...)
+	case len(culprit.Contents) > 0:
+		c.log.Info("culprit_tried", append(culpritFields(&culprit, now), zap.String("id", id))...)
+	}
+	return refused
+}
+
+// mayTry reports whether this instance may send a culprit on for trial: one may at first,
+// and twice as many after each trialStep.
+func (c *crashTracker) mayTry(content crashes.Fingerprint, overdue time.Duration) bool {
+	place, ok := c.trialPlace(string(content[:]))
+	const maxDoublings = 16
+	return ok && place < 1<<min(overdue/trialStep, maxDoublings)
+}
+
+func culpritFields(culprit *crashes.Culprit, now monotime.Instant) []zap.Field {
+	return []zap.Field{
+		zap.Stringers("content", culprit.Contents), zap.String("customer", culprit.Customer),
+		zap.Strings("ends", culprit.Ends), zap.Strings("from", culprit.From), zap.Duration("age_ms", now.Sub(culprit.LastEnd)),
 	}
-	return found
 }
 
 // add records crashes and returns those that were not recorded before.
-func (c *crashTracker) add(from string, list []crashes.Crash, now monotime.Instant) (added []wire.RelayCrash) {
+func (c *crashTracker) add(list []crashes.Crash, now monotime.Instant) (added []wire.RelayCrash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, crash := range list {
-		fresh, poison := c.tracker.Add(crash, now)
-		if !fresh {
-			continue
-		}
-		added = append(added, encodeCrash(crash, now))
-		if poison {
-			c.log.Warn("request_crashes_servers", zap.String("from", from), zap.Binary("fingerprint", crash.Request[:]),
-				zap.String("customer", crash.Customer), zap.String("server", crash.Server), zap.Duration("age_ms", now.Sub(crash.At)))
+		if fresh, _ := c.tracker.Add(crash, now); fresh {
+			added = append(added, encodeCrash(crash, now))
 		}
 	}
-	c.suspectedCount.Store(int64(c.tracker.Len()))
+	c.update(now)
 	return added
 }
 
-// addSurvived records a run that ended without a crash. It returns the run if peers are
-// to be informed: the request is tracked, and no recent run of it without a crash was
-// recorded.
-func (c *crashTracker) addSurvived(request crashes.Fingerprint, at, now monotime.Instant) []wire.RelayCrash {
+// update publishes the number of suspects and logs the culprits if they have changed; mu
+// is held.
+func (c *crashTracker) update(now monotime.Instant) {
+	c.suspectedCount.Store(int64(c.tracker.Len()))
+	culprits := c.tracker.Culprits(now)
+	if len(culprits) > c.known {
+		for i := range culprits {
+			c.log.Warn("request_crashes_servers", culpritFields(&culprits[i], now)...)
+		}
+	}
+	c.known = len(culprits)
+}
+
+// addOwnRuns records the latest runs here with parts that a crash made suspects. It returns
+// those that peers are to be told of.
+func (c *crashTracker) addOwnRuns(parts []crashes.Fingerprint, now monotime.Instant) (fresh []wire.RelayCrash) {
+	for _, part := range parts {
+		c.runsMu.Lock()
+		begunAt, ok := c.runs.Last(part, now)
+		c.runsMu.Unlock()
+		if ok {
+			fresh = append(fresh, c.addRun(part, begunAt, now, c.tracker.Ran)...)
+		}
+	}
+	return fresh
+}
+
+// addRun records a run without a crash by one of the tracker's methods. It returns the run
+// if peers are to be informed.
+func (c *crashTracker) addRun(content crashes.Fingerprint, begunAt, now monotime.Instant, record func(crashes.Fingerprint, monotime.Instant) bool) []wire.RelayCrash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	before := c.tracker.CrashCount(request)
-	fresh := c.tracker.Survived(request, at)
-	if cleared := before - c.tracker.CrashCount(request); cleared > 0 {
-		c.log.Info("crashes_cleared", zap.Binary("fingerprint", request[:]), zap.Int("crashes", cleared), zap.Duration("age_ms", now.Sub(at)))
+	before := c.tracker.EndCount(content)
+	fresh := record(content, begunAt)
+	if cleared := before - c.tracker.EndCount(content); cleared > 0 {
+		c.log.Info("crashes_cleared", zap.Stringer("content", content), zap.Int("ends", cleared), zap.Duration("age_ms", now.Sub(begunAt)))
 	}
 	if !fresh {
 		return nil
 	}
-	return []wire.RelayCrash{{Request: request[:], AgeMS: ageMS(at, now)}}
+	c.update(now)
+	return []wire.RelayCrash{{Request: content[:], AgeMS: ageMS(begunAt, now)}}
 }
 
 // broadcast sends crashes to all peers.
@@ -116,7 +193,7 @@
 	}
 }
 
-// expire removes requests that have not occurred for a long time.
+// expire removes content that has not occurred for a long time.
 func (c *crashTracker) expire(now monotime.Instant) {
 	if c.suspectedCount.Load() == 0 {
 		return
@@ -124,7 +201,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tracker.Expire(now)
-	c.suspectedCount.Store(int64(c.tracker.Len()))
+	c.update(now)
 }
 
 // encodeAll returns all recorded crashes and runs without a crash, for a peer that may
@@ -138,41 +215,67 @@
 	for _, crash := range c.tracker.Crashes() {
 		out = append(out, encodeCrash(crash, now))
 	}
-	for request, at := range c.tracker.SurvivedAt() {
-		out = append(out, wire.RelayCrash{Request: request[:], AgeMS: ageMS(at, now)})
+	for content, at := range c.tracker.SurvivedAt() {
+		out = append(out, wire.RelayCrash{Request: content[:], AgeMS: ageMS(at, now)})
 	}
 	return out
 }
 
-// receive applies crashes that a peer sent and returns those that were not recorded
-// before.
-func (c *crashTracker) receive(from string, received []wire.RelayCrash, now monotime.Instant) (fresh []wire.RelayCrash) {
+// receive applies crashes that a peer sent. It returns those that were not recorded before,
+// and the runs here that speak for parts of these.
+func (c *crashTracker) receive(from string, received []wire.RelayCrash, now monotime.Instant) (fresh, own []wire.RelayCrash) {
 	var list []crashes.Crash
 	for _, t := range received {
 		crash, ok := decodeCrash(t, now)
+		crash.From = from
 		switch {
 		case !ok:
-			c.log.Warn("crash_unreadable", zap.String("from", from), zap.Int("bytes", len(t.Request)), zap.Int("age_ms", t.AgeMS))
+			c.log.Warn("crash_unreadable", zap.String("from", from), zap.Int("bytes", len(t.Request)), zap.Int("parts", len(t.Parts)), zap.Int("age_ms", t.AgeMS))
 		case crash.Server == "":
-			fresh = append(fresh, c.addSurvived(crash.Request, crash.At, now)...)
+			fresh = append(fresh, c.addRun(crash.Request, crash.At, now, c.tracker.Survived)...)
 		default:
 			list = append(list, crash)
 		}
 	}
-	return append(fresh, c.add(from, list, now)...)
+	fresh = append(fresh, c.add(list, now)...)
+	for _, crash := range list {
+		own = append(own, c.addOwnRuns(c.accused(crash.Parts), now)...)
+	}
+	return fresh, own
+}
+
+// accused returns the parts with several ends. For the others no instance needs to speak.
+func (c *crashTracker) accused(parts []crashes.Fingerprint) (out []crashes.Fingerprint) {
+	const several = 2
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, part := range parts {
+		if c.tracker.EndCount(part) >= several {
+			out = append(out, part)
+		}
+	}
+	return out
 }
 
 func encodeCrash(crash crashes.Crash, now monotime.Instant) wire.RelayCrash {
-	return wire.RelayCrash{Request: crash.Request[:], Customer: crash.Customer, Server: crash.Server, AgeMS: ageMS(crash.At, now)}
+	out := wire.RelayCrash{Request: crash.Request[:], Customer: crash.Customer, Server: crash.Server, AgeMS: ageMS(crash.At, now)}
+	for _, part := range crash.Parts {
+		out.Parts = append(out.Parts, part[:]...)
+	}
+	return out
 }
 
 func ageMS(at, now monotime.Instant) int { return int(max(0, now.Sub(at)).Milliseconds()) }
 
 func decodeCrash(received wire.RelayCrash, now monotime.Instant) (out crashes.Crash, ok bool) {
-	if len(received.Request) != len(out.Request) {
+	size := len(out.Request)
+	if len(received.Request) != size || len(received.Parts)%size != 0 || len(received.Parts) > maxPartsSent*size {
 		return out, false
 	}
 	copy(out.Request[:], received.Request)
+	for rest := received.Parts; len(rest) > 0; rest = rest[size:] {
+		out.Parts = append(out.Parts, crashes.Fingerprint(rest[:size]))
+	}
 	out.Customer, out.Server = received.Customer, received.Server
 	out.At, ok = decodeEnd(received.AgeMS, now)
 	return out, ok
@@ -194,10 +297,11 @@
 		return
 	}
 	now := monotime.Now()
-	fresh := p.fleet.crashes.receive(from, update.Crashes, now)
+	fresh, own := p.fleet.crashes.receive(from, update.Crashes, now)
 	if direct {
 		p.fleet.crashes.broadcast(fresh)
 	}
+	p.fleet.crashes.broadcast(own)
 	for _, crash := range fresh {
 		if crash.Server != "" {
 			p.fleet.checkFall(crash.Server, now.Add(-milliseconds(crash.AgeMS)), now)
@@ -215,5 +319,5 @@
 func (c *crashTracker) metrics() crashMetrics {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return crashMetrics{SuspectedRequests: c.tracker.Len(), PoisonRequests: c.tracker.PoisonCount(), Refused: c.refused.Load()}
+	return crashMetrics{SuspectedRequests: c.tracker.Len(), PoisonRequests: c.tracker.CulpritCount(monotime.Now()), Refused: c.refusedCount.Load()}
 }
--- a/internal/gateway/falls.go
+++ b/internal/gateway/falls.go
@@ -53,7 +53,7 @@
 	if !c.tracker.Fell(server, endedAt) {
 		return false
 	}
-	c.suspectedCount.Store(int64(c.tracker.Len()))
+	c.update(monotime.Now())
 	f.log.Info("brittle_server_fell", zap.String("server", server), zap.String("from", from))
 	return true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,6 +151,7 @@
 		outages:    newOutageDetector(),
 	}
 	g.fleet.crashes = newCrashTracker(g.fleet.updates, cfg.Log)
+	g.fleet.crashes.trialPlace = g.fleet.trialPlace
 	g.fleet.streams = newStreamVersions()
 	g.fleet.resetConfirmations()
 	g.fleet.board.SetCostJitter(jitterOf(0, 1))
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -172,6 +172,12 @@
 	return f.throttle.Place(id, monotime.Now())
 }
 
+// trialPlace returns the place of this instance among those that may send some content on
+// for trial.
+func (f *fleet) trialPlace(content string) (place int, ok bool) {
+	return f.throttle.PlaceFor(content, monotime.Now())
+}
+
 // connectionShare returns this instance's share of maxConns, the connections that a
 // server accepts from all instances together; 0 for no limit.
 func (f *fleet) connectionShare(maxConns int) int {
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -95,7 +95,7 @@
 	f.suspicions.mu.Unlock()
 	for _, crash := range confirmed {
 		f.log.Info("crash_confirmed", zap.String("server", crash.Server), zap.String("evidence", evidence),
-			zap.Binary("fingerprint", crash.Request[:]), zap.Duration("age_ms", now.Sub(crash.At)))
+			zap.Stringer("request", crash.Request), zap.Duration("age_ms", now.Sub(crash.At)))
 		f.recordCrash(crash, now)
 	}
 }
--- a/internal/gateway/updates_fuzz_test.go
+++ b/internal/gateway/updates_fuzz_test.go
@@ -26,6 +26,8 @@
 		{Caches: []wire.RelayCache{{Server: "a", Parts: []wire.RelayPart{{ID: "p", Tokens: 1 << 40}}}}},
 		{Evidence: []wire.RelayEvidence{{Service: "llm", StepSamples: -4, FirstSamples: 1 << 40, Sums: make([]float64, 18)}}},
 		{Crashes: []wire.RelayCrash{{Request: make([]byte, 16), Customer: "a", Server: "a", AgeMS: -1}, {Request: []byte("x")}, {Request: make([]byte, 16), AgeMS: 1 << 60}}},
+		{Crashes: []wire.RelayCrash{{Request: make([]byte, 16), Parts: make([]byte, 17), Server: "a"}, {Request: make([]byte, 16), Parts: make([]byte, 32), Server: "b"}, {Parts: make([]byte, 16<<6), Server: "c"}}},
+		{Falls: []wire.RelayFall{{Server: "a", Refusals: -1}, {Server: "b", Refusals: 1 << 40}, {AgeMS: -1}, {Server: "c", AgeMS: 1 << 60}}},
 		{Origin: "peer", Number: -1, HeldMS: -1, SentMS: 1 << 40, Neighbours: []string{"x", "me", "peer"}, Feed: 3},
 		{Origin: "peer", Number: 1 << 40, Whole: true, Feed: -7, MembersWanted: true},
 		{Streams: []wire.RelayStreams{{Software: "v1", Keys: []int{1, -1, 1 << 60}}, {Software: "v2", Keys: []int{1}}}, StreamsWanted: []wire.RelayStreamQuery{{Key: -1, Service: "llm"}}},
@@ -63,6 +65,7 @@
 			p.applyCaches(&env.News[i])
 			p.applyPaceStats("peer", &env.News[i])
 			p.applyCrashes("peer", &env.News[i], true)
+			p.applyFalls("peer", env.News[i].Falls, true)
 		}
 		work := placement.Work{Prompt: 1000, Output: 100, Goal: time.Second, MaxGap: time.Second, Left: time.Minute}
 		target, refusal := fl.Place("llm", work, nil, monotime.Now())
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -59,13 +59,20 @@
 const maxContentParts = 32
 
 // sharedParts returns the fingerprints of the parts of the prompt that other requests may
-// share, which the last one is not.
-func (f *forwarder) sharedParts() (out []crashes.Fingerprint) {
+// share, which the last one is not. They are computed once.
+func (f *forwarder) sharedParts() []crashes.Fingerprint {
 	parts := f.request.Parts
-	for _, part := range parts[:min(maxContentParts, max(0, len(parts)-1))] {
-		out = append(out, crashes.PartFingerprint(part.ID))
+	if f.cachedParts == nil && len(parts) > 1 {
+		for _, part := range parts[:min(maxContentParts, len(parts)-1)] {
+			f.cachedParts = append(f.cachedParts, crashes.PartFingerprint(part.ID))
+		}
 	}
-	return out
+	return f.cachedParts
+}
+
+// content returns what the request carries that may crash servers.
+func (f *forwarder) content() crashes.Content {
+	return crashes.Content{Request: f.fingerprint(), Parts: f.sharedParts(), Customer: f.callerName()}
 }
 
 // caller returns the customer's name, or the key where no customer is identified.
@@ -79,7 +86,7 @@
 // isPoison reports whether the request is confirmed to crash servers.
 func (f *forwarder) isPoison() bool {
 	fleet := f.relay.cfg.Fleet
-	return fleet.AnySuspected() && fleet.IsPoison(f.fingerprint(), monotime.Now())
+	return fleet.AnySuspected() && fleet.Refuses(f.request.ID, f.content(), monotime.Now())
 }
 
 // reportSurvived reports that the server kept running after it had begun to answer the
@@ -88,9 +95,12 @@
 	if f.received.framing == framingClose || e.resp.StatusCode >= http.StatusMultipleChoices {
 		return
 	}
-	if fleet := f.relay.cfg.Fleet; fleet.AnySuspected() {
-		fleet.Survived(f.fingerprint(), begunAt)
+	fleet := f.relay.cfg.Fleet
+	survived := crashes.Content{Parts: f.sharedParts()}
+	if fleet.AnySuspected() {
+		survived = f.content()
 	}
+	fleet.Survived(survived, begunAt)
 }
 
 // callerName returns the caller's name for peers and logs. It never contains a key.
@@ -118,17 +128,18 @@
 		f.relay.cfg.Fleet.BrokeOff(f.target, f.crashOf(now), now)
 		return
 	}
-	f.relay.reportCrash(f.crashOf(now), f.request.ID, f.sharedParts())
+	f.relay.reportCrash(f.crashOf(now), f.request.ID)
 }
 
 // crashOf returns the crash of the server under the request.
 func (f *forwarder) crashOf(at monotime.Instant) crashes.Crash {
-	return crashes.Crash{Request: f.fingerprint(), Customer: f.callerName(), Server: f.target.ID, At: at}
+	content := f.content()
+	return crashes.Crash{Request: content.Request, Parts: content.Parts, Customer: content.Customer, Server: f.target.ID, At: at}
 }
 
-func (r *Relay) reportCrash(crash crashes.Crash, id string, parts []crashes.Fingerprint) {
+func (r *Relay) reportCrash(crash crashes.Crash, id string) {
 	r.cfg.Log.Info("server_crashed", zap.String("id", id), zap.String("server", crash.Server),
-		zap.Binary("fingerprint", crash.Request[:]), zap.Stringers("parts", parts), zap.String("customer", crash.Customer))
+		zap.Stringer("request", crash.Request), zap.Stringers("parts", crash.Parts), zap.String("customer", crash.Customer))
 	r.cfg.Fleet.Crashed(crash, monotime.Now())
 }
 
@@ -139,16 +150,14 @@
 	if f.received.framing != framingClose || now.Sub(begunAt) > crashWindow {
 		return
 	}
-	crash, parts, target, id, r := f.crashOf(now), f.sharedParts(), f.target, f.request.ID, f.relay
+	crash, target, id, r := f.crashOf(now), f.target, f.request.ID, f.relay
 	go func() {
 		timer.Sleep(unmarkedEndDelay, nil)
 		switch {
 		case r.answers.since(target.ID, crash.At.Add(lateBytes)):
-			if r.cfg.Fleet.AnySuspected() {
-				r.cfg.Fleet.Survived(crash.Request, begunAt)
-			}
+			r.cfg.Fleet.Survived(crash.Content(), begunAt)
 		case r.mayProbeUnmarked() && r.probes.ended(context.Background(), target, r.cfg.Connector):
-			r.reportCrash(crash, id, parts)
+			r.reportCrash(crash, id)
 		default:
 			r.cfg.Fleet.BrokeOff(target, crash, monotime.Now())
 		}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -86,14 +86,14 @@
 	outage bool
 
 	// poison means that every request is confirmed to crash servers, but only after the
-	// first poisonAfter calls of IsPoison.
+	// first poisonAfter calls of Refuses.
 	poison      bool
 	poisonAfter int
 
 	mu       sync.Mutex
 	crashed  []crashes.Crash
 	brokeOff []crashes.Crash
-	survived []crashes.Fingerprint
+	survived []crashes.Content
 	begun    []string
 	ended    int
 	outcomes []string
@@ -165,7 +165,7 @@
 }
 
 func (f *fakeFleet) AnySuspected() bool { return true }
-func (f *fakeFleet) IsPoison(crashes.Fingerprint, monotime.Instant) bool {
+func (f *fakeFleet) Refuses(string, crashes.Content, monotime.Instant) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.poisonAfter--
@@ -182,10 +182,10 @@
 	f.brokeOff = append(f.brokeOff, crash)
 }
 func (f *fakeFleet) Misdirected(string, monotime.Instant) {}
-func (f *fakeFleet) Survived(request crashes.Fingerprint, _ monotime.Instant) {
+func (f *fakeFleet) Survived(content crashes.Content, _ monotime.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.survived = append(f.survived, request)
+	f.survived = append(f.survived, content)
 }
 
 func (f *fakeFleet) StreamBegan(service, try, version string, _ monotime.Instant) {
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -33,8 +33,10 @@
 	work     placement.Work
 	body     []byte
 
-	// cachedFingerprint is the fingerprint once it has been computed.
+	// cachedFingerprint and cachedParts are the fingerprints of the request and of its
+	// shared parts once they have been computed.
 	cachedFingerprint *crashes.Fingerprint
+	cachedParts       []crashes.Fingerprint
 
 	target Target
 	// via is the instance through which the last send went; nil if it was direct.
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -144,15 +144,16 @@
 	QueueStatus(run int, now monotime.Instant) placement.QueueStatus
 	// Observe records the outcome of a request at a server.
 	Observe(server string, outcome placement.Outcome, now monotime.Instant)
-	// AnySuspected reports whether any request is suspected of crashing servers. While
+	// AnySuspected reports whether any content is suspected of crashing servers. While
 	// there is none, requests need no fingerprint.
 	AnySuspected() bool
-	// IsPoison reports whether a request is confirmed to crash servers.
-	IsPoison(request crashes.Fingerprint, now monotime.Instant) bool
+	// Refuses reports whether a request with an id carries content that is confirmed to
+	// crash servers. It is called for each send.
+	Refuses(id string, content crashes.Content, now monotime.Instant) bool
 	// Crashed reports that a server ended soon after it began to run a request, and
 	// Survived that one whose answer began at an instant did not.
 	Crashed(crash crashes.Crash, now monotime.Instant)
-	Survived(request crashes.Fingerprint, begunAt monotime.Instant)
+	Survived(content crashes.Content, begunAt monotime.Instant)
 	// BrokeOff reports the same as Crashed of a server that may have ended: its address
 	// accepts connections, or it is not known whether it does.
 	BrokeOff(target Target, crash crashes.Crash, now monotime.Instant)
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -437,7 +437,7 @@
 }
 
 // RelayCrash is the end of a server soon after it began to run a request, or a run
-// of that request without.
+// without of some content: that request or a part of its prompt.
 type RelayCrash struct {
 	// Age in milliseconds.
 	AgeMS int `json:"a,omitempty,omitzero"`
@@ -445,9 +445,13 @@
 	// Customer of the request.
 	Customer string `json:"c,omitempty,omitzero"`
 
-	// Fingerprint of the request; a CBOR byte string.
+	// Fingerprint of the request, or of the content that ran; a CBOR byte string.
 	Request []byte `json:"p"`
 
+	// Fingerprints of the shared parts of its prompt, one after the other; a CBOR
+	// byte string.
+	Parts []byte `json:"q,omitempty,omitzero"`
+
 	// Id of the server's incarnation; empty when it did not end.
 	Server string `json:"s,omitempty,omitzero"`
 }
--- a/internal/throttle/throttle.go
+++ b/internal/throttle/throttle.go
@@ -122,6 +122,14 @@
 	return s.place, len(l.view.members), true
 }
 
+// PlaceFor is Place for a key that is no server.
+func (l *Limiter) PlaceFor(key string, now monotime.Instant) (place int, ok bool) {
+	l.mu.Lock()
+	v := l.view
+	l.mu.Unlock()
+	return v.place(key), now.Sub(l.startedAt) >= startupDelay
+}
+
 func (l *Limiter) server(id string) *server {
 	s := l.servers[id]
 	if s == nil {
