explain shows the ends of servers that a request is refused for

A refused request's own line names the content, the ends, the instances that reported them and the age of the last; the explanation adds the lines of these ends, of all instances. TestTheExplanationNamesTheEndsThatARequestIsRefusedFor.

--- a/internal/relaylog/relaylog.go
+++ b/internal/relaylog/relaylog.go
@@ -42,8 +42,10 @@
 	// Resumes is the try whose stream the request resumes.
 	Resumes string `json:"resumes"`
 	// Tunnel is the connection through a peer that the line concerns.
-	Tunnel string  `json:"tunnel"`
-	TookMS float64 `json:"took_ms"`
+	Tunnel string `json:"tunnel"`
+	// Ends are the servers whose ends made the request be refused.
+	Ends   []string `json:"ends"`
+	TookMS float64  `json:"took_ms"`
 
 	text string
 }
@@ -55,6 +57,9 @@
 	// Resumed holds the lines, of all instances, of later tries that resumed the
 	// request's stream, oldest first.
 	Resumed []Line
+	// Crashes holds the lines, of all instances, on the ends of servers because of which the
+	// request was refused, oldest first.
+	Crashes []Line
 	// Tunnels holds the lines, of all instances, on the connections through peers over
 	// which the request was sent, oldest first.
 	Tunnels []Line
@@ -118,7 +123,7 @@
 
 func explainLines(id string, lines []Line) (*Explanation, error) {
 	out := &Explanation{}
-	instances, concerned, tunnels := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	instances, concerned, tunnels, ends := map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]bool{}
 	var arrived time.Time
 	for _, line := range lines {
 		if line.Resumes == id {
@@ -131,6 +136,9 @@
 		instances[line.Instance] = true
 		concerned[line.Server], concerned[line.Service] = true, true
 		tunnels[line.Tunnel] = true
+		for _, server := range line.Ends {
+			ends[server] = true
+		}
 		began := line.At.Add(-time.Duration(line.TookMS * float64(time.Millisecond)))
 		if arrived.IsZero() || began.Before(arrived) {
 			arrived = began
@@ -145,6 +153,9 @@
 		if tunnels[line.Tunnel] && line.ID == "" {
 			out.Tunnels = append(out.Tunnels, line)
 		}
+		if ends[line.Server] && (line.Message == "server_crashed" || line.Message == "crash_confirmed") {
+			out.Crashes = append(out.Crashes, line)
+		}
 		if !instances[line.Instance] || line.At.After(arrived) {
 			continue
 		}
@@ -192,6 +203,7 @@
 	}{
 		{"state of the instance when the request arrived:", s.State, true},
 		{"what happened to the request:", s.Request, true},
+		{"ends of servers because of which it was refused:", s.Crashes, false},
 		{"later tries that resumed its stream:", s.Resumed, false},
 		{"connections through peers:", s.Tunnels, false},
 	} {
--- a/internal/relaylog/relaylog_test.go
+++ b/internal/relaylog/relaylog_test.go
@@ -105,3 +105,28 @@
 		t.Errorf("%v in\n%s", err, text.String())
 	}
 }
+
+// Guards against a refused request whose explanation lacks the ends that it is refused for.
+func TestTheExplanationNamesTheEndsThatARequestIsRefusedFor(t *testing.T) {
+	lines, err := read(strings.NewReader(`
+{"ts":"2026-01-01T10:00:01Z","msg":"server_crashed","instance":"a","id":"r1","server":"s1","parts":["77aa"]}
+{"ts":"2026-01-01T10:00:02Z","msg":"crash_confirmed","instance":"b","server":"s2","evidence":"entry"}
+{"ts":"2026-01-01T10:00:03Z","msg":"server_crashed","instance":"a","id":"r2","server":"s3","parts":["88bb"]}
+{"ts":"2026-01-01T10:00:09Z","msg":"request_refused_as_poison","instance":"c","id":"r9","content":["77aa"],"ends":["s1","s2"],"from":["a","b"],"age_ms":7000}
+{"ts":"2026-01-01T10:00:09Z","msg":"request_ended","instance":"c","id":"r9","status":400}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	explanation, err := explainLines("r9", lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"server_crashed s1", "crash_confirmed s2"}, messages(explanation.Crashes)); diff != "" {
+		t.Error(diff)
+	}
+	var text strings.Builder
+	if err := explanation.WriteText(&text); err != nil || !strings.Contains(text.String(), `"content":["77aa"]`) {
+		t.Errorf("%v in\n%s", err, text.String())
+	}
+}
