A request on trial is not refused by the second look

Each send of a request is looked at twice, when it arrives and right before it is sent. The first look of a due trial let it through and marked the culprit as tried; the second refused it, so no trial was ever sent and a culprit stayed refused as long as it came. TestACulpritIsTriedAgain looks twice now, and asks that no second request passes.

--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -92,8 +92,10 @@
 	// survivedAt is when the answer to its last run without a crash began; 0 for never.
 	survivedAt monotime.Instant
 	// seenAt is when it last arrived or crashed a server, and triedAt when this instance
-	// last sent it on to find out whether it still crashes servers.
+	// last sent it on, with the request triedBy, to find out whether it still crashes
+	// servers.
 	seenAt, triedAt monotime.Instant
+	triedBy         string
 }
 
 // serverEnd is the end of a server under requests with some content.
--- a/internal/crashes/culprits.go
+++ b/internal/crashes/culprits.go
@@ -53,9 +53,14 @@
 	trials  int
 }
 
-// TrialRule reports whether this instance may send a culprit on for trial, so long after a
-// trial became due.
-type TrialRule func(content Fingerprint, overdue time.Duration) bool
+// Trial is a request that may be sent on although it is to be refused, if a trial is due.
+type Trial struct {
+	// ID of the request.
+	ID string
+	// May reports whether this instance may send a culprit on for trial, so long after the
+	// trial became due.
+	May func(content Fingerprint, overdue time.Duration) bool
+}
 
 // Poison reports whether an arriving request without parts is to be refused.
 func (t *Tracker) Poison(request Fingerprint, now monotime.Instant) bool {
@@ -63,9 +68,9 @@
 	return refused
 }
 
-// Refuses returns the culprit because of which an arriving request is to be refused, if
-// any. mayTry is nil if it must not be sent on for trial.
-func (t *Tracker) Refuses(content Content, now monotime.Instant, mayTry TrialRule) (Culprit, bool) {
+// Refuses returns the culprit because of which a request is to be refused, if any, and
+// false if it is sent on for trial. trial is nil if it must not be.
+func (t *Tracker) Refuses(content Content, now monotime.Instant, trial *Trial) (Culprit, bool) {
 	for _, c := range t.Culprits(now) {
 		if !c.matches(&content) {
 			continue
@@ -73,7 +78,7 @@
 		for _, f := range c.Contents {
 			t.suspects[f].seenAt = now
 		}
-		if mayTry != nil && t.tryNow(&c, now, mayTry) {
+		if trial != nil && t.tryNow(&c, now, trial) {
 			return c, false
 		}
 		return c, true
@@ -81,14 +86,20 @@
 	return Culprit{}, false
 }
 
-// tryNow reports whether a culprit is sent on for trial now.
-func (t *Tracker) tryNow(c *Culprit, now monotime.Instant, mayTry TrialRule) bool {
+// tryNow reports whether a request with a culprit is sent on for trial now. Each request is
+// asked about more than once, so the one that was let through passes again.
+func (t *Tracker) tryNow(c *Culprit, now monotime.Instant, trial *Trial) bool {
 	s := t.suspects[c.Contents[0]]
 	overdue := now.Sub(c.LastEnd) - trialDelays[min(c.trials, len(trialDelays)-1)]
-	if overdue < 0 || s.triedAt != 0 && now.Sub(s.triedAt) < trialWindow || !mayTry(c.Contents[0], overdue) {
+	switch {
+	case overdue < 0:
+		return false
+	case s.triedAt != 0 && now.Sub(s.triedAt) < trialWindow:
+		return s.triedBy == trial.ID
+	case !trial.May(c.Contents[0], overdue):
 		return false
 	}
-	s.triedAt = now
+	s.triedAt, s.triedBy = now, trial.ID
 	return true
 }
 
--- a/internal/crashes/parts_test.go
+++ b/internal/crashes/parts_test.go
@@ -161,10 +161,16 @@
 	b := NewTracker()
 	last := addEnds(b, 5, always("a"), always([]string{"bad"}))
 	var trials []time.Duration
-	end := func(Fingerprint, time.Duration) bool { return true }
+	trial := &Trial{ID: "r", May: func(Fingerprint, time.Duration) bool { return true }}
 	for now := last; now.Sub(last) < 3*time.Hour; now = now.Add(time.Second) {
-		if _, refused := b.Refuses(content("a", "bad"), now, end); !refused {
+		if _, refused := b.Refuses(content("a", "bad"), now, trial); !refused {
 			trials = append(trials, now.Sub(last))
+			if _, refused := b.Refuses(content("a", "bad"), now, &Trial{ID: "other", May: trial.May}); !refused {
+				t.Error("two requests are tried at once")
+			}
+			if _, refused := b.Refuses(content("a", "bad"), now, trial); refused {
+				t.Error("the request on trial is refused before it is sent")
+			}
 			b.Add(partCrash(100+len(trials), "a", fmt.Sprint("t", len(trials)), now, "bad"), now)
 		}
 		b.Expire(now)
@@ -172,8 +178,8 @@
 	if want := []time.Duration{time.Minute, 11 * time.Minute, 71 * time.Minute, 131 * time.Minute}; !slices.Equal(trials, want) {
 		t.Errorf("tried after %v, want %v", trials, want)
 	}
-	owned := func(Fingerprint, time.Duration) bool { return false }
-	if _, refused := b.Refuses(content("a", "bad"), last.Add(24*time.Hour), owned); !refused {
+	other := &Trial{ID: "r", May: func(Fingerprint, time.Duration) bool { return false }}
+	if _, refused := b.Refuses(content("a", "bad"), last.Add(24*time.Hour), other); !refused {
 		t.Error("an instance whose turn it is not sends it on")
 	}
 	b.Survived(part("bad"), last.Add(3*time.Hour))
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -103,7 +103,7 @@
 func (c *crashTracker) refuses(id string, content crashes.Content, now monotime.Instant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	culprit, refused := c.tracker.Refuses(content, now, c.mayTry)
+	culprit, refused := c.tracker.Refuses(content, now, &crashes.Trial{ID: id, May: c.mayTry})
 	switch {
 	case refused:
 		c.refusedCount.Add(1)
