--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -11,7 +11,6 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
-	"maps"
 	"slices"
 	"time"
 
@@ -226,9 +225,6 @@
 	return true
 }
 
-// Fallen returns the servers whose ends have another cause, and when they ended.
-func (t *Tracker) Fallen() map[string]monotime.Instant { return maps.Clone(t.fallen) }
-
 // Ran records that a server went on after it had begun to answer a request with some
 // content at an instant, unless the content is not tracked. It reports whether this should
 // be sent to peers: it clears ends, or the last such run is none or more than half of
@@ -269,100 +265,3 @@
 	}
 	return 0
 }
-
-// Crashes returns all recorded crashes, for an instance that may have missed some.
-func (t *Tracker) Crashes() (out []Crash) {
-	type key struct {
-		server  string
-		request Fingerprint
-	}
-	byRun := make(map[key]*Crash)
-	for f, s := range t.suspects {
-		for server, e := range s.ends {
-			for _, r := range e.runs {
-				c := byRun[key{server, r.request}]
-				if c == nil {
-					c = &Crash{Request: r.request, Customer: r.customer, Server: server, At: e.at, From: e.from}
-					byRun[key{server, r.request}] = c
-				}
-				if !s.whole {
-					c.Parts = append(c.Parts, f)
-				}
-			}
-		}
-	}
-	for _, c := range byRun {
-		out = append(out, *c)
-	}
-	return out
-}
-
-// SurvivedAt returns the tracked contents that ran without a crash, and when the answers to
-// the last such runs began.
-func (t *Tracker) SurvivedAt() map[Fingerprint]monotime.Instant {
-	out := make(map[Fingerprint]monotime.Instant)
-	for f, s := range t.suspects {
-		if s.survivedAt != 0 {
-			out[f] = s.survivedAt
-		}
-	}
-	return out
-}
-
-// Expire drops contents that have been absent for longer than Retention.
-func (t *Tracker) Expire(now monotime.Instant) {
-	for f, s := range t.suspects {
-		if now.Sub(s.seenAt) > Retention {
-			t.remove(f)
-		}
-	}
-	maps.DeleteFunc(t.fallen, func(_ string, endedAt monotime.Instant) bool { return now.Sub(endedAt) > Retention })
-}
-
-// evict removes a content if there are too many after one was added: the least suspected
-// other one, of the same customer if that has too many, or else of all.
-func (t *Tracker) evict(added Fingerprint) {
-	customer := t.suspects[added].customer
-	switch {
-	case t.perCustomer[customer] > MaxPerCustomer:
-		t.removeLeastSuspected(added, func(s *suspect) bool { return s.customer == customer })
-	case len(t.suspects) > maxSuspects:
-		t.removeLeastSuspected(added, func(*suspect) bool { return true })
-	}
-}
-
-func (t *Tracker) removeLeastSuspected(except Fingerprint, eligible func(*suspect) bool) {
-	least, found := Fingerprint{}, false
-	for f, s := range t.suspects {
-		if f == except || !eligible(s) {
-			continue
-		}
-		if !found || t.lessSuspected(f, least) {
-			least, found = f, true
-		}
-	}
-	if found {
-		t.remove(least)
-	}
-}
-
-func (t *Tracker) remove(f Fingerprint) {
-	customer := t.suspects[f].customer
-	delete(t.suspects, f)
-	t.changed = true
-	if t.perCustomer[customer]--; t.perCustomer[customer] == 0 {
-		delete(t.perCustomer, customer)
-	}
-}
-
-// lessSuspected orders contents by how strongly they are suspected.
-func (t *Tracker) lessSuspected(x, y Fingerprint) bool {
-	p, q := t.suspects[x], t.suspects[y]
-	if len(p.ends) != len(q.ends) {
-		return len(p.ends) < len(q.ends)
-	}
-	if p.seenAt != q.seenAt {
-		return p.seenAt < q.seenAt
-	}
-	return bytes.Compare(x[:], y[:]) < 0
-}
--- a/internal/crashes/parts_test.go
+++ b/internal/crashes/parts_test.go
@@ -45,8 +45,7 @@
 
 func always[T any](value T) func(int) T { return func(int) T { return value } }
 
-// Guards against a part that crashes servers and is not known after five ends, and against
-// sound requests that share another part, or the caller, with those that crash servers.
+// Guards against a culprit part that is sent on, and against the refusal of parts beside it.
 func TestACulpritPartIsToldFromThoseBesideIt(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -81,8 +80,7 @@
 	}
 }
 
-// Guards against parts that stay tied to the culprit although a request without them ended
-// a server.
+// Guards against parts that stay tied to a culprit that ended a server without them.
 func TestAnEndWithoutAPartSeparatesItFromTheCulprit(t *testing.T) {
 	b := NewTracker()
 	now := addEnds(b, 4, always("a"), always([]string{"shared", "bad"}))
@@ -122,8 +120,7 @@
 	}
 }
 
-// Guards against parts that are refused since servers that shared them ended for one other
-// reason.
+// Guards against a shared part that is refused since a data centre was lost.
 func TestServersThatEndAtOnceAccuseNoPart(t *testing.T) {
 	b := NewTracker()
 	for n := range 60 {
@@ -135,8 +132,7 @@
 	}
 }
 
-// Guards against a part in daily use that is never suspected since it ran a moment ago, and
-// against one that is suspected although it goes on running.
+// Guards against a part that is safe from suspicion, or suspected, because it ran lately.
 func TestAPartThatRanShortlyBeforeNeedsMoreEnds(t *testing.T) {
 	for _, runsOn := range []bool{false, true} {
 		b := NewTracker()
@@ -155,8 +151,7 @@
 	}
 }
 
-// Guards against a culprit that is refused for good, and against trials that end more than
-// a few servers.
+// Guards against a culprit that is refused for good or tried too often.
 func TestACulpritIsTriedAgain(t *testing.T) {
 	b := NewTracker()
 	last := addEnds(b, 5, always("a"), always([]string{"bad"}))
@@ -188,8 +183,7 @@
 	}
 }
 
-// Guards against instances that come to different culprits by the same ends, survivals and
-// falls, received in another order.
+// Guards against instances that find different culprits by the same reports in another order.
 func TestCulpritsConvergeInAnyOrder(t *testing.T) {
 	for seed := range uint64(300) {
 		rng := rand.New(rand.NewPCG(seed, 7))
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -403,8 +403,7 @@
 	})
 }
 
-// Guards against a poison request that its caller repeats: it takes one server after the
-// other from all callers.
+// Guards against a poison request that its caller repeats until no server is left.
 func TestARequestThatCrashesServersIsNotSentOn(t *testing.T) {
 	for _, c := range []struct {
 		path  string
@@ -414,8 +413,7 @@
 	}
 }
 
-// Guards against a poison request whose crashes do not count because the servers say that
-// they are brittle.
+// Guards against a poison request whose crashes do not count since the servers are brittle.
 func TestACrashOfABrittleServerCounts(t *testing.T) {
 	playPoison(t, crashLook{refusals: "8", down: serverDownTime}, "/once/x", 600*time.Millisecond, 60)
 }
@@ -425,8 +423,7 @@
 	playPoison(t, crashLook{unmarked: true, down: serverDownTime}, "/stream/x", 160*time.Millisecond, 60)
 }
 
-// Guards against a poison request whose servers are back, or whose ports answer, before
-// their ends are looked for.
+// Guards against a poison request whose servers seem to accept connections after a crash.
 func TestACrashCountsThoughThePortAnswers(t *testing.T) {
 	for _, look := range []crashLook{
 		{name: "back at once"},
@@ -501,8 +498,7 @@
 	return out
 }
 
-// Guards against broken answers that count although their servers go on or leave, and
-// against those that never count although their servers have ended.
+// Guards against broken answers that count although their servers go on, or never count.
 func TestABrokenAnswerCountsOnceItsServerHasEnded(t *testing.T) {
 	replacement := servers.Server{ID: "b", Name: "b", Service: "svc", Address: "a:1", Slots: 1, Revision: 5}
 	for _, c := range []struct {
--- a/internal/gateway/crashpart_test.go
+++ b/internal/gateway/crashpart_test.go
@@ -41,8 +41,7 @@
 	{name: "two at once", look: refusingLook, parts: func(n int) []string { return []string{"shared", fmt.Sprint("bad-", n%2), own(n)} }, culprits: []string{"bad-0", "bad-1"}},
 }
 
-// Guards against requests of which no two are alike that crash servers by a part that they
-// share, and against a refusal of sound requests that share another part or the caller.
+// Guards against requests, no two alike, that go on crashing servers by a part they share.
 func TestPartsThatCrashServersAreNotSentOn(t *testing.T) {
 	for _, c := range crashPartCases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -165,19 +165,6 @@
 	b.beginRun(id, serverID, work, unread, now)
 }
 
-// BeginOnBrittle is Begin for a request that this instance sends to a brittle server. It
-// reports whether the server still has a slot for it: other requests may have been sent
-// since it was chosen.
-func (b *Board) BeginOnBrittle(id RunID, serverID string, work Work, unread int, now monotime.Instant) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if s := b.servers[serverID]; s == nil || !b.hasBrittleSlot(s, now) {
-		return false
-	}
-	b.beginRun(id, serverID, work, unread, now)
-	return true
-}
-
 func (b *Board) beginRun(id RunID, serverID string, work Work, unread int, now monotime.Instant) {
 	b.sweep(now)
 	if b.runs[id] == nil && work.Prompt > 0 {
--- a/internal/placement/brittle.go
+++ b/internal/placement/brittle.go
@@ -53,6 +53,19 @@
 	return count
 }
 
+// BeginOnBrittle is Begin for a request that this instance sends to a brittle server. It
+// reports whether the server still has a slot for it: other requests may have been sent
+// since it was chosen.
+func (b *Board) BeginOnBrittle(id RunID, serverID string, work Work, unread int, now monotime.Instant) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[serverID]; s == nil || !b.hasBrittleSlot(s, now) {
+		return false
+	}
+	b.beginRun(id, serverID, work, unread, now)
+	return true
+}
+
 // orphanMargin is how much longer than the mean run a server is expected to go on with a
 // request whose instance is gone.
 const orphanMargin = 1.5
--- a/internal/placement/brittle_test.go
+++ b/internal/placement/brittle_test.go
@@ -193,8 +193,7 @@
 	return s
 }
 
-// Guards against a rule for the slots of brittle servers under which these fall, or stay
-// unused, in large fleets.
+// Guards against brittle servers that fall, or stay unused, before large fleets.
 func TestSlotsOfBrittleServersAreShared(t *testing.T) {
 	sizes := []int{8, 60}
 	if *largeBrittleFleets {
@@ -214,8 +213,7 @@
 	}
 }
 
-// Guards against an instance that can send nothing to brittle servers since it has a share
-// of none, and against one that uses the last slots of others then.
+// Guards against an instance without a share that sends nothing, or takes others' last slots.
 func TestInstancesWithoutAShareUseIdleServers(t *testing.T) {
 	const size, slots = 90, 6
 	for _, pool := range []int{size, 4 * size} {
@@ -245,8 +243,7 @@
 	}
 }
 
-// Guards against instances that take a slot twice, since a request was sent between a
-// choice and its begin.
+// Guards against a slot that is taken twice between a choice and the begin of its request.
 func TestABrittleServerIsCheckedAgainAtTheBegin(t *testing.T) {
 	b := NewBoard(testPace, "here")
 	c := Candidate{ID: "s", Service: "app", Slots: 2, Brittle: true}
@@ -260,8 +257,7 @@
 	}
 }
 
-// Guards against brittle servers that get requests for slots in which they go on with those
-// of an instance that was killed.
+// Guards against brittle servers that still run the requests of an instance that was killed.
 func TestRequestsOfALostInstanceHoldSlotsOfBrittleServers(t *testing.T) {
 	const life = time.Second
 	b := NewBoard(testPace, "here")
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -76,8 +76,7 @@
 	}
 }
 
-// Guards against an answer without a marked end that never shows that its server survived,
-// although that answers others later.
+// Guards against an answer without a marked end that never exonerates its request.
 func TestALaterAnswerShowsThatTheServerSurvived(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newRig(t, allRoutes, map[string][]script{"s1": {
--- a/internal/servers/notice_test.go
+++ b/internal/servers/notice_test.go
@@ -77,8 +77,7 @@
 	}
 }
 
-// Guards against a brittle server that gets as much as before as soon as it takes one
-// request again, and against peers that end its limit sooner than the instance it refused.
+// Guards against a brittle server that gets as much as before right after a refusal.
 func TestARefusalLimitsABrittleServerForASecond(t *testing.T) {
 	r := New()
 	now := monotime.Instant(time.Hour)
--- a/internal/throttle/throttle.go
+++ b/internal/throttle/throttle.go
@@ -106,30 +106,6 @@
 	}
 }
 
-// Place returns the place of this instance among the members that share a server, from 0,
-// and their number. It returns false for a process that has just started, which has few
-// members yet.
-func (l *Limiter) Place(id string, now monotime.Instant) (place, members int, ok bool) {
-	if now.Sub(l.startedAt) < startupDelay {
-		return 0, 0, false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.server(id)
-	if s.placedView != l.view {
-		s.placedView, s.place = l.view, l.view.place(id)
-	}
-	return s.place, len(l.view.members), true
-}
-
-// PlaceFor is Place for a key that is no server.
-func (l *Limiter) PlaceFor(key string, now monotime.Instant) (place int, ok bool) {
-	l.mu.Lock()
-	v := l.view
-	l.mu.Unlock()
-	return v.place(key), now.Sub(l.startedAt) >= startupDelay
-}
-
 func (l *Limiter) server(id string) *server {
 	s := l.servers[id]
 	if s == nil {
--- a/internal/throttle/throttle_test.go
+++ b/internal/throttle/throttle_test.go
@@ -357,8 +357,7 @@
 	}
 }
 
-// Guards against two instances in the same place at a server, and against one that leaves
-// and changes the places of more than those behind it.
+// Guards against two instances in one place at a server, also after one has left.
 func TestInstancesShareAServerInOneOrder(t *testing.T) {
 	const size, gone = 60, 17
 	places := func(members []string, server string) map[string]int {
@@ -404,8 +403,7 @@
 	}
 }
 
-// Guards against a brittle server that gets nothing any more once it is limited, since the
-// instances that may use its limit have no share of its slots.
+// Guards against a limited brittle server whose owners have no share of its slots.
 func TestOwnersOfALimitedServerComeFirstInItsOrder(t *testing.T) {
 	const rate = 3.0
 	var members []string
