--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -77,6 +77,9 @@
 	down time.Duration
 }
 
+// smallFleet is the largest fleet whose instances find each other at once.
+const smallFleet = 16
+
 var refusingLook = crashLook{name: "refuses connections", down: serverDownTime}
 
 // crashingServer is a server that crashes when it runs a request whose body begins with
@@ -121,6 +124,9 @@
 func newCrashCluster(t *testing.T, ctx context.Context, tasks *errgroup.Group, instances, size int, look crashLook) *crashCluster {
 	site := &crashCluster{t: t, look: look, crashes: make(map[string][]time.Time), arrivals: make(map[string][]time.Time)}
 	site.fleet = startLinked(t, ctx, tasks, instances)
+	if instances > smallFleet {
+		time.Sleep(largeFleetStart)
+	}
 	config := &routing.Config{
 		Version: 1, Services: []routing.Service{{Name: "svc"}},
 		Routes: []routing.Route{
--- a/internal/gateway/crashpart_test.go
+++ b/internal/gateway/crashpart_test.go
@@ -10,6 +10,11 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"basilrudder/internal/crashes"
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/peer"
+	"basilrudder/internal/schema/wire"
 )
 
 // crashPartCase is a way in which requests with a part that crashes servers come.
@@ -50,6 +55,41 @@
 	}
 }
 
+// Guards against instances of a large fleet that learn of a culprit part too late.
+func TestPartsThatCrashServersInFleetsOfAnySize(t *testing.T) {
+	for _, size := range fleetSizes() {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playCrashingPart(t, &crashPartCases[0], size, 24) })
+		})
+	}
+}
+
+// Guards against reports of crashes that use up what instances may send.
+func TestReportsOfCrashesAreSmall(t *testing.T) {
+	const (
+		requests, parts = 9, 3 // that had just begun on a server
+		perSecond       = 1    // ends of servers
+		maxPerSecond    = 6 << 10
+	)
+	now := monotime.Instant(time.Hour)
+	var update wire.RelayNews
+	for n := range requests {
+		c := crashes.Crash{Request: crashes.Fingerprint{byte(n)}, Customer: "customer-1", Server: "i-0123456789", At: now}
+		for part := range parts {
+			c.Parts = append(c.Parts, crashes.PartFingerprint(fmt.Sprint(part)))
+		}
+		update.Crashes = append(update.Crashes, encodeCrash(c, now.Add(20*time.Millisecond)))
+	}
+	frame, err := peer.Encode(&wire.Envelope{News: []wire.RelayNews{update}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes for the end of a server under %d requests", len(frame), requests)
+	if len(frame)*perSecond > maxPerSecond {
+		t.Errorf("%d bytes a second, at most %d wanted", len(frame)*perSecond, maxPerSecond)
+	}
+}
+
 // soundTally counts sound requests before the first crash and after the last one matters.
 type soundTally struct {
 	mu           sync.Mutex
