Soak: requests that crash servers by a part, beside all other faults

More than three that reach servers through instances left alone for 3 s, later than 3 s after the fifth crash, break the promise.

--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -58,6 +58,8 @@
 	err error
 	// wrong is what a whole answer has that it must not have.
 	wrong string
+	// poison says that the prompt has a part that crashes servers.
+	poison bool
 }
 
 // stream is a stream that may be resumed, as its caller has it.
@@ -232,7 +234,11 @@
 	streaming := a.route == "stream" || a.route == "resumable"
 	if streaming {
 		r.Header.Set(wire.HeaderTokens, "1400,48")
-		r.Header.Set(wire.HeaderParts, fmt.Sprintf("aa%d:900,%s:500", c.rand.IntN(5), a.id))
+		parts := fmt.Sprintf("aa%d:900", c.rand.IntN(5))
+		if a.poison {
+			parts += "," + standin.CrashPart + ":200"
+		}
+		r.Header.Set(wire.HeaderParts, fmt.Sprintf("%s,%s:500", parts, a.id))
 	}
 	if s := a.stream; s != nil && s.events > 0 {
 		r.Header.Set(wire.HeaderResume, strconv.Itoa(s.events))
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -69,6 +69,9 @@
 	version int64
 	more    int // routes beside those that callers use
 
+	// onCrash ends an incarnation under a request that crashes servers; nil for none.
+	onCrash func(u *upstream, running *standin.Server)
+
 	instances []*instance
 	upstreams []*upstream
 	starter   *child.Starter
@@ -76,14 +79,14 @@
 }
 
 // newFleet starts the stand-ins and prepares, but does not start, instances.
-func newFleet(binary, dir string, instances, servers int) (*fleet, error) {
+func newFleet(binary, dir string, instances, servers int, onCrash func(*upstream, *standin.Server)) (*fleet, error) {
 	ports, err := newPorts()
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{
 		binary: binary, dir: dir, ledger: standin.NewLedger(), store: standin.NewStore(),
-		starter: child.NewStarter(), ports: ports,
+		starter: child.NewStarter(), ports: ports, onCrash: onCrash,
 	}
 	ln, err := net.Listen("tcp", anyPort)
 	if err != nil {
@@ -199,6 +202,9 @@
 	u.software = fmt.Sprint("v", 1+(u.number/2+u.starts)%2)
 	server := standin.NewServer(u.id, slots, f.ledger)
 	server.Software = u.software
+	if f.onCrash != nil {
+		server.OnCrash = func() { f.onCrash(u, server) }
+	}
 	u.setServer(server)
 	u.http = &http.Server{Handler: server}
 	go serve(u.http, ln)
--- a/tools/soak/instance.go
+++ b/tools/soak/instance.go
@@ -42,6 +42,8 @@
 	// active is the number of faults on the instance now, disturbances that of
 	// all so far.
 	active, disturbances int
+	// calmAt is when the last fault on it ended.
+	calmAt time.Time
 }
 
 // process is one run of an instance.
@@ -139,9 +141,17 @@
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		i.active--
+		i.calmAt = time.Now()
 	}
 }
 
+// inTouch reports whether nothing has been done to an instance for contactTime.
+func (i *instance) inTouch() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.active == 0 && time.Since(i.calmAt) >= contactTime
+}
+
 // disturbed tells how often an instance was disturbed, and whether it is not now.
 func (i *instance) disturbed() (times int, calm bool) {
 	i.mu.Lock()
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -38,8 +38,11 @@
 	verbose bool
 	// timing has the time of answers checked too.
 	timing bool
-	fleet  *fleet
-	begun  time.Time
+	// poisoned has requests sent that crash servers by a part of their prompts.
+	poisoned bool
+	poison   poison
+	fleet    *fleet
+	begun    time.Time
 
 	// restoring is held by the fault that has the store come back from a copy.
 	restoring sync.Mutex
@@ -71,7 +74,7 @@
 // run starts all, disturbs it for a time, and checks what callers saw.
 func (s *soak) run(dir string) (*report, error) {
 	var err error
-	if s.fleet, err = newFleet(s.binary, dir, s.instances, s.servers); err != nil {
+	if s.fleet, err = newFleet(s.binary, dir, s.instances, s.servers, s.crashHandler()); err != nil {
 		return nil, err
 	}
 	defer s.fleet.close()
@@ -94,6 +97,7 @@
 	}
 	s.checkProcesses()
 	r := &report{byOutcome: make(map[string]int)}
+	s.checkPoison(r)
 	for _, c := range callers {
 		s.check(c, r)
 	}
@@ -118,6 +122,9 @@
 	troubles.Go(func() { s.trouble(ctx, faults, pauseMost, rand.New(rand.NewPCG(s.seed, 0))) })
 	troubles.Go(func() { s.trouble(ctx, moreFaults, morePauseMost, rand.New(rand.NewPCG(s.seed, 1))) })
 	troubles.Go(func() { s.trouble(ctx, configFaults, configPauseMost, rand.New(rand.NewPCG(s.seed, 2))) })
+	if s.poisoned {
+		troubles.Go(func() { s.sendPoison(ctx) })
+	}
 	troubles.Wait()
 	calling.Wait()
 	return callers
@@ -244,7 +251,9 @@
 	// resumed counts tries that resume a stream, goneOn those of them that brought events,
 	// and mixed the streams with events of two software versions.
 	resumed, goneOn, mixed int
-	broken                 []string
+	// arrivals and late are those of requests that crash servers, see poison.
+	arrivals, late int
+	broken         []string
 }
 
 // String implements fmt.Stringer.
@@ -254,6 +263,9 @@
 		fmt.Fprintf(&out, "%s %d, ", outcome, r.byOutcome[outcome])
 	}
 	fmt.Fprintf(&out, "%d of %d streams resumed go on, %d with two versions, ", r.goneOn, r.resumed, r.mixed)
+	if r.arrivals > 0 {
+		fmt.Fprintf(&out, "%d requests that crash servers arrived, %d late, ", r.arrivals, r.late)
+	}
 	fmt.Fprintf(&out, "%d promises broken", len(r.broken))
 	for _, breach := range r.broken {
 		out.WriteString("\n  " + breach)
--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -32,6 +32,26 @@
 	}
 }
 
+// Guards against requests that go on crashing servers by a part while faults come.
+func TestCrashingPartsAreStoppedInAShortSoak(t *testing.T) {
+	binary, err := build(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &soak{
+		sizes: sizes{length: 10 * time.Second, instances: 3, servers: 8, callers: 8},
+		seed:  7, binary: binary, poisoned: true,
+	}
+	r, err := s.run(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.broken) > 0 || r.arrivals == 0 || r.byOutcome["served"] == 0 {
+		t.Error(r)
+	}
+	t.Log(r)
+}
+
 func TestRegressionsCanBeRead(t *testing.T) {
 	cases, err := readCases("cases.txt")
 	if err != nil {
