--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -287,73 +287,96 @@
 	c.startInstances(first, size/6)
 }
 
+// brittleCase is a load on brittle servers.
+type brittleCase struct {
+	name      string
+	instances int
+	shape     brittleShape
+	// prompts means that the servers are engines; crashing that some crash meanwhile, and
+	// replacing that a sixth of the instances are killed and others started each 3 s.
+	prompts, crashing, replacing bool
+}
+
+// playBrittle plays a case and returns how many requests were served.
+func playBrittle(t *testing.T, c *brittleCase) (served int) {
+	const lasts = 15 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks errgroup.Group
+		cluster, all := newBrittleCluster(t, ctx, &tasks, c.instances, c.shape, c.prompts)
+		if c.instances > largeBrittleFleet {
+			time.Sleep(largeFleetStart)
+		}
+		setBrittle(all, true, false)
+		path := "/once/"
+		if c.prompts {
+			path = "/prompt/"
+		}
+		tasks.Go(func() error {
+			cluster.pressInWaves(lasts, c.shape.perSecond(), path)
+			return nil
+		})
+		time.Sleep(contactTime)
+		setBrittle(all, true, true)
+		for n := range 6 {
+			if c.crashing {
+				all[n*3].crash()
+			}
+			if c.replacing && n%2 == 0 {
+				cluster.replaceInstances(c.instances)
+			}
+			time.Sleep(contactTime / 2)
+		}
+		time.Sleep(lasts - 4*contactTime)
+		falls, refused := 0, 0
+		for _, s := range all {
+			s.mu.Lock()
+			falls, served, refused = falls+s.falls, served+s.served, refused+s.refused
+			s.mu.Unlock()
+		}
+		t.Logf("%d falls, %d refusals, %d served", falls, refused, served)
+		if falls > c.shape.maxFalls() {
+			t.Errorf("%d falls, at most %d wanted", falls, c.shape.maxFalls())
+		}
+		if least := int(lasts.Seconds() * c.shape.perSecond() / 2); served < least {
+			t.Errorf("%d requests served, at least %d wanted", served, least)
+		}
+		cluster.stop(cancel)
+	})
+	return served
+}
+
+// largeBrittleFleet is the largest fleet whose instances find each other at once.
+const largeBrittleFleet = 24
+
 // Guards against brittle servers that fall because many instances send to the same slot.
 func TestBrittleServersBeforeManyInstances(t *testing.T) {
-	const lasts = 15 * time.Second
+	shape := largeBrittleShape
 	// servedByFew is what few instances served, with prompts or without.
 	servedByFew := make(map[bool]int)
-	for _, c := range []struct {
-		name              string
-		instances         int
-		prompts, crashing bool
-		replacing         bool
-	}{
-		{"8 instances", 8, true, false, false},
-		{"8 instances, no prompts", 8, false, false, false},
-		{"24 instances", 24, true, false, false},
-		{"24 instances, no prompts", 24, false, false, false},
-		{"24 instances, servers crash", 24, true, true, false},
-		{"24 instances, instances are replaced", 24, true, false, true},
-		{"24 instances, both", 24, true, true, true},
-	} {
+	cases := []brittleCase{
+		{name: "8 instances", instances: 8, shape: shape, prompts: true},
+		{name: "8 instances, no prompts", instances: 8, shape: shape},
+		{name: "24 instances", instances: 24, shape: shape, prompts: true},
+		{name: "24 instances, no prompts", instances: 24, shape: shape},
+		{name: "24 instances, servers crash", instances: 24, shape: shape, prompts: true, crashing: true},
+		{name: "24 instances, instances are replaced", instances: 24, shape: shape, prompts: true, replacing: true},
+		{name: "24 instances, both", instances: 24, shape: shape, prompts: true, crashing: true, replacing: true},
+	}
+	if *fleetSize > 0 {
+		large := shape
+		large.servers = max(shape.servers, *fleetSize*5/6)
+		cases = append(cases, brittleCase{name: "one more size", instances: *fleetSize, shape: large, prompts: true, crashing: true, replacing: true})
+	}
+	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			shape := largeBrittleShape
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				var tasks errgroup.Group
-				cluster, all := newBrittleCluster(t, ctx, &tasks, c.instances, shape, c.prompts)
-				setBrittle(all, true, false)
-				path := "/once/"
-				if c.prompts {
-					path = "/prompt/"
-				}
-				tasks.Go(func() error {
-					cluster.pressInWaves(lasts, shape.perSecond(), path)
-					return nil
-				})
-				time.Sleep(contactTime)
-				setBrittle(all, true, true)
-				for n := range 6 {
-					if c.crashing {
-						all[n*3].crash()
-					}
-					if c.replacing && n%2 == 0 {
-						cluster.replaceInstances(c.instances)
-					}
-					time.Sleep(contactTime / 2)
-				}
-				time.Sleep(lasts - 4*contactTime)
-				falls, served, refused := 0, 0, 0
-				for _, s := range all {
-					s.mu.Lock()
-					falls, served, refused = falls+s.falls, served+s.served, refused+s.refused
-					s.mu.Unlock()
-				}
-				t.Logf("%d falls, %d refusals, %d served", falls, refused, served)
-				if falls > shape.maxFalls() {
-					t.Errorf("%d falls, at most %d wanted", falls, shape.maxFalls())
-				}
-				if least := int(lasts.Seconds() * shape.perSecond() / 2); served < least {
-					t.Errorf("%d requests served, at least %d wanted", served, least)
-				}
-				switch {
-				case c.instances == 8:
-					servedByFew[c.prompts] = served
-				case !c.crashing && !c.replacing && 20*served < 17*servedByFew[c.prompts]:
-					t.Errorf("%d requests served, %d before 8 instances", served, servedByFew[c.prompts])
-				}
-				cluster.stop(cancel)
-			})
+			served := playBrittle(t, &c)
+			switch {
+			case c.instances == 8:
+				servedByFew[c.prompts] = served
+			case !c.crashing && !c.replacing && 20*served < 17*servedByFew[c.prompts]:
+				t.Errorf("%d requests served, %d before 8 instances", served, servedByFew[c.prompts])
+			}
 		})
 	}
 }
