A later answer speaks for a success only; parts of answers are recorded while watched

Found in reading the diff. After an error without a marked end, a later answer of its server counted as a run that the server survived; after one with a marked end it does not. TestALaterAnswerShowsThatTheServerSurvived has the case, which failed before. And each part of each stream took a lock to record when its server sent it, for the rare answer without a marked end that asks for that; now only while one does.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -145,17 +146,22 @@
 
 // checkUnmarkedEnd finds out whether the server crashed where an answer without a marked end
 // was closed soon after its begin. The caller does not wait for that.
-func (f *forwarder) checkUnmarkedEnd(begunAt monotime.Instant) {
+func (f *forwarder) checkUnmarkedEnd(e *exchange, begunAt monotime.Instant) {
 	now := monotime.Now()
 	if f.received.framing != framingClose || now.Sub(begunAt) > crashWindow {
 		return
 	}
 	crash, target, id, r := f.crashOf(now), f.target, f.request.ID, f.relay
+	succeeded := e.resp.StatusCode < http.StatusMultipleChoices
+	r.answers.watch()
 	go func() {
+		defer r.answers.unwatch()
 		timer.Sleep(unmarkedEndDelay, nil)
 		switch {
 		case r.answers.since(target.ID, crash.At.Add(lateBytes)):
-			r.cfg.Fleet.Survived(crash.Content(), begunAt)
+			if succeeded {
+				r.cfg.Fleet.Survived(crash.Content(), begunAt)
+			}
 		case r.mayProbeUnmarked() && r.probes.ended(context.Background(), target, r.cfg.Connector):
 			r.reportCrash(crash, id)
 		default:
@@ -243,20 +249,34 @@
 	delete(p.recent, server)
 }
 
-// answerTimes holds when each server last sent a part of an answer.
+// answerTimes holds when each server last sent a part of an answer, while anything watches
+// for that.
 type answerTimes struct {
+	// watching is the number of calls of watch without one of unwatch. While it is zero,
+	// answers take no lock.
+	watching atomic.Int64
+
 	mu sync.Mutex
 	at map[string]monotime.Instant
 }
 
-// maxAnswerTimes bounds the servers in answerTimes. Beyond it all are dropped, which costs
-// some probes.
-const maxAnswerTimes = 8192
+func (a *answerTimes) watch() { a.watching.Add(1) }
+
+func (a *answerTimes) unwatch() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.watching.Add(-1) == 0 {
+		clear(a.at)
+	}
+}
 
 func (a *answerTimes) record(server string, now monotime.Instant) {
+	if a.watching.Load() == 0 {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.at == nil || len(a.at) >= maxAnswerTimes {
+	if a.at == nil {
 		a.at = make(map[string]monotime.Instant)
 	}
 	a.at[server] = now
@@ -266,5 +286,6 @@
 func (a *answerTimes) since(server string, after monotime.Instant) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.at[server] > after
+	at, ok := a.at[server]
+	return ok && at > after
 }
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -15,10 +16,10 @@
 
 // closing sends the head of an answer without a marked end and, for a stream, an event, and
 // closes the connection after a while.
-func closing(body string, after time.Duration) script {
+func closing(status int, body string, after time.Duration) script {
 	return func(t *testing.T, c net.Conn, in *bufio.Reader) {
 		req, _ := readRequest(t, in)
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+req.Header.Get("X-Id")+"\r\nX-Seal: s\r\n\r\n"+body)
+		_, _ = io.WriteString(c, "HTTP/1.1 "+strconv.Itoa(status)+" OK\r\nX-Id: "+req.Header.Get("X-Id")+"\r\nX-Seal: s\r\n\r\n"+body)
 		time.Sleep(after)
 	}
 }
@@ -51,10 +52,10 @@
 		{"only the connection", "/once/x", []script{startThenClose(false, 100*time.Millisecond), alive}, 0, 1, 0},
 		{"not at all", "/once/x", []script{replying(answer("r", 200, "", "ok"))}, 0, 0, 1},
 		{"an error of the server", "/once/x", []script{replying(answer("r", 500, "", "no"))}, 0, 0, 0},
-		{"after an event, without a marked end", "/stream/x", []script{closing("id: 1\n\n", 50*time.Millisecond)}, 1, 0, 0},
-		{"after a body, without a marked end", "/once/x", []script{closing("ok", 0)}, 1, 0, 0},
-		{"not at all, without a marked end", "/stream/x", []script{closing("id: 1\n\n", 50*time.Millisecond), alive}, 0, 1, 0},
-		{"long after it, without a marked end", "/stream/x", []script{closing("id: 1\n\n", 2*crashWindow)}, 0, 0, 0},
+		{"after an event, without a marked end", "/stream/x", []script{closing(200, "id: 1\n\n", 50*time.Millisecond)}, 1, 0, 0},
+		{"after a body, without a marked end", "/once/x", []script{closing(200, "ok", 0)}, 1, 0, 0},
+		{"not at all, without a marked end", "/stream/x", []script{closing(200, "id: 1\n\n", 50*time.Millisecond), alive}, 0, 1, 0},
+		{"long after it, without a marked end", "/stream/x", []script{closing(200, "id: 1\n\n", 2*crashWindow)}, 0, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -78,19 +79,22 @@
 
 // Guards against an answer without a marked end that never exonerates its request.
 func TestALaterAnswerShowsThatTheServerSurvived(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newRig(t, allRoutes, map[string][]script{"s1": {
-			closing("id: 1\n\n", 0), replying(answer("r2", 500, "", "no")),
-		}}, "s1")
-		b.serve(request("POST", "/stream/x", "r1", "body"))
-		time.Sleep(2 * lateBytes)
-		b.serve(request("POST", "/once/x", "r2", "other"))
-		time.Sleep(2 * unmarkedEndDelay)
-		b.close()
-		if len(b.fleet.survived) != 1 || len(b.fleet.crashed)+len(b.fleet.brokeOff) > 0 {
-			t.Errorf("%d runs without a crash, %d crashes, %d broken answers", len(b.fleet.survived), len(b.fleet.crashed), len(b.fleet.brokeOff))
-		}
-	})
+	for status, survived := range map[int]int{http.StatusOK: 1, http.StatusInternalServerError: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newRig(t, allRoutes, map[string][]script{"s1": {
+				closing(status, "id: 1\n\n", 0), replying(answer("r2", 500, "", "no")),
+			}}, "s1")
+			b.serve(request("POST", "/once/x", "r1", "body"))
+			time.Sleep(2 * lateBytes)
+			b.serve(request("POST", "/once/x", "r2", "other"))
+			time.Sleep(2 * unmarkedEndDelay)
+			b.close()
+			if len(b.fleet.survived) != survived || len(b.fleet.crashed)+len(b.fleet.brokeOff) > 0 {
+				t.Errorf("status %d: %d runs without a crash, %d crashes, %d broken answers",
+					status, len(b.fleet.survived), len(b.fleet.crashed), len(b.fleet.brokeOff))
+			}
+		})
+	}
 }
 
 // Guards against sending a poison request to another server, and against a Retry-After in
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -183,7 +183,7 @@
 	whole := len(body) < maxBufferedAnswer
 	if whole {
 		f.reportSurvived(e, begunAt)
-		f.checkUnmarkedEnd(begunAt)
+		f.checkUnmarkedEnd(e, begunAt)
 		e.finish()
 		if f.received.framing == framingLength || f.received.framing == framingChunked {
 			f.framing = framingLength
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -201,7 +201,7 @@
 // endStream ends the caller's stream after the server ended its own between two events.
 func (f *forwarder) endStream(e *exchange) *verdict.Error {
 	f.reportSurvived(e, f.firstEventAt)
-	f.checkUnmarkedEnd(f.firstEventAt)
+	f.checkUnmarkedEnd(e, f.firstEventAt)
 	f.observe(placement.Served)
 	if !f.stream.started {
 		f.startStream(e)
