--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -62,6 +62,7 @@
 				b := newRig(t, allRoutes, map[string][]script{"s1": c.scripts}, "s1")
 				b.serve(request("POST", c.path, "r", "body"))
 				time.Sleep(2 * unmarkedEndDelay)
+				synctest.Wait()
 				b.close()
 				if len(b.fleet.crashed) != c.crashed || len(b.fleet.brokeOff) != c.brokeOff || len(b.fleet.survived) != c.survived {
 					t.Errorf("%d crashes, %d broken answers and %d runs without, want %d, %d and %d",
@@ -88,6 +89,7 @@
 			time.Sleep(2 * lateBytes)
 			b.serve(request("POST", "/once/x", "r2", "other"))
 			time.Sleep(2 * unmarkedEndDelay)
+			synctest.Wait()
 			b.close()
 			if len(b.fleet.survived) != survived || len(b.fleet.crashed)+len(b.fleet.brokeOff) > 0 {
 				t.Errorf("status %d: %d runs without a crash, %d crashes, %d broken answers",
