--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -183,8 +183,8 @@
 	return true
 }
 
-// addRun adds a request to an end. Instances that know of different ones keep the same in
-// the end.
+// addRun adds a request to an end. It keeps those with the smallest fingerprints, so that all
+// instances keep the same ones.
 func (e *serverEnd) addRun(c *Crash) bool {
 	i, found := slices.BinarySearchFunc(e.runs, c.Request, func(r run, f Fingerprint) int { return bytes.Compare(r.request[:], f[:]) })
 	if found || i >= maxRuns {
--- a/internal/crashes/culprits.go
+++ b/internal/crashes/culprits.go
@@ -38,8 +38,8 @@
 
 // Culprit is content that crashes servers. Requests that carry all of it are refused.
 type Culprit struct {
-	// Contents is a request, or parts that can't be told apart: each end was that of a server
-	// that ran a request with all of them.
+	// Contents is a request, or parts that can't be distinguished: each server that ended ran
+	// a request with all of them.
 	Contents []Fingerprint
 	// Customer is the only one whose requests are refused; empty for those of all. A
 	// customer may make servers end, and must not have the prompts of others refused by it.
@@ -125,8 +125,8 @@
 
 // findCulprits returns all requests that are candidates, and the fewest parts that explain
 // the ends under different requests: one after the other, those that explain most of the
-// ends that are left. Parts that have run without a crash lately come last: they are to
-// blame only if no others are.
+// ends that are left. Parts that have run without a crash lately come last: they are
+// culprits only if no others explain the ends.
 func (t *Tracker) findCulprits() (out []Culprit) {
 	var parts []Fingerprint
 	for f, s := range t.suspects {
@@ -163,7 +163,7 @@
 }
 
 // inOneRequest reports whether one and the same request carried the part at all ends: then
-// the request is to blame.
+// the culprit is that request.
 func (s *suspect) inOneRequest() bool {
 	var first *run
 	for _, e := range s.ends {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -17,8 +17,8 @@
 	crashesPerMessage = 256
 	// maxPartsSent bounds the parts of one crash that a peer may send.
 	maxPartsSent = 32
-	// trialStep is how long one half of the instances, then twice as many, wait for the
-	// others to send a culprit on for trial.
+	// trialStep is the time after which twice as many instances may send a culprit on for
+	// trial: those before them may get no such request.
 	trialStep = 5 * time.Second
 )
 
@@ -71,8 +71,8 @@
 	f.recordCrash(crash, now)
 }
 
-// recordCrash records a crash and reports it to all peers, with the runs here that speak
-// for parts of the request.
+// recordCrash records a crash and reports it to all peers, with the runs here that
+// exonerate parts of the request.
 func (f *fleet) recordCrash(crash crashes.Crash, now monotime.Instant) {
 	crash.From = f.self
 	list := f.crashes.add([]crashes.Crash{crash}, now)
@@ -156,7 +156,7 @@
 }
 
 // addOwnRuns records the latest runs here with parts that a crash made suspects. It returns
-// those that peers are to be told of.
+// those to be sent to peers.
 func (c *crashTracker) addOwnRuns(parts []crashes.Fingerprint, now monotime.Instant) (fresh []wire.RelayCrash) {
 	for _, part := range parts {
 		c.runsMu.Lock()
@@ -222,7 +222,7 @@
 }
 
 // receive applies crashes that a peer sent. It returns those that were not recorded before,
-// and the runs here that speak for parts of these.
+// and the runs here that exonerate parts of these.
 func (c *crashTracker) receive(from string, received []wire.RelayCrash, now monotime.Instant) (fresh, own []wire.RelayCrash) {
 	var list []crashes.Crash
 	for _, t := range received {
@@ -239,13 +239,14 @@
 	}
 	fresh = append(fresh, c.add(list, now)...)
 	for _, crash := range list {
-		own = append(own, c.addOwnRuns(c.accused(crash.Parts), now)...)
+		own = append(own, c.addOwnRuns(c.withSeveralEnds(crash.Parts), now)...)
 	}
 	return fresh, own
 }
 
-// accused returns the parts with several ends. For the others no instance needs to speak.
-func (c *crashTracker) accused(parts []crashes.Fingerprint) (out []crashes.Fingerprint) {
+// withSeveralEnds returns the parts with several ends. With fewer, a run of theirs changes
+// nothing.
+func (c *crashTracker) withSeveralEnds(parts []crashes.Fingerprint) (out []crashes.Fingerprint) {
 	const several = 2
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/placement/brittle.go
+++ b/internal/placement/brittle.go
@@ -7,8 +7,8 @@
 	"basilrudder/internal/monotime"
 )
 
-// Places tells the place of this instance among those that share a server, from 0, and their
-// number. ok is false while this instance knows too few of the others to share.
+// Places returns the place of this instance among those that share a server, from 0, and
+// their number. ok is false while this instance has too few members to share with.
 type Places func(server string) (place, instances int, ok bool)
 
 // SetSharing sets the id of this instance and its place among those that share a server.
