--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,6 +154,7 @@
 	g.fleet.crashes.trialPlace = g.fleet.trialPlace
 	g.fleet.streams = newStreamVersions()
 	g.fleet.resetConfirmations()
+	g.fleet.board.SetFeatures(placementFeatures(&s.Placement))
 	g.fleet.board.SetCostJitter(jitterOf(0, 1))
 	g.fleet.board.SetSharing(g.fleet.self, g.fleet.serverPlace)
 	g.storeSync = &storeSync{
--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -53,6 +53,7 @@
 		g.connector.probe(monotime.Now())
 		g.fleet.logOutages(g.peers.staleness(), monotime.Now())
 		instances := g.peers.memberCount()
+		g.fleet.board.SetFleetSize(instances, monotime.Now())
 		g.fleet.board.SetPeers(instances-1, g.peers.staleness())
 		g.fleet.board.SetCostJitter(jitterOf(monotime.Now().Sub(g.started), instances))
 		if n%ticksPerSweep == 0 {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 
+	"basilrudder/internal/placement"
 	"basilrudder/internal/schema/relaysettings"
 	"basilrudder/schema"
 )
@@ -34,3 +35,13 @@
 	}
 	return out, nil
 }
+
+func placementFeatures(s *relaysettings.PlacementSettings) placement.Features {
+	return placement.Features{
+		LargeFleet:            s.LargeFleetInstances,
+		SharedServerPaces:     s.SharedServerPaces,
+		CalibratedPauses:      s.CalibratedPauses,
+		SplitEngines:          s.SplitEngines,
+		PreferOpenConnections: s.PreferOpenConnections,
+	}
+}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -34,7 +34,10 @@
 	self   string
 	places Places
 
-	mu         sync.Mutex
+	mu       sync.Mutex
+	features Features
+	// largeUntil is until when the fleet counts as large; 0 for never.
+	largeUntil monotime.Instant
 	rand       *rand.Rand
 	contention contention
 	servers    map[string]*server
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -96,6 +96,10 @@
 	return math.Exp(excess * decay(now.Sub(s.slowAt), slownessFadeTime))
 }
 
+// paceSpread returns the standard deviation of the logarithm of an engine's slowness; 0
+// while it is not tracked.
+func (s *server) paceSpread(monotime.Instant) float64 { return 0 }
+
 // pace returns the expected pace of an engine.
 func (s *server) pace(now monotime.Instant) pace.Pace {
 	return s.kind.model.Pace().Slower(s.slowness(now))
--- a/internal/schema/relaysettings/relaysettings.gen.go
+++ b/internal/schema/relaysettings/relaysettings.gen.go
@@ -81,6 +81,28 @@
 	Region string `json:"region"`
 }
 
+// Placement configures how servers are chosen in a large fleet.
+type PlacementSettings struct {
+	// The probability that a stream pauses too long is learned from streams that
+	// ended.
+	CalibratedPauses bool `json:"calibrated_pauses,omitempty,omitzero"`
+
+	// Number of instances, this one included, from which on the other keys of this
+	// table take effect; 0 for never.
+	LargeFleetInstances int `json:"large_fleet_instances,omitempty,omitzero"`
+
+	// Among servers of about the same cost, those with an idle connection are
+	// preferred.
+	PreferOpenConnections bool `json:"prefer_open_connections,omitempty,omitzero"`
+
+	// Instances exchange samples of how fast each server is.
+	SharedServerPaces bool `json:"shared_server_paces,omitempty,omitzero"`
+
+	// Streams with short pauses and long prompts are placed on different engines
+	// where possible.
+	SplitEngines bool `json:"split_engines,omitempty,omitzero"`
+}
+
 // Settings of one relaying instance.
 type RelaySettings struct {
 	// Directory configures what callers are told.
@@ -101,6 +123,9 @@
 	// Peers configures links between instances.
 	Peers PeerSettings `json:"peers,omitempty,omitzero"`
 
+	// Placement configures how servers are chosen in a large fleet.
+	Placement PlacementSettings `json:"placement,omitempty,omitzero"`
+
 	// Places say in which region each data centre lies.
 	Places []PlaceSettings `json:"places,omitempty,omitzero"`
 
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -429,11 +429,18 @@
 
 // RelayCache is what an engine keeps of prompts.
 type RelayCache struct {
+	// Logarithm of how many times slower the engine is than the median of its
+	// service, in hundredths.
+	Slowness int `json:"l,omitempty,omitzero"`
+
 	// Parts that it keeps, least recently used first.
 	Parts []RelayPart `json:"p,omitempty,omitzero"`
 
 	// Incarnation of the engine.
 	Server string `json:"s"`
+
+	// Standard deviation of that logarithm in hundredths; 0 when nothing is known.
+	SlownessSpread int `json:"u,omitempty,omitzero"`
 }
 
 // RelayCrash is the end of a server soon after it began to run a request, or a run
@@ -474,6 +481,10 @@
 	// Number of samples of first events.
 	FirstSamples int `json:"f"`
 
+	// Counts of the ratios of real to predicted longest pauses, in a fixed order of
+	// bins.
+	Gaps []int `json:"g,omitempty,omitzero"`
+
 	// Service of the engines.
 	Service string `json:"s"`
 
@@ -586,6 +597,11 @@
 	// What the sender has seen of engines.
 	Evidence []RelayEvidence `json:"p,omitempty,omitzero"`
 
+	// Samples of the pace of servers, three numbers each: a run, the logarithm of the
+	// ratio of its time to the expected one in hundredths, and the time that the
+	// sample covers in milliseconds.
+	Paces []int `json:"pc,omitempty,omitzero"`
+
 	// Changes of servers.
 	Servers []RelayServer `json:"s,omitempty,omitzero"`
 
