Emulator: engines that differ in speed for good, phases of slowness

Change: Scenario.Uneven and Scenario.Features, scenario uneven-engines (86 instances, 140 engines of which a third is 2.4 times slower).

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -54,6 +54,17 @@
 	SlowFactor float64
 }
 
+// Uneven makes engines differ in speed for as long as they run.
+type Uneven struct {
+	// Share of the engines that are slow, spread over all of them, and the factor that
+	// multiplies their step time.
+	Share, Factor float64
+	// Phases of length For, in which steps of any engine take PhaseFactor times as long,
+	// begin after pauses with mean Every. 0 means none.
+	Every, For  time.Duration
+	PhaseFactor float64
+}
+
 // Scenario describes a fleet, its load and its faults.
 type Scenario struct {
 	Name      string
@@ -66,6 +77,9 @@
 	Classes        []Class
 	Bursts         []Burst
 	Faults         []Fault
+	Uneven         Uneven
+	// Features of placement that are switched on.
+	Features placement.Features
 	// Length is the time during which requests arrive.
 	Length time.Duration
 }
@@ -119,7 +133,7 @@
 	}
 	s.loop.Run(time.Hour) // keeps instants before the start non-negative
 	for n := range scenario.Engines {
-		e := &engine{kind: scenario.Kind, id: fmt.Sprintf("engine-%03d", n), sim: s, slowFactor: 1, cache: make(map[string]cachedPart)}
+		e := &engine{kind: scenario.Kind, id: fmt.Sprintf("engine-%03d", n), sim: s, ownFactor: s.ownFactor(n), slowFactor: 1, cache: make(map[string]cachedPart)}
 		s.engines = append(s.engines, e)
 		s.byID[e.id] = e
 	}
@@ -128,6 +142,9 @@
 		s.instances = append(s.instances, newInstance(s, n))
 	}
 	start := s.loop.Now()
+	for _, e := range s.engines {
+		s.schedulePhase(e)
+	}
 	for _, f := range scenario.Faults {
 		s.loop.At(start.Add(f.At), func() { s.startFault(f) })
 		s.loop.At(start.Add(f.At+f.For), func() { s.endFault(f) })
@@ -142,6 +159,30 @@
 	return s.result
 }
 
+// ownFactor returns the factor of the step time of the n-th engine.
+func (s *sim) ownFactor(n int) float64 {
+	uneven := &s.scenario.Uneven
+	if math.Floor(float64(n+1)*uneven.Share) > math.Floor(float64(n)*uneven.Share) {
+		return uneven.Factor
+	}
+	return 1
+}
+
+// schedulePhase schedules the next slow phase of an engine.
+func (s *sim) schedulePhase(e *engine) {
+	uneven := &s.scenario.Uneven
+	if uneven.Every == 0 {
+		return
+	}
+	s.loop.After(time.Duration(s.random.ExpFloat64()*float64(uneven.Every)), func() {
+		e.slowFactor *= uneven.PhaseFactor
+		s.loop.After(uneven.For, func() {
+			e.slowFactor /= uneven.PhaseFactor
+			s.schedulePhase(e)
+		})
+	})
+}
+
 // newPool returns the pool of all engines.
 func (s *sim) newPool() *placement.Pool {
 	kind := &s.scenario.Kind
@@ -162,7 +203,7 @@
 func (s *sim) startFault(f Fault) {
 	for _, e := range s.affectedEngines(f) {
 		if f.SlowFactor > 0 {
-			e.slowFactor = f.SlowFactor
+			e.slowFactor *= f.SlowFactor
 		} else {
 			e.crash()
 		}
@@ -172,7 +213,10 @@
 // endFault restores the affected engines to full speed.
 func (s *sim) endFault(f Fault) {
 	for _, e := range s.affectedEngines(f) {
-		e.slowFactor, e.down = 1, false
+		if f.SlowFactor > 0 {
+			e.slowFactor /= f.SlowFactor
+		}
+		e.down = false
 	}
 }
 
@@ -227,6 +271,8 @@
 func (s *sim) newBoard() *placement.Board {
 	b := placement.NewBoard(pace.DefaultPrior, dataCentre)
 	b.SetPeers(s.scenario.Instances-1, s.scenario.MaxUpdateDelay)
+	b.SetFeatures(s.scenario.Features)
+	b.SetFleetSize(s.scenario.Instances, s.now())
 	b.Seed(s.random.Uint64())
 	return b
 }
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -32,11 +32,12 @@
 	kind EngineKind
 	id   string
 	sim  *sim
-	// slowFactor multiplies the time of every step; an engine that is down refuses runs.
-	slowFactor float64
-	down       bool
-	running    []*run
-	queue      []*run
+	// ownFactor and slowFactor multiply the time of every step, the first for good; an
+	// engine that is down refuses runs.
+	ownFactor, slowFactor float64
+	down                  bool
+	running               []*run
+	queue                 []*run
 	// cache holds the prompt parts in memory by ID; cachedTokens is their sum.
 	cache        map[string]cachedPart
 	cachedTokens int
@@ -170,7 +171,7 @@
 		budget -= chunk
 	}
 	generation := e.generation
-	e.sim.loop.After(time.Duration(float64(duration)*e.slowFactor), func() {
+	e.sim.loop.After(time.Duration(float64(duration)*e.ownFactor*e.slowFactor), func() {
 		if generation == e.generation {
 			e.stepping = false
 			e.endStep()
--- a/internal/emulator/scenarios.go
+++ b/internal/emulator/scenarios.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"basilrudder/internal/pace"
+	"basilrudder/internal/placement"
 )
 
 // Two speed models that differ in how batching slows a step.
@@ -61,7 +62,29 @@
 	many.Kind.Slots, many.Kind.Queue = 12, 12
 	many.Classes = classes(5, 1)
 	many.Length = 5 * time.Second
-	return []Scenario{calm, steepCalm, burst, crash, slow, slower, faster, many, burstOnLongStreams(), largeFleet(2400)}
+	return []Scenario{calm, steepCalm, burst, crash, slow, slower, faster, many, burstOnLongStreams(), largeFleet(2400), unevenEngines()}
+}
+
+// unevenEngines has a third of its engines 2.4 times slower than the others, and phases of
+// some hundred milliseconds in which any of them is slow. Queries with short pauses run
+// beside long prompts. An instance meets a given engine less than once in five seconds.
+func unevenEngines() Scenario {
+	return Scenario{
+		Name: "uneven-engines", Instances: 86, MaxUpdateDelay: 30 * time.Millisecond, Engines: 140,
+		Kind: EngineKind{Slots: 16, Queue: 33, MemoryTokens: 500_000, EventTokens: 5, Preempts: true,
+			Pace: pace.Pace{Step: 3600 * time.Microsecond, StepPerRun: 20 * time.Microsecond, ReadToken: 13 * time.Microsecond, AttentionPerM: 60 * time.Microsecond, First: time.Millisecond}},
+		Uneven:   Uneven{Share: 1.0 / 3, Factor: 2.4, Every: 1700 * time.Millisecond, For: 300 * time.Millisecond, PhaseFactor: 2.5},
+		Features: placement.Features{LargeFleet: 17, SharedServerPaces: true, CalibratedPauses: true, SplitEngines: true, PreferOpenConnections: true},
+		Classes: []Class{
+			{Name: "query", PerSecond: 108, SharedParts: 60, SharedTokens: 350, OwnTokens: 1110, Output: 170,
+				Goal: 1200 * time.Millisecond, MaxGap: 250 * time.Millisecond, Timeout: 12 * time.Second},
+			{Name: "explain", PerSecond: 95, SharedParts: 300, SharedTokens: 6300, OwnTokens: 2890, Output: 50, Priority: 1,
+				Goal: 1200 * time.Millisecond, MaxGap: 400 * time.Millisecond, Timeout: 6 * time.Second},
+			{Name: "summary", PerSecond: 165, SharedParts: 600, SharedTokens: 13_300, OwnTokens: 3720, Output: 120, Priority: 2,
+				Goal: 2 * time.Second, MaxGap: time.Second, Timeout: 10 * time.Second},
+		},
+		Length: 15 * time.Second,
+	}
 }
 
 // largeFleet has many more engines than requests at any time. Prompts share long starts, of
