Placement: estimates of each server's speed from the samples of all instances

Cause: with 86 instances and 140 engines an instance uses a given engine less than once in ten seconds, so its estimate of that engine stays at 1.

Change: run samples go to all instances, and a filter with reversion to the service's median turns them into a mean and a variance for each server. Not yet in the gateway.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -126,6 +126,12 @@
 
 // Run simulates a scenario; seed determines all random choices.
 func Run(scenario Scenario, seed uint64) Result {
+	s := newSim(scenario, seed)
+	s.run()
+	return s.result
+}
+
+func newSim(scenario Scenario, seed uint64) *sim {
 	s := &sim{
 		scenario: scenario, random: rand.New(rand.NewPCG(seed, seed+1)),
 		byID:   make(map[string]*engine),
@@ -141,6 +147,12 @@
 	for n := range scenario.Instances {
 		s.instances = append(s.instances, newInstance(s, n))
 	}
+	return s
+}
+
+// run schedules all phases, faults and requests, and runs them.
+func (s *sim) run() {
+	scenario := &s.scenario
 	start := s.loop.Now()
 	for _, e := range s.engines {
 		s.schedulePhase(e)
@@ -156,7 +168,6 @@
 		s.loop.At(start.Add(at), s.exchangeStatistics)
 	}
 	s.loop.Run(scenario.Length + drainTime)
-	return s.result
 }
 
 // ownFactor returns the factor of the step time of the n-th engine.
--- a/internal/emulator/instance.go
+++ b/internal/emulator/instance.go
@@ -81,7 +81,9 @@
 		i.board.OwnFirstEvent(id, now)
 		i.broadcast(func(to *placement.Board, now monotime.Instant) { to.FirstEvent(id, now) })
 	}
-	i.board.Events(id, 1, now)
+	if sample, due := i.board.Events(id, 1, now); due {
+		i.broadcast(func(to *placement.Board, now monotime.Instant) { to.RecordPace(id, sample, now) })
+	}
 	r.call.recordEvent(now)
 	if last {
 		i.board.Observe(r.call.engine.id, placement.Served, now)
@@ -100,6 +102,11 @@
 // endRun ends a run on the own board and, later, on those of the other instances.
 func (i *instance) endRun(r *run) {
 	id := placement.RunID{Instance: i.name, Number: r.number}
-	i.board.End(id, i.sim.now())
-	i.broadcast(func(to *placement.Board, now monotime.Instant) { to.End(id, now) })
+	sample, due := i.board.End(id, i.sim.now())
+	i.broadcast(func(to *placement.Board, now monotime.Instant) {
+		if due {
+			to.RecordPace(id, sample, now)
+		}
+		to.End(id, now)
+	})
 }
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -271,17 +271,22 @@
 	}
 }
 
-// End records the end of a run, whatever its outcome.
-func (b *Board) End(id RunID, now monotime.Instant) {
+// End records the end of a run, whatever its outcome. It returns the last sample of a
+// run of this instance for the others, if there is one.
+func (b *Board) End(id RunID, now monotime.Instant) (sample pace.ServerSample, due bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.runs[id]; r != nil {
+		if r.server.kind.shared(now) {
+			sample, due = b.shareSample(r, now)
+		}
 		r.server.kind.recordLife(now.Sub(r.begun))
 		if r.work.Prompt > 0 {
 			b.contention.ended.add(now)
 		}
 	}
 	b.end(id, now)
+	return sample, due
 }
 
 func (b *Board) end(id RunID, now monotime.Instant) {
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -50,6 +50,11 @@
 	meanReadTime time.Duration
 	// meanLife is the mean time from the begin of a run to its end.
 	meanLife time.Duration
+	// servers is what the estimates of its servers share, see pace.Servers, as of
+	// serversAt.
+	servers   pace.Servers
+	serversAt monotime.Instant
+	board     *Board
 	// asked is the rate of choices of this instance while the servers are brittle.
 	asked rate
 }
@@ -72,9 +77,10 @@
 }
 
 // watch holds the current intervals of a stream: any shows how slow its engine is, and
-// noReading, in which the engine reads no prompt, shows how long its steps are.
+// noReading, in which the engine reads no prompt, shows how long its steps are. unshared
+// is what is not yet part of a sample for the other instances.
 type watch struct {
-	any, noReading interval
+	any, noReading, unshared interval
 }
 
 // advance brings the progress of an engine up to an instant.
@@ -88,6 +94,10 @@
 // slowness returns the ratio of an engine's times to the median of its service, less the
 // deadband, fading with the age of the last sample.
 func (s *server) slowness(now monotime.Instant) float64 {
+	if s.kind.shared(now) {
+		mean, _ := s.kind.servers.Predict(&s.estimate, now)
+		return math.Exp(mean)
+	}
 	if s.slowAt == 0 {
 		return 1
 	}
@@ -98,20 +108,31 @@
 
 // paceSpread returns the standard deviation of the logarithm of an engine's slowness; 0
 // while it is not tracked.
-func (s *server) paceSpread(monotime.Instant) float64 { return 0 }
+func (s *server) paceSpread(now monotime.Instant) float64 {
+	if !s.kind.shared(now) {
+		return 0
+	}
+	_, variance := s.kind.servers.Predict(&s.estimate, now)
+	return math.Sqrt(variance)
+}
 
 // pace returns the expected pace of an engine.
 func (s *server) pace(now monotime.Instant) pace.Pace {
-	return s.kind.model.Pace().Slower(s.slowness(now))
+	factor := s.slowness(now)
+	if s.kind.shared(now) {
+		factor *= math.Exp(s.kind.servers.Centre())
+	}
+	return s.kind.model.Pace().Slower(factor)
 }
 
-// Events records that count events of a stream arrived.
-func (b *Board) Events(id RunID, count int, now monotime.Instant) {
+// Events records that count events of a stream of this instance arrived. It returns a
+// sample for the other instances when one is due.
+func (b *Board) Events(id RunID, count int, now monotime.Instant) (sample pace.ServerSample, due bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.runs[id]
 	if r == nil || count == 0 {
-		return
+		return pace.ServerSample{}, false
 	}
 	s := r.server
 	s.lastEventAt = now
@@ -121,6 +142,12 @@
 		b.updateMedian(s.kind, now)
 		r.watch.any = s.newInterval(now)
 	}
+	if s.kind.shared(now) {
+		r.watch.unshared.add(s, count, now)
+		if r.watch.unshared.lasted() >= shareInterval {
+			sample, due = b.shareSample(r, now)
+		}
+	}
 	noReading := &r.watch.noReading
 	switch {
 	case len(s.queue.runs) > 0 || noReading.begun != s.begun:
@@ -130,6 +157,7 @@
 		s.observeSteps(noReading)
 		r.watch.noReading = s.newInterval(now)
 	}
+	return sample, due
 }
 
 // newInterval returns an interval that starts now.
@@ -258,7 +286,7 @@
 func (b *Board) kindOf(service string) *engineKind {
 	e := b.kinds[service]
 	if e == nil {
-		e = &engineKind{model: pace.NewModel(b.prior), medianSlowness: 1, meanReadTime: initialMeanReadTime}
+		e = &engineKind{model: pace.NewModel(b.prior), medianSlowness: 1, meanReadTime: initialMeanReadTime, servers: pace.NewServers(), board: b}
 		b.kinds[service] = e
 	}
 	return e
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/pace"
 )
 
 // server is the model of one incarnation.
@@ -37,6 +38,8 @@
 	// slowAt, which is 0 when there were none.
 	slow   float64
 	slowAt monotime.Instant
+	// estimate is that of its slowness from the samples of all instances.
+	estimate pace.ServerEstimate
 	// lastEventAt is when its last reported event was.
 	lastEventAt monotime.Instant
 	// hazards are the rates of pauses longer than each limit in use, and onTime the
--- /dev/null
+++ b/internal/placement/serverpace.go
@@ -0,0 +1,119 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/pace"
+)
+
+const (
+	// shareInterval is the interval of the samples of a long stream for the other
+	// instances.
+	shareInterval = 2 * time.Second
+	// minShared is the minimum time that such a sample covers. A shorter one says little
+	// for the bytes that it takes.
+	minShared = 50 * time.Millisecond
+	// centreMaxAge is how long the centre and the spread of the servers of a service are
+	// reused, and centrePerServer the least time for each server: computing them goes
+	// through all servers.
+	centreMaxAge    = 200 * time.Millisecond
+	centrePerServer = 200 * time.Microsecond
+)
+
+// shared reports whether the instances exchange samples of the pace of each server.
+func (k *engineKind) shared(now monotime.Instant) bool {
+	return k.board.enabled(k.board.features.SharedServerPaces, now)
+}
+
+// lasted returns the time from the start of an interval to its last event.
+func (w *interval) lasted() time.Duration { return w.to.Sub(w.from) }
+
+// shareSample ends the unshared interval of a run of this instance and returns its
+// sample, which is applied here as the other instances do.
+func (b *Board) shareSample(r *run, now monotime.Instant) (sample pace.ServerSample, ok bool) {
+	w := r.watch.unshared
+	if w.from == 0 || w.events < minIntervalEvents || w.lasted() < minShared {
+		return pace.ServerSample{}, false
+	}
+	r.watch.unshared = r.server.newInterval(now)
+	expected := r.server.kind.model.Expected(w.sample(r.server))
+	if expected <= 0 {
+		return pace.ServerSample{}, false
+	}
+	ratio := float64(w.lasted()) / float64(expected)
+	sample = pace.ServerSample{LogRatio: math.Log(min(max(ratio, 1/maxSlowSample), maxSlowSample)), Covered: w.lasted()}
+	b.recordSample(r.server, sample, now)
+	return sample, true
+}
+
+// RecordPace applies a sample of a run of another instance. It reports whether the run is
+// known.
+func (b *Board) RecordPace(id RunID, sample pace.ServerSample, now monotime.Instant) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.runs[id]
+	if r == nil {
+		return false
+	}
+	if r.server.kind.shared(now) {
+		b.recordSample(r.server, sample, now)
+	}
+	return true
+}
+
+// recordSample applies a sample of a stream on a server.
+func (b *Board) recordSample(s *server, sample pace.ServerSample, now monotime.Instant) {
+	streaming := 0
+	for _, r := range s.runs {
+		if r.first {
+			streaming++
+		}
+	}
+	s.kind.servers.Observe(&s.estimate, sample, streaming, now)
+	b.updateCentre(s.kind, now)
+}
+
+// updateCentre recomputes what the estimates of the servers of a service share, when it is
+// old.
+func (b *Board) updateCentre(kind *engineKind, now monotime.Instant) {
+	maxAge := max(centreMaxAge, time.Duration(len(b.servers))*centrePerServer)
+	if kind.serversAt != 0 && now.Sub(kind.serversAt) < maxAge {
+		return
+	}
+	kind.serversAt = now
+	var known []*pace.ServerEstimate
+	for _, s := range b.servers {
+		if s.kind == kind && s.estimate.Known() {
+			known = append(known, &s.estimate)
+		}
+	}
+	kind.servers.Update(known, now)
+}
+
+// ServerPace is the estimated pace of a server.
+type ServerPace struct {
+	Server, Service string
+	// Slowness is the ratio of its times to the median of its service, and Spread the
+	// standard deviation of the logarithm of that.
+	Slowness, Spread float64
+}
+
+// ServerPaces returns the estimates of all servers of which samples were taken; none while
+// the instances do not exchange them.
+func (b *Board) ServerPaces(now monotime.Instant) (out []ServerPace) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for service, kind := range b.kinds {
+		if !kind.shared(now) {
+			continue
+		}
+		for _, s := range b.servers {
+			if s.kind == kind && s.estimate.Known() {
+				out = append(out, ServerPace{Server: s.id, Service: service, Slowness: s.slowness(now), Spread: s.paceSpread(now)})
+			}
+		}
+	}
+	return out
+}
