Gateway: samples and estimates of server speed between instances

Change: run samples travel as field pc of updates and are applied before the ends of runs in the same update; a new instance receives the estimates with the cache states; log lines server_pace and server_pace_ignored, metric server_paces.

--- a/internal/gateway/batcher.go
+++ b/internal/gateway/batcher.go
@@ -72,6 +72,12 @@
 	n.add(func(p *wire.RelayNews) { p.First = append(p.First, run) })
 }
 
+// addPace adds a sample of the pace of a server. Receivers apply it before the ends of
+// runs in the same update.
+func (n *updateBatcher) addPace(sample [paceNumbers]int) {
+	n.add(func(p *wire.RelayNews) { p.Paces = append(p.Paces, sample[:]...) })
+}
+
 func (n *updateBatcher) addEnd(run int) {
 	n.add(func(p *wire.RelayNews) { p.Ended = append(p.Ended, run) })
 }
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -126,16 +126,27 @@
 		p.cachesComplete.Store(true)
 	}
 	for _, cache := range update.Caches {
-		p.fleet.board.RecordCachedParts(cache.Server, decodeParts(cache.Parts), now)
+		// Without parts, it only holds the pace of the server.
+		if len(cache.Parts) > 0 {
+			p.fleet.board.RecordCachedParts(cache.Server, decodeParts(cache.Parts), now)
+		}
+		p.applyPaceEstimate(&cache, now)
 	}
 }
 
 // cacheStates returns the tracked cache state of all engines, most recently used parts
-// only.
+// only, and the estimated pace of each.
 func (f *fleet) cacheStates() []wire.RelayCache {
 	var out []wire.RelayCache
+	estimates := f.paceEstimates(monotime.Now())
 	for id, parts := range f.board.CachedParts(partsPerEngine(f.serverCount())) {
-		out = append(out, wire.RelayCache{Server: id, Parts: encodeParts(parts)})
+		cache := estimates[id]
+		cache.Server, cache.Parts = id, encodeParts(parts)
+		delete(estimates, id)
+		out = append(out, cache)
+	}
+	for _, cache := range estimates {
+		out = append(out, cache)
 	}
 	return out
 }
@@ -147,7 +158,7 @@
 func splitCaches(caches []wire.RelayCache) (out [][]wire.RelayCache) {
 	start, parts := 0, 0
 	for i, cache := range caches {
-		parts += len(cache.Parts)
+		parts += max(1, len(cache.Parts))
 		if parts >= partsPerMessage || i+1 == len(caches) {
 			out = append(out, caches[start:i+1])
 			start, parts = i+1, 0
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -4,6 +4,8 @@
 	"expvar"
 
 	"github.com/valyala/fasthttp"
+
+	"basilrudder/internal/monotime"
 )
 
 // metrics answers with all counters and histograms as JSON.
@@ -19,6 +21,7 @@
 	vars.Set("cold_servers", expvar.Func(func() any { return g.fleet.coldServers() }))
 	vars.Set("store", expvar.Func(func() any { return g.storeMetrics() }))
 	vars.Set("limited_servers", expvar.Func(func() any { return g.fleet.rateLimitedServers() }))
+	vars.Set("server_paces", expvar.Func(func() any { return g.fleet.serverPaceMetrics(monotime.Now()) }))
 	vars.Set("unreachable_services", expvar.Func(func() any { return g.fleet.unreachableServices() }))
 	vars.Set("paths", expvar.Func(func() any { return g.connector.metrics() }))
 	vars.Set("tunnels", expvar.Func(func() any { return tunnelMetrics{Open: g.tunnels.Open(), Opened: g.tunnels.Total()} }))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -42,6 +42,7 @@
 	stateRequestedAt monotime.Instant      // when a peer was last asked for its state
 	loggedRole       role                  // role last logged
 	updatesLate      bool                  // updates were late when last logged
+	refusedPaces     refusedPaces
 	// refreshPending is set while a refresh is scheduled.
 	refreshPending bool
 }
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -40,12 +40,18 @@
 
 // Events implements relay.Fleet.
 func (f *fleet) Events(run, count int, now monotime.Instant) {
-	f.board.Events(placement.RunID{Instance: f.self, Number: run}, count, now)
+	sample, due := f.board.Events(placement.RunID{Instance: f.self, Number: run}, count, now)
+	if due {
+		f.updates.addPace(encodePace(run, sample))
+	}
 }
 
 // End implements relay.Fleet.
 func (f *fleet) End(run int, now monotime.Instant) {
-	f.board.End(placement.RunID{Instance: f.self, Number: run}, now)
+	sample, due := f.board.End(placement.RunID{Instance: f.self, Number: run}, now)
+	if due {
+		f.updates.addPace(encodePace(run, sample))
+	}
 	f.updates.addEnd(run)
 }
 
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -77,6 +77,7 @@
 	for _, number := range update.First {
 		board.FirstEvent(placement.RunID{Instance: origin, Number: number}, now)
 	}
+	p.applyPaces(origin, update.Paces, now)
 	for _, number := range update.Ended {
 		board.End(placement.RunID{Instance: origin, Number: number}, now)
 	}
--- a/internal/pace/server.go
+++ b/internal/pace/server.go
@@ -160,3 +160,12 @@
 	s.spread = max(covariance, varianceOfMeans, minSpread*minSpread)
 	s.noise = max((s.difference+priorPairs*priorNoise*priorNoise)/total, minNoise*minNoise)
 }
+
+// Adopt replaces the estimate of a server by that of another process, relative to the
+// centre of the service, unless its own is more certain.
+func (s *Servers) Adopt(e *ServerEstimate, mean, spread float64, now monotime.Instant) {
+	if _, variance := s.Predict(e, now); e.Known() && variance <= spread*spread {
+		return
+	}
+	e.mean, e.variance, e.at = s.centre+mean, spread*spread, now
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -29,6 +29,8 @@
 	itemCost = 64
 	// partCost is the same for a part of a prompt.
 	partCost = 24
+	// paceCost is the same for each of the three numbers of a sample of pace.
+	paceCost = 3
 	// maxMergedBytes is the size above which no more messages are merged into a frame. Without
 	// it merged frames could exceed MaxFrame.
 	maxMergedBytes = 64 << 10
@@ -170,6 +172,7 @@
 	}
 	for _, n := range env.News {
 		bytes += itemCost * (1 + len(n.Members) + len(n.Servers) + len(n.Begun) + len(n.First) + len(n.Ended))
+		bytes += paceCost * len(n.Paces)
 		for _, cache := range n.Caches {
 			bytes += itemCost + partCost*len(cache.Parts)
 		}
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -40,6 +40,8 @@
 	slowAt monotime.Instant
 	// estimate is that of its slowness from the samples of all instances.
 	estimate pace.ServerEstimate
+	// loggedLogSlowness is the logarithm of the slowness last logged.
+	loggedLogSlowness float64
 	// lastEventAt is when its last reported event was.
 	lastEventAt monotime.Instant
 	// hazards are the rates of pauses longer than each limit in use, and onTime the
--- a/internal/placement/serverpace.go
+++ b/internal/placement/serverpace.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"basilrudder/internal/monotime"
@@ -100,20 +102,94 @@
 	Slowness, Spread float64
 }
 
-// ServerPaces returns the estimates of all servers of which samples were taken; none while
-// the instances do not exchange them.
-func (b *Board) ServerPaces(now monotime.Instant) (out []ServerPace) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// knownPaces calls do with each server of which samples were taken, and its service, while
+// the instances exchange them.
+func (b *Board) knownPaces(now monotime.Instant, do func(service string, s *server)) {
 	for service, kind := range b.kinds {
 		if !kind.shared(now) {
 			continue
 		}
 		for _, s := range b.servers {
 			if s.kind == kind && s.estimate.Known() {
-				out = append(out, ServerPace{Server: s.id, Service: service, Slowness: s.slowness(now), Spread: s.paceSpread(now)})
+				do(service, s)
 			}
 		}
 	}
+}
+
+// ServerPaces returns the estimates of all servers of which samples were taken; none while
+// the instances do not exchange them.
+func (b *Board) ServerPaces(now monotime.Instant) (out []ServerPace) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.knownPaces(now, func(service string, s *server) {
+		out = append(out, ServerPace{Server: s.id, Service: service, Slowness: s.slowness(now), Spread: s.paceSpread(now)})
+	})
+	return out
+}
+
+// SetServerPace applies another instance's estimate of a server: the logarithm of its
+// slowness and the standard deviation of that. The more certain estimate is kept.
+func (b *Board) SetServerPace(serverID string, logSlowness, spread float64, now monotime.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.server(Candidate{ID: serverID})
+	s.kind.servers.Adopt(&s.estimate, logSlowness, spread, now)
+	b.updateCentre(s.kind, now)
+}
+
+// minLoggedChange is the factor by which the slowness of a server must differ from the
+// one last logged.
+const minLoggedChange = 1.2
+
+// ChangedServerPaces returns the estimates that have changed by minLoggedChange since they
+// were last returned, the ones that have changed most first, and at most limit.
+func (b *Board) ChangedServerPaces(limit int, now monotime.Instant) (out []ServerPace) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	type change struct {
+		ServerPace
+		by float64
+	}
+	var changes []change
+	b.knownPaces(now, func(service string, s *server) {
+		slowness := s.slowness(now)
+		if by := math.Abs(math.Log(slowness) - s.loggedLogSlowness); by > math.Log(minLoggedChange) {
+			changes = append(changes, change{ServerPace{Server: s.id, Service: service, Slowness: slowness, Spread: s.paceSpread(now)}, by})
+		}
+	})
+	slices.SortFunc(changes, func(a, b change) int {
+		return cmp.Or(cmp.Compare(b.by, a.by), cmp.Compare(a.Server, b.Server))
+	})
+	for _, c := range changes[:min(limit, len(changes))] {
+		b.servers[c.Server].loggedLogSlowness = math.Log(c.Slowness)
+		out = append(out, c.ServerPace)
+	}
+	return out
+}
+
+// ServerPaceSummary sums up the estimates of the servers of a service.
+type ServerPaceSummary struct {
+	// Known is the number of servers of which samples were taken.
+	Known int
+	// Slowest is the highest slowness.
+	Slowest float64
+	// Median is the median ratio of the times of servers to the model of the service, and
+	// Spread the standard deviation of its logarithm between servers.
+	Median, Spread float64
+}
+
+// ServerPaceSummaries returns the summary of each service of which samples were taken.
+func (b *Board) ServerPaceSummaries(now monotime.Instant) map[string]ServerPaceSummary {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]ServerPaceSummary)
+	b.knownPaces(now, func(service string, s *server) {
+		sum := out[service]
+		sum.Known++
+		sum.Slowest = max(sum.Slowest, s.slowness(now))
+		sum.Median, sum.Spread = math.Exp(s.kind.servers.Centre()), s.kind.servers.Spread()
+		out[service] = sum
+	})
 	return out
 }
