--- a/internal/pace/server.go
+++ b/internal/pace/server.go
@@ -12,13 +12,13 @@
 	// reversionTime is the time constant with which what is known of a server is lost:
 	// the mean of an Ornstein-Uhlenbeck process reverts to the centre of the service, and
 	// its variance to the spread of the service's servers.
-	reversionTime = 20 * time.Second
+	reversionTime = 10 * time.Second
 	// priorSpread is the assumed standard deviation of the logarithm of the slowness of
 	// servers, and priorNoise that of a sample covering one second, until pairs of
 	// samples for priorPairs seconds are known.
-	priorSpread = 0.3
+	priorSpread = 0.5
 	priorNoise  = 0.3
-	priorPairs  = 20.0
+	priorPairs  = 5.0
 	// minSpread bounds the estimated spread from below, so that the first server of a
 	// service that becomes slow is noticed. Estimates of equal servers then differ by
 	// some hundredths.
@@ -27,7 +27,7 @@
 	minNoise = 0.05
 	// spreadWindow is the time constant of the sums from which spread and noise are
 	// estimated.
-	spreadWindow = 10 * time.Second
+	spreadWindow = 4 * time.Second
 	// maxPairAge is the age of a sample after which it makes no pair with a later one,
 	// and maxPairWeight bounds the weight of a pair, which is the time between its
 	// samples in seconds: servers that get few requests count as much as others.
@@ -38,8 +38,12 @@
 	// maxInnovation bounds the effect of one sample, in standard deviations of its
 	// difference from the expectation.
 	maxInnovation = 3.0
-	// minCovered is the time that a sample counts as covering at least.
-	minCovered = 50 * time.Millisecond
+	// minCovered and maxCovered bound the time that a sample counts as covering: long
+	// streams give one every two seconds. minFreshShare is the least share of it that
+	// counts although others cover it.
+	minCovered    = 50 * time.Millisecond
+	maxCovered    = 2 * time.Second
+	minFreshShare = 1.0 / 16
 )
 
 // ServerSample is the time of a part of a stream on a server against the one that the
@@ -77,6 +81,8 @@
 type ServerEstimate struct {
 	mean, variance float64
 	at             monotime.Instant
+	// sampledAt is when the last sample ended; 0 for never.
+	sampledAt monotime.Instant
 	// previous is the last sample of a pair, which ended at previousAt.
 	previous   ServerSample
 	previousAt monotime.Instant
@@ -102,18 +108,29 @@
 	return (e.mean - s.centre) * retained, s.spread + (e.variance-s.spread)*retained*retained
 }
 
-// Observe updates the estimate of a server by a sample that ended now. Streams that ran
-// concurrently on the server met the same slow periods, so together they count as one.
-func (s *Servers) Observe(e *ServerEstimate, sample ServerSample, concurrent int, now monotime.Instant) {
+// Observe updates the estimate of a server by a sample that ended now. Only the time since
+// the last sample counts: streams that run concurrently are subject to the same slow
+// periods, so together they count as about one.
+func (s *Servers) Observe(e *ServerEstimate, sample ServerSample, now monotime.Instant) {
 	s.observePair(e, sample, now)
 	mean, variance := s.Predict(e, now)
-	noise := s.noise / max(sample.Covered, minCovered).Seconds() * float64(max(1, concurrent))
+	noise := s.noise / e.freshTime(sample, now).Seconds()
 	bound := maxInnovation * math.Sqrt(variance+noise)
 	innovation := min(max(sample.LogRatio-s.centre-mean, -bound), bound)
 	gain := variance / (variance + noise)
 	e.mean = s.centre + mean + gain*innovation
 	e.variance = (1 - gain) * variance
-	e.at = now
+	e.at, e.sampledAt = now, now
+}
+
+// freshTime returns the time covered by a sample that ended now and by no earlier one.
+func (e *ServerEstimate) freshTime(sample ServerSample, now monotime.Instant) time.Duration {
+	covered := min(max(sample.Covered, minCovered), maxCovered)
+	if e.sampledAt == 0 {
+		return covered
+	}
+	least := time.Duration(minFreshShare * float64(covered))
+	return min(max(now.Sub(e.sampledAt), least), covered)
 }
 
 // observePair adds the pair of a sample with the previous one of its server to the sums.
@@ -138,15 +155,16 @@
 }
 
 // Update recomputes the centre, the spread and the noise of a service from the estimates
-// of its servers.
+// of its servers, and these from their samples with the new ones.
 func (s *Servers) Update(estimates []*ServerEstimate, now monotime.Instant) {
 	if len(estimates) == 0 {
 		return
 	}
 	means := make([]float64, 0, len(estimates))
 	for _, e := range estimates {
-		mean, _ := s.Predict(e, now)
-		means = append(means, mean)
+		e.mean, e.variance = s.Predict(e, now)
+		e.at = now
+		means = append(means, e.mean)
 	}
 	slices.Sort(means)
 	middle := means[len(means)/2]
@@ -154,11 +172,18 @@
 	for _, mean := range means {
 		varianceOfMeans += (mean - middle) * (mean - middle) / float64(len(means))
 	}
-	s.centre += middle
+	before := s.spread
 	total := s.weight + priorPairs
 	covariance := (s.covariance + priorPairs*priorSpread*priorSpread) / total
 	s.spread = max(covariance, varianceOfMeans, minSpread*minSpread)
 	s.noise = max((s.difference+priorPairs*priorNoise*priorNoise)/total, minNoise*minNoise)
+	s.centre += middle
+	for _, e := range estimates {
+		information := max(0, 1/e.variance-1/before)
+		variance := 1 / (1/s.spread + information)
+		e.mean = s.centre + variance*(e.mean/e.variance-information*middle)
+		e.variance = variance
+	}
 }
 
 // Adopt replaces the estimate of a server by that of another process, relative to the
--- a/internal/placement/serverpace.go
+++ b/internal/placement/serverpace.go
@@ -67,13 +67,7 @@
 
 // recordSample applies a sample of a stream on a server.
 func (b *Board) recordSample(s *server, sample pace.ServerSample, now monotime.Instant) {
-	streaming := 0
-	for _, r := range s.runs {
-		if r.first {
-			streaming++
-		}
-	}
-	s.kind.servers.Observe(&s.estimate, sample, streaming, now)
+	s.kind.servers.Observe(&s.estimate, sample, now)
 	b.updateCentre(s.kind, now)
 }
 
