--- a/internal/gateway/updates_fuzz_test.go
+++ b/internal/gateway/updates_fuzz_test.go
@@ -24,6 +24,8 @@
 		{Begun: []wire.RelayRun{{Number: 1, Server: "a", Unread: -5, Prompt: 1 << 50, Output: -1, LeftMS: -3, Priority: -7, Parts: []wire.RelayPart{{ID: "p", Tokens: -9}}}}},
 		{First: []int{1, -1}, Ended: []int{1, 1 << 40}},
 		{Caches: []wire.RelayCache{{Server: "a", Parts: []wire.RelayPart{{ID: "p", Tokens: 1 << 40}}}}},
+		{Caches: []wire.RelayCache{{Server: "a", Slowness: -300, SlownessSpread: 1}, {Server: "b", Slowness: 1 << 40, SlownessSpread: -1}}},
+		{Begun: []wire.RelayRun{{Number: 1, Server: "a@1", Prompt: 100}}, Paces: []int{1, 300, 60_000, 1, -300, 1, 2, 0, 10, 1, 301, 10, 1, 0, 0, 1, 1 << 60}, Ended: []int{1}},
 		{Evidence: []wire.RelayEvidence{{Service: "llm", StepSamples: -4, FirstSamples: 1 << 40, Sums: make([]float64, 18)}}},
 		{Crashes: []wire.RelayCrash{{Request: make([]byte, 16), Customer: "a", Server: "a", AgeMS: -1}, {Request: []byte("x")}, {Request: make([]byte, 16), AgeMS: 1 << 60}}},
 		{Crashes: []wire.RelayCrash{{Request: make([]byte, 16), Parts: make([]byte, 17), Server: "a"}, {Request: make([]byte, 16), Parts: make([]byte, 32), Server: "b"}, {Parts: make([]byte, 16<<6), Server: "c"}}},
@@ -46,6 +48,8 @@
 			return
 		}
 		fl, _, _ := newFleet()
+		fl.board.SetFeatures(placement.Features{LargeFleet: 2, SharedServerPaces: true})
+		fl.board.SetFleetSize(2, monotime.Now())
 		fl.installConfig(&routing.Config{Version: 1, Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 4, MemoryTokens: 100_000}}}}, fromStore)
 		put(fl, fromStore, incarnationEntry(1, 1))
 		p := linkedPeers(fl, "me", wire.RelayMember{ID: "peer"})
--- a/internal/pace/server.go
+++ b/internal/pace/server.go
@@ -38,6 +38,8 @@
 	// maxInnovation bounds the effect of one sample, in standard deviations of its
 	// difference from the expectation.
 	maxInnovation = 3.0
+	// maxLogSlowness bounds estimates that are adopted, as samples are bounded.
+	maxLogSlowness = 3.0
 	// minCovered and maxCovered bound the time that a sample counts as covering: long
 	// streams give one every two seconds. minFreshShare is the least share of it that
 	// counts although others cover it.
@@ -192,5 +194,5 @@
 	if _, variance := s.Predict(e, now); e.Known() && variance <= spread*spread {
 		return
 	}
-	e.mean, e.variance, e.at = s.centre+mean, spread*spread, now
+	e.mean, e.variance, e.at = min(max(s.centre+mean, -maxLogSlowness), maxLogSlowness), spread*spread, now
 }
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -39,7 +39,9 @@
 
 // engineKind tracks the engines of one service together.
 type engineKind struct {
-	model *pace.Model
+	board   *Board
+	service string
+	model   *pace.Model
 	// medianSlowness is the median slowness of its servers as of medianAt, with which
 	// each server is compared. A mean over samples would be biased, since streams on slow
 	// servers last longer and give more samples.
@@ -54,7 +56,6 @@
 	// serversAt.
 	servers   pace.Servers
 	serversAt monotime.Instant
-	board     *Board
 	// asked is the rate of choices of this instance while the servers are brittle.
 	asked rate
 }
@@ -286,7 +287,10 @@
 func (b *Board) kindOf(service string) *engineKind {
 	e := b.kinds[service]
 	if e == nil {
-		e = &engineKind{model: pace.NewModel(b.prior), medianSlowness: 1, meanReadTime: initialMeanReadTime, servers: pace.NewServers(), board: b}
+		e = &engineKind{
+			board: b, service: service, model: pace.NewModel(b.prior), servers: pace.NewServers(),
+			medianSlowness: 1, meanReadTime: initialMeanReadTime,
+		}
 		b.kinds[service] = e
 	}
 	return e
--- a/internal/placement/serverpace.go
+++ b/internal/placement/serverpace.go
@@ -96,29 +96,30 @@
 	Slowness, Spread float64
 }
 
-// knownPaces calls do with each server of which samples were taken, and its service, while
-// the instances exchange them.
-func (b *Board) knownPaces(now monotime.Instant, do func(service string, s *server)) {
-	for service, kind := range b.kinds {
-		if !kind.shared(now) {
-			continue
-		}
-		for _, s := range b.servers {
-			if s.kind == kind && s.estimate.Known() {
-				do(service, s)
-			}
+// knownPaces calls do with each server of which samples were taken, while the instances
+// exchange them.
+func (b *Board) knownPaces(now monotime.Instant, do func(s *server)) {
+	if !b.enabled(b.features.SharedServerPaces, now) {
+		return
+	}
+	for _, s := range b.servers {
+		if s.estimate.Known() {
+			do(s)
 		}
 	}
 }
 
+// serverPace returns the estimate of a server.
+func (s *server) serverPace(now monotime.Instant) ServerPace {
+	return ServerPace{Server: s.id, Service: s.kind.service, Slowness: s.slowness(now), Spread: s.paceSpread(now)}
+}
+
 // ServerPaces returns the estimates of all servers of which samples were taken; none while
 // the instances do not exchange them.
 func (b *Board) ServerPaces(now monotime.Instant) (out []ServerPace) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.knownPaces(now, func(service string, s *server) {
-		out = append(out, ServerPace{Server: s.id, Service: service, Slowness: s.slowness(now), Spread: s.paceSpread(now)})
-	})
+	b.knownPaces(now, func(s *server) { out = append(out, s.serverPace(now)) })
 	return out
 }
 
@@ -146,10 +147,9 @@
 		by float64
 	}
 	var changes []change
-	b.knownPaces(now, func(service string, s *server) {
-		slowness := s.slowness(now)
-		if by := math.Abs(math.Log(slowness) - s.loggedLogSlowness); by > math.Log(minLoggedChange) {
-			changes = append(changes, change{ServerPace{Server: s.id, Service: service, Slowness: slowness, Spread: s.paceSpread(now)}, by})
+	b.knownPaces(now, func(s *server) {
+		if by := math.Abs(math.Log(s.slowness(now)) - s.loggedLogSlowness); by > math.Log(minLoggedChange) {
+			changes = append(changes, change{s.serverPace(now), by})
 		}
 	})
 	slices.SortFunc(changes, func(a, b change) int {
@@ -178,12 +178,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[string]ServerPaceSummary)
-	b.knownPaces(now, func(service string, s *server) {
-		sum := out[service]
+	b.knownPaces(now, func(s *server) {
+		sum := out[s.kind.service]
 		sum.Known++
 		sum.Slowest = max(sum.Slowest, s.slowness(now))
 		sum.Median, sum.Spread = math.Exp(s.kind.servers.Centre()), s.kind.servers.Spread()
-		out[service] = sum
+		out[s.kind.service] = sum
 	})
 	return out
 }
