--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -128,7 +128,7 @@
 	s := b.servers[c.ID]
 	if s == nil {
 		s = &server{
-			id: c.ID, runs: make(map[RunID]*run), partHolders: make(map[string]int), streamCounts: newStreamCounts(), cache: newPartCache(),
+			id: c.ID, idHash: idHash(c.ID), runs: make(map[RunID]*run), partHolders: make(map[string]int), streamCounts: newStreamCounts(), cache: newPartCache(),
 			kind: b.kindOf(c.Service), slow: 1,
 			hazards: make(map[time.Duration]*hazard), onTime: make(map[streamKind]*onTimeStreams),
 		}
@@ -173,6 +173,7 @@
 	if b.runs[id] == nil && work.Prompt > 0 {
 		b.contention.begun[priorityIndex(work.Priority)].add(now)
 		b.server(Candidate{ID: serverID}).arrivals.add(now)
+		b.recordDemand(b.server(Candidate{ID: serverID}), &work, unread, now)
 	}
 	b.end(id, now) // a peer reports its runs again over a new link
 	s := b.server(Candidate{ID: serverID})
@@ -277,6 +278,7 @@
 	defer b.mu.Unlock()
 	if r := b.runs[id]; r != nil {
 		r.server.kind.recordLife(now.Sub(r.begun))
+		r.server.kind.split.recordEnd(&r.work, now.Sub(r.begun))
 		if r.work.Prompt > 0 {
 			b.contention.ended.add(now)
 		}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -84,6 +84,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.begin(&work, now)
+	b.updateSplit(candidates, now)
 	return b.decide(&work, candidates, 1, now)
 }
 
@@ -217,7 +218,8 @@
 	choice.First, choice.Gap, choice.End, choice.LostProbability = o.first, o.gap, o.end, o.lost
 	choice.Value = weight*(1-max(o.lost, lateLossShare*o.late)) - o.harm.upTo(work.Priority)
 	choice.Cost += p.cost + readCost*float64(p.unread)/1000 +
-		weight*max(o.late, o.lost, o.full) + o.harm.upTo(lastPriorityIndex)
+		weight*max(o.late, o.lost, o.full) + o.harm.upTo(lastPriorityIndex) +
+		s.kind.split.cost(s.server, speed, work, p.unread)
 	return choice
 }
 
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -50,6 +50,8 @@
 	meanReadTime time.Duration
 	// meanLife is the mean time from the begin of a run to its end.
 	meanLife time.Duration
+	// split tells which engines are intended for which requests.
+	split engineSplit
 	// asked is the rate of choices of this instance while the servers are brittle.
 	asked rate
 }
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -54,6 +54,13 @@
 	// arrivals is the rate of requests sent to it by all instances, as far as reported.
 	arrivals rate
 	backoff  time.Duration
+	// idHash and slowClass give its place in the ranking of the engines of its service,
+	// listedAt is when it was last listed for that, and forShort how far it is intended
+	// for streams with short pauses, from 0 to 1; see engineSplit.
+	idHash    uint64
+	slowClass int
+	listedAt  monotime.Instant
+	forShort  float64
 	// orphans are until when the server may go on with requests whose instances are gone,
 	// in no order.
 	orphans []monotime.Instant
--- a/internal/placement/shortlist.go
+++ b/internal/placement/shortlist.go
@@ -49,6 +49,7 @@
 	if pool.Len() > 0 && areBrittle(pool.candidates) {
 		return b.chooseShared(&work, pool, sources, allowed, now)
 	}
+	b.updateSplit(pool.candidates, now)
 	if pool.Len() <= maxWholePool {
 		return b.decide(&work, append(pool.filter(allowed), sources.filter(allowed)...), 1, now)
 	}
--- /dev/null
+++ b/internal/placement/split.go
@@ -0,0 +1,525 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"basilrudder/internal/monotime"
+	"basilrudder/internal/pace"
+)
+
+// Under a mixed load, the prefill of long prompts makes streams with short pauses late,
+// also on engines that were idle when the stream began: with 140 engines and 86 instances,
+// 257 of 281 late streams were joined by a long prompt during their lifetime. Each instance
+// therefore ranks the engines of a service and intends the first of them for streams with
+// short pauses and the rest for long prompts. It is a cost, never a bound: a request goes
+// to the other side once its own is predicted late or full. The decision follows from the
+// runs that all instances report, so they agree without a message about it.
+
+const (
+	// splitWindow is the time constant of the demand. A shorter one follows the noise of
+	// arrivals, a longer one still counts the demand before a burst when it has passed.
+	splitWindow = 5 * time.Second
+	// splitInterval is the minimum time between two updates of a split, and
+	// splitIntervalPerEngine the addition for each engine: an update goes through all.
+	splitInterval          = 100 * time.Millisecond
+	splitIntervalPerEngine = 150 * time.Microsecond
+	// minSplitEngines is the smallest number of engines that are split. With fewer, a
+	// part has too few engines to absorb the variation of its own load.
+	minSplitEngines = 8
+	// minSplitDemand is the number of recent runs from which on the demand counts as
+	// known, and minSplitSpan the time over which it was observed.
+	minSplitDemand = 50.0
+	minSplitSpan   = 2 * time.Second
+	// pauseNoise is the spread of the log of an actual pause to the one expected at the
+	// usual pace, of a logistic distribution. One pause in twenty is 2.4 times longer than
+	// expected, as in the short slow periods of engines.
+	pauseNoise = 0.3
+	// longPromptLate is the probability of making a stream late from which on a prompt
+	// counts as long for it.
+	longPromptLate = 0.05
+	// A limit of pauses becomes short when this share of its streams would be late by
+	// prompts that arrive during their life, were all requests spread evenly, and remains
+	// so down to a share of keepShortLate. A tenth of the most urgent streams may be late
+	// for all reasons together.
+	shortLate, keepShortLate = 0.01, 0.005
+	// splitHeadroom is the factor by which the demand of short streams may rise before
+	// their part is full, up to maxShortShare of the engines.
+	splitHeadroom = 2.5
+	maxShortShare = 0.6
+	// Parts of prompts that move with the boundary are fetched or read again. It moves by
+	// at most minSplitMove engines a second, or splitMoveShare of the engines if that is
+	// more, and not at all while it is within splitDeadband engines of its target.
+	minSplitMove   = 2.0
+	splitMoveShare = 0.01
+	splitDeadband  = 1.0
+	// The cost rises from 0 to all of it over minSplitRamp engines, or splitRampShare of
+	// the engines if that is more, so that instances with slightly different boundaries
+	// differ little.
+	minSplitRamp   = 4.0
+	splitRampShare = 0.05
+	// splitFadeTime is how long a split takes to come into effect or to lapse.
+	splitFadeTime = 2 * time.Second
+	// maxSplitCost bounds the cost of the other side. It is below a tenth of the weight of
+	// the most urgent request, so a request that is probably late on its own side goes to
+	// the other one.
+	maxSplitCost = 0.2
+	// slowClassWidth is the width of a class of slowness, in the log of the slowness, and
+	// slowClassMargin how far beyond the border of its class, in widths, an engine must be
+	// to change it. The estimates of instances differ by less.
+	slowClassWidth  = 0.47
+	slowClassMargin = 0.25
+	// Prompts are counted by their unread tokens, in bins that grow by half an octave from
+	// minBinTokens.
+	unreadBins   = 20
+	minBinTokens = 128
+	// maxDemandKinds bounds the kinds of streams that are counted; others are ignored.
+	maxDemandKinds = 32
+	// listedMaxAge is how long an engine remains in the ranking after it was last listed
+	// as accepting requests.
+	listedMaxAge = 10 * time.Second
+)
+
+// streamDemand is the demand of one kind of streams, as decaying sums.
+type streamDemand struct {
+	// runs and lives are the number of begun and of ended runs; held is the time for
+	// which the latter held their slots, in seconds.
+	runs, lives, held float64
+	// reading is the time to read their prompts at the usual pace, in seconds, and prompts
+	// their number, by bin of unread tokens.
+	reading, prompts [unreadBins]float64
+	// short is set if the limit of pauses of these streams is short.
+	short bool
+}
+
+// engineSplit is the split of the engines of a service. Its methods do no I/O and read no
+// clock. The lock of the Board protects it.
+type engineSplit struct {
+	demand map[streamKind]*streamDemand
+	// since is when the first run was recorded, 0 for never; updatedAt is when the sums
+	// of the demand were last decayed, and the split decided.
+	since, updatedAt monotime.Instant
+	// ranking are the engines in order; those at its start are for short pauses.
+	ranking []*server
+	// size is the number of engines for short pauses, and strength the share of the cost
+	// that is in effect.
+	size, strength float64
+	// shorts are the kinds of streams with short pauses, with their rate on an engine of
+	// their part.
+	shorts []shortStreams
+	// minLong is the number of unread tokens below which no prompt is long.
+	minLong int
+	// state is what operators see.
+	state EngineSplit
+}
+
+// shortStreams describes a kind of streams with short pauses.
+type shortStreams struct {
+	streamKind
+	// perEngine is the number of streams that an engine of their part has at a time, and
+	// arriving the number that arrive there in a second.
+	perEngine, arriving float64
+	// mixed is the share of them that is late on an engine for long prompts.
+	mixed float64
+}
+
+// EngineSplit describes the split of the engines of a service for operators.
+type EngineSplit struct {
+	// Engines is the number of engines ranked, and Short that of the engines intended for
+	// streams with short pauses; 0 without a split.
+	Engines int `json:"engines"`
+	Short   int `json:"short"`
+	// ShortSlots is the number of slots that streams with short pauses hold on average,
+	// ShortReading and LongReading the time that engines need each second to read the
+	// prompts that are not long, of these streams, and those that are.
+	ShortSlots   float64 `json:"short_slots"`
+	ShortReading float64 `json:"short_reading"`
+	LongReading  float64 `json:"long_reading"`
+}
+
+// unreadBin returns the bin of a prompt by its unread tokens.
+func unreadBin(unread int) int {
+	return min(max(0, int(2*math.Log2(float64(max(1, unread))/minBinTokens))), unreadBins-1)
+}
+
+// binTokens returns a typical number of unread tokens in a bin.
+func binTokens(bin int) int {
+	return int(minBinTokens * math.Exp2((float64(bin)+0.5)/2))
+}
+
+func (d *engineSplit) demandOf(kind streamKind, now monotime.Instant) *streamDemand {
+	found := d.demand[kind]
+	if found == nil {
+		if len(d.demand) >= maxDemandKinds {
+			return nil
+		}
+		if d.demand == nil {
+			d.demand = make(map[streamKind]*streamDemand)
+			d.since, d.updatedAt = now, now
+		}
+		found = &streamDemand{}
+		d.demand[kind] = found
+	}
+	return found
+}
+
+// recordBegin records a run of any instance that begins, with the time to read its unread
+// tokens at the usual pace.
+func (d *engineSplit) recordBegin(work *Work, unread int, reading time.Duration, now monotime.Instant) {
+	demand := d.demandOf(work.kind(), now)
+	if demand == nil {
+		return
+	}
+	demand.runs++
+	if unread > 0 {
+		bin := unreadBin(unread)
+		demand.prompts[bin]++
+		demand.reading[bin] += reading.Seconds()
+	}
+}
+
+// recordEnd records a run of any instance that ends.
+func (d *engineSplit) recordEnd(work *Work, life time.Duration) {
+	if demand := d.demand[work.kind()]; demand != nil {
+		demand.lives++
+		demand.held += life.Seconds()
+	}
+}
+
+// decay brings the demand up to an instant and removes kinds that are no longer used.
+func (d *engineSplit) decay(now monotime.Instant) {
+	const forgotten = 0.01
+	factor := decay(now.Sub(d.updatedAt), splitWindow)
+	for kind, demand := range d.demand {
+		demand.runs *= factor
+		demand.lives *= factor
+		demand.held *= factor
+		for bin := range demand.reading {
+			demand.reading[bin] *= factor
+			demand.prompts[bin] *= factor
+		}
+		if demand.runs < forgotten {
+			delete(d.demand, kind)
+		}
+	}
+}
+
+// observed returns the time that the decaying sums stand for, in seconds.
+func (d *engineSplit) observed(now monotime.Instant) float64 {
+	return splitWindow.Seconds() * max(1e-3, 1-decay(now.Sub(d.since), splitWindow))
+}
+
+// meanLife returns how long a run of the kind holds its slot, in seconds.
+func (s *streamDemand) meanLife() float64 {
+	if s.lives == 0 {
+		return 0
+	}
+	return s.held / s.lives
+}
+
+// pauseModel predicts which pauses a prompt adds on engines of a service.
+type pauseModel struct {
+	speed       pace.Pace
+	eventTokens int
+}
+
+// pause returns the pause of the streams beside a prompt at the usual pace.
+func (m *pauseModel) pause(unread int) time.Duration {
+	steps := max(1, m.eventTokens)
+	read := min(unread, steps*pace.Chunk)
+	return time.Duration(steps)*m.speed.DecodeStep(0) + m.speed.Read(read, unread)
+}
+
+// late returns the probability that a prompt with so many unread tokens makes a stream
+// beside it late that pauses for at most limit, on an engine of the given slowness.
+func (m *pauseModel) late(unread int, limit time.Duration, slowness float64) float64 {
+	return latePause(time.Duration(slowness*float64(m.pause(unread))), limit)
+}
+
+// latePause returns the probability that a pause expected at the usual pace is longer than
+// a limit, with the noise of pauseNoise.
+func latePause(expected, limit time.Duration) float64 {
+	left := max(limit-gapMargin, minDuration)
+	return logistic(math.Log(float64(max(expected, minDuration))/float64(left)) / pauseNoise)
+}
+
+// update decides the split anew when it is due.
+func (d *engineSplit) update(engines []*server, model pauseModel, now monotime.Instant) {
+	passed := now.Sub(d.updatedAt)
+	d.decay(now)
+	d.updatedAt = now
+	d.rank(engines, now)
+	slots := 0
+	for _, s := range engines {
+		slots += s.slots
+	}
+	n := float64(len(engines))
+	d.classify(model, n, now)
+	target := d.targetSize(model, n, float64(slots)/max(1, n), now)
+	d.move(target, n, passed)
+	d.setState(n)
+	d.setPositions()
+}
+
+// rank sorts the engines by class of slowness, then by a hash of the id.
+func (d *engineSplit) rank(engines []*server, now monotime.Instant) {
+	for _, s := range engines {
+		s.setSlowClass(s.slowness(now))
+	}
+	slices.SortFunc(engines, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(a.slowClass, b.slowClass), cmp.Compare(a.idHash, b.idHash), cmp.Compare(a.id, b.id))
+	})
+	d.ranking = engines
+}
+
+// setSlowClass updates the class of slowness, unless the slowness is near its border.
+func (s *server) setSlowClass(slowness float64) {
+	at := math.Log(slowness) / slowClassWidth
+	if math.Abs(at-float64(s.slowClass)) > 0.5+slowClassMargin {
+		s.slowClass = int(math.Round(at))
+	}
+}
+
+// classify sets which limits of pauses are short: those whose streams are late with
+// significant probability because of prompts that arrive during their life.
+func (d *engineSplit) classify(model pauseModel, engines float64, now monotime.Instant) {
+	d.shorts = d.shorts[:0]
+	known := now.Sub(d.since) >= minSplitSpan && d.runs() >= minSplitDemand
+	if engines < minSplitEngines || !known {
+		for _, demand := range d.demand {
+			demand.short = false
+		}
+		return
+	}
+	observed := d.observed(now)
+	classes := d.slowClasses()
+	for kind, demand := range d.demand {
+		if kind.maxGap == 0 {
+			continue
+		}
+		perSecond := 0.0
+		for bin := range unreadBins {
+			if prompts := d.promptsIn(bin); prompts > 0 {
+				late := 0.0
+				for class, share := range classes {
+					late += share * model.late(binTokens(bin), kind.maxGap, math.Exp(float64(class)*slowClassWidth))
+				}
+				perSecond += late * prompts / observed
+			}
+		}
+		mixed := 1 - math.Exp(-perSecond/engines*demand.meanLife())
+		demand.short = mixed >= shortLate || demand.short && mixed >= keepShortLate
+		if demand.short {
+			d.shorts = append(d.shorts, shortStreams{streamKind: kind, mixed: mixed, arriving: demand.runs / observed})
+		}
+	}
+	slices.SortFunc(d.shorts, func(a, b shortStreams) int {
+		return cmp.Or(cmp.Compare(a.maxGap, b.maxGap), cmp.Compare(a.priority, b.priority))
+	})
+}
+
+// runs returns the number of recent runs.
+func (d *engineSplit) runs() float64 {
+	sum := 0.0
+	for _, demand := range d.demand {
+		sum += demand.runs
+	}
+	return sum
+}
+
+func (d *engineSplit) promptsIn(bin int) float64 {
+	sum := 0.0
+	for _, demand := range d.demand {
+		sum += demand.prompts[bin]
+	}
+	return sum
+}
+
+// slowClasses returns the share of the engines in each class of slowness.
+func (d *engineSplit) slowClasses() map[int]float64 {
+	out := make(map[int]float64)
+	for _, s := range d.ranking {
+		out[s.slowClass] += 1 / float64(len(d.ranking))
+	}
+	return out
+}
+
+// targetSize returns the number of engines that short streams need, and sets what follows
+// from the demand. Engines that neither part needs are shared out in proportion.
+func (d *engineSplit) targetSize(model pauseModel, engines, slots float64, now monotime.Instant) float64 {
+	d.state = EngineSplit{}
+	d.minLong = math.MaxInt
+	if len(d.shorts) == 0 || slots == 0 {
+		return 0
+	}
+	longFrom := unreadBins
+	for bin := unreadBins - 1; bin >= 0 && d.isLong(model, binTokens(bin)); bin-- {
+		longFrom = bin
+	}
+	if longFrom == unreadBins {
+		return 0
+	}
+	d.minLong = int(minBinTokens * math.Exp2(float64(longFrom)/2))
+	observed := d.observed(now)
+	longSlots := 0.0
+	for kind, demand := range d.demand {
+		held := demand.runs / observed * demand.meanLife()
+		if demand.short {
+			d.state.ShortSlots += held
+		} else if kind.maxGap > 0 {
+			longSlots += held
+		}
+		for bin, reading := range demand.reading {
+			switch {
+			case bin >= longFrom:
+				d.state.LongReading += reading / observed
+			case demand.short:
+				d.state.ShortReading += reading / observed
+			}
+		}
+	}
+	if d.state.LongReading == 0 {
+		return 0
+	}
+	short := d.state.ShortSlots/slots + d.state.ShortReading
+	long := longSlots/slots + d.state.LongReading
+	size := max(engines*short/(short+long), splitHeadroom*short)
+	return min(max(1, size), maxShortShare*engines)
+}
+
+func (d *engineSplit) isLong(model pauseModel, unread int) bool {
+	for _, k := range d.shorts {
+		if model.late(unread, k.maxGap, 1) >= longPromptLate {
+			return true
+		}
+	}
+	return false
+}
+
+// move brings the size and the strength of the split nearer to a target; 0 for no split. A
+// split that comes into effect begins at its target with no strength, so that the boundary
+// does not have to move there.
+func (d *engineSplit) move(target, engines float64, passed time.Duration) {
+	fade := passed.Seconds() / splitFadeTime.Seconds()
+	switch {
+	case target == 0:
+		d.strength = max(0, d.strength-fade)
+		if d.strength == 0 {
+			d.size = 0
+		}
+		return
+	case d.size == 0:
+		d.size = target
+	case math.Abs(target-d.size) > splitDeadband:
+		most := passed.Seconds() * max(minSplitMove, splitMoveShare*engines)
+		d.size += min(max(target-d.size, -most), most)
+	}
+	d.size = min(d.size, maxShortShare*engines)
+	d.strength = min(1, d.strength+fade)
+}
+
+// setState sets what operators see and what the cost needs of the decided size.
+func (d *engineSplit) setState(engines float64) {
+	d.state.Engines, d.state.Short = int(engines), int(math.Round(d.size))
+	for i := range d.shorts {
+		k := &d.shorts[i]
+		k.arriving /= max(1, d.size)
+		k.perEngine = k.arriving * d.demand[k.streamKind].meanLife()
+	}
+}
+
+// setPositions sets for each engine how far it belongs to the part for short pauses.
+func (d *engineSplit) setPositions() {
+	ramp := max(minSplitRamp, splitRampShare*float64(len(d.ranking)))
+	for i, s := range d.ranking {
+		s.forShort = 0
+		if d.size > 0 {
+			s.forShort = min(max(0, 0.5+(d.size-float64(i)-0.5)/ramp), 1)
+		}
+	}
+}
+
+// cost returns the cost of placing work on s because of the split.
+func (d *engineSplit) cost(s *server, speed *pace.Pace, work *Work, unread int) float64 {
+	if d.strength == 0 {
+		return 0
+	}
+	out := 0.0
+	for i := range d.shorts {
+		k := &d.shorts[i]
+		if k.streamKind == work.kind() {
+			out += (1 - s.forShort) * weightOf(k.priority) * k.mixed
+		}
+	}
+	if unread >= d.minLong && s.forShort > 0 {
+		model := pauseModel{*speed, s.eventTokens}
+		reading := speed.Read(unread, work.Prompt).Seconds()
+		for i := range d.shorts {
+			k := &d.shorts[i]
+			streams := k.perEngine + k.arriving*reading
+			out += s.forShort * weightOf(k.priority) * streams * model.late(unread, k.maxGap, 1)
+		}
+	}
+	return d.strength * min(out, maxSplitCost)
+}
+
+// updateSplit updates the split of the service of some candidates when it is due. Servers
+// that are not known yet are added, since the ranking needs all of them.
+func (b *Board) updateSplit(candidates []Candidate, now monotime.Instant) {
+	if len(candidates) == 0 || candidates[0].MemoryTokens == 0 {
+		return
+	}
+	kind := b.kindOf(candidates[0].Service)
+	split := &kind.split
+	if !b.enabled(b.features.SplitEngines, now) {
+		if split.strength > 0 || len(split.demand) > 0 {
+			*split = engineSplit{}
+		}
+		return
+	}
+	if split.since == 0 || now.Sub(split.updatedAt) < splitInterval+time.Duration(len(split.ranking))*splitIntervalPerEngine {
+		return
+	}
+	for i := range candidates {
+		if c := &candidates[i]; !c.SourceOnly {
+			b.server(*c).listedAt = now
+		}
+	}
+	engines := split.ranking[:0]
+	for _, s := range b.servers {
+		if s.kind == kind && s.memory > 0 && s.listedAt != 0 && now.Sub(s.listedAt) <= listedMaxAge {
+			engines = append(engines, s)
+		}
+	}
+	if len(engines) > 0 {
+		split.update(engines, pauseModel{kind.model.Pace(), engines[0].eventTokens}, now)
+	}
+}
+
+// recordDemand records a run that begins on s, unless it is reported again.
+func (b *Board) recordDemand(s *server, work *Work, unread int, now monotime.Instant) {
+	if !b.enabled(b.features.SplitEngines, now) || work.Prompt == 0 {
+		return
+	}
+	speed := s.kind.model.Pace()
+	s.kind.split.recordBegin(work, unread, speed.Read(unread, work.Prompt), now)
+}
+
+// EngineSplits returns the split of the engines of each service with a known demand.
+func (b *Board) EngineSplits() map[string]EngineSplit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]EngineSplit)
+	for service, kind := range b.kinds {
+		if kind.split.since != 0 {
+			out[service] = kind.split.state
+		}
+	}
+	return out
+}
+
+func idHash(id string) uint64 { return xxhash.Sum64String(id) }
