--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -218,8 +218,7 @@
 	choice.First, choice.Gap, choice.End, choice.LostProbability = o.first, o.gap, o.end, o.lost
 	choice.Value = weight*(1-max(o.lost, lateLossShare*o.late)) - o.harm.upTo(work.Priority)
 	choice.Cost += p.cost + readCost*float64(p.unread)/1000 +
-		weight*max(o.late, o.lost, o.full) + o.harm.upTo(lastPriorityIndex) +
-		s.kind.split.cost(s.server, speed, work, p.unread)
+		weight*max(o.late, o.lost, o.full) + o.harm.upTo(lastPriorityIndex) + o.split
 	return choice
 }
 
@@ -233,6 +232,8 @@
 	late, lost, full float64
 	// harm is what the other streams on the engine lose, by priority.
 	harm byPriority
+	// split is the cost of an engine that is intended for other requests.
+	split float64
 }
 
 func (b *Board) predict(s availableServer, speed *pace.Pace, work *Work, p plan, now monotime.Instant) prediction {
@@ -248,11 +249,12 @@
 	withWork := unread.with(p.unread, work.Prompt)
 	o.gap = s.gap(speed, withWork, runs+1)
 
-	pausing := s.pauseProbability(speed, work, unread, life, b.meanHazard, now)
+	pausing := s.pauseProbability(speed, work, unread, life, b.meanHazard*s.kind.split.unprotected(s.server), now)
 	o.late = 1 - (1-lateFirst(o.first, work.Goal))*(1-pausing)
 	o.lost = 1 - (1-lateEndIfBounded(o.end, work.Left))*(1-lateEndIfBounded(o.first, work.FirstLeft))
 	o.full = fullProbability(s.arrivals.perSecondAt(now)*b.contention.reportDelay().Seconds(), s.freeSlots)
 	o.harm = s.pauseHarm(speed, unread, withWork)
+	o.split = s.kind.split.cost(s.server, work, s.gap(speed, unread, runs), o.gap, speed.Read(p.unread, work.Prompt))
 	streamsDelayed := streamDelay(speed, p.unread, work).Seconds()
 	harm := b.delayCostOf(s.server, speed, b.meanRead, now)
 	for priority, perSecond := range harm.running {
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -47,6 +47,10 @@
 	// so down to a share of keepShortLate. A tenth of the most urgent streams may be late
 	// for all reasons together.
 	shortLate, keepShortLate = 0.01, 0.005
+	// A kind with short pauses becomes one for long prompts when more than keepOwnLong of
+	// its reading is of prompts that are long for shorter pauses, and is none while it is
+	// more than maxOwnLong.
+	maxOwnLong, keepOwnLong = 0.4, 0.6
 	// splitHeadroom is the factor by which the demand of short streams may rise before
 	// their part is full, up to maxShortShare of the engines.
 	splitHeadroom = 2.5
@@ -64,10 +68,12 @@
 	splitRampShare = 0.05
 	// splitFadeTime is how long a split takes to come into effect or to lapse.
 	splitFadeTime = 2 * time.Second
-	// maxSplitCost bounds the cost of the other side. It is below a tenth of the weight of
-	// the most urgent request, so a request that is probably late on its own side goes to
-	// the other one.
-	maxSplitCost = 0.2
+	// maxSplitCost bounds the cost of the other side, as a share of the weight of the
+	// request, so that one that would be late on its own side goes to the other one.
+	maxSplitCost = 0.5
+	// minAddedLate is the added probability of late pauses that is ignored: a prompt of a
+	// stream with short pauses adds about that to others of its kind.
+	minAddedLate = 0.005
 	// slowClassWidth is the width of a class of slowness, in the log of the slowness, and
 	// slowClassMargin how far beyond the border of its class, in widths, an engine must be
 	// to change it. The estimates of instances differ by less.
@@ -111,8 +117,9 @@
 	// shorts are the kinds of streams with short pauses, with their rate on an engine of
 	// their part.
 	shorts []shortStreams
-	// minLong is the number of unread tokens below which no prompt is long.
-	minLong int
+	// longFrom is the first bin of unread tokens that makes a prompt long, and minLong the
+	// number of tokens from which on it holds prompts.
+	longFrom, minLong int
 	// state is what operators see.
 	state EngineSplit
 }
@@ -284,12 +291,13 @@
 	}
 }
 
-// classify sets which limits of pauses are short: those whose streams are late with
-// significant probability because of prompts that arrive during their life.
+// classify sets which kinds of streams have short pauses, and from which number of unread
+// tokens on a prompt is long for them. A kind is short if its streams are late with
+// significant probability because of prompts that arrive during their life, and if its own
+// prompts are not mostly long for kinds with shorter pauses: those belong to the other part.
 func (d *engineSplit) classify(model pauseModel, engines float64, now monotime.Instant) {
-	d.shorts = d.shorts[:0]
-	known := now.Sub(d.since) >= minSplitSpan && d.runs() >= minSplitDemand
-	if engines < minSplitEngines || !known {
+	d.shorts, d.longFrom = d.shorts[:0], unreadBins
+	if engines < minSplitEngines || now.Sub(d.since) < minSplitSpan || d.runs() < minSplitDemand {
 		for _, demand := range d.demand {
 			demand.short = false
 		}
@@ -297,29 +305,66 @@
 	}
 	observed := d.observed(now)
 	classes := d.slowClasses()
-	for kind, demand := range d.demand {
-		if kind.maxGap == 0 {
-			continue
-		}
-		perSecond := 0.0
-		for bin := range unreadBins {
-			if prompts := d.promptsIn(bin); prompts > 0 {
-				late := 0.0
-				for class, share := range classes {
-					late += share * model.late(binTokens(bin), kind.maxGap, math.Exp(float64(class)*slowClassWidth))
-				}
-				perSecond += late * prompts / observed
-			}
+	for _, kind := range d.kindsByLimit() {
+		demand := d.demand[kind]
+		mixed := d.lateWhenMixed(kind, model, classes, engines, observed)
+		late, own := shortLate, maxOwnLong
+		if demand.short {
+			late, own = keepShortLate, keepOwnLong
 		}
-		mixed := 1 - math.Exp(-perSecond/engines*demand.meanLife())
-		demand.short = mixed >= shortLate || demand.short && mixed >= keepShortLate
+		demand.short = mixed >= late && demand.longShare(d.longFrom) <= own
 		if demand.short {
 			d.shorts = append(d.shorts, shortStreams{streamKind: kind, mixed: mixed, arriving: demand.runs / observed})
+			for d.longFrom > 0 && model.late(binTokens(d.longFrom-1), kind.maxGap, 1) >= longPromptLate {
+				d.longFrom--
+			}
 		}
 	}
-	slices.SortFunc(d.shorts, func(a, b shortStreams) int {
+}
+
+// kindsByLimit returns the kinds of streams with a limit of pauses, the shortest first.
+func (d *engineSplit) kindsByLimit() []streamKind {
+	var out []streamKind
+	for kind := range d.demand {
+		if kind.maxGap > 0 {
+			out = append(out, kind)
+		}
+	}
+	slices.SortFunc(out, func(a, b streamKind) int {
 		return cmp.Or(cmp.Compare(a.maxGap, b.maxGap), cmp.Compare(a.priority, b.priority))
 	})
+	return out
+}
+
+// lateWhenMixed returns the share of the streams of a kind that prompts arriving during
+// their life would make late if all requests were spread evenly.
+func (d *engineSplit) lateWhenMixed(kind streamKind, model pauseModel, classes map[int]float64, engines, observed float64) float64 {
+	perSecond := 0.0
+	for bin := range unreadBins {
+		prompts := d.promptsIn(bin)
+		if prompts == 0 {
+			continue
+		}
+		for class, share := range classes {
+			perSecond += share * prompts / observed * model.late(binTokens(bin), kind.maxGap, math.Exp(float64(class)*slowClassWidth))
+		}
+	}
+	return 1 - math.Exp(-perSecond/engines*d.demand[kind].meanLife())
+}
+
+// longShare returns the share of the reading of its prompts in bins from one on.
+func (s *streamDemand) longShare(from int) float64 {
+	long, all := 0.0, 0.0
+	for bin, reading := range s.reading {
+		all += reading
+		if bin >= from {
+			long += reading
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return long / all
 }
 
 // runs returns the number of recent runs.
@@ -353,17 +398,10 @@
 func (d *engineSplit) targetSize(model pauseModel, engines, slots float64, now monotime.Instant) float64 {
 	d.state = EngineSplit{}
 	d.minLong = math.MaxInt
-	if len(d.shorts) == 0 || slots == 0 {
-		return 0
-	}
-	longFrom := unreadBins
-	for bin := unreadBins - 1; bin >= 0 && d.isLong(model, binTokens(bin)); bin-- {
-		longFrom = bin
-	}
-	if longFrom == unreadBins {
+	if len(d.shorts) == 0 || d.longFrom == unreadBins || slots == 0 {
 		return 0
 	}
-	d.minLong = int(minBinTokens * math.Exp2(float64(longFrom)/2))
+	d.minLong = int(minBinTokens * math.Exp2(float64(d.longFrom)/2))
 	observed := d.observed(now)
 	longSlots := 0.0
 	for kind, demand := range d.demand {
@@ -375,7 +413,7 @@
 		}
 		for bin, reading := range demand.reading {
 			switch {
-			case bin >= longFrom:
+			case bin >= d.longFrom:
 				d.state.LongReading += reading / observed
 			case demand.short:
 				d.state.ShortReading += reading / observed
@@ -391,15 +429,6 @@
 	return min(max(1, size), maxShortShare*engines)
 }
 
-func (d *engineSplit) isLong(model pauseModel, unread int) bool {
-	for _, k := range d.shorts {
-		if model.late(unread, k.maxGap, 1) >= longPromptLate {
-			return true
-		}
-	}
-	return false
-}
-
 // move brings the size and the strength of the split nearer to a target; 0 for no split. A
 // split that comes into effect begins at its target with no strength, so that the boundary
 // does not have to move there.
@@ -443,8 +472,11 @@
 	}
 }
 
-// cost returns the cost of placing work on s because of the split.
-func (d *engineSplit) cost(s *server, speed *pace.Pace, work *Work, unread int) float64 {
+// cost returns the cost of placing work on s because of the split, given the longest
+// pause of the streams there before and after it. It is the expected loss of the streams
+// that the part of s is intended for, those that are present on average and those that
+// arrive while the prompt is read, or of work itself beside prompts that are still to come.
+func (d *engineSplit) cost(s *server, work *Work, before, after, reading time.Duration) float64 {
 	if d.strength == 0 {
 		return 0
 	}
@@ -454,19 +486,19 @@
 		if k.streamKind == work.kind() {
 			out += (1 - s.forShort) * weightOf(k.priority) * k.mixed
 		}
-	}
-	if unread >= d.minLong && s.forShort > 0 {
-		model := pauseModel{*speed, s.eventTokens}
-		reading := speed.Read(unread, work.Prompt).Seconds()
-		for i := range d.shorts {
-			k := &d.shorts[i]
-			streams := k.perEngine + k.arriving*reading
-			out += s.forShort * weightOf(k.priority) * streams * model.late(unread, k.maxGap, 1)
+		if s.forShort > 0 {
+			if added := latePause(after, k.maxGap) - latePause(before, k.maxGap); added > minAddedLate {
+				out += s.forShort * weightOf(k.priority) * (k.perEngine + k.arriving*reading.Seconds()) * added
+			}
 		}
 	}
-	return d.strength * min(out, maxSplitCost)
+	return d.strength * min(out, maxSplitCost*work.weight())
 }
 
+// unprotected returns the share of the mean hazard of pauses that applies to s: engines
+// intended for streams with short pauses get few of the prompts that cause it.
+func (d *engineSplit) unprotected(s *server) float64 { return 1 - d.strength*s.forShort }
+
 // updateSplit updates the split of the service of some candidates when it is due. Servers
 // that are not known yet are added, since the ranking needs all of them.
 func (b *Board) updateSplit(candidates []Candidate, now monotime.Instant) {
