Split: the cost falls with the load of the engines for long prompts

With the full cost a burst of long prompts (2.7 times) read prompts again that were cached on the other side until the engines were overloaded: 51 million tokens in place of 34.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -249,7 +249,7 @@
 	withWork := unread.with(p.unread, work.Prompt)
 	o.gap = s.gap(speed, withWork, runs+1)
 
-	pausing := s.pauseProbability(speed, work, unread, life, b.meanHazard*s.kind.split.unprotected(s.server), now)
+	pausing := s.pauseProbability(speed, work, unread, life, b.meanHazard*s.kind.split.hazardShare(s.server, work), now)
 	o.late = 1 - (1-lateFirst(o.first, work.Goal))*(1-pausing)
 	o.lost = 1 - (1-lateEndIfBounded(o.end, work.Left))*(1-lateEndIfBounded(o.first, work.FirstLeft))
 	o.full = fullProbability(s.arrivals.perSecondAt(now)*b.contention.reportDelay().Seconds(), s.freeSlots)
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -41,7 +41,7 @@
 	pauseNoise = 0.3
 	// longPromptLate is the probability of making a stream late from which on a prompt
 	// counts as long for it.
-	longPromptLate = 0.05
+	longPromptLate = 0.01
 	// A limit of pauses becomes short when this share of its streams would be late by
 	// prompts that arrive during their life, were all requests spread evenly, and remains
 	// so down to a share of keepShortLate. A tenth of the most urgent streams may be late
@@ -66,6 +66,10 @@
 	// differ little.
 	minSplitRamp   = 4.0
 	splitRampShare = 0.05
+	// The cost falls when reading long prompts takes more than relaxFrom of the time of the
+	// engines for them, and is 0 from relaxTo on: then all engines are needed, and reading
+	// prompts again that are cached on the other side would take more time than there is.
+	relaxFrom, relaxTo = 0.1, 0.35
 	// splitFadeTime is how long a split takes to come into effect or to lapse.
 	splitFadeTime = 2 * time.Second
 	// maxSplitCost bounds the cost of the other side, as a share of the weight of the
@@ -114,6 +118,8 @@
 	// size is the number of engines for short pauses, and strength the share of the cost
 	// that is in effect.
 	size, strength float64
+	// relaxed is the factor of the cost by the load of the engines for long prompts.
+	relaxed float64
 	// shorts are the kinds of streams with short pauses, with their rate on an engine of
 	// their part.
 	shorts []shortStreams
@@ -270,6 +276,7 @@
 	d.move(target, n, passed)
 	d.setState(n)
 	d.setPositions()
+	d.relax()
 }
 
 // rank sorts the engines by class of slowness, then by a hash of the id.
@@ -472,6 +479,16 @@
 	}
 }
 
+// relax sets the factor of the cost by the load of the engines for long prompts.
+func (d *engineSplit) relax() {
+	capacity := 0.0
+	for _, s := range d.ranking {
+		capacity += (1 - s.forShort) * math.Exp(-float64(s.slowClass)*slowClassWidth)
+	}
+	load := d.state.LongReading / max(capacity, 1e-3)
+	d.relaxed = min(max(0, (relaxTo-load)/(relaxTo-relaxFrom)), 1)
+}
+
 // cost returns the cost of placing work on s because of the split, given the longest
 // pause of the streams there before and after it. It is the expected loss of the streams
 // that the part of s is intended for, those that are present on average and those that
@@ -492,12 +509,17 @@
 			}
 		}
 	}
-	return d.strength * min(out, maxSplitCost*work.weight())
+	return d.strength * d.relaxed * min(out, maxSplitCost*work.weight())
 }
 
-// unprotected returns the share of the mean hazard of pauses that applies to s: engines
-// intended for streams with short pauses get few of the prompts that cause it.
-func (d *engineSplit) unprotected(s *server) float64 { return 1 - d.strength*s.forShort }
+// hazardShare returns the share of the mean hazard of pauses that applies to work on s:
+// engines intended for its kind of streams get few of the prompts that cause it.
+func (d *engineSplit) hazardShare(s *server, work *Work) float64 {
+	if d.strength == 0 || s.forShort == 0 || !slices.ContainsFunc(d.shorts, func(k shortStreams) bool { return k.streamKind == work.kind() }) {
+		return 1
+	}
+	return 1 - d.strength*d.relaxed*s.forShort
+}
 
 // updateSplit updates the split of the service of some candidates when it is due. Servers
 // that are not known yet are added, since the ranking needs all of them.
