--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,11 +121,12 @@
 	started monotime.Instant
 	// reload requests an immediate reload of the settings.
 	reload chan struct{}
-	// Used by the periodic task only: the seeds in use, the paces of engines last logged,
+	// Used by the periodic task only: the seeds in use, the paces and splits of engines last logged,
 	// by service, the calls to the store last logged, and when pace statistics were last
 	// sent to peers.
 	seeds           []string
 	loggedPaces     map[string]pace.Pace
+	loggedSplits    map[string]int
 	loggedCalls     StoreCalls
 	paceStatsSentAt monotime.Instant
 }
@@ -137,7 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{cfg: cfg, started: monotime.Now(), stats: relay.NewMetrics(), reload: make(chan struct{}, 1), seeds: s.Peers.Seeds, loggedPaces: make(map[string]pace.Pace)}
+	g := &Gateway{cfg: cfg, started: monotime.Now(), stats: relay.NewMetrics(), reload: make(chan struct{}, 1), seeds: s.Peers.Seeds, loggedPaces: make(map[string]pace.Pace), loggedSplits: make(map[string]int)}
 	g.fleet = &fleet{
 		self:       s.Instance.ID,
 		dataCentre: s.Instance.DataCentre,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,7 @@
 	vars.Set("paths", expvar.Func(func() any { return g.connector.metrics() }))
 	vars.Set("tunnels", expvar.Func(func() any { return tunnelMetrics{Open: g.tunnels.Open(), Opened: g.tunnels.Total()} }))
 	vars.Set("crashes", expvar.Func(func() any { return g.fleet.crashes.metrics() }))
+	vars.Set("engine_split", expvar.Func(func() any { return g.fleet.board.EngineSplits() }))
 	vars.Set("streams", expvar.Func(func() any { return g.fleet.streams.metrics() }))
 	vars.Set("news", expvar.Func(func() any { return g.peers.metrics() }))
 	vars.Set("peers_linked", expvar.Func(func() any { return len(g.peers.linked()) }))
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -65,6 +65,8 @@
 	FetchFrom string
 	// Cost of the choice; the candidate with the lowest cost is chosen.
 	Cost float64
+	// SplitCost is the part of Cost that is due to an engine intended for other requests.
+	SplitCost float64
 	// Free is the number of slots that were free for the request, set with AllFull, and
 	// Unreported the estimated number of requests that other instances have sent to them
 	// and not reported yet.
@@ -216,6 +218,7 @@
 	weight := work.weight()
 	choice.Unread, choice.FetchFrom = p.unread, p.from
 	choice.First, choice.Gap, choice.End, choice.LostProbability = o.first, o.gap, o.end, o.lost
+	choice.SplitCost = o.split
 	choice.Value = weight*(1-max(o.lost, lateLossShare*o.late)) - o.harm.upTo(work.Priority)
 	choice.Cost += p.cost + readCost*float64(p.unread)/1000 +
 		weight*max(o.late, o.lost, o.full) + o.harm.upTo(lastPriorityIndex) + o.split
@@ -254,7 +257,9 @@
 	o.lost = 1 - (1-lateEndIfBounded(o.end, work.Left))*(1-lateEndIfBounded(o.first, work.FirstLeft))
 	o.full = fullProbability(s.arrivals.perSecondAt(now)*b.contention.reportDelay().Seconds(), s.freeSlots)
 	o.harm = s.pauseHarm(speed, unread, withWork)
-	o.split = s.kind.split.cost(s.server, work, s.gap(speed, unread, runs), o.gap, speed.Read(p.unread, work.Prompt))
+	if s.kind.split.inEffect() {
+		o.split = s.kind.split.cost(s.server, work, s.gap(speed, unread, runs), o.gap, speed.Read(p.unread, work.Prompt))
+	}
 	streamsDelayed := streamDelay(speed, p.unread, work).Seconds()
 	harm := b.delayCostOf(s.server, speed, b.meanRead, now)
 	for priority, perSecond := range harm.running {
--- a/internal/placement/shortlist.go
+++ b/internal/placement/shortlist.go
@@ -26,6 +26,9 @@
 	// none of maxSample random servers has a free slot, fewer than one in a hundred has
 	// one, with a probability of 0.99.
 	firstSample, sampleGrowth, maxSample = 32, 4, 512
+	// intendedSample is the number of engines considered of those that are intended for
+	// the request.
+	intendedSample = 8
 	// otherDataCentres is the divisor of a sample taken from the whole pool; the rest is
 	// taken from the own data centre.
 	otherDataCentres = 4
@@ -62,6 +65,7 @@
 			return choice, refusal
 		}
 	}
+	b.addIntended(list, &work)
 	offset := b.rand.Uint64()
 	for sample := firstSample; sample < maxSample; sample *= sampleGrowth {
 		b.addSample(list, sample, offset)
@@ -90,7 +94,7 @@
 // others that are not reported yet go there too.
 func (b *Board) satisfactory(choice *Choice, work *Work) bool {
 	slots := b.servers[choice.Server].slots
-	return choice.Running < slots/homeSlotsDivisor && choice.Value >= minSatisfactory*work.weight()
+	return choice.Running < slots/homeSlotsDivisor && choice.Value-choice.SplitCost >= minSatisfactory*work.weight()
 }
 
 // addHolders adds engines that cache the longest starts of a prompt. Starts of fewer than
@@ -128,6 +132,19 @@
 	}
 }
 
+// addIntended adds some engines that are intended for a request by the split of its
+// service. A sample need not contain any of a small part.
+func (b *Board) addIntended(list *shortlist, work *Work) {
+	engines := b.kindOf(list.pool.candidates[0].Service).split.intended(work)
+	if len(engines) == 0 {
+		return
+	}
+	offset := b.rand.IntN(len(engines))
+	for n := range min(intendedSample, len(engines)) {
+		list.addID(engines[(offset+n)%len(engines)].id)
+	}
+}
+
 // addSample adds so many servers from an offset that differs by request, most of them of
 // the own data centre.
 func (b *Board) addSample(list *shortlist, size int, offset uint64) {
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -494,9 +494,6 @@
 // that the part of s is intended for, those that are present on average and those that
 // arrive while the prompt is read, or of work itself beside prompts that are still to come.
 func (d *engineSplit) cost(s *server, work *Work, before, after, reading time.Duration) float64 {
-	if d.strength == 0 {
-		return 0
-	}
 	out := 0.0
 	for i := range d.shorts {
 		k := &d.shorts[i]
@@ -515,12 +512,35 @@
 // hazardShare returns the share of the mean hazard of pauses that applies to work on s:
 // engines intended for its kind of streams get few of the prompts that cause it.
 func (d *engineSplit) hazardShare(s *server, work *Work) float64 {
-	if d.strength == 0 || s.forShort == 0 || !slices.ContainsFunc(d.shorts, func(k shortStreams) bool { return k.streamKind == work.kind() }) {
+	if !d.inEffect() || s.forShort == 0 || !d.isShort(work.kind()) {
 		return 1
 	}
 	return 1 - d.strength*d.relaxed*s.forShort
 }
 
+// inEffect reports whether there is a split whose cost is not 0.
+func (d *engineSplit) inEffect() bool { return d.strength*d.relaxed > 0 }
+
+// intended returns the engines for work, or none if it may use all alike.
+func (d *engineSplit) intended(work *Work) []*server {
+	boundary := min(int(math.Round(d.size)), len(d.ranking))
+	switch {
+	case !d.inEffect():
+		return nil
+	case d.isShort(work.kind()):
+		return d.ranking[:boundary]
+	case work.Prompt >= d.minLong:
+		return d.ranking[boundary:]
+	default:
+		return nil
+	}
+}
+
+// isShort reports whether a kind of streams has short pauses.
+func (d *engineSplit) isShort(kind streamKind) bool {
+	return slices.ContainsFunc(d.shorts, func(k shortStreams) bool { return k.streamKind == kind })
+}
+
 // updateSplit updates the split of the service of some candidates when it is due. Servers
 // that are not known yet are added, since the ranking needs all of them.
 func (b *Board) updateSplit(candidates []Candidate, now monotime.Instant) {
