--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -53,7 +53,7 @@
 	maxOwnLong, keepOwnLong = 0.4, 0.6
 	// splitHeadroom is the factor by which the demand of short streams may rise before
 	// their part is full, up to maxShortShare of the engines.
-	splitHeadroom = 2.5
+	splitHeadroom = 1.3
 	maxShortShare = 0.6
 	// Parts of prompts that move with the boundary are fetched or read again. It moves by
 	// at most minSplitMove engines a second, or splitMoveShare of the engines if that is
@@ -432,8 +432,32 @@
 	}
 	short := d.state.ShortSlots/slots + d.state.ShortReading
 	long := longSlots/slots + d.state.LongReading
-	size := max(engines*short/(short+long), splitHeadroom*short)
-	return min(max(1, size), maxShortShare*engines)
+	needed := max(d.capacity()*short/(short+long), splitHeadroom*short)
+	return min(max(1, d.enginesFor(needed)), maxShortShare*engines)
+}
+
+// capacity returns the speed of the engine relative to usual ones, by its class.
+func (s *server) capacity() float64 { return math.Exp(-float64(s.slowClass) * slowClassWidth) }
+
+// capacity returns the sum over all engines.
+func (d *engineSplit) capacity() float64 {
+	sum := 0.0
+	for _, s := range d.ranking {
+		sum += s.capacity()
+	}
+	return sum
+}
+
+// enginesFor returns the number of engines from the start of the ranking that have a
+// capacity together.
+func (d *engineSplit) enginesFor(capacity float64) float64 {
+	for i, s := range d.ranking {
+		if capacity < s.capacity() {
+			return float64(i) + capacity/s.capacity()
+		}
+		capacity -= s.capacity()
+	}
+	return float64(len(d.ranking))
 }
 
 // move brings the size and the strength of the split nearer to a target; 0 for no split. A
@@ -483,7 +507,7 @@
 func (d *engineSplit) relax() {
 	capacity := 0.0
 	for _, s := range d.ranking {
-		capacity += (1 - s.forShort) * math.Exp(-float64(s.slowClass)*slowClassWidth)
+		capacity += (1 - s.forShort) * s.capacity()
 	}
 	load := d.state.LongReading / max(capacity, 1e-3)
 	d.relaxed = min(max(0, (relaxTo-load)/(relaxTo-relaxFrom)), 1)
