--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -69,12 +69,12 @@
 	// The cost falls when reading long prompts takes more than relaxFrom of the time of the
 	// engines for them, and is 0 from relaxTo on: then all engines are needed, and reading
 	// prompts again that are cached on the other side would take more time than there is.
-	relaxFrom, relaxTo = 0.1, 0.35
+	relaxFrom, relaxTo = 0.4, 0.7
 	// splitFadeTime is how long a split takes to come into effect or to lapse.
 	splitFadeTime = 2 * time.Second
 	// maxSplitCost bounds the cost of the other side, as a share of the weight of the
 	// request, so that one that would be late on its own side goes to the other one.
-	maxSplitCost = 0.5
+	maxSplitCost = 0.3
 	// minAddedLate is the added probability of late pauses that is ignored: a prompt of a
 	// stream with short pauses adds about that to others of its kind.
 	minAddedLate = 0.005
