--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -28,6 +29,9 @@
 	// splitIntervalPerEngine the addition for each engine: an update goes through all.
 	splitInterval          = 100 * time.Millisecond
 	splitIntervalPerEngine = 150 * time.Microsecond
+	// maxSplitPassed bounds the time that one update accounts for, so that the boundary
+	// does not jump after a time without choices.
+	maxSplitPassed = time.Second
 	// minSplitEngines is the smallest number of engines that are split. With fewer, a
 	// part has too few engines to absorb the variation of its own load.
 	minSplitEngines = 8
@@ -83,33 +87,18 @@
 	// to change it. The estimates of instances differ by less.
 	slowClassWidth  = 0.47
 	slowClassMargin = 0.25
-	// Prompts are counted by their unread tokens, in bins that grow by half an octave from
-	// minBinTokens.
-	unreadBins   = 20
-	minBinTokens = 128
-	// maxDemandKinds bounds the kinds of streams that are counted; others are ignored.
-	maxDemandKinds = 32
 	// listedMaxAge is how long an engine remains in the ranking after it was last listed
 	// as accepting requests.
 	listedMaxAge = 10 * time.Second
 )
 
-// streamDemand is the demand of one kind of streams, as decaying sums.
-type streamDemand struct {
-	// runs and lives are the number of begun and of ended runs; held is the time for
-	// which the latter held their slots, in seconds.
-	runs, lives, held float64
-	// reading is the time to read their prompts at the usual pace, in seconds, and prompts
-	// their number, by bin of unread tokens.
-	reading, prompts [unreadBins]float64
-	// short is set if the limit of pauses of these streams is short.
-	short bool
-}
-
 // engineSplit is the split of the engines of a service. Its methods do no I/O and read no
 // clock. The lock of the Board protects it.
 type engineSplit struct {
 	demand map[streamKind]*streamDemand
+	// kinds are those of demand in a fixed order, so that sums over them are the same
+	// wherever the demand is.
+	kinds []streamKind
 	// since is when the first run was recorded, 0 for never; updatedAt is when the sums
 	// of the demand were last decayed, and the split decided.
 	since, updatedAt monotime.Instant
@@ -154,86 +143,11 @@
 	LongReading  float64 `json:"long_reading"`
 }
 
-// unreadBin returns the bin of a prompt by its unread tokens.
-func unreadBin(unread int) int {
-	return min(max(0, int(2*math.Log2(float64(max(1, unread))/minBinTokens))), unreadBins-1)
-}
-
-// binTokens returns a typical number of unread tokens in a bin.
-func binTokens(bin int) int {
-	return int(minBinTokens * math.Exp2((float64(bin)+0.5)/2))
-}
-
-func (d *engineSplit) demandOf(kind streamKind, now monotime.Instant) *streamDemand {
-	found := d.demand[kind]
-	if found == nil {
-		if len(d.demand) >= maxDemandKinds {
-			return nil
-		}
-		if d.demand == nil {
-			d.demand = make(map[streamKind]*streamDemand)
-			d.since, d.updatedAt = now, now
-		}
-		found = &streamDemand{}
-		d.demand[kind] = found
-	}
-	return found
-}
-
-// recordBegin records a run of any instance that begins, with the time to read its unread
-// tokens at the usual pace.
-func (d *engineSplit) recordBegin(work *Work, unread int, reading time.Duration, now monotime.Instant) {
-	demand := d.demandOf(work.kind(), now)
-	if demand == nil {
-		return
-	}
-	demand.runs++
-	if unread > 0 {
-		bin := unreadBin(unread)
-		demand.prompts[bin]++
-		demand.reading[bin] += reading.Seconds()
-	}
-}
-
-// recordEnd records a run of any instance that ends.
-func (d *engineSplit) recordEnd(work *Work, life time.Duration) {
-	if demand := d.demand[work.kind()]; demand != nil {
-		demand.lives++
-		demand.held += life.Seconds()
-	}
-}
-
-// decay brings the demand up to an instant and removes kinds that are no longer used.
-func (d *engineSplit) decay(now monotime.Instant) {
-	const forgotten = 0.01
-	factor := decay(now.Sub(d.updatedAt), splitWindow)
-	for kind, demand := range d.demand {
-		demand.runs *= factor
-		demand.lives *= factor
-		demand.held *= factor
-		for bin := range demand.reading {
-			demand.reading[bin] *= factor
-			demand.prompts[bin] *= factor
-		}
-		if demand.runs < forgotten {
-			delete(d.demand, kind)
-		}
-	}
-}
-
 // observed returns the time that the decaying sums stand for, in seconds.
 func (d *engineSplit) observed(now monotime.Instant) float64 {
 	return splitWindow.Seconds() * max(1e-3, 1-decay(now.Sub(d.since), splitWindow))
 }
 
-// meanLife returns how long a run of the kind holds its slot, in seconds.
-func (s *streamDemand) meanLife() float64 {
-	if s.lives == 0 {
-		return 0
-	}
-	return s.held / s.lives
-}
-
 // pauseModel predicts which pauses a prompt adds on engines of a service.
 type pauseModel struct {
 	speed       pace.Pace
@@ -262,9 +176,10 @@
 
 // update decides the split anew when it is due.
 func (d *engineSplit) update(engines []*server, model pauseModel, now monotime.Instant) {
-	passed := now.Sub(d.updatedAt)
+	passed := min(now.Sub(d.updatedAt), maxSplitPassed)
 	d.decay(now)
 	d.updatedAt = now
+	d.sortKinds()
 	d.rank(engines, now)
 	slots := 0
 	for _, s := range engines {
@@ -272,7 +187,7 @@
 	}
 	n := float64(len(engines))
 	d.classify(model, n, now)
-	target := d.targetSize(model, n, float64(slots)/max(1, n), now)
+	target := d.targetSize(n, float64(slots)/max(1, n), now)
 	d.move(target, n, passed)
 	d.setState(n)
 	d.setPositions()
@@ -312,8 +227,11 @@
 	}
 	observed := d.observed(now)
 	classes := d.slowClasses()
-	for _, kind := range d.kindsByLimit() {
+	for _, kind := range d.kinds {
 		demand := d.demand[kind]
+		if kind.maxGap == 0 {
+			continue
+		}
 		mixed := d.lateWhenMixed(kind, model, classes, engines, observed)
 		late, own := shortLate, maxOwnLong
 		if demand.short {
@@ -329,80 +247,65 @@
 	}
 }
 
-// kindsByLimit returns the kinds of streams with a limit of pauses, the shortest first.
-func (d *engineSplit) kindsByLimit() []streamKind {
-	var out []streamKind
-	for kind := range d.demand {
-		if kind.maxGap > 0 {
-			out = append(out, kind)
-		}
-	}
-	slices.SortFunc(out, func(a, b streamKind) int {
+// sortKinds sorts the kinds of streams by their limit of pauses, the shortest first.
+func (d *engineSplit) sortKinds() {
+	d.kinds = slices.SortedFunc(maps.Keys(d.demand), func(a, b streamKind) int {
 		return cmp.Or(cmp.Compare(a.maxGap, b.maxGap), cmp.Compare(a.priority, b.priority))
 	})
-	return out
 }
 
 // lateWhenMixed returns the share of the streams of a kind that prompts arriving during
 // their life would make late if all requests were spread evenly.
-func (d *engineSplit) lateWhenMixed(kind streamKind, model pauseModel, classes map[int]float64, engines, observed float64) float64 {
+func (d *engineSplit) lateWhenMixed(kind streamKind, model pauseModel, classes []slowShare, engines, observed float64) float64 {
 	perSecond := 0.0
 	for bin := range unreadBins {
 		prompts := d.promptsIn(bin)
 		if prompts == 0 {
 			continue
 		}
-		for class, share := range classes {
-			perSecond += share * prompts / observed * model.late(binTokens(bin), kind.maxGap, math.Exp(float64(class)*slowClassWidth))
+		for _, c := range classes {
+			perSecond += c.share * prompts / observed * model.late(binTokens(bin), kind.maxGap, c.slowness)
 		}
 	}
 	return 1 - math.Exp(-perSecond/engines*d.demand[kind].meanLife())
 }
 
-// longShare returns the share of the reading of its prompts in bins from one on.
-func (s *streamDemand) longShare(from int) float64 {
-	long, all := 0.0, 0.0
-	for bin, reading := range s.reading {
-		all += reading
-		if bin >= from {
-			long += reading
-		}
-	}
-	if all == 0 {
-		return 0
-	}
-	return long / all
-}
-
 // runs returns the number of recent runs.
 func (d *engineSplit) runs() float64 {
 	sum := 0.0
-	for _, demand := range d.demand {
-		sum += demand.runs
+	for _, kind := range d.kinds {
+		sum += d.demand[kind].runs
 	}
 	return sum
 }
 
 func (d *engineSplit) promptsIn(bin int) float64 {
 	sum := 0.0
-	for _, demand := range d.demand {
-		sum += demand.prompts[bin]
+	for _, kind := range d.kinds {
+		sum += d.demand[kind].prompts[bin]
 	}
 	return sum
 }
 
-// slowClasses returns the share of the engines in each class of slowness.
-func (d *engineSplit) slowClasses() map[int]float64 {
-	out := make(map[int]float64)
-	for _, s := range d.ranking {
-		out[s.slowClass] += 1 / float64(len(d.ranking))
+// slowShare is a share of the engines that are equally slow.
+type slowShare struct{ slowness, share float64 }
+
+// slowClasses returns the share of the engines in each class of slowness. The ranking is in
+// their order.
+func (d *engineSplit) slowClasses() []slowShare {
+	var out []slowShare
+	for i, s := range d.ranking {
+		if i == 0 || s.slowClass != d.ranking[i-1].slowClass {
+			out = append(out, slowShare{slowness: 1 / s.capacity()})
+		}
+		out[len(out)-1].share += 1 / float64(len(d.ranking))
 	}
 	return out
 }
 
 // targetSize returns the number of engines that short streams need, and sets what follows
 // from the demand. Engines that neither part needs are shared out in proportion.
-func (d *engineSplit) targetSize(model pauseModel, engines, slots float64, now monotime.Instant) float64 {
+func (d *engineSplit) targetSize(engines, slots float64, now monotime.Instant) float64 {
 	d.state = EngineSplit{}
 	d.minLong = math.MaxInt
 	if len(d.shorts) == 0 || d.longFrom == unreadBins || slots == 0 {
@@ -411,7 +314,8 @@
 	d.minLong = int(minBinTokens * math.Exp2(float64(d.longFrom)/2))
 	observed := d.observed(now)
 	longSlots := 0.0
-	for kind, demand := range d.demand {
+	for _, kind := range d.kinds {
+		demand := d.demand[kind]
 		held := demand.runs / observed * demand.meanLife()
 		if demand.short {
 			d.state.ShortSlots += held
@@ -598,15 +502,6 @@
 	}
 }
 
-// recordDemand records a run that begins on s, unless it is reported again.
-func (b *Board) recordDemand(s *server, work *Work, unread int, now monotime.Instant) {
-	if !b.enabled(b.features.SplitEngines, now) || work.Prompt == 0 {
-		return
-	}
-	speed := s.kind.model.Pace()
-	s.kind.split.recordBegin(work, unread, speed.Read(unread, work.Prompt), now)
-}
-
 // EngineSplits returns the split of the engines of each service with a known demand.
 func (b *Board) EngineSplits() map[string]EngineSplit {
 	b.mu.Lock()
