--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -26,3 +26,44 @@
 		})
 	}
 }
+
+// BenchmarkSplit measures what the split of engines costs an instance: an update, which
+// runs at most each 100 ms, and later in a large pool, a run of any instance that begins
+// and ends, and an engine considered for a request.
+func BenchmarkSplit(b *testing.B) {
+	for _, n := range []int{18, 140, 600, 5910} {
+		scale := float64(max(1, n/140))
+		l := newSplitLoad(n, 200*scale, 50*scale)
+		d := l.play(6 * time.Second)
+		demand := make(map[streamKind]streamDemand)
+		for kind, of := range d.demand {
+			demand[kind] = *of
+		}
+		b.Run(fmt.Sprint("update/", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				for kind, of := range demand {
+					*d.demand[kind] = of
+				}
+				d.updatedAt = l.now.Add(-2 * time.Second)
+				l.board.updateSplit(l.candidates, l.now)
+			}
+		})
+		if d.size == 0 {
+			b.Fatal("no split")
+		}
+		work := longRead("bench")
+		b.Run(fmt.Sprint("run/", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				l.board.recordDemand(d.ranking[0], &work, 5000, l.now)
+				d.recordEnd(&work, time.Second)
+			}
+		})
+		b.Run(fmt.Sprint("cost/", n), func(b *testing.B) {
+			for b.Loop() {
+				d.cost(d.ranking[0], &work, 20*time.Millisecond, 150*time.Millisecond, 100*time.Millisecond)
+			}
+		})
+	}
+}
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -26,12 +26,13 @@
 	// arrivals, a longer one still counts the demand before a burst when it has passed.
 	splitWindow = 5 * time.Second
 	// splitInterval is the minimum time between two updates of a split, and
-	// splitIntervalPerEngine the addition for each engine: an update goes through all.
-	splitInterval          = 100 * time.Millisecond
-	splitIntervalPerEngine = 150 * time.Microsecond
+	// splitIntervalPerEngine the addition for each engine: an update goes through all, and
+	// takes some 0.2% of a core at most, whatever their number.
+	splitInterval          = 200 * time.Millisecond
+	splitIntervalPerEngine = 500 * time.Microsecond
 	// maxSplitPassed bounds the time that one update accounts for, so that the boundary
 	// does not jump after a time without choices.
-	maxSplitPassed = time.Second
+	maxSplitPassed = 10 * time.Second
 	// minSplitEngines is the smallest number of engines that are split. With fewer, a
 	// part has too few engines to absorb the variation of its own load.
 	minSplitEngines = 8
@@ -125,6 +126,8 @@
 	// perEngine is the number of streams that an engine of their part has at a time, and
 	// arriving the number that arrive there in a second.
 	perEngine, arriving float64
+	// ignored is the pause that makes them late with minAddedLate.
+	ignored time.Duration
 	// mixed is the share of them that is late on an engine for long prompts.
 	mixed float64
 }
@@ -174,6 +177,12 @@
 	return logistic(math.Log(float64(max(expected, minDuration))/float64(left)) / pauseNoise)
 }
 
+// pauseLateWith returns the expected pause for which latePause gives a probability.
+func pauseLateWith(probability float64, limit time.Duration) time.Duration {
+	left := max(limit-gapMargin, minDuration)
+	return time.Duration(float64(left) * math.Exp(pauseNoise*math.Log(probability/(1-probability))))
+}
+
 // update decides the split anew when it is due.
 func (d *engineSplit) update(engines []*server, model pauseModel, now monotime.Instant) {
 	passed := min(now.Sub(d.updatedAt), maxSplitPassed)
@@ -239,7 +248,9 @@
 		}
 		demand.short = mixed >= late && demand.longShare(d.longFrom) <= own
 		if demand.short {
-			d.shorts = append(d.shorts, shortStreams{streamKind: kind, mixed: mixed, arriving: demand.runs / observed})
+			d.shorts = append(d.shorts, shortStreams{
+				streamKind: kind, mixed: mixed, arriving: demand.runs / observed, ignored: pauseLateWith(minAddedLate, kind.maxGap),
+			})
 			for d.longFrom > 0 && model.late(binTokens(d.longFrom-1), kind.maxGap, 1) >= longPromptLate {
 				d.longFrom--
 			}
@@ -428,7 +439,7 @@
 		if k.streamKind == work.kind() {
 			out += (1 - s.forShort) * weightOf(k.priority) * k.mixed
 		}
-		if s.forShort > 0 {
+		if s.forShort > 0 && after > k.ignored {
 			if added := latePause(after, k.maxGap) - latePause(before, k.maxGap); added > minAddedLate {
 				out += s.forShort * weightOf(k.priority) * (k.perEngine + k.arriving*reading.Seconds()) * added
 			}
