--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -513,13 +513,14 @@
 	}
 }
 
-// EngineSplits returns the split of the engines of each service with a known demand.
+// EngineSplits returns the split of the engines of each service for which it was decided,
+// also if there is none.
 func (b *Board) EngineSplits() map[string]EngineSplit {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[string]EngineSplit)
 	for service, kind := range b.kinds {
-		if kind.split.since != 0 {
+		if kind.split.state.Engines > 0 {
 			out[service] = kind.split.state
 		}
 	}
