Split: no cost where slots are scarce, and none below 24 engines

With 12 engines a burst of reports had 19% late in place of 0.2%; with 60 engines of which 62% of the slots are held, 9.1% of live answers were late in place of 6.8%.

--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -24,7 +24,7 @@
 const (
 	// splitWindow is the time constant of the demand. A shorter one follows the noise of
 	// arrivals, a longer one still counts the demand before a burst when it has passed.
-	splitWindow = 5 * time.Second
+	splitWindow = 3 * time.Second
 	// splitInterval is the minimum time between two updates of a split, and
 	// splitIntervalPerEngine the addition for each engine: an update goes through all, and
 	// takes some 0.2% of a core at most, whatever their number.
@@ -34,8 +34,9 @@
 	// does not jump after a time without choices.
 	maxSplitPassed = 10 * time.Second
 	// minSplitEngines is the smallest number of engines that are split. With fewer, a
-	// part has too few engines to absorb the variation of its own load.
-	minSplitEngines = 8
+	// part has too few engines to absorb the variation of its own load: with 12 engines,
+	// 19% of reports were late in a burst, 0.2% without a split.
+	minSplitEngines = 24
 	// minSplitDemand is the number of recent runs from which on the demand counts as
 	// known, and minSplitSpan the time over which it was observed.
 	minSplitDemand = 50.0
@@ -74,7 +75,11 @@
 	// The cost falls when reading long prompts takes more than relaxFrom of the time of the
 	// engines for them, and is 0 from relaxTo on: then all engines are needed, and reading
 	// prompts again that are cached on the other side would take more time than there is.
-	relaxFrom, relaxTo = 0.4, 0.7
+	// With the full cost, engines read 51 million tokens in place of 34 in a burst of long
+	// prompts. The same holds from relaxSlotsFrom to relaxSlotsTo for the share of all slots
+	// that requests hold.
+	relaxFrom, relaxTo           = 0.4, 0.7
+	relaxSlotsFrom, relaxSlotsTo = 0.3, 0.5
 	// splitFadeTime is how long a split takes to come into effect or to lapse.
 	splitFadeTime = 2 * time.Second
 	// maxSplitCost bounds the cost of the other side, as a share of the weight of the
@@ -108,8 +113,9 @@
 	// size is the number of engines for short pauses, and strength the share of the cost
 	// that is in effect.
 	size, strength float64
-	// relaxed is the factor of the cost by the load of the engines for long prompts.
-	relaxed float64
+	// slotShare is the share of all slots that requests hold, and relaxed the factor of the
+	// cost by it and by the load of the engines for long prompts.
+	slotShare, relaxed float64
 	// shorts are the kinds of streams with short pauses, with their rate on an engine of
 	// their part.
 	shorts []shortStreams
@@ -324,10 +330,11 @@
 	}
 	d.minLong = int(minBinTokens * math.Exp2(float64(d.longFrom)/2))
 	observed := d.observed(now)
-	longSlots := 0.0
+	longSlots, allSlots := 0.0, 0.0
 	for _, kind := range d.kinds {
 		demand := d.demand[kind]
 		held := demand.runs / observed * demand.meanLife()
+		allSlots += held
 		if demand.short {
 			d.state.ShortSlots += held
 		} else if kind.maxGap > 0 {
@@ -345,6 +352,7 @@
 	if d.state.LongReading == 0 {
 		return 0
 	}
+	d.slotShare = allSlots / (slots * engines)
 	short := d.state.ShortSlots/slots + d.state.ShortReading
 	long := longSlots/slots + d.state.LongReading
 	needed := max(d.capacity()*short/(short+long), splitHeadroom*short)
@@ -425,7 +433,7 @@
 		capacity += (1 - s.forShort) * s.capacity()
 	}
 	load := d.state.LongReading / max(capacity, 1e-3)
-	d.relaxed = min(max(0, (relaxTo-load)/(relaxTo-relaxFrom)), 1)
+	d.relaxed = min(max(0, min((relaxTo-load)/(relaxTo-relaxFrom), (relaxSlotsTo-d.slotShare)/(relaxSlotsTo-relaxSlotsFrom))), 1)
 }
 
 // cost returns the cost of placing work on s because of the split, given the longest
