--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -62,6 +62,7 @@
 			g.reloadSettings()
 			g.logPaces()
 			g.logServerPaces(monotime.Now())
+			g.logSplits()
 		}
 		if n%ticksPerStoreCalls == 0 {
 			g.logStoreCalls()
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -65,6 +65,8 @@
 	FetchFrom string
 	// Cost of the choice; the candidate with the lowest cost is chosen.
 	Cost float64
+	// SplitCost is the part of Cost that is due to an engine intended for other requests.
+	SplitCost float64
 	// Free is the number of slots that were free for the request, set with AllFull, and
 	// Unreported the estimated number of requests that other instances have sent to them
 	// and not reported yet.
@@ -84,6 +86,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.begin(&work, now)
+	b.updateSplit(candidates, now)
 	return b.decide(&work, candidates, 1, now)
 }
 
@@ -215,9 +218,10 @@
 	weight := work.weight()
 	choice.Unread, choice.FetchFrom = p.unread, p.from
 	choice.First, choice.Gap, choice.End, choice.LostProbability = o.first, o.gap, o.end, o.lost
+	choice.SplitCost = o.split
 	choice.Value = weight*(1-max(o.lost, lateLossShare*o.late)) - o.harm.upTo(work.Priority)
 	choice.Cost += p.cost + readCost*float64(p.unread)/1000 +
-		weight*max(o.late, o.lost, o.full) + o.harm.upTo(lastPriorityIndex)
+		weight*max(o.late, o.lost, o.full) + o.harm.upTo(lastPriorityIndex) + o.split
 	return choice
 }
 
@@ -231,6 +235,8 @@
 	late, lost, full float64
 	// harm is what the other streams on the engine lose, by priority.
 	harm byPriority
+	// split is the cost of an engine that is intended for other requests.
+	split float64
 }
 
 func (b *Board) predict(s availableServer, speed *pace.Pace, work *Work, p plan, now monotime.Instant) prediction {
@@ -246,11 +252,14 @@
 	withWork := unread.with(p.unread, work.Prompt)
 	o.gap = s.gap(speed, withWork, runs+1)
 
-	pausing := s.pauseProbability(speed, work, unread, life, b.meanHazard, now)
+	pausing := s.pauseProbability(speed, work, unread, life, b.meanHazard*s.kind.split.hazardShare(s.server, work), now)
 	o.late = 1 - (1-lateFirst(o.first, work.Goal))*(1-pausing)
 	o.lost = 1 - (1-lateEndIfBounded(o.end, work.Left))*(1-lateEndIfBounded(o.first, work.FirstLeft))
 	o.full = fullProbability(s.arrivals.perSecondAt(now)*b.contention.reportDelay().Seconds(), s.freeSlots)
 	o.harm = s.pauseHarm(speed, unread, withWork)
+	if s.kind.split.inEffect() {
+		o.split = s.kind.split.cost(s.server, work, s.gap(speed, unread, runs), o.gap, speed.Read(p.unread, work.Prompt))
+	}
 	streamsDelayed := streamDelay(speed, p.unread, work).Seconds()
 	harm := b.delayCostOf(s.server, speed, b.meanRead, now)
 	for priority, perSecond := range harm.running {
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -56,6 +56,8 @@
 	// serversAt.
 	servers   pace.Servers
 	serversAt monotime.Instant
+	// split tells which engines are intended for which requests.
+	split engineSplit
 	// asked is the rate of choices of this instance while the servers are brittle.
 	asked rate
 }
