--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -78,6 +78,9 @@
 	Bursts         []Burst
 	Faults         []Fault
 	Uneven         Uneven
+	// CostJitter is the largest amount added to the cost of each engine to spread the
+	// choices of the instances.
+	CostJitter float64
 	// Features of placement that are switched on.
 	Features placement.Features
 	// Length is the time during which requests arrive.
@@ -268,10 +271,12 @@
 }
 
 // newBoard returns the Board of an instance, without samples of the engines.
-func (s *sim) newBoard() *placement.Board {
+func (s *sim) newBoard(name string) *placement.Board {
 	b := placement.NewBoard(pace.DefaultPrior, dataCentre)
 	b.SetPeers(s.scenario.Instances-1, s.scenario.MaxUpdateDelay)
 	b.SetFeatures(s.scenario.Features)
+	b.SetSharing(name, func(string) (place, instances int, ok bool) { return 0, 1, true })
+	b.SetCostJitter(func(float64) float64 { return s.scenario.CostJitter })
 	b.SetFleetSize(s.scenario.Instances, s.now())
 	b.Seed(s.random.Uint64())
 	return b
--- a/internal/emulator/instance.go
+++ b/internal/emulator/instance.go
@@ -14,10 +14,15 @@
 	name     string
 	board    *placement.Board
 	runCount int
+	// connections are the idle ones by engine, the most recently used last.
+	connections map[string][]connection
 }
 
 func newInstance(s *sim, n int) *instance {
-	return &instance{sim: s, name: fmt.Sprintf("instance-%03d", n), board: s.newBoard()}
+	i := &instance{sim: s, name: fmt.Sprintf("instance-%03d", n), connections: make(map[string][]connection)}
+	i.board = s.newBoard(i.name)
+	i.board.SetConnected(i.connected)
+	return i
 }
 
 // broadcast applies an update to the boards of all other instances after a random
@@ -49,6 +54,7 @@
 		}
 		e := i.sim.byID[choice.Server]
 		if e.down {
+			delete(i.connections, e.id)
 			i.board.Observe(e.id, placement.Unreachable, now)
 			continue
 		}
@@ -61,6 +67,7 @@
 func (i *instance) send(c *call, e *engine, choice placement.Choice) {
 	i.runCount++
 	r := &run{call: c, instance: i, number: i.runCount}
+	i.connect(e)
 	id := placement.RunID{Instance: i.name, Number: r.number}
 	work := c.work
 	i.board.Begin(id, e.id, work, choice.Unread, i.sim.now())
@@ -69,6 +76,7 @@
 	if !e.enqueue(r) {
 		i.board.Observe(e.id, placement.Refused, i.sim.now())
 		i.endRun(r)
+		i.keep(e)
 		c.retryOrRefuse()
 	}
 }
@@ -86,6 +94,7 @@
 	if last {
 		i.board.Observe(r.call.engine.id, placement.Served, now)
 		i.endRun(r)
+		i.keep(r.call.engine)
 		r.call.complete()
 	}
 }
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -48,6 +48,9 @@
 	Classes []ClassResult
 	// PromptTokensRead is the number of prompt tokens that engines read.
 	PromptTokensRead int
+	// Opened is the number of connections that instances opened to engines, and Reused the
+	// number of requests sent on an idle one.
+	Opened, Reused int
 }
 
 func newResult(s Scenario) Result {
@@ -92,6 +95,7 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(out, "on time over all %.3f; %.1f million prompt tokens read\n", r.OnTime(), float64(r.PromptTokensRead)/1e6)
+	_, err := fmt.Fprintf(out, "on time over all %.3f; %.1f million prompt tokens read; %d connections opened for %d requests sent\n",
+		r.OnTime(), float64(r.PromptTokensRead)/1e6, r.Opened, r.Opened+r.Reused)
 	return err
 }
--- a/internal/emulator/scenarios.go
+++ b/internal/emulator/scenarios.go
@@ -73,8 +73,9 @@
 		Name: "uneven-engines", Instances: 86, MaxUpdateDelay: 30 * time.Millisecond, Engines: 140,
 		Kind: EngineKind{Slots: 16, Queue: 33, MemoryTokens: 500_000, EventTokens: 5, Preempts: true,
 			Pace: pace.Pace{Step: 3600 * time.Microsecond, StepPerRun: 20 * time.Microsecond, ReadToken: 13 * time.Microsecond, AttentionPerM: 60 * time.Microsecond, First: time.Millisecond}},
-		Uneven:   Uneven{Share: 1.0 / 3, Factor: 2.4, Every: 1700 * time.Millisecond, For: 300 * time.Millisecond, PhaseFactor: 2.5},
-		Features: placement.Features{LargeFleet: 17, SharedServerPaces: true, CalibratedPauses: true, SplitEngines: true, PreferOpenConnections: true},
+		Uneven:     Uneven{Share: 1.0 / 3, Factor: 2.4, Every: 1700 * time.Millisecond, For: 300 * time.Millisecond, PhaseFactor: 2.5},
+		CostJitter: 0.14, // that of the gateway with 86 instances
+		Features:   placement.Features{LargeFleet: 17, SharedServerPaces: true, CalibratedPauses: true, SplitEngines: true, PreferOpenConnections: true},
 		Classes: []Class{
 			{Name: "query", PerSecond: 108, SharedParts: 60, SharedTokens: 350, OwnTokens: 1110, Output: 170,
 				Goal: 1200 * time.Millisecond, MaxGap: 250 * time.Millisecond, Timeout: 12 * time.Second},
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -29,6 +29,8 @@
 	// costJitter returns the maximum random amount added to the cost of each server of a
 	// choice that considers a share of the servers.
 	costJitter func(share float64) float64
+	// connected reports whether this instance has an idle connection to a server.
+	connected func(server string) bool
 	// self is the id of this instance, and places tells its place among those that share a
 	// server.
 	self   string
@@ -67,6 +69,7 @@
 		dataCentre:     dataCentre,
 		rand:           newRand(),
 		costJitter:     func(float64) float64 { return 0 },
+		connected:      func(string) bool { return false },
 		places:         func(string) (place, instances int, ok bool) { return 0, 1, true },
 		servers:        make(map[string]*server),
 		holders:        make(map[string][]*server),
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -63,6 +63,11 @@
 	Preempts bool
 	// FetchFrom is the server to fetch the start of the prompt from; empty to read it.
 	FetchFrom string
+	// Connected is set if the instance has an idle connection to the server, and InsteadOf
+	// is the server that would have been chosen without regard to connections; empty if it
+	// is the same. Both are set in a large fleet that prefers open connections.
+	Connected bool
+	InsteadOf string
 	// Cost of the choice; the candidate with the lowest cost is chosen.
 	Cost float64
 	// Free is the number of slots that were free for the request, set with AllFull, and
@@ -156,15 +161,16 @@
 	if work.MaxGap > 0 {
 		b.meanHazard = mean(considered, func(s *server) float64 { return s.hazards[work.MaxGap].perSecond(now) })
 	}
-	jitter := b.costJitter(share)
+	spread := b.newSpread(share, now)
 	best := Choice{Cost: math.Inf(1)}
 	for i, s := range considered {
 		choice := b.evaluate(s, work, from, now)
-		choice.Cost += jitter * b.rand.Float64()
+		spread.addTo(&choice, s.server)
 		if i == 0 || choice.Cost < best.Cost {
 			best = choice
 		}
 	}
+	spread.record(&best)
 	return best
 }
 
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -10,6 +10,9 @@
 type server struct {
 	id         string
 	dataCentre string
+	// preference is that of this instance for the server, see Board.preferenceFor; 0 until
+	// it is first needed.
+	preference float64
 	slots      int
 	memory     int
 	// eventTokens is the number of tokens in an event, each made by a step.
--- a/internal/placement/shortlist.go
+++ b/internal/placement/shortlist.go
@@ -61,6 +61,7 @@
 			return choice, refusal
 		}
 	}
+	b.addPreferred(list, now)
 	offset := b.rand.Uint64()
 	for sample := firstSample; sample < maxSample; sample *= sampleGrowth {
 		b.addSample(list, sample, offset)
