Relay: index of idle connections, kept as long as servers announce; metrics

Cause: placement can prefer servers with an idle connection only if it learns of them without blocking. Idle connections were closed after 10 s although an instance of a large fleet returns to a server after some 30 s.

Change: the pool keeps an index that is read without its lock. In a large fleet one idle connection to each server is kept for up to 30 s if the server announces it. Metrics of opened and reused connections by service; a line and a metric for choices decided by a connection. A board whose fleet is never large has no feature in effect, also before instant 0.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -31,6 +31,7 @@
 	throttle    *throttle.Limiter
 	outages     *outageDetector
 	outageLog   outageLog
+	preference  connectionPreference
 	crashes     *crashTracker
 	suspicions  suspicions
 	streams     *streamVersions
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,6 +177,7 @@
 		Fleet: g.fleet, Connector: g.connector, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
 		DrainTime: seconds(s.Drain.GraceS) - drainReserve,
 	})
+	g.fleet.board.SetConnected(g.relay.Connected)
 	return g, nil
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	vars.Set("limited_servers", expvar.Func(func() any { return g.fleet.rateLimitedServers() }))
 	vars.Set("unreachable_services", expvar.Func(func() any { return g.fleet.unreachableServices() }))
 	vars.Set("paths", expvar.Func(func() any { return g.connector.metrics() }))
+	vars.Set("open_connections_preferred", expvar.Func(func() any { return g.fleet.preference.moved.Load() }))
 	vars.Set("tunnels", expvar.Func(func() any { return tunnelMetrics{Open: g.tunnels.Open(), Opened: g.tunnels.Total()} }))
 	vars.Set("crashes", expvar.Func(func() any { return g.fleet.crashes.metrics() }))
 	vars.Set("streams", expvar.Func(func() any { return g.fleet.streams.metrics() }))
--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -61,6 +61,7 @@
 			g.fleet.crashes.expire(monotime.Now())
 			g.reloadSettings()
 			g.logPaces()
+			g.fleet.preference.logEnabled(g.cfg.Log, g.fleet.board.PrefersOpenConnections(monotime.Now()), instances)
 		}
 		if n%ticksPerStoreCalls == 0 {
 			g.logStoreCalls()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -34,9 +34,11 @@
 	if refusal != placement.Chosen {
 		return relay.Target{Choice: choice}, refusal
 	}
+	f.preference.recordChoice(f.log, service, &choice, now)
 	target := relay.Target{
 		Choice:   choice,
 		MaxConns: f.connectionShare(published.MaxConns),
+		KeepIdle: f.keepsIdle(published.MaxConns, now),
 		EntryAge: now.Sub(f.confirmedAt()),
 	}
 	if s, ok := find(list.accepting, choice.Server); ok {
--- a/internal/placement/features.go
+++ b/internal/placement/features.go
@@ -47,5 +47,5 @@
 
 // enabled reports whether a feature that is switched on is in effect.
 func (b *Board) enabled(feature bool, now monotime.Instant) bool {
-	return feature && now < b.largeUntil
+	return feature && b.features.LargeFleet > 0 && now < b.largeUntil
 }
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -162,6 +162,7 @@
 		}
 		return verdict.Wrap(verdict.NotRun, verdict.ReasonConnect, err).After(f.retryAfterUnreachable())
 	}
+	f.relay.cfg.Metrics.connected(target.Service, c.reused)
 	f.excluded[target.ID] = true
 	f.via = c.via
 	if f.isPoison() {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -28,6 +28,8 @@
 	answers   expvar.Map // by status; "cut" for aborted answers without a status
 	reasons   expvar.Map
 	sends     expvar.Map // failed sends by reason
+	opened    expvar.Map // connections opened for requests, by service
+	reused    expvar.Map // requests for which an idle connection was used, by service
 	total     histogram
 	firstByte histogram
 	gaps      histogram
@@ -39,6 +41,8 @@
 	m.answers.Init()
 	m.reasons.Init()
 	m.sends.Init()
+	m.opened.Init()
+	m.reused.Init()
 	for _, h := range []*histogram{&m.total, &m.firstByte, &m.gaps} {
 		h.values = hdrhistogram.New(1, maxLatencyMicros, significantDigits)
 	}
@@ -52,6 +56,8 @@
 	vars.Set("answers", &m.answers)
 	vars.Set("reasons", &m.reasons)
 	vars.Set("failed_sends", &m.sends)
+	vars.Set("connections_opened", &m.opened)
+	vars.Set("connections_reused", &m.reused)
 	vars.Set("total_us", &m.total)
 	vars.Set("first_byte_us", &m.firstByte)
 	vars.Set("longest_gap_us", &m.gaps)
@@ -62,6 +68,15 @@
 	m.sends.Add(string(reason), 1)
 }
 
+// connected counts the connection that a request got.
+func (m *Metrics) connected(service string, reused bool) {
+	if reused {
+		m.reused.Add(service, 1)
+		return
+	}
+	m.opened.Add(service, 1)
+}
+
 func (m *Metrics) ended(f *forwarder, now monotime.Instant) {
 	status := "cut"
 	if f.status != 0 {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -25,6 +25,13 @@
 	// maxIdle is how long unused connections are kept if the server does not announce its
 	// own timeout.
 	maxIdle = 10 * time.Second
+	// maxKeptIdle is how long one unused connection to each server is kept for targets with
+	// KeepIdle if the server announces at least that timeout. In a fleet of 86 instances an
+	// instance returns to a server after some 30 s.
+	maxKeptIdle = 30 * time.Second
+	// maxKept is the number of connections kept for longer than maxIdle: a sixth of the
+	// descriptors of the smallest instance (3,075).
+	maxKept = 512
 	// idleReserve is the margin between this side's idle timeout and the server's.
 	// Without it a request could be sent on a connection that the server is closing.
 	idleReserve = 700 * time.Millisecond
@@ -44,8 +51,11 @@
 	via *Via
 	// received is when the last answer was received.
 	received monotime.Instant
-	// idleUntil is when the unused connection is closed.
-	idleUntil monotime.Instant
+	// idleUntil is when the unused connection is closed, and keepUntil when it is closed if
+	// it is the only idle one to the server; not before idleUntil.
+	idleUntil, keepUntil monotime.Instant
+	// reused is set once the connection carries a second request.
+	reused bool
 }
 
 // reusable reports whether the idle connection still works as far as its socket tells.
@@ -62,6 +72,9 @@
 // pool keeps the open connections to servers, by incarnation.
 type pool struct {
 	connector Connector
+	// open holds, as a monotime.Instant by server, until when a direct idle connection to
+	// it can be used. It is changed under mu and read without it.
+	open sync.Map
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
@@ -98,7 +111,8 @@
 		if c == nil {
 			return nil
 		}
-		if now < c.idleUntil && c.reusable() && p.connector.Usable(target, c.via, c.received) {
+		if now < c.keepUntil && c.reusable() && p.connector.Usable(target, c.via, c.received) {
+			c.target, c.reused = target, true
 			return c
 		}
 		p.discard(c)
@@ -114,6 +128,7 @@
 	for i, c := range slices.Backward(list) {
 		if c.via == nil || p.connector.Allowed(c.via, work) {
 			p.idle[server] = slices.Delete(list, i, i+1)
+			p.updateOpen(server)
 			return c
 		}
 	}
@@ -142,19 +157,48 @@
 // putIdle returns a connection to the pool after its answer was read completely.
 // keepAlive is the value of the server's Keep-Alive header.
 func (p *pool) putIdle(c *conn, keepAlive string) {
-	idle := maxIdle
+	idle, kept := maxIdle, maxIdle
 	if timeout, ok := keepAliveTimeout(keepAlive); ok {
 		idle = min(idle, timeout-idleReserve)
+		kept = idle
+		if c.target.KeepIdle && c.via == nil {
+			kept = max(idle, min(maxKeptIdle, timeout-idleReserve))
+		}
 	}
 	if idle <= 0 || c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		p.discard(c)
 		return
 	}
 	c.received = monotime.Now()
-	c.idleUntil = c.received.Add(idle)
+	c.idleUntil, c.keepUntil = c.received.Add(idle), c.received.Add(kept)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.target.ID] = append(p.idle[c.target.ID], c)
+	p.updateOpen(c.target.ID)
+}
+
+// updateOpen updates the entry of a server in open. It is called under mu after each change
+// of the idle connections to the server.
+func (p *pool) updateOpen(server string) {
+	var longest *conn
+	for _, c := range p.idle[server] {
+		if c.via == nil && (longest == nil || c.keepUntil > longest.keepUntil) {
+			longest = c
+		}
+	}
+	if longest == nil {
+		p.open.Delete(server)
+		return
+	}
+	p.open.Store(server, longest.keepUntil)
+}
+
+// connected reports whether there is an idle direct connection to a server. It does not
+// block. Connections through peers don't count, because not every request may use them. The
+// server may have closed the connection in the meantime; then a new one is opened.
+func (p *pool) connected(server string) bool {
+	until, ok := p.open.Load(server)
+	return ok && monotime.Now() < until.(monotime.Instant)
 }
 
 // discard closes a connection, idle or in use.
@@ -172,11 +216,17 @@
 func (p *pool) sweep(needed func(server string) bool) {
 	now := monotime.Now()
 	var expired []*conn
+	kept := 0
 	p.mu.Lock()
 	for server, list := range p.idle {
 		remaining := list[:0]
-		for _, c := range list {
-			if now < c.idleUntil && needed(server) && p.connector.Usable(c.target, c.via, c.received) {
+		for i, c := range list {
+			until := c.idleUntil
+			if now >= until && i == len(list)-1 && kept < maxKept {
+				until = c.keepUntil
+				kept++
+			}
+			if now < until && needed(server) && p.connector.Usable(c.target, c.via, c.received) {
 				remaining = append(remaining, c)
 			} else {
 				expired = append(expired, c)
@@ -187,6 +237,7 @@
 		} else {
 			p.idle[server] = remaining
 		}
+		p.updateOpen(server)
 	}
 	p.mu.Unlock()
 	for _, c := range expired {
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -90,6 +90,8 @@
 	Choice placement.Choice
 	// MaxConns is this instance's share of the server's connections; 0 for no limit.
 	MaxConns int
+	// KeepIdle asks for one idle connection to be kept for as long as the server announces.
+	KeepIdle bool
 	// FetchFrom is the address of the server to fetch the start of the prompt from; empty
 	// for none.
 	FetchFrom string
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,6 +94,10 @@
 	r.pool.sweep(needed)
 }
 
+// Connected reports whether there is an idle connection to a server that any request may
+// use. It does not block. The answer may be outdated.
+func (r *Relay) Connected(server string) bool { return r.pool.connected(server) }
+
 // InFlight returns the number of requests in flight.
 func (r *Relay) InFlight() int64 {
 	return r.cfg.Metrics.inFlight.Value()
