Placement: smaller fixed amounts, costs of connections by kind of server; load tests

Cause: fixed amounts as large as the random ones keep instances at slow engines, and the cost of a connection that suits engines outweighs the load of plain servers.

Tests under load: emulator with uneven, changing and even engines; plain servers in plain calls.

--- /dev/null
+++ b/internal/emulator/connections_test.go
@@ -0,0 +1,40 @@
+package emulator
+
+import (
+	"testing"
+	"time"
+)
+
+// openedShare returns the share of requests sent for which a connection was opened.
+func (r *Result) openedShare() float64 { return float64(r.Opened) / float64(r.Opened+r.Reused) }
+
+// Guards against instances of a large fleet that open a connection for most requests, and
+// against requests that are late or prompts that are read again for the sake of connections.
+// Engines differ in speed for good, change it for seconds, or are alike.
+func TestALargeFleetReusesConnections(t *testing.T) {
+	uneven := scenario(t, "uneven-engines")
+	uneven.Length = 9 * time.Second
+	changing, even := uneven, uneven
+	changing.Uneven, even.Uneven = Uneven{}, Uneven{}
+	changing.Faults = []Fault{{At: 3 * time.Second, For: 4 * time.Second, Share: 0.33, SlowFactor: 2.4}}
+	for name, s := range map[string]Scenario{"uneven": uneven, "changing": changing, "even": even} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			on := Run(s, 1)
+			s.Features.PreferOpenConnections = false
+			off := Run(s, 1)
+			t.Logf("on time %.3f, opened %.3f, %.1f million tokens read; off %.3f, %.3f, %.1f million",
+				on.OnTime(), on.openedShare(), float64(on.PromptTokensRead)/1e6, off.OnTime(), off.openedShare(), float64(off.PromptTokensRead)/1e6)
+			if on.openedShare() > 0.85*off.openedShare() {
+				t.Errorf("%.3f of requests open a connection, %.3f without preference", on.openedShare(), off.openedShare())
+			}
+			if on.OnTime() < off.OnTime()-0.02 {
+				t.Errorf("%.3f on time, %.3f without preference", on.OnTime(), off.OnTime())
+			}
+			read := func(r *Result) float64 { return float64(r.PromptTokensRead) / float64(r.Opened+r.Reused) }
+			if read(&on) > 1.02*read(&off) {
+				t.Errorf("%.0f tokens read for each request, %.0f without preference", read(&on), read(&off))
+			}
+		})
+	}
+}
--- a/internal/placement/connections.go
+++ b/internal/placement/connections.go
@@ -14,14 +14,20 @@
 // the same servers: the order of preference is a hash of instance and server.
 
 const (
-	// connectCost is the cost of a server to which the instance has no idle connection. It
-	// is that of reading 2,500 tokens. With a cost of 0.02, see
-	// docs/design/server-connections.md.
-	connectCost = 0.005
-	// plainSpread is the largest fixed cost of a server that is no engine: the cost of a
-	// fifth of its slots in use. With the jitter of a large fleet, which exceeds loadCost,
-	// the load of such servers would depend on the hash alone.
-	plainSpread = loadCost / 5
+	// connectCost is the cost of an engine to which the instance has no idle connection: that
+	// of a probability of 2% to be late. With 0.005, 7 of 100 requests more open a
+	// connection where a third of the engines is slow.
+	connectCost = 0.02
+	// fixedShare is the largest fixed cost of an engine as a share of the random jitter in
+	// whose place it stands. Random amounts have to exceed the differences between servers
+	// that all instances see; fixed ones separate the instances also where they are small.
+	// At 1, fewer urgent streams are on time where a third of the engines is slow.
+	fixedShare = 0.3
+	// plainSpread is the largest fixed cost of a server that is no engine, and
+	// plainConnectCost that of one without an idle connection: a fifth and a sixth of its
+	// slots in use. With the costs of engines, the load of such servers would depend on the
+	// hash and on the connections.
+	plainSpread, plainConnectCost = loadCost / 5, loadCost / 6
 	// preferredPlaces is the number of servers of a large pool, beginning at a hash of the
 	// instance, that each of its choices considers besides those of the prompt.
 	preferredPlaces = 8
@@ -54,7 +60,7 @@
 	// jitter is the largest amount.
 	jitter     float64
 	preferOpen bool
-	// cheapest has the lowest cost without connectCost.
+	// cheapest has the lowest cost without regard to connections.
 	cheapest     string
 	cheapestCost float64
 }
@@ -69,17 +75,17 @@
 		choice.Cost += p.jitter * p.board.rand.Float64()
 		return
 	}
-	amount := p.jitter
+	fixed, connect := fixedShare*p.jitter, connectCost
 	if s.memory == 0 {
-		amount = plainSpread
+		fixed, connect = plainSpread, plainConnectCost
 	}
-	choice.Cost += amount * p.board.preferenceFor(s)
+	choice.Cost += fixed * p.board.preferenceFor(s)
 	if choice.Cost < p.cheapestCost {
 		p.cheapest, p.cheapestCost = s.id, choice.Cost
 	}
 	choice.Connected = p.board.connected(s.id)
 	if !choice.Connected {
-		choice.Cost += connectCost
+		choice.Cost += connect
 	}
 }
 
--- a/internal/placement/connections_test.go
+++ b/internal/placement/connections_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
+
+	"basilrudder/internal/monotime"
 )
 
 // connectedBoard returns the Board of an instance of a fleet that prefers open connections,
@@ -205,3 +208,97 @@
 		}
 	}
 }
+
+// plainLoad plays requests to four servers that are no engines from 86 instances, which hear
+// of each other's requests 30 ms later and keep idle connections for ten seconds. It returns
+// the share of requests that opened a connection and the largest part of a server's slots in
+// use.
+func plainLoad(features Features, perSecond int) (opened, fullest float64) {
+	const (
+		instances, servers, slots = 86, 4, 40
+		delay, life, idle         = 30 * time.Millisecond, 700 * time.Millisecond, 10 * time.Second
+		seconds                   = 40
+	)
+	type open struct{ free []monotime.Instant } // when each was last used
+	random := rand.New(rand.NewPCG(1, 2))
+	now := start
+	var boards []*Board
+	connections := make([]map[string]*open, instances)
+	for n := range instances {
+		connections[n] = make(map[string]*open)
+		b := connectedBoard(fmt.Sprint("relay-", n), 0.14)
+		b.Seed(uint64(n))
+		b.SetFeatures(features)
+		b.SetConnected(func(server string) bool {
+			c := connections[n][server]
+			return c != nil && len(c.free) > 0 && now.Sub(c.free[len(c.free)-1]) < idle
+		})
+		boards = append(boards, b)
+	}
+	var candidates []Candidate
+	for n := range servers {
+		candidates = append(candidates, Candidate{ID: fmt.Sprint("p", n), DataCentre: "here", Slots: slots})
+	}
+	later := make(map[monotime.Instant][]func())
+	at := func(when monotime.Instant, do func()) { later[when] = append(later[when], do) }
+	running := make(map[string]int)
+	count, openedCount, number := 0, 0, 0
+	const tick = 10 * time.Millisecond
+	for range seconds * int(time.Second/tick) {
+		now = now.Add(tick)
+		for _, do := range later[now] {
+			do()
+		}
+		delete(later, now)
+		for range perSecond {
+			if random.Float64() >= tick.Seconds() {
+				continue
+			}
+			self := random.IntN(instances)
+			choice, _ := boards[self].Choose(Work{}, candidates, now)
+			number++
+			id, server := RunID{"fleet", number}, choice.Server
+			c := connections[self][server]
+			if c == nil {
+				c = &open{}
+				connections[self][server] = c
+			}
+			count++
+			if last := len(c.free) - 1; last >= 0 && now.Sub(c.free[last]) < idle {
+				c.free = c.free[:last]
+			} else {
+				c.free = nil
+				openedCount++
+			}
+			running[server]++
+			fullest = max(fullest, float64(running[server])/slots)
+			for n, b := range boards {
+				if n == self {
+					b.Begin(id, server, Work{}, 0, now)
+					at(now.Add(life), func() { b.End(id, now) })
+					continue
+				}
+				at(now.Add(delay), func() { b.Begin(id, server, Work{}, 0, now) })
+				at(now.Add(life+delay), func() { b.End(id, now) })
+			}
+			at(now.Add(life), func() { running[server]--; c.free = append(c.free, now) })
+		}
+	}
+	return float64(openedCount) / float64(count), fullest
+}
+
+// Guards against instances of a large fleet that open a connection to a plain server for
+// most requests, and against a server that is full for the sake of connections.
+func TestRequestsToPlainServersReuseConnections(t *testing.T) {
+	for _, perSecond := range []int{20, 60, 130} {
+		opened, fullest := plainLoad(Features{LargeFleet: 17}, perSecond)
+		openedOn, fullestOn := plainLoad(Features{LargeFleet: 17, PreferOpenConnections: true}, perSecond)
+		t.Logf("%d requests a second: %.3f opened a connection, fullest server %.2f; off %.3f, %.2f", perSecond, openedOn, fullestOn, opened, fullest)
+		if openedOn > 0.6*opened {
+			t.Errorf("%d requests a second: %.3f opened a connection, %.3f without preference", perSecond, openedOn, opened)
+		}
+		if fullestOn > max(1, fullest) {
+			t.Errorf("%d requests a second: a server had %.2f of its slots in use, %.2f without preference", perSecond, fullestOn, fullest)
+		}
+	}
+}
