--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -63,6 +63,7 @@
 			g.logPaces()
 			g.logServerPaces(monotime.Now())
 			g.logSplits()
+			g.fleet.preference.logEnabled(g.cfg.Log, g.fleet.board.PrefersOpenConnections(monotime.Now()), instances)
 		}
 		if n%ticksPerStoreCalls == 0 {
 			g.logStoreCalls()
--- a/internal/placement/shortlist.go
+++ b/internal/placement/shortlist.go
@@ -66,6 +66,7 @@
 		}
 	}
 	b.addIntended(list, &work)
+	b.addPreferred(list, now)
 	offset := b.rand.Uint64()
 	for sample := firstSample; sample < maxSample; sample *= sampleGrowth {
 		b.addSample(list, sample, offset)
