Placement: samples and split sooner after a start of all instances

Change: while a server's estimate is uncertain, streams share a sample after 200 ms; a split needs half a second of demand and comes into effect within another half.

--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -147,7 +147,7 @@
 	}
 	if s.kind.shared(now) {
 		r.watch.unshared.add(s, count, now)
-		if r.watch.unshared.lasted() >= shareInterval {
+		if r.watch.unshared.lasted() >= s.shareInterval(now) {
 			sample, due = b.shareSample(r, now)
 		}
 	}
--- a/internal/placement/serverpace.go
+++ b/internal/placement/serverpace.go
@@ -12,8 +12,12 @@
 
 const (
 	// shareInterval is the interval of the samples of a long stream for the other
-	// instances.
-	shareInterval = 2 * time.Second
+	// instances. While the estimate of its server has a standard deviation above
+	// uncertainSpread, it is firstShareInterval: after a start of all instances, streams
+	// with short pauses go to slow servers until the first samples arrive.
+	shareInterval      = 2 * time.Second
+	firstShareInterval = 200 * time.Millisecond
+	uncertainSpread    = 0.2
 	// minShared is the minimum time that such a sample covers. A shorter one says little
 	// for the bytes that it takes.
 	minShared = 50 * time.Millisecond
@@ -32,6 +36,14 @@
 // lasted returns the time from the start of an interval to its last event.
 func (w *interval) lasted() time.Duration { return w.to.Sub(w.from) }
 
+// shareInterval returns the interval of the samples of a stream on a server.
+func (s *server) shareInterval(now monotime.Instant) time.Duration {
+	if s.paceSpread(now) > uncertainSpread {
+		return firstShareInterval
+	}
+	return shareInterval
+}
+
 // shareSample ends the unshared interval of a run of this instance and returns its
 // sample, which is applied here as the other instances do.
 func (b *Board) shareSample(r *run, now monotime.Instant) (sample pace.ServerSample, ok bool) {
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -40,7 +40,7 @@
 	// minSplitDemand is the number of recent runs from which on the demand counts as
 	// known, and minSplitSpan the time over which it was observed.
 	minSplitDemand = 50.0
-	minSplitSpan   = 2 * time.Second
+	minSplitSpan   = 500 * time.Millisecond
 	// pauseNoise is the spread of the log of an actual pause to the one expected at the
 	// usual pace, of a logistic distribution. One pause in twenty is 2.4 times longer than
 	// expected, as in the short slow periods of engines.
@@ -81,7 +81,7 @@
 	relaxFrom, relaxTo           = 0.4, 0.7
 	relaxSlotsFrom, relaxSlotsTo = 0.3, 0.5
 	// splitFadeTime is how long a split takes to come into effect or to lapse.
-	splitFadeTime = 2 * time.Second
+	splitFadeTime = 500 * time.Millisecond
 	// maxSplitCost bounds the cost of the other side, as a share of the weight of the
 	// request, so that one that would be late on its own side goes to the other one.
 	maxSplitCost = 0.3
