--- a/internal/pace/server.go
+++ b/internal/pace/server.go
@@ -12,7 +12,7 @@
 	// reversionTime is the time constant with which what is known of a server is lost:
 	// the mean of an Ornstein-Uhlenbeck process reverts to the centre of the service, and
 	// its variance to the spread of the service's servers.
-	reversionTime = 10 * time.Second
+	reversionTime = 20 * time.Second
 	// priorSpread is the assumed standard deviation of the logarithm of the slowness of
 	// servers, and priorNoise that of a sample covering one second, until pairs of
 	// samples for priorPairs seconds are known.
