Placement: late pauses predicted by the distribution of real to predicted ones

Cause: the probability of a late pause had a constant spread of 8%. On engines that are 2.5 times slower for 300 ms now and then, 44% of the most urgent streams were late where 0.5% were predicted to be.

Change: with placement.calibrated_pauses in a large fleet, the ratios of longest real to longest predicted pauses form a decaying histogram by service, summed over instances (field g of RelayEvidence), which gives the probability, widened by the spread of an engine's pace. Prompts to come are corrected by a regression in hindsight. Measured calibration as metric and log line pause_calibration. relay.Fleet gets Completed, so its fake in tests does too.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,7 +35,8 @@
 	// ticksPerSweep is the number of ticks between runs of the slower tasks, such as
 	// closing idle connections and reading the settings.
 	ticksPerSweep = 10
-	// ticksPerStoreCalls is the number of ticks between lines about calls to the store.
+	// ticksPerStoreCalls is the number of ticks between lines about calls to the store and
+	// about the calibration of pauses.
 	ticksPerStoreCalls = 100
 	// headerTimeout and idleTimeout bound a caller's connection. The configured limits
 	// are lower for the header and may change. Keeping a connection longer than they
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -4,6 +4,8 @@
 	"expvar"
 
 	"github.com/valyala/fasthttp"
+
+	"basilrudder/internal/monotime"
 )
 
 // metrics answers with all counters and histograms as JSON.
@@ -24,6 +26,7 @@
 	vars.Set("tunnels", expvar.Func(func() any { return tunnelMetrics{Open: g.tunnels.Open(), Opened: g.tunnels.Total()} }))
 	vars.Set("crashes", expvar.Func(func() any { return g.fleet.crashes.metrics() }))
 	vars.Set("streams", expvar.Func(func() any { return g.fleet.streams.metrics() }))
+	vars.Set("pause_calibration", expvar.Func(func() any { return g.fleet.pauseCalibration(monotime.Now()) }))
 	vars.Set("news", expvar.Func(func() any { return g.peers.metrics() }))
 	vars.Set("peers_linked", expvar.Func(func() any { return len(g.peers.linked()) }))
 	vars.Set("memory", expvar.Get("memstats"))
--- a/internal/gateway/paces.go
+++ b/internal/gateway/paces.go
@@ -42,20 +42,28 @@
 
 func (f *fleet) paceStats() []wire.RelayEvidence {
 	var out []wire.RelayEvidence
+	pauses := f.board.PauseCounts(monotime.Now())
 	for service, e := range f.board.PaceStatistics() {
 		out = append(out, wire.RelayEvidence{
 			Service: service, StepSamples: e.StepSamples, FirstSamples: e.FirstSamples, Sums: e.Sums,
+			Gaps: pauses[service],
 		})
 	}
 	return out
 }
 
-// applyPaceStats applies the statistics of engine pace that a peer sent.
+// applyPaceStats applies the statistics of engine pace and of pauses that a peer sent. An
+// older instance sends none of pauses.
 func (p *peers) applyPaceStats(from string, update *wire.RelayNews) {
 	for _, e := range update.Evidence {
 		stats := pace.Statistics{StepSamples: e.StepSamples, FirstSamples: e.FirstSamples, Sums: e.Sums}
-		if !p.fleet.board.MergePaceStatistics(from, e.Service, stats) {
-			p.log.Warn("evidence_refused", zap.String("peer", from), zap.String("service", e.Service), zap.Int("numbers", len(e.Sums)))
+		valid := p.fleet.board.MergePaceStatistics(from, e.Service, stats)
+		if len(e.Gaps) > 0 {
+			valid = p.fleet.board.MergePauseCounts(from, e.Service, e.Gaps, monotime.Now()) && valid
+		}
+		if !valid {
+			p.log.Warn("evidence_refused", zap.String("peer", from), zap.String("service", e.Service),
+				zap.Int("numbers", len(e.Sums)), zap.Int("bins", len(e.Gaps)))
 		}
 	}
 }
--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -64,6 +64,7 @@
 		}
 		if n%ticksPerStoreCalls == 0 {
 			g.logStoreCalls()
+			g.fleet.logPauseCalibration(monotime.Now())
 		}
 	}
 }
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -28,6 +28,7 @@
 	} else {
 		f.board.Begin(id, target.ID, work, target.Choice.Unread, now)
 	}
+	f.board.Watch(id, &target.Choice, now)
 	f.updates.addBegin(encodeRun(number, target.ID, target.Choice.Unread, work))
 	return number, true
 }
@@ -43,6 +44,11 @@
 	f.board.Events(placement.RunID{Instance: f.self, Number: run}, count, now)
 }
 
+// Completed implements relay.Fleet.
+func (f *fleet) Completed(run int, now monotime.Instant) {
+	f.board.Completed(placement.RunID{Instance: f.self, Number: run}, now)
+}
+
 // End implements relay.Fleet.
 func (f *fleet) End(run int, now monotime.Instant) {
 	f.board.End(placement.RunID{Instance: f.self, Number: run}, now)
--- a/internal/gateway/updates_fuzz_test.go
+++ b/internal/gateway/updates_fuzz_test.go
@@ -25,6 +25,7 @@
 		{First: []int{1, -1}, Ended: []int{1, 1 << 40}},
 		{Caches: []wire.RelayCache{{Server: "a", Parts: []wire.RelayPart{{ID: "p", Tokens: 1 << 40}}}}},
 		{Evidence: []wire.RelayEvidence{{Service: "llm", StepSamples: -4, FirstSamples: 1 << 40, Sums: make([]float64, 18)}}},
+		{Evidence: []wire.RelayEvidence{{Service: "llm", Sums: make([]float64, 18), Gaps: append(make([]int, 23), 1<<60)}, {Service: "llm", Gaps: []int{-1}}}},
 		{Crashes: []wire.RelayCrash{{Request: make([]byte, 16), Customer: "a", Server: "a", AgeMS: -1}, {Request: []byte("x")}, {Request: make([]byte, 16), AgeMS: 1 << 60}}},
 		{Crashes: []wire.RelayCrash{{Request: make([]byte, 16), Parts: make([]byte, 17), Server: "a"}, {Request: make([]byte, 16), Parts: make([]byte, 32), Server: "b"}, {Parts: make([]byte, 16<<6), Server: "c"}}},
 		{Falls: []wire.RelayFall{{Server: "a", Refusals: -1}, {Server: "b", Refusals: 1 << 40}, {AgeMS: -1}, {Server: "c", AgeMS: 1 << 60}}},
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -261,13 +261,15 @@
 }
 
 // OwnFirstEvent is FirstEvent for a run of this instance, and also updates the estimated
-// time to first events. Reports of other instances arrive too late for that.
+// time to first events and what is predicted of its pauses. Reports of other instances
+// arrive too late for that.
 func (b *Board) OwnFirstEvent(id RunID, now monotime.Instant) {
 	b.FirstEvent(id, now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r := b.runs[id]; r != nil {
 		r.server.observeFirst(r, now)
+		r.server.startPauses(r, now)
 	}
 }
 
@@ -295,6 +297,7 @@
 	r.server.releaseMemory(&r.work)
 	r.server.streamCounts.remove(r)
 	r.server.removeOnTime(r)
+	r.server.unwatch(r)
 	delete(b.runs, id)
 	delete(r.server.runs, id)
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -49,6 +49,10 @@
 	First time.Duration
 	// Gap is the longest predicted pause between the request's events.
 	Gap time.Duration
+	// LatePause is the probability that a pause exceeds the limit of the request.
+	LatePause float64
+	// uncorrected is LatePause without the correction by earlier streams.
+	uncorrected float64
 	// End is the predicted time to the last event, from now.
 	End time.Duration
 	// Value is the expected value of the request, less what streams that are at least as
@@ -215,6 +219,7 @@
 	weight := work.weight()
 	choice.Unread, choice.FetchFrom = p.unread, p.from
 	choice.First, choice.Gap, choice.End, choice.LostProbability = o.first, o.gap, o.end, o.lost
+	choice.LatePause, choice.uncorrected = o.pausing, o.uncorrected
 	choice.Value = weight*(1-max(o.lost, lateLossShare*o.late)) - o.harm.upTo(work.Priority)
 	choice.Cost += p.cost + readCost*float64(p.unread)/1000 +
 		weight*max(o.late, o.lost, o.full) + o.harm.upTo(lastPriorityIndex)
@@ -229,6 +234,9 @@
 	// that the request ends or begins after its caller has left, and full that the engine
 	// has no free slot when the request arrives.
 	late, lost, full float64
+	// pausing is the probability that a pause exceeds its limit, and uncorrected the same
+	// without the correction by earlier streams.
+	pausing, uncorrected float64
 	// harm is what the other streams on the engine lose, by priority.
 	harm byPriority
 }
@@ -246,11 +254,13 @@
 	withWork := unread.with(p.unread, work.Prompt)
 	o.gap = s.gap(speed, withWork, runs+1)
 
-	pausing := s.pauseProbability(speed, work, unread, life, b.meanHazard, now)
-	o.late = 1 - (1-lateFirst(o.first, work.Goal))*(1-pausing)
+	late := b.latePauses(s.server, now)
+	o.uncorrected = s.pauseProbability(&late, speed, work, unread, life, b.meanHazard, now)
+	o.pausing = late.correct(s.kind, o.uncorrected, work.MaxGap)
+	o.late = 1 - (1-lateFirst(o.first, work.Goal))*(1-o.pausing)
 	o.lost = 1 - (1-lateEndIfBounded(o.end, work.Left))*(1-lateEndIfBounded(o.first, work.FirstLeft))
 	o.full = fullProbability(s.arrivals.perSecondAt(now)*b.contention.reportDelay().Seconds(), s.freeSlots)
-	o.harm = s.pauseHarm(speed, unread, withWork)
+	o.harm = s.pauseHarm(&late, speed, unread, withWork)
 	streamsDelayed := streamDelay(speed, p.unread, work).Seconds()
 	harm := b.delayCostOf(s.server, speed, b.meanRead, now)
 	for priority, perSecond := range harm.running {
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -50,6 +50,11 @@
 	meanReadTime time.Duration
 	// meanLife is the mean time from the begin of a run to its end.
 	meanLife time.Duration
+	// pauses is the distribution of pauses, and calibration how predictions of late ones
+	// turned out.
+	pauses      *pauseRatios
+	calibration decayingCalibration
+	corrections map[time.Duration]*pauseCorrection // by limit of pauses
 	// asked is the rate of choices of this instance while the servers are brittle.
 	asked rate
 }
@@ -116,6 +121,9 @@
 	s := r.server
 	s.lastEventAt = now
 	s.advance(now)
+	if r.pauses != nil {
+		r.pauses.recordEvent(count, now)
+	}
 	if r.watch.any.add(s, count, now) {
 		s.recordSlowness(&r.watch.any)
 		b.updateMedian(s.kind, now)
@@ -258,7 +266,7 @@
 func (b *Board) kindOf(service string) *engineKind {
 	e := b.kinds[service]
 	if e == nil {
-		e = &engineKind{model: pace.NewModel(b.prior), medianSlowness: 1, meanReadTime: initialMeanReadTime}
+		e = &engineKind{model: pace.NewModel(b.prior), medianSlowness: 1, meanReadTime: initialMeanReadTime, pauses: newPauseRatios(), corrections: make(map[time.Duration]*pauseCorrection)}
 		b.kinds[service] = e
 	}
 	return e
--- a/internal/placement/pauses.go
+++ b/internal/placement/pauses.go
@@ -19,9 +19,9 @@
 	// time.
 	gapSpread    = 0.08
 	minGapSpread = 3 * time.Millisecond
-	// gapMargin is what the network between the server and the caller may add to a pause.
+	// PauseMargin is what the network between the server and the caller may add to a pause.
 	// Without it, pauses near the limit are late at the caller.
-	gapMargin = 12 * time.Millisecond
+	PauseMargin = 12 * time.Millisecond
 	// hazardWindow is the time constant of the averaged rate of too long pauses. A
 	// shorter one forgets long prompts that come now and then, a longer one keeps streams
 	// off engines that no longer read any.
@@ -97,7 +97,7 @@
 // lateGap returns the probability that a predicted pause exceeds its limit.
 func lateGap(gap, limit time.Duration) float64 {
 	spread := max(minGapSpread, time.Duration(gapSpread*float64(gap)))
-	return logistic(float64(gap+gapMargin-limit) / float64(spread))
+	return logistic(float64(gap+PauseMargin-limit) / float64(spread))
 }
 
 // pauseProbability returns the probability that a stream placed on s pauses too long
@@ -107,11 +107,11 @@
 // they would make late attracts them at least at the mean rate, and one with such streams
 // is protected. Streams with short pauses thereby share engines as soon as long prompts
 // arrive, and spread out when none do.
-func (s *server) pauseProbability(speed *pace.Pace, work *Work, ahead backlog, life time.Duration, mean float64, now monotime.Instant) float64 {
+func (s *server) pauseProbability(l *latePauses, speed *pace.Pace, work *Work, ahead backlog, life time.Duration, mean float64, now monotime.Instant) float64 {
 	if work.MaxGap == 0 {
 		return 0
 	}
-	onTime := 1 - lateGap(s.gap(speed, ahead, len(s.runs)+1), work.MaxGap)
+	onTime := 1 - l.probability(s.gap(speed, ahead, len(s.runs)+1), work.MaxGap)
 	rate := s.hazards[work.MaxGap].perSecond(now) + mean*math.Exp(-s.exposedStreams())
 	return 1 - onTime*math.Exp(-rate*life.Seconds())
 }
@@ -128,40 +128,41 @@
 
 // pauseHarm returns what the streams on s lose by the pauses that a new prompt adds, by
 // priority.
-func (s *server) pauseHarm(speed *pace.Pace, before, after backlog) byPriority {
+func (s *server) pauseHarm(l *latePauses, speed *pace.Pace, before, after backlog) byPriority {
 	var out byPriority
 	for kind, p := range s.onTime {
-		out[priorityIndex(kind.priority)] += p.expected * weightOf(kind.priority) * s.addedLateGap(speed, before, after, kind.maxGap)
+		out[priorityIndex(kind.priority)] += p.expected * weightOf(kind.priority) * s.addedLateGap(l, speed, before, after, kind.maxGap)
 	}
 	return out
 }
 
 // addedLateGap returns by how much a new prompt raises the probability of a pause above
 // limit.
-func (s *server) addedLateGap(speed *pace.Pace, before, after backlog, limit time.Duration) float64 {
+func (s *server) addedLateGap(l *latePauses, speed *pace.Pace, before, after backlog, limit time.Duration) float64 {
 	runs := len(s.runs)
-	return max(0, lateGap(s.gap(speed, after, runs+1), limit)-lateGap(s.gap(speed, before, runs), limit))
+	return max(0, l.probability(s.gap(speed, after, runs+1), limit)-l.probability(s.gap(speed, before, runs), limit))
 }
 
 // recordPauses applies the effect of a run that begins on s to the pauses there, for all
 // tracked limits of pauses. It is called before the run is added to s.
 func (b *Board) recordPauses(s *server, r *run, now monotime.Instant) {
-	speed := s.pace(now)
+	speed, late := s.pace(now), b.latePauses(s, now)
 	before := s.unreadBacklog(now)
 	if r.unread > 0 {
 		after := before.with(r.unread, r.work.Prompt)
 		for limit := range b.gapLimitUsedAt {
-			s.hazardOf(limit).add(s.addedLateGap(&speed, before, after, limit), now)
+			s.hazardOf(limit).add(s.addedLateGap(&late, &speed, before, after, limit), now)
 		}
 		for kind, p := range s.onTime {
-			still := 1 - s.addedLateGap(&speed, before, after, kind.maxGap)
+			still := 1 - s.addedLateGap(&late, &speed, before, after, kind.maxGap)
 			p.expected *= still
 			p.survival *= still
 		}
+		s.recordPredictedPause(r, s.gap(&speed, after, len(s.runs)+1))
 	}
 	if r.work.MaxGap > 0 {
 		b.gapLimitUsedAt[r.work.MaxGap] = now
-		s.addOnTime(r, 1-lateGap(s.gap(&speed, before, len(s.runs)+1), r.work.MaxGap))
+		s.addOnTime(r, 1-late.probability(s.gap(&speed, before, len(s.runs)+1), r.work.MaxGap))
 	}
 }
 
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -43,6 +43,9 @@
 	// streams that have probably not paused too long yet.
 	hazards map[time.Duration]*hazard
 	onTime  map[streamKind]*onTimeStreams
+	// watched are the runs of this instance whose pauses are compared with predictions, in
+	// no order.
+	watched []*run
 	// recentReading is the decaying sum of the time spent reading, as of readAt;
 	// delayCost is what each second of delay costs the requests on it, as of delayCostAt.
 	recentReading float64
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -117,6 +117,8 @@
 	alone bool
 	// watch is empty for runs of other instances.
 	watch watch
+	// pauses is nil for runs that are not watched.
+	pauses *pauseWatch
 }
 
 // reading reports whether the prompt waits to be read or is being read.
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -90,16 +90,17 @@
 	poison      bool
 	poisonAfter int
 
-	mu       sync.Mutex
-	crashed  []crashes.Crash
-	brokeOff []crashes.Crash
-	survived []crashes.Content
-	begun    []string
-	ended    int
-	outcomes []string
-	notices  []string
-	streams  []string // that began
-	origin   string   // service whose stream was asked for last
+	mu        sync.Mutex
+	crashed   []crashes.Crash
+	brokeOff  []crashes.Crash
+	survived  []crashes.Content
+	begun     []string
+	ended     int
+	completed int
+	outcomes  []string
+	notices   []string
+	streams   []string // that began
+	origin    string   // service whose stream was asked for last
 }
 
 func (f *fakeFleet) Table() *routing.Table        { return f.table }
@@ -145,6 +146,12 @@
 }
 
 func (f *fakeFleet) Events(int, int, monotime.Instant) {}
+func (f *fakeFleet) Completed(int, monotime.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.completed++
+}
+
 func (f *fakeFleet) End(int, monotime.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -132,12 +132,14 @@
 	// StreamOrigin returns the software version that began the stream whose first event
 	// came with a try. It may ask other instances.
 	StreamOrigin(ctx context.Context, service, try string) StreamOrigin
-	// Begin, First, Events and End report the progress of a run on a server. Begin
-	// returns the run's number, or false if the server may not get the request now after
-	// all. Events takes the number of stream events that have just arrived.
+	// Begin, First, Events, Completed and End report the progress of a run on a server.
+	// Begin returns the run's number, or false if the server may not get the request now
+	// after all. Events takes the number of stream events that have just arrived. Completed
+	// precedes End for a stream that its server ended between two events.
 	Begin(target Target, work placement.Work, now monotime.Instant) (run int, ok bool)
 	FirstEvent(run int, now monotime.Instant)
 	Events(run, count int, now monotime.Instant)
+	Completed(run int, now monotime.Instant)
 	End(run int, now monotime.Instant)
 	// QueueStatus returns the estimated position of a run in the server's queue while the
 	// server has not answered.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -88,14 +88,14 @@
 		case scanner.Open():
 			return f.streamLost(e, errInsideEvent)
 		case f.received.framing != framingClose:
-			return f.endStream(e)
+			return f.endStream(e, run)
 		case scan && !f.stream.begun() && f.request.ResumeAfter == "":
 			return f.streamLost(e, errNoEvent)
 		case f.stream.begun() && f.framing != framingClose:
 			e.abandon()
 			return verdict.Wrap(verdict.Ran, verdict.ReasonUpstreamLost, errUnknownEnd)
 		default:
-			return f.endStream(e)
+			return f.endStream(e, run)
 		}
 	}
 }
@@ -199,7 +199,8 @@
 }
 
 // endStream ends the caller's stream after the server ended its own between two events.
-func (f *forwarder) endStream(e *exchange) *verdict.Error {
+func (f *forwarder) endStream(e *exchange, run int) *verdict.Error {
+	f.relay.cfg.Fleet.Completed(run, monotime.Now())
 	f.reportSurvived(e, f.firstEventAt)
 	f.checkUnmarkedEnd(e, f.firstEventAt)
 	f.observe(placement.Served)
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -481,8 +481,8 @@
 	// Number of samples of first events.
 	FirstSamples int `json:"f"`
 
-	// Counts of the ratios of real to predicted longest pauses, in a fixed order of
-	// bins.
+	// Counts of the ratios of real to predicted longest pauses, in tenths of a
+	// stream, in a fixed order of bins.
 	Gaps []int `json:"g,omitempty,omitzero"`
 
 	// Service of the engines.
