--- a/internal/emulator/call.go
+++ b/internal/emulator/call.go
@@ -18,13 +18,14 @@
 	startedAt monotime.Instant
 	deadline  monotime.Instant
 
-	retried     bool
-	run         *run
-	engine      *engine
-	firstAt     monotime.Instant
-	lastAt      monotime.Instant
-	gapExceeded bool
-	finished    bool
+	retried    bool
+	run        *run
+	engine     *engine
+	firstAt    monotime.Instant
+	lastAt     monotime.Instant
+	longestGap time.Duration
+	latePause  float64 // predicted probability of a longer gap than allowed
+	finished   bool
 }
 
 func (s *sim) newCall(class *Class) *call {
@@ -70,18 +71,21 @@
 	})
 }
 
-// recordEvent records an event of the response and checks the gap before it.
+// recordEvent records an event of the response and the gap before it.
 func (c *call) recordEvent(now monotime.Instant) {
 	if c.firstAt == 0 {
 		c.firstAt = now
-	} else if c.class.MaxGap > 0 && now.Sub(c.lastAt) > c.class.MaxGap {
-		c.gapExceeded = true
+	} else {
+		c.longestGap = max(c.longestGap, now.Sub(c.lastAt))
 	}
 	c.lastAt = now
 }
 
 func (c *call) complete() {
-	if c.gapExceeded || c.firstAt.Sub(c.startedAt) > c.class.Goal {
+	if c.class.MaxGap > 0 && c.startedAt.Sub(c.sim.start) >= warmUp {
+		c.sim.result.Class(c.class.Name).Pauses.Add(c.latePause, c.longestGap > c.class.MaxGap-placement.PauseMargin)
+	}
+	if c.class.MaxGap > 0 && c.longestGap > c.class.MaxGap || c.firstAt.Sub(c.startedAt) > c.class.Goal {
 		c.finish(Late)
 	} else {
 		c.finish(OnTime)
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -94,6 +94,9 @@
 	// statisticsInterval is how often instances exchange their pace statistics. Longer
 	// intervals leave each instance to its own samples at the start.
 	statisticsInterval = time.Second
+	// pausesPerInstance is the time for each instance between two exchanges of pause
+	// counts in a large fleet, as in production.
+	pausesPerInstance = 60 * time.Millisecond
 	// A refused caller retries after minRetryDelay plus up to retryJitter. Without
 	// jitter, callers refused together would return together.
 	minRetryDelay, retryJitter = 350 * time.Millisecond, 700 * time.Millisecond
@@ -107,7 +110,10 @@
 	// unfinished after it are missing from the result, which can happen only if their
 	// timeout is longer.
 	drainTime = 30 * time.Second
-	service   = "engines"
+	// warmUp is the time from the start after which predictions are compared with
+	// outcomes: by then instances must have learned the pace of the engines.
+	warmUp  = 5 * time.Second
+	service = "engines"
 	// dataCentre is that of all instances and engines.
 	dataCentre = "here"
 )
@@ -121,6 +127,7 @@
 	byID      map[string]*engine
 	pool      *placement.Pool
 	result    Result
+	start     monotime.Instant
 	calls     int
 }
 
@@ -141,7 +148,8 @@
 	for n := range scenario.Instances {
 		s.instances = append(s.instances, newInstance(s, n))
 	}
-	start := s.loop.Now()
+	s.start = s.loop.Now()
+	start := s.start
 	for _, e := range s.engines {
 		s.schedulePhase(e)
 	}
@@ -155,6 +163,10 @@
 	for at := statisticsInterval; at < scenario.Length; at += statisticsInterval {
 		s.loop.At(start.Add(at), s.exchangeStatistics)
 	}
+	interval := max(statisticsInterval, time.Duration(scenario.Instances)*pausesPerInstance)
+	for at := statisticsInterval; at < scenario.Length; at += interval {
+		s.loop.At(start.Add(at), s.exchangePauses)
+	}
 	s.loop.Run(scenario.Length + drainTime)
 	return s.result
 }
@@ -267,6 +279,20 @@
 	}
 }
 
+// exchangePauses merges the pause counts of each instance into all others.
+func (s *sim) exchangePauses() {
+	for _, from := range s.instances {
+		pauses := from.board.PauseCounts(s.now())
+		for _, to := range s.instances {
+			if to != from {
+				for name, counts := range pauses {
+					to.board.MergePauseCounts(from.name, name, counts, s.now())
+				}
+			}
+		}
+	}
+}
+
 // newBoard returns the Board of an instance, without samples of the engines.
 func (s *sim) newBoard() *placement.Board {
 	b := placement.NewBoard(pace.DefaultPrior, dataCentre)
--- a/internal/emulator/instance.go
+++ b/internal/emulator/instance.go
@@ -64,8 +64,9 @@
 	id := placement.RunID{Instance: i.name, Number: r.number}
 	work := c.work
 	i.board.Begin(id, e.id, work, choice.Unread, i.sim.now())
+	i.board.Watch(id, &choice, i.sim.now())
 	i.broadcast(func(to *placement.Board, now monotime.Instant) { to.Begin(id, e.id, work, choice.Unread, now) })
-	c.run, c.engine = r, e
+	c.run, c.engine, c.latePause = r, e, choice.LatePause
 	if !e.enqueue(r) {
 		i.board.Observe(e.id, placement.Refused, i.sim.now())
 		i.endRun(r)
@@ -84,6 +85,7 @@
 	i.board.Events(id, 1, now)
 	r.call.recordEvent(now)
 	if last {
+		i.board.Completed(id, now)
 		i.board.Observe(r.call.engine.id, placement.Served, now)
 		i.endRun(r)
 		r.call.complete()
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+
+	"basilrudder/internal/placement"
 )
 
 // Outcome is the result of one request for its caller.
@@ -27,6 +29,9 @@
 type ClassResult struct {
 	Name   string
 	Counts [outcomeCount]int
+	// Pauses compares predicted with real pauses above the limit, less
+	// placement.PauseMargin, of complete responses that began after the warm-up.
+	Pauses placement.Calibration
 }
 
 // Total returns the number of requests.
@@ -92,6 +97,21 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
+	fmt.Fprintln(w, "pauses\tstreams\tpredicted late\tlate\tby tenths: predicted/late of streams\t")
+	for i := range r.Classes {
+		p := &r.Classes[i].Pauses
+		streams, predicted, late := p.Totals()
+		fmt.Fprintf(w, "%s\t%.0f\t%.3f\t%.3f\t", r.Classes[i].Name, streams, predicted/max(1, streams), late/max(1, streams))
+		for bin, n := range p.Streams {
+			if n > 0 {
+				fmt.Fprintf(w, " %.2f/%.2f of %.0f", p.Predicted[bin]/n, p.Late[bin]/n, n)
+			}
+		}
+		fmt.Fprintln(w, "\t")
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
 	_, err := fmt.Fprintf(out, "on time over all %.3f; %.1f million prompt tokens read\n", r.OnTime(), float64(r.PromptTokensRead)/1e6)
 	return err
 }
--- a/internal/emulator/scenarios.go
+++ b/internal/emulator/scenarios.go
@@ -62,7 +62,7 @@
 	many.Kind.Slots, many.Kind.Queue = 12, 12
 	many.Classes = classes(5, 1)
 	many.Length = 5 * time.Second
-	return []Scenario{calm, steepCalm, burst, crash, slow, slower, faster, many, burstOnLongStreams(), largeFleet(2400), unevenEngines()}
+	return []Scenario{calm, steepCalm, burst, crash, slow, slower, faster, many, burstOnLongStreams(), largeFleet(2400), unevenEngines(), phasedEngines()}
 }
 
 // unevenEngines has a third of its engines 2.4 times slower than the others, and phases of
@@ -87,6 +87,19 @@
 	}
 }
 
+// phasedEngines are even but for slow phases. The load is high enough for prompts to be read
+// beside most streams with short pauses.
+func phasedEngines() Scenario {
+	s := unevenEngines()
+	s.Name, s.Instances, s.Engines = "phased-engines", 24, 36
+	s.Uneven = Uneven{Every: 900 * time.Millisecond, For: 300 * time.Millisecond, PhaseFactor: 2.5}
+	s.Features = placement.Features{LargeFleet: 17, CalibratedPauses: true}
+	for i := range s.Classes {
+		s.Classes[i].PerSecond *= 0.8
+	}
+	return s
+}
+
 // largeFleet has many more engines than requests at any time. Prompts share long starts, of
 // which each is requested a few times.
 func largeFleet(engines int) Scenario {
