--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,7 @@
 	vars.Set("crashes", expvar.Func(func() any { return g.fleet.crashes.metrics() }))
 	vars.Set("engine_split", expvar.Func(func() any { return g.fleet.board.EngineSplits() }))
 	vars.Set("streams", expvar.Func(func() any { return g.fleet.streams.metrics() }))
+	vars.Set("pause_calibration", expvar.Func(func() any { return g.fleet.pauseCalibration(monotime.Now()) }))
 	vars.Set("news", expvar.Func(func() any { return g.peers.metrics() }))
 	vars.Set("peers_linked", expvar.Func(func() any { return len(g.peers.linked()) }))
 	vars.Set("memory", expvar.Get("memstats"))
--- a/internal/gateway/updates_fuzz_test.go
+++ b/internal/gateway/updates_fuzz_test.go
@@ -27,6 +27,7 @@
 		{Caches: []wire.RelayCache{{Server: "a", Slowness: -300, SlownessSpread: 1}, {Server: "b", Slowness: 1 << 40, SlownessSpread: -1}}},
 		{Begun: []wire.RelayRun{{Number: 1, Server: "a@1", Prompt: 100}}, Paces: []int{1, 300, 60_000, 1, -300, 1, 2, 0, 10, 1, 301, 10, 1, 0, 0, 1, 1 << 60}, Ended: []int{1}},
 		{Evidence: []wire.RelayEvidence{{Service: "llm", StepSamples: -4, FirstSamples: 1 << 40, Sums: make([]float64, 18)}}},
+		{Evidence: []wire.RelayEvidence{{Service: "llm", Sums: make([]float64, 18), Gaps: append(make([]int, 23), 1<<60)}, {Service: "llm", Gaps: []int{-1}}}},
 		{Crashes: []wire.RelayCrash{{Request: make([]byte, 16), Customer: "a", Server: "a", AgeMS: -1}, {Request: []byte("x")}, {Request: make([]byte, 16), AgeMS: 1 << 60}}},
 		{Crashes: []wire.RelayCrash{{Request: make([]byte, 16), Parts: make([]byte, 17), Server: "a"}, {Request: make([]byte, 16), Parts: make([]byte, 32), Server: "b"}, {Parts: make([]byte, 16<<6), Server: "c"}}},
 		{Falls: []wire.RelayFall{{Server: "a", Refusals: -1}, {Server: "b", Refusals: 1 << 40}, {AgeMS: -1}, {Server: "c", AgeMS: 1 << 60}}},
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -58,6 +58,11 @@
 	serversAt monotime.Instant
 	// split tells which engines are intended for which requests.
 	split engineSplit
+	// pauses is the distribution of pauses, and calibration how predictions of late ones
+	// turned out.
+	pauses      *pauseRatios
+	calibration decayingCalibration
+	corrections map[time.Duration]*pauseCorrection // by limit of pauses
 	// asked is the rate of choices of this instance while the servers are brittle.
 	asked rate
 }
@@ -140,6 +145,9 @@
 	s := r.server
 	s.lastEventAt = now
 	s.advance(now)
+	if r.pauses != nil {
+		r.pauses.recordEvent(count, now)
+	}
 	if r.watch.any.add(s, count, now) {
 		s.recordSlowness(&r.watch.any)
 		b.updateMedian(s.kind, now)
@@ -292,6 +300,7 @@
 		e = &engineKind{
 			board: b, service: service, model: pace.NewModel(b.prior), servers: pace.NewServers(),
 			medianSlowness: 1, meanReadTime: initialMeanReadTime,
+			pauses: newPauseRatios(), corrections: make(map[time.Duration]*pauseCorrection),
 		}
 		b.kinds[service] = e
 	}
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -179,13 +179,13 @@
 // latePause returns the probability that a pause expected at the usual pace is longer than
 // a limit, with the noise of pauseNoise.
 func latePause(expected, limit time.Duration) float64 {
-	left := max(limit-gapMargin, minDuration)
+	left := max(limit-PauseMargin, minDuration)
 	return logistic(math.Log(float64(max(expected, minDuration))/float64(left)) / pauseNoise)
 }
 
 // pauseLateWith returns the expected pause for which latePause gives a probability.
 func pauseLateWith(probability float64, limit time.Duration) time.Duration {
-	left := max(limit-gapMargin, minDuration)
+	left := max(limit-PauseMargin, minDuration)
 	return time.Duration(float64(left) * math.Exp(pauseNoise*math.Log(probability/(1-probability))))
 }
 
