--- a/internal/pace/server.go
+++ b/internal/pace/server.go
@@ -11,7 +11,9 @@
 const (
 	// reversionTime is the time constant with which what is known of a server is lost:
 	// the mean of an Ornstein-Uhlenbeck process reverts to the centre of the service, and
-	// its variance to the spread of the service's servers.
+	// its variance to the spread of the service's servers. With 5 s and 10 s, slow servers
+	// that get few requests are tried again too often: in the emulator at moderate load
+	// 0.04 of urgent streams are late in place of 0.025.
 	reversionTime = 20 * time.Second
 	// priorSpread is the assumed standard deviation of the logarithm of the slowness of
 	// servers, and priorNoise that of a sample covering one second, until pairs of
