--- a/internal/gateway/serverpaces.go
+++ b/internal/gateway/serverpaces.go
@@ -25,7 +25,7 @@
 	// ignored.
 	refusedPacesInterval = 10 * time.Second
 	// maxServerPaceLines bounds the lines a second on changed estimates of servers.
-	maxServerPaceLines = 20
+	maxServerPaceLines = 2
 )
 
 func encodePace(run int, sample pace.ServerSample) [paceNumbers]int {
--- a/internal/placement/serverpace.go
+++ b/internal/placement/serverpace.go
@@ -146,8 +146,8 @@
 }
 
 // minLoggedChange is the factor by which the slowness of a server must differ from the
-// one last logged.
-const minLoggedChange = 1.2
+// one last logged. With 1.2, the noise of the estimates alone wrote 15 lines a second.
+const minLoggedChange = 1.5
 
 // ChangedServerPaces returns the estimates that have changed by minLoggedChange since they
 // were last returned, the ones that have changed most first, and at most limit.
