Placement: one early sample for each stream

Cause: while a server's estimate is uncertain, a stream of a very slow server shared a sample each 200 ms: seven in 1.5 s, which the test of the exchange counted.

Change: only the first sample of a stream may come early; further ones every two seconds. TestSamplesOfServerSpeedReachOtherInstances counted one sample in 1.5 s and three in 5 s; it wants two and four now, and has one more case with a single sample, on which the comparison of both instances' estimates still runs.

--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -89,6 +89,8 @@
 // is what is not yet part of a sample for the other instances.
 type watch struct {
 	any, noReading, unshared interval
+	// shared is set once a sample has been returned for the other instances.
+	shared bool
 }
 
 // advance brings the progress of an engine up to an instant.
@@ -155,7 +157,7 @@
 	}
 	if s.kind.shared(now) {
 		r.watch.unshared.add(s, count, now)
-		if r.watch.unshared.lasted() >= s.shareInterval(now) {
+		if r.watch.unshared.lasted() >= r.shareInterval(now) {
 			sample, due = b.shareSample(r, now)
 		}
 	}
--- a/internal/placement/serverpace.go
+++ b/internal/placement/serverpace.go
@@ -12,9 +12,9 @@
 
 const (
 	// shareInterval is the interval of the samples of a long stream for the other
-	// instances. While the estimate of its server has a standard deviation above
-	// uncertainSpread, it is firstShareInterval: after a start of all instances, streams
-	// with short pauses go to slow servers until the first samples arrive.
+	// instances. The first sample covers firstShareInterval only if the estimate of the
+	// server has a standard deviation above uncertainSpread: after a start of all
+	// instances, streams with short pauses go to slow servers until samples arrive.
 	shareInterval      = 2 * time.Second
 	firstShareInterval = 200 * time.Millisecond
 	uncertainSpread    = 0.2
@@ -36,9 +36,9 @@
 // lasted returns the time from the start of an interval to its last event.
 func (w *interval) lasted() time.Duration { return w.to.Sub(w.from) }
 
-// shareInterval returns the interval of the samples of a stream on a server.
-func (s *server) shareInterval(now monotime.Instant) time.Duration {
-	if s.paceSpread(now) > uncertainSpread {
+// shareInterval returns the time that the next sample of a stream covers.
+func (r *run) shareInterval(now monotime.Instant) time.Duration {
+	if !r.watch.shared && r.server.paceSpread(now) > uncertainSpread {
 		return firstShareInterval
 	}
 	return shareInterval
@@ -51,7 +51,7 @@
 	if w.from == 0 || w.events < minIntervalEvents || w.lasted() < minShared {
 		return pace.ServerSample{}, false
 	}
-	r.watch.unshared = r.server.newInterval(now)
+	r.watch.unshared, r.watch.shared = r.server.newInterval(now), true
 	expected := r.server.kind.model.Expected(w.sample(r.server))
 	if expected <= 0 {
 		return pace.ServerSample{}, false
