--- a/internal/emulator/serverpace_test.go
+++ b/internal/emulator/serverpace_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package emulator
 
 import (
