Placement: noise of estimates among equal servers is ignored

Change: the deadband of a single instance's estimate applies as far as the spread between the servers of the service is small.

--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -106,14 +106,18 @@
 func (s *server) slowness(now monotime.Instant) float64 {
 	if s.kind.shared(now) {
 		mean, _ := s.kind.servers.Predict(&s.estimate, now)
-		return math.Exp(mean)
+		return math.Exp(reduce(mean, slownessDeadband*s.kind.alike()))
 	}
 	if s.slowAt == 0 {
 		return 1
 	}
 	deviation := math.Log(s.slow / s.kind.medianSlowness)
-	excess := math.Copysign(max(0, math.Abs(deviation)-slownessDeadband), deviation)
-	return math.Exp(excess * decay(now.Sub(s.slowAt), slownessFadeTime))
+	return math.Exp(reduce(deviation, slownessDeadband) * decay(now.Sub(s.slowAt), slownessFadeTime))
+}
+
+// reduce returns x brought nearer to 0 by a deadband.
+func reduce(x, deadband float64) float64 {
+	return math.Copysign(max(0, math.Abs(x)-deadband), x)
 }
 
 // paceSpread returns the standard deviation of the logarithm of an engine's slowness; 0
--- a/internal/placement/serverpace.go
+++ b/internal/placement/serverpace.go
@@ -26,6 +26,11 @@
 	// through all servers.
 	centreMaxAge    = 200 * time.Millisecond
 	centrePerServer = 200 * time.Microsecond
+	// Up to a spread of alikeSpread between the servers of a service, estimates are taken
+	// for the noise of equal servers unless they exceed slownessDeadband. From
+	// differentSpread on all count. Among equal servers, requests would otherwise leave
+	// those that cache their prompt for ones that are no faster.
+	alikeSpread, differentSpread = 0.15, 0.25
 )
 
 // shared reports whether the instances exchange samples of the pace of each server.
@@ -33,6 +38,11 @@
 	return k.board.enabled(k.board.features.SharedServerPaces, now)
 }
 
+// alike returns how far the servers count as equally fast, from 0 to 1.
+func (k *engineKind) alike() float64 {
+	return min(max(0, (differentSpread-k.servers.Spread())/(differentSpread-alikeSpread)), 1)
+}
+
 // lasted returns the time from the start of an interval to its last event.
 func (w *interval) lasted() time.Duration { return w.to.Sub(w.from) }
 
--- a/internal/placement/serverpace_test.go
+++ b/internal/placement/serverpace_test.go
@@ -107,6 +107,20 @@
 	}
 }
 
+// Guards against requests that leave the servers that cache their prompts because of the
+// noise of estimates, and against one slow server among equal ones that goes unnoticed.
+func TestNoiseAmongEqualServersIsIgnored(t *testing.T) {
+	candidates := engines(40)
+	b := sharingBoard(candidates)
+	now := receiveSamples(b, candidates, 20, func(n int) bool { return n == 3 }, start)
+	for n, c := range candidates {
+		got := b.server(c).slowness(now)
+		if n == 3 && got < 1.3 || n != 3 && got != 1 {
+			t.Errorf("server %d counts as %.2f times slower", n, got)
+		}
+	}
+}
+
 // Guards against a log that repeats estimates or is flooded when all change at once.
 func TestChangedEstimatesAreReturnedOnceAndInPortions(t *testing.T) {
 	candidates := engines(90)
