Placement: estimates are handed over without the deadband

Cause: the deadband for the noise of equal servers was put into slowness, which also gave the estimates that a new instance is sent, that are logged and that the metrics show. The new instance applied it again: one server with a logarithm of 0.77 among 40 equal ones became 0.43 there.

Change: serverPace returns the estimate itself; only choices reduce it. Log and metric show it too.

Measured: TestHandedOverEstimatesMeanTheSameToANewInstance fails without the change (0.43 for 0.77) and passes with it; the tests of placement pass.

--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -105,8 +105,8 @@
 // deadband, fading with the age of the last sample.
 func (s *server) slowness(now monotime.Instant) float64 {
 	if s.kind.shared(now) {
-		mean, _ := s.kind.servers.Predict(&s.estimate, now)
-		return math.Exp(reduce(mean, slownessDeadband*s.kind.alike()))
+		logSlowness, _ := s.estimated(now)
+		return math.Exp(reduce(logSlowness, slownessDeadband*s.kind.alike()))
 	}
 	if s.slowAt == 0 {
 		return 1
@@ -126,8 +126,8 @@
 	if !s.kind.shared(now) {
 		return 0
 	}
-	_, variance := s.kind.servers.Predict(&s.estimate, now)
-	return math.Sqrt(variance)
+	_, spread := s.estimated(now)
+	return spread
 }
 
 // pace returns the expected pace of an engine.
--- a/internal/placement/serverpace.go
+++ b/internal/placement/serverpace.go
@@ -38,6 +38,13 @@
 	return k.board.enabled(k.board.features.SharedServerPaces, now)
 }
 
+// estimated returns the logarithm of the slowness of a server from the samples of all
+// instances, relative to the median of its service, and its standard deviation.
+func (s *server) estimated(now monotime.Instant) (logSlowness, spread float64) {
+	mean, variance := s.kind.servers.Predict(&s.estimate, now)
+	return mean, math.Sqrt(variance)
+}
+
 // alike returns how far the servers count as equally fast, from 0 to 1.
 func (k *engineKind) alike() float64 {
 	return min(max(0, (differentSpread-k.servers.Spread())/(differentSpread-alikeSpread)), 1)
@@ -131,9 +138,11 @@
 	}
 }
 
-// serverPace returns the estimate of a server.
+// serverPace returns the estimate of a server. It is not reduced by the deadband, which
+// would reduce it once more at an instance that it is sent to.
 func (s *server) serverPace(now monotime.Instant) ServerPace {
-	return ServerPace{Server: s.id, Service: s.kind.service, Slowness: s.slowness(now), Spread: s.paceSpread(now)}
+	logSlowness, spread := s.estimated(now)
+	return ServerPace{Server: s.id, Service: s.kind.service, Slowness: math.Exp(logSlowness), Spread: spread}
 }
 
 // ServerPaces returns the estimates of all servers of which samples were taken; none while
@@ -170,7 +179,8 @@
 	}
 	var changes []change
 	b.knownPaces(now, func(s *server) {
-		if by := math.Abs(math.Log(s.slowness(now)) - s.loggedLogSlowness); by > math.Log(minLoggedChange) {
+		logSlowness, _ := s.estimated(now)
+		if by := math.Abs(logSlowness - s.loggedLogSlowness); by > math.Log(minLoggedChange) {
 			changes = append(changes, change{s.serverPace(now), by})
 		}
 	})
@@ -203,7 +213,7 @@
 	b.knownPaces(now, func(s *server) {
 		sum := out[s.kind.service]
 		sum.Known++
-		sum.Slowest = max(sum.Slowest, s.slowness(now))
+		sum.Slowest = max(sum.Slowest, s.serverPace(now).Slowness)
 		sum.Median, sum.Spread = math.Exp(s.kind.servers.Centre()), s.kind.servers.Spread()
 		out[s.kind.service] = sum
 	})
--- a/internal/placement/serverpace_test.go
+++ b/internal/placement/serverpace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -121,6 +122,20 @@
 	}
 }
 
+// Guards against a new instance that takes a slow server among equal ones for less slow.
+func TestHandedOverEstimatesMeanTheSameToANewInstance(t *testing.T) {
+	candidates := engines(40)
+	b, restarted := sharingBoard(candidates), sharingBoard(candidates)
+	now := receiveSamples(b, candidates, 20, func(n int) bool { return n == 3 }, start)
+	for _, s := range b.ServerPaces(now) {
+		restarted.SetServerPace(s.Server, math.Log(s.Slowness), s.Spread, now)
+	}
+	want, _ := b.server(candidates[3]).estimated(now)
+	if got, _ := restarted.server(candidates[3]).estimated(now); math.Abs(got-want) > 0.02 {
+		t.Errorf("estimated logarithm %.2f, %.2f at the instance that handed it over", got, want)
+	}
+}
+
 // Guards against a log that repeats estimates or is flooded when all change at once.
 func TestChangedEstimatesAreReturnedOnceAndInPortions(t *testing.T) {
 	candidates := engines(90)
