--- a/internal/emulator/connections_test.go
+++ b/internal/emulator/connections_test.go
@@ -10,9 +10,7 @@
 // openedShare returns the share of requests sent for which a connection was opened.
 func (r *Result) openedShare() float64 { return float64(r.Opened) / float64(r.Opened+r.Reused) }
 
-// Guards against instances of a large fleet that open a connection for most requests, and
-// against requests that are late or prompts that are read again for the sake of connections.
-// Engines differ in speed for good, change it for seconds, or are alike.
+// Guards against a new connection for most requests, and late requests or rereads to avoid it.
 func TestALargeFleetReusesConnections(t *testing.T) {
 	uneven := scenario(t, "uneven-engines")
 	uneven.Length = 7 * time.Second
--- a/internal/emulator/pauses_test.go
+++ b/internal/emulator/pauses_test.go
@@ -25,9 +25,7 @@
 // ratio returns the ratio of two numbers, at least 1.
 func ratio(a, b float64) float64 { return max(a, b) / max(1e-9, min(a, b)) }
 
-// Guards against streams that are late although they were predicted to be on time: with a
-// constant spread of predicted pauses, engines with slow phases made 37% of the most urgent
-// streams late, and 1% were predicted to be.
+// Guards against streams that are late although they were predicted to be on time.
 func TestPredictedLatePausesComeTrue(t *testing.T) {
 	const maxError = 1.3
 	s := phasedEngines()
@@ -62,9 +60,9 @@
 	return sum
 }
 
-// Guards against losses by the calibration where pauses are as predicted. Under overload the
-// share of summaries on time has a standard deviation of 0.02 between seeds.
+// Guards against losses by the calibration where pauses are as predicted.
 func TestCalibrationCostsNothingOnEnginesWithoutNoise(t *testing.T) {
+	// Under overload the share of summaries on time has a standard deviation of 0.02.
 	for _, c := range []struct{ load, margin float64 }{{0.75, 0.001}, {1, 0.04}} {
 		s := phasedEngines()
 		s.Uneven, s.Length = Uneven{}, 8*time.Second
--- a/internal/emulator/serverpace_test.go
+++ b/internal/emulator/serverpace_test.go
@@ -60,8 +60,7 @@
 	return out
 }
 
-// Guards against slow engines that each of many instances takes for usual ones, since it
-// meets them too rarely: streams there pause too long.
+// Guards against slow engines that an instance takes for usual ones, as it seldom meets them.
 func TestManyInstancesLearnWhichEnginesAreSlow(t *testing.T) {
 	r := playChecked(unevenScenario(t), 5*time.Second, func(s *sim) {
 		checkCalibration(t, s, func(e *engine) float64 { return e.ownFactor })
@@ -71,9 +70,7 @@
 	}
 }
 
-// Guards against estimates that are right for engines that are always slow only. For four
-// seconds, a third of the engines is slower by the same factor as those that are slow for
-// good. Without the exchange, a fifth of the queries is late.
+// Guards against estimates that are wrong for engines that become slow for seconds.
 func TestManyInstancesFollowEnginesThatChange(t *testing.T) {
 	s := unevenScenario(t)
 	fault := Fault{At: 4 * time.Second, For: 4 * time.Second, Share: 1.0 / 3, SlowFactor: s.Uneven.Factor}
--- a/internal/gateway/jitter_test.go
+++ b/internal/gateway/jitter_test.go
@@ -15,18 +15,34 @@
 // receives a request before it has a view of any other instance. The requests must spread
 // over the engines: callers wait for each other when many go to the same one.
 func TestInstancesStartingTogetherSpreadRequests(t *testing.T) {
-	sent := make(map[string]int)
-	for range 60 {
+	checkThatRequestsSpread(t, func(int) *fleet {
 		f, _, _ := newFleet()
 		f.board.SetCostJitter(jitterOf(0, 1))
-		f.installConfig(&routing.Config{Version: 1, Services: []routing.Service{{
-			Name: "svc", Engine: &routing.Engine{Slots: 64, MemoryTokens: 500_000, EventTokens: 4},
-		}}}, fromStore)
-		for n := range 40 {
-			put(f, fromStore, entry(fmt.Sprintf("e%02d", n), servers.Revision(n+1)))
-		}
-		work := placement.Work{Prompt: 17_000, Output: 120, Goal: 2500 * time.Millisecond, Left: 12 * time.Second}
-		target, refusal := f.Place("svc", work, nil, monotime.Now())
+		addEngines(f, 40, 0)
+		return f
+	})
+}
+
+// addEngines configures a service and adds so many engines, each of which accepts maxConns
+// connections; 0 for no limit.
+func addEngines(f *fleet, engines, maxConns int) {
+	f.installConfig(&routing.Config{Version: 1, Services: []routing.Service{{
+		Name: "svc", MaxConns: maxConns, Engine: &routing.Engine{Slots: 64, MemoryTokens: 500_000, EventTokens: 4},
+	}}}, fromStore)
+	for n := range engines {
+		put(f, fromStore, entry(fmt.Sprintf("e%02d", n), servers.Revision(n+1)))
+	}
+}
+
+var somePrompt = placement.Work{Prompt: 17_000, Output: 120, Goal: 2500 * time.Millisecond, Left: 12 * time.Second}
+
+// checkThatRequestsSpread has each of 60 instances place a request and checks that no engine
+// gets more than eight.
+func checkThatRequestsSpread(t *testing.T, newInstance func(n int) *fleet) {
+	t.Helper()
+	sent := make(map[string]int)
+	for n := range 60 {
+		target, refusal := newInstance(n).Place("svc", somePrompt, nil, monotime.Now())
 		if refusal != placement.Chosen {
 			t.Fatal(refusal)
 		}
--- a/internal/gateway/openconnections_test.go
+++ b/internal/gateway/openconnections_test.go
@@ -10,8 +10,6 @@
 
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/placement"
-	"basilrudder/internal/routing"
-	"basilrudder/internal/servers"
 )
 
 // largeFleetInstance returns one of many instances that prefer open connections, with the
@@ -23,34 +21,14 @@
 	f.board.SetFeatures(placement.Features{LargeFleet: 17, PreferOpenConnections: true})
 	f.board.SetFleetSize(instances, monotime.Now())
 	f.board.SetCostJitter(jitterOf(age, instances))
-	f.installConfig(&routing.Config{Version: 1, Services: []routing.Service{{
-		Name: "svc", MaxConns: 640, Engine: &routing.Engine{Slots: 64, MemoryTokens: 500_000, EventTokens: 4},
-	}}}, fromStore)
-	for n := range engines {
-		put(f, fromStore, entry(fmt.Sprintf("e%02d", n), servers.Revision(n+1)))
-	}
+	addEngines(f, engines, 640)
 	return f
 }
 
-var somePrompt = placement.Work{Prompt: 17_000, Output: 120, Goal: 2500 * time.Millisecond, Left: 12 * time.Second}
-
 // Guards against instances that have just started and, with amounts fixed by instance and
 // server in place of random ones, choose the same engines: callers wait for each other.
 func TestInstancesOfALargeFleetStartingTogetherSpreadRequests(t *testing.T) {
-	sent := make(map[string]int)
-	for n := range 60 {
-		f := largeFleetInstance(fmt.Sprint("relay-", n), 0, 60, 40)
-		target, refusal := f.Place("svc", somePrompt, nil, monotime.Now())
-		if refusal != placement.Chosen {
-			t.Fatal(refusal)
-		}
-		sent[target.ID]++
-	}
-	for id, n := range sent {
-		if n > 8 {
-			t.Errorf("%d of 60 requests go to %s", n, id)
-		}
-	}
+	checkThatRequestsSpread(t, func(n int) *fleet { return largeFleetInstance(fmt.Sprint("relay-", n), 0, 60, 40) })
 }
 
 // Guards against idle connections of a fleet so large that they take most of the connections
--- a/internal/placement/calibration.go
+++ b/internal/placement/calibration.go
@@ -9,7 +9,7 @@
 
 const (
 	// calibrationWindow is the time constant with which ended streams are forgotten in the
-	// measured calibration. In a fleet of 86, an instance ends some 200 streams in it.
+	// calibration.
 	calibrationWindow = time.Minute
 	calibrationBins   = 10
 	// minRatioEvents is the number of events from which on a stream gives a ratio. The
@@ -163,7 +163,7 @@
 	kind.pauses.observe(float64(w.longest)/float64(w.predicted), 1/(1+unknown*unknown), now)
 }
 
-// PauseCalibration returns the measured calibration of this instance, by service.
+// PauseCalibration returns the calibration of the predictions of this instance, by service.
 func (b *Board) PauseCalibration(now monotime.Instant) map[string]Calibration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/placement/pauseratio.go
+++ b/internal/placement/pauseratio.go
@@ -10,14 +10,14 @@
 const (
 	// ratioBins is the number of bins of a histogram of ratios. Their bounds are spaced
 	// evenly in the logarithm, from minRatio to maxRatio: a bin covers 16%, twice
-	// gapSpread, so that interpolating in a bin blurs it no more than the old rule does.
+	// gapSpread, so that interpolating in a bin blurs it no more than the constant spread does.
 	ratioBins = 24
 	minRatio  = 0.25
 	maxRatio  = 8.0
 	// ratioWindow is the time constant with which ratios are forgotten. An instance of a
 	// fleet of 86 takes some four ratios a second.
 	ratioWindow = 30 * time.Second
-	// priorRatios is the number of ratios that the old rule counts for. The share of late
+	// priorRatios is the number of ratios that the constant spread counts for. The share of late
 	// pauses among so few ratios is off by a third at one in ten.
 	priorRatios = 50.0
 	// minPriorShare is the share of the prior below which it is left out of a
@@ -78,7 +78,7 @@
 	others   ratioCounts             // sum of received
 	sweptAt  monotime.Instant
 	// above is the share of ratios above the lower bound of each bin, priorShare the
-	// weight of the old rule, and mixed above with the old rule at that weight.
+	// weight of the constant spread, and mixed above with it at that weight.
 	above, mixed [ratioBins + 1]float64
 	priorShare   float64
 }
@@ -174,12 +174,12 @@
 		p.priorShare = 0
 	}
 	for i, above := range p.above {
-		p.mixed[i] = above + p.priorShare*(oldAbove[i]-above)
+		p.mixed[i] = above + p.priorShare*(priorAbove[i]-above)
 	}
 }
 
-// oldAbove is the share of ratios above the lower bound of each bin by the old rule.
-var oldAbove = func() (out [ratioBins + 1]float64) {
+// priorAbove is the share of ratios above the lower bound of each bin by the constant spread.
+var priorAbove = func() (out [ratioBins + 1]float64) {
 	for i := range out {
 		out[i] = logistic((1 - math.Exp(minLogRatio+float64(i)/binsPerLog)) / gapSpread)
 	}
@@ -244,7 +244,7 @@
 
 // latePauses predicts late pauses on one engine.
 type latePauses struct {
-	ratios *pauseRatios // nil: by the old rule
+	ratios *pauseRatios // nil: by the constant spread
 	spread float64
 }
 
--- a/internal/relay/pool_bench_test.go
+++ b/internal/relay/pool_bench_test.go
@@ -60,26 +60,10 @@
 // this instance, its index entry included, and the time to open one and to sweep all. The
 // heap includes the server's end, which has no buffer.
 func BenchmarkIdleConnections(b *testing.B) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer listener.Close()
-	accepted := make(chan net.Conn, 1024)
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			accepted <- c
-		}
-	}()
+	address, accepted := acceptOnLoopback(b)
 	const connections = 300
 	for b.Loop() {
-		p := newPool(directConnector{func(ctx context.Context, _ string) (net.Conn, error) {
-			return new(net.Dialer).DialContext(ctx, "tcp", listener.Addr().String())
-		}})
+		p := newPool(directConnector{dialTo(address)})
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
--- a/internal/relay/pool_test.go
+++ b/internal/relay/pool_test.go
@@ -148,28 +148,41 @@
 	})
 }
 
-// Guards against a request that fails because the index names a server which has closed the
-// connection.
-func TestAClosedIdleConnectionCostsANewOne(t *testing.T) {
+// acceptOnLoopback accepts connections until the test ends. It returns the address and the
+// servers' ends.
+func acceptOnLoopback(t testing.TB) (address string, accepted <-chan net.Conn) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	accepted := make(chan net.Conn, 2)
+	t.Cleanup(func() { _ = listener.Close() })
+	ends := make(chan net.Conn, 1024)
 	go func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			accepted <- c
+			ends <- c
 		}
 	}()
-	p := newPool(directConnector{func(ctx context.Context, address string) (net.Conn, error) {
+	return listener.Addr().String(), ends
+}
+
+// dialTo returns a function that connects to one address for every server.
+func dialTo(address string) dialFunc {
+	return func(ctx context.Context, _ string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, "tcp", address)
-	}})
-	target := targetFor(listener.Addr().String())
+	}
+}
+
+// Guards against a request that fails because the index names a server which has closed the
+// connection.
+func TestAClosedIdleConnectionCostsANewOne(t *testing.T) {
+	address, accepted := acceptOnLoopback(t)
+	p := newPool(directConnector{dialTo(address)})
+	target := targetFor("s1")
 	first := getConn(t, p, target)
 	p.putIdle(first, "")
 	(<-accepted).Close()
