--- a/review/standin/flapping.go
+++ b/review/standin/flapping.go
@@ -18,7 +18,7 @@
 		warm, length           = 10 * time.Second, 30 * time.Second
 		// doses of the disruption
 		flapping = 3
-		period   = 1400 * time.Millisecond
+		period   = 900 * time.Millisecond
 		lasts    = 6500 * time.Millisecond
 	)
 	d.putConfig([]map[string]any{route("sealnote", "streaming", "draftmodel", 1, 15000, 500, map[string]any{"sticky": true, "itlTargetMs": 120})},
