Relay: answers without end are given up at a bound in size

What callers saw: a server that sends bytes without end in place of a head, in a status line or in header lines held its request until the deadline (504), also where another server was free for a refused request (503); an event without end was passed on until the deadline. The instance kept all that it had read of a head, so its memory grew with the server's speed times the deadline.

Cause: reads of heads, and of bodies that are read only to use their connection again, were bounded in time alone.

Change: a LimitedReader below the connection's buffer bounds a head at 64 KiB; bodies of refusals and of other requests' answers are read up to 256 KiB, an event up to 1 MiB. Such a server has failed the request; its path counts as working, and it is not suspected of a crash, though the parser reports the line that was cut off at the bound as malformed.

--- /dev/null
+++ b/internal/netconn/limit.go
@@ -0,0 +1,55 @@
+package netconn
+
+import (
+	"io"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrTooLong is the error of a read beyond its limit.
+var ErrTooLong = errors.New("more bytes were sent than are accepted")
+
+// LimitedReader reads from R, while a limit is set only up to it. It bounds what a parser
+// buffers, whatever the other side sends.
+type LimitedReader struct {
+	R       io.Reader
+	limited bool
+	left    int64 // bytes
+}
+
+// SetLimit allows reading n bytes from now on.
+func (l *LimitedReader) SetLimit(n int64) { l.limited, l.left = true, n }
+
+// Explain returns the error of a parser that read from l. Parsers report what was cut off at
+// the limit as malformed; then the cause is ErrTooLong.
+func (l *LimitedReader) Explain(err error) error {
+	if err != nil && l.limited && l.left <= 0 {
+		return errors.Join(ErrTooLong, err)
+	}
+	return err
+}
+
+// RemoveLimit allows reading any number of bytes.
+func (l *LimitedReader) RemoveLimit() { l.limited = false }
+
+// Read implements io.Reader.
+func (l *LimitedReader) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.R.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := l.R.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
+// Discard reads r to its end. It returns ErrTooLong if that is more than limit bytes away.
+func Discard(r io.Reader, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, limit+1))
+	if err == nil && n > limit {
+		return ErrTooLong
+	}
+	return err
+}
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -87,7 +87,7 @@
 // reportHead reports whether the server began its answer.
 func (f *forwarder) reportHead(e *exchange, err error) {
 	switch {
-	case e.resp != nil:
+	case e.resp != nil, errors.Is(err, netconn.ErrTooLong):
 		f.reportReached()
 	case err != nil && !errors.Is(err, errMoved):
 		f.reportUnanswered()
@@ -138,7 +138,7 @@
 func (f *forwarder) handleRefusal(e *exchange) *verdict.Error {
 	status := e.resp.StatusCode
 	after := parseRetryAfter(e.resp.Header)
-	if _, err := io.Copy(io.Discard, e.resp.Body); err != nil {
+	if err := netconn.Discard(e.resp.Body, maxDiscardedBody); err != nil {
 		e.abandon()
 	} else {
 		e.finish()
@@ -244,7 +244,7 @@
 	switch {
 	case errors.Is(err, errUnresponsive), errors.Is(err, errMoved), netconn.IsTimeout(err):
 		return verdict.ReasonUpstreamSilent
-	case errors.Is(err, errUnsigned), errors.Is(err, errAmbiguous):
+	case errors.Is(err, errUnsigned), errors.Is(err, errAmbiguous), errors.Is(err, netconn.ErrTooLong):
 		return verdict.ReasonUpstreamError
 	default:
 		return verdict.ReasonUpstreamLost
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -24,6 +23,12 @@
 	// right one, before the connection is given up. Without a bound, a server that keeps
 	// sending answers could hold a request until its deadline.
 	maxStrayAnswers = 3
+	// maxAnswerHead bounds the status line and headers of an answer, in bytes. Without it,
+	// an answer without end would be held in memory until the request's deadline.
+	maxAnswerHead = 64 << 10
+	// maxDiscardedBody bounds the body of an answer that is read only to use its connection
+	// again, in bytes.
+	maxDiscardedBody = 256 << 10
 	// bodyWriteTimeout is how long the rest of a long request may take once its answer
 	// was read completely. It bounds the wait for a server that stops reading.
 	bodyWriteTimeout = 500 * time.Millisecond
@@ -108,7 +113,10 @@
 	}
 	req := &http.Request{Method: method}
 	for range maxStrayAnswers {
+		e.conn.limit.SetLimit(maxAnswerHead)
 		resp, err := http.ReadResponse(e.conn.reader, req)
+		err = e.conn.limit.Explain(err)
+		e.conn.limit.RemoveLimit()
 		if err != nil {
 			if timeout > 0 && netconn.IsTimeout(err) {
 				return errors.Join(errUnresponsive, err)
@@ -120,7 +128,7 @@
 		}
 		answer := protocol.Answer(resp.StatusCode, resp.Header)
 		if answer.ID != "" && answer.ID != id {
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			if err := netconn.Discard(resp.Body, maxDiscardedBody); err != nil {
 				return errors.Join(errStray, err)
 			}
 			continue
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -46,6 +46,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// limit bounds what reader reads from the server.
+	limit  *netconn.LimitedReader
 	target Target
 	// via is the instance through which the connection goes; nil for a direct one.
 	via *Via
@@ -99,8 +101,9 @@
 		p.release(target.ID)
 		return nil, errors.Wrap(err, "connect")
 	}
+	limit := &netconn.LimitedReader{R: raw}
 	return &conn{
-		Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), target: target, via: via, received: monotime.Now(),
+		Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit, target: target, via: via, received: monotime.Now(),
 	}, nil
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -10,6 +10,7 @@
 
 	"basilrudder/internal/eventstream"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/verdict"
 )
@@ -24,6 +25,9 @@
 	// maxPartialEvent bounds what is held of an event of a stream that may be resumed, in
 	// bytes. A longer event is passed on as it arrives.
 	maxPartialEvent = 64 << 10
+	// maxEvent bounds an event, in bytes. A longer one is no event: its server is given up
+	// before it uses the caller's time and link.
+	maxEvent = 1 << 20
 )
 
 // delivery tracks what the caller has received of a stream.
@@ -51,6 +55,7 @@
 var (
 	errInsideEvent = errors.New("stream ended inside an event")
 	errNoEvent     = errors.New("server closed its connection before the first event")
+	errEventLength = errors.Wrap(netconn.ErrTooLong, "event")
 	// errUnknownEnd is that of a server that marks the end less clearly than the caller was
 	// promised by the framing of an earlier server.
 	errUnknownEnd = errors.New("server closed its connection, which does not tell whether the stream was whole")
@@ -63,6 +68,7 @@
 	buffer := make([]byte, copyBufferSize)
 	var scanner eventstream.Scanner
 	scan := isEventStream(e.resp)
+	open := 0 // bytes of the event that is open
 	for {
 		if err := f.awaitEvents(e, run); err != nil {
 			e.abandon()
@@ -76,6 +82,9 @@
 			}
 			f.reportEvents(run, n, events)
 			f.received.eventOpen = scanner.Open()
+			if open = openBytes(open, n, closed); open > maxEvent {
+				return f.streamLost(e, errEventLength)
+			}
 			if problem := f.deliver(e, buffer[:n], closed); problem != nil {
 				e.abandon()
 				return problem
@@ -108,6 +117,15 @@
 	return kind == "" || err == nil && media == "text/event-stream"
 }
 
+// openBytes returns the length of the open event after n bytes more, of which the first
+// closed ones are outside of it.
+func openBytes(open, n, closed int) int {
+	if closed > 0 {
+		return n - closed
+	}
+	return open + n
+}
+
 // reportEvents reports bytes of a stream and the events that ended in them.
 func (f *forwarder) reportEvents(run, bytes, events int) {
 	now := monotime.Now()
