Links and tunnels: the answer to an upgrade is bounded in size

The same fault as in answers of servers: the answer of whatever has the address of a peer was read without a bound in size, before it is authenticated. Another process may have that address once the peer is gone.

Change: both read the head of that answer through a LimitedReader of 16 KiB.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -8,6 +8,7 @@
 	"github.com/fasthttp/websocket"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/schema/wire"
 	"basilrudder/internal/timer"
 )
@@ -151,6 +152,8 @@
 
 func (s *Links) connect(ctx context.Context, address string) (*websocket.Conn, error) {
 	stop := func() bool { return true }
+	limit := &netconn.LimitedReader{}
+	limit.SetLimit(maxUpgradeHead)
 	dialer := websocket.Dialer{
 		HandshakeTimeout: s.cfg.Timing.HandshakeTimeout,
 		NetDialContext: func(dialCtx context.Context, _, _ string) (net.Conn, error) {
@@ -160,6 +163,8 @@
 				// so ctx closes the connection. dialCtx is canceled when the library
 				// returns and must not close it.
 				stop = context.AfterFunc(ctx, func() { conn.Close() })
+				limit.R = conn
+				conn = limitedConn{conn, limit}
 			}
 			return conn, err
 		},
@@ -169,9 +174,24 @@
 		response.Body.Close()
 	}
 	stop()
+	err = limit.Explain(err)
+	limit.RemoveLimit()
 	return conn, err
 }
 
+// maxUpgradeHead bounds the answer to a request for a link, in bytes. Another process may
+// have the address of a peer that is gone.
+const maxUpgradeHead = 16 << 10
+
+// limitedConn is a connection that is read through a limit.
+type limitedConn struct {
+	net.Conn
+	limit *netconn.LimitedReader
+}
+
+// Read implements net.Conn.
+func (c limitedConn) Read(p []byte) (int, error) { return c.limit.Read(p) }
+
 // closeIdle closes links that this side opened on demand and that were unused for
 // IdleTimeout.
 func (s *Links) closeIdle(now monotime.Instant) {
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"basilrudder/internal/netconn"
 	"basilrudder/internal/schema/wire"
+	"basilrudder/internal/standin/faultnet"
 	"basilrudder/internal/timer"
 )
 
@@ -153,6 +155,24 @@
 	}
 }
 
+// Guards against memory used up by whatever has the address of a peer that is gone.
+func TestAnUpgradeWithoutEndIsGivenUp(t *testing.T) {
+	near, far := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	var sent atomic.Int64
+	go func() {
+		defer far.Close()
+		faultnet.SendWithoutEnd(far, "HTTP/1.1 101 Switching Protocols\r\n", "X-More: v\r\n", &sent)
+	}()
+	links := &Links{cfg: Config{Timing: testTiming, Dial: func(context.Context, string) (net.Conn, error) { return near, nil }}}
+	if _, err := links.connect(t.Context(), "10.0.0.1:1"); !errors.Is(err, netconn.ErrTooLong) {
+		t.Errorf("error %v", err)
+	}
+	if sent.Load() > 2*maxUpgradeHead {
+		t.Errorf("%d bytes were read", sent.Load())
+	}
+}
+
 func TestLinkCarriesBothWays(t *testing.T) {
 	a, b := start(t, "a", nil), start(t, "b", nil)
 	a.SetTargets([]Target{{ID: "b", Address: b.address}})
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -10,8 +10,14 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"basilrudder/internal/netconn"
 )
 
+// maxAnswerHead bounds the answer of a peer before its tunnel begins, in bytes. Another
+// process may have the address of a peer that is gone.
+const maxAnswerHead = 16 << 10
+
 // Client opens tunnels.
 type Client struct {
 	// Self is the process that opens tunnels.
@@ -63,8 +69,12 @@
 	if err := req.Write(raw); err != nil {
 		return nil, errors.Wrap(err, "ask peer")
 	}
-	reader := bufio.NewReader(raw)
+	limit := &netconn.LimitedReader{R: raw}
+	limit.SetLimit(maxAnswerHead)
+	reader := bufio.NewReader(limit)
 	resp, err := http.ReadResponse(reader, req)
+	err = limit.Explain(err)
+	limit.RemoveLimit()
 	if err != nil {
 		return nil, errors.Wrap(err, "answer of peer")
 	}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/standin/faultnet"
 )
 
@@ -172,6 +174,24 @@
 	}
 }
 
+// Guards against memory used up by whatever has the address of a peer that is gone.
+func TestAPeersAnswerWithoutEndIsGivenUp(t *testing.T) {
+	near, far := net.Pipe()
+	client := Client{Self: self, Secret: secret, Dial: func(context.Context, string) (net.Conn, error) { return near, nil }}
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	var sent atomic.Int64
+	go func() {
+		defer far.Close()
+		faultnet.SendWithoutEnd(far, "HTTP/1.1 101 Switching Protocols\r\n", "X-More: v\r\n", &sent)
+	}()
+	if _, err := client.Open(t.Context(), NewID(), peer, "", "s1"); !errors.Is(err, netconn.ErrTooLong) {
+		t.Errorf("error %v", err)
+	}
+	if sent.Load() > 2*maxAnswerHead {
+		t.Errorf("%d bytes were read", sent.Load())
+	}
+}
+
 // Guards against errors that lose their meaning on the way to the instance that asked.
 func TestReasonsKeepTheirMeaning(t *testing.T) {
 	for text, want := range reasons {
