--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -83,7 +83,8 @@
 	g.cfg.Log.Info("store_calls",
 		zap.Int64("pages", calls.Pages), zap.Int64("stale_pages", calls.StalePages),
 		zap.Int64("changed_watches", calls.ChangedWatches), zap.Int64("empty_watches", calls.EmptyWatches),
-		zap.Int64("configs", calls.Configs), zap.Int64("failed", calls.Failed))
+		zap.Int64("configs", calls.Configs), zap.Int64("failed", calls.Failed),
+		zap.Int64("timed_out", calls.TimedOut), zap.Int64("slowest_page_ms", calls.SlowestPage))
 }
 
 // checkIsolation marks the instance as isolated if it has neither an answer of the store
--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -6,21 +6,42 @@
 	"basilrudder/internal/monotime"
 )
 
-// shouldRead reports whether this instance reads the store itself. Every call is paid
+// readReason is why an instance reads the store itself, for the log; empty if it does not.
+type readReason string
+
+const (
+	// readFirst is that of the first instances in rank.
+	readFirst readReason = "first_in_rank"
+	// readAlone and readWithoutState are those of instances without state: one that has no
+	// peer, and one that received none from its peers in time.
+	readAlone        readReason = "no_peer"
+	readWithoutState readReason = "no_state_received"
+	// readUnconfirmed is that of an instance that received no confirmation in time.
+	readUnconfirmed readReason = "unconfirmed"
+)
+
+// shouldRead reports whether this instance reads the store itself.
+func (f *storeSync) shouldRead() bool { return f.readReason() != "" }
+
+// readReason returns why this instance reads the store itself. Every call is paid
 // for, and each change answers all watches, so in a large fleet only the first few in
 // rank read. The others receive updates from them, which carry each change and confirm
 // the version in force. An instance that receives no confirmation reads too, whatever its
 // rank: the readers may have crashed, be disconnected or be refused by the store.
-func (f *storeSync) shouldRead() bool {
+func (f *storeSync) readReason() readReason {
 	if f.lacksState() {
-		return f.shouldReadFirst()
+		return f.firstReadReason()
 	}
 	place, _ := f.rank()
-	if place < storeReaders {
-		return true
-	}
 	unconfirmed := monotime.Now().Sub(max(f.started, f.fleet.confirmedAt()))
-	return unconfirmed > takeOverDelay(place)+f.takeOverJitter
+	switch {
+	case place < storeReaders:
+		return readFirst
+	case unconfirmed > takeOverDelay(place)+f.takeOverJitter:
+		return readUnconfirmed
+	default:
+		return ""
+	}
 }
 
 // takeOverDelay returns how long the instance at a place in rank waits for a confirmation.
@@ -28,19 +49,23 @@
 	return takeOverAfter + min(time.Duration(place)*takeOverStep, maxTakeOverSteps)
 }
 
-// shouldReadFirst reports whether an instance without state reads the store instead of
-// waiting for a peer. Of instances that start together, those read that have recorded few
-// others with a lower place in rank.
-func (f *storeSync) shouldReadFirst() bool {
+// firstReadReason returns why an instance without state reads the store instead of waiting
+// for a peer. Of instances that start together, those read that have recorded few others
+// with a lower place in rank.
+func (f *storeSync) firstReadReason() readReason {
 	waited := monotime.Now().Sub(f.started)
 	place, _ := f.rank()
 	switch {
 	case waited >= stateWait(place):
-		return true
+		return readWithoutState
 	case waited < hubDiscoveryWait, f.hasHub():
-		return false
+		return ""
+	case !f.hasPeer():
+		return readAlone
+	case place < storeReaders:
+		return readFirst
 	default:
-		return place < storeReaders || !f.hasPeer()
+		return ""
 	}
 }
 
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -48,8 +48,12 @@
 	EmptyWatches   int64 `json:"empty_watches"`
 	// Configs are reads of the configuration alone.
 	Configs int64 `json:"configs"`
-	// Failed calls of any kind, which the other counters do not include.
-	Failed int64 `json:"failed"`
+	// Failed calls of any kind, which the other counters do not include, and TimedOut those
+	// of them that had no whole answer in time.
+	Failed   int64 `json:"failed"`
+	TimedOut int64 `json:"timed_out"`
+	// SlowestPage is the longest time that a page took to arrive, in milliseconds.
+	SlowestPage int64 `json:"slowest_page_ms"`
 }
 
 // Source reads the store. The store counts every call.
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -97,6 +97,8 @@
 	// listings that have begun.
 	started        monotime.Instant
 	takeOverJitter time.Duration
+	// loggedReason is why this instance reads the store, as last logged.
+	loggedReason readReason
 }
 
 // run follows the store until the context ends.
@@ -106,7 +108,9 @@
 		f.takeOverJitter = time.Duration(rand.Int64N(int64(takeOverJitter)))
 	}
 	for ctx.Err() == nil {
-		if !f.shouldRead() {
+		reason := f.readReason()
+		f.logReason(reason)
+		if reason == "" {
 			f.idle(ctx)
 			continue
 		}
@@ -130,6 +134,20 @@
 	return nil
 }
 
+// logReason logs why this instance reads the store when that changes.
+func (f *storeSync) logReason(reason readReason) {
+	if reason == f.loggedReason {
+		return
+	}
+	f.loggedReason = reason
+	if reason == "" {
+		return
+	}
+	place, of := f.rank()
+	f.log.Info("store_read", zap.String("reason", string(reason)), zap.Int("place", place), zap.Int("instances", of),
+		zap.Duration("running_ms", monotime.Now().Sub(f.started)))
+}
+
 // idle waits before the next check whether this instance should read the store. When it
 // reads again, it reads everything, because it has missed changes.
 func (f *storeSync) idle(ctx context.Context) {
