--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -135,10 +135,7 @@
 				})
 				fleet := startLinked(t, ctx, &tasks, size)
 				for _, i := range fleet {
-					fd := &storeSync{
-						source: store, fleet: i.fleet, log: i.fleet.log, minWatch: 1100 * time.Millisecond, answerTimeout: 600 * time.Millisecond,
-						confirming: make(chan struct{}, 1), rank: i.peers.rank, hasHub: i.peers.hasHub, hasPeer: i.peers.hasPeer,
-					}
+					fd := newStoreSync(i, store)
 					tasks.Go(func() error { return fd.run(ctx) })
 					tasks.Go(func() error {
 						for ctx.Err() == nil {
