Store: instances without state read it in turns and back off by rank

Cause: an instance without state read the store whatever its rank, at least every 0.4 s after a failure, and never stopped while it had no state. 585 first pages together are more than the store's link carries in the 0.6 s that a call may take, so all calls timed out, what was sent of their answers was lost, and all called again: congestion collapse. That no instance came by its state kept all of them calling.

Change: after a failure an instance out of turn waits in proportion to the size of the fleet, as those with state did already; after a time-out of one without state also in proportion to its rank, so that the first in rank get their answers from a store that can't answer all. Between the pages of a listing an instance out of turn pauses for its rank times what the last page took, and doubles that pace each second: the first in rank may not reach the store.

Why it works: the calls of all together grow with the logarithm of the fleet and shrink as answers slow down; one listing that ends gives all others their state.

Evidence: TestAStoreThatCannotAnswerAllAtOnceIsReadAfterAStartOfAll failed before (18 s, 1,187 pages read at 60 instances, none served) and passes: all serve after 3.1 s with 8 and with 60 instances, 23 and 156 pages read.

--- a/internal/gateway/busystore_test.go
+++ b/internal/gateway/busystore_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -26,8 +26,6 @@
 // storeTimeout is the default timeout of a read of the store.
 const storeTimeout = 600 * time.Millisecond
 
-var errLate = errors.New("no answer in time")
-
 // readPage reads one page.
 func (s *pagedStore) readPage() error {
 	s.mu.Lock()
@@ -41,7 +39,7 @@
 	s.mu.Unlock()
 	time.Sleep(min(arrives, s.timeout))
 	if arrives > s.timeout {
-		return errLate
+		return os.ErrDeadlineExceeded
 	}
 	return nil
 }
--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -76,5 +76,25 @@
 	return hubStateWait + min(time.Duration(max(0, place-maxFirstReaders))*takeOverStep, maxTakeOverSteps)
 }
 
+// pagePause returns how long an instance waits before the next page of a listing, when the
+// last one took a given time. Of a fleet that lacks its state, the first in rank list the
+// store without a pause. The others would slow them down, so they begin slowly and double
+// their pace each second: the first ones may not reach the store.
+func (f *storeSync) pagePause(took time.Duration) time.Duration {
+	place, _ := f.rank()
+	if place < storeReaders || !f.lacksState() {
+		return 0
+	}
+	doubled := (monotime.Now().Sub(f.started) - stateWait(place)) / pacingInterval
+	return time.Duration(place) * took >> min(max(0, doubled), maxDoublings)
+}
+
+const (
+	// pacingInterval is the time after which an instance that lists the store out of turn
+	// doubles its pace, maxDoublings times at most.
+	pacingInterval = time.Second
+	maxDoublings   = 16
+)
+
 // lacksState reports whether this instance lacks what it needs to serve any caller.
 func (f *storeSync) lacksState() bool { return f.fleet.Table() == nil || f.fleet.serverCount() == 0 }
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -60,8 +60,8 @@
 type Source interface {
 	// All reads everything: the configuration and every server's entry. Changes after its
 	// Revision may or may not be included. It bounds the time of each call to the store,
-	// continues with the call that failed at last, and fails with ErrNotWanted if wanted
-	// reports false between two calls.
+	// continues with the call that failed at last, and fails with ErrNotWanted if wanted,
+	// which it calls between two calls and which may wait, reports false.
 	All(ctx context.Context, wanted func() bool) (*Changes, error)
 	// Watch waits until there are changes after a revision, for wait at most. It fails
 	// with ErrHistoryLost if the store no longer has them.
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -19,6 +19,8 @@
 	// maximum is short compared to the 2 s in which a change must be in force.
 	minStoreBackoff = 40 * time.Millisecond
 	maxStoreBackoff = 400 * time.Millisecond
+	// maxTimeoutWait bounds the wait of an instance without state after a call timed out.
+	maxTimeoutWait = 30 * time.Second
 	// confirmTimeout bounds the request that checks whether the configuration is the
 	// newest.
 	confirmTimeout = 300 * time.Millisecond
@@ -128,7 +130,7 @@
 			f.revision = 0
 		default:
 			f.failed(err)
-			f.backOff(ctx)
+			f.backOff(ctx, err)
 		}
 	}
 	return nil
@@ -166,7 +168,12 @@
 func (f *storeSync) readNext(ctx context.Context) error {
 	begun := monotime.Now()
 	if f.revision == 0 {
-		all, err := f.source.All(ctx, f.shouldRead)
+		pageBegun := begun
+		all, err := f.source.All(ctx, func() bool {
+			timer.Sleep(f.pagePause(monotime.Now().Sub(pageBegun)), ctx.Done())
+			pageBegun = monotime.Now()
+			return f.shouldRead()
+		})
 		if err != nil {
 			return err
 		}
@@ -287,19 +294,33 @@
 	}
 }
 
-func (f *storeSync) backOff(ctx context.Context) {
+func (f *storeSync) backOff(ctx context.Context, err error) {
 	wait := min(minStoreBackoff<<min(f.failures-1, 4), maxStoreBackoff)
 	// While the store is unavailable to all, no instance receives confirmations and each
 	// tries to read it: 95 instances made 2,900 calls in 12 s. The first in rank continue
 	// as usual and inform the others when it has recovered, so the others may try rarely,
 	// in proportion to their number.
-	if place, of := f.rank(); place >= storeReaders && !f.lacksState() {
-		f.waitUnlessFirst(ctx, wait*time.Duration(max(1, of/storeReaders)))
+	place, of := f.rank()
+	if place >= storeReaders {
+		wait *= time.Duration(max(1, of/storeReaders))
+	}
+	if isTimeout(err) && f.lacksState() {
+		// A store that can't answer all in time may be able to answer the first ones. What it
+		// sends of answers that nobody waits for any more delays the others.
+		wait = max(wait, min(time.Duration(place)*f.answerTimeout, maxTimeoutWait))
+	}
+	if place >= storeReaders {
+		f.waitUnlessFirst(ctx, wait)
 		return
 	}
 	timer.Sleep(wait, ctx.Done())
 }
 
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // waitUnlessFirst waits for d, or until this instance is one of the first in rank: in a
 // large fleet d is many times as long as an instance may go without a confirmation.
 func (f *storeSync) waitUnlessFirst(ctx context.Context, d time.Duration) {
