Store: an instance that leaves the store to others forgets its failures

Cause: an instance that failed to read the store, and left it to others before it had read anything, kept its count of failures. Its next answer, seconds later, then counted as the end of an outage, and an entry that was removed in between got 1.7 s of grace more. Failures were forgotten only after something had been read.

Change: they are forgotten whenever another instance confirms in this one's place; the store was not away for the fleet then.

Evidence: TestFailuresOfAFormerReaderAreNoOutage failed before (the removed server still gets requests) and passes.

--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -151,9 +151,10 @@
 }
 
 // idle waits before the next check whether this instance should read the store. When it
-// reads again, it reads everything, because it has missed changes.
+// reads again, it reads everything, because it has missed changes, and its earlier failures
+// say nothing about the time in between.
 func (f *storeSync) idle(ctx context.Context) {
-	if f.revision != 0 {
+	if f.revision != 0 || f.failures != 0 {
 		f.log.Info("store_left_to_others")
 		f.revision, f.failures = 0, 0
 	}
--- a/internal/gateway/storesync_test.go
+++ b/internal/gateway/storesync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/servers"
 )
 
 // Guards against all instances that read the store at once when its readers are lost: of
@@ -106,6 +108,43 @@
 	})
 }
 
+// Guards against a removed server that is used for longer because an instance failed to read
+// the store, left it to others, and took its next answer for the end of an outage.
+func TestFailuresOfAFormerReaderAreNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, fd, source := newFleet()
+		fd.rank = func() (int, int) { return 40, 59 }
+		f.installConfig(config(1), "peer")
+		put(f, "peer", entry("a", 1))
+		put(f, "peer", entry("b", 2))
+		for range outageFailures + 1 {
+			source.all = append(source.all, result{err: errors.New("refused"), after: time.Millisecond})
+		}
+		source.all = append(source.all, result{changes: &Changes{
+			Config: config(1), Servers: []servers.Server{entry("a", 1)}, Removals: []servers.EntryRef{{Name: "b", Revision: 3}}, Revision: 3,
+		}})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { _ = fd.run(ctx) })
+		for len(source.calls) < outageFailures+1 {
+			time.Sleep(readCheckInterval)
+		}
+		for range 20 {
+			f.confirmVersion(1, monotime.Now())
+			time.Sleep(readCheckInterval)
+		}
+		time.Sleep(takeOverDelay(40) + 2*takeOverJitter)
+		cancel()
+		running.Wait()
+		if len(source.all) != 0 {
+			t.Fatal("the store was not read again")
+		}
+		if got := ready(f); len(got) != 1 {
+			t.Errorf("%v get requests", got)
+		}
+	})
+}
+
 // Guards against a listing of many pages that is given up because the instance no longer
 // counts as one that takes over: its jitter was drawn anew at each page.
 func TestAnInstanceThatTakesOverReadsOn(t *testing.T) {
