Listeners: a lack of descriptors does not end the process

Cause: fasthttp takes each error of accept but a time-out for the end of its listener, and the end of one task ends the process.

Change: the listeners of relaying instances and of the daemon wait and accept again while descriptors or memory are short (EMFILE, ENFILE, ENOBUFS, ENOMEM, ECONNABORTED), with one line accept_failed for each time it begins.

The test of a start of all takes the sizes of the other fleet tests.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"basilrudder/internal/instance"
 	"basilrudder/internal/membership"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/node"
 	"basilrudder/internal/peer"
 	"basilrudder/internal/platform"
@@ -119,6 +120,9 @@
 		platform:    platform.New(platform.Config{Address: s.Platform.Address, Timeout: time.Duration(s.Platform.TimeoutMS) * time.Millisecond}),
 		answerStore: answers.NewStore(answerStoreConfig(s, nil)),
 	}
+	for _, listener := range []*net.Listener{&d.cfg.Listeners.Callers, &d.cfg.Listeners.Peers, &d.cfg.Listeners.Admin} {
+		*listener = netconn.RetryAccept(*listener, cfg.Log)
+	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.aborted, d.abort = context.WithCancel(d.ctx)
 	d.dispatcher = &dispatcher{
--- a/internal/gateway/busystore_test.go
+++ b/internal/gateway/busystore_test.go
@@ -106,11 +106,7 @@
 		// the time that a call may take.
 		pagesOfAll = 2 * storeTimeout
 	)
-	sizes := []int{8, 60}
-	if *fleetSize > 0 {
-		sizes = append(sizes, *fleetSize)
-	}
-	for _, size := range sizes {
+	for _, size := range fleetSizes() {
 		t.Run(fmt.Sprint(size, " instances"), func(t *testing.T) {
 			last, read := playStartOfAll(t, size, max(1, size/2), pagesOfAll/time.Duration(size), limit)
 			t.Logf("all serve after %v, %d pages read", last, read)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -8,6 +8,8 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+
+	"basilrudder/internal/netconn"
 )
 
 // listeners holds the listening sockets of an instance.
@@ -29,7 +31,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
-		*l.to = listener
+		*l.to = netconn.RetryAccept(listener, g.cfg.Log)
 	}
 	return out, nil
 }
