Relay: bodies count as held while they are being read

Cause: maxHeldBodies was compared with the bodies that had been read whole, so all that began while none had ended were let in.

Change: a declared length counts from the head on, a body in chunks as it is read; one that doesn't fit is refused with 503 and a time. A declared body is read into a buffer of its length, without the copies of a growing one.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -106,22 +106,68 @@
 	if limit > 0 && f.hr.ContentLength > limit {
 		return fail(http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, errors.Errorf("body is larger than %d bytes", limit))
 	}
-	if f.relay.bodyBytes.Load()+max(f.hr.ContentLength, 0) > maxHeldBodies {
+	if !f.holdBody(max(f.hr.ContentLength, 0)) {
 		return unavailable(verdict.ReasonOverloaded, retryFull)
 	}
 	reader := io.Reader(f.hr.Body)
 	if limit > 0 {
 		reader = http.MaxBytesReader(f.w, f.hr.Body, limit)
 	}
-	body, err := io.ReadAll(reader)
+	body, err := f.readHeld(reader)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errBodiesFull):
+		return unavailable(verdict.ReasonOverloaded, retryFull)
 	case errors.As(err, &tooLarge):
 		return fail(http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, err)
 	case err != nil:
 		return fail(http.StatusBadRequest, verdict.ReasonCallerGone, err)
 	}
 	f.body = body
-	f.relay.bodyBytes.Add(int64(len(body)))
 	return nil
 }
+
+// readHeld reads a body. Of one without a declared length it counts what it has read.
+func (f *forwarder) readHeld(reader io.Reader) ([]byte, error) {
+	if declared := f.hr.ContentLength; declared >= 0 {
+		body := make([]byte, declared)
+		_, err := io.ReadFull(reader, body)
+		return body, err
+	}
+	return io.ReadAll(&holdingReader{reader, f})
+}
+
+// errBodiesFull reports that the bodies held at once exceed maxHeldBodies.
+var errBodiesFull = errors.New("the instance holds too many bytes of bodies")
+
+// holdingReader counts what is read of a body as held.
+type holdingReader struct {
+	io.Reader
+	forwarder *forwarder
+}
+
+// Read implements io.Reader.
+func (r *holdingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if !r.forwarder.holdBody(int64(n)) {
+		return 0, errBodiesFull
+	}
+	return n, err
+}
+
+// holdBody counts bytes of the request's body as held, and reports false if the instance
+// holds too many.
+func (f *forwarder) holdBody(n int64) bool {
+	if f.relay.bodyBytes.Add(n) > maxHeldBodies {
+		f.relay.bodyBytes.Add(-n)
+		return false
+	}
+	f.heldBody += n
+	return true
+}
+
+// releaseBody no longer counts the request's body as held.
+func (f *forwarder) releaseBody() {
+	f.relay.bodyBytes.Add(-f.heldBody)
+	f.heldBody = 0
+}
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -32,6 +32,8 @@
 	service  string
 	work     placement.Work
 	body     []byte
+	// heldBody is how many bytes of the body count as held, also while it is being read.
+	heldBody int64
 
 	// cachedFingerprint and cachedParts are the fingerprints of the request and of its
 	// shared parts once they have been computed.
@@ -67,11 +69,11 @@
 
 // serve gives the request its final answer.
 func (f *forwarder) serve() {
+	defer f.releaseBody()
 	if problem := f.admit(); problem != nil {
 		f.refuse(problem)
 		return
 	}
-	defer f.relay.bodyBytes.Add(-int64(len(f.body)))
 	ctx, cancel := context.WithDeadline(f.hr.Context(), f.deadline)
 	defer cancel()
 	f.ctx = ctx
--- /dev/null
+++ b/internal/relay/held_test.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+)
+
+// Guards against an instance that is killed for its memory because bodies that are still
+// being read don't count as held.
+func TestBodiesOnTheirWayCountAsHeld(t *testing.T) {
+	for _, declared := range []bool{true, false} {
+		t.Run(fmt.Sprint("declared ", declared), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const size = 1 << 20
+				b := newRig(t, allRoutes, map[string][]script{"s1": {replying(answer("r", http.StatusOK, "", "{}"))}}, "s1")
+				slow := func() (*http.Request, *io.PipeWriter) {
+					reader, writer := io.Pipe()
+					req := request("POST", "/once/", "r", "")
+					req.Body, req.ContentLength = reader, -1
+					if declared {
+						req.ContentLength = size
+					}
+					return req, writer
+				}
+				var writers []*io.PipeWriter
+				for range maxHeldBodies / size {
+					req, writer := slow()
+					writers = append(writers, writer)
+					b.running.Go(func() { b.serve(req) })
+					if !declared {
+						_, _ = writer.Write(make([]byte, size))
+					}
+				}
+				synctest.Wait()
+				one := request("POST", "/once/", "r", "x")
+				if rec, _ := b.serve(one); rec.Code != http.StatusServiceUnavailable || rec.Header().Get("Retry-After") == "" {
+					t.Errorf("one more body: status %d, Retry-After %q", rec.Code, rec.Header().Get("Retry-After"))
+				}
+				for _, writer := range writers {
+					_ = writer.CloseWithError(io.ErrUnexpectedEOF)
+				}
+				synctest.Wait()
+				if held := b.relay.bodyBytes.Load(); held != 0 {
+					t.Errorf("%d bytes count as held", held)
+				}
+				if rec, _ := b.serve(request("POST", "/once/", "r", "x")); rec.Code != http.StatusOK {
+					t.Errorf("status %d after the bodies are gone", rec.Code)
+				}
+				b.close()
+			})
+		})
+	}
+}
