Store: a pause between pages ends once it has no reason

Found in review of the reading in turns: an instance far down in rank could pause for minutes (its rank times what the last page took), though the readers were gone or a peer had sent its state meanwhile.

Change: the pause is computed anew every 100 ms, and a wait after a failure ends too once the state that was lacking has come.

--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/timer"
 )
 
 // readReason is why an instance reads the store itself, for the log; empty if it does not.
@@ -76,6 +78,19 @@
 	return hubStateWait + min(time.Duration(max(0, place-maxFirstReaders))*takeOverStep, maxTakeOverSteps)
 }
 
+// pauseBetweenPages waits before the next page of a listing. The pause shortens while it
+// lasts.
+func (f *storeSync) pauseBetweenPages(ctx context.Context, took time.Duration) {
+	begun := monotime.Now()
+	for ctx.Err() == nil {
+		left := f.pagePause(took) - monotime.Now().Sub(begun)
+		if left <= 0 {
+			return
+		}
+		timer.Sleep(min(readCheckInterval, left), ctx.Done())
+	}
+}
+
 // pagePause returns how long an instance waits before the next page of a listing, when the
 // last one took a given time. Of a fleet that lacks its state, the first in rank list the
 // store without a pause. The others would slow them down, so they begin slowly and double
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -171,7 +171,7 @@
 	if f.revision == 0 {
 		pageBegun := begun
 		all, err := f.source.All(ctx, func() bool {
-			timer.Sleep(f.pagePause(monotime.Now().Sub(pageBegun)), ctx.Done())
+			f.pauseBetweenPages(ctx, monotime.Now().Sub(pageBegun))
 			pageBegun = monotime.Now()
 			return f.shouldRead()
 		})
@@ -322,11 +322,13 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// waitUnlessFirst waits for d, or until this instance is one of the first in rank: in a
-// large fleet d is many times as long as an instance may go without a confirmation.
+// waitUnlessFirst waits for d, or until this instance is one of the first in rank or has
+// received the state that it lacked: in a large fleet d is many times as long as an instance
+// may go without a confirmation.
 func (f *storeSync) waitUnlessFirst(ctx context.Context, d time.Duration) {
+	lacked := f.lacksState()
 	for until := monotime.Now().Add(d); ctx.Err() == nil && monotime.Now() < until; {
-		if place, _ := f.rank(); place < storeReaders {
+		if place, _ := f.rank(); place < storeReaders || lacked && !f.lacksState() {
 			return
 		}
 		timer.Sleep(min(readCheckInterval, until.Sub(monotime.Now())), ctx.Done())
