Caches: engines are asked once the state is there, however late

Found while reading the start for RECOVER: 0.5 s after its start an instance asks the engines that it owns what they keep, once. One that has no configuration or no servers by then asked none and counted as done, so that after a restart of all with a slow store no cache was known.

Cause: a fixed wait in place of the condition that it stood for.

Change: the wait for a peer's caches begins when the instance has its state.

Evidence: TestEnginesAreAskedAfterALateState failed before (no engine asked) and passes.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -25,8 +25,8 @@
 // others.
 
 const (
-	// peerCacheWait is how long a process that has just started waits for a peer's cache
-	// state before it asks engines.
+	// peerCacheWait is how long a process that has just received its state waits for a
+	// peer's cache state before it asks engines.
 	peerCacheWait = 500 * time.Millisecond
 	// cacheListTimeout bounds a request for the cache list of one engine. It is also how
 	// long the results of other instances are awaited afterwards.
@@ -48,10 +48,12 @@
 	Cached(ctx context.Context, server servers.Server) ([]placement.Part, error)
 }
 
-// discoverCaches waits for the cache state of peers and, after peerCacheWait, asks
-// engines. After a restart of all instances each must ask its own engines even if others
+// discoverCaches waits until the instance has its state and, for peerCacheWait, for the cache
+// state of peers; then it asks engines. After a restart of all instances each must ask its own engines even if others
 // were faster, because an update of theirs covers only their engines.
 func (g *Gateway) discoverCaches(ctx context.Context) error {
+	for g.storeSync.lacksState() && timer.Sleep(initialCheckInterval, ctx.Done()) {
+	}
 	timer.Sleep(peerCacheWait, ctx.Done())
 	if ctx.Err() != nil || g.peers.cachesComplete.Load() || g.cfg.Caches == nil {
 		return nil
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -450,6 +450,26 @@
 	})
 }
 
+// Guards against a restart of all after which no engine is asked for its cache, because the
+// state came later than the wait for peers.
+func TestEnginesAreAskedAfterALateState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader := &fakeCacheReader{}
+		f, fd, _ := newFleet()
+		g := &Gateway{cfg: Config{Caches: reader, Log: zap.NewNop()}, fleet: f, storeSync: fd, peers: linkedPeers(f, "me")}
+		time.AfterFunc(5*time.Second, func() {
+			f.installConfig(&routing.Config{Version: 1, Services: []routing.Service{{Name: "svc", Engine: &routing.Engine{Slots: 4}}}}, fromStore)
+			put(f, fromStore, entry("e1", 1))
+		})
+		if err := g.discoverCaches(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if len(reader.asked) != 1 {
+			t.Errorf("asked %v", reader.asked)
+		}
+	})
+}
+
 // All instances were restarted, and one asks its engines and sends the results before the
 // others have asked theirs. They must still ask: otherwise prompts that the other engines
 // keep would be read again for as long as it takes to fill their caches anew.
