--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -49,8 +49,9 @@
 }
 
 // discoverCaches waits until the instance has its state and, for peerCacheWait, for the cache
-// state of peers; then it asks engines. After a restart of all instances each must ask its own engines even if others
-// were faster, because an update of theirs covers only their engines.
+// state of peers; then it asks engines. After a restart of all instances each must ask its
+// own engines even if others were faster, because an update of theirs covers only their
+// engines.
 func (g *Gateway) discoverCaches(ctx context.Context) error {
 	for g.storeSync.lacksState() && timer.Sleep(initialCheckInterval, ctx.Done()) {
 	}
