Crashes: a stream that goes on clears what it shares before its end

Streams last for seconds, so parts that nearly all requests of a route carry had no recent run without a crash while servers ended one after the other.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -96,6 +96,20 @@
 	if f.received.framing == framingClose || e.resp.StatusCode >= http.StatusMultipleChoices {
 		return
 	}
+	f.survived(begunAt)
+}
+
+// reportGoesOn reports once that the server kept running if it still sends events when its
+// end would no longer be attributed to the request. Streams may go on for long; until their
+// end, servers that end for another reason would accuse what they share.
+func (f *forwarder) reportGoesOn() {
+	if !f.goesOn && monotime.Now().Sub(f.firstEventAt) > crashWindow {
+		f.goesOn = true
+		f.survived(f.firstEventAt)
+	}
+}
+
+func (f *forwarder) survived(begunAt monotime.Instant) {
 	fleet := f.relay.cfg.Fleet
 	survived := crashes.Content{Parts: f.sharedParts()}
 	if fleet.AnySuspected() {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -146,6 +146,34 @@
 	}
 }
 
+// Guards against accusing what long streams share of the ends of other servers until one of
+// them ends.
+func TestAStreamThatGoesOnShowsThatItsServerSurvived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newRig(t, allRoutes, nil, "s1")
+		survived := func() int {
+			b.fleet.mu.Lock()
+			defer b.fleet.mu.Unlock()
+			return len(b.fleet.survived)
+		}
+		b.scripts = map[string][]script{"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
+			readRequest(t, in)
+			_, _ = io.WriteString(c, streamHead)
+			for n, want := range []int{0, 0, 1, 1} {
+				_, _ = io.WriteString(c, chunk(events(n, n)))
+				synctest.Wait()
+				if survived() != want {
+					t.Errorf("after event %d: %d reports", n, survived())
+				}
+				time.Sleep(crashWindow * 2 / 3)
+			}
+			_, _ = io.WriteString(c, lastChunk)
+		}}}
+		b.serve(request("POST", "/stream/", "r", "x"))
+		b.close()
+	})
+}
+
 // Guards against sending a request that is identified as a poison request while it waits
 // for a server.
 func TestAPoisonRequestIdentifiedWhileItWaitsIsNotSent(t *testing.T) {
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -52,6 +52,8 @@
 	// firstEventAt is when the first bytes of the last server's stream arrived; 0 for
 	// none.
 	firstEventAt monotime.Instant
+	// goesOn is set once the last server's stream has been reported as one that goes on.
+	goesOn bool
 	// received describes what has arrived of the last server's answer.
 	received received
 	// stream tracks what has been delivered of a stream so far.
@@ -177,7 +179,7 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonConnect, "the server is rate limited (just started, announced a limit or asked for a pause) and at its limit").After(retryFull)
 	}
 	f.sends++
-	f.firstEventAt = 0
+	f.firstEventAt, f.goesOn = 0, false
 	f.received = received{}
 	defer func() { fleet.End(run, monotime.Now()) }()
 	e, problem := send(f.ctx, f.relay.pool, c, f.encodeRequest(target), f.body, f.deadline)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -81,6 +81,7 @@
 				closed, events = scanner.Scan(buffer[:n])
 			}
 			f.reportEvents(run, n, events)
+			f.reportGoesOn()
 			f.received.eventOpen = scanner.Open()
 			if open = openBytes(open, n, closed); open > maxEvent {
 				return f.streamLost(e, errEventLength)
