Crashes: streams that go on are reported again while anything is suspected

The first report of a stream that goes on is lost if nothing that it carries is suspected yet, and a crash soon afterwards accuses parts that many streams carry at that moment.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -99,12 +100,18 @@
 	f.survived(begunAt)
 }
 
-// reportGoesOn reports once that the server kept running if it still sends events when its
-// end would no longer be attributed to the request. Streams may go on for long; until their
-// end, servers that end for another reason would accuse what they share.
+// reportGoesOn reports that the server kept running if it still sends events when its end
+// would no longer be attributed to the request. Streams may go on for long; until their end,
+// servers that end for another reason would accuse what they share. It is reported again
+// while anything is suspected, because what the request carries may have become suspect.
 func (f *forwarder) reportGoesOn() {
-	if !f.goesOn && monotime.Now().Sub(f.firstEventAt) > crashWindow {
-		f.goesOn = true
+	now := monotime.Now()
+	last := cmp.Or(f.goesOnAt, f.firstEventAt)
+	if now.Sub(last) <= crashWindow {
+		return
+	}
+	if f.goesOnAt == 0 || f.relay.cfg.Fleet.AnySuspected() {
+		f.goesOnAt = now
 		f.survived(f.firstEventAt)
 	}
 }
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -146,8 +146,8 @@
 	}
 }
 
-// Guards against accusing what long streams share of the ends of other servers until one of
-// them ends.
+// Guards against accusing what long streams share of the ends of other servers, until one of
+// them ends or if it became suspect after they began.
 func TestAStreamThatGoesOnShowsThatItsServerSurvived(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newRig(t, allRoutes, nil, "s1")
@@ -159,13 +159,13 @@
 		b.scripts = map[string][]script{"s1": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
 			readRequest(t, in)
 			_, _ = io.WriteString(c, streamHead)
-			for n, want := range []int{0, 0, 1, 1} {
+			for n, want := range []int{0, 0, 1, 2, 3} {
 				_, _ = io.WriteString(c, chunk(events(n, n)))
 				synctest.Wait()
 				if survived() != want {
 					t.Errorf("after event %d: %d reports", n, survived())
 				}
-				time.Sleep(crashWindow * 2 / 3)
+				time.Sleep(crashWindow*2/3 + crashWindow/2*time.Duration(n/2))
 			}
 			_, _ = io.WriteString(c, lastChunk)
 		}}}
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -52,8 +52,9 @@
 	// firstEventAt is when the first bytes of the last server's stream arrived; 0 for
 	// none.
 	firstEventAt monotime.Instant
-	// goesOn is set once the last server's stream has been reported as one that goes on.
-	goesOn bool
+	// goesOnAt is when the last server's stream was last reported as one that goes on; 0 for
+	// never.
+	goesOnAt monotime.Instant
 	// received describes what has arrived of the last server's answer.
 	received received
 	// stream tracks what has been delivered of a stream so far.
@@ -179,7 +180,7 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonConnect, "the server is rate limited (just started, announced a limit or asked for a pause) and at its limit").After(retryFull)
 	}
 	f.sends++
-	f.firstEventAt, f.goesOn = 0, false
+	f.firstEventAt, f.goesOnAt = 0, 0
 	f.received = received{}
 	defer func() { fleet.End(run, monotime.Now()) }()
 	e, problem := send(f.ctx, f.relay.pool, c, f.encodeRequest(target), f.body, f.deadline)
