--- a/internal/gateway/busystore_test.go
+++ b/internal/gateway/busystore_test.go
@@ -97,8 +97,7 @@
 	}
 }
 
-// Guards against a fleet that never serves again after a start of all: the answers to all
-// instances together exceed the store's link, so all calls time out and are repeated.
+// Guards against a fleet that never serves again after a start of all: all calls to the store time out.
 func TestAStoreThatCannotAnswerAllAtOnceIsReadAfterAStartOfAll(t *testing.T) {
 	const (
 		limit = 18 * time.Second // until all instances serve again
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -450,8 +450,7 @@
 	})
 }
 
-// Guards against a restart of all after which no engine is asked for its cache, because the
-// state came later than the wait for peers.
+// Guards against a restart of all after which no engine is asked for its cache: the state came late.
 func TestEnginesAreAskedAfterALateState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reader := &fakeCacheReader{}
--- a/internal/gateway/storesync_test.go
+++ b/internal/gateway/storesync_test.go
@@ -109,8 +109,7 @@
 	})
 }
 
-// Guards against an instance that goes on waiting for its turn, for up to minutes, after the
-// readers are gone or a peer has sent its state.
+// Guards against an instance that waits for its turn though the readers are gone or it has its state.
 func TestAPauseBetweenPagesEndsWhenItHasNoReason(t *testing.T) {
 	for name, end := range map[string]func(f *fleet, place *atomic.Int64){
 		"first in rank":  func(_ *fleet, place *atomic.Int64) { place.Store(1) },
@@ -134,8 +133,7 @@
 	}
 }
 
-// Guards against a removed server that is used for longer because an instance failed to read
-// the store, left it to others, and took its next answer for the end of an outage.
+// Guards against a removed server that is used on because earlier failures look like an outage.
 func TestFailuresOfAFormerReaderAreNoOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, fd, source := newFleet()
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -146,8 +146,7 @@
 	}
 }
 
-// Guards against accusing what long streams share of the ends of other servers, until one of
-// them ends or if it became suspect after they began.
+// Guards against accusing what long streams share, while they go on, of the ends of other servers.
 func TestAStreamThatGoesOnShowsThatItsServerSurvived(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newRig(t, allRoutes, nil, "s1")
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -57,8 +57,7 @@
 	{"chunks of a refusal", refusalHead + "Transfer-Encoding: chunked\r\n\r\n", chunk("xxxxxxxx"), true, false},
 }
 
-// Guards against answers without end that use up an instance's memory, or all the time of a
-// request that another server could run.
+// Guards against answers without end that use up an instance's memory or all the time of a request.
 func TestAnswersWithoutEndAreGivenUp(t *testing.T) {
 	for _, c := range answersWithoutEnd {
 		for _, path := range []string{"/again/", "/once/", "/stream/", "/resumable/"} {
--- a/internal/relay/held_test.go
+++ b/internal/relay/held_test.go
@@ -8,8 +8,7 @@
 	"testing/synctest"
 )
 
-// Guards against an instance that is killed for its memory because bodies that are still
-// being read don't count as held.
+// Guards against an instance that runs out of memory because bodies on their way don't count as held.
 func TestBodiesOnTheirWayCountAsHeld(t *testing.T) {
 	for _, declared := range []bool{true, false} {
 		t.Run(fmt.Sprint("declared ", declared), func(t *testing.T) {
