--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -157,16 +157,16 @@
 	dialer := websocket.Dialer{
 		HandshakeTimeout: s.cfg.Timing.HandshakeTimeout,
 		NetDialContext: func(dialCtx context.Context, _, _ string) (net.Conn, error) {
-			conn, err := s.cfg.Dial(dialCtx, address)
-			if err == nil {
-				// The library ignores the context while it waits for the upgrade response,
-				// so ctx closes the connection. dialCtx is canceled when the library
-				// returns and must not close it.
-				stop = context.AfterFunc(ctx, func() { conn.Close() })
-				limit.R = conn
-				conn = limitedConn{conn, limit}
+			raw, err := s.cfg.Dial(dialCtx, address)
+			if err != nil {
+				return nil, err
 			}
-			return conn, err
+			// The library ignores the context while it waits for the upgrade response, so
+			// ctx closes the connection. dialCtx is canceled when the library returns and
+			// must not close it.
+			stop = context.AfterFunc(ctx, func() { raw.Close() })
+			limit.R = raw
+			return limitedConn{raw, limit}, nil
 		},
 	}
 	conn, response, err := dialer.DialContext(ctx, "ws://"+address+Path, nil)
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -155,6 +155,22 @@
 	}
 }
 
+// Guards against a data race between the end of an instance and a link that opens.
+func TestALinkMayBeCancelledWhileItOpens(t *testing.T) {
+	for range 100 {
+		ctx, cancel := context.WithCancel(t.Context())
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		links := &Links{cfg: Config{Timing: testTiming, Dial: func(context.Context, string) (net.Conn, error) {
+			go cancel()
+			return near, nil
+		}}}
+		if _, err := links.connect(ctx, "10.0.0.1:1"); err == nil {
+			t.Error("the link opened")
+		}
+	}
+}
+
 // Guards against memory used up by whatever has the address of a peer that is gone.
 func TestAnUpgradeWithoutEndIsGivenUp(t *testing.T) {
 	near, far := net.Pipe()
