One check for timeouts; the end of a read limit is one call

Found on rereading the landing: storebackoff.go had written again the check for timeouts that netconn and upstream have; netconn.IsTimeout now takes any error with Timeout, as fasthttp's are, and all three use it. Explain and RemoveLimit of a LimitedReader were always called together, in three places; EndLimit is both. No change of behaviour.

--- a/internal/gateway/storebackoff.go
+++ b/internal/gateway/storebackoff.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/timer"
 )
 
@@ -30,7 +29,7 @@
 	if place >= storeReaders {
 		wait *= time.Duration(max(1, of/storeReaders))
 	}
-	if isTimeout(err) && f.lacksState() {
+	if netconn.IsTimeout(err) && f.lacksState() {
 		// A store that can't answer all in time may be able to answer the first ones. What it
 		// sends of answers that nobody waits for any more delays the others.
 		wait = max(wait, min(time.Duration(place)*f.answerTimeout, maxTimeoutWait))
@@ -42,11 +41,6 @@
 	timer.Sleep(wait, ctx.Done())
 }
 
-func isTimeout(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // waitUnlessFirst waits for d, or until this instance is one of the first in rank or has
 // received the state that it lacked: in a large fleet d is many times as long as an instance
 // may go without a confirmation.
--- a/internal/netconn/limit.go
+++ b/internal/netconn/limit.go
@@ -20,18 +20,18 @@
 // SetLimit allows reading n bytes from now on.
 func (l *LimitedReader) SetLimit(n int64) { l.limited, l.left = true, n }
 
-// Explain returns the error of a parser that read from l. Parsers report what was cut off at
-// the limit as malformed; then the cause is ErrTooLong.
-func (l *LimitedReader) Explain(err error) error {
-	if err != nil && l.limited && l.left <= 0 {
+// EndLimit allows reading any number of bytes again, and returns the error of the parser that
+// read up to the limit. Parsers report what was cut off there as malformed; then the cause is
+// ErrTooLong.
+func (l *LimitedReader) EndLimit(err error) error {
+	exceeded := l.limited && l.left <= 0
+	l.limited = false
+	if err != nil && exceeded {
 		return errors.Join(ErrTooLong, err)
 	}
 	return err
 }
 
-// RemoveLimit allows reading any number of bytes.
-func (l *LimitedReader) RemoveLimit() { l.limited = false }
-
 // Read implements io.Reader.
 func (l *LimitedReader) Read(p []byte) (int, error) {
 	if !l.limited {
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -13,8 +13,9 @@
 	return new(net.Dialer).DialContext(ctx, "tcp", address)
 }
 
-// IsTimeout reports whether err is or wraps a network timeout.
+// IsTimeout reports whether err is or wraps a timeout. Those of some libraries are no
+// net.Error.
 func IsTimeout(err error) bool {
-	var timeout net.Error
+	var timeout interface{ Timeout() bool }
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -174,8 +174,7 @@
 		response.Body.Close()
 	}
 	stop()
-	err = limit.Explain(err)
-	limit.RemoveLimit()
+	err = limit.EndLimit(err)
 	return conn, err
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -115,8 +115,7 @@
 	for range maxStrayAnswers {
 		e.conn.limit.SetLimit(maxAnswerHead)
 		resp, err := http.ReadResponse(e.conn.reader, req)
-		err = e.conn.limit.Explain(err)
-		e.conn.limit.RemoveLimit()
+		err = e.conn.limit.EndLimit(err)
 		if err != nil {
 			if timeout > 0 && netconn.IsTimeout(err) {
 				return errors.Join(errUnresponsive, err)
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -73,8 +73,7 @@
 	limit.SetLimit(maxAnswerHead)
 	reader := bufio.NewReader(limit)
 	resp, err := http.ReadResponse(reader, req)
-	err = limit.Explain(err)
-	limit.RemoveLimit()
+	err = limit.EndLimit(err)
 	if err != nil {
 		return nil, errors.Wrap(err, "answer of peer")
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"basilrudder/internal/enginehttp"
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/verdict"
 )
 
@@ -159,8 +160,7 @@
 	if x.ctx.Err() != nil {
 		return contextReason(x.ctx)
 	}
-	var timeoutErr interface{ Timeout() bool }
-	if errors.As(err, &timeoutErr) && timeoutErr.Timeout() {
+	if netconn.IsTimeout(err) {
 		return verdict.ReasonUpstreamSilent
 	}
 	var netErr *net.OpError
