Crashes: other ends are searched by time; only confirmed culprits are reported

The line request_crashes_servers and the metric culprits named postponed content too, which may be harmless. Ends of other servers stand in order of time, so a culprit's window is found without reading all of them.

--- a/internal/crashes/chance.go
+++ b/internal/crashes/chance.go
@@ -1,6 +1,7 @@
 package crashes
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -19,7 +20,7 @@
 )
 
 // rateSpans are the spans before the first end of some content that count for the rate at
-// which other servers ended: a short one, since such ends come in bursts, and a longer one.
+// which other servers ended. The highest rate counts, since such ends come in bursts.
 var rateSpans = [...]time.Duration{time.Second, 5 * time.Second, 20 * time.Second}
 
 // ended is the end of a server, whatever ran there.
@@ -67,8 +68,13 @@
 	}
 	t.endedPools[c.Server] = c.Pool
 	e := ended{server: c.Server, at: c.At, pool: c.Pool}
-	i, _ := slices.BinarySearchFunc(t.ended, e.at, func(x ended, at monotime.Instant) int { return int(x.at - at) })
-	t.ended = slices.Insert(t.ended, i, e)
+	t.ended = slices.Insert(t.ended, t.endedBefore(e.at), e)
+}
+
+// endedBefore returns the number of servers that ended before an instant.
+func (t *Tracker) endedBefore(at monotime.Instant) int {
+	i, _ := slices.BinarySearchFunc(t.ended, at, func(e ended, at monotime.Instant) int { return cmp.Compare(e.at, at) })
+	return i
 }
 
 // forgetEnds removes the ends of servers for which drop returns true.
@@ -117,9 +123,8 @@
 // otherEnds returns the number of servers that ended in a span without the content, and
 // that as a share of the servers of their services.
 func (t *Tracker) otherEnds(s *suspect, explained map[string]bool, from, to monotime.Instant) (count int, perServer float64) {
-	for i := range t.ended {
-		e := &t.ended[i]
-		if e.at < from || e.at > to || e.pool.Servers == 0 || s.ends[e.server] != nil || explained[e.server] || !s.services[e.pool.Service] {
+	for _, e := range t.ended[t.endedBefore(from):t.endedBefore(to+1)] {
+		if e.pool.Servers == 0 || s.ends[e.server] != nil || explained[e.server] || !s.services[e.pool.Service] {
 			continue
 		}
 		count++
--- a/internal/crashes/culprits.go
+++ b/internal/crashes/culprits.go
@@ -26,9 +26,9 @@
 	// culpritsTTL is how long the culprits are used before they are determined again
 	// although nothing has changed: runs without a crash expire.
 	culpritsTTL = time.Second
-	// maxEndsOfRequest and maxEndsOfPart are after how many ends content is postponed that
-	// may have been on these servers by chance. More ends would cost too many servers.
-	maxEndsOfRequest, maxEndsOfPart = 3, 5
+	// postponeRequestAfter and postponePartAfter are the numbers of ends after which content is
+	// postponed that may have been on these servers by chance. More would cost too many servers.
+	postponeRequestAfter, postponePartAfter = minEnds, minEndsAfterRun
 	// trialWindow is how long an instance that has sent a culprit on for trial sends no
 	// other.
 	trialWindow = 5 * time.Second
@@ -194,7 +194,7 @@
 	for i, f := range parts {
 		s := t.suspects[f]
 		chance := t.chance(s, explained)
-		enough := min(chance.Required, maxEndsOfPart)
+		enough := min(chance.Required, postponePartAfter)
 		if !s.isCandidate(enough) || s.countEnds(func(server string) bool { return !explained[server] }) < enough {
 			continue
 		}
@@ -229,8 +229,8 @@
 	return true
 }
 
-// isCandidate reports whether content has enough ends to be a culprit, of which at least
-// some number is required.
+// isCandidate reports whether content has as many ends as are required of a culprit. If it
+// ran without a crash lately, at least minEndsAfterRun are.
 func (s *suspect) isCandidate(required int) bool {
 	if len(s.ends) < required {
 		return false
@@ -317,10 +317,10 @@
 	slices.SortFunc(servers, func(x, y string) int {
 		return cmp.Or(cmp.Compare(s.ends[x].at, s.ends[y].at), cmp.Compare(x, y))
 	})
-	c := Culprit{Contents: group, Ends: servers, Chance: chance, Decision: Postpone, extraEnds: len(servers) - maxEndsOfRequest}
+	c := Culprit{Contents: group, Ends: servers, Chance: chance, Decision: Postpone, extraEnds: len(servers) - postponeRequestAfter}
 	if !s.whole {
 		c.Customer = s.onlyCustomer()
-		c.extraEnds = max(0, len(servers)-maxEndsOfPart)
+		c.extraEnds = max(0, len(servers)-postponePartAfter)
 	}
 	if !chance.Unsettled && s.isCandidate(chance.Required) {
 		c.Decision = Reject
@@ -364,5 +364,12 @@
 	return only
 }
 
-// CulpritCount returns the number of culprits.
-func (t *Tracker) CulpritCount(now monotime.Instant) int { return len(t.Culprits(now)) }
+// Confirmed returns the culprits whose ends chance does not explain.
+func (t *Tracker) Confirmed(now monotime.Instant) (out []Culprit) {
+	for _, c := range t.Culprits(now) {
+		if c.Decision == Reject {
+			out = append(out, c)
+		}
+	}
+	return out
+}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -200,7 +200,7 @@
 // is held.
 func (c *crashTracker) update(now monotime.Instant) {
 	c.suspectedCount.Store(int64(c.tracker.Len()))
-	culprits := c.tracker.Culprits(now)
+	culprits := c.tracker.Confirmed(now)
 	if len(culprits) > c.known {
 		for i := range culprits {
 			c.log.Warn("request_crashes_servers", culpritFields(&culprits[i], now)...)
@@ -378,7 +378,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return crashMetrics{
-		SuspectedRequests: c.tracker.Len(), PoisonRequests: c.tracker.CulpritCount(monotime.Now()), Refused: c.refusedCount.Load(),
+		SuspectedRequests: c.tracker.Len(), PoisonRequests: len(c.tracker.Confirmed(monotime.Now())), Refused: c.refusedCount.Load(),
 		Postponed: c.postponedCount.Load(), ExposureMS: time.Duration(c.exposure.Load()).Milliseconds(),
 	}
 }
