--- a/internal/crashes/chance_test.go
+++ b/internal/crashes/chance_test.go
@@ -196,6 +196,7 @@
 
 // Guards against sound requests that are refused where many servers end for other reasons.
 func TestSoundRequestsAreNotBlamedWhereServersEndOften(t *testing.T) {
+	t.Parallel()
 	for _, interval := range endIntervals {
 		for _, servers := range fleetSizesForChance {
 			if !alwaysDown(servers, interval) {
@@ -207,6 +208,7 @@
 
 // Guards against the same where at most one server is up at most times.
 func TestSoundRequestsAreNotBlamedWhereNearlyAllServersAreDown(t *testing.T) {
+	t.Parallel()
 	for _, interval := range endIntervals {
 		for _, servers := range fleetSizesForChance {
 			if alwaysDown(servers, interval) {
@@ -236,6 +238,7 @@
 
 // Guards against a culprit that is sent on since other servers end often too.
 func TestACulpritIsFoundWhereServersEndOften(t *testing.T) {
+	t.Parallel()
 	const maxLate = 3
 	for _, whole := range []bool{false, true} {
 		for _, interval := range endIntervals {
