Crashes: a part on the first ends is not rejected at once

Cause, shown in a test: a part that most requests share is on each of the first servers that end, before any run could clear it, and then no other end tells how often servers end anyway. Ends under another part that was only postponed were left out of that rate as well.

Change: a part is rejected only once runs had four times the mean exposure to clear it; ends while it is held back count, and so do all that no confirmed culprit explains.

Measured: TestAPartOnTheFirstEndsIsNotRejectedAtOnce failed before (rejected after 1.2 s).

--- a/internal/crashes/chance.go
+++ b/internal/crashes/chance.go
@@ -30,6 +30,10 @@
 	pool   Pool
 }
 
+// settleExposures is how many times the mean exposure runs may take to show that a part is
+// harmless. Until then it is not rejected.
+const settleExposures = 4
+
 // Pool is the servers among which a request's server was chosen.
 type Pool struct {
 	// Service is its name.
@@ -88,16 +92,17 @@
 	})
 }
 
-// chance returns how likely the ends of a suspect are if it is harmless. Ends in explained
+// chance returns how likely the ends of a suspect are if it is harmless. Those in explained
 // have another culprit.
-func (t *Tracker) chance(s *suspect, explained map[string]bool) Chance {
+func (t *Tracker) chance(s *suspect, explained map[string]bool, now monotime.Instant) Chance {
 	first, last := s.span()
+	settle := settleExposures * t.exposure
 	out := Chance{}
 	for _, before := range rateSpans {
 		from := first.Add(-before)
-		// Content on most servers is on most that end meanwhile, which leaves few others: the
-		// time before it was blamed counts by itself too.
-		for _, to := range []monotime.Instant{first - 1, last} {
+		// Content on most servers is on most that end meanwhile, which leaves few others. So the
+		// time before it was blamed counts by itself too, and that after it was held back.
+		for _, to := range []monotime.Instant{first - 1, last, min(now, last.Add(settle))} {
 			others, perServer := t.otherEnds(s, explained, from, to)
 			rate := perServer / to.Sub(from).Seconds()
 			out.OtherEnds = max(out.OtherEnds, others)
@@ -105,7 +110,7 @@
 		}
 	}
 	out.Required = required(out.PerRun, len(t.suspects))
-	out.Unsettled = !s.whole && last.Sub(first) < t.exposure
+	out.Unsettled = !s.whole && now.Sub(first) < settle
 	return out
 }
 
--- a/internal/crashes/chance_test.go
+++ b/internal/crashes/chance_test.go
@@ -261,3 +261,30 @@
 		}
 	}
 }
+
+// Guards against a part of most requests that is rejected since it was on the first servers
+// that ended, before any run could show how often servers end anyway.
+func TestAPartOnTheFirstEndsIsNotRejectedAtOnce(t *testing.T) {
+	b := NewTracker()
+	now := start
+	end := func(n int, parts ...string) {
+		c := partCrash(n, fmt.Sprint("c", n), fmt.Sprint("s", n), now, parts...)
+		c.Pool = Pool{Service: "svc", Servers: 8}
+		b.Add(c, now)
+	}
+	check := func() {
+		if c, _ := b.Refuses(content("c", "common"), now, nil); c.Decision == Reject {
+			t.Errorf("rejected %v after the first end: %+v", now.Sub(start), c.Chance)
+		}
+	}
+	for n := range 4 {
+		end(n, "common")
+		check()
+		now = now.Add(400 * time.Millisecond)
+	}
+	for n := range 20 {
+		end(4+n, fmt.Sprint("other", n))
+		check()
+		now = now.Add(300 * time.Millisecond)
+	}
+}
--- a/internal/crashes/culprits.go
+++ b/internal/crashes/culprits.go
@@ -166,7 +166,7 @@
 // Culprits returns the fewest contents that explain the ends of servers.
 func (t *Tracker) Culprits(now monotime.Instant) []Culprit {
 	if t.changed || now.Sub(t.culpritsAt) > culpritsTTL {
-		t.culprits, t.culpritsAt, t.changed = t.findCulprits(), now, false
+		t.culprits, t.culpritsAt, t.changed = t.findCulprits(now), now, false
 	}
 	return t.culprits
 }
@@ -175,14 +175,15 @@
 // the ends under different requests: one after the other, those that explain most of the
 // ends that are left. Parts that have run without a crash lately come last: they are
 // culprits only if no others explain the ends.
-func (t *Tracker) findCulprits() (out []Culprit) {
+func (t *Tracker) findCulprits(now monotime.Instant) (out []Culprit) {
 	var parts []Fingerprint
-	explained := make(map[string]bool)
+	// Ends under content that is only postponed may still be chance for others.
+	explained, confirmed := make(map[string]bool), make(map[string]bool)
 	for f, s := range t.suspects {
 		switch {
 		case !s.isCandidate(minEnds):
 		case s.whole:
-			out = append(out, t.culprit([]Fingerprint{f}, t.chance(s, explained)))
+			out = append(out, t.culprit([]Fingerprint{f}, t.chance(s, confirmed, now)))
 		case !s.inOneRequest():
 			parts = append(parts, f)
 		}
@@ -193,7 +194,7 @@
 	})
 	for i, f := range parts {
 		s := t.suspects[f]
-		chance := t.chance(s, explained)
+		chance := t.chance(s, confirmed, now)
 		enough := min(chance.Required, postponePartAfter)
 		if !s.isCandidate(enough) || s.countEnds(func(server string) bool { return !explained[server] }) < enough {
 			continue
@@ -204,10 +205,12 @@
 				group = append(group, g)
 			}
 		}
+		c := t.culprit(group, chance)
 		for server := range s.ends {
 			explained[server] = true
+			confirmed[server] = confirmed[server] || c.Decision == Reject
 		}
-		out = append(out, t.culprit(group, chance))
+		out = append(out, c)
 	}
 	return out
 }
