--- a/internal/crashes/chance_test.go
+++ b/internal/crashes/chance_test.go
@@ -262,8 +262,7 @@
 	}
 }
 
-// Guards against a part of most requests that is rejected since it was on the first servers
-// that ended, before any run could show how often servers end anyway.
+// Guards against a shared part that is rejected before any run could clear it.
 func TestAPartOnTheFirstEndsIsNotRejectedAtOnce(t *testing.T) {
 	b := NewTracker()
 	now := start
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -16,8 +16,6 @@
 const (
 	// crashesPerMessage bounds the crashes in a message: some 30 KB.
 	crashesPerMessage = 256
-	// maxPartsSent bounds the parts of one crash that a peer may send.
-	maxPartsSent = 32
 	// exposureSamples is the number of runs over which their exposure is averaged.
 	exposureSamples = 64
 )
@@ -312,38 +310,6 @@
 	return out
 }
 
-func encodeCrash(crash crashes.Crash, now monotime.Instant) wire.RelayCrash {
-	out := wire.RelayCrash{Request: crash.Request[:], Customer: crash.Customer, Server: crash.Server, AgeMS: ageMS(crash.At, now)}
-	for _, part := range crash.Parts {
-		out.Parts = append(out.Parts, part[:]...)
-	}
-	return out
-}
-
-func ageMS(at, now monotime.Instant) int { return int(max(0, now.Sub(at)).Milliseconds()) }
-
-func decodeCrash(received wire.RelayCrash, now monotime.Instant) (out crashes.Crash, ok bool) {
-	size := len(out.Request)
-	if len(received.Request) != size || len(received.Parts)%size != 0 || len(received.Parts) > maxPartsSent*size {
-		return out, false
-	}
-	copy(out.Request[:], received.Request)
-	for rest := received.Parts; len(rest) > 0; rest = rest[size:] {
-		out.Parts = append(out.Parts, crashes.Fingerprint(rest[:size]))
-	}
-	out.Customer, out.Server = received.Customer, received.Server
-	out.At, ok = decodeEnd(received.AgeMS, now)
-	return out, ok
-}
-
-// decodeEnd decodes when a server ended, or a run of a suspected request did.
-func decodeEnd(ageMS int, now monotime.Instant) (at monotime.Instant, ok bool) {
-	if ageMS < 0 || ageMS > int(crashes.Retention.Milliseconds()) {
-		return 0, false
-	}
-	return now.Add(-milliseconds(ageMS)), true
-}
-
 // applyCrashes applies the crashes that a peer sent. If they were sent to this instance
 // only, the new ones are passed on: the two instances had no connection before, and so
 // perhaps neither had others.
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -119,8 +119,7 @@
 	}
 }
 
-// Guards against suspect requests that are given up for good, since callers send none again
-// after a 400.
+// Guards against suspect requests that callers give up for good.
 func TestASuspectRequestMayComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newRig(t, allRoutes, map[string][]script{"s1": {replying()}}, "s1")
