Placement: handed-over estimates leave the centre of a service as it is

Callers: on a large fleet, requests at an instance that has just started may go on to a slow server as if it were as fast as the others.

Cause: each estimate that a peer hands over recomputed the median of the service when it was more than 200 ms old. After the first estimate, that was the median of one server, and all later ones were applied relative to it. If the first server was the slow one, it counted as the typical one until samples of its streams came.

Only samples recompute it now.

Not covered: a sample that arrives between two frames of one hand-over still recomputes the median from the part received.

--- a/internal/placement/serverpace.go
+++ b/internal/placement/serverpace.go
@@ -155,13 +155,14 @@
 }
 
 // SetServerPace applies another instance's estimate of a server: the logarithm of its
-// slowness and the standard deviation of that. The more certain estimate is kept.
+// slowness and the standard deviation of that. The more certain estimate is kept. The
+// centre of the service is left as it is: recomputed after the first of the estimates that
+// are handed over, it would be that of one server.
 func (b *Board) SetServerPace(serverID string, logSlowness, spread float64, now monotime.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.server(Candidate{ID: serverID})
 	s.kind.servers.Adopt(&s.estimate, logSlowness, spread, now)
-	b.updateCentre(s.kind, now)
 }
 
 // minLoggedChange is the factor by which the slowness of a server must differ from the
--- a/internal/placement/serverpace_test.go
+++ b/internal/placement/serverpace_test.go
@@ -1,8 +1,10 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -122,17 +124,26 @@
 	}
 }
 
-// Guards against a new instance that takes a slow server among equal ones for less slow.
+// Guards against a new instance that takes a slow server among equal ones for less slow, or
+// for the typical one if its estimate is the first that is handed over.
 func TestHandedOverEstimatesMeanTheSameToANewInstance(t *testing.T) {
 	candidates := engines(40)
-	b, restarted := sharingBoard(candidates), sharingBoard(candidates)
+	b := sharingBoard(candidates)
 	now := receiveSamples(b, candidates, 20, func(n int) bool { return n == 3 }, start)
-	for _, s := range b.ServerPaces(now) {
-		restarted.SetServerPace(s.Server, math.Log(s.Slowness), s.Spread, now)
-	}
 	want, _ := b.server(candidates[3]).estimated(now)
-	if got, _ := restarted.server(candidates[3]).estimated(now); math.Abs(got-want) > 0.02 {
-		t.Errorf("estimated logarithm %.2f, %.2f at the instance that handed it over", got, want)
+	for _, slowFirst := range []bool{true, false} {
+		paces := b.ServerPaces(now)
+		slices.SortFunc(paces, func(a, b ServerPace) int { return cmp.Compare(a.Slowness, b.Slowness) })
+		if slowFirst {
+			slices.Reverse(paces)
+		}
+		restarted := sharingBoard(candidates)
+		for _, s := range paces {
+			restarted.SetServerPace(s.Server, math.Log(s.Slowness), s.Spread, now)
+		}
+		if got, _ := restarted.server(candidates[3]).estimated(now); math.Abs(got-want) > 0.02 {
+			t.Errorf("slow server first %t: estimated logarithm %.2f, %.2f at the instance that handed it over", slowFirst, got, want)
+		}
 	}
 }
 
