Crashes: the latest of very many ends of servers count

Callers: on a fleet where more than 4,096 servers end within ten minutes, content that only happened to be on some of them would be rejected (400) after a fixed number of ends again, whatever the rate at which servers end.

Cause: the ends from which that rate follows were kept from the first on; at 4,096 later ones were dropped, so that the rate fell to zero.

Evidence: TestTheLatestEndsOfVeryManyCount, in virtual time: of 100 ends a second, none counted for a suspect (0 other ends, 3 ends required).

Change: the earliest end makes room. The test passes.

--- a/internal/crashes/chance.go
+++ b/internal/crashes/chance.go
@@ -15,8 +15,11 @@
 	maxChance = 0.01
 	// defaultExposure is assumed until runs have been observed.
 	defaultExposure = time.Second
-	// maxEnded bounds the servers whose ends are recorded.
+	// maxEnded bounds the servers whose ends are recorded, to the latest.
 	maxEnded = 4096
+	// settleExposures is how many times the mean exposure runs may take to show that a part
+	// is harmless. Until then it is not rejected.
+	settleExposures = 4
 )
 
 // rateSpans are the spans before the first end of some content that count for the rate at
@@ -30,10 +33,6 @@
 	pool   Pool
 }
 
-// settleExposures is how many times the mean exposure runs may take to show that a part is
-// harmless. Until then it is not rejected.
-const settleExposures = 4
-
 // Pool is the servers among which a request's server was chosen.
 type Pool struct {
 	// Service is its name.
@@ -67,12 +66,16 @@
 
 // recordEnd records the end of a server.
 func (t *Tracker) recordEnd(c *Crash) {
-	if t.Ended(c.Server) || len(t.ended) >= maxEnded {
+	if t.Ended(c.Server) {
 		return
 	}
 	t.endedPools[c.Server] = c.Pool
 	e := ended{server: c.Server, at: c.At, pool: c.Pool}
 	t.ended = slices.Insert(t.ended, t.endedBefore(e.at), e)
+	if len(t.ended) > maxEnded {
+		delete(t.endedPools, t.ended[0].server)
+		t.ended = slices.Delete(t.ended, 0, 1)
+	}
 }
 
 // endedBefore returns the number of servers that ended before an instant.
--- a/internal/crashes/chance_test.go
+++ b/internal/crashes/chance_test.go
@@ -287,3 +287,27 @@
 		now = now.Add(300 * time.Millisecond)
 	}
 }
+
+// Guards against a rate of ends that is underestimated once very many servers have ended.
+func TestTheLatestEndsOfVeryManyCount(t *testing.T) {
+	b := NewTracker()
+	now := start
+	for n := range maxEnded + 500 {
+		now = now.Add(10 * time.Millisecond)
+		c := partCrash(n, "c", fmt.Sprint("earlier", n), now, fmt.Sprint("part", n))
+		c.Pool = Pool{Service: "svc", Servers: 5910}
+		b.Add(c, now)
+	}
+	for n := range 4 {
+		now = now.Add(10 * time.Millisecond)
+		c := partCrash(maxEnded+500+n, "c", fmt.Sprint("s", n), now, "suspect")
+		c.Pool = Pool{Service: "svc", Servers: 5910}
+		b.Add(c, now)
+	}
+	if got := b.chance(b.suspects[part("suspect")], nil, now); got.OtherEnds < 100 {
+		t.Errorf("%d other ends counted: %+v", got.OtherEnds, got)
+	}
+	if len(b.ended) != maxEnded || len(b.endedPools) != maxEnded {
+		t.Errorf("%d ends kept, pools of %d", len(b.ended), len(b.endedPools))
+	}
+}
