Crashes: the latest of very many ends with another cause count

Callers: once 4,096 servers had ended within ten minutes for a known other reason (too many refused connections), the next such ends were blamed on the requests that ran there, which may be rejected (400).

Cause: as for the recorded ends, the record kept the first and dropped later ones. Found while looking for that fault on related paths.

Evidence: TestTheLatestOfVeryManyFallsCount failed before, passes now.

Change: the server that ended first makes room.

--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -27,7 +27,8 @@
 	// all, so that neither one customer nor made-up requests displace the others.
 	MaxPerCustomer = 256
 	maxSuspects    = 4096
-	// maxFallen bounds the servers whose ends are known to have another cause.
+	// maxFallen bounds the servers whose ends are known to have another cause, to those that
+	// ended last.
 	maxFallen = 4096
 	// maxEnds bounds the ends recorded of one content, the earliest, and maxRuns the
 	// requests recorded of one end.
@@ -224,10 +225,11 @@
 // Fell records that the end of a server has another cause than a request. It reports
 // whether that is new.
 func (t *Tracker) Fell(server string, endedAt monotime.Instant) bool {
-	if _, known := t.fallen[server]; known || len(t.fallen) >= maxFallen {
+	if _, known := t.fallen[server]; known {
 		return false
 	}
 	t.fallen[server] = endedAt
+	t.dropFallen()
 	t.forgetEnds(func(e *ended) bool { return e.server == server })
 	t.changed = true
 	for f, s := range t.suspects {
@@ -239,7 +241,22 @@
 			t.remove(f)
 		}
 	}
-	return true
+	_, isNew := t.fallen[server]
+	return isNew
+}
+
+// dropFallen forgets the server that ended first if too many have another cause.
+func (t *Tracker) dropFallen() {
+	if len(t.fallen) <= maxFallen {
+		return
+	}
+	first := ""
+	for server, endedAt := range t.fallen {
+		if at := t.fallen[first]; first == "" || endedAt < at || endedAt == at && server < first {
+			first = server
+		}
+	}
+	delete(t.fallen, first)
 }
 
 // Ran records that a server went on after it had begun to answer a request with some
--- a/internal/crashes/unrelated_test.go
+++ b/internal/crashes/unrelated_test.go
@@ -223,3 +223,18 @@
 		}
 	}
 }
+
+// Guards against ends that are blamed on requests once very many had another cause.
+func TestTheLatestOfVeryManyFallsCount(t *testing.T) {
+	b := NewTracker()
+	for n := range maxFallen + 10 {
+		b.Fell(fmt.Sprint("s", n), start.Add(time.Duration(n)*time.Millisecond))
+	}
+	last := fmt.Sprint("s", maxFallen+9)
+	if isNew, _ := b.Add(crash(1, "c", last, start.Add(5*time.Second)), start.Add(5*time.Second)); isNew {
+		t.Errorf("the end of a server that fell was recorded")
+	}
+	if len(b.fallen) != maxFallen {
+		t.Errorf("%d falls kept", len(b.fallen))
+	}
+}
