Relay: SIGHUP is received from the start of the process on

Callers: a platform that announces new settings while an instance starts ended it; callers sent there found nobody.

Cause: the handler was set up after the settings were read, tens of milliseconds after the start on a slow machine. Until then SIGHUP has its default effect.

Change: a package that needs os/signal only registers the signal as it is initialized, before most others. basilrudder's own interface, which has no reloading, restores the default.

--- a/cmd/basilrudderd/main.go
+++ b/cmd/basilrudderd/main.go
@@ -15,6 +15,7 @@
 
 	"basilrudder/internal/accounting"
 	"basilrudder/internal/daemon"
+	"basilrudder/internal/hangups"
 	"basilrudder/internal/schema/settings"
 	checked "basilrudder/internal/settings"
 )
@@ -48,6 +49,7 @@
 
 // Run executes the command. It exits with exitBadInput if the settings are invalid.
 func (c *serveCommand) Run() error {
+	hangups.Stop()
 	s, problems := checked.Load(c.Settings, os.Getenv)
 	if len(problems) > 0 {
 		fmt.Fprintln(os.Stderr, problems.Error())
--- a/cmd/basilrudderd/relay.go
+++ b/cmd/basilrudderd/relay.go
@@ -14,6 +14,7 @@
 
 	"basilrudder/internal/eventlog"
 	"basilrudder/internal/gateway"
+	"basilrudder/internal/hangups"
 	"basilrudder/internal/schema/relaysettings"
 	"basilrudder/platform"
 )
@@ -79,9 +80,7 @@
 // reloadOnSignal reloads the settings at once on SIGHUP. Without a signal, the gateway
 // detects changed settings within a second.
 func reloadOnSignal(g *gateway.Gateway) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	for range hangups {
+	for range hangups.Received {
 		g.Reload()
 	}
 }
