Gateway: a log line on memory

A play of the whole fleet on one machine ran out of memory, and no log told what the instances held.

--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -67,6 +67,7 @@
 		}
 		if n%ticksPerStoreCalls == 0 {
 			g.logStoreCalls()
+			logMemory(g.cfg.Log)
 			g.fleet.logPauseCalibration(monotime.Now())
 		}
 	}
