Descriptors: one budget, shared by callers, servers, tunnels and peers

Callers: in a burst of connections an instance used all its descriptors for them and had none left for servers and peers; new callers waited without an answer, and the directory went on to send others there.

Cause: nothing shared descriptors out. The class: a resource without an owner, whose lack shows at whoever asks last.

Change: internal/descriptors counts them against the limit of the process or instance.descriptors. Each kind has a guaranteed part; any may use the rest. Callers who don't fit displace the one that has been idle for longest, whose next request is not read; if none is idle, 32 get 503 with a time to come back and further ones are closed. Requests displace idle connections to other servers. Below a tenth the instance tells its peers, and directories leave it out for three seconds. Metrics under "descriptors", log line descriptors_short.

--- a/internal/gateway/batcher.go
+++ b/internal/gateway/batcher.go
@@ -149,6 +149,11 @@
 	n.sendStatus()
 }
 
+// announceFull tells the peers that this instance should get no new callers for a while.
+func (n *updateBatcher) announceFull(d time.Duration) {
+	n.add(func(p *wire.RelayNews) { p.FullMS = int(d.Milliseconds()) })
+}
+
 // run sends collected updates until the context ends.
 func (n *updateBatcher) run(ctx context.Context) error {
 	ticker := timer.NewTicker(tickInterval)
--- /dev/null
+++ b/internal/gateway/callerconns_test.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"basilrudder/internal/descriptors"
+)
+
+// callerServerWith serves callers under a budget for a process with so many descriptors.
+func callerServerWith(t *testing.T, limit int, handler func(c *callerConns) http.Handler) (c *callerConns, address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c = newCallerConns(descriptors.New(limit), zap.NewNop())
+	server := &http.Server{Handler: handler(c), ConnState: c.changed, ConnContext: withConn}
+	go func() { _ = server.Serve(c.listener(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return c, listener.Addr().String()
+}
+
+// testCaller is a caller's connection.
+type testCaller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dialCaller(t *testing.T, address string) *testCaller {
+	t.Helper()
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return &testCaller{c, bufio.NewReader(c)}
+}
+
+// ask sends a request and returns the status of the answer.
+func (c *testCaller) ask() (status int, err error) {
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		return 0, err
+	}
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// Guards against callers that use up the descriptors, and active ones that are closed for
+// idle ones.
+func TestTheCallerThatHasBeenIdleForLongestIsClosedFirst(t *testing.T) {
+	c, address := callerServerWith(t, 200, func(*callerConns) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	})
+	var callers []*testCaller
+	for range c.budget.Free(descriptors.Callers) {
+		caller := dialCaller(t, address)
+		if _, err := caller.ask(); err != nil {
+			t.Fatal(err)
+		}
+		callers = append(callers, caller)
+	}
+	for _, again := range callers[:5] {
+		if _, err := again.ask(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if status, err := dialCaller(t, address).ask(); status != http.StatusOK {
+		t.Fatalf("one more caller: %d, %v", status, err)
+	}
+	for i, caller := range callers {
+		_, err := caller.ask()
+		if closed := err != nil; closed != (i == 5) {
+			t.Errorf("caller %d: %v", i, err)
+		}
+	}
+	if !c.full() {
+		t.Error("not full")
+	}
+}
+
+// Guards against callers without an answer while every descriptor is in use, and against
+// descriptors that are not returned.
+func TestCallersWithoutADescriptorAreRefused(t *testing.T) {
+	finish := make(chan struct{})
+	var begun atomic.Int64
+	c, address := callerServerWith(t, 200, func(c *callerConns) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if c.refuses(r.Context()) {
+				w.Header().Set("Connection", "close")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			begun.Add(1)
+			<-finish
+		})
+	})
+	free := c.budget.Free(descriptors.Callers)
+	var active sync.WaitGroup
+	for range free {
+		caller := dialCaller(t, address)
+		active.Go(func() {
+			if status, err := caller.ask(); status != http.StatusOK {
+				t.Errorf("%d, %v", status, err)
+			}
+		})
+	}
+	waitFor(t, "active callers", func() bool { return begun.Load() == int64(free) })
+	for range 3 * refusableConns {
+		if status, err := dialCaller(t, address).ask(); status != http.StatusServiceUnavailable {
+			t.Fatalf("%d, %v", status, err)
+		}
+	}
+	for range refusableConns {
+		dialCaller(t, address)
+	}
+	waitFor(t, "silent callers", func() bool { c.mu.Lock(); defer c.mu.Unlock(); return c.refusable == refusableConns })
+	if status, err := dialCaller(t, address).ask(); err == nil {
+		t.Errorf("%d for a caller that can't be refused", status)
+	}
+	close(finish)
+	active.Wait()
+	if status, err := dialCaller(t, address).ask(); status != http.StatusOK {
+		t.Errorf("%d, %v later", status, err)
+	}
+}
+
+// Guards against requests that began and whose connection is closed for another's.
+func TestNoRequestThatBeganLosesItsConnection(t *testing.T) {
+	var begun, answered, closed atomic.Int64
+	_, address := callerServerWith(t, 200, func(*callerConns) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			begun.Add(1)
+			_, _ = io.WriteString(w, "ok")
+		})
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	var callers sync.WaitGroup
+	for n := range 200 {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				raw, err := net.Dial("tcp4", address)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				caller := &testCaller{raw, bufio.NewReader(raw)}
+				for err == nil && ctx.Err() == nil {
+					if _, err = caller.ask(); err == nil {
+						answered.Add(1)
+					}
+					time.Sleep(time.Duration(n%7) * time.Millisecond)
+				}
+				if err != nil {
+					closed.Add(1)
+				}
+				_ = raw.Close()
+			}
+		})
+	}
+	callers.Wait()
+	if begun.Load() != answered.Load() || closed.Load() == 0 {
+		t.Errorf("%d requests began, %d were answered, %d connections closed", begun.Load(), answered.Load(), closed.Load())
+	}
+}
+
+func waitFor(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	for range 500 {
+		if reached() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("waited too long: %s", what)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"basilrudder/internal/descriptors"
 	"basilrudder/internal/eventlog"
 	"basilrudder/internal/gcpace"
 	"basilrudder/internal/monotime"
@@ -117,6 +118,9 @@
 	relay     *relay.Relay
 	stats     *relay.Metrics
 	collector *gcpace.Pacer
+	// descriptors are shared by callers, which callers counts, and all others.
+	descriptors *descriptors.Budget
+	callers     *callerConns
 
 	leaving  atomic.Bool
 	isolated atomic.Bool
@@ -154,6 +158,8 @@
 		throttle:   throttle.New(s.Instance.ID, monotime.Now()),
 		outages:    newOutageDetector(),
 	}
+	g.descriptors = descriptors.New(cmp.Or(s.Instance.Descriptors, descriptors.OfProcess()))
+	g.callers = newCallerConns(g.descriptors, cfg.Log)
 	g.fleet.crashes = newCrashTracker(g.fleet.updates, cfg.Log)
 	g.fleet.crashes.trialPlace = g.fleet.trialPlace
 	g.fleet.crashes.serversLike = g.fleet.serversLike
@@ -180,7 +186,7 @@
 	g.connectTunnels(incarnation)
 	g.relay = relay.New(relay.Config{
 		Fleet: g.fleet, Connector: g.connector, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
-		DrainTime: seconds(s.Drain.GraceS) - drainReserve,
+		DrainTime: seconds(s.Drain.GraceS) - drainReserve, Descriptors: g.descriptors, Refuses: g.callers.refuses,
 	})
 	g.fleet.board.SetConnected(g.relay.Connected)
 	return g, nil
@@ -193,7 +199,7 @@
 		Self: tunnel.Instance{ID: s.Instance.ID, Incarnation: incarnation}, Secret: g.linkSecret(), Dial: netconn.Dial,
 	}
 	g.connector = newConnector(g.fleet, g.peers, client, g.leaving.Load, netconn.Dial)
-	g.tunnels = g.connector.newTunnelServer(int(s.Instance.Processor*capacityPerCore), int(s.Instance.LinkMbps*bytesPerMegabit))
+	g.tunnels = g.connector.newTunnelServer(int(s.Instance.Processor*capacityPerCore), int(s.Instance.LinkMbps*bytesPerMegabit), g.descriptors)
 }
 
 // linkSecret returns the secret of the links between instances.
@@ -225,7 +231,7 @@
 	defer stop()
 	tasks, work := errgroup.WithContext(work)
 	server := g.callerServer()
-	tasks.Go(func() error { return serveUntilClosed(server, listeners.callers) })
+	tasks.Go(func() error { return serveUntilClosed(server, g.callers.listener(listeners.callers)) })
 	tasks.Go(func() error { return serveUntilCancelled(work, listeners.ready, g.cfg.Ready(g)) })
 	tasks.Go(func() error { return serveUntilCancelled(work, listeners.directory, g.cfg.Directory(g)) })
 	tasks.Go(func() error { return serveUntilCancelled(work, listeners.metrics, g.metrics) })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -315,6 +315,36 @@
 	}
 }
 
+// Guards against callers who are sent to an instance without descriptors, and against one
+// that is spared for good.
+func TestTheDirectorySparesInstancesWithFewDescriptors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _, _ := newFleet()
+		p := linkedPeers(f, "me",
+			wire.RelayMember{ID: "a", CallerAddress: "a:1"},
+			wire.RelayMember{ID: "b", CallerAddress: "b:1"})
+		expect := func(when string, want ...string) {
+			t.Helper()
+			var named []string
+			p.node.Refresh(monotime.Now())
+			for _, m := range p.takingCallers() {
+				named = append(named, m.ID)
+			}
+			if diff := cmp.Diff(want, named); diff != "" {
+				t.Errorf("%s: %s", when, diff)
+			}
+		}
+		expect("at first", "a", "b")
+		p.receive("b", &wire.RelayNews{Origin: "b", Number: 1, FullMS: int(fullFor.Milliseconds())})
+		expect("with b full", "a")
+		time.Sleep(fullFor + time.Millisecond)
+		expect("without a further sign", "a", "b")
+		p.receive("b", &wire.RelayNews{Origin: "b", Number: 2, FullMS: 1 << 40})
+		time.Sleep(time.Minute)
+		expect("after a sign that lasts too long", "a", "b")
+	})
+}
+
 // A link is so slow that the servers of the peer differ for eight seconds, whatever is
 // requested. Each answer would slow the link further, so the requests must become rare.
 func TestAPeerWhoseServersStayDifferentIsAskedRarely(t *testing.T) {
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"basilrudder/internal/descriptors"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/peer"
 	"basilrudder/internal/placement"
@@ -94,7 +95,7 @@
 		p := newPeers(self, []string{"instance-00:2", "instance-01:2", "instance-02:2"}, f, zap.NewNop())
 		client := &tunnel.Client{Self: tunnel.Instance{ID: self.ID, Incarnation: self.Incarnation}, Dial: host.dial}
 		c := newConnector(f, p, client, func() bool { return false }, host.dial)
-		tunnels := c.newTunnelServer(host.capacity, 0)
+		tunnels := c.newTunnelServer(host.capacity, 0, descriptors.Unlimited())
 		links, err := peer.New(peer.Config{
 			Self: peer.Identity{
 				ID: self.ID, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"basilrudder/internal/monotime"
 	"basilrudder/internal/route"
 	"basilrudder/internal/schema/wire"
 )
@@ -60,6 +61,13 @@
 	return p.node.Staying()
 }
 
+// takingCallers returns those of staying that should get new callers.
+func (p *peers) takingCallers() []wire.RelayMember {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node.TakingCallers(monotime.Now())
+}
+
 // stays reports whether a process can be reached and does not leave.
 func (p *peers) stays(id, incarnation string) bool {
 	p.mu.Lock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,6 +32,7 @@
 	vars.Set("pause_calibration", expvar.Func(func() any { return g.fleet.pauseCalibration(monotime.Now()) }))
 	vars.Set("news", expvar.Func(func() any { return g.peers.metrics() }))
 	vars.Set("peers_linked", expvar.Func(func() any { return len(g.peers.linked()) }))
+	vars.Set("descriptors", expvar.Func(func() any { return g.descriptorMetrics() }))
 	vars.Set("memory", expvar.Get("memstats"))
 	ctx.SetContentType("application/json; charset=utf-8")
 	ctx.SetBodyString(vars.String())
@@ -58,3 +59,14 @@
 	Open   int64 `json:"open"`
 	Opened int64 `json:"opened"`
 }
+
+// descriptorMetrics are the descriptors in use.
+type descriptorMetrics struct {
+	Limit   int               `json:"limit"`
+	Used    map[string]int    `json:"used"`
+	Callers callerConnMetrics `json:"callers"`
+}
+
+func (g *Gateway) descriptorMetrics() descriptorMetrics {
+	return descriptorMetrics{Limit: g.descriptors.Limit(), Used: g.descriptors.Used(), Callers: g.callers.metrics()}
+}
--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"basilrudder/internal/descriptors"
 	"basilrudder/internal/eventlog"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/servers"
@@ -58,6 +59,8 @@
 		g.fleet.board.SetCostJitter(jitterOf(monotime.Now().Sub(g.started), instances))
 		if n%ticksPerSweep == 0 {
 			g.collector.Update(monotime.Now())
+			g.descriptors.Set(descriptors.Peers, len(g.peers.linked()))
+			g.callers.announceFull(g.fleet.updates.announceFull)
 			g.relay.Sweep(g.fleet.hasServer)
 			g.fleet.crashes.expire(monotime.Now())
 			g.reloadSettings()
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilrudder/internal/descriptors"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
 	"basilrudder/internal/relay"
@@ -29,9 +30,9 @@
 
 // newTunnelServer returns the server of tunnels for peers, on a machine with so many
 // thousandths of a core and a link of so many bytes a second; 0 for unknown.
-func (c *connector) newTunnelServer(capacity, linkRate int) *tunnel.Server {
+func (c *connector) newTunnelServer(capacity, linkRate int, budget *descriptors.Budget) *tunnel.Server {
 	return &tunnel.Server{
-		Self: c.tunnels.Self, Secret: c.tunnels.Secret, Connect: c.serveTunnel, Log: c.log,
+		Self: c.tunnels.Self, Secret: c.tunnels.Secret, Connect: c.serveTunnel, Descriptors: budget, Log: c.log,
 		MaxOpen: max(minTunnels, capacity), MaxRate: int(tunnelShare * float64(linkRate)),
 	}
 }
--- a/internal/overlay/feed.go
+++ b/internal/overlay/feed.go
@@ -99,6 +99,9 @@
 	out.Origin, out.Direct = origin.ID, origin == m
 	out.Changed = n.mergeMembers(update.Members, now)
 	out.Changed = n.mergeLeaving(origin, update) || out.Changed
+	if update.FullMS > 0 {
+		origin.fullUntil = now.Add(min(milliseconds(update.FullMS), maxFull))
+	}
 	if !origin.linked {
 		// An origin with a link sends its neighbours over that link; relayed ones may be
 		// older.
@@ -133,6 +136,9 @@
 	return true
 }
 
+// maxFull bounds for how long an instance counts as full without a further sign of it.
+const maxFull = 10 * time.Second
+
 func (n *Node) mergeLeaving(m *member, update *wire.RelayNews) (changed bool) {
 	changed = update.Leaving && !m.leaving
 	m.leaving = m.leaving || update.Leaving
--- a/internal/overlay/flush.go
+++ b/internal/overlay/flush.go
@@ -96,7 +96,7 @@
 	n.out.newPeers = nil
 	own.Neighbours = n.linksDue(now)
 	if len(own.Begun)+len(own.First)+len(own.Ended)+len(own.Paces)+len(own.Servers)+len(own.Evacuations)+len(own.Caches)+len(own.Evidence)+len(own.Crashes)+len(own.Falls)+
-		len(own.Streams)+len(own.Members)+len(own.Neighbours) == 0 && !own.Leaving {
+		len(own.Streams)+len(own.Members)+len(own.Neighbours) == 0 && !own.Leaving && own.FullMS == 0 {
 		return false
 	}
 	n.out.lastNumber++
--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -93,6 +93,8 @@
 	wire.RelayMember
 	linked  bool
 	leaving bool
+	// fullUntil is until when it should get no new callers; 0 for no such time.
+	fullUntil monotime.Instant
 	// reachable is set if a path over recorded links leads to the member.
 	reachable bool
 	// hub is as of the last Refresh. It is kept when the member is lost.
@@ -240,6 +242,14 @@
 	return out
 }
 
+// TakingCallers returns those of Staying that should get new callers.
+func (n *Node) TakingCallers(now monotime.Instant) []wire.RelayMember {
+	return slices.DeleteFunc(n.Staying(), func(m wire.RelayMember) bool {
+		until := n.members[m.ID].fullUntil
+		return until != 0 && now < until
+	})
+}
+
 // Stays reports whether a process is reachable and not leaving.
 func (n *Node) Stays(id, incarnation string) bool {
 	m := n.members[id]
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -19,6 +19,9 @@
 	if err != nil {
 		return fail(http.StatusBadRequest, verdict.ReasonBadRequest, err)
 	}
+	if f.relay.cfg.Refuses(f.hr.Context()) {
+		return unavailable(verdict.ReasonOverloaded, retryElsewhere)
+	}
 	f.table = f.relay.cfg.Fleet.Table()
 	if f.table == nil {
 		return unavailable(verdict.ReasonNotReady, retryNotReady)
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -219,7 +219,7 @@
 func (f *forwarder) beginAnswer(resp *http.Response) {
 	copyAnswer(f.w.Header(), resp.Header)
 	f.setFraming(f.received.framing)
-	f.closeDuringDrain()
+	f.closeIfUnwanted()
 	f.status = resp.StatusCode
 	f.firstByte = monotime.Now()
 	f.worst = verdict.Ran
--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"net"
 	"net/http"
 
 	"go.uber.org/zap"
@@ -77,7 +76,7 @@
 		f.relay.cfg.Log.Warn("caller_not_reset", zap.String("id", f.request.ID), eventlog.Cause(err))
 		return
 	}
-	if socket, ok := c.(*net.TCPConn); ok {
+	if socket, ok := c.(interface{ SetLinger(int) error }); ok {
 		// After an error the connection is already closed.
 		_ = socket.SetLinger(0)
 	}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilrudder/internal/descriptors"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
 	"basilrudder/internal/placement"
@@ -73,7 +74,8 @@
 
 // pool keeps the open connections to servers, by incarnation.
 type pool struct {
-	connector Connector
+	connector   Connector
+	descriptors *descriptors.Budget
 	// open holds, as a monotime.Instant by server, until when a direct idle connection to
 	// it can be used. It is changed under mu and read without it.
 	open sync.Map
@@ -83,8 +85,8 @@
 	count map[string]int // open connections, in use or idle
 }
 
-func newPool(connector Connector) *pool {
-	return &pool{connector: connector, idle: make(map[string][]*conn), count: make(map[string]int)}
+func newPool(connector Connector, budget *descriptors.Budget) *pool {
+	return &pool{connector: connector, descriptors: budget, idle: make(map[string][]*conn), count: make(map[string]int)}
 }
 
 // get returns a connection to the server for a request, preferably an idle one that still
@@ -144,13 +146,42 @@
 	if target.MaxConns > 0 && p.count[target.ID] >= target.MaxConns {
 		return false
 	}
+	if !p.descriptors.Take(descriptors.Servers, 1) && !p.takeFromIdle() {
+		return false
+	}
 	p.count[target.ID]++
 	return true
 }
 
+// takeFromIdle takes the descriptor of the connection that has been idle for longest. It
+// reports false if none is idle; mu is held.
+func (p *pool) takeFromIdle() bool {
+	var oldest *conn
+	for _, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].received < oldest.received) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	server := oldest.target.ID
+	p.idle[server] = slices.Delete(p.idle[server], 0, 1)
+	p.updateOpen(server)
+	p.close(oldest)
+	p.uncount(server)
+	return true
+}
+
 func (p *pool) release(server string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.uncount(server)
+	p.descriptors.Release(descriptors.Servers, 1)
+}
+
+// uncount counts one connection to a server less; mu is held.
+func (p *pool) uncount(server string) {
 	p.count[server]--
 	if p.count[server] <= 0 {
 		delete(p.count, server)
@@ -206,12 +237,16 @@
 
 // discard closes a connection, idle or in use.
 func (p *pool) discard(c *conn) {
+	p.close(c)
+	p.release(c.target.ID)
+}
+
+func (p *pool) close(c *conn) {
 	// An error means that it was closed already.
 	_ = c.Close()
 	if c.via != nil {
 		p.connector.Closed(c.via)
 	}
-	p.release(c.target.ID)
 }
 
 // sweep closes idle connections that reached their timeout or whose server is not needed
--- a/internal/relay/pool_bench_test.go
+++ b/internal/relay/pool_bench_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"testing"
 
+	"basilrudder/internal/descriptors"
 	"basilrudder/internal/placement"
 )
 
@@ -63,7 +64,7 @@
 	address, accepted := acceptOnLoopback(b)
 	const connections = 300
 	for b.Loop() {
-		p := newPool(directConnector{dialTo(address)})
+		p := newPool(directConnector{dialTo(address)}, descriptors.Unlimited())
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
--- a/internal/relay/pool_test.go
+++ b/internal/relay/pool_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilrudder/internal/descriptors"
 	"basilrudder/internal/placement"
 )
 
@@ -26,7 +27,7 @@
 		defer mu.Unlock()
 		ends[address] = append(ends[address], far)
 		return near, nil
-	}})
+	}}, descriptors.Unlimited())
 	closeServer = func(id string) {
 		mu.Lock()
 		defer mu.Unlock()
@@ -98,6 +99,38 @@
 	})
 }
 
+// Guards against requests that fail since idle connections to other servers take all
+// descriptors, and against descriptors that are not returned.
+func TestIdleConnectionsMakeRoomForRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := pipePool(t)
+		p.descriptors = descriptors.New(128)
+		free := p.descriptors.Free(descriptors.Servers)
+		var open []*conn
+		for n := range free {
+			open = append(open, getConn(t, p, targetFor(fmt.Sprint("s", n%8))))
+			time.Sleep(time.Millisecond)
+		}
+		if _, err := p.get(t.Context(), targetFor("s8"), &placement.Work{}); !errors.Is(err, errPoolFull) {
+			t.Errorf("one more than %d: %v", free, err)
+		}
+		for _, c := range open {
+			p.putIdle(c, "")
+			time.Sleep(time.Millisecond)
+		}
+		p.discard(getConn(t, p, targetFor("s8")))
+		for n, c := range open {
+			if closed := c.SetDeadline(time.Time{}) != nil; closed != (n == 0) {
+				t.Errorf("connection %d of %d closed: %v", n, free, closed)
+			}
+		}
+		p.sweep(func(string) bool { return false })
+		if got := p.descriptors.Free(descriptors.Servers); got != free {
+			t.Errorf("%d of %d are free again", got, free)
+		}
+	})
+}
+
 // Guards against idle connections that are kept for longer than the server announces or, if
 // there are several, for longer than the usual time.
 func TestOneIdleConnectionIsKeptAsAnnounced(t *testing.T) {
@@ -181,7 +214,7 @@
 // connection.
 func TestAClosedIdleConnectionCostsANewOne(t *testing.T) {
 	address, accepted := acceptOnLoopback(t)
-	p := newPool(directConnector{dialTo(address)})
+	p := newPool(directConnector{dialTo(address)}, descriptors.Unlimited())
 	target := targetFor("s1")
 	first := getConn(t, p, target)
 	p.putIdle(first, "")
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -42,7 +42,7 @@
 		h.Set("Retry-After", strconv.FormatFloat(p.retryAfter.Seconds(), 'f', -1, 64))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	f.closeDuringDrain()
+	f.closeIfUnwanted()
 	f.w.WriteHeader(p.status)
 	// The caller may have hung up; the log line has the answer either way.
 	_, _ = f.w.Write([]byte(string(p.reason) + "\n"))
@@ -65,9 +65,10 @@
 	return fmt.Sprintf("%d slots are free and about %d requests are already on their way to them", c.Free, c.Unreported)
 }
 
-// closeDuringDrain asks callers, during a drain, to use other connections.
-func (f *forwarder) closeDuringDrain() {
-	if _, draining := f.relay.draining(f.arrived); draining {
+// closeIfUnwanted asks callers to use other connections, during a drain or if there is no
+// descriptor for this one.
+func (f *forwarder) closeIfUnwanted() {
+	if _, draining := f.relay.draining(f.arrived); draining || f.relay.cfg.Refuses(f.hr.Context()) {
 		f.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"basilrudder/internal/descriptors"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
 )
@@ -27,6 +28,12 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Connector opens the connections to servers; nil means direct ones by Dial.
 	Connector Connector
+	// Descriptors are shared with the connections to servers; nil means that they are not
+	// limited.
+	Descriptors *descriptors.Budget
+	// Refuses reports whether requests of a connection are refused, since the instance has
+	// no descriptors for it; nil means never.
+	Refuses func(ctx context.Context) bool
 	// DrainTime is how long the process may run after the drain began.
 	DrainTime time.Duration
 }
@@ -67,13 +74,19 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = NewMetrics()
 	}
+	if cfg.Descriptors == nil {
+		cfg.Descriptors = descriptors.Unlimited()
+	}
+	if cfg.Refuses == nil {
+		cfg.Refuses = func(context.Context) bool { return false }
+	}
 	if cfg.Dial == nil {
 		cfg.Dial = netconn.Dial
 	}
 	if cfg.Connector == nil {
 		cfg.Connector = directConnector{cfg.Dial}
 	}
-	return &Relay{cfg: cfg, pool: newPool(cfg.Connector), probes: probes{recent: make(map[string]*probe)}}
+	return &Relay{cfg: cfg, pool: newPool(cfg.Connector, cfg.Descriptors), probes: probes{recent: make(map[string]*probe)}}
 }
 
 // Drain starts draining: answers ask callers to connect elsewhere, and requests that may
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"basilrudder/internal/descriptors"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/routing"
 )
@@ -444,7 +445,7 @@
 			near, far := net.Pipe()
 			t.Cleanup(func() { far.Close() })
 			return near, nil
-		}})
+		}}, descriptors.Unlimited())
 		target := Target{MaxConns: 2}
 		target.ID = "s"
 		var open []*conn
--- a/internal/schema/relaysettings/relaysettings.gen.go
+++ b/internal/schema/relaysettings/relaysettings.gen.go
@@ -19,6 +19,10 @@
 	// Data centre the instance stands in.
 	DataCentre string `json:"data_centre"`
 
+	// Number of file descriptors that the instance may open. 0 for the limit of the
+	// process.
+	Descriptors int `json:"descriptors,omitempty,omitzero"`
+
 	// Name of the instance, unique in the fleet.
 	ID string `json:"id"`
 
--- a/internal/schema/wire/wire.gen.go
+++ b/internal/schema/wire/wire.gen.go
@@ -557,6 +557,10 @@
 	// Ends of brittle servers that refused requests before.
 	Falls []RelayFall `json:"fl,omitempty,omitzero"`
 
+	// Milliseconds for which the sender should get no new callers, because few
+	// descriptors are left there.
+	FullMS int `json:"fu,omitempty,omitzero"`
+
 	// Incarnations that the origin has links to.
 	Neighbours []string `json:"g,omitempty,omitzero"`
 
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"basilrudder/internal/descriptors"
 	"basilrudder/internal/eventlog"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
@@ -41,6 +42,8 @@
 	// MaxRate bounds the bytes a second passed on in all tunnels, in one direction: beyond
 	// it no further tunnel is opened. 0 for no bound.
 	MaxRate int
+	// Descriptors are shared with the tunnels.
+	Descriptors *descriptors.Budget
 	// Log receives a line for each tunnel.
 	Log *zap.Logger
 
@@ -65,15 +68,14 @@
 		s.refuse(request, from.ID, server, id, ErrUnauthenticated)
 		return
 	}
-	if int(s.open.Add(1)) > s.MaxOpen || s.MaxRate > 0 && s.rate.perSecond(monotime.Now()) > s.MaxRate {
-		s.open.Add(-1)
+	if !s.reserve() {
 		s.refuse(request, from.ID, server, id, ErrBusy)
 		return
 	}
 	begun := monotime.Now()
 	upstream, err := s.Connect(ctx, server)
 	if err != nil {
-		s.open.Add(-1)
+		s.release()
 		s.refuse(request, from.ID, server, id, err)
 		return
 	}
@@ -84,7 +86,7 @@
 	request.Response.Header.Set("Connection", "Upgrade")
 	request.Response.Header.Set("Upgrade", upgradeProtocol)
 	request.Hijack(func(near net.Conn) {
-		defer s.open.Add(-1)
+		defer s.release()
 		p := &passage{near: near, upstream: upstream, rate: &s.rate}
 		err := p.run()
 		s.Log.Info("tunnel_closed", zap.String("tunnel", id), zap.String("for", from.ID), zap.String("server", server),
@@ -93,6 +95,24 @@
 	})
 }
 
+// descriptorsPerTunnel are the connections to the server and to the instance that asked.
+const descriptorsPerTunnel = 2
+
+// reserve counts a further tunnel as open, unless that exceeds a bound.
+func (s *Server) reserve() bool {
+	if int(s.open.Add(1)) > s.MaxOpen || s.MaxRate > 0 && s.rate.perSecond(monotime.Now()) > s.MaxRate ||
+		!s.Descriptors.Take(descriptors.Tunnels, descriptorsPerTunnel) {
+		s.open.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (s *Server) release() {
+	s.open.Add(-1)
+	s.Descriptors.Release(descriptors.Tunnels, descriptorsPerTunnel)
+}
+
 func (s *Server) refuse(request *fasthttp.RequestCtx, from, server, id string, err error) {
 	s.Log.Info("tunnel_refused", zap.String("tunnel", id), zap.String("for", from), zap.String("server", server), eventlog.Cause(err))
 	request.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"basilrudder/internal/descriptors"
 	"basilrudder/internal/netconn"
 	"basilrudder/internal/standin/faultnet"
 )
@@ -60,7 +61,7 @@
 		}
 	}()
 	p.server = &Server{
-		Self: peer, Secret: secret, MaxOpen: 2, Log: zap.NewNop(),
+		Self: peer, Secret: secret, MaxOpen: 2, Descriptors: descriptors.Unlimited(), Log: zap.NewNop(),
 		Connect: func(ctx context.Context, server string) (net.Conn, error) {
 			if server != "s1" {
 				return nil, ErrUnknownServer
