Gateway: a descriptor is returned once

Callers: none yet; an instance would count more free descriptors than it has and run out of them.

Cause: a connection that the HTTP server closes while it is closed to make room was released by both.

Change: whoever marks the connection as closed releases it.

--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -97,6 +97,15 @@
 	return nil, errors.New("gateway: no socket")
 }
 
+// CloseWrite ends what is sent. The HTTP server does so to let a caller who still sends read
+// the answer.
+func (c *callerConn) CloseWrite() error {
+	if socket, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return socket.CloseWrite()
+	}
+	return nil
+}
+
 // SetLinger sets what Close does with bytes that were not sent yet.
 func (c *callerConn) SetLinger(seconds int) error {
 	if socket, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
@@ -185,11 +194,10 @@
 		conn := e.Value.(*callerConn)
 		c.idle.Remove(e)
 		conn.element = nil
-		if !conn.use.CompareAndSwap(int32(connIdle), int32(connEvicted)) {
+		if !conn.use.CompareAndSwap(int32(connIdle), int32(connEvicted)) || conn.closed.Swap(true) {
 			continue
 		}
 		c.closedIdle.Add(1)
-		conn.closed.Store(true)
 		c.uncount(conn)
 		_ = conn.Conn.Close()
 		return true
--- a/internal/gateway/callerconns_test.go
+++ b/internal/gateway/callerconns_test.go
@@ -142,12 +142,13 @@
 // Guards against requests that began and whose connection is closed for another's.
 func TestNoRequestThatBeganLosesItsConnection(t *testing.T) {
 	var begun, answered, closed atomic.Int64
-	_, address := callerServerWith(t, 200, func(*callerConns) http.Handler {
+	c, address := callerServerWith(t, 200, func(*callerConns) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			begun.Add(1)
 			_, _ = io.WriteString(w, "ok")
 		})
 	})
+	free := c.budget.Free(descriptors.Callers)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	var callers sync.WaitGroup
@@ -180,6 +181,10 @@
 	if begun.Load() != answered.Load() || closed.Load() == 0 {
 		t.Errorf("%d requests began, %d were answered, %d connections closed", begun.Load(), answered.Load(), closed.Load())
 	}
+	waitFor(t, "closed connections", func() bool { return c.budget.Used()[descriptors.Callers.String()] <= 0 })
+	if got := c.budget.Free(descriptors.Callers); got != free {
+		t.Errorf("%d of %d descriptors are free again", got, free)
+	}
 }
 
 func waitFor(t *testing.T, what string, reached func() bool) {
