Relay: a caller who still sends reads the refusal

Callers: of uploads that were refused most ended with a closed connection in place of the 503 and its time to come back.

Cause: the HTTP server closes the connection of a request whose long body was not read, half a second after the answer. Callers who first send all of it then get a reset.

Change: the answer is sent at once, then the rest of the body is read for 5 s and 16 MB at most, and nothing of it is kept. Callers who wait for a go-ahead send none and are answered as before.

--- a/internal/relay/held_test.go
+++ b/internal/relay/held_test.go
@@ -1,11 +1,15 @@
 package relay
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
+	"time"
 )
 
 // Guards against an instance that runs out of memory because bodies on their way don't count as held.
@@ -53,3 +57,36 @@
 		})
 	}
 }
+
+// Guards against callers whose connection is reset while they send a body that was refused,
+// so that they never read the refusal.
+func TestACallerWhoStillSendsReadsTheRefusal(t *testing.T) {
+	front := httptest.NewServer(New(Config{Fleet: &fakeFleet{}, Protocol: plainProtocol{}}))
+	defer front.Close()
+	c, err := net.Dial("tcp", front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for n := range 2 {
+		const chunks, size = 8, 512 << 10
+		_, err = fmt.Fprintf(c, "POST /once/ HTTP/1.1\r\nHost: x\r\nX-Id: r\r\nContent-Length: %d\r\n\r\n", chunks*size)
+		for range chunks {
+			if _, err = c.Write(make([]byte, size)); err != nil {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if err != nil {
+			t.Fatalf("request %d: %v while sending", n, err)
+		}
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", n, err)
+		}
+		if _, _ = io.Copy(io.Discard, answer.Body); answer.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("request %d: status %d", n, answer.StatusCode)
+		}
+	}
+}
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -43,9 +44,33 @@
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	f.closeIfUnwanted()
+	control := http.NewResponseController(f.w)
+	// Without full duplex the server closes the connection of a caller who still sends a long
+	// body. One who waits for a go-ahead sends none.
+	sending := f.body == nil && f.hr.ContentLength != 0 && f.hr.Header.Get("Expect") == "" && control.EnableFullDuplex() == nil
 	f.w.WriteHeader(p.status)
 	// The caller may have hung up; the log line has the answer either way.
 	_, _ = f.w.Write([]byte(string(p.reason) + "\n"))
+	if sending {
+		f.discardBody(control)
+	}
+}
+
+const (
+	// maxDiscardTime and maxDiscard bound what is read of the body of a refused request.
+	maxDiscardTime = 5 * time.Second
+	maxDiscard     = 16 << 20
+)
+
+// discardBody reads the rest of a refused request's body. Many callers read the answer only
+// once they have sent all, and closing the connection meanwhile would reset it.
+func (f *forwarder) discardBody(control *http.ResponseController) {
+	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(maxDiscardTime)) != nil {
+		return
+	}
+	// What is not read ends with the connection.
+	_, _ = io.CopyN(io.Discard, f.hr.Body, maxDiscard)
+	_ = control.SetReadDeadline(time.Time{})
 }
 
 // overloadMessage explains why no server could take a request.
