Relay: large bodies leave room for small ones

Callers: while some callers upload large bodies, small requests of others got 503.

Cause: a few large bodies fill the memory for bodies to the last byte (twelve of 4 MiB are 48 MiB), and every other body was refused meanwhile.

Change: an eighth is kept for bodies of up to 64 KiB.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -161,7 +161,11 @@
 // holdBody counts bytes of the request's body as held, and reports false if the instance
 // holds too many.
 func (f *forwarder) holdBody(n int64) bool {
-	if f.relay.bodyBytes.Add(n) > maxHeldBodies {
+	limit := int64(maxHeldBodies)
+	if f.heldBody+n > smallBody {
+		limit -= smallBodyReserve
+	}
+	if f.relay.bodyBytes.Add(n) > limit {
 		f.relay.bodyBytes.Add(-n)
 		return false
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,6 +57,9 @@
 	// of the memory of the smallest instance (184 MB). Beyond it requests are refused,
 	// before the instance runs out of memory.
 	maxHeldBodies = 48 << 20
+	// smallBodyReserve is the part of it that only bodies of up to smallBody bytes may use.
+	smallBodyReserve = maxHeldBodies / 8
+	smallBody        = 64 << 10
 	// drainStreamWindow is how long after the start of a drain streams are still
 	// accepted. They last up to about 5 s and the process is killed 8 s after the signal;
 	// with a longer window the last of them would be cut off.
