Collector: the heap grows by less

Change: the factor of the square root is 1 in place of 1.9, and the heap grows by three quarters at least.

--- a/internal/gcpace/gcpace.go
+++ b/internal/gcpace/gcpace.go
@@ -17,12 +17,12 @@
 
 const (
 	// maxPercent and minPercent bound the growth relative to what the heap holds.
-	maxPercent, minPercent = 300, 50
+	maxPercent, minPercent = 300, 75
 	// startPercent applies until the rate of allocation is known.
 	startPercent = 100
-	// factor of the square root, in seconds to the power of a half: with 4 MB held and 10 MB
-	// allocated a second, the heap grows by 12 MB.
-	factor = 1.9
+	// factor of the square root, in seconds to the power of a half: with 4 MB held and 9 MB
+	// allocated a second, the heap grows by 6 MB.
+	factor = 1
 	// rateWindow is the time constant of the rate of allocation.
 	rateWindow = 5 * time.Second
 	// minChange is the least change of the percentage that is applied: each change stops all
