Test of refused callers waits until those before are gone

Cause: it opened 32 silent connections while the server had not yet closed some whose requests it had refused, which still counted; so fewer than 32 of the new ones were kept. The product counts right.

What is checked is the same.

--- a/internal/gateway/callerconns_test.go
+++ b/internal/gateway/callerconns_test.go
@@ -125,10 +125,16 @@
 			t.Fatalf("%d, %v", status, err)
 		}
 	}
+	refusable := func() int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.refusable
+	}
+	waitFor(t, "refused callers", func() bool { return refusable() == 0 })
 	for range refusableConns {
 		dialCaller(t, address)
 	}
-	waitFor(t, "silent callers", func() bool { c.mu.Lock(); defer c.mu.Unlock(); return c.refusable == refusableConns })
+	waitFor(t, "silent callers", func() bool { return refusable() == refusableConns })
 	if status, err := dialCaller(t, address).ask(); err == nil {
 		t.Errorf("%d for a caller that can't be refused", status)
 	}
