Logs and metrics name answers without a marked end

Cause: of an answer that ends with its connection nothing told who ended it.

Change: unmarked_answer_begun is logged as such an answer begins, so that the ones open at a kill are named; request_ended holds how the server's answer and the caller's ended (server_end, caller_framing, caller_end); drained counts what the end of a drain breaks off; the metrics count unmarked answers by begin and end. One line more for each unmarked answer, none for others.

--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -28,6 +28,8 @@
 	for range ticker.C {
 		lasted := monotime.Now().Sub(began)
 		if lasted >= maxDrain || lasted >= minDrain && g.relay.InFlight()+g.tunnels.Open() == 0 {
+			g.cfg.Log.Info("drained", zap.Duration("lasted_ms", lasted), zap.Int64("broken_off", g.relay.InFlight()),
+				zap.Int64("unmarked", g.relay.Unmarked()), zap.Int64("tunnels", g.tunnels.Open()))
 			return
 		}
 	}
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -181,6 +181,7 @@
 	}
 	f.beginAnswer(e.resp)
 	whole := len(body) < maxBufferedAnswer
+	f.received.ended = whole
 	if whole {
 		f.reportSurvived(e, begunAt)
 		f.checkUnmarkedEnd(e, begunAt)
@@ -190,7 +191,7 @@
 			f.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		}
 	}
-	f.w.WriteHeader(e.resp.StatusCode)
+	f.sendHead(e.resp.StatusCode)
 	if _, err := f.w.Write(body); err != nil {
 		e.abandon()
 		return f.callerGone(err)
@@ -210,6 +211,7 @@
 		e.abandon()
 		return verdict.Wrap(verdict.Ran, verdict.ReasonUpstreamLost, err)
 	}
+	f.received.ended = true
 	f.reportSurvived(e, begunAt)
 	e.finish()
 	return nil
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -66,7 +66,9 @@
 	stream delivery
 
 	// framing of the answer to the caller; empty before it has begun.
-	framing   framing
+	framing framing
+	// aborted means that the answer was broken off.
+	aborted   bool
 	status    int
 	reason    verdict.Reason
 	cause     error
--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -41,6 +41,8 @@
 	bytes   int64
 	// eventOpen means that an event of a stream has arrived in part.
 	eventOpen bool
+	// ended means that the answer has ended as its framing allows.
+	ended bool
 }
 
 func (r received) fields() []zap.Field {
@@ -51,9 +53,60 @@
 		zap.String("framing", string(r.framing)),
 		zap.Int64("body_bytes", r.bytes),
 		zap.Bool("event_open", r.eventOpen),
+		zap.String("server_end", string(r.end())),
 	}
 }
 
+// answerEnd is how an answer ended, from a server or to a caller.
+type answerEnd string
+
+const (
+	endMarked answerEnd = "marked"
+	// endByClose is the ordinary close of the connection that ends an answer.
+	endByClose answerEnd = "closed"
+	endByReset answerEnd = "reset"
+	// endCut is an end before the one that the framing marks.
+	endCut answerEnd = "cut"
+)
+
+func (r received) end() answerEnd {
+	switch {
+	case !r.ended:
+		return endCut
+	case r.framing == framingClose:
+		return endByClose
+	default:
+		return endMarked
+	}
+}
+
+// callerEnd returns how the answer to the caller ended; empty if none of a server had begun.
+func (f *forwarder) callerEnd() answerEnd {
+	switch {
+	case f.framing == "":
+		return ""
+	case f.aborted && f.framing == framingClose:
+		return endByReset
+	case f.aborted:
+		return endCut
+	case f.framing == framingClose:
+		return endByClose
+	default:
+		return endMarked
+	}
+}
+
+// sendHead sends the head of an answer once its framing is decided. Of an answer without a
+// marked end a line is logged before its end, since a killed process logs none.
+func (f *forwarder) sendHead(status int) {
+	if f.framing == framingClose {
+		f.relay.cfg.Metrics.unmarked.Add(unmarkedBegun, 1)
+		f.relay.cfg.Log.Info("unmarked_answer_begun", zap.String("id", f.request.ID), zap.String("server", f.target.ID),
+			zap.String("framing", string(f.received.framing)), zap.String("protocol", f.hr.Proto))
+	}
+	f.w.WriteHeader(status)
+}
+
 // setFraming gives the caller's answer no clearer an end than the server's has: an answer
 // that ends with the server's connection ends with the caller's.
 func (f *forwarder) setFraming(server framing) {
@@ -66,6 +119,9 @@
 	if !f.hr.ProtoAtLeast(1, 1) {
 		f.framing = framingClose
 	}
+	if server == framingNone {
+		f.framing = framingNone
+	}
 }
 
 // resetCaller breaks off an answer that ends with its connection by resetting that: if it
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,6 +26,7 @@
 type Metrics struct {
 	inFlight  expvar.Int
 	answers   expvar.Map // by status; "cut" for aborted answers without a status
+	unmarked  expvar.Map // answers to callers whose end is that of their connection
 	reasons   expvar.Map
 	sends     expvar.Map // failed sends by reason
 	opened    expvar.Map // connections opened for requests, by service
@@ -35,10 +36,21 @@
 	gaps      histogram
 }
 
+// Counts of answers that end with their connection.
+const (
+	unmarkedBegun  = "begun"
+	unmarkedClosed = string(endByClose)
+	unmarkedReset  = string(endByReset)
+)
+
 // NewMetrics returns Metrics with all counts zero.
 func NewMetrics() *Metrics {
 	m := &Metrics{}
 	m.answers.Init()
+	m.unmarked.Init()
+	for _, name := range []string{unmarkedBegun, unmarkedClosed, unmarkedReset} {
+		m.unmarked.Add(name, 0)
+	}
 	m.reasons.Init()
 	m.sends.Init()
 	m.opened.Init()
@@ -54,6 +66,7 @@
 	vars := new(expvar.Map).Init()
 	vars.Set("in_flight", &m.inFlight)
 	vars.Set("answers", &m.answers)
+	vars.Set("unmarked_answers", &m.unmarked)
 	vars.Set("reasons", &m.reasons)
 	vars.Set("failed_sends", &m.sends)
 	vars.Set("connections_opened", &m.opened)
@@ -77,12 +90,25 @@
 	m.opened.Add(service, 1)
 }
 
+// unmarkedOpen returns the number of answers in progress that end with their connection.
+func (m *Metrics) unmarkedOpen() int64 {
+	ended := m.unmarkedCount(unmarkedClosed) + m.unmarkedCount(unmarkedReset)
+	return max(m.unmarkedCount(unmarkedBegun)-ended, 0)
+}
+
+func (m *Metrics) unmarkedCount(name string) int64 {
+	return m.unmarked.Get(name).(*expvar.Int).Value()
+}
+
 func (m *Metrics) ended(f *forwarder, now monotime.Instant) {
 	status := "cut"
 	if f.status != 0 {
 		status = strconv.Itoa(f.status)
 	}
 	m.answers.Add(status, 1)
+	if f.framing == framingClose {
+		m.unmarked.Add(string(f.callerEnd()), 1)
+	}
 	if f.reason != "" {
 		m.reasons.Add(string(f.reason), 1)
 	}
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -57,6 +57,9 @@
 		fields = append(fields, zap.Duration("first_ms", f.firstByte.Sub(f.arrived)))
 	}
 	fields = append(fields, f.received.fields()...)
+	if f.framing != "" {
+		fields = append(fields, zap.String("caller_framing", string(f.framing)), zap.String("caller_end", string(f.callerEnd())))
+	}
 	fields = append(fields, f.choiceFields()...)
 	if f.stream.longestGap > 0 {
 		fields = append(fields,
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -143,7 +143,7 @@
 // connection closes before the length or the last chunk is reached, or is reset where its
 // end is that of the answer.
 func (f *forwarder) abort(problem *verdict.Error) {
-	f.reason, f.cause = problem.Reason, problem
+	f.reason, f.cause, f.aborted = problem.Reason, problem, true
 	if f.framing == framingClose {
 		f.resetCaller()
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -119,6 +119,9 @@
 	return r.cfg.Metrics.inFlight.Value()
 }
 
+// Unmarked returns the number of answers in progress that end with their connection.
+func (r *Relay) Unmarked() int64 { return r.cfg.Metrics.unmarkedOpen() }
+
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	r.cfg.Metrics.inFlight.Add(1)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -191,7 +191,7 @@
 func (f *forwarder) startStream(e *exchange) {
 	f.stream.started = true
 	f.beginAnswer(e.resp)
-	f.w.WriteHeader(e.resp.StatusCode)
+	f.sendHead(e.resp.StatusCode)
 }
 
 // completeEvents returns the events that are complete with the first closed bytes of data,
@@ -219,6 +219,7 @@
 
 // endStream ends the caller's stream after the server ended its own between two events.
 func (f *forwarder) endStream(e *exchange, run int) *verdict.Error {
+	f.received.ended = true
 	f.relay.cfg.Fleet.Completed(run, monotime.Now())
 	f.reportSurvived(e, f.firstEventAt)
 	f.checkUnmarkedEnd(e, f.firstEventAt)
