Relay: a reset before an answer's first bytes is no end

What callers saw: a server that sent the head of an answer without a length and was then reset got its caller a 200 with an empty body that ends in the ordinary way, on routes that may be resumed: plain answers, and events for a caller that takes a stream up again. It counted as served by its server.

Cause: a socket reports a reset once; the next read of it returns an ordinary end. The wait for the first bytes reads ahead by Peek and left the error to "the next read", which got the end instead. An end that costs no effort was taken for the server's.

Change: LimitedReader, through which all bytes of a server's connection pass, keeps each error that is no timeout and returns it from then on.

--- a/internal/netconn/limit.go
+++ b/internal/netconn/limit.go
@@ -11,10 +11,14 @@
 
 // LimitedReader reads from R, while a limit is set only up to it. It bounds what a parser
 // buffers, whatever the other side sends.
+//
+// An error of R other than a timeout is final: a socket reports a reset once, and an ordinary
+// end from then on.
 type LimitedReader struct {
 	R       io.Reader
 	limited bool
 	left    int64 // bytes
+	failed  error // of R
 }
 
 // SetLimit allows reading n bytes from now on.
@@ -35,16 +39,27 @@
 // Read implements io.Reader.
 func (l *LimitedReader) Read(p []byte) (int, error) {
 	if !l.limited {
-		return l.R.Read(p)
+		return l.read(p)
 	}
 	if l.left <= 0 {
 		return 0, ErrTooLong
 	}
-	n, err := l.R.Read(p[:min(int64(len(p)), l.left)])
+	n, err := l.read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
 	return n, err
 }
 
+func (l *LimitedReader) read(p []byte) (int, error) {
+	if l.failed != nil {
+		return 0, l.failed
+	}
+	n, err := l.R.Read(p)
+	if err != nil && !IsTimeout(err) {
+		l.failed = err
+	}
+	return n, err
+}
+
 // Discard reads r to its end. It returns ErrTooLong if that is more than limit bytes away.
 func Discard(r io.Reader, limit int64) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(r, limit+1))
--- a/internal/relay/truncated_test.go
+++ b/internal/relay/truncated_test.go
@@ -46,6 +46,11 @@
 
 // call sends a request over a connection of its own and returns what its caller sees.
 func (b *rig) call(version, method, path string) seen {
+	return b.callBody(version, method, path, "", "x")
+}
+
+// callBody is call with header lines and a body.
+func (b *rig) callBody(version, method, path, headers, body string) seen {
 	b.t.Helper()
 	c, far := tcpPair(b.t)
 	defer c.Close()
@@ -54,13 +59,13 @@
 	front := &http.Server{Handler: b.relay}
 	b.running.Go(func() { _ = front.Serve(newOneConn(far)) })
 	defer front.Close()
-	fmt.Fprintf(c, "%s %s HTTP/%s\r\nHost: h.example\r\nX-Id: r\r\nX-Key: key\r\nContent-Length: 1\r\n\r\nx", method, path, version)
+	fmt.Fprintf(c, "%s %s HTTP/%s\r\nHost: h.example\r\nX-Id: r\r\nX-Key: key\r\n%sContent-Length: %d\r\n\r\n%s", method, path, version, headers, len(body), body)
 	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
 	if err != nil {
 		return seen{broken: true}
 	}
-	body, err := io.ReadAll(resp.Body)
-	return seen{resp.StatusCode, framingOf(resp), string(body), err != nil}
+	received, err := io.ReadAll(resp.Body)
+	return seen{resp.StatusCode, framingOf(resp), string(received), err != nil}
 }
 
 // Guards against broken-off answers that look complete, and whole ones that arrive in part.
