Relay: a reset that the writer of a long request gets is no end

What callers saw: a server that began an answer without a length while a request of more than 32 KB was still being written to it, and was then reset (a process that is killed with unread bytes resets its connections), got its caller a 200 with a part of the answer that ends in the ordinary way.

Cause: such a request is written beside the reading of its answer. A socket reports a reset to one call only. If the writer gets it, the reader gets an ordinary end, and an answer to the close was taken for whole.

Change: before the end of such an answer is believed, the writing is stopped and its result asked for. If it had failed, the end is unexpected. A writer that was merely still busy gets a timeout, so that an orderly early end stays one. Answers with a length or chunks need no such check.

Not measured: whole early answers whose server resets right after an orderly end.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -132,6 +133,9 @@
 			}
 			continue
 		}
+		if e.written != nil && framingOf(resp) == framingClose {
+			resp.Body = &earlyBody{resp.Body, e}
+		}
 		e.resp, e.answer = resp, answer
 		if err := checkAnswer(resp, answer); err != nil {
 			return err
@@ -194,6 +198,33 @@
 	return <-e.written == nil
 }
 
+// writeFailed stops writing a long request and reports whether it had failed before.
+func (e *exchange) writeFailed() bool {
+	if err := e.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return true
+	}
+	err := <-e.written
+	e.written <- err // for requestWritten
+	return err != nil && !netconn.IsTimeout(err)
+}
+
+// earlyBody is the body of an answer that began before its request was written and ends with
+// its connection. A socket reports a reset once. If the writer gets it, reading ends like an
+// answer that is whole.
+type earlyBody struct {
+	io.ReadCloser
+	exchange *exchange
+}
+
+// Read implements io.Reader.
+func (b *earlyBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.exchange.writeFailed() {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // abandon closes the connection; most servers then drop the request.
 func (e *exchange) abandon() {
 	if e.done {
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -230,6 +230,9 @@
 	dials   map[string]int
 	// sockets means that connections to servers are TCP connections, which can be reset.
 	sockets bool
+	// writeBuffer is the size in bytes of their send buffers; 0 for that of the system.
+	writeBuffer int
+
 	mu      sync.Mutex
 	running sync.WaitGroup
 }
@@ -265,6 +268,14 @@
 	near, far := net.Pipe()
 	if b.sockets {
 		near, far = tcpPair(b.t)
+		if b.writeBuffer > 0 {
+			if err := near.(*net.TCPConn).SetWriteBuffer(b.writeBuffer); err != nil {
+				b.t.Error(err)
+			}
+			if err := far.(*net.TCPConn).SetReadBuffer(b.writeBuffer); err != nil {
+				b.t.Error(err)
+			}
+		}
 	}
 	b.running.Go(func() {
 		defer far.Close()
--- a/internal/relay/reset_test.go
+++ b/internal/relay/reset_test.go
@@ -1,6 +1,12 @@
 package relay
 
-import "testing"
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+)
 
 // Guards against a reset before the first bytes of an answer that is taken for its end.
 func TestAResetWhileTheFirstBytesAreAwaitedIsNoEnd(t *testing.T) {
@@ -20,3 +26,27 @@
 		})
 	}
 }
+
+// Guards against a reset that only the writer of a long request learns of, so that the answer looks whole.
+func TestAResetWhileTheRequestIsWrittenIsNoEnd(t *testing.T) {
+	for range 40 {
+		for _, path := range []string{"/once/", "/stream/", "/resumable/"} {
+			head, body := closePlainHead, "{"
+			if path != "/once/" {
+				head, body = closeStreamHead, events(1, 2)
+			}
+			cut := func(t *testing.T, c net.Conn, in *bufio.Reader) {
+				_, _ = in.Peek(64)
+				_, _ = io.WriteString(c, head+body)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			b := newRig(t, allRoutes, map[string][]script{"s1": {cut, replying(), replying()}}, "s1")
+			b.sockets, b.writeBuffer = true, 4<<10
+			got := b.callBody("1.1", "POST", path, "", strings.Repeat("x", 1<<20-1))
+			b.close()
+			if got.status == 200 && !got.broken {
+				t.Errorf("%s: a whole answer: %.60q", path, got.body)
+			}
+		}
+	}
+}
