--- /dev/null
+++ b/internal/relay/reset_test.go
@@ -0,0 +1,52 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+)
+
+// Guards against a reset before the first bytes of an answer that is taken for its end.
+func TestAResetWhileTheFirstBytesAreAwaitedIsNoEnd(t *testing.T) {
+	for name, c := range map[string]struct{ head, headers string }{
+		"plain":               {closePlainHead, ""},
+		"events after a part": {closeStreamHead, "X-Resume: 3\r\nX-First-Try: f\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newRig(t, allRoutes, map[string][]script{"s1": {sendThenReset(c.head), replying(), replying()}}, "s1")
+			b.fleet.origins = map[string]StreamOrigin{"f": {Known: true}}
+			b.sockets = true
+			got := b.callBody("1.1", "POST", "/resumable/", c.headers, "x")
+			b.close()
+			if got.status == 200 && !got.broken || got.status == 503 {
+				t.Errorf("the caller got %v", got)
+			}
+		})
+	}
+}
+
+// Guards against a reset that only the writer of a long request learns of, so that the answer looks whole.
+func TestAResetWhileTheRequestIsWrittenIsNoEnd(t *testing.T) {
+	for range 40 {
+		for _, path := range []string{"/once/", "/stream/", "/resumable/"} {
+			head, body := closePlainHead, "{"
+			if path != "/once/" {
+				head, body = closeStreamHead, events(1, 2)
+			}
+			cut := func(t *testing.T, c net.Conn, in *bufio.Reader) {
+				_, _ = in.Peek(64)
+				_, _ = io.WriteString(c, head+body)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			b := newRig(t, allRoutes, map[string][]script{"s1": {cut, replying(), replying()}}, "s1")
+			b.sockets, b.writeBuffer = true, 4<<10
+			got := b.callBody("1.1", "POST", path, "", strings.Repeat("x", 1<<20-1))
+			b.close()
+			if got.status == 200 && !got.broken {
+				t.Errorf("%s: a whole answer: %.60q", path, got.body)
+			}
+		}
+	}
+}
