Failing test: answers of a killed server look whole

Cause: a server whose process is killed closes its connections with an orderly end (FIN). An answer with neither a length nor chunks ends with its connection, so its caller takes the part that came for the whole.

Change: a test that kills a real server process between two events and in the middle of a plain answer, on each kind of route.

--- /dev/null
+++ b/internal/relay/unmarked_test.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"testing"
+)
+
+// asServer is set in the environment of the processes that run serveParts in place of the
+// tests, to the bytes that they answer with.
+const asServer = "BASILRUDDER_TEST_SERVER_ANSWER"
+
+func TestMain(m *testing.M) {
+	if answer := os.Getenv(asServer); answer != "" {
+		if err := serveParts(answer); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// serveParts prints its address, answers each request in part and prints a line for each; it
+// does not end by itself.
+func serveParts(answer string) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	fmt.Println(listener.Addr())
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		go func() {
+			in := bufio.NewReader(c)
+			for line := "-"; line != "\r\n"; {
+				if line, err = in.ReadString('\n'); err != nil {
+					return
+				}
+			}
+			if _, err := io.WriteString(c, answer); err == nil {
+				fmt.Println("sent")
+			}
+			_, _ = io.Copy(io.Discard, in)
+		}()
+	}
+}
+
+// Guards against part of an answer that looks whole since the kernel closes the connections of a killed server in order.
+func TestAnswersOfAKilledServerDoNotLookWhole(t *testing.T) {
+	part := events(1, 2)
+	for _, c := range []struct {
+		path, head, part string
+		second           script
+		want             seen
+	}{
+		{"/stream/", closeStreamHead, part, nil, seen{status: 200, broken: true}},
+		{"/resumable/", closeStreamHead, part, replying(streamHead + chunk(events(3, 5)) + lastChunk), seen{200, framingClose, events(1, 5), false}},
+		{"/resumable/", closeStreamHead, part, replying(streamHead + lastChunk), seen{200, framingClose, part, false}},
+		{"/resumable/", closeStreamHead, part, nil, seen{status: 200, broken: true}},
+		{"/once/", closePlainHead, "{", nil, seen{502, framingLength, "upstream_lost\n", false}},
+		{"/again/", closePlainHead, "{", replying(answer("r", 200, "", "{}")), seen{200, framingLength, "{}", false}},
+	} {
+		t.Run(c.path, func(t *testing.T) {
+			scripts := map[string][]script{}
+			if c.second != nil {
+				scripts["s2"] = []script{c.second}
+			}
+			b := newRig(t, allRoutes, scripts, "s1", "s2")
+			b.sockets = true
+			server := exec.Command(os.Args[0])
+			server.Env = append(os.Environ(), asServer+"="+c.head+c.part)
+			out, err := server.StdoutPipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := server.Start(); err != nil {
+				t.Fatal(err)
+			}
+			lines := bufio.NewScanner(out)
+			lines.Scan()
+			address := lines.Text()
+			b.relay = New(Config{Fleet: b.fleet, Protocol: plainProtocol{}, Dial: func(ctx context.Context, to string) (net.Conn, error) {
+				if to == "s1" {
+					return new(net.Dialer).DialContext(ctx, "tcp", address)
+				}
+				return b.dial(ctx, to)
+			}})
+			b.running.Go(func() {
+				lines.Scan()
+				_ = server.Process.Kill()
+				_ = server.Wait()
+			})
+			got := b.call("1.1", "POST", c.path)
+			b.close()
+			if c.want.broken {
+				got.framing, got.body = "", ""
+			}
+			if got != c.want {
+				t.Errorf("got %q, want %q", fmt.Sprint(got), fmt.Sprint(c.want))
+			}
+		})
+	}
+}
