Answers of a server that ended with them are no longer taken for whole

Cause: the kernel ends the connections of a killed process in order, and an answer with neither a length nor chunks ends with its connection. The instance took that end for the server's own, so callers got parts of streams and plain answers that looked whole, on each kind of route.

Change: the caller's end is held for 10 ms, then the other direct connections to the server are examined by the state of their sockets. An open one shows that the process lives; the answer is whole. Otherwise one new connection is attempted, shared by all ends of that server and bounded by a budget. A refused one makes the end doubtful: a lost upstream, so a stream that may be resumed goes on at another server, a safe request is sent again, and elsewhere the answer is broken off (502 for a plain one that is still held). An answer that may be the last one of a server that leaves is whole. Without an answer to the probe the end stays whole, as before. The blame of requests for crashes keeps its own, later examination. request_ended and send_failed name the decision and its evidence; unmarked_ends counts them.

Tests changed: scripted servers that are meant to be alive accept the further connection (completed_test.go, two cases of crash_test.go); before, they refused any after their last script, as one that has ended does. Added in the same tables: a stream closed as its server ends isn't completed, and a server that ends just after an answer is still blamed.

--- /dev/null
+++ b/internal/answerend/answerend.go
@@ -0,0 +1,73 @@
+// Package answerend decides whether an answer is whole that ended with its connection, without
+// a mark of its end. A process that is killed ends all its connections and refuses new ones; a
+// whole answer ends one connection.
+package answerend
+
+// Siblings are the other connections to the server of an answer, a short time after its end.
+type Siblings struct {
+	Open, Ended int
+}
+
+// Probe is what an attempt to open a new connection to the server has shown.
+type Probe string
+
+const (
+	// NotProbed means that no connection was attempted, for one that was not needed or
+	// allowed.
+	NotProbed Probe = ""
+	Accepted  Probe = "accepted"
+	Refused   Probe = "refused"
+	// Unanswered means that the server neither accepted nor refused in time.
+	Unanswered Probe = "unanswered"
+)
+
+// Evidence is what is known of an end without a mark.
+type Evidence struct {
+	Siblings Siblings
+	Probe    Probe
+	// Leaving means that the server had announced that it stops. It may refuse connections
+	// while it completes its last answers.
+	Leaving bool
+	// Resumable means that another server can add what is missing, so that a wrong doubt
+	// costs a run but not the answer.
+	Resumable bool
+}
+
+// Decision is what an end without a mark is taken for.
+type Decision string
+
+const (
+	Whole    Decision = "whole"
+	Doubtful Decision = "doubtful"
+)
+
+// NeedsProbe reports whether a new connection would change the decision.
+func (e Evidence) NeedsProbe() bool {
+	return e.Siblings.Open == 0 && (e.Resumable || !e.mayBeLast())
+}
+
+// mayBeLast reports whether the answer may be the last one of a server that stops in order.
+func (e Evidence) mayBeLast() bool { return e.Leaving && e.Siblings.Ended == 0 }
+
+// Decide decides on the evidence. An end is doubtful only after a refusal: connections also end
+// for reasons that concern the network or their age.
+func (e Evidence) Decide() Decision {
+	if e.NeedsProbe() && e.Probe == Refused {
+		return Doubtful
+	}
+	return Whole
+}
+
+// Basis names the evidence that decided.
+func (e Evidence) Basis() string {
+	switch {
+	case e.Siblings.Open > 0:
+		return "another connection stayed open"
+	case e.Probe != NotProbed:
+		return "new connection " + string(e.Probe)
+	case !e.NeedsProbe():
+		return "the server was leaving"
+	default:
+		return "none"
+	}
+}
--- /dev/null
+++ b/internal/answerend/answerend_test.go
@@ -0,0 +1,30 @@
+package answerend
+
+import "testing"
+
+// Guards against doubt in whole answers, and against trust in those of servers that ended.
+func TestAnEndIsDoubtfulOnlyWhereItsServerHasEnded(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		evidence Evidence
+		probes   bool
+		want     Decision
+	}{
+		{"another connection open", Evidence{Siblings: Siblings{Open: 1}, Probe: Refused}, false, Whole},
+		{"all ended, refused", Evidence{Siblings: Siblings{Ended: 3}, Probe: Refused}, true, Doubtful},
+		{"none other, refused", Evidence{Probe: Refused}, true, Doubtful},
+		{"all ended, accepted", Evidence{Siblings: Siblings{Ended: 3}, Probe: Accepted}, true, Whole},
+		{"unanswered", Evidence{Probe: Unanswered}, true, Whole},
+		{"not probed", Evidence{Siblings: Siblings{Ended: 1}}, true, Whole},
+		{"leaving, the last answer", Evidence{Probe: Refused, Leaving: true}, false, Whole},
+		{"leaving, all ended", Evidence{Siblings: Siblings{Ended: 1}, Probe: Refused, Leaving: true}, true, Doubtful},
+		{"leaving, resumable", Evidence{Probe: Refused, Leaving: true, Resumable: true}, true, Doubtful},
+	} {
+		if got := c.evidence.NeedsProbe(); got != c.probes {
+			t.Errorf("%s: needs a probe: %v", c.name, got)
+		}
+		if got := c.evidence.Decide(); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -64,6 +64,14 @@
 	return f.throttle.InUse(ids(list), cutoff, now)
 }
 
+// Leaving implements relay.Fleet.
+func (f *fleet) Leaving(server string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.registry.Get(server)
+	return !ok || s.Draining
+}
+
 // ids yields the ids of servers.
 func ids(list []servers.Server) iter.Seq[string] {
 	return func(yield func(string) bool) {
--- a/internal/relay/completed_test.go
+++ b/internal/relay/completed_test.go
@@ -7,14 +7,20 @@
 	for name, c := range map[string]struct {
 		first script
 		want  int
+		ended bool // the server, with the stream
 	}{
-		"whole":                  {replying(streamHead + chunk(events(1, 5)) + lastChunk), 1},
-		"whole, closed":          {sendThenClose(closeStreamHead, events(1, 5)), 1},
-		"without the last chunk": {sendThenClose(streamHead, chunk(events(1, 5))), 0},
-		"closed inside an event": {sendThenClose(closeStreamHead, events(1, 5)+"id"), 0},
+		"whole":                     {replying(streamHead + chunk(events(1, 5)) + lastChunk), 1, false},
+		"whole, closed":             {sendThenClose(closeStreamHead, events(1, 5)), 1, false},
+		"closed as its server ends": {sendThenClose(closeStreamHead, events(1, 5)), 0, true},
+		"without the last chunk":    {sendThenClose(streamHead, chunk(events(1, 5))), 0, false},
+		"closed inside an event":    {sendThenClose(closeStreamHead, events(1, 5)+"id"), 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newRig(t, allRoutes, map[string][]script{"s1": {c.first}}, "s1")
+			scripts := []script{c.first}
+			if !c.ended {
+				scripts = append(scripts, replying(), replying())
+			}
+			b := newRig(t, allRoutes, map[string][]script{"s1": scripts}, "s1")
 			b.sockets = true
 			b.call("1.1", "POST", "/stream/")
 			b.close()
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -25,9 +25,6 @@
 	// attributed to its request. A request that has run longer did not cause the crash by
 	// being started.
 	crashWindow = 500 * time.Millisecond
-	// probeTTL is how long the result of a probe is reused. Within it, all answers that
-	// one crash broke off share a single probe.
-	probeTTL = 2 * time.Second
 	// unmarkedEndDelay is how long after the end of an answer without a marked end its
 	// server is examined. Busy servers have sent something else by then, which saves a
 	// connection.
@@ -231,61 +228,6 @@
 	f.refuse(fail(http.StatusBadRequest, verdict.ReasonCrashesServers, errPoison))
 }
 
-// probes determines whether servers that broke off answers have ended. The end of a
-// server breaks off all its answers at once, so one probe serves all of them.
-type probes struct {
-	mu     sync.Mutex
-	recent map[string]*probe
-}
-
-type probe struct {
-	at    monotime.Instant
-	done  chan struct{}
-	ended bool
-}
-
-// ended reports whether a server refuses connections, as one that has just ended does. A
-// server that only lost its connections accepts new ones.
-func (p *probes) ended(ctx context.Context, target Target, connector Connector) bool {
-	now := monotime.Now()
-	p.mu.Lock()
-	for id, old := range p.recent {
-		if now.Sub(old.at) > probeTTL {
-			delete(p.recent, id)
-		}
-	}
-	current := p.recent[target.ID]
-	first := current == nil
-	if first {
-		current = &probe{at: now, done: make(chan struct{})}
-		p.recent[target.ID] = current
-	}
-	p.mu.Unlock()
-	if !first {
-		select {
-		case <-current.done:
-			return current.ended
-		case <-ctx.Done():
-			return false
-		}
-	}
-	defer close(current.done)
-	refuses, accepts := connector.Probe(context.WithoutCancel(ctx), target)
-	if accepts {
-		p.forget(target.ID)
-	}
-	current.ended = refuses
-	return refuses
-}
-
-// forget removes the probe of a server that is alive: the server may end later, so the
-// next check needs a new probe.
-func (p *probes) forget(server string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.recent, server)
-}
-
 // answerTimes holds when each server last sent a part of an answer, while anything watches
 // for that.
 type answerTimes struct {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -54,7 +54,8 @@
 		{"an error of the server", "/once/x", []script{replying(answer("r", 500, "", "no"))}, 0, 0, 0},
 		{"after an event, without a marked end", "/stream/x", []script{closing(200, "id: 1\n\n", 50*time.Millisecond)}, 1, 0, 0},
 		{"after a body, without a marked end", "/once/x", []script{closing(200, "ok", 20*time.Millisecond)}, 1, 0, 0},
-		{"not at all, without a marked end", "/stream/x", []script{closing(200, "id: 1\n\n", 50*time.Millisecond), alive}, 0, 1, 0},
+		{"not at all, without a marked end", "/stream/x", []script{closing(200, "id: 1\n\n", 50*time.Millisecond), alive, alive}, 0, 1, 0},
+		{"just after it, without a marked end", "/stream/x", []script{closing(200, "id: 1\n\n", 50*time.Millisecond), alive}, 1, 0, 0},
 		{"long after it, without a marked end", "/stream/x", []script{closing(200, "id: 1\n\n", 2*crashWindow)}, 0, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -83,7 +84,7 @@
 	for status, survived := range map[int]int{http.StatusOK: 1, http.StatusInternalServerError: 0} {
 		synctest.Test(t, func(t *testing.T) {
 			b := newRig(t, allRoutes, map[string][]script{"s1": {
-				closing(status, "id: 1\n\n", 20*time.Millisecond), replying(answer("r2", 500, "", "no")),
+				closing(status, "id: 1\n\n", 20*time.Millisecond), replying(), replying(answer("r2", 500, "", "no")),
 			}}, "s1")
 			b.serve(request("POST", "/once/x", "r1", "body"))
 			time.Sleep(2 * lateBytes)
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -171,6 +171,10 @@
 func (f *forwarder) relayWhole(e *exchange, begunAt monotime.Instant) *verdict.Error {
 	body, err := io.ReadAll(io.LimitReader(e.resp.Body, maxBufferedAnswer))
 	f.received.bytes = int64(len(body))
+	whole := len(body) < maxBufferedAnswer
+	if err == nil && whole {
+		err = f.checkEnd(e)
+	}
 	if err != nil {
 		e.abandon()
 		f.observe(placement.Failed)
@@ -180,7 +184,6 @@
 		f.observe(placement.Served)
 	}
 	f.beginAnswer(e.resp)
-	whole := len(body) < maxBufferedAnswer
 	if whole {
 		f.reportSurvived(e, begunAt)
 		f.checkUnmarkedEnd(e, begunAt)
@@ -206,6 +209,9 @@
 	f.stream.started = true
 	n, err := io.CopyBuffer(f.w, e.resp.Body, make([]byte, copyBufferSize))
 	f.received.bytes += n
+	if err == nil {
+		err = f.checkEnd(e)
+	}
 	if err != nil {
 		e.abandon()
 		return verdict.Wrap(verdict.Ran, verdict.ReasonUpstreamLost, err)
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -82,6 +82,8 @@
 	// software is the version of servers, by id, and origins what is known of streams.
 	software map[string]string
 	origins  map[string]StreamOrigin
+	// leaving servers have announced that they stop.
+	leaving map[string]bool
 	// outage means that no instance reaches a server.
 	outage bool
 
@@ -214,6 +216,7 @@
 }
 
 func (f *fakeFleet) Serving(string, monotime.Instant) bool { return !f.outage }
+func (f *fakeFleet) Leaving(server string) bool            { return f.leaving[server] }
 func (f *fakeFleet) Spend(string, monotime.Instant) bool   { return !f.noBudget }
 func (f *fakeFleet) Count(string, monotime.Instant)        {}
 
--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -41,17 +41,19 @@
 	bytes   int64
 	// eventOpen means that an event of a stream has arrived in part.
 	eventOpen bool
+	// end is what an end without a mark was taken for; nil for none.
+	end *unmarkedEnd
 }
 
 func (r received) fields() []zap.Field {
 	if r.framing == "" {
 		return nil
 	}
-	return []zap.Field{
+	return append([]zap.Field{
 		zap.String("framing", string(r.framing)),
 		zap.Int64("body_bytes", r.bytes),
 		zap.Bool("event_open", r.eventOpen),
-	}
+	}, r.end.fields()...)
 }
 
 // setFraming gives the caller's answer no clearer an end than the server's has: an answer
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -30,6 +30,7 @@
 	sends     expvar.Map // failed sends by reason
 	opened    expvar.Map // connections opened for requests, by service
 	reused    expvar.Map // requests for which an idle connection was used, by service
+	ends      expvar.Map // answers ended by their connection, by decision and evidence
 	total     histogram
 	firstByte histogram
 	gaps      histogram
@@ -43,6 +44,7 @@
 	m.sends.Init()
 	m.opened.Init()
 	m.reused.Init()
+	m.ends.Init()
 	for _, h := range []*histogram{&m.total, &m.firstByte, &m.gaps} {
 		h.values = hdrhistogram.New(1, maxLatencyMicros, significantDigits)
 	}
@@ -58,6 +60,7 @@
 	vars.Set("failed_sends", &m.sends)
 	vars.Set("connections_opened", &m.opened)
 	vars.Set("connections_reused", &m.reused)
+	vars.Set("unmarked_ends", &m.ends)
 	vars.Set("total_us", &m.total)
 	vars.Set("first_byte_us", &m.firstByte)
 	vars.Set("longest_gap_us", &m.gaps)
@@ -77,6 +80,10 @@
 	m.opened.Add(service, 1)
 }
 
+func (m *Metrics) unmarkedEnd(end *unmarkedEnd) {
+	m.ends.Add(string(end.decision)+": "+end.evidence.Basis(), 1)
+}
+
 func (m *Metrics) ended(f *forwarder, now monotime.Instant) {
 	status := "cut"
 	if f.status != 0 {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -83,10 +83,15 @@
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	count map[string]int // open connections, in use or idle
+	// conns holds the connections to each server, in use or idle.
+	conns map[string]map[*conn]struct{}
 }
 
 func newPool(connector Connector, budget *descriptors.Budget) *pool {
-	return &pool{connector: connector, descriptors: budget, idle: make(map[string][]*conn), count: make(map[string]int)}
+	return &pool{
+		connector: connector, descriptors: budget, idle: make(map[string][]*conn), count: make(map[string]int),
+		conns: make(map[string]map[*conn]struct{}),
+	}
 }
 
 // get returns a connection to the server for a request, preferably an idle one that still
@@ -104,9 +109,11 @@
 		return nil, errors.Wrap(err, "connect")
 	}
 	limit := &netconn.LimitedReader{R: raw}
-	return &conn{
+	c := &conn{
 		Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit, target: target, via: via, received: monotime.Now(),
-	}, nil
+	}
+	p.track(c)
+	return c, nil
 }
 
 func (p *pool) takeIdle(target Target, work *placement.Work) *conn {
@@ -169,6 +176,7 @@
 	p.idle[server] = slices.Delete(p.idle[server], 0, 1)
 	p.updateOpen(server)
 	p.close(oldest)
+	p.untrack(oldest)
 	p.uncount(server)
 	return true
 }
@@ -238,7 +246,11 @@
 // discard closes a connection, idle or in use.
 func (p *pool) discard(c *conn) {
 	p.close(c)
-	p.release(c.target.ID)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.untrack(c)
+	p.uncount(c.target.ID)
+	p.descriptors.Release(descriptors.Servers, 1)
 }
 
 func (p *pool) close(c *conn) {
--- /dev/null
+++ b/internal/relay/probes.go
@@ -0,0 +1,95 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"basilrudder/internal/answerend"
+	"basilrudder/internal/monotime"
+)
+
+// probeTTL is how long the result of a probe is reused. Within it, all answers that one
+// crash broke off share a single probe.
+const probeTTL = 2 * time.Second
+
+// probes determines whether servers that broke off answers have ended. The end of a
+// server breaks off all its answers at once, so one probe serves all of them.
+type probes struct {
+	mu     sync.Mutex
+	recent map[string]*probe
+}
+
+type probe struct {
+	at    monotime.Instant
+	done  chan struct{}
+	found answerend.Probe
+}
+
+// ended reports whether a server refuses connections, as one that has just ended does. A
+// server that only lost its connections accepts new ones.
+func (p *probes) ended(ctx context.Context, target Target, connector Connector) bool {
+	return p.examine(ctx, target, connector, 0, func() bool { return true }) == answerend.Refused
+}
+
+// examine probes a server if allowed, or waits for a probe under way. One that began before
+// since and was accepted shows nothing.
+func (p *probes) examine(ctx context.Context, target Target, connector Connector, since monotime.Instant, allowed func() bool) answerend.Probe {
+	for {
+		current, first := p.start(target.ID, allowed)
+		if current == nil {
+			return answerend.NotProbed
+		}
+		if first {
+			defer close(current.done)
+			current.found = answerend.Unanswered
+			refuses, accepts := connector.Probe(context.WithoutCancel(ctx), target)
+			switch {
+			case accepts:
+				p.forget(target.ID)
+				current.found = answerend.Accepted
+			case refuses:
+				current.found = answerend.Refused
+			}
+			return current.found
+		}
+		select {
+		case <-current.done:
+			if current.found != answerend.Accepted || current.at >= since {
+				return current.found
+			}
+		case <-ctx.Done():
+			return answerend.Unanswered
+		}
+	}
+}
+
+// start returns the recent probe of a server, or a new one that the caller has to make; nil
+// if that is not allowed.
+func (p *probes) start(server string, allowed func() bool) (current *probe, first bool) {
+	now := monotime.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, old := range p.recent {
+		if now.Sub(old.at) > probeTTL {
+			delete(p.recent, id)
+		}
+	}
+	if current = p.recent[server]; current != nil {
+		return current, false
+	}
+	if !allowed() {
+		return nil, false
+	}
+	current = &probe{at: now, done: make(chan struct{})}
+	p.recent[server] = current
+	return current, true
+}
+
+// forget removes the probe of a server that is alive: the server may end later, so the
+// next check needs a new probe.
+func (p *probes) forget(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.recent, server)
+}
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -128,6 +128,8 @@
 	// Serving reports whether any instance has recently sent a request to a server of the
 	// service, according to the updates received so far.
 	Serving(service string, now monotime.Instant) bool
+	// Leaving reports whether a server has announced that it stops, or is not listed any more.
+	Leaving(server string) bool
 	// StreamBegan reports that a server of a software version has begun a stream that may
 	// be resumed, for a try whose caller gets its first event now.
 	StreamBegan(service, try, version string, now monotime.Instant)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"basilrudder/internal/answerend"
 	"basilrudder/internal/descriptors"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
@@ -47,6 +48,8 @@
 	// unmarkedProbeAt is when a server was last probed because of an answer without a marked
 	// end, as a monotime.Instant; 0 for never.
 	unmarkedProbeAt atomic.Int64
+	// endProbes bounds the probes by which ends of answers are judged.
+	endProbes answerend.Budget
 	// drainSince is when the drain began; 0 while there is none.
 	drainSince atomic.Int64
 	bodyBytes  atomic.Int64
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -105,6 +105,9 @@
 			e.abandon()
 			return verdict.Wrap(verdict.Ran, verdict.ReasonUpstreamLost, errUnknownEnd)
 		default:
+			if err := f.checkEnd(e); err != nil {
+				return f.streamLost(e, err)
+			}
 			return f.endStream(e, run)
 		}
 	}
--- a/internal/relay/unmarked_test.go
+++ b/internal/relay/unmarked_test.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"testing"
+
+	"basilrudder/internal/servers"
 )
 
 // asServer is set in the environment of the processes that run serveParts in place of the
@@ -110,3 +112,23 @@
 		})
 	}
 }
+
+// Guards against a new connection for each whole answer of a server whose other connections stay open.
+func TestAnOpenConnectionShowsThatTheServerLives(t *testing.T) {
+	b := newRig(t, allRoutes, map[string][]script{"s1": {
+		replying(answer("r", 200, "", "{}")), sendThenClose(closeStreamHead, events(1, 5)),
+	}}, "s1")
+	b.sockets = true
+	b.call("1.1", "POST", "/once/")
+	busy := b.relay.pool.takeIdle(Target{Server: servers.Server{ID: "s1"}}, nil)
+	got := b.call("1.1", "POST", "/stream/")
+	ends := b.relay.cfg.Metrics.ends.String()
+	b.relay.pool.discard(busy)
+	b.close()
+	if want := (seen{200, framingClose, events(1, 5), false}); got != want {
+		t.Errorf("got %q", fmt.Sprint(got))
+	}
+	if want := `{"whole: another connection stayed open": 1}`; ends != want {
+		t.Errorf("ends: %s", ends)
+	}
+}
