--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -43,18 +43,20 @@
 	eventOpen bool
 	// ended means that the answer has ended as its framing allows.
 	ended bool
+	// end is what an end without a mark was taken for; nil for none.
+	end *unmarkedEnd
 }
 
 func (r received) fields() []zap.Field {
 	if r.framing == "" {
 		return nil
 	}
-	return []zap.Field{
+	return append([]zap.Field{
 		zap.String("framing", string(r.framing)),
 		zap.Int64("body_bytes", r.bytes),
 		zap.Bool("event_open", r.eventOpen),
-		zap.String("server_end", string(r.end())),
-	}
+		zap.String("server_end", string(r.serverEnd())),
+	}, r.end.fields()...)
 }
 
 // answerEnd is how an answer ended, from a server or to a caller.
@@ -69,7 +71,7 @@
 	endCut answerEnd = "cut"
 )
 
-func (r received) end() answerEnd {
+func (r received) serverEnd() answerEnd {
 	switch {
 	case !r.ended:
 		return endCut
