Soak: instances and servers that end without notice under answers without a length

Cause: callers took the first part of a stream for the whole of it when its instance was killed, and no soak could notice: its servers sent each answer with a length or in chunks, its callers spoke HTTP/1.1 alone.

Change: `--ends instances|servers|all`. Every other server of each service sends neither a length nor chunks, also for plain answers, which come in two parts. Callers are by turns of HTTP/1.1 and HTTP/1.0, quick and slow readers. Instances are killed, told to end and killed within 300 ms, killed in series and all at once; servers' connections are closed all at once, also in series. `instances` and `servers` play these ends alone, so that what breaks is due to them; `all` plays them beside all other faults. Draws of the other soaks stay as they were.

The check of streams read a line that broke off at a reset as an event; it takes only whole lines now, and a stream whose last event has no end is no whole one, which passed before. A test cuts a stream after each of its bytes, by an end and by a reset. Another holds the proxy to pass an end on as an end and a reset as a reset, also where the caller has closed its half.

--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -95,7 +95,7 @@
 func newCaller(f *fleet, number int, seed uint64) *caller {
 	return &caller{
 		fleet: f, number: number, rand: rand.New(rand.NewPCG(seed, uint64(number))),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		client: &http.Client{Transport: f.ends.transport(number)},
 	}
 }
 
@@ -272,18 +272,27 @@
 	}
 }
 
-// readStream checks that the events are this request's, in order, each once.
+// readStream checks that the events are this request's, in order, each once, and that no part
+// of them is taken for the whole. A line that breaks off is no event.
 func (a *attempt) readStream(body io.Reader) {
-	scanner := bufio.NewScanner(body)
+	reader := bufio.NewReader(body)
 	n, software := 0, ""
 	if a.stream != nil {
 		n = a.stream.events
 	}
-	for scanner.Scan() {
-		if version, ok := strings.CutPrefix(scanner.Text(), standin.SoftwareField+": "); ok {
+	open := false // an event has begun
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			a.endStream(err, n, open || line != "")
+			return
+		}
+		line = strings.TrimSuffix(line, "\n")
+		open = line != ""
+		if version, ok := strings.CutPrefix(line, standin.SoftwareField+": "); ok {
 			software = version
 		}
-		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		data, ok := strings.CutPrefix(line, "data: ")
 		if !ok {
 			continue
 		}
@@ -300,8 +309,16 @@
 			return
 		}
 	}
-	a.err = scanner.Err()
-	if a.err == nil && n != standin.StreamEvents {
-		a.wrong = fmt.Sprintf("an end after %d events", n)
+}
+
+// endStream judges the end of a stream, whose last event may be open.
+func (a *attempt) endStream(err error, events int, open bool) {
+	switch {
+	case err != io.EOF:
+		a.err = err
+	case open:
+		a.wrong = fmt.Sprintf("an end within an event, after %d", events)
+	case events != standin.StreamEvents:
+		a.wrong = fmt.Sprintf("an end after %d events", events)
 	}
 }
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -69,6 +69,8 @@
 	version int64
 	more    int // routes beside those that callers use
 
+	// ends is what is ended without notice.
+	ends ends
 	// onCrash ends an incarnation under a request that crashes servers; nil for none.
 	onCrash func(u *upstream, running *standin.Server)
 
@@ -79,14 +81,14 @@
 }
 
 // newFleet starts the stand-ins and prepares, but does not start, instances.
-func newFleet(binary, dir string, instances, servers int, onCrash func(*upstream, *standin.Server)) (*fleet, error) {
+func newFleet(binary, dir string, instances, servers int, ends ends, onCrash func(*upstream, *standin.Server)) (*fleet, error) {
 	ports, err := newPorts()
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{
 		binary: binary, dir: dir, ledger: standin.NewLedger(), store: standin.NewStore(),
-		starter: child.NewStarter(), ports: ports, onCrash: onCrash,
+		starter: child.NewStarter(), ports: ports, ends: ends, onCrash: onCrash,
 	}
 	ln, err := net.Listen("tcp", anyPort)
 	if err != nil {
@@ -201,7 +203,7 @@
 	u.starts++
 	u.software = fmt.Sprint("v", 1+(u.number/2+u.starts)%2)
 	server := standin.NewServer(u.id, slots, f.ledger)
-	server.Software = u.software
+	server.Software, server.WithoutLength = u.software, f.ends.withoutLength(u.number)
 	if f.onCrash != nil {
 		server.OnCrash = func() { f.onCrash(u, server) }
 	}
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -25,6 +25,7 @@
 	Servers   int           `help:"Number of servers, model engines and plain ones by turns." default:"6"`
 	Callers   int           `help:"Number of callers." default:"24"`
 	Poison    bool          `help:"Send requests that crash servers by a part of their prompts."`
+	Ends      ends          `help:"End instances or servers without notice and do nothing else, or both beside all other faults, before callers of HTTP/1.0 and 1.1 and servers that send no length." enum:",instances,servers,all" default:""`
 	Logs      string        `help:"Directory for settings and logs; those of soaks that keep the promises are removed." default:"soak-logs" type:"path"`
 	Binary    string        `help:"A basilrudderd that is built already; empty to build it." type:"path"`
 	Verbose   bool          `help:"Tell of each fault."`
@@ -59,7 +60,7 @@
 	}
 	failed := 0
 	for _, c := range cases {
-		s := &soak{sizes: c.sizes, seed: c.seed, binary: o.Binary, verbose: o.Verbose, timing: true, poisoned: o.Poison}
+		s := &soak{sizes: c.sizes, seed: c.seed, binary: o.Binary, verbose: o.Verbose, timing: true, poisoned: o.Poison, ends: o.Ends}
 		r, err := s.inDirectory(o.Logs)
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", c.seed)
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -40,9 +40,12 @@
 	timing bool
 	// poisoned has requests sent that crash servers by a part of their prompts.
 	poisoned bool
-	poison   poison
-	fleet    *fleet
-	begun    time.Time
+	// ends has instances, servers or both end without notice while answers without a length
+	// are under way.
+	ends   ends
+	poison poison
+	fleet  *fleet
+	begun  time.Time
 
 	// restoring is held by the fault that has the store come back from a copy.
 	restoring sync.Mutex
@@ -74,7 +77,7 @@
 // run starts all, disturbs it for a time, and checks what callers saw.
 func (s *soak) run(dir string) (*report, error) {
 	var err error
-	if s.fleet, err = newFleet(s.binary, dir, s.instances, s.servers, s.crashHandler()); err != nil {
+	if s.fleet, err = newFleet(s.binary, dir, s.instances, s.servers, s.ends, s.crashHandler()); err != nil {
 		return nil, err
 	}
 	defer s.fleet.close()
@@ -119,9 +122,14 @@
 		calling.Go(func() { callers[n].run(ctx) })
 	}
 	var troubles sync.WaitGroup
-	troubles.Go(func() { s.trouble(ctx, faults, pauseMost, rand.New(rand.NewPCG(s.seed, 0))) })
-	troubles.Go(func() { s.trouble(ctx, moreFaults, morePauseMost, rand.New(rand.NewPCG(s.seed, 1))) })
-	troubles.Go(func() { s.trouble(ctx, configFaults, configPauseMost, rand.New(rand.NewPCG(s.seed, 2))) })
+	if !s.ends.alone() {
+		troubles.Go(func() { s.trouble(ctx, faults, pauseMost, rand.New(rand.NewPCG(s.seed, 0))) })
+		troubles.Go(func() { s.trouble(ctx, moreFaults, morePauseMost, rand.New(rand.NewPCG(s.seed, 1))) })
+		troubles.Go(func() { s.trouble(ctx, configFaults, configPauseMost, rand.New(rand.NewPCG(s.seed, 2))) })
+	}
+	if f := s.ends.faults(); len(f) > 0 {
+		troubles.Go(func() { s.trouble(ctx, f, endPauseMost, rand.New(rand.NewPCG(s.seed, 3))) })
+	}
 	if s.poisoned {
 		troubles.Go(func() { s.sendPoison(ctx) })
 	}
