Relay: the end of an instance resets answers that end with their connection

Cause: the kernel closes the sockets of a killed process with an orderly end, and for an answer that ends with its connection that means that it is whole. The class: an end that costs no effort means success. A server is not needed for it: two streams of two servers end at one instance at one instant, with no line of that instance.

Change: from before the head of such an answer until its true end, the caller's socket is set to be reset at close (SO_LINGER of 0), so that it holds without any code that runs at the end. At the true end all bytes are flushed into the socket first, then it is set back; a process that is killed later leaves the kernel a whole answer to send.

Chunks for callers of HTTP/1.1 as the other way were not built.

--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -94,7 +94,7 @@
 	if sc, ok := c.Conn.(syscall.Conn); ok {
 		return sc.SyscallConn()
 	}
-	return nil, errors.New("gateway: no socket")
+	return nil, errNoSocket
 }
 
 // CloseWrite ends what is sent. The HTTP server does so to let a caller who still sends read
@@ -111,7 +111,21 @@
 	if socket, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
 		return socket.SetLinger(seconds)
 	}
-	return nil
+	return errNoSocket
+}
+
+var errNoSocket = errors.New("gateway: no socket")
+
+// resetOnClose sets whether the connection of a request is reset when it is closed.
+func resetOnClose(ctx context.Context, reset bool) error {
+	conn, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return errNoSocket
+	}
+	if reset {
+		return conn.SetLinger(0)
+	}
+	return conn.SetLinger(-1)
 }
 
 // listener returns a listener whose connections are counted.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,6 +187,7 @@
 	g.relay = relay.New(relay.Config{
 		Fleet: g.fleet, Connector: g.connector, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
 		DrainTime: seconds(s.Drain.GraceS) - drainReserve, Descriptors: g.descriptors, Refuses: g.callers.refuses,
+		ResetOnClose: resetOnClose,
 	})
 	g.fleet.board.SetConnected(g.relay.Connected)
 	return g, nil
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -200,7 +200,7 @@
 		return f.callerGone(err)
 	}
 	if whole {
-		return nil
+		return f.endAnswer()
 	}
 	return f.relayRest(e, begunAt)
 }
@@ -220,7 +220,7 @@
 	f.received.ended = true
 	f.reportSurvived(e, begunAt)
 	e.finish()
-	return nil
+	return f.endAnswer()
 }
 
 // beginAnswer sets the headers of the final answer and records its status.
--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"basilrudder/internal/eventlog"
+	"basilrudder/internal/verdict"
 )
 
 // framing is how the end of an answer is marked (RFC 9112, section 6.3).
@@ -105,10 +106,33 @@
 		f.relay.cfg.Metrics.unmarked.Add(unmarkedBegun, 1)
 		f.relay.cfg.Log.Info("unmarked_answer_begun", zap.String("id", f.request.ID), zap.String("server", f.target.ID),
 			zap.String("framing", string(f.received.framing)), zap.String("protocol", f.hr.Proto))
+		f.resetOnClose(true)
 	}
 	f.w.WriteHeader(status)
 }
 
+// resetOnClose sets whether the end of the caller's connection is a reset. The kernel closes the
+// sockets of a process that is killed, so that this has to be set while an answer is incomplete
+// whose end is that of its connection.
+func (f *forwarder) resetOnClose(reset bool) {
+	if err := f.relay.cfg.ResetOnClose(f.hr.Context(), reset); err != nil {
+		f.relay.cfg.Log.Warn("caller_end_not_set", zap.String("id", f.request.ID), zap.Bool("reset", reset), eventlog.Cause(err))
+	}
+}
+
+// endAnswer has the caller's connection end in order after a complete answer. All bytes have to
+// be in the socket by then, since they are lost if the process is killed.
+func (f *forwarder) endAnswer() *verdict.Error {
+	if f.framing != framingClose {
+		return nil
+	}
+	if err := http.NewResponseController(f.w).Flush(); err != nil {
+		return f.callerGone(err)
+	}
+	f.resetOnClose(false)
+	return nil
+}
+
 // setFraming gives the caller's answer no clearer an end than the server's has: an answer
 // that ends with the server's connection ends with the caller's.
 func (f *forwarder) setFraming(server framing) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,9 @@
 	// Refuses reports whether requests of a connection are refused, since the instance has
 	// no descriptors for it; nil means never.
 	Refuses func(ctx context.Context) bool
+	// ResetOnClose sets whether a caller's connection, given by the context of its request, is
+	// reset when it is closed, also by the end of the process; nil means that it can't be set.
+	ResetOnClose func(ctx context.Context, reset bool) error
 	// DrainTime is how long the process may run after the drain began.
 	DrainTime time.Duration
 }
@@ -86,6 +89,9 @@
 	if cfg.Refuses == nil {
 		cfg.Refuses = func(context.Context) bool { return false }
 	}
+	if cfg.ResetOnClose == nil {
+		cfg.ResetOnClose = func(context.Context, bool) error { return nil }
+	}
 	if cfg.Dial == nil {
 		cfg.Dial = netconn.Dial
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -231,5 +231,5 @@
 		f.startStream(e)
 	}
 	e.finish()
-	return nil
+	return f.endAnswer()
 }
