Explain says when lines of a log are damaged

Cause: explain skipped lines of relaying instances' logs that were cut or merged, so that a short explanation from a cut log looked whole. Change: it counts lines that begin an object and can't be read, and says how many there are. Measured: TestAnExplanationFromACutLogSaysSo fails without the change and passes with it; the race tests of relaylog, cli and tools/unserved passed. Open: a damaged line that was the only one of a request is still reported as an unknown request alone.

--- a/internal/relaylog/relaylog.go
+++ b/internal/relaylog/relaylog.go
@@ -27,6 +27,8 @@
 	// peerWindow is how long before a request an event of a peer still counts as
 	// relevant.
 	peerWindow = 5 * time.Second
+	// objectStart begins the object of a log line.
+	objectStart = `{"`
 )
 
 // Line is one line of a log. Fields that the line lacks are empty.
@@ -66,44 +68,56 @@
 	// State holds the newest line before the request arrived on each subject that decided
 	// it: configuration, the servers tried, store, peers, drain. Oldest first.
 	State []Line
+	// Damaged is the number of lines, in all files, of which a part is missing. What they
+	// told is not in the explanation.
+	Damaged int
 }
 
 // Explain collects the explanation of request id from log files. It returns
 // ErrUnknownRequest if no line mentions the request.
 func Explain(id string, files []string) (*Explanation, error) {
 	var lines []Line
+	damaged := 0
 	for _, name := range files {
-		fileLines, err := readFile(name)
+		fileLines, fileDamaged, err := readFile(name)
 		if err != nil {
 			return nil, errors.Wrap(err, name)
 		}
 		lines = append(lines, fileLines...)
+		damaged += fileDamaged
 	}
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
-	return explainLines(id, lines)
+	out, err := explainLines(id, lines)
+	if err != nil {
+		return nil, err
+	}
+	out.Damaged = damaged
+	return out, nil
 }
 
-func readFile(name string) ([]Line, error) {
+func readFile(name string) (lines []Line, damaged int, err error) {
 	file, err := os.Open(name)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	defer func() { _ = file.Close() }()
 	return read(file)
 }
 
-// read parses the JSON object of each line. It skips lines without a valid object.
-func read(in io.Reader) ([]Line, error) {
-	var out []Line
-	err := EachObject(in, func(object []byte) {
+// read parses the JSON object of each line. It skips lines without a valid object, and
+// counts those that begin one as damaged.
+func read(in io.Reader) (lines []Line, damaged int, err error) {
+	err = EachObject(in, func(object []byte) {
 		var line Line
-		if err := json.Unmarshal(object, &line); err != nil || line.Message == "" {
-			return
+		switch err := json.Unmarshal(object, &line); {
+		case err != nil && bytes.HasPrefix(object, []byte(objectStart)):
+			damaged++
+		case err == nil && line.Message != "":
+			line.text = string(object)
+			lines = append(lines, line)
 		}
-		line.text = string(object)
-		out = append(out, line)
 	})
-	return out, err
+	return lines, damaged, err
 }
 
 // EachObject calls use for each line of a log with the text from its first brace on, which
@@ -217,6 +231,10 @@
 			return err
 		}
 	}
+	if s.Damaged > 0 {
+		_, err := fmt.Fprintf(out, "%d lines of these files are cut off or damaged; what they told is missing here.\n", s.Damaged)
+		return err
+	}
 	return nil
 }
 
--- a/internal/relaylog/relaylog_test.go
+++ b/internal/relaylog/relaylog_test.go
@@ -66,7 +66,7 @@
 {"ts":"2026-01-01T10:00:02Z","msg":"request_ended","instance":"a","id":"r1","server":"s1","service":"svc","tunnel":"t1","took_ms":900}
 {"ts":"2026-01-01T10:00:03Z","msg":"tunnel_closed","instance":"b","server":"s1","tunnel":"t1"}
 `
-	lines, err := read(strings.NewReader(text))
+	lines, _, err := read(strings.NewReader(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,7 +84,7 @@
 
 // Guards against later tries of a stream, at other instances, that are not found.
 func TestTheExplanationNamesTriesThatResumedAStream(t *testing.T) {
-	lines, err := read(strings.NewReader(`
+	lines, _, err := read(strings.NewReader(`
 {"ts":"2026-01-01T10:00:01Z","msg":"request_ended","instance":"a","id":"first","server":"s1"}
 {"ts":"2026-01-01T10:00:02Z","msg":"stream_resumed","instance":"b","id":"later","resumes":"first","software":"v1","known_from":"a","known_ms":900}
 {"ts":"2026-01-01T10:00:03Z","msg":"request_ended","instance":"b","id":"later","resumes":"first","server":"s2"}
@@ -108,7 +108,7 @@
 
 // Guards against a refused request whose explanation lacks the ends that it is refused for.
 func TestTheExplanationNamesTheEndsThatARequestIsRefusedFor(t *testing.T) {
-	lines, err := read(strings.NewReader(`
+	lines, _, err := read(strings.NewReader(`
 {"ts":"2026-01-01T10:00:01Z","msg":"server_crashed","instance":"a","id":"r1","server":"s1","parts":["77aa"]}
 {"ts":"2026-01-01T10:00:02Z","msg":"crash_confirmed","instance":"b","server":"s2","evidence":"entry"}
 {"ts":"2026-01-01T10:00:03Z","msg":"server_crashed","instance":"a","id":"r2","server":"s3","parts":["88bb"]}
@@ -130,3 +130,22 @@
 		t.Errorf("%v in\n%s", err, text.String())
 	}
 }
+
+// Guards against an explanation from a cut log that looks like one from a whole log.
+func TestAnExplanationFromACutLogSaysSo(t *testing.T) {
+	cut := strings.LastIndex(logText, `"took_ms":1}`)
+	for text, damaged := range map[string]bool{logText: false, strings.TrimSpace(logText): false, logText[:cut]: true} {
+		file := filepath.Join(t.TempDir(), "log")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		explanation, err := Explain("r1", []string{file})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var out strings.Builder
+		if err := explanation.WriteText(&out); err != nil || strings.Contains(out.String(), "1 lines of these files are cut off") != damaged {
+			t.Errorf("damaged %t, %v:\n%s", damaged, err, out.String())
+		}
+	}
+}
