Relay: a caller's end does not wait for its request to be written

Cause, found by a second reader of the fix: the connection to the server was released before the caller's answer ended, and that may wait half a second for the rest of a long request. Meanwhile the caller's socket was still set to be reset, so that a kill would break a whole answer off. Change: the answer ends first. Measured: the tests of the package relay pass; no test shows the wait.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -219,8 +219,9 @@
 	}
 	f.received.ended = true
 	f.reportSurvived(e, begunAt)
+	problem := f.endAnswer()
 	e.finish()
-	return f.endAnswer()
+	return problem
 }
 
 // beginAnswer sets the headers of the final answer and records its status.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -230,6 +230,8 @@
 	if !f.stream.started {
 		f.startStream(e)
 	}
+	// finish may wait for a long request to be written; the caller does not.
+	problem := f.endAnswer()
 	e.finish()
-	return f.endAnswer()
+	return problem
 }
