Test: streams taken up after all instances were killed

Cause: a report of streams joined from two versions after a kill of all instances; no test killed all at once. The callers of the tests wait while no instance runs (anyInstance looped with its lock held); no check was changed.

--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -381,10 +381,16 @@
 	return !aborted && rec.Code == http.StatusOK && got.events == streamEvents, after
 }
 
-// anyInstance returns an instance that was not killed, and the context of its process.
+// anyInstance returns an instance that was not killed, and the context of its process. It waits
+// while there is none.
 func (v *versionCluster) anyInstance() (int, context.Context) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	for len(v.killed) == len(v.alive) {
+		v.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		v.mu.Lock()
+	}
 	for {
 		if n := v.random.IntN(len(v.alive)); !v.killed[n] {
 			return n, v.alive[n]
