--- a/tools/soak/ends_test.go
+++ b/tools/soak/ends_test.go
@@ -106,8 +106,7 @@
 	}
 }
 
-// Guards against a proxy that turns a reset into an orderly end, which would hide faults, or
-// an orderly end into a reset, which would invent them.
+// Guards against a proxy that turns a reset into an orderly end, or an orderly end into a reset.
 func TestAProxyPassesOnHowAConnectionEnds(t *testing.T) {
 	ln, err := net.Listen("tcp", anyPort)
 	if err != nil {
