Relay: a broken-off answer is counted before its caller learns of it

Change: the socket is set to be reset from the head on, so aborting the handler resets it; the second way, by hijacking, goes. The relay's tests set their callers' sockets as the gateway does.

--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -256,10 +256,30 @@
 		t: t, fleet: &fakeFleet{table: table, servers: order, confirmed: true},
 		scripts: scripts, dials: make(map[string]int),
 	}
-	b.relay = New(Config{Fleet: b.fleet, Protocol: plainProtocol{}, Dial: b.dial, DrainTime: 7 * time.Second})
+	b.relay = New(Config{
+		Fleet: b.fleet, Protocol: plainProtocol{}, Dial: b.dial, DrainTime: 7 * time.Second, ResetOnClose: resetOnClose,
+	})
 	return b
 }
 
+// callerKey is the key of a caller's connection in the context of its requests.
+type callerKey struct{}
+
+func withCaller(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerKey{}, c)
+}
+
+func resetOnClose(ctx context.Context, reset bool) error {
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	if socket, ok := ctx.Value(callerKey{}).(interface{ SetLinger(int) error }); ok {
+		return socket.SetLinger(seconds)
+	}
+	return nil
+}
+
 func (b *rig) dial(_ context.Context, address string) (net.Conn, error) {
 	b.mu.Lock()
 	n := b.dials[address]
--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -149,18 +149,3 @@
 		f.framing = framingNone
 	}
 }
-
-// resetCaller breaks off an answer that ends with its connection by resetting that: if it
-// were closed, the answer would look complete.
-func (f *forwarder) resetCaller() {
-	c, _, err := http.NewResponseController(f.w).Hijack()
-	if err != nil {
-		f.relay.cfg.Log.Warn("caller_not_reset", zap.String("id", f.request.ID), eventlog.Cause(err))
-		return
-	}
-	if socket, ok := c.(interface{ SetLinger(int) error }); ok {
-		// After an error the connection is already closed.
-		_ = socket.SetLinger(0)
-	}
-	_ = c.Close()
-}
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -140,12 +140,9 @@
 }
 
 // abort breaks off an answer that has begun so that it can't look complete: the
-// connection closes before the length or the last chunk is reached, or is reset where its
-// end is that of the answer.
+// connection closes before the length or the last chunk is reached. Where its end is that of
+// the answer, closing resets it since the head was sent.
 func (f *forwarder) abort(problem *verdict.Error) {
 	f.reason, f.cause, f.aborted = problem.Reason, problem, true
-	if f.framing == framingClose {
-		f.resetCaller()
-	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/relay/truncated_test.go
+++ b/internal/relay/truncated_test.go
@@ -56,7 +56,7 @@
 	defer c.Close()
 	// Many plays in a row would otherwise use up the ports.
 	_ = c.(*net.TCPConn).SetLinger(0)
-	front := &http.Server{Handler: b.relay}
+	front := &http.Server{Handler: b.relay, ConnContext: withCaller}
 	b.running.Go(func() { _ = front.Serve(newOneConn(far)) })
 	defer front.Close()
 	fmt.Fprintf(c, "%s %s HTTP/%s\r\nHost: h.example\r\nX-Id: r\r\nX-Key: key\r\n%sContent-Length: %d\r\n\r\n%s", method, path, version, headers, len(body), body)
--- a/internal/relay/unmarked_test.go
+++ b/internal/relay/unmarked_test.go
@@ -90,7 +90,7 @@
 			lines := bufio.NewScanner(out)
 			lines.Scan()
 			address := lines.Text()
-			b.relay = New(Config{Fleet: b.fleet, Protocol: plainProtocol{}, Dial: func(ctx context.Context, to string) (net.Conn, error) {
+			b.relay = New(Config{Fleet: b.fleet, Protocol: plainProtocol{}, ResetOnClose: resetOnClose, Dial: func(ctx context.Context, to string) (net.Conn, error) {
 				if to == "s1" {
 					return new(net.Dialer).DialContext(ctx, "tcp", address)
 				}
