Relay: a stream goes on with events only

Callers saw a stream that ended as whole after its first events, or with JSON behind them: the second server answered 204, or 2xx with another type, and the end of that answer was taken for the stream's. Cause: a resumed stream was passed on whatever the second answer held. Change: such an answer is a failure of its server, as one with another status was, and the stream is broken off.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -70,13 +70,14 @@
 			return verdict.New(verdict.Ran, verdict.ReasonUpstreamError, "status "+strconv.Itoa(e.resp.StatusCode))
 		}
 	}
-	if f.route.Streaming && e.resp.StatusCode < http.StatusMultipleChoices {
-		return f.relayStream(e, run)
-	}
-	if f.stream.begun() {
+	streams := f.route.Streaming && e.resp.StatusCode < http.StatusMultipleChoices
+	if f.stream.begun() && !(streams && f.received.framing != framingNone && isEventStream(e.resp)) {
 		// Events were delivered already; another kind of answer can't follow.
 		e.abandon()
-		return verdict.New(verdict.Ran, verdict.ReasonUpstreamError, "status "+strconv.Itoa(e.resp.StatusCode))
+		return verdict.New(verdict.Ran, verdict.ReasonUpstreamError, "status "+strconv.Itoa(e.resp.StatusCode)+" in place of further events")
+	}
+	if streams {
+		return f.relayStream(e, run)
 	}
 	now := monotime.Now()
 	f.relay.answers.record(f.target.ID, now)
