Tunnel: a failed write to the server neither ends nor cuts its answer

Callers behind a tunnel could get a part of an answer without a length as whole, and whole answers broken off.

Cause: the peer's side of a tunnel copies both ways, and judged the two apart. A socket reports a reset to one call only. If the writer of a long request got it, the reader saw an ordinary end and sent the end frame. And any failure of the writer closed the server's connection at once, so that the rest of an answer was lost that came, and ended in order, before its request was read.

Change: at the server's end its writer is stopped, and the end is believed only if no write had failed before. EPIPE is no failure: Linux reports it for a reset after the end of the other side, ECONNRESET for one before. After a failed write the rest of the request is dropped, and the answer is read to its end.

--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"crypto/hmac"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
@@ -129,6 +133,9 @@
 	mu sync.Mutex
 	// closing is set once the deadline of near is that of the end.
 	closing bool
+
+	writing  sync.Mutex // held while bytes are written to upstream
+	writeErr error      // first error of writing to upstream
 }
 
 // run returns when both connections are closed. The error is that of the server's side, or
@@ -142,7 +149,7 @@
 		defer p.upstream.Close()
 		p.passUp()
 	})
-	err := writeFrames(p.near, p.upstream, p.countDown)
+	err := writeFrames(p.near, upstreamReader{p}, p.countDown)
 	left := time.Duration(0)
 	if err == nil {
 		// Closing with unread bytes would reset the connection and drop the answer.
@@ -165,9 +172,7 @@
 		n, err := p.near.Read(buffer)
 		if n > 0 {
 			p.countUp(n)
-			if _, err := p.upstream.Write(buffer[:n]); err != nil {
-				return
-			}
+			p.writeUp(buffer[:n])
 		}
 		idle := p.down.Load() == before
 		if err != nil && (idle || !netconn.IsTimeout(err) || p.isClosing()) {
@@ -176,6 +181,40 @@
 	}
 }
 
+// writeUp writes to the server. After a failure it drops the bytes: the server may have
+// answered already, and the answer is passed on to its end.
+func (p *passage) writeUp(b []byte) {
+	p.writing.Lock()
+	defer p.writing.Unlock()
+	if p.writeErr == nil {
+		_, p.writeErr = p.upstream.Write(b)
+	}
+}
+
+// resetWhileWriting stops writing to the server and reports whether the connection was lost
+// before. EPIPE is no loss: the server had ended its side in order before it reset the rest.
+func (p *passage) resetWhileWriting() bool {
+	if err := p.upstream.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return true
+	}
+	p.writing.Lock()
+	defer p.writing.Unlock()
+	return p.writeErr != nil && !errors.Is(p.writeErr, os.ErrDeadlineExceeded) && !errors.Is(p.writeErr, syscall.EPIPE)
+}
+
+// upstreamReader reads from the server. A socket reports a reset once. If the writer gets it,
+// reading ends as if the server had closed its side.
+type upstreamReader struct{ *passage }
+
+// Read implements io.Reader.
+func (r upstreamReader) Read(b []byte) (int, error) {
+	n, err := r.upstream.Read(b)
+	if err == io.EOF && r.resetWhileWriting() {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 func (p *passage) extendDeadline() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
