Callers: streams to HTTP/1.0 have a length

A caller of HTTP/1.0 that asked the product's own interface for a stream got chunks, which its version of HTTP doesn't have: it reads their lengths as text of the answer, and the end of the connection as the end of the answer, so that a part of a killed instance's answer looks whole.

Change: such a caller gets the events with a length once the answer has ended, or the ordinary refusal. An answer that ends with its connection was not considered: it would need a reset at each other end.

--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -12,6 +12,10 @@
 // answerStream waits for the first token and then streams the answer from offset. A
 // failure before the first token is an ordinary refusal.
 func (s *Server) answerStream(ctx *fasthttp.RequestCtx, f *follower, offset int) {
+	if !ctx.Request.Header.IsHTTP11() {
+		s.answerStreamWhole(ctx, f, offset)
+		return
+	}
 	body := &sseBody{
 		follower: f,
 		encoder:  newChunkEncoder(f.id, f.log.Metadata()),
@@ -23,20 +27,50 @@
 		return
 	}
 	body.offset += len(body.events)
-	setHeaders(ctx, f.id, verdict.Ran)
+	setStreamHeaders(ctx, f.id)
+	ctx.SetBodyStream(body, -1)
+}
+
+func setStreamHeaders(ctx *fasthttp.RequestCtx, id string) {
+	setHeaders(ctx, id, verdict.Ran)
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
-	ctx.SetBodyStream(body, -1)
 }
 
-// answerWhole waits for the end of the answer and writes all of it.
-func (s *Server) answerWhole(ctx *fasthttp.RequestCtx, f *follower) {
+// answerStreamWhole waits for the end of the answer and writes its events with a length.
+// HTTP/1.0 has no chunks, and a body that ends with its connection looks whole when cut off.
+func (s *Server) answerStreamWhole(ctx *fasthttp.RequestCtx, f *follower, offset int) {
+	if !s.waitForEnd(ctx, f) {
+		return
+	}
+	events, _, _ := f.log.Next(f.ctx, offset)
+	encoder := newChunkEncoder(f.id, f.log.Metadata())
+	var body []byte
+	for i := range events {
+		body = encoder.appendChunk(body, &events[i])
+	}
+	setStreamHeaders(ctx, f.id)
+	ctx.SetBody(append(body, streamEnd...))
+	f.deliver()
+}
+
+// waitForEnd waits for the end of the answer and reports whether it is complete. If not, the
+// refusal is in the response.
+func (s *Server) waitForEnd(ctx *fasthttp.RequestCtx, f *follower) bool {
 	if err := f.log.Wait(f.ctx); err != nil {
 		state, _ := f.log.Status()
 		s.answerError(ctx, f, state == answers.Failed, err)
-		return
+		return false
 	}
 	f.unwatch()
+	return true
+}
+
+// answerWhole waits for the end of the answer and writes all of it.
+func (s *Server) answerWhole(ctx *fasthttp.RequestCtx, f *follower) {
+	if !s.waitForEnd(ctx, f) {
+		return
+	}
 	setHeaders(ctx, f.id, verdict.Ran)
 	if service := f.log.Service(); service != nil {
 		writeServiceAnswer(ctx, service)
--- a/internal/callers/stream.go
+++ b/internal/callers/stream.go
@@ -21,6 +21,9 @@
 // value takes more memory per stream, a smaller one takes more writes.
 const maxBuffered = 32 << 10
 
+// streamEnd is the last event of a whole answer.
+const streamEnd = "data: [DONE]\n\n"
+
 // follower attaches one caller's connection to one answer.
 type follower struct {
 	server   *Server
@@ -183,11 +186,11 @@
 	b.appendEnd()
 }
 
-// appendEnd appends the last event: [DONE] for a whole answer, otherwise the refusal.
+// appendEnd appends the last event: streamEnd for a whole answer, otherwise the refusal.
 func (b *sseBody) appendEnd() {
 	b.fullyEncoded = true
 	if b.err == nil {
-		b.buffer = append(b.buffer, "data: [DONE]\n\n"...)
+		b.buffer = append(b.buffer, streamEnd...)
 		return
 	}
 	b.buffer = append(b.buffer, "event: error\ndata: "...)
