Relay: a part of the settings does not remove the seeds

The settings are read on SIGHUP and each second. A file that is being written in place may be read in part, and TOML that stops at the end of a line is valid: an instance then went on without seeds until the next read.

Change: settings without seeds, after some with seeds, count only if the next read finds none either; the first such read is logged as a failed one. Of the settings only the seeds are applied while an instance runs, and a list of seeds that is cut is invalid TOML. A write that is stalled for longer than a second is still taken for the whole.

--- a/cmd/basilrudderd/relay.go
+++ b/cmd/basilrudderd/relay.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -22,6 +23,9 @@
 type relayCommand struct {
 	Settings string `arg:"" help:"Settings file (TOML)." type:"path" env:"BASILRUDDER_SETTINGS"`
 	Check    bool   `help:"Check the settings and exit."`
+
+	// noSeeds means that the settings last read have no seeds.
+	noSeeds bool
 }
 
 // Run executes the command. It exits with exitBadInput if the settings are invalid.
@@ -34,6 +38,7 @@
 	if c.Check {
 		return nil
 	}
+	c.noSeeds = len(s.Peers.Seeds) == 0
 	limitMemory()
 	level, err := zapcore.ParseLevel(string(s.Log.Level))
 	if err != nil {
@@ -62,11 +67,21 @@
 	return g.Run(ctx)
 }
 
+// errSeedsMissing is that of the first settings without seeds after some with seeds.
+var errSeedsMissing = errors.New("the settings have no seeds any more: they may be incomplete")
+
+// reload reads the settings again. A part of a file that is being written can be valid: it is
+// taken as the whole only if the next read finds no seeds either.
 func (c *relayCommand) reload() (*relaysettings.RelaySettings, error) {
 	s, problems := gateway.LoadSettings(c.Settings)
 	if len(problems) > 0 {
 		return nil, problems
 	}
+	had := !c.noSeeds
+	c.noSeeds = len(s.Peers.Seeds) == 0
+	if had && c.noSeeds {
+		return nil, errSeedsMissing
+	}
 	return s, nil
 }
 
