Relay: a server that answers early and closes in order is not taken for lost

A server may answer a long request without reading the rest of it, and close. Callers then got most whole answers without a length as broken off.

Cause: the kernel resets what is still being written to a closed connection, and any failure of the writer counted as a loss of the answer. Change: EPIPE does not. Linux reports it for a reset after the other side's end, and ECONNRESET for one before. ETIMEDOUT counts as a loss now; it was taken for the deadline that stops the writer.

Parts and whole answers are told apart by one error of the kernel; other systems may report ECONNRESET for both, by which whole answers look broken as before.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -5,7 +5,9 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -198,14 +200,15 @@
 	return <-e.written == nil
 }
 
-// writeFailed stops writing a long request and reports whether it had failed before.
+// writeFailed stops writing a long request and reports whether the connection was lost before.
+// EPIPE is no loss: the server had ended its side in order before it reset the rest.
 func (e *exchange) writeFailed() bool {
 	if err := e.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
 		return true
 	}
 	err := <-e.written
 	e.written <- err // for requestWritten
-	return err != nil && !netconn.IsTimeout(err)
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE)
 }
 
 // earlyBody is the body of an answer that began before its request was written and ends with
--- a/internal/relay/reset_test.go
+++ b/internal/relay/reset_test.go
@@ -50,3 +50,32 @@
 		}
 	}
 }
+
+// Guards against whole answers that look broken as their server never reads the rest of a request.
+func TestAnEndBeforeTheRequestIsWrittenCutsNothing(t *testing.T) {
+	broken, plays := 0, 0
+	for range 40 {
+		for _, path := range []string{"/once/", "/stream/", "/resumable/"} {
+			head, body := closePlainHead, "{}"
+			if path != "/once/" {
+				head, body = closeStreamHead, events(1, 2)
+			}
+			early := func(t *testing.T, c net.Conn, in *bufio.Reader) {
+				_, _ = in.Peek(64)
+				_, _ = io.WriteString(c, head+body)
+				_ = c.(*net.TCPConn).CloseWrite()
+			}
+			b := newRig(t, allRoutes, map[string][]script{"s1": {early, replying(), replying()}}, "s1")
+			b.sockets, b.writeBuffer = true, 4<<10
+			got := b.callBody("1.1", "POST", path, "", strings.Repeat("x", 1<<20-1))
+			b.close()
+			plays++
+			if got.status != 200 || got.broken || got.body != body {
+				broken++
+			}
+		}
+	}
+	if broken > 0 {
+		t.Errorf("%d of %d whole answers looked broken", broken, plays)
+	}
+}
