A server is asked who it is before its address counts as a sign of life

Callers saw parts of answers that looked whole although all connections to the server had ended: the address accepted the probe's connection, which a proxy, a balancer or a process started anew does for a server that is gone.

Cause: the probe closed its connection as soon as it was accepted. What accepts need not be the process that sent the answer.

Change: the probe of an end asks on its connection which server replies: a GET without a request id for the server's report, with the server's name. A model server replies without a slot, any other server rejects a request without an id, another incarnation rejects it with 421; none runs it. A reply of another server, or an end of the connection without a reply, makes the end doubtful like a refusal. No reply within 100 ms, or one that a proxy may have sent, leaves the end whole as before. Probes by which requests are blamed for crashes ask nothing, as before; they are shared among themselves.

Tests: TestAnAddressThatAcceptsDoesNotShowThatTheServerLives fails without the question: all of its cases then are "whole: new connection accepted". Protocols of tests got the new method; they have no question, so what they check is unchanged.

--- a/internal/answerend/answerend.go
+++ b/internal/answerend/answerend.go
@@ -15,12 +15,27 @@
 	// NotProbed means that no connection was attempted, for one that was not needed or
 	// allowed.
 	NotProbed Probe = ""
-	Accepted  Probe = "accepted"
-	Refused   Probe = "refused"
+	// Accepted means that the connection was accepted, by the server or by something in
+	// front of it.
+	Accepted Probe = "accepted"
+	// Identified means that the server itself replied on it.
+	Identified Probe = "accepted by the server"
+	// Replaced means that another server replied on it.
+	Replaced Probe = "accepted by another server"
+	// Dropped means that it was accepted and ended without a reply.
+	Dropped Probe = "accepted and dropped"
+	Refused Probe = "refused"
 	// Unanswered means that the server neither accepted nor refused in time.
 	Unanswered Probe = "unanswered"
 )
 
+// ServerAlive reports whether the server, or something in front of it, accepts connections.
+func (p Probe) ServerAlive() bool { return p == Accepted || p == Identified }
+
+// ServerGone reports whether the process that the server's name stands for has ended, as far
+// as the probe tells. A server that has too many connections drops new ones too.
+func (p Probe) ServerGone() bool { return p == Refused || p == Replaced || p == Dropped }
+
 // Evidence is what is known of an end without a mark.
 type Evidence struct {
 	Siblings Siblings
@@ -49,10 +64,10 @@
 // mayBeLast reports whether the answer may be the last one of a server that stops in order.
 func (e Evidence) mayBeLast() bool { return e.Leaving && e.Siblings.Ended == 0 }
 
-// Decide decides on the evidence. An end is doubtful only after a refusal: connections also end
-// for reasons that concern the network or their age.
+// Decide decides on the evidence. An end is doubtful only after a probe that shows it:
+// connections also end for reasons that concern the network or their age.
 func (e Evidence) Decide() Decision {
-	if e.NeedsProbe() && e.Probe == Refused {
+	if e.NeedsProbe() && e.Probe.ServerGone() {
 		return Doubtful
 	}
 	return Whole
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -50,6 +50,8 @@
 	return out
 }
 
+func (minimalProtocol) Identify(http.Header, string) (path string) { return "" }
+
 func (minimalProtocol) LastEventID([]byte) string { return "" }
 
 const (
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilrudder/internal/answerend"
 	"basilrudder/internal/descriptors"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
@@ -39,26 +40,29 @@
 
 // Probe implements relay.Connector. A server that refuses this instance only has not ended,
 // so a peer has to confirm it if there is any.
-func (c *connector) Probe(ctx context.Context, target relay.Target) (refuses, accepts bool) {
-	refuses, accepts = relay.Probe(ctx, c.dial, target.Address)
-	if !refuses || !c.reachesAnother(ctx, target.Server) {
-		return false, accepts
+func (c *connector) Probe(ctx context.Context, target relay.Target, identify relay.Identify) answerend.Probe {
+	found := relay.Probe(ctx, c.dial, target.Address, identify)
+	if found != answerend.Refused {
+		return found
+	}
+	if !c.reachesAnother(ctx, target.Server) {
+		return answerend.Unanswered
 	}
 	if len(c.staying()) == 0 {
-		return true, false
+		return answerend.Refused
 	}
 	for member := range c.peersToAsk(target.Service, nil) {
 		conn, via, err := c.openTunnel(ctx, member, target.Server)
 		switch {
 		case err == nil:
-			_ = conn.Close()
-			c.Closed(via)
-			return false, true
+			defer c.Closed(via)
+			defer conn.Close()
+			return identify(conn)
 		case errors.Is(err, tunnel.ErrRefused):
-			return true, false
+			return answerend.Refused
 		}
 	}
-	return false, false
+	return answerend.Unanswered
 }
 
 // serveTunnel connects a peer's tunnel to a server: directly, or not at all, so that no
--- a/internal/relay/connector.go
+++ b/internal/relay/connector.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 
+	"basilrudder/internal/answerend"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
 	"basilrudder/internal/placement"
@@ -35,9 +36,9 @@
 	// Unanswered reports that a server has not answered over a direct connection, within
 	// the usual time or before the connection broke.
 	Unanswered(target Target)
-	// Probe reports whether a server refuses connections, as one that has just ended does,
-	// and whether it accepts them. Neither holds if that can't be told.
-	Probe(ctx context.Context, target Target) (refuses, accepts bool)
+	// Probe reports what a new connection to a server shows. identify is called for one
+	// that was accepted.
+	Probe(ctx context.Context, target Target, identify Identify) answerend.Probe
 }
 
 // directConnector connects directly only.
@@ -56,8 +57,8 @@
 func (directConnector) Reached(Target)                             {}
 func (directConnector) Unanswered(Target)                          {}
 
-func (d directConnector) Probe(ctx context.Context, target Target) (refuses, accepts bool) {
-	return Probe(ctx, d.dial, target.Address)
+func (d directConnector) Probe(ctx context.Context, target Target, identify Identify) answerend.Probe {
+	return Probe(ctx, d.dial, target.Address, identify)
 }
 
 // Dial opens a direct connection to a server within ConnectTimeout.
@@ -67,15 +68,22 @@
 	return dial(ctx, address)
 }
 
-// Probe reports whether a server refuses direct connections, and whether it accepts them.
-// Neither holds if it does not answer.
-func Probe(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), address string) (refuses, accepts bool) {
-	ctx, cancel := context.WithTimeout(ctx, ConnectTimeout)
-	defer cancel()
-	c, err := dial(ctx, address)
-	if err == nil {
-		_ = c.Close()
-		return false, true
+// Identify finds out which server accepted a connection.
+type Identify func(c net.Conn) answerend.Probe
+
+// AnyServer is an Identify that does not find out.
+func AnyServer(net.Conn) answerend.Probe { return answerend.Accepted }
+
+// Probe reports what a new direct connection to a server shows.
+func Probe(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), address string, identify Identify) answerend.Probe {
+	c, err := Dial(ctx, dial, address)
+	switch {
+	case err == nil:
+		defer c.Close()
+		return identify(c)
+	case netconn.IsTimeout(err), ctx.Err() != nil:
+		return answerend.Unanswered
+	default:
+		return answerend.Refused
 	}
-	return !netconn.IsTimeout(err) && ctx.Err() == nil, false
 }
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -156,7 +156,7 @@
 		f.logNotCounted("the answer had begun long before", now)
 		return
 	}
-	if !f.relay.probes.ended(f.ctx, f.target, f.relay.cfg.Connector) {
+	if !f.relay.probes.ended(f.ctx, f.target) {
 		f.logNotCounted("the server was not found to refuse connections", now)
 		f.relay.cfg.Fleet.BrokeOff(f.target, f.crashOf(now), now)
 		return
@@ -194,7 +194,7 @@
 			if succeeded {
 				r.cfg.Fleet.Survived(crash.Content(), begunAt)
 			}
-		case r.mayProbeUnmarked() && r.probes.ended(context.Background(), target, r.cfg.Connector):
+		case r.mayProbeUnmarked() && r.probes.ended(context.Background(), target):
 			r.reportCrash(crash, id)
 		default:
 			r.cfg.Fleet.BrokeOff(target, crash, monotime.Now())
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -53,6 +53,8 @@
 	}
 }
 
+func (plainProtocol) Identify(http.Header, string) (path string) { return "" }
+
 func (plainProtocol) LastEventID(events []byte) (last string) {
 	for line := range strings.FieldsFuncSeq(string(events), func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if id, ok := strings.CutPrefix(line, "id:"); ok {
--- a/internal/relay/probes.go
+++ b/internal/relay/probes.go
@@ -16,10 +16,18 @@
 // probes determines whether servers that broke off answers have ended. The end of a
 // server breaks off all its answers at once, so one probe serves all of them.
 type probes struct {
+	connector Connector
+	// identify returns how to find out which server accepted a connection.
+	identify func(Target) Identify
+
 	mu     sync.Mutex
 	recent map[string]*probe
 }
 
+func newProbes(connector Connector, identify func(Target) Identify) *probes {
+	return &probes{connector: connector, identify: identify, recent: make(map[string]*probe)}
+}
+
 type probe struct {
 	at    monotime.Instant
 	done  chan struct{}
@@ -28,13 +36,13 @@
 
 // ended reports whether a server refuses connections, as one that has just ended does. A
 // server that only lost its connections accepts new ones.
-func (p *probes) ended(ctx context.Context, target Target, connector Connector) bool {
-	return p.examine(ctx, target, connector, 0, func() bool { return true }) == answerend.Refused
+func (p *probes) ended(ctx context.Context, target Target) bool {
+	return p.examine(ctx, target, 0, func() bool { return true }) == answerend.Refused
 }
 
 // examine probes a server if allowed, or waits for a probe under way. One that began before
-// since and was accepted shows nothing.
-func (p *probes) examine(ctx context.Context, target Target, connector Connector, since monotime.Instant, allowed func() bool) answerend.Probe {
+// since and found the server alive shows nothing.
+func (p *probes) examine(ctx context.Context, target Target, since monotime.Instant, allowed func() bool) answerend.Probe {
 	for {
 		current, first := p.start(target.ID, allowed)
 		if current == nil {
@@ -42,20 +50,15 @@
 		}
 		if first {
 			defer close(current.done)
-			current.found = answerend.Unanswered
-			refuses, accepts := connector.Probe(context.WithoutCancel(ctx), target)
-			switch {
-			case accepts:
+			current.found = p.connector.Probe(context.WithoutCancel(ctx), target, p.identify(target))
+			if current.found.ServerAlive() {
 				p.forget(target.ID)
-				current.found = answerend.Accepted
-			case refuses:
-				current.found = answerend.Refused
 			}
 			return current.found
 		}
 		select {
 		case <-current.done:
-			if current.found != answerend.Accepted || current.at >= since {
+			if !current.found.ServerAlive() || current.at >= since {
 				return current.found
 			}
 		case <-ctx.Done():
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -62,6 +62,8 @@
 type Answer struct {
 	// ID of the request that is answered; empty if the headers have none.
 	ID string
+	// Server is the server that answers; empty if the headers don't name it.
+	Server string
 	// Signed reports that the answer comes from a server that worked on the request.
 	Signed bool
 	// NotRun reports that the server guarantees not to have run the request.
@@ -78,6 +80,9 @@
 	Forward(h http.Header, f Forward)
 	// Answer parses the headers of a server.
 	Answer(status int, h http.Header) Answer
+	// Identify returns the path of a GET request, and sets its headers, to which a server
+	// replies without running anything and any other one with 421; empty for none.
+	Identify(h http.Header, server string) (path string)
 	// LastEventID returns the last id in complete events of a stream; empty when they have
 	// none. Lines end as the eventstream package says.
 	LastEventID(events []byte) string
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,15 +44,16 @@
 
 // Relay is the HTTP handler for callers.
 type Relay struct {
-	cfg     Config
-	pool    *pool
-	probes  probes
-	answers answerTimes
+	cfg  Config
+	pool *pool
+	// probes are those that tell the ends of servers from other breaks, and endProbes those
+	// by which ends of answers are judged.
+	probes, endProbes *probes
+	answers           answerTimes
 	// unmarkedProbeAt is when a server was last probed because of an answer without a marked
 	// end, as a monotime.Instant; 0 for never.
 	unmarkedProbeAt atomic.Int64
-	// endProbes bounds the probes by which ends of answers are judged.
-	endProbes answerend.Budget
+	endBudget       answerend.Budget
 	// drainSince is when the drain began; 0 while there is none.
 	drainSince atomic.Int64
 	bodyBytes  atomic.Int64
@@ -98,7 +99,12 @@
 	if cfg.Connector == nil {
 		cfg.Connector = directConnector{cfg.Dial}
 	}
-	return &Relay{cfg: cfg, pool: newPool(cfg.Connector, cfg.Descriptors), probes: probes{recent: make(map[string]*probe)}}
+	anyServer := func(Target) Identify { return AnyServer }
+	return &Relay{
+		cfg: cfg, pool: newPool(cfg.Connector, cfg.Descriptors),
+		probes:    newProbes(cfg.Connector, anyServer),
+		endProbes: newProbes(cfg.Connector, identifier(cfg.Protocol)),
+	}
 }
 
 // Drain starts draining: answers ask callers to connect elsewhere, and requests that may
--- a/internal/relay/unmarked.go
+++ b/internal/relay/unmarked.go
@@ -20,7 +20,7 @@
 )
 
 // errServerEnded is that of an answer without a mark of its end whose server ended with it.
-var errServerEnded = errors.New("server closed the connection of an answer without a marked end, and refuses new ones")
+var errServerEnded = errors.New("server closed the connection of an answer without a marked end, and does not reply on new ones")
 
 // checkEnd returns errServerEnded if the answer ended with its connection and the server's
 // process with it. The caller waits for that.
@@ -52,9 +52,9 @@
 // probeEnd probes the server of an answer that ended at an instant.
 func (f *forwarder) probeEnd(evidence answerend.Evidence, endedAt monotime.Instant) answerend.Probe {
 	r, target, result := f.relay, f.target, make(chan answerend.Probe, 1)
-	allowed := func() bool { return r.endProbes.Take(evidence, monotime.Now()) }
+	allowed := func() bool { return r.endBudget.Take(evidence, monotime.Now()) }
 	go func() {
-		result <- r.probes.examine(f.ctx, target, r.cfg.Connector, endedAt, allowed)
+		result <- r.endProbes.examine(f.ctx, target, endedAt, allowed)
 	}()
 	expired := timer.New(maxEndHold)
 	defer expired.Stop()
--- a/internal/relay/unmarked_test.go
+++ b/internal/relay/unmarked_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"testing"
@@ -132,3 +133,50 @@
 		t.Errorf("ends: %s", ends)
 	}
 }
+
+// identifyingProtocol has servers that can be asked which one they are.
+type identifyingProtocol struct{ plainProtocol }
+
+func (identifyingProtocol) Identify(h http.Header, server string) (path string) {
+	h.Set("X-Server", server)
+	return "/who"
+}
+
+func (p identifyingProtocol) Answer(status int, h http.Header) Answer {
+	out := p.plainProtocol.Answer(status, h)
+	out.Server = h.Get("X-Server")
+	return out
+}
+
+// Guards against trust in an address that accepts connections although the server there has ended.
+func TestAnAddressThatAcceptsDoesNotShowThatTheServerLives(t *testing.T) {
+	const end = "\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		probe script
+		whole bool
+		basis string
+	}{
+		"the server replies":      {replying("HTTP/1.1 200 OK" + end), true, "accepted by the server"},
+		"the server names itself": {replying("HTTP/1.1 503 Full\r\nX-Server: s1" + end), true, "accepted by the server"},
+		"a proxy replies":         {replying("HTTP/1.1 502 Bad Gateway" + end), true, "accepted"},
+		"no HTTP":                 {replying("no HTTP"), true, "accepted"},
+		"no reply":                {unresponsive, true, "accepted"},
+		"another server rejects":  {replying("HTTP/1.1 421 Misdirected Request" + end), false, "accepted by another server"},
+		"another server replies":  {replying("HTTP/1.1 200 OK\r\nX-Server: s3" + end), false, "accepted by another server"},
+		"the connection ends":     {sendThenClose(), false, "accepted and dropped"},
+		"the connection is reset": {sendThenReset(), false, "accepted and dropped"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newRig(t, allRoutes, map[string][]script{"s1": {sendThenClose(closeStreamHead, events(1, 5)), c.probe, replying()}}, "s1")
+			b.sockets = true
+			b.relay = New(Config{Fleet: b.fleet, Protocol: identifyingProtocol{}, Dial: b.dial, ResetOnClose: resetOnClose})
+			got := b.call("1.1", "POST", "/stream/")
+			ends := b.relay.cfg.Metrics.ends.String()
+			b.close()
+			decision := map[bool]string{true: "whole", false: "doubtful"}[c.whole]
+			if want := fmt.Sprintf(`{"%s: new connection %s": 1}`, decision, c.basis); ends != want || got.broken == c.whole {
+				t.Errorf("ends: %s, broken %v", ends, got.broken)
+			}
+		})
+	}
+}
