A probe's result from before an answer's end is reused only if it still holds

A probe of a server that got no answer, or was dropped, was taken for up to 2 s as the result for answers that ended after it had begun, so that their ends stayed whole or became doubtful by what had been seen before them.

Cause: only results that found the server alive were tied to their time.

Change: a refusal and another server at the address hold for later ends too, since a process that has ended stays so. Any other result shows something only of answers that ended before its probe began; else a new probe is made, within the budget. A probe under way is waited for, as before.

TestAnEarlierProbeIsReusedOnlyIfItStillHolds failed before for results "accepted and dropped" and "unanswered"; passes now.

--- a/internal/relay/probes.go
+++ b/internal/relay/probes.go
@@ -34,17 +34,28 @@
 	found answerend.Probe
 }
 
+// shows reports whether the result holds for an answer that ended at an instant, or may do so
+// once there is one. A process that has ended stays so; other results are of their moment.
+func (p *probe) shows(endedAt monotime.Instant) bool {
+	select {
+	case <-p.done:
+		return p.found == answerend.Refused || p.found == answerend.Replaced || p.at >= endedAt
+	default:
+		return true
+	}
+}
+
 // ended reports whether a server refuses connections, as one that has just ended does. A
 // server that only lost its connections accepts new ones.
 func (p *probes) ended(ctx context.Context, target Target) bool {
 	return p.examine(ctx, target, 0, func() bool { return true }) == answerend.Refused
 }
 
-// examine probes a server if allowed, or waits for a probe under way. One that began before
-// since and found the server alive shows nothing.
+// examine probes a server if allowed for an answer that ended at since, or waits for a probe
+// under way.
 func (p *probes) examine(ctx context.Context, target Target, since monotime.Instant, allowed func() bool) answerend.Probe {
 	for {
-		current, first := p.start(target.ID, allowed)
+		current, first := p.start(target.ID, since, allowed)
 		if current == nil {
 			return answerend.NotProbed
 		}
@@ -58,7 +69,7 @@
 		}
 		select {
 		case <-current.done:
-			if !current.found.ServerAlive() || current.at >= since {
+			if current.shows(since) {
 				return current.found
 			}
 		case <-ctx.Done():
@@ -67,9 +78,9 @@
 	}
 }
 
-// start returns the recent probe of a server, or a new one that the caller has to make; nil
-// if that is not allowed.
-func (p *probes) start(server string, allowed func() bool) (current *probe, first bool) {
+// start returns the recent probe of a server that shows something of an answer that ended at
+// since, or a new one that the caller has to make; nil if that is not allowed.
+func (p *probes) start(server string, since monotime.Instant, allowed func() bool) (current *probe, first bool) {
 	now := monotime.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -78,7 +89,7 @@
 			delete(p.recent, id)
 		}
 	}
-	if current = p.recent[server]; current != nil {
+	if current = p.recent[server]; current != nil && current.shows(since) {
 		return current, false
 	}
 	if !allowed() {
