Only the other side's refusal counts as the end of a server

A dial that failed here (no descriptor, no free port, no route) counted as a refusal: whole answers without a mark then looked broken, requests were blamed for a crash, and a peer that was asked confirmed it.

Cause: every failure to connect but a timeout was taken for a refusal.

Change: a probe reports a refusal, and a tunnel's server ErrRefused, only after ECONNREFUSED or ECONNRESET; anything else leaves it open.

Tests: TestOnlyARefusalOfTheOtherSideShowsAnEnd failed before for "too many open files", "cannot assign requested address" and "no route to host". Stand-in networks of tests refuse with ECONNREFUSED now, as the system's does, in place of an error of their own with that text.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -12,11 +12,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -229,7 +229,7 @@
 		go s.serve(far)
 		return near, nil
 	}
-	return nil, errors.New("connection refused")
+	return nil, syscall.ECONNREFUSED
 }
 
 func (s *crashingServer) serve(c net.Conn) {
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -86,7 +86,7 @@
 		return conn, nil
 	case c.paths.Lost(s.Service):
 		return nil, tunnel.ErrCutOff
-	case netconn.IsTimeout(err):
+	case !netconn.IsRefusal(err):
 		return nil, errors.Wrap(tunnel.ErrUnreachable, err.Error())
 	case !c.reachesAnother(ctx, s):
 		return nil, tunnel.ErrCutOff
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 
 	"github.com/go-faster/errors"
 )
@@ -13,6 +14,12 @@
 	return new(net.Dialer).DialContext(ctx, "tcp", address)
 }
 
+// IsRefusal reports whether the other side refused a connection, or reset it. Dialing also fails
+// for want of a descriptor or port here, or of a route.
+func IsRefusal(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // IsTimeout reports whether err is or wraps a timeout. Those of some libraries are no
 // net.Error.
 func IsTimeout(err error) bool {
--- a/internal/relay/connector.go
+++ b/internal/relay/connector.go
@@ -81,9 +81,9 @@
 	case err == nil:
 		defer c.Close()
 		return identify(c)
-	case netconn.IsTimeout(err), ctx.Err() != nil:
-		return answerend.Unanswered
-	default:
+	case netconn.IsRefusal(err):
 		return answerend.Refused
+	default:
+		return answerend.Unanswered
 	}
 }
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -288,7 +289,7 @@
 	b.dials[address]++
 	b.mu.Unlock()
 	if n >= len(b.scripts[address]) {
-		return nil, errors.New("connection refused")
+		return nil, syscall.ECONNREFUSED
 	}
 	near, far := net.Pipe()
 	if b.sockets {
--- a/internal/relay/unmarked_test.go
+++ b/internal/relay/unmarked_test.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"syscall"
 	"testing"
 
+	"basilrudder/internal/answerend"
 	"basilrudder/internal/servers"
 )
 
@@ -180,3 +182,18 @@
 		})
 	}
 }
+
+// Guards against a failure to connect that is not the server's and counts as its end.
+func TestOnlyARefusalOfTheOtherSideShowsAnEnd(t *testing.T) {
+	for cause, refused := range map[error]bool{
+		syscall.ECONNREFUSED: true, syscall.ECONNRESET: true,
+		syscall.EMFILE: false, syscall.EADDRNOTAVAIL: false, syscall.EHOSTUNREACH: false, syscall.ETIMEDOUT: false, context.DeadlineExceeded: false,
+	} {
+		dial := func(context.Context, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", cause)}
+		}
+		if got := Probe(t.Context(), dial, "s1", AnyServer); (got == answerend.Refused) != refused {
+			t.Errorf("%v: %s", cause, got)
+		}
+	}
+}
--- a/internal/standin/narrownet/narrownet.go
+++ b/internal/standin/narrownet/narrownet.go
@@ -7,9 +7,8 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
-
-	"github.com/go-faster/errors"
 )
 
 const (
@@ -24,7 +23,7 @@
 )
 
 // ErrRefused is returned by Dial when there is no listener at the address.
-var ErrRefused = errors.New("connection refused")
+const ErrRefused = syscall.ECONNREFUSED
 
 // Network is a set of hosts and the addresses they listen on.
 type Network struct {
