A deadline that passes while an end is examined does not make it whole

Cause: the wait for other connections returned early at the end of the request's time, and so did the wait for the probe.

Change: what is known by then decides. An open connection to the server keeps the end whole; where a probe was due and there was no time for it, the end is doubtful. request_ended and unmarked_ends say "new connection not awaited".

TestADeadlineDoesNotMakeAnEndWhole failed before (no end examined, the stream not broken off); passes now, with -race.

--- a/internal/answerend/answerend.go
+++ b/internal/answerend/answerend.go
@@ -27,6 +27,8 @@
 	Refused Probe = "refused"
 	// Unanswered means that the server neither accepted nor refused in time.
 	Unanswered Probe = "unanswered"
+	// Interrupted means that the request's time was over before the result was known.
+	Interrupted Probe = "not awaited"
 )
 
 // ServerAlive reports whether the server, or something in front of it, accepts connections.
@@ -64,10 +66,11 @@
 // mayBeLast reports whether the answer may be the last one of a server that stops in order.
 func (e Evidence) mayBeLast() bool { return e.Leaving && e.Siblings.Ended == 0 }
 
-// Decide decides on the evidence. An end is doubtful only after a probe that shows it:
-// connections also end for reasons that concern the network or their age.
+// Decide decides on the evidence. An end is doubtful only after a probe that shows it, or one
+// that there was no time for: connections also end for reasons that concern the network or
+// their age.
 func (e Evidence) Decide() Decision {
-	if e.NeedsProbe() && e.Probe.ServerGone() {
+	if e.NeedsProbe() && (e.Probe.ServerGone() || e.Probe == Interrupted) {
 		return Doubtful
 	}
 	return Whole
--- a/internal/answerend/answerend_test.go
+++ b/internal/answerend/answerend_test.go
@@ -19,6 +19,8 @@
 		{"all ended, accepted and dropped", Evidence{Siblings: Siblings{Ended: 3}, Probe: Dropped}, true, Doubtful},
 		{"another connection open, dropped", Evidence{Siblings: Siblings{Open: 1}, Probe: Dropped}, false, Whole},
 		{"unanswered", Evidence{Probe: Unanswered}, true, Whole},
+		{"no time for a probe", Evidence{Probe: Interrupted}, true, Doubtful},
+		{"no time, another connection open", Evidence{Siblings: Siblings{Open: 1}, Probe: Interrupted}, false, Whole},
 		{"not probed", Evidence{Siblings: Siblings{Ended: 1}}, true, Whole},
 		{"leaving, the last answer", Evidence{Probe: Refused, Leaving: true}, false, Whole},
 		{"leaving, all ended", Evidence{Siblings: Siblings{Ended: 1}, Probe: Refused, Leaving: true}, true, Doubtful},
--- a/internal/relay/probes.go
+++ b/internal/relay/probes.go
@@ -73,7 +73,7 @@
 				return current.found
 			}
 		case <-ctx.Done():
-			return answerend.Unanswered
+			return answerend.Interrupted
 		}
 	}
 }
--- a/internal/relay/unmarked.go
+++ b/internal/relay/unmarked.go
@@ -29,9 +29,8 @@
 		return nil
 	}
 	endedAt := monotime.Now()
-	if !timer.Sleep(siblingDelay, f.ctx.Done()) {
-		return nil
-	}
+	// What is known by the deadline decides.
+	timer.Sleep(siblingDelay, f.ctx.Done())
 	evidence := answerend.Evidence{
 		Siblings:  f.relay.pool.siblings(e.conn),
 		Leaving:   e.answer.Notice.Leaving || f.relay.cfg.Fleet.Leaving(f.target.ID),
@@ -51,6 +50,9 @@
 
 // probeEnd probes the server of an answer that ended at an instant.
 func (f *forwarder) probeEnd(evidence answerend.Evidence, endedAt monotime.Instant) answerend.Probe {
+	if f.ctx.Err() != nil {
+		return answerend.Interrupted
+	}
 	r, target, result := f.relay, f.target, make(chan answerend.Probe, 1)
 	allowed := func() bool { return r.endBudget.Take(evidence, monotime.Now()) }
 	go func() {
@@ -62,9 +64,10 @@
 	case probe := <-result:
 		return probe
 	case <-expired.C:
+		return answerend.Unanswered
 	case <-f.ctx.Done():
+		return answerend.Interrupted
 	}
-	return answerend.Unanswered
 }
 
 // unmarkedEnd describes what the end of an answer without a mark was taken for.
--- a/internal/relay/unmarked_test.go
+++ b/internal/relay/unmarked_test.go
@@ -11,6 +11,8 @@
 	"os/exec"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"basilrudder/internal/answerend"
 	"basilrudder/internal/servers"
@@ -197,3 +199,25 @@
 		}
 	}
 }
+
+// Guards against an end that counts as whole because the deadline passes while it is examined.
+func TestADeadlineDoesNotMakeAnEndWhole(t *testing.T) {
+	for left, during := range map[time.Duration]string{siblingDelay / 2: "the wait for siblings", siblingDelay + identifyTimeout/2: "the probe"} {
+		synctest.Test(t, func(t *testing.T) {
+			late := func(t *testing.T, c net.Conn, in *bufio.Reader) {
+				time.Sleep(stream.Timeout - left)
+				sendThenClose(closeStreamHead, events(1, 5))(t, c, in)
+			}
+			b := newRig(t, allRoutes, map[string][]script{"s1": {late, unresponsive, unresponsive}}, "s1")
+			b.relay = New(Config{Fleet: b.fleet, Protocol: identifyingProtocol{}, Dial: b.dial})
+			_, aborted := b.serve(request("POST", "/stream/", "r", "x"))
+			ends := b.relay.cfg.Metrics.ends.String()
+			synctest.Wait()
+			time.Sleep(time.Second)
+			b.close()
+			if want := `{"doubtful: new connection not awaited": 1}`; ends != want || !aborted {
+				t.Errorf("%s: ends: %s, aborted %v", during, ends, aborted)
+			}
+		})
+	}
+}
