A refusal that nobody can confirm makes an end doubtful

Cause: with the blame for crashes in mind, a refusal counts only if a peer confirms it and another server of the service is reached. Peers that had learned of the server's replacement did not know it any more; where all servers of a service end together no other is reached. The probe then reported neither a refusal nor acceptance.

Change: it reports a refusal without confirmation. Ends are doubtful by it: a part that looks whole is not noticed. Blame still needs the confirmation.

TestARefusalThatNobodyConfirmsIsNoSignOfLife failed before for both cases with "unanswered"; passes now. A server that peers reach is alive as before.

--- a/internal/answerend/answerend.go
+++ b/internal/answerend/answerend.go
@@ -31,6 +31,9 @@
 	// Dropped means that it was accepted and ended without a reply.
 	Dropped Probe = "accepted and dropped"
 	Refused Probe = "refused"
+	// Unconfirmed means that it was refused, and that no other instance could say whether
+	// the server refuses it too.
+	Unconfirmed Probe = "refused without confirmation"
 	// Unanswered means that the server neither accepted nor refused in time.
 	Unanswered Probe = "unanswered"
 	// Interrupted means that the request's time was over before the result was known.
@@ -41,8 +44,11 @@
 func (p Probe) ServerAlive() bool { return p == Accepted || p == Identified || p == Unidentified }
 
 // ServerGone reports whether the process that the server's name stands for has ended, as far
-// as the probe tells. A server that has too many connections drops new ones too.
-func (p Probe) ServerGone() bool { return p == Refused || p == Replaced || p == Dropped }
+// as the probe tells. A server that has too many connections drops new ones too, and a network
+// may refuse them.
+func (p Probe) ServerGone() bool {
+	return p == Refused || p == Unconfirmed || p == Replaced || p == Dropped
+}
 
 // Evidence is what is known of an end without a mark.
 type Evidence struct {
--- a/internal/answerend/answerend_test.go
+++ b/internal/answerend/answerend_test.go
@@ -13,6 +13,7 @@
 		{"another connection open", Evidence{Siblings: Siblings{Open: 1}, Probe: Refused}, false, Whole},
 		{"all ended, refused", Evidence{Siblings: Siblings{Ended: 3}, Probe: Refused}, true, Doubtful},
 		{"none other, refused", Evidence{Probe: Refused}, true, Doubtful},
+		{"none other, refused without confirmation", Evidence{Probe: Unconfirmed}, true, Doubtful},
 		{"all ended, accepted", Evidence{Siblings: Siblings{Ended: 3}, Probe: Accepted}, true, Whole},
 		{"all ended, accepted by the server", Evidence{Siblings: Siblings{Ended: 3}, Probe: Identified}, true, Whole},
 		{"none other, accepted by another server", Evidence{Probe: Replaced}, true, Doubtful},
--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"basilrudder/internal/answerend"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/relay"
@@ -724,3 +725,24 @@
 		}
 	})
 }
+
+// Guards against trust in the life of a server that refuses connections since no peer knows it any more or all servers refuse.
+func TestARefusalThatNobodyConfirmsIsNoSignOfLife(t *testing.T) {
+	playCuts(t, func(c *cutCluster) {
+		probe := func(id, address string) answerend.Probe {
+			target := relay.Target{Server: servers.Server{ID: id, Service: "llm", Address: address}}
+			return c.fleet[0].connector.Probe(c.ctx, target, relay.AnyServer)
+		}
+		if got := probe("replaced", "10.0.9.9:80"); got != answerend.Unconfirmed {
+			t.Errorf("unknown to peers: %s", got)
+		}
+		c.cut(0, narrownet.Reset, 0)
+		if got := probe(serverAddress(0), serverAddress(0)); got != answerend.Accepted {
+			t.Errorf("reached by peers: %s", got)
+		}
+		c.cut(0, narrownet.Reset, allServers()...)
+		if got := probe(serverAddress(0), serverAddress(0)); got != answerend.Unconfirmed {
+			t.Errorf("no other server is reached: %s", got)
+		}
+	})
+}
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -46,7 +46,7 @@
 		return found
 	}
 	if !c.reachesAnother(ctx, target.Server) {
-		return answerend.Unanswered
+		return answerend.Unconfirmed
 	}
 	if len(c.staying()) == 0 {
 		return answerend.Refused
@@ -62,7 +62,7 @@
 			return answerend.Refused
 		}
 	}
-	return answerend.Unanswered
+	return answerend.Unconfirmed
 }
 
 // serveTunnel connects a peer's tunnel to a server: directly, or not at all, so that no
