--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -12,11 +12,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -50,6 +50,8 @@
 	return out
 }
 
+func (minimalProtocol) Identify(http.Header, string) (path string) { return "" }
+
 func (minimalProtocol) LastEventID([]byte) string { return "" }
 
 const (
@@ -227,7 +229,7 @@
 		go s.serve(far)
 		return near, nil
 	}
-	return nil, errors.New("connection refused")
+	return nil, syscall.ECONNREFUSED
 }
 
 func (s *crashingServer) serve(c net.Conn) {
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -53,6 +54,8 @@
 	}
 }
 
+func (plainProtocol) Identify(http.Header, string) (path string) { return "" }
+
 func (plainProtocol) LastEventID(events []byte) (last string) {
 	for line := range strings.FieldsFuncSeq(string(events), func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if id, ok := strings.CutPrefix(line, "id:"); ok {
@@ -286,7 +289,7 @@
 	b.dials[address]++
 	b.mu.Unlock()
 	if n >= len(b.scripts[address]) {
-		return nil, errors.New("connection refused")
+		return nil, syscall.ECONNREFUSED
 	}
 	near, far := net.Pipe()
 	if b.sockets {
--- a/internal/relay/unmarked.go
+++ b/internal/relay/unmarked.go
@@ -20,7 +20,7 @@
 )
 
 // errServerEnded is that of an answer without a mark of its end whose server ended with it.
-var errServerEnded = errors.New("server closed the connection of an answer without a marked end, and refuses new ones")
+var errServerEnded = errors.New("server closed the connection of an answer without a marked end, and does not reply on new ones")
 
 // checkEnd returns errServerEnded if the answer ended with its connection and the server's
 // process with it. The caller waits for that.
@@ -29,9 +29,8 @@
 		return nil
 	}
 	endedAt := monotime.Now()
-	if !timer.Sleep(siblingDelay, f.ctx.Done()) {
-		return nil
-	}
+	// What is known by the deadline decides.
+	timer.Sleep(siblingDelay, f.ctx.Done())
 	evidence := answerend.Evidence{
 		Siblings:  f.relay.pool.siblings(e.conn),
 		Leaving:   e.answer.Notice.Leaving || f.relay.cfg.Fleet.Leaving(f.target.ID),
@@ -51,10 +50,13 @@
 
 // probeEnd probes the server of an answer that ended at an instant.
 func (f *forwarder) probeEnd(evidence answerend.Evidence, endedAt monotime.Instant) answerend.Probe {
+	if f.ctx.Err() != nil {
+		return answerend.Interrupted
+	}
 	r, target, result := f.relay, f.target, make(chan answerend.Probe, 1)
-	allowed := func() bool { return r.endProbes.Take(evidence, monotime.Now()) }
+	allowed := func() bool { return r.endBudget.Take(evidence, monotime.Now()) }
 	go func() {
-		result <- r.probes.examine(f.ctx, target, r.cfg.Connector, endedAt, allowed)
+		result <- r.endProbes.examine(f.ctx, target, endedAt, allowed)
 	}()
 	expired := timer.New(maxEndHold)
 	defer expired.Stop()
@@ -62,9 +64,10 @@
 	case probe := <-result:
 		return probe
 	case <-expired.C:
+		return answerend.Unanswered
 	case <-f.ctx.Done():
+		return answerend.Interrupted
 	}
-	return answerend.Unanswered
 }
 
 // unmarkedEnd describes what the end of an answer without a mark was taken for.
--- a/internal/relay/unmarked_test.go
+++ b/internal/relay/unmarked_test.go
@@ -6,10 +6,17 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
+	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"basilrudder/internal/answerend"
+	"basilrudder/internal/descriptors"
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/servers"
 )
 
@@ -128,7 +135,109 @@
 	if want := (seen{200, framingClose, events(1, 5), false}); got != want {
 		t.Errorf("got %q", fmt.Sprint(got))
 	}
-	if want := `{"whole: another connection stayed open": 1}`; ends != want {
+	if want := `{"whole: other connections stayed open": 1}`; ends != want {
 		t.Errorf("ends: %s", ends)
 	}
 }
+
+// identifyingProtocol has servers that can be asked which one they are.
+type identifyingProtocol struct{ plainProtocol }
+
+func (identifyingProtocol) Identify(h http.Header, server string) (path string) {
+	h.Set("X-Server", server)
+	return "/who"
+}
+
+func (p identifyingProtocol) Answer(status int, h http.Header) Answer {
+	out := p.plainProtocol.Answer(status, h)
+	out.Server = h.Get("X-Server")
+	return out
+}
+
+// Guards against trust in an address that accepts connections although the server there has ended.
+func TestAnAddressThatAcceptsDoesNotShowThatTheServerLives(t *testing.T) {
+	const end = "\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		probe script
+		whole bool
+		basis string
+	}{
+		"the server replies":      {replying("HTTP/1.1 200 OK" + end), true, "accepted by the server"},
+		"the server names itself": {replying("HTTP/1.1 503 Full\r\nX-Server: s1" + end), true, "accepted by the server"},
+		"a proxy replies":         {replying("HTTP/1.1 502 Bad Gateway" + end), true, "accepted without a reply of the server"},
+		"no HTTP":                 {replying("no HTTP"), true, "accepted without a reply of the server"},
+		"no reply":                {unresponsive, true, "accepted without a reply of the server"},
+		"another server rejects":  {replying("HTTP/1.1 421 Misdirected Request" + end), false, "accepted by another server"},
+		"another server replies":  {replying("HTTP/1.1 200 OK\r\nX-Server: s3" + end), false, "accepted by another server"},
+		"the connection ends":     {sendThenClose(), false, "accepted and dropped"},
+		"the connection is reset": {sendThenReset(), false, "accepted and dropped"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newRig(t, allRoutes, map[string][]script{"s1": {sendThenClose(closeStreamHead, events(1, 5)), c.probe, replying()}}, "s1")
+			b.sockets = true
+			b.relay = New(Config{Fleet: b.fleet, Protocol: identifyingProtocol{}, Dial: b.dial, ResetOnClose: resetOnClose})
+			got := b.call("1.1", "POST", "/stream/")
+			ends := b.relay.cfg.Metrics.ends.String()
+			b.close()
+			decision := map[bool]string{true: "whole", false: "doubtful"}[c.whole]
+			if want := fmt.Sprintf(`{"%s: new connection %s": 1}`, decision, c.basis); ends != want || got.broken == c.whole {
+				t.Errorf("ends: %s, broken %v", ends, got.broken)
+			}
+		})
+	}
+}
+
+// Guards against a failure to connect that is not the server's and counts as its end.
+func TestOnlyARefusalOfTheOtherSideShowsAnEnd(t *testing.T) {
+	for cause, refused := range map[error]bool{
+		syscall.ECONNREFUSED: true, syscall.ECONNRESET: true,
+		syscall.EMFILE: false, syscall.EADDRNOTAVAIL: false, syscall.EHOSTUNREACH: false, syscall.ETIMEDOUT: false, context.DeadlineExceeded: false,
+	} {
+		dial := func(context.Context, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", cause)}
+		}
+		if got := Probe(t.Context(), dial, "s1", AnyServer); (got == answerend.Refused) != refused {
+			t.Errorf("%v: %s", cause, got)
+		}
+	}
+}
+
+// Guards against an end that counts as whole because the deadline passes while it is examined.
+func TestADeadlineDoesNotMakeAnEndWhole(t *testing.T) {
+	for left, during := range map[time.Duration]string{siblingDelay / 2: "the wait for siblings", siblingDelay + identifyTimeout/2: "the probe"} {
+		synctest.Test(t, func(t *testing.T) {
+			late := func(t *testing.T, c net.Conn, in *bufio.Reader) {
+				time.Sleep(stream.Timeout - left)
+				sendThenClose(closeStreamHead, events(1, 5))(t, c, in)
+			}
+			b := newRig(t, allRoutes, map[string][]script{"s1": {late, unresponsive, unresponsive}}, "s1")
+			b.relay = New(Config{Fleet: b.fleet, Protocol: identifyingProtocol{}, Dial: b.dial})
+			_, aborted := b.serve(request("POST", "/stream/", "r", "x"))
+			ends := b.relay.cfg.Metrics.ends.String()
+			synctest.Wait()
+			time.Sleep(time.Second)
+			b.close()
+			if want := `{"doubtful: new connection not awaited": 1}`; ends != want || !aborted {
+				t.Errorf("%s: ends: %s, aborted %v", during, ends, aborted)
+			}
+		})
+	}
+}
+
+// Guards against an end that costs a look at each of any number of connections.
+func TestTheConnectionsExaminedForAnEndAreBounded(t *testing.T) {
+	p := newPool(directConnector{}, descriptors.Unlimited())
+	target := Target{Server: servers.Server{ID: "s1"}}
+	for range maxSiblings + 2 {
+		near, far := tcpPair(t)
+		_ = near.(*net.TCPConn).SetLinger(0)
+		_ = far.Close()
+		defer near.Close()
+		for open := true; open; open, _ = netconn.IsOpen(near) {
+		}
+		p.track(&conn{Conn: near, target: target})
+	}
+	if got, want := p.siblings(&conn{target: target}), (answerend.Siblings{Ended: maxSiblings}); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
