Gateway: a caller's later request doesn't reset a whole answer

What callers saw: an answer that ends with its connection arrived whole, and then a connection reset in place of the end, where the caller had sent its next request on that connection.

Cause: net/http closes such a connection at once. The kernel resets a connection that is closed with unread bytes, and drops what it has not sent of the answer.

Change: after a complete answer of that framing only the sending side is closed; what the caller still sends is discarded until it closes, for at most 500 ms.

Evidence: TestAnAnswerEndedByItsConnectionIsNotResetByALaterRequest failed before ("whole", connection reset by peer).

--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -27,6 +27,10 @@
 	fullShare = 0.1
 	// fullFor is for how long an instance counts as full after the last sign of it.
 	fullFor = 3 * time.Second
+	// maxLinger bounds the wait for a caller to close a connection whose end is that of a
+	// complete answer, and maxLingerBytes what is read of later requests meanwhile.
+	maxLinger      = 500 * time.Millisecond
+	maxLingerBytes = 1 << 20
 )
 
 // callerConns are the connections of callers. When there is no descriptor for another one,
@@ -66,6 +70,8 @@
 	// refusable connections are beyond the budget: their requests are refused.
 	refusable bool
 	closed    atomic.Bool
+	// lingers means that the end of the connection is that of a complete answer.
+	lingers atomic.Bool
 	// element is the connection's place among the idle ones; nil if it is in use.
 	element *list.Element
 }
@@ -82,11 +88,26 @@
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	err := c.Conn.Close()
-	if !c.closed.Swap(true) {
-		c.conns.remove(c)
+	if c.closed.Swap(true) {
+		return c.Conn.Close()
 	}
-	return err
+	if c.lingers.Load() && c.CloseWrite() == nil {
+		go c.linger()
+		return nil
+	}
+	defer c.conns.remove(c)
+	return c.Conn.Close()
+}
+
+// linger closes the connection once the caller has closed it. The kernel resets a connection that
+// is closed with unread bytes, such as those of the caller's next request, and drops what it has
+// not yet sent of the answer.
+func (c *callerConn) linger() {
+	defer c.conns.remove(c)
+	if c.SetReadDeadline(time.Now().Add(maxLinger)) == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes) // the connection is closed either way
+	}
+	_ = c.Conn.Close()
 }
 
 // SyscallConn implements syscall.Conn.
@@ -125,6 +146,7 @@
 	if reset {
 		return conn.SetLinger(0)
 	}
+	conn.lingers.Store(true)
 	return conn.SetLinger(-1)
 }
 
--- a/internal/gateway/callerconns_test.go
+++ b/internal/gateway/callerconns_test.go
@@ -203,3 +203,38 @@
 	}
 	t.Fatalf("waited too long: %s", what)
 }
+
+// Guards against a whole answer that looks broken since its caller sent the next request meanwhile.
+func TestAnAnswerEndedByItsConnectionIsNotResetByALaterRequest(t *testing.T) {
+	sent := make(chan struct{})
+	c, address := callerServerWith(t, 200, func(*callerConns) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if err := resetOnClose(r.Context(), true); err != nil {
+				t.Error(err)
+			}
+			w.Header().Set("Transfer-Encoding", "identity")
+			_ = http.NewResponseController(w).Flush()
+			<-sent
+			_, _ = io.WriteString(w, "whole")
+			_ = http.NewResponseController(w).Flush()
+			if err := resetOnClose(r.Context(), false); err != nil {
+				t.Error(err)
+			}
+		})
+	})
+	free := c.budget.Free(descriptors.Callers)
+	caller := dialCaller(t, address)
+	const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+	_, _ = io.WriteString(caller, request)
+	response, err := http.ReadResponse(caller.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(caller, request)
+	close(sent)
+	if body, err := io.ReadAll(response.Body); string(body) != "whole" || err != nil {
+		t.Errorf("%q, %v", body, err)
+	}
+	_ = caller.Close()
+	waitFor(t, "the descriptor", func() bool { return c.budget.Free(descriptors.Callers) == free })
+}
