Gateway: a drain ends after the last bytes of answers that are ending

What callers saw: at the end of a drain an answer that was whole could lose its last bytes, or end with a reset in place of its orderly end.

Cause: a request is in flight until its handler returns, but net/http sends what is buffered, the last chunk included, after that; and an end without a mark is examined for up to 410 ms while the socket is still to be reset. The drain closed all connections as soon as none was in flight or the grace was over.

Change: the HTTP server is shut down first, which waits for connections with an answer under way, for at most 300 ms of the 700 ms kept before the kill. `drained` counts what is broken off after it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,8 @@
 	// drainReserve is the time left between the end of the drain and the kill of the
 	// process, in which its tasks stop.
 	drainReserve = 700 * time.Millisecond
+	// maxCompletion is the part of drainReserve in which answers that are ending are completed.
+	maxCompletion = 300 * time.Millisecond
 	// minDrain is the minimum time that a leaving instance stays, even without requests
 	// in flight: callers use a directory answer for up to three times its TTL.
 	minDrain = 4 * time.Second
@@ -244,7 +246,7 @@
 	tasks.Go(func() error {
 		select {
 		case <-ctx.Done():
-			g.drain()
+			g.drain(server)
 		case <-work.Done():
 		}
 		stop()
--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 
 	"go.uber.org/zap"
@@ -15,7 +16,7 @@
 
 // drain leaves the fleet: callers are sent elsewhere, and requests in flight are served
 // for as long as the grace period allows.
-func (g *Gateway) drain() {
+func (g *Gateway) drain(server *http.Server) {
 	began := monotime.Now()
 	g.leaving.Store(true)
 	g.relay.Drain()
@@ -28,6 +29,7 @@
 	for range ticker.C {
 		lasted := monotime.Now().Sub(began)
 		if lasted >= maxDrain || lasted >= minDrain && g.relay.InFlight()+g.tunnels.Open() == 0 {
+			completeAnswers(server)
 			g.cfg.Log.Info("drained", zap.Duration("lasted_ms", lasted), zap.Int64("broken_off", g.relay.InFlight()),
 				zap.Int64("unmarked", g.relay.Unmarked()), zap.Int64("tunnels", g.tunnels.Open()))
 			return
@@ -35,6 +37,14 @@
 	}
 }
 
+// completeAnswers waits for answers that are ending. A request is in flight until its handler
+// returns; the HTTP server sends the last bytes after that.
+func completeAnswers(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), maxCompletion)
+	defer cancel()
+	_ = server.Shutdown(ctx) // answers that go on for longer are broken off
+}
+
 // runPeriodic runs the tasks that depend on time alone.
 func (g *Gateway) runPeriodic(ctx context.Context) error {
 	ticker := timer.NewTicker(tickInterval)
