Relay: an answer is told as whole only if its connection could end in order

What the logs told: `request_ended` with `caller_end` `closed` for answers whose callers got a reset: the end of a drain closed their connections while the server's end was examined, an empty flush reports nothing, and the failure to take back the reset was only a line of its own.

Change: that failure breaks the answer off, as a flush that fails does.

Evidence: TestAnAnswerWhoseConnectionCanNotEndInOrderIsBrokenOff failed before (1 end in order and no reset told, for a stream and a plain answer).

--- a/internal/relay/callerend_test.go
+++ b/internal/relay/callerend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"testing"
 )
@@ -32,3 +33,22 @@
 		})
 	}
 }
+
+// Guards against an answer told as whole whose caller's connection was reset before its end.
+func TestAnAnswerWhoseConnectionCanNotEndInOrderIsBrokenOff(t *testing.T) {
+	for path, head := range map[string]string{"/stream/": closeStreamHead + events(1, 5), "/once/": closePlainHead + "{}"} {
+		b := newRig(t, allRoutes, map[string][]script{"s1": {sendThenClose(head, ""), replying(), replying()}}, "s1")
+		b.sockets = true
+		b.relay.cfg.ResetOnClose = func(_ context.Context, reset bool) error {
+			if !reset {
+				return net.ErrClosed
+			}
+			return nil
+		}
+		b.call("1.1", "POST", path)
+		b.close()
+		if closed, reset := b.relay.cfg.Metrics.unmarkedCount(unmarkedClosed), b.relay.cfg.Metrics.unmarkedCount(unmarkedReset); closed != 0 || reset != 1 {
+			t.Errorf("%s: %d ends in order and %d resets are told", path, closed, reset)
+		}
+	}
+}
--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -106,7 +106,7 @@
 		f.relay.cfg.Metrics.unmarked.Add(unmarkedBegun, 1)
 		f.relay.cfg.Log.Info("unmarked_answer_begun", zap.String("id", f.request.ID), zap.String("server", f.target.ID),
 			zap.String("framing", string(f.received.framing)), zap.String("protocol", f.hr.Proto))
-		f.resetOnClose(true)
+		_ = f.resetOnClose(true) // logged; the answer is of use to its caller all the same
 	}
 	f.w.WriteHeader(status)
 }
@@ -114,10 +114,12 @@
 // resetOnClose sets whether the end of the caller's connection is a reset. The kernel closes the
 // sockets of a process that is killed, so that this has to be set while an answer is incomplete
 // whose end is that of its connection.
-func (f *forwarder) resetOnClose(reset bool) {
-	if err := f.relay.cfg.ResetOnClose(f.hr.Context(), reset); err != nil {
+func (f *forwarder) resetOnClose(reset bool) error {
+	err := f.relay.cfg.ResetOnClose(f.hr.Context(), reset)
+	if err != nil {
 		f.relay.cfg.Log.Warn("caller_end_not_set", zap.String("id", f.request.ID), zap.Bool("reset", reset), eventlog.Cause(err))
 	}
+	return err
 }
 
 // endAnswer has the caller's connection end in order after a complete answer. All bytes have to
@@ -129,7 +131,9 @@
 	if err := http.NewResponseController(f.w).Flush(); err != nil {
 		return f.callerGone(err)
 	}
-	f.resetOnClose(false)
+	if err := f.resetOnClose(false); err != nil {
+		return f.callerGone(err)
+	}
 	return nil
 }
 
