--- a/tools/soak/instance.go
+++ b/tools/soak/instance.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// grace between SIGTERM and SIGKILL, as instances are told.
+	// grace between SIGTERM and SIGKILL, as instances are told unless they have their own.
 	grace = 8 * time.Second
 	// endMargin is how much later than that a process may be seen to end.
 	endMargin = 4 * time.Second
@@ -30,10 +30,14 @@
 type instance struct {
 	name     string
 	settings string
-	address  map[string]string // by the name in the settings
-	callers  *proxy
-	store    *proxy
-	log      *os.File
+	// grace is that of the settings, and descriptors the number it may open; 0 for the limit
+	// of the process.
+	grace       time.Duration
+	descriptors int
+	address     map[string]string // by the name in the settings
+	callers     *proxy
+	store       *proxy
+	log         *os.File
 	// ending is held by the fault that ends and restarts the process.
 	ending sync.Mutex
 
@@ -53,7 +57,7 @@
 }
 
 func (f *fleet) newInstance(n int) (*instance, error) {
-	i := &instance{name: fmt.Sprintf("i%d", n), address: make(map[string]string)}
+	i := &instance{name: fmt.Sprintf("i%d", n), grace: grace, address: make(map[string]string)}
 	i.settings = filepath.Join(f.dir, i.name+".toml")
 	for _, part := range []string{"callers", "ready", "directory", "peers", "metrics"} {
 		address, err := f.ports.next()
@@ -75,7 +79,7 @@
 
 func (f *fleet) writeSettings(i *instance, level string) error {
 	var out strings.Builder
-	fmt.Fprintf(&out, "[instance]\nid = %q\ndata_centre = \"here\"\n[listen]\n", i.name)
+	fmt.Fprintf(&out, "[instance]\nid = %q\ndata_centre = \"here\"\ndescriptors = %d\n[listen]\n", i.name, i.descriptors)
 	for part, address := range i.address {
 		fmt.Fprintf(&out, "%s = %q\n", part, address)
 	}
@@ -83,7 +87,7 @@
 	for _, seed := range f.instances[:min(seeds, len(f.instances))] {
 		fmt.Fprintf(&out, "%q, ", seed.address["peers"])
 	}
-	fmt.Fprintf(&out, "]\n[drain]\ngrace_s = %g\n[log]\nlevel = %q\n", grace.Seconds(), level)
+	fmt.Fprintf(&out, "]\n[drain]\ngrace_s = %g\n[log]\nlevel = %q\n", i.grace.Seconds(), level)
 	// Written beside and renamed: an instance reads a whole file at any moment.
 	beside := i.settings + ".new"
 	if err := os.WriteFile(beside, []byte(out.String()), fileMode); err != nil {
