Soak: play kills of all instances while versions of servers change

Cause: streams joined from two versions after a kill of all instances were reported by another operator.

--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -23,15 +24,19 @@
 	plain   = "plain" // service of short answers
 	// slots of a server.
 	slots = 16
+	// routeTimeout is the timeout of a route.
+	routeTimeout = 4 * time.Second
 )
 
 // upstream is a server of the fleet, with the proxy that instances reach it by.
 type upstream struct {
 	service string
 	number  int
-	// starts counts the incarnations; software is the version of the one that runs.
+	// starts counts the incarnations; software is the version of the one that runs, and
+	// wanted that of the next ones, or empty.
 	starts   int
 	software string
+	wanted   string
 	id       string
 	http     *http.Server
 	proxy    *proxy
@@ -68,6 +73,8 @@
 	mu      sync.Mutex // guards version and more
 	version int64
 	more    int // routes beside those that callers use
+	// streamTimeout is the timeout of the route of streams that may be resumed.
+	streamTimeout time.Duration
 
 	// ends is what is ended without notice.
 	ends ends
@@ -88,7 +95,7 @@
 	}
 	f := &fleet{
 		binary: binary, dir: dir, ledger: standin.NewLedger(), store: standin.NewStore(),
-		starter: child.NewStarter(), ports: ports, ends: ends, onCrash: onCrash,
+		starter: child.NewStarter(), ports: ports, ends: ends, onCrash: onCrash, streamTimeout: routeTimeout,
 	}
 	ln, err := net.Listen("tcp", anyPort)
 	if err != nil {
@@ -164,8 +171,12 @@
 func (f *fleet) putConfig() error {
 	customers := []wire.Customer{{Name: customerName, Keys: []string{customerKey}}}
 	route := func(name, kind, service string, attempts int) wire.Route {
+		timeout := routeTimeout
+		if name == "resumable" {
+			timeout = f.streamTimeout
+		}
 		return wire.Route{
-			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, TimeoutMS: 4000, GoalMS: 500,
+			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, TimeoutMS: float64(timeout.Milliseconds()), GoalMS: 500,
 			Service: service, Attempts: attempts, MaxGapMS: 500, Resumable: name == "resumable",
 		}
 	}
@@ -201,7 +212,7 @@
 	u.id = fmt.Sprintf("s%d-%d", u.number, time.Now().UnixNano())
 	// Each start brings another of two versions, and both serve at any time.
 	u.starts++
-	u.software = fmt.Sprint("v", 1+(u.number/2+u.starts)%2)
+	u.software = cmp.Or(u.wanted, fmt.Sprint("v", 1+(u.number/2+u.starts)%2))
 	server := standin.NewServer(u.id, slots, f.ledger)
 	server.Software, server.WithoutLength = u.software, f.ends.withoutLength(u.number)
 	if f.onCrash != nil {
