Streams: the model kills both instances, and leaves out the wait at a start

Cause: a kill of all instances was not among the plays of the model, which ended one process at most, and no play showed that the wait of a lifetime after a start is needed by itself: it was left out with the versions that are gone.

Change: two processes may end in a play; one more rule can be left out.

--- a/internal/streams/model_test.go
+++ b/internal/streams/model_test.go
@@ -15,7 +15,7 @@
 	// it, and modelKills the ends of processes.
 	modelTicks   = 6
 	modelChanges = 3
-	modelKills   = 1
+	modelKills   = 2
 	// modelStream is how long a stream may be resumed, and modelLinger how long a server may
 	// serve without an entry; together they are the lifetime of the rules.
 	modelStream   = 2
@@ -59,7 +59,7 @@
 
 // rules are the parts of the design that the model can leave out.
 type rules struct {
-	unknownIsAny, noSettling, noViewAge, noLifetime bool
+	unknownIsAny, noSettling, noViewAge, noLifetime, noStartWait bool
 }
 
 func firstState() modelState {
@@ -109,7 +109,7 @@
 	if m.record > 0 {
 		return m.record - 1, true
 	}
-	if !r.noViewAge && s.tick-m.confirmed > modelViewAge || !r.noLifetime && s.tick-m.since < modelLifetime {
+	if !r.noViewAge && s.tick-m.confirmed > modelViewAge || !r.noLifetime && !r.noStartWait && s.tick-m.since < modelLifetime {
 		return 0, false
 	}
 	found := 0
@@ -287,6 +287,7 @@
 		{"streams begin at new versions at once", rules{noSettling: true}, true},
 		{"old views prove something", rules{noViewAge: true}, true},
 		{"versions that are gone are forgotten", rules{noLifetime: true}, true},
+		{"instances conclude as soon as they start", rules{noStartWait: true}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			play, states := walk(t, c.rules)
