Streams: the model shows that the store's history proves nothing undated

Cause: an instance that starts could read the store's history and conclude at once that a service has had one version. Whether that is sound was open.

Change: a rule of the model in which a process that starts knows all changes that the store still has, and the store may discard them.

Result: go test -race -run Model ./internal/streams: a play of eight steps mixes: the old version leaves, the store discards its history, a stream begins at a server of the old version that still serves, the other instance is killed, starts and resumes at the new one.

--- a/internal/streams/model_test.go
+++ b/internal/streams/model_test.go
@@ -47,8 +47,10 @@
 	changes, kills int8
 	store          [modelVersions]bool
 	// unlisted is when the store last dropped each version.
-	unlisted  [modelVersions]int8
-	instances [modelInstances]modelInstance
+	unlisted [modelVersions]int8
+	// historyFrom is from when on the store has all changes.
+	historyFrom int8
+	instances   [modelInstances]modelInstance
 	// begun is the version of the stream's first event, plus one, and at when it came.
 	begun, at int8
 	// told are the instances to which an update about it is on its way.
@@ -57,9 +59,12 @@
 	mixed bool
 }
 
-// rules are the parts of the design that the model can leave out.
+// rules are the parts of the design that the model can leave out, and ways that it can add.
 type rules struct {
 	unknownIsAny, noSettling, noViewAge, noLifetime, noStartWait bool
+	// readHistory has a process that starts read the store's history, which the store may
+	// discard. Nothing tells the process since when that has all changes.
+	readHistory bool
 }
 
 func firstState() modelState {
@@ -68,6 +73,7 @@
 	for v := range s.unlisted {
 		s.unlisted[v] = never
 	}
+	s.historyFrom = never
 	for i := range s.instances {
 		s.instances[i] = startModel(&s, -modelLifetime)
 	}
@@ -83,6 +89,16 @@
 	return m
 }
 
+// readHistory applies what the store's history has of the time before the process started.
+func (m *modelInstance) readHistory(s *modelState) {
+	m.since = never
+	for v := range modelVersions {
+		if s.unlisted[v] >= s.historyFrom {
+			m.gone[v] = s.unlisted[v]
+		}
+	}
+}
+
 // read applies the store's changes since the last time, which tell of versions that came and
 // went, or its list after a gap, which does not.
 func (m *modelInstance) read(s *modelState) {
@@ -140,7 +156,7 @@
 	step := func(name string, change func(n *modelState)) {
 		n := *s
 		change(&n)
-		n.forget()
+		n.forget(r)
 		visit(name, n)
 	}
 	if s.tick < modelTicks {
@@ -151,6 +167,9 @@
 			step(fmt.Sprint("the store toggles version ", v), func(n *modelState) { n.toggle(v) })
 		}
 	}
+	if r.readHistory && s.historyFrom < s.tick {
+		step("the store discards its history", func(n *modelState) { n.historyFrom = n.tick })
+	}
 	for i := range s.instances {
 		s.nextOf(i, r, step)
 	}
@@ -169,6 +188,9 @@
 			step(fmt.Sprint("instance ", i, " starts"), func(n *modelState) {
 				n.tick++
 				n.instances[i] = startModel(n, n.tick)
+				if r.readHistory {
+					n.instances[i].readHistory(n)
+				}
 			})
 		}
 		return
@@ -197,7 +219,7 @@
 }
 
 // forget drops the parts of times that no rule tells apart any more.
-func (s *modelState) forget() {
+func (s *modelState) forget(r rules) {
 	oldest := s.tick
 	for i := range s.instances {
 		m := &s.instances[i]
@@ -217,11 +239,18 @@
 			}
 		}
 	}
+	remembered := int8(modelLinger)
+	if r.readHistory {
+		remembered = modelLifetime
+	}
 	for v := range s.unlisted {
-		if s.unlisted[v] < oldest && s.tick-s.unlisted[v] > modelLinger {
+		if s.unlisted[v] < oldest && s.tick-s.unlisted[v] > remembered {
 			s.unlisted[v] = never
 		}
 	}
+	if s.tick-s.historyFrom > modelLifetime {
+		s.historyFrom = never
+	}
 }
 
 // toggle lists or drops a version.
@@ -250,7 +279,7 @@
 		name string
 	}
 	first := firstState()
-	first.forget()
+	first.forget(r)
 	list := []modelState{first}
 	came := []step{{from: -1}}
 	seen := map[modelState]bool{list[0]: true}
@@ -288,6 +317,7 @@
 		{"old views prove something", rules{noViewAge: true}, true},
 		{"versions that are gone are forgotten", rules{noLifetime: true}, true},
 		{"instances conclude as soon as they start", rules{noStartWait: true}, true},
+		{"instances that start read the store's history", rules{readHistory: true}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			play, states := walk(t, c.rules)
