--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -56,6 +56,8 @@
 	leaveAfter int
 	// err is why the answer is not whole, nil when it is.
 	err error
+	// refusal is the text of an answer that is no success.
+	refusal string
 	// wrong is what a whole answer has that it must not have.
 	wrong string
 	// poison says that the prompt has a part that crashes servers.
@@ -252,7 +254,8 @@
 	defer answer.Body.Close()
 	a.status = answer.StatusCode
 	if a.status != http.StatusOK {
-		_, a.err = io.Copy(io.Discard, answer.Body)
+		text, err := io.ReadAll(answer.Body)
+		a.refusal, a.err = string(text), err
 		return
 	}
 	if got := answer.Header.Get(wire.HeaderID); got != a.id {
--- a/tools/soak/rejoin.go
+++ b/tools/soak/rejoin.go
@@ -5,12 +5,14 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"basilrudder/internal/verdict"
 	"basilrudder/platform/standin"
 )
 
@@ -94,8 +96,9 @@
 type takenUp struct {
 	*stream
 	begun time.Time
-	// tries took it up after the kill; goneOn of them brought events, and refused got a 503.
-	tries, goneOn, refused int
+	// tries took it up after the kill; goneOn of them brought events, unknown were refused as
+	// nobody knew its version, and refused for another reason.
+	tries, goneOn, unknown, refused int
 }
 
 // rejoinReport counts the streams of a massKill.
@@ -107,8 +110,8 @@
 }
 
 type streamCounts struct {
-	streams, finished, mixed int
-	tries, goneOn, refused   int // after the kill
+	streams, finished, mixed        int
+	tries, goneOn, unknown, refused int // after the kill
 }
 
 func (c *streamCounts) add(s *takenUp) {
@@ -121,13 +124,14 @@
 	}
 	c.tries += s.tries
 	c.goneOn += s.goneOn
+	c.unknown += s.unknown
 	c.refused += s.refused
 }
 
 // String implements fmt.Stringer.
 func (c streamCounts) String() string {
-	return fmt.Sprintf("%d streams (%d finished, %d with two versions), taken up %d times (%d go on, %d refused)",
-		c.streams, c.finished, c.mixed, c.tries, c.goneOn, c.refused)
+	return fmt.Sprintf("%d streams (%d finished, %d with two versions), taken up %d times (%d go on, %d refused as unknown, %d otherwise)",
+		c.streams, c.finished, c.mixed, c.tries, c.goneOn, c.unknown, c.refused)
 }
 
 // String implements fmt.Stringer.
@@ -333,7 +337,10 @@
 		}
 		s.tries++
 		s.goneOn += min(1, s.events-before)
-		if next.outcome() == "503" {
+		switch {
+		case strings.Contains(next.refusal, string(verdict.ReasonUnknownStream)):
+			s.unknown++
+		case next.refusal != "":
 			s.refused++
 		}
 	}
