--- a/tools/soak/rejoin.go
+++ b/tools/soak/rejoin.go
@@ -149,8 +149,9 @@
 	kill   massKill
 	random *rand.Rand
 	// timeout of the route of streams.
-	timeout  time.Duration
-	killedAt time.Time
+	timeout time.Duration
+	// Processes are killed at killedAt, and have ended by endedAt.
+	killedAt, endedAt time.Time
 
 	mu      sync.Mutex
 	streams []*takenUp
@@ -288,6 +289,7 @@
 	for _, n := range order {
 		<-p.fleet.instances[n].process.done
 	}
+	p.endedAt = time.Now()
 	p.tell("%d instances are killed", len(order))
 	time.Sleep(p.kill.down)
 	for _, n := range order {
@@ -357,11 +359,16 @@
 		if len(s.software) > 1 {
 			mixed++
 		}
-		if s.begun.After(p.killedAt) {
+		switch {
+		case s.begun.After(p.endedAt):
 			out.after.add(s)
-		} else if s.tries > 0 {
+		case s.tries > 0:
 			out.before.add(s)
 		}
+		if s.unknown > 0 && s.begun.After(p.killedAt) {
+			p.tell("%s, begun %v after the kill, refused as unknown %d times, %d events",
+				s.firstTry, s.begun.Sub(p.killedAt), s.unknown, s.events)
+		}
 	}
 	p.checkProcesses()
 	for _, c := range callers {
--- a/tools/soak/rejoin_test.go
+++ b/tools/soak/rejoin_test.go
@@ -29,7 +29,7 @@
 func TestStreamsOfTwoVersionsAreCountedAfterAMassKill(t *testing.T) {
 	killedAt := time.Now()
 	p := newRejoin("", 1, massKills[0], time.Second)
-	p.killedAt, p.fleet = killedAt, &fleet{}
+	p.killedAt, p.endedAt, p.fleet = killedAt, killedAt, &fleet{}
 	for _, begun := range []time.Duration{-time.Second, time.Second} {
 		for _, software := range []map[string]bool{{oldSoftware: true}, {oldSoftware: true, newSoftware: true}} {
 			p.streams = append(p.streams, &takenUp{stream: &stream{software: software}, begun: killedAt.Add(begun), tries: 1})
