--- a/internal/gateway/callerconns_test.go
+++ b/internal/gateway/callerconns_test.go
@@ -68,17 +68,24 @@
 		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
 	})
 	var callers []*testCaller
-	for range c.budget.Free(descriptors.Callers) {
-		caller := dialCaller(t, address)
+	ask := func(caller *testCaller) {
+		t.Helper()
 		if _, err := caller.ask(); err != nil {
 			t.Fatal(err)
 		}
-		callers = append(callers, caller)
+		// The server counts a connection as idle only after it has sent the answer.
+		waitFor(t, "idle callers", func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.idle.Len() == len(callers)
+		})
+	}
+	for range c.budget.Free(descriptors.Callers) {
+		callers = append(callers, dialCaller(t, address))
+		ask(callers[len(callers)-1])
 	}
 	for _, again := range callers[:5] {
-		if _, err := again.ask(); err != nil {
-			t.Fatal(err)
-		}
+		ask(again)
 	}
 	if status, err := dialCaller(t, address).ask(); status != http.StatusOK {
 		t.Fatalf("one more caller: %d, %v", status, err)
