--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -184,6 +184,11 @@
 func (p *pool) release(server string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.releaseLocked(server)
+}
+
+// releaseLocked is release where mu is held.
+func (p *pool) releaseLocked(server string) {
 	p.uncount(server)
 	p.descriptors.Release(descriptors.Servers, 1)
 }
@@ -249,8 +254,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.untrack(c)
-	p.uncount(c.target.ID)
-	p.descriptors.Release(descriptors.Servers, 1)
+	p.releaseLocked(c.target.ID)
 }
 
 func (p *pool) close(c *conn) {
