One check of writes that lost their connection

Cause: the relay's exchange and the tunnel judged the error of a write by the same condition, written twice. Change: netconn.IsWriteLoss; the reason for EPIPE stands there.

--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -20,6 +21,13 @@
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
+// IsWriteLoss reports whether the error of a write, on which a past deadline may have been set, shows
+// that the connection was lost. EPIPE is no loss: the other side had ended its side in order before it
+// reset the rest.
+func IsWriteLoss(err error) bool {
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE)
+}
+
 // IsTimeout reports whether err is or wraps a timeout. Those of some libraries are no
 // net.Error.
 func IsTimeout(err error) bool {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -5,9 +5,7 @@
 	"context"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -201,14 +199,13 @@
 }
 
 // writeFailed stops writing a long request and reports whether the connection was lost before.
-// EPIPE is no loss: the server had ended its side in order before it reset the rest.
 func (e *exchange) writeFailed() bool {
 	if err := e.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
 		return true
 	}
 	err := <-e.written
 	e.written <- err // for requestWritten
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE)
+	return netconn.IsWriteLoss(err)
 }
 
 // earlyBody is the body of an answer that began before its request was written and ends with
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -5,13 +5,10 @@
 	"crypto/hmac"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
@@ -192,14 +189,14 @@
 }
 
 // resetWhileWriting stops writing to the server and reports whether the connection was lost
-// before. EPIPE is no loss: the server had ended its side in order before it reset the rest.
+// before.
 func (p *passage) resetWhileWriting() bool {
 	if err := p.upstream.SetWriteDeadline(time.Unix(1, 0)); err != nil {
 		return true
 	}
 	p.writing.Lock()
 	defer p.writing.Unlock()
-	return p.writeErr != nil && !errors.Is(p.writeErr, os.ErrDeadlineExceeded) && !errors.Is(p.writeErr, syscall.EPIPE)
+	return netconn.IsWriteLoss(p.writeErr)
 }
 
 // upstreamReader reads from the server. A socket reports a reset once. If the writer gets it,
