--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -65,7 +65,7 @@
 	failed := 0
 	for _, c := range cases {
 		s := &soak{sizes: c.sizes, seed: c.seed, binary: o.Binary, verbose: o.Verbose, timing: true, poisoned: o.Poison, ends: o.Ends}
-		r, err := s.inDirectory(o.Logs)
+		r, err := inDirectory(filepath.Join(o.Logs, fmt.Sprintf("seed-%d", c.seed)), s.run)
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", c.seed)
 		}
@@ -105,16 +105,16 @@
 	return path, nil
 }
 
-// inDirectory runs the soak with its settings and logs in a directory of its
-// own, which it leaves when a promise is broken.
-func (s *soak) inDirectory(logs string) (*report, error) {
-	dir := filepath.Join(logs, fmt.Sprintf("seed-%d", s.seed))
+// inDirectory runs a soak with its settings and logs in a directory of its own, which is
+// left when a promise is broken.
+func inDirectory[R interface{ kept() bool }](dir string, run func(dir string) (R, error)) (R, error) {
 	const dirMode = 0o700
 	if err := os.MkdirAll(dir, dirMode); err != nil {
-		return nil, err
+		var none R
+		return none, err
 	}
-	r, err := s.run(dir)
-	if err != nil || len(r.broken) > 0 {
+	r, err := run(dir)
+	if err != nil || !r.kept() {
 		return r, err
 	}
 	return r, os.RemoveAll(dir)
--- a/tools/soak/rejoin.go
+++ b/tools/soak/rejoin.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -143,6 +142,8 @@
 	return out
 }
 
+func (r *rejoinReport) kept() bool { return len(r.broken) == 0 }
+
 // rejoin is a play of a massKill.
 type rejoin struct {
 	*soak
@@ -179,7 +180,7 @@
 		for k := range massKills {
 			p := newRejoin(o.Binary, o.Seed+uint64(n), massKills[k], massKillTimeout)
 			p.verbose = o.Verbose
-			r, err := p.inDirectory(o.Logs, fmt.Sprintf("kill-%d-seed-%d", k, p.seed))
+			r, err := inDirectory(filepath.Join(o.Logs, fmt.Sprintf("kill-%d-seed-%d", k, p.seed)), p.run)
 			if err != nil {
 				return errors.Wrapf(err, "%s, seed %d", massKills[k].name, p.seed)
 			}
@@ -195,21 +196,6 @@
 	return nil
 }
 
-// inDirectory runs the play with its settings and logs in a directory of its own, which it
-// leaves when a promise is broken.
-func (p *rejoin) inDirectory(logs, name string) (*rejoinReport, error) {
-	dir := filepath.Join(logs, name)
-	const dirMode = 0o700
-	if err := os.MkdirAll(dir, dirMode); err != nil {
-		return nil, err
-	}
-	r, err := p.run(dir)
-	if err != nil || len(r.broken) > 0 {
-		return r, err
-	}
-	return r, os.RemoveAll(dir)
-}
-
 // run starts all, kills instances, and counts the streams that callers take up.
 func (p *rejoin) run(dir string) (*rejoinReport, error) {
 	var err error
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -264,6 +264,8 @@
 	broken         []string
 }
 
+func (r *report) kept() bool { return len(r.broken) == 0 }
+
 // String implements fmt.Stringer.
 func (r *report) String() string {
 	var out strings.Builder
