Tests of connections that end share their ends

Cause: five packages had a table of the same ends, two of them a server of raw answers too. Change: both stand in faultnet.

--- a/internal/callers/cut_test.go
+++ b/internal/callers/cut_test.go
@@ -11,12 +11,6 @@
 	"basilrudder/internal/standin/faultnet"
 )
 
-// cutEnds are the ways in which a caller ends a connection.
-var cutEnds = map[string]func(net.Conn){
-	"closed": func(c net.Conn) { _ = c.Close() },
-	"reset":  faultnet.Reset,
-}
-
 // Guards against requests that run though their head or body was broken off.
 func TestPartsOfRequestsDoNotRun(t *testing.T) {
 	backend := newFakeBackend(serveTokens("a"))
@@ -32,7 +26,7 @@
 	head := strings.Index(chunked, "\r\n\r\n") + 4
 	chunked = chunked[:head] + "2\r\n" + chunked[head:head+2] + "\r\n0\r\n\r\n"
 	for _, request := range []string{whole, chunked} {
-		for _, end := range cutEnds {
+		for _, end := range faultnet.Breaks {
 			for cut := range len(request) {
 				c := dial(t, listener.Addr().String())
 				_, _ = io.WriteString(c, request[:cut])
@@ -58,7 +52,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1\r\n}\r\n0\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Verdict: ran\r\n\r\n{}",
 	} {
-		for name, end := range cutEnds {
+		for name, end := range faultnet.Breaks {
 			for cut := range len(answer) {
 				listener, err := net.Listen("tcp", "127.0.0.1:0")
 				if err != nil {
--- a/internal/peer/cut_test.go
+++ b/internal/peer/cut_test.go
@@ -22,13 +22,6 @@
 	patience = 10 * time.Second
 )
 
-// cutEnds are the ways in which a connection ends.
-var cutEnds = map[string]func(net.Conn){
-	"closed": func(c net.Conn) { _ = c.Close() },
-	"reset":  faultnet.Reset,
-	"silent": func(c net.Conn) { _, _ = io.Copy(io.Discard, c) },
-}
-
 // readCut opens a link to a peer that sends a part of answer, to its upgrade, and ends the
 // connection by end. It returns the error of reading one message, and whether the link opened.
 func readCut(t *testing.T, answer func(key string) string, cut int, wait time.Duration, end func(net.Conn)) (opened bool, err error) {
@@ -85,7 +78,7 @@
 	message := frame(binary|continued, data[:half]) + frame(lastFrame, data[half:])
 	head := len(upgradeAnswer(strings.Repeat("x", 24)))
 	answer := func(key string) string { return upgradeAnswer(key) + message }
-	for name, end := range cutEnds {
+	for name, end := range faultnet.Ends {
 		for cut := range head + len(message) + 1 {
 			wait := patience
 			if name == "silent" && cut < head+len(message) {
--- a/internal/platform/cut_test.go
+++ b/internal/platform/cut_test.go
@@ -1,16 +1,12 @@
 package platform
 
 import (
-	"bufio"
-	"io"
 	"net"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"basilrudder/internal/standin/faultnet"
 )
 
@@ -29,13 +25,6 @@
 	"after interim":     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Era: 1\r\n\r\n",
 }
 
-// cutEnds are the ways in which a server ends a connection.
-var cutEnds = map[string]func(net.Conn){
-	"closed": func(c net.Conn) { _ = c.Close() },
-	"reset":  faultnet.Reset,
-	"silent": func(c net.Conn) { _, _ = io.Copy(io.Discard, c) },
-}
-
 // cutServer answers each request with sent, ends the connection by end, and returns its address.
 func cutServer(t *testing.T, sent string, end func(net.Conn)) string {
 	t.Helper()
@@ -44,28 +33,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				var req fasthttp.Request
-				if req.Read(bufio.NewReader(c)) == nil {
-					_, _ = io.WriteString(c, sent)
-					end(c)
-				}
-			}()
-		}
-	}()
+	go faultnet.AnswerWith(listener, sent, end)
 	return listener.Addr().String()
 }
 
 // Guards against an answer whose head was broken off and that looks whole.
 func TestAnswersThatStopInsideTheirHeadAreErrors(t *testing.T) {
-	for name, end := range cutEnds {
+	for name, end := range faultnet.Ends {
 		t.Run(name, func(t *testing.T) {
 			var plays sync.WaitGroup
 			for kind, head := range cutHeads {
@@ -89,7 +63,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"revision\":3}",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nd\r\n{\"revision\":3\r\n1\r\n}\r\n0\r\n\r\n",
 	} {
-		for name, end := range cutEnds {
+		for name, end := range faultnet.Ends {
 			for cut := strings.Index(whole, "{"); cut < len(whole)-1; cut++ {
 				client := New(Config{Address: cutServer(t, whole[:cut], end)})
 				if answer, err := client.Get(t.Context(), "/", 20*time.Millisecond); err == nil {
--- a/internal/tunnel/cuthead_test.go
+++ b/internal/tunnel/cuthead_test.go
@@ -14,13 +14,6 @@
 	"basilrudder/internal/standin/faultnet"
 )
 
-// cutEnds are the ways in which a connection ends.
-var cutEnds = map[string]func(net.Conn){
-	"closed": func(c net.Conn) { _ = c.Close() },
-	"reset":  faultnet.Reset,
-	"silent": func(net.Conn) {},
-}
-
 // silence is how long a part of an answer is waited for, and patience a whole one.
 const (
 	silence  = 20 * time.Millisecond
@@ -33,14 +26,14 @@
 		"HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Type: text/event-stream\r\n\r\n",
 		"HTTP/1.1 103 Early\r\nX-Id: r\r\n\r\nHTTP/1.1 204 None\r\n\r\n",
 	} {
-		for name, end := range cutEnds {
+		for name, end := range faultnet.Ends {
 			p := newPair(t)
 			p.server.MaxOpen = len(head) + 1
 			for cut := range len(head) + 1 {
 				near, far := p.open()
 				_, _ = io.WriteString(far, head[:cut])
 				if cut < len(head) {
-					end(far)
+					go end(far)
 				}
 				wait := patience
 				if name == "silent" && cut < len(head) {
@@ -74,7 +67,7 @@
 		"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgradeProtocol + "\r\n\r\n",
 		"HTTP/1.1 503 Service Unavailable\r\n" + headerReason + ": refused\r\nContent-Length: 0\r\n\r\n",
 	} {
-		for name, end := range cutEnds {
+		for name, end := range faultnet.Ends {
 			var plays sync.WaitGroup
 			for cut := range len(head) + 1 {
 				plays.Go(func() {
--- a/internal/upstream/cuthead_test.go
+++ b/internal/upstream/cuthead_test.go
@@ -26,18 +26,11 @@
 	"lines ended by LF": "HTTP/1.1 200 OK\nContent-Length: 0\n\n",
 }
 
-// cutEnds are the ways in which a server ends a connection.
-var cutEnds = map[string]func(net.Conn){
-	"closed": func(c net.Conn) { _ = c.Close() },
-	"reset":  faultnet.Reset,
-	"silent": func(c net.Conn) { _, _ = io.Copy(io.Discard, c) },
-}
-
 // Guards against answers of engines and application servers that were broken off and look whole.
 func TestPartsOfAnswersAreErrors(t *testing.T) {
 	const wait = 20 * time.Millisecond
 	cfg := upstream.Config{FirstByteTimeout: wait, FirstTokenTimeout: wait, TokenGapTimeout: wait, ServiceTimeout: wait}
-	for name, end := range cutEnds {
+	for name, end := range faultnet.Ends {
 		for kind, answer := range cutHeads {
 			var plays sync.WaitGroup
 			for cut := range len(answer) {
--- a/tools/soak/endmatrix_test.go
+++ b/tools/soak/endmatrix_test.go
@@ -235,8 +235,7 @@
 	return counts, err
 }
 
-// Guards against a part of an answer that looks whole, or a whole one that looks broken, for each
-// way in which the process of an instance ends.
+// Guards against parts that look whole, and whole answers that look broken, where an instance's process ends.
 func TestNoEndOfAProcessLooksLikeTheEndOfAnAnswer(t *testing.T) {
 	binary, err := build(t.TempDir())
 	if err != nil {
