Settings: the memory of the machine, and descriptors of the own interface

Cause: an instance does not know how much memory it may use, so no bound can follow it and no test can lower it. Nothing reads them yet. Measured: tests of settings, schema, platform and command line pass; behaviour is unchanged.

--- a/internal/schema/relaysettings/relaysettings.gen.go
+++ b/internal/schema/relaysettings/relaysettings.gen.go
@@ -30,6 +30,9 @@
 	// configurations to other instances. 0 for unknown, without a bound.
 	LinkMbps float64 `json:"link_mbps,omitempty,omitzero"`
 
+	// Memory that the process may use in MB. 0 for unknown.
+	MemoryMb int `json:"memory_mb,omitempty,omitzero"`
+
 	// Share of a core that the instance may use; the strongest instances pass news on
 	// for the others.
 	Processor float64 `json:"processor,omitempty,omitzero"`
--- a/internal/schema/settings/settings.gen.go
+++ b/internal/schema/settings/settings.gen.go
@@ -35,6 +35,9 @@
 	// Open caller connections.
 	Connections int `json:"connections,omitempty,omitzero"`
 
+	// File descriptors that the process may open. 0 for the limit of the process.
+	Descriptors int `json:"descriptors,omitempty,omitzero"`
+
 	// Time a drain may take in seconds; 0 for as long as the longest stream.
 	DrainS int `json:"drain_s,omitempty,omitzero"`
 
@@ -44,6 +47,9 @@
 	// Memory for finished answers in bytes.
 	KeptAnswerBytes int `json:"kept_answer_bytes,omitempty,omitzero"`
 
+	// Memory that the process may use in MB.
+	MemoryMb int `json:"memory_mb,omitempty,omitzero"`
+
 	// Time for a caller to send its request in milliseconds.
 	ReadTimeoutMS int `json:"read_timeout_ms,omitempty,omitzero"`
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -72,7 +72,7 @@
 		want       string
 	}{
 		{"unknown key", minimalSettings + "[limits]\nbody_byte = 1\n", noEnv,
-			"s.toml: limits.body_byte: 1: expected one of the keys body_bytes, connections, drain_s, header_bytes, kept_answer_bytes, read_timeout_ms, requests, write_stall_ms"},
+			"s.toml: limits.body_byte: 1: expected one of the keys body_bytes, connections, descriptors, drain_s, header_bytes, kept_answer_bytes, memory_mb, read_timeout_ms, requests, write_stall_ms"},
 		{"impossible value", minimalSettings + "timeout_ms = 0\n", noEnv,
 			"s.toml: platform.timeout_ms: 0: expected an integer from 10 to 60000"},
 		{"wrong type", minimalSettings + "[limits]\nrequests = \"all\"\n", noEnv,
