--- /dev/null
+++ b/tools/abuse/watch_linux.go
@@ -0,0 +1,101 @@
+package abuse
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// sampleInterval is the interval at which descriptors are counted.
+	sampleInterval = 20 * time.Millisecond
+	// closePoll is the interval at which a client that reads nothing looks whether its
+	// connection was reset.
+	closePoll = 100 * time.Millisecond
+	kilobyte  = 1 << 10
+)
+
+// Watch counts the descriptors of a process until it is stopped.
+type Watch struct {
+	pid  int
+	stop chan struct{}
+	done sync.WaitGroup
+	most int
+}
+
+// NewWatch starts to watch a process.
+func NewWatch(pid int) *Watch {
+	w := &Watch{pid: pid, stop: make(chan struct{})}
+	w.done.Go(w.run)
+	return w
+}
+
+func (w *Watch) run() {
+	for {
+		if open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.pid)); err == nil {
+			w.most = max(w.most, len(open))
+		}
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(sampleInterval):
+		}
+	}
+}
+
+// Stop ends the watch and returns the most descriptors that were open at once, and the most
+// memory that was ever resident, in bytes.
+func (w *Watch) Stop() (descriptors int, memory int64, err error) {
+	close(w.stop)
+	w.done.Wait()
+	memory, err = peakMemory(w.pid)
+	return w.most, memory, err
+}
+
+func peakMemory(pid int) (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range bytes.Lines(status) {
+		fields := bytes.Fields(line)
+		if len(fields) > 1 && string(fields[0]) == "VmHWM:" {
+			n, err := strconv.ParseInt(string(fields[1]), 10, 64)
+			return n * kilobyte, err
+		}
+	}
+	return 0, errors.New("the process has ended")
+}
+
+// waitForClose returns when the other side has closed a connection of which nothing is read, or
+// when the crowd leaves.
+func waitForClose(conn net.Conn, left <-chan struct{}) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	for err == nil && !isClosed(raw) {
+		select {
+		case <-left:
+			return
+		case <-time.After(closePoll):
+		}
+	}
+}
+
+// isClosed reports whether the socket is in a state after its end by the other side.
+func isClosed(raw syscall.RawConn) bool {
+	const established = 1
+	state := uint8(0)
+	err := raw.Control(func(fd uintptr) {
+		info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+		if err == nil {
+			state = uint8(info)
+		}
+	})
+	return err != nil || state != established
+}
--- a/tools/fleet/fleet.go
+++ b/tools/fleet/fleet.go
@@ -40,6 +40,8 @@
 	Procs int
 	// Accounting takes the lines of all daemons; nil drops them.
 	Accounting io.Writer
+	// Settings are further tables of the settings of each daemon.
+	Settings string
 }
 
 // fleet is a set of daemon processes and what is around them.
@@ -168,7 +170,7 @@
 // start starts the process of a daemon.
 func (f *fleet) start(m *member) error {
 	text := fmt.Sprintf(settingsText, m.id, m.dc,
-		m.address(callersPort), m.address(peersPort), m.address(adminPort), f.standins.address)
+		m.address(callersPort), m.address(peersPort), m.address(adminPort), f.standins.address) + f.cfg.Settings
 	const private = 0o600
 	if err := os.WriteFile(m.settings, []byte(text), private); err != nil {
 		return err
--- a/tools/fleet/process.go
+++ b/tools/fleet/process.go
@@ -19,7 +19,7 @@
 	"basilrudder/tools/child"
 )
 
-const daemonPackage = "./cmd/basilrudderd"
+const daemonPackage = "basilrudder/cmd/basilrudderd"
 
 // buildDaemon builds basilrudderd into dir and returns its path.
 func buildDaemon(ctx context.Context, dir string) (string, error) {
--- a/tools/soak/instance.go
+++ b/tools/soak/instance.go
@@ -30,14 +30,14 @@
 type instance struct {
 	name     string
 	settings string
-	// grace is that of the settings, and descriptors the number it may open; 0 for the limit
-	// of the process.
-	grace       time.Duration
-	descriptors int
-	address     map[string]string // by the name in the settings
-	callers     *proxy
-	store       *proxy
-	log         *os.File
+	// grace is that of the settings, descriptors the number it may open (0 for the limit of the
+	// process), and memory what it may use in MB (0 for unknown).
+	grace               time.Duration
+	descriptors, memory int
+	address             map[string]string // by the name in the settings
+	callers             *proxy
+	store               *proxy
+	log                 *os.File
 	// ending is held by the fault that ends and restarts the process.
 	ending sync.Mutex
 
@@ -79,7 +79,7 @@
 
 func (f *fleet) writeSettings(i *instance, level string) error {
 	var out strings.Builder
-	fmt.Fprintf(&out, "[instance]\nid = %q\ndata_centre = \"here\"\ndescriptors = %d\n[listen]\n", i.name, i.descriptors)
+	fmt.Fprintf(&out, "[instance]\nid = %q\ndata_centre = \"here\"\ndescriptors = %d\nmemory_mb = %d\n[listen]\n", i.name, i.descriptors, i.memory)
 	for part, address := range i.address {
 		fmt.Fprintf(&out, "%s = %q\n", part, address)
 	}
