Bodies are refused at addresses that use none

What callers saw: 30 clients that sent 4 MiB less a byte to the readiness path took 147 to 153 MB of a machine of 64 MB; at the directory, the metrics and the daemon's admin address the same. The system ends such a process. Cause: fasthttp reads a whole body of up to 4 MiB into memory before it calls the handler, on each connection and whatever the path. These servers took its defaults. Change: one constructor, inbound.ControlServer, for all servers with short answers: bodies of up to a byte, a time-out also for writing, messages about malformed requests at debug level. Why it works: the length, or a chunk's, is compared before memory is allocated for it.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -3,32 +3,22 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
-	"go.uber.org/zap"
 
+	"basilrudder/internal/inbound"
 	"basilrudder/internal/monotime"
 )
 
 const (
-	// adminTimeout bounds reading a request and writing its response. A longer one lets
-	// a stalled client hold its connection for longer.
-	adminTimeout = 5 * time.Second
-	pathVars     = "/debug/vars"
-	pathStatus   = "/v1/status"
+	pathVars   = "/debug/vars"
+	pathStatus = "/v1/status"
 )
 
 // serveAdmin serves metrics and the status of the instance until ctx is cancelled.
 func (d *Daemon) serveAdmin(ctx context.Context) error {
-	server := &fasthttp.Server{
-		Handler:      d.admin,
-		Name:         "basilrudder",
-		ReadTimeout:  adminTimeout,
-		WriteTimeout: adminTimeout,
-		Logger:       zap.NewStdLog(d.cfg.Log),
-	}
+	server := inbound.ControlServer(d.admin, d.cfg.Log)
 	stopShutdown := context.AfterFunc(ctx, func() { _ = server.Shutdown() })
 	defer stopShutdown()
 	return server.Serve(d.cfg.Listeners.Admin)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"basilrudder/internal/inbound"
 	"basilrudder/internal/netconn"
 )
 
@@ -56,11 +57,8 @@
 }
 
 // serveUntilCancelled serves requests with short answers until the context ends.
-func serveUntilCancelled(ctx context.Context, listener net.Listener, handler fasthttp.RequestHandler) error {
-	server := &fasthttp.Server{
-		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true,
-		ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}
+func serveUntilCancelled(ctx context.Context, listener net.Listener, handler fasthttp.RequestHandler, log *zap.Logger) error {
+	server := inbound.ControlServer(handler, log)
 	defer context.AfterFunc(ctx, func() { _ = server.Shutdown() })()
 	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
 		return errors.Wrap(err, "serve")
--- /dev/null
+++ b/internal/inbound/control.go
@@ -0,0 +1,36 @@
+package inbound
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+)
+
+const (
+	// ControlTimeout bounds reading a request of a control server and writing its answer.
+	ControlTimeout = 10 * time.Second
+	// controlIdleTimeout is how long a connection without a request is kept.
+	controlIdleTimeout = 2 * time.Minute
+	// maxControlBody is the largest body of a request in bytes; fasthttp takes 0 for its default of
+	// 4 MiB, which it would read into memory on each connection.
+	maxControlBody = 1
+)
+
+// ControlServer returns a server for requests without a body and with short answers: readiness,
+// addresses, metrics, status.
+func ControlServer(handler fasthttp.RequestHandler, log *zap.Logger) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true,
+		MaxRequestBodySize: maxControlBody, DisablePreParseMultipartForm: true,
+		ReadTimeout: ControlTimeout, WriteTimeout: ControlTimeout, IdleTimeout: controlIdleTimeout,
+		Logger: debugLogger{log},
+	}
+}
+
+// debugLogger writes fasthttp's messages, most of which are about malformed requests, to the log at
+// debug level.
+type debugLogger struct{ log *zap.Logger }
+
+// Printf implements fasthttp.Logger.
+func (l debugLogger) Printf(format string, args ...any) { l.log.Sugar().Debugf(format, args...) }
