The oldest incomplete request makes room for another connection

What callers saw: beside 700 clients that send a head a line each 0.2 s, a body a byte each 0.2 s, or stop in the first line, an ordinary caller's connection was closed five times in a row. Cause: only idle connections were closed for others. One byte makes a connection busy, and it stayed so for 10 s, or without end where a body is missing. Change: the connections of clients move from internal/gateway to internal/inbound, which knows idle, incomplete and answered ones. When none is idle, the one with the oldest incomplete request is closed, if it is over 100 ms old. A request counts as incomplete until the relay has read it whole; nothing was sent to a server before. The handlers of two tests of connections now tell that they read the request, as the relay does; their assertions are unchanged. Why it works: sound requests are read whole soon after they begin, so that a crowd's are older; sending bytes does not make a request younger.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"basilrudder/internal/descriptors"
 	"basilrudder/internal/eventlog"
 	"basilrudder/internal/gcpace"
+	"basilrudder/internal/inbound"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
 	"basilrudder/internal/pace"
@@ -122,7 +123,7 @@
 	collector *gcpace.Pacer
 	// descriptors are shared by callers, which callers counts, and all others.
 	descriptors *descriptors.Budget
-	callers     *callerConns
+	callers     *inbound.Conns
 
 	leaving  atomic.Bool
 	isolated atomic.Bool
@@ -161,7 +162,7 @@
 		outages:    newOutageDetector(),
 	}
 	g.descriptors = descriptors.New(cmp.Or(s.Instance.Descriptors, descriptors.OfProcess()))
-	g.callers = newCallerConns(g.descriptors, cfg.Log)
+	g.callers = inbound.New(descriptors.Callers, g.descriptors, cfg.Log)
 	g.fleet.crashes = newCrashTracker(g.fleet.updates, cfg.Log)
 	g.fleet.crashes.trialPlace = g.fleet.trialPlace
 	g.fleet.crashes.serversLike = g.fleet.serversLike
@@ -188,8 +189,8 @@
 	g.connectTunnels(incarnation)
 	g.relay = relay.New(relay.Config{
 		Fleet: g.fleet, Connector: g.connector, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
-		DrainTime: seconds(s.Drain.GraceS) - drainReserve, Descriptors: g.descriptors, Refuses: g.callers.refuses,
-		ResetOnClose: resetOnClose,
+		DrainTime: seconds(s.Drain.GraceS) - drainReserve, Descriptors: g.descriptors, Refuses: inbound.Refuses, Received: inbound.Received,
+		ResetOnClose: inbound.ResetOnClose,
 	})
 	g.fleet.board.SetConnected(g.relay.Connected)
 	return g, nil
@@ -234,7 +235,7 @@
 	defer stop()
 	tasks, work := errgroup.WithContext(work)
 	server := g.callerServer()
-	tasks.Go(func() error { return serveUntilClosed(server, g.callers.listener(listeners.callers)) })
+	tasks.Go(func() error { return serveUntilClosed(server, g.callers.Listener(listeners.callers)) })
 	tasks.Go(func() error { return serveUntilCancelled(work, listeners.ready, g.cfg.Ready(g), g.cfg.Log) })
 	tasks.Go(func() error { return serveUntilCancelled(work, listeners.directory, g.cfg.Directory(g), g.cfg.Log) })
 	tasks.Go(func() error { return serveUntilCancelled(work, listeners.metrics, g.metrics, g.cfg.Log) })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 
+	"basilrudder/internal/inbound"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/pace"
 	"basilrudder/internal/peer"
@@ -335,9 +336,9 @@
 			}
 		}
 		expect("at first", "a", "b")
-		p.receive("b", &wire.RelayNews{Origin: "b", Number: 1, FullMS: int(fullFor.Milliseconds())})
+		p.receive("b", &wire.RelayNews{Origin: "b", Number: 1, FullMS: int(inbound.FullFor.Milliseconds())})
 		expect("with b full", "a")
-		time.Sleep(fullFor + time.Millisecond)
+		time.Sleep(inbound.FullFor + time.Millisecond)
 		expect("without a further sign", "a", "b")
 		p.receive("b", &wire.RelayNews{Origin: "b", Number: 2, FullMS: 1 << 40})
 		time.Sleep(time.Minute)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -44,8 +44,8 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          zap.NewStdLog(g.cfg.Log),
-		ConnState:         g.callers.changed,
-		ConnContext:       withConn,
+		ConnState:         g.callers.StateChanged,
+		ConnContext:       inbound.WithConn,
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"basilrudder/internal/inbound"
 	"basilrudder/internal/monotime"
 )
 
@@ -62,11 +63,11 @@
 
 // descriptorMetrics are the descriptors in use.
 type descriptorMetrics struct {
-	Limit   int               `json:"limit"`
-	Used    map[string]int    `json:"used"`
-	Callers callerConnMetrics `json:"callers"`
+	Limit   int             `json:"limit"`
+	Used    map[string]int  `json:"used"`
+	Callers inbound.Metrics `json:"callers"`
 }
 
 func (g *Gateway) descriptorMetrics() descriptorMetrics {
-	return descriptorMetrics{Limit: g.descriptors.Limit(), Used: g.descriptors.Used(), Callers: g.callers.metrics()}
+	return descriptorMetrics{Limit: g.descriptors.Limit(), Used: g.descriptors.Used(), Callers: g.callers.Metrics()}
 }
--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -72,7 +72,7 @@
 		if n%ticksPerSweep == 0 {
 			g.collector.Update(monotime.Now())
 			g.descriptors.Set(descriptors.Peers, len(g.peers.linked()))
-			g.callers.announceFull(g.fleet.updates.announceFull)
+			g.callers.AnnounceFull(g.fleet.updates.announceFull)
 			g.relay.Sweep(g.fleet.hasServer)
 			g.fleet.crashes.expire(monotime.Now())
 			g.reloadSettings()
--- /dev/null
+++ b/internal/inbound/conn.go
@@ -0,0 +1,197 @@
+package inbound
+
+import (
+	"container/list"
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilrudder/internal/monotime"
+)
+
+const (
+	// maxLinger bounds the wait for a client to close a connection whose end is that of a
+	// complete answer, and maxLingerBytes what is read of later requests meanwhile.
+	maxLinger      = 500 * time.Millisecond
+	maxLingerBytes = 1 << 20
+)
+
+// use is what a connection is used for.
+type use int32
+
+const (
+	// idle connections wait for a request.
+	idle use = iota
+	// receiving connections have begun a request that was not yet read whole.
+	receiving
+	// answering connections wait for the answer to a request that was read whole.
+	answering
+	// evicted connections were closed for others.
+	evicted
+)
+
+// Conn is the connection of a client.
+type Conn struct {
+	net.Conn
+	conns *Conns
+	use   atomic.Int32 // a use; changed while mu of conns is held
+	// refusable connections are beyond the budget: their requests are refused.
+	refusable bool
+	closed    atomic.Bool
+	// lingers means that the end of the connection is that of a complete answer.
+	lingers atomic.Bool
+	// element is the connection's place in the list of its use; nil if it is in none.
+	element *list.Element
+	// since is when the present use began.
+	since monotime.Instant
+}
+
+func (c *Conn) current() use { return use(c.use.Load()) }
+
+// Read implements net.Conn. A connection that is closed for another gives no further bytes:
+// a request that was read and could not be answered would be lost.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.refusable && !c.begin() {
+		return 0, io.EOF // any other error would be answered as a bad request
+	}
+	return n, err
+}
+
+// begin records that a request has begun, if the connection was idle. It reports false if the
+// connection was closed for another.
+func (c *Conn) begin() bool {
+	switch c.current() {
+	case receiving, answering:
+		return true
+	case evicted:
+		return false
+	}
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.current() == idle {
+		c.conns.move(c, receiving)
+	}
+	return c.current() != evicted
+}
+
+// becomeIdle records that the connection waits for the next request.
+func (c *Conn) becomeIdle() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.current() != evicted {
+		c.conns.move(c, idle)
+	}
+}
+
+// received records that a request was read whole. It reports false if the connection was closed
+// for another.
+func (c *Conn) received() bool {
+	if c.refusable {
+		return true
+	}
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.current() == evicted {
+		return false
+	}
+	c.conns.move(c, answering)
+	return true
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	if c.closed.Swap(true) {
+		return c.Conn.Close()
+	}
+	if c.lingers.Load() && c.CloseWrite() == nil {
+		go c.linger()
+		return nil
+	}
+	defer c.conns.remove(c)
+	return c.Conn.Close()
+}
+
+// linger closes the connection once the client has closed it. The kernel resets a connection that
+// is closed with unread bytes, such as those of the client's next request, and drops what it has
+// not yet sent of the answer.
+func (c *Conn) linger() {
+	defer c.conns.remove(c)
+	if c.SetReadDeadline(time.Now().Add(maxLinger)) == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes) // the connection is closed either way
+	}
+	_ = c.Conn.Close()
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		return sc.SyscallConn()
+	}
+	return nil, errNoSocket
+}
+
+// CloseWrite ends what is sent. The HTTP server does so to let a client who still sends read
+// the answer.
+func (c *Conn) CloseWrite() error {
+	if socket, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return socket.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger sets what Close does with bytes that were not sent yet.
+func (c *Conn) SetLinger(seconds int) error {
+	if socket, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return socket.SetLinger(seconds)
+	}
+	return errNoSocket
+}
+
+var errNoSocket = errors.New("inbound: no socket")
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// WithConn returns a context that holds the connection. It is the ConnContext of an http.Server.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// FromContext returns the connection of a request; nil if it is not counted.
+func FromContext(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(connKey{}).(*Conn)
+	return conn
+}
+
+// ResetOnClose sets whether the connection of a request is reset when it is closed.
+func ResetOnClose(ctx context.Context, reset bool) error {
+	conn := FromContext(ctx)
+	if conn == nil {
+		return errNoSocket
+	}
+	if reset {
+		return conn.SetLinger(0)
+	}
+	conn.lingers.Store(true)
+	return conn.SetLinger(-1)
+}
+
+// Refuses reports whether a request came over a connection beyond the budget, or one that was
+// closed for another while the request was buffered.
+func Refuses(ctx context.Context) bool {
+	conn := FromContext(ctx)
+	return conn != nil && (conn.refusable || conn.current() == evicted)
+}
+
+// Received records that the request of a context was read whole, so that its connection isn't
+// closed for others any more. It reports false if that has already happened.
+func Received(ctx context.Context) bool {
+	conn := FromContext(ctx)
+	return conn == nil || conn.received()
+}
--- /dev/null
+++ b/internal/inbound/conns.go
@@ -0,0 +1,231 @@
+package inbound
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"basilrudder/internal/descriptors"
+	"basilrudder/internal/monotime"
+)
+
+const (
+	// refusableConns is the number of connections of a kind beyond the budget whose requests
+	// are refused with an answer. Further connections are closed.
+	refusableConns = 32
+	// fullShare is the share of the descriptors left for callers from which on new callers
+	// are sent elsewhere.
+	fullShare = 0.1
+	// FullFor is for how long an instance counts as full after the last sign of it.
+	FullFor = 3 * time.Second
+	// incompleteGrace is how long an incomplete request is safe from being closed: the goroutine
+	// that reads it may not have run since its bytes arrived.
+	incompleteGrace = 100 * time.Millisecond
+)
+
+// Conns are the open connections of clients, of one kind. A request that began and was not yet
+// read whole is incomplete. When there is no descriptor for another connection, the one that has
+// been idle for longest is closed, and if none is idle the one with the oldest incomplete request:
+// a client that sends slowly stays no longer than one that stops.
+type Conns struct {
+	kind   descriptors.Kind
+	budget *descriptors.Budget
+	log    *zap.Logger
+
+	mu sync.Mutex
+	// idle and incomplete hold *Conn, the one that has been so for longest first.
+	idle, incomplete *list.List
+	refusable        int
+	// fullAt is when few descriptors were left; 0 for never.
+	fullAt monotime.Instant
+
+	closedIdle, closedIncomplete, refused atomic.Int64
+}
+
+// New returns the connections of a kind, which share the descriptors of the process.
+func New(kind descriptors.Kind, budget *descriptors.Budget, log *zap.Logger) *Conns {
+	return &Conns{kind: kind, budget: budget, log: log, idle: list.New(), incomplete: list.New()}
+}
+
+// Listener returns a listener whose connections are counted.
+func (c *Conns) Listener(l net.Listener) net.Listener { return &listener{l, c} }
+
+type listener struct {
+	net.Listener
+	conns *Conns
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.conns.admit(raw); c != nil {
+			return c, nil
+		}
+		_ = raw.Close()
+	}
+}
+
+// admit counts a connection, and returns nil if it can't be kept.
+func (c *Conns) admit(raw net.Conn) *Conn {
+	conn := &Conn{Conn: raw, conns: c, since: monotime.Now()}
+	free := c.budget.Free(c.kind)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if float64(free) <= fullShare*float64(c.budget.Limit()) {
+		c.becomeFull(monotime.Now())
+	}
+	for !c.budget.Take(c.kind, 1) {
+		now := monotime.Now()
+		if c.evict(c.idle, now, &c.closedIdle) || c.evict(c.incomplete, now.Add(-incompleteGrace), &c.closedIncomplete) {
+			continue
+		}
+		if c.refusable >= refusableConns {
+			c.refused.Add(1)
+			return nil
+		}
+		c.refusable++
+		conn.refusable = true
+		return conn
+	}
+	conn.element = c.idle.PushBack(conn)
+	return conn
+}
+
+// becomeFull records that few descriptors are left; mu is held.
+func (c *Conns) becomeFull(now monotime.Instant) {
+	if !c.isFull(now) {
+		c.log.Warn("descriptors_short", zap.Stringer("kind", c.kind), zap.Any("used", c.budget.Used()), zap.Int("limit", c.budget.Limit()))
+	}
+	c.fullAt = now
+}
+
+func (c *Conns) isFull(now monotime.Instant) bool {
+	return c.fullAt != 0 && now.Sub(c.fullAt) < FullFor
+}
+
+// Full reports whether new clients should connect elsewhere.
+func (c *Conns) Full() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isFull(monotime.Now())
+}
+
+// AnnounceFull tells peers while this instance is full.
+func (c *Conns) AnnounceFull(announce func(time.Duration)) {
+	if c.Full() {
+		announce(FullFor)
+	}
+}
+
+// evict closes the first connection of a list if it has been there since an instant, and
+// reports whether it did; mu is held.
+func (c *Conns) evict(from *list.List, since monotime.Instant, count *atomic.Int64) bool {
+	for e := from.Front(); e != nil; e = from.Front() {
+		conn := e.Value.(*Conn)
+		if conn.since > since {
+			return false
+		}
+		c.move(conn, evicted)
+		if conn.closed.Swap(true) {
+			continue
+		}
+		count.Add(1)
+		c.uncount(conn)
+		_ = conn.Conn.Close()
+		return true
+	}
+	return false
+}
+
+// move changes what a connection is used for; mu is held.
+func (c *Conns) move(conn *Conn, to use) {
+	if conn.element != nil {
+		c.listOf(conn.current()).Remove(conn.element)
+		conn.element = nil
+	}
+	conn.use.Store(int32(to))
+	conn.since = monotime.Now()
+	if l := c.listOf(to); l != nil && !conn.closed.Load() {
+		conn.element = l.PushBack(conn)
+	}
+}
+
+// listOf returns the list of the connections with a use; nil if there is none.
+func (c *Conns) listOf(u use) *list.List {
+	switch u {
+	case idle:
+		return c.idle
+	case receiving:
+		return c.incomplete
+	}
+	return nil
+}
+
+// remove forgets a connection that was closed.
+func (c *Conns) remove(conn *Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn.current() != evicted {
+		c.move(conn, answering)
+	}
+	c.uncount(conn)
+}
+
+// uncount returns the descriptor of a connection; mu is held.
+func (c *Conns) uncount(conn *Conn) {
+	if conn.refusable {
+		c.refusable--
+		return
+	}
+	c.budget.Release(c.kind, 1)
+}
+
+// StateChanged is the hook of an http.Server for the states of connections.
+func (c *Conns) StateChanged(raw net.Conn, state http.ConnState) {
+	conn, ok := raw.(*Conn)
+	if !ok || conn.refusable {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		conn.begin()
+	case http.StateIdle:
+		conn.becomeIdle()
+	}
+}
+
+// FastStateChanged is StateChanged for a fasthttp.Server.
+func (c *Conns) FastStateChanged(raw net.Conn, state fasthttp.ConnState) {
+	switch state {
+	case fasthttp.StateActive:
+		c.StateChanged(raw, http.StateActive)
+	case fasthttp.StateIdle:
+		c.StateChanged(raw, http.StateIdle)
+	}
+}
+
+// Metrics counts the connections of a kind that were ended for lack of descriptors.
+type Metrics struct {
+	ClosedIdle       int64 `json:"closed_idle"`
+	ClosedIncomplete int64 `json:"closed_incomplete"`
+	Refused          int64 `json:"refused"`
+	Full             bool  `json:"full"`
+}
+
+// Metrics returns the counts so far.
+func (c *Conns) Metrics() Metrics {
+	return Metrics{
+		ClosedIdle: c.closedIdle.Load(), ClosedIncomplete: c.closedIncomplete.Load(),
+		Refused: c.refused.Load(), Full: c.Full(),
+	}
+}
--- a/internal/gateway/callerconns_test.go
+++ b/internal/inbound/conns_test.go
@@ -1,15 +1,16 @@
-package gateway
+package inbound
 
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,19 +19,26 @@
 )
 
 // callerServerWith serves callers under a budget for a process with so many descriptors.
-func callerServerWith(t *testing.T, limit int, handler func(c *callerConns) http.Handler) (c *callerConns, address string) {
+func callerServerWith(t *testing.T, limit int, handler func(c *Conns) http.Handler) (c *Conns, address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	c = newCallerConns(descriptors.New(limit), zap.NewNop())
-	server := &http.Server{Handler: handler(c), ConnState: c.changed, ConnContext: withConn}
-	go func() { _ = server.Serve(c.listener(listener)) }()
+	c = New(descriptors.Callers, descriptors.New(limit), zap.NewNop())
+	server := &http.Server{Handler: handler(c), ConnState: c.StateChanged, ConnContext: WithConn}
+	go func() { _ = server.Serve(c.Listener(listener)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return c, listener.Addr().String()
 }
 
+// mustReceive aborts a request whose connection was closed before it was read whole.
+func mustReceive(r *http.Request) {
+	if !Received(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // testCaller is a caller's connection.
 type testCaller struct {
 	net.Conn
@@ -64,7 +72,7 @@
 // Guards against callers that use up the descriptors, and active ones that are closed for
 // idle ones.
 func TestTheCallerThatHasBeenIdleForLongestIsClosedFirst(t *testing.T) {
-	c, address := callerServerWith(t, 200, func(*callerConns) http.Handler {
+	c, address := callerServerWith(t, 200, func(*Conns) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
 	})
 	var callers []*testCaller
@@ -96,7 +104,7 @@
 			t.Errorf("caller %d: %v", i, err)
 		}
 	}
-	if !c.full() {
+	if !c.Full() {
 		t.Error("not full")
 	}
 }
@@ -106,13 +114,14 @@
 func TestCallersWithoutADescriptorAreRefused(t *testing.T) {
 	finish := make(chan struct{})
 	var begun atomic.Int64
-	c, address := callerServerWith(t, 200, func(c *callerConns) http.Handler {
+	c, address := callerServerWith(t, 200, func(c *Conns) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if c.refuses(r.Context()) {
+			if Refuses(r.Context()) {
 				w.Header().Set("Connection", "close")
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
+			mustReceive(r)
 			begun.Add(1)
 			<-finish
 		})
@@ -156,8 +165,9 @@
 // Guards against requests that began and whose connection is closed for another's.
 func TestNoRequestThatBeganLosesItsConnection(t *testing.T) {
 	var begun, answered, closed atomic.Int64
-	c, address := callerServerWith(t, 200, func(*callerConns) http.Handler {
-		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	c, address := callerServerWith(t, 200, func(*Conns) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mustReceive(r)
 			begun.Add(1)
 			_, _ = io.WriteString(w, "ok")
 		})
@@ -215,9 +225,9 @@
 // Guards against a whole answer that looks broken since its caller sent the next request meanwhile.
 func TestAnAnswerEndedByItsConnectionIsNotResetByALaterRequest(t *testing.T) {
 	sent := make(chan struct{})
-	c, address := callerServerWith(t, 200, func(*callerConns) http.Handler {
+	c, address := callerServerWith(t, 200, func(*Conns) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if err := resetOnClose(r.Context(), true); err != nil {
+			if err := ResetOnClose(r.Context(), true); err != nil {
 				t.Error(err)
 			}
 			w.Header().Set("Transfer-Encoding", "identity")
@@ -225,7 +235,7 @@
 			<-sent
 			_, _ = io.WriteString(w, "whole")
 			_ = http.NewResponseController(w).Flush()
-			if err := resetOnClose(r.Context(), false); err != nil {
+			if err := ResetOnClose(r.Context(), false); err != nil {
 				t.Error(err)
 			}
 		})
@@ -247,52 +257,50 @@
 	waitFor(t, "the descriptor", func() bool { return c.budget.Free(descriptors.Callers) == free })
 }
 
-// Guards against a whole answer whose last bytes are lost at the end of a drain.
-func TestADrainEndsAfterTheLastBytesOfAnAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		near, far := net.Pipe()
-		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })}
-		listener := &pipeListener{conns: make(chan net.Conn, 1)}
-		listener.conns <- far
-		go func() { _ = server.Serve(listener) }()
-		_, _ = io.WriteString(near, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-		synctest.Wait() // the handler has returned, and nothing was sent
-		var drained sync.WaitGroup
-		defer drained.Wait()
-		drained.Go(func() {
-			completeAnswers(server)
-			_ = server.Close()
+// Guards against clients that send slowly, or stop, and take the connections of others, and against
+// requests that were read whole and are closed for others.
+func TestTheOldestIncompleteRequestMakesRoom(t *testing.T) {
+	finish := make(chan struct{})
+	var begun atomic.Int64
+	c, address := callerServerWith(t, 200, func(*Conns) http.Handler {
+		return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			mustReceive(r)
+			if begun.Add(1) == 1 {
+				<-finish
+			}
 		})
-		time.Sleep(maxCompletion / 2)
-		response, err := http.ReadResponse(bufio.NewReader(near), nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if body, err := io.ReadAll(response.Body); string(body) != "whole" || err != nil {
-			t.Errorf("%q, %v", body, err)
+	})
+	whole := dialCaller(t, address)
+	var answered sync.WaitGroup
+	answered.Go(func() {
+		if status, err := whole.ask(); status != http.StatusOK {
+			t.Errorf("%d, %v for the request that was read whole", status, err)
 		}
 	})
-}
-
-// pipeListener accepts connections from a channel.
-type pipeListener struct {
-	conns chan net.Conn
-	close sync.Once
-}
-
-// Accept implements net.Listener.
-func (l *pipeListener) Accept() (net.Conn, error) {
-	if conn, ok := <-l.conns; ok {
-		return conn, nil
+	waitFor(t, "the whole request", func() bool { return begun.Load() == 1 })
+	incomplete := func() int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.incomplete.Len()
+	}
+	free := c.budget.Free(descriptors.Callers)
+	stopped := make([]*testCaller, free)
+	for n := range stopped {
+		stopped[n] = dialCaller(t, address)
+		_, _ = io.WriteString(stopped[n], "GET / HT")
+		waitFor(t, "the head", func() bool { return incomplete() == n+1 })
+	}
+	time.Sleep(incompleteGrace)
+	if status, err := dialCaller(t, address).ask(); status != http.StatusOK {
+		t.Errorf("%d, %v for one more", status, err)
+	}
+	close(finish)
+	answered.Wait()
+	_ = stopped[0].SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := stopped[0].Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the oldest is still open: %v", err)
+	}
+	if n := c.closedIncomplete.Load(); n != 1 || incomplete() != free-1 {
+		t.Errorf("%d were closed, %d are left of %d", n, incomplete(), free)
 	}
-	return nil, net.ErrClosed
-}
-
-// Close implements net.Listener.
-func (l *pipeListener) Close() error {
-	l.close.Do(func() { close(l.conns) })
-	return nil
 }
-
-// Addr implements net.Listener.
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -125,6 +125,8 @@
 		return fail(http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, err)
 	case err != nil:
 		return fail(http.StatusBadRequest, verdict.ReasonCallerGone, err)
+	case !f.relay.cfg.Received(f.hr.Context()):
+		return fail(http.StatusBadRequest, verdict.ReasonCallerGone, errEvicted)
 	}
 	f.body = body
 	return nil
@@ -140,6 +142,9 @@
 	return io.ReadAll(&holdingReader{reader, f})
 }
 
+// errEvicted reports that a caller's connection was closed for that of another.
+var errEvicted = errors.New("the caller's connection was closed for another")
+
 // errBodiesFull reports that the bodies held at once exceed maxHeldBodies.
 var errBodiesFull = errors.New("the instance holds too many bytes of bodies")
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,9 @@
 	// Refuses reports whether requests of a connection are refused, since the instance has
 	// no descriptors for it; nil means never.
 	Refuses func(ctx context.Context) bool
+	// Received records that the request of a context was read whole. It reports false if its
+	// connection was closed for another; nil means never.
+	Received func(ctx context.Context) bool
 	// ResetOnClose sets whether a caller's connection, given by the context of its request, is
 	// reset when it is closed, also by the end of the process; nil means that it can't be set.
 	ResetOnClose func(ctx context.Context, reset bool) error
@@ -90,6 +93,9 @@
 	if cfg.Refuses == nil {
 		cfg.Refuses = func(context.Context) bool { return false }
 	}
+	if cfg.Received == nil {
+		cfg.Received = func(context.Context) bool { return true }
+	}
 	if cfg.ResetOnClose == nil {
 		cfg.ResetOnClose = func(context.Context, bool) error { return nil }
 	}
