All listeners share one budget of descriptors

What callers saw: 1,200 idle connections, or heads sent slowly, to the address for readiness, addresses or metrics took 1,218 to 1,221 descriptors where 1,000 are allowed; 1,042 and 1,043 at the peers' address, 1,218 with peers that stop before they prove a key. On a machine that holds to its limit none is left for callers, servers and the store. The daemon of the own interface: 1,245 at the admin address, 1,070 at the peers'. Cause: only callers, servers, links and tunnels were counted. Change: a further kind of descriptors, control, with a fiftieth guaranteed, for these connections. They are counted and closed as callers' are (internal/inbound): idle for longest first, then the oldest incomplete request; those beyond the guarantee before any caller. A peer's connection counts so until it is a link or a tunnel. Race tests of descriptors, inbound, peer, tunnel, daemon, callers and trial pass, and those of gateway without the detector. Why it works: what is not counted can't be bounded; a connection that is closed here costs one connect.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -18,10 +18,10 @@
 
 // serveAdmin serves metrics and the status of the instance until ctx is cancelled.
 func (d *Daemon) serveAdmin(ctx context.Context) error {
-	server := inbound.ControlServer(d.admin, d.cfg.Log)
+	server := inbound.ControlServer(d.admin, d.control, d.cfg.Log)
 	stopShutdown := context.AfterFunc(ctx, func() { _ = server.Shutdown() })
 	defer stopShutdown()
-	return server.Serve(d.cfg.Listeners.Admin)
+	return server.Serve(d.control.Listener(d.cfg.Listeners.Admin))
 }
 
 func (d *Daemon) admin(ctx *fasthttp.RequestCtx) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,8 @@
 	"basilrudder/internal/callers"
 	"basilrudder/internal/catalog"
 	"basilrudder/internal/confsync"
+	"basilrudder/internal/descriptors"
+	"basilrudder/internal/inbound"
 	"basilrudder/internal/instance"
 	"basilrudder/internal/membership"
 	"basilrudder/internal/monotime"
@@ -106,8 +108,10 @@
 	answerStore *answers.Store
 	poller      *poller
 	orders      *orderSender
-	self        reqid.Incarnation
-	tasks       sync.WaitGroup
+	// control are the connections at the admin address, and those of peers until they are links.
+	control *inbound.Conns
+	self    reqid.Incarnation
+	tasks   sync.WaitGroup
 }
 
 // New returns a daemon that serves nothing until Run is called.
@@ -120,6 +124,7 @@
 		platform:    platform.New(platform.Config{Address: s.Platform.Address, Timeout: time.Duration(s.Platform.TimeoutMS) * time.Millisecond}),
 		answerStore: answers.NewStore(answerStoreConfig(s, nil)),
 	}
+	d.control = inbound.New(descriptors.Control, descriptors.New(cmp.Or(s.Limits.Descriptors, descriptors.OfProcess())), cfg.Log)
 	for _, listener := range []*net.Listener{&d.cfg.Listeners.Callers, &d.cfg.Listeners.Peers, &d.cfg.Listeners.Admin} {
 		*listener = netconn.RetryAccept(*listener, cfg.Log)
 	}
@@ -193,7 +198,8 @@
 			PeerAddress:   self.PeerAddress,
 		},
 		Keys:     d.keys(nil),
-		Listener: d.cfg.Listeners.Peers,
+		Listener: d.control.Listener(d.cfg.Listeners.Peers),
+		Accepted: inbound.Detach,
 		Resolve:  d.resolve,
 		Handler:  d,
 		Log:      d.cfg.Log,
--- a/internal/descriptors/descriptors.go
+++ b/internal/descriptors/descriptors.go
@@ -21,24 +21,27 @@
 	Tunnels
 	// Peers are links to other instances.
 	Peers
+	// Control are connections for readiness, addresses and metrics, and those of peers until
+	// they are links or tunnels.
+	Control
 	kinds
 )
 
 // String returns the name of the kind, for metrics.
 func (k Kind) String() string {
-	return [...]string{"callers", "servers", "tunnels", "peers"}[k]
+	return [...]string{"callers", "servers", "tunnels", "peers", "control"}[k]
 }
 
 const (
 	// reservedShare of the limit is kept for files, listeners, the runtime and connections
-	// that last for one question, such as readiness checks; it is at least minReserved.
+	// that last for one question of this instance; it is at least minReserved.
 	reservedShare = 1.0 / 12
 	minReserved   = 64
 )
 
 // guaranteed is the share of the descriptors that each kind gets whatever the others use.
 // Any kind may use the rest. A request takes one connection of a caller and one to a server.
-var guaranteed = [kinds]float64{Callers: 0.3, Servers: 0.3, Tunnels: 0.05, Peers: 0.1}
+var guaranteed = [kinds]float64{Callers: 0.3, Servers: 0.3, Tunnels: 0.05, Peers: 0.1, Control: 0.02}
 
 // Budget counts the descriptors in use. It is safe for concurrent use.
 type Budget struct {
@@ -107,6 +110,13 @@
 	return out
 }
 
+// ExceedsGuarantee reports whether a kind uses descriptors that others may claim.
+func (b *Budget) ExceedsGuarantee(k Kind) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used[k] > b.guaranteed[k]
+}
+
 // Used returns how many descriptors each kind uses.
 func (b *Budget) Used() map[string]int {
 	b.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,9 +121,9 @@
 	relay     *relay.Relay
 	stats     *relay.Metrics
 	collector *gcpace.Pacer
-	// descriptors are shared by callers, which callers counts, and all others.
-	descriptors *descriptors.Budget
-	callers     *inbound.Conns
+	// descriptors are shared by callers, by control connections and all others.
+	descriptors      *descriptors.Budget
+	callers, control *inbound.Conns
 
 	leaving  atomic.Bool
 	isolated atomic.Bool
@@ -162,7 +162,8 @@
 		outages:    newOutageDetector(),
 	}
 	g.descriptors = descriptors.New(cmp.Or(s.Instance.Descriptors, descriptors.OfProcess()))
-	g.callers = inbound.New(descriptors.Callers, g.descriptors, cfg.Log)
+	g.control = inbound.New(descriptors.Control, g.descriptors, cfg.Log)
+	g.callers = inbound.New(descriptors.Callers, g.descriptors, cfg.Log, g.control)
 	g.fleet.crashes = newCrashTracker(g.fleet.updates, cfg.Log)
 	g.fleet.crashes.trialPlace = g.fleet.trialPlace
 	g.fleet.crashes.serversLike = g.fleet.serversLike
@@ -236,9 +237,9 @@
 	tasks, work := errgroup.WithContext(work)
 	server := g.callerServer()
 	tasks.Go(func() error { return serveUntilClosed(server, g.callers.Listener(listeners.callers)) })
-	tasks.Go(func() error { return serveUntilCancelled(work, listeners.ready, g.cfg.Ready(g), g.cfg.Log) })
-	tasks.Go(func() error { return serveUntilCancelled(work, listeners.directory, g.cfg.Directory(g), g.cfg.Log) })
-	tasks.Go(func() error { return serveUntilCancelled(work, listeners.metrics, g.metrics, g.cfg.Log) })
+	tasks.Go(func() error { return g.serveUntilCancelled(work, listeners.ready, g.cfg.Ready(g)) })
+	tasks.Go(func() error { return g.serveUntilCancelled(work, listeners.directory, g.cfg.Directory(g)) })
+	tasks.Go(func() error { return g.serveUntilCancelled(work, listeners.metrics, g.metrics) })
 	tasks.Go(func() error { return g.peers.links.Run(work) })
 	tasks.Go(func() error { return g.storeSync.run(work) })
 	tasks.Go(func() error { return g.fleet.updates.run(work) })
@@ -271,7 +272,8 @@
 			CallerAddress: self.CallerAddress, PeerAddress: self.PeerAddress, Capacity: self.Capacity,
 		},
 		Keys:     []peer.Key{{ID: linkKeyID, Secret: g.linkSecret()}},
-		Listener: listener,
+		Listener: g.control.Listener(listener),
+		Accepted: inbound.Detach,
 		Resolve:  func(string) (string, bool) { return "", false },
 		Other:    g.serveTunnel,
 		Handler:  g.peers,
@@ -292,6 +294,9 @@
 		return
 	}
 	g.tunnels.Handle(ctx, request)
+	if request.Response.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		inbound.Detach(request.Conn()) // one that was closed meanwhile ends the tunnel
+	}
 }
 
 // Ready reports whether callers should connect to the instance.
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -57,10 +57,10 @@
 }
 
 // serveUntilCancelled serves requests with short answers until the context ends.
-func serveUntilCancelled(ctx context.Context, listener net.Listener, handler fasthttp.RequestHandler, log *zap.Logger) error {
-	server := inbound.ControlServer(handler, log)
+func (g *Gateway) serveUntilCancelled(ctx context.Context, listener net.Listener, handler fasthttp.RequestHandler) error {
+	server := inbound.ControlServer(handler, g.control, g.cfg.Log)
 	defer context.AfterFunc(ctx, func() { _ = server.Shutdown() })()
-	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+	if err := server.Serve(g.control.Listener(listener)); err != nil && ctx.Err() == nil {
 		return errors.Wrap(err, "serve")
 	}
 	return nil
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -66,8 +66,11 @@
 	Limit   int             `json:"limit"`
 	Used    map[string]int  `json:"used"`
 	Callers inbound.Metrics `json:"callers"`
+	Control inbound.Metrics `json:"control"`
 }
 
 func (g *Gateway) descriptorMetrics() descriptorMetrics {
-	return descriptorMetrics{Limit: g.descriptors.Limit(), Used: g.descriptors.Used(), Callers: g.callers.Metrics()}
+	return descriptorMetrics{
+		Limit: g.descriptors.Limit(), Used: g.descriptors.Used(), Callers: g.callers.Metrics(), Control: g.control.Metrics(),
+	}
 }
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -49,6 +49,8 @@
 	element *list.Element
 	// since is when the present use began.
 	since monotime.Instant
+	// detached connections are counted elsewhere.
+	detached bool
 }
 
 func (c *Conn) current() use { return use(c.use.Load()) }
@@ -104,6 +106,34 @@
 	return true
 }
 
+// Detach hands a connection over to whoever counts it from now on. It reports false if the
+// connection was closed for another. conn may wrap a Conn.
+func Detach(conn net.Conn) bool {
+	c := unwrap(conn)
+	if c == nil {
+		return true
+	}
+	if !c.received() {
+		return false
+	}
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if !c.closed.Load() {
+		c.conns.uncount(c)
+		c.detached = true
+	}
+	return true
+}
+
+// unwrap returns the Conn that a connection taken over from fasthttp wraps; nil if there is none.
+func unwrap(conn net.Conn) *Conn {
+	if wrapper, ok := conn.(interface{ UnsafeConn() net.Conn }); ok {
+		conn = wrapper.UnsafeConn()
+	}
+	c, _ := conn.(*Conn)
+	return c
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	if c.closed.Swap(true) {
--- a/internal/inbound/conns.go
+++ b/internal/inbound/conns.go
@@ -37,6 +37,9 @@
 	kind   descriptors.Kind
 	budget *descriptors.Budget
 	log    *zap.Logger
+	// lenders are of other kinds, whose connections beyond what their kind is guaranteed are
+	// closed before those of this one.
+	lenders []*Conns
 
 	mu sync.Mutex
 	// idle and incomplete hold *Conn, the one that has been so for longest first.
@@ -48,9 +51,10 @@
 	closedIdle, closedIncomplete, refused atomic.Int64
 }
 
-// New returns the connections of a kind, which share the descriptors of the process.
-func New(kind descriptors.Kind, budget *descriptors.Budget, log *zap.Logger) *Conns {
-	return &Conns{kind: kind, budget: budget, log: log, idle: list.New(), incomplete: list.New()}
+// New returns the connections of a kind, which share the descriptors of the process. It must not
+// become a lender of its lenders.
+func New(kind descriptors.Kind, budget *descriptors.Budget, log *zap.Logger, lenders ...*Conns) *Conns {
+	return &Conns{kind: kind, budget: budget, log: log, lenders: lenders, idle: list.New(), incomplete: list.New()}
 }
 
 // Listener returns a listener whose connections are counted.
@@ -85,8 +89,7 @@
 		c.becomeFull(monotime.Now())
 	}
 	for !c.budget.Take(c.kind, 1) {
-		now := monotime.Now()
-		if c.evict(c.idle, now, &c.closedIdle) || c.evict(c.incomplete, now.Add(-incompleteGrace), &c.closedIncomplete) {
+		if c.reclaim() || c.makeRoom() {
 			continue
 		}
 		if c.refusable >= refusableConns {
@@ -127,6 +130,27 @@
 	}
 }
 
+// reclaim closes a connection of another kind that exceeds its guarantee, and reports whether
+// there was one.
+func (c *Conns) reclaim() bool {
+	for _, l := range c.lenders {
+		l.mu.Lock()
+		closed := c.budget.ExceedsGuarantee(l.kind) && l.makeRoom()
+		l.mu.Unlock()
+		if closed {
+			return true
+		}
+	}
+	return false
+}
+
+// makeRoom closes the connection that is needed least, and reports whether there was one; mu is
+// held.
+func (c *Conns) makeRoom() bool {
+	now := monotime.Now()
+	return c.evict(c.idle, now, &c.closedIdle) || c.evict(c.incomplete, now.Add(-incompleteGrace), &c.closedIncomplete)
+}
+
 // evict closes the first connection of a list if it has been there since an instant, and
 // reports whether it did; mu is held.
 func (c *Conns) evict(from *list.List, since monotime.Instant, count *atomic.Int64) bool {
@@ -183,11 +207,13 @@
 
 // uncount returns the descriptor of a connection; mu is held.
 func (c *Conns) uncount(conn *Conn) {
-	if conn.refusable {
+	switch {
+	case conn.detached:
+	case conn.refusable:
 		c.refusable--
-		return
+	default:
+		c.budget.Release(c.kind, 1)
 	}
-	c.budget.Release(c.kind, 1)
 }
 
 // StateChanged is the hook of an http.Server for the states of connections.
--- a/internal/inbound/control.go
+++ b/internal/inbound/control.go
@@ -18,13 +18,14 @@
 )
 
 // ControlServer returns a server for requests without a body and with short answers: readiness,
-// addresses, metrics, status.
-func ControlServer(handler fasthttp.RequestHandler, log *zap.Logger) *fasthttp.Server {
+// addresses, metrics, status. Its listener is to be one of conns.
+func ControlServer(handler fasthttp.RequestHandler, conns *Conns, log *zap.Logger) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true,
 		MaxRequestBodySize: maxControlBody, DisablePreParseMultipartForm: true,
 		ReadTimeout: ControlTimeout, WriteTimeout: ControlTimeout, IdleTimeout: controlIdleTimeout,
-		Logger: debugLogger{log},
+		ConnState: conns.FastStateChanged,
+		Logger:    debugLogger{log},
 	}
 }
 
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -93,6 +93,9 @@
 	Keys []Key
 	// Listener accepts the connections of peers.
 	Listener net.Listener
+	// Accepted is told of an accepted connection that has become a link. The link is closed if
+	// it returns false; nil accepts all.
+	Accepted func(conn net.Conn) bool
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Resolve returns the address of a peer for a link on demand; nil disables such
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -51,6 +51,7 @@
 	errIdle        = errors.New("idle")
 	errKeyRemoved  = errors.New("key of the peer is no longer accepted")
 	errStopped     = errors.New("stopped")
+	errNotKept     = errors.New("connection was closed for others")
 )
 
 // close ends the link. The reason of the first call is kept.
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -60,6 +60,9 @@
 		s.cfg.Log.Warn("peer handshake failed", zap.Error(err), zap.Bool("dialer", dialer))
 		return err
 	}
+	if !dialer && s.cfg.Accepted != nil && !s.cfg.Accepted(conn.NetConn()) {
+		return errNotKept
+	}
 	now := monotime.Now()
 	l := &link{
 		conn: conn, links: s, peer: result.peer, keyID: result.keyID, dialer: dialer,
