A body that stops is given up at the deadline of its request

What callers saw: a connection with a body one byte short stayed open for as long as its client liked; a few dozen such clients held all that the instance keeps for bodies. Cause: nothing ended the wait between the head and the end of a body; the request's deadline was set only after. Change: the deadline of the request, from its route's timeout and its own header, bounds reading the body. Then the caller gets 408, which promises that the request has not run. The deadline stays set on such a connection: the server would read on for the rest of the body. Evidence: TestCrowdOfBodiesThatStopIsGivenUp waited 20 s in vain on and gets 408 after some 4 s now; the relay's race tests pass. Why it works: an answer after the deadline is of no use to the caller, so no sound request loses by it.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilrudder/internal/netconn"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/routing"
 	"basilrudder/internal/verdict"
@@ -116,9 +117,20 @@
 	if limit > 0 {
 		reader = http.MaxBytesReader(f.w, f.hr.Body, limit)
 	}
+	control := http.NewResponseController(f.w)
+	if f.hr.ContentLength != 0 {
+		// Only the response writers of tests have no deadlines.
+		_ = control.SetReadDeadline(f.deadline)
+	}
 	body, err := f.readHeld(reader)
+	if err == nil {
+		// Else the server would read on for the rest of the body without end.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case netconn.IsTimeout(err):
+		return fail(http.StatusRequestTimeout, verdict.ReasonDeadline, errors.Wrap(err, "read the body"))
 	case errors.Is(err, errBodiesFull):
 		return unavailable(verdict.ReasonOverloaded, retryFull)
 	case errors.As(err, &tooLarge):
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -47,7 +47,8 @@
 	control := http.NewResponseController(f.w)
 	// Without full duplex the server closes the connection of a caller who still sends a long
 	// body. One who waits for a go-ahead sends none.
-	sending := f.body == nil && f.hr.ContentLength != 0 && f.hr.Header.Get("Expect") == "" && control.EnableFullDuplex() == nil
+	sending := f.body == nil && f.hr.ContentLength != 0 && f.hr.Header.Get("Expect") == "" &&
+		p.status != http.StatusRequestTimeout && control.EnableFullDuplex() == nil
 	f.w.WriteHeader(p.status)
 	// The caller may have hung up; the log line has the answer either way.
 	_, _ = f.w.Write([]byte(string(p.reason) + "\n"))
