Requests share the machine's memory, and the oldest incomplete one gives it up

What callers saw: beside 120 bodies of 1 MiB that stop a byte short, or 480 of 110 KiB, an ordinary body of 200 KiB got 503 five times in a row; the process took 69.5 to 109.4 MB where 64 are allowed. Cause: bodies shared a fixed 48 MiB whatever the machine has. A declared length took all its memory before a byte came, and nothing made those who stopped give it back. Bodies in chunks grew by io.ReadAll, whose garbage was not counted, while the collector let the heap grow up to a fixed 112 MB. A body takes memory as it arrives, counted before it is allocated. When there is none, internal/inbound gives up the oldest incomplete request: 503 if a handler has it, else a closed connection. TestTheOldestIncompleteRequestGivesUpItsMemory passed 5 times with -race; relay, daemon and gateway pass. Changed tests: TestBodiesOnTheirWayCountAsHeld sends the bytes of bodies with a declared length too, since a length alone no longer counts (a crowd that sends nothing would refuse ordinary callers); its further body is refused and all memory returned, as before. TestLargeBodiesLeaveRoomForSmallOnes asks the budget itself.

--- a/cmd/basilrudderd/main.go
+++ b/cmd/basilrudderd/main.go
@@ -67,7 +67,7 @@
 // run serves requests until the drain that the first SIGTERM or SIGINT starts has finished,
 // or until the second signal.
 func run(s *settings.Settings) error {
-	limitMemory()
+	limitMemory(s.Limits.MemoryMb)
 	log, err := newLog(string(s.Log.Level))
 	if err != nil {
 		return err
--- a/cmd/basilrudderd/relay.go
+++ b/cmd/basilrudderd/relay.go
@@ -39,7 +39,7 @@
 		return nil
 	}
 	c.noSeeds = len(s.Peers.Seeds) == 0
-	limitMemory()
+	limitMemory(s.Instance.MemoryMb)
 	level, err := zapcore.ParseLevel(string(s.Log.Level))
 	if err != nil {
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"basilrudder/internal/inbound"
 	"basilrudder/internal/instance"
 	"basilrudder/internal/membership"
+	"basilrudder/internal/membudget"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
 	"basilrudder/internal/node"
@@ -124,7 +125,7 @@
 		platform:    platform.New(platform.Config{Address: s.Platform.Address, Timeout: time.Duration(s.Platform.TimeoutMS) * time.Millisecond}),
 		answerStore: answers.NewStore(answerStoreConfig(s, nil)),
 	}
-	d.control = inbound.New(descriptors.Control, descriptors.New(cmp.Or(s.Limits.Descriptors, descriptors.OfProcess())), cfg.Log)
+	d.control = inbound.New(descriptors.Control, descriptors.New(cmp.Or(s.Limits.Descriptors, descriptors.OfProcess())), membudget.ForMachine(s.Limits.MemoryMb), cfg.Log)
 	for _, listener := range []*net.Listener{&d.cfg.Listeners.Callers, &d.cfg.Listeners.Peers, &d.cfg.Listeners.Admin} {
 		*listener = netconn.RetryAccept(*listener, cfg.Log)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"basilrudder/internal/eventlog"
 	"basilrudder/internal/gcpace"
 	"basilrudder/internal/inbound"
+	"basilrudder/internal/membudget"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
 	"basilrudder/internal/pace"
@@ -121,8 +122,10 @@
 	relay     *relay.Relay
 	stats     *relay.Metrics
 	collector *gcpace.Pacer
-	// descriptors are shared by callers, by control connections and all others.
+	// descriptors are shared by callers, by control connections and all others; memory by
+	// the requests of the first two.
 	descriptors      *descriptors.Budget
+	memory           *membudget.Budget
 	callers, control *inbound.Conns
 
 	leaving  atomic.Bool
@@ -162,8 +165,9 @@
 		outages:    newOutageDetector(),
 	}
 	g.descriptors = descriptors.New(cmp.Or(s.Instance.Descriptors, descriptors.OfProcess()))
-	g.control = inbound.New(descriptors.Control, g.descriptors, cfg.Log)
-	g.callers = inbound.New(descriptors.Callers, g.descriptors, cfg.Log, g.control)
+	g.memory = membudget.ForMachine(s.Instance.MemoryMb)
+	g.control = inbound.New(descriptors.Control, g.descriptors, g.memory, cfg.Log)
+	g.callers = inbound.New(descriptors.Callers, g.descriptors, g.memory, cfg.Log, g.control)
 	g.fleet.crashes = newCrashTracker(g.fleet.updates, cfg.Log)
 	g.fleet.crashes.trialPlace = g.fleet.trialPlace
 	g.fleet.crashes.serversLike = g.fleet.serversLike
@@ -190,13 +194,20 @@
 	g.connectTunnels(incarnation)
 	g.relay = relay.New(relay.Config{
 		Fleet: g.fleet, Connector: g.connector, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
-		DrainTime: seconds(s.Drain.GraceS) - drainReserve, Descriptors: g.descriptors, Refuses: inbound.Refuses, Received: inbound.Received,
+		DrainTime: seconds(s.Drain.GraceS) - drainReserve, Descriptors: g.descriptors, Refuses: inbound.Refuses, Intake: g.intake,
 		ResetOnClose: inbound.ResetOnClose,
 	})
 	g.fleet.board.SetConnected(g.relay.Connected)
 	return g, nil
 }
 
+// intake counts what a request of a caller holds.
+func (g *Gateway) intake(ctx context.Context) relay.Intake {
+	conn := inbound.FromContext(ctx)
+	conn.Handle()
+	return conn
+}
+
 // connectTunnels sets up connections to servers, and those for peers.
 func (g *Gateway) connectTunnels(incarnation string) {
 	s := g.cfg.Settings
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -51,6 +51,9 @@
 	since monotime.Instant
 	// detached connections are counted elsewhere.
 	detached bool
+	// handled means that a handler has the request, and held is the memory it holds in bytes.
+	handled bool
+	held    int64
 }
 
 func (c *Conn) current() use { return use(c.use.Load()) }
@@ -89,11 +92,52 @@
 	if c.current() != evicted {
 		c.conns.move(c, idle)
 	}
+	c.conns.freeMemory(c)
+	c.handled = false
 }
 
-// received records that a request was read whole. It reports false if the connection was closed
-// for another.
-func (c *Conn) received() bool {
+// Handle records that a handler has the request, which it then can refuse.
+func (c *Conn) Handle() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	c.handled = true
+}
+
+// Hold counts n further bytes of memory as held by the request. It reports false if there are none
+// left, or the request was given up for others.
+func (c *Conn) Hold(n int64) bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	return c.conns.hold(c, n)
+}
+
+// Release counts n bytes that the request held as free.
+func (c *Conn) Release(n int64) {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	n = min(n, c.held) // nothing is held any more once the request was given up
+	c.held -= n
+	c.conns.memory.Release(n)
+}
+
+// Shed reports whether the request was given up for others.
+func (c *Conn) Shed() bool { return c.current() == evicted }
+
+// SetReadDeadline implements net.Conn. That of a request that was given up stays in the past.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	err := c.Conn.SetReadDeadline(t)
+	if c.Shed() {
+		return c.Conn.SetReadDeadline(past)
+	}
+	return err
+}
+
+// past is a deadline that interrupts a read.
+var past = time.Unix(1, 0)
+
+// Received records that a request was read whole, so that its connection isn't closed for others any
+// more. It reports false if that has already happened.
+func (c *Conn) Received() bool {
 	if c.refusable {
 		return true
 	}
@@ -113,7 +157,7 @@
 	if c == nil {
 		return true
 	}
-	if !c.received() {
+	if !c.Received() {
 		return false
 	}
 	c.conns.mu.Lock()
@@ -218,10 +262,3 @@
 	conn := FromContext(ctx)
 	return conn != nil && (conn.refusable || conn.current() == evicted)
 }
-
-// Received records that the request of a context was read whole, so that its connection isn't
-// closed for others any more. It reports false if that has already happened.
-func Received(ctx context.Context) bool {
-	conn := FromContext(ctx)
-	return conn == nil || conn.received()
-}
--- a/internal/inbound/conns.go
+++ b/internal/inbound/conns.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"basilrudder/internal/descriptors"
+	"basilrudder/internal/membudget"
 	"basilrudder/internal/monotime"
 )
 
@@ -32,10 +33,12 @@
 // Conns are the open connections of clients, of one kind. A request that began and was not yet
 // read whole is incomplete. When there is no descriptor for another connection, the one that has
 // been idle for longest is closed, and if none is idle the one with the oldest incomplete request:
-// a client that sends slowly stays no longer than one that stops.
+// a client that sends slowly stays no longer than one that stops. The same order decides whose
+// request is given up when there is no memory for another one.
 type Conns struct {
 	kind   descriptors.Kind
 	budget *descriptors.Budget
+	memory *membudget.Budget
 	log    *zap.Logger
 	// lenders are of other kinds, whose connections beyond what their kind is guaranteed are
 	// closed before those of this one.
@@ -48,13 +51,13 @@
 	// fullAt is when few descriptors were left; 0 for never.
 	fullAt monotime.Instant
 
-	closedIdle, closedIncomplete, refused atomic.Int64
+	closedIdle, closedIncomplete, shed, refused atomic.Int64
 }
 
-// New returns the connections of a kind, which share the descriptors of the process. It must not
-// become a lender of its lenders.
-func New(kind descriptors.Kind, budget *descriptors.Budget, log *zap.Logger, lenders ...*Conns) *Conns {
-	return &Conns{kind: kind, budget: budget, log: log, lenders: lenders, idle: list.New(), incomplete: list.New()}
+// New returns the connections of a kind, which share the descriptors and the memory of the process.
+// It must not become a lender of its lenders.
+func New(kind descriptors.Kind, budget *descriptors.Budget, memory *membudget.Budget, log *zap.Logger, lenders ...*Conns) *Conns {
+	return &Conns{kind: kind, budget: budget, memory: memory, log: log, lenders: lenders, idle: list.New(), incomplete: list.New()}
 }
 
 // Listener returns a listener whose connections are counted.
@@ -160,6 +163,7 @@
 			return false
 		}
 		c.move(conn, evicted)
+		c.freeMemory(conn)
 		if conn.closed.Swap(true) {
 			continue
 		}
@@ -171,6 +175,54 @@
 	return false
 }
 
+// hold counts n further bytes for a connection. If there are none left, older incomplete requests
+// are given up, provided that they hold enough; mu is held.
+func (c *Conns) hold(conn *Conn, n int64) bool {
+	if conn.current() == evicted {
+		return false
+	}
+	for !c.memory.Take(n, conn.held) {
+		victim := c.olderHolder(conn)
+		if victim == nil {
+			return false
+		}
+		c.shedRequest(victim)
+	}
+	conn.held += n
+	return true
+}
+
+// olderHolder returns the connection with the oldest incomplete request that holds memory, if it
+// began before that of conn; nil if there is none. mu is held.
+func (c *Conns) olderHolder(conn *Conn) *Conn {
+	for e := c.incomplete.Front(); e != nil && e.Value.(*Conn) != conn; e = e.Next() {
+		if other := e.Value.(*Conn); other.held > 0 {
+			return other
+		}
+	}
+	return nil
+}
+
+// shedRequest gives up an incomplete request; mu is held. If its handler reads the body, that is
+// interrupted so that the caller can be told; otherwise the connection is closed.
+func (c *Conns) shedRequest(conn *Conn) {
+	c.shed.Add(1)
+	c.move(conn, evicted)
+	c.freeMemory(conn)
+	if conn.handled {
+		_ = conn.Conn.SetReadDeadline(past) // fails only on a connection that is closed
+	} else if !conn.closed.Swap(true) {
+		c.uncount(conn)
+		_ = conn.Conn.Close()
+	}
+}
+
+// freeMemory counts what a connection holds as free; mu is held.
+func (c *Conns) freeMemory(conn *Conn) {
+	c.memory.Release(conn.held)
+	conn.held = 0
+}
+
 // move changes what a connection is used for; mu is held.
 func (c *Conns) move(conn *Conn, to use) {
 	if conn.element != nil {
@@ -202,6 +254,7 @@
 	if conn.current() != evicted {
 		c.move(conn, answering)
 	}
+	c.freeMemory(conn)
 	c.uncount(conn)
 }
 
@@ -240,10 +293,12 @@
 	}
 }
 
-// Metrics counts the connections of a kind that were ended for lack of descriptors.
+// Metrics counts the connections of a kind that were ended for lack of descriptors, and the requests
+// that were given up for lack of memory (shed).
 type Metrics struct {
 	ClosedIdle       int64 `json:"closed_idle"`
 	ClosedIncomplete int64 `json:"closed_incomplete"`
+	Shed             int64 `json:"shed"`
 	Refused          int64 `json:"refused"`
 	Full             bool  `json:"full"`
 }
@@ -252,6 +307,6 @@
 func (c *Conns) Metrics() Metrics {
 	return Metrics{
 		ClosedIdle: c.closedIdle.Load(), ClosedIncomplete: c.closedIncomplete.Load(),
-		Refused: c.refused.Load(), Full: c.Full(),
+		Shed: c.shed.Load(), Refused: c.refused.Load(), Full: c.Full(),
 	}
 }
--- a/internal/inbound/conns_test.go
+++ b/internal/inbound/conns_test.go
@@ -16,8 +16,12 @@
 	"go.uber.org/zap"
 
 	"basilrudder/internal/descriptors"
+	"basilrudder/internal/membudget"
 )
 
+// testMemory is what requests may hold, in bytes.
+const testMemory = 8 << 20
+
 // callerServerWith serves callers under a budget for a process with so many descriptors.
 func callerServerWith(t *testing.T, limit int, handler func(c *Conns) http.Handler) (c *Conns, address string) {
 	t.Helper()
@@ -25,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c = New(descriptors.Callers, descriptors.New(limit), zap.NewNop())
+	c = New(descriptors.Callers, descriptors.New(limit), membudget.New(testMemory), zap.NewNop())
 	server := &http.Server{Handler: handler(c), ConnState: c.StateChanged, ConnContext: WithConn}
 	go func() { _ = server.Serve(c.Listener(listener)) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -34,7 +38,7 @@
 
 // mustReceive aborts a request whose connection was closed before it was read whole.
 func mustReceive(r *http.Request) {
-	if !Received(r.Context()) {
+	if !FromContext(r.Context()).Received() {
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -304,3 +308,34 @@
 		t.Errorf("%d were closed, %d are left of %d", n, incomplete(), free)
 	}
 }
+
+// Guards against requests that never end and hold the memory that others need, and against memory that
+// is not returned.
+func TestTheOldestIncompleteRequestGivesUpItsMemory(t *testing.T) {
+	c, address := callerServerWith(t, 200, func(*Conns) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			conn := FromContext(r.Context())
+			conn.Handle()
+			held := conn.Hold(testMemory / 2)
+			if _, err := io.ReadAll(r.Body); held && err == nil && conn.Received() {
+				return
+			}
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	})
+	const unfinished = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nx"
+	for range 3 {
+		oldest := dialCaller(t, address)
+		_, _ = io.WriteString(oldest, unfinished)
+		waitFor(t, "the held memory", func() bool { return c.memory.Used() == testMemory/2 })
+		if status, err := dialCaller(t, address).ask(); status != http.StatusOK {
+			t.Errorf("%d, %v for the younger one", status, err)
+		}
+		_ = oldest.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if response, err := http.ReadResponse(oldest.reader, nil); err != nil || response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("%v, %v for the oldest", response, err)
+		}
+		waitFor(t, "free memory", func() bool { return c.memory.Used() == 0 })
+	}
+}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -110,88 +109,50 @@
 	if limit > 0 && f.hr.ContentLength > limit {
 		return fail(http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, errors.Errorf("body is larger than %d bytes", limit))
 	}
-	if !f.holdBody(max(f.hr.ContentLength, 0)) {
-		return unavailable(verdict.ReasonOverloaded, retryFull)
-	}
-	reader := io.Reader(f.hr.Body)
-	if limit > 0 {
-		reader = http.MaxBytesReader(f.w, f.hr.Body, limit)
+	if f.hr.ContentLength == 0 {
+		return f.acceptBody(nil)
 	}
 	control := http.NewResponseController(f.w)
-	if f.hr.ContentLength != 0 {
-		// Only the response writers of tests have no deadlines.
-		_ = control.SetReadDeadline(f.deadline)
+	// Only the response writers of tests have no deadlines.
+	_ = control.SetReadDeadline(f.deadline)
+	body, err := f.readHeld(f.bodyReader(limit), f.hr.ContentLength)
+	if err != nil {
+		// The deadline stays set: the server would read on for the rest of the body without end.
+		return f.unreadable(err)
 	}
-	body, err := f.readHeld(reader)
-	if err == nil {
-		// Else the server would read on for the rest of the body without end.
-		_ = control.SetReadDeadline(time.Time{})
+	_ = control.SetReadDeadline(time.Time{})
+	return f.acceptBody(body)
+}
+
+// acceptBody takes over a body that was read whole.
+func (f *forwarder) acceptBody(body []byte) *failure {
+	if !f.intake.Received() {
+		return f.unreadable(errShed)
 	}
+	f.body = body
+	return nil
+}
+
+// unreadable returns the answer to a request whose body could not be read.
+func (f *forwarder) unreadable(err error) *failure {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case f.intake.Shed(), errors.Is(err, errNoMemory):
+		answer := unavailable(verdict.ReasonOverloaded, retryFull)
+		answer.cause = err
+		return answer
 	case netconn.IsTimeout(err):
 		return fail(http.StatusRequestTimeout, verdict.ReasonDeadline, errors.Wrap(err, "read the body"))
-	case errors.Is(err, errBodiesFull):
-		return unavailable(verdict.ReasonOverloaded, retryFull)
 	case errors.As(err, &tooLarge):
 		return fail(http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, err)
-	case err != nil:
+	default:
 		return fail(http.StatusBadRequest, verdict.ReasonCallerGone, err)
-	case !f.relay.cfg.Received(f.hr.Context()):
-		return fail(http.StatusBadRequest, verdict.ReasonCallerGone, errEvicted)
 	}
-	f.body = body
-	return nil
-}
-
-// readHeld reads a body. Of one without a declared length it counts what it has read.
-func (f *forwarder) readHeld(reader io.Reader) ([]byte, error) {
-	if declared := f.hr.ContentLength; declared >= 0 {
-		body := make([]byte, declared)
-		_, err := io.ReadFull(reader, body)
-		return body, err
-	}
-	return io.ReadAll(&holdingReader{reader, f})
 }
 
-// errEvicted reports that a caller's connection was closed for that of another.
-var errEvicted = errors.New("the caller's connection was closed for another")
-
-// errBodiesFull reports that the bodies held at once exceed maxHeldBodies.
-var errBodiesFull = errors.New("the instance holds too many bytes of bodies")
-
-// holdingReader counts what is read of a body as held.
-type holdingReader struct {
-	io.Reader
-	forwarder *forwarder
-}
-
-// Read implements io.Reader.
-func (r *holdingReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	if !r.forwarder.holdBody(int64(n)) {
-		return 0, errBodiesFull
-	}
-	return n, err
-}
-
-// holdBody counts bytes of the request's body as held, and reports false if the instance
-// holds too many.
-func (f *forwarder) holdBody(n int64) bool {
-	limit := int64(maxHeldBodies)
-	if f.heldBody+n > smallBody {
-		limit -= smallBodyReserve
-	}
-	if f.relay.bodyBytes.Add(n) > limit {
-		f.relay.bodyBytes.Add(-n)
-		return false
-	}
-	f.heldBody += n
-	return true
-}
-
-// releaseBody no longer counts the request's body as held.
-func (f *forwarder) releaseBody() {
-	f.relay.bodyBytes.Add(-f.heldBody)
-	f.heldBody = 0
-}
+var (
+	// errNoMemory reports that requests hold as much memory as they may.
+	errNoMemory = errors.New("the instance holds too many bytes for requests")
+	// errShed reports that a request was given up for others.
+	errShed = errors.New("the request was given up for others before it was read whole")
+)
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -32,8 +32,9 @@
 	service  string
 	work     placement.Work
 	body     []byte
-	// heldBody is how many bytes of the body count as held, also while it is being read.
-	heldBody int64
+	intake   Intake
+	// held is how many bytes of memory the request holds, also while its body is being read.
+	held int64
 
 	// cachedFingerprint and cachedParts are the fingerprints of the request and of its
 	// shared parts once they have been computed.
@@ -79,7 +80,7 @@
 
 // serve gives the request its final answer.
 func (f *forwarder) serve() {
-	defer f.releaseBody()
+	defer func() { f.release(f.held) }()
 	if problem := f.admit(); problem != nil {
 		f.refuse(problem)
 		return
--- a/internal/relay/held_test.go
+++ b/internal/relay/held_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"basilrudder/internal/membudget"
 )
 
 // Guards against an instance that runs out of memory because bodies on their way don't count as held.
@@ -19,6 +21,7 @@
 		t.Run(fmt.Sprint("declared ", declared), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				const size = 1 << 20
+				memory := membudget.New(16 * size)
 				b := newRig(t, allRoutes, map[string][]script{"s1": {replying(answer("r", http.StatusOK, "", "{}"))}}, "s1")
 				slow := func() (*http.Request, *io.PipeWriter) {
 					reader, writer := io.Pipe()
@@ -29,14 +32,13 @@
 					}
 					return req, writer
 				}
+				b.relay.cfg.Intake = newBudgetIntake(memory)
 				var writers []*io.PipeWriter
-				for range (maxHeldBodies - smallBodyReserve) / size {
+				for range 13 { // of 16: two are for small ones, and a body that grows needs half more
 					req, writer := slow()
 					writers = append(writers, writer)
 					b.running.Go(func() { b.serve(req) })
-					if !declared {
-						_, _ = writer.Write(make([]byte, size))
-					}
+					_, _ = writer.Write(make([]byte, size-1))
 				}
 				synctest.Wait()
 				one := request("POST", "/once/", "r", strings.Repeat("x", size))
@@ -47,7 +49,7 @@
 					_ = writer.CloseWithError(io.ErrUnexpectedEOF)
 				}
 				synctest.Wait()
-				if held := b.relay.bodyBytes.Load(); held != 0 {
+				if held := memory.Used(); held != 0 {
 					t.Errorf("%d bytes count as held", held)
 				}
 				if rec, _ := b.serve(request("POST", "/once/", "r", "x")); rec.Code != http.StatusOK {
@@ -61,23 +63,22 @@
 
 // Guards against small requests that are refused because a few large bodies fill the memory.
 func TestLargeBodiesLeaveRoomForSmallOnes(t *testing.T) {
-	r := New(Config{Fleet: &fakeFleet{}, Protocol: plainProtocol{}})
-	large := 0
-	for (&forwarder{relay: r}).holdBody(4 << 20) {
+	memory := membudget.New(48 << 20)
+	large, small := 0, 0
+	for memory.Take(4<<20, 0) {
 		large++
 	}
+	for memory.Take(membudget.Small, 0) {
+		small++
+	}
 	if large < 8 {
 		t.Errorf("only %d large bodies are held", large)
 	}
-	small := 0
-	for (&forwarder{relay: r}).holdBody(smallBody) {
-		small++
-	}
-	if small < smallBodyReserve/smallBody {
+	if small < int(memory.Limit())/8/membudget.Small {
 		t.Errorf("only %d small bodies beside them", small)
 	}
-	if r.bodyBytes.Load() > maxHeldBodies {
-		t.Errorf("%d bytes are held", r.bodyBytes.Load())
+	if memory.Used() > memory.Limit() {
+		t.Errorf("%d bytes are held", memory.Used())
 	}
 }
 
--- /dev/null
+++ b/internal/relay/intake.go
@@ -0,0 +1,115 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"basilrudder/internal/membudget"
+)
+
+// Intake counts what a request holds of the instance's memory.
+type Intake interface {
+	// Hold counts n further bytes. It reports false if there are none left, or the request was
+	// given up for others.
+	Hold(n int64) bool
+	// Release counts n bytes as free.
+	Release(n int64)
+	// Shed reports whether the request was given up for others.
+	Shed() bool
+	// Received records that the request was read whole: it isn't given up for others any more. It
+	// reports false if it already was.
+	Received() bool
+}
+
+// budgetIntake is the Intake of a request whose connection is not counted.
+type budgetIntake struct {
+	budget *membudget.Budget
+	held   int64
+}
+
+func newBudgetIntake(b *membudget.Budget) func(context.Context) Intake {
+	return func(context.Context) Intake { return &budgetIntake{budget: b} }
+}
+
+// Hold implements Intake.
+func (i *budgetIntake) Hold(n int64) bool {
+	if !i.budget.Take(n, i.held) {
+		return false
+	}
+	i.held += n
+	return true
+}
+
+// Release implements Intake.
+func (i *budgetIntake) Release(n int64) {
+	i.held -= n
+	i.budget.Release(n)
+}
+
+// Shed implements Intake.
+func (i *budgetIntake) Shed() bool { return false }
+
+// Received implements Intake.
+func (i *budgetIntake) Received() bool { return true }
+
+// hold counts n further bytes as held by the request.
+func (f *forwarder) hold(n int64) bool {
+	if !f.intake.Hold(n) {
+		return false
+	}
+	f.held += n
+	return true
+}
+
+// release counts n bytes that the request held as free.
+func (f *forwarder) release(n int64) {
+	f.intake.Release(n)
+	f.held -= n
+}
+
+// readHeld reads a body of a declared length, or of an unknown one (-1), of which each byte is counted
+// before there is room for it. The room grows as bytes arrive: a declared length alone takes none.
+func (f *forwarder) readHeld(reader io.Reader, declared int64) ([]byte, error) {
+	size := int64(membudget.Small)
+	if declared >= 0 {
+		size = min(size, declared)
+	}
+	if !f.hold(size) {
+		return nil, errNoMemory
+	}
+	body := make([]byte, 0, size)
+	for int64(len(body)) != declared {
+		if len(body) == cap(body) {
+			larger := 2 * int64(cap(body))
+			if declared >= 0 {
+				larger = min(larger, declared)
+			}
+			if !f.hold(larger) {
+				return nil, errNoMemory
+			}
+			smaller := int64(cap(body))
+			body = append(make([]byte, 0, larger), body...)
+			f.release(smaller)
+		}
+		n, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) == declared, err == io.EOF && declared < 0:
+			return body, nil
+		case err == io.EOF:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
+// bodyReader returns a reader of the request's body up to a limit in bytes; 0 for none.
+func (f *forwarder) bodyReader(limit int64) io.Reader {
+	if limit > 0 {
+		return http.MaxBytesReader(f.w, f.hr.Body, limit)
+	}
+	return f.hr.Body
+}
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -48,7 +48,7 @@
 	// Without full duplex the server closes the connection of a caller who still sends a long
 	// body. One who waits for a go-ahead sends none.
 	sending := f.body == nil && f.hr.ContentLength != 0 && f.hr.Header.Get("Expect") == "" &&
-		p.status != http.StatusRequestTimeout && control.EnableFullDuplex() == nil
+		p.status != http.StatusRequestTimeout && !f.intake.Shed() && control.EnableFullDuplex() == nil
 	f.w.WriteHeader(p.status)
 	// The caller may have hung up; the log line has the answer either way.
 	_, _ = f.w.Write([]byte(string(p.reason) + "\n"))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"basilrudder/internal/answerend"
 	"basilrudder/internal/descriptors"
+	"basilrudder/internal/membudget"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
 )
@@ -35,9 +36,9 @@
 	// Refuses reports whether requests of a connection are refused, since the instance has
 	// no descriptors for it; nil means never.
 	Refuses func(ctx context.Context) bool
-	// Received records that the request of a context was read whole. It reports false if its
-	// connection was closed for another; nil means never.
-	Received func(ctx context.Context) bool
+	// Intake returns the Intake of a request; nil means one that makes no room for others, on a
+	// budget for a machine of unknown size.
+	Intake func(ctx context.Context) Intake
 	// ResetOnClose sets whether a caller's connection, given by the context of its request, is
 	// reset when it is closed, also by the end of the process; nil means that it can't be set.
 	ResetOnClose func(ctx context.Context, reset bool) error
@@ -59,17 +60,9 @@
 	endBudget       answerend.Budget
 	// drainSince is when the drain began; 0 while there is none.
 	drainSince atomic.Int64
-	bodyBytes  atomic.Int64
 }
 
 const (
-	// maxHeldBodies bounds the total size of the request bodies held at once: a quarter
-	// of the memory of the smallest instance (184 MB). Beyond it requests are refused,
-	// before the instance runs out of memory.
-	maxHeldBodies = 48 << 20
-	// smallBodyReserve is the part of it that only bodies of up to smallBody bytes may use.
-	smallBodyReserve = maxHeldBodies / 8
-	smallBody        = 64 << 10
 	// drainStreamWindow is how long after the start of a drain streams are still
 	// accepted. They last up to about 5 s and the process is killed 8 s after the signal;
 	// with a longer window the last of them would be cut off.
@@ -93,8 +86,8 @@
 	if cfg.Refuses == nil {
 		cfg.Refuses = func(context.Context) bool { return false }
 	}
-	if cfg.Received == nil {
-		cfg.Received = func(context.Context) bool { return true }
+	if cfg.Intake == nil {
+		cfg.Intake = newBudgetIntake(membudget.ForMachine(0))
 	}
 	if cfg.ResetOnClose == nil {
 		cfg.ResetOnClose = func(context.Context, bool) error { return nil }
@@ -147,7 +140,7 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	r.cfg.Metrics.inFlight.Add(1)
 	defer r.cfg.Metrics.inFlight.Add(-1)
-	f := &forwarder{relay: r, w: w, hr: hr, arrived: monotime.Now()}
+	f := &forwarder{relay: r, w: w, hr: hr, arrived: monotime.Now(), intake: r.cfg.Intake(hr.Context())}
 	defer f.logEnd()
 	f.serve()
 }
