Heads count what they take of the memory, and end at the configuration's limits

What callers saw: 480 heads of 15 KiB of short fields took 86 MB with one name and 150 MB with a name for each field, before their end or while the body stops short; 240 heads of 60 KiB, where 16 KiB are allowed, 111 MB. Cause: a parser makes a map entry, a slice and a string of a field of six bytes. Heads were not counted at all, read up to 64 KiB and waited for 10 s whatever the configuration says. Change: each read of a head counts twice its bytes and 96 bytes a field in the budget of requests, and a connection 16 KiB. Heads over the configured size get 431, those that take longer than the configured time lose their connection. A request that was given up drops its header, which the HTTP server would keep for half a second after the answer. The configured idle time is not applied: idle connections make room when descriptors are short. Why it works: the count grows before the parser's memory does, and the oldest incomplete requests make room.

--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -72,6 +73,7 @@
 		if n%ticksPerSweep == 0 {
 			g.collector.Update(monotime.Now())
 			g.descriptors.Set(descriptors.Peers, len(g.peers.linked()))
+			g.callers.CloseSlow(g.headTimeout())
 			g.callers.AnnounceFull(g.fleet.updates.announceFull)
 			g.relay.Sweep(g.fleet.hasServer)
 			g.fleet.crashes.expire(monotime.Now())
@@ -89,6 +91,15 @@
 	}
 }
 
+// headTimeout returns how long a caller may take for the head of a request; 0 while there is no
+// configuration.
+func (g *Gateway) headTimeout() time.Duration {
+	if table := g.fleet.Table(); table != nil {
+		return table.Limits().HeaderTimeout
+	}
+	return 0
+}
+
 // logStoreCalls logs the calls to the store since the start, if there were any since the
 // last line.
 func (g *Gateway) logStoreCalls() {
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"io"
@@ -62,12 +63,35 @@
 // a request that was read and could not be answered would be lost.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.refusable && !c.begin() {
+	if n > 0 && !c.refusable && !(c.begin() && c.holdHead(p[:n])) {
 		return 0, io.EOF // any other error would be answered as a bad request
 	}
 	return n, err
 }
 
+const (
+	// headByteCost and headFieldCost are the bytes of memory that a parsed head takes for each of
+	// its bytes and, beyond that, for each field.
+	headByteCost  = 2
+	headFieldCost = 96
+)
+
+// holdHead counts what a parser makes of bytes of a request that no handler has yet. It reports false
+// if there is no memory for it.
+func (c *Conn) holdHead(p []byte) bool {
+	if c.handled || c.current() != receiving {
+		return true
+	}
+	cost := headByteCost*len(p) + headFieldCost*bytes.Count(p, []byte{'\n'})
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.conns.hold(c, int64(cost)) {
+		return true
+	}
+	c.conns.giveUp(c)
+	return false
+}
+
 // begin records that a request has begun, if the connection was idle. It reports false if the
 // connection was closed for another.
 func (c *Conn) begin() bool {
--- a/internal/inbound/conns.go
+++ b/internal/inbound/conns.go
@@ -28,6 +28,8 @@
 	// incompleteGrace is how long an incomplete request is safe from being closed: the goroutine
 	// that reads it may not have run since its bytes arrived.
 	incompleteGrace = 100 * time.Millisecond
+	// connCost is what a connection takes for buffers and the stack of its goroutine, in bytes.
+	connCost = 16 << 10
 )
 
 // Conns are the open connections of clients, of one kind. A request that began and was not yet
@@ -91,7 +93,7 @@
 	if float64(free) <= fullShare*float64(c.budget.Limit()) {
 		c.becomeFull(monotime.Now())
 	}
-	for !c.budget.Take(c.kind, 1) {
+	for !c.take(conn) {
 		if c.reclaim() || c.makeRoom() {
 			continue
 		}
@@ -107,6 +109,23 @@
 	return conn
 }
 
+// take counts a further connection, and reports false if there is no descriptor or no memory for
+// it; mu is held.
+func (c *Conns) take(conn *Conn) bool {
+	if !c.budget.Take(c.kind, 1) {
+		return false
+	}
+	for !c.memory.Take(connCost, 0) {
+		victim := c.olderHolder(conn)
+		if victim == nil {
+			c.budget.Release(c.kind, 1)
+			return false
+		}
+		c.shedRequest(victim)
+	}
+	return true
+}
+
 // becomeFull records that few descriptors are left; mu is held.
 func (c *Conns) becomeFull(now monotime.Instant) {
 	if !c.isFull(now) {
@@ -164,13 +183,10 @@
 		}
 		c.move(conn, evicted)
 		c.freeMemory(conn)
-		if conn.closed.Swap(true) {
-			continue
+		if c.drop(conn) {
+			count.Add(1)
+			return true
 		}
-		count.Add(1)
-		c.uncount(conn)
-		_ = conn.Conn.Close()
-		return true
 	}
 	return false
 }
@@ -206,15 +222,22 @@
 // shedRequest gives up an incomplete request; mu is held. If its handler reads the body, that is
 // interrupted so that the caller can be told; otherwise the connection is closed.
 func (c *Conns) shedRequest(conn *Conn) {
-	c.shed.Add(1)
-	c.move(conn, evicted)
-	c.freeMemory(conn)
+	c.giveUp(conn)
 	if conn.handled {
 		_ = conn.Conn.SetReadDeadline(past) // fails only on a connection that is closed
-	} else if !conn.closed.Swap(true) {
-		c.uncount(conn)
-		_ = conn.Conn.Close()
+	} else {
+		c.drop(conn)
+	}
+}
+
+// giveUp marks a connection as one whose request is given up; mu is held.
+func (c *Conns) giveUp(conn *Conn) {
+	if conn.current() == evicted {
+		return
 	}
+	c.shed.Add(1)
+	c.move(conn, evicted)
+	c.freeMemory(conn)
 }
 
 // freeMemory counts what a connection holds as free; mu is held.
@@ -236,6 +259,35 @@
 	}
 }
 
+// CloseSlow closes the connections whose clients have taken longer than that to send the head of a
+// request; 0 for any time.
+func (c *Conns) CloseSlow(headTimeout time.Duration) {
+	if headTimeout <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since := monotime.Now().Add(-headTimeout)
+	var next *list.Element
+	for e := c.incomplete.Front(); e != nil && e.Value.(*Conn).since < since; e = next {
+		next = e.Next()
+		if conn := e.Value.(*Conn); !conn.handled {
+			c.giveUp(conn)
+			c.drop(conn)
+		}
+	}
+}
+
+// drop closes a connection that is used no longer; mu is held. It reports false if that has been done.
+func (c *Conns) drop(conn *Conn) bool {
+	if conn.closed.Swap(true) {
+		return false
+	}
+	c.uncount(conn)
+	_ = conn.Conn.Close() // nothing is sent or read any more
+	return true
+}
+
 // listOf returns the list of the connections with a use; nil if there is none.
 func (c *Conns) listOf(u use) *list.List {
 	switch u {
@@ -258,7 +310,7 @@
 	c.uncount(conn)
 }
 
-// uncount returns the descriptor of a connection; mu is held.
+// uncount returns the descriptor of a connection and what it takes itself; mu is held.
 func (c *Conns) uncount(conn *Conn) {
 	switch {
 	case conn.detached:
@@ -266,6 +318,7 @@
 		c.refusable--
 	default:
 		c.budget.Release(c.kind, 1)
+		c.memory.Release(connCost)
 	}
 }
 
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -26,6 +26,9 @@
 	if f.table == nil {
 		return unavailable(verdict.ReasonNotReady, retryNotReady)
 	}
+	if limit := f.table.Limits().HeaderBytes; limit > 0 && headSize(f.hr) > limit {
+		return fail(http.StatusRequestHeaderFieldsTooLarge, verdict.ReasonTooLarge, errors.Errorf("head is larger than %d bytes", limit))
+	}
 	if problem := f.authorize(); problem != nil {
 		return problem
 	}
@@ -36,6 +39,19 @@
 	return f.readBody()
 }
 
+// headSize returns the size of a request's head in bytes, less white space around values and
+// fields that the HTTP server removes.
+func headSize(hr *http.Request) int {
+	const separators = len(":") + len("\r\n")
+	out := len(hr.Method) + len(hr.RequestURI) + len(hr.Proto) + separators
+	for name, values := range hr.Header {
+		for _, value := range values {
+			out += len(name) + len(value) + separators
+		}
+	}
+	return out
+}
+
 // authorize finds the route and the customer. A route or key that is missing from the
 // table in force may have been added since. If the instance can't confirm that its table
 // is current, it answers with a Retry-After, because callers never retry after a 401 or
@@ -138,6 +154,8 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case f.intake.Shed(), errors.Is(err, errNoMemory):
+		// The server keeps the request until its connection has closed, some time after the answer.
+		f.hr.Header = nil
 		answer := unavailable(verdict.ReasonOverloaded, retryFull)
 		answer.cause = err
 		return answer
