Answers count as held, and clients that don't read make room

What callers saw: beside 480 unread answers of 16 MiB an ordinary caller got 503 five times in a row: they held every connection to a server that was left. 480 unread answers of 250 KiB took 123.8 MB of 64. Cause: up to 256 KiB of each answer were held and counted nowhere; a request that was read whole kept its connections until its deadline, whether its caller read or not. Change: an answer takes memory of the budget as it grows; where there is none it is passed on as it arrives. When descriptors or memory are short and no request is incomplete, the client that has not read for longest, a second at least for 16 KiB, is closed. A request that finds no descriptor for a server takes one back from callers beyond their guarantee, in the same order. Why it works: the write that waits shows who doesn't read; closing it ends the request, and with it the connection to the server.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,6 +195,7 @@
 	g.relay = relay.New(relay.Config{
 		Fleet: g.fleet, Connector: g.connector, Protocol: cfg.Protocol, Log: cfg.Log, Metrics: g.stats,
 		DrainTime: seconds(s.Drain.GraceS) - drainReserve, Descriptors: g.descriptors, Refuses: inbound.Refuses, Intake: g.intake,
+		MakeRoom:     g.callers.MakeRoom,
 		ResetOnClose: inbound.ResetOnClose,
 	})
 	g.fleet.board.SetConnected(g.relay.Connected)
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -55,6 +55,8 @@
 	// handled means that a handler has the request, and held is the memory it holds in bytes.
 	handled bool
 	held    int64
+	// writing is when the write in progress began, as a monotime.Instant; 0 for none.
+	writing atomic.Int64
 }
 
 func (c *Conn) current() use { return use(c.use.Load()) }
@@ -74,8 +76,25 @@
 	// its bytes and, beyond that, for each field.
 	headByteCost  = 2
 	headFieldCost = 96
+	// maxWrite is the number of bytes that are written at once.
+	maxWrite = 16 << 10
 )
 
+// Write implements net.Conn. It writes in pieces, so that a client who reads slowly can be told from one
+// who doesn't read.
+func (c *Conn) Write(p []byte) (int, error) {
+	defer c.writing.Store(0)
+	written := 0
+	for {
+		c.writing.Store(int64(monotime.Now()))
+		piece := p[written:min(written+maxWrite, len(p))]
+		n, err := c.Conn.Write(piece)
+		if written += n; err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // holdHead counts what a parser makes of bytes of a request that no handler has yet. It reports false
 // if there is no memory for it.
 func (c *Conn) holdHead(p []byte) bool {
--- a/internal/inbound/conns.go
+++ b/internal/inbound/conns.go
@@ -28,6 +28,9 @@
 	// incompleteGrace is how long an incomplete request is safe from being closed: the goroutine
 	// that reads it may not have run since its bytes arrived.
 	incompleteGrace = 100 * time.Millisecond
+	// stalledAfter is how long a client may take to read maxWrite bytes of its answer before it
+	// counts as one who doesn't read.
+	stalledAfter = time.Second
 	// connCost is what a connection takes for buffers and the stack of its goroutine, in bytes.
 	connCost = 16 << 10
 )
@@ -35,8 +38,9 @@
 // Conns are the open connections of clients, of one kind. A request that began and was not yet
 // read whole is incomplete. When there is no descriptor for another connection, the one that has
 // been idle for longest is closed, and if none is idle the one with the oldest incomplete request:
-// a client that sends slowly stays no longer than one that stops. The same order decides whose
-// request is given up when there is no memory for another one.
+// a client that sends slowly stays no longer than one that stops. Then comes the one that has not read
+// its answer for longest. The same order, but for idle ones, decides whose request is given up when
+// there is no memory for another one.
 type Conns struct {
 	kind   descriptors.Kind
 	budget *descriptors.Budget
@@ -47,19 +51,19 @@
 	lenders []*Conns
 
 	mu sync.Mutex
-	// idle and incomplete hold *Conn, the one that has been so for longest first.
-	idle, incomplete *list.List
-	refusable        int
+	// idle, incomplete and answering hold *Conn, the one that has been so for longest first.
+	idle, incomplete, answering *list.List
+	refusable                   int
 	// fullAt is when few descriptors were left; 0 for never.
 	fullAt monotime.Instant
 
-	closedIdle, closedIncomplete, shed, refused atomic.Int64
+	closedIdle, closedIncomplete, closedStalled, shed, refused atomic.Int64
 }
 
 // New returns the connections of a kind, which share the descriptors and the memory of the process.
 // It must not become a lender of its lenders.
 func New(kind descriptors.Kind, budget *descriptors.Budget, memory *membudget.Budget, log *zap.Logger, lenders ...*Conns) *Conns {
-	return &Conns{kind: kind, budget: budget, memory: memory, log: log, lenders: lenders, idle: list.New(), incomplete: list.New()}
+	return &Conns{kind: kind, budget: budget, memory: memory, log: log, lenders: lenders, idle: list.New(), incomplete: list.New(), answering: list.New()}
 }
 
 // Listener returns a listener whose connections are counted.
@@ -116,12 +120,10 @@
 		return false
 	}
 	for !c.memory.Take(connCost, 0) {
-		victim := c.olderHolder(conn)
-		if victim == nil {
+		if !c.freeFor(conn) {
 			c.budget.Release(c.kind, 1)
 			return false
 		}
-		c.shedRequest(victim)
 	}
 	return true
 }
@@ -170,7 +172,39 @@
 // held.
 func (c *Conns) makeRoom() bool {
 	now := monotime.Now()
-	return c.evict(c.idle, now, &c.closedIdle) || c.evict(c.incomplete, now.Add(-incompleteGrace), &c.closedIncomplete)
+	return c.evict(c.idle, now, &c.closedIdle) || c.evict(c.incomplete, now.Add(-incompleteGrace), &c.closedIncomplete) ||
+		c.closeStalled(now.Add(-stalledAfter), 0)
+}
+
+// closeStalled closes the connection whose client has not read its answer for longest, if that is so
+// since an instant and it holds that much memory. It reports whether there was one; mu is held.
+func (c *Conns) closeStalled(since monotime.Instant, held int64) bool {
+	var stalled *Conn
+	for e := c.answering.Front(); e != nil; e = e.Next() {
+		conn := e.Value.(*Conn)
+		at := monotime.Instant(conn.writing.Load())
+		if at != 0 && at <= since && conn.held >= held {
+			stalled, since = conn, at
+		}
+	}
+	if stalled == nil {
+		return false
+	}
+	c.move(stalled, evicted)
+	c.freeMemory(stalled)
+	c.closedStalled.Add(1)
+	return c.drop(stalled)
+}
+
+// MakeRoom closes the connection that is needed least for the descriptor of another kind, if this
+// kind exceeds its guarantee. It reports whether there was one.
+func (c *Conns) MakeRoom() bool {
+	if c.reclaim() {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.budget.ExceedsGuarantee(c.kind) && c.makeRoom()
 }
 
 // evict closes the first connection of a list if it has been there since an instant, and
@@ -198,16 +232,24 @@
 		return false
 	}
 	for !c.memory.Take(n, conn.held) {
-		victim := c.olderHolder(conn)
-		if victim == nil {
+		if !c.freeFor(conn) {
 			return false
 		}
-		c.shedRequest(victim)
 	}
 	conn.held += n
 	return true
 }
 
+// freeFor gives up a request that holds memory which conn needs more, and reports whether there was
+// one; mu is held.
+func (c *Conns) freeFor(conn *Conn) bool {
+	if victim := c.olderHolder(conn); victim != nil {
+		c.shedRequest(victim)
+		return true
+	}
+	return c.closeStalled(monotime.Now().Add(-stalledAfter), 1)
+}
+
 // olderHolder returns the connection with the oldest incomplete request that holds memory, if it
 // began before that of conn; nil if there is none. mu is held.
 func (c *Conns) olderHolder(conn *Conn) *Conn {
@@ -295,17 +337,18 @@
 		return c.idle
 	case receiving:
 		return c.incomplete
+	case answering:
+		return c.answering
+	default:
+		return nil
 	}
-	return nil
 }
 
 // remove forgets a connection that was closed.
 func (c *Conns) remove(conn *Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn.current() != evicted {
-		c.move(conn, answering)
-	}
+	c.move(conn, evicted)
 	c.freeMemory(conn)
 	c.uncount(conn)
 }
@@ -351,6 +394,7 @@
 type Metrics struct {
 	ClosedIdle       int64 `json:"closed_idle"`
 	ClosedIncomplete int64 `json:"closed_incomplete"`
+	ClosedStalled    int64 `json:"closed_stalled"`
 	Shed             int64 `json:"shed"`
 	Refused          int64 `json:"refused"`
 	Full             bool  `json:"full"`
@@ -360,6 +404,6 @@
 func (c *Conns) Metrics() Metrics {
 	return Metrics{
 		ClosedIdle: c.closedIdle.Load(), ClosedIncomplete: c.closedIncomplete.Load(),
-		Shed: c.shed.Load(), Refused: c.refused.Load(), Full: c.Full(),
+		ClosedStalled: c.closedStalled.Load(), Shed: c.shed.Load(), Refused: c.refused.Load(), Full: c.Full(),
 	}
 }
--- a/internal/inbound/conns_test.go
+++ b/internal/inbound/conns_test.go
@@ -364,3 +364,36 @@
 	}
 	waitFor(t, "free memory", func() bool { return c.heldByRequests() == 0 })
 }
+
+// Guards against clients that ask and don't read, and keep connections and memory for as long as they like.
+func TestTheClientThatReadsLeastMakesRoom(t *testing.T) {
+	c, address := callerServerWith(t, 200, func(*Conns) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			conn := FromContext(r.Context())
+			if conn.Handle(); !conn.Received() || r.URL.Path != "/large" {
+				return
+			}
+			if !conn.Hold(testMemory / 2) {
+				t.Error("no memory for the large answer")
+			}
+			_, _ = w.Write(make([]byte, 32<<20)) // fails when the connection is closed
+		})
+	})
+	unread := dialCaller(t, address)
+	_ = unread.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	_, _ = io.WriteString(unread, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+	waitFor(t, "the answer", func() bool { return c.heldByRequests() >= testMemory/2 })
+	makeRoom := func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.makeRoom()
+	}
+	if makeRoom() {
+		t.Error("closed at once")
+	}
+	waitFor(t, "the stalled client", makeRoom)
+	waitFor(t, "free memory", func() bool { return c.memory.Used() == 0 && c.budget.Used()[c.kind.String()] == 0 })
+	if status, err := dialCaller(t, address).ask(); status != http.StatusOK {
+		t.Errorf("%d, %v for another", status, err)
+	}
+}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -145,6 +145,9 @@
 	if !f.intake.Received() {
 		return f.unreadable(errShed)
 	}
+	if !f.hold(requestCost) {
+		return f.unreadable(errNoMemory)
+	}
 	f.body = body
 	return nil
 }
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -19,6 +19,8 @@
 	// caller gets any of it, so that a truncated one can still be replaced. Longer
 	// answers are passed on as they arrive.
 	maxBufferedAnswer = 256 << 10
+	// minBufferedAnswer is the part of it that is not counted: each request in progress takes it.
+	minBufferedAnswer = 2 << 10
 	// copyBufferSize is the size of one read of a long answer or a stream.
 	copyBufferSize = 16 << 10
 	// callerReadGrace is how long beyond the deadline a caller may take to read the
@@ -170,9 +172,8 @@
 
 // relayWhole passes on an answer that is not a stream and whose header came at begunAt.
 func (f *forwarder) relayWhole(e *exchange, begunAt monotime.Instant) *verdict.Error {
-	body, err := io.ReadAll(io.LimitReader(e.resp.Body, maxBufferedAnswer))
+	body, whole, err := f.readAnswer(e.resp.Body)
 	f.received.bytes = int64(len(body))
-	whole := len(body) < maxBufferedAnswer
 	if err == nil && whole {
 		err = f.checkEnd(e)
 	}
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -8,6 +8,10 @@
 	"basilrudder/internal/membudget"
 )
 
+// requestCost is what a request in progress takes in bytes beside its body and answer: buffers and the
+// stacks of goroutines.
+const requestCost = 16 << 10
+
 // Intake counts what a request holds of the instance's memory.
 type Intake interface {
 	// Hold counts n further bytes. It reports false if there are none left, or the request was
@@ -106,6 +110,33 @@
 	return body, nil
 }
 
+// readAnswer reads an answer of up to maxBufferedAnswer bytes. It is not whole if it is longer, or the
+// instance has no memory to hold it.
+func (f *forwarder) readAnswer(reader io.Reader) (body []byte, whole bool, err error) {
+	body = make([]byte, 0, minBufferedAnswer)
+	for {
+		if len(body) == cap(body) {
+			larger := 2 * cap(body)
+			if larger > maxBufferedAnswer || !f.hold(int64(larger)) {
+				return body, false, nil
+			}
+			smaller := cap(body)
+			body = append(make([]byte, 0, larger), body...)
+			if smaller > minBufferedAnswer {
+				f.release(int64(smaller))
+			}
+		}
+		n, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, true, nil
+		}
+		if err != nil {
+			return body, false, err
+		}
+	}
+}
+
 // bodyReader returns a reader of the request's body up to a limit in bytes; 0 for none.
 func (f *forwarder) bodyReader(limit int64) io.Reader {
 	if limit > 0 {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -76,6 +76,8 @@
 type pool struct {
 	connector   Connector
 	descriptors *descriptors.Budget
+	// makeRoom closes connections of callers for one to a server, and reports whether it did.
+	makeRoom func() bool
 	// open holds, as a monotime.Instant by server, until when a direct idle connection to
 	// it can be used. It is changed under mu and read without it.
 	open sync.Map
@@ -89,7 +91,7 @@
 
 func newPool(connector Connector, budget *descriptors.Budget) *pool {
 	return &pool{
-		connector: connector, descriptors: budget, idle: make(map[string][]*conn), count: make(map[string]int),
+		connector: connector, descriptors: budget, makeRoom: func() bool { return false }, idle: make(map[string][]*conn), count: make(map[string]int),
 		conns: make(map[string]map[*conn]struct{}),
 	}
 }
@@ -153,7 +155,8 @@
 	if target.MaxConns > 0 && p.count[target.ID] >= target.MaxConns {
 		return false
 	}
-	if !p.descriptors.Take(descriptors.Servers, 1) && !p.takeFromIdle() {
+	if !p.descriptors.Take(descriptors.Servers, 1) && !p.takeFromIdle() &&
+		!(p.makeRoom() && p.descriptors.Take(descriptors.Servers, 1)) {
 		return false
 	}
 	p.count[target.ID]++
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,6 +33,9 @@
 	// Descriptors are shared with the connections to servers; nil means that they are not
 	// limited.
 	Descriptors *descriptors.Budget
+	// MakeRoom closes connections of callers for one to a server, and reports whether it did; nil
+	// means that it never does. It must not block.
+	MakeRoom func() bool
 	// Refuses reports whether requests of a connection are refused, since the instance has
 	// no descriptors for it; nil means never.
 	Refuses func(ctx context.Context) bool
@@ -99,8 +102,12 @@
 		cfg.Connector = directConnector{cfg.Dial}
 	}
 	anyServer := func(Target) Identify { return AnyServer }
+	pool := newPool(cfg.Connector, cfg.Descriptors)
+	if cfg.MakeRoom != nil {
+		pool.makeRoom = cfg.MakeRoom
+	}
 	return &Relay{
-		cfg: cfg, pool: newPool(cfg.Connector, cfg.Descriptors),
+		cfg: cfg, pool: pool,
 		probes:    newProbes(cfg.Connector, anyServer),
 		endProbes: newProbes(cfg.Connector, identifier(cfg.Protocol)),
 	}
