Clients that send requests without waiting for answers are closed

Cause: a request that waits in a buffer begins as soon as the one before is answered, whether the caller read that or not, so a hundred connections keep all servers busy for as long as they have requests. Change: a connection on which 16 requests in a row came before the answer to the previous one is closed after the next answer, on all listeners. Bytes that arrive while a request is answered, and requests that were in the buffer when it was, show it; a client that waits is counted anew.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -55,6 +55,10 @@
 	// handled means that a handler has the request, and held is the memory it holds in bytes.
 	handled bool
 	held    int64
+	// early is set if bytes of the next request came before the answer to the present one, and ahead
+	// is how many requests in a row came so.
+	early atomic.Bool
+	ahead int
 	// writing is when the write in progress began, as a monotime.Instant; 0 for none.
 	writing atomic.Int64
 }
@@ -65,7 +69,7 @@
 // a request that was read and could not be answered would be lost.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.refusable && !(c.begin() && c.holdHead(p[:n])) {
+	if n > 0 && !c.refusable && !(c.begin(true) && c.holdHead(p[:n])) {
 		return 0, io.EOF // any other error would be answered as a bad request
 	}
 	return n, err
@@ -76,6 +80,9 @@
 	// its bytes and, beyond that, for each field.
 	headByteCost  = 2
 	headFieldCost = 96
+	// maxAhead is the number of requests in a row that a client may send before it has the answer to
+	// the previous one.
+	maxAhead = 16
 	// maxWrite is the number of bytes that are written at once.
 	maxWrite = 16 << 10
 )
@@ -111,11 +118,16 @@
 	return false
 }
 
-// begin records that a request has begun, if the connection was idle. It reports false if the
-// connection was closed for another.
-func (c *Conn) begin() bool {
+// begin records that a request has begun, if the connection was idle, by bytes that were read now or
+// before. It reports false if the connection was closed for another.
+func (c *Conn) begin(read bool) bool {
 	switch c.current() {
-	case receiving, answering:
+	case receiving:
+		return true
+	case answering:
+		if read {
+			c.early.Store(true)
+		}
 		return true
 	case evicted:
 		return false
@@ -124,6 +136,11 @@
 	defer c.conns.mu.Unlock()
 	if c.current() == idle {
 		c.conns.move(c, receiving)
+		if c.early.Swap(false) || !read {
+			c.ahead++
+		} else {
+			c.ahead = 0
+		}
 	}
 	return c.current() != evicted
 }
@@ -163,6 +180,10 @@
 	c.conns.memory.Release(n)
 }
 
+// Ahead reports whether the client keeps sending requests without waiting for answers. Such a
+// client is to be closed after the present one.
+func (c *Conn) Ahead() bool { return c.ahead >= maxAhead }
+
 // Shed reports whether the request was given up for others.
 func (c *Conn) Shed() bool { return c.current() == evicted }
 
--- a/internal/inbound/conns.go
+++ b/internal/inbound/conns.go
@@ -373,7 +373,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		conn.begin()
+		conn.begin(false)
 	case http.StateIdle:
 		conn.becomeIdle()
 	}
--- a/internal/inbound/conns_test.go
+++ b/internal/inbound/conns_test.go
@@ -397,3 +397,33 @@
 		t.Errorf("%d, %v for another", status, err)
 	}
 }
+
+// Guards against clients that send requests without waiting for answers, and press on the servers for as long
+// as they like, and against clients that wait and are taken for such ones.
+func TestAClientThatDoesNotWaitForAnswersIsClosed(t *testing.T) {
+	var answered atomic.Int64
+	_, address := callerServerWith(t, 200, func(*Conns) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mustReceive(r)
+			answered.Add(1)
+			if FromContext(r.Context()).Ahead() {
+				w.Header().Set("Connection", "close")
+			}
+		})
+	})
+	ahead := dialCaller(t, address)
+	_, _ = io.WriteString(ahead, strings.Repeat("GET / HTTP/1.1\r\nHost: x\r\n\r\n", 1000))
+	_ = ahead.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.Copy(io.Discard, ahead); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("the connection is still open")
+	}
+	if n := answered.Load(); n != maxAhead+1 {
+		t.Errorf("%d requests were answered", n)
+	}
+	waits := dialCaller(t, address)
+	for range 10 * maxAhead {
+		if status, err := waits.ask(); status != http.StatusOK {
+			t.Fatalf("%d, %v for a client that waits", status, err)
+		}
+	}
+}
--- a/internal/inbound/control.go
+++ b/internal/inbound/control.go
@@ -21,7 +21,7 @@
 // addresses, metrics, status. Its listener is to be one of conns.
 func ControlServer(handler fasthttp.RequestHandler, conns *Conns, log *zap.Logger) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true,
+		Handler: closeAhead(handler), NoDefaultServerHeader: true, NoDefaultDate: true,
 		MaxRequestBodySize: maxControlBody, DisablePreParseMultipartForm: true,
 		ReadTimeout: ControlTimeout, WriteTimeout: ControlTimeout, IdleTimeout: controlIdleTimeout,
 		ConnState: conns.FastStateChanged,
@@ -29,6 +29,16 @@
 	}
 }
 
+// closeAhead returns a handler that closes the connections of clients who send too many requests ahead.
+func closeAhead(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		handler(ctx)
+		if conn := unwrap(ctx.Conn()); conn != nil && conn.Ahead() {
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
 // debugLogger writes fasthttp's messages, most of which are about malformed requests, to the log at
 // debug level.
 type debugLogger struct{ log *zap.Logger }
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -12,7 +12,7 @@
 // stacks of goroutines.
 const requestCost = 16 << 10
 
-// Intake counts what a request holds of the instance's memory.
+// Intake counts what a request, and its caller's connection, hold of the instance's memory.
 type Intake interface {
 	// Hold counts n further bytes. It reports false if there are none left, or the request was
 	// given up for others.
@@ -21,6 +21,8 @@
 	Release(n int64)
 	// Shed reports whether the request was given up for others.
 	Shed() bool
+	// Ahead reports whether the caller keeps sending requests without waiting for answers.
+	Ahead() bool
 	// Received records that the request was read whole: it isn't given up for others any more. It
 	// reports false if it already was.
 	Received() bool
@@ -54,6 +56,9 @@
 // Shed implements Intake.
 func (i *budgetIntake) Shed() bool { return false }
 
+// Ahead implements Intake.
+func (i *budgetIntake) Ahead() bool { return false }
+
 // Received implements Intake.
 func (i *budgetIntake) Received() bool { return true }
 
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -91,10 +91,10 @@
 	return fmt.Sprintf("%d slots are free and about %d requests are already on their way to them", c.Free, c.Unreported)
 }
 
-// closeIfUnwanted asks callers to use other connections, during a drain or if there is no
-// descriptor for this one.
+// closeIfUnwanted asks callers to use other connections, during a drain, if there is no
+// descriptor for this one, or if they don't wait for answers on it.
 func (f *forwarder) closeIfUnwanted() {
-	if _, draining := f.relay.draining(f.arrived); draining || f.relay.cfg.Refuses(f.hr.Context()) {
+	if _, draining := f.relay.draining(f.arrived); draining || f.intake.Ahead() || f.relay.cfg.Refuses(f.hr.Context()) {
 		f.w.Header().Set("Connection", "close")
 	}
 }
