The product's own interface counts what requests hold

What callers saw: 120 bodies of 1 MiB, one byte short, took 150.7 MB of a daemon with 64 MB, 288.7 MB in chunks; 480 heads of 15 KiB of short fields 139.3 MB. Cause: each of 4,096 connections could hold a body of 4 MiB, by the comment itself 16 GiB; fasthttp allocates a declared length before a byte of it came. Only callers without a credential were bounded. Change: its connections are those of internal/inbound, as at all other listeners: descriptors, heads at their cost, bodies, requests sent ahead. The server hands bodies over as a stream, read by the code that the relay uses (membudget.ReadAll). A request without memory gets 503 overloaded: not run. Why it works: as for relayed requests, memory is counted before it is taken, and the oldest incomplete request gives its part up.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -15,6 +15,7 @@
 
 	"basilrudder/internal/answers"
 	"basilrudder/internal/catalog"
+	"basilrudder/internal/inbound"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/schema/callerapi"
 	"basilrudder/internal/verdict"
@@ -111,6 +112,8 @@
 	// HomeCheckInterval is the time between two checks that the home of a relayed request
 	// is still reachable.
 	HomeCheckInterval time.Duration
+	// Inbound counts connections, and what requests hold; nil means that they are not counted.
+	Inbound *inbound.Conns
 	// Dial connects to another instance; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Now returns the time of a request's arrival; nil means monotime.Now.
@@ -123,7 +126,7 @@
 
 // Defaults of Config. Larger values let slow or lost callers and lost homes occupy
 // connections and memory for longer; smaller ones refuse or disconnect working callers.
-// 4096 connections with bodies of 4 MiB hold 16 GiB.
+// What all requests hold together is bounded by Inbound.
 const (
 	defaultHeaderBytes       = 16 << 10
 	defaultBodyBytes         = 4 << 20
@@ -182,17 +185,24 @@
 		Concurrency:                  s.cfg.Connections + excessConnections,
 		ReadBufferSize:               s.cfg.HeaderBytes,
 		MaxRequestBodySize:           s.cfg.BodyBytes,
+		StreamRequestBody:            true, // readBody counts the memory that it takes
 		ReadTimeout:                  s.cfg.ReadTimeout,
 		IdleTimeout:                  s.cfg.IdleTimeout,
 		CloseOnShutdown:              true,
 		DisablePreParseMultipartForm: true,
 		Logger:                       httpLogger{s.cfg.Log},
 	}
+	if s.cfg.Inbound != nil {
+		s.http.ConnState = s.cfg.Inbound.FastStateChanged
+	}
 	return s
 }
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
+	if s.cfg.Inbound != nil {
+		ln = s.cfg.Inbound.Listener(ln)
+	}
 	return s.http.Serve(&listener{Listener: ln, server: s})
 }
 
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -84,6 +84,9 @@
 	deliveryCallbacks []func(whole bool)
 }
 
+// UnsafeConn returns the wrapped connection.
+func (c *conn) UnsafeConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	// The server reads again only after it has flushed the last response.
--- a/internal/callers/handler.go
+++ b/internal/callers/handler.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"basilrudder/internal/catalog"
+	"basilrudder/internal/inbound"
 	"basilrudder/internal/schema/inventory"
 	"basilrudder/internal/verdict"
 )
@@ -67,6 +68,15 @@
 		s.refuseConnection(ctx)
 		return
 	}
+	if err := s.readBody(ctx); err != nil {
+		s.refuseBody(ctx, err)
+		return
+	}
+	defer func() {
+		if inbound.SendsAhead(ctx.Conn()) {
+			ctx.SetConnectionClose()
+		}
+	}()
 	if s.backend.Catalog() == nil {
 		s.refuseNotReady(ctx)
 		return
--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"basilrudder/internal/membudget"
 	"basilrudder/internal/netconn"
 	"basilrudder/internal/schema/callerapi"
 	"basilrudder/internal/verdict"
@@ -115,6 +116,18 @@
 	return strconv.Itoa(int(math.Ceil(d.Seconds())))
 }
 
+// refuseBody refuses a request whose body could not be read or held.
+func (s *Server) refuseBody(ctx *fasthttp.RequestCtx, cause error) {
+	if !errors.Is(cause, membudget.ErrNone) {
+		s.refuseUnreadable(ctx, cause)
+		return
+	}
+	ctx.SetConnectionClose()
+	id := string(ctx.Request.Header.Peek(HeaderRequestID))
+	err := verdict.New(s.earlyVerdict(nil, id), verdict.ReasonOverloaded, "this instance has no memory left for the request")
+	s.refuse(ctx, id, err.After(connectionRetryAfter))
+}
+
 // refuseUnreadable refuses a request that could not be read. A request that is too large
 // was so at every earlier attempt, so it never ran.
 func (s *Server) refuseUnreadable(ctx *fasthttp.RequestCtx, cause error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -111,6 +111,8 @@
 	orders      *orderSender
 	// control are the connections at the admin address, and those of peers until they are links.
 	control *inbound.Conns
+	// inbound are the connections of callers.
+	inbound *inbound.Conns
 	self    reqid.Incarnation
 	tasks   sync.WaitGroup
 }
@@ -125,7 +127,10 @@
 		platform:    platform.New(platform.Config{Address: s.Platform.Address, Timeout: time.Duration(s.Platform.TimeoutMS) * time.Millisecond}),
 		answerStore: answers.NewStore(answerStoreConfig(s, nil)),
 	}
-	d.control = inbound.New(descriptors.Control, descriptors.New(cmp.Or(s.Limits.Descriptors, descriptors.OfProcess())), membudget.ForMachine(s.Limits.MemoryMb), cfg.Log)
+	budget := descriptors.New(cmp.Or(s.Limits.Descriptors, descriptors.OfProcess()))
+	memory := membudget.ForMachine(s.Limits.MemoryMb)
+	d.control = inbound.New(descriptors.Control, budget, memory, cfg.Log)
+	d.inbound = inbound.New(descriptors.Callers, budget, memory, cfg.Log, d.control)
 	for _, listener := range []*net.Listener{&d.cfg.Listeners.Callers, &d.cfg.Listeners.Peers, &d.cfg.Listeners.Admin} {
 		*listener = netconn.RetryAccept(*listener, cfg.Log)
 	}
@@ -182,6 +187,7 @@
 		HeaderBytes: limits.HeaderBytes,
 		BodyBytes:   limits.BodyBytes,
 		Connections: limits.Connections,
+		Inbound:     d.inbound,
 		ReadTimeout: time.Duration(limits.ReadTimeoutMS) * time.Millisecond,
 		WriteStall:  time.Duration(limits.WriteStallMS) * time.Millisecond,
 		Log:         d.cfg.Log,
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -233,7 +233,17 @@
 	return true
 }
 
-// unwrap returns the Conn that a connection taken over from fasthttp wraps; nil if there is none.
+// Of returns the Conn of a connection, which may wrap it; nil if it is not counted.
+func Of(conn net.Conn) *Conn { return unwrap(conn) }
+
+// SendsAhead reports whether the client of a connection keeps sending requests without waiting for
+// answers. conn may wrap a Conn.
+func SendsAhead(conn net.Conn) bool {
+	c := unwrap(conn)
+	return c != nil && c.Ahead()
+}
+
+// unwrap returns the Conn that a connection of fasthttp wraps; nil if there is none.
 func unwrap(conn net.Conn) *Conn {
 	if wrapper, ok := conn.(interface{ UnsafeConn() net.Conn }); ok {
 		conn = wrapper.UnsafeConn()
--- a/internal/inbound/conns.go
+++ b/internal/inbound/conns.go
@@ -367,8 +367,8 @@
 
 // StateChanged is the hook of an http.Server for the states of connections.
 func (c *Conns) StateChanged(raw net.Conn, state http.ConnState) {
-	conn, ok := raw.(*Conn)
-	if !ok || conn.refusable {
+	conn := unwrap(raw)
+	if conn == nil || conn.refusable {
 		return
 	}
 	switch state {
--- a/internal/inbound/control.go
+++ b/internal/inbound/control.go
@@ -33,7 +33,7 @@
 func closeAhead(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		handler(ctx)
-		if conn := unwrap(ctx.Conn()); conn != nil && conn.Ahead() {
+		if SendsAhead(ctx.Conn()) {
 			ctx.SetConnectionClose()
 		}
 	}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilrudder/internal/membudget"
 	"basilrudder/internal/netconn"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/routing"
@@ -131,7 +132,7 @@
 	control := http.NewResponseController(f.w)
 	// Only the response writers of tests have no deadlines.
 	_ = control.SetReadDeadline(f.deadline)
-	body, err := f.readHeld(f.bodyReader(limit), f.hr.ContentLength)
+	body, err := membudget.ReadAll(f, f.bodyReader(limit), f.hr.ContentLength)
 	if err != nil {
 		// The deadline stays set: the server would read on for the rest of the body without end.
 		return f.unreadable(err)
@@ -145,8 +146,8 @@
 	if !f.intake.Received() {
 		return f.unreadable(errShed)
 	}
-	if !f.hold(requestCost) {
-		return f.unreadable(errNoMemory)
+	if !f.Hold(requestCost) {
+		return f.unreadable(membudget.ErrNone)
 	}
 	f.body = body
 	return nil
@@ -156,7 +157,7 @@
 func (f *forwarder) unreadable(err error) *failure {
 	var tooLarge *http.MaxBytesError
 	switch {
-	case f.intake.Shed(), errors.Is(err, errNoMemory):
+	case f.intake.Shed(), errors.Is(err, membudget.ErrNone):
 		// The server keeps the request until its connection has closed, some time after the answer.
 		f.hr.Header = nil
 		answer := unavailable(verdict.ReasonOverloaded, retryFull)
@@ -171,9 +172,5 @@
 	}
 }
 
-var (
-	// errNoMemory reports that requests hold as much memory as they may.
-	errNoMemory = errors.New("the instance holds too many bytes for requests")
-	// errShed reports that a request was given up for others.
-	errShed = errors.New("the request was given up for others before it was read whole")
-)
+// errShed reports that a request was given up for others.
+var errShed = errors.New("the request was given up for others before it was read whole")
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -80,7 +80,7 @@
 
 // serve gives the request its final answer.
 func (f *forwarder) serve() {
-	defer func() { f.release(f.held) }()
+	defer func() { f.Release(f.held) }()
 	if problem := f.admit(); problem != nil {
 		f.refuse(problem)
 		return
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -14,11 +14,7 @@
 
 // Intake counts what a request, and its caller's connection, hold of the instance's memory.
 type Intake interface {
-	// Hold counts n further bytes. It reports false if there are none left, or the request was
-	// given up for others.
-	Hold(n int64) bool
-	// Release counts n bytes as free.
-	Release(n int64)
+	membudget.Holder
 	// Shed reports whether the request was given up for others.
 	Shed() bool
 	// Ahead reports whether the caller keeps sending requests without waiting for answers.
@@ -62,8 +58,8 @@
 // Received implements Intake.
 func (i *budgetIntake) Received() bool { return true }
 
-// hold counts n further bytes as held by the request.
-func (f *forwarder) hold(n int64) bool {
+// Hold implements membudget.Holder.
+func (f *forwarder) Hold(n int64) bool {
 	if !f.intake.Hold(n) {
 		return false
 	}
@@ -71,50 +67,12 @@
 	return true
 }
 
-// release counts n bytes that the request held as free.
-func (f *forwarder) release(n int64) {
+// Release implements membudget.Holder.
+func (f *forwarder) Release(n int64) {
 	f.intake.Release(n)
 	f.held -= n
 }
 
-// readHeld reads a body of a declared length, or of an unknown one (-1), of which each byte is counted
-// before there is room for it. The room grows as bytes arrive: a declared length alone takes none.
-func (f *forwarder) readHeld(reader io.Reader, declared int64) ([]byte, error) {
-	size := int64(membudget.Small)
-	if declared >= 0 {
-		size = min(size, declared)
-	}
-	if !f.hold(size) {
-		return nil, errNoMemory
-	}
-	body := make([]byte, 0, size)
-	for int64(len(body)) != declared {
-		if len(body) == cap(body) {
-			larger := 2 * int64(cap(body))
-			if declared >= 0 {
-				larger = min(larger, declared)
-			}
-			if !f.hold(larger) {
-				return nil, errNoMemory
-			}
-			smaller := int64(cap(body))
-			body = append(make([]byte, 0, larger), body...)
-			f.release(smaller)
-		}
-		n, err := reader.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case int64(len(body)) == declared, err == io.EOF && declared < 0:
-			return body, nil
-		case err == io.EOF:
-			return nil, io.ErrUnexpectedEOF
-		case err != nil:
-			return nil, err
-		}
-	}
-	return body, nil
-}
-
 // readAnswer reads an answer of up to maxBufferedAnswer bytes. It is not whole if it is longer, or the
 // instance has no memory to hold it.
 func (f *forwarder) readAnswer(reader io.Reader) (body []byte, whole bool, err error) {
@@ -122,13 +80,13 @@
 	for {
 		if len(body) == cap(body) {
 			larger := 2 * cap(body)
-			if larger > maxBufferedAnswer || !f.hold(int64(larger)) {
+			if larger > maxBufferedAnswer || !f.Hold(int64(larger)) {
 				return body, false, nil
 			}
 			smaller := cap(body)
 			body = append(make([]byte, 0, larger), body...)
 			if smaller > minBufferedAnswer {
-				f.release(int64(smaller))
+				f.Release(int64(smaller))
 			}
 		}
 		n, err := reader.Read(body[len(body):cap(body)])
