Links are not closed for others, and lacks of memory are told

A connection that became a link or a tunnel stayed in the list of those being answered, so that one whose other end read nothing for a second could be closed when the instance is short; its head stayed counted for as long as it lasted. Heads that were too slow counted as given up for lack of memory. Change: Detach takes a connection out of the list and returns what its head holds. A line request_memory_short each 3 s and request_memory in the metrics tell of a lack of memory; slow heads count as closed_incomplete. Measured: TestADetachedConnectionIsCountedElsewhere fails with Detach as it was (228 bytes stay counted) and passes twice with -race; the race tests of peer and tunnel pass twice.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,7 @@
 	vars.Set("news", expvar.Func(func() any { return g.peers.metrics() }))
 	vars.Set("peers_linked", expvar.Func(func() any { return len(g.peers.linked()) }))
 	vars.Set("descriptors", expvar.Func(func() any { return g.descriptorMetrics() }))
+	vars.Set("request_memory", expvar.Func(func() any { return requestMemory{Limit: g.memory.Limit(), Used: g.memory.Used()} }))
 	vars.Set("memory", expvar.Get("memstats"))
 	ctx.SetContentType("application/json; charset=utf-8")
 	ctx.SetBodyString(vars.String())
@@ -74,3 +75,9 @@
 		Limit: g.descriptors.Limit(), Used: g.descriptors.Used(), Callers: g.callers.Metrics(), Control: g.control.Metrics(),
 	}
 }
+
+// requestMemory is what requests hold together, and may hold, in bytes.
+type requestMemory struct {
+	Limit int64 `json:"limit"`
+	Used  int64 `json:"used"`
+}
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -114,7 +114,10 @@
 	if c.conns.hold(c, int64(cost)) {
 		return true
 	}
-	c.conns.giveUp(c)
+	if c.current() != evicted {
+		c.conns.countShed()
+		c.conns.giveUp(c)
+	}
 	return false
 }
 
@@ -228,8 +231,13 @@
 	defer c.conns.mu.Unlock()
 	if !c.closed.Load() {
 		c.conns.uncount(c)
+		c.conns.freeMemory(c)
 		c.detached = true
 	}
+	if c.element != nil {
+		c.conns.answering.Remove(c.element)
+		c.element = nil
+	}
 	return true
 }
 
--- a/internal/inbound/conns.go
+++ b/internal/inbound/conns.go
@@ -54,8 +54,9 @@
 	// idle, incomplete and answering hold *Conn, the one that has been so for longest first.
 	idle, incomplete, answering *list.List
 	refusable                   int
-	// fullAt is when few descriptors were left; 0 for never.
-	fullAt monotime.Instant
+	// fullAt is when few descriptors were left, and shedAt when a lack of memory was last logged; 0
+	// for never.
+	fullAt, shedAt monotime.Instant
 
 	closedIdle, closedIncomplete, closedStalled, shed, refused atomic.Int64
 }
@@ -190,8 +191,7 @@
 	if stalled == nil {
 		return false
 	}
-	c.move(stalled, evicted)
-	c.freeMemory(stalled)
+	c.giveUp(stalled)
 	c.closedStalled.Add(1)
 	return c.drop(stalled)
 }
@@ -215,8 +215,7 @@
 		if conn.since > since {
 			return false
 		}
-		c.move(conn, evicted)
-		c.freeMemory(conn)
+		c.giveUp(conn)
 		if c.drop(conn) {
 			count.Add(1)
 			return true
@@ -225,8 +224,8 @@
 	return false
 }
 
-// hold counts n further bytes for a connection. If there are none left, older incomplete requests
-// are given up, provided that they hold enough; mu is held.
+// hold counts n further bytes for a connection. If there are none left, other requests are given up
+// for it; mu is held.
 func (c *Conns) hold(conn *Conn, n int64) bool {
 	if conn.current() == evicted {
 		return false
@@ -264,6 +263,7 @@
 // shedRequest gives up an incomplete request; mu is held. If its handler reads the body, that is
 // interrupted so that the caller can be told; otherwise the connection is closed.
 func (c *Conns) shedRequest(conn *Conn) {
+	c.countShed()
 	c.giveUp(conn)
 	if conn.handled {
 		_ = conn.Conn.SetReadDeadline(past) // fails only on a connection that is closed
@@ -272,12 +272,18 @@
 	}
 }
 
-// giveUp marks a connection as one whose request is given up; mu is held.
-func (c *Conns) giveUp(conn *Conn) {
-	if conn.current() == evicted {
-		return
+// countShed counts a request that is given up for lack of memory; mu is held.
+func (c *Conns) countShed() {
+	shed := c.shed.Add(1)
+	if now := monotime.Now(); c.shedAt == 0 || now.Sub(c.shedAt) >= FullFor {
+		c.shedAt = now
+		c.log.Warn("request_memory_short", zap.Stringer("kind", c.kind), zap.Int64("used", c.memory.Used()),
+			zap.Int64("limit", c.memory.Limit()), zap.Int64("shed", shed))
 	}
-	c.shed.Add(1)
+}
+
+// giveUp takes what a connection's request holds, and the connection from those in use; mu is held.
+func (c *Conns) giveUp(conn *Conn) {
 	c.move(conn, evicted)
 	c.freeMemory(conn)
 }
@@ -314,6 +320,7 @@
 	for e := c.incomplete.Front(); e != nil && e.Value.(*Conn).since < since; e = next {
 		next = e.Next()
 		if conn := e.Value.(*Conn); !conn.handled {
+			c.closedIncomplete.Add(1)
 			c.giveUp(conn)
 			c.drop(conn)
 		}
@@ -348,8 +355,7 @@
 func (c *Conns) remove(conn *Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.move(conn, evicted)
-	c.freeMemory(conn)
+	c.giveUp(conn)
 	c.uncount(conn)
 }
 
--- a/internal/inbound/conns_test.go
+++ b/internal/inbound/conns_test.go
@@ -18,6 +18,7 @@
 
 	"basilrudder/internal/descriptors"
 	"basilrudder/internal/membudget"
+	"basilrudder/internal/monotime"
 )
 
 // testMemory is what requests may hold, in bytes.
@@ -427,3 +428,27 @@
 		}
 	}
 }
+
+// Guards against links and tunnels that are counted twice, or closed for others while their other end reads
+// nothing.
+func TestADetachedConnectionIsCountedElsewhere(t *testing.T) {
+	c := New(descriptors.Control, descriptors.New(200), membudget.New(testMemory), zap.NewNop())
+	near, far := net.Pipe()
+	go func() { _, _ = io.WriteString(near, "GET / HTTP/1.1\r\n\r\n") }()
+	conn := c.admit(far)
+	if _, err := conn.Read(make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	if !Detach(conn) || c.memory.Used() != 0 || c.budget.Used()[c.kind.String()] != 0 {
+		t.Errorf("%d bytes and %v are held", c.memory.Used(), c.budget.Used())
+	}
+	c.mu.Lock()
+	if c.closeStalled(monotime.Now(), 0) || c.makeRoom() {
+		t.Error("closed for others")
+	}
+	c.mu.Unlock()
+	_, _ = conn.Close(), near.Close()
+	if c.memory.Used() != 0 || c.budget.Used()[c.kind.String()] != 0 {
+		t.Errorf("%d bytes and %v are held after the end", c.memory.Used(), c.budget.Used())
+	}
+}
