A client that waits for answers is not taken for one that doesn't

What callers saw: a quick client that sends its next request as soon as it has the answer could get Connection: close, or find its connection reset, after 16 such requests. Cause: the server reads a byte ahead until it has noted the end of the answer, shortly after its bytes were sent. A byte that came in between counted as sent before the answer. Change: only bytes that come before the first byte of the answer is sent count. A client that waits can't send such.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -55,10 +55,10 @@
 	// handled means that a handler has the request, and held is the memory it holds in bytes.
 	handled bool
 	held    int64
-	// early is set if bytes of the next request came before the answer to the present one, and ahead
-	// is how many requests in a row came so.
-	early atomic.Bool
-	ahead int
+	// answered is set once bytes of the answer to the present request were sent, early if bytes of the
+	// next request came before, and ahead is how many requests in a row came so.
+	answered, early atomic.Bool
+	ahead           int
 	// writing is when the write in progress began, as a monotime.Instant; 0 for none.
 	writing atomic.Int64
 }
@@ -91,6 +91,7 @@
 // who doesn't read.
 func (c *Conn) Write(p []byte) (int, error) {
 	defer c.writing.Store(0)
+	c.answered.Store(true)
 	written := 0
 	for {
 		c.writing.Store(int64(monotime.Now()))
@@ -128,7 +129,7 @@
 	case receiving:
 		return true
 	case answering:
-		if read {
+		if read && !c.answered.Load() {
 			c.early.Store(true)
 		}
 		return true
@@ -157,6 +158,7 @@
 	}
 	c.conns.freeMemory(c)
 	c.handled = false
+	c.answered.Store(false)
 }
 
 // Handle records that a handler has the request, which it then can refuse.
