Bytes that wait unread at clients' connections are bounded

What callers saw: beside 480 clients that send requests ahead while the first one is being answered, 47.2 MB waited unread in the system's buffers of a process with 51.6 MB resident, where 64 are allowed. The platform counts both. Cause: the system lets a receive buffer grow to 128 KiB and more whether the process reads or not, and nothing bounded it. VmHWM, which the other tests look at, doesn't show it. Change: connections of clients get receive buffers of 16 KiB, inherited from their listeners. Links between instances keep the system's: they carry configurations. Price: a body is read at 2.7 MB a second at most at a round trip of 6 ms.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,9 +61,13 @@
 	var err error
 	for _, entry := range []struct {
 		address  string
+		listen   func(network, address string) (net.Listener, error)
 		listener *net.Listener
-	}{{s.Listen.Callers, &out.Callers}, {s.Listen.Peers, &out.Peers}, {s.Listen.Admin, &out.Admin}} {
-		if *entry.listener, err = net.Listen("tcp", entry.address); err != nil {
+	}{
+		{s.Listen.Callers, netconn.ListenClients, &out.Callers}, {s.Listen.Peers, net.Listen, &out.Peers},
+		{s.Listen.Admin, netconn.ListenClients, &out.Admin},
+	} {
+		if *entry.listener, err = entry.listen("tcp", entry.address); err != nil {
 			out.Close()
 			return Listeners{}, errors.Wrap(err, "listen")
 		}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -23,12 +23,15 @@
 	out := &listeners{}
 	for _, l := range []struct {
 		to      *net.Listener
+		listen  func(network, address string) (net.Listener, error)
 		address string
 	}{
-		{&out.callers, s.Callers}, {&out.ready, s.Ready}, {&out.directory, s.Directory},
-		{&out.peers, s.Peers}, {&out.metrics, s.Metrics},
+		{&out.callers, netconn.ListenClients, s.Callers}, {&out.ready, netconn.ListenClients, s.Ready},
+		{&out.directory, netconn.ListenClients, s.Directory}, {&out.metrics, netconn.ListenClients, s.Metrics},
+		// Links carry configurations of up to a megabyte, and are read at once.
+		{&out.peers, net.Listen, s.Peers},
 	} {
-		listener, err := net.Listen("tcp4", l.address)
+		listener, err := l.listen("tcp4", l.address)
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
--- a/tools/abuse/watch_linux.go
+++ b/tools/abuse/watch_linux.go
@@ -99,3 +99,34 @@
 	})
 	return err != nil || state != established
 }
+
+// Unread returns how many bytes the system holds that clients sent to an address and its process has not
+// read.
+func Unread(address string) (int64, error) {
+	host, err := net.ResolveTCPAddr("tcp4", address)
+	if err != nil {
+		return 0, err
+	}
+	local := fmt.Sprintf(":%04X", host.Port)
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0, err
+	}
+	total := int64(0)
+	for line := range bytes.Lines(table) {
+		// The second field is the local address, the fifth the queues as SENT:RECEIVED; of a
+		// listener it counts connections. The fourth is the state.
+		fields := bytes.Fields(line)
+		const fewest, listening = 5, "0A"
+		if len(fields) < fewest || !bytes.HasSuffix(fields[1], []byte(local)) || string(fields[3]) == listening {
+			continue
+		}
+		_, received, _ := bytes.Cut(fields[4], []byte(":"))
+		n, err := strconv.ParseInt(string(received), 16, 64)
+		if err != nil {
+			return 0, err
+		}
+		total += n
+	}
+	return total, nil
+}
--- a/tools/soak/crowd_test.go
+++ b/tools/soak/crowd_test.go
@@ -361,10 +361,13 @@
 }
 
 // besiegeWithLargeAnswers is besiege with servers whose answers are as large as is asked for.
-func besiegeWithLargeAnswers(t *testing.T) *besieged {
+func besiegeWithLargeAnswers(t *testing.T) *besieged { return besiegeWithServers(t, serveLarge) }
+
+// besiegeWithServers is besiege with servers of another kind.
+func besiegeWithServers(t *testing.T, serve http.HandlerFunc) *besieged {
 	return besiegeWith(t, 0, func(f *fleet) error {
 		for n := range crowdServers {
-			server := httptest.NewServer(http.HandlerFunc(serveLarge))
+			server := httptest.NewServer(serve)
 			t.Cleanup(server.Close)
 			u := &upstream{service: plain, software: "v1", proxy: &proxy{ln: server.Listener}}
 			if err := f.store.PutServer(fmt.Sprint("s", n), u.entry(wire.StateReady)); err != nil {
@@ -393,6 +396,36 @@
 	b.endure("callers", headCrowd, unread(16<<20))
 }
 
+// Guards against requests that wait unread in the system's buffers, which count as the process's memory,
+// while the first one is answered.
+func TestCrowdOfUnreadRequests(t *testing.T) {
+	over := make(chan struct{})
+	b := besiegeWithServers(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Slow") != "" {
+			<-over
+		}
+		serveLarge(w, r)
+	})
+	t.Cleanup(func() { close(over) }) // before the servers are closed, which wait for their handlers
+	request := requestHead("/safe/1") + "Slow: 1\r\nContent-Length: 1\r\n\r\nx"
+	crowd := abuse.Start(b.address["callers"], headCrowd, abuse.Client{Send: abuse.Text(strings.Repeat(request, 4000))})
+	time.Sleep(crowdStays)
+	unread, err := abuse.Unread(b.address["callers"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	crowd.Leave()
+	b.mustServe("after the crowd")
+	descriptors, memory, err := b.watch.Stop()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d descriptors, %.1f MB, %.1f MB unread", descriptors, float64(memory)/bytesPerMB, float64(unread)/bytesPerMB)
+	if memory+unread > crowdMemoryMB*bytesPerMB {
+		t.Errorf("%.1f MB resident and %.1f MB unread of %d MB", float64(memory)/bytesPerMB, float64(unread)/bytesPerMB, crowdMemoryMB)
+	}
+}
+
 // controlBodies plays unfinished bodies at an address at which no body is of use.
 func controlBodies(t *testing.T, address, path string) {
 	for _, framing := range []abuse.Framing{abuse.Whole, abuse.Chunked} {
