Crowds: one type says what a process takes and whether it is too much

Change: abuse.Usage and abuse.Limits serve both packages of crowds, which had the same check twice; limits and crowds stay as they are. Comments of tests take one line.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,13 +202,6 @@
 	return g, nil
 }
 
-// intake counts what a request of a caller holds.
-func (g *Gateway) intake(ctx context.Context) relay.Intake {
-	conn := inbound.FromContext(ctx)
-	conn.Handle()
-	return conn
-}
-
 // connectTunnels sets up connections to servers, and those for peers.
 func (g *Gateway) connectTunnels(incarnation string) {
 	s := g.cfg.Settings
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -11,6 +11,7 @@
 
 	"basilrudder/internal/inbound"
 	"basilrudder/internal/netconn"
+	"basilrudder/internal/relay"
 )
 
 // listeners holds the listening sockets of an instance.
@@ -52,6 +53,13 @@
 	}
 }
 
+// intake counts what a request of a caller holds.
+func (g *Gateway) intake(ctx context.Context) relay.Intake {
+	conn := inbound.FromContext(ctx)
+	conn.Handle()
+	return conn
+}
+
 func serveUntilClosed(server *http.Server, listener net.Listener) error {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve callers")
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -222,7 +222,7 @@
 // Detach hands a connection over to whoever counts it from now on. It reports false if the
 // connection was closed for another. conn may wrap a Conn.
 func Detach(conn net.Conn) bool {
-	c := unwrap(conn)
+	c := Of(conn)
 	if c == nil {
 		return true
 	}
@@ -243,18 +243,16 @@
 	return true
 }
 
-// Of returns the Conn of a connection, which may wrap it; nil if it is not counted.
-func Of(conn net.Conn) *Conn { return unwrap(conn) }
-
 // SendsAhead reports whether the client of a connection keeps sending requests without waiting for
 // answers. conn may wrap a Conn.
 func SendsAhead(conn net.Conn) bool {
-	c := unwrap(conn)
+	c := Of(conn)
 	return c != nil && c.Ahead()
 }
 
-// unwrap returns the Conn that a connection of fasthttp wraps; nil if there is none.
-func unwrap(conn net.Conn) *Conn {
+// Of returns the Conn of a connection, which may wrap it as those of fasthttp do; nil if it is not
+// counted.
+func Of(conn net.Conn) *Conn {
 	if wrapper, ok := conn.(interface{ UnsafeConn() net.Conn }); ok {
 		conn = wrapper.UnsafeConn()
 	}
--- a/internal/inbound/conns.go
+++ b/internal/inbound/conns.go
@@ -373,7 +373,7 @@
 
 // StateChanged is the hook of an http.Server for the states of connections.
 func (c *Conns) StateChanged(raw net.Conn, state http.ConnState) {
-	conn := unwrap(raw)
+	conn := Of(raw)
 	if conn == nil || conn.refusable {
 		return
 	}
--- a/internal/inbound/conns_test.go
+++ b/internal/inbound/conns_test.go
@@ -80,8 +80,7 @@
 	return response.StatusCode, err
 }
 
-// Guards against callers that use up the descriptors, and active ones that are closed for
-// idle ones.
+// Guards against callers that use up the descriptors, and active ones that are closed for idle ones.
 func TestTheCallerThatHasBeenIdleForLongestIsClosedFirst(t *testing.T) {
 	c, address := callerServerWith(t, 200, func(*Conns) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
@@ -120,8 +119,7 @@
 	}
 }
 
-// Guards against callers without an answer while every descriptor is in use, and against
-// descriptors that are not returned.
+// Guards against callers without an answer while all descriptors are in use, and descriptors that are lost.
 func TestCallersWithoutADescriptorAreRefused(t *testing.T) {
 	finish := make(chan struct{})
 	var begun atomic.Int64
@@ -268,8 +266,7 @@
 	waitFor(t, "the descriptor", func() bool { return c.budget.Free(descriptors.Callers) == free })
 }
 
-// Guards against clients that send slowly, or stop, and take the connections of others, and against
-// requests that were read whole and are closed for others.
+// Guards against clients that send slowly and keep others out, and whole requests that are closed for others.
 func TestTheOldestIncompleteRequestMakesRoom(t *testing.T) {
 	finish := make(chan struct{})
 	var begun atomic.Int64
@@ -316,8 +313,7 @@
 	}
 }
 
-// Guards against requests that never end and hold the memory that others need, and against memory that
-// is not returned.
+// Guards against requests that never end and hold the memory of others, and memory that is lost.
 func TestTheOldestIncompleteRequestGivesUpItsMemory(t *testing.T) {
 	c, address := callerServerWith(t, 200, func(*Conns) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -347,8 +343,7 @@
 	}
 }
 
-// Guards against heads of many short fields that count as little as their bytes, and against slow heads
-// that are waited for longer than the configuration allows.
+// Guards against heads of many short fields that count as their bytes, and heads that are waited for too long.
 func TestHeadsCountWhatTheyTakeUntilTheyAreTooSlow(t *testing.T) {
 	const fields = 500
 	c, address := callerServerWith(t, 200, func(*Conns) http.Handler { return http.NotFoundHandler() })
@@ -399,8 +394,7 @@
 	}
 }
 
-// Guards against clients that send requests without waiting for answers, and press on the servers for as long
-// as they like, and against clients that wait and are taken for such ones.
+// Guards against clients that send without waiting for answers, and clients that wait and are taken for such.
 func TestAClientThatDoesNotWaitForAnswersIsClosed(t *testing.T) {
 	var answered atomic.Int64
 	_, address := callerServerWith(t, 200, func(*Conns) http.Handler {
@@ -429,8 +423,7 @@
 	}
 }
 
-// Guards against links and tunnels that are counted twice, or closed for others while their other end reads
-// nothing.
+// Guards against links and tunnels that are counted twice, or closed for others.
 func TestADetachedConnectionIsCountedElsewhere(t *testing.T) {
 	c := New(descriptors.Control, descriptors.New(200), membudget.New(testMemory), zap.NewNop())
 	near, far := net.Pipe()
--- a/internal/relay/answermemory_test.go
+++ b/internal/relay/answermemory_test.go
@@ -8,8 +8,7 @@
 	"basilrudder/internal/membudget"
 )
 
-// Guards against long answers that are lost, or held beyond the budget, where there is no memory to hold
-// them whole.
+// Guards against long answers that are lost, or held beyond the budget, where memory is short.
 func TestAnAnswerWithoutMemoryIsPassedOnAsItArrives(t *testing.T) {
 	text := strings.Repeat("0123456789", maxBufferedAnswer/20)
 	for _, limit := range []int64{requestCost + 4<<10, 1 << 20} {
--- a/tools/abuse/watch_linux.go
+++ b/tools/abuse/watch_linux.go
@@ -20,6 +20,8 @@
 	// connection was reset.
 	closePoll = 100 * time.Millisecond
 	kilobyte  = 1 << 10
+	// bytesPerMB is what machines' memory is given in.
+	bytesPerMB = 1_000_000
 )
 
 // Watch counts the descriptors of a process until it is stopped.
@@ -50,13 +52,38 @@
 	}
 }
 
-// Stop ends the watch and returns the most descriptors that were open at once, and the most
-// memory that was ever resident, in bytes.
-func (w *Watch) Stop() (descriptors int, memory int64, err error) {
+// Usage is what a process takes of its machine.
+type Usage struct {
+	// Descriptors are the most that were open at once.
+	Descriptors int
+	// Memory is the most that was resident, in bytes.
+	Memory int64
+	// Unread is what clients sent and the process has not read, in bytes.
+	Unread int64
+}
+
+// String returns the usage for people.
+func (u Usage) String() string {
+	return fmt.Sprintf("%d descriptors, %.1f MB resident, %.1f MB unread", u.Descriptors, float64(u.Memory)/bytesPerMB, float64(u.Unread)/bytesPerMB)
+}
+
+// Limits are those of a machine.
+type Limits struct {
+	Descriptors int
+	MemoryMB    int64
+}
+
+// Exceeded reports whether a process takes more than its machine has.
+func (l Limits) Exceeded(u Usage) bool {
+	return u.Descriptors > l.Descriptors || u.Memory+u.Unread > l.MemoryMB*bytesPerMB
+}
+
+// Stop ends the watch and returns the usage, without what is unread. The process has to be alive.
+func (w *Watch) Stop() (Usage, error) {
 	close(w.stop)
 	w.done.Wait()
-	memory, err = peakMemory(w.pid)
-	return w.most, memory, err
+	memory, err := peakMemory(w.pid)
+	return Usage{Descriptors: w.most, Memory: memory}, err
 }
 
 func peakMemory(pid int) (int64, error) {
--- a/tools/fleet/crowd_test.go
+++ b/tools/fleet/crowd_test.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// Limits of the daemon before which crowds are played.
-	crowdMemoryMB    = 64
-	crowdDescriptors = 1000
 	crowdConnections = 500
 	crowdBody        = 1 << 20
 	// crowdStays is how long a crowd stays before an ordinary request is sent beside it.
@@ -21,9 +18,11 @@
 	startMost  = 30 * time.Second
 	// ordinaryMost is how long an ordinary caller tries.
 	ordinaryMost = 15 * time.Second
-	bytesPerMB   = 1_000_000
 )
 
+// crowdLimits are those of the daemon before which crowds are played.
+var crowdLimits = abuse.Limits{Descriptors: 1000, MemoryMB: 64}
+
 const crowdSettings = `[limits]
 memory_mb = %d
 descriptors = %d
@@ -45,7 +44,7 @@
 	defer cancel()
 	f, err := startFleet(ctx, fleetConfig{
 		Shape: shape{Customers: 10, Servers: 7, StepMS: 1, Rate: 1000, TTL: 1}, Daemons: 1, Procs: 2,
-		Settings: fmt.Sprintf(crowdSettings, crowdMemoryMB, crowdDescriptors, crowdConnections, crowdBody),
+		Settings: fmt.Sprintf(crowdSettings, crowdLimits.MemoryMB, crowdLimits.Descriptors, crowdConnections, crowdBody),
 	})
 	t.Cleanup(f.close)
 	if err != nil {
@@ -72,13 +71,12 @@
 	if daemon.proc().ended(0) {
 		b.Fatal("the process has ended")
 	}
-	descriptors, memory, err := b.watch.Stop()
+	usage, err := b.watch.Stop()
 	if err != nil {
 		b.Fatal(err)
 	}
-	b.Logf("%d descriptors, %.1f MB", descriptors, float64(memory)/bytesPerMB)
-	if descriptors > crowdDescriptors || memory > crowdMemoryMB*bytesPerMB {
-		b.Errorf("%d descriptors of %d and %.1f of %d MB were used", descriptors, crowdDescriptors, float64(memory)/bytesPerMB, crowdMemoryMB)
+	if b.Log(usage); crowdLimits.Exceeded(usage) {
+		b.Errorf("%v exceed %+v", usage, crowdLimits)
 	}
 }
 
--- a/tools/soak/crowd_test.go
+++ b/tools/soak/crowd_test.go
@@ -21,9 +21,6 @@
 )
 
 const (
-	// Limits of the instance before which crowds are played.
-	crowdMemoryMB    = 64
-	crowdDescriptors = 1000
 	// crowdStays is how long a crowd stays before an ordinary request is sent beside it.
 	crowdStays   = 2 * time.Second
 	crowdServers = 4
@@ -32,7 +29,6 @@
 	ordinaryTries = 5
 	ordinaryWait  = time.Second
 	ordinaryBody  = 1 << 10
-	bytesPerMB    = 1_000_000
 	// legalBody is the largest body of the configuration, legalHead nearly the largest head,
 	// and longHead the largest that is read at all.
 	legalBody = 1 << 20
@@ -40,6 +36,9 @@
 	longHead  = 60 << 10
 )
 
+// crowdLimits are those of the instance before which crowds are played.
+var crowdLimits = abuse.Limits{Descriptors: 1000, MemoryMB: 64}
+
 // crowdDir is the directory of crowdBinary; empty before it is built.
 var crowdDir string
 
@@ -86,7 +85,7 @@
 		t.Fatal(err)
 	}
 	b := &besieged{T: t, instance: f.instances[0], body: ordinaryBody}
-	b.descriptors, b.memory = crowdDescriptors, crowdMemoryMB
+	b.descriptors, b.memory = crowdLimits.Descriptors, int(crowdLimits.MemoryMB)
 	if err := f.writeSettings(b.instance, "warn"); err != nil {
 		t.Fatal(err)
 	}
@@ -111,21 +110,22 @@
 	b.mustServe("beside the crowd")
 	c.Leave()
 	b.mustServe("after the crowd")
-	b.mustBeWithinLimits()
+	b.mustBeWithinLimits(0)
 }
 
-func (b *besieged) mustBeWithinLimits() {
+// mustBeWithinLimits ends the watch of a process of which so many bytes were unread.
+func (b *besieged) mustBeWithinLimits(unread int64) {
 	b.Helper()
 	if b.process.ended(0) {
 		b.Fatal("the process has ended")
 	}
-	descriptors, memory, err := b.watch.Stop()
+	usage, err := b.watch.Stop()
 	if err != nil {
 		b.Fatal(err)
 	}
-	b.Logf("%d descriptors, %.1f MB", descriptors, float64(memory)/bytesPerMB)
-	if descriptors > crowdDescriptors || memory > crowdMemoryMB*bytesPerMB {
-		b.Errorf("%d descriptors of %d and %.1f of %d MB were used", descriptors, crowdDescriptors, float64(memory)/bytesPerMB, crowdMemoryMB)
+	usage.Unread = unread
+	if b.Log(usage); crowdLimits.Exceeded(usage) {
+		b.Errorf("%v exceed %+v", usage, crowdLimits)
 	}
 }
 
@@ -257,7 +257,7 @@
 		t.Errorf("%q, %v", answer, err)
 	}
 	b.mustServe("afterwards")
-	b.mustBeWithinLimits()
+	b.mustBeWithinLimits(0)
 }
 
 const headCrowd = 480
@@ -312,7 +312,7 @@
 	if answer, err := io.ReadAll(conn); err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 200 ") {
 		t.Errorf("%q, %v", answer, err)
 	}
-	b.mustBeWithinLimits()
+	b.mustBeWithinLimits(0)
 }
 
 // slowCrowd is more than callers get of the descriptors.
@@ -396,8 +396,7 @@
 	b.endure("callers", headCrowd, unread(16<<20))
 }
 
-// Guards against requests that wait unread in the system's buffers, which count as the process's memory,
-// while the first one is answered.
+// Guards against requests that wait unread in the system's buffers, which count as the process's memory.
 func TestCrowdOfUnreadRequests(t *testing.T) {
 	over := make(chan struct{})
 	b := besiegeWithServers(t, func(w http.ResponseWriter, r *http.Request) {
@@ -416,14 +415,7 @@
 	}
 	crowd.Leave()
 	b.mustServe("after the crowd")
-	descriptors, memory, err := b.watch.Stop()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("%d descriptors, %.1f MB, %.1f MB unread", descriptors, float64(memory)/bytesPerMB, float64(unread)/bytesPerMB)
-	if memory+unread > crowdMemoryMB*bytesPerMB {
-		t.Errorf("%.1f MB resident and %.1f MB unread of %d MB", float64(memory)/bytesPerMB, float64(unread)/bytesPerMB, crowdMemoryMB)
-	}
+	b.mustBeWithinLimits(unread)
 }
 
 // controlBodies plays unfinished bodies at an address at which no body is of use.
