The own interface refuses requests of connections beyond the descriptors

Cause: by reading. Connections beyond the budget of descriptors are accepted so that their requests can be refused with an answer, but the own interface served them. Change: they are refused as those beyond limits.connections: 503, not run.

--- a/internal/callers/handler.go
+++ b/internal/callers/handler.go
@@ -64,7 +64,8 @@
 			ctx.SetConnectionClose()
 		}
 	}()
-	if c, ok := ctx.Conn().(*conn); ok && c.overLimit {
+	c, ok := ctx.Conn().(*conn)
+	if counted := inbound.Of(ctx.Conn()); ok && c.overLimit || counted != nil && counted.Refusable() {
 		s.refuseConnection(ctx)
 		return
 	}
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -344,3 +344,6 @@
 	conn := FromContext(ctx)
 	return conn != nil && (conn.refusable || conn.current() == evicted)
 }
+
+// Refusable reports whether the connection is beyond the budget, so that its requests are refused.
+func (c *Conn) Refusable() bool { return c.refusable }
