Memory of a given-up request counts until its goroutine has let go of it

What callers saw: by hand, with 184 MB and 4,100 descriptors, 1,200 bodies of 1 MiB in chunks, one byte short, took 275.4 MB: the process would have been killed. At the small size of the tests the bound held. Cause: the memory of a request that was given up counted as free at once. Its goroutine holds it until it has run again, and hundreds of them waited for the processor while new requests took what was counted as free. Change: it counts until the handler releases it or the server closes the connection. Who needs memory gives up as many older requests as hold enough and waits for them, 250 ms at most, without the lock. Race tests of inbound (twice), relay and callers pass. The handler of TestTheOldestIncompleteRequestGivesUpItsMemory releases what it holds, as the relay's does. Why it works: nothing is counted as free that is not.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -156,7 +156,7 @@
 	if c.current() != evicted {
 		c.conns.move(c, idle)
 	}
-	c.conns.freeMemory(c)
+	c.conns.freeMemory(c, c.held)
 	c.handled = false
 	c.answered.Store(false)
 }
@@ -180,9 +180,7 @@
 func (c *Conn) Release(n int64) {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	n = min(n, c.held) // nothing is held any more once the request was given up
-	c.held -= n
-	c.conns.memory.Release(n)
+	c.conns.freeMemory(c, min(n, c.held))
 }
 
 // Ahead reports whether the client keeps sending requests without waiting for answers. Such a
@@ -233,7 +231,7 @@
 	defer c.conns.mu.Unlock()
 	if !c.closed.Load() {
 		c.conns.uncount(c)
-		c.conns.freeMemory(c)
+		c.conns.freeMemory(c, c.held)
 		c.detached = true
 	}
 	if c.element != nil {
@@ -263,6 +261,7 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	if c.closed.Swap(true) {
+		c.letGo()
 		return c.Conn.Close()
 	}
 	if c.lingers.Load() && c.CloseWrite() == nil {
@@ -273,6 +272,13 @@
 	return c.Conn.Close()
 }
 
+// letGo returns the memory of a connection that was closed for others, once its server is done with it.
+func (c *Conn) letGo() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	c.conns.freeMemory(c, c.held)
+}
+
 // linger closes the connection once the client has closed it. The kernel resets a connection that
 // is closed with unread bytes, such as those of the client's next request, and drops what it has
 // not yet sent of the answer.
--- a/internal/inbound/conns.go
+++ b/internal/inbound/conns.go
@@ -14,6 +14,7 @@
 	"basilrudder/internal/descriptors"
 	"basilrudder/internal/membudget"
 	"basilrudder/internal/monotime"
+	"basilrudder/internal/timer"
 )
 
 const (
@@ -31,6 +32,8 @@
 	// stalledAfter is how long a client may take to read maxWrite bytes of its answer before it
 	// counts as one who doesn't read.
 	stalledAfter = time.Second
+	// maxMemoryWait bounds the wait for memory of requests that were given up.
+	maxMemoryWait = 250 * time.Millisecond
 	// connCost is what a connection takes for buffers and the stack of its goroutine, in bytes.
 	connCost = 16 << 10
 )
@@ -54,6 +57,11 @@
 	// idle, incomplete and answering hold *Conn, the one that has been so for longest first.
 	idle, incomplete, answering *list.List
 	refusable                   int
+	// pending is the memory in bytes of requests that were given up and whose goroutines have not yet
+	// let go of it. freed is closed, and replaced, when memory is returned while waiters wait for it.
+	pending int64
+	freed   chan struct{}
+	waiters int
 	// fullAt is when few descriptors were left, and shedAt when a lack of memory was last logged; 0
 	// for never.
 	fullAt, shedAt monotime.Instant
@@ -64,7 +72,7 @@
 // New returns the connections of a kind, which share the descriptors and the memory of the process.
 // It must not become a lender of its lenders.
 func New(kind descriptors.Kind, budget *descriptors.Budget, memory *membudget.Budget, log *zap.Logger, lenders ...*Conns) *Conns {
-	return &Conns{kind: kind, budget: budget, memory: memory, log: log, lenders: lenders, idle: list.New(), incomplete: list.New(), answering: list.New()}
+	return &Conns{kind: kind, budget: budget, memory: memory, log: log, lenders: lenders, idle: list.New(), incomplete: list.New(), answering: list.New(), freed: make(chan struct{})}
 }
 
 // Listener returns a listener whose connections are counted.
@@ -120,11 +128,9 @@
 	if !c.budget.Take(c.kind, 1) {
 		return false
 	}
-	for !c.memory.Take(connCost, 0) {
-		if !c.freeFor(conn) {
-			c.budget.Release(c.kind, 1)
-			return false
-		}
+	if !c.takeMemory(conn, connCost) {
+		c.budget.Release(c.kind, 1)
+		return false
 	}
 	return true
 }
@@ -224,19 +230,42 @@
 	return false
 }
 
-// hold counts n further bytes for a connection. If there are none left, other requests are given up
-// for it; mu is held.
+// hold counts n further bytes for a connection; mu is held, and released while it waits.
 func (c *Conns) hold(conn *Conn, n int64) bool {
-	if conn.current() == evicted {
+	if !c.takeMemory(conn, n) {
 		return false
 	}
-	for !c.memory.Take(n, conn.held) {
-		if !c.freeFor(conn) {
+	conn.held += n
+	return true
+}
+
+// takeMemory counts n further bytes. If there are none left, other requests are given up for conn, and
+// it waits until they have let go of what they hold; mu is held, and released meanwhile.
+func (c *Conns) takeMemory(conn *Conn, n int64) bool {
+	deadline := time.Now().Add(maxMemoryWait)
+	for conn.current() != evicted {
+		if c.memory.Take(n, conn.held) {
+			return true
+		}
+		for c.pending < n && c.freeFor(conn) {
+		}
+		if c.pending == 0 || !c.awaitFreed(time.Until(deadline)) {
 			return false
 		}
 	}
-	conn.held += n
-	return true
+	return false
+}
+
+// awaitFreed waits until memory is returned, and reports false if that takes longer than d; mu is held,
+// and released meanwhile.
+func (c *Conns) awaitFreed(d time.Duration) bool {
+	freed := c.freed
+	c.waiters++
+	c.mu.Unlock()
+	ok := timer.Sleep(d, freed)
+	c.mu.Lock()
+	c.waiters--
+	return !ok // the sleep was interrupted
 }
 
 // freeFor gives up a request that holds memory which conn needs more, and reports whether there was
@@ -282,16 +311,26 @@
 	}
 }
 
-// giveUp takes what a connection's request holds, and the connection from those in use; mu is held.
+// giveUp takes a connection from those in use; mu is held. What its request holds counts until its
+// goroutine has ended: many that were given up may wait for the processor.
 func (c *Conns) giveUp(conn *Conn) {
-	c.move(conn, evicted)
-	c.freeMemory(conn)
+	if conn.current() != evicted {
+		c.move(conn, evicted)
+		c.pending += conn.held
+	}
 }
 
-// freeMemory counts what a connection holds as free; mu is held.
-func (c *Conns) freeMemory(conn *Conn) {
-	c.memory.Release(conn.held)
-	conn.held = 0
+// freeMemory counts n bytes that a connection holds as free; mu is held.
+func (c *Conns) freeMemory(conn *Conn, n int64) {
+	c.memory.Release(n)
+	conn.held -= n
+	if conn.current() == evicted {
+		c.pending -= n
+	}
+	if c.waiters > 0 && n > 0 {
+		close(c.freed)
+		c.freed = make(chan struct{})
+	}
 }
 
 // move changes what a connection is used for; mu is held.
@@ -356,6 +395,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.giveUp(conn)
+	c.freeMemory(conn, conn.held)
 	c.uncount(conn)
 }
 
--- a/internal/inbound/conns_test.go
+++ b/internal/inbound/conns_test.go
@@ -320,6 +320,7 @@
 			conn := FromContext(r.Context())
 			conn.Handle()
 			held := conn.Hold(testMemory / 2)
+			defer conn.Release(testMemory / 2)
 			if _, err := io.ReadAll(r.Body); held && err == nil && conn.Received() {
 				return
 			}
