Inbound: a file per question

Change: who makes room, the memory of requests, metrics and contexts of requests leave conns.go and conn.go for files of their own. Code is moved, not changed.

--- a/internal/inbound/conns.go
+++ b/internal/inbound/conns.go
@@ -14,7 +14,6 @@
 	"basilrudder/internal/descriptors"
 	"basilrudder/internal/membudget"
 	"basilrudder/internal/monotime"
-	"basilrudder/internal/timer"
 )
 
 const (
@@ -161,178 +160,6 @@
 	}
 }
 
-// reclaim closes a connection of another kind that exceeds its guarantee, and reports whether
-// there was one.
-func (c *Conns) reclaim() bool {
-	for _, l := range c.lenders {
-		l.mu.Lock()
-		closed := c.budget.ExceedsGuarantee(l.kind) && l.makeRoom()
-		l.mu.Unlock()
-		if closed {
-			return true
-		}
-	}
-	return false
-}
-
-// makeRoom closes the connection that is needed least, and reports whether there was one; mu is
-// held.
-func (c *Conns) makeRoom() bool {
-	now := monotime.Now()
-	return c.evict(c.idle, now, &c.closedIdle) || c.evict(c.incomplete, now.Add(-incompleteGrace), &c.closedIncomplete) ||
-		c.closeStalled(now.Add(-stalledAfter), 0)
-}
-
-// closeStalled closes the connection whose client has not read its answer for longest, if that is so
-// since an instant and it holds that much memory. It reports whether there was one; mu is held.
-func (c *Conns) closeStalled(since monotime.Instant, held int64) bool {
-	var stalled *Conn
-	for e := c.answering.Front(); e != nil; e = e.Next() {
-		conn := e.Value.(*Conn)
-		at := monotime.Instant(conn.writing.Load())
-		if at != 0 && at <= since && conn.held >= held {
-			stalled, since = conn, at
-		}
-	}
-	if stalled == nil {
-		return false
-	}
-	c.giveUp(stalled)
-	c.closedStalled.Add(1)
-	return c.drop(stalled)
-}
-
-// MakeRoom closes the connection that is needed least for the descriptor of another kind, if this
-// kind exceeds its guarantee. It reports whether there was one.
-func (c *Conns) MakeRoom() bool {
-	if c.reclaim() {
-		return true
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.budget.ExceedsGuarantee(c.kind) && c.makeRoom()
-}
-
-// evict closes the first connection of a list if it has been there since an instant, and
-// reports whether it did; mu is held.
-func (c *Conns) evict(from *list.List, since monotime.Instant, count *atomic.Int64) bool {
-	for e := from.Front(); e != nil; e = from.Front() {
-		conn := e.Value.(*Conn)
-		if conn.since > since {
-			return false
-		}
-		c.giveUp(conn)
-		if c.drop(conn) {
-			count.Add(1)
-			return true
-		}
-	}
-	return false
-}
-
-// hold counts n further bytes for a connection; mu is held, and released while it waits.
-func (c *Conns) hold(conn *Conn, n int64) bool {
-	if !c.takeMemory(conn, n) {
-		return false
-	}
-	conn.held += n
-	return true
-}
-
-// takeMemory counts n further bytes. If there are none left, other requests are given up for conn, and
-// it waits until they have let go of what they hold; mu is held, and released meanwhile.
-func (c *Conns) takeMemory(conn *Conn, n int64) bool {
-	deadline := time.Now().Add(maxMemoryWait)
-	for conn.current() != evicted {
-		if c.memory.Take(n, conn.held) {
-			return true
-		}
-		for c.pending < n && c.freeFor(conn) {
-		}
-		if c.pending == 0 || !c.awaitFreed(time.Until(deadline)) {
-			return false
-		}
-	}
-	return false
-}
-
-// awaitFreed waits until memory is returned, and reports false if that takes longer than d; mu is held,
-// and released meanwhile.
-func (c *Conns) awaitFreed(d time.Duration) bool {
-	freed := c.freed
-	c.waiters++
-	c.mu.Unlock()
-	ok := timer.Sleep(d, freed)
-	c.mu.Lock()
-	c.waiters--
-	return !ok // the sleep was interrupted
-}
-
-// freeFor gives up a request that holds memory which conn needs more, and reports whether there was
-// one; mu is held.
-func (c *Conns) freeFor(conn *Conn) bool {
-	if victim := c.olderHolder(conn); victim != nil {
-		c.shedRequest(victim)
-		return true
-	}
-	return c.closeStalled(monotime.Now().Add(-stalledAfter), 1)
-}
-
-// olderHolder returns the connection with the oldest incomplete request that holds memory, if it
-// began before that of conn; nil if there is none. mu is held.
-func (c *Conns) olderHolder(conn *Conn) *Conn {
-	for e := c.incomplete.Front(); e != nil && e.Value.(*Conn) != conn; e = e.Next() {
-		if other := e.Value.(*Conn); other.held > 0 {
-			return other
-		}
-	}
-	return nil
-}
-
-// shedRequest gives up an incomplete request; mu is held. If its handler reads the body, that is
-// interrupted so that the caller can be told; otherwise the connection is closed.
-func (c *Conns) shedRequest(conn *Conn) {
-	c.countShed()
-	c.giveUp(conn)
-	if conn.handled {
-		_ = conn.Conn.SetReadDeadline(past) // fails only on a connection that is closed
-	} else {
-		c.drop(conn)
-	}
-}
-
-// countShed counts a request that is given up for lack of memory; mu is held.
-func (c *Conns) countShed() {
-	shed := c.shed.Add(1)
-	if now := monotime.Now(); c.shedAt == 0 || now.Sub(c.shedAt) >= FullFor {
-		c.shedAt = now
-		c.log.Warn("request_memory_short", zap.Stringer("kind", c.kind), zap.Int64("used", c.memory.Used()),
-			zap.Int64("limit", c.memory.Limit()), zap.Int64("shed", shed))
-	}
-}
-
-// giveUp takes a connection from those in use; mu is held. What its request holds counts until its
-// goroutine has ended: many that were given up may wait for the processor.
-func (c *Conns) giveUp(conn *Conn) {
-	if conn.current() != evicted {
-		c.move(conn, evicted)
-		c.pending += conn.held
-	}
-}
-
-// freeMemory counts n bytes that a connection holds as free; mu is held.
-func (c *Conns) freeMemory(conn *Conn, n int64) {
-	c.memory.Release(n)
-	conn.held -= n
-	if conn.current() == evicted {
-		c.pending -= n
-	}
-	if c.waiters > 0 && n > 0 {
-		close(c.freed)
-		c.freed = make(chan struct{})
-	}
-}
-
 // move changes what a connection is used for; mu is held.
 func (c *Conns) move(conn *Conn, to use) {
 	if conn.element != nil {
@@ -346,36 +173,6 @@
 	}
 }
 
-// CloseSlow closes the connections whose clients have taken longer than that to send the head of a
-// request; 0 for any time.
-func (c *Conns) CloseSlow(headTimeout time.Duration) {
-	if headTimeout <= 0 {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	since := monotime.Now().Add(-headTimeout)
-	var next *list.Element
-	for e := c.incomplete.Front(); e != nil && e.Value.(*Conn).since < since; e = next {
-		next = e.Next()
-		if conn := e.Value.(*Conn); !conn.handled {
-			c.closedIncomplete.Add(1)
-			c.giveUp(conn)
-			c.drop(conn)
-		}
-	}
-}
-
-// drop closes a connection that is used no longer; mu is held. It reports false if that has been done.
-func (c *Conns) drop(conn *Conn) bool {
-	if conn.closed.Swap(true) {
-		return false
-	}
-	c.uncount(conn)
-	_ = conn.Conn.Close() // nothing is sent or read any more
-	return true
-}
-
 // listOf returns the list of the connections with a use; nil if there is none.
 func (c *Conns) listOf(u use) *list.List {
 	switch u {
@@ -434,22 +231,3 @@
 		c.StateChanged(raw, http.StateIdle)
 	}
 }
-
-// Metrics counts the connections of a kind that were ended for lack of descriptors, and the requests
-// that were given up for lack of memory (shed).
-type Metrics struct {
-	ClosedIdle       int64 `json:"closed_idle"`
-	ClosedIncomplete int64 `json:"closed_incomplete"`
-	ClosedStalled    int64 `json:"closed_stalled"`
-	Shed             int64 `json:"shed"`
-	Refused          int64 `json:"refused"`
-	Full             bool  `json:"full"`
-}
-
-// Metrics returns the counts so far.
-func (c *Conns) Metrics() Metrics {
-	return Metrics{
-		ClosedIdle: c.closedIdle.Load(), ClosedIncomplete: c.closedIncomplete.Load(),
-		ClosedStalled: c.closedStalled.Load(), Shed: c.shed.Load(), Refused: c.refused.Load(), Full: c.Full(),
-	}
-}
