Inbound: free what large heads took with their request

Callers saw: an instance of the product's own interface that runs out of memory. Cause: fasthttp keeps what a head was parsed into for the connection's next request, and through a pool for other connections, while the budget takes it for free once the request is done. Change: servers of fasthttp (own interface, control addresses, links) free a large head once its request was served or refused. A connection closed for another ends its input instead of failing, as fasthttp passes on no head of a connection that was closed by the server itself. Why it works: what is live is now what is counted; the largest that an idle connection keeps is 8 KiB by the same cost. Ruled out: the cost of a field (96 bytes are counted, 74 to 92 are live), pages (4 KiB on both kinds of machine).

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -195,6 +195,7 @@
 	if s.cfg.Inbound != nil {
 		s.http.ConnState = s.cfg.Inbound.FastStateChanged
 	}
+	inbound.FreeHeads(s.http)
 	return s
 }
 
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -1,7 +1,6 @@
 package inbound
 
 import (
-	"bytes"
 	"container/list"
 	"io"
 	"net"
@@ -71,14 +70,13 @@
 	if n > 0 && !c.refusable && !(c.begin(true) && c.holdHead(p[:n])) {
 		return 0, io.EOF // any other error would be answered as a bad request
 	}
+	if c.Shed() && errors.Is(err, net.ErrClosed) {
+		return 0, io.EOF // fasthttp would drop the head unseen, and FreeHeads not be asked
+	}
 	return n, err
 }
 
 const (
-	// headByteCost and headFieldCost are the bytes of memory that a parsed head takes for each of
-	// its bytes and, beyond that, for each field.
-	headByteCost  = 2
-	headFieldCost = 96
 	// maxAhead is the number of requests in a row that a client may send before it has the answer to
 	// the previous one.
 	maxAhead = 16
@@ -108,10 +106,9 @@
 	if c.handled || c.current() != receiving {
 		return true
 	}
-	cost := headByteCost*len(p) + headFieldCost*bytes.Count(p, []byte{'\n'})
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	if c.conns.hold(c, int64(cost)) {
+	if c.conns.hold(c, headCost(p)) {
 		return true
 	}
 	if c.current() != evicted {
--- a/internal/inbound/control.go
+++ b/internal/inbound/control.go
@@ -20,13 +20,15 @@
 // ControlServer returns a server for requests without a body and with short answers: readiness,
 // addresses, metrics, status. Its listener is to be one of conns.
 func ControlServer(handler fasthttp.RequestHandler, conns *Conns, log *zap.Logger) *fasthttp.Server {
-	return &fasthttp.Server{
+	server := &fasthttp.Server{
 		Handler: closeAhead(handler), NoDefaultServerHeader: true, NoDefaultDate: true,
 		MaxRequestBodySize: maxControlBody, DisablePreParseMultipartForm: true,
 		ReadTimeout: ControlTimeout, WriteTimeout: ControlTimeout, IdleTimeout: controlIdleTimeout,
 		ConnState: conns.FastStateChanged,
 		Logger:    debugLogger{log},
 	}
+	FreeHeads(server)
+	return server
 }
 
 // closeAhead returns a handler that closes the connections of clients who send too many requests ahead.
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"basilrudder/internal/inbound"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
 	"basilrudder/internal/schema/wire"
@@ -116,6 +117,7 @@
 		KeepHijackedConns: true,
 		Logger:            zap.NewStdLog(s.cfg.Log),
 	}
+	inbound.FreeHeads(server)
 	group.Go(func() error { return server.Serve(s.cfg.Listener) })
 	group.Go(func() error { return s.manage(running) })
 	group.Go(func() error {
--- a/tools/fleet/crowd_test.go
+++ b/tools/fleet/crowd_test.go
@@ -119,6 +119,16 @@
 	besiege(t).endure(callersPort, 480, abuse.Client{Send: abuse.Unfinished(chatHead+abuse.Fields(15<<10), 2, abuse.Whole)})
 }
 
+// Guards against idle connections that keep what the head of an earlier request took.
+func TestCrowdAtADaemonOfIdleConnectionsAfterHeadsOfManyFields(t *testing.T) {
+	for _, at := range []struct{ port, size, head int }{{callersPort, 480, 15 << 10}, {adminPort, 900, 3 << 10}, {peersPort, 900, 3 << 10}} {
+		t.Run(fmt.Sprint(at.port), func(t *testing.T) {
+			whole := "GET /nowhere HTTP/1.1\r\nHost: s\r\n" + abuse.Fields(at.head) + "\r\n"
+			besiege(t).endure(at.port, at.size, abuse.Client{Send: abuse.Text(whole), Reads: true})
+		})
+	}
+}
+
 // Guards against heads sent a line at a time by more clients than connections are served.
 func TestCrowdAtADaemonOfSlowHeads(t *testing.T) {
 	besiege(t).endure(callersPort, 700, abuse.Client{Send: abuse.Slowly(chatHead, "abc: x\r\n", 200*time.Millisecond)})
--- a/tools/soak/crowd_test.go
+++ b/tools/soak/crowd_test.go
@@ -262,6 +262,9 @@
 
 const headCrowd = 480
 
+// controlHead is nearly the largest head at addresses other than that for callers.
+const controlHead = 3 << 10
+
 // manyFields returns fields for nearly the largest head, with one name for all and with a name for each.
 func manyFields() map[string]string {
 	return map[string]string{"same": abuse.Fields(legalHead), "distinct": abuse.DistinctFields(legalHead)}
@@ -486,6 +489,20 @@
 	}
 }
 
+// Guards against idle connections that keep what the head of an earlier request took.
+func TestCrowdOfIdleConnectionsAfterHeadsOfManyFields(t *testing.T) {
+	heads := map[string]string{"callers": abuse.Fields(legalHead)}
+	for _, address := range []string{"ready", "directory", "metrics", "peers"} {
+		heads[address] = abuse.Fields(controlHead)
+	}
+	for address, fields := range heads {
+		t.Run(address, func(t *testing.T) {
+			b := besiege(t)
+			b.endure(address, headCrowd, abuse.Client{Send: abuse.Text("GET / HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n"), Reads: true})
+		})
+	}
+}
+
 // Guards against peers that open a link and stop before they prove who they are.
 func TestCrowdOfHalfOpenLinks(t *testing.T) {
 	b := besiege(t)
