Inbound: one logger for the messages of fasthttp

Cause: the control servers got a logger of their own, though that of the callers' server does the same. Change: both use inbound.DebugLogger; behaviour stays.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -190,7 +190,7 @@
 		IdleTimeout:                  s.cfg.IdleTimeout,
 		CloseOnShutdown:              true,
 		DisablePreParseMultipartForm: true,
-		Logger:                       httpLogger{s.cfg.Log},
+		Logger:                       inbound.DebugLogger{Log: s.cfg.Log},
 	}
 	if s.cfg.Inbound != nil {
 		s.http.ConnState = s.cfg.Inbound.FastStateChanged
@@ -258,11 +258,3 @@
 	c.vars.Set("refusals_by_reason", c.refusals)
 	return c
 }
-
-// httpLogger writes fasthttp's messages to the log at debug level.
-type httpLogger struct{ log *zap.Logger }
-
-// Printf implements fasthttp.Logger.
-func (l httpLogger) Printf(format string, args ...any) {
-	l.log.Sugar().Debugf(format, args...)
-}
--- a/internal/inbound/control.go
+++ b/internal/inbound/control.go
@@ -25,7 +25,7 @@
 		MaxRequestBodySize: maxControlBody, DisablePreParseMultipartForm: true,
 		ReadTimeout: ControlTimeout, WriteTimeout: ControlTimeout, IdleTimeout: controlIdleTimeout,
 		ConnState: conns.FastStateChanged,
-		Logger:    debugLogger{log},
+		Logger:    DebugLogger{Log: log},
 	}
 	FreeHeads(server)
 	return server
@@ -41,9 +41,9 @@
 	}
 }
 
-// debugLogger writes fasthttp's messages, most of which are about malformed requests, to the log at
+// DebugLogger writes fasthttp's messages, most of which are about malformed requests, to the log at
 // debug level.
-type debugLogger struct{ log *zap.Logger }
+type DebugLogger struct{ Log *zap.Logger }
 
 // Printf implements fasthttp.Logger.
-func (l debugLogger) Printf(format string, args ...any) { l.log.Sugar().Debugf(format, args...) }
+func (l DebugLogger) Printf(format string, args ...any) { l.Log.Sugar().Debugf(format, args...) }
