Unmarked ends: a leaving server's last answer is probed too

Cause: an instance whose only connection to a leaving server ended took the answer for whole without a probe.

Change: the end is probed whether or not the server leaves. The case "leaving, the last answer" of the table asserted the fault; the test with a killed process now plays leaving servers, and checks more.

--- a/internal/answerend/answerend.go
+++ b/internal/answerend/answerend.go
@@ -54,12 +54,6 @@
 type Evidence struct {
 	Siblings Siblings
 	Probe    Probe
-	// Leaving means that the server had announced that it stops. It may refuse connections
-	// while it completes its last answers.
-	Leaving bool
-	// Resumable means that another server can add what is missing, so that a wrong doubt
-	// costs a run but not the answer.
-	Resumable bool
 }
 
 // Decision is what an end without a mark is taken for.
@@ -70,13 +64,9 @@
 	Doubtful Decision = "doubtful"
 )
 
-// NeedsProbe reports whether a new connection would change the decision.
-func (e Evidence) NeedsProbe() bool {
-	return !e.Siblings.MostOpen() && (e.Resumable || !e.mayBeLast())
-}
-
-// mayBeLast reports whether the answer may be the last one of a server that stops in order.
-func (e Evidence) mayBeLast() bool { return e.Leaving && e.Siblings.Ended == 0 }
+// NeedsProbe reports whether a new connection would change the decision. That the server has
+// announced that it leaves makes no difference: it may end in the middle of an answer.
+func (e Evidence) NeedsProbe() bool { return !e.Siblings.MostOpen() }
 
 // Decide decides on the evidence. An end is doubtful only after a probe that shows it, or one
 // that there was no time for: connections also end for reasons that concern the network or
@@ -95,8 +85,6 @@
 		return "other connections stayed open"
 	case e.Probe != NotProbed:
 		return "new connection " + string(e.Probe)
-	case !e.NeedsProbe():
-		return "the server was leaving"
 	default:
 		return "none"
 	}
--- a/internal/answerend/answerend_test.go
+++ b/internal/answerend/answerend_test.go
@@ -28,9 +28,6 @@
 		{"no time for a probe", Evidence{Probe: Interrupted}, true, Doubtful},
 		{"no time, another connection open", Evidence{Siblings: Siblings{Open: 1}, Probe: Interrupted}, false, Whole},
 		{"not probed", Evidence{Siblings: Siblings{Ended: 1}}, true, Whole},
-		{"leaving, the last answer", Evidence{Probe: Refused, Leaving: true}, false, Whole},
-		{"leaving, all ended", Evidence{Siblings: Siblings{Ended: 1}, Probe: Refused, Leaving: true}, true, Doubtful},
-		{"leaving, resumable", Evidence{Probe: Refused, Leaving: true, Resumable: true}, true, Doubtful},
 	} {
 		if got := c.evidence.NeedsProbe(); got != c.probes {
 			t.Errorf("%s: needs a probe: %v", c.name, got)
--- a/internal/answerend/rules_test.go
+++ b/internal/answerend/rules_test.go
@@ -20,6 +20,9 @@
 	part     bool
 	server   int
 	evidence Evidence
+	// leaving means that the server is known to leave, and resumable that another one can add
+	// what is missing.
+	leaving, resumable bool
 	// atOnce means that other connections ended in the same instant, not before.
 	atOnce bool
 	// bare is what a new connection would show by being accepted or not, and identified what
@@ -114,7 +117,7 @@
 			}
 			continue
 		case kind < 1.3:
-			e.evidence.Leaving = !w.one(w.unknown)
+			e.leaving = !w.one(w.unknown)
 			if w.one(0.3) { // idle connections are closed as the server begins to stop
 				e.evidence.Siblings.Ended = 1
 			}
@@ -124,7 +127,7 @@
 			e.atOnce = e.evidence.Siblings.Ended > 0 && w.one(w.sameStep)
 			e.bare, e.identified = w.alive()
 		}
-		e.evidence.Resumable = w.one(0.5)
+		e.resumable = w.one(0.5)
 		out = append(out, e)
 	}
 	return out
@@ -136,14 +139,14 @@
 	bare, identified := w.gone(server)
 	for range 1 + w.draw.IntN(4) {
 		siblings := w.siblings(w.lost)
-		out = append(out, end{at, true, server, Evidence{siblings, NotProbed, leaving, w.one(0.5)}, siblings.Ended > 0, bare, identified})
+		out = append(out, end{at, true, server, Evidence{Siblings: siblings}, leaving, w.one(0.5), siblings.Ended > 0, bare, identified})
 	}
 	return out
 }
 
 // rule is a way to decide on ends.
 type rule struct {
-	asks       func(Evidence) bool
+	asks       func(end) bool
 	allowed    func(Evidence, monotime.Instant) bool
 	identifies bool
 	decide     func(end) Decision
@@ -188,7 +191,7 @@
 	for _, e := range ends {
 		out.held += r.hold
 		shared := probedAt[e.server] == e.at
-		if r.asks(e.evidence) && (shared || r.allowed(e.evidence, e.at)) {
+		if r.asks(e) && (shared || r.allowed(e.evidence, e.at)) {
 			e.evidence.Probe = e.bare
 			if r.identifies {
 				e.evidence.Probe = e.identified
@@ -210,7 +213,7 @@
 		t.passed++
 	case !e.part && decision == Doubtful:
 		t.broken++
-		if e.evidence.Resumable {
+		if e.resumable {
 			t.rerun++
 		}
 	}
@@ -230,9 +233,11 @@
 
 // rules returns the rules that are compared, with budgets of their own.
 func rules() map[string]rule {
-	always := func(Evidence) bool { return true }
-	never := func(Evidence) bool { return false }
-	noneOpen := func(e Evidence) bool { return e.Siblings.Open == 0 && (e.Resumable || !e.mayBeLast()) }
+	always := func(end) bool { return true }
+	never := func(end) bool { return false }
+	mayBeLast := func(e end) bool { return e.leaving && e.evidence.Siblings.Ended == 0 && !e.resumable }
+	noneOpen := func(e end) bool { return e.evidence.Siblings.Open == 0 && !mayBeLast(e) }
+	needsProbe := func(e end) bool { return e.evidence.NeedsProbe() }
 	unlimited := func(Evidence, monotime.Instant) bool { return true }
 	blind := new(Budget)
 	bounded := func(_ Evidence, now monotime.Instant) bool { return blind.Take(Evidence{}, now) }
@@ -253,12 +258,17 @@
 		"none open, identity, ended": {noneOpen, new(Budget).Take, true, func(e end) Decision {
 			return decisionOf(e.evidence.Probe.ServerGone() || e.evidence.Probe == Unidentified && e.evidence.Siblings.Ended > 0)
 		}, siblingTime},
-		"chosen: most ended, identity, ended": {Evidence.NeedsProbe, new(Budget).Take, true, chosen, siblingTime},
-		"chosen, no lone drops": {Evidence.NeedsProbe, new(Budget).Take, true, func(e end) Decision {
-			lone := e.evidence.Probe == Dropped && e.evidence.Siblings.Ended == 0 && !e.evidence.Resumable
+		"chosen: most ended, identity, ended": {needsProbe, new(Budget).Take, true, chosen, siblingTime},
+		"chosen, trusting the last answers of leaving servers": {
+			func(e end) bool { return e.evidence.NeedsProbe() && !mayBeLast(e) }, new(Budget).Take, true, func(e end) Decision {
+				return decisionOf(!mayBeLast(e) && e.evidence.Decide() == Doubtful)
+			}, siblingTime,
+		},
+		"chosen, no lone drops": {needsProbe, new(Budget).Take, true, func(e end) Decision {
+			lone := e.evidence.Probe == Dropped && e.evidence.Siblings.Ended == 0 && !e.resumable
 			return decisionOf(!lone && e.evidence.Decide() == Doubtful)
 		}, siblingTime},
-		"chosen, with instants": {Evidence.NeedsProbe, new(Budget).Take, true, func(e end) Decision {
+		"chosen, with instants": {needsProbe, new(Budget).Take, true, func(e end) Decision {
 			if !e.atOnce {
 				e.evidence.Siblings.Ended = 0
 			}
@@ -287,7 +297,7 @@
 	for _, name := range slices.Sorted(maps.Keys(totals)) {
 		got := totals[name]
 		n := got.wholes + got.parts
-		t.Logf("%-36s %d of %d parts look whole, %d of %d wholes look broken (%d resumed), %.4f probes an end, held %v",
+		t.Logf("%-52s %d of %d parts look whole, %d of %d wholes look broken (%d resumed), %.4f probes an end, held %v",
 			name, got.passed, got.parts, got.broken, got.wholes, got.rerun, float64(got.probes)/float64(n), got.held/time.Duration(n))
 	}
 	kept, each, bounded, connections := totals["chosen: most ended, identity, ended"], totals["each, unbounded"], totals["each, bounded"], totals["connections"]
--- a/internal/relay/unmarked.go
+++ b/internal/relay/unmarked.go
@@ -31,16 +31,13 @@
 	endedAt := monotime.Now()
 	// What is known by the deadline decides.
 	timer.Sleep(siblingDelay, f.ctx.Done())
-	evidence := answerend.Evidence{
-		Siblings:  f.relay.pool.siblings(e.conn),
-		Leaving:   e.answer.Notice.Leaving || f.relay.cfg.Fleet.Leaving(f.target.ID),
-		Resumable: f.route.Resumable,
-	}
+	evidence := answerend.Evidence{Siblings: f.relay.pool.siblings(e.conn)}
 	if evidence.NeedsProbe() {
 		evidence.Probe = f.probeEnd(evidence, endedAt)
 	}
 	decision := evidence.Decide()
-	f.received.end = &unmarkedEnd{evidence, decision, monotime.Now().Sub(endedAt)}
+	leaving := e.answer.Notice.Leaving || f.relay.cfg.Fleet.Leaving(f.target.ID)
+	f.received.end = &unmarkedEnd{evidence, decision, leaving, monotime.Now().Sub(endedAt)}
 	f.relay.cfg.Metrics.unmarkedEnd(f.received.end)
 	if decision == answerend.Doubtful {
 		return errServerEnded
@@ -74,7 +71,9 @@
 type unmarkedEnd struct {
 	evidence answerend.Evidence
 	decision answerend.Decision
-	held     time.Duration
+	// leaving means that the server had announced that it stops.
+	leaving bool
+	held    time.Duration
 }
 
 func (u *unmarkedEnd) fields() []zap.Field {
@@ -86,7 +85,7 @@
 		zap.String("end_basis", u.evidence.Basis()),
 		zap.Int("siblings_open", u.evidence.Siblings.Open),
 		zap.Int("siblings_ended", u.evidence.Siblings.Ended),
-		zap.Bool("leaving", u.evidence.Leaving),
+		zap.Bool("leaving", u.leaving),
 		zap.Duration("end_held_ms", u.held),
 	}
 }
--- a/internal/relay/unmarked_test.go
+++ b/internal/relay/unmarked_test.go
@@ -65,6 +65,17 @@
 
 // Guards against part of an answer that looks whole since the kernel closes the connections of a killed server in order.
 func TestAnswersOfAKilledServerDoNotLookWhole(t *testing.T) {
+	testKilledServer(t, false)
+}
+
+// Guards against part of an answer that looks whole since its server had announced that it leaves before its process ended.
+func TestAnswersOfALeavingServerThatEndsDoNotLookWhole(t *testing.T) {
+	testKilledServer(t, true)
+}
+
+// testKilledServer plays a server process that is killed after a part of its answer.
+func testKilledServer(t *testing.T, leaving bool) {
+	t.Helper()
 	part := events(1, 2)
 	for _, c := range []struct {
 		path, head, part string
@@ -85,6 +96,7 @@
 			}
 			b := newRig(t, allRoutes, scripts, "s1", "s2")
 			b.sockets = true
+			b.fleet.leaving = map[string]bool{"s1": leaving}
 			server := exec.Command(os.Args[0])
 			server.Env = append(os.Environ(), asServer+"="+c.head+c.part)
 			out, err := server.StdoutPipe()
