Probes name a server by its name, and tell its starts apart

Cause: the probe of an end named the server by the id of its incarnation, which only instances use, so a sound server answered 421.

Change: servers.Name is a type, and the protocol's interface takes nothing else for a server. The reply's start is compared too: a server may start again under its name. server_replaced logs who replied.

Measured: with the former id TestAnAddressThatAcceptsDoesNotShowThatTheServerLives failed where the server checks its name. Tests of relay, gateway, servers and platform pass.

--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -160,7 +160,7 @@
 	c.putServers = func(r *servers.Registry, now monotime.Instant) (ids []string) {
 		for n := range shape.servers {
 			r.Put(servers.Server{
-				ID: serverAddress(n), Name: serverAddress(n), Service: "app", Address: serverAddress(n),
+				ID: serverAddress(n), Name: servers.Name(serverAddress(n)), Service: "app", Address: serverAddress(n),
 				DataCentre: fmt.Sprint("dc-", n%2), Slots: shape.slots, Revision: servers.Revision(n + 1),
 			}, now)
 			ids = append(ids, serverAddress(n))
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -41,7 +41,7 @@
 	return relay.Request{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Prompt: prompt, Output: prompt / 10, Parts: parts}, nil
 }
 
-func (minimalProtocol) Forward(h http.Header, f relay.Forward) { h.Set("X-Server", f.Server) }
+func (minimalProtocol) Forward(h http.Header, f relay.Forward) { h.Set("X-Server", string(f.Server)) }
 
 func (minimalProtocol) Answer(_ int, h http.Header) relay.Answer {
 	out := relay.Answer{ID: h.Get("X-Id"), Signed: true, NotRun: h.Get("X-Not-Run") != ""}
@@ -50,7 +50,8 @@
 	return out
 }
 
-func (minimalProtocol) Identify(http.Header, string) (path string) { return "" }
+func (minimalProtocol) Identify(http.Header, servers.Name) (path string) { return "" }
+func (minimalProtocol) Identity(http.Header, []byte) relay.Identity      { return relay.Identity{} }
 
 func (minimalProtocol) LastEventID([]byte) string { return "" }
 
@@ -177,12 +178,12 @@
 // register lets the first instance read the entry of an incarnation, and the end of the one
 // before.
 func (s *crashingServer) register(id, before string) {
-	entry := servers.Server{ID: id, Name: id, Service: "svc", Address: s.address, Slots: 16}
+	entry := servers.Server{ID: id, Name: servers.Name(id), Service: "svc", Address: s.address, Slots: 16}
 	s.site.fleet[0].fleet.changeServers(fromStore, func(r *servers.Registry, now monotime.Instant) []string {
 		s.site.revision += 2
 		entry.Revision = s.site.revision
 		r.Put(entry, now)
-		r.Remove(before, entry.Revision-1, now)
+		r.Remove(servers.Name(before), entry.Revision-1, now)
 		return []string{entry.ID, before}
 	})
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -92,7 +92,7 @@
 }
 
 func entry(id string, revision servers.Revision) servers.Server {
-	return servers.Server{ID: id, Name: id, Service: "svc", Address: "10.0.0.1:" + id, Slots: 4, Revision: revision}
+	return servers.Server{ID: id, Name: servers.Name(id), Service: "svc", Address: "10.0.0.1:" + id, Slots: 4, Revision: revision}
 }
 
 // newFleet returns a fleet without links, its storeSync, and the source of that.
--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -167,7 +167,7 @@
 func putCutServers(r *servers.Registry, now monotime.Instant) (ids []string) {
 	for n := range cutServers {
 		s := servers.Server{
-			ID: serverAddress(n), Name: serverAddress(n), Service: serviceOf(n), Address: serverAddress(n),
+			ID: serverAddress(n), Name: servers.Name(serverAddress(n)), Service: serviceOf(n), Address: serverAddress(n),
 			DataCentre: fmt.Sprint("dc-", n%2), Slots: 64, Revision: servers.Revision(n + 1),
 		}
 		r.Put(s, now)
--- a/internal/gateway/serverstate.go
+++ b/internal/gateway/serverstate.go
@@ -28,7 +28,7 @@
 	}
 	now := monotime.Now()
 	state := wire.RelayServer{
-		ID: s.ID, Name: s.Name, Born: int(s.Born), Service: s.Service, Address: s.Address, DataCentre: s.DataCentre,
+		ID: s.ID, Name: string(s.Name), Born: int(s.Born), Service: s.Service, Address: s.Address, DataCentre: s.DataCentre,
 		Software: s.Software, Slots: s.Slots, Draining: s.Draining, Invalid: s.Invalid, Revision: int(s.Revision),
 		ColdMS: int(max(0, f.registry.ColdUntil(id).Sub(now)).Milliseconds()),
 	}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -262,7 +262,7 @@
 				change = r.MarkGone(s.ID, servers.Revision(s.Revision), now)
 			} else {
 				change = r.Put(servers.Server{
-					ID: s.ID, Name: s.Name, Born: int64(s.Born), Service: s.Service, Address: s.Address, DataCentre: s.DataCentre,
+					ID: s.ID, Name: servers.Name(s.Name), Born: int64(s.Born), Service: s.Service, Address: s.Address, DataCentre: s.DataCentre,
 					Software: s.Software, Slots: s.Slots, Draining: s.Draining, Invalid: s.Invalid, Revision: servers.Revision(s.Revision),
 					ColdLeft: milliseconds(s.ColdMS),
 				}, now)
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -53,7 +53,7 @@
 }
 
 func (resumingProtocol) Forward(h http.Header, f relay.Forward) {
-	h.Set("X-Server", f.Server)
+	h.Set("X-Server", string(f.Server))
 	if f.ResumeAfter != "" {
 		h.Set("X-Resume", f.ResumeAfter)
 	}
@@ -159,7 +159,7 @@
 	v.revision++
 	id := fmt.Sprintf("s%d-%d", n, v.revision)
 	v.running[n] = servers.Server{
-		ID: id, Name: id, Service: "llm", Address: serverAddress(n), DataCentre: fmt.Sprint("dc-", n%2),
+		ID: id, Name: servers.Name(id), Service: "llm", Address: serverAddress(n), DataCentre: fmt.Sprint("dc-", n%2),
 		Slots: 64, Software: software, Revision: v.revision,
 	}
 	return v.running[n]
@@ -302,7 +302,7 @@
 	s := v.running[n]
 	v.mu.Unlock()
 	id := req.Header.Get("X-Id")
-	if req.Header.Get("X-Server") != s.Name {
+	if req.Header.Get("X-Server") != string(s.Name) {
 		_, err = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 		return err == nil
 	}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -37,7 +37,7 @@
 }
 
 func (plainProtocol) Forward(h http.Header, f Forward) {
-	h.Set("X-Server", f.Server)
+	h.Set("X-Server", string(f.Server))
 	h.Set("X-Customer", f.Customer)
 	if f.HideKey {
 		h.Del("X-Key")
@@ -54,7 +54,8 @@
 	}
 }
 
-func (plainProtocol) Identify(http.Header, string) (path string) { return "" }
+func (plainProtocol) Identify(http.Header, servers.Name) (path string) { return "" }
+func (plainProtocol) Identity(http.Header, []byte) Identity            { return Identity{} }
 
 func (plainProtocol) LastEventID(events []byte) (last string) {
 	for line := range strings.FieldsFuncSeq(string(events), func(r rune) bool { return r == '\n' || r == '\r' }) {
@@ -124,12 +125,15 @@
 	}
 	for _, id := range f.servers {
 		if !excluded[id] && work.Software.Allows(f.software[id]) {
-			return Target{Server: servers.Server{ID: id, Name: id, Address: id, Software: f.software[id]}, Choice: placement.Choice{First: 100 * time.Millisecond}}, placement.Chosen
+			return Target{Server: servers.Server{ID: id, Name: nameOf(id), Born: 7, Address: id, Software: f.software[id]}, Choice: placement.Choice{First: 100 * time.Millisecond}}, placement.Chosen
 		}
 	}
 	return Target{}, placement.NoneReachable
 }
 
+// nameOf returns the name of a server, which is not the id of its incarnation.
+func nameOf(id string) servers.Name { return servers.Name("name-of-" + id) }
+
 func (f *fakeFleet) Begin(target Target, _ placement.Work, _ monotime.Instant) (run int, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -42,7 +42,7 @@
 // Forward holds what the relay adds to the headers for a server.
 type Forward struct {
 	// Server is the server that must execute the request; any other one refuses it.
-	Server string
+	Server servers.Name
 	// Deadline is how long an answer remains useful.
 	Deadline time.Duration
 	// Customer that sent the request; empty when no customers are configured.
@@ -62,8 +62,6 @@
 type Answer struct {
 	// ID of the request that is answered; empty if the headers have none.
 	ID string
-	// Server is the server that answers; empty if the headers don't name it.
-	Server string
 	// Signed reports that the answer comes from a server that worked on the request.
 	Signed bool
 	// NotRun reports that the server guarantees not to have run the request.
@@ -72,6 +70,14 @@
 	Notice servers.Notice
 }
 
+// Identity is how a server that answers identifies itself.
+type Identity struct {
+	// Name of the server; empty if it doesn't say.
+	Name servers.Name
+	// Born is its start, as in servers.Server; 0 if it doesn't say.
+	Born int64
+}
+
 // Protocol translates the headers of callers and servers.
 type Protocol interface {
 	// Request parses the headers of a caller.
@@ -82,7 +88,9 @@
 	Answer(status int, h http.Header) Answer
 	// Identify returns the path of a GET request, and sets its headers, to which a server
 	// replies without running anything and any other one with 421; empty for none.
-	Identify(h http.Header, server string) (path string)
+	Identify(h http.Header, server servers.Name) (path string)
+	// Identity parses the reply to that request.
+	Identity(h http.Header, body []byte) Identity
 	// LastEventID returns the last id in complete events of a stream; empty when they have
 	// none. Lines end as the eventstream package says.
 	LastEventID(events []byte) string
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -109,7 +109,7 @@
 	return &Relay{
 		cfg: cfg, pool: pool,
 		probes:    newProbes(cfg.Connector, anyServer),
-		endProbes: newProbes(cfg.Connector, identifier(cfg.Protocol)),
+		endProbes: newProbes(cfg.Connector, identifier(cfg.Protocol, cfg.Log)),
 	}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -43,7 +43,7 @@
 		if got.RequestURI != "/once/a%2Fb?q=1" || body != "body" || got.Host != "h.example" {
 			t.Errorf("server got %s %q for %s", got.RequestURI, body, got.Host)
 		}
-		want := map[string]string{"X-Server": "s1", "X-Customer": "acme", "X-Key": "", "X-Drop": "", "X-Id": "r1"}
+		want := map[string]string{"X-Server": string(nameOf("s1")), "X-Customer": "acme", "X-Key": "", "X-Drop": "", "X-Id": "r1"}
 		for name, value := range want {
 			if got.Header.Get(name) != value {
 				t.Errorf("%s: %q, want %q", name, got.Header.Get(name), value)
--- a/internal/relay/unmarked_test.go
+++ b/internal/relay/unmarked_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -155,15 +157,23 @@
 // identifyingProtocol has servers that can be asked which one they are.
 type identifyingProtocol struct{ plainProtocol }
 
-func (identifyingProtocol) Identify(h http.Header, server string) (path string) {
-	h.Set("X-Server", server)
+func (identifyingProtocol) Identify(h http.Header, server servers.Name) (path string) {
+	h.Set("X-Server", string(server))
 	return "/who"
 }
 
-func (p identifyingProtocol) Answer(status int, h http.Header) Answer {
-	out := p.plainProtocol.Answer(status, h)
-	out.Server = h.Get("X-Server")
-	return out
+func (identifyingProtocol) Identity(h http.Header, body []byte) Identity {
+	born, _ := strconv.ParseInt(string(body), 10, 64)
+	return Identity{servers.Name(h.Get("X-Server")), born}
+}
+
+// endless replies with a body that does not end.
+func endless(t *testing.T, c net.Conn, in *bufio.Reader) {
+	readRequest(t, in)
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Server: name-of-s1\r\n\r\n")
+	for piece := strings.Repeat("x", 4096); err == nil; {
+		_, err = io.WriteString(c, piece)
+	}
 }
 
 // Guards against trust in an address that accepts connections although the server there has ended.
@@ -175,14 +185,26 @@
 		basis string
 	}{
 		"the server replies":      {replying("HTTP/1.1 200 OK" + end), true, "accepted by the server"},
-		"the server names itself": {replying("HTTP/1.1 503 Full\r\nX-Server: s1" + end), true, "accepted by the server"},
-		"a proxy replies":         {replying("HTTP/1.1 502 Bad Gateway" + end), true, "accepted without a reply of the server"},
-		"no HTTP":                 {replying("no HTTP"), true, "accepted without a reply of the server"},
-		"no reply":                {unresponsive, true, "accepted without a reply of the server"},
-		"another server rejects":  {replying("HTTP/1.1 421 Misdirected Request" + end), false, "accepted by another server"},
-		"another server replies":  {replying("HTTP/1.1 200 OK\r\nX-Server: s3" + end), false, "accepted by another server"},
-		"the connection ends":     {sendThenClose(), false, "accepted and dropped"},
-		"the connection is reset": {sendThenReset(), false, "accepted and dropped"},
+		"the server names itself": {replying("HTTP/1.1 503 Full\r\nX-Server: name-of-s1" + end), true, "accepted by the server"},
+		"the server checks its name": {func(t *testing.T, c net.Conn, in *bufio.Reader) {
+			status := "421 Misdirected Request"
+			if asked, _ := readRequest(t, in); asked.Header.Get("X-Server") == string(nameOf("s1")) {
+				status = "200 OK"
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+end) // fails only if the relay has gone
+		}, true, "accepted by the server"},
+		"the server states its start":     {replying("HTTP/1.1 200 OK\r\nX-Server: name-of-s1\r\nContent-Length: 1\r\n\r\n7"), true, "accepted by the server"},
+		"the server has started again":    {replying("HTTP/1.1 200 OK\r\nX-Server: name-of-s1\r\nContent-Length: 1\r\n\r\n8"), false, "accepted by another server"},
+		"the reply ends early":            {sendThenClose("HTTP/1.1 200 OK\r\nX-Server: name-of-s1\r\nContent-Length: 9\r\n\r\n7"), false, "accepted and dropped"},
+		"a reply without end":             {endless, true, "accepted without a reply of the server"},
+		"a proxy replies":                 {replying("HTTP/1.1 502 Bad Gateway" + end), true, "accepted without a reply of the server"},
+		"no HTTP":                         {replying("no HTTP"), true, "accepted without a reply of the server"},
+		"no reply":                        {unresponsive, true, "accepted without a reply of the server"},
+		"the server rejects the question": {replying("HTTP/1.1 421 Misdirected Request\r\nX-Server: name-of-s1" + end), true, "accepted by the server"},
+		"another server rejects":          {replying("HTTP/1.1 421 Misdirected Request" + end), false, "accepted by another server"},
+		"another server replies":          {replying("HTTP/1.1 200 OK\r\nX-Server: s3" + end), false, "accepted by another server"},
+		"the connection ends":             {sendThenClose(), false, "accepted and dropped"},
+		"the connection is reset":         {sendThenReset(), false, "accepted and dropped"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newRig(t, allRoutes, map[string][]script{"s1": {sendThenClose(closeStreamHead, events(1, 5)), c.probe, replying()}}, "s1")
--- a/internal/servers/era.go
+++ b/internal/servers/era.go
@@ -106,7 +106,7 @@
 }
 
 // dropCopies drops the entries kept aside under a name.
-func (r *Registry) dropCopies(name string) {
+func (r *Registry) dropCopies(name Name) {
 	maps.DeleteFunc(r.copiedEntries, func(_ string, s Server) bool { return s.Name == name })
 }
 
--- a/internal/servers/era_test.go
+++ b/internal/servers/era_test.go
@@ -255,7 +255,7 @@
 func (h *history) write(s Server) {
 	h.number++
 	s.Revision = rev(h.era, h.number)
-	h.items[s.Name] = s
+	h.items[string(s.Name)] = s
 	h.events = append(h.events, event{number: h.number, server: s})
 }
 
--- a/internal/servers/evacuation_test.go
+++ b/internal/servers/evacuation_test.go
@@ -10,7 +10,7 @@
 )
 
 func inDataCentre(id, dataCentre string) Server {
-	return Server{ID: id, Name: id, Service: "s", Address: "10.0.0.1:" + id, DataCentre: dataCentre, Slots: 4, Revision: 1}
+	return Server{ID: id, Name: Name(id), Service: "s", Address: "10.0.0.1:" + id, DataCentre: dataCentre, Slots: 4, Revision: 1}
 }
 
 // Guards against requests to an evacuated data centre, whose power operators may work on,
--- a/internal/servers/growth_test.go
+++ b/internal/servers/growth_test.go
@@ -22,7 +22,7 @@
 	for _, size := range []int{600, 1200} {
 		r := registryOf(size)
 		for n := range size / 2 {
-			r.Remove(fmt.Sprint("server-", n), Revision(size+n+1), at(time.Second))
+			r.Remove(Name(fmt.Sprint("server-", n)), Revision(size+n+1), at(time.Second))
 		}
 		if allocations := testing.AllocsPerRun(10, func() { r.Expire(at(2 * time.Second)) }); allocations > 0 {
 			t.Errorf("%d servers: %v allocations", size, allocations)
@@ -36,8 +36,8 @@
 func TestBirthsOfNamesOutlastTheirTombstones(t *testing.T) {
 	r := New()
 	put := func(name string, born int64, revision Revision, after time.Duration) {
-		s := server(Incarnation(name, born), revision)
-		s.Name, s.Born = name, born
+		s := server(Incarnation(Name(name), born), revision)
+		s.Name, s.Born = Name(name), born
 		r.Put(s, at(after))
 	}
 	put("restarted", 1, 1, 0)
@@ -99,14 +99,14 @@
 	for n := range 5000 {
 		now, revision := at(time.Duration(n)*time.Millisecond), Revision(n+1)
 		name := fmt.Sprint("server-", rng.IntN(20))
-		s := server(Incarnation(name, 1+rng.Int64N(3)), revision)
-		s.Name, s.Born = name, int64(s.ID[len(s.ID)-1]-'0')
+		s := server(Incarnation(Name(name), 1+rng.Int64N(3)), revision)
+		s.Name, s.Born = Name(name), int64(s.ID[len(s.ID)-1]-'0')
 		s.Draining = rng.IntN(5) == 0
 		switch rng.IntN(8) {
 		case 0:
-			r.Remove(name, revision, now)
+			r.Remove(Name(name), revision, now)
 		case 1:
-			r.Invalidate(EntryRef{Name: name, Revision: revision}, now)
+			r.Invalidate(EntryRef{Name: Name(name), Revision: revision}, now)
 		case 2:
 			r.MarkGone(s.ID, revision, now)
 		case 3:
--- a/internal/servers/registry.go
+++ b/internal/servers/registry.go
@@ -38,11 +38,11 @@
 	// replaced since is still listed.
 	expiring []expiringTombstone
 	// tombstoneCount is the number of tombstones of each name.
-	tombstoneCount map[string]int
+	tombstoneCount map[Name]int
 	// current is the live incarnation of each name, and newestBorn the birth of the
 	// newest incarnation observed of it.
-	current    map[string]string
-	newestBorn map[string]int64
+	current    map[Name]string
+	newestBorn map[Name]int64
 	// replaced are the incarnations that ended by a restart of their server since the
 	// last call of Replaced.
 	replaced []string
@@ -77,8 +77,8 @@
 func New() *Registry {
 	return &Registry{
 		live: make(map[string]*record), gone: make(map[string]tombstone),
-		inGrace: make(map[string]struct{}), limited: make(map[string]struct{}), brittle: make(map[string]struct{}), tombstoneCount: make(map[string]int),
-		current: make(map[string]string), newestBorn: make(map[string]int64),
+		inGrace: make(map[string]struct{}), limited: make(map[string]struct{}), brittle: make(map[string]struct{}), tombstoneCount: make(map[Name]int),
+		current: make(map[Name]string), newestBorn: make(map[Name]int64),
 		evacuations: make(map[string]Evacuation), deferred: make(map[string]Evacuation),
 		copiedEntries: make(map[string]Server), versions: newVersionCounts(),
 	}
@@ -210,7 +210,7 @@
 // whose entries are missing.
 func (r *Registry) Replace(list []Server, invalid []EntryRef, revision Revision, now monotime.Instant) (changed []string) {
 	r.observeList(revision, now)
-	present := make(map[string]bool, len(list))
+	present := make(map[Name]bool, len(list))
 	for _, s := range list {
 		present[s.Name] = true
 		if r.Put(s, now) != Unchanged {
--- a/internal/servers/registry_test.go
+++ b/internal/servers/registry_test.go
@@ -22,7 +22,7 @@
 }
 
 func server(id string, revision Revision) Server {
-	return Server{ID: id, Name: id, Service: "s", Address: "10.0.0.1:" + id, Revision: revision}
+	return Server{ID: id, Name: Name(id), Service: "s", Address: "10.0.0.1:" + id, Revision: revision}
 }
 
 // Guards against live servers dropped after a store outage in which their entries
@@ -36,7 +36,7 @@
 	}
 	r.StoreRecovered(at(5 * time.Second))
 	for _, id := range []string{"a", "b", "c"} {
-		if _, got := r.Remove(id, 10, at(5*time.Second)); got != InGrace {
+		if _, got := r.Remove(Name(id), 10, at(5*time.Second)); got != InGrace {
 			t.Fatalf("removal of %s: %v", id, got)
 		}
 	}
@@ -156,7 +156,7 @@
 
 // born returns an incarnation of a server that keeps its name and address.
 func born(name string, at int64, revision Revision) Server {
-	return Server{ID: Incarnation(name, at), Name: name, Born: at, Service: "s", Address: "10.0.0.1:1", Revision: revision}
+	return Server{ID: Incarnation(Name(name), at), Name: Name(name), Born: at, Service: "s", Address: "10.0.0.1:1", Revision: revision}
 }
 
 // Guards against a restarted server that is not used because its former start, under the
--- a/internal/servers/removal.go
+++ b/internal/servers/removal.go
@@ -21,7 +21,7 @@
 
 // tombstone marks an incarnation that is gone.
 type tombstone struct {
-	name     string
+	name     Name
 	revision Revision
 	at       monotime.Instant
 	// draining is whether it was draining, which a reappearing entry can't undo.
@@ -41,7 +41,7 @@
 // once, a whole service could vanish for two seconds after each outage. So a removal
 // received shortly after one counts only if the entry does not reappear; that of a
 // draining server counts at once.
-func (r *Registry) Remove(name string, revision Revision, now monotime.Instant) (id string, change Change) {
+func (r *Registry) Remove(name Name, revision Revision, now monotime.Instant) (id string, change Change) {
 	r.observe(revision, now)
 	r.dropCopies(name)
 	id = r.current[name]
@@ -82,8 +82,8 @@
 }
 
 func (r *Registry) addTombstone(id string, revision Revision, now monotime.Instant) {
-	stone := tombstone{revision: revision, at: now}
-	stone.name, _, _ = strings.Cut(id, bornSeparator)
+	name, _, _ := strings.Cut(id, bornSeparator)
+	stone := tombstone{name: Name(name), revision: revision, at: now}
 	if rec := r.live[id]; rec != nil {
 		stone.name, stone.draining = rec.server.Name, rec.server.Draining
 		r.dropFromDigest(rec)
--- a/internal/servers/server.go
+++ b/internal/servers/server.go
@@ -5,13 +5,17 @@
 	"time"
 )
 
+// Name is the name of a server, which it keeps over restarts and by which it knows itself.
+// It is the only id of a server that servers understand; those of incarnations are known to
+// instances alone.
+type Name string
+
 // Server is one incarnation of an upstream server. Values are not changed once they are
 // in a Registry.
 type Server struct {
 	// ID of the incarnation, see Incarnation; each start has its own.
-	ID string
-	// Name of the server, which it keeps over restarts.
-	Name string
+	ID   string
+	Name Name
 	// Born is the Unix millisecond of its start by its own clock; 0 if unknown. Of two
 	// incarnations of a name the one with the higher value is the newer.
 	Born int64
@@ -40,11 +44,11 @@
 // Incarnation returns the id of one start of a named server. All state is recorded under
 // this id, so that what a former start kept, ran or refused is not attributed to the new
 // one.
-func Incarnation(name string, born int64) string {
+func Incarnation(name Name, born int64) string {
 	if born == 0 {
-		return name
+		return string(name)
 	}
-	return name + bornSeparator + strconv.FormatInt(born, 10)
+	return string(name) + bornSeparator + strconv.FormatInt(born, 10)
 }
 
 // bornSeparator separates name and birth in the id of an incarnation. Instances exchange
@@ -55,7 +59,7 @@
 // unreadable.
 type EntryRef struct {
 	// Name of the server.
-	Name string
+	Name Name
 	// Revision of the store at which this was read.
 	Revision Revision
 }
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -38,8 +39,10 @@
 	software string
 	wanted   string
 	id       string
-	http     *http.Server
-	proxy    *proxy
+	// born is the start that the entry states, in Unix milliseconds; 0 if it states none.
+	born  float64
+	http  *http.Server
+	proxy *proxy
 	// ending is held by the fault that replaces the server.
 	ending sync.Mutex
 
@@ -209,12 +212,15 @@
 	if err != nil {
 		return err
 	}
-	u.id = fmt.Sprintf("s%d-%d", u.number, time.Now().UnixNano())
+	u.id, u.born = fmt.Sprintf("s%d-%d", u.number, time.Now().UnixNano()), 0
+	if rand.IntN(2) == 0 {
+		u.born = float64(time.Now().UnixMilli())
+	}
 	// Each start brings another of two versions, and both serve at any time.
 	u.starts++
 	u.software = cmp.Or(u.wanted, fmt.Sprint("v", 1+(u.number/2+u.starts)%2))
 	server := standin.NewServer(u.id, slots, f.ledger)
-	server.Software, server.WithoutLength = u.software, f.ends.withoutLength(u.number)
+	server.Software, server.Born, server.WithoutLength = u.software, u.born, f.ends.withoutLength(u.number)
 	if f.onCrash != nil {
 		server.OnCrash = func() { f.onCrash(u, server) }
 	}
@@ -243,7 +249,7 @@
 }
 
 func (u *upstream) entry(state string) wire.ServerEntry {
-	return wire.ServerEntry{Service: u.service, Address: u.proxy.address(), Zone: "here", Software: u.software, Slots: float64(slots), State: state}
+	return wire.ServerEntry{Service: u.service, Address: u.proxy.address(), Zone: "here", Software: u.software, Slots: float64(slots), State: state, Born: u.born}
 }
 
 func (f *fleet) close() {
