Streams: a conclusion from the versions seen needs a read after the question

Cause: an instance that does not know a stream concluded from a view that the store had confirmed within 3 s that its service had one version only. But streams begin at a new version at once where no other server takes them, and a process that stood still takes the store's answer of before for one of now.

Change: the store confirms the view by a read that begins after the caller asked, of the changes since the instance's revision. A listing after a lost history ends what is known of versions. Reaching all instances no longer serves in place of the store: links look alive after a pause. One case of TestAnUnknownStreamGoesOnWhereOneVersionServedOnly asserted that conclusion and asserts the refusal now; the model's rules of views' ages and settling, which the new one replaces, make way for two others.

With one version and sound links all streams of the fleets in internal/gateway go on as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,6 +188,7 @@
 	}, s.Peers.Seeds, g.fleet, cfg.Log)
 	g.fleet.memberCount = g.peers.memberCount
 	g.fleet.confirm = g.storeSync.confirm
+	g.fleet.streams.confirm = newVersionReads(g.storeSync).confirm
 	g.fleet.publish = g.peers.configs.publish
 	g.storeSync.rank, g.storeSync.hasHub, g.storeSync.hasPeer = g.peers.rank, g.peers.hasHub, g.peers.hasPeer
 	g.connectUpdates()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -58,7 +58,7 @@
 		configs:     newConfigSync(self.ID, f, log),
 		differences: make(map[string]difference),
 	}
-	f.streams.ask, f.streams.reachesAll = p.askStreams, p.reachesAll
+	f.streams.ask = p.askStreams
 	p.configs.send = func(to string, env *wire.Envelope) bool { return p.links.Send(to, env) }
 	return p
 }
@@ -193,7 +193,6 @@
 func (p *peers) tick(now monotime.Instant) {
 	p.configs.updateLinked(p.linked)
 	p.configs.tick(now)
-	p.fleet.checkVersionView(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refresh(now)
--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -60,6 +60,8 @@
 	config     *routing.Config
 	protocol   relay.Protocol
 	putServers func(r *servers.Registry, now monotime.Instant) []string
+	// confirms returns how an instance has the store confirm versions; nil for not at all.
+	confirms func(n int, f *fleet) func(ctx context.Context, at monotime.Instant) bool
 
 	mu     sync.Mutex
 	hosts  []*narrownet.Host // of the instances
@@ -154,7 +156,10 @@
 		c.mu.Unlock()
 		return linkedHost{listen: host.Listen, dial: host.Dial, capacity: 400}
 	})
-	for _, i := range started {
+	for n, i := range started {
+		if c.confirms != nil {
+			i.fleet.streams.confirm = c.confirms(first+n, i.fleet)
+		}
 		i.fleet.installConfig(c.config, fromStore)
 		i.fleet.changeServers(fromStore, c.putServers)
 		c.mu.Lock()
--- a/internal/gateway/storebackoff.go
+++ b/internal/gateway/storebackoff.go
@@ -20,7 +20,7 @@
 
 // backOff waits after a failure of the store.
 func (f *storeSync) backOff(ctx context.Context, err error) {
-	wait := min(minStoreBackoff<<min(f.failures-1, 4), maxStoreBackoff)
+	wait := min(minStoreBackoff<<min(f.failures.Load()-1, 4), maxStoreBackoff)
 	// While the store is unavailable to all, no instance receives confirmations and each
 	// tries to read it: 95 instances made 2,900 calls in 12 s. The first in rank continue
 	// as usual and inform the others when it has recovered, so the others may try rarely,
--- a/internal/gateway/storesync.go
+++ b/internal/gateway/storesync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -77,8 +78,11 @@
 	minWatch      time.Duration // minimum length of a watch
 	answerTimeout time.Duration // added to the length of a watch, for the answer to arrive
 
-	revision servers.Revision
-	failures int
+	// revision is that up to which this instance has all changes; 0 while it does not follow
+	// the store, or does not have them. Only run changes it.
+	revision atomic.Int64
+	// failures is the number of calls that have failed since the last one that did not.
+	failures atomic.Int64
 
 	// confirming holds a token while the configuration is read.
 	confirming chan struct{}
@@ -119,9 +123,9 @@
 		case ctx.Err() != nil:
 			return nil
 		case errors.Is(err, ErrNotWanted):
-		case errors.Is(err, ErrHistoryLost) && f.revision != 0:
-			f.log.Info("store_history_lost", zap.Stringer("revision", f.revision))
-			f.revision = 0
+		case errors.Is(err, ErrHistoryLost) && f.complete() != 0:
+			f.log.Info("store_history_lost", zap.Stringer("revision", f.complete()))
+			f.revision.Store(0)
 		default:
 			f.failed(err)
 			f.backOff(ctx, err)
@@ -148,9 +152,10 @@
 // reads again, it reads everything, because it has missed changes, and its earlier failures
 // say nothing about the time in between.
 func (f *storeSync) idle(ctx context.Context) {
-	if f.revision != 0 || f.failures != 0 {
+	if f.complete() != 0 || f.failures.Load() != 0 {
 		f.log.Info("store_left_to_others")
-		f.revision, f.failures = 0, 0
+		f.revision.Store(0)
+		f.failures.Store(0)
 	}
 	if f.lacksState() {
 		timer.Sleep(initialCheckInterval, ctx.Done())
@@ -162,7 +167,7 @@
 // readNext reads everything at first, and from then on the changes.
 func (f *storeSync) readNext(ctx context.Context) error {
 	begun := monotime.Now()
-	if f.revision == 0 {
+	if f.complete() == 0 {
 		pageBegun := begun
 		all, err := f.source.All(ctx, func() bool {
 			f.pauseBetweenPages(ctx, monotime.Now().Sub(pageBegun))
@@ -180,12 +185,13 @@
 	wait := f.watchDuration()
 	ctx, cancel := context.WithTimeout(ctx, wait+f.answerTimeout)
 	defer cancel()
-	changes, err := f.source.Watch(ctx, f.revision, wait)
+	changes, err := f.source.Watch(ctx, f.complete(), wait)
 	if err != nil {
 		return err
 	}
 	f.recordRecovery()
 	f.applyChanges(changes)
+	f.revision.Store(int64(max(f.complete(), changes.Revision)))
 	if changes.Config == nil {
 		begun = monotime.Now()
 	}
@@ -221,7 +227,7 @@
 // recordRecovery marks the store as recovered from an outage, before its answer is
 // applied.
 func (f *storeSync) recordRecovery() {
-	if f.failures < outageFailures {
+	if f.failures.Load() < outageFailures {
 		return
 	}
 	f.fleet.mu.Lock()
@@ -239,7 +245,9 @@
 		ids := r.Replace(all.Servers, all.Invalid, all.Revision, now)
 		return append(ids, remove(r, all.Removals, now)...)
 	})
-	f.revision = all.Revision
+	// Versions may have been listed and gone since the last changes that are known.
+	f.fleet.streams.history.Interrupt(monotime.Now())
+	f.revision.Store(int64(all.Revision))
 	if listedBefore != 0 && listedBefore.Era() < all.Revision.Era() {
 		f.fleet.updates.addServerList(f.fleet.allServers(), all.Revision)
 	}
@@ -262,9 +270,11 @@
 		}
 		return ids
 	})
-	f.revision = max(f.revision, changes.Revision)
 }
 
+// complete returns the revision up to which this instance has all changes; 0 for none.
+func (f *storeSync) complete() servers.Revision { return servers.Revision(f.revision.Load()) }
+
 // remove applies removals of entries and returns the ids of what changed.
 func remove(r *servers.Registry, removals []servers.EntryRef, now monotime.Instant) (ids []string) {
 	for _, removal := range removals {
@@ -276,16 +286,14 @@
 }
 
 func (f *storeSync) succeeded() {
-	if f.failures > 0 {
-		f.log.Info("store_regained", zap.Int("failures", f.failures), zap.Stringer("revision", f.revision))
+	if failures := f.failures.Swap(0); failures > 0 {
+		f.log.Info("store_regained", zap.Int64("failures", failures), zap.Stringer("revision", f.complete()))
 	}
-	f.failures = 0
 }
 
 func (f *storeSync) failed(err error) {
-	f.failures++
-	if f.failures == 1 {
-		f.log.Warn("store_lost", eventlog.Cause(err), zap.Stringer("revision", f.revision))
+	if f.failures.Add(1) == 1 {
+		f.log.Warn("store_lost", eventlog.Cause(err), zap.Stringer("revision", f.complete()))
 	}
 }
 
--- a/internal/gateway/streamqueries.go
+++ b/internal/gateway/streamqueries.go
@@ -98,16 +98,37 @@
 
 // answerStreams answers a peer that asks for streams.
 func (p *peers) answerStreams(to string, wanted []wire.RelayStreamQuery) {
-	if len(wanted) == 0 {
-		return
-	}
 	var out wire.RelayNews
 	for _, w := range wanted {
-		if origin := p.fleet.knownStream(streams.Key(w.Key), w.Service, monotime.Now()); origin.Known {
+		if origin := p.fleet.toldStream(streams.Key(w.Key), monotime.Now()); origin.Known {
 			out.Streams = append(out.Streams, wire.RelayStreams{Software: origin.Version, Keys: []int{w.Key}})
+			continue
 		}
+		p.concludeStream(to, w)
 	}
 	if len(out.Streams) > 0 {
 		p.links.Send(to, &wire.Envelope{News: []wire.RelayNews{out}})
 	}
 }
+
+// concludeStream answers a peer that asks for a stream of which this instance was not told, if
+// its service has had one version only.
+func (p *peers) concludeStream(to string, w wire.RelayStreamQuery) {
+	s, now := p.fleet.streams, monotime.Now()
+	if _, _, ok := s.only(w.Service, now); !ok {
+		return
+	}
+	if s.concluding.Add(1) > maxStreamQueries {
+		s.concluding.Add(-1)
+		return
+	}
+	go func() {
+		defer s.concluding.Add(-1)
+		ctx, cancel := context.WithTimeout(context.Background(), streamQueryTimeout)
+		defer cancel()
+		if origin := p.fleet.onlyVersion(ctx, w.Service, now); origin.Known {
+			told := wire.RelayStreams{Software: origin.Version, Keys: []int{w.Key}}
+			p.links.Send(to, &wire.Envelope{News: []wire.RelayNews{{Streams: []wire.RelayStreams{told}}}})
+		}
+	}()
+}
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -16,13 +16,10 @@
 )
 
 const (
-	// maxVersionViewAge is how old the store's last confirmation of the servers may be for
-	// a conclusion from the versions that they have.
-	maxVersionViewAge = 3 * time.Second
 	// versionSettling is how long a new software version is left out where a stream begins
-	// that may be resumed elsewhere. It exceeds maxVersionViewAge: whoever concludes from a
-	// view that the service has one version only would have the new one in it.
-	versionSettling = maxVersionViewAge + time.Second
+	// that may be resumed elsewhere, if other servers take it. Instances of former releases
+	// conclude from views of 3 s that a service has one version only.
+	versionSettling = 4 * time.Second
 	// maxVersionAge bounds the ages of versions that peers tell; older ones are as settled.
 	maxVersionAge = time.Hour
 	// lifetimePerTimeout is how long a stream may be resumed after it began, as a multiple
@@ -39,14 +36,17 @@
 	history *streams.History
 	// ask asks peers for a stream.
 	ask func(key streams.Key, service string)
-	// reachesAll reports whether all instances that were seen lately can be reached.
-	reachesAll func() bool
+	// confirm reports whether this instance has all versions that the store listed at an
+	// instant.
+	confirm func(ctx context.Context, at monotime.Instant) bool
 	// lifetimes are how long streams of each service may be resumed, by its routes; guarded
 	// by mu.
 	lifetimes map[string]time.Duration
 	// asked and unknown count the streams that peers were asked for, and those that stayed
 	// unknown.
 	asked, unknown atomic.Int64
+	// concluding is the number of peers' queries that wait for a confirmation.
+	concluding atomic.Int64
 
 	mu      sync.Mutex
 	waiting map[streams.Key]*streamQuery
@@ -56,7 +56,7 @@
 	return &streamVersions{
 		table: streams.NewTable(), history: streams.NewHistory(), waiting: make(map[streams.Key]*streamQuery),
 		ask: func(streams.Key, string) {}, lifetimes: make(map[string]time.Duration),
-		reachesAll: func() bool { return false },
+		confirm: func(context.Context, monotime.Instant) bool { return false },
 	}
 }
 
@@ -109,13 +109,6 @@
 	return streamMetrics{Known: s.table.Len(), Asked: s.asked.Load(), Unknown: s.unknown.Load()}
 }
 
-// reachesAll reports whether all members can be reached.
-func (p *peers) reachesAll() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.node.Reachable()) == p.node.MemberCount()
-}
-
 // versionAges returns the ages of the versions of all services, as sent to peers.
 func (s *streamVersions) versionAges(now monotime.Instant) (out []wire.RelayVersion) {
 	for _, a := range s.history.Ages(now) {
@@ -154,42 +147,41 @@
 		// The stream has no name; what is said of it holds for this request only.
 		key = streams.Key(rand.Int64())
 	}
-	if origin := f.knownStream(key, service, monotime.Now()); origin.Known {
+	if origin := f.toldStream(key, monotime.Now()); origin.Known {
+		return origin
+	}
+	if origin := f.onlyVersion(ctx, service, monotime.Now()); origin.Known {
 		return origin
 	}
 	f.streams.query(ctx, key, service)
-	origin := f.knownStream(key, service, monotime.Now())
+	origin := f.toldStream(key, monotime.Now())
 	if !origin.Known {
 		f.streams.unknown.Add(1)
 	}
 	return origin
 }
 
-// knownStream returns what this instance knows of a stream: it was told of it, or the
-// service has had one version only.
-func (f *fleet) knownStream(key streams.Key, service string, now monotime.Instant) relay.StreamOrigin {
+// toldStream returns what this instance was told of a stream.
+func (f *fleet) toldStream(key streams.Key, now monotime.Instant) relay.StreamOrigin {
 	if r, ok := f.streams.table.Get(key, now); ok {
 		return relay.StreamOrigin{Known: true, Version: r.Version, From: r.From, Age: now.Sub(r.At)}
 	}
-	version, lasted, ok := f.streams.only(service, now)
-	if !ok || !f.seesVersions(now) {
-		return relay.StreamOrigin{Age: f.sinceServersConfirmed(now)}
-	}
-	return relay.StreamOrigin{Known: true, Version: version, From: relay.OnlyVersion, Age: lasted}
-}
-
-// seesVersions reports whether no version can have been listed unseen. While the store
-// confirms nothing to anyone, an instance that reaches all others hears of each version that
-// any of them learns of.
-func (f *fleet) seesVersions(now monotime.Instant) bool {
-	return f.sinceServersConfirmed(now) <= maxVersionViewAge || f.streams.reachesAll()
+	return relay.StreamOrigin{Age: f.sinceServersConfirmed(now)}
 }
 
-// checkVersionView notes that versions may have been listed unseen.
-func (f *fleet) checkVersionView(now monotime.Instant) {
-	if !f.seesVersions(now) {
-		f.streams.history.Interrupt(now)
+// onlyVersion returns the version of any stream of a service that began before an instant, if
+// it has had one version only. A process can't tell how old its view is, since it may have
+// stood still or have been cut off: the store has to confirm the view after that instant.
+func (f *fleet) onlyVersion(ctx context.Context, service string, before monotime.Instant) relay.StreamOrigin {
+	unknown := relay.StreamOrigin{Age: f.sinceServersConfirmed(before)}
+	if _, _, ok := f.streams.only(service, before); !ok || !f.streams.confirm(ctx, before) {
+		return unknown
 	}
+	version, lasted, ok := f.streams.only(service, monotime.Now())
+	if !ok {
+		return unknown
+	}
+	return relay.StreamOrigin{Known: true, Version: version, From: relay.OnlyVersion, Age: lasted}
 }
 
 func (f *fleet) sinceServersConfirmed(now monotime.Instant) time.Duration {
--- a/internal/gateway/streamversions_test.go
+++ b/internal/gateway/streamversions_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,7 +32,7 @@
 	}
 	for _, c := range []struct {
 		name      string
-		confirmed bool // by the store, just now
+		confirmed bool // by the store, when it is asked
 		play      func(f *fleet)
 		want      bool
 	}{
@@ -56,23 +57,29 @@
 			})
 		}, false},
 		{"the store is down", false, func(f *fleet) {
-			f.streams.reachesAll = func() bool { return true }
 			time.Sleep(lifetime)
-		}, true},
+			advance(&f.confirmedByStore, monotime.Now())
+		}, false},
 		{"cut off from the store and from others", false, func(*fleet) { time.Sleep(lifetime) }, false},
-		{"cut off a moment ago", true, func(f *fleet) {
+		{"the store's history was lost a moment ago", true, func(f *fleet) {
 			time.Sleep(lifetime)
-			f.checkVersionView(monotime.Now())
+			f.streams.history.Interrupt(monotime.Now())
 			time.Sleep(lifetime / 2)
 		}, false},
+		{"another version came while the instance stood still", true, func(f *fleet) {
+			time.Sleep(lifetime)
+			advance(&f.confirmedByStore, monotime.Now())
+			f.streams.confirm = func(context.Context, monotime.Instant) bool {
+				addOther(f)
+				return true
+			}
+		}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := versionFleet()
+				f.streams.confirm = func(context.Context, monotime.Instant) bool { return c.confirmed }
 				c.play(f)
-				if c.confirmed {
-					advance(&f.confirmedByStore, monotime.Now())
-				}
 				got := f.StreamOrigin(t.Context(), "llm", "try")
 				if got.Known != c.want || got.Known && (got.Version != "v1" || got.From != relay.OnlyVersion) {
 					t.Errorf("%+v", got)
--- a/internal/gateway/updates_fuzz_test.go
+++ b/internal/gateway/updates_fuzz_test.go
@@ -60,7 +60,8 @@
 			fl.streams.apply("peer", &env.News[i], monotime.Now())
 			fl.streams.learn(env.News[i].Versions, monotime.Now())
 			for _, w := range env.News[i].StreamsWanted {
-				_ = fl.knownStream(streams.Key(w.Key), w.Service, monotime.Now())
+				_ = fl.toldStream(streams.Key(w.Key), monotime.Now())
+				_ = fl.onlyVersion(t.Context(), w.Service, monotime.Now())
 			}
 			_, _ = p.node.Receive("peer", &env.News[i], monotime.Now())
 			p.node.Refresh(monotime.Now())
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -74,7 +74,9 @@
 	random *rand.Rand
 
 	// The following are guarded by cutCluster.mu.
-	running  []servers.Server // by number; the zero value while one is down
+	running []servers.Server // by number; the zero value while one is down
+	// changes are all that the store has told of servers.
+	changes  []func(r *servers.Registry, now monotime.Instant) []string
 	revision servers.Revision
 	// offStore holds the instances that are cut off from the store, and killed those whose
 	// process has ended, with what ends their callers' requests.
@@ -113,7 +115,7 @@
 		}
 		v.config = versionConfig()
 		v.protocol = resumingProtocol{}
-		v.putServers = v.putRunning
+		v.putServers, v.confirms = v.putRunning, v.confirmVersions
 		for n := range versionServers {
 			v.newIncarnation(n, "v1")
 			v.startServer(n, func(conn net.Conn, in *bufio.Reader) bool { return v.serveStream(n, conn, in) })
@@ -189,6 +191,22 @@
 	}
 }
 
+// confirmVersions lets the store tell an instance at once what it has told others so far.
+func (v *versionCluster) confirmVersions(n int, f *fleet) func(context.Context, monotime.Instant) bool {
+	return func(context.Context, monotime.Instant) bool {
+		if v.isOffStore(n) {
+			return false
+		}
+		v.mu.Lock()
+		changes := slices.Clone(v.changes)
+		v.mu.Unlock()
+		for _, change := range changes {
+			f.changeServers(fromStore, change)
+		}
+		return true
+	}
+}
+
 func (v *versionCluster) instances() []*linkedInstance {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -203,6 +221,9 @@
 
 // tell lets the store tell each instance a change, some later than others.
 func (v *versionCluster) tell(change func(r *servers.Registry, now monotime.Instant) []string) {
+	v.mu.Lock()
+	v.changes = append(v.changes, change)
+	v.mu.Unlock()
 	for n, i := range v.instances() {
 		lag := v.chance(entryLag)
 		v.tasks.Go(func() error {
--- a/internal/streams/model_test.go
+++ b/internal/streams/model_test.go
@@ -21,23 +21,24 @@
 	modelStream   = 2
 	modelLinger   = 1
 	modelLifetime = modelStream + modelLinger
-	// modelViewAge is how old a view may be for a conclusion, and modelSettling how long a
-	// new version is left out.
-	modelViewAge  = 1
-	modelSettling = 2
+	// modelViewAge is how old the view may be of an instance that begins a stream, or, without
+	// the rule of a fresh read, of one that concludes. An instance may be paused for as long.
+	modelViewAge = 1
 	// never is a tick before all others, and maxModelStates bounds the memory of a walk.
 	never          = -100
-	maxModelStates = 3_000_000
+	maxModelStates = 5_000_000
 )
 
 type modelInstance struct {
 	up bool
-	// listed are the versions in its view, read at confirmed; appeared and gone are when each
-	// was first and last seen by this process; since is when it began to track them.
-	listed         [modelVersions]bool
-	appeared, gone [modelVersions]int8
-	confirmed      int8
-	since          int8
+	// listed are the versions in its view, read at confirmed; gone is when each was last seen
+	// by this process; since is when it began to track them.
+	listed    [modelVersions]bool
+	gone      [modelVersions]int8
+	confirmed int8
+	since     int8
+	// fresh means that it has read the store since the stream began.
+	fresh bool
 	// record is the version that it was told of, plus one.
 	record int8
 }
@@ -61,7 +62,7 @@
 
 // rules are the parts of the design that the model can leave out, and ways that it can add.
 type rules struct {
-	unknownIsAny, noSettling, noViewAge, noLifetime, noStartWait bool
+	unknownIsAny, noFreshRead, noLifetime, noStartWait, noInterrupt bool
 	// readHistory has a process that starts read the store's history, which the store may
 	// discard. Nothing tells the process since when that has all changes.
 	readHistory bool
@@ -84,7 +85,7 @@
 func startModel(s *modelState, since int8) modelInstance {
 	m := modelInstance{up: true, listed: s.store, confirmed: s.tick, since: since}
 	for v := range modelVersions {
-		m.appeared[v], m.gone[v] = since, never
+		m.gone[v] = never
 	}
 	return m
 }
@@ -100,24 +101,18 @@
 }
 
 // read applies the store's changes since the last time, which tell of versions that came and
-// went, or its list after a gap, which does not.
-func (m *modelInstance) read(s *modelState) {
+// went, or its list if it has discarded some of them, which does not.
+func (m *modelInstance) read(s *modelState, r rules) {
+	lost := s.historyFrom > m.confirmed
 	for v := range modelVersions {
-		switch {
-		case s.store[v] && !m.listed[v]:
-			m.appeared[v] = s.tick
-		case !s.store[v] && (m.listed[v] || s.unlisted[v] >= m.confirmed):
+		if !s.store[v] && (m.listed[v] || !lost && s.unlisted[v] >= m.confirmed) {
 			m.gone[v] = s.tick
 		}
 	}
-	if s.tick-m.confirmed > modelViewAge {
-		// The history of the gap may be lost.
+	if lost && !r.noInterrupt {
 		m.since = s.tick
-		for v := range modelVersions {
-			m.appeared[v] = s.tick
-		}
 	}
-	m.listed, m.confirmed = s.store, s.tick
+	m.listed, m.confirmed, m.fresh = s.store, s.tick, s.begun > 0
 }
 
 // origin returns the version at which the instance resumes the stream, or false.
@@ -125,7 +120,8 @@
 	if m.record > 0 {
 		return m.record - 1, true
 	}
-	if !r.noViewAge && s.tick-m.confirmed > modelViewAge || !r.noLifetime && !r.noStartWait && s.tick-m.since < modelLifetime {
+	fresh := m.fresh || r.noFreshRead && s.tick-m.confirmed <= modelViewAge
+	if !fresh || !r.noLifetime && !r.noStartWait && s.tick-m.since < modelLifetime {
 		return 0, false
 	}
 	found := 0
@@ -138,14 +134,12 @@
 	return version, found == 1
 }
 
-// begins reports whether a stream may begin at a version. Not part of the model: instances
-// that are cut off, or see no version that has settled, begin streams all the same.
-func (m *modelInstance) begins(v int8, s *modelState, r rules) bool {
-	if s.tick-m.confirmed > modelViewAge {
-		return false
-	}
+// begins reports whether a stream may begin at a version, new ones included: there may be no
+// other server that takes it. Not part of the model: instances that are cut off begin streams
+// all the same.
+func (m *modelInstance) begins(v int8, s *modelState) bool {
 	serves := s.store[v] || s.tick-s.unlisted[v] <= modelLinger
-	return serves && m.listed[v] && (r.noSettling || s.tick-m.appeared[v] >= modelSettling)
+	return s.tick-m.confirmed <= modelViewAge && serves && m.listed[v]
 }
 
 // next calls visit with each state that may follow.
@@ -167,7 +161,7 @@
 			step(fmt.Sprint("the store toggles version ", v), func(n *modelState) { n.toggle(v) })
 		}
 	}
-	if r.readHistory && s.historyFrom < s.tick {
+	if s.historyFrom < s.tick {
 		step("the store discards its history", func(n *modelState) { n.historyFrom = n.tick })
 	}
 	for i := range s.instances {
@@ -195,7 +189,7 @@
 		}
 		return
 	}
-	step(fmt.Sprint("instance ", i, " reads"), func(n *modelState) { n.instances[i].read(n) })
+	step(fmt.Sprint("instance ", i, " reads"), func(n *modelState) { n.instances[i].read(n, r) })
 	if s.kills < modelKills {
 		step(fmt.Sprint("instance ", i, " is killed"), func(n *modelState) {
 			n.kills++
@@ -206,7 +200,7 @@
 		step(fmt.Sprint("instance ", i, " is told"), func(n *modelState) { n.instances[i].record, n.told[i] = n.begun, false })
 	}
 	for v := range int8(modelVersions) {
-		if i == 0 && m.begins(v, s, r) {
+		if i == 0 && m.begins(v, s) {
 			step(fmt.Sprint("instance ", i, " begins at version ", v), func(n *modelState) { n.begin(i, v) })
 		}
 	}
@@ -231,9 +225,6 @@
 			m.since = never
 		}
 		for v := range modelVersions {
-			if s.tick-m.appeared[v] >= modelSettling {
-				m.appeared[v] = never
-			}
 			if s.tick-m.gone[v] > modelLifetime {
 				m.gone[v] = never
 			}
@@ -248,7 +239,7 @@
 			s.unlisted[v] = never
 		}
 	}
-	if s.tick-s.historyFrom > modelLifetime {
+	if s.tick-s.historyFrom > modelLifetime || !r.readHistory && s.historyFrom <= oldest {
 		s.historyFrom = never
 	}
 }
@@ -265,10 +256,13 @@
 // begin begins the stream: an update goes to all others and may never arrive.
 func (s *modelState) begin(i int, v int8) {
 	s.begun, s.at = v+1, s.tick
-	s.instances[i].record = s.begun
+	for n := range s.instances {
+		s.instances[n].fresh = false
+	}
 	for other := range s.instances {
 		s.told[other] = other != i && s.instances[other].up
 	}
+	s.instances[i] = modelInstance{} // it does nothing more
 }
 
 // walk visits all states and returns a shortest play that mixes versions; nil if there is
@@ -313,8 +307,8 @@
 	}{
 		{"all rules", rules{}, false},
 		{"unknown is any", rules{unknownIsAny: true}, true},
-		{"streams begin at new versions at once", rules{noSettling: true}, true},
-		{"old views prove something", rules{noViewAge: true}, true},
+		{"views of before the stream prove something", rules{noFreshRead: true}, true},
+		{"a lost history interrupts nothing", rules{noInterrupt: true}, true},
 		{"versions that are gone are forgotten", rules{noLifetime: true}, true},
 		{"instances conclude as soon as they start", rules{noStartWait: true}, true},
 		{"instances that start read the store's history", rules{readHistory: true}, true},
