Crashes: a server that replies after an answer has survived it

What callers could see: proper requests denied with 400 after servers had been replaced.

Cause: an answer without a marked end stayed suspect for 10 s where its server accepted connections 150 ms later, although the server itself had replied to the probe of the end.

Change: a reply of the server itself after the end, at once or when it is examined, counts as a run that it survived.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"basilrudder/internal/answerend"
 	"basilrudder/internal/crashes"
 	"basilrudder/internal/monotime"
 	"basilrudder/internal/timer"
@@ -177,24 +178,35 @@
 }
 
 // checkUnmarkedEnd finds out whether the server crashed where an answer without a marked end
-// was closed soon after its begin. The caller does not wait for that.
+// was closed soon after its begin. A server that sends something afterwards did not: its end
+// later has another cause. The caller does not wait for that.
 func (f *forwarder) checkUnmarkedEnd(e *exchange, begunAt monotime.Instant) {
 	now := monotime.Now()
 	if f.received.framing != framingClose || now.Sub(begunAt) > crashWindow {
 		return
 	}
 	crash, target, id, r := f.crashOf(now), f.target, f.request.ID, f.relay
-	succeeded := e.resp.StatusCode < http.StatusMultipleChoices
+	outlived := func() {
+		if e.resp.StatusCode < http.StatusMultipleChoices {
+			r.cfg.Fleet.Survived(crash.Content(), begunAt)
+		}
+	}
+	if f.received.end.evidence.Probe == answerend.Identified {
+		outlived()
+		return
+	}
 	r.answers.watch()
 	go func() {
 		defer r.answers.unwatch()
 		timer.Sleep(unmarkedEndDelay, nil)
-		switch {
-		case r.answers.since(target.ID, crash.At.Add(lateBytes)):
-			if succeeded {
-				r.cfg.Fleet.Survived(crash.Content(), begunAt)
-			}
-		case r.mayProbeUnmarked() && r.probes.ended(context.Background(), target):
+		if r.answers.since(target.ID, crash.At.Add(lateBytes)) {
+			outlived()
+			return
+		}
+		switch r.endProbes.examine(context.Background(), target, crash.At, r.mayProbeUnmarked) {
+		case answerend.Identified:
+			outlived()
+		case answerend.Refused:
 			r.reportCrash(crash, id)
 		default:
 			r.cfg.Fleet.BrokeOff(target, crash, monotime.Now())
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -79,6 +79,29 @@
 	}
 }
 
+// Guards against a suspicion of a request after whose answer its server itself has replied.
+func TestAServerThatRepliesAfterAnAnswerSurvivedIt(t *testing.T) {
+	who := replying("HTTP/1.1 200 OK\r\nX-Server: name-of-s1\r\nContent-Length: 0\r\n\r\n")
+	for name, scripts := range map[string][]script{
+		"at the end":     {closing(200, "id: 1\n\n", 50*time.Millisecond), who},
+		"somewhat later": {closing(200, "id: 1\n\n", 50*time.Millisecond), unresponsive, who},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newRig(t, allRoutes, map[string][]script{"s1": scripts}, "s1")
+				b.relay = New(Config{Fleet: b.fleet, Protocol: identifyingProtocol{}, Dial: b.dial})
+				b.serve(request("POST", "/stream/x", "r", "body"))
+				time.Sleep(2 * unmarkedEndDelay)
+				synctest.Wait()
+				b.close()
+				if len(b.fleet.crashed)+len(b.fleet.brokeOff) > 0 || len(b.fleet.survived) != 1 {
+					t.Errorf("%d crashes, %d broken answers, %d runs without", len(b.fleet.crashed), len(b.fleet.brokeOff), len(b.fleet.survived))
+				}
+			})
+		})
+	}
+}
+
 // Guards against an answer without a marked end that never exonerates its request.
 func TestALaterAnswerShowsThatTheServerSurvived(t *testing.T) {
 	for status, survived := range map[int]int{http.StatusOK: 1, http.StatusInternalServerError: 0} {
