Crashes: an entry that goes confirms nothing while its server replies

Change: the server is asked by name and start first; where it replies, the suspicions are dropped and suspicions_dropped is logged. Servers that refuse, drop, don't reply or have another start are judged as before.

Measured: the case "its entry goes, it replies" of TestABrokenAnswerCountsOnceItsServerHasEnded counted a crash before.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -517,6 +517,14 @@
 	}{
 		{"goes on", func(*fleet, monotime.Instant) {}, false},
 		{"its entry goes", func(f *fleet, _ monotime.Instant) { end(f, "a", 6) }, true},
+		{"its entry goes, it does not reply", func(f *fleet, _ monotime.Instant) {
+			f.suspicions.replies = func(relay.Target) bool { return false }
+			end(f, "a", 6)
+		}, true},
+		{"its entry goes, it replies", func(f *fleet, _ monotime.Instant) {
+			f.suspicions.replies = func(target relay.Target) bool { return target.ID == "a" }
+			end(f, "a", 6)
+		}, false},
 		{"another one at its address", func(f *fleet, _ monotime.Instant) { put(f, fromStore, replacement) }, true},
 		{"another one answers", func(f *fleet, now monotime.Instant) { f.Misdirected("a", now) }, true},
 		{"another one answers elsewhere", func(f *fleet, now monotime.Instant) { f.Misdirected("b", now) }, false},
@@ -525,18 +533,21 @@
 			end(f, "a", 6)
 		}, false},
 	} {
-		f, _, _ := newFleet()
-		server := servers.Server{ID: "a", Name: "a", Service: "svc", Address: "a:1", Slots: 1, Revision: 1}
-		put(f, fromStore, server)
-		now := monotime.Now()
-		f.BrokeOff(relay.Target{Server: server}, crashes.Crash{Request: crashes.Fingerprint{1}, Server: "a", At: now}, now)
-		if f.AnySuspected() {
-			t.Errorf("%s: counts at once", c.name)
-		}
-		c.then(f, now)
-		if got := f.AnySuspected(); got != c.counted {
-			t.Errorf("%s: suspected %v, want %v", c.name, got, c.counted)
-		}
+		synctest.Test(t, func(t *testing.T) {
+			f, _, _ := newFleet()
+			server := servers.Server{ID: "a", Name: "a", Service: "svc", Address: "a:1", Slots: 1, Revision: 1}
+			put(f, fromStore, server)
+			now := monotime.Now()
+			f.BrokeOff(relay.Target{Server: server}, crashes.Crash{Request: crashes.Fingerprint{1}, Server: "a", At: now}, now)
+			if f.AnySuspected() {
+				t.Errorf("%s: counts at once", c.name)
+			}
+			c.then(f, now)
+			synctest.Wait()
+			if got := f.AnySuspected(); got != c.counted {
+				t.Errorf("%s: suspected %v, want %v", c.name, got, c.counted)
+			}
+		})
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,6 +199,7 @@
 		MakeRoom:     g.callers.MakeRoom,
 		ResetOnClose: inbound.ResetOnClose,
 	})
+	g.fleet.suspicions.replies = g.relay.Replies
 	g.fleet.board.SetConnected(g.relay.Connected)
 	return g, nil
 }
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -24,15 +24,31 @@
 // suspicions holds answers that broke off although their servers seemed to accept
 // connections: something else may answer at the address of a server that has ended.
 type suspicions struct {
+	// replies reports whether the very process of a server still replies at its address; nil
+	// if it can't be asked.
+	replies func(target relay.Target) bool
+
 	mu   sync.Mutex
 	list []suspicion
 }
 
 type suspicion struct {
-	crash   crashes.Crash
-	address string
+	crash  crashes.Crash
+	target relay.Target
 }
 
+// fate is what becomes of a suspicion after a change.
+type fate uint8
+
+const (
+	kept fate = iota
+	dropped
+	confirmed
+	// doubtful means that the server's entry went: it has ended or left without an
+	// announcement, and goes on serving for a while.
+	doubtful
+)
+
 // BrokeOff implements relay.Fleet.
 func (f *fleet) BrokeOff(target relay.Target, crash crashes.Crash, now monotime.Instant) {
 	if f.endWasAnnounced(crash.Server) {
@@ -44,7 +60,7 @@
 	if len(f.suspicions.list) >= maxSuspicions {
 		f.suspicions.list = f.suspicions.list[1:]
 	}
-	f.suspicions.list = append(f.suspicions.list, suspicion{crash, target.Address})
+	f.suspicions.list = append(f.suspicions.list, suspicion{crash, target})
 }
 
 // endWasAnnounced reports whether a server said that it leaves, or its entry is gone.
@@ -60,43 +76,68 @@
 
 // Misdirected implements relay.Fleet.
 func (f *fleet) Misdirected(server string, now monotime.Instant) {
-	f.settleSuspicions("misdirected", now, func(s *suspicion) (ended, dropped bool) {
-		return s.crash.Server == server, false
+	f.settleSuspicions("misdirected", now, func(s *suspicion) fate {
+		if s.crash.Server == server {
+			return confirmed
+		}
+		return kept
 	})
 }
 
 // settleServers confirms suspicions against servers that have ended or whose address has
 // another incarnation now, and drops those against servers that leave.
 func (f *fleet) settleServers(changed []wire.RelayServer, now monotime.Instant) {
-	f.settleSuspicions("entry", now, func(s *suspicion) (ended, dropped bool) {
+	f.settleSuspicions("entry", now, func(s *suspicion) fate {
 		for i := range changed {
 			switch c := &changed[i]; {
-			case c.ID == s.crash.Server && c.Gone, c.ID != s.crash.Server && !c.Gone && c.Address == s.address:
-				return true, false
+			case c.ID == s.crash.Server && c.Gone:
+				return doubtful
+			case c.ID != s.crash.Server && !c.Gone && c.Address == s.target.Address:
+				return confirmed
 			case c.ID == s.crash.Server && c.Draining:
-				return false, true
+				return dropped
 			}
 		}
-		return false, false
+		return kept
 	})
 }
 
-func (f *fleet) settleSuspicions(evidence string, now monotime.Instant, decide func(*suspicion) (ended, dropped bool)) {
-	var confirmed []crashes.Crash
+func (f *fleet) settleSuspicions(evidence string, now monotime.Instant, decide func(*suspicion) fate) {
+	var ended []suspicion
+	asked := make(map[string][]suspicion)
 	f.suspicions.mu.Lock()
 	f.suspicions.expire(now)
 	f.suspicions.list = slices.DeleteFunc(f.suspicions.list, func(s suspicion) bool {
-		ended, dropped := decide(&s)
-		if ended {
-			confirmed = append(confirmed, s.crash)
+		found := decide(&s)
+		switch {
+		case found == doubtful && f.suspicions.replies != nil:
+			asked[s.crash.Server] = append(asked[s.crash.Server], s)
+		case found == doubtful, found == confirmed:
+			ended = append(ended, s)
 		}
-		return ended || dropped
+		return found != kept
 	})
 	f.suspicions.mu.Unlock()
-	for _, crash := range confirmed {
-		f.log.Info("crash_confirmed", zap.String("server", crash.Server), zap.String("evidence", evidence),
-			zap.Stringer("request", crash.Request), zap.Duration("age_ms", now.Sub(crash.At)))
-		f.recordCrash(crash, now)
+	f.confirmCrashes(ended, evidence, now)
+	for _, list := range asked {
+		go f.settleGone(list)
+	}
+}
+
+// settleGone confirms suspicions against a server whose entry went, unless it still replies.
+func (f *fleet) settleGone(list []suspicion) {
+	if !f.suspicions.replies(list[0].target) {
+		f.confirmCrashes(list, "entry", monotime.Now())
+		return
+	}
+	f.log.Info("suspicions_dropped", zap.String("server", list[0].crash.Server), zap.Int("answers", len(list)))
+}
+
+func (f *fleet) confirmCrashes(list []suspicion, evidence string, now monotime.Instant) {
+	for _, s := range list {
+		f.log.Info("crash_confirmed", zap.String("server", s.crash.Server), zap.String("evidence", evidence),
+			zap.Stringer("request", s.crash.Request), zap.Duration("age_ms", now.Sub(s.crash.At)))
+		f.recordCrash(s.crash, now)
 	}
 }
 
--- a/internal/relay/probes.go
+++ b/internal/relay/probes.go
@@ -51,6 +51,12 @@
 	return p.examine(ctx, target, 0, func() bool { return true }) == answerend.Refused
 }
 
+// Replies reports whether the very process of a server replies at its address.
+func (r *Relay) Replies(target Target) bool {
+	always := func() bool { return true }
+	return r.endProbes.examine(context.Background(), target, monotime.Now(), always) == answerend.Identified
+}
+
 // examine probes a server if allowed for an answer that ended at since, or waits for a probe
 // under way.
 func (p *probes) examine(ctx context.Context, target Target, since monotime.Instant, allowed func() bool) answerend.Probe {
