Unmarked ends: a refusal that is not confirmed in time counts as one

What callers could see: a part of an answer that looks whole where its server refuses this instance, and peers take over 400 ms to say whether it refuses them too.

Change: the connector confirms a refusal in a call of its own; what was seen so far decides when the wait is over. Blame for crashes needs the confirmation as before.

--- a/internal/gateway/servercut_test.go
+++ b/internal/gateway/servercut_test.go
@@ -736,7 +736,12 @@
 	playCuts(t, func(c *cutCluster) {
 		probe := func(id, address string) answerend.Probe {
 			target := relay.Target{Server: servers.Server{ID: id, Service: "llm", Address: address}}
-			return c.fleet[0].connector.Probe(c.ctx, target, relay.AnyServer)
+			connector := c.fleet[0].connector
+			found := connector.Probe(c.ctx, target, relay.AnyServer)
+			if found == answerend.Refused {
+				found = connector.Confirm(c.ctx, target, relay.AnyServer)
+			}
+			return found
 		}
 		if got := probe("replaced", "10.0.9.9:80"); got != answerend.Unconfirmed {
 			t.Errorf("unknown to peers: %s", got)
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -38,13 +38,14 @@
 	}
 }
 
-// Probe implements relay.Connector. A server that refuses this instance only has not ended,
-// so a peer has to confirm it if there is any.
+// Probe implements relay.Connector.
 func (c *connector) Probe(ctx context.Context, target relay.Target, identify relay.Identify) answerend.Probe {
-	found := relay.Probe(ctx, c.dial, target.Address, identify)
-	if found != answerend.Refused {
-		return found
-	}
+	return relay.Probe(ctx, c.dial, target.Address, identify)
+}
+
+// Confirm implements relay.Connector. A server that refuses this instance only has not ended,
+// so a peer has to confirm it if there is any.
+func (c *connector) Confirm(ctx context.Context, target relay.Target, identify relay.Identify) answerend.Probe {
 	if !c.reachesAnother(ctx, target.Server) {
 		return answerend.Unconfirmed
 	}
--- a/internal/relay/connector.go
+++ b/internal/relay/connector.go
@@ -36,9 +36,11 @@
 	// Unanswered reports that a server has not answered over a direct connection, within
 	// the usual time or before the connection broke.
 	Unanswered(target Target)
-	// Probe reports what a new connection to a server shows. identify is called for one
-	// that was accepted.
+	// Probe reports what a new direct connection to a server shows. identify is called for
+	// one that was accepted.
 	Probe(ctx context.Context, target Target, identify Identify) answerend.Probe
+	// Confirm reports what other instances find of a server that refuses this one.
+	Confirm(ctx context.Context, target Target, identify Identify) answerend.Probe
 }
 
 // directConnector connects directly only.
@@ -61,6 +63,11 @@
 	return Probe(ctx, d.dial, target.Address, identify)
 }
 
+// Confirm implements Connector. There is no other instance.
+func (directConnector) Confirm(context.Context, Target, Identify) answerend.Probe {
+	return answerend.Refused
+}
+
 // Dial opens a direct connection to a server within ConnectTimeout.
 func Dial(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, ConnectTimeout)
--- a/internal/relay/probes.go
+++ b/internal/relay/probes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"basilrudder/internal/answerend"
@@ -29,9 +30,11 @@
 }
 
 type probe struct {
-	at    monotime.Instant
-	done  chan struct{}
-	found answerend.Probe
+	at   monotime.Instant
+	done chan struct{}
+	// refused means that the server has refused this instance, which is to be confirmed.
+	refused atomic.Bool
+	found   answerend.Probe
 }
 
 // shows reports whether the result holds for an answer that ended at an instant, or may do so
@@ -67,7 +70,7 @@
 		}
 		if first {
 			defer close(current.done)
-			current.found = p.connector.Probe(context.WithoutCancel(ctx), target, p.identify(target))
+			current.found = p.make(context.WithoutCancel(ctx), current, target)
 			if current.found.ServerAlive() {
 				p.forget(target.ID)
 			}
@@ -84,6 +87,27 @@
 	}
 }
 
+// make makes a probe.
+func (p *probes) make(ctx context.Context, current *probe, target Target) answerend.Probe {
+	identify := p.identify(target)
+	found := p.connector.Probe(ctx, target, identify)
+	if found != answerend.Refused {
+		return found
+	}
+	current.refused.Store(true)
+	return p.connector.Confirm(ctx, target, identify)
+}
+
+// unconfirmed returns what is known of a server while its probe is under way.
+func (p *probes) unconfirmed(server string) answerend.Probe {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if current := p.recent[server]; current != nil && current.refused.Load() {
+		return answerend.Unconfirmed
+	}
+	return answerend.Unanswered
+}
+
 // start returns the recent probe of a server that shows something of an answer that ended at
 // since, or a new one that the caller has to make; nil if that is not allowed.
 func (p *probes) start(server string, since monotime.Instant, allowed func() bool) (current *probe, first bool) {
--- a/internal/relay/probes_test.go
+++ b/internal/relay/probes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"basilrudder/internal/answerend"
@@ -46,3 +47,28 @@
 		}
 	}
 }
+
+// slowConfirmation is a connector whose servers refuse it, and whose peers don't answer in time.
+type slowConfirmation struct{ directConnector }
+
+func (slowConfirmation) Probe(context.Context, Target, Identify) answerend.Probe {
+	return answerend.Refused
+}
+
+func (slowConfirmation) Confirm(context.Context, Target, Identify) answerend.Probe {
+	time.Sleep(2 * maxEndHold)
+	return answerend.Unconfirmed
+}
+
+// Guards against part of an answer that looks whole since no peer confirms in time that its server refuses.
+func TestARefusalDoesNotCountLessWhileItIsConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newRig(t, allRoutes, map[string][]script{"s1": {sendThenClose(closeStreamHead, events(1, 2))}}, "s1")
+		b.relay = New(Config{Fleet: b.fleet, Protocol: plainProtocol{}, Connector: slowConfirmation{directConnector{b.dial}}})
+		_, aborted := b.serve(request("POST", "/stream/", "r", "x"))
+		b.close()
+		if ends := b.relay.cfg.Metrics.ends.String(); !aborted || ends != `{"doubtful: new connection refused without confirmation": 1}` {
+			t.Errorf("aborted %v, ends %s", aborted, ends)
+		}
+	})
+}
--- a/internal/relay/unmarked.go
+++ b/internal/relay/unmarked.go
@@ -61,7 +61,7 @@
 	case probe := <-result:
 		return probe
 	case <-expired.C:
-		return answerend.Unanswered
+		return r.endProbes.unconfirmed(target.ID)
 	case <-f.ctx.Done():
 		return answerend.Interrupted
 	}
