Soak: pauses of an instance are a scenario of the tool

Cause: the play of an instance that stands still was in a test file, so that its long run by hand needed a flag of the test.

What is checked is the same.

--- a/tools/soak/standstill_test.go
+++ b/tools/soak/standstill.go
@@ -1,19 +1,15 @@
 package main
 
 import (
-	"flag"
 	"fmt"
 	"sync"
 	"syscall"
-	"testing"
 	"time"
 
 	"basilrudder/platform/standin"
 	"basilrudder/platform/wire"
 )
 
-var standstillSeeds = flag.Int("standstill.seeds", 1, "Number of seeds of each standstill.")
-
 const (
 	// standstillTimeout is that of the route of streams. An instance concludes from the versions
 	// that it has seen for settledAfter.
@@ -21,33 +17,55 @@
 	settledAfter      = 3*standstillTimeout/2 + time.Second
 	// releaseAfter is when the new version joins, from the begin of the standstill on.
 	releaseAfter      = 200 * time.Millisecond
+	standstillServers = 8
 	standstillCallers = 24
 )
 
-// standstill is a play in which an instance stands still while servers of a new version join and
-// those of the old one leave, which serve on.
+// standstill stops an instance for a while, in which servers of a new version join and those of
+// the old one leave, which serve on. Callers take up their streams at that instance.
 type standstill struct {
 	lasts time.Duration
 	state string // of the old servers' entries; empty if they are removed
 }
 
-// play returns the streams that were taken up at the instance that stood still.
-func (s standstill) play(t *testing.T, binary string, seed uint64) (streams []*stream) {
+var standstills = []scenario{
+	standstill{500 * time.Millisecond, wire.StateDraining}, standstill{1200 * time.Millisecond, wire.StateDraining},
+	standstill{1200 * time.Millisecond, ""}, standstill{2500 * time.Millisecond, wire.StateDraining},
+}
+
+// String implements fmt.Stringer.
+func (s standstill) String() string {
+	if s.state == "" {
+		return fmt.Sprintf("%v, entries removed", s.lasts)
+	}
+	return fmt.Sprintf("%v, %s", s.lasts, s.state)
+}
+
+// run implements scenario.
+func (s standstill) run(binary, dir string, seed uint64) (*scenarioReport, error) {
 	p := newRejoin(binary, seed, massKill{instances: 3}, standstillTimeout)
 	var err error
-	if p.fleet, err = newFleet(binary, t.TempDir(), p.instances, 8, noEnds, nil); err != nil {
-		t.Fatal(err)
+	if p.fleet, err = newFleet(binary, dir, p.instances, standstillServers, noEnds, nil); err != nil {
+		return nil, err
 	}
 	defer p.fleet.close()
 	p.fleet.streamTimeout = standstillTimeout
 	p.note(p.fleet.publish())
 	p.replaceServers(func(bool) (string, bool) { return oldSoftware, true })
 	for _, i := range p.fleet.instances {
-		p.note(p.fleet.start(i))
+		if err := p.fleet.start(i); err != nil {
+			return nil, err
+		}
+	}
+	if err := p.waitReady(); err != nil {
+		return nil, err
 	}
-	p.note(p.waitReady())
 	time.Sleep(settledAfter)
+	return s.report(p, s.play(p)), nil
+}
 
+// play stops an instance, releases the new version and has callers take up streams.
+func (s standstill) play(p *rejoin) []*caller {
 	still, others := p.fleet.instances[0], p.fleet.instances[1:]
 	still.signal(syscall.SIGSTOP)
 	stoppedAt := time.Now()
@@ -56,7 +74,7 @@
 	var calling sync.WaitGroup
 	callers := make([]*caller, standstillCallers)
 	for n := range callers {
-		c := newCaller(p.fleet, n, seed)
+		c := newCaller(p.fleet, n, p.seed)
 		callers[n] = c
 		calling.Go(func() {
 			defer c.client.CloseIdleConnections()
@@ -71,13 +89,7 @@
 	time.Sleep(time.Until(stoppedAt.Add(s.lasts)))
 	still.signal(syscall.SIGCONT)
 	calling.Wait()
-	for _, breach := range p.breaches {
-		t.Error(breach)
-	}
-	for _, c := range callers {
-		streams = append(streams, c.streams...)
-	}
-	return streams
+	return callers
 }
 
 // release starts a server of the new version for each one of the old version, and has those leave.
@@ -97,30 +109,17 @@
 	}
 }
 
-// Guards against a stream that goes on at another version at an instance that stood still when the version joined.
-func TestAnInstanceThatStoodStillMixesNoVersions(t *testing.T) {
-	binary, err := build(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, s := range []standstill{
-		{500 * time.Millisecond, wire.StateDraining}, {1200 * time.Millisecond, wire.StateDraining},
-		{1200 * time.Millisecond, ""}, {2500 * time.Millisecond, wire.StateDraining},
-	} {
-		for n := range *standstillSeeds {
-			t.Run(fmt.Sprintf("%v,%s,%d", s.lasts, s.state, n), func(t *testing.T) {
-				t.Parallel()
-				streams, mixed := s.play(t, binary, uint64(1+n)), 0
-				for _, one := range streams {
-					if len(one.software) > 1 {
-						mixed++
-					}
-				}
-				t.Logf("%d of %d streams hold two versions", mixed, len(streams))
-				if mixed > 0 || len(streams) == 0 {
-					t.Error("versions are mixed, or nothing was played")
-				}
-			})
+func (s standstill) report(p *rejoin, callers []*caller) *scenarioReport {
+	out := &scenarioReport{}
+	for _, c := range callers {
+		out.requests += len(c.attempts)
+		for _, one := range c.streams {
+			out.concerned++
+			if len(one.software) > 1 {
+				p.broken("stream %s holds events of two software versions", one.firstTry)
+			}
 		}
 	}
+	out.broken = p.breaches
+	return out
 }
