Drain: a request is considered again once its body was read

What callers saw (report of another operator, shown here): requests that an instance took around the SIGTERM of a planned stop were passed on late in the grace and cut at its end. TestAPlannedStopCutsNoRequestThatItPassedOn, four instances as processes, on: two requests cut in each of three plays.

Cause: whether a request can end before the process was decided as its head arrived. All six cut requests had begun by 1.2 s after the signal and their last bytes came 6.5 to 7.5 s after it; later heads and the directory, the other hypotheses, would show in those times. The same decision was not made again before a request that a server had refused was sent to another one.

Change: it is made again after the body was read and before such a send; what can't end gets 503 and a time to come back.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"basilrudder/internal/membudget"
+	"basilrudder/internal/monotime"
 	"basilrudder/internal/netconn"
 	"basilrudder/internal/placement"
 	"basilrudder/internal/routing"
@@ -34,10 +35,14 @@
 		return problem
 	}
 	f.setDeadline()
-	if problem := f.admitDuringDrain(); problem != nil {
+	if problem := f.admitDuringDrain(f.arrived); problem != nil {
 		return problem
 	}
-	return f.readBody()
+	if problem := f.readBody(); problem != nil {
+		return problem
+	}
+	// Its body may have taken until late in a drain.
+	return f.admitDuringDrain(monotime.Now())
 }
 
 // headSize returns the size of a request's head in bytes, less white space around values and
@@ -107,16 +112,25 @@
 // admitDuringDrain refuses requests that the end of the process would cut off. Callers
 // keep connections and old directory answers for seconds, so requests still arrive;
 // another instance can serve them at once.
-func (f *forwarder) admitDuringDrain() *failure {
-	since, draining := f.relay.draining(f.arrived)
-	if !draining {
+func (f *forwarder) admitDuringDrain(now monotime.Instant) *failure {
+	if f.endsInDrain(now) {
 		return nil
 	}
-	left := f.relay.cfg.DrainTime - since - drainReserve
-	if f.route.Streaming && since > drainStreamWindow || !f.route.Streaming && left < f.route.Timeout {
-		return unavailable(verdict.ReasonDraining, retryElsewhere)
+	return unavailable(verdict.ReasonDraining, retryElsewhere)
+}
+
+// endsInDrain reports whether a request that is sent to a server now is expected to end before
+// this process does.
+func (f *forwarder) endsInDrain(now monotime.Instant) bool {
+	since, draining := f.relay.draining(now)
+	switch {
+	case !draining:
+		return true
+	case f.route.Streaming:
+		return since <= drainStreamWindow
+	default:
+		return f.relay.cfg.DrainTime-since-drainReserve >= time.Until(f.deadline)
 	}
-	return nil
 }
 
 // readBody reads the whole body before anything is sent: a caller that aborts then leaves
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -139,6 +139,9 @@
 		return len(f.excluded) <= maxUnreachable
 	case f.worst != verdict.NotRun && !f.route.MayRepeat():
 		return false
+	case f.worst == verdict.NotRun && !f.endsInDrain(monotime.Now()):
+		// Another instance can serve it whole.
+		return false
 	case f.stream.begun() && !f.route.Resumable, !f.stream.resumable():
 		return false
 	case f.sends >= f.route.Attempts:
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -329,6 +329,50 @@
 	})
 }
 
+// lateBody is a body whose only byte comes after a time.
+type lateBody struct{ after time.Duration }
+
+func (b *lateBody) Read(p []byte) (int, error) {
+	time.Sleep(b.after)
+	return copy(p, "x"), io.EOF
+}
+
+// Guards against a request that is passed on late in a drain, since its head came early or a server refused it.
+func TestADrainRefusesWhatItCouldNotEnd(t *testing.T) {
+	refusing := replying(answer("r", 503, "X-Not-Run: 1\r\n", ""))
+	for _, c := range []struct {
+		name, path string
+		body       time.Duration // after which it comes
+		drain      time.Duration // when the drain begins
+		dials      int
+		status     int
+	}{
+		{"a stream whose body is late", "/stream/", drainStreamWindow + 2, 1, 0, 503},
+		{"a stream whose body is late, no drain", "/stream/", drainStreamWindow + 2, time.Minute, 1, 503},
+		{"a stream that a server refuses late", "/resumable/", drainStreamWindow - 1, 1, 1, 503},
+		{"a short request whose body is late", "/once/", 500 * time.Millisecond, 1, 2, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				slow := func(t *testing.T, conn net.Conn, in *bufio.Reader) {
+					time.Sleep(time.Millisecond)
+					refusing(t, conn, in)
+				}
+				b := newRig(t, allRoutes, map[string][]script{"s1": {slow}, "s2": {refusing}}, "s1", "s2")
+				drain := time.AfterFunc(c.drain, b.relay.Drain)
+				defer drain.Stop()
+				req := request("POST", c.path, "r", "")
+				req.Body, req.ContentLength = io.NopCloser(&lateBody{c.body}), 1
+				rec, _ := b.serve(req)
+				b.close()
+				if dials := b.dials["s1"] + b.dials["s2"]; rec.Code != c.status || dials != c.dials || rec.Header().Get("Retry-After") == "" {
+					t.Errorf("%d after %d sends, Retry-After %q", rec.Code, dials, rec.Header().Get("Retry-After"))
+				}
+			})
+		})
+	}
+}
+
 // events returns the events from first to last, of two lines each.
 func events(first, last int) string {
 	var out strings.Builder
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -28,6 +28,7 @@
 	Ends      ends          `help:"End instances or servers without notice and do nothing else, or both beside all other faults, before callers of HTTP/1.0 and 1.1 and servers that send no length." enum:",instances,servers,all" default:""`
 	MassKills bool          `help:"Kill all instances at once while servers of one version replace those of another, and have callers take up their streams, in place of everything else."`
 	Pauses    bool          `help:"Stop an instance for a while (SIGSTOP) while servers of a new version join, in place of everything else."`
+	Stops     bool          `help:"Have instances end in a planned stop while callers keep their connections, in place of everything else."`
 	Logs      string        `help:"Directory for settings and logs; those of soaks that keep the promises are removed." default:"soak-logs" type:"path"`
 	Binary    string        `help:"A basilrudderd that is built already; empty to build it." type:"path"`
 	Verbose   bool          `help:"Tell of each fault."`
@@ -62,6 +63,9 @@
 	if o.Pauses {
 		return o.runScenarios(standstills)
 	}
+	if o.Stops {
+		return o.runScenarios(plannedStops)
+	}
 	cases, err := o.cases()
 	if err != nil {
 		return err
--- a/tools/soak/scenarios_test.go
+++ b/tools/soak/scenarios_test.go
@@ -5,6 +5,9 @@
 // Guards against a stream that goes on at another version at an instance that stood still when the version joined.
 func TestAnInstanceThatStoodStillMixesNoVersions(t *testing.T) { testScenarios(t, standstills) }
 
+// Guards against requests that an instance passes on although it ends before their answers.
+func TestAPlannedStopCutsNoRequestThatItPassedOn(t *testing.T) { testScenarios(t, plannedStops) }
+
 func testScenarios(t *testing.T, list []scenario) {
 	binary, err := build(t.TempDir())
 	if err != nil {
