Streams: the wait for a confirmation is bounded as a whole

Cause, found in reading the change: requests that wait for a read of a slow store waited for one another's reads too, 300 ms each, up to their deadlines.

Measured: TestVersionsAreConfirmedByReadsThatBeginAfterwards, three callers before a store that does not answer: all refused within 300 ms.

--- a/internal/gateway/versionreads.go
+++ b/internal/gateway/versionreads.go
@@ -34,6 +34,8 @@
 // confirm reports whether all changes are applied here that the store had at an instant. Calls
 // that wait for the same read share it. An instance that does not follow the store can't tell.
 func (v *versionReads) confirm(ctx context.Context, at monotime.Instant) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
 	select {
 	case v.turn <- struct{}{}:
 		defer func() { <-v.turn }()
@@ -48,8 +50,6 @@
 	if after == 0 || v.sync.failures.Load() > 0 || !timer.Sleep(v.readAt.Add(versionReadInterval).Sub(monotime.Now()), ctx.Done()) {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
 	begun := monotime.Now()
 	changes, err := v.sync.source.Watch(ctx, after, versionReadWait)
 	if err != nil {
--- a/internal/gateway/versionreads_test.go
+++ b/internal/gateway/versionreads_test.go
@@ -56,9 +56,19 @@
 			t.Errorf("%d calls, want one for both that ask before a read, and one for the one that asks during it", len(source.calls))
 		}
 
+		begun := time.Now() // of a store that does not answer
+		for range 3 {
+			all.Go(func() {
+				if reads.confirm(t.Context(), monotime.Now()) || time.Since(begun) > confirmTimeout {
+					t.Error("waits for a slow store: ", time.Since(begun))
+				}
+			})
+		}
+		all.Wait()
+
 		source.watch = []result{{err: errors.New("down")}}
 		time.Sleep(time.Second)
-		step("a read fails", false, 4)
+		step("a read fails", false, len(source.calls)+1)
 	})
 }
 
--- a/internal/relay/probes.go
+++ b/internal/relay/probes.go
@@ -70,7 +70,7 @@
 		}
 		if first {
 			defer close(current.done)
-			current.found = p.make(context.WithoutCancel(ctx), current, target)
+			current.found = p.attempt(context.WithoutCancel(ctx), current, target)
 			if current.found.ServerAlive() {
 				p.forget(target.ID)
 			}
@@ -87,8 +87,8 @@
 	}
 }
 
-// make makes a probe.
-func (p *probes) make(ctx context.Context, current *probe, target Target) answerend.Probe {
+// attempt probes a server, and has a refusal confirmed.
+func (p *probes) attempt(ctx context.Context, current *probe, target Target) answerend.Probe {
 	identify := p.identify(target)
 	found := p.connector.Probe(ctx, target, identify)
 	if found != answerend.Refused {
