Names: settlements of suspicions, servers that stop listening early

Cause: names found in reading the change that say little elsewhere in their packages. No behaviour changes.

--- a/internal/answerend/leaving_test.go
+++ b/internal/answerend/leaving_test.go
@@ -12,26 +12,26 @@
 	// end is when the answer ended, part whether the server's process ended it.
 	end  time.Duration
 	part bool
-	// exit is when the process ended, and deaf when it stopped listening: at its end, or before
-	// in order to complete its answers.
-	exit, deaf time.Duration
+	// exit is when the process ended, and listensUntil when it stopped listening: at its end, or
+	// before in order to complete its answers.
+	exit, listensUntil time.Duration
 	// closesIdle means that it closed idle connections as it stopped listening.
 	closesIdle bool
 }
 
-// drawLastAnswer draws an answer of which a share of servers stop listening first.
-func drawLastAnswer(draw *rand.Rand, deafShare float64) lastAnswer {
+// drawLastAnswer draws an answer. A share of the servers stops listening before it ends.
+func drawLastAnswer(draw *rand.Rand, earlyShare float64) lastAnswer {
 	seconds := func(mean float64) time.Duration {
 		return time.Duration(mean * draw.ExpFloat64() * float64(time.Second))
 	}
 	a := lastAnswer{end: seconds(2)}
 	stops := 2*time.Second + seconds(1)
-	if draw.Float64() >= deafShare {
+	if draw.Float64() >= earlyShare {
 		// It accepts connections until it ends, whatever it is sending.
-		a.exit, a.deaf = stops, stops
+		a.exit, a.listensUntil = stops, stops
 	} else {
-		a.deaf, a.closesIdle = stops-seconds(0.5), draw.IntN(2) == 0
-		a.exit = max(a.deaf, min(a.end, a.deaf+time.Duration(1+draw.IntN(10))*time.Second))
+		a.listensUntil, a.closesIdle = stops-seconds(0.5), draw.IntN(2) == 0
+		a.exit = max(a.listensUntil, min(a.end, a.listensUntil+time.Duration(1+draw.IntN(10))*time.Second))
 	}
 	if a.end > a.exit {
 		a.end, a.part = a.exit, true
@@ -43,7 +43,7 @@
 // before the answer ends.
 func (a *lastAnswer) refusedWhileSending(interval time.Duration) bool {
 	const open = siblingTime // how long the answer's connection has to stay open after the refusal
-	first := max(0, (a.deaf+interval-1)/interval*interval)
+	first := max(0, (a.listensUntil+interval-1)/interval*interval)
 	return first+open < a.end
 }
 
@@ -53,7 +53,7 @@
 	"probe (chosen)": func(a *lastAnswer) (Decision, int) { return a.probed(), 1 },
 	"trust those that refused connections while sending": func(a *lastAnswer) (Decision, int) {
 		const interval = 500 * time.Millisecond
-		checks := 1 + int(min(a.end, max(0, a.deaf))/interval)
+		checks := 1 + int(min(a.end, max(0, a.listensUntil))/interval)
 		if a.refusedWhileSending(interval) {
 			return Whole, checks
 		}
@@ -62,7 +62,7 @@
 	"second connection": func(a *lastAnswer) (Decision, int) {
 		ended := a.exit
 		if a.closesIdle {
-			ended = a.deaf
+			ended = a.listensUntil
 		}
 		return decisionOf(ended <= a.end+siblingTime && ended >= a.end-siblingTime), 1
 	},
@@ -71,7 +71,7 @@
 // probed decides by a probe after the end.
 func (a *lastAnswer) probed() Decision {
 	e := Evidence{Probe: Identified}
-	if a.end+siblingTime+probeTime >= a.deaf {
+	if a.end+siblingTime+probeTime >= a.listensUntil {
 		e.Probe = Refused
 	}
 	return e.Decide()
@@ -83,9 +83,9 @@
 	totals := make(map[string]errors)
 	for seed := range uint64(50) {
 		draw := rand.New(rand.NewPCG(firstSeed+seed, 0))
-		deafShare := draw.Float64()
+		earlyShare := draw.Float64()
 		for range 2000 {
-			a := drawLastAnswer(draw, deafShare)
+			a := drawLastAnswer(draw, earlyShare)
 			for name, rule := range lastAnswerRules {
 				sum := totals[name]
 				decision, connections := rule(&a)
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -37,16 +37,16 @@
 	target relay.Target
 }
 
-// fate is what becomes of a suspicion after a change.
-type fate uint8
+// settlement is how a change settles a suspicion.
+type settlement uint8
 
 const (
-	kept fate = iota
-	dropped
-	confirmed
-	// doubtful means that the server's entry went: it has ended or left without an
-	// announcement, and goes on serving for a while.
-	doubtful
+	pendingSuspicion settlement = iota
+	unfoundedSuspicion
+	confirmedSuspicion
+	// undecidedSuspicion means that the server's entry went: it has ended, or has left without an
+	// announcement and goes on serving for a while.
+	undecidedSuspicion
 )
 
 // BrokeOff implements relay.Fleet.
@@ -76,33 +76,33 @@
 
 // Misdirected implements relay.Fleet.
 func (f *fleet) Misdirected(server string, now monotime.Instant) {
-	f.settleSuspicions("misdirected", now, func(s *suspicion) fate {
+	f.settleSuspicions("misdirected", now, func(s *suspicion) settlement {
 		if s.crash.Server == server {
-			return confirmed
+			return confirmedSuspicion
 		}
-		return kept
+		return pendingSuspicion
 	})
 }
 
 // settleServers confirms suspicions against servers that have ended or whose address has
 // another incarnation now, and drops those against servers that leave.
 func (f *fleet) settleServers(changed []wire.RelayServer, now monotime.Instant) {
-	f.settleSuspicions("entry", now, func(s *suspicion) fate {
+	f.settleSuspicions("entry", now, func(s *suspicion) settlement {
 		for i := range changed {
 			switch c := &changed[i]; {
 			case c.ID == s.crash.Server && c.Gone:
-				return doubtful
+				return undecidedSuspicion
 			case c.ID != s.crash.Server && !c.Gone && c.Address == s.target.Address:
-				return confirmed
+				return confirmedSuspicion
 			case c.ID == s.crash.Server && c.Draining:
-				return dropped
+				return unfoundedSuspicion
 			}
 		}
-		return kept
+		return pendingSuspicion
 	})
 }
 
-func (f *fleet) settleSuspicions(evidence string, now monotime.Instant, decide func(*suspicion) fate) {
+func (f *fleet) settleSuspicions(evidence string, now monotime.Instant, decide func(*suspicion) settlement) {
 	var ended []suspicion
 	asked := make(map[string][]suspicion)
 	f.suspicions.mu.Lock()
@@ -110,12 +110,12 @@
 	f.suspicions.list = slices.DeleteFunc(f.suspicions.list, func(s suspicion) bool {
 		found := decide(&s)
 		switch {
-		case found == doubtful && f.suspicions.replies != nil:
+		case found == undecidedSuspicion && f.suspicions.replies != nil:
 			asked[s.crash.Server] = append(asked[s.crash.Server], s)
-		case found == doubtful, found == confirmed:
+		case found == undecidedSuspicion, found == confirmedSuspicion:
 			ended = append(ended, s)
 		}
-		return found != kept
+		return found != pendingSuspicion
 	})
 	f.suspicions.mu.Unlock()
 	f.confirmCrashes(ended, evidence, now)
